Fold over the platform's log: envelopes, registries, catalogue, pools and membership

One reducer decides every record alike at every reader: the first valid edit of a version wins, a second copy of a record is ignored by its id, and a copy that comes after its lifetime is refused, so ids need to be remembered only that long.

--- /dev/null
+++ b/heatherkeel/catalogue/reducer.py
@@ -0,0 +1,76 @@
+"""Decides edits of the catalogue: the first valid edit of a version wins, at every reader."""
+
+from __future__ import annotations
+
+import msgspec
+from result import Err, Ok, Result
+
+from heatherkeel.core.models import Accepted, RecordMeta, Rejected, RejectReason
+from heatherkeel.core.registry import handles
+from heatherkeel.core.state import FleetState
+
+from .const import MAX_ENTRY_BYTES
+from .models import CatalogueChanged, EntryDelete, EntryPut, StoredEntry
+
+_ENCODER = msgspec.json.Encoder()
+
+
+@handles("catalogue.put", EntryPut)
+def put_entry(state: FleetState, meta: RecordMeta, body: EntryPut) -> Result[Accepted, Rejected]:
+    """Create or replace an entry if its author saw the version in force."""
+    refusal = _check_edit(state, name=body.name, expected=body.expected_version, team=body.team)
+    if refusal is not None:
+        return Err(refusal)
+    if len(_ENCODER.encode(body.entry)) > MAX_ENTRY_BYTES:
+        return Err(Rejected(reason=RejectReason.MALFORMED, detail="entry is too large"))
+    if body.expected_version == 0 and body.entry.owner != body.team:
+        return Err(Rejected(reason=RejectReason.NOT_OWNER, detail=body.entry.owner))
+    version = _next_version(state, body.name)
+    state.catalogue.entries[body.name] = StoredEntry(
+        entry=body.entry, version=version, offset=meta.offset
+    )
+    return Ok(_accept(state, meta, name=body.name, version=version, deleted=False))
+
+
+@handles("catalogue.delete", EntryDelete)
+def delete_entry(
+    state: FleetState, meta: RecordMeta, body: EntryDelete
+) -> Result[Accepted, Rejected]:
+    """Remove an entry if its author saw the version in force."""
+    refusal = _check_edit(state, name=body.name, expected=body.expected_version, team=body.team)
+    if refusal is not None:
+        return Err(refusal)
+    version = _next_version(state, body.name)
+    del state.catalogue.entries[body.name]
+    return Ok(_accept(state, meta, name=body.name, version=version, deleted=True))
+
+
+def _check_edit(state: FleetState, *, name: str, expected: int, team: str) -> Rejected | None:
+    """Refuse a stale edit, or one by a team that doesn't own the entry.
+
+    Two operators can race on one entry. Without the version, the slower one would undo the
+    other's edit without having seen it.
+    """
+    stored = state.catalogue.entries.get(name)
+    in_force = 0 if stored is None else stored.version
+    if stored is None and expected > 0:
+        return Rejected(reason=RejectReason.NOT_FOUND, detail=name)
+    if expected != in_force:
+        return Rejected(reason=RejectReason.STALE_VERSION, detail=name, version=in_force)
+    if stored is not None and stored.entry.owner != team:
+        return Rejected(reason=RejectReason.NOT_OWNER, detail=name, version=in_force)
+    return None
+
+
+def _next_version(state: FleetState, name: str) -> int:
+    version = state.catalogue.versions.get(name, 0) + 1
+    state.catalogue.versions[name] = version
+    return version
+
+
+def _accept(
+    state: FleetState, meta: RecordMeta, *, name: str, version: int, deleted: bool
+) -> Accepted:
+    state.catalogue.changed_offset = meta.offset
+    changed = CatalogueChanged(name=name, version=version, offset=meta.offset, deleted=deleted)
+    return Accepted(version=version, effects=(changed,))
--- /dev/null
+++ b/heatherkeel/core/node.py
@@ -0,0 +1,78 @@
+"""The reducer of one process: records from the log and local events, through one door."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Final, TypeVar
+
+from heatherkeel.membership.local import LeaseState, PeersState
+from heatherkeel.requests.local import RoutingState
+
+from .errors import RegistrationError
+from .models import Effect, LogRecord
+from .reducer import fold
+from .state import FleetState
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LocalEvent:
+    """Base of what happens to one process; `now_ms` is its monotonic clock."""
+
+    now_ms: int
+
+
+@dataclass(kw_only=True)
+class LocalState:
+    """What one process knows by itself; it is lost with the process."""
+
+    instance: str
+    zone: str
+    incarnation: str
+    routing: RoutingState = field(default_factory=RoutingState)
+    peers: PeersState = field(default_factory=PeersState)
+    lease: LeaseState = field(default_factory=LeaseState)
+
+
+@dataclass(kw_only=True)
+class NodeState:
+    """The shared state as folded here, and the local state beside it."""
+
+    local: LocalState
+    fleet: FleetState = field(default_factory=FleetState)
+
+
+Event = LogRecord | LocalEvent
+EventT = TypeVar("EventT", bound=LocalEvent | Effect)
+Listener = Callable[[NodeState, EventT], list[Effect]]
+LISTENERS: Final[dict[type, list[Listener[Any]]]] = {}
+
+
+def listens(event_type: type[EventT]) -> Callable[[Listener[EventT]], Listener[EventT]]:
+    """Register a handler of a local event, or of an effect of the fold.
+
+    A listener changes `node.local` only: `node.fleet` belongs to the fold.
+    """
+
+    def register(listener: Listener[EventT]) -> Listener[EventT]:
+        listeners = LISTENERS.setdefault(event_type, [])
+        if listener in listeners:
+            raise RegistrationError(f"{listener.__name__} is registered twice")
+        listeners.append(listener)
+        return listener
+
+    return register
+
+
+def reduce(node: NodeState, event: Event) -> list[Effect]:
+    """Take one event and return all effects, in order; listeners hear the fold's effects too."""
+    if isinstance(event, LocalEvent):
+        return _tell(node, event)
+    effects = fold(node.fleet, event)
+    answers = [answer for effect in effects for answer in _tell(node, effect)]
+    return effects + answers
+
+
+def _tell(node: NodeState, event: LocalEvent | Effect) -> list[Effect]:
+    listeners = LISTENERS.get(type(event), ())
+    return [effect for listener in listeners for effect in listener(node, event)]
--- /dev/null
+++ b/heatherkeel/core/reducer.py
@@ -0,0 +1,137 @@
+"""The one reducer over the log: `fold(state, record)` decides, its effects are data.
+
+No I/O, clock or randomness in here. The state is changed in place: the caller owns it, and a
+copy per record would cost more than the decision itself (`docs/design/reducer.md`).
+"""
+
+from __future__ import annotations
+
+import msgspec
+from result import Err, Ok
+
+from .const import (
+    MAX_ID_CHARS,
+    MAX_RECORD_BYTES,
+    MAX_RECORD_LIFETIME_MS,
+    SEEN_PURGE_INTERVAL_MS,
+)
+from .errors import OffsetGapError
+from .models import (
+    Duplicate,
+    Effect,
+    Envelope,
+    LogRecord,
+    RecordMeta,
+    Rejected,
+    RejectReason,
+    Settled,
+    Skipped,
+)
+from .registry import RECORD_KINDS, RecordKind
+from .state import FleetState
+
+_ENVELOPE_DECODER = msgspec.json.Decoder(Envelope)
+
+
+def fold(state: FleetState, record: LogRecord) -> list[Effect]:
+    """Decide one record and return what the world should be told or do.
+
+    Raises `OffsetGapError` if the record is not the next one: a skipped record can't be mended
+    later, so the process must rebuild its state.
+    """
+    if record.offset != state.next_offset:
+        raise OffsetGapError(expected=state.next_offset, found=record.offset)
+    state.next_offset += 1
+    state.now_ms = max(state.now_ms, record.at_ms)
+    _forget_old_ids(state)
+    envelope = _decode_envelope(record)
+    if isinstance(envelope, Skipped):
+        return [envelope]
+    # The answer to an append can be lost after the append took effect. The author then sends
+    # the same record again; without this check an edit or a job would be taken twice.
+    if envelope.id in state.seen:
+        return [Duplicate(record_id=envelope.id, offset=record.offset)]
+    return _decide(state, record.offset, envelope)
+
+
+def _decode_envelope(record: LogRecord) -> Envelope | Skipped:
+    """Decode an envelope, or say why every reader passes it over."""
+    if len(record.data) > MAX_RECORD_BYTES:
+        return _skip(record, f"{len(record.data)} bytes, at most {MAX_RECORD_BYTES} are read")
+    try:
+        envelope = _ENVELOPE_DECODER.decode(record.data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
+        return _skip(record, str(err))
+    if not 0 < len(envelope.id) <= MAX_ID_CHARS:
+        return _skip(record, f"id has {len(envelope.id)} characters")
+    return envelope
+
+
+def _skip(record: LogRecord, detail: str) -> Skipped:
+    return Skipped(offset=record.offset, reason=RejectReason.MALFORMED, detail=detail)
+
+
+def _decide(state: FleetState, offset: int, envelope: Envelope) -> list[Effect]:
+    """Check lifetime and body, ask the subject's handler, and settle the record."""
+    refusal = _check_lifetime(state, envelope)
+    if refusal is not None:
+        return [_settle(offset, envelope, refusal)]
+    state.seen[envelope.id] = envelope.not_after_ms
+    kind = RECORD_KINDS.get(envelope.kind)
+    if kind is None:
+        unknown = Rejected(reason=RejectReason.UNKNOWN_KIND, detail=envelope.kind)
+        return [_settle(offset, envelope, unknown)]
+    return _ask_handler(state, offset, envelope, kind)
+
+
+def _check_lifetime(state: FleetState, envelope: Envelope) -> Rejected | None:
+    """Refuse a record that came too late, or that would be remembered for too long."""
+    if envelope.not_after_ms < state.now_ms:
+        return Rejected(reason=RejectReason.EXPIRED, detail=f"not after {envelope.not_after_ms}")
+    if envelope.not_after_ms > state.now_ms + MAX_RECORD_LIFETIME_MS:
+        return Rejected(reason=RejectReason.MALFORMED, detail="not_after_ms is too far ahead")
+    return None
+
+
+def _ask_handler(
+    state: FleetState, offset: int, envelope: Envelope, kind: RecordKind
+) -> list[Effect]:
+    try:
+        body = kind.decoder.decode(envelope.body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
+        malformed = Rejected(reason=RejectReason.MALFORMED, detail=str(err))
+        return [_settle(offset, envelope, malformed)]
+    meta = RecordMeta(
+        id=envelope.id,
+        kind=envelope.kind,
+        author=envelope.author,
+        offset=offset,
+        now_ms=state.now_ms,
+    )
+    match kind.handler(state, meta, body):
+        case Ok(accepted):
+            return [_settle(offset, envelope, accepted), *accepted.effects]
+        case Err(rejected):
+            return [_settle(offset, envelope, rejected)]
+
+
+def _settle(offset: int, envelope: Envelope, outcome: object) -> Settled:
+    return Settled(
+        record_id=envelope.id,
+        kind=envelope.kind,
+        author=envelope.author,
+        offset=offset,
+        outcome=outcome,  # type: ignore[arg-type]
+    )
+
+
+def _forget_old_ids(state: FleetState) -> None:
+    """Forget ids that can't come again; the interval keeps the cost per record small."""
+    if state.now_ms - state.seen_purged_ms < SEEN_PURGE_INTERVAL_MS:
+        return
+    state.seen_purged_ms = state.now_ms
+    state.seen = {
+        record_id: not_after_ms
+        for record_id, not_after_ms in state.seen.items()
+        if not_after_ms >= state.now_ms
+    }
--- /dev/null
+++ b/heatherkeel/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: accepted, placed, run at most once where they must, and never lost."""
--- /dev/null
+++ b/heatherkeel/membership/local.py
@@ -0,0 +1,17 @@
+"""What one entry instance knows of its peers and of its own lease; never shared or kept."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(kw_only=True)
+class PeersState:
+    """Peers by entry instance id."""
+
+
+@dataclass(kw_only=True)
+class LeaseState:
+    """This process's own routing lease; times in milliseconds of its monotonic clock."""
+
+    valid_until_ms: int = 0
--- /dev/null
+++ b/heatherkeel/membership/models.py
@@ -0,0 +1,58 @@
+"""Records about entry instances, and the subject's folded state."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Annotated
+
+from msgspec import Meta
+
+from heatherkeel.catalogue.models import DurationMs, Name
+from heatherkeel.core.models import RecordBody
+
+EntryInstanceId = Annotated[str, Meta(min_length=1, max_length=64)]
+
+
+class EntryJoin(RecordBody, frozen=True, kw_only=True):
+    """An entry instance asks to route; `incarnation` is new with every start of the process."""
+
+    instance: EntryInstanceId
+    incarnation: str
+    zone: Name
+    peer_address: str
+    lease_ms: DurationMs
+
+
+class EntryRenew(RecordBody, frozen=True, kw_only=True):
+    """An entry instance renews its routing lease, reporting the offset that it has in force."""
+
+    instance: EntryInstanceId
+    incarnation: str
+    offset_in_force: Annotated[int, Meta(ge=-1)]
+
+
+class EntryLeave(RecordBody, frozen=True, kw_only=True):
+    """An entry instance has stopped routing for good, with nothing in progress."""
+
+    instance: EntryInstanceId
+    incarnation: str
+
+
+@dataclass(kw_only=True)
+class EntryInstance:
+    """An entry instance that may route; times in log milliseconds."""
+
+    incarnation: str
+    zone: str
+    peer_address: str
+    lease_ms: int
+    lease_until_ms: int
+    offset_in_force: int = -1
+    joined_offset: int = 0
+
+
+@dataclass(kw_only=True)
+class MembershipState:
+    """Entry instances by id."""
+
+    entries: dict[str, EntryInstance] = field(default_factory=dict)
--- /dev/null
+++ b/heatherkeel/pools/models.py
@@ -0,0 +1,80 @@
+"""Records about instances and pools, and the subject's folded state."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Annotated
+
+from msgspec import Meta
+
+from heatherkeel.catalogue.models import Count, Name
+from heatherkeel.core.models import Effect, RecordBody
+
+InstanceId = Annotated[str, Meta(min_length=1, max_length=64)]
+Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+
+
+class InstanceStatus(StrEnum):
+    """What an instance may be used for."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    QUIESCED = "quiesced"
+    """Every entry instance that could route to it has acknowledged: it may be stopped."""
+    STOPPED = "stopped"
+    FAILED = "failed"
+
+
+class InstanceAdmit(RecordBody, frozen=True, kw_only=True):
+    """The platform's list shows an instance that the fold doesn't know.
+
+    `boot_id` changes with every start of the instance; memory in MiB.
+    """
+
+    instance: InstanceId
+    boot_id: str
+    zone: Name
+    rack: Name
+    address: Address
+    cpus: Count = 0
+    memory_mib: Annotated[int, Meta(ge=0)] = 0
+    accelerators: Count = 0
+    pool: str = ""
+    """The pool that the platform made it for; empty lets the fold choose."""
+
+
+@dataclass(kw_only=True)
+class Instance:
+    """A worker, in exactly one pool at every offset; `pool` is empty while it is spare.
+
+    `version` rises with every change, so that a stale coordinator's record is refused.
+    Times in log milliseconds.
+    """
+
+    zone: str
+    rack: str
+    address: str
+    boot_id: str
+    pool: str
+    cpus: int = 0
+    memory_mib: int = 0
+    accelerators: int = 0
+    status: InstanceStatus = InstanceStatus.SERVING
+    version: int = 1
+    maintained_ms: int = 0
+
+
+@dataclass(kw_only=True)
+class PoolsState:
+    """Instances by id."""
+
+    instances: dict[str, Instance] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceChanged(Effect):
+    """An instance was admitted, moved, or changed its status."""
+
+    instance: str
+    offset: int
--- /dev/null
+++ b/heatherkeel/pools/reducer.py
@@ -0,0 +1,49 @@
+"""Decides which instances there are, and which one pool each belongs to."""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from heatherkeel.catalogue.models import PoolEntry
+from heatherkeel.core.models import Accepted, RecordMeta, Rejected, RejectReason
+from heatherkeel.core.registry import handles
+from heatherkeel.core.state import FleetState
+
+from .models import Instance, InstanceAdmit, InstanceChanged
+
+
+@handles("pools.admit", InstanceAdmit)
+def admit_instance(
+    state: FleetState, meta: RecordMeta, body: InstanceAdmit
+) -> Result[Accepted, Rejected]:
+    """Take in a new instance; several entry instances may report it, the first one wins."""
+    if body.instance in state.pools.instances:
+        return Err(Rejected(reason=RejectReason.ALREADY_EXISTS, detail=body.instance))
+    state.pools.instances[body.instance] = Instance(
+        zone=body.zone,
+        rack=body.rack,
+        address=body.address,
+        boot_id=body.boot_id,
+        pool=body.pool or neediest_pool(state),
+        cpus=body.cpus,
+        memory_mib=body.memory_mib,
+        accelerators=body.accelerators,
+        maintained_ms=meta.now_ms,
+    )
+    changed = InstanceChanged(instance=body.instance, offset=meta.offset)
+    return Ok(Accepted(version=1, effects=(changed,)))
+
+
+def neediest_pool(state: FleetState) -> str:
+    """Return the pool that lacks most instances, by name among equals; empty if none lacks any."""
+    members: dict[str, int] = {}
+    for instance in state.pools.instances.values():
+        members[instance.pool] = members.get(instance.pool, 0) + 1
+    lacking = [
+        (members.get(name, 0) - stored.entry.size, name)
+        for name, stored in state.catalogue.entries.items()
+        if isinstance(stored.entry, PoolEntry)
+    ]
+    if not lacking or min(lacking)[0] >= 0:
+        return ""
+    return min(lacking)[1]
--- /dev/null
+++ b/heatherkeel/requests/local.py
@@ -0,0 +1,23 @@
+"""What one entry instance knows of targets and of its own requests; never shared or kept."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(kw_only=True)
+class TargetView:
+    """One target as this entry instance sees it; `in_progress` counts its own requests."""
+
+    address: str
+    zone: str
+    pool: str
+    in_progress: int = 0
+    leaving: bool = False
+
+
+@dataclass(kw_only=True)
+class RoutingState:
+    """Targets by instance id."""
+
+    targets: dict[str, TargetView] = field(default_factory=dict)
--- /dev/null
+++ b/heatherkeel/waves/__init__.py
@@ -0,0 +1,1 @@
+"""Maintenance waves: who is drained next, within every availability budget."""
