--- a/heatherkeel/membership/local.py
+++ b/heatherkeel/membership/local.py
@@ -12,6 +12,6 @@
 
 @dataclass(kw_only=True)
 class LeaseState:
-    """This process's own routing lease; times in milliseconds of its monotonic clock."""
+    """The routing lease of one process; times in milliseconds of its monotonic clock."""
 
     valid_until_ms: int = 0
