Route requests by load, with limits shared by all entry instances, retries and queues

Pure decisions: requests and targets come in as local events, sends and refusals go out as effects. A share of a target's slots is the smallest over all views that another entry instance may still hold; the renewal of a lease acknowledges a view once nothing in progress exceeds it. Membership remembers until when a replaced incarnation may still route, and takes the acknowledgement with a renewal.

Ruled out: shares by the newest view alone (two readers at different offsets count one slot twice).

--- a/heatherkeel/membership/models.py
+++ b/heatherkeel/membership/models.py
@@ -29,6 +29,8 @@
     instance: EntryInstanceId
     incarnation: str
     offset_in_force: Annotated[int, Meta(ge=-1)]
+    shares_offset: Annotated[int, Meta(ge=-1)] = -1
+    """The newest offset up to which it keeps to every share of a target's slots."""
 
 
 class EntryLeave(RecordBody, frozen=True, kw_only=True):
@@ -49,6 +51,9 @@
     lease_until_ms: int
     offset_in_force: int = -1
     joined_offset: int = 0
+    shares_offset: int = -1
+    predecessor_until_ms: int = 0
+    """Until when a replaced incarnation of the same id may still be routing; 0 if none may."""
 
 
 @dataclass(kw_only=True)
--- /dev/null
+++ b/heatherkeel/requests/const.py
@@ -0,0 +1,59 @@
+"""Constants of routing, limits, retries and claims."""
+
+from __future__ import annotations
+
+from typing import Final
+
+MAX_ATTEMPTS: Final = 3
+"""Most sends of one idempotent request, the first one included."""
+
+RETRY_EARNED_PER_FIRST_TRY: Final = 20
+"""Retry budget that one first try earns, in hundredths of a retry."""
+
+RETRY_COST: Final = 100
+"""What one retry takes from the budget, in hundredths of a retry."""
+
+RETRY_BUDGET_MAX: Final = 1_000
+"""Most retry budget that can be saved up, in hundredths of a retry."""
+
+EJECT_AFTER_FAILURES: Final = 5
+"""Failures in a row, with no success between them, after which a target is ejected."""
+
+EJECT_BASE_MS: Final = 5_000
+"""Length of a first ejection; every one that follows without a success doubles it."""
+
+EJECT_MAX_MS: Final = 60_000
+"""Longest ejection."""
+
+SLOW_START_MS: Final = 10_000
+"""Time over which a returning target is given its full share of requests again."""
+
+LATENCY_WEIGHT: Final = 8
+"""A new latency counts one part in this many in the moving average."""
+
+INITIAL_LATENCY_MS: Final = 50.0
+"""Latency assumed of a target that has not answered yet."""
+
+ATTEMPT_LATENCY_FACTOR: Final = 4
+"""An attempt may take this many times the usual latency before its retry is due."""
+
+MAX_PASSED_OVER: Final = 7
+"""Times that a waiting class may be passed over by a more urgent one before its turn comes."""
+
+MIN_RETRY_AFTER_MS: Final = 100
+MAX_RETRY_AFTER_MS: Final = 30_000
+
+UNAVAILABLE_RETRY_AFTER_MS: Final = 5_000
+"""When to come back if there is no drain rate to reckon with: no target, no lease, no platform."""
+
+QUEUE_TICK_MS: Final = 20
+"""How often the owner of the loop sends `QueueTick` while something is queued."""
+
+LIST_LAG_MS: Final = 15_000
+"""How far the platform's list may lag behind what a target itself has said."""
+
+SHARE_GRACE_MS: Final = 10_000
+"""Time after a routing lease in which sends of its holder may still be in progress."""
+
+SPILL_PERCENT: Final = 25
+"""Part of a target's slots that entry instances of other availability zones share."""
--- /dev/null
+++ b/heatherkeel/requests/reasons.py
@@ -0,0 +1,58 @@
+"""Outcomes and reasons that callers and counters see: one counter label for each."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class Outcome(StrEnum):
+    """What is known of one request when its final answer is given."""
+
+    RAN = "ran"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class RefusalReason(StrEnum):
+    """Why a request got no answer of a target."""
+
+    NO_SERVICE = "no_service"
+    NO_TARGET = "no_target"
+    QUEUE_FULL = "queue_full"
+    QUEUE_TOO_SLOW = "queue_too_slow"
+    DEADLINE = "deadline"
+    LEASE_LAPSED = "lease_lapsed"
+    TARGET_REFUSED = "target_refused"
+    CONNECT_FAILED = "connect_failed"
+    BROKEN_AFTER_SEND = "broken_after_send"
+    BROKEN_IN_ANSWER = "broken_in_answer"
+    TIMED_OUT = "timed_out"
+    CALLER_GONE = "caller_gone"
+    SHUTTING_DOWN = "shutting_down"
+    KEY_CONFLICT = "key_conflict"
+    KEY_IN_PROGRESS = "key_in_progress"
+    KEY_OUTCOME_UNKNOWN = "key_outcome_unknown"
+    KEY_NOT_RUN = "key_not_run"
+    CLAIM_NOT_WRITTEN = "claim_not_written"
+    TOO_MANY_CLAIMS = "too_many_claims"
+
+
+class RetryReason(StrEnum):
+    """Why a request was sent to another target."""
+
+    TARGET_REFUSED = "target_refused"
+    CONNECT_FAILED = "connect_failed"
+    BROKEN_AFTER_SEND = "broken_after_send"
+    TIMED_OUT = "timed_out"
+
+
+class NoRetryReason(StrEnum):
+    """Why a failed attempt was not followed by another one."""
+
+    NOT_IDEMPOTENT = "not_idempotent"
+    ANSWER_STARTED = "answer_started"
+    ATTEMPTS_USED = "attempts_used"
+    BUDGET_EMPTY = "budget_empty"
+    DEADLINE = "deadline"
+    NO_OTHER_TARGET = "no_other_target"
+    LEASE_LAPSED = "lease_lapsed"
--- /dev/null
+++ b/heatherkeel/requests/retries.py
@@ -0,0 +1,85 @@
+"""Decides whether a failed attempt is followed by another one."""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from heatherkeel.core.node import NodeState
+
+from .const import (
+    ATTEMPT_LATENCY_FACTOR,
+    MAX_ATTEMPTS,
+    RETRY_BUDGET_MAX,
+    RETRY_COST,
+    RETRY_EARNED_PER_FIRST_TRY,
+)
+from .events import AttemptResult
+from .local import ActiveRequest, RetryBudget
+from .reasons import NoRetryReason, RetryReason
+from .routing import pick
+
+RETRY_REASONS = {
+    AttemptResult.REFUSED_BEFORE_START: RetryReason.TARGET_REFUSED,
+    AttemptResult.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
+    AttemptResult.BROKEN_AFTER_SEND: RetryReason.BROKEN_AFTER_SEND,
+    AttemptResult.TIMED_OUT: RetryReason.TIMED_OUT,
+}
+"""Results after which another target may be tried, with the label that counts it."""
+
+NOT_RUN_RESULTS = frozenset({AttemptResult.REFUSED_BEFORE_START, AttemptResult.CONNECT_FAILED})
+"""Results that prove that the target did not start."""
+
+
+def budget_of(node: NodeState, service: str) -> RetryBudget:
+    """Return the retry budget of a service."""
+    return node.local.routing.budgets.setdefault(service, RetryBudget())
+
+
+def earn(node: NodeState, service: str) -> None:
+    """Count a first try, which earns a part of a retry."""
+    budget = budget_of(node, service)
+    budget.left = min(RETRY_BUDGET_MAX, budget.left + RETRY_EARNED_PER_FIRST_TRY)
+
+
+def decide_retry(
+    node: NodeState, request: ActiveRequest, result: AttemptResult, now_ms: int
+) -> Result[str, NoRetryReason]:
+    """Return the target of the next attempt, paid from the budget, or why there is none.
+
+    Failure: an availability zone goes, every request fails and is sent again. Symptom: the rest
+    gets twice or three times its load and goes too. Enough because retries are a bounded share
+    of first tries, whatever fails.
+    """
+    if result not in RETRY_REASONS:
+        return Err(NoRetryReason.ANSWER_STARTED)
+    # Sent twice, a non-idempotent request could run twice, unless this target has not started.
+    if not request.idempotent and result not in NOT_RUN_RESULTS:
+        return Err(NoRetryReason.NOT_IDEMPOTENT)
+    if not request.idempotent and now_ms >= node.local.lease.valid_until_ms:
+        return Err(NoRetryReason.LEASE_LAPSED)
+    if len(request.tried) >= MAX_ATTEMPTS:
+        return Err(NoRetryReason.ATTEMPTS_USED)
+    if now_ms >= request.deadline_at_ms:
+        return Err(NoRetryReason.DEADLINE)
+    budget = budget_of(node, request.service)
+    if budget.left < RETRY_COST:
+        return Err(NoRetryReason.BUDGET_EMPTY)
+    target = pick(node, request, now_ms)
+    if target is None:
+        return Err(NoRetryReason.NO_OTHER_TARGET)
+    budget.left -= RETRY_COST
+    return Ok(target)
+
+
+def attempt_timeout_ms(node: NodeState, request: ActiveRequest, now_ms: int) -> int:
+    """Return how long the next attempt may take.
+
+    A connection can go silent for good. An attempt that may be followed by another one leaves it
+    half of the time that is left, but never less than a slow answer usually takes.
+    """
+    left_ms = max(1, request.deadline_at_ms - now_ms)
+    last = not request.idempotent or len(request.tried) + 1 >= MAX_ATTEMPTS
+    if last or budget_of(node, request.service).left < RETRY_COST:
+        return left_ms
+    usual_ms = node.local.routing.pools[request.pool].latency_ms
+    return min(left_ms, max(left_ms // 2, int(usual_ms * ATTEMPT_LATENCY_FACTOR)))
--- /dev/null
+++ b/heatherkeel/requests/targets.py
@@ -0,0 +1,168 @@
+"""Keeps the targets of this entry instance in step with the fold and with what is heard of them."""
+
+from __future__ import annotations
+
+from bisect import insort
+
+from heatherkeel.catalogue.models import CatalogueChanged, ServiceEntry
+from heatherkeel.core.models import Effect
+from heatherkeel.core.node import NodeState, listens
+from heatherkeel.pools.models import Instance, InstanceChanged, InstanceStatus
+
+from .const import LIST_LAG_MS
+from .effects import CloseConnections
+from .events import FleetRestored, LeavingSource, TargetGone, TargetLeaving, TargetLive
+from .local import PoolView, RoutingState, TargetView
+
+
+@listens(InstanceChanged)
+def on_instance_changed(node: NodeState, effect: InstanceChanged) -> list[Effect]:
+    """Follow an instance's pool, address and status."""
+    return _take_instance(node, effect.instance)
+
+
+@listens(FleetRestored)
+def on_fleet_restored(node: NodeState, event: FleetRestored) -> list[Effect]:
+    """Follow every instance and service of a restored fold."""
+    routing = node.local.routing
+    known = set(node.fleet.pools.instances) | set(routing.targets)
+    effects = [effect for name in sorted(known) for effect in _take_instance(node, name)]
+    _take_services(node)
+    return effects
+
+
+@listens(CatalogueChanged)
+def on_catalogue_changed(node: NodeState, effect: CatalogueChanged) -> list[Effect]:
+    """Follow the services of the catalogue."""
+    _take_services(node)
+    return []
+
+
+@listens(TargetLeaving)
+def on_target_leaving(node: NodeState, event: TargetLeaving) -> list[Effect]:
+    """Stop new work to a target that leaves, whoever says so first."""
+    routing = node.local.routing
+    target = routing.targets.get(event.target)
+    if event.source is LeavingSource.PLATFORM_LIST:
+        routing.leaving.add(event.target)
+    elif target is not None:
+        target.leaving_heard_ms = max(1, event.now_ms)
+    if target is None:
+        return []
+    target.leaving = True
+    _index(routing, event.target, target)
+    return [CloseConnections(target=event.target)]
+
+
+@listens(TargetLive)
+def on_target_live(node: NodeState, event: TargetLive) -> list[Effect]:
+    """Take a target back.
+
+    The platform's list lags: it still shows as live a target that has just said that it leaves.
+    Believing it would send new work to a target that stops. The list may catch up first.
+    """
+    routing = node.local.routing
+    routing.leaving.discard(event.target)
+    target = routing.targets.get(event.target)
+    if target is None or not (target.leaving or target.gone):
+        return []
+    if target.leaving_heard_ms and event.now_ms - target.leaving_heard_ms < LIST_LAG_MS:
+        return []
+    target.leaving = False
+    target.leaving_heard_ms = 0
+    target.gone = False
+    _index(routing, event.target, target)
+    return []
+
+
+@listens(TargetGone)
+def on_target_gone(node: NodeState, event: TargetGone) -> list[Effect]:
+    """Stop new work to a target that the platform no longer lists."""
+    routing = node.local.routing
+    target = routing.targets.get(event.target)
+    if target is None:
+        return []
+    target.gone = True
+    _index(routing, event.target, target)
+    return [CloseConnections(target=event.target)]
+
+
+def _take_instance(node: NodeState, name: str) -> list[Effect]:
+    routing = node.local.routing
+    instance = node.fleet.pools.instances.get(name)
+    target = routing.targets.get(name)
+    if instance is None:
+        return _drop(routing, name, target)
+    if target is None:
+        target = TargetView(address=instance.address, zone=instance.zone, pool=instance.pool)
+        target.leaving = name in routing.leaving
+        routing.targets[name] = target
+    return _update(routing, name, target, instance)
+
+
+def _update(
+    routing: RoutingState, name: str, target: TargetView, instance: Instance
+) -> list[Effect]:
+    was_serving = target.serving
+    moved = target.address != instance.address or target.pool != instance.pool
+    _unindex(routing, name, target)
+    target.serving = instance.status is InstanceStatus.SERVING
+    target.address = instance.address
+    target.zone = instance.zone
+    target.pool = instance.pool
+    target.cap_generation = -1
+    _index(routing, name, target)
+    if moved or (was_serving and not target.serving):
+        return [CloseConnections(target=name)]
+    return []
+
+
+def _drop(routing: RoutingState, name: str, target: TargetView | None) -> list[Effect]:
+    if target is None:
+        return []
+    target.serving = False
+    _unindex(routing, name, target)
+    if not target.in_progress:
+        del routing.targets[name]
+    return [CloseConnections(target=name)]
+
+
+def _index(routing: RoutingState, name: str, target: TargetView) -> None:
+    """List a target among the candidates of its pool, or take it off."""
+    _unindex(routing, name, target)
+    pool = routing.pools.setdefault(target.pool, PoolView())
+    if target.serving and not target.leaving and not target.gone:
+        insort(pool.candidates.setdefault(target.zone, []), name)
+
+
+def _unindex(routing: RoutingState, name: str, target: TargetView) -> None:
+    pool = routing.pools.get(target.pool)
+    names = pool.candidates.get(target.zone, []) if pool else []
+    if name in names:
+        names.remove(name)
+
+
+def _take_services(node: NodeState) -> None:
+    routing = node.local.routing
+    routing.services = {
+        name: stored.entry
+        for name, stored in sorted(node.fleet.catalogue.entries.items())
+        if isinstance(stored.entry, ServiceEntry)
+    }
+    routing.prefixes = {}
+    for name, service in routing.services.items():
+        routing.prefixes.setdefault(_trim(service.path_prefix), name)
+
+
+def find_service(routing: RoutingState, path: str) -> str | None:
+    """Return the service whose path prefix matches most whole segments of a path."""
+    prefix = _trim(path)
+    while prefix:
+        if prefix in routing.prefixes:
+            return routing.prefixes[prefix]
+        prefix = prefix.rpartition("/")[0]
+    return routing.prefixes.get("")
+
+
+def _trim(path: str) -> str:
+    return path.rstrip("/")
--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -4,4 +4,7 @@
 
 import heatherkeel.catalogue.reducer
 import heatherkeel.membership.reducer
-import heatherkeel.pools.reducer  # noqa: F401
+import heatherkeel.pools.reducer
+import heatherkeel.requests.flow
+import heatherkeel.requests.limits
+import heatherkeel.requests.targets  # noqa: F401
--- /dev/null
+++ b/tests/requests/fleet.py
@@ -0,0 +1,145 @@
+"""A small log and the nodes that fold it, for the tests of this folder."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+import heatherkeel.subjects  # noqa: F401
+from heatherkeel.catalogue.models import (
+    Budget,
+    EntryPut,
+    RequestLimits,
+    ServiceClass,
+    ServiceEntry,
+)
+from heatherkeel.core.envelopes import encode, seal
+from heatherkeel.core.models import Effect, LogRecord, RecordBody
+from heatherkeel.core.node import LocalState, NodeState, reduce
+from heatherkeel.membership.models import EntryJoin
+from heatherkeel.pools.models import InstanceAdmit
+from heatherkeel.requests.events import AttemptEnded, AttemptResult, RequestArrived
+
+EffectT = TypeVar("EffectT", bound=Effect)
+LEASE_MS = 10_000
+ZONES = ("east", "west", "north")
+
+
+@dataclass(kw_only=True)
+class Log:
+    """Records in order; `now_ms` is the log's time and every node's monotonic clock."""
+
+    records: list[LogRecord] = field(default_factory=list)
+    now_ms: int = 1_000
+
+    def append(self, body: RecordBody, *, author: str, record_id: str | None = None) -> None:
+        data = encode(seal(body, author=author, now_ms=self.now_ms, record_id=record_id))
+        self.records.append(LogRecord(offset=len(self.records), at_ms=self.now_ms, data=data))
+
+    def put_service(
+        self,
+        name: str = "stock",
+        *,
+        version: int = 0,
+        min_serving: int = 3,
+        service_class: ServiceClass = ServiceClass.INTERACTIVE,
+        owner: str = "sheetal",
+        limits: RequestLimits | None = None,
+    ) -> None:
+        entry = ServiceEntry(
+            owner=owner,
+            service_class=service_class,
+            pool="desk",
+            path_prefix=f"/{name}",
+            budget=Budget(min_serving=min_serving),
+            limits=limits or RequestLimits(),
+        )
+        body = EntryPut(name=name, expected_version=version, team=owner, entry=entry)
+        self.append(body, author="operator")
+
+    def admit(self, count: int) -> None:
+        for number in range(count):
+            body = InstanceAdmit(
+                instance=f"t{number}",
+                boot_id="1",
+                zone=ZONES[number % len(ZONES)],
+                rack="r1",
+                address=f"127.0.0.1:{9000 + number}",
+                pool="desk",
+            )
+            self.append(body, author="entry")
+
+    def join(self, instance: str, zone: str, *, incarnation: str = "1") -> None:
+        body = EntryJoin(
+            instance=instance,
+            incarnation=incarnation,
+            zone=zone,
+            peer_address="127.0.0.1:1",
+            lease_ms=LEASE_MS,
+        )
+        self.append(body, author=instance)
+
+
+def make_node(log: Log, instance: str = "e1", zone: str = "east") -> NodeState:
+    """Return a node that has folded the whole log and holds a lease."""
+    node = NodeState(local=LocalState(instance=instance, zone=zone, incarnation="1"))
+    catch_up(node, log)
+    node.local.lease.valid_until_ms = log.now_ms + LEASE_MS
+    return node
+
+
+def catch_up(node: NodeState, log: Log, count: int = 1_000_000) -> list[Effect]:
+    records = log.records[node.fleet.next_offset :][:count]
+    return [effect for record in records for effect in reduce(node, record)]
+
+
+def alone(targets: int = 6, **service: int) -> tuple[Log, NodeState]:
+    """Return a log with one service and one entry instance, which has all slots."""
+    log = Log()
+    log.put_service(**service)  # type: ignore[arg-type]
+    log.admit(targets)
+    log.join("e1", "east")
+    return log, make_node(log)
+
+
+def ask(
+    node: NodeState,
+    log: Log,
+    request_id: str,
+    *,
+    idempotent: bool = True,
+    path: str = "/stock/1",
+    deadline_ms: int = 0,
+) -> list[Effect]:
+    event = RequestArrived(
+        now_ms=log.now_ms,
+        request_id=request_id,
+        path=path,
+        idempotent=idempotent,
+        deadline_ms=deadline_ms,
+    )
+    return reduce(node, event)
+
+
+def end(
+    node: NodeState,
+    log: Log,
+    request_id: str,
+    result: AttemptResult = AttemptResult.WHOLE_ANSWER,
+    latency_ms: int = 10,
+) -> list[Effect]:
+    target = node.local.routing.requests[request_id].target
+    event = AttemptEnded(
+        now_ms=log.now_ms,
+        request_id=request_id,
+        target=target,
+        result=result,
+        latency_ms=latency_ms,
+    )
+    return reduce(node, event)
+
+
+def only(effects: list[Effect], kind: type[EffectT]) -> EffectT:
+    """Return the one effect of a kind."""
+    [found] = [effect for effect in effects if isinstance(effect, kind)]
+    return found
