--- a/heatherkeel/requests/limits.py
+++ b/heatherkeel/requests/limits.py
@@ -149,7 +149,7 @@
 def _note_acknowledged(node: NodeState) -> None:
     """Drop the views that all have left behind, and look again at shares that may grow."""
     shares = node.local.routing.shares
-    if len(shares.views) <= 1:
+    if len(shares.views) == shares.live_views == 1:
         return
     settled = _count_up_to(shares.views, _acknowledged_by(node.fleet, waiting_for=None))
     del shares.views[: max(0, settled - 1)]
