Drain cycle in the fold: budgets, acknowledgements, moves, waves

Cause: the fold knew instances and entry instances but nothing of planned stops, so nothing kept a coordinator from stopping a target that callers still used.

A drain is admitted only if version, counter hours, wave, concurrency and every budget of the pool allow it; the stop looks at hours, halt and budgets again, since a rack can fail in between. A stop goes through after each incarnation of an entry instance that may still run has acknowledged, left, or is gone by the platform's word; a lapsed lease ends the wait across zones only, with the longest request deadline on top. A new incarnation doesn't speak for the old one, so the old one stays in membership (`superseded`) until it leaves or is gone.

Ruled out: counting maintenance by log milliseconds (a return and a wave's start can share one; offsets order them); forgetting a replaced incarnation at join (its zone may be cut off and serving); taking the word of two observers from outside of a zone (a cut looks to them as if every target there had failed).

Core: `@follows_up` (called after each record, since log time moves with any) and `@checks_step` (promises that compare two states). Both small; the fold's decisions are unchanged.

--- a/heatherkeel/core/reducer.py
+++ b/heatherkeel/core/reducer.py
@@ -27,7 +27,7 @@
     Settled,
     Skipped,
 )
-from .registry import RECORD_KINDS, RecordKind
+from .registry import FOLLOW_UPS, RECORD_KINDS, RecordKind
 from .state import FleetState
 
 _ENVELOPE_DECODER = msgspec.json.Decoder(Envelope)
@@ -44,6 +44,13 @@
     state.next_offset += 1
     state.now_ms = max(state.now_ms, record.at_ms)
     _forget_old_ids(state)
+    effects = _take(state, record)
+    for follow_up in FOLLOW_UPS:
+        effects += follow_up(state, record.offset)
+    return effects
+
+
+def _take(state: FleetState, record: LogRecord) -> list[Effect]:
     envelope = _decode_envelope(record)
     if isinstance(envelope, Skipped):
         return [envelope]
--- a/heatherkeel/core/registry.py
+++ b/heatherkeel/core/registry.py
@@ -1,4 +1,4 @@
-"""Registries that decorators fill: record handlers and invariant checkers."""
+"""Registries that decorators fill: record handlers, follow-ups and invariant checkers."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from result import Result
 
 from .errors import RegistrationError
-from .models import Accepted, RecordBody, RecordMeta, Rejected, Violation
+from .models import Accepted, Effect, RecordBody, RecordMeta, Rejected, Violation
 
 if TYPE_CHECKING:
     from .state import FleetState
@@ -18,6 +18,9 @@
 BodyT = TypeVar("BodyT", bound=RecordBody)
 Handler = Callable[["FleetState", RecordMeta, BodyT], Result[Accepted, Rejected]]
 Checker = Callable[["FleetState"], Iterator[Violation]]
+StepChecker = Callable[["FleetState", list[Effect], "FleetState"], Iterator[Violation]]
+FollowUp = Callable[["FleetState", int], list[Effect]]
+FollowUpT = TypeVar("FollowUpT", bound=FollowUp)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -32,7 +35,9 @@
 
 RECORD_KINDS: Final[dict[str, RecordKind]] = {}
 KIND_OF_BODY: Final[dict[type[RecordBody], str]] = {}
+FOLLOW_UPS: Final[list[FollowUp]] = []
 CHECKERS: Final[dict[str, Checker]] = {}
+STEP_CHECKERS: Final[dict[str, StepChecker]] = {}
 
 
 def handles(kind: str, body_type: type[BodyT]) -> Callable[[Handler[BodyT]], Handler[BodyT]]:
@@ -63,6 +68,44 @@
     return register
 
 
+def checks_step(promise: str) -> Callable[[StepChecker], StepChecker]:
+    """Register a checker that compares the states before and after one record.
+
+    It is given the state before, the effects of the record, and the state after.
+    """
+
+    def register(checker: StepChecker) -> StepChecker:
+        if promise in STEP_CHECKERS:
+            raise RegistrationError(f"promise {promise} is registered twice")
+        STEP_CHECKERS[promise] = checker
+        return checker
+
+    return register
+
+
+def follows_up(follow_up: FollowUpT) -> FollowUpT:
+    """Register what is looked at after every record, also after one that was refused.
+
+    Log time moves with any record, and a lease can run out by it. A follow-up is called for
+    each record, so it has to return at once when there is nothing to do.
+    """
+    if follow_up in FOLLOW_UPS:
+        raise RegistrationError(f"{follow_up.__name__} is registered twice")
+    FOLLOW_UPS.append(follow_up)
+    return follow_up
+
+
 def find_violations(state: FleetState) -> list[Violation]:
     """Run every registered checker over one state."""
     return [violation for checker in CHECKERS.values() for violation in checker(state)]
+
+
+def find_step_violations(
+    before: FleetState, effects: list[Effect], after: FleetState
+) -> list[Violation]:
+    """Run every registered step checker over one record."""
+    return [
+        violation
+        for checker in STEP_CHECKERS.values()
+        for violation in checker(before, effects, after)
+    ]
--- a/heatherkeel/membership/models.py
+++ b/heatherkeel/membership/models.py
@@ -38,10 +38,18 @@
     incarnation: str
 
 
+class EntryGone(RecordBody, frozen=True, kw_only=True):
+    """The platform positively says that this incarnation is terminated; silence never does."""
+
+    instance: EntryInstanceId
+    incarnation: str
+
+
 @dataclass(kw_only=True)
 class EntryInstance:
     """An entry instance that may route; times in log milliseconds."""
 
+    instance: str
     incarnation: str
     zone: str
     peer_address: str
@@ -53,6 +61,13 @@
 
 @dataclass(kw_only=True)
 class MembershipState:
-    """Entry instances by id."""
+    """Entry instances by id; `superseded` holds their earlier incarnations, by incarnation.
+
+    A superseded incarnation may still run, cut off from the log, so it stays here until it
+    leaves or the platform says that it is terminated.
+    """
 
     entries: dict[str, EntryInstance] = field(default_factory=dict)
+    superseded: dict[str, EntryInstance] = field(default_factory=dict)
+    departed_offset: int = -1
+    """Offset of the last record that removed an incarnation."""
--- a/heatherkeel/pools/models.py
+++ b/heatherkeel/pools/models.py
@@ -26,6 +26,20 @@
     FAILED = "failed"
 
 
+class Health(StrEnum):
+    """What an observer says of an instance."""
+
+    HEALTHY = "healthy"
+    FAILED = "failed"
+
+
+class Source(StrEnum):
+    """Where an observation comes from: an entry instance's own requests, or the platform."""
+
+    PEER = "peer"
+    PLATFORM = "platform"
+
+
 class InstanceAdmit(RecordBody, frozen=True, kw_only=True):
     """The platform's list shows an instance that the fold doesn't know.
 
@@ -44,6 +58,34 @@
     """The pool that the platform made it for; empty lets the fold choose."""
 
 
+class InstanceObserved(RecordBody, frozen=True, kw_only=True):
+    """An observer says that an instance answers again, or no longer.
+
+    `observer` is the id of an entry instance; with source `platform`, of the one that read the
+    platform's list.
+    """
+
+    instance: InstanceId
+    health: Health
+    observer: Annotated[str, Meta(min_length=1, max_length=64)]
+    source: Source = Source.PEER
+
+
+class InstanceGone(RecordBody, frozen=True, kw_only=True):
+    """The platform positively says that an instance is terminated for good."""
+
+    instance: InstanceId
+    boot_id: str
+
+
+@dataclass(kw_only=True)
+class Observation:
+    """The newest word of one observer; time in log milliseconds."""
+
+    health: Health
+    at_ms: int
+
+
 @dataclass(kw_only=True)
 class Instance:
     """A worker, in exactly one pool at every offset; `pool` is empty while it is spare.
@@ -63,13 +105,24 @@
     status: InstanceStatus = InstanceStatus.SERVING
     version: int = 1
     maintained_ms: int = 0
+    maintained_offset: int = -1
+    """Orders maintenance against the start of a wave, which may fall into the same millisecond."""
+    observations: dict[str, Observation] = field(default_factory=dict)
+    """Fresh observations by observer; they are dropped when the status changes."""
+    failure: str = ""
+    """Why it is FAILED, in words for operators."""
 
 
 @dataclass(kw_only=True)
 class PoolsState:
-    """Instances by id."""
+    """Instances by id.
+
+    `version_floor` is at least the last version of every instance that is gone: an id that
+    comes again goes on above it, so that no version is ever used twice.
+    """
 
     instances: dict[str, Instance] = field(default_factory=dict)
+    version_floor: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/pools/reducer.py
+++ b/heatherkeel/pools/reducer.py
@@ -5,11 +5,11 @@
 from result import Err, Ok, Result
 
 from heatherkeel.catalogue.models import PoolEntry
-from heatherkeel.core.models import Accepted, RecordMeta, Rejected, RejectReason
+from heatherkeel.core.models import Accepted, Effect, RecordMeta, Rejected, RejectReason
 from heatherkeel.core.registry import handles
 from heatherkeel.core.state import FleetState
 
-from .models import Instance, InstanceAdmit, InstanceChanged
+from .models import Instance, InstanceAdmit, InstanceChanged, InstanceGone
 
 
 @handles("pools.admit", InstanceAdmit)
@@ -28,10 +28,35 @@
         cpus=body.cpus,
         memory_mib=body.memory_mib,
         accelerators=body.accelerators,
+        version=state.pools.version_floor + 1,
         maintained_ms=meta.now_ms,
+        maintained_offset=meta.offset,
     )
+    return Ok(accept_change(state, meta, body.instance))
+
+
+@handles("pools.gone", InstanceGone)
+def forget_instance(
+    state: FleetState, meta: RecordMeta, body: InstanceGone
+) -> Result[Accepted, Rejected]:
+    """Forget an instance that the platform has terminated, and any drain of it."""
+    instance = state.pools.instances.get(body.instance)
+    if instance is None or instance.boot_id != body.boot_id:
+        return Err(Rejected(reason=RejectReason.NOT_FOUND, detail=body.instance))
+    state.pools.version_floor = max(state.pools.version_floor, instance.version)
+    del state.pools.instances[body.instance]
+    state.waves.drains.pop(body.instance, None)
     changed = InstanceChanged(instance=body.instance, offset=meta.offset)
-    return Ok(Accepted(version=1, effects=(changed,)))
+    return Ok(Accepted(effects=(changed,)))
+
+
+def accept_change(
+    state: FleetState, meta: RecordMeta, instance_id: str, *effects: Effect
+) -> Accepted:
+    """Say that an instance changed; `effects` follow the change."""
+    changed = InstanceChanged(instance=instance_id, offset=meta.offset)
+    version = state.pools.instances[instance_id].version
+    return Accepted(version=version, effects=(changed, *effects))
 
 
 def neediest_pool(state: FleetState) -> str:
--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -4,4 +4,8 @@
 
 import heatherkeel.catalogue.reducer
 import heatherkeel.membership.reducer
-import heatherkeel.pools.reducer  # noqa: F401
+import heatherkeel.pools.health
+import heatherkeel.pools.reducer
+import heatherkeel.waves.acknowledgements
+import heatherkeel.waves.checks
+import heatherkeel.waves.reducer  # noqa: F401
--- /dev/null
+++ b/heatherkeel/waves/reducer.py
@@ -0,0 +1,239 @@
+"""Decides planned stops and moves: who is drained, stopped, and back."""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from heatherkeel.catalogue.models import PoolEntry
+from heatherkeel.core.models import Accepted, RecordMeta, Rejected, RejectReason
+from heatherkeel.core.registry import handles
+from heatherkeel.core.state import FleetState
+from heatherkeel.pools.health import set_status
+from heatherkeel.pools.models import Instance, InstanceStatus
+from heatherkeel.pools.reducer import accept_change
+
+from . import wave
+from .acknowledgements import lapse_grace_ms, start_waiting
+from .budget import check_budgets
+from .models import (
+    Drain,
+    DrainCancel,
+    DrainStart,
+    MoveJoin,
+    Purpose,
+    Returned,
+    ReturnFailed,
+    ReturnFailure,
+    StopIssued,
+)
+
+_Step = DrainStart | StopIssued | Returned | ReturnFailed | DrainCancel | MoveJoin
+
+
+@handles("waves.drain_start", DrainStart)
+def start_drain(
+    state: FleetState, meta: RecordMeta, body: DrainStart
+) -> Result[Accepted, Rejected]:
+    """Take an instance out of service if every rule about planned stops allows it now."""
+    instance = _find(state, body)
+    if isinstance(instance, Rejected):
+        return Err(instance)
+    refusal = _check_drain(state, instance, body)
+    if refusal is not None:
+        return Err(refusal)
+    if body.purpose is Purpose.MAINTENANCE:
+        wave.enter_wave(state, meta, instance.pool)
+    drain = Drain(
+        id=meta.id,
+        purpose=body.purpose,
+        coordinator=body.coordinator,
+        started_ms=meta.now_ms,
+        lapse_grace_ms=lapse_grace_ms(state, instance.pool),
+        was_failed=instance.status is InstanceStatus.FAILED,
+        to_pool=body.to_pool or "",
+    )
+    state.waves.drains[body.instance] = drain
+    set_status(instance, InstanceStatus.DRAINING)
+    effects = start_waiting(state, body.instance, meta.offset)
+    return Ok(accept_change(state, meta, body.instance, *effects))
+
+
+@handles("waves.stop_issued", StopIssued)
+def issue_stop(state: FleetState, meta: RecordMeta, body: StopIssued) -> Result[Accepted, Rejected]:
+    """Let one coordinator stop a quiesced instance, if the budgets still hold.
+
+    Between drain and stop a rack can fail. The drained instance is then needed back: it is
+    cancelled, not stopped.
+    """
+    instance = _find(state, body, InstanceStatus.QUIESCED)
+    if isinstance(instance, Rejected):
+        return Err(instance)
+    drain = state.waves.drains[body.instance]
+    if drain.purpose is Purpose.MOVE:
+        return Err(_wrong(body.instance, "is moved, not stopped"))
+    refusal = None if drain.was_failed else _check_stop(state, instance, body.instance)
+    if refusal is not None:
+        return Err(refusal)
+    drain.stopped_boot_id = body.boot_id or instance.boot_id
+    drain.return_by_ms = meta.now_ms + wave.return_timeout_ms(state, instance.pool)
+    set_status(instance, InstanceStatus.STOPPED)
+    return Ok(accept_change(state, meta, body.instance))
+
+
+@handles("waves.returned", Returned)
+def take_back(state: FleetState, meta: RecordMeta, body: Returned) -> Result[Accepted, Rejected]:
+    """Put a restarted instance back into service.
+
+    The platform's list lags and may still show the boot that was stopped; only another one
+    proves that the instance has come back.
+    """
+    instance = _find(state, body, InstanceStatus.STOPPED, InstanceStatus.FAILED)
+    if isinstance(instance, Rejected):
+        return Err(instance)
+    drain = state.waves.drains.get(body.instance)
+    old_boots = {instance.boot_id, drain.stopped_boot_id if drain else ""}
+    if body.boot_id in old_boots:
+        return Err(_wrong(body.instance, f"boot {body.boot_id} was there before"))
+    instance.boot_id = body.boot_id
+    set_status(instance, InstanceStatus.SERVING)
+    if drain is None:
+        return Ok(accept_change(state, meta, body.instance))
+    instance.maintained_ms = meta.now_ms
+    instance.maintained_offset = meta.offset
+    del state.waves.drains[body.instance]
+    effects = wave.count_return(state, meta, instance.pool, drain)
+    return Ok(accept_change(state, meta, body.instance, *effects))
+
+
+@handles("waves.return_failed", ReturnFailed)
+def fail_return(
+    state: FleetState, meta: RecordMeta, body: ReturnFailed
+) -> Result[Accepted, Rejected]:
+    """Hold a stopped instance as failed, by log time and not by its coordinator's clock."""
+    instance = _find(state, body, InstanceStatus.STOPPED)
+    if isinstance(instance, Rejected):
+        return Err(instance)
+    drain = state.waves.drains[body.instance]
+    if body.cause is ReturnFailure.TIMED_OUT and meta.now_ms < drain.return_by_ms:
+        return Err(_wrong(body.instance, f"has until {drain.return_by_ms}"))
+    set_status(instance, InstanceStatus.FAILED)
+    instance.failure = f"did not come back from {drain.purpose.value}: {body.cause.value}"
+    del state.waves.drains[body.instance]
+    effects = wave.count_failed_return(state, meta, instance.pool, drain)
+    return Ok(accept_change(state, meta, body.instance, *effects))
+
+
+@handles("waves.drain_cancel", DrainCancel)
+def cancel_drain(
+    state: FleetState, meta: RecordMeta, body: DrainCancel
+) -> Result[Accepted, Rejected]:
+    """Put an instance back that was not stopped yet."""
+    instance = _find(state, body, InstanceStatus.DRAINING, InstanceStatus.QUIESCED)
+    if isinstance(instance, Rejected):
+        return Err(instance)
+    drain = state.waves.drains.pop(body.instance)
+    status = InstanceStatus.FAILED if drain.was_failed else InstanceStatus.SERVING
+    set_status(instance, status)
+    if drain.was_failed:
+        instance.failure = f"repair was cancelled: {body.reason}"
+    return Ok(accept_change(state, meta, body.instance))
+
+
+@handles("waves.move_join", MoveJoin)
+def join_pool(state: FleetState, meta: RecordMeta, body: MoveJoin) -> Result[Accepted, Rejected]:
+    """End a move: one record takes the instance out of one pool and puts it into the other."""
+    instance = _find(state, body, InstanceStatus.QUIESCED)
+    if isinstance(instance, Rejected):
+        return Err(instance)
+    drain = state.waves.drains[body.instance]
+    if drain.purpose is not Purpose.MOVE:
+        return Err(_wrong(body.instance, "is stopped, not moved"))
+    if not _is_pool(state, drain.to_pool):
+        return Err(Rejected(reason=RejectReason.NOT_FOUND, detail=drain.to_pool))
+    del state.waves.drains[body.instance]
+    from_pool = instance.pool
+    instance.pool = drain.to_pool
+    set_status(instance, InstanceStatus.SERVING)
+    effects = wave.finish_wave(state, meta, from_pool)
+    return Ok(accept_change(state, meta, body.instance, *effects))
+
+
+def _find(state: FleetState, body: _Step, *statuses: InstanceStatus) -> Instance | Rejected:
+    """Return the instance if its author saw its last change and it has one of the statuses.
+
+    Two coordinators, or one that slept past its lease, may act on the same instance. The
+    version lets the first record in and tells the other what is in force.
+    """
+    instance = state.pools.instances.get(body.instance)
+    if instance is None:
+        return Rejected(reason=RejectReason.NOT_FOUND, detail=body.instance)
+    if instance.version != body.expected_version:
+        return Rejected(
+            reason=RejectReason.STALE_VERSION, detail=body.instance, version=instance.version
+        )
+    if statuses and instance.status not in statuses:
+        return _wrong(body.instance, f"is {instance.status.value}")
+    return instance
+
+
+def _wrong(instance_id: str, detail: str) -> Rejected:
+    return Rejected(reason=RejectReason.WRONG_STATE, detail=f"{instance_id} {detail}")
+
+
+def _check_drain(state: FleetState, instance: Instance, body: DrainStart) -> Rejected | None:
+    """Refuse a drain that any rule forbids; a repair takes nothing out of service."""
+    if body.purpose is Purpose.REPAIR and instance.status is InstanceStatus.FAILED:
+        return None
+    if instance.status is not InstanceStatus.SERVING:
+        return _wrong(body.instance, f"is {instance.status.value}")
+    if body.purpose is Purpose.MOVE:
+        refusal = _check_move(state, instance, body)
+    else:
+        refusal = _check_maintenance(state, instance, body)
+    return (
+        refusal or _check_stop(state, instance, body.instance) or _check_concurrent(state, instance)
+    )
+
+
+def _check_move(state: FleetState, instance: Instance, body: DrainStart) -> Rejected | None:
+    if body.to_pool is None or not _is_pool(state, body.to_pool):
+        return Rejected(reason=RejectReason.NOT_FOUND, detail=f"pool {body.to_pool}")
+    if body.to_pool == instance.pool:
+        return _wrong(body.instance, f"is in {instance.pool} already")
+    return None
+
+
+def _check_maintenance(state: FleetState, instance: Instance, body: DrainStart) -> Rejected | None:
+    """Refuse a drain for another wave than the pool's, or of an instance that had its turn."""
+    if wave.find_maintenance(state, instance.pool) is None:
+        return Rejected(reason=RejectReason.NOT_FOUND, detail=f"no maintenance of {instance.pool}")
+    if body.purpose is Purpose.REPAIR:
+        return None
+    number = wave.next_number(state, instance.pool)
+    if body.wave != number:
+        return Rejected(reason=RejectReason.STALE_VERSION, detail="wave", version=number)
+    current = state.waves.waves.get(instance.pool)
+    if current is None or current.number != number or wave.is_covered(instance, current):
+        return None
+    return _wrong(body.instance, f"had its turn in wave {number}")
+
+
+def _check_stop(state: FleetState, instance: Instance, instance_id: str) -> Rejected | None:
+    refusal = wave.check_planned_stop(state, instance.pool)
+    return refusal or check_budgets(state, instance.pool, without=instance_id)
+
+
+def _check_concurrent(state: FleetState, instance: Instance) -> Rejected | None:
+    found = wave.find_maintenance(state, instance.pool)
+    if found is None:
+        return None
+    under_way = len(wave.planned_drains(state, instance.pool))
+    if under_way < found[0].max_concurrent:
+        return None
+    detail = f"{under_way} drains of {instance.pool} are under way"
+    return Rejected(reason=RejectReason.CONFLICT, detail=detail)
+
+
+def _is_pool(state: FleetState, name: str) -> bool:
+    stored = state.catalogue.entries.get(name)
+    return stored is not None and isinstance(stored.entry, PoolEntry)
--- /dev/null
+++ b/heatherkeel/waves/wave.py
@@ -0,0 +1,147 @@
+"""What a pool's maintenance entry and its newest wave allow."""
+
+from __future__ import annotations
+
+from heatherkeel.catalogue.models import MaintenanceEntry, StoredEntry
+from heatherkeel.core.models import Effect, RecordMeta, Rejected, RejectReason
+from heatherkeel.core.state import FleetState
+from heatherkeel.pools.models import Instance, InstanceStatus
+
+from .const import DEFAULT_RETURN_TIMEOUT_MS, MINUTE_MS, MINUTES_PER_DAY
+from .models import Drain, Purpose, Wave, WaveFinished, WaveHalted
+
+
+def find_maintenance(state: FleetState, pool: str) -> tuple[MaintenanceEntry, StoredEntry] | None:
+    """Return the pool's maintenance entry; if operators made several, the first by name."""
+    for _, stored in sorted(state.catalogue.entries.items(), key=lambda item: item[0]):
+        if isinstance(stored.entry, MaintenanceEntry) and stored.entry.pool == pool:
+            return stored.entry, stored
+    return None
+
+
+def is_closed(maintenance: MaintenanceEntry, now_ms: int) -> bool:
+    """Tell whether counter hours forbid a planned stop; they may span midnight (UTC)."""
+    minute = now_ms // MINUTE_MS % MINUTES_PER_DAY
+    start, end = maintenance.closed_from_minute, maintenance.closed_to_minute
+    if start <= end:
+        return start <= minute < end
+    return minute >= start or minute < end
+
+
+def return_timeout_ms(state: FleetState, pool: str) -> int:
+    """Return how long a stopped instance of the pool has to come back."""
+    found = find_maintenance(state, pool)
+    if found is None:
+        return DEFAULT_RETURN_TIMEOUT_MS
+    return found[0].return_timeout_s * 1000
+
+
+def planned_drains(state: FleetState, pool: str) -> list[Drain]:
+    """Return the drains that took serving instances out of a pool; repairs took none."""
+    return [
+        drain
+        for instance_id, drain in state.waves.drains.items()
+        if state.pools.instances[instance_id].pool == pool and not drain.was_failed
+    ]
+
+
+def check_planned_stop(state: FleetState, pool: str) -> Rejected | None:
+    """Refuse a planned stop in counter hours, or while the pool's wave is halted."""
+    found = find_maintenance(state, pool)
+    if found is None:
+        return None
+    maintenance, stored = found
+    if is_closed(maintenance, state.now_ms):
+        return Rejected(reason=RejectReason.OUTSIDE_HOURS, detail=pool)
+    wave = state.waves.waves.get(pool)
+    if wave is not None and is_halted(wave, stored):
+        return Rejected(reason=RejectReason.WAVE_HALTED, detail=wave.halted_reason)
+    return None
+
+
+def is_halted(wave: Wave, stored: StoredEntry) -> bool:
+    """Tell whether a wave is halted and no operator has edited its maintenance entry since."""
+    return bool(wave.halted_reason) and stored.offset <= wave.halted_offset
+
+
+def is_covered(instance: Instance, wave: Wave) -> bool:
+    """Tell whether a wave still has to maintain an instance."""
+    was_maintained = instance.maintained_offset >= wave.started_offset
+    return not was_maintained and instance.status is not InstanceStatus.FAILED
+
+
+def is_complete(state: FleetState, pool: str, wave: Wave) -> bool:
+    """Tell whether a wave has nothing under way and nothing left to maintain."""
+    return not any(
+        instance.pool == pool and (is_covered(instance, wave) or instance_id in state.waves.drains)
+        for instance_id, instance in state.pools.instances.items()
+    )
+
+
+def next_number(state: FleetState, pool: str) -> int:
+    """Return the number that a maintenance drain of the pool has to name now."""
+    wave = state.waves.waves.get(pool)
+    if wave is None:
+        return 1
+    return wave.number + 1 if is_complete(state, pool, wave) else wave.number
+
+
+def enter_wave(state: FleetState, meta: RecordMeta, pool: str) -> None:
+    """Count a maintenance drain in the pool's wave, opening a new one if the last is complete."""
+    wave = state.waves.waves.get(pool)
+    number = next_number(state, pool)
+    if wave is None or wave.number != number:
+        wave = Wave(number=number, started_ms=meta.now_ms, started_offset=meta.offset)
+        state.waves.waves[pool] = wave
+    wave.drained += 1
+
+
+def count_return(state: FleetState, meta: RecordMeta, pool: str, drain: Drain) -> list[Effect]:
+    """Count an instance that came back, and say so when it was the wave's last one."""
+    wave = state.waves.waves.get(pool)
+    if wave is None or drain.purpose is not Purpose.MAINTENANCE:
+        return []
+    wave.returned += 1
+    return finish_wave(state, meta, pool)
+
+
+def finish_wave(state: FleetState, meta: RecordMeta, pool: str) -> list[Effect]:
+    """Note the end of a wave that has become complete."""
+    wave = state.waves.waves.get(pool)
+    if wave is None or wave.finished_ms or not is_complete(state, pool, wave):
+        return []
+    wave.finished_ms = meta.now_ms
+    finished = WaveFinished(
+        pool=pool,
+        wave=wave.number,
+        started_ms=wave.started_ms,
+        finished_ms=wave.finished_ms,
+        offset=meta.offset,
+    )
+    return [finished]
+
+
+def count_failed_return(
+    state: FleetState, meta: RecordMeta, pool: str, drain: Drain
+) -> list[Effect]:
+    """Count an instance that didn't come back, and halt the wave when there are too many.
+
+    Failures within a wave are correlated: what broke one instance, a bad image say, breaks the
+    next one as well. Going on would take the pool down one instance at a time, each stop within
+    the budget of its moment.
+    """
+    wave = state.waves.waves.get(pool)
+    found = find_maintenance(state, pool)
+    if wave is None or found is None or drain.purpose is not Purpose.MAINTENANCE:
+        return []
+    maintenance, stored = found
+    if wave.failed_since_offset != stored.offset:
+        wave.failed_since_offset = stored.offset
+        wave.failed = 0
+    wave.failed += 1
+    if wave.failed < maintenance.max_failed_returns:
+        return finish_wave(state, meta, pool)
+    wave.halted_offset = meta.offset
+    wave.halted_reason = f"{wave.failed} instances of {pool} did not come back in this wave"
+    halted = WaveHalted(pool=pool, wave=wave.number, reason=wave.halted_reason, offset=meta.offset)
+    return [halted]
--- /dev/null
+++ b/tests/waves/test_wave.py
@@ -0,0 +1,94 @@
+"""A wave maintains each instance of a pool once, and halts on correlated failures."""
+
+from __future__ import annotations
+
+from heatherkeel.core.models import Effect, RejectReason
+from heatherkeel.waves.models import (
+    Returned,
+    ReturnFailed,
+    ReturnFailure,
+    WaveFinished,
+    WaveHalted,
+)
+from tests.fleets import FoldedLog, maintenance, small_fleet
+
+ALL = ("a0", "a1", "b0", "b1", "c0", "c1")
+
+
+def _stop(log: FoldedLog, instance_id: str, *, wave: int = 1) -> int:
+    log.quiesce(instance_id, wave=wave)
+    log.must(log.stop(instance_id))
+    return log.instance(instance_id).version
+
+
+def _maintain(log: FoldedLog, instance_id: str, *, wave: int = 1) -> tuple[Effect, ...]:
+    version = _stop(log, instance_id, wave=wave)
+    boot_id = f"{instance_id}.{wave + 1}"
+    return log.must(
+        Returned(instance=instance_id, expected_version=version, boot_id=boot_id)
+    ).effects
+
+
+def _lose(log: FoldedLog, instance_id: str) -> tuple[Effect, ...]:
+    version = _stop(log, instance_id)
+    cause = ReturnFailure.START_FAILED
+    return log.must(
+        ReturnFailed(instance=instance_id, expected_version=version, cause=cause)
+    ).effects
+
+
+def test_a_wave_ends_when_each_instance_had_its_turn() -> None:
+    log = small_fleet()
+    for instance_id in ALL[:-1]:
+        _maintain(log, instance_id)
+    log.wait(500)
+    [_, finished] = _maintain(log, ALL[-1])
+    assert isinstance(finished, WaveFinished)
+    assert finished.finished_ms - finished.started_ms == 500
+    assert log.refused(log.drain("a0", wave=1)).version == 2
+    _maintain(log, "a0", wave=2)
+    assert log.state.waves.waves["desk"].number == 2
+
+
+def test_an_instance_has_one_turn_in_a_wave() -> None:
+    # A coordinator that wakes late drains a0 again; callers lose capacity for nothing.
+    log = small_fleet()
+    _maintain(log, "a0")
+    assert log.refused(log.drain("a0")).reason is RejectReason.WRONG_STATE
+
+
+def test_a_wave_halts_when_instances_do_not_come_back() -> None:
+    # A bad image breaks each instance that restarts. Every single stop is within the budget of
+    # its moment, so without the halt the wave would eat the pool down to its floor.
+    log = small_fleet(min_serving=0)
+    _lose(log, "a0")
+    [_, halted] = _lose(log, "b0")
+    assert isinstance(halted, WaveHalted)
+    assert halted.reason == "2 instances of desk did not come back in this wave"
+    refusal = log.refused(log.drain("c0"))
+    assert (refusal.reason, refusal.detail) == (RejectReason.WAVE_HALTED, halted.reason)
+
+
+def test_a_halted_wave_stops_nothing_that_is_drained_already() -> None:
+    log = small_fleet(min_serving=0)
+    log.put("care", maintenance(max_concurrent=3))
+    log.quiesce("c0")
+    _lose(log, "a0")
+    _lose(log, "b0")
+    assert log.refused(log.stop("c0")).reason is RejectReason.WAVE_HALTED
+
+
+def test_an_edit_of_the_maintenance_entry_resumes_a_halted_wave() -> None:
+    log = small_fleet(min_serving=0)
+    _lose(log, "a0")
+    _lose(log, "b0")
+    log.put("care", maintenance(max_concurrent=1))
+    _maintain(log, "c0")
+    _lose(log, "c1")
+    assert log.state.waves.waves["desk"].failed == 1
+
+
+def test_a_drain_names_the_wave_of_its_pool() -> None:
+    log = small_fleet()
+    refusal = log.refused(log.drain("a0", wave=2))
+    assert (refusal.reason, refusal.version) == (RejectReason.STALE_VERSION, 1)
