The thin whole path in separate processes

A caller's request enters one of three entry processes, is routed by the catalogue entry in force, and its whole answer comes back. An edit goes through the platform stand-in's log and is answered only after read-back. A target that the platform lists as leaving gets no new work.

--- /dev/null
+++ b/heatherkeel/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: one program with subcommands."""
--- /dev/null
+++ b/heatherkeel/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Small pieces that all subjects share."""
--- /dev/null
+++ b/heatherkeel/platform/client.py
@@ -0,0 +1,91 @@
+"""Calls to the platform over HTTP; none is ever repeated here."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+import httpcore
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from .errors import PlatformError, PlatformFailure
+from .models import Appended, AppendRequest, InstanceList, OperationRequest, ReadAnswer
+
+ModelT = TypeVar("ModelT")
+_ENCODER = msgspec.json.Encoder()
+_STATUS_GONE = 410
+
+
+class PlatformClient:
+    """One process's way to the platform."""
+
+    def __init__(self, *, address: str, instance: str, zone: str, timeout_ms: int) -> None:
+        self.base_url = f"http://{address}"
+        self.headers = [("x-instance", instance), ("x-zone", zone)]
+        self.timeout_s = timeout_ms / 1000
+        self.pool = httpcore.AsyncConnectionPool(max_connections=8, retries=0, http2=False)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.pool.aclose()
+
+    async def async_append(
+        self, stream: str, records: list[bytes]
+    ) -> Result[Appended, PlatformError]:
+        """Append records in order; an UNKNOWN failure may have taken effect."""
+        body = _ENCODER.encode(AppendRequest(records=records))
+        return await self._async_call("POST", f"/streams/{stream}/records", Appended, body)
+
+    async def async_read(
+        self, stream: str, *, offset: int, max_records: int, wait_ms: int
+    ) -> Result[ReadAnswer, PlatformError]:
+        """Read from an offset on, waiting up to `wait_ms` for the first record."""
+        path = f"/streams/{stream}/records?from={offset}&max={max_records}&wait_ms={wait_ms}"
+        return await self._async_call("GET", path, ReadAnswer, wait_s=wait_ms / 1000)
+
+    async def async_list_instances(self) -> Result[InstanceList, PlatformError]:
+        """Read the platform's list of instances."""
+        return await self._async_call("GET", "/instances", InstanceList)
+
+    async def async_operate(
+        self, instance: str, *, operation_id: str, action: str
+    ) -> Result[dict[str, Any], PlatformError]:
+        """Ask for an operation; a repeat under the same id takes effect once."""
+        body = _ENCODER.encode(OperationRequest(action=action))
+        path = f"/instances/{instance}/operations/{operation_id}"
+        return await self._async_call("PUT", path, dict, body)
+
+    async def _async_call(
+        self,
+        method: str,
+        path: str,
+        model: type[ModelT],
+        body: bytes | None = None,
+        wait_s: float = 0.0,
+    ) -> Result[ModelT, PlatformError]:
+        try:
+            with trio.fail_after(self.timeout_s + wait_s):
+                response = await self.pool.request(
+                    method, self.base_url + path, headers=self.headers, content=body
+                )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as err:
+            return Err(PlatformError(failure=PlatformFailure.NOT_SENT, detail=repr(err)))
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as err:
+            return Err(PlatformError(failure=PlatformFailure.UNKNOWN, detail=repr(err)))
+        except trio.TooSlowError:
+            return Err(PlatformError(failure=PlatformFailure.UNKNOWN, detail="timed out"))
+        return _decode(response, model)
+
+
+def _decode(response: httpcore.Response, model: type[ModelT]) -> Result[ModelT, PlatformError]:
+    if response.status == _STATUS_GONE:
+        oldest = msgspec.json.decode(response.content, type=ReadAnswer).oldest
+        return Err(PlatformError(failure=PlatformFailure.OUT_OF_RETENTION, oldest=oldest))
+    if response.status >= 400:
+        detail = f"status {response.status}"
+        return Err(PlatformError(failure=PlatformFailure.REFUSED, detail=detail))
+    try:
+        return Ok(msgspec.json.decode(response.content, type=model))
+    except msgspec.DecodeError as err:
+        return Err(PlatformError(failure=PlatformFailure.UNKNOWN, detail=str(err)))
--- a/heatherkeel/requests/local.py
+++ b/heatherkeel/requests/local.py
@@ -21,3 +21,6 @@
     """Targets by instance id."""
 
     targets: dict[str, TargetView] = field(default_factory=dict)
+    leaving: set[str] = field(default_factory=set)
+    """Instances that the platform lists as anything but live."""
+    turn: int = 0
--- /dev/null
+++ b/heatherkeel/settings/models.py
@@ -0,0 +1,62 @@
+"""Border models of the settings; units are in the key names."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+HostPort = Annotated[str, Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
+ShortName = Annotated[str, Meta(pattern=r"^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$", max_length=64)]
+Milliseconds = Annotated[int, Meta(ge=1, le=3_600_000)]
+
+
+class InstanceSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Who this process is; `zones` lists every availability zone, its own among them."""
+
+    id: ShortName
+    zone: ShortName
+    zones: Annotated[list[ShortName], Meta(min_length=1, max_length=256)]
+
+
+class ListenSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Where a port is opened; port 0 lets the system choose."""
+
+    bind: HostPort = "127.0.0.1:0"
+
+
+class PlatformSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How the platform's services are reached."""
+
+    address: HostPort
+    stream: ShortName = "fleet"
+    request_timeout_ms: Milliseconds = 2_000
+    poll_wait_ms: Milliseconds = 5_000
+    batch_interval_ms: Annotated[int, Meta(ge=0, le=1_000)] = 5
+    instances_interval_ms: Milliseconds = 500
+
+
+class RoutingSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Routing lease of an entry instance, and how often it is renewed."""
+
+    lease_ms: Milliseconds = 15_000
+    renew_interval_ms: Milliseconds = 4_000
+
+
+class TeamSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The token with which a team's operators sign their edits."""
+
+    token: Annotated[str, Meta(min_length=8, max_length=256)]
+
+
+class EntrySettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Settings of `heatherkeel entry`."""
+
+    instance: InstanceSettings
+    platform: PlatformSettings
+    http: ListenSettings = ListenSettings()
+    admin: ListenSettings = ListenSettings()
+    peers: ListenSettings = ListenSettings()
+    routing: RoutingSettings = RoutingSettings()
+    teams: dict[ShortName, TeamSettings] = {}
--- /dev/null
+++ b/heatherkeel/standins/platform.py
@@ -0,0 +1,213 @@
+"""Stand-in for the platform: an append-only log, a lagging list of instances, operations."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+
+import msgspec
+import trio
+
+from heatherkeel.helpers.asgi import (
+    Message,
+    Receive,
+    Request,
+    Send,
+    async_respond,
+    async_respond_json,
+    async_run_lifespan,
+    parse_request,
+)
+from heatherkeel.platform.models import (
+    Appended,
+    AppendRequest,
+    InstanceList,
+    ListedInstance,
+    OperationRequest,
+    ReadAnswer,
+    StoredRecord,
+)
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class Faults(msgspec.Struct, kw_only=True):
+    """What is wrong with the platform now; `lose_append_answers` counts down."""
+
+    down: bool = False
+    cut_zones: list[str] = []
+    cut_instances: list[str] = []
+    delay_ms: int = 0
+    lose_append_answers: int = 0
+    refuse_appends: bool = False
+    list_lag_ms: int = 0
+    retain_records: int = 0
+    """Keep only so many records of each stream; 0 keeps all."""
+
+
+@dataclass(kw_only=True)
+class Stream:
+    """Records in memory, the first of them at offset `oldest`."""
+
+    oldest: int = 0
+    records: list[StoredRecord] = field(default_factory=list)
+    grown: trio.Event = field(default_factory=trio.Event)
+
+    @property
+    def next_offset(self) -> int:
+        """Return the offset that the next record gets."""
+        return self.oldest + len(self.records)
+
+
+@dataclass(kw_only=True)
+class Operation:
+    """An operation on an instance, done once for its id."""
+
+    instance: str
+    action: str
+
+
+def log_now_ms() -> int:
+    """Return the platform's time in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+class PlatformStandin:
+    """Everything in memory of one process, and faults that can be set over HTTP."""
+
+    def __init__(self) -> None:
+        self.streams: dict[str, Stream] = {}
+        self.instances: dict[str, ListedInstance] = {}
+        self.list_versions: list[tuple[float, InstanceList]] = []
+        self.operations: dict[str, Operation] = {}
+        self.faults = Faults()
+        self.appends = 0
+        self.last_ms = 0
+
+    async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] == "lifespan":
+            return await async_run_lifespan(receive, send)
+        if scope["type"] != "http":
+            return None
+        request = parse_request(scope, receive)
+        if request.path.startswith("/standin/"):
+            return await self._async_control(request, send)
+        if self._is_cut(request):
+            # A cut is silence, not an answer.
+            await trio.sleep(3600)
+            return None
+        if self.faults.down:
+            return await async_respond(send, status=503)
+        if self.faults.delay_ms:
+            await trio.sleep(self.faults.delay_ms / 1000)
+        return await self._async_route(request, send)
+
+    def _is_cut(self, request: Request) -> bool:
+        if request.headers.get("x-zone") in self.faults.cut_zones:
+            return True
+        return request.headers.get("x-instance") in self.faults.cut_instances
+
+    async def _async_route(self, request: Request, send: Send) -> None:
+        match (request.method, request.path.strip("/").split("/")):
+            case ("POST", ["streams", name, "records"]):
+                await self._async_append(request, send, name)
+            case ("GET", ["streams", name, "records"]):
+                await self._async_read(request, send, name)
+            case ("GET", ["instances"]):
+                await async_respond_json(send, self._listed())
+            case ("PUT", ["instances", instance]):
+                body = (await request.async_body(limit_bytes=MAX_BODY_BYTES)).unwrap()
+                self.list_instance(msgspec.json.decode(body, type=ListedInstance))
+                await async_respond_json(send, {"instance": instance})
+            case ("PUT", ["instances", instance, "operations", operation_id]):
+                await self._async_operate(request, send, instance, operation_id)
+            case _:
+                await async_respond(send, status=404)
+
+    async def _async_append(self, request: Request, send: Send, name: str) -> None:
+        body = (await request.async_body(limit_bytes=MAX_BODY_BYTES)).unwrap()
+        if self.faults.refuse_appends:
+            return await async_respond(send, status=503)
+        append = msgspec.json.decode(body, type=AppendRequest)
+        first_offset = self.append(name, append.records)
+        if self.faults.lose_append_answers > 0:
+            self.faults.lose_append_answers -= 1
+            await trio.sleep(3600)
+        answer = Appended(first_offset=first_offset, now_ms=self.now_ms())
+        return await async_respond_json(send, answer)
+
+    def append(self, name: str, records: list[bytes]) -> int:
+        """Append records and return the offset of the first."""
+        stream = self.streams.setdefault(name, Stream())
+        self.appends += 1
+        first_offset = stream.next_offset
+        at_ms = self.now_ms()
+        for index, data in enumerate(records):
+            stream.records.append(StoredRecord(offset=first_offset + index, at_ms=at_ms, data=data))
+        self._forget(stream)
+        stream.grown.set()
+        stream.grown = trio.Event()
+        return first_offset
+
+    def now_ms(self) -> int:
+        """Return the log's time, which never falls."""
+        self.last_ms = max(self.last_ms, log_now_ms())
+        return self.last_ms
+
+    def _forget(self, stream: Stream) -> None:
+        surplus = len(stream.records) - self.faults.retain_records
+        if self.faults.retain_records and surplus > 0:
+            del stream.records[:surplus]
+            stream.oldest += surplus
+
+    async def _async_read(self, request: Request, send: Send, name: str) -> None:
+        stream = self.streams.setdefault(name, Stream())
+        offset = int(request.query.get("from", "0"))
+        wait_s = int(request.query.get("wait_ms", "0")) / 1000
+        if offset >= stream.next_offset and wait_s:
+            with trio.move_on_after(wait_s):
+                await stream.grown.wait()
+        answer = self._read(stream, offset, int(request.query.get("max", "512")))
+        await async_respond_json(send, answer, status=410 if offset < stream.oldest else 200)
+
+    def _read(self, stream: Stream, offset: int, max_records: int) -> ReadAnswer:
+        start = max(0, offset - stream.oldest)
+        records = stream.records[start : start + max_records] if offset >= stream.oldest else []
+        return ReadAnswer(
+            oldest=stream.oldest, next=stream.next_offset, now_ms=self.now_ms(), records=records
+        )
+
+    def list_instance(self, instance: ListedInstance) -> None:
+        """Add or change a line of the list; readers see it after the lag."""
+        self.instances[instance.id] = instance
+        listed = InstanceList(instances=list(self.instances.values()))
+        self.list_versions.append((trio.current_time(), listed))
+
+    def _listed(self) -> InstanceList:
+        """Return the newest version of the list that is as old as the lag."""
+        seen_before = trio.current_time() - self.faults.list_lag_ms / 1000
+        visible = [listed for at, listed in self.list_versions if at <= seen_before]
+        return visible[-1] if visible else InstanceList(instances=[])
+
+    async def _async_operate(
+        self, request: Request, send: Send, instance: str, operation_id: str
+    ) -> None:
+        body = (await request.async_body(limit_bytes=MAX_BODY_BYTES)).unwrap()
+        action = msgspec.json.decode(body, type=OperationRequest).action
+        listed = self.instances.get(instance)
+        if listed is None:
+            return await async_respond(send, status=404)
+        if operation_id not in self.operations:
+            self.operations[operation_id] = Operation(instance=instance, action=action)
+        return await async_respond_json(send, {"id": operation_id, "action": action})
+
+    async def _async_control(self, request: Request, send: Send) -> None:
+        if request.method == "PUT" and request.path == "/standin/faults":
+            body = (await request.async_body(limit_bytes=MAX_BODY_BYTES)).unwrap()
+            self.faults = msgspec.json.decode(body, type=Faults)
+            return await async_respond_json(send, self.faults)
+        if request.path == "/standin/counts":
+            counts = {"appends": self.appends, "operations": len(self.operations)}
+            return await async_respond_json(send, counts)
+        return await async_respond(send, status=404)
