--- a/heatherkeel/membership/reducer.py
+++ b/heatherkeel/membership/reducer.py
@@ -19,6 +19,7 @@
     known = find_incarnation(state.membership, body.incarnation)
     if known is not None and (known.instance, known.zone) != (body.instance, body.zone):
         return Err(Rejected(reason=RejectReason.CONFLICT, detail=known.instance))
+    replaced = state.membership.entries.get(body.instance)
     _supersede(state.membership, body)
     lease_until_ms = meta.now_ms + body.lease_ms
     if known is not None:
@@ -32,6 +33,8 @@
         lease_until_ms=lease_until_ms,
         offset_in_force=meta.offset,
         joined_offset=meta.offset,
+        shares_offset=meta.offset,
+        predecessor_until_ms=_routing_until(replaced),
     )
     return Ok(Accepted())
 
@@ -56,6 +59,7 @@
         return Err(Rejected(reason=RejectReason.NOT_FOUND, detail=body.instance))
     entry.lease_until_ms = meta.now_ms + entry.lease_ms
     entry.offset_in_force = max(entry.offset_in_force, body.offset_in_force)
+    entry.shares_offset = max(entry.shares_offset, body.shares_offset)
     return Ok(Accepted())
 
 
@@ -96,3 +100,10 @@
         if entry.incarnation == incarnation:
             return entry
     return None
+
+
+def _routing_until(replaced: EntryInstance | None) -> int:
+    """Return until when a replaced incarnation may route: it may not know that it is replaced."""
+    if replaced is None:
+        return 0
+    return max(replaced.lease_until_ms, replaced.predecessor_until_ms)
--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -6,6 +6,9 @@
 import heatherkeel.membership.reducer
 import heatherkeel.pools.health
 import heatherkeel.pools.reducer
+import heatherkeel.requests.flow
+import heatherkeel.requests.limits
+import heatherkeel.requests.targets
 import heatherkeel.waves.acknowledgements
 import heatherkeel.waves.checks
 import heatherkeel.waves.reducer  # noqa: F401
