Fold of jobs: submissions, placements, leases, quotas, quarantine and learned sizes

Jobs had no records. Every decision about a job is now a record that the fold checks: the first placement of a version wins, an attempt that may have run counts against a further one, a lapsed lease leaves a non-idempotent job unknown until there is proof or its owner decides, and an abandoned task keeps its room.

Ruled out: task ids from job and attempt alone, as a job that comes again after it was forgotten would meet its earlier life's tasks; they carry the submission's offset as well.

--- /dev/null
+++ b/heatherkeel/jobs/checkers.py
@@ -0,0 +1,123 @@
+"""Checkers of what must always hold for jobs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from heatherkeel.core.models import Violation
+from heatherkeel.core.registry import checks
+from heatherkeel.core.state import FleetState
+from heatherkeel.pools.models import InstanceStatus
+
+from .models import HOLDING, JobStatus, Load, Resources, job_team
+from .reservations import capacity_of, overrun_of
+
+
+@checks("non_idempotent_job_runs_at_most_once")
+def check_runs(state: FleetState) -> Iterator[Violation]:
+    """Find jobs of which more attempts may have run than the owner allowed."""
+    for job_id, job in state.jobs.live.items():
+        if not job.spec.idempotent and job.runs > job.runs_allowed:
+            detail = f"{job.runs} runs, {job.runs_allowed} allowed"
+            yield _violation(state, "non_idempotent_job_runs_at_most_once", job_id, detail)
+
+
+@checks("no_accepted_job_vanishes")
+def check_jobs_kept(state: FleetState) -> Iterator[Violation]:
+    """Find out whether an accepted job is neither live, nor finished, nor forgotten in time."""
+    jobs = state.jobs
+    kept = len(jobs.live) + len(jobs.finished) + jobs.forgotten
+    if kept != jobs.accepted or sum(jobs.remembered.values()) + jobs.forgotten != jobs.accepted:
+        detail = f"{jobs.accepted} accepted, {kept} known"
+        yield _violation(state, "no_accepted_job_vanishes", "jobs", detail)
+    for job_id in jobs.live.keys() & jobs.finished.keys():
+        yield _violation(state, "no_accepted_job_vanishes", job_id, "both live and finished")
+
+
+@checks("job_status_matches_what_it_holds")
+def check_status(state: FleetState) -> Iterator[Violation]:
+    """Find jobs with a task that hold no worker, and queued ones that hold one."""
+    for job_id, job in state.jobs.live.items():
+        holds = job.reserved is not None
+        wrong = (job.status in HOLDING and not holds) or (job.status is JobStatus.QUEUED and holds)
+        if wrong or job.status in (JobStatus.SUCCEEDED, JobStatus.FAILED, JobStatus.CANCELLED):
+            detail = f"{job.status}, holds: {holds}"
+            yield _violation(state, "job_status_matches_what_it_holds", job_id, detail)
+
+
+@checks("worker_capacity_holds_for_jobs")
+def check_capacity(state: FleetState) -> Iterator[Violation]:
+    """Find workers that have less than their tasks hold, or whose account is wrong."""
+    expected, _ = _recount(state)
+    yield from _differences(state, "worker_capacity_holds_for_jobs", expected, state.jobs.loads)
+    for instance_id, load in expected.items():
+        instance = state.pools.instances.get(instance_id)
+        if instance is None:
+            continue
+        capacity = capacity_of(instance)
+        over = (
+            load.cpu_millicores > capacity.cpu_millicores
+            or load.memory_mib > capacity.memory_mib
+            or load.accelerators > capacity.accelerators
+        )
+        if over:
+            detail = f"holds {load}, has {capacity}"
+            yield _violation(state, "worker_capacity_holds_for_jobs", instance_id, detail)
+
+
+@checks("team_usage_is_booked_rightly")
+def check_team_usage(state: FleetState) -> Iterator[Violation]:
+    """Find teams whose account differs from what their jobs hold.
+
+    A quota that an operator lowers below what runs ends no job, so the quota itself is checked
+    where a job is placed.
+    """
+    _, expected = _recount(state)
+    yield from _differences(state, "team_usage_is_booked_rightly", expected, state.jobs.teams)
+
+
+@checks("planned_stop_cuts_no_job")
+def check_planned_stops(state: FleetState) -> Iterator[Violation]:
+    """Find jobs whose instance was stopped on purpose under them."""
+    for job_id, job in state.jobs.live.items():
+        if job.status not in HOLDING:
+            continue
+        instance = state.pools.instances.get(job.instance)
+        if instance is not None and instance.status is InstanceStatus.STOPPED:
+            detail = f"{job.instance} was stopped under it"
+            yield _violation(state, "planned_stop_cuts_no_job", job_id, detail)
+
+
+def _recount(state: FleetState) -> tuple[dict[str, Load], dict[str, Load]]:
+    """Count anew what is held of workers and of quotas, from the jobs themselves."""
+    loads: dict[str, Load] = {}
+    teams: dict[str, Load] = {}
+    for job_id, job in state.jobs.live.items():
+        if job.reserved is None:
+            continue
+        _add(loads.setdefault(job.instance, Load()), job.reserved, overrun_of(job))
+        _add(teams.setdefault(job_team(job_id), Load()), job.reserved, 0)
+    for orphan in state.jobs.orphans.values():
+        _add(loads.setdefault(orphan.instance, Load()), orphan.reserved, 0)
+    return loads, teams
+
+
+def _add(load: Load, held: Resources, overrun_mib: int) -> None:
+    load.cpu_millicores += held.cpu_millicores
+    load.memory_mib += held.memory_mib
+    load.accelerators += held.accelerators
+    load.overrun_mib += overrun_mib
+    load.tasks += 1
+
+
+def _differences(
+    state: FleetState, promise: str, expected: dict[str, Load], booked: dict[str, Load]
+) -> Iterator[Violation]:
+    for key in expected.keys() | booked.keys():
+        if expected.get(key) != booked.get(key):
+            detail = f"holds {expected.get(key)}, booked {booked.get(key)}"
+            yield _violation(state, promise, key, detail)
+
+
+def _violation(state: FleetState, promise: str, where: str, detail: str) -> Violation:
+    return Violation(promise=promise, offset=state.next_offset - 1, where=where, detail=detail)
--- /dev/null
+++ b/heatherkeel/jobs/learning.py
@@ -0,0 +1,74 @@
+"""Learns the sizes of job families from what their runs were measured to use."""
+
+from __future__ import annotations
+
+from heatherkeel.core.state import FleetState
+
+from .const import (
+    FAMILY_SAMPLES,
+    LEARNED_MARGIN_PERCENT,
+    LEARNED_PERCENTILE,
+    MAX_FAMILIES,
+    MIN_FAMILY_SAMPLES,
+)
+from .models import FamilyUsage, Job, Resources, job_team
+
+
+def family_key(job_id: str, job: Job) -> str:
+    """Return the key under which the usage of jobs like this one is kept."""
+    return f"{job_team(job_id)}:{job.spec.family}"
+
+
+def learn(state: FleetState, job_id: str, job: Job, now_ms: int) -> None:
+    """Take the measured use of an attempt that just ended into its family."""
+    if job.peak_memory_mib == 0 and job.peak_cpu_millicores == 0:
+        return
+    families = state.jobs.families
+    key = family_key(job_id, job)
+    if key not in families and len(families) >= MAX_FAMILIES:
+        del families[min(families, key=lambda name: (families[name].updated_ms, name))]
+    usage = families.setdefault(key, FamilyUsage(updated_ms=now_ms))
+    usage.updated_ms = now_ms
+    _push(usage.memory_mib, job.peak_memory_mib)
+    _push(usage.cpu_millicores, job.peak_cpu_millicores)
+    _push(usage.run_time_s, max(0, now_ms - job.started_ms) // 1_000 if job.started_ms else 0)
+
+
+def expected_size(state: FleetState, job_id: str, job: Job) -> Resources:
+    """Return what an attempt is expected to need: memory never below the declared size.
+
+    Memory and accelerators can't be taken back from a running task, so they are the larger of
+    declared and learned. Processors can be throttled, so there the measured use counts alone.
+    """
+    declared = job.spec.size
+    usage = state.jobs.families.get(family_key(job_id, job))
+    if usage is None or len(usage.memory_mib) < MIN_FAMILY_SAMPLES:
+        return declared
+    return Resources(
+        cpu_millicores=_with_margin(usage.cpu_millicores) or declared.cpu_millicores,
+        memory_mib=max(declared.memory_mib, _with_margin(usage.memory_mib)),
+        accelerators=declared.accelerators,
+    )
+
+
+def expected_run_time_s(state: FleetState, job_id: str, job: Job) -> int:
+    """Return the learned run time in seconds, or the declared one while nothing is known."""
+    usage = state.jobs.families.get(family_key(job_id, job))
+    if usage is None or len(usage.run_time_s) < MIN_FAMILY_SAMPLES:
+        return job.spec.run_time_s
+    return _percentile(usage.run_time_s)
+
+
+def _push(samples: list[int], value: int) -> None:
+    samples.append(value)
+    del samples[:-FAMILY_SAMPLES]
+
+
+def _percentile(samples: list[int]) -> int:
+    ordered = sorted(samples)
+    rank = -(-len(ordered) * LEARNED_PERCENTILE // 100)
+    return ordered[rank - 1]
+
+
+def _with_margin(samples: list[int]) -> int:
+    return -(-_percentile(samples) * (100 + LEARNED_MARGIN_PERCENT) // 100)
--- /dev/null
+++ b/heatherkeel/jobs/placing.py
@@ -0,0 +1,175 @@
+"""Decides placements, and checkpoints that make room."""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from heatherkeel.catalogue.models import ServiceClass
+from heatherkeel.core.models import Accepted, RecordMeta, Rejected, RejectReason
+from heatherkeel.core.registry import handles
+from heatherkeel.core.state import FleetState
+from heatherkeel.pools.models import InstanceStatus
+
+from .const import HOLD_MS, START_WINDOW_MS
+from .models import (
+    CheckpointTask,
+    Hold,
+    Job,
+    JobStatus,
+    StartTask,
+    job_team,
+    task_id,
+    task_of,
+)
+from .quarantine import is_quarantined
+from .records import CheckpointCause, JobCheckpoint, JobPlace
+from .reservations import find_shortage, need_of, quota_of, take
+from .transitions import accepted, may_run_again, move, not_found, stale, wrong_state
+
+
+@handles("jobs.place", JobPlace)
+def place_job(state: FleetState, meta: RecordMeta, body: JobPlace) -> Result[Accepted, Rejected]:
+    """Bind the next attempt to a worker, if the job, the worker and the quota allow it."""
+    job = state.jobs.live.get(body.job)
+    if job is None:
+        return Err(not_found(body.job))
+    refusal = _check_job(meta, body, job) or _check_worker(state, body, job)
+    if refusal is not None:
+        return Err(refusal)
+    team = job_team(body.job)
+    quota = quota_of(state, team)
+    if quota is None:
+        return Err(Rejected(reason=RejectReason.QUOTA, detail=f"team {team} has no entry"))
+    need = need_of(state, body.job, job, state.pools.instances[body.instance], quota)
+    shortage = find_shortage(state, team, quota, body.instance, need)
+    if shortage is not None:
+        return Err(shortage)
+    take(state, body.job, job, body.instance, need)
+    _begin_attempt(job, body)
+    if state.jobs.holds.get(body.instance, _NO_HOLD).job == body.job:
+        del state.jobs.holds[body.instance]
+    changed = move(body.job, job, meta, JobStatus.PLACED)
+    return Ok(accepted(job.version, changed, start_task(body.job, job)))
+
+
+_NO_HOLD = Hold(job="", until_ms=0)
+
+
+def start_task(job_id: str, job: Job) -> StartTask:
+    """Return the effect that starts the newest attempt of a placed job.
+
+    The placer can die before it does so. The effect follows from the state alone and the task
+    id is always the same, so that any other process can do it again without a second run.
+    """
+    assert job.reserved is not None
+    return StartTask(
+        task=task_of(job_id, job),
+        job=job_id,
+        instance=job.instance,
+        placer=job.placer,
+        resources=job.reserved,
+        resume_from=job.checkpoint if job.resumed else "",
+        not_after_ms=job.changed_ms + START_WINDOW_MS,
+    )
+
+
+def _check_job(meta: RecordMeta, body: JobPlace, job: Job) -> Rejected | None:
+    """Refuse a placement that the job doesn't allow.
+
+    Several entry instances place at once and one may have been paused for long. The first
+    placement of a version wins; without this a job would be started by each of them.
+    """
+    if job.version != body.expected_version:
+        return stale(body.job, job)
+    if job.status is not JobStatus.QUEUED or job.cancelling:
+        return wrong_state(body.job, job)
+    if body.attempt != job.attempt + 1 or body.task != task_id(body.job, job, body.attempt):
+        return wrong_state(body.job, job)
+    if not may_run_again(job):
+        # The last gate before a second run of what must not be doubled: whatever queued the
+        # job again, an attempt that may have run counts against it here.
+        return Rejected(reason=RejectReason.CONFLICT, detail="it may have run before")
+    if meta.now_ms < job.not_before_ms:
+        return Rejected(reason=RejectReason.CONFLICT, detail="its retry is not due yet")
+    if 0 < job.spec.not_after_ms < meta.now_ms:
+        return Rejected(reason=RejectReason.EXPIRED, detail="its latest start has passed")
+    return None
+
+
+def _check_worker(state: FleetState, body: JobPlace, job: Job) -> Rejected | None:
+    instance = state.pools.instances.get(body.instance)
+    if instance is None or instance.pool != job.spec.pool:
+        return Rejected(reason=RejectReason.NOT_FOUND, detail=f"{body.instance} in its pool")
+    if instance.status is not InstanceStatus.SERVING:
+        return Rejected(reason=RejectReason.IN_USE, detail=f"{body.instance} is {instance.status}")
+    if is_quarantined(state, body.instance):
+        return Rejected(reason=RejectReason.IN_USE, detail=f"{body.instance} is in quarantine")
+    hold = state.jobs.holds.get(body.instance)
+    if hold is not None and hold.until_ms > state.now_ms and hold.job != body.job:
+        # Room made by preemption must not go to whoever is quicker: the urgent job would wait
+        # for the next victim, and more work would be moved than was needed.
+        return Rejected(reason=RejectReason.IN_USE, detail=f"{body.instance} is held")
+    return None
+
+
+def _begin_attempt(job: Job, body: JobPlace) -> None:
+    job.attempt = body.attempt
+    job.placer = body.placer
+    job.resumed = bool(job.checkpoint)
+    job.runs += 0 if job.resumed else 1
+    job.peak_memory_mib = 0
+    job.peak_cpu_millicores = 0
+    job.started_ms = 0
+
+
+@handles("jobs.checkpoint", JobCheckpoint)
+def checkpoint_job(
+    state: FleetState, meta: RecordMeta, body: JobCheckpoint
+) -> Result[Accepted, Rejected]:
+    """Ask a running job to checkpoint and stop."""
+    job = state.jobs.live.get(body.job)
+    if job is None:
+        return Err(not_found(body.job))
+    if job.version != body.expected_version:
+        return Err(stale(body.job, job))
+    running = job.status is JobStatus.RUNNING and job.attempt == body.attempt
+    if not running or not job.spec.checkpointable:
+        return Err(wrong_state(body.job, job))
+    if body.cause is CheckpointCause.URGENT:
+        refusal = _check_preemption(state, body, job)
+    else:
+        refusal = _check_drain(state, job)
+    if refusal is not None:
+        return Err(refusal)
+    if body.cause is CheckpointCause.URGENT:
+        hold = Hold(job=body.for_job, until_ms=meta.now_ms + HOLD_MS)
+        state.jobs.holds[job.instance] = hold
+    changed = move(body.job, job, meta, JobStatus.CHECKPOINTING, f"for {body.cause}")
+    return Ok(accepted(job.version, changed, _checkpoint_task(body.job, job)))
+
+
+def _checkpoint_task(job_id: str, job: Job) -> CheckpointTask:
+    return CheckpointTask(task=task_of(job_id, job), job=job_id, instance=job.instance)
+
+
+def _check_preemption(state: FleetState, body: JobCheckpoint, victim: Job) -> Rejected | None:
+    urgent = state.jobs.live.get(body.for_job)
+    if urgent is None or urgent.status is not JobStatus.QUEUED:
+        return Rejected(reason=RejectReason.WRONG_STATE, detail=f"{body.for_job} is not queued")
+    if urgent.spec.service_class is not ServiceClass.URGENT:
+        return Rejected(reason=RejectReason.CONFLICT, detail=f"{body.for_job} is not urgent")
+    if victim.spec.service_class is not ServiceClass.BATCH:
+        return Rejected(reason=RejectReason.CONFLICT, detail=f"{body.job} is not batch work")
+    if victim.spec.pool != urgent.spec.pool:
+        return Rejected(reason=RejectReason.CONFLICT, detail="they are of different pools")
+    hold = state.jobs.holds.get(victim.instance)
+    if hold is not None and hold.until_ms > state.now_ms and hold.job != body.for_job:
+        return Rejected(reason=RejectReason.IN_USE, detail=f"{victim.instance} is held")
+    return None
+
+
+def _check_drain(state: FleetState, job: Job) -> Rejected | None:
+    instance = state.pools.instances.get(job.instance)
+    if instance is None or instance.status is not InstanceStatus.DRAINING:
+        return Rejected(reason=RejectReason.WRONG_STATE, detail=f"{job.instance} is not draining")
+    return None
--- /dev/null
+++ b/heatherkeel/jobs/reducer.py
@@ -0,0 +1,161 @@
+"""Decides what owners ask for: submissions, cancellations, and what to do with the unknown."""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from heatherkeel.catalogue.models import PoolEntry
+from heatherkeel.core.models import Accepted, Effect, RecordMeta, Rejected, RejectReason
+from heatherkeel.core.registry import handles
+from heatherkeel.core.state import FleetState
+
+from . import checkers, placing, tasks, usage  # noqa: F401
+from .const import MAX_REMEMBERED_JOBS, MAX_REMEMBERED_PER_TEAM
+from .feasibility import pool_shapes, why_never
+from .models import Job, JobChanged, JobStatus, job_team
+from .records import JobCancel, JobResolve, JobSubmit, JobUnplaceable, Resolution
+from .reservations import abandon, quota_of
+from .transitions import (
+    accepted,
+    finish,
+    forget_old,
+    not_found,
+    requeue,
+    spec_digest,
+    stale,
+    stop_task,
+    wrong_state,
+)
+
+
+@handles("jobs.submit", JobSubmit)
+def submit_job(state: FleetState, meta: RecordMeta, body: JobSubmit) -> Result[Accepted, Rejected]:
+    """Take in a job, or find the one that the same owner submitted before."""
+    forget_old(state, meta.now_ms)
+    if job_team(body.job) != body.team:
+        return Err(Rejected(reason=RejectReason.NOT_OWNER, detail=body.job))
+    known = _find_same(state, body)
+    if known is not None:
+        return known
+    refusal = _check_new(state, meta, body)
+    if refusal is not None:
+        return Err(refusal)
+    state.jobs.live[body.job] = Job(
+        spec=body.spec,
+        submitted_ms=meta.now_ms,
+        submitted_offset=meta.offset,
+        changed_ms=meta.now_ms,
+    )
+    state.jobs.remembered[body.team] = state.jobs.remembered.get(body.team, 0) + 1
+    state.jobs.accepted += 1
+    changed = JobChanged(job=body.job, status=JobStatus.QUEUED, version=1, offset=meta.offset)
+    return Ok(accepted(1, changed))
+
+
+def _find_same(state: FleetState, body: JobSubmit) -> Result[Accepted, Rejected] | None:
+    """Answer a resubmission with the job that is there.
+
+    The answer to a submission can be lost, and the owner submits again, perhaps much later. A
+    second job would bill a retailer twice.
+    """
+    live = state.jobs.live.get(body.job)
+    if live is not None and live.spec == body.spec:
+        return Ok(accepted(live.version))
+    finished = state.jobs.finished.get(body.job)
+    if finished is not None and finished.spec_digest == spec_digest(body.spec):
+        return Ok(accepted(finished.version))
+    if live is None and finished is None:
+        return None
+    return Err(Rejected(reason=RejectReason.ALREADY_EXISTS, detail=body.job))
+
+
+def _check_new(state: FleetState, meta: RecordMeta, body: JobSubmit) -> Rejected | None:
+    size = body.spec.size
+    if size.cpu_millicores == 0 or size.memory_mib == 0:
+        return Rejected(reason=RejectReason.MALFORMED, detail="a job needs processor and memory")
+    if 0 < body.spec.not_after_ms <= meta.now_ms:
+        return Rejected(reason=RejectReason.EXPIRED, detail="its latest start has passed")
+    pool = state.catalogue.entries.get(body.spec.pool)
+    if pool is None or not isinstance(pool.entry, PoolEntry):
+        return Rejected(reason=RejectReason.NOT_FOUND, detail=f"pool {body.spec.pool}")
+    if quota_of(state, body.team) is None:
+        return Rejected(reason=RejectReason.NOT_FOUND, detail=f"team {body.team}")
+    if state.jobs.remembered.get(body.team, 0) >= MAX_REMEMBERED_PER_TEAM:
+        return Rejected(reason=RejectReason.QUOTA, detail="too many jobs of this team")
+    if len(state.jobs.live) + len(state.jobs.finished) >= MAX_REMEMBERED_JOBS:
+        return Rejected(reason=RejectReason.QUOTA, detail="too many jobs")
+    return None
+
+
+@handles("jobs.cancel", JobCancel)
+def cancel_jobs(state: FleetState, meta: RecordMeta, body: JobCancel) -> Result[Accepted, Rejected]:
+    """End queued jobs at once; ask the platform to stop the others."""
+    foreign = next((job_id for job_id in body.jobs if job_team(job_id) != body.team), None)
+    if foreign is not None:
+        return Err(Rejected(reason=RejectReason.NOT_OWNER, detail=foreign))
+    effects: list[Effect] = []
+    for job_id in body.jobs:
+        job = state.jobs.live.get(job_id)
+        if job is not None and not job.cancelling:
+            effects.append(_cancel(state, meta, job_id, job))
+    return Ok(accepted(0, *effects))
+
+
+def _cancel(state: FleetState, meta: RecordMeta, job_id: str, job: Job) -> Effect:
+    """Cancel one job.
+
+    A job with a task is cancelled only when the platform has said how the task ended: told
+    earlier, its owner could submit it anew while the first run goes on.
+    """
+    if job.status is JobStatus.QUEUED:
+        return finish(state, job_id, job, meta, JobStatus.CANCELLED, "cancelled while queued")
+    job.cancelling = True
+    job.version += 1
+    job.changed_ms = meta.now_ms
+    return stop_task(job_id, job)
+
+
+@handles("jobs.resolve", JobResolve)
+def resolve_job(
+    state: FleetState, meta: RecordMeta, body: JobResolve
+) -> Result[Accepted, Rejected]:
+    """Do with an unknown job what its owner decided."""
+    if job_team(body.job) != body.team:
+        return Err(Rejected(reason=RejectReason.NOT_OWNER, detail=body.job))
+    job = state.jobs.live.get(body.job)
+    if job is None:
+        return Err(not_found(body.job))
+    if job.version != body.expected_version:
+        return Err(stale(body.job, job))
+    if job.status is not JobStatus.UNKNOWN:
+        return Err(wrong_state(body.job, job))
+    stop = stop_task(body.job, job)
+    abandon(state, body.job, job)
+    if body.resolution is Resolution.GIVE_UP:
+        reason = "given up by its owner while unknown"
+        changed = finish(state, body.job, job, meta, JobStatus.FAILED, reason)
+        return Ok(accepted(job.version, changed, stop))
+    job.runs_allowed += 1
+    job.cancelling = False
+    reason = "run again by its owner"
+    changed = requeue(state, body.job, job, meta, wait_ms=0, reason=reason)
+    return Ok(accepted(job.version, changed, stop))
+
+
+@handles("jobs.unplaceable", JobUnplaceable)
+def end_unplaceable(
+    state: FleetState, meta: RecordMeta, body: JobUnplaceable
+) -> Result[Accepted, Rejected]:
+    """End those of the named jobs that can never run as things stand at this offset."""
+    shapes = pool_shapes(state)
+    effects: list[Effect] = []
+    for job_id in body.jobs:
+        job = state.jobs.live.get(job_id)
+        if job is None or job.status is not JobStatus.QUEUED:
+            continue
+        reason = why_never(state, shapes, job_id, job)
+        if reason:
+            effects.append(finish(state, job_id, job, meta, JobStatus.FAILED, reason))
+    if not effects:
+        return Err(Rejected(reason=RejectReason.CONFLICT, detail="all of them may still run"))
+    return Ok(accepted(0, *effects))
--- /dev/null
+++ b/heatherkeel/jobs/reservations.py
@@ -0,0 +1,178 @@
+"""Keeps account of what jobs hold of workers and of team quotas."""
+
+from __future__ import annotations
+
+from heatherkeel.catalogue.models import TeamEntry
+from heatherkeel.core.models import Rejected, RejectReason
+from heatherkeel.core.state import FleetState
+from heatherkeel.pools.models import Instance
+
+from .learning import expected_size
+from .models import Job, Load, Orphan, Resources, job_team, task_of
+
+MILLICORES_PER_CPU = 1_000
+
+
+def capacity_of(instance: Instance) -> Resources:
+    """Return all that a worker has."""
+    return Resources(
+        cpu_millicores=instance.cpus * MILLICORES_PER_CPU,
+        memory_mib=instance.memory_mib,
+        accelerators=instance.accelerators,
+    )
+
+
+def quota_of(state: FleetState, team: str) -> Resources | None:
+    """Return a team's quota over all pools, or None for a team that has no entry."""
+    stored = state.catalogue.entries.get(team)
+    if stored is None or not isinstance(stored.entry, TeamEntry):
+        return None
+    return Resources(
+        cpu_millicores=stored.entry.cpu_quota * MILLICORES_PER_CPU,
+        memory_mib=stored.entry.memory_quota_mib,
+        accelerators=stored.entry.accelerator_quota,
+    )
+
+
+def free_of(capacity: Resources, load: Load | None) -> Resources:
+    """Return what is left; nothing of a resource that is overrun."""
+    if load is None:
+        return capacity
+    return Resources(
+        cpu_millicores=max(0, capacity.cpu_millicores - load.cpu_millicores),
+        memory_mib=max(0, capacity.memory_mib - load.memory_mib - load.overrun_mib),
+        accelerators=max(0, capacity.accelerators - load.accelerators),
+    )
+
+
+def fits(need: Resources, room: Resources) -> bool:
+    """Say whether a need can be met from this room."""
+    return (
+        need.cpu_millicores <= room.cpu_millicores
+        and need.memory_mib <= room.memory_mib
+        and need.accelerators <= room.accelerators
+    )
+
+
+def clip_need(expected: Resources, declared: Resources, *limits: Resources) -> Resources:
+    """Return the expected size, cut to the limits, but never below the declared one.
+
+    A learned size can be larger than the worker or the quota. Without the cut a job that its
+    owner sized to fit would wait for ever for a worker that doesn't exist.
+    """
+    return Resources(
+        cpu_millicores=_clip(
+            expected.cpu_millicores,
+            declared.cpu_millicores,
+            min(limit.cpu_millicores for limit in limits),
+        ),
+        memory_mib=_clip(
+            expected.memory_mib,
+            declared.memory_mib,
+            min(limit.memory_mib for limit in limits),
+        ),
+        accelerators=declared.accelerators,
+    )
+
+
+def _clip(expected: int, declared: int, limit: int) -> int:
+    if expected <= declared:
+        return expected
+    return max(declared, min(expected, limit))
+
+
+def need_of(
+    state: FleetState, job_id: str, job: Job, instance: Instance, quota: Resources
+) -> Resources:
+    """Return what an attempt would hold on this worker."""
+    expected = expected_size(state, job_id, job)
+    return clip_need(expected, job.spec.size, capacity_of(instance), quota)
+
+
+def find_shortage(
+    state: FleetState, team: str, quota: Resources, instance_id: str, need: Resources
+) -> Rejected | None:
+    """Refuse what the team's quota or the worker has no room for.
+
+    Two placers that race see the same free room and both fill it. Checked here, where all
+    records come by in one order, the second one is refused.
+    """
+    if not fits(need, free_of(quota, state.jobs.teams.get(team))):
+        return Rejected(reason=RejectReason.QUOTA, detail=f"team {team} has no quota left")
+    capacity = capacity_of(state.pools.instances[instance_id])
+    if not fits(need, free_of(capacity, state.jobs.loads.get(instance_id))):
+        return Rejected(reason=RejectReason.IN_USE, detail=f"{instance_id} has no room")
+    return None
+
+
+def take(state: FleetState, job_id: str, job: Job, instance_id: str, need: Resources) -> None:
+    """Book a need on a worker and on the team of the job."""
+    job.instance = instance_id
+    job.reserved = need
+    _book(state.jobs.loads, instance_id, need)
+    _book(state.jobs.teams, job_team(job_id), need)
+
+
+def give_back(state: FleetState, job_id: str, job: Job) -> None:
+    """Release all that the newest attempt holds, since its task can't run any more."""
+    if job.reserved is None:
+        return
+    state.jobs.loads[job.instance].overrun_mib -= overrun_of(job)
+    _unbook(state.jobs.loads, job.instance, job.reserved)
+    _unbook(state.jobs.teams, job_team(job_id), job.reserved)
+    job.reserved = None
+
+
+def abandon(state: FleetState, job_id: str, job: Job) -> None:
+    """Give up on a task that may still run: the team is free of it, the worker is not.
+
+    A worker that was cut off comes back with its task. If its room had been given away, the
+    worker would then run more than it has memory for, and other jobs would be killed with it.
+    """
+    if job.reserved is None:
+        return
+    task = task_of(job_id, job)
+    state.jobs.orphans[task] = Orphan(job=job_id, instance=job.instance, reserved=job.reserved)
+    state.jobs.loads[job.instance].overrun_mib -= overrun_of(job)
+    _unbook(state.jobs.teams, job_team(job_id), job.reserved)
+    job.reserved = None
+
+
+def drop_orphan(state: FleetState, task: str) -> None:
+    """Release what an abandoned task held, since it can't run any more."""
+    orphan = state.jobs.orphans.pop(task)
+    _unbook(state.jobs.loads, orphan.instance, orphan.reserved)
+
+
+def note_usage(state: FleetState, job: Job, *, memory_mib: int, cpu_millicores: int) -> None:
+    """Take in measured use; what goes beyond the reservation is closed to further jobs."""
+    before = overrun_of(job)
+    job.peak_memory_mib = max(job.peak_memory_mib, memory_mib)
+    job.peak_cpu_millicores = max(job.peak_cpu_millicores, cpu_millicores)
+    if job.reserved is not None:
+        state.jobs.loads[job.instance].overrun_mib += overrun_of(job) - before
+
+
+def overrun_of(job: Job) -> int:
+    """Return the memory in MiB that an attempt was seen to use above what it holds."""
+    if job.reserved is None:
+        return 0
+    return max(0, job.peak_memory_mib - job.reserved.memory_mib)
+
+
+def _book(loads: dict[str, Load], key: str, need: Resources) -> None:
+    load = loads.setdefault(key, Load())
+    load.cpu_millicores += need.cpu_millicores
+    load.memory_mib += need.memory_mib
+    load.accelerators += need.accelerators
+    load.tasks += 1
+
+
+def _unbook(loads: dict[str, Load], key: str, need: Resources) -> None:
+    load = loads[key]
+    load.cpu_millicores -= need.cpu_millicores
+    load.memory_mib -= need.memory_mib
+    load.accelerators -= need.accelerators
+    load.tasks -= 1
+    if load.tasks == 0:
+        del loads[key]
--- /dev/null
+++ b/heatherkeel/jobs/tasks.py
@@ -0,0 +1,231 @@
+"""Takes in what the platform was seen to do with the task of an attempt.
+
+These records are evidence, not decisions: several entry instances may report the same thing, in
+any order and late. Each is matched to its attempt, and says no more than it proves.
+"""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from heatherkeel.core.models import Accepted, Effect, RecordMeta, Rejected, RejectReason
+from heatherkeel.core.registry import handles
+from heatherkeel.core.state import FleetState
+
+from .learning import learn
+from .models import HOLDING, Job, JobChanged, JobStatus, StopTask, task_of
+from .quarantine import note_failure, note_success
+from .records import (
+    LossEvidence,
+    TaskCheckpointed,
+    TaskEnded,
+    TaskExit,
+    TaskLost,
+    TaskProvedNotStarted,
+    TaskStarted,
+)
+from .reservations import abandon, drop_orphan, give_back, note_usage
+from .transitions import (
+    accepted,
+    after_failure,
+    after_start_failure,
+    finish,
+    may_run_again,
+    move,
+    not_found,
+    requeue,
+    stale,
+    stop_task,
+    wrong_state,
+)
+
+_ATTACHED = (*HOLDING, JobStatus.UNKNOWN)
+
+
+@handles("jobs.started", TaskStarted)
+def task_started(
+    state: FleetState, meta: RecordMeta, body: TaskStarted
+) -> Result[Accepted, Rejected]:
+    """Note that an attempt runs; stop it if its job was given up on."""
+    orphan = state.jobs.orphans.get(body.task)
+    if orphan is not None:
+        return Ok(accepted(0, StopTask(task=body.task, job=body.job, instance=orphan.instance)))
+    job = state.jobs.live.get(body.job)
+    if job is None:
+        return Err(not_found(body.job))
+    if body.task != task_of(body.job, job) or job.status not in _ATTACHED or job.reserved is None:
+        return Err(wrong_state(body.job, job))
+    if job.status in (JobStatus.RUNNING, JobStatus.CHECKPOINTING):
+        return Ok(accepted(job.version))
+    job.started_ms = job.started_ms or meta.now_ms
+    effects: list[Effect] = [move(body.job, job, meta, JobStatus.RUNNING)]
+    if job.cancelling:
+        effects.append(stop_task(body.job, job))
+    return Ok(accepted(job.version, *effects))
+
+
+@handles("jobs.ended", TaskEnded)
+def task_ended(state: FleetState, meta: RecordMeta, body: TaskEnded) -> Result[Accepted, Rejected]:
+    """Decide between success, a further attempt, and failure."""
+    if body.exit is TaskExit.SUCCEEDED and not body.ran:
+        return Err(Rejected(reason=RejectReason.MALFORMED, detail="succeeded, but did not run"))
+    if body.task in state.jobs.orphans:
+        return Ok(_orphan_ended(state, meta, body))
+    job = state.jobs.live.get(body.job)
+    if job is None:
+        return Err(not_found(body.job))
+    if body.task != task_of(body.job, job) or job.status not in _ATTACHED:
+        return Err(wrong_state(body.job, job))
+    note_usage(state, job, memory_mib=body.peak_memory_mib, cpu_millicores=body.cpu_millicores)
+    return Ok(_end_attempt(state, meta, body, job))
+
+
+def _orphan_ended(state: FleetState, meta: RecordMeta, body: TaskEnded) -> Accepted:
+    """Release an abandoned task; its success counts if no newer attempt was placed yet."""
+    drop_orphan(state, body.task)
+    job = state.jobs.live.get(body.job)
+    if job is None or job.status is not JobStatus.QUEUED or body.task != task_of(body.job, job):
+        return accepted(0)
+    if body.exit is not TaskExit.SUCCEEDED:
+        return accepted(job.version)
+    reason = "succeeded after its lease had lapsed"
+    changed = finish(state, body.job, job, meta, JobStatus.SUCCEEDED, reason)
+    return accepted(changed.version, changed)
+
+
+def _end_attempt(state: FleetState, meta: RecordMeta, body: TaskEnded, job: Job) -> Accepted:
+    instance = job.instance
+    give_back(state, body.job, job)
+    learn(state, body.job, job, meta.now_ms)
+    if body.exit is TaskExit.SUCCEEDED:
+        note_success(state, instance)
+        changed = finish(state, body.job, job, meta, JobStatus.SUCCEEDED)
+        return accepted(changed.version, changed)
+    if body.exit in (TaskExit.FAILED, TaskExit.REFUSED):
+        note_failure(state, body.job, job, instance)
+    reason = f"{body.exit} on {instance} {body.detail}".rstrip()
+    # A task that was seen running did run, whatever a later answer says.
+    if not body.ran and job.started_ms == 0:
+        changed = after_start_failure(state, body.job, job, meta, reason)
+        return accepted(changed.version, changed)
+    changed = _after_run(state, meta, body, job, reason)
+    return accepted(changed.version, changed)
+
+
+def _after_run(
+    state: FleetState, meta: RecordMeta, body: TaskEnded, job: Job, reason: str
+) -> JobChanged:
+    """Decide what follows an attempt that ran and did not succeed."""
+    if job.cancelling:
+        return finish(state, body.job, job, meta, JobStatus.CANCELLED, reason)
+    if not body.retryable:
+        return finish(state, body.job, job, meta, JobStatus.FAILED, reason)
+    if not may_run_again(job):
+        words = f"{reason}; not idempotent, so it is not run again"
+        return finish(state, body.job, job, meta, JobStatus.FAILED, words)
+    return after_failure(state, body.job, job, meta, reason)
+
+
+@handles("jobs.not_started", TaskProvedNotStarted)
+def task_not_started(
+    state: FleetState, meta: RecordMeta, body: TaskProvedNotStarted
+) -> Result[Accepted, Rejected]:
+    """Queue a job again whose attempt never started and never will."""
+    if body.task in state.jobs.orphans:
+        drop_orphan(state, body.task)
+        return Ok(accepted(0))
+    job = state.jobs.live.get(body.job)
+    if job is None:
+        return Err(not_found(body.job))
+    waiting = job.status in (JobStatus.PLACED, JobStatus.UNKNOWN)
+    if body.task != task_of(body.job, job) or not waiting or job.started_ms > 0:
+        return Err(wrong_state(body.job, job))
+    give_back(state, body.job, job)
+    changed = after_start_failure(state, body.job, job, meta, "proved not to have started")
+    return Ok(accepted(changed.version, changed))
+
+
+@handles("jobs.checkpointed", TaskCheckpointed)
+def task_checkpointed(
+    state: FleetState, meta: RecordMeta, body: TaskCheckpointed
+) -> Result[Accepted, Rejected]:
+    """Note a checkpoint, and queue the job again if its task stopped there."""
+    if body.task in state.jobs.orphans:
+        if body.stopped:
+            drop_orphan(state, body.task)
+        return Ok(accepted(0))
+    job = state.jobs.live.get(body.job)
+    if job is None:
+        return Err(not_found(body.job))
+    if body.task != task_of(body.job, job) or job.status not in _ATTACHED or job.reserved is None:
+        return Err(wrong_state(body.job, job))
+    if body.saved:
+        job.checkpoint = body.task
+    if body.stopped:
+        return Ok(_stopped_at_checkpoint(state, meta, body, job))
+    if job.status is JobStatus.RUNNING:
+        return Ok(accepted(job.version))
+    job.started_ms = job.started_ms or meta.now_ms
+    changed = move(body.job, job, meta, JobStatus.RUNNING, "checkpoint did not stop it")
+    return Ok(accepted(changed.version, changed))
+
+
+def _stopped_at_checkpoint(
+    state: FleetState, meta: RecordMeta, body: TaskCheckpointed, job: Job
+) -> Accepted:
+    give_back(state, body.job, job)
+    if job.cancelling:
+        changed = finish(state, body.job, job, meta, JobStatus.CANCELLED, "stopped")
+    elif body.saved:
+        changed = requeue(state, body.job, job, meta, wait_ms=0, reason="checkpointed")
+    else:
+        changed = _lost_for_good(state, meta, body.job, job, "stopped without a checkpoint")
+    return accepted(changed.version, changed)
+
+
+@handles("jobs.lost", TaskLost)
+def task_lost(state: FleetState, meta: RecordMeta, body: TaskLost) -> Result[Accepted, Rejected]:
+    """Decide about an attempt that is no longer heard of, without guessing whether it ran."""
+    gone = body.evidence is LossEvidence.TASK_GONE
+    if body.task in state.jobs.orphans and gone:
+        drop_orphan(state, body.task)
+        return Ok(accepted(0))
+    job = state.jobs.live.get(body.job)
+    if job is None:
+        return Err(not_found(body.job))
+    if job.version != body.expected_version:
+        return Err(stale(body.job, job))
+    still_holds = job.status is JobStatus.UNKNOWN and gone and job.reserved is not None
+    if body.task != task_of(body.job, job) or not (job.status in HOLDING or still_holds):
+        return Err(wrong_state(body.job, job))
+    if gone:
+        give_back(state, body.job, job)
+        reason = f"gone with {job.instance}"
+        changed = _lost_for_good(state, meta, body.job, job, reason)
+        return Ok(accepted(changed.version, changed))
+    changed = _lease_lapsed(state, meta, body.job, job)
+    return Ok(accepted(changed.version, changed))
+
+
+def _lost_for_good(
+    state: FleetState, meta: RecordMeta, job_id: str, job: Job, reason: str
+) -> JobChanged:
+    """Decide about a task that can't run any more, of which nobody knows how far it came."""
+    if may_run_again(job):
+        return after_failure(state, job_id, job, meta, reason)
+    words = f"{reason}: it may have run, and is not idempotent"
+    return move(job_id, job, meta, JobStatus.UNKNOWN, words)
+
+
+def _lease_lapsed(state: FleetState, meta: RecordMeta, job_id: str, job: Job) -> JobChanged:
+    """Decide about a task whose worker may be cut off with the task still running.
+
+    Started anew elsewhere, a ledger job would then run twice at the same time. Only a job that
+    bears this goes on; any other waits for proof, and its owner is told why.
+    """
+    if job.spec.idempotent:
+        reason = f"lease lapsed on {job.instance}"
+        abandon(state, job_id, job)
+        return after_failure(state, job_id, job, meta, reason)
+    words = f"lease lapsed on {job.instance}: it may have run, or be running"
+    return move(job_id, job, meta, JobStatus.UNKNOWN, words)
--- /dev/null
+++ b/heatherkeel/jobs/transitions.py
@@ -0,0 +1,179 @@
+"""Moves of a job from one status to another, shared by all handlers of job records."""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+
+from heatherkeel.core.models import Accepted, Effect, RecordMeta, Rejected, RejectReason
+from heatherkeel.core.state import FleetState
+
+from .const import (
+    FINISHED_MEMORY_MS,
+    FORGET_INTERVAL_MS,
+    MAX_START_FAILURES,
+    RETRY_BASE_MS,
+    RETRY_MAX_MS,
+)
+from .models import (
+    FinishedJob,
+    Job,
+    JobChanged,
+    JobSpec,
+    JobStatus,
+    StopTask,
+    job_team,
+    task_of,
+)
+from .reservations import drop_orphan, give_back
+
+_ENCODER = msgspec.json.Encoder(order="sorted")
+
+
+def spec_digest(spec: JobSpec) -> str:
+    """Return a short digest by which a resubmission is told from another job of the same id."""
+    return hashlib.blake2b(_ENCODER.encode(spec), digest_size=8).hexdigest()
+
+
+def not_found(job_id: str) -> Rejected:
+    """Refuse a record about a job that isn't known, or not any more."""
+    return Rejected(reason=RejectReason.NOT_FOUND, detail=job_id)
+
+
+def wrong_state(job_id: str, job: Job) -> Rejected:
+    """Refuse a record that doesn't apply to the status that the job is in."""
+    detail = f"{job_id} is {job.status} at attempt {job.attempt}"
+    return Rejected(reason=RejectReason.WRONG_STATE, detail=detail, version=job.version)
+
+
+def stale(job_id: str, job: Job) -> Rejected:
+    """Refuse a decision whose author had not seen the newest version of the job."""
+    return Rejected(reason=RejectReason.STALE_VERSION, detail=job_id, version=job.version)
+
+
+def may_run_again(job: Job) -> bool:
+    """Say whether a further attempt can't double what must run at most once."""
+    return job.spec.idempotent or bool(job.checkpoint) or job.runs < job.runs_allowed
+
+
+def move(
+    job_id: str, job: Job, meta: RecordMeta, status: JobStatus, reason: str = ""
+) -> JobChanged:
+    """Set a status that isn't final, and tell of it."""
+    job.status = status
+    job.reason = reason
+    job.version += 1
+    job.changed_ms = meta.now_ms
+    return JobChanged(
+        job=job_id, status=status, version=job.version, offset=meta.offset, reason=reason
+    )
+
+
+def finish(
+    state: FleetState,
+    job_id: str,
+    job: Job,
+    meta: RecordMeta,
+    status: JobStatus,
+    reason: str = "",
+) -> JobChanged:
+    """End a job for good, and keep what a later question or resubmission needs."""
+    give_back(state, job_id, job)
+    changed = move(job_id, job, meta, status, reason)
+    del state.jobs.live[job_id]
+    state.jobs.finished[job_id] = FinishedJob(
+        spec_digest=spec_digest(job.spec),
+        status=status,
+        ended_ms=meta.now_ms,
+        version=job.version,
+        attempt=job.attempt,
+        reason=reason,
+    )
+    return changed
+
+
+def requeue(
+    state: FleetState, job_id: str, job: Job, meta: RecordMeta, *, wait_ms: int, reason: str
+) -> JobChanged:
+    """Queue a job again; the caller has released or abandoned what its attempt held."""
+    job.not_before_ms = meta.now_ms + wait_ms
+    job.instance = ""
+    return move(job_id, job, meta, JobStatus.QUEUED, reason)
+
+
+def after_failure(
+    state: FleetState, job_id: str, job: Job, meta: RecordMeta, reason: str
+) -> JobChanged:
+    """Queue a job again after an attempt that ran or may have run, or end it at its limit."""
+    job.failures += 1
+    if job.cancelling:
+        return finish(state, job_id, job, meta, JobStatus.CANCELLED, reason)
+    if job.failures >= job.spec.max_attempts:
+        words = f"attempt {job.failures} of {job.spec.max_attempts}: {reason}"
+        return finish(state, job_id, job, meta, JobStatus.FAILED, words)
+    return requeue(state, job_id, job, meta, wait_ms=backoff_ms(job.failures), reason=reason)
+
+
+def after_start_failure(
+    state: FleetState, job_id: str, job: Job, meta: RecordMeta, reason: str
+) -> JobChanged:
+    """Queue a job again after an attempt that is known not to have run."""
+    job.start_failures += 1
+    if not job.resumed:
+        job.runs -= 1
+    if job.cancelling:
+        return finish(state, job_id, job, meta, JobStatus.CANCELLED, reason)
+    if job.start_failures >= MAX_START_FAILURES:
+        words = f"not started in {job.start_failures} tries: {reason}"
+        return finish(state, job_id, job, meta, JobStatus.FAILED, words)
+    wait_ms = backoff_ms(job.start_failures)
+    return requeue(state, job_id, job, meta, wait_ms=wait_ms, reason=reason)
+
+
+def backoff_ms(failures: int) -> int:
+    """Return the wait before the next try in log milliseconds; it doubles up to a limit."""
+    doublings = min(failures - 1, 20)
+    return min(RETRY_BASE_MS << doublings, RETRY_MAX_MS)
+
+
+def stop_task(job_id: str, job: Job) -> StopTask:
+    """Return the effect that stops the newest attempt of a job."""
+    return StopTask(task=task_of(job_id, job), job=job_id, instance=job.instance)
+
+
+def accepted(version: int, *effects: Effect) -> Accepted:
+    """Take a record, with the effects that follow from it."""
+    return Accepted(version=version, effects=effects)
+
+
+def forget_old(state: FleetState, now_ms: int) -> None:
+    """Forget finished jobs after their time, and what stands about workers that are gone.
+
+    It follows from log time alone, so it may run ahead of a record that is then refused.
+    """
+    jobs = state.jobs
+    if now_ms - jobs.forgot_ms < FORGET_INTERVAL_MS:
+        return
+    jobs.forgot_ms = now_ms
+    for job_id in [key for key, job in jobs.finished.items() if _is_old(job, now_ms)]:
+        _forget_job(state, job_id)
+    jobs.holds = {key: hold for key, hold in jobs.holds.items() if hold.until_ms > now_ms}
+    present = state.pools.instances
+    jobs.workers = {key: record for key, record in jobs.workers.items() if key in present}
+    gone = [task for task, orphan in jobs.orphans.items() if orphan.instance not in present]
+    for task in gone:
+        drop_orphan(state, task)
+
+
+def _is_old(job: FinishedJob, now_ms: int) -> bool:
+    return job.ended_ms + FINISHED_MEMORY_MS <= now_ms
+
+
+def _forget_job(state: FleetState, job_id: str) -> None:
+    del state.jobs.finished[job_id]
+    state.jobs.forgotten += 1
+    team = job_team(job_id)
+    state.jobs.remembered[team] -= 1
+    if state.jobs.remembered[team] == 0:
+        del state.jobs.remembered[team]
--- /dev/null
+++ b/heatherkeel/jobs/usage.py
@@ -0,0 +1,56 @@
+"""Takes in the platform's usage reports, which lag behind the tasks."""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from heatherkeel.catalogue.models import ServiceClass
+from heatherkeel.core.models import Accepted, Effect, RecordMeta, Rejected, RejectReason
+from heatherkeel.core.registry import handles
+from heatherkeel.core.state import FleetState
+
+from .models import HOLDING, Job, ThrottleTask, task_job, task_of
+from .records import UsageReport, UsageSample
+from .reservations import capacity_of, note_usage
+
+
+@handles("jobs.usage", UsageReport)
+def report_usage(
+    state: FleetState, meta: RecordMeta, body: UsageReport
+) -> Result[Accepted, Rejected]:
+    """Keep the peaks of the attempts that are still the newest; pass over the others."""
+    effects: list[Effect] = []
+    taken = 0
+    for sample in body.samples:
+        job_id = task_job(sample.task)
+        job = state.jobs.live.get(job_id)
+        # A report that lags can be of an attempt that is over. Booked on the newer one, it would
+        # fill a worker that the old attempt never ran on.
+        if job is None or job.status not in HOLDING or task_of(job_id, job) != sample.task:
+            continue
+        taken += 1
+        note_usage(
+            state, job, memory_mib=sample.peak_memory_mib, cpu_millicores=sample.cpu_millicores
+        )
+        effects += _throttle(state, sample, job)
+    if taken == 0:
+        return Err(Rejected(reason=RejectReason.NOT_FOUND, detail="no attempt that still runs"))
+    return Ok(Accepted(effects=tuple(effects)))
+
+
+def _throttle(state: FleetState, sample: UsageSample, job: Job) -> list[Effect]:
+    """Hold a batch task to its reservation where it takes processors that others hold."""
+    instance = state.pools.instances.get(job.instance)
+    if instance is None or job.reserved is None or job.spec.service_class is not ServiceClass.BATCH:
+        return []
+    excess = sample.cpu_millicores - job.reserved.cpu_millicores
+    load = state.jobs.loads[job.instance]
+    if excess <= 0 or load.cpu_millicores + excess <= capacity_of(instance).cpu_millicores:
+        return []
+    throttle = ThrottleTask(
+        task=sample.task,
+        job=task_job(sample.task),
+        instance=job.instance,
+        cpu_millicores=job.reserved.cpu_millicores,
+    )
+    return [throttle]
--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -3,5 +3,6 @@
 from __future__ import annotations
 
 import heatherkeel.catalogue.reducer
+import heatherkeel.jobs.reducer
 import heatherkeel.membership.reducer
 import heatherkeel.pools.reducer  # noqa: F401
--- /dev/null
+++ b/tests/jobs/test_quarantine.py
@@ -0,0 +1,57 @@
+"""Workers that fail everything get no more jobs; jobs that fail everywhere prove nothing."""
+
+from __future__ import annotations
+
+from heatherkeel.core.models import RejectReason
+from heatherkeel.jobs.const import QUARANTINE_MS
+from heatherkeel.jobs.quarantine import is_quarantined
+from heatherkeel.jobs.records import TaskExit
+
+from .conftest import Fleet, spec_of
+
+
+def fail(fleet: Fleet, job_id: str, worker: str) -> None:
+    fleet.end(fleet.run(worker, job_id, spec_of(idempotent=True)), TaskExit.FAILED)
+
+
+def test_three_different_jobs_quarantine_a_worker(fleet: Fleet) -> None:
+    # A worker with a broken disk fails each job within a second, so it is always the freest
+    # one and draws all jobs of the night.
+    fail(fleet, "sheetal:a", "w0")
+    fail(fleet, "sheetal:a", "w0")
+    fail(fleet, "sheetal:b", "w0")
+    assert not is_quarantined(fleet.state, "w0")
+    fail(fleet, "sheetal:c", "w0")
+    fleet.submit("sheetal:d")
+    assert fleet.refuse(fleet.placement("w0", "sheetal:d")) is RejectReason.IN_USE
+    fleet.now_ms += QUARANTINE_MS
+    fleet.place("w0", "sheetal:d")
+
+
+def test_a_success_clears_a_worker(fleet: Fleet) -> None:
+    task = fleet.run("w0", "sheetal:good")
+    for name in ("sheetal:a", "sheetal:b", "sheetal:c"):
+        fail(fleet, name, "w0")
+    assert is_quarantined(fleet.state, "w0")
+    fleet.end(task)
+    assert not is_quarantined(fleet.state, "w0")
+
+
+def test_jobs_that_fail_everywhere_release_the_workers(fleet: Fleet) -> None:
+    # One team's broken release fails on every worker. The first failures look like a broken
+    # worker; the retries elsewhere show that the jobs are at fault.
+    for name in ("sheetal:a", "sheetal:b", "sheetal:c"):
+        fail(fleet, name, "w0")
+    assert is_quarantined(fleet.state, "w0")
+    fail(fleet, "sheetal:a", "w1")
+    assert not is_quarantined(fleet.state, "w0")
+    assert fleet.state.jobs.workers.get("w1") is None
+
+
+def test_quarantine_takes_a_bounded_share_of_a_pool(fleet: Fleet) -> None:
+    # A lost store makes every worker fail. With all of them in quarantine nothing would run.
+    for worker in ("w0", "w1", "w2"):
+        for number in range(3):
+            fail(fleet, f"sheetal:{worker}-{number}", worker)
+    quarantined = [name for name in ("w0", "w1", "w2") if is_quarantined(fleet.state, name)]
+    assert quarantined == ["w0"]
