Tests of late usage reports and of a start that the platform denies

Two safeguards could be switched off with no test failing: the attempt check in usage reports, and the refusal of not-started proofs for a task that was seen running. Both now have a test that fails without them.

--- a/tests/jobs/test_leases.py
+++ b/tests/jobs/test_leases.py
@@ -62,6 +62,14 @@
     assert fleet.status() is JobStatus.SUCCEEDED
 
 
+def test_an_unknown_job_that_was_seen_running_is_not_proved_unstarted(fleet: Fleet) -> None:
+    # The platform's own record of the start was lost with its store, and it now denies the task.
+    task = fleet.run("w0")
+    fleet.accept(lost(fleet, LAPSED))
+    assert fleet.refuse(TaskProvedNotStarted(task=task)) is RejectReason.WRONG_STATE
+    assert fleet.status() is JobStatus.UNKNOWN
+
+
 def test_a_task_that_is_gone_leaves_the_decision_to_the_owner(fleet: Fleet) -> None:
     # The worker rebooted: the task can't run any more, but it may have written the ledger.
     fleet.run("w0")
--- a/tests/jobs/test_reducer.py
+++ b/tests/jobs/test_reducer.py
@@ -215,6 +215,8 @@
     fleet.run("w1")
     assert fleet.refuse(TaskEnded(task=old, exit=TaskExit.SUCCEEDED)) is RejectReason.WRONG_STATE
     assert fleet.refuse(TaskStarted(task=old)) is RejectReason.WRONG_STATE
+    late = UsageSample(task=old, peak_memory_mib=3_500, cpu_millicores=1)
+    assert fleet.refuse(UsageReport(samples=(late,))) is RejectReason.NOT_FOUND
     assert fleet.status() is JobStatus.RUNNING
 
 
