--- a/heatherkeel/jobs/const.py
+++ b/heatherkeel/jobs/const.py
@@ -66,3 +66,18 @@
 
 LEARNED_MARGIN_PERCENT: Final = 15
 """Added to the learned percentile, since the next peak may be higher."""
+
+MAX_PLACEMENTS_PER_ROUND: Final = 200
+"""Placements of one round: what a process may append at once, and how long it may think."""
+
+MAX_PREEMPTIONS_PER_ROUND: Final = 20
+"""Urgent jobs of one round for which room is made by checkpoints."""
+
+FIT_CANDIDATES: Final = 8
+"""Workers with room that are compared for one job; more cost time and gain little."""
+
+PREEMPTION_CANDIDATES: Final = 64
+"""Workers whose batch jobs are compared for one urgent job."""
+
+DRAIN_PATIENCE_MS: Final = 600_000
+"""A drain waits for a job that is expected to end within this time, and moves it otherwise."""
--- /dev/null
+++ b/heatherkeel/jobs/draining.py
@@ -0,0 +1,90 @@
+"""Decides what becomes of the jobs on a draining worker, so that as few as possible move."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from heatherkeel.core.state import FleetState
+from heatherkeel.pools.models import InstanceStatus
+
+from .const import DRAIN_PATIENCE_MS
+from .learning import expected_run_time_s
+from .models import HOLDING, Job, JobStatus
+from .records import CheckpointCause, JobCheckpoint
+
+_MS_PER_S = 1_000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DrainWait:
+    """A job that a drain waits for, and why; shown to the operator."""
+
+    job: str
+    instance: str
+    reason: str
+
+
+@dataclass(kw_only=True, slots=True)
+class DrainPlan:
+    """Jobs to checkpoint now, and jobs to wait for."""
+
+    records: list[JobCheckpoint] = field(default_factory=list)
+    waits: list[DrainWait] = field(default_factory=list)
+
+
+def plan_drains(state: FleetState) -> DrainPlan:
+    """Plan for all draining workers.
+
+    A job that is about to end is waited for: moving it would cost more than it has left to do.
+    """
+    plan = DrainPlan()
+    draining = {
+        instance_id
+        for instance_id, instance in state.pools.instances.items()
+        if instance.status is InstanceStatus.DRAINING and instance_id in state.jobs.loads
+    }
+    if not draining:
+        return plan
+    for job_id, job in state.jobs.live.items():
+        if job.instance not in draining or job.reserved is None:
+            continue
+        reason = _why_wait(state, job_id, job)
+        if reason:
+            plan.waits.append(DrainWait(job=job_id, instance=job.instance, reason=reason))
+        else:
+            plan.records.append(_checkpoint(job_id, job))
+    return plan
+
+
+def tasks_left(state: FleetState, instance_id: str) -> int:
+    """Return how many tasks may still run on a worker; it may be stopped only at 0."""
+    load = state.jobs.loads.get(instance_id)
+    return 0 if load is None else load.tasks
+
+
+def _why_wait(state: FleetState, job_id: str, job: Job) -> str:
+    if job.status is JobStatus.UNKNOWN:
+        return "not known whether its task still runs"
+    if job.status in HOLDING and job.status is not JobStatus.RUNNING:
+        return f"{job.status}"
+    if not job.spec.checkpointable:
+        return "can't be checkpointed"
+    remaining_ms = _remaining_ms(state, job_id, job)
+    if 0 < remaining_ms <= DRAIN_PATIENCE_MS:
+        return f"expected to end in {remaining_ms // _MS_PER_S} s"
+    return ""
+
+
+def _remaining_ms(state: FleetState, job_id: str, job: Job) -> int:
+    """Return the expected rest of the run; not above 0 if it lasts longer than was expected."""
+    expected_ms = expected_run_time_s(state, job_id, job) * _MS_PER_S
+    return job.started_ms + expected_ms - state.now_ms
+
+
+def _checkpoint(job_id: str, job: Job) -> JobCheckpoint:
+    return JobCheckpoint(
+        job=job_id,
+        attempt=job.attempt,
+        expected_version=job.version,
+        cause=CheckpointCause.DRAIN,
+    )
--- /dev/null
+++ b/heatherkeel/jobs/fairness.py
@@ -0,0 +1,120 @@
+"""The order of queued jobs: urgent first, then the team that uses least of its quota."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from heapq import heapify, heappop, heappush
+
+from heatherkeel.catalogue.models import ServiceClass
+from heatherkeel.core.state import FleetState
+
+from .models import Job, Resources, job_team
+from .reservations import quota_of
+
+_CLASS_ORDER = (ServiceClass.URGENT, ServiceClass.INTERACTIVE, ServiceClass.BATCH)
+_SHARE_UNITS = 1_000_000
+_NO_QUOTA = Resources()
+
+
+@dataclass(kw_only=True, slots=True)
+class TeamUse:
+    """What a team uses in this round, against its quota."""
+
+    quota: Resources
+    cpu_millicores: int = 0
+    memory_mib: int = 0
+    accelerators: int = 0
+
+    def share(self) -> int:
+        """Return the largest share, in millionths, that the team uses of any of its quotas."""
+        return max(
+            _share(self.cpu_millicores, self.quota.cpu_millicores),
+            _share(self.memory_mib, self.quota.memory_mib),
+            _share(self.accelerators, self.quota.accelerators),
+        )
+
+    def has(self, need: Resources) -> bool:
+        """Say whether the quota has room for a need."""
+        return (
+            self.cpu_millicores + need.cpu_millicores <= self.quota.cpu_millicores
+            and self.memory_mib + need.memory_mib <= self.quota.memory_mib
+            and self.accelerators + need.accelerators <= self.quota.accelerators
+        )
+
+    def left(self) -> Resources:
+        """Return what is left of the quota; nothing of one that was lowered below the use."""
+        return Resources(
+            cpu_millicores=max(0, self.quota.cpu_millicores - self.cpu_millicores),
+            memory_mib=max(0, self.quota.memory_mib - self.memory_mib),
+            accelerators=max(0, self.quota.accelerators - self.accelerators),
+        )
+
+    def add(self, need: Resources) -> None:
+        """Count a placement."""
+        self.cpu_millicores += need.cpu_millicores
+        self.memory_mib += need.memory_mib
+        self.accelerators += need.accelerators
+
+
+@dataclass(kw_only=True, slots=True)
+class FairQueue:
+    """Hands out queued jobs; after each, the caller may `charge` its team for a placement.
+
+    Within a class the team with the smallest dominant share comes next, so that a team that
+    submits ten thousand jobs at once can't push the others back by more than its quota's worth.
+    """
+
+    teams: dict[str, TeamUse] = field(default_factory=dict)
+    queues: dict[ServiceClass, dict[str, deque[str]]] = field(default_factory=dict)
+    heaps: dict[ServiceClass, list[tuple[int, str]]] = field(default_factory=dict)
+
+    def pop(self) -> str | None:
+        """Return the next job, or None when all were handed out."""
+        for service_class in _CLASS_ORDER:
+            heap = self.heaps.get(service_class)
+            while heap:
+                share, team = heappop(heap)
+                current = self.teams[team].share()
+                if current > share:
+                    heappush(heap, (current, team))
+                    continue
+                queue = self.queues[service_class][team]
+                job_id = queue.popleft()
+                if queue:
+                    heappush(heap, (current, team))
+                return job_id
+        return None
+
+
+def fair_queue(state: FleetState, due: dict[str, Job]) -> FairQueue:
+    """Return the queue of one round."""
+    queue = FairQueue()
+    ordered = sorted(due.items(), key=lambda item: (item[1].submitted_offset, item[0]))
+    for job_id, job in ordered:
+        team = job_team(job_id)
+        if team not in queue.teams:
+            queue.teams[team] = _team_use(state, team)
+        teams = queue.queues.setdefault(job.spec.service_class, {})
+        teams.setdefault(team, deque()).append(job_id)
+    for service_class, teams in queue.queues.items():
+        heap = [(queue.teams[team].share(), team) for team in teams]
+        heapify(heap)
+        queue.heaps[service_class] = heap
+    return queue
+
+
+def _team_use(state: FleetState, team: str) -> TeamUse:
+    use = TeamUse(quota=quota_of(state, team) or _NO_QUOTA)
+    load = state.jobs.teams.get(team)
+    if load is not None:
+        use.cpu_millicores = load.cpu_millicores
+        use.memory_mib = load.memory_mib
+        use.accelerators = load.accelerators
+    return use
+
+
+def _share(used: int, quota: int) -> int:
+    if used == 0:
+        return 0
+    return used * _SHARE_UNITS // max(1, quota)
--- a/heatherkeel/jobs/feasibility.py
+++ b/heatherkeel/jobs/feasibility.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
+
 from heatherkeel.catalogue.models import PoolEntry
 from heatherkeel.core.state import FleetState
 
@@ -11,10 +13,12 @@
 PoolShapes = dict[str, set[Resources]]
 
 
-def pool_shapes(state: FleetState) -> PoolShapes:
-    """Return the different sizes of the workers of each pool, whatever their status."""
+def pool_shapes(state: FleetState, pools: Set[str]) -> PoolShapes:
+    """Return the different sizes of the workers of some pools, whatever their status."""
     shapes: PoolShapes = {}
     for instance in state.pools.instances.values():
+        if instance.pool not in pools:
+            continue
         shapes.setdefault(instance.pool, set()).add(capacity_of(instance))
     return shapes
 
--- /dev/null
+++ b/heatherkeel/jobs/packing.py
@@ -0,0 +1,174 @@
+"""Free room of workers, ordered so that a tight fit is found without looking at all of them."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, insort
+from dataclasses import dataclass, field
+
+from heatherkeel.core.state import FleetState
+from heatherkeel.pools.models import InstanceStatus
+
+from .const import FIT_CANDIDATES
+from .models import Resources
+from .quarantine import is_quarantined
+from .reservations import capacity_of, free_of
+
+_PER_MILLE = 1_000
+_NOTHING = Resources()
+
+
+@dataclass(kw_only=True, slots=True)
+class Room:
+    """What is free on one worker in this round."""
+
+    instance: str
+    zone: str
+    rack: str
+    capacity: Resources
+    cpu_millicores: int
+    memory_mib: int
+    accelerators: int
+    held_for: str = ""
+
+    def has(self, need: Resources) -> bool:
+        """Say whether there is room for a need."""
+        return (
+            need.memory_mib <= self.memory_mib
+            and need.cpu_millicores <= self.cpu_millicores
+            and need.accelerators <= self.accelerators
+        )
+
+    def take(self, need: Resources) -> None:
+        """Take up room."""
+        self.cpu_millicores -= need.cpu_millicores
+        self.memory_mib -= need.memory_mib
+        self.accelerators -= need.accelerators
+
+    def left(self) -> Resources:
+        """Return what is free."""
+        return Resources(
+            cpu_millicores=self.cpu_millicores,
+            memory_mib=self.memory_mib,
+            accelerators=self.accelerators,
+        )
+
+    def left_over(self, need: Resources) -> int:
+        """Return what would stay free of the resource that the need takes most of, per mille."""
+        cpu_total = max(1, self.capacity.cpu_millicores)
+        memory_total = max(1, self.capacity.memory_mib)
+        if need.cpu_millicores * memory_total > need.memory_mib * cpu_total:
+            return (self.cpu_millicores - need.cpu_millicores) * _PER_MILLE // cpu_total
+        return (self.memory_mib - need.memory_mib) * _PER_MILLE // memory_total
+
+
+Slot = tuple[int, str]
+"""Free memory in MiB, and the instance id."""
+
+
+@dataclass(kw_only=True, slots=True)
+class ZoneRooms:
+    """The workers of one pool in one availability zone, by free memory."""
+
+    plain: list[Slot] = field(default_factory=list)
+    accelerated: list[Slot] = field(default_factory=list)
+    """Workers with a free accelerator: other jobs come here last."""
+
+    def slots(self, *, accelerated: bool) -> list[Slot]:
+        """Return the list that a room with or without free accelerators stands in."""
+        return self.accelerated if accelerated else self.plain
+
+
+@dataclass(kw_only=True, slots=True)
+class PoolRooms:
+    """Free room of one pool in this round."""
+
+    by_id: dict[str, Room] = field(default_factory=dict)
+    zones: dict[str, ZoneRooms] = field(default_factory=dict)
+    largest: Resources = _NOTHING
+    """The largest amount of each resource that any worker has."""
+    held: dict[str, Room] = field(default_factory=dict)
+    """The worker on which room was made for a job, by job id."""
+    failed_needs: list[Resources] = field(default_factory=list)
+
+    def add(self, room: Room) -> None:
+        """Take in a worker."""
+        self.by_id[room.instance] = room
+        if room.held_for:
+            self.held[room.held_for] = room
+        self.largest = _larger(self.largest, room.capacity)
+        zone = self.zones.setdefault(room.zone, ZoneRooms())
+        zone.slots(accelerated=room.accelerators > 0).append((room.memory_mib, room.instance))
+
+    def sort(self) -> None:
+        """Order the workers, once all are added."""
+        for zone in self.zones.values():
+            zone.plain.sort()
+            zone.accelerated.sort()
+
+    def take(self, room: Room, need: Resources) -> None:
+        """Take up room, and keep the order."""
+        slots = self.zones[room.zone].slots(accelerated=room.accelerators > 0)
+        del slots[bisect_left(slots, (room.memory_mib, room.instance))]
+        room.take(need)
+        slots = self.zones[room.zone].slots(accelerated=room.accelerators > 0)
+        insort(slots, (room.memory_mib, room.instance))
+
+    def is_hopeless(self, need: Resources) -> bool:
+        """Say whether a need no larger than this one found no room in this round."""
+        return any(
+            failed.memory_mib <= need.memory_mib
+            and failed.cpu_millicores <= need.cpu_millicores
+            and failed.accelerators <= need.accelerators
+            for failed in self.failed_needs
+        )
+
+    def candidates(self, zone: str, need: Resources, job_id: str) -> list[Room]:
+        """Return some workers of a zone that have room, those with the least free memory first."""
+        rooms = self.zones[zone]
+        found: list[Room] = []
+        for slots in (rooms.plain, rooms.accelerated):
+            if found or (need.accelerators > 0 and slots is rooms.plain):
+                continue
+            for index in range(bisect_left(slots, (need.memory_mib, "")), len(slots)):
+                room = self.by_id[slots[index][1]]
+                if room.held_for in ("", job_id) and room.has(need):
+                    found.append(room)
+                    if len(found) == FIT_CANDIDATES:
+                        break
+        return found
+
+
+def find_rooms(state: FleetState, pools: frozenset[str] | None) -> dict[str, PoolRooms]:
+    """Return the free room of every worker that may get new jobs, by pool."""
+    rooms: dict[str, PoolRooms] = {}
+    for instance_id, instance in state.pools.instances.items():
+        if pools is not None and instance.pool not in pools:
+            continue
+        if instance.status is not InstanceStatus.SERVING or is_quarantined(state, instance_id):
+            continue
+        capacity = capacity_of(instance)
+        free = free_of(capacity, state.jobs.loads.get(instance_id))
+        hold = state.jobs.holds.get(instance_id)
+        held = hold is not None and hold.until_ms > state.now_ms
+        room = Room(
+            instance=instance_id,
+            zone=instance.zone,
+            rack=instance.rack,
+            capacity=capacity,
+            cpu_millicores=free.cpu_millicores,
+            memory_mib=free.memory_mib,
+            accelerators=free.accelerators,
+            held_for=hold.job if hold is not None and held else "",
+        )
+        rooms.setdefault(instance.pool, PoolRooms()).add(room)
+    for pool in rooms.values():
+        pool.sort()
+    return rooms
+
+
+def _larger(one: Resources, other: Resources) -> Resources:
+    return Resources(
+        cpu_millicores=max(one.cpu_millicores, other.cpu_millicores),
+        memory_mib=max(one.memory_mib, other.memory_mib),
+        accelerators=max(one.accelerators, other.accelerators),
+    )
--- /dev/null
+++ b/heatherkeel/jobs/policy.py
@@ -0,0 +1,96 @@
+"""Placement policies by name: functions from the folded state to the records of one round.
+
+A policy only proposes. Whatever it overlooks or sees too late is refused by the fold, so a policy
+can be wrong without harm, and policies can be compared with each other.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from heatherkeel.core.errors import RegistrationError
+from heatherkeel.core.models import RecordBody
+from heatherkeel.core.state import FleetState
+
+from .const import MAX_BATCH, MAX_PLACEMENTS_PER_ROUND
+from .feasibility import pool_shapes, why_never
+from .models import Job, JobStatus, task_id
+from .records import JobPlace, JobUnplaceable
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RoundRequest:
+    """What one round may do; `pools` None means all of them."""
+
+    placer: str
+    pools: frozenset[str] | None = None
+    limit: int = MAX_PLACEMENTS_PER_ROUND
+
+
+@dataclass(kw_only=True, slots=True)
+class PlacementRound:
+    """The records to append, in order, and how many jobs wait for which reason."""
+
+    records: list[RecordBody] = field(default_factory=list)
+    placed: int = 0
+    waiting: dict[str, int] = field(default_factory=dict)
+
+    def wait(self, reason: str) -> None:
+        """Count one job that waits."""
+        self.waiting[reason] = self.waiting.get(reason, 0) + 1
+
+
+Policy = Callable[[FleetState, RoundRequest], PlacementRound]
+POLICIES: Final[dict[str, Policy]] = {}
+
+
+def policy(name: str) -> Callable[[Policy], Policy]:
+    """Register a placement policy under a name."""
+
+    def register(function: Policy) -> Policy:
+        if name in POLICIES:
+            raise RegistrationError(f"policy {name} is registered twice")
+        POLICIES[name] = function
+        return function
+
+    return register
+
+
+def placement(job_id: str, job: Job, instance_id: str, placer: str) -> JobPlace:
+    """Return the record that binds the next attempt of a job to a worker."""
+    attempt = job.attempt + 1
+    return JobPlace(
+        job=job_id,
+        attempt=attempt,
+        expected_version=job.version,
+        instance=instance_id,
+        task=task_id(job_id, job, attempt),
+        placer=placer,
+    )
+
+
+def due_jobs(state: FleetState, request: RoundRequest, planned: PlacementRound) -> dict[str, Job]:
+    """Return the queued jobs that may be placed now, and end those that never can be."""
+    queued = [
+        (job_id, job)
+        for job_id, job in state.jobs.live.items()
+        if job.status is JobStatus.QUEUED
+        and (request.pools is None or job.spec.pool in request.pools)
+    ]
+    if not queued:
+        return {}
+    shapes = pool_shapes(state, {job.spec.pool for _, job in queued})
+    due: dict[str, Job] = {}
+    never: list[str] = []
+    for job_id, job in queued:
+        if job.not_before_ms > state.now_ms:
+            planned.wait("retry_not_due")
+        elif why_never(state, shapes, job_id, job):
+            never.append(job_id)
+        else:
+            due[job_id] = job
+    if never:
+        planned.records.append(JobUnplaceable(jobs=tuple(sorted(never)[:MAX_BATCH])))
+    return due
--- /dev/null
+++ b/heatherkeel/jobs/preemption.py
@@ -0,0 +1,178 @@
+"""Makes room for urgent jobs: checkpoints the fewest and cheapest batch jobs of one worker."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from heatherkeel.catalogue.models import ServiceClass
+from heatherkeel.core.state import FleetState
+
+from .const import MAX_PREEMPTIONS_PER_ROUND, PREEMPTION_CANDIDATES
+from .models import Job, JobStatus, Resources, job_team
+from .packing import PoolRooms, Room
+from .records import CheckpointCause, JobCheckpoint
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Victim:
+    """A batch job that could be checkpointed; its memory is what the checkpoint costs."""
+
+    job_id: str
+    team: str
+    held: Resources
+    version: int
+    attempt: int
+
+
+@dataclass(kw_only=True, slots=True)
+class Preemptions:
+    """The preemptions of one round; no worker and no victim is used twice."""
+
+    state: FleetState
+    rooms: dict[str, PoolRooms]
+    served: set[str]
+    """Jobs for which room is being made already.
+
+    A checkpoint takes longer than a round. Without this every round until its end would
+    checkpoint further jobs for the same urgent one.
+    """
+    made: int = 0
+    victims: dict[str, list[Victim]] | None = None
+
+    def make_room(
+        self, job_id: str, job: Job, need: Resources, *, quota_left: Resources | None
+    ) -> list[JobCheckpoint]:
+        """Return the checkpoints that make room for one urgent job; none if there is no way.
+
+        `quota_left` is given if the team's quota is short: then only its own jobs can make room,
+        and they have to free both the worker and the quota.
+        """
+        if self.made >= MAX_PREEMPTIONS_PER_ROUND or job_id in self.served:
+            return []
+        best: list[Victim] = []
+        best_room: Room | None = None
+        pool = self.rooms[job.spec.pool]
+        compared = 0
+        only_team = "" if quota_left is None else job_team(job_id)
+        for room, victims in self._worker_victims(pool, job_id, only_team):
+            chosen = fewest_victims(victims, need, _left(room, quota_left))
+            if not chosen:
+                continue
+            if best_room is None or _cost(chosen) < _cost(best):
+                best, best_room = chosen, room
+            compared += 1
+            if compared == PREEMPTION_CANDIDATES:
+                break
+        if best_room is None:
+            return []
+        return self._commit(job_id, best, best_room)
+
+    def _commit(self, job_id: str, victims: list[Victim], room: Room) -> list[JobCheckpoint]:
+        room.held_for = job_id
+        self.made += 1
+        self.served.add(job_id)
+        return [
+            JobCheckpoint(
+                job=victim.job_id,
+                attempt=victim.attempt,
+                expected_version=victim.version,
+                cause=CheckpointCause.URGENT,
+                for_job=job_id,
+            )
+            for victim in victims
+        ]
+
+    def _worker_victims(
+        self, pool: PoolRooms, job_id: str, only_team: str
+    ) -> list[tuple[Room, list[Victim]]]:
+        if self.victims is None:
+            self.victims = find_victims(self.state)
+        found = []
+        for instance_id in sorted(self.victims.keys() & pool.by_id.keys()):
+            room = pool.by_id[instance_id]
+            if room.held_for not in ("", job_id):
+                continue
+            victims = self.victims[instance_id]
+            if only_team:
+                victims = [victim for victim in victims if victim.team == only_team]
+            if victims:
+                found.append((room, victims))
+        return found
+
+
+def start_preemptions(state: FleetState, rooms: dict[str, PoolRooms]) -> Preemptions:
+    """Return the preemptions of a new round."""
+    holds = state.jobs.holds.values()
+    served = {hold.job for hold in holds if hold.until_ms > state.now_ms}
+    return Preemptions(state=state, rooms=rooms, served=served)
+
+
+def find_victims(state: FleetState) -> dict[str, list[Victim]]:
+    """Return the running batch jobs that can be checkpointed, by worker."""
+    victims: dict[str, list[Victim]] = {}
+    for job_id, job in state.jobs.live.items():
+        if not _is_victim(job) or job.reserved is None:
+            continue
+        victim = Victim(
+            job_id=job_id,
+            team=job_team(job_id),
+            held=job.reserved,
+            version=job.version,
+            attempt=job.attempt,
+        )
+        victims.setdefault(job.instance, []).append(victim)
+    return victims
+
+
+def fewest_victims(victims: list[Victim], need: Resources, left: Resources) -> list[Victim]:
+    """Return as few victims as make room beside what is left, or none if all together don't.
+
+    Largest first keeps them few; whoever then turns out not to be needed is let off, the
+    costliest first.
+    """
+    chosen: list[Victim] = []
+    for victim in sorted(victims, key=lambda one: (-one.held.memory_mib, one.job_id)):
+        if _makes_room(chosen, need, left):
+            break
+        chosen.append(victim)
+    if not _makes_room(chosen, need, left):
+        return []
+    for victim in list(chosen):
+        others = [other for other in chosen if other is not victim]
+        if others and _makes_room(others, need, left):
+            chosen = others
+    return chosen
+
+
+def _is_victim(job: Job) -> bool:
+    return (
+        job.status is JobStatus.RUNNING
+        and job.spec.checkpointable
+        and not job.cancelling
+        and job.spec.service_class is ServiceClass.BATCH
+    )
+
+
+def _makes_room(victims: list[Victim], need: Resources, left: Resources) -> bool:
+    cpu = left.cpu_millicores + sum(victim.held.cpu_millicores for victim in victims)
+    memory = left.memory_mib + sum(victim.held.memory_mib for victim in victims)
+    accelerators = left.accelerators + sum(victim.held.accelerators for victim in victims)
+    return (
+        need.cpu_millicores <= cpu
+        and need.memory_mib <= memory
+        and need.accelerators <= accelerators
+    )
+
+
+def _left(room: Room, quota_left: Resources | None) -> Resources:
+    """Return what is left of a worker, and of the quota if that is short as well."""
+    limits = [room.left()] if quota_left is None else [room.left(), quota_left]
+    return Resources(
+        cpu_millicores=min(limit.cpu_millicores for limit in limits),
+        memory_mib=min(limit.memory_mib for limit in limits),
+        accelerators=min(limit.accelerators for limit in limits),
+    )
+
+
+def _cost(victims: list[Victim]) -> tuple[int, int]:
+    return (len(victims), sum(victim.held.memory_mib for victim in victims))
--- a/heatherkeel/jobs/reducer.py
+++ b/heatherkeel/jobs/reducer.py
@@ -147,12 +147,14 @@
     state: FleetState, meta: RecordMeta, body: JobUnplaceable
 ) -> Result[Accepted, Rejected]:
     """End those of the named jobs that can never run as things stand at this offset."""
-    shapes = pool_shapes(state)
+    queued = {
+        job_id: job
+        for job_id in body.jobs
+        if (job := state.jobs.live.get(job_id)) is not None and job.status is JobStatus.QUEUED
+    }
+    shapes = pool_shapes(state, {job.spec.pool for job in queued.values()})
     effects: list[Effect] = []
-    for job_id in body.jobs:
-        job = state.jobs.live.get(job_id)
-        if job is None or job.status is not JobStatus.QUEUED:
-            continue
+    for job_id, job in queued.items():
         reason = why_never(state, shapes, job_id, job)
         if reason:
             effects.append(finish(state, job_id, job, meta, JobStatus.FAILED, reason))
--- /dev/null
+++ b/heatherkeel/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Commands that measure decisions; their figures go into the design notes."""
--- /dev/null
+++ b/tests/jobs/test_policy.py
@@ -0,0 +1,152 @@
+"""What the placement policy proposes, and that the fold takes it."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from heatherkeel.catalogue.models import ServiceClass, TeamEntry
+from heatherkeel.core.models import Rejected
+from heatherkeel.jobs.draining import plan_drains, tasks_left
+from heatherkeel.jobs.models import JobStatus
+from heatherkeel.jobs.placers import placer_of
+from heatherkeel.jobs.policies import POLICIES
+from heatherkeel.jobs.policy import PlacementRound, RoundRequest
+from heatherkeel.jobs.records import JobCheckpoint, JobPlace, JobUnplaceable, TaskCheckpointed
+from heatherkeel.membership.models import EntryJoin
+from heatherkeel.pools.models import InstanceStatus
+
+from .conftest import TEAM, Fleet, put, spec_of
+
+URGENT = ServiceClass.URGENT
+
+
+def plan(fleet: Fleet, *, policy: str = "best_fit", limit: int = 100) -> PlacementRound:
+    return POLICIES[policy](fleet.state, RoundRequest(placer="entry1", limit=limit))
+
+
+def do_round(fleet: Fleet, **options: object) -> PlacementRound:
+    """Plan a round and append it; the fold must take all of it."""
+    planned = plan(fleet, **options)  # type: ignore[arg-type]
+    for body in planned.records:
+        fleet.accept(body)
+    return planned
+
+
+def workers_of(planned: PlacementRound) -> Counter[str]:
+    return Counter(body.instance for body in planned.records if isinstance(body, JobPlace))
+
+
+def test_a_family_is_spread_over_zones(fleet: Fleet) -> None:
+    # One availability zone is lost: no more than its share of a family's jobs may go with it.
+    for number in range(6):
+        fleet.submit(f"sheetal:j{number}")
+    assert workers_of(do_round(fleet)) == {"w0": 2, "w1": 2, "w2": 2}
+
+
+def test_a_job_goes_where_it_leaves_least_room_over() -> None:
+    # Two workers of one zone, one of them half full: the small job fills it up, so that the
+    # empty one stays free for a large job.
+    fleet = Fleet(workers=1)
+    fleet.admit("w3")
+    fleet.run("w3", "sheetal:first", spec_of(memory_mib=2_000, family="other"))
+    fleet.submit("sheetal:small", spec_of(memory_mib=2_000))
+    fleet.submit("sheetal:large", spec_of(memory_mib=4_000))
+    assert workers_of(do_round(fleet)) == {"w3": 1, "w0": 1}
+
+
+def test_urgent_jobs_come_first_and_teams_take_turns() -> None:
+    # One team fills the queue with a night's work before another team's urgent job comes.
+    fleet = Fleet(workers=1)
+    fleet.accept(put("agency", TeamEntry(owner=TEAM, cpu_quota=1_000, memory_quota_mib=1_000_000)))
+    for number in range(9):
+        fleet.submit(f"sheetal:j{number}")
+    for name, service_class in (("agency:night", ServiceClass.BATCH), ("agency:now", URGENT)):
+        fleet.state.jobs.remembered["agency"] = fleet.state.jobs.remembered.get("agency", 0) + 1
+        fleet.state.jobs.accepted += 1
+        fleet.state.jobs.live[name] = type(fleet.job("sheetal:j0"))(
+            spec=spec_of(service_class=service_class),
+            submitted_ms=1_000,
+            submitted_offset=fleet.state.next_offset,
+            changed_ms=1_000,
+        )
+    planned = plan(fleet, limit=3)
+    order = [body.job for body in planned.records if isinstance(body, JobPlace)]
+    assert order == ["agency:now", "sheetal:j0", "agency:night"]
+
+
+def test_an_urgent_job_gets_room_by_the_fewest_checkpoints() -> None:
+    # All workers are full of batch work. One checkpoint of the large job is enough; the two
+    # small ones of the other worker would move twice as many.
+    fleet = Fleet(workers=2)
+    for name in ("sheetal:a", "sheetal:b"):
+        fleet.run("w0", name, spec_of(memory_mib=2_000, checkpointable=True))
+    large = fleet.run("w1", "sheetal:c", spec_of(memory_mib=4_000, checkpointable=True))
+    fleet.submit("sheetal:now", spec_of(memory_mib=3_000, service_class=URGENT))
+    fleet.submit("sheetal:quick", spec_of(memory_mib=3_000))
+    planned = do_round(fleet)
+    assert [type(body) for body in planned.records] == [JobCheckpoint]
+    assert fleet.status("sheetal:c") is JobStatus.CHECKPOINTING
+    # Until the checkpoint is done, no round asks for another one.
+    assert plan(fleet).records == []
+    fleet.accept(TaskCheckpointed(task=large, saved=True, stopped=True))
+    # The room belongs to the urgent job, also if another placer is quicker.
+    assert isinstance(fleet.append(fleet.placement("w1", "sheetal:quick")), Rejected)
+    assert workers_of(do_round(fleet)) == {"w1": 1}
+    assert fleet.status("sheetal:now") is JobStatus.PLACED
+
+
+def test_an_urgent_job_above_its_quota_moves_its_own_team_only(fleet: Fleet) -> None:
+    fleet.run("w0", "sheetal:a", spec_of(checkpointable=True))
+    fleet.accept(put(TEAM, TeamEntry(owner=TEAM, cpu_quota=1, memory_quota_mib=9_000), version=1))
+    fleet.submit("sheetal:now", spec_of(service_class=URGENT))
+    [body] = do_round(fleet).records
+    assert isinstance(body, JobCheckpoint) and body.job == "sheetal:a"
+
+
+def test_jobs_that_can_never_run_are_ended_and_others_wait(fleet: Fleet) -> None:
+    fleet.submit("sheetal:huge", spec_of(memory_mib=5_000))
+    for number in range(4):
+        fleet.submit(f"sheetal:j{number}", spec_of(memory_mib=3_000))
+    planned = do_round(fleet)
+    assert isinstance(planned.records[0], JobUnplaceable)
+    assert fleet.status("sheetal:huge") is JobStatus.FAILED
+    assert planned.placed == 3 and planned.waiting == {"no_room": 1}
+
+
+def test_drains_wait_for_what_ends_soon_and_move_the_rest(fleet: Fleet) -> None:
+    # A drain that checkpointed everything would move jobs that have a minute left to run.
+    fleet.run("w0", "sheetal:short", spec_of(checkpointable=True))
+    fleet.run("w0", "sheetal:fixed", spec_of(checkpointable=False))
+    fleet.run("w0", "sheetal:over", spec_of(checkpointable=True))
+    fleet.job("sheetal:over").started_ms = fleet.now_ms - 3_600_000
+    assert plan_drains(fleet.state).records == []
+    fleet.state.pools.instances["w0"].status = InstanceStatus.DRAINING
+    planned = plan_drains(fleet.state)
+    assert [body.job for body in planned.records] == ["sheetal:over"]
+    reasons = {wait.job: wait.reason for wait in planned.waits}
+    assert reasons["sheetal:short"] == "expected to end in 60 s"
+    assert reasons["sheetal:fixed"] == "can't be checkpointed"
+    fleet.accept(planned.records[0])
+    assert tasks_left(fleet.state, "w0") == 3
+
+
+def test_the_baseline_places_by_submission_and_declared_size(fleet: Fleet) -> None:
+    for number in range(5):
+        fleet.submit(f"sheetal:j{number}")
+    assert workers_of(do_round(fleet, policy="first_fit")) == {"w0": 4, "w1": 1}
+
+
+def test_one_live_entry_instance_places_for_a_pool(fleet: Fleet) -> None:
+    for name in ("entry1", "entry2", "entry3"):
+        fleet.accept(
+            EntryJoin(
+                instance=name, incarnation="1", zone="zone0", peer_address="", lease_ms=10_000
+            )
+        )
+    pools = [f"pool{number}" for number in range(50)]
+    before = {pool: placer_of(fleet.state, pool) for pool in pools}
+    assert len(set(before.values())) == 3
+    fleet.state.membership.entries["entry2"].lease_until_ms = 0
+    after = {pool: placer_of(fleet.state, pool) for pool in pools}
+    assert all(after[pool] == before[pool] for pool in pools if before[pool] != "entry2")
+    assert "entry2" not in after.values()
