--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heatherkeel.catalogue.reducer
+import heatherkeel.jobs.reducer
 import heatherkeel.membership.reducer
 import heatherkeel.pools.health
 import heatherkeel.pools.reducer
