Rules between catalogue entries, and outcomes that an operator can ask for later

Cause: the fold took a service without a pool, a pool smaller than a budget that it has to hold, two services under one path prefix, and the deletion of a pool in use. Such an edit has to be refused at every reader, or a writer with a bug could bring it into force.

The fold remembers the outcomes of catalogue records as long as their ids (RecordKind.remembered, FleetState.outcomes), so that whoever was told "may have been accepted" can ask any entry instance. Weighed: outcomes of all kinds in `seen` itself; lease renewals are most of the records, and nobody asks for theirs.

--- a/heatherkeel/catalogue/const.py
+++ b/heatherkeel/catalogue/const.py
@@ -12,3 +12,6 @@
 
 NAME_PATTERN: Final = r"^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$"
 """Names go into paths and metric labels, so only a safe set of characters is taken."""
+
+MAX_NAMES_IN_FAULT: Final = 5
+"""How many entries one refusal names; it is kept in the state for a while."""
--- a/heatherkeel/catalogue/reducer.py
+++ b/heatherkeel/catalogue/reducer.py
@@ -11,11 +11,12 @@
 
 from .const import MAX_ENTRY_BYTES
 from .models import CatalogueChanged, EntryDelete, EntryPut, StoredEntry
+from .rules import find_faults, find_uses, refuse
 
 _ENCODER = msgspec.json.Encoder()
 
 
-@handles("catalogue.put", EntryPut)
+@handles("catalogue.put", EntryPut, remembered=True)
 def put_entry(state: FleetState, meta: RecordMeta, body: EntryPut) -> Result[Accepted, Rejected]:
     """Create or replace an entry if its author saw the version in force."""
     refusal = _check_edit(state, name=body.name, expected=body.expected_version, team=body.team)
@@ -25,6 +26,9 @@
         return Err(Rejected(reason=RejectReason.MALFORMED, detail="entry is too large"))
     if body.expected_version == 0 and body.entry.owner != body.team:
         return Err(Rejected(reason=RejectReason.NOT_OWNER, detail=body.entry.owner))
+    refusal = refuse(find_faults(state, body.name, body.entry))
+    if refusal is not None:
+        return Err(refusal)
     version = _next_version(state, body.name)
     state.catalogue.entries[body.name] = StoredEntry(
         entry=body.entry, version=version, offset=meta.offset
@@ -32,12 +36,15 @@
     return Ok(_accept(state, meta, name=body.name, version=version, deleted=False))
 
 
-@handles("catalogue.delete", EntryDelete)
+@handles("catalogue.delete", EntryDelete, remembered=True)
 def delete_entry(
     state: FleetState, meta: RecordMeta, body: EntryDelete
 ) -> Result[Accepted, Rejected]:
     """Remove an entry if its author saw the version in force."""
     refusal = _check_edit(state, name=body.name, expected=body.expected_version, team=body.team)
+    if refusal is not None:
+        return Err(refusal)
+    refusal = refuse(find_uses(state, body.name))
     if refusal is not None:
         return Err(refusal)
     version = _next_version(state, body.name)
--- a/heatherkeel/core/models.py
+++ b/heatherkeel/core/models.py
@@ -27,6 +27,8 @@
     CONFLICT = "conflict"
     QUOTA = "quota"
     IN_USE = "in_use"
+    INVALID = "invalid"
+    """The body is well formed, but breaks a rule that concerns other parts of the state."""
 
 
 class Envelope(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -93,6 +95,21 @@
     version: int = 0
 
 
+@dataclass(kw_only=True, slots=True)
+class RecordOutcome:
+    """How the fold decided a record; kept as long as the record could be appended again.
+
+    `reason` is empty if the record was accepted. `body_sha256` tells a repeat of the record
+    from another one under the same id.
+    """
+
+    offset: int
+    body_sha256: str
+    version: int
+    reason: str = ""
+    detail: str = ""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Settled(Effect):
     """Tells the author of a record how the fold decided it; `offset` is the record's."""
--- a/heatherkeel/core/reducer.py
+++ b/heatherkeel/core/reducer.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import hashlib
+
 import msgspec
-from result import Err, Ok
+from result import Ok
 
 from .const import (
     MAX_ID_CHARS,
@@ -17,11 +19,13 @@
 )
 from .errors import OffsetGapError
 from .models import (
+    Accepted,
     Duplicate,
     Effect,
     Envelope,
     LogRecord,
     RecordMeta,
+    RecordOutcome,
     Rejected,
     RejectReason,
     Settled,
@@ -108,20 +112,34 @@
         offset=offset,
         now_ms=state.now_ms,
     )
-    match kind.handler(state, meta, body):
-        case Ok(accepted):
-            return [_settle(offset, envelope, accepted), *accepted.effects]
-        case Err(rejected):
-            return [_settle(offset, envelope, rejected)]
+    outcome = kind.handler(state, meta, body)
+    decided = outcome.ok_value if isinstance(outcome, Ok) else outcome.err_value
+    if kind.remembered:
+        _remember(state, offset, envelope, decided)
+    effects = decided.effects if isinstance(decided, Accepted) else ()
+    return [_settle(offset, envelope, decided), *effects]
+
+
+def _remember(
+    state: FleetState, offset: int, envelope: Envelope, outcome: Accepted | Rejected
+) -> None:
+    """Keep an outcome for an author whose process ended, or who was told "may be accepted"."""
+    state.outcomes[envelope.id] = RecordOutcome(
+        offset=offset,
+        body_sha256=hashlib.sha256(envelope.body).hexdigest(),
+        version=outcome.version,
+        reason=outcome.reason if isinstance(outcome, Rejected) else "",
+        detail=outcome.detail if isinstance(outcome, Rejected) else "",
+    )
 
 
-def _settle(offset: int, envelope: Envelope, outcome: object) -> Settled:
+def _settle(offset: int, envelope: Envelope, outcome: Accepted | Rejected) -> Settled:
     return Settled(
         record_id=envelope.id,
         kind=envelope.kind,
         author=envelope.author,
         offset=offset,
-        outcome=outcome,  # type: ignore[arg-type]
+        outcome=outcome,
     )
 
 
@@ -135,3 +153,8 @@
         for record_id, not_after_ms in state.seen.items()
         if not_after_ms >= state.now_ms
     }
+    state.outcomes = {
+        record_id: outcome
+        for record_id, outcome in state.outcomes.items()
+        if record_id in state.seen
+    }
--- a/heatherkeel/core/registry.py
+++ b/heatherkeel/core/registry.py
@@ -22,12 +22,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RecordKind:
-    """One registered kind of record: how to decode its body, and who decides it."""
+    """One registered kind of record: how to decode its body, and who decides it.
+
+    `remembered` keeps its outcomes in `FleetState.outcomes`, for authors that ask later.
+    """
 
     kind: str
     body_type: type[RecordBody]
     decoder: msgspec.json.Decoder[Any]
     handler: Handler[Any]
+    remembered: bool = False
 
 
 RECORD_KINDS: Final[dict[str, RecordKind]] = {}
@@ -35,7 +39,9 @@
 CHECKERS: Final[dict[str, Checker]] = {}
 
 
-def handles(kind: str, body_type: type[BodyT]) -> Callable[[Handler[BodyT]], Handler[BodyT]]:
+def handles(
+    kind: str, body_type: type[BodyT], *, remembered: bool = False
+) -> Callable[[Handler[BodyT]], Handler[BodyT]]:
     """Register the handler of one record kind; a handler rejects before it changes anything."""
 
     def register(handler: Handler[BodyT]) -> Handler[BodyT]:
@@ -43,7 +49,11 @@
             raise RegistrationError(f"record kind {kind} is registered twice")
         decoder = msgspec.json.Decoder(body_type)
         RECORD_KINDS[kind] = RecordKind(
-            kind=kind, body_type=body_type, decoder=decoder, handler=handler
+            kind=kind,
+            body_type=body_type,
+            decoder=decoder,
+            handler=handler,
+            remembered=remembered,
         )
         KIND_OF_BODY[body_type] = kind
         return handler
--- a/heatherkeel/core/state.py
+++ b/heatherkeel/core/state.py
@@ -14,6 +14,8 @@
 from heatherkeel.requests.models import ClaimsState
 from heatherkeel.waves.models import WavesState
 
+from .models import RecordOutcome
+
 
 @dataclass(kw_only=True)
 class FleetState:
@@ -27,6 +29,8 @@
     now_ms: int = 0
     seen: dict[str, int] = field(default_factory=dict)
     """Record ids that could still be appended again, with their `not_after_ms`."""
+    outcomes: dict[str, RecordOutcome] = field(default_factory=dict)
+    """How records of the remembered kinds were decided, by record id, as long as in `seen`."""
     seen_purged_ms: int = 0
     catalogue: CatalogueState = field(default_factory=CatalogueState)
     membership: MembershipState = field(default_factory=MembershipState)
--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heatherkeel.catalogue.checks
 import heatherkeel.catalogue.reducer
 import heatherkeel.membership.reducer
 import heatherkeel.pools.reducer  # noqa: F401
