--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heatherkeel.catalogue.checks
 import heatherkeel.catalogue.reducer
 import heatherkeel.jobs.reducer
 import heatherkeel.membership.reducer
