--- a/heatherkeel/core/state.py
+++ b/heatherkeel/core/state.py
@@ -12,6 +12,7 @@
 from heatherkeel.membership.models import MembershipState
 from heatherkeel.pools.models import PoolsState
 from heatherkeel.requests.models import ClaimsState
+from heatherkeel.snapshots.models import SnapshotsState
 from heatherkeel.waves.models import WavesState
 
 
@@ -34,6 +35,7 @@
     waves: WavesState = field(default_factory=WavesState)
     claims: ClaimsState = field(default_factory=ClaimsState)
     jobs: JobsState = field(default_factory=JobsState)
+    snapshots: SnapshotsState = field(default_factory=SnapshotsState)
 
 
 _ENCODER = msgspec.json.Encoder(order="sorted")
--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -4,4 +4,5 @@
 
 import heatherkeel.catalogue.reducer
 import heatherkeel.membership.reducer
-import heatherkeel.pools.reducer  # noqa: F401
+import heatherkeel.pools.reducer
+import heatherkeel.snapshots.reducer  # noqa: F401
