--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -11,6 +11,7 @@
 import heatherkeel.requests.flow
 import heatherkeel.requests.limits
 import heatherkeel.requests.targets
+import heatherkeel.snapshots.reducer
 import heatherkeel.waves.acknowledgements
 import heatherkeel.waves.checks
 import heatherkeel.waves.reducer  # noqa: F401
