--- a/tests/requests/fleet.py
+++ b/tests/requests/fleet.py
@@ -25,6 +25,11 @@
 ZONES = ("east", "west", "north")
 
 
+def incarnation_of(instance: str) -> str:
+    """Return the first incarnation of an entry instance; no two processes share one."""
+    return f"{instance}-1"
+
+
 @dataclass(kw_only=True)
 class Log:
     """Records in order; `now_ms` is the log's time and every node's monotonic clock."""
@@ -69,10 +74,10 @@
             )
             self.append(body, author="entry")
 
-    def join(self, instance: str, zone: str, *, incarnation: str = "1") -> None:
+    def join(self, instance: str, zone: str, *, incarnation: str | None = None) -> None:
         body = EntryJoin(
             instance=instance,
-            incarnation=incarnation,
+            incarnation=incarnation or incarnation_of(instance),
             zone=zone,
             peer_address="127.0.0.1:1",
             lease_ms=LEASE_MS,
@@ -82,7 +87,9 @@
 
 def make_node(log: Log, instance: str = "e1", zone: str = "east") -> NodeState:
     """Return a node that has folded the whole log and holds a lease."""
-    node = NodeState(local=LocalState(instance=instance, zone=zone, incarnation="1"))
+    node = NodeState(
+        local=LocalState(instance=instance, zone=zone, incarnation=incarnation_of(instance))
+    )
     catch_up(node, log)
     node.local.lease.valid_until_ms = log.now_ms + LEASE_MS
     return node
--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -15,7 +15,7 @@
 from heatherkeel.requests.effects import Queued, Send
 from heatherkeel.requests.events import AttemptResult, FleetRestored
 
-from .fleet import LEASE_MS, ZONES, Log, ask, catch_up, end, make_node
+from .fleet import LEASE_MS, ZONES, Log, ask, catch_up, end, incarnation_of, make_node
 
 SLOTS = 8
 DEADLINE_MS = 5_000
@@ -173,7 +173,7 @@
     acknowledge(log, "e1", "e2", "w1")
     catch_up(node, log)
     assert limits.share(node, "t0", target) == 3
-    log.append(EntryLeave(instance="e2", incarnation="1"), author="e2")
+    log.append(EntryLeave(instance="e2", incarnation=incarnation_of("e2")), author="e2")
     acknowledge(log, "e1")
     catch_up(node, log)
     assert limits.share(node, "t0", target) == 3
@@ -186,7 +186,10 @@
     newest = len(log.records) - 1
     for instance in instances:
         body = EntryRenew(
-            instance=instance, incarnation="1", offset_in_force=newest, shares_offset=newest
+            instance=instance,
+            incarnation=incarnation_of(instance),
+            offset_in_force=newest,
+            shares_offset=newest,
         )
         log.append(body, author=instance)
 
