--- a/tests/requests/fleet.py
+++ b/tests/requests/fleet.py
@@ -9,6 +9,7 @@
 from heatherkeel.catalogue.models import (
     Budget,
     EntryPut,
+    PoolEntry,
     RequestLimits,
     ServiceClass,
     ServiceEntry,
@@ -41,6 +42,15 @@
         data = encode(seal(body, author=author, now_ms=self.now_ms, record_id=record_id))
         self.records.append(LogRecord(offset=len(self.records), at_ms=self.now_ms, data=data))
 
+    def put_pool(self) -> None:
+        body = EntryPut(
+            name="desk",
+            expected_version=0,
+            team="sheetal",
+            entry=PoolEntry(owner="sheetal", size=12),
+        )
+        self.append(body, author="operator")
+
     def put_service(
         self,
         name: str = "stock",
@@ -51,6 +61,8 @@
         owner: str = "sheetal",
         limits: RequestLimits | None = None,
     ) -> None:
+        if not self.records:
+            self.put_pool()
         entry = ServiceEntry(
             owner=owner,
             service_class=service_class,
--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -255,7 +255,7 @@
     log.join("e1", "east")
     log.join("e2", "east")
     behind = make_node(log, "e1")
-    node = NodeState(local=LocalState(instance="e2", zone="east", incarnation="1"))
+    node = NodeState(local=LocalState(instance="e2", zone="east", incarnation=incarnation_of("e2")))
     node.fleet = from_canonical_bytes(canonical_bytes(behind.fleet))
     reduce(node, FleetRestored(now_ms=log.now_ms))
     target = node.local.routing.targets["t0"]
