--- a/heatherkeel/cli/main.py
+++ b/heatherkeel/cli/main.py
@@ -7,7 +7,7 @@
 
 from absl import flags
 
-from . import entry, standin  # noqa: F401
+from . import entry, load, standin  # noqa: F401
 from .registry import COMMANDS, Command
 
 EXIT_USAGE: Final = 2
