--- /dev/null
+++ b/heatherkeel/measure/const.py
@@ -0,0 +1,24 @@
+"""Constants of the measurements."""
+
+from __future__ import annotations
+
+from typing import Final
+
+START_TIMEOUT_S: Final = 30.0
+POLL_S: Final = 0.02
+STOP_TIMEOUT_S: Final = 10.0
+CALL_TIMEOUT_S: Final = 30.0
+"""Bounds on waiting for the processes that a measurement starts."""
+
+TEAM: Final = "bench"
+TOKEN: Final = "bench-token"
+POOL: Final = "desk"
+SERVICE: Final = "stock"
+SERVICE_PATH: Final = "/stock"
+"""What the measured fleet's catalogue holds."""
+
+HOP_MEDIAN_TARGET: Final = 1.15
+"""Most that the entry hop's median may be, as a multiple of the bare hop's."""
+
+HOP_RATE_TARGET: Final = 0.9
+"""Least that the entry hop's requests a second may be, as a multiple of the bare hop's."""
