--- a/heatherkeel/jobs/best_fit.py
+++ b/heatherkeel/jobs/best_fit.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from heatherkeel.catalogue.models import ServiceClass
 from heatherkeel.core.state import FleetState
 from heatherkeel.pools.models import Instance
 
+from .const import FIT_CANDIDATES, SPREAD_SLACK
 from .fairness import FairQueue, fair_queue
 from .learning import expected_size, family_key
 from .models import HOLDING, Job, Resources, job_team
@@ -17,7 +19,7 @@
 from .reservations import clip_need
 
 SpreadKey = tuple[str, str]
-"""A job family or a pool, and an availability zone or a rack."""
+"""A job family, and a pool, an availability zone or a rack."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -107,50 +109,54 @@
 def _find_room(
     this: _Round, pool: PoolRooms, job_id: str, job: Job, need: Resources
 ) -> Room | None:
-    """Return the best worker: zone with fewest of the family, then rack, then tightest fit.
-
-    A worker on which the job failed before is taken only if there is no other.
-    """
+    """Return the tightest of the first workers that suit, else any worker with room."""
     held = pool.held.get(job_id)
     if held is not None and held.has(need):
         return held
     if pool.is_hopeless(need):
         return None
-    family = family_key(job_id, job)
+    suits = _suits(this, pool, job_id, job)
+    best: Room | None = None
     second_choice: Room | None = None
-    for zone in _zones_by_count(this, pool, family, job.spec.pool):
-        candidates = pool.candidates(zone, need, job_id)
-        fresh = [room for room in candidates if room.instance not in job.failed_on]
-        if fresh:
-            return min(fresh, key=lambda room: _rank(this, family, room, need))
-        if candidates and second_choice is None:
-            second_choice = candidates[0]
-    if second_choice is None:
+    compared = 0
+    for room in pool.with_room(need, job_id):
+        if not suits(room):
+            second_choice = second_choice or room
+            continue
+        if best is None or room.left_over(need) < best.left_over(need):
+            best = room
+        compared += 1
+        if compared == FIT_CANDIDATES:
+            break
+    if best is None and second_choice is None:
         pool.failed_needs.append(need)
-    return second_choice
+    return best or second_choice
 
 
-def _zones_by_count(this: _Round, pool: PoolRooms, family: str, pool_name: str) -> list[str]:
-    """Return the zones of a pool, those with the fewest tasks of the family first.
+def _suits(this: _Round, pool: PoolRooms, job_id: str, job: Job) -> Callable[[Room], bool]:
+    """Return a test for workers on which the job did not fail, and that don't crowd its family.
 
-    Among equals the one with fewest tasks of the pool: most families are small, and by name
-    alone all of them would begin in the same zone.
+    A zone or a rack may hold its share of the family and a little more. Spread as far as it
+    goes, small families would take a part of every worker, and leave no room for large jobs.
     """
+    family = family_key(job_id, job)
     spread = this.spread
+    total = spread.get((family, job.spec.pool), 0)
+    zone_limit = total // max(1, len(pool.zones)) + SPREAD_SLACK
+    rack_limit = total // max(1, len(pool.racks)) + SPREAD_SLACK
 
-    def count(zone: str) -> tuple[int, int, str]:
-        return (spread.get((family, zone), 0), spread.get((pool_name, zone), 0), zone)
-
-    return sorted(pool.zones, key=count)
-
+    def suits(room: Room) -> bool:
+        return (
+            spread.get((family, room.zone), 0) < zone_limit
+            and spread.get((family, room.rack), 0) < rack_limit
+            and room.instance not in job.failed_on
+        )
 
-def _rank(this: _Round, family: str, room: Room, need: Resources) -> tuple[int, int, str]:
-    in_rack = this.spread.get((family, room.rack), 0)
-    return (in_rack, room.left_over(need), room.instance)
+    return suits
 
 
 def _count_families(state: FleetState) -> dict[SpreadKey, int]:
-    """Count the tasks of each family by availability zone and by rack."""
+    """Count the tasks of each family by pool, by availability zone and by rack."""
     spread: dict[SpreadKey, int] = {}
     for job_id, job in state.jobs.live.items():
         if job.status not in HOLDING:
@@ -162,5 +168,6 @@
 
 
 def _count(spread: dict[SpreadKey, int], family: str, pool: str, place: Room | Instance) -> None:
-    for key in ((family, place.zone), (family, place.rack), (pool, place.zone)):
+    for domain in (pool, place.zone, place.rack):
+        key = (family, domain)
         spread[key] = spread.get(key, 0) + 1
--- a/heatherkeel/jobs/const.py
+++ b/heatherkeel/jobs/const.py
@@ -81,3 +81,6 @@
 
 DRAIN_PATIENCE_MS: Final = 600_000
 """A drain waits for a job that is expected to end within this time, and moves it otherwise."""
+
+SPREAD_SLACK: Final = 1
+"""Tasks of a family that a zone or a rack may hold above an even share."""
--- a/heatherkeel/jobs/packing.py
+++ b/heatherkeel/jobs/packing.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from bisect import bisect_left, insort
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from heatherkeel.core.state import FleetState
 from heatherkeel.pools.models import InstanceStatus
 
-from .const import FIT_CANDIDATES
 from .models import Resources
 from .quarantine import is_quarantined
 from .reservations import capacity_of, free_of
@@ -65,25 +65,17 @@
 """Free memory in MiB, and the instance id."""
 
 
-@dataclass(kw_only=True, slots=True)
-class ZoneRooms:
-    """The workers of one pool in one availability zone, by free memory."""
-
-    plain: list[Slot] = field(default_factory=list)
-    accelerated: list[Slot] = field(default_factory=list)
-    """Workers with a free accelerator: other jobs come here last."""
-
-    def slots(self, *, accelerated: bool) -> list[Slot]:
-        """Return the list that a room with or without free accelerators stands in."""
-        return self.accelerated if accelerated else self.plain
-
-
 @dataclass(kw_only=True, slots=True)
 class PoolRooms:
     """Free room of one pool in this round."""
 
     by_id: dict[str, Room] = field(default_factory=dict)
-    zones: dict[str, ZoneRooms] = field(default_factory=dict)
+    plain: list[Slot] = field(default_factory=list)
+    """Workers without a free accelerator, by free memory."""
+    accelerated: list[Slot] = field(default_factory=list)
+    """Workers with a free accelerator, by free memory: other jobs come here last."""
+    zones: set[str] = field(default_factory=set)
+    racks: set[str] = field(default_factory=set)
     largest: Resources = _NOTHING
     """The largest amount of each resource that any worker has."""
     held: dict[str, Room] = field(default_factory=dict)
@@ -95,23 +87,22 @@
         self.by_id[room.instance] = room
         if room.held_for:
             self.held[room.held_for] = room
+        self.zones.add(room.zone)
+        self.racks.add(room.rack)
         self.largest = _larger(self.largest, room.capacity)
-        zone = self.zones.setdefault(room.zone, ZoneRooms())
-        zone.slots(accelerated=room.accelerators > 0).append((room.memory_mib, room.instance))
+        self._slots(room).append((room.memory_mib, room.instance))
 
     def sort(self) -> None:
         """Order the workers, once all are added."""
-        for zone in self.zones.values():
-            zone.plain.sort()
-            zone.accelerated.sort()
+        self.plain.sort()
+        self.accelerated.sort()
 
     def take(self, room: Room, need: Resources) -> None:
         """Take up room, and keep the order."""
-        slots = self.zones[room.zone].slots(accelerated=room.accelerators > 0)
+        slots = self._slots(room)
         del slots[bisect_left(slots, (room.memory_mib, room.instance))]
         room.take(need)
-        slots = self.zones[room.zone].slots(accelerated=room.accelerators > 0)
-        insort(slots, (room.memory_mib, room.instance))
+        insort(self._slots(room), (room.memory_mib, room.instance))
 
     def is_hopeless(self, need: Resources) -> bool:
         """Say whether a need no larger than this one found no room in this round."""
@@ -122,20 +113,17 @@
             for failed in self.failed_needs
         )
 
-    def candidates(self, zone: str, need: Resources, job_id: str) -> list[Room]:
-        """Return some workers of a zone that have room, those with the least free memory first."""
-        rooms = self.zones[zone]
-        found: list[Room] = []
-        for slots in (rooms.plain, rooms.accelerated):
-            if found or (need.accelerators > 0 and slots is rooms.plain):
-                continue
+    def with_room(self, need: Resources, job_id: str) -> Iterator[Room]:
+        """Yield the workers that have room, those with the least free memory first."""
+        lists = (self.accelerated,) if need.accelerators > 0 else (self.plain, self.accelerated)
+        for slots in lists:
             for index in range(bisect_left(slots, (need.memory_mib, "")), len(slots)):
                 room = self.by_id[slots[index][1]]
                 if room.held_for in ("", job_id) and room.has(need):
-                    found.append(room)
-                    if len(found) == FIT_CANDIDATES:
-                        break
-        return found
+                    yield room
+
+    def _slots(self, room: Room) -> list[Slot]:
+        return self.accelerated if room.accelerators > 0 else self.plain
 
 
 def find_rooms(state: FleetState, pools: frozenset[str] | None) -> dict[str, PoolRooms]:
