--- a/heatherkeel/membership/models.py
+++ b/heatherkeel/membership/models.py
@@ -29,6 +29,8 @@
     instance: EntryInstanceId
     incarnation: str
     offset_in_force: Annotated[int, Meta(ge=-1)]
+    shares_offset: Annotated[int, Meta(ge=-1)] = -1
+    """The newest offset up to which it keeps to every share of a target's slots."""
 
 
 class EntryLeave(RecordBody, frozen=True, kw_only=True):
@@ -38,10 +40,18 @@
     incarnation: str
 
 
+class EntryGone(RecordBody, frozen=True, kw_only=True):
+    """The platform positively says that this incarnation is terminated; silence never does."""
+
+    instance: EntryInstanceId
+    incarnation: str
+
+
 @dataclass(kw_only=True)
 class EntryInstance:
     """An entry instance that may route; times in log milliseconds."""
 
+    instance: str
     incarnation: str
     zone: str
     peer_address: str
@@ -49,10 +59,20 @@
     lease_until_ms: int
     offset_in_force: int = -1
     joined_offset: int = 0
+    shares_offset: int = -1
+    predecessor_until_ms: int = 0
+    """Until when a replaced incarnation of the same id may still be routing; 0 if none may."""
 
 
 @dataclass(kw_only=True)
 class MembershipState:
-    """Entry instances by id."""
+    """Entry instances by id; `superseded` holds their earlier incarnations, by incarnation.
+
+    A superseded incarnation may still run, cut off from the log, so it stays here until it
+    leaves or the platform says that it is terminated.
+    """
 
     entries: dict[str, EntryInstance] = field(default_factory=dict)
+    superseded: dict[str, EntryInstance] = field(default_factory=dict)
+    departed_offset: int = -1
+    """Offset of the last record that removed an incarnation."""
