Wave policy: whom to drain next, and the next step of each drain

Cause: the fold admits or refuses, but nothing chose whom to drain, nor took up a drain whose coordinator died.

`next_steps` proposes stops, joins, give-ups and cancels from the state alone. MaintenanceEntry gets `wave_request`: raising it asks for a wave before the period is over (an edit is the operators' only handle).

--- a/heatherkeel/catalogue/models.py
+++ b/heatherkeel/catalogue/models.py
@@ -88,8 +88,9 @@
     """How one pool is maintained: every instance once in `period_h`, outside counter hours.
 
     `closed_from_minute` to `closed_to_minute` are minutes of the UTC day in which no planned
-    stop starts; equal values close no time. `max_failed_returns` halts a wave. The weights say
-    which measure the owner wants low.
+    stop starts; equal values close no time. `max_failed_returns` halts a wave. Raising
+    `wave_request` asks for a wave now, before the period is over. The weights say which
+    measure the owner wants low.
     """
 
     pool: Name
@@ -99,6 +100,7 @@
     return_timeout_s: PositiveCount = 900
     closed_from_minute: Annotated[int, Meta(ge=0, le=1440)] = 0
     closed_to_minute: Annotated[int, Meta(ge=0, le=1440)] = 0
+    wave_request: Count = 0
     weight_buffer: Count = 1
     weight_roll_out: Count = 1
     weight_moves: Count = 1
--- a/heatherkeel/pools/models.py
+++ b/heatherkeel/pools/models.py
@@ -107,6 +107,8 @@
     maintained_ms: int = 0
     maintained_offset: int = -1
     """Orders maintenance against the start of a wave, which may fall into the same millisecond."""
+    failed_repairs: int = 0
+    """Repairs in a row that it did not come back from."""
     observations: dict[str, Observation] = field(default_factory=dict)
     """Fresh observations by observer; they are dropped when the status changes."""
     failure: str = ""
--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -8,4 +8,5 @@
 import heatherkeel.pools.reducer
 import heatherkeel.waves.acknowledgements
 import heatherkeel.waves.checks
+import heatherkeel.waves.policies
 import heatherkeel.waves.reducer  # noqa: F401
--- a/heatherkeel/waves/budget.py
+++ b/heatherkeel/waves/budget.py
@@ -3,13 +3,22 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
 
 from heatherkeel.catalogue.models import Reserve, ServiceEntry
 from heatherkeel.core.models import Rejected, RejectReason
 from heatherkeel.core.state import FleetState
 from heatherkeel.pools.models import Instance, InstanceStatus
 
+Rack = tuple[str, str]
+"""Availability zone and rack: rack names are unique within an availability zone only."""
+
+
+def rack_of(instance: Instance) -> Rack:
+    """Return the rack of an instance."""
+    return instance.zone, instance.rack
+
 
 def services_of(state: FleetState, pool: str) -> Iterator[tuple[str, ServiceEntry]]:
     """Yield the services on a pool with their names, by name."""
@@ -18,44 +27,74 @@
             yield name, stored.entry
 
 
-def serving_instances(state: FleetState, pool: str, *, without: str = "") -> list[Instance]:
-    """Return the instances of a pool that serve, leaving one out."""
-    return [
-        instance
-        for instance_id, instance in state.pools.instances.items()
-        if instance.pool == pool
-        and instance.status is InstanceStatus.SERVING
-        and instance_id != without
-    ]
+@dataclass(kw_only=True)
+class Headroom:
+    """The serving instances of a pool, counted by rack and availability zone."""
+
+    racks: Counter[Rack] = field(default_factory=Counter)
+    zones: Counter[str] = field(default_factory=Counter)
+    total: int = 0
 
+    def add(self, rack: Rack, count: int = 1) -> None:
+        """Count instances of a rack in, or out if `count` is below 0."""
+        self.racks[rack] += count
+        self.zones[rack[0]] += count
+        self.total += count
 
-def worst_loss(instances: list[Instance], reserve: Reserve) -> int:
-    """Return how many of the instances the named loss would take at worst."""
-    match reserve:
-        case Reserve.NONE:
-            return 0
-        case Reserve.RACK:
-            sizes = Counter((instance.zone, instance.rack) for instance in instances)
-        case Reserve.ZONE:
-            sizes = Counter((instance.zone, "") for instance in instances)
-    return max(sizes.values(), default=0)
+    def worst_loss(self, reserve: Reserve) -> int:
+        """Return how many instances the named loss would take at worst."""
+        match reserve:
+            case Reserve.NONE:
+                return 0
+            case Reserve.RACK:
+                return max(self.racks.values(), default=0)
+            case Reserve.ZONE:
+                return max(self.zones.values(), default=0)
 
+    def margin(self, services: Iterable[ServiceEntry]) -> int:
+        """Return how many more instances the budgets could do without; below 0: broken."""
+        margins = [
+            self.total - self.worst_loss(service.budget.reserve) - service.budget.min_serving
+            for service in services
+        ]
+        return min(margins, default=self.total)
 
-def check_budgets(state: FleetState, pool: str, *, without: str) -> Rejected | None:
+    def margin_without(self, rack: Rack, services: Iterable[ServiceEntry]) -> int:
+        """Return the margin that would be left without one more instance of a rack."""
+        self.add(rack, -1)
+        left = self.margin(services)
+        self.add(rack, 1)
+        return left
+
+
+def count_serving(instances: Iterable[Instance]) -> Headroom:
+    """Count those of the instances that serve."""
+    headroom = Headroom()
+    for instance in instances:
+        if instance.status is InstanceStatus.SERVING:
+            headroom.add(rack_of(instance))
+    return headroom
+
+
+def check_budgets(state: FleetState, pool: str, *, without: str = "") -> Rejected | None:
     """Refuse if a budget on the pool would not hold without the instance.
 
     Each stop alone can look harmless while another one, or a failed rack, has already taken
     the room; callers then find too few instances. Counting here, where all readers see the
     same state, leaves room for the named loss to come on top of every stop that is admitted.
     """
-    serving = serving_instances(state, pool, without=without)
+    headroom = count_serving(
+        instance
+        for instance_id, instance in state.pools.instances.items()
+        if instance.pool == pool and instance_id != without
+    )
     for name, service in services_of(state, pool):
-        loss = worst_loss(serving, service.budget.reserve)
-        left = len(serving) - loss
-        if left < service.budget.min_serving:
+        if headroom.margin([service]) < 0:
+            budget = service.budget
+            loss = headroom.worst_loss(budget.reserve)
             detail = (
-                f"{name}: {len(serving)} serving less {loss} ({service.budget.reserve.value}) "
-                f"is below {service.budget.min_serving}"
+                f"{name}: {headroom.total} serving less {loss} ({budget.reserve.value}) "
+                f"is below {budget.min_serving}"
             )
             return Rejected(reason=RejectReason.NO_BUDGET, detail=detail)
     return None
--- a/heatherkeel/waves/models.py
+++ b/heatherkeel/waves/models.py
@@ -141,6 +141,8 @@
     number: int
     started_ms: int
     started_offset: int
+    request: int = 0
+    """`MaintenanceEntry.wave_request` when the wave opened: up to it, requests are met."""
     drained: int = 0
     returned: int = 0
     failed: int = 0
--- a/heatherkeel/waves/reducer.py
+++ b/heatherkeel/waves/reducer.py
@@ -100,6 +100,7 @@
         return Ok(accept_change(state, meta, body.instance))
     instance.maintained_ms = meta.now_ms
     instance.maintained_offset = meta.offset
+    instance.failed_repairs = 0
     del state.waves.drains[body.instance]
     effects = wave.count_return(state, meta, instance.pool, drain)
     return Ok(accept_change(state, meta, body.instance, *effects))
@@ -117,6 +118,7 @@
     if body.cause is ReturnFailure.TIMED_OUT and meta.now_ms < drain.return_by_ms:
         return Err(_wrong(body.instance, f"has until {drain.return_by_ms}"))
     set_status(instance, InstanceStatus.FAILED)
+    instance.failed_repairs += drain.purpose is Purpose.REPAIR
     instance.failure = f"did not come back from {drain.purpose.value}: {body.cause.value}"
     del state.waves.drains[body.instance]
     effects = wave.count_failed_return(state, meta, instance.pool, drain)
--- /dev/null
+++ b/heatherkeel/waves/repairs.py
@@ -0,0 +1,36 @@
+"""Proposes repairs of failed instances."""
+
+from __future__ import annotations
+
+from heatherkeel.core.state import FleetState
+from heatherkeel.pools.models import InstanceStatus
+
+from .const import MAX_FAILED_REPAIRS
+from .models import DrainStart, Purpose
+from .wave import is_halted, maintenance_of_pools
+
+
+def plan_repairs(fleet: FleetState, *, coordinator: str) -> list[DrainStart]:
+    """Return a repair for each failed instance of a pool that is maintained.
+
+    An instance that doesn't come back from repairs, or whose pool's wave is halted, is left to
+    its operators: restarting it again would hide the cause.
+    """
+    resting = {
+        pool
+        for pool, (_, stored) in maintenance_of_pools(fleet).items()
+        if pool in fleet.waves.waves and is_halted(fleet.waves.waves[pool], stored)
+    }
+    repaired = maintenance_of_pools(fleet).keys() - resting
+    return [
+        DrainStart(
+            instance=instance_id,
+            expected_version=instance.version,
+            coordinator=coordinator,
+            purpose=Purpose.REPAIR,
+        )
+        for instance_id, instance in sorted(fleet.pools.instances.items())
+        if instance.status is InstanceStatus.FAILED
+        and instance.pool in repaired
+        and instance.failed_repairs < MAX_FAILED_REPAIRS
+    ]
--- a/heatherkeel/waves/wave.py
+++ b/heatherkeel/waves/wave.py
@@ -11,12 +11,22 @@
 from .models import Drain, Purpose, Wave, WaveFinished, WaveHalted
 
 
+def maintenance_of_pools(state: FleetState) -> dict[str, tuple[MaintenanceEntry, StoredEntry]]:
+    """Return the maintenance entry of each pool that has one."""
+    found: dict[str, tuple[MaintenanceEntry, StoredEntry]] = {}
+    for _, stored in sorted(state.catalogue.entries.items(), key=_by_name):
+        if isinstance(stored.entry, MaintenanceEntry):
+            found.setdefault(stored.entry.pool, (stored.entry, stored))
+    return found
+
+
+def _by_name(item: tuple[str, StoredEntry]) -> str:
+    return item[0]
+
+
 def find_maintenance(state: FleetState, pool: str) -> tuple[MaintenanceEntry, StoredEntry] | None:
     """Return the pool's maintenance entry; if operators made several, the first by name."""
-    for _, stored in sorted(state.catalogue.entries.items(), key=lambda item: item[0]):
-        if isinstance(stored.entry, MaintenanceEntry) and stored.entry.pool == pool:
-            return stored.entry, stored
-    return None
+    return maintenance_of_pools(state).get(pool)
 
 
 def is_closed(maintenance: MaintenanceEntry, now_ms: int) -> bool:
@@ -91,7 +101,13 @@
     wave = state.waves.waves.get(pool)
     number = next_number(state, pool)
     if wave is None or wave.number != number:
-        wave = Wave(number=number, started_ms=meta.now_ms, started_offset=meta.offset)
+        found = find_maintenance(state, pool)
+        wave = Wave(
+            number=number,
+            started_ms=meta.now_ms,
+            started_offset=meta.offset,
+            request=0 if found is None else found[0].wave_request,
+        )
         state.waves.waves[pool] = wave
     wave.drained += 1
 
--- /dev/null
+++ b/tests/waves/test_coordinator.py
@@ -0,0 +1,100 @@
+"""Any coordinator can go on where another one stopped, from the state alone."""
+
+from __future__ import annotations
+
+from heatherkeel.catalogue.models import PoolEntry
+from heatherkeel.pools.models import Health, InstanceObserved, InstanceStatus, Source
+from heatherkeel.waves.coordinator import Step, next_steps
+from heatherkeel.waves.models import (
+    DrainCancel,
+    DrainStart,
+    MoveJoin,
+    Purpose,
+    ReturnFailed,
+    StopIssued,
+)
+from tests.fleets import OWNER, FoldedLog, maintenance, small_fleet
+
+
+def _steps(log: FoldedLog) -> list[Step]:
+    return next_steps(log.state, log.now_ms, coordinator="entry-b")
+
+
+def test_a_quiesced_instance_is_stopped_by_whoever_comes_next() -> None:
+    # The coordinator that started the drain dies before the stop; its record is all that is left.
+    log = small_fleet()
+    log.must(log.drain("a0"))
+    assert _steps(log) == []
+    for entry_id in ("entry-a", "entry-b", "entry-c"):
+        log.must(log.ack(entry_id, "a0"))
+    [step] = _steps(log)
+    assert isinstance(step, StopIssued)
+    log.must(step)
+    assert _steps(log) == []
+
+
+def test_a_quiesced_move_is_joined() -> None:
+    log = small_fleet()
+    log.put("spare", PoolEntry(owner=OWNER, size=1))
+    move = DrainStart(
+        instance="a0",
+        expected_version=1,
+        coordinator="entry-a",
+        purpose=Purpose.MOVE,
+        to_pool="spare",
+    )
+    log.must(move)
+    for entry_id in ("entry-a", "entry-b", "entry-c"):
+        log.must(log.ack(entry_id, "a0"))
+    [step] = _steps(log)
+    assert isinstance(step, MoveJoin)
+
+
+def test_an_instance_that_does_not_come_back_in_time_is_given_up() -> None:
+    log = small_fleet()
+    log.quiesce("a0")
+    log.must(log.stop("a0"))
+    log.wait(59_999)
+    assert _steps(log) == []
+    log.wait(1)
+    [step] = _steps(log)
+    assert isinstance(step, ReturnFailed)
+    log.must(step)
+
+
+def test_a_drain_goes_back_when_the_reserve_is_spent() -> None:
+    # A rack fails while a0 is drained. Its callers need a0 back, not stopped.
+    log = small_fleet(min_serving=4)
+    log.quiesce("a0")
+    log.must(
+        InstanceObserved(
+            instance="b0", health=Health.FAILED, observer="entry-a", source=Source.PLATFORM
+        )
+    )
+    [step] = _steps(log)
+    assert isinstance(step, DrainCancel)
+    assert step.reason == "no_budget: stock: 4 serving less 1 (rack) is below 4"
+    log.must(step)
+    assert log.instance("a0").status is InstanceStatus.SERVING
+
+
+def test_a_drain_that_cannot_end_goes_back_and_says_whom_it_waited_for() -> None:
+    # Zone a is cut off, so entry-a never acknowledges. Until it is back, a0 serves nobody else.
+    log = small_fleet()
+    log.must(log.drain("a0"))
+    log.must(log.ack("entry-b", "a0"))
+    log.must(log.ack("entry-c", "a0"))
+    log.wait(60_000)
+    [step] = _steps(log)
+    assert isinstance(step, DrainCancel)
+    assert step.reason == "not acknowledged by entry-a"
+
+
+def test_a_drain_goes_back_when_the_counter_opens() -> None:
+    log = small_fleet()
+    log.quiesce("a0")
+    minute = log.now_ms // 60_000 % 1440
+    log.put("care", maintenance(closed_from_minute=minute, closed_to_minute=minute + 1))
+    [step] = _steps(log)
+    assert isinstance(step, DrainCancel)
+    log.must(step)
