Administration API: versions, owners, truthful words about the log, faults by field

Cause: the admin port took edits without tokens or preconditions, died on a malformed body or header, and called every silence of the log one thing.

Now: list, read, create, change, delete with ETag, If-Match and If-None-Match: *; 412 with the version in force, 428 for a blind change; a token per team, compared as digests in constant time over all teams; reads are open where the port is bound to loopback; problem+json that names all faults of an entry's shape in one answer; 400/401/403/404/405/409/412/413/415/422/428/503.

An edit is repeated under one Idempotency-Key as one record: the fold takes it once and the repeat gets the first one's outcome. GET /records/ID tells it later. "Was not accepted" is said only of a first attempt that the log refused; under the operator's key an earlier one may stand in the log. Ruled out: answering a stale edit from the state here; it may lag, and only the fold decides.

--- a/heatherkeel/admin/app.py
+++ b/heatherkeel/admin/app.py
@@ -2,37 +2,35 @@
 
 from __future__ import annotations
 
-import msgspec
 from result import Err, Ok
 
-from heatherkeel.catalogue.models import CatalogueEntry, EntryPut
-from heatherkeel.core.models import Accepted, Rejected, RejectReason
-from heatherkeel.entry.const import ADMIN_WRITE_TIMEOUT_S, MAX_ADMIN_BODY_BYTES
 from heatherkeel.entry.node import Node
 from heatherkeel.helpers.asgi import (
+    ClientGoneError,
     Message,
     Receive,
     Request,
     Send,
+    async_respond,
     async_respond_json,
     async_respond_problem,
     async_run_lifespan,
     parse_request,
 )
-from heatherkeel.platform.writer import WriteFailure
 
-_STATUS_OF_REASON = {
-    RejectReason.STALE_VERSION: 412,
-    RejectReason.NOT_FOUND: 404,
-    RejectReason.NOT_OWNER: 403,
-}
+from . import catalogue, status  # noqa: F401
+from .access import AccessControl
+from .const import RETRY_AFTER_S
+from .models import Access, Answer, Call, Problem, Reply
+from .routes import Match, Route, find_routes
 
 
 class AdminApp:
-    """Reads and edits catalogue entries; shows the status of this instance."""
+    """Finds the handler of a request, lets the caller in, and sends the reply."""
 
     def __init__(self, *, node: Node) -> None:
         self.node = node
+        self.access = AccessControl(teams=node.settings.teams, bind=node.settings.admin.bind)
 
     async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -40,78 +38,90 @@
             return await async_run_lifespan(receive, send)
         if scope["type"] != "http":
             return None
-        return await self._async_route(parse_request(scope, receive), send)
-
-    async def _async_route(self, request: Request, send: Send) -> None:
-        match (request.method, request.path.strip("/").split("/")):
-            case ("GET", ["catalogue", name]):
-                await self._async_get(send, name)
-            case ("PUT", ["catalogue", name]):
-                await self._async_put(request, send, name)
-            case ("GET", ["status"]):
-                await self._async_status(send)
-            case _:
-                await async_respond_problem(
-                    send, status=404, kind="no_such_path", title="No such path"
-                )
-
-    async def _async_status(self, send: Send) -> None:
-        fleet = self.node.state.fleet
-        entries = {name: entry.offset_in_force for name, entry in fleet.membership.entries.items()}
-        status = {
-            "instance": self.node.settings.instance.id,
-            "offset_in_force": fleet.next_offset - 1,
-            "entry_instances": entries,
-        }
-        await async_respond_json(send, status)
-
-    async def _async_get(self, send: Send, name: str) -> None:
-        stored = self.node.state.fleet.catalogue.entries.get(name)
-        if stored is None:
-            return await async_respond_problem(
-                send, status=404, kind="not_found", title="No such entry", detail=name
-            )
-        return await async_respond_json(send, stored.entry, headers={"etag": f'"{stored.version}"'})
-
-    async def _async_put(self, request: Request, send: Send, name: str) -> None:
-        body = (await request.async_body(limit_bytes=MAX_ADMIN_BODY_BYTES)).unwrap()
-        expected = int(request.headers.get("if-match", '"0"').strip('"'))
-        entry: CatalogueEntry = msgspec.json.decode(body, type=CatalogueEntry)
-        edit = EntryPut(name=name, expected_version=expected, team=entry.owner, entry=entry)
-        outcome = await self.node.writer.async_write(edit, timeout_s=ADMIN_WRITE_TIMEOUT_S)
-        match outcome:
-            case Ok(settled):
-                await _async_tell_decision(send, settled.offset, settled.outcome)
-            case Err(failure):
-                await _async_tell_failure(send, failure)
-
-
-async def _async_tell_decision(send: Send, offset: int, outcome: Accepted | Rejected) -> None:
-    if isinstance(outcome, Accepted):
-        headers = {"etag": f'"{outcome.version}"'}
-        answer = {"offset": offset, "version": outcome.version}
-        return await async_respond_json(send, answer, headers=headers)
-    return await async_respond_problem(
-        send,
-        status=_STATUS_OF_REASON.get(outcome.reason, 422),
-        kind=outcome.reason,
-        title="The edit was refused",
-        detail=outcome.detail,
-        extra={"version": outcome.version},
+        request = parse_request(scope, receive)
+        try:
+            reply = await self._async_reply(request)
+        except ClientGoneError:
+            return None
+        return await _async_send(_without_body(send) if request.method == "HEAD" else send, reply)
+
+    async def _async_reply(self, request: Request) -> Reply:
+        match = find_routes(request.path)
+        if match is None:
+            return Err(Problem(status=404, kind="no_such_path", title="No such path"))
+        method = "GET" if request.method == "HEAD" else request.method
+        route = match.routes.get(method)
+        if route is None:
+            return Err(_wrong_method(match))
+        return await self._async_call(request, match, route)
+
+    async def _async_call(self, request: Request, match: Match, route: Route) -> Reply:
+        admitted = self.access.admit(route.access, request.headers.get("authorization", ""))
+        if isinstance(admitted, Err):
+            return Err(admitted.err_value)
+        if route.access is not Access.OPEN and not self.node.follower.caught_up.is_set():
+            return Err(_not_ready())
+        call = Call(node=self.node, request=request, team=admitted.ok_value, params=match.params)
+        return await route.handler(call)
+
+
+def _wrong_method(match: Match) -> Problem:
+    allowed = sorted({*match.routes, "HEAD"} if "GET" in match.routes else match.routes)
+    return Problem(
+        status=405,
+        kind="wrong_method",
+        title="The path has no such method",
+        detail=f"allowed: {', '.join(allowed)}",
+        headers={"allow": ", ".join(allowed)},
     )
 
 
-async def _async_tell_failure(send: Send, failure: WriteFailure) -> None:
-    detail = (
-        "The edit may have been accepted: read the entry before you repeat it."
-        if failure is WriteFailure.UNKNOWN
-        else "The edit was not accepted."
+def _not_ready() -> Problem:
+    """Say so while the log was never read to its end: a 404 here would be a guess."""
+    return Problem(
+        status=503,
+        kind="not_ready",
+        title="No configuration is in force here yet",
+        detail="Nothing was accepted: this entry instance has not read the log to its end.",
+        headers={"retry-after": str(RETRY_AFTER_S)},
     )
+
+
+def _without_body(send: Send) -> Send:
+    """Drop the body of an answer to HEAD; its length stays in the header."""
+
+    async def async_send(message: Message) -> None:
+        await send({**message, "body": b""} if message["type"] == "http.response.body" else message)
+
+    return async_send
+
+
+async def _async_send(send: Send, reply: Reply) -> None:
+    match reply:
+        case Ok(answer):
+            await _async_send_answer(send, answer)
+        case Err(problem):
+            await _async_send_problem(send, problem)
+
+
+async def _async_send_answer(send: Send, answer: Answer) -> None:
+    if answer.value is None:
+        return await async_respond(send, status=answer.status, headers=answer.headers)
+    return await async_respond_json(
+        send, answer.value, status=answer.status, headers=answer.headers
+    )
+
+
+async def _async_send_problem(send: Send, problem: Problem) -> None:
+    extra = dict(problem.extra)
+    if problem.faults:
+        extra["faults"] = list(problem.faults)
     await async_respond_problem(
         send,
-        status=503,
-        kind=failure,
-        title="The platform's log did not answer",
-        detail=detail,
-        headers={"retry-after": "5"},
+        status=problem.status,
+        kind=problem.kind,
+        title=problem.title,
+        detail=problem.detail,
+        headers=problem.headers,
+        extra=extra,
     )
--- /dev/null
+++ b/heatherkeel/admin/bodies.py
@@ -0,0 +1,99 @@
+"""Reads a catalogue entry from a request's body, and finds every fault of it."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import Any, Final
+
+import msgspec
+from result import Err, Ok, Result
+
+from heatherkeel.catalogue.models import CatalogueEntry
+from heatherkeel.helpers.asgi import JSON_TYPE, Request
+from heatherkeel.helpers.faults import collect_faults, format_path
+
+from .const import MAX_BODY_BYTES
+from .models import FieldFault, Problem
+
+ENTRY: Final = "entry"
+"""Begins the path of every field of an entry."""
+
+
+async def async_read_entry(
+    request: Request, *, teams: Collection[str]
+) -> Result[CatalogueEntry, Problem]:
+    """Read the body as an entry; raises `ClientGoneError` if the caller hangs up."""
+    if not _is_json(request.headers.get("content-type", JSON_TYPE)):
+        return Err(_wrong_type())
+    read = await request.async_body(limit_bytes=MAX_BODY_BYTES)
+    if isinstance(read, Err):
+        return Err(_too_large(read.err_value.limit_bytes))
+    return decode_entry(read.ok_value, teams=teams)
+
+
+def decode_entry(body: bytes, *, teams: Collection[str]) -> Result[CatalogueEntry, Problem]:
+    """Decode an entry, or name everything that is wrong with it."""
+    try:
+        document = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
+        return Err(_malformed(str(err)))
+    faults = _shape_faults(document) + _owner_faults(document, teams)
+    if faults:
+        return Err(invalid_entry(faults))
+    return Ok(msgspec.convert(document, CatalogueEntry))
+
+
+def invalid_entry(faults: list[FieldFault]) -> Problem:
+    """Return the problem that names the faults of an entry."""
+    return Problem(
+        status=422,
+        kind="invalid",
+        title="The entry is not valid",
+        detail="\n".join(f"{fault.field}: {fault.reason}" for fault in faults),
+        faults=tuple(faults),
+    )
+
+
+def _is_json(content_type: str) -> bool:
+    return content_type.partition(";")[0].strip().lower() == JSON_TYPE
+
+
+def _shape_faults(document: Any) -> list[FieldFault]:
+    return [
+        FieldFault(field=format_path((ENTRY, *fault.path)), reason=fault.reason)
+        for fault in collect_faults(document, CatalogueEntry)
+    ]
+
+
+def _owner_faults(document: Any, teams: Collection[str]) -> list[FieldFault]:
+    """Refuse an owner that nobody can act for: the entry could never be changed again.
+
+    Only the border can tell, as the fold doesn't know the settings.
+    """
+    owner = document.get("owner") if isinstance(document, dict) else None
+    if not isinstance(owner, str) or owner in teams:
+        return []
+    return [FieldFault(field=f"{ENTRY}.owner", reason="no team of this name has a token here")]
+
+
+def _wrong_type() -> Problem:
+    return Problem(
+        status=415,
+        kind="wrong_content_type",
+        title="An entry is sent as JSON",
+        detail=f"content-type: expected {JSON_TYPE}",
+    )
+
+
+def _too_large(limit_bytes: int) -> Problem:
+    return Problem(
+        status=413,
+        kind="body_too_large",
+        title="The entry is too large",
+        detail=f"entry: at most {limit_bytes} bytes are read",
+        extra={"limit_bytes": limit_bytes},
+    )
+
+
+def _malformed(message: str) -> Problem:
+    return invalid_entry([FieldFault(field=ENTRY, reason=f"not JSON: {message}")])
--- /dev/null
+++ b/heatherkeel/admin/models.py
@@ -0,0 +1,66 @@
+"""What a handler is given, and what it gives back."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from result import Result
+
+from heatherkeel.entry.node import Node
+from heatherkeel.helpers.asgi import Request
+
+
+class Access(StrEnum):
+    """What a caller must show."""
+
+    OPEN = "open"
+    READ = "read"
+    """Any team's token; nothing where the port is bound to a loopback address."""
+    EDIT = "edit"
+    """A team's token; the fold checks that the team owns the entry."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Call:
+    """One request to the API; `team` is empty if the caller showed no token."""
+
+    node: Node
+    request: Request
+    team: str
+    params: Mapping[str, str]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """A successful answer; `value` is encoded as JSON, None sends no body."""
+
+    value: Any = None
+    status: int = 200
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FieldFault:
+    """One thing that is wrong with a request, and the path of the field at fault."""
+
+    field: str
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Problem:
+    """An error as the caller sees it (RFC 9457); `kind` names its type."""
+
+    status: int
+    kind: str
+    title: str
+    detail: str = ""
+    faults: tuple[FieldFault, ...] = ()
+    headers: Mapping[str, str] = field(default_factory=dict)
+    extra: Mapping[str, Any] = field(default_factory=dict)
+
+
+Reply = Result[Answer, Problem]
--- /dev/null
+++ b/heatherkeel/admin/status.py
@@ -0,0 +1,95 @@
+"""Handler of `/status`: what is in force here and at every entry instance."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import msgspec
+from result import Ok
+
+from heatherkeel.core.state import FleetState, digest
+from heatherkeel.helpers.clock import monotonic_ms
+
+from .models import Access, Answer, Call, Reply
+from .routes import route
+
+NO_POOL = "(spare)"
+"""Stands for the pool of instances that belong to none."""
+
+
+class EntryInstanceStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """What an entry instance reported with its last renewal; ages in log milliseconds."""
+
+    zone: str
+    offset_in_force: int
+    reported_age_ms: int
+    lease_lapsed: bool
+
+
+class PlatformStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Whether this entry instance hears the platform, and how old its configuration may be.
+
+    `heard_age_ms` counts from the last answer of the log; -1 before the first one.
+    """
+
+    reachable: bool
+    heard_age_ms: int
+
+
+class Status(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The fleet as this entry instance sees it."""
+
+    instance: str
+    zone: str
+    offset_in_force: int
+    platform: PlatformStatus
+    entry_instances: dict[str, EntryInstanceStatus]
+    pools: dict[str, dict[str, int]]
+    digest: str = ""
+
+
+@route("GET", "/status", access=Access.READ)
+async def async_get_status(call: Call) -> Reply:
+    """Show the status; with `digest=true` also the digest of the folded state.
+
+    The digest encodes the whole state, so it is made only when it is asked for.
+    """
+    node = call.node
+    fleet = node.state.fleet
+    status = Status(
+        instance=node.settings.instance.id,
+        zone=node.settings.instance.zone,
+        offset_in_force=fleet.next_offset - 1,
+        platform=_platform_status(call),
+        entry_instances=_entry_instances(fleet),
+        pools=_pools(fleet),
+        digest=digest(fleet) if call.request.query.get("digest") == "true" else "",
+    )
+    return Ok(Answer(value=status))
+
+
+def _platform_status(call: Call) -> PlatformStatus:
+    follower = call.node.follower
+    heard_at_ms = follower.heard_at_ms
+    age_ms = -1 if heard_at_ms is None else monotonic_ms() - heard_at_ms
+    return PlatformStatus(reachable=follower.reachable, heard_age_ms=age_ms)
+
+
+def _entry_instances(fleet: FleetState) -> dict[str, EntryInstanceStatus]:
+    return {
+        name: EntryInstanceStatus(
+            zone=entry.zone,
+            offset_in_force=entry.offset_in_force,
+            reported_age_ms=fleet.now_ms - (entry.lease_until_ms - entry.lease_ms),
+            lease_lapsed=entry.lease_until_ms < fleet.now_ms,
+        )
+        for name, entry in fleet.membership.entries.items()
+    }
+
+
+def _pools(fleet: FleetState) -> dict[str, dict[str, int]]:
+    """Count the instances of each pool by their status."""
+    counts: dict[str, Counter[str]] = {}
+    for instance in fleet.pools.instances.values():
+        counts.setdefault(instance.pool or NO_POOL, Counter())[instance.status] += 1
+    return {pool: dict(count) for pool, count in counts.items()}
--- a/heatherkeel/catalogue/models.py
+++ b/heatherkeel/catalogue/models.py
@@ -11,7 +11,7 @@
 
 from heatherkeel.core.models import Effect, RecordBody
 
-from .const import MAX_NAME_CHARS, NAME_PATTERN
+from .const import MAX_NAME_CHARS, NAME_PATTERN, PATH_PREFIX_PATTERN
 
 Name = Annotated[str, Meta(pattern=NAME_PATTERN, max_length=MAX_NAME_CHARS)]
 Count = Annotated[int, Meta(ge=0, le=1_000_000)]
@@ -65,7 +65,7 @@
     """A customer-facing service: requests under `path_prefix` go to the instances of `pool`."""
 
     pool: Name
-    path_prefix: Annotated[str, Meta(pattern="^/[^?#]*$", max_length=256)]
+    path_prefix: Annotated[str, Meta(pattern=PATH_PREFIX_PATTERN, max_length=256)]
     budget: Budget
     limits: RequestLimits = RequestLimits()
 
--- a/heatherkeel/catalogue/reducer.py
+++ b/heatherkeel/catalogue/reducer.py
@@ -25,7 +25,8 @@
     if len(_ENCODER.encode(body.entry)) > MAX_ENTRY_BYTES:
         return Err(Rejected(reason=RejectReason.MALFORMED, detail="entry is too large"))
     if body.expected_version == 0 and body.entry.owner != body.team:
-        return Err(Rejected(reason=RejectReason.NOT_OWNER, detail=body.entry.owner))
+        detail = f"entry.owner: a new entry belongs to its author's team {body.team}"
+        return Err(Rejected(reason=RejectReason.NOT_OWNER, detail=detail))
     refusal = refuse(find_faults(state, body.name, body.entry))
     if refusal is not None:
         return Err(refusal)
@@ -61,11 +62,13 @@
     stored = state.catalogue.entries.get(name)
     in_force = 0 if stored is None else stored.version
     if stored is None and expected > 0:
-        return Rejected(reason=RejectReason.NOT_FOUND, detail=name)
+        return Rejected(reason=RejectReason.NOT_FOUND, detail=f"name: no entry {name}")
     if expected != in_force:
-        return Rejected(reason=RejectReason.STALE_VERSION, detail=name, version=in_force)
+        detail = f"name: {name} has version {in_force}, the edit expected {expected}"
+        return Rejected(reason=RejectReason.STALE_VERSION, detail=detail, version=in_force)
     if stored is not None and stored.entry.owner != team:
-        return Rejected(reason=RejectReason.NOT_OWNER, detail=name, version=in_force)
+        detail = f"name: {name} belongs to {stored.entry.owner}"
+        return Rejected(reason=RejectReason.NOT_OWNER, detail=detail, version=in_force)
     return None
 
 
--- a/heatherkeel/core/envelopes.py
+++ b/heatherkeel/core/envelopes.py
@@ -32,10 +32,15 @@
         kind=KIND_OF_BODY[type(body)],
         author=author,
         not_after_ms=now_ms + lifetime_ms,
-        body=msgspec.Raw(_ENCODER.encode(body)),
+        body=msgspec.Raw(encode_body(body)),
     )
 
 
+def encode_body(body: RecordBody) -> bytes:
+    """Return the canonical bytes of a body; equal bodies give equal bytes."""
+    return _ENCODER.encode(body)
+
+
 def encode(envelope: Envelope) -> bytes:
     """Return the bytes that go into the log."""
     return _ENCODER.encode(envelope)
--- a/heatherkeel/entry/const.py
+++ b/heatherkeel/entry/const.py
@@ -25,5 +25,3 @@
 """Headers that concern one connection only (RFC 9110, section 7.6.1)."""
 
 DEFAULT_RETRY_AFTER_S: Final = 1
-ADMIN_WRITE_TIMEOUT_S: Final = 10.0
-MAX_ADMIN_BODY_BYTES: Final = 256 * 1024
--- a/heatherkeel/helpers/asgi.py
+++ b/heatherkeel/helpers/asgi.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Final
 from urllib.parse import parse_qs
@@ -67,14 +67,22 @@
         method=scope["method"],
         path=scope["path"],
         query={name: values[-1] for name, values in query.items()},
-        headers={
-            name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]
-        },
+        headers=_join_headers(scope["headers"]),
         raw_target=scope["raw_path"] + suffix,
         receive=receive,
     )
 
 
+def _join_headers(raw: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+    """Join lines of one name, as RFC 9110 (5.3) allows, so that none is lost."""
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in raw:
+        name, value = raw_name.decode("latin-1").lower(), raw_value.decode("latin-1")
+        separator = "; " if name == "cookie" else ", "
+        headers[name] = f"{headers[name]}{separator}{value}" if name in headers else value
+    return headers
+
+
 async def async_respond(
     send: Send,
     *,
--- a/heatherkeel/platform/follower.py
+++ b/heatherkeel/platform/follower.py
@@ -10,6 +10,7 @@
 from result import Err, Ok
 
 from heatherkeel.core.models import LogRecord
+from heatherkeel.helpers.clock import monotonic_ms
 
 from .client import PlatformClient
 from .errors import PlatformError, PlatformFailure
@@ -47,6 +48,8 @@
         self.take = take
         self.caught_up = trio.Event()
         self.reachable = False
+        self.heard_at_ms: int | None = None
+        """Monotonic time of the log's last answer."""
 
     def start(self, nursery: trio.Nursery) -> None:
         """Begin to follow the log in the background."""
@@ -69,6 +72,7 @@
 
     def _take_all(self, answer: ReadAnswer) -> None:
         self.reachable = True
+        self.heard_at_ms = monotonic_ms()
         self.clock.hear(answer.now_ms)
         for record in answer.records:
             self.take(LogRecord(offset=record.offset, at_ms=record.at_ms, data=record.data))
