Tell every fault of the settings at once, and every wrong command line in one line

Rules over several keys are registered with the key paths that they read and run on what is sound. The address patterns refuse octets over 255, ports over 65535 and a final line break, which `$` lets through.

Ruled out: pydantic (collects faults, 9 MB); a parallel hand-written check of each key (logic twice).

Safeguards switched off once: end guard of the patterns (fails test_what_is_no_address_is_refused), the walk (fails test_every_fault_is_found_in_one_go), renewals per lease (fails test_single_and_cross_field_faults_come_together).

--- a/heatherkeel/cli/entry.py
+++ b/heatherkeel/cli/entry.py
@@ -2,30 +2,39 @@
 
 from __future__ import annotations
 
-import tomllib
-from pathlib import Path
+import sys
 
-import msgspec
-import trio
 from absl import flags
 
-from heatherkeel.helpers.logs import set_up_logs
-from heatherkeel.settings.models import EntrySettings
-
+from .check import define_settings
+from .const import EXIT_OK, EXIT_USAGE
 from .registry import command
 
 
-def _define(values: flags.FlagValues) -> None:
-    flags.DEFINE_string("settings", None, "Settings file (TOML).", flag_values=values)
+@command(
+    "entry",
+    help="Run one entry process.",
+    usage="--settings=FILE",
+    define=define_settings,
+    required=("settings",),
+)
+def run_entry(values: flags.FlagValues, args: list[str]) -> int:
+    """Run one entry process until it is told to stop; opens no port on faulty settings."""
+    from result import Err
 
+    from heatherkeel.settings.loader import load_settings
+
+    loaded = load_settings(values.settings)
+    if isinstance(loaded, Err):
+        print(*loaded.err_value.lines(), sep="\n", file=sys.stderr)
+        return EXIT_USAGE
+
+    import trio
 
-@command("entry", help="Run one entry process.", usage="--settings=FILE", define=_define)
-def run_entry(values: flags.FlagValues, args: list[str]) -> int:
-    """Run one entry process until it is told to stop."""
     from heatherkeel.entry.process import async_run_entry
+    from heatherkeel.helpers.logs import set_up_logs
 
-    text = Path(values.settings).read_text(encoding="utf-8")
-    settings = msgspec.convert(tomllib.loads(text), EntrySettings)
+    settings = loaded.ok_value
     set_up_logs(instance=settings.instance.id, zone=settings.instance.zone)
     trio.run(async_run_entry, settings)
-    return 0
+    return EXIT_OK
--- a/heatherkeel/cli/main.py
+++ b/heatherkeel/cli/main.py
@@ -2,43 +2,91 @@
 
 from __future__ import annotations
 
+import logging
 import sys
-from typing import Final
 
 from absl import flags
 
-from . import entry, standin  # noqa: F401
+from . import (
+    check,  # noqa: F401
+    entry,  # noqa: F401
+    standin,  # noqa: F401
+    version,  # noqa: F401
+)
+from .const import EXIT_FAILED, EXIT_OK, EXIT_USAGE
 from .registry import COMMANDS, Command
 
-EXIT_USAGE: Final = 2
+_LOGGER = logging.getLogger(__name__)
+_HELP_WORDS = ("--help", "-h", "help")
 
 
 def main(argv: list[str]) -> int:
     """Run `heatherkeel` with its arguments and return the exit status."""
-    if not argv or argv[0] in ("--help", "help"):
+    if not argv:
+        print(_overview(), file=sys.stderr)
+        return EXIT_USAGE
+    if argv[0] in _HELP_WORDS:
         print(_overview())
-        return 0 if argv else EXIT_USAGE
+        return EXIT_OK
     found = COMMANDS.get(argv[0])
     if found is None:
-        print(f"heatherkeel: unknown subcommand {argv[0]!r}; see --help", file=sys.stderr)
+        kind = "flag" if argv[0].startswith("-") else "subcommand"
+        print(f"heatherkeel: unknown {kind} {argv[0]!r}; see heatherkeel --help", file=sys.stderr)
         return EXIT_USAGE
-    return _run(found, argv[1:])
+    return _parse_and_run(found, argv[1:])
 
 
-def _run(found: Command, argv: list[str]) -> int:
+def _parse_and_run(found: Command, argv: list[str]) -> int:
     values = flags.FlagValues()  # type: ignore[no-untyped-call]
-    flags.DEFINE_bool("help", False, "Show this help.", flag_values=values)
+    values.set_gnu_getopt(True)
+    flags.DEFINE_bool("help", False, "Show this help.", short_name="h", flag_values=values)
     found.define(values)
     try:
-        args = values([found.name, *argv])[1:]
+        args = list(values([found.name, *argv])[1:])
     except flags.Error as err:
-        print(f"heatherkeel {found.name}: {err}", file=sys.stderr)
-        return EXIT_USAGE
+        return _refuse(found, str(err))
     if values.help:
         print(f"usage: heatherkeel {found.name} {found.usage}\n\n{found.help}\n")
-        print(values.main_module_help() or values.get_help())
-        return 0
-    return found.run(values, list(args))
+        print(values.get_help())
+        return EXIT_OK
+    fault = found.find_fault(values, args)
+    if fault is not None:
+        return _refuse(found, fault)
+    return _run(found, values, args)
+
+
+def _refuse(found: Command, fault: str) -> int:
+    line = " ".join(fault.split())
+    print(f"heatherkeel {found.name}: {line}; see heatherkeel {found.name} --help", file=sys.stderr)
+    return EXIT_USAGE
+
+
+def _run(found: Command, values: flags.FlagValues, args: list[str]) -> int:
+    try:
+        return found.run(values, args)
+    except OSError as err:
+        return _fail(found, err)
+    except BaseExceptionGroup as group:
+        # The loop wraps what its tasks raise; anything but system errors is a broken invariant
+        # and keeps its traceback.
+        errors, others = group.split(OSError)
+        if errors is None or others is not None:
+            raise
+        return _fail(found, _first(errors))
+
+
+def _first(group: BaseExceptionGroup[OSError]) -> OSError:
+    first = group.exceptions[0]
+    return _first(first) if isinstance(first, BaseExceptionGroup) else first
+
+
+def _fail(found: Command, error: OSError) -> int:
+    """Say in one line what the system refused: in the log if it is set up, else plainly."""
+    if logging.getLogger().handlers:
+        _LOGGER.error("%s", error, extra={"event": "system_error", "command": found.name})
+    else:
+        print(f"heatherkeel {found.name}: {error}", file=sys.stderr)
+    return EXIT_FAILED
 
 
 def _overview() -> str:
--- a/heatherkeel/settings/models.py
+++ b/heatherkeel/settings/models.py
@@ -7,8 +7,33 @@
 import msgspec
 from msgspec import Meta
 
-HostPort = Annotated[str, Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
-ShortName = Annotated[str, Meta(pattern=r"^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$", max_length=64)]
+from heatherkeel.helpers.faults import SECRET
+
+from .const import ADDRESS_PATTERN, BIND_PATTERN, SHORT_NAME_PATTERN
+
+BindAddress = Annotated[
+    str,
+    Meta(
+        pattern=BIND_PATTERN,
+        description="an IP number and a port, 0 for any, such as 127.0.0.1:8080",
+    ),
+]
+HostPort = Annotated[
+    str,
+    Meta(
+        pattern=ADDRESS_PATTERN,
+        description="an IP number and a port from 1 to 65535, such as 10.0.0.1:8080",
+    ),
+]
+ShortName = Annotated[
+    str,
+    Meta(
+        pattern=SHORT_NAME_PATTERN,
+        max_length=64,
+        description="up to 64 lower-case letters, digits, '.', '_' or '-', with a letter or "
+        "digit at both ends",
+    ),
+]
 Milliseconds = Annotated[int, Meta(ge=1, le=3_600_000)]
 
 
@@ -23,7 +48,7 @@
 class ListenSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Where a port is opened; port 0 lets the system choose."""
 
-    bind: HostPort = "127.0.0.1:0"
+    bind: BindAddress = "127.0.0.1:0"
 
 
 class PlatformSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -47,7 +72,7 @@
 class TeamSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """The token with which a team's operators sign their edits."""
 
-    token: Annotated[str, Meta(min_length=8, max_length=256)]
+    token: Annotated[str, Meta(min_length=8, max_length=256, extra=dict(SECRET))]
 
 
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/heatherkeel/settings/rules.py
@@ -0,0 +1,145 @@
+"""Rules that concern several keys, in a registry that the loader runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any, Final, TypeVar, get_args, get_origin
+
+import msgspec
+from msgspec.structs import FieldInfo
+from result import Err, Ok, Result
+
+from heatherkeel.helpers.faults import (
+    Fault,
+    Path,
+    fields_by_key,
+    is_struct,
+    pick_member,
+    split_hint,
+)
+
+from .const import MIN_RENEWALS_PER_LEASE
+from .models import TeamSettings
+
+Check = Callable[..., Iterator[Fault]]
+CheckT = TypeVar("CheckT", bound=Check)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Rule:
+    """A check of the values at `reads`; it runs when none of these has a fault of its own."""
+
+    reads: tuple[Path, ...]
+    check: Check
+
+
+RULES: Final[list[Rule]] = []
+
+
+def rule(*reads: str) -> Callable[[CheckT], CheckT]:
+    """Register a rule that is called with the values at these key paths."""
+
+    def register(check: CheckT) -> CheckT:
+        paths = tuple(tuple(read.split(".")) for read in reads)
+        RULES.append(Rule(reads=paths, check=check))
+        return check
+
+    return register
+
+
+def run_rules(document: dict[str, Any], model: Any) -> list[Fault]:
+    """Return what the rules find; a rule that reads a faulty value is passed over."""
+    found: list[Fault] = []
+    for item in RULES:
+        values = [_value_at(document, model, read) for read in item.reads]
+        sound = [value.ok_value for value in values if isinstance(value, Ok)]
+        if len(sound) == len(values):
+            found += item.check(*sound)
+    return found
+
+
+def _value_at(raw: Any, hint: Any, path: Path) -> Result[Any, str]:
+    """Decode the value at a path, or give the model's default where the file says nothing."""
+    if not path:
+        return _decode(raw, hint)
+    model = pick_member(raw, split_hint(hint)[0])
+    if not is_struct(model) or not isinstance(raw, dict):
+        return Err("no section")
+    key = str(path[0])
+    field = fields_by_key(model)[key]
+    if key in raw:
+        return _value_at(raw[key], field.type, path[1:])
+    if field.required:
+        return Err("missing")
+    return Ok(_default_at(field, path[1:]))
+
+
+def _default_at(field: FieldInfo, path: Path) -> Any:
+    value = field.default if field.default is not msgspec.NODEFAULT else field.default_factory()
+    for key in path:
+        if value is None:
+            return None
+        value = getattr(value, str(key))
+    return value
+
+
+def _decode(raw: Any, hint: Any) -> Result[Any, str]:
+    """Decode a value; of a map only the items that are sound, so that the others are checked."""
+    bare, _ = split_hint(hint)
+    if get_origin(bare) is dict and isinstance(raw, dict):
+        item_hint = get_args(bare)[1]
+        items = {key: _decode(item, item_hint) for key, item in raw.items()}
+        return Ok({key: item.ok_value for key, item in items.items() if isinstance(item, Ok)})
+    try:
+        return Ok(msgspec.convert(raw, hint))
+    except msgspec.ValidationError as err:
+        return Err(str(err))
+
+
+@rule("instance.zone", "instance.zones")
+def check_zone_is_listed(zone: str, zones: list[str]) -> Iterator[Fault]:
+    """Find an own availability zone that is none of all."""
+    if zone not in zones:
+        listed = ", ".join(zones)
+        yield Fault(
+            path=("instance", "zone"), reason=f"{zone!r} is not in instance.zones ({listed})"
+        )
+
+
+@rule("instance.zones")
+def check_zones_differ(zones: list[str]) -> Iterator[Fault]:
+    """Find availability zones that stand twice."""
+    for index, zone in enumerate(zones):
+        if zone in zones[:index]:
+            yield Fault(path=("instance", "zones", index), reason=f"{zone!r} stands twice")
+
+
+@rule("routing.lease_ms", "routing.renew_interval_ms")
+def check_lease_outlives_renewals(lease_ms: int, renew_interval_ms: int) -> Iterator[Fault]:
+    """Find a lease that one lost renewal would end."""
+    if renew_interval_ms * MIN_RENEWALS_PER_LEASE > lease_ms:
+        yield Fault(
+            path=("routing", "renew_interval_ms"),
+            reason=f"{renew_interval_ms} is more than half of routing.lease_ms ({lease_ms})",
+        )
+
+
+@rule("teams")
+def check_tokens_differ(teams: dict[str, TeamSettings]) -> Iterator[Fault]:
+    """Find a token of two teams: the first would own what the second edits."""
+    first_with: dict[str, str] = {}
+    for name, team in teams.items():
+        other = first_with.setdefault(team.token, name)
+        if other != name:
+            yield Fault(path=("teams", name, "token"), reason=f"the same token as team {other!r}")
+
+
+@rule("http.bind", "admin.bind", "peers.bind")
+def check_ports_differ(http: str, admin: str, peers: str) -> Iterator[Fault]:
+    """Find a port of two servers; port 0 is another one each time."""
+    first_with: dict[str, str] = {}
+    for section, bind in (("http", http), ("admin", admin), ("peers", peers)):
+        other = first_with.setdefault(bind, section)
+        if other != section and not bind.endswith(":0"):
+            yield Fault(path=(section, "bind"), reason=f"{bind} is already used by {other}.bind")
