--- a/heatherkeel/helpers/faults.py
+++ b/heatherkeel/helpers/faults.py
@@ -23,7 +23,8 @@
 """`Meta(extra=SECRET)` keeps a value out of messages, and so out of terminals and logs."""
 
 _BARE_KEY: Final = re.compile(r"[A-Za-z0-9_-]+\Z")
-_MESSAGE_PATH: Final = re.compile(r" - at `[^`]*`\Z")
+_MESSAGE_PATH: Final = re.compile(r" - at `\$(?P<path>[^`]*)`\Z")
+_PATH_PART: Final = re.compile(r"\.([A-Za-z0-9_-]+)|\[(\d+)\]")
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -162,18 +163,29 @@
     try:
         msgspec.convert(value, hint)
     except msgspec.ValidationError as err:
-        yield Fault(path=path, reason=_reason(value, hint, str(err)))
+        message = str(err)
+        found = _MESSAGE_PATH.search(message)
+        if found is None:
+            yield Fault(path=path, reason=_reason(value, hint, message))
+            return
+        deeper = _PATH_PART.findall(found.group("path"))
+        inside = tuple(key or int(index) for key, index in deeper)
+        yield Fault(path=path + inside, reason=_lower_first(message[: found.start()]))
+
+
+def _lower_first(text: str) -> str:
+    text = text.replace("`", "")
+    return text[:1].lower() + text[1:]
 
 
 def _reason(value: object, hint: Any, message: str) -> str:
     bare, metas = split_hint(hint)
-    text = _MESSAGE_PATH.sub("", message).replace("`", "")
+    text = _lower_first(message)
     described = [meta.description for meta in metas if meta.description]
     # A constraint's own description says more to an operator than its pattern or bounds, but
     # a value of another type is best told as such.
     if described and " got " not in text:
         text = f"expected {described[0]}"
-    text = text[:1].lower() + text[1:]
     secret = any((meta.extra or {}).get("secret") for meta in metas)
     if secret or " got " in text or is_struct(bare):
         return text
