--- a/tests/requests/fleet.py
+++ b/tests/requests/fleet.py
@@ -8,6 +8,7 @@
 import heatherkeel.subjects  # noqa: F401
 from heatherkeel.catalogue.models import (
     Budget,
+    CatalogueEntry,
     EntryPut,
     PoolEntry,
     RequestLimits,
@@ -71,7 +72,12 @@
             budget=Budget(min_serving=min_serving),
             limits=limits or RequestLimits(),
         )
-        body = EntryPut(name=name, expected_version=version, team=owner, entry=entry)
+        if not self.records:
+            self._put_entry("desk", PoolEntry(owner=owner, size=100), version=0)
+        self._put_entry(name, entry, version=version)
+
+    def _put_entry(self, name: str, entry: CatalogueEntry, *, version: int) -> None:
+        body = EntryPut(name=name, expected_version=version, team=entry.owner, entry=entry)
         self.append(body, author="operator")
 
     def admit(self, count: int) -> None:
