--- /dev/null
+++ b/heatherkeel/requests/arrival.py
@@ -0,0 +1,99 @@
+"""Takes a request from its arrival to its first send, its place in a queue, or its refusal."""
+
+from __future__ import annotations
+
+from heatherkeel.core.models import Effect
+from heatherkeel.core.node import NodeState, listens
+
+from .claims import answer_repeat
+from .const import MAX_KEYED_DEADLINE_MS
+from .effects import Queued
+from .events import CallerGone, RequestArrived
+from .local import ActiveRequest, RequestPhase
+from .queues import check_room, enqueue, forget, retry_after_ms
+from .reasons import RefusalReason
+from .retries import earn
+from .routing import pick
+from .sending import begin, lease_forbids, not_run
+from .targets import find_service
+
+
+@listens(RequestArrived)
+def on_request_arrived(node: NodeState, event: RequestArrived) -> list[Effect]:
+    """Send a request at once, let it wait for a slot, or refuse it."""
+    service = find_service(node.local.routing, event.path)
+    if service is None:
+        return [not_run(event.request_id, RefusalReason.NO_SERVICE, 0)]
+    request = _make_request(node, event, service)
+    answer = _answer_at_once(node, event.request_id, request, event.now_ms)
+    if answer is not None:
+        return [answer]
+    earn(node, service)
+    node.local.routing.requests[event.request_id] = request
+    # Nobody overtakes those who wait already.
+    waiting = node.local.routing.pools[request.pool].waiting
+    target = None if waiting else pick(node, request, event.now_ms)
+    if target is not None:
+        return [begin(node, event.request_id, request, target, event.now_ms)]
+    return [_wait(node, event.request_id, request, event.now_ms)]
+
+
+def _make_request(node: NodeState, event: RequestArrived, service: str) -> ActiveRequest:
+    entry = node.local.routing.services[service]
+    # Whatever may be sent twice needs no claim, so its key is of no use.
+    key = "" if event.idempotent else event.key
+    longest_ms = entry.limits.deadline_ms
+    if key:
+        longest_ms = min(longest_ms, MAX_KEYED_DEADLINE_MS)
+    given_ms = min(event.deadline_ms, longest_ms) if event.deadline_ms > 0 else longest_ms
+    return ActiveRequest(
+        service=service,
+        pool=entry.pool,
+        owner=entry.owner,
+        service_class=entry.service_class,
+        idempotent=event.idempotent,
+        key=key,
+        fingerprint=event.fingerprint,
+        deadline_at_ms=event.now_ms + given_ms,
+    )
+
+
+def _answer_at_once(
+    node: NodeState, request_id: str, request: ActiveRequest, now_ms: int
+) -> Effect | None:
+    """Return the final answer to a request that can't run, or whose key already did."""
+    if request.key:
+        repeat = answer_repeat(node, request_id, request)
+        if repeat is not None:
+            return repeat
+    if lease_forbids(node, request, now_ms):
+        return not_run(request_id, RefusalReason.LEASE_LAPSED)
+    pool = node.local.routing.pools.get(request.pool)
+    if pool is None or not any(pool.candidates.values()):
+        return not_run(request_id, RefusalReason.NO_TARGET)
+    return None
+
+
+def _wait(node: NodeState, request_id: str, request: ActiveRequest, now_ms: int) -> Effect:
+    routing = node.local.routing
+    reason = check_room(routing, request, now_ms)
+    if reason is not None:
+        del routing.requests[request_id]
+        return not_run(request_id, reason, retry_after_ms(routing.pools[request.pool]))
+    enqueue(routing, request_id, request)
+    return Queued(request_id=request_id)
+
+
+@listens(CallerGone)
+def on_caller_gone(node: NodeState, event: CallerGone) -> list[Effect]:
+    """Forget a request that waits for nobody; a claim on its way is withdrawn when it is read."""
+    request = node.local.routing.requests.get(event.request_id)
+    if request is None:
+        return []
+    if request.phase is RequestPhase.CLAIMING:
+        request.abandoned = True
+    if request.phase is not RequestPhase.QUEUED:
+        return []
+    forget(node.local.routing, request)
+    del node.local.routing.requests[event.request_id]
+    return [not_run(event.request_id, RefusalReason.CALLER_GONE, 0)]
--- /dev/null
+++ b/heatherkeel/requests/claims.py
@@ -0,0 +1,166 @@
+"""Claims as one entry instance sees them: repeats of a key, and claims on their way."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from heatherkeel.core.models import Effect, Rejected, RejectReason, Settled
+from heatherkeel.core.node import NodeState, listens
+
+from .const import KEY_IN_PROGRESS_RETRY_AFTER_MS
+from .effects import ClaimRead, Refuse, Replay, WriteOutcome
+from .events import ClaimDecided, ClaimWriteFailed
+from .local import ActiveRequest, RequestPhase
+from .models import Claim, ClaimChanged, ClaimOutcome, ClaimStatus, RecordedAnswer
+from .reasons import Outcome, RefusalReason
+from .reducer import claimant_may_answer, find_claim
+from .routing import is_candidate, pick
+from .sending import free_slot, not_run, send, take_slot, why_too_late
+from .waiting import serve_waiting
+
+REFUSAL_OF_CLAIM: Final = {
+    RejectReason.CONFLICT: RefusalReason.KEY_CONFLICT,
+    RejectReason.NOT_FOUND: RefusalReason.LEASE_LAPSED,
+    RejectReason.WRONG_STATE: RefusalReason.LEASE_LAPSED,
+    RejectReason.QUOTA: RefusalReason.TOO_MANY_CLAIMS,
+}
+"""What a refused claim tells the caller, if the key is not held by another request."""
+
+
+def answer_repeat(node: NodeState, request_id: str, request: ActiveRequest) -> Effect | None:
+    """Return the answer to a request whose key the log knows already, or none if it may run."""
+    held = find_claim(node.fleet, request.service, request.key)
+    if held is None:
+        return None
+    if held.fingerprint != request.fingerprint:
+        return not_run(request_id, RefusalReason.KEY_CONFLICT, 0)
+    if held.status is ClaimStatus.NOT_RUN:
+        return None
+    if held.status is ClaimStatus.RAN and held.answer is not None:
+        return _replay(request_id, held.answer)
+    return _still_open(node, request_id, held)
+
+
+def _replay(request_id: str, answer: RecordedAnswer) -> Effect:
+    if answer.body or not answer.body_bytes:
+        return Replay(request_id=request_id, answer=answer)
+    reason = RefusalReason.KEY_ANSWER_NOT_KEPT
+    return Refuse(request_id=request_id, outcome=Outcome.RAN, reason=reason)
+
+
+def _still_open(node: NodeState, request_id: str, held: Claim) -> Refuse:
+    """Say *in progress* while the claimant can still answer, and *unknown* for good after it."""
+    if held.status is ClaimStatus.CLAIMED and claimant_may_answer(node.fleet, held):
+        return Refuse(
+            request_id=request_id,
+            outcome=Outcome.UNKNOWN,
+            reason=RefusalReason.KEY_IN_PROGRESS,
+            retry_after_ms=KEY_IN_PROGRESS_RETRY_AFTER_MS,
+        )
+    reason = RefusalReason.KEY_OUTCOME_UNKNOWN
+    return Refuse(request_id=request_id, outcome=Outcome.UNKNOWN, reason=reason)
+
+
+@listens(Settled)
+def on_settled(node: NodeState, effect: Settled) -> list[Effect]:
+    """Hear how an own claim was decided."""
+    request_id = node.local.routing.claims.pop(effect.record_id, None)
+    if request_id is None:
+        return []
+    refusal = effect.outcome.reason if isinstance(effect.outcome, Rejected) else None
+    return [ClaimRead(request_id=request_id, refusal=refusal)]
+
+
+@listens(ClaimChanged)
+def on_claim_changed(node: NodeState, effect: ClaimChanged) -> list[Effect]:
+    """Withdraw an own claim that nobody waits for any more.
+
+    Failure: the platform was slow, the caller was told *not run*, and the claim comes into the
+    log after that. Symptom: the caller's repeat is told *in progress* for nothing, then *unknown*.
+    Enough because whoever finds its own claim won too late says that it did not run.
+    """
+    own = effect.claim.startswith(f"{node.local.incarnation}-")
+    if not own or effect.status is not ClaimStatus.CLAIMED:
+        return []
+    request_id = effect.claim.removeprefix(f"{node.local.incarnation}-")
+    if request_id in node.local.routing.requests:
+        return []
+    return [_outcome(effect.service, effect.key, effect.claim, ClaimStatus.NOT_RUN)]
+
+
+@listens(ClaimDecided)
+def on_claim_decided(node: NodeState, event: ClaimDecided) -> list[Effect]:
+    """Send a request that won its key, if it may still be sent; answer one that lost it."""
+    request = node.local.routing.requests.get(event.request_id)
+    if request is None or request.phase is not RequestPhase.CLAIMING:
+        return []
+    if event.refusal is not None:
+        answer = _lost(node, event.request_id, request, event.refusal)
+        return _end(node, event.request_id, answer, event.now_ms)
+    reason = _why_not_sent(node, request, event.now_ms)
+    if reason is None:
+        return [send(node, event.request_id, request, event.now_ms)]
+    effects = outcome_of(request, ClaimStatus.NOT_RUN)
+    return effects + _end(node, event.request_id, not_run(event.request_id, reason), event.now_ms)
+
+
+def _lost(
+    node: NodeState, request_id: str, request: ActiveRequest, refusal: RejectReason
+) -> Effect:
+    if refusal is RejectReason.ALREADY_EXISTS:
+        repeat = answer_repeat(node, request_id, request)
+        if repeat is not None:
+            return repeat
+    reason = REFUSAL_OF_CLAIM.get(refusal, RefusalReason.CLAIM_NOT_WRITTEN)
+    return not_run(request_id, reason)
+
+
+def _why_not_sent(node: NodeState, request: ActiveRequest, now_ms: int) -> RefusalReason | None:
+    """Return why a won claim is not followed by a send; time has passed since it was written."""
+    if request.abandoned:
+        return RefusalReason.CALLER_GONE
+    too_late = why_too_late(node, request, now_ms)
+    if too_late is not None:
+        return too_late
+    routing = node.local.routing
+    if is_candidate(routing, request.target, routing.targets[request.target]):
+        return None
+    other = pick(node, request, now_ms)
+    if other is None:
+        return RefusalReason.NO_TARGET
+    free_slot(node, request)
+    take_slot(node, request, other)
+    return None
+
+
+@listens(ClaimWriteFailed)
+def on_claim_write_failed(node: NodeState, event: ClaimWriteFailed) -> list[Effect]:
+    """Refuse a request whose claim could not be written: nothing was sent, and nothing will be."""
+    request = node.local.routing.requests.get(event.request_id)
+    if request is None or request.phase is not RequestPhase.CLAIMING:
+        return []
+    node.local.routing.claims.pop(request.claim, None)
+    answer = not_run(event.request_id, RefusalReason.CLAIM_NOT_WRITTEN)
+    return _end(node, event.request_id, answer, event.now_ms)
+
+
+def _end(node: NodeState, request_id: str, answer: Effect, now_ms: int) -> list[Effect]:
+    request = node.local.routing.requests.pop(request_id)
+    free_slot(node, request)
+    return [answer, *serve_waiting(node, request.pool, request.target, now_ms)]
+
+
+def outcome_of(
+    request: ActiveRequest, status: ClaimStatus, answer: RecordedAnswer | None = None
+) -> list[Effect]:
+    """Return the record of how a claimed request ended; none for a request without a claim."""
+    if not request.claim:
+        return []
+    return [_outcome(request.service, request.key, request.claim, status, answer)]
+
+
+def _outcome(
+    service: str, key: str, claim: str, status: ClaimStatus, answer: RecordedAnswer | None = None
+) -> WriteOutcome:
+    body = ClaimOutcome(service=service, key=key, claim=claim, status=status, answer=answer)
+    return WriteOutcome(record_id=f"{claim}-outcome", body=body)
--- a/heatherkeel/requests/const.py
+++ b/heatherkeel/requests/const.py
@@ -57,3 +57,32 @@
 
 SPILL_PERCENT: Final = 25
 """Part of a target's slots that entry instances of other availability zones share."""
+
+KEY_RETENTION_MS: Final = 30 * 60 * 1000
+"""How long a key is remembered after its last record, in log milliseconds.
+
+Longer than any record stays appendable (`MAX_RECORD_LIFETIME_MS`), so no late copy of a claim
+finds its key forgotten. Claims are part of the folded state and so of its snapshots: they don't
+depend on how long the log keeps records.
+"""
+
+MAX_KEYED_DEADLINE_MS: Final = 10 * 60 * 1000
+"""Longest deadline of a request with a key, well inside of `KEY_RETENTION_MS`."""
+
+MAX_CLAIMS: Final = 20_000
+"""Most keys remembered at a time; with `KEY_RETENTION_MS` about 11 new ones a second for long."""
+
+CLAIM_PURGE_INTERVAL_MS: Final = 10 * 1000
+"""How often, in log milliseconds, forgotten keys are taken out of the state."""
+
+MAX_KEY_CHARS: Final = 128
+"""Longest `Idempotency-Key`, in characters."""
+
+MAX_KEPT_ANSWER_CHARS: Final = 4_096
+"""Largest recorded answer body, in characters of base64; of a larger one the digest is kept."""
+
+MAX_KEPT_TOTAL_CHARS: Final = 8 * 1024 * 1024
+"""Most characters of answer bodies kept at a time; past it digests alone are kept."""
+
+KEY_IN_PROGRESS_RETRY_AFTER_MS: Final = 1_000
+"""When a repeat should ask again while the first request is in progress."""
--- a/heatherkeel/requests/effects.py
+++ b/heatherkeel/requests/effects.py
@@ -4,8 +4,9 @@
 
 from dataclasses import dataclass
 
-from heatherkeel.core.models import Effect
+from heatherkeel.core.models import Effect, RejectReason
 
+from .models import ClaimOutcome, KeyClaim, RecordedAnswer
 from .reasons import NoRetryReason, Outcome, RefusalReason, RetryReason
 
 
@@ -50,6 +51,46 @@
     retry_after_ms: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WriteClaim(Effect):
+    """Append a claim under `record_id`; report `ClaimWriteFailed` if it isn't read back in time.
+
+    Its decision comes as `ClaimRead`.
+    """
+
+    request_id: str
+    record_id: str
+    body: KeyClaim
+    timeout_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClaimRead(Effect):
+    """A claim was read back from the log; `ClaimDecided` has to follow at once.
+
+    The detour brings in the clock: the process may have been paused since it wrote the claim.
+    """
+
+    request_id: str
+    refusal: RejectReason | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WriteOutcome(Effect):
+    """Append the outcome of a claimed request under `record_id`; the caller doesn't wait for it."""
+
+    record_id: str
+    body: ClaimOutcome
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Replay(Effect):
+    """Give the caller the recorded answer of the first request with its key, as *ran*."""
+
+    request_id: str
+    answer: RecordedAnswer
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AbortAnswer(Effect):
     """Break the caller's connection: a part of the answer went out and the rest won't come."""
--- a/heatherkeel/requests/events.py
+++ b/heatherkeel/requests/events.py
@@ -5,8 +5,11 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from heatherkeel.core.models import RejectReason
 from heatherkeel.core.node import LocalEvent
 
+from .models import RecordedAnswer
+
 
 class AttemptResult(StrEnum):
     """How one send to a target ended."""
@@ -61,11 +64,32 @@
     result: AttemptResult
     latency_ms: int
     server_error: bool = False
+    answer: RecordedAnswer | None = None
+    """What to record of a whole answer; needed for requests with a key."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClaimDecided(LocalEvent):
+    """The answer to `ClaimRead`: takes the claim's decision on, at the time that it is now."""
+
+    request_id: str
+    refusal: RejectReason | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClaimWriteFailed(LocalEvent):
+    """A claim was not read back in time; it may or may not be in the log."""
+
+    request_id: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallerGone(LocalEvent):
-    """The caller hung up before its request was sent; after that it is an `AttemptEnded`."""
+    """The caller hung up before its request was sent; after that it is an `AttemptEnded`.
+
+    A request with a key that was sent goes on without its caller, so that a repeat finds its
+    outcome.
+    """
 
     request_id: str
 
--- a/heatherkeel/requests/local.py
+++ b/heatherkeel/requests/local.py
@@ -47,6 +47,8 @@
     """Where a request stands."""
 
     QUEUED = "queued"
+    CLAIMING = "claiming"
+    """It holds a slot and waits for its claim to be read back."""
     SENT = "sent"
 
 
@@ -67,6 +69,10 @@
     tried: tuple[str, ...] = ()
     may_have_run: bool = False
     """An attempt ended after something was sent, so *not run* can't be said any more."""
+    claim: str = ""
+    """Id of its claim record; empty if it needs none or has none yet."""
+    abandoned: bool = False
+    """Its caller hung up while its claim was on the way."""
 
 
 @dataclass(kw_only=True)
@@ -146,6 +152,8 @@
     prefixes: dict[str, str] = field(default_factory=dict)
     """Service names by path prefix."""
     requests: dict[str, ActiveRequest] = field(default_factory=dict)
+    claims: dict[str, str] = field(default_factory=dict)
+    """Requests that wait for their claim, by the id of the claim record."""
     waiting: dict[str, int] = field(default_factory=dict)
     """Queued requests by service."""
     deadlines: list[tuple[int, str]] = field(default_factory=list)
--- a/heatherkeel/requests/models.py
+++ b/heatherkeel/requests/models.py
@@ -1,10 +1,109 @@
-"""Records of this subject, and its folded state."""
+"""Records of claims, which let a key run at most once, and the subject's folded state."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from heatherkeel.catalogue.models import Name
+from heatherkeel.core.models import Effect, RecordBody
+from heatherkeel.membership.models import EntryInstanceId
+
+from .const import MAX_KEPT_ANSWER_CHARS, MAX_KEY_CHARS
+
+CallerKey = Annotated[str, Meta(min_length=1, max_length=MAX_KEY_CHARS)]
+Digest = Annotated[str, Meta(min_length=1, max_length=64)]
+"""SHA-256 in hexadecimal."""
+
+
+class ClaimStatus(StrEnum):
+    """What the log knows of a claimed request."""
+
+    CLAIMED = "claimed"
+    """No outcome yet: in progress while the claimant holds its lease, unknown after that."""
+    RAN = "ran"
+    NOT_RUN = "not_run"
+    """The claimant says that it ran nowhere; the key may be claimed again."""
+    UNKNOWN = "unknown"
+
+
+class RecordedAnswer(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A target's answer as far as it is kept; `body` is base64, empty if only the digest is."""
+
+    http_status: Annotated[int, Meta(ge=100, le=599)]
+    content_type: Annotated[str, Meta(max_length=128)] = ""
+    body: Annotated[str, Meta(max_length=MAX_KEPT_ANSWER_CHARS)] = ""
+    body_sha256: Digest
+    body_bytes: Annotated[int, Meta(ge=0)] = 0
+
+
+class KeyClaim(RecordBody, frozen=True, kw_only=True):
+    """An entry instance asks to be the one that sends the request with this key.
+
+    `fingerprint` is a digest of method, path and body: a key names one request only.
+    """
+
+    service: Name
+    key: CallerKey
+    fingerprint: Digest
+    instance: EntryInstanceId
+    incarnation: str
+
+
+class ClaimOutcome(RecordBody, frozen=True, kw_only=True):
+    """The claimant says how the request ended; `claim` is the id of its claim record."""
+
+    service: Name
+    key: CallerKey
+    claim: str
+    status: ClaimStatus
+    answer: RecordedAnswer | None = None
+
+
+@dataclass(kw_only=True)
+class Claim:
+    """One key as claimed last; `attempt` counts its claims, all but the last ended *not run*.
+
+    Times in log milliseconds.
+    """
+
+    claim: str
+    fingerprint: str
+    instance: str
+    incarnation: str
+    changed_ms: int
+    offset: int
+    attempt: int = 1
+    not_run_attempts: int = 0
+    status: ClaimStatus = ClaimStatus.CLAIMED
+    answer: RecordedAnswer | None = None
 
 
 @dataclass(kw_only=True)
 class ClaimsState:
-    """What the log has decided about this subject."""
+    """Claims by service and caller's key, joined by a slash."""
+
+    claims: dict[str, Claim] = field(default_factory=dict)
+    purged_ms: int = 0
+    kept_chars: int = 0
+    """Characters of answer bodies that are kept."""
+
+
+def claim_name(service: str, key: str) -> str:
+    """Return the name of a claim; service names hold no slash."""
+    return f"{service}/{key}"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClaimChanged(Effect):
+    """A key was claimed, or got its outcome."""
+
+    service: str
+    key: str
+    claim: str
+    status: ClaimStatus
+    offset: int
--- a/heatherkeel/requests/reasons.py
+++ b/heatherkeel/requests/reasons.py
@@ -32,7 +32,7 @@
     KEY_CONFLICT = "key_conflict"
     KEY_IN_PROGRESS = "key_in_progress"
     KEY_OUTCOME_UNKNOWN = "key_outcome_unknown"
-    KEY_NOT_RUN = "key_not_run"
+    KEY_ANSWER_NOT_KEPT = "key_answer_not_kept"
     CLAIM_NOT_WRITTEN = "claim_not_written"
     TOO_MANY_CLAIMS = "too_many_claims"
 
--- /dev/null
+++ b/heatherkeel/requests/reducer.py
@@ -0,0 +1,144 @@
+"""Decides who may run the request of a key, and what became of it."""
+
+from __future__ import annotations
+
+import msgspec
+from result import Err, Ok, Result
+
+from heatherkeel.core.models import Accepted, RecordMeta, Rejected, RejectReason
+from heatherkeel.core.registry import handles
+from heatherkeel.core.state import FleetState
+
+from .const import (
+    CLAIM_PURGE_INTERVAL_MS,
+    KEY_RETENTION_MS,
+    MAX_CLAIMS,
+    MAX_KEPT_TOTAL_CHARS,
+)
+from .models import (
+    Claim,
+    ClaimChanged,
+    ClaimOutcome,
+    ClaimsState,
+    ClaimStatus,
+    KeyClaim,
+    RecordedAnswer,
+    claim_name,
+)
+
+
+@handles("requests.claim", KeyClaim)
+def claim(state: FleetState, meta: RecordMeta, body: KeyClaim) -> Result[Accepted, Rejected]:
+    """Give a key to the first claimant that may route; a key that did not run is free again."""
+    _purge(state.claims, meta.now_ms)
+    name = claim_name(body.service, body.key)
+    held = find_claim(state, body.service, body.key)
+    refusal = _check_claim(state, meta, body, held)
+    if refusal is not None:
+        return Err(refusal)
+    state.claims.claims[name] = Claim(
+        claim=meta.id,
+        fingerprint=body.fingerprint,
+        instance=body.instance,
+        incarnation=body.incarnation,
+        changed_ms=meta.now_ms,
+        offset=meta.offset,
+        attempt=1 if held is None else held.attempt + 1,
+        not_run_attempts=0 if held is None else held.not_run_attempts,
+    )
+    return Ok(_accept(meta, body.service, body.key, state.claims.claims[name]))
+
+
+def _check_claim(
+    state: FleetState, meta: RecordMeta, body: KeyClaim, held: Claim | None
+) -> Rejected | None:
+    """Refuse a claim on a key that may already have run, or by somebody who may not route.
+
+    Failure: the caller repeats through another entry instance, or a paused one wakes with an old
+    claim. Symptom: a certificate is issued twice. Enough because all claims of a key pass here
+    in one order, and only the one taken here is ever sent.
+    """
+    if held is not None and held.fingerprint != body.fingerprint:
+        return Rejected(reason=RejectReason.CONFLICT, detail="key used for another request")
+    if held is not None and held.status is not ClaimStatus.NOT_RUN:
+        return Rejected(reason=RejectReason.ALREADY_EXISTS, detail=held.status)
+    entry = state.membership.entries.get(body.instance)
+    if entry is None or entry.incarnation != body.incarnation:
+        return Rejected(reason=RejectReason.NOT_FOUND, detail=body.instance)
+    if entry.lease_until_ms < meta.now_ms:
+        return Rejected(reason=RejectReason.WRONG_STATE, detail="routing lease lapsed")
+    if held is None and len(state.claims.claims) >= MAX_CLAIMS:
+        return Rejected(reason=RejectReason.QUOTA, detail=f"{MAX_CLAIMS} keys are remembered")
+    return None
+
+
+@handles("requests.outcome", ClaimOutcome)
+def settle_claim(
+    state: FleetState, meta: RecordMeta, body: ClaimOutcome
+) -> Result[Accepted, Rejected]:
+    """Record how a claimed request ended; the first outcome of a claim stands."""
+    held = find_claim(state, body.service, body.key)
+    if held is None or held.claim != body.claim:
+        return Err(Rejected(reason=RejectReason.NOT_FOUND, detail=body.claim))
+    if held.status is not ClaimStatus.CLAIMED or body.status is ClaimStatus.CLAIMED:
+        return Err(Rejected(reason=RejectReason.WRONG_STATE, detail=held.status))
+    if (body.answer is not None) != (body.status is ClaimStatus.RAN):
+        return Err(Rejected(reason=RejectReason.MALFORMED, detail="answer goes with ran"))
+    held.status = body.status
+    held.changed_ms = meta.now_ms
+    held.not_run_attempts += body.status is ClaimStatus.NOT_RUN
+    held.answer = _keep(state.claims, body.answer)
+    return Ok(_accept(meta, body.service, body.key, held))
+
+
+def _keep(claims: ClaimsState, answer: RecordedAnswer | None) -> RecordedAnswer | None:
+    """Keep an answer's body while there is room, its digest always."""
+    if answer is None:
+        return None
+    if claims.kept_chars + len(answer.body) > MAX_KEPT_TOTAL_CHARS:
+        return msgspec.structs.replace(answer, body="")
+    claims.kept_chars += len(answer.body)
+    return answer
+
+
+def find_claim(state: FleetState, service: str, key: str) -> Claim | None:
+    """Return the claim of a key that is still remembered."""
+    held = state.claims.claims.get(claim_name(service, key))
+    if held is None or _is_forgotten(held, state.now_ms):
+        return None
+    return held
+
+
+def claimant_may_answer(state: FleetState, held: Claim) -> bool:
+    """Tell whether the claimant may still be at it: it is the same process, with its lease."""
+    entry = state.membership.entries.get(held.instance)
+    if entry is None or entry.incarnation != held.incarnation:
+        return False
+    return entry.lease_until_ms >= state.now_ms
+
+
+def _is_forgotten(held: Claim, now_ms: int) -> bool:
+    return held.changed_ms + KEY_RETENTION_MS < now_ms
+
+
+def _purge(claims: ClaimsState, now_ms: int) -> None:
+    """Take out keys that are no longer remembered; the interval keeps the cost per record small.
+
+    This is due by log time alone, so it also happens by a claim that is refused.
+    """
+    if now_ms - claims.purged_ms < CLAIM_PURGE_INTERVAL_MS:
+        return
+    claims.purged_ms = now_ms
+    claims.claims = {
+        name: held for name, held in claims.claims.items() if not _is_forgotten(held, now_ms)
+    }
+    claims.kept_chars = sum(
+        len(held.answer.body) for held in claims.claims.values() if held.answer is not None
+    )
+
+
+def _accept(meta: RecordMeta, service: str, key: str, held: Claim) -> Accepted:
+    changed = ClaimChanged(
+        service=service, key=key, claim=held.claim, status=held.status, offset=meta.offset
+    )
+    return Accepted(version=held.attempt, effects=(changed,))
--- /dev/null
+++ b/heatherkeel/requests/sending.py
@@ -0,0 +1,112 @@
+"""Takes and frees slots, and makes the effects that start and end a request."""
+
+from __future__ import annotations
+
+from heatherkeel.core.models import Effect
+from heatherkeel.core.node import NodeState
+
+from .const import UNAVAILABLE_RETRY_AFTER_MS
+from .effects import Refuse, Send, WriteClaim
+from .local import ActiveRequest, RequestPhase
+from .models import KeyClaim
+from .reasons import Outcome, RefusalReason
+from .retries import attempt_timeout_ms
+
+
+def begin(
+    node: NodeState, request_id: str, request: ActiveRequest, target: str, now_ms: int
+) -> Effect:
+    """Take a slot and send the request; one with a key needs its claim first.
+
+    The slot comes before the claim, so that a request that finds none costs no append.
+    """
+    take_slot(node, request, target)
+    if not request.key:
+        return send(node, request_id, request, now_ms)
+    request.phase = RequestPhase.CLAIMING
+    request.claim = f"{node.local.incarnation}-{request_id}"
+    node.local.routing.claims[request.claim] = request_id
+    body = KeyClaim(
+        service=request.service,
+        key=request.key,
+        fingerprint=request.fingerprint,
+        instance=node.local.instance,
+        incarnation=node.local.incarnation,
+    )
+    return WriteClaim(
+        request_id=request_id,
+        record_id=request.claim,
+        body=body,
+        timeout_ms=max(1, request.deadline_at_ms - now_ms),
+    )
+
+
+def begin_again(
+    node: NodeState, request_id: str, request: ActiveRequest, target: str, now_ms: int
+) -> Send:
+    """Take a slot for the next attempt; a claim that was won stays won."""
+    take_slot(node, request, target)
+    return send(node, request_id, request, now_ms)
+
+
+def send(node: NodeState, request_id: str, request: ActiveRequest, now_ms: int) -> Send:
+    """Send a request to the target whose slot it holds."""
+    timeout_ms = attempt_timeout_ms(node, request, now_ms)
+    request.phase = RequestPhase.SENT
+    request.tried = (*request.tried, request.target)
+    # A pooled connection may have been lost without a sign. What may not be sent twice, and what
+    # has failed once, goes over a new one.
+    fresh = not request.idempotent or len(request.tried) > 1
+    return Send(
+        request_id=request_id,
+        target=request.target,
+        address=node.local.routing.targets[request.target].address,
+        fresh_connection=fresh,
+        timeout_ms=timeout_ms,
+        attempt=len(request.tried),
+    )
+
+
+def take_slot(node: NodeState, request: ActiveRequest, target: str) -> None:
+    """Take one of this entry instance's slots of a target for a request."""
+    request.target = target
+    node.local.routing.targets[target].in_progress += 1
+    node.local.routing.pools[request.pool].in_progress += 1
+
+
+def free_slot(node: NodeState, request: ActiveRequest) -> None:
+    """Give the slot of a request back; a target that the fold dropped goes with its last one."""
+    routing = node.local.routing
+    target = routing.targets[request.target]
+    target.in_progress -= 1
+    routing.pools[request.pool].in_progress -= 1
+    if not target.in_progress and request.target not in node.fleet.pools.instances:
+        del routing.targets[request.target]
+
+
+def lease_forbids(node: NodeState, request: ActiveRequest, now_ms: int) -> bool:
+    """Tell whether a request needs a routing lease that this process no longer has.
+
+    Failure: this process is cut off, or was paused, and a drain or another entry instance's claim
+    went on without it. Symptom: a non-idempotent request runs on a target that is being stopped,
+    or runs twice. Enough because without a lease nothing is sent that may not be sent again.
+    """
+    return not request.idempotent and now_ms >= node.local.lease.valid_until_ms
+
+
+def why_too_late(node: NodeState, request: ActiveRequest, now_ms: int) -> RefusalReason | None:
+    """Return why a request may not be sent any more, or none."""
+    if request.deadline_at_ms <= now_ms:
+        return RefusalReason.DEADLINE
+    if lease_forbids(node, request, now_ms):
+        return RefusalReason.LEASE_LAPSED
+    return None
+
+
+def not_run(
+    request_id: str, reason: RefusalReason, wait_ms: int = UNAVAILABLE_RETRY_AFTER_MS
+) -> Refuse:
+    """Return the final answer to a request that was never sent."""
+    return Refuse(
+        request_id=request_id, outcome=Outcome.NOT_RUN, reason=reason, retry_after_ms=wait_ms
+    )
--- /dev/null
+++ b/heatherkeel/requests/waiting.py
@@ -0,0 +1,64 @@
+"""Serves the requests that wait for a slot, and ends those that waited too long."""
+
+from __future__ import annotations
+
+from heatherkeel.core.models import Effect
+from heatherkeel.core.node import NodeState, listens
+
+from .effects import Refuse
+from .events import QueueTick
+from .health import end_ejections
+from .local import ActiveRequest
+from .queues import forget, next_class, overdue, peek, retry_after_ms, take
+from .reasons import RefusalReason
+from .routing import fits, pick
+from .sending import begin, not_run, why_too_late
+
+
+@listens(QueueTick)
+def on_queue_tick(node: NodeState, event: QueueTick) -> list[Effect]:
+    """End what has waited too long, and use what time has freed."""
+    routing = node.local.routing
+    effects = end_ejections(routing, event.now_ms)
+    for request_id in overdue(routing, event.now_ms):
+        effects.append(_end_waiting(node, request_id, RefusalReason.DEADLINE))
+    for pool, view in routing.pools.items():
+        if view.waiting:
+            effects += serve_waiting(node, pool, None, event.now_ms)
+    return effects
+
+
+def _end_waiting(node: NodeState, request_id: str, reason: RefusalReason) -> Refuse:
+    routing = node.local.routing
+    request = routing.requests.pop(request_id)
+    forget(routing, request)
+    return not_run(request_id, reason, retry_after_ms(routing.pools[request.pool]))
+
+
+def serve_waiting(node: NodeState, pool: str, freed: str | None, now_ms: int) -> list[Effect]:
+    """Send waiting requests in their order, until one finds no slot."""
+    routing = node.local.routing
+    view = routing.pools[pool]
+    effects: list[Effect] = []
+    while (service_class := next_class(view)) is not None:
+        request_id = peek(routing, view, service_class)
+        request = routing.requests[request_id]
+        refusal = why_too_late(node, request, now_ms)
+        if refusal is not None:
+            effects.append(_end_waiting(node, request_id, refusal))
+            continue
+        target = _slot_for(node, request, freed, now_ms)
+        if target is None:
+            break
+        take(routing, view, service_class)
+        effects.append(begin(node, request_id, request, target, now_ms))
+    return effects
+
+
+def _slot_for(
+    node: NodeState, request: ActiveRequest, freed: str | None, now_ms: int
+) -> str | None:
+    """Return the slot that was just freed if it fits: no need to look at all targets then."""
+    if freed in node.local.routing.targets and fits(node, request, freed, now_ms):
+        return freed
+    return pick(node, request, now_ms)
--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -8,9 +8,14 @@
 import heatherkeel.membership.reducer
 import heatherkeel.pools.health
 import heatherkeel.pools.reducer
-import heatherkeel.requests.flow
+import heatherkeel.requests.arrival
+import heatherkeel.requests.attempts
+import heatherkeel.requests.checks
+import heatherkeel.requests.claims
 import heatherkeel.requests.limits
+import heatherkeel.requests.reducer
 import heatherkeel.requests.targets
+import heatherkeel.requests.waiting
 import heatherkeel.snapshots.reducer
 import heatherkeel.waves.acknowledgements
 import heatherkeel.waves.checks
