--- a/heatherkeel/helpers/server.py
+++ b/heatherkeel/helpers/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
@@ -18,7 +20,9 @@
         self.config = Config()
         self.config.bind = [bind]
         self.config.accesslog = None
-        self.config.errorlog = None
+        # Without a logger the library drops what an application raises, and the caller's 500
+        # has no trace anywhere.
+        self.config.errorlog = logging.getLogger("hypercorn.error")
         self.config.graceful_timeout = graceful_timeout_s
         self.config.include_server_header = False
         self.config.use_reloader = False
