Stand-ins carry out reboots, and count what they cut

Cause: maintenance needs a platform whose operations really take an instance away, and targets that show a stop which came too early or too late. An operation takes effect once for its id, its answer can be lost, the instance may never return or return failing. A reboot has no grace: requests in progress are cut and counted. The port is held by a bound socket that does not listen, so that no other process gets it during a reboot. Ruled out: closing with a grace, which would hide a wrong stop.

--- a/heatherkeel/entry/const.py
+++ b/heatherkeel/entry/const.py
@@ -27,3 +27,6 @@
 DEFAULT_RETRY_AFTER_S: Final = 1
 ADMIN_WRITE_TIMEOUT_S: Final = 10.0
 MAX_ADMIN_BODY_BYTES: Final = 256 * 1024
+
+HEALTH_PATH: Final = "/healthz"
+"""Where targets answer health probes with 200."""
--- a/heatherkeel/standins/platform.py
+++ b/heatherkeel/standins/platform.py
@@ -23,26 +23,16 @@
     AppendRequest,
     InstanceList,
     ListedInstance,
+    ListedState,
     OperationRequest,
     ReadAnswer,
     StoredRecord,
 )
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
-
+from .models import OperationAction, PlatformFaults
+from .operations import Operations, async_tell_target
 
-class Faults(msgspec.Struct, kw_only=True):
-    """What is wrong with the platform now; `lose_append_answers` counts down."""
-
-    down: bool = False
-    cut_zones: list[str] = []
-    cut_instances: list[str] = []
-    delay_ms: int = 0
-    lose_append_answers: int = 0
-    refuse_appends: bool = False
-    list_lag_ms: int = 0
-    retain_records: int = 0
-    """Keep only so many records of each stream; 0 keeps all."""
+MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
 @dataclass(kw_only=True)
@@ -59,14 +49,6 @@
         return self.oldest + len(self.records)
 
 
-@dataclass(kw_only=True)
-class Operation:
-    """An operation on an instance, done once for its id."""
-
-    instance: str
-    action: str
-
-
 def log_now_ms() -> int:
     """Return the platform's time in milliseconds."""
     return time.time_ns() // 1_000_000
@@ -79,11 +61,17 @@
         self.streams: dict[str, Stream] = {}
         self.instances: dict[str, ListedInstance] = {}
         self.list_versions: list[tuple[float, InstanceList]] = []
-        self.operations: dict[str, Operation] = {}
-        self.faults = Faults()
+        self.operations = Operations(
+            find_instance=self.instances.__getitem__, list_instance=self.list_instance
+        )
+        self.faults = PlatformFaults()
         self.appends = 0
         self.last_ms = 0
 
+    def start(self, nursery: trio.Nursery) -> None:
+        """Say where work goes on in the background."""
+        self.operations.start(nursery)
+
     async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
         if scope["type"] == "lifespan":
@@ -116,12 +104,12 @@
                 await self._async_read(request, send, name)
             case ("GET", ["instances"]):
                 await async_respond_json(send, self._listed())
-            case ("PUT", ["instances", instance]):
-                body = (await request.async_body(limit_bytes=MAX_BODY_BYTES)).unwrap()
-                self.list_instance(msgspec.json.decode(body, type=ListedInstance))
-                await async_respond_json(send, {"instance": instance})
+            case ("PUT", ["instances", _]):
+                await self._async_put_instance(request, send)
             case ("PUT", ["instances", instance, "operations", operation_id]):
                 await self._async_operate(request, send, instance, operation_id)
+            case ("GET", ["instances", _, "operations", operation_id]):
+                await self._async_show_operation(send, operation_id)
             case _:
                 await async_respond(send, status=404)
 
@@ -190,24 +178,44 @@
         visible = [listed for at, listed in self.list_versions if at <= seen_before]
         return visible[-1] if visible else InstanceList(instances=[])
 
+    async def _async_put_instance(self, request: Request, send: Send) -> None:
+        body = (await request.async_body(limit_bytes=MAX_BODY_BYTES)).unwrap()
+        listed = msgspec.json.decode(body, type=ListedInstance)
+        self.list_instance(listed)
+        if listed.state is ListedState.LEAVING:
+            await async_tell_target(listed.address, "/standin/leaving", {})
+        await async_respond_json(send, {"instance": listed.id})
+
     async def _async_operate(
         self, request: Request, send: Send, instance: str, operation_id: str
     ) -> None:
         body = (await request.async_body(limit_bytes=MAX_BODY_BYTES)).unwrap()
         action = msgspec.json.decode(body, type=OperationRequest).action
-        listed = self.instances.get(instance)
-        if listed is None:
+        if instance not in self.instances or action not in list(OperationAction):
+            return await async_respond(send, status=404)
+        operation = self.operations.accept(
+            operation_id,
+            instance=instance,
+            action=OperationAction(action),
+            faults=self.faults,
+        )
+        if self.faults.lose_operation_answers > 0:
+            self.faults.lose_operation_answers -= 1
+            await trio.sleep(3600)
+        return await async_respond_json(send, operation)
+
+    async def _async_show_operation(self, send: Send, operation_id: str) -> None:
+        operation = self.operations.by_id.get(operation_id)
+        if operation is None:
             return await async_respond(send, status=404)
-        if operation_id not in self.operations:
-            self.operations[operation_id] = Operation(instance=instance, action=action)
-        return await async_respond_json(send, {"id": operation_id, "action": action})
+        return await async_respond_json(send, operation)
 
     async def _async_control(self, request: Request, send: Send) -> None:
         if request.method == "PUT" and request.path == "/standin/faults":
             body = (await request.async_body(limit_bytes=MAX_BODY_BYTES)).unwrap()
-            self.faults = msgspec.json.decode(body, type=Faults)
+            self.faults = msgspec.json.decode(body, type=PlatformFaults)
             return await async_respond_json(send, self.faults)
         if request.path == "/standin/counts":
-            counts = {"appends": self.appends, "operations": len(self.operations)}
+            counts = {"appends": self.appends, "operations": self.operations.count()}
             return await async_respond_json(send, counts)
         return await async_respond(send, status=404)
--- a/heatherkeel/standins/process.py
+++ b/heatherkeel/standins/process.py
@@ -3,21 +3,64 @@
 from __future__ import annotations
 
 import logging
+import socket
 
 import trio
 
 from heatherkeel.entry.process import async_wait_for_stop
-from heatherkeel.helpers.asgi import App
 from heatherkeel.helpers.server import HttpServer
 
+from .platform import PlatformStandin
+from .target import TargetStandin
+
 _LOGGER = logging.getLogger(__name__)
 
 
-async def async_run_standin(app: App, *, bind: str) -> None:
-    """Serve a stand-in until the process is told to stop."""
-    server = HttpServer(app=app, bind=bind, graceful_timeout_s=0.1)
+async def async_run_platform(platform: PlatformStandin, *, bind: str) -> None:
+    """Serve the platform stand-in until the process is told to stop."""
+    server = HttpServer(app=platform, bind=bind, graceful_timeout_s=0.1)
     async with trio.open_nursery() as nursery:
+        platform.start(nursery)
         await server.start(nursery)
-        _LOGGER.info("listening", extra={"event": "listening", "http": server.address})
+        _tell_listening(server.address)
         await async_wait_for_stop()
         nursery.cancel_scope.cancel()
+
+
+async def async_run_target(target: TargetStandin, *, bind: str) -> None:
+    """Serve a target stand-in, through its reboots, until the process is told to stop."""
+    with _hold_port(bind) as holder:
+        host, port = holder.getsockname()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_async_run_boots, target, f"{host}:{port}")
+            await async_wait_for_stop()
+            nursery.cancel_scope.cancel()
+
+
+def _hold_port(bind: str) -> socket.socket:
+    """Bind the port without listening, so that nobody else gets it during a reboot."""
+    host, port = bind.rsplit(":", 1)
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind((host, int(port)))
+    return holder
+
+
+async def _async_run_boots(target: TargetStandin, address: str) -> None:
+    while True:
+        async with trio.open_nursery() as boot:
+            server = HttpServer(app=target, bind=address)
+            await server.start(boot)
+            _tell_listening(server.address)
+            await target.reboot_asked.wait()
+            reboot = target.go_away()
+            # No grace: a stop that comes too early has to cut requests, so that it is seen.
+            boot.cancel_scope.cancel()
+        if not reboot.back:
+            return
+        await trio.sleep(reboot.away_ms / 1000)
+        target.come_back(reboot)
+
+
+def _tell_listening(address: str) -> None:
+    _LOGGER.info("listening", extra={"event": "listening", "http": address})
--- a/heatherkeel/standins/target.py
+++ b/heatherkeel/standins/target.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections import Counter
+from typing import Any
 
 import msgspec
 import trio
 
+from heatherkeel.entry.const import HEALTH_PATH
 from heatherkeel.helpers.asgi import (
     ClientGoneError,
     Message,
@@ -20,17 +23,9 @@
     parse_request,
 )
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
-
+from .models import Reboot, TargetFaults
 
-class TargetFaults(msgspec.Struct, kw_only=True):
-    """What is wrong with the target now; `work_ms` is how long a request takes."""
-
-    work_ms: int = 1
-    silent: bool = False
-    fail: bool = False
-    half_answer: bool = False
-    refuse: bool = False
+MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
 class TargetStandin:
@@ -44,6 +39,25 @@
         self.most_in_progress = 0
         self.runs: Counter[str] = Counter()
         self.served = 0
+        self.boot_id = "1"
+        self.cut = 0
+        self.after_leaving = 0
+        self.leaving_since_s = math.inf
+        self.reboot: Reboot | None = None
+        self.reboot_asked = trio.Event()
+
+    def go_away(self) -> Reboot:
+        """Count what the end of this boot cuts, and return how it comes back."""
+        assert self.reboot is not None
+        self.cut += self.in_progress
+        return self.reboot
+
+    def come_back(self, reboot: Reboot) -> None:
+        """Begin a new boot."""
+        self.boot_id = reboot.boot_id
+        self.faults = msgspec.structs.replace(self.faults, fail=reboot.failing)
+        self.leaving_since_s = math.inf
+        self.reboot_asked = trio.Event()
 
     async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -54,10 +68,22 @@
         request = parse_request(scope, receive)
         if request.path.startswith("/standin/"):
             return await self._async_control(request, send)
-        if self.in_progress >= self.slots or self.faults.refuse:
+        if request.path == HEALTH_PATH:
+            return await async_respond(send, status=503 if self.faults.fail else 200)
+        self._note_late(trio.current_time())
+        if self._refuses():
             return await async_respond(send, status=503, headers={"heatherkeel-outcome": "not_run"})
         return await self._async_run(request, send)
 
+    def _note_late(self, now_s: float) -> None:
+        """Count new work that comes long after this target was listed as leaving."""
+        if now_s > self.leaving_since_s + self.faults.leaving_grace_ms / 1000:
+            self.after_leaving += 1
+
+    def _refuses(self) -> bool:
+        leaves = self.faults.refuse_when_leaving and self.leaving_since_s < math.inf
+        return self.in_progress >= self.slots or self.faults.refuse or leaves
+
     async def _async_run(self, request: Request, send: Send) -> None:
         self.in_progress += 1
         self.most_in_progress = max(self.most_in_progress, self.in_progress)
@@ -94,16 +120,31 @@
         await send({"type": "http.response.body", "body": b"half", "more_body": False})
 
     async def _async_control(self, request: Request, send: Send) -> None:
-        if request.method == "PUT" and request.path == "/standin/faults":
-            body = (await request.async_body(limit_bytes=MAX_BODY_BYTES)).unwrap()
-            self.faults = msgspec.json.decode(body, type=TargetFaults)
-            return await async_respond_json(send, self.faults)
-        if request.path == "/standin/counts":
-            counts = {
-                "served": self.served,
-                "in_progress": self.in_progress,
-                "most_in_progress": self.most_in_progress,
-                "runs": self.runs,
-            }
-            return await async_respond_json(send, counts)
-        return await async_respond(send, status=404)
+        match (request.method, request.path):
+            case ("PUT", "/standin/faults"):
+                body = (await request.async_body(limit_bytes=MAX_BODY_BYTES)).unwrap()
+                self.faults = msgspec.json.decode(body, type=TargetFaults)
+                await async_respond_json(send, self.faults)
+            case ("PUT", "/standin/leaving"):
+                self.leaving_since_s = min(self.leaving_since_s, trio.current_time())
+                await async_respond_json(send, {"leaving": True})
+            case ("PUT", "/standin/reboot"):
+                body = (await request.async_body(limit_bytes=MAX_BODY_BYTES)).unwrap()
+                self.reboot = msgspec.json.decode(body, type=Reboot)
+                await async_respond_json(send, self.reboot)
+                self.reboot_asked.set()
+            case ("GET", "/standin/counts"):
+                await async_respond_json(send, self._counts())
+            case _:
+                await async_respond(send, status=404)
+
+    def _counts(self) -> dict[str, Any]:
+        return {
+            "served": self.served,
+            "in_progress": self.in_progress,
+            "most_in_progress": self.most_in_progress,
+            "runs": self.runs,
+            "boot_id": self.boot_id,
+            "cut": self.cut,
+            "after_leaving": self.after_leaving,
+        }
