Entry processes acknowledge drains, and report what the platform's list shows

Cause: a target may be stopped only when nobody has anything in progress with it, so each process counts its requests per target in the step in which it picks the target, and acknowledges a folded drain when the count is 0. Reports from the list go by turn (rank among the entry instances with a lease), so that one process writes them and the others only on its silence. An operation names the boot that it ends: one that the platform carries out late can't end a boot that is back in service. Ruled out: reading the end of an entry instance from down or absence, which prove nothing.

--- a/heatherkeel/entry/const.py
+++ b/heatherkeel/entry/const.py
@@ -30,3 +30,24 @@
 
 HEALTH_PATH: Final = "/healthz"
 """Where targets answer health probes with 200."""
+
+WRITE_TIMEOUT_S: Final = 5.0
+"""How long a duty waits for the fold to decide its record."""
+
+MAX_ACKNOWLEDGED_AT_ONCE: Final = 256
+"""Drains that one acknowledgement names; the rest follows in the next one."""
+
+TAKEOVER_MS: Final = 1_500
+"""How long shared work lies undone before the next entry instance in line takes it over."""
+
+RETRY_MS: Final = 1_000
+"""How long one entry instance waits before it does the same piece of shared work again."""
+
+PROBE_TIMEOUT_S: Final = 1.0
+"""How long a target may take to answer a health probe."""
+
+WORKER_ROLE: Final = "worker"
+"""The role of targets in the platform's list."""
+
+ACKNOWLEDGE_INTERVAL_MS: Final = 50
+"""How often a process looks whether it can acknowledge a drain; mostly there is none."""
--- a/heatherkeel/entry/duties.py
+++ b/heatherkeel/entry/duties.py
@@ -1,4 +1,4 @@
-"""What every entry process does by the clock: hold its lease, admit listed instances."""
+"""What every entry process does by the clock: its lease, drains, the platform's list."""
 
 from __future__ import annotations
 
@@ -8,16 +8,14 @@
 
 from heatherkeel.core.models import Rejected
 from heatherkeel.membership.models import EntryJoin, EntryRenew
-from heatherkeel.platform.models import InstanceList, ListedInstance, ListedState
-from heatherkeel.pools.models import InstanceAdmit
 
+from .const import ACKNOWLEDGE_INTERVAL_MS, WRITE_TIMEOUT_S
+from .duties_acknowledge import Acknowledger
+from .duties_listing import InstanceListing
 from .node import Node
 
 _LOGGER = logging.getLogger(__name__)
 
-WORKER_ROLE = "worker"
-WRITE_TIMEOUT_S = 5.0
-
 
 class Duties:
     """Timed work of one entry process."""
@@ -26,6 +24,8 @@
         self.node = node
         self.peer_address = peer_address
         self.joined = False
+        self.listing = InstanceListing(node=node)
+        self.acknowledger = Acknowledger(node=node)
 
     def start(self) -> None:
         """Subscribe to the timer service."""
@@ -38,7 +38,12 @@
         self.node.timers.subscribe(
             name="instances",
             interval_ms=settings.platform.instances_interval_ms,
-            callback=self.async_read_instances,
+            callback=self.listing.async_read,
+        )
+        self.node.timers.subscribe(
+            name="acknowledge",
+            interval_ms=ACKNOWLEDGE_INTERVAL_MS,
+            callback=self.acknowledger.async_acknowledge,
         )
 
     async def async_hold_lease(self) -> None:
@@ -68,39 +73,3 @@
             incarnation=self.node.incarnation,
             offset_in_force=self.node.state.fleet.next_offset - 1,
         )
-
-    async def async_read_instances(self) -> None:
-        """Read the platform's list: note who is leaving, admit who is new."""
-        match await self.node.client.async_list_instances():
-            case Ok(listed):
-                self._note_leaving(listed)
-                await self._async_admit(listed)
-            case Err(error):
-                _LOGGER.warning("list: %s", error.detail, extra={"event": "list_failed"})
-
-    def _note_leaving(self, listed: InstanceList) -> None:
-        routing = self.node.state.local.routing
-        routing.leaving = {
-            instance.id for instance in listed.instances if instance.state is not ListedState.LIVE
-        }
-
-    async def _async_admit(self, listed: InstanceList) -> None:
-        await self.node.follower.caught_up.wait()
-        known = self.node.state.fleet.pools.instances
-        for instance in listed.instances:
-            if instance.role == WORKER_ROLE and instance.id not in known:
-                await self.node.writer.async_write(_admit(instance), timeout_s=WRITE_TIMEOUT_S)
-
-
-def _admit(instance: ListedInstance) -> InstanceAdmit:
-    return InstanceAdmit(
-        instance=instance.id,
-        boot_id=instance.boot_id,
-        zone=instance.zone,
-        rack=instance.rack,
-        address=instance.address,
-        cpus=instance.cpus,
-        memory_mib=instance.memory_mib,
-        accelerators=instance.accelerators,
-        pool=instance.pool,
-    )
--- a/heatherkeel/entry/front.py
+++ b/heatherkeel/entry/front.py
@@ -66,7 +66,15 @@
         picked = self._pick(service)
         if picked is None:
             return await _async_refuse(send, 503, "no_target", "No target is available")
-        return await self._async_forward(request, send, service, picked, read.ok_value)
+        name, instance = picked
+        # No await between the pick and the count: an acknowledgement in between would say that
+        # nothing is in progress, and the target would be stopped under this request.
+        view = self.node.state.local.routing.view_target(name, instance)
+        view.in_progress += 1
+        try:
+            await self._async_forward(request, send, service, picked, read.ok_value)
+        finally:
+            view.in_progress -= 1
 
     def _find_service(self, path: str) -> ServiceEntry | None:
         """Return the service with the longest matching path prefix."""
--- a/heatherkeel/platform/client.py
+++ b/heatherkeel/platform/client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar
+from typing import TypeVar
 
 import httpcore
 import msgspec
@@ -10,7 +10,14 @@
 from result import Err, Ok, Result
 
 from .errors import PlatformError, PlatformFailure
-from .models import Appended, AppendRequest, InstanceList, OperationRequest, ReadAnswer
+from .models import (
+    Appended,
+    AppendRequest,
+    InstanceList,
+    OperationRequest,
+    OperationStatus,
+    ReadAnswer,
+)
 
 ModelT = TypeVar("ModelT")
 _ENCODER = msgspec.json.Encoder()
@@ -49,12 +56,11 @@
         return await self._async_call("GET", "/instances", InstanceList)
 
     async def async_operate(
-        self, instance: str, *, operation_id: str, action: str
-    ) -> Result[dict[str, Any], PlatformError]:
-        """Ask for an operation; a repeat under the same id takes effect once."""
-        body = _ENCODER.encode(OperationRequest(action=action))
+        self, instance: str, *, operation_id: str, request: OperationRequest
+    ) -> Result[OperationStatus, PlatformError]:
+        """Ask for an operation, or how far it is; a repeat under the same id has no effect."""
         path = f"/instances/{instance}/operations/{operation_id}"
-        return await self._async_call("PUT", path, dict, body)
+        return await self._async_call("PUT", path, OperationStatus, _ENCODER.encode(request))
 
     async def _async_call(
         self,
--- a/heatherkeel/platform/models.py
+++ b/heatherkeel/platform/models.py
@@ -68,7 +68,39 @@
     instances: list[ListedInstance]
 
 
+class OperationAction(StrEnum):
+    """What the platform can do to an instance."""
+
+    REBOOT = "reboot"
+    STOP = "stop"
+
+
 class OperationRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """An operation on an instance; repeats under one id take effect once."""
+    """An operation on one boot of an instance; repeats under one id take effect once.
+
+    It takes effect only while `boot_id` runs: an operation that the platform carries out late
+    must not end a boot that has come back into service since. Empty stands for any boot.
+    """
+
+    action: OperationAction
+    boot_id: str = ""
+
 
-    action: str
+class OperationState(StrEnum):
+    """How far an operation is."""
+
+    RUNNING = "running"
+    DONE = "done"
+    OVERTAKEN = "overtaken"
+    """The boot that it named had ended before: it had no effect and never will."""
+
+
+class OperationStatus(msgspec.Struct, kw_only=True):
+    """An operation, and when it is done, the boot that came after it."""
+
+    id: str
+    instance: str
+    action: OperationAction
+    boot_id: str = ""
+    state: OperationState = OperationState.RUNNING
+    new_boot_id: str = ""
--- a/heatherkeel/requests/local.py
+++ b/heatherkeel/requests/local.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+from heatherkeel.pools.models import Instance
+
 
 @dataclass(kw_only=True)
 class TargetView:
@@ -24,3 +26,8 @@
     leaving: set[str] = field(default_factory=set)
     """Instances that the platform lists as anything but live."""
     turn: int = 0
+
+    def view_target(self, name: str, instance: Instance) -> TargetView:
+        """Return the view of a target, made when it is first needed."""
+        made = TargetView(address=instance.address, zone=instance.zone, pool=instance.pool)
+        return self.targets.setdefault(name, made)
--- a/heatherkeel/standins/models.py
+++ b/heatherkeel/standins/models.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from enum import StrEnum
-
 import msgspec
 
 
@@ -50,27 +47,3 @@
     away_ms: int
     back: bool = True
     failing: bool = False
-
-
-class OperationAction(StrEnum):
-    """What the platform can do to an instance."""
-
-    REBOOT = "reboot"
-    STOP = "stop"
-
-
-class OperationState(StrEnum):
-    """How far an operation is."""
-
-    RUNNING = "running"
-    DONE = "done"
-
-
-@dataclass(kw_only=True)
-class Operation:
-    """An operation on an instance, done once for its id."""
-
-    id: str
-    instance: str
-    action: OperationAction
-    state: OperationState = OperationState.RUNNING
--- a/heatherkeel/standins/operations.py
+++ b/heatherkeel/standins/operations.py
@@ -11,9 +11,16 @@
 import msgspec
 import trio
 
-from heatherkeel.platform.models import ListedInstance, ListedState
+from heatherkeel.platform.models import (
+    ListedInstance,
+    ListedState,
+    OperationAction,
+    OperationRequest,
+    OperationState,
+    OperationStatus,
+)
 
-from .models import Operation, OperationAction, OperationState, PlatformFaults, Reboot
+from .models import PlatformFaults, Reboot
 
 CALL_TIMEOUT_S: Final = 1.0
 POLL_S: Final = 0.02
@@ -25,7 +32,7 @@
 
     find_instance: Callable[[str], ListedInstance]
     list_instance: Callable[[ListedInstance], None]
-    by_id: dict[str, Operation] = field(default_factory=dict)
+    by_id: dict[str, OperationStatus] = field(default_factory=dict)
     boots: Counter[str] = field(default_factory=Counter)
     nursery: trio.Nursery | None = None
 
@@ -34,25 +41,30 @@
         self.nursery = nursery
 
     def accept(
-        self, operation_id: str, *, instance: str, action: OperationAction, faults: PlatformFaults
-    ) -> Operation:
+        self, operation_id: str, *, instance: str, request: OperationRequest, faults: PlatformFaults
+    ) -> OperationStatus:
         """Take an operation in, or return the one that has this id."""
         known = self.by_id.get(operation_id)
         if known is not None:
             return known
-        operation = Operation(id=operation_id, instance=instance, action=action)
+        operation = OperationStatus(
+            id=operation_id, instance=instance, action=request.action, boot_id=request.boot_id
+        )
         self.by_id[operation_id] = operation
         if self.nursery is not None:
             self.nursery.start_soon(self._async_carry_out, operation, faults)
         return operation
 
     def count(self) -> dict[str, int]:
-        """Return how many operations each instance has had."""
-        return dict(Counter(operation.instance for operation in self.by_id.values()))
+        """Return how often each instance was rebooted or stopped."""
+        return dict(self.boots)
 
-    async def _async_carry_out(self, operation: Operation, faults: PlatformFaults) -> None:
+    async def _async_carry_out(self, operation: OperationStatus, faults: PlatformFaults) -> None:
         await trio.sleep(faults.operation_delay_ms / 1000)
         listed = self.find_instance(operation.instance)
+        if operation.boot_id not in ("", listed.boot_id):
+            operation.state = OperationState.OVERTAKEN
+            return
         self.boots[listed.id] += 1
         reboot = Reboot(
             boot_id=f"boot-{self.boots[listed.id] + 1}",
@@ -67,6 +79,7 @@
             await _async_wait_for_boot(listed.address, reboot.boot_id)
             live = msgspec.structs.replace(listed, state=ListedState.LIVE, boot_id=reboot.boot_id)
             self.list_instance(live)
+            operation.new_boot_id = reboot.boot_id
         operation.state = OperationState.DONE
 
 
--- a/heatherkeel/standins/platform.py
+++ b/heatherkeel/standins/platform.py
@@ -29,7 +29,7 @@
     StoredRecord,
 )
 
-from .models import OperationAction, PlatformFaults
+from .models import PlatformFaults
 from .operations import Operations, async_tell_target
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
@@ -190,13 +190,12 @@
         self, request: Request, send: Send, instance: str, operation_id: str
     ) -> None:
         body = (await request.async_body(limit_bytes=MAX_BODY_BYTES)).unwrap()
-        action = msgspec.json.decode(body, type=OperationRequest).action
-        if instance not in self.instances or action not in list(OperationAction):
+        if instance not in self.instances:
             return await async_respond(send, status=404)
         operation = self.operations.accept(
             operation_id,
             instance=instance,
-            action=OperationAction(action),
+            request=msgspec.json.decode(body, type=OperationRequest),
             faults=self.faults,
         )
         if self.faults.lose_operation_answers > 0:
