Metrics, health and readiness on the admin port, and a planned stop in order

Cause: nothing was counted, /readyz did not exist, and a stop cut every request that took longer than the HTTP library's 10 s, while the balancer still sent callers.

Counters are fed by the effects of the reducer through a registry; every reason of every enum shows as 0 from the start. Gauges are worked out at the scrape. A stop makes /readyz 503, takes callers for readiness_wait_ms more, closes the port, waits for requests in progress as long as the longest deadline in force, then ends with status 0; also when the signal comes during the start.

Ruled out: counting inside the front (it knows answers, not reasons of retries).

The refusal and retry counters follow the effects of heatherkeel/requests; the front of today does not make those yet.

--- a/heatherkeel/entry/node.py
+++ b/heatherkeel/entry/node.py
@@ -4,6 +4,8 @@
 
 import logging
 import uuid
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 from heatherkeel.core.models import Effect, LogRecord, Settled, Skipped
 from heatherkeel.core.node import Event, LocalState, NodeState, reduce
@@ -16,6 +18,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+EffectT = TypeVar("EffectT", bound=Effect)
+
 
 class Node:
     """The parts of one entry process that decide, write and read."""
@@ -52,24 +56,27 @@
             next_offset=lambda: self.state.fleet.next_offset,
             take=self.take_record,
         )
+        self.hearers: dict[type[Effect], list[Callable[[Any], None]]] = {}
+        self.subscribe(Settled, self.writer.settle)
+        self.subscribe(Skipped, _log_skipped)
+
+    def subscribe(self, effect_type: type[EffectT], hearer: Callable[[EffectT], None]) -> None:
+        """Call `hearer` with every effect of exactly this type."""
+        self.hearers.setdefault(effect_type, []).append(hearer)
 
     def take_record(self, record: LogRecord) -> None:
         """Fold one record of the log."""
         self.take(record)
 
     def take(self, event: Event) -> list[Effect]:
-        """Reduce one event, carry out what concerns the log, and return all effects."""
+        """Reduce one event, tell the effects to those who subscribed, and return them all."""
         effects = reduce(self.state, event)
         for effect in effects:
-            self._carry_out(effect)
+            for hearer in self.hearers.get(type(effect), ()):
+                hearer(effect)
         return effects
 
-    def _carry_out(self, effect: Effect) -> None:
-        if isinstance(effect, Settled):
-            self.writer.settle(effect)
-        if isinstance(effect, Skipped):
-            _LOGGER.warning(
-                "record skipped: %s",
-                effect.detail,
-                extra={"event": "record_skipped", "offset": effect.offset},
-            )
+
+def _log_skipped(effect: Skipped) -> None:
+    extra = {"event": "record_skipped", "offset": effect.offset}
+    _LOGGER.warning("record skipped: %s", effect.detail, extra=extra)
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -3,52 +3,91 @@
 from __future__ import annotations
 
 import logging
-import signal
 
 import trio
 
 from heatherkeel import subjects  # noqa: F401
 from heatherkeel.admin.app import AdminApp
+from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.helpers.server import HttpServer
+from heatherkeel.helpers.signals import StopSignal
+from heatherkeel.monitoring.app import MonitoringApp, TimedApp
+from heatherkeel.monitoring.counting import count_effects
+from heatherkeel.monitoring.gauges import NodeGauges
+from heatherkeel.monitoring.readiness import Readiness
 from heatherkeel.settings.models import EntrySettings
 
 from .duties import Duties
 from .front import Front
 from .node import Node
+from .stopping import async_stop_callers
 
 _LOGGER = logging.getLogger(__name__)
 
 
-async def async_run_entry(settings: EntrySettings) -> None:
-    """Run one entry process until SIGTERM or SIGINT."""
-    node = Node(settings=settings)
-    front = Front(node=node)
-    http = HttpServer(app=front, bind=settings.http.bind)
-    admin = HttpServer(app=AdminApp(node=node), bind=settings.admin.bind)
-    async with trio.open_nursery() as nursery:
-        node.writer.start(nursery)
-        node.follower.start(nursery)
-        await admin.start(nursery)
-        await node.follower.caught_up.wait()
-        await http.start(nursery)
-        duties = Duties(node=node, peer_address=settings.peers.bind)
-        duties.start()
-        node.timers.start(nursery)
+class EntryProcess:
+    """The servers and the node of one entry process."""
+
+    def __init__(self, *, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.node = Node(settings=settings)
+        self.readiness = Readiness(node=self.node)
+        self.metrics = Metrics()
+        self.front = Front(node=self.node)
+        timed = TimedApp(inner=self.front, metrics=self.metrics)
+        self.http = HttpServer(app=timed, bind=settings.http.bind)
+        pages = MonitoringApp(
+            inner=AdminApp(node=self.node), metrics=self.metrics, readiness=self.readiness
+        )
+        self.admin = HttpServer(app=pages, bind=settings.admin.bind)
+        self.gauges = NodeGauges(
+            node=self.node, readiness=self.readiness, in_progress=lambda: timed.in_progress
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open the admin port, read the log to its end, and only then take callers."""
+        count_effects(self.node, self.metrics)
+        self.metrics.register([self.gauges])
+        self.node.writer.start(nursery)
+        self.node.follower.start(nursery)
+        await self.admin.start(nursery)
+        await self.node.follower.caught_up.wait()
+        await self.http.start(nursery)
+        Duties(node=self.node, peer_address=self.settings.peers.bind).start()
+        self.node.timers.start(nursery)
         _LOGGER.info(
             "listening",
-            extra={"event": "listening", "http": http.address, "admin": admin.address},
+            extra={
+                "event": "listening",
+                "http": self.http.address,
+                "admin": self.admin.address,
+            },
         )
-        await async_wait_for_stop()
-        _LOGGER.info("stopping", extra={"event": "stopping"})
-        await http.close()
-        await admin.close()
-        nursery.cancel_scope.cancel()
-    await front.close()
-    await node.client.close()
 
+    async def close(self) -> None:
+        """Stop in order; the admin port answers to the end, so that the stop can be watched."""
+        await async_stop_callers(
+            http=self.http, readiness=self.readiness, fleet=self.node.state.fleet
+        )
+        await self.admin.close()
+
+    async def close_connections(self) -> None:
+        """Close what was opened to targets and to the platform."""
+        await self.front.close()
+        await self.node.client.close()
 
-async def async_wait_for_stop() -> None:
-    """Return when the process is told to stop."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
+
+async def async_run_entry(settings: EntrySettings) -> None:
+    """Run one entry process until SIGTERM or SIGINT."""
+    process = EntryProcess(settings=settings)
+    stop = StopSignal()
+    async with trio.open_nursery() as nursery:
+        await stop.start(nursery)
+        with trio.CancelScope() as starting:
+            nursery.start_soon(stop.async_cancel, starting)
+            await process.start(nursery)
+        await stop.received.wait()
+        if process.http.started:
+            await process.close()
+        nursery.cancel_scope.cancel()
+    await process.close_connections()
--- /dev/null
+++ b/heatherkeel/helpers/metrics.py
@@ -0,0 +1,76 @@
+"""The counters and histograms of one process, in a registry of its own."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import StrEnum
+
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client.gc_collector import GCCollector
+from prometheus_client.process_collector import ProcessCollector
+from prometheus_client.registry import Collector
+
+from heatherkeel.core.models import RejectReason
+from heatherkeel.monitoring.const import LATENCY_BUCKETS_S
+from heatherkeel.requests.reasons import NoRetryReason, Outcome, RefusalReason, RetryReason
+
+
+class Metrics:
+    """What is counted as it happens; every label of every enum shows from the start as 0.
+
+    A counter that appears only with its first event can't be alerted on: the step from nothing
+    to 1 is no increase.
+    """
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
+        GCCollector(registry=self.registry)
+        self.refusals = self._counter(
+            "refusals", "Requests that got no answer of a target, by reason.", RefusalReason
+        )
+        self.retries = self._counter(
+            "retries", "Requests sent to another target, by reason.", RetryReason
+        )
+        self.not_retried = self._counter(
+            "not_retried", "Failed attempts that no other followed, by reason.", NoRetryReason
+        )
+        self.rejected_records = self._counter(
+            "rejected_records", "Records that the fold refused, by reason.", RejectReason
+        )
+        self.skipped_records = self._counter(
+            "skipped_records", "Records that nobody can read, by reason.", RejectReason
+        )
+        self.duplicate_records = self._plain("duplicate_records", "Second copies of a record.")
+        self.ejections = self._plain("target_ejections", "Targets ejected for failing everything.")
+        self.durations = Histogram(
+            "heatherkeel_request_duration_seconds",
+            "Time from a request's head to the end of its answer, by outcome.",
+            ["outcome"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        for outcome in Outcome:
+            self.durations.labels(outcome.value)
+
+    def _counter(self, name: str, text: str, reasons: type[StrEnum]) -> Counter:
+        counter = Counter(f"heatherkeel_{name}", text, ["reason"], registry=self.registry)
+        for reason in reasons:
+            counter.labels(reason.value)
+        return counter
+
+    def _plain(self, name: str, text: str) -> Counter:
+        return Counter(f"heatherkeel_{name}", text, registry=self.registry)
+
+    def register(self, collectors: Iterable[Collector]) -> None:
+        """Add what is read at the time of a scrape."""
+        for collector in collectors:
+            self.registry.register(collector)
+
+    def observe_request(self, *, outcome: Outcome, seconds: float) -> None:
+        """Take in one request that has its final answer."""
+        self.durations.labels(outcome.value).observe(seconds)
+
+    def render(self) -> bytes:
+        """Return the text that a scrape gets."""
+        return generate_latest(self.registry)
--- a/heatherkeel/helpers/server.py
+++ b/heatherkeel/helpers/server.py
@@ -26,12 +26,14 @@
         self.config.graceful_timeout = graceful_timeout_s
         self.config.include_server_header = False
         self.config.use_reloader = False
+        self.started = False
         self.stopping = trio.Event()
         self.stopped = trio.Event()
 
     async def start(self, nursery: trio.Nursery) -> str:
         """Open the port and return its address as `host:port`."""
         urls = await nursery.start(self._async_serve)
+        self.started = True
         self.address = str(urls[0]).split("//", 1)[1]
         return self.address
 
@@ -47,7 +49,12 @@
         finally:
             self.stopped.set()
 
-    async def close(self) -> None:
-        """Take no new connection, let requests in progress finish, then return."""
+    async def close(self, *, finish_timeout_s: float | None = None) -> None:
+        """Take no new connection, let requests in progress finish, then return.
+
+        What has not finished after `finish_timeout_s` seconds is cut off.
+        """
+        if finish_timeout_s is not None:
+            self.config.graceful_timeout = finish_timeout_s
         self.stopping.set()
         await self.stopped.wait()
--- a/heatherkeel/measure/bare_hop.py
+++ b/heatherkeel/measure/bare_hop.py
@@ -13,10 +13,10 @@
 import httpcore
 import trio
 
-from heatherkeel.entry.process import async_wait_for_stop
 from heatherkeel.helpers.asgi import Message, Receive, Send, async_run_lifespan
 from heatherkeel.helpers.logs import set_up_logs
 from heatherkeel.helpers.server import HttpServer
+from heatherkeel.helpers.signals import async_wait_for_stop
 
 _LOGGER = logging.getLogger(__name__)
 
--- /dev/null
+++ b/heatherkeel/monitoring/__init__.py
@@ -0,0 +1,1 @@
+"""What one process tells of itself: metrics, health and readiness."""
--- /dev/null
+++ b/heatherkeel/monitoring/gauges.py
@@ -0,0 +1,93 @@
+"""Gauges of an entry process, worked out from its state when they are scraped."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from enum import StrEnum
+
+from prometheus_client.core import GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from heatherkeel.core.node import NodeState
+from heatherkeel.core.state import FleetState
+from heatherkeel.entry.node import Node
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.pools.models import Instance, InstanceStatus
+
+from .readiness import Readiness
+
+
+class TargetState(StrEnum):
+    """What a target is good for, as this entry instance sees it."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    GONE = "gone"
+    EJECTED = "ejected"
+    DRAINING = "draining"
+    QUIESCED = "quiesced"
+    STOPPED = "stopped"
+    FAILED = "failed"
+
+
+def count_live_peers(fleet: FleetState, *, own: str) -> int:
+    """Count the other entry instances whose routing lease holds at the fold's time."""
+    return sum(
+        1
+        for name, entry in fleet.membership.entries.items()
+        if name != own and entry.lease_until_ms >= fleet.now_ms
+    )
+
+
+def count_targets(state: NodeState, *, now_ms: int) -> dict[TargetState, int]:
+    """Count targets by state; `now_ms` is this process's monotonic clock."""
+    found = Counter(
+        _target_state(state, name, instance, now_ms)
+        for name, instance in state.fleet.pools.instances.items()
+    )
+    return {kind: found[kind] for kind in TargetState}
+
+
+def _target_state(state: NodeState, name: str, instance: Instance, now_ms: int) -> TargetState:
+    if instance.status is not InstanceStatus.SERVING:
+        return TargetState(instance.status.value)
+    target = state.local.routing.targets.get(name)
+    if target is None:
+        return TargetState.SERVING
+    if target.gone:
+        return TargetState.GONE
+    if target.leaving:
+        return TargetState.LEAVING
+    return TargetState.EJECTED if target.ejected_until_ms > now_ms else TargetState.SERVING
+
+
+class NodeGauges(Collector):
+    """What the process holds at this moment."""
+
+    def __init__(self, *, node: Node, readiness: Readiness, in_progress: Callable[[], int]) -> None:
+        self.node = node
+        self.readiness = readiness
+        self.in_progress = in_progress
+
+    def collect(self) -> Iterator[Metric]:
+        """Give every gauge."""
+        fleet = self.node.state.fleet
+        own = self.node.settings.instance.id
+        yield _gauge("offset_in_force", "Offset of the last record folded.", fleet.next_offset - 1)
+        yield _gauge("live_peers", "Other entry instances.", count_live_peers(fleet, own=own))
+        yield _gauge("catalogue_entries", "Entries in force.", len(fleet.catalogue.entries))
+        yield _gauge("log_reachable", "1 if the log answered.", self.node.follower.reachable)
+        yield _gauge("ready", "1 if ready.", not self.readiness.find_reasons())
+        yield _gauge("requests_in_progress", "Requests of callers.", self.in_progress())
+        yield self._targets()
+
+    def _targets(self) -> GaugeMetricFamily:
+        family = GaugeMetricFamily("heatherkeel_targets", "Targets by state.", labels=["state"])
+        for kind, count in count_targets(self.node.state, now_ms=monotonic_ms()).items():
+            family.add_metric([kind.value], count)
+        return family
+
+
+def _gauge(name: str, text: str, value: float) -> GaugeMetricFamily:
+    return GaugeMetricFamily(f"heatherkeel_{name}", text, value=float(value))
--- a/heatherkeel/settings/models.py
+++ b/heatherkeel/settings/models.py
@@ -69,6 +69,15 @@
     renew_interval_ms: Milliseconds = 4_000
 
 
+class StopSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A planned stop: how long callers are still taken after `/readyz` says 503.
+
+    It has to be longer than the balancer's probe interval, or a caller meets a closed port.
+    """
+
+    readiness_wait_ms: Annotated[int, Meta(ge=0, le=600_000)] = 2_000
+
+
 class TeamSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """The token with which a team's operators sign their edits."""
 
@@ -84,4 +93,5 @@
     admin: ListenSettings = ListenSettings()
     peers: ListenSettings = ListenSettings()
     routing: RoutingSettings = RoutingSettings()
+    stop: StopSettings = StopSettings()
     teams: dict[ShortName, TeamSettings] = {}
--- a/heatherkeel/standins/process.py
+++ b/heatherkeel/standins/process.py
@@ -7,8 +7,8 @@
 
 import trio
 
-from heatherkeel.entry.process import async_wait_for_stop
 from heatherkeel.helpers.server import HttpServer
+from heatherkeel.helpers.signals import async_wait_for_stop
 
 from .platform import PlatformStandin
 from .target import TargetStandin
