Tests of requests and waves: a pool before its service, a prefix for each service

The fold now refuses a service without a pool in force and two services under one prefix; the fleets of these tests had both. Nothing that they check is changed.

--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -141,9 +141,11 @@
     )
 
 
-def service(*, min_serving: int, reserve: Reserve = Reserve.RACK) -> ServiceEntry:
+def service(
+    *, min_serving: int, reserve: Reserve = Reserve.RACK, path_prefix: str = "/stock"
+) -> ServiceEntry:
     budget = Budget(min_serving=min_serving, reserve=reserve)
-    return ServiceEntry(owner=OWNER, pool="desk", path_prefix="/stock", budget=budget)
+    return ServiceEntry(owner=OWNER, pool="desk", path_prefix=path_prefix, budget=budget)
 
 
 def maintenance(
--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -29,6 +29,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.log = Log()
+        self.log.put_pool(100)
         self.log.put_service(limits=RequestLimits(deadline_ms=DEADLINE_MS, max_queued=0))
         self.log.admit(3)
         self.version = 1
@@ -156,6 +157,7 @@
     # Of two entry instances in one zone, one leaves. The other may use the slots of both, but
     # not before a third one, elsewhere, has seen it too: it could still count them as its own.
     log = Log()
+    log.put_pool(100)
     log.put_service()
     log.admit(1)
     for name, zone in (("e1", "east"), ("e2", "east"), ("w1", "west")):
@@ -190,6 +192,7 @@
     # One entry instance uses all 8 slots when a second one joins. It may not say that it gave
     # any up while the 8 requests still run, or the target would soon have 12.
     log = Log()
+    log.put_pool(100)
     log.put_service()
     log.admit(1)
     log.join("e1", "east")
--- a/tests/waves/test_drain.py
+++ b/tests/waves/test_drain.py
@@ -193,7 +193,7 @@
 
 def test_every_service_on_the_pool_is_asked() -> None:
     log = small_fleet(min_serving=1)
-    log.put("sheets", service(min_serving=5))
+    log.put("sheets", service(min_serving=5, path_prefix="/sheets"))
     refusal = log.refused(log.drain("a0"))
     assert refusal.detail.startswith("sheets:")
 
