--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -14,4 +14,5 @@
 import heatherkeel.snapshots.reducer
 import heatherkeel.waves.acknowledgements
 import heatherkeel.waves.checks
+import heatherkeel.waves.policies
 import heatherkeel.waves.reducer  # noqa: F401
