--- a/tests/requests/fleet.py
+++ b/tests/requests/fleet.py
@@ -43,15 +43,6 @@
         data = encode(seal(body, author=author, now_ms=self.now_ms, record_id=record_id))
         self.records.append(LogRecord(offset=len(self.records), at_ms=self.now_ms, data=data))
 
-    def put_pool(self, size: int) -> None:
-        body = EntryPut(
-            name="desk",
-            expected_version=0,
-            team="sheetal",
-            entry=PoolEntry(owner="sheetal", size=size),
-        )
-        self.append(body, author="operator")
-
     def put_service(
         self,
         name: str = "stock",
@@ -119,7 +110,6 @@
 def alone(targets: int = 6, **service: int) -> tuple[Log, NodeState]:
     """Return a log with one service and one entry instance, which has all slots."""
     log = Log()
-    log.put_pool(100)
     log.put_service(**service)  # type: ignore[arg-type]
     log.admit(targets)
     log.join("e1", "east")
--- a/tests/requests/test_flow.py
+++ b/tests/requests/test_flow.py
@@ -214,7 +214,6 @@
 
 def test_urgent_goes_first_teams_take_turns_and_none_starves() -> None:
     log = Log()
-    log.put_pool(100)
     limits = RequestLimits(slots_per_worker=1)
     log.put_service("route", service_class=ServiceClass.URGENT, limits=limits)
     log.put_service("stock", limits=limits)
--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -30,7 +30,6 @@
     def __init__(self) -> None:
         super().__init__()
         self.log = Log()
-        self.log.put_pool(100)
         self.log.put_service(limits=RequestLimits(deadline_ms=DEADLINE_MS, max_queued=0))
         self.log.admit(3)
         self.version = 1
@@ -165,7 +164,6 @@
     # Of two entry instances in one zone, one leaves. The other may use the slots of both, but
     # not before a third one, elsewhere, has seen it too: it could still count them as its own.
     log = Log()
-    log.put_pool(100)
     log.put_service()
     log.admit(1)
     for name, zone in (("e1", "east"), ("e2", "east"), ("w1", "west")):
@@ -200,7 +198,6 @@
     # One entry instance uses all 8 slots when a second one joins. It may not say that it gave
     # any up while the 8 requests still run, or the target would soon have 12.
     log = Log()
-    log.put_pool(100)
     log.put_service()
     log.admit(1)
     log.join("e1", "east")
@@ -258,7 +255,7 @@
     log.join("e1", "east")
     log.join("e2", "east")
     behind = make_node(log, "e1")
-    node = NodeState(local=LocalState(instance="e2", zone="east", incarnation="1"))
+    node = NodeState(local=LocalState(instance="e2", zone="east", incarnation=incarnation_of("e2")))
     node.fleet = from_canonical_bytes(canonical_bytes(behind.fleet))
     reduce(node, FleetRestored(now_ms=log.now_ms))
     target = node.local.routing.targets["t0"]
--- a/tests/waves/test_policy.py
+++ b/tests/waves/test_policy.py
@@ -35,6 +35,7 @@
 def _racked_fleet(racks: Racks, *, min_serving: int, max_concurrent: int = 100) -> FoldedLog:
     """Return a fleet of one zone with so many instances in each rack, due now."""
     log = FoldedLog()
+    log.put("desk", PoolEntry(owner=OWNER, size=max(sum(racks), min_serving)))
     log.put("stock", service(min_serving=min_serving))
     log.put("care", maintenance(max_concurrent=max_concurrent))
     for rack, size in enumerate(racks):
@@ -161,7 +162,7 @@
 def test_a_move_that_would_break_a_budget_is_not_proposed() -> None:
     log = small_fleet(min_serving=5)
     log.put("spare", PoolEntry(owner=OWNER, size=2))
-    log.put("desk", PoolEntry(owner=OWNER, size=4))
+    log.put("desk", PoolEntry(owner=OWNER, size=5))
     assert _plan(log) == []
 
 
