--- a/tests/jobs/test_leases.py
+++ b/tests/jobs/test_leases.py
@@ -19,7 +19,6 @@
     TaskProvedNotStarted,
     TaskStarted,
 )
-from heatherkeel.pools.models import InstanceStatus
 
 from .conftest import JOB, TEAM, Fleet, spec_of
 
@@ -148,7 +147,7 @@
         job=JOB, attempt=1, expected_version=job.version, cause=CheckpointCause.DRAIN
     )
     assert fleet.refuse(ask) is RejectReason.WRONG_STATE
-    fleet.state.pools.instances["w0"].status = InstanceStatus.DRAINING
+    fleet.drain("w0")
     fleet.accept(ask)
     fleet.accept(TaskCheckpointed(task=task, saved=True, stopped=True))
     assert fleet.status() is JobStatus.QUEUED and fleet.job().failures == 0
