Limits, TLS and failures of the admin port, in separate processes

Cause: headers of 17 kB to 60 kB were answered although the library's limit is 16 kB: it holds only for what the library waits to complete, so the answer hung on how the bytes were cut into reads. A body that stops in the middle held its connection for good; now 408 after 10 s.

--- a/heatherkeel/admin/access.py
+++ b/heatherkeel/admin/access.py
@@ -4,12 +4,12 @@
 
 import hashlib
 import hmac
-import ipaddress
 from collections.abc import Mapping
 from typing import Final
 
 from result import Err, Ok, Result
 
+from heatherkeel.helpers.addresses import is_loopback
 from heatherkeel.settings.models import TeamSettings
 
 from .models import Access, Problem
@@ -52,11 +52,6 @@
         return found if scheme.lower() == _SCHEME else ""
 
 
-def is_loopback(bind: str) -> bool:
-    """Say whether an address `host:port` is reached from this machine only."""
-    return ipaddress.ip_address(bind.rpartition(":")[0]).is_loopback
-
-
 def _digest(token: str) -> bytes:
     return hashlib.sha256(token.encode("utf-8", "surrogatepass")).digest()
 
--- a/heatherkeel/admin/bodies.py
+++ b/heatherkeel/admin/bodies.py
@@ -6,13 +6,14 @@
 from typing import Any, Final
 
 import msgspec
+import trio
 from result import Err, Ok, Result
 
 from heatherkeel.catalogue.models import CatalogueEntry
 from heatherkeel.helpers.asgi import JSON_TYPE, Request
 from heatherkeel.helpers.faults import collect_faults, format_path
 
-from .const import MAX_BODY_BYTES
+from .const import BODY_TIMEOUT_S, MAX_BODY_BYTES
 from .models import FieldFault, Problem
 
 ENTRY: Final = "entry"
@@ -25,7 +26,12 @@
     """Read the body as an entry; raises `ClientGoneError` if the caller hangs up."""
     if not _is_json(request.headers.get("content-type", JSON_TYPE)):
         return Err(_wrong_type())
-    read = await request.async_body(limit_bytes=MAX_BODY_BYTES)
+    read = None
+    # A caller that stops in the middle of its body would hold the connection for good.
+    with trio.move_on_after(BODY_TIMEOUT_S):
+        read = await request.async_body(limit_bytes=MAX_BODY_BYTES)
+    if read is None:
+        return Err(_too_slow())
     if isinstance(read, Err):
         return Err(_too_large(read.err_value.limit_bytes))
     return decode_entry(read.ok_value, teams=teams)
@@ -85,6 +91,16 @@
     )
 
 
+def _too_slow() -> Problem:
+    return Problem(
+        status=408,
+        kind="body_too_slow",
+        title="The entry did not come in time",
+        detail=f"entry: waited {BODY_TIMEOUT_S:g} s; nothing was accepted",
+        headers={"connection": "close"},
+    )
+
+
 def _too_large(limit_bytes: int) -> Problem:
     return Problem(
         status=413,
--- a/heatherkeel/admin/const.py
+++ b/heatherkeel/admin/const.py
@@ -9,8 +9,8 @@
 MAX_BODY_BYTES: Final = MAX_ENTRY_BYTES
 """Largest body of a request: nothing larger could become an entry."""
 
-WRITE_TIMEOUT_S: Final = 10.0
-"""How long an operator waits for the log before being told that the outcome is unknown."""
+BODY_TIMEOUT_S: Final = 10.0
+"""How long the whole body of a request may take to come."""
 
 EDIT_LIFETIME_MS: Final = 10 * 60 * 1000
 """How long an edit can be repeated under one key, and asked for, in log milliseconds."""
--- a/heatherkeel/admin/edits.py
+++ b/heatherkeel/admin/edits.py
@@ -24,7 +24,6 @@
     IN_PROGRESS_RETRY_AFTER_S,
     RECORD_HEADER,
     RETRY_AFTER_S,
-    WRITE_TIMEOUT_S,
 )
 from .models import Answer, Call, FieldFault, Problem, Reply
 from .preconditions import format_etag
@@ -72,7 +71,10 @@
     if record_id in node.writer.waiting:
         return Err(_in_progress(record_id))
     written = await node.writer.async_write(
-        body, timeout_s=WRITE_TIMEOUT_S, record_id=record_id, lifetime_ms=EDIT_LIFETIME_MS
+        body,
+        timeout_s=node.settings.admin.write_timeout_ms / 1000,
+        record_id=record_id,
+        lifetime_ms=EDIT_LIFETIME_MS,
     )
     match written:
         case Err(failure):
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -24,7 +24,12 @@
     node = Node(settings=settings)
     front = Front(node=node)
     http = HttpServer(app=front, bind=settings.http.bind)
-    admin = HttpServer(app=AdminApp(node=node), bind=settings.admin.bind)
+    admin = HttpServer(
+        app=AdminApp(node=node),
+        bind=settings.admin.bind,
+        certfile=settings.admin.certfile,
+        keyfile=settings.admin.keyfile,
+    )
     async with trio.open_nursery() as nursery:
         node.writer.start(nursery)
         node.follower.start(nursery)
--- a/heatherkeel/helpers/server.py
+++ b/heatherkeel/helpers/server.py
@@ -2,18 +2,31 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
-from .asgi import App
+from .asgi import App, Message, Receive, Send, async_respond_problem
+
+MAX_HEADER_BYTES: Final = 16 * 1024
+"""Largest path with headers; a longer one is answered with 431."""
 
 
 class HttpServer:
     """One hypercorn server in this process's loop."""
 
-    def __init__(self, *, app: App, bind: str, graceful_timeout_s: float = 10.0) -> None:
-        self.app = app
+    def __init__(
+        self,
+        *,
+        app: App,
+        bind: str,
+        graceful_timeout_s: float = 10.0,
+        certfile: str = "",
+        keyfile: str = "",
+    ) -> None:
+        self.app = limit_headers(app)
         self.address = bind
         self.config = Config()
         self.config.bind = [bind]
@@ -22,6 +35,11 @@
         self.config.graceful_timeout = graceful_timeout_s
         self.config.include_server_header = False
         self.config.use_reloader = False
+        self.config.h11_max_incomplete_size = MAX_HEADER_BYTES
+        self.config.certfile = certfile or None
+        self.config.keyfile = keyfile or None
+        # One protocol, so that one set of limits holds with and without TLS.
+        self.config.alpn_protocols = ["http/1.1"]
         self.stopping = trio.Event()
         self.stopped = trio.Event()
 
@@ -47,3 +65,31 @@
         """Take no new connection, let requests in progress finish, then return."""
         self.stopping.set()
         await self.stopped.wait()
+
+
+def limit_headers(app: App) -> App:
+    """Refuse requests with too long headers.
+
+    The library's own limit holds only for what it waits to complete: headers that come in one
+    read pass whatever their length, so the same request would be answered or not by its timing.
+    """
+
+    async def async_limited(scope: Message, receive: Receive, send: Send) -> None:
+        size = _header_bytes(scope) if scope["type"] == "http" else 0
+        if size <= MAX_HEADER_BYTES:
+            return await app(scope, receive, send)
+        return await async_respond_problem(
+            send,
+            status=431,
+            kind="headers_too_large",
+            title="The headers are too large",
+            detail=f"{size} bytes, at most {MAX_HEADER_BYTES} are taken",
+            headers={"connection": "close"},
+        )
+
+    return async_limited
+
+
+def _header_bytes(scope: Message) -> int:
+    fields = sum(len(name) + len(value) for name, value in scope["headers"])
+    return fields + len(scope["raw_path"]) + len(scope["query_string"])
--- a/heatherkeel/settings/models.py
+++ b/heatherkeel/settings/models.py
@@ -34,6 +34,7 @@
         "digit at both ends",
     ),
 ]
+FilePath = Annotated[str, Meta(max_length=4096, description="the path of a file")]
 Milliseconds = Annotated[int, Meta(ge=1, le=3_600_000)]
 
 
@@ -51,6 +52,20 @@
     bind: BindAddress = "127.0.0.1:0"
 
 
+class AdminSettings(ListenSettings, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The administration port; with both files it speaks TLS.
+
+    Tokens go over this port, so an address that other machines reach needs TLS, or
+    `allow_plain` where something in front of it does that.
+    """
+
+    certfile: FilePath = ""
+    keyfile: FilePath = ""
+    allow_plain: bool = False
+    write_timeout_ms: Milliseconds = 10_000
+    """How long an edit waits for the log before its outcome is called unknown."""
+
+
 class PlatformSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """How the platform's services are reached."""
 
@@ -81,7 +96,7 @@
     instance: InstanceSettings
     platform: PlatformSettings
     http: ListenSettings = ListenSettings()
-    admin: ListenSettings = ListenSettings()
+    admin: AdminSettings = AdminSettings()
     peers: ListenSettings = ListenSettings()
     routing: RoutingSettings = RoutingSettings()
     teams: dict[ShortName, TeamSettings] = {}
--- a/heatherkeel/settings/rules.py
+++ b/heatherkeel/settings/rules.py
@@ -10,6 +10,7 @@
 from msgspec.structs import FieldInfo
 from result import Err, Ok, Result
 
+from heatherkeel.helpers.addresses import is_loopback
 from heatherkeel.helpers.faults import (
     Fault,
     Path,
@@ -143,3 +144,39 @@
         other = first_with.setdefault(bind, section)
         if other != section and not bind.endswith(":0"):
             yield Fault(path=(section, "bind"), reason=f"{bind} is already used by {other}.bind")
+
+
+@rule("admin.bind", "admin.certfile", "admin.allow_plain")
+def check_tokens_stay_secret(bind: str, certfile: str, allow_plain: bool) -> Iterator[Fault]:
+    """Find an administration port that would show tokens to the network."""
+    if not (certfile or allow_plain or is_loopback(bind)):
+        yield Fault(
+            path=("admin", "bind"),
+            reason=f"{bind} is reached by other machines without TLS; set admin.certfile and "
+            "admin.keyfile, or admin.allow_plain = true",
+        )
+
+
+@rule("admin.certfile", "admin.keyfile")
+def check_certificate(certfile: str, keyfile: str) -> Iterator[Fault]:
+    """Find a certificate without its key, and files that TLS can't use."""
+    if not certfile and not keyfile:
+        return
+    for key, file in (("certfile", certfile), ("keyfile", keyfile)):
+        if not file:
+            yield Fault(path=("admin", key), reason="missing; certfile and keyfile go together")
+            return
+    reason = _find_certificate_fault(certfile, keyfile)
+    if reason:
+        yield Fault(path=("admin", "certfile"), reason=reason)
+
+
+def _find_certificate_fault(certfile: str, keyfile: str) -> str:
+    # Only needed with TLS, and large.
+    import ssl
+
+    try:
+        ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER).load_cert_chain(certfile, keyfile, password="")
+    except (OSError, ValueError) as err:
+        return f"TLS can't use it with admin.keyfile: {err}"
+    return ""
--- a/tests/admin/fakes.py
+++ b/tests/admin/fakes.py
@@ -18,9 +18,9 @@
 from heatherkeel.platform.errors import PlatformError, PlatformFailure
 from heatherkeel.platform.models import Appended, ReadAnswer, StoredRecord
 from heatherkeel.settings.models import (
+    AdminSettings,
     EntrySettings,
     InstanceSettings,
-    ListenSettings,
     PlatformSettings,
     TeamSettings,
 )
@@ -90,9 +90,16 @@
     log: MemoryLog
 
     async def raw(
-        self, method: str, path: str, *, headers: list[tuple[bytes, bytes]], body: bytes = b""
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes = b"",
+        ends: bool = True,
     ) -> Response:
-        """Send a request with exactly these bytes."""
+        """Send a request with exactly these bytes; without `ends` its body never ends."""
+        parts = [body]
         messages: list[Message] = []
         path, _, query = path.partition("?")
         scope = {
@@ -105,7 +112,9 @@
         }
 
         async def async_receive() -> Message:
-            return {"type": "http.request", "body": body, "more_body": False}
+            if not parts:
+                await trio.sleep_forever()
+            return {"type": "http.request", "body": parts.pop(), "more_body": not ends}
 
         async def async_send(message: Message) -> None:
             messages.append(message)
@@ -136,7 +145,7 @@
     return EntrySettings(
         instance=InstanceSettings(id="entry-a", zone="a", zones=["a"]),
         platform=PlatformSettings(address="127.0.0.1:1", batch_interval_ms=0),
-        admin=ListenSettings(bind=bind),
+        admin=AdminSettings(bind=bind),
         teams={name: TeamSettings(token=token) for name, token in TOKENS.items()},
     )
 
--- a/tests/admin/test_catalogue_api.py
+++ b/tests/admin/test_catalogue_api.py
@@ -4,9 +4,11 @@
 
 import pytest
 import trio
+import trio.testing
 
 from .fakes import TOKENS, Api, open_api, run
 
+TOKEN_HEADER = (b"authorization", b"Bearer sheetal-token")
 POOL = {"kind": "pool", "owner": "sheetal", "size": 3}
 STOCK = {
     "kind": "service",
@@ -165,8 +167,7 @@
 )
 def test_a_body_that_cannot_be_read_is_explained(body: bytes, detail: str) -> None:
     async def scenario(api: Api) -> None:
-        headers = [(b"authorization", b"Bearer sheetal-token")]
-        refused = await api.raw("PUT", "/catalogue/desk", headers=headers, body=body)
+        refused = await api.raw("PUT", "/catalogue/desk", headers=[TOKEN_HEADER], body=body)
         assert refused.status == 422
         assert refused.json()["detail"].startswith(detail)
 
@@ -192,6 +193,20 @@
     run(scenario)
 
 
+def test_a_body_that_stops_in_the_middle_is_given_up() -> None:
+    # The caller's machine vanished after half of its body. Its connection must not stay open
+    # for good, and nothing may be accepted.
+    async def async_main() -> None:
+        async with open_api() as api:
+            answer = await api.raw(
+                "PUT", "/catalogue/desk", headers=[TOKEN_HEADER], body=b'{"kind"', ends=False
+            )
+            assert answer.status == 408
+            assert not api.log.records
+
+    trio.run(async_main, clock=trio.testing.MockClock(autojump_threshold=0.01))
+
+
 def test_head_has_the_headers_of_get_and_no_body() -> None:
     async def scenario(api: Api) -> None:
         await api.call("PUT", "/catalogue/desk", POOL)
