--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -39,7 +39,12 @@
         pages = MonitoringApp(
             inner=AdminApp(node=self.node), metrics=self.metrics, readiness=self.readiness
         )
-        self.admin = HttpServer(app=pages, bind=settings.admin.bind)
+        self.admin = HttpServer(
+            app=pages,
+            bind=settings.admin.bind,
+            certfile=settings.admin.certfile,
+            keyfile=settings.admin.keyfile,
+        )
         self.gauges = NodeGauges(
             node=self.node, readiness=self.readiness, in_progress=lambda: timed.in_progress
         )
