--- a/heatherkeel/cli/standin.py
+++ b/heatherkeel/cli/standin.py
@@ -20,13 +20,13 @@
 def run_standin(values: flags.FlagValues, args: list[str]) -> int:
     """Run one stand-in until it is told to stop."""
     from heatherkeel.standins.platform import PlatformStandin
-    from heatherkeel.standins.process import async_run_platform, async_run_target
+    from heatherkeel.standins.process import async_run_standin
     from heatherkeel.standins.target import TargetStandin
 
     set_up_logs(instance=values.instance, zone="")
     if args == ["platform"]:
-        trio.run(lambda: async_run_platform(PlatformStandin(), bind=values.bind))
+        trio.run(lambda: async_run_standin(PlatformStandin(), bind=values.bind))
         return 0
     target = TargetStandin(instance=values.instance, slots=values.slots)
-    trio.run(lambda: async_run_target(target, bind=values.bind))
+    trio.run(lambda: async_run_standin(target, bind=values.bind))
     return 0
--- a/heatherkeel/standins/process.py
+++ b/heatherkeel/standins/process.py
@@ -16,8 +16,15 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-async def async_run_platform(platform: PlatformStandin, *, bind: str) -> None:
-    """Serve the platform stand-in until the process is told to stop."""
+async def async_run_standin(standin: PlatformStandin | TargetStandin, *, bind: str) -> None:
+    """Serve a stand-in until the process is told to stop."""
+    if isinstance(standin, PlatformStandin):
+        await _async_run_platform(standin, bind=bind)
+    else:
+        await _async_run_target(standin, bind=bind)
+
+
+async def _async_run_platform(platform: PlatformStandin, *, bind: str) -> None:
     server = HttpServer(app=platform, bind=bind, graceful_timeout_s=0.1)
     async with trio.open_nursery() as nursery:
         platform.start(nursery)
@@ -27,8 +34,8 @@
         nursery.cancel_scope.cancel()
 
 
-async def async_run_target(target: TargetStandin, *, bind: str) -> None:
-    """Serve a target stand-in, through its reboots, until the process is told to stop."""
+async def _async_run_target(target: TargetStandin, *, bind: str) -> None:
+    """Serve a target stand-in through its reboots."""
     with _hold_port(bind) as holder:
         host, port = holder.getsockname()
         async with trio.open_nursery() as nursery:
