--- a/heatherkeel/core/registry.py
+++ b/heatherkeel/core/registry.py
@@ -25,12 +25,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RecordKind:
-    """One registered kind of record: how to decode its body, and who decides it."""
+    """One registered kind of record: how to decode its body, and who decides it.
+
+    `remembered` keeps its outcomes in `FleetState.outcomes`, for authors that ask later.
+    """
 
     kind: str
     body_type: type[RecordBody]
     decoder: msgspec.json.Decoder[Any]
     handler: Handler[Any]
+    remembered: bool = False
 
 
 RECORD_KINDS: Final[dict[str, RecordKind]] = {}
@@ -40,7 +44,9 @@
 STEP_CHECKERS: Final[dict[str, StepChecker]] = {}
 
 
-def handles(kind: str, body_type: type[BodyT]) -> Callable[[Handler[BodyT]], Handler[BodyT]]:
+def handles(
+    kind: str, body_type: type[BodyT], *, remembered: bool = False
+) -> Callable[[Handler[BodyT]], Handler[BodyT]]:
     """Register the handler of one record kind; a handler rejects before it changes anything."""
 
     def register(handler: Handler[BodyT]) -> Handler[BodyT]:
@@ -48,7 +54,11 @@
             raise RegistrationError(f"record kind {kind} is registered twice")
         decoder = msgspec.json.Decoder(body_type)
         RECORD_KINDS[kind] = RecordKind(
-            kind=kind, body_type=body_type, decoder=decoder, handler=handler
+            kind=kind,
+            body_type=body_type,
+            decoder=decoder,
+            handler=handler,
+            remembered=remembered,
         )
         KIND_OF_BODY[body_type] = kind
         return handler
