--- a/heatherkeel/measure/const.py
+++ b/heatherkeel/measure/const.py
@@ -22,3 +22,9 @@
 
 HOP_RATE_TARGET: Final = 0.9
 """Least that the entry hop's requests a second may be, as a multiple of the bare hop's."""
+
+STREAM: Final = "fleet"
+"""Stream of the platform's log that entry processes follow by default."""
+
+PRELOAD_BATCH: Final = 256
+"""Records of one append when a log is filled before a measurement."""
--- a/heatherkeel/measure/fleet.py
+++ b/heatherkeel/measure/fleet.py
@@ -4,10 +4,18 @@
 
 import json
 import tempfile
+import time
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
 
-from .const import POOL, SERVICE, SERVICE_PATH, TEAM, TOKEN
+import msgspec
+
+from heatherkeel.core.envelopes import encode, seal
+from heatherkeel.core.models import RecordBody
+from heatherkeel.platform.models import AppendRequest
+
+from .const import POOL, PRELOAD_BATCH, SERVICE, SERVICE_PATH, STREAM, TEAM, TOKEN
 from .processes import Child, MeasurementError, call, start_child, wait_for
 
 _SETTINGS = """
@@ -83,6 +91,27 @@
         settings.write_text(text, encoding="utf-8")
         return self.start(name, ["entry", f"--settings={settings}"])
 
+    def preload(self, records: Iterable[RecordBody]) -> int:
+        """Write records into the platform's log, in groups, and return how many."""
+        now_ms = time.time_ns() // 1_000_000
+        sealed = [encode(seal(body, author="bench", now_ms=now_ms)) for body in records]
+        for start in range(0, len(sealed), PRELOAD_BATCH):
+            batch = AppendRequest(records=sealed[start : start + PRELOAD_BATCH])
+            response = call(
+                "POST",
+                self._platform().http,
+                f"/streams/{STREAM}/records",
+                body=msgspec.json.encode(batch),
+            )
+            if response.status != 200:
+                raise MeasurementError(f"the platform refused records: {response.status}")
+        return len(sealed)
+
+    def platform_appends(self) -> int:
+        """Return how many appends the platform stand-in has taken."""
+        counts = call("GET", self._platform().http, "/standin/counts").content
+        return int(json.loads(counts)["appends"])
+
     def put(self, entry: Child, name: str, value: dict[str, Any]) -> int:
         """Create a catalogue entry and return the offset of its record."""
         response = call(
--- /dev/null
+++ b/heatherkeel/measure/fold_slopes.py
@@ -0,0 +1,129 @@
+"""Slopes of the fold: time for one record of each kind, in states of several sizes."""
+
+from __future__ import annotations
+
+import statistics
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from heatherkeel.core.models import RecordBody
+from heatherkeel.core.registry import KIND_OF_BODY
+from heatherkeel.membership.models import EntryRenew
+from heatherkeel.pools.models import Health, InstanceObserved
+from heatherkeel.waves.models import (
+    AckedDrain,
+    DrainAck,
+    DrainStart,
+    Purpose,
+    Returned,
+    StopIssued,
+)
+
+from . import design_size as size
+from .fit import Slope, fit
+from .log import MeasuredLog
+from .state_slopes import build, quarters_of
+
+REPEATS: Final = 100
+"""Records of each kind for one size; the median is taken."""
+
+Exercise = Callable[[MeasuredLog], Iterator[RecordBody]]
+EXERCISES: Final[list[Exercise]] = []
+
+
+def exercise(records: Exercise) -> Exercise:
+    """Register records to be timed; each is made when the one before it is folded."""
+    EXERCISES.append(records)
+    return records
+
+
+def measure_fold() -> Iterator[Slope]:
+    """Yield the fold's time for one record of each kind by workers in the state."""
+    sizes = quarters_of(size.WORKERS)
+    by_kind: dict[str, list[float]] = defaultdict(list)
+    for count in sizes:
+        log = build(size.fleet_records(workers=count))
+        for records in EXERCISES:
+            for kind, median_us in _time_records(log, records).items():
+                by_kind[kind].append(median_us)
+    for kind, values in sorted(by_kind.items()):
+        yield fit(f"fold {kind}", unit="us", per="worker", sizes=sizes, values=values)
+
+
+def _time_records(log: MeasuredLog, records: Exercise) -> dict[str, float]:
+    times: dict[str, list[float]] = defaultdict(list)
+    for body in records(log):
+        log.must(body)
+        times[KIND_OF_BODY[type(body)]].append(log.fold_us)
+    return {kind: statistics.median(values) for kind, values in times.items()}
+
+
+@exercise
+def edits(log: MeasuredLog) -> Iterator[RecordBody]:
+    """Edit teams' entries."""
+    for index in range(REPEATS):
+        name = f"team-{index:03d}"
+        edit = size.team_record(index)
+        version = log.state.catalogue.entries[name].version
+        yield size.put(name, edit.entry, version=version)
+
+
+@exercise
+def renewals(log: MeasuredLog) -> Iterator[RecordBody]:
+    """Renew routing leases."""
+    for index in range(REPEATS):
+        number = index % size.ENTRIES
+        yield EntryRenew(
+            instance=size.entry_id(number), incarnation=f"{number:032x}", offset_in_force=1
+        )
+
+
+@exercise
+def observations(log: MeasuredLog) -> Iterator[RecordBody]:
+    """Say of workers that they answer."""
+    for index in range(REPEATS):
+        yield InstanceObserved(
+            instance=size.worker_id(index),
+            health=Health.HEALTHY,
+            observer=size.entry_id(index % size.ENTRIES),
+        )
+
+
+@exercise
+def admissions(log: MeasuredLog) -> Iterator[RecordBody]:
+    """Admit workers for a pool."""
+    for index in range(REPEATS):
+        body = size.worker_record(90_000 + index)
+        yield body
+
+
+@exercise
+def maintenance(log: MeasuredLog) -> Iterator[RecordBody]:
+    """Drain, acknowledge, stop and take back one worker of each pool."""
+    for index in range(REPEATS):
+        yield from _maintain(log, size.worker_id(index))
+
+
+def _maintain(log: MeasuredLog, worker: str) -> Iterator[RecordBody]:
+    instances = log.state.pools.instances
+    yield DrainStart(
+        instance=worker,
+        expected_version=instances[worker].version,
+        coordinator=size.entry_id(0),
+        purpose=Purpose.MAINTENANCE,
+        wave=1,
+    )
+    drain = log.state.waves.drains[worker].id
+    for number in range(size.ENTRIES):
+        acked = (AckedDrain(instance=worker, drain=drain),)
+        entry, incarnation = size.entry_id(number), f"{number:032x}"
+        yield DrainAck(entry=entry, incarnation=incarnation, instances=acked)
+    yield StopIssued(
+        instance=worker,
+        expected_version=instances[worker].version,
+        coordinator=size.entry_id(0),
+    )
+    yield Returned(
+        instance=worker, expected_version=instances[worker].version, boot_id=f"{worker}-2"
+    )
