--- a/heatherkeel/core/state.py
+++ b/heatherkeel/core/state.py
@@ -12,8 +12,11 @@
 from heatherkeel.membership.models import MembershipState
 from heatherkeel.pools.models import PoolsState
 from heatherkeel.requests.models import ClaimsState
+from heatherkeel.snapshots.models import SnapshotsState
 from heatherkeel.waves.models import WavesState
 
+from .models import RecordOutcome
+
 
 @dataclass(kw_only=True)
 class FleetState:
@@ -27,6 +30,8 @@
     now_ms: int = 0
     seen: dict[str, int] = field(default_factory=dict)
     """Record ids that could still be appended again, with their `not_after_ms`."""
+    outcomes: dict[str, RecordOutcome] = field(default_factory=dict)
+    """How records of the remembered kinds were decided, by record id, as long as in `seen`."""
     seen_purged_ms: int = 0
     catalogue: CatalogueState = field(default_factory=CatalogueState)
     membership: MembershipState = field(default_factory=MembershipState)
@@ -34,6 +39,7 @@
     waves: WavesState = field(default_factory=WavesState)
     claims: ClaimsState = field(default_factory=ClaimsState)
     jobs: JobsState = field(default_factory=JobsState)
+    snapshots: SnapshotsState = field(default_factory=SnapshotsState)
 
 
 _ENCODER = msgspec.json.Encoder(order="sorted")
--- a/heatherkeel/measure/__init__.py
+++ b/heatherkeel/measure/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements: the hop, the three measures of the brief, slopes for the capacity page."""
+"""Commands that measure decisions; their figures go into the design notes."""
--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import heatherkeel.catalogue.checks
 import heatherkeel.catalogue.reducer
+import heatherkeel.jobs.reducer
 import heatherkeel.membership.reducer
 import heatherkeel.pools.health
 import heatherkeel.pools.reducer
+import heatherkeel.requests.flow
+import heatherkeel.requests.limits
+import heatherkeel.requests.targets
+import heatherkeel.snapshots.reducer
 import heatherkeel.waves.acknowledgements
 import heatherkeel.waves.checks
+import heatherkeel.waves.policies
 import heatherkeel.waves.reducer  # noqa: F401
