--- a/heatherkeel/cli/load.py
+++ b/heatherkeel/cli/load.py
@@ -4,8 +4,6 @@
 
 import sys
 
-import msgspec
-import trio
 from absl import flags
 from result import Err
 
@@ -44,6 +42,8 @@
 )
 def run_load(values: flags.FlagValues, args: list[str]) -> int:
     """Run one load; exit 1 if a promise was broken, 2 for a plan that can't be run."""
+    import trio
+
     from heatherkeel.load.run import LoadRun
 
     services, faults = _parse_services(values.service)
@@ -87,6 +87,8 @@
 
 
 def _print(report: Report, *, as_json: bool) -> None:
+    import msgspec
+
     from heatherkeel.load.report import format_table
 
     if as_json:
