--- a/heatherkeel/entry/node.py
+++ b/heatherkeel/entry/node.py
@@ -4,18 +4,32 @@
 
 import logging
 import uuid
+from collections.abc import Callable
+from typing import Any, TypeVar
 
-from heatherkeel.core.models import Effect, LogRecord, Settled, Skipped
+import trio
+from result import Err
+
+from heatherkeel.core.models import Duplicate, Effect, LogRecord, Settled, Skipped
 from heatherkeel.core.node import Event, LocalState, NodeState, reduce
+from heatherkeel.core.state import FleetState
+from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.helpers.timers import TimerService
 from heatherkeel.platform.client import PlatformClient
 from heatherkeel.platform.follower import LogFollower
 from heatherkeel.platform.log_clock import LogClock
 from heatherkeel.platform.writer import LogWriter
 from heatherkeel.settings.models import EntrySettings
+from heatherkeel.snapshots.local import StateRestored
+from heatherkeel.snapshots.models import SnapshotMarked, SnapshotVerified
+from heatherkeel.snapshots.schedule import SnapshotPolicy
+from heatherkeel.snapshots.store import SnapshotStore
+from heatherkeel.snapshots.writer import SnapshotWriter
 
 _LOGGER = logging.getLogger(__name__)
 
+EffectT = TypeVar("EffectT", bound=Effect)
+
 
 class Node:
     """The parts of one entry process that decide, write and read."""
@@ -51,25 +65,73 @@
             wait_ms=settings.platform.poll_wait_ms,
             next_offset=lambda: self.state.fleet.next_offset,
             take=self.take_record,
+            rebuild=self.async_rebuild,
+        )
+        self.store = SnapshotStore(client=self.client, stream=settings.platform.stream)
+        self.snapshots = self._make_snapshot_writer()
+        self.may_serve = trio.Event()
+        """Set once a state is in force that this process may serve by."""
+        self.hearers: dict[type[Effect], list[Callable[[Any], None]]] = {}
+        self.subscribe(Settled, self.writer.settle)
+        self.subscribe(Settled, self.snapshots.hear_settled)
+        self.subscribe(Duplicate, self.writer.hear_duplicate)
+        self.subscribe(SnapshotMarked, self.snapshots.hear_marked)
+        self.subscribe(SnapshotVerified, self.snapshots.hear_verified)
+        self.subscribe(Skipped, _log_skipped)
+
+    def _make_snapshot_writer(self) -> SnapshotWriter:
+        settings = self.settings.snapshots
+        return SnapshotWriter(
+            instance=self.settings.instance.id,
+            incarnation=self.incarnation,
+            state=lambda: self.state.fleet,
+            log=self.writer,
+            follower=self.follower,
+            store=self.store,
+            policy=SnapshotPolicy(
+                interval_records=settings.interval_records,
+                interval_ms=settings.interval_ms,
+                overtake_ms=settings.overtake_ms,
+            ),
         )
 
+    def subscribe(self, effect_type: type[EffectT], hearer: Callable[[EffectT], None]) -> None:
+        """Call `hearer` with every effect of exactly this type."""
+        self.hearers.setdefault(effect_type, []).append(hearer)
+
+    async def async_rebuild(self) -> bool:
+        """Replace a state that the log can't continue by a newer snapshot; False if none is."""
+        loaded = await self.store.async_load_newest(above=self.state.fleet.next_offset)
+        if isinstance(loaded, Err) or loaded.ok_value is None:
+            return False
+        self.restore(loaded.ok_value)
+        return True
+
+    def restore(self, fleet: FleetState) -> None:
+        """Put another state in force; never an older one, as nothing accepted may revert."""
+        if fleet.next_offset < self.state.fleet.next_offset:
+            return
+        self.state.fleet = fleet
+        self.follower.forget_records()
+        self.clock.hear(fleet.now_ms)
+        _LOGGER.info(
+            "state restored", extra={"event": "state_restored", "next_offset": fleet.next_offset}
+        )
+        self.take(StateRestored(now_ms=monotonic_ms()))
+
     def take_record(self, record: LogRecord) -> None:
         """Fold one record of the log."""
         self.take(record)
 
     def take(self, event: Event) -> list[Effect]:
-        """Reduce one event, carry out what concerns the log, and return all effects."""
+        """Reduce one event, tell the effects to those who subscribed, and return them all."""
         effects = reduce(self.state, event)
         for effect in effects:
-            self._carry_out(effect)
+            for hearer in self.hearers.get(type(effect), ()):
+                hearer(effect)
         return effects
 
-    def _carry_out(self, effect: Effect) -> None:
-        if isinstance(effect, Settled):
-            self.writer.settle(effect)
-        if isinstance(effect, Skipped):
-            _LOGGER.warning(
-                "record skipped: %s",
-                effect.detail,
-                extra={"event": "record_skipped", "offset": effect.offset},
-            )
+
+def _log_skipped(effect: Skipped) -> None:
+    extra = {"event": "record_skipped", "offset": effect.offset}
+    _LOGGER.warning("record skipped: %s", effect.detail, extra=extra)
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -15,6 +15,7 @@
 from .duties import Duties
 from .front import Front
 from .node import Node
+from .start import NodeStart
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -27,12 +28,18 @@
     admin = HttpServer(app=AdminApp(node=node), bind=settings.admin.bind)
     async with trio.open_nursery() as nursery:
         node.writer.start(nursery)
-        node.follower.start(nursery)
+        node.snapshots.start(nursery)
         await admin.start(nursery)
-        await node.follower.caught_up.wait()
+        NodeStart(node=node).start(nursery)
+        await node.may_serve.wait()
         await http.start(nursery)
         duties = Duties(node=node, peer_address=settings.peers.bind)
         duties.start()
+        node.timers.subscribe(
+            name="snapshots",
+            interval_ms=settings.snapshots.check_interval_ms,
+            callback=node.snapshots.async_check,
+        )
         node.timers.start(nursery)
         _LOGGER.info(
             "listening",
--- /dev/null
+++ b/heatherkeel/entry/start.py
@@ -0,0 +1,66 @@
+"""Gives a new process a state that it may serve by, or says why it has none."""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+
+import trio
+from result import Err, Ok
+
+from heatherkeel.helpers.backoff import Backoff
+from heatherkeel.platform.errors import PlatformError, PlatformFailure
+
+from .node import Node
+
+_LOGGER = logging.getLogger(__name__)
+
+FIRST_PAUSE_S: Final = 0.1
+LONGEST_PAUSE_S: Final = 2.0
+
+
+class NodeStart:
+    """Starts from the newest whole snapshot, or from the log's first record."""
+
+    def __init__(self, *, node: Node) -> None:
+        self.node = node
+        self.backoff = Backoff(first_s=FIRST_PAUSE_S, limit_s=LONGEST_PAUSE_S)
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Begin in the background; `node.may_serve` tells the end."""
+        nursery.start_soon(self._async_run, nursery)
+
+    async def _async_run(self, nursery: trio.Nursery) -> None:
+        while not await self._async_try():
+            await trio.sleep(self.backoff.next_s())
+        self.node.follower.start(nursery)
+        await self.node.follower.caught_up.wait()
+        self.node.may_serve.set()
+
+    async def _async_try(self) -> bool:
+        """Say whether the log can be followed from here."""
+        loaded = await self.node.store.async_load_newest(above=0)
+        if isinstance(loaded, Err):
+            return await self._async_without_platform(loaded.err_value)
+        if loaded.ok_value is None:
+            return await self._async_has_first_record()
+        self.node.restore(loaded.ok_value)
+        return True
+
+    async def _async_has_first_record(self) -> bool:
+        """Without a snapshot only a log that still has its first record gives the state."""
+        outcome = await self.node.client.async_read(
+            self.node.settings.platform.stream, offset=0, max_records=1, wait_ms=0
+        )
+        if isinstance(outcome, Ok):
+            return True
+        if outcome.err_value.failure is PlatformFailure.OUT_OF_RETENTION:
+            self._tell("no usable snapshot, and the log's first records are no longer kept")
+        return False
+
+    async def _async_without_platform(self, error: PlatformError) -> bool:
+        self._tell(f"the platform does not answer: {error.detail}")
+        return False
+
+    def _tell(self, reason: str) -> None:
+        _LOGGER.error("can't start: %s", reason, extra={"event": "cannot_start"})
--- a/heatherkeel/platform/client.py
+++ b/heatherkeel/platform/client.py
@@ -15,6 +15,8 @@
 ModelT = TypeVar("ModelT")
 _ENCODER = msgspec.json.Encoder()
 _STATUS_GONE = 410
+_STATUS_REQUEST_TIMEOUT = 408
+_REFUSED_FOR_NOW = (429, 503)
 
 
 class PlatformClient:
@@ -80,12 +82,33 @@
 
 def _decode(response: httpcore.Response, model: type[ModelT]) -> Result[ModelT, PlatformError]:
     if response.status == _STATUS_GONE:
-        oldest = msgspec.json.decode(response.content, type=ReadAnswer).oldest
-        return Err(PlatformError(failure=PlatformFailure.OUT_OF_RETENTION, oldest=oldest))
+        return Err(_decode_gone(response))
     if response.status >= 400:
-        detail = f"status {response.status}"
-        return Err(PlatformError(failure=PlatformFailure.REFUSED, detail=detail))
+        failure = _failure_of(response.status)
+        return Err(PlatformError(failure=failure, detail=f"status {response.status}"))
     try:
         return Ok(msgspec.json.decode(response.content, type=model))
-    except msgspec.DecodeError as err:
+    except (msgspec.DecodeError, UnicodeDecodeError) as err:
         return Err(PlatformError(failure=PlatformFailure.UNKNOWN, detail=str(err)))
+
+
+def _failure_of(status: int) -> PlatformFailure:
+    """Say what is known after an error answer.
+
+    A gateway answers 500, 502 or 504 when the store behind it was slow, and the append may have
+    been stored all the same. Only what the platform's interface names as refused is so.
+    """
+    if status in _REFUSED_FOR_NOW:
+        return PlatformFailure.REFUSED
+    if status >= 500 or status == _STATUS_REQUEST_TIMEOUT:
+        return PlatformFailure.UNKNOWN
+    return PlatformFailure.INVALID
+
+
+def _decode_gone(response: httpcore.Response) -> PlatformError:
+    """Read where the log now begins; a 410 by something in between doesn't say it."""
+    try:
+        oldest = msgspec.json.decode(response.content, type=ReadAnswer).oldest
+    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+        return PlatformError(failure=PlatformFailure.UNKNOWN, detail=f"status 410: {err}")
+    return PlatformError(failure=PlatformFailure.OUT_OF_RETENTION, oldest=oldest)
--- a/heatherkeel/platform/errors.py
+++ b/heatherkeel/platform/errors.py
@@ -14,7 +14,9 @@
     UNKNOWN = "unknown"
     """Sent, but no answer: it may have taken effect."""
     REFUSED = "refused"
-    """The platform answered with an error: the call had no effect."""
+    """The platform refused for now (429, 503): the call had no effect, a later one may."""
+    INVALID = "invalid"
+    """The platform refused this very call (other 4xx): it had no effect and never will."""
     OUT_OF_RETENTION = "out_of_retention"
     """The offset that was asked for is no longer kept."""
 
--- a/heatherkeel/platform/follower.py
+++ b/heatherkeel/platform/follower.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import trio
 from result import Err, Ok
 
+from heatherkeel.core.errors import BrokenInvariantError
 from heatherkeel.core.models import LogRecord
+from heatherkeel.helpers.backoff import Backoff
+from heatherkeel.helpers.clock import monotonic_ms
 
 from .client import PlatformClient
 from .errors import PlatformError, PlatformFailure
@@ -19,11 +22,14 @@
 _LOGGER = logging.getLogger(__name__)
 
 MAX_READ_RECORDS: Final = 512
-RETRY_PAUSE_S: Final = 0.2
+FIRST_PAUSE_S: Final = 0.1
+LONGEST_PAUSE_S: Final = 2.0
+EMPTY_ANSWER_PAUSE_S: Final = 0.05
+"""Least time between two reads that bring nothing."""
 
 
-class OutOfRetentionError(Exception):
-    """The next offset is no longer kept: the process has to rebuild its state."""
+class LogRewrittenError(BrokenInvariantError):
+    """The log has another record at an offset that was folded here: the state is not the log's."""
 
 
 class LogFollower:
@@ -38,6 +44,7 @@
         wait_ms: int,
         next_offset: Callable[[], int],
         take: Callable[[LogRecord], None],
+        rebuild: Callable[[], Awaitable[bool]],
     ) -> None:
         self.client = client
         self.stream = stream
@@ -45,41 +52,121 @@
         self.wait_ms = wait_ms
         self.next_offset = next_offset
         self.take = take
+        self.rebuild = rebuild
         self.caught_up = trio.Event()
         self.reachable = False
+        self.out_of_retention = False
+        self.oldest = 0
+        self.last_read_ms = monotonic_ms()
+        self.last_record: LogRecord | None = None
+        self.in_doubt = False
+        self.backoff = Backoff(first_s=FIRST_PAUSE_S, limit_s=LONGEST_PAUSE_S)
 
     def start(self, nursery: trio.Nursery) -> None:
         """Begin to follow the log in the background."""
         nursery.start_soon(self._async_run)
 
+    def note_folded(self, record: LogRecord) -> None:
+        """Hear of a record that was folded but not read from the log: a peer relayed it."""
+        self.last_record = record
+        self.in_doubt = True
+
+    def forget_records(self) -> None:
+        """Hear that the state was replaced."""
+        self.last_record = None
+        self.in_doubt = False
+
     async def _async_run(self) -> None:
         while True:
+            # Before the first answer after an outage nothing is waited for, so that a reachable
+            # platform is known at once.
             wait_ms = self.wait_ms if self.caught_up.is_set() and self.reachable else 0
+            offset = self.next_offset() - (1 if self._must_check() else 0)
             outcome = await self.client.async_read(
-                self.stream,
-                offset=self.next_offset(),
-                max_records=MAX_READ_RECORDS,
-                wait_ms=wait_ms,
+                self.stream, offset=offset, max_records=MAX_READ_RECORDS, wait_ms=wait_ms
             )
             match outcome:
                 case Ok(answer):
-                    self._take_all(answer)
+                    await self._async_take_all(answer)
                 case Err(error):
                     await self._async_pause(error)
 
-    def _take_all(self, answer: ReadAnswer) -> None:
+    def _must_check(self) -> bool:
+        return self.in_doubt and self.last_record is not None
+
+    async def _async_take_all(self, answer: ReadAnswer) -> None:
         self.reachable = True
+        self.out_of_retention = False
+        self.last_read_ms = monotonic_ms()
+        self.oldest = answer.oldest
         self.clock.hear(answer.now_ms)
-        for record in answer.records:
-            self.take(LogRecord(offset=record.offset, at_ms=record.at_ms, data=record.data))
+        if answer.next < self.next_offset():
+            await self._async_distrust(answer)
+            return
+        records = [
+            LogRecord(offset=stored.offset, at_ms=stored.at_ms, data=stored.data)
+            for stored in answer.records
+        ]
+        if self._must_check():
+            self._compare(records)
+        for record in records:
+            self._take(record)
+        self.backoff.reset()
         if self.next_offset() >= answer.next:
             self.caught_up.set()
+        # A platform that answers at once with nothing, whatever it was asked to wait, would
+        # otherwise be asked again without a pause by every process.
+        if not records:
+            await trio.sleep(EMPTY_ANSWER_PAUSE_S)
+
+    def _take(self, record: LogRecord) -> None:
+        # A relayed record may have been folded while the answer with the same one was on its way.
+        if record.offset < self.next_offset():
+            return
+        self.take(record)
+        self.last_record = record
+
+    async def _async_distrust(self, answer: ReadAnswer) -> None:
+        """Take nothing from a log that ends before what was folded from it.
+
+        A lagging copy of the log catches up again. A log that lost records will give their
+        offsets to others, so the last folded record is compared before the next one is taken.
+        """
+        self.in_doubt = True
+        extra = {"event": "log_went_back", "end": answer.next, "next_offset": self.next_offset()}
+        _LOGGER.error("the log ends before what was read from it", extra=extra)
+        await trio.sleep(self.backoff.next_s())
+
+    def _compare(self, records: list[LogRecord]) -> None:
+        """Check the last record that was folded without certainty against the log."""
+        last = self.last_record
+        if last is None:
+            return
+        found = next((record for record in records if record.offset == last.offset), None)
+        if found is None:
+            return
+        if found.data != last.data:
+            raise LogRewrittenError(f"another record at offset {last.offset}")
+        self.in_doubt = False
 
     async def _async_pause(self, error: PlatformError) -> None:
-        self.reachable = False
         # Records between here and the oldest retained one may have changed anything; to go on
         # from the oldest would silently lose accepted edits.
         if error.failure is PlatformFailure.OUT_OF_RETENTION:
-            raise OutOfRetentionError(f"offset {self.next_offset()}, oldest is {error.oldest}")
+            await self._async_rebuild(error.oldest)
+            return
+        self.reachable = False
         _LOGGER.warning("read failed: %s", error.detail, extra={"event": "log_read_failed"})
-        await trio.sleep(RETRY_PAUSE_S)
+        await trio.sleep(self.backoff.next_s())
+
+    async def _async_rebuild(self, oldest: int) -> None:
+        self.out_of_retention = True
+        self.oldest = oldest
+        extra = {
+            "event": "out_of_retention",
+            "next_offset": self.next_offset(),
+            "oldest": oldest,
+        }
+        _LOGGER.error("the next offset is no longer kept", extra=extra)
+        if not await self.rebuild():
+            await trio.sleep(self.backoff.next_s())
--- a/heatherkeel/platform/writer.py
+++ b/heatherkeel/platform/writer.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass, field
-from enum import StrEnum
 from typing import Final
 
 import trio
@@ -12,50 +10,24 @@
 
 from heatherkeel.core import envelopes
 from heatherkeel.core.const import DEFAULT_RECORD_LIFETIME_MS, MAX_RECORD_BYTES
-from heatherkeel.core.models import Envelope, RecordBody, Settled
+from heatherkeel.core.models import Duplicate, RecordBody, Settled
+from heatherkeel.helpers.backoff import Backoff
+from heatherkeel.helpers.clock import monotonic_ms
 
 from .client import PlatformClient
-from .errors import PlatformFailure
+from .errors import PlatformError, PlatformFailure
 from .log_clock import LogClock
+from .pending import PendingRecord, WriteFailure
+
+__all__ = ["LogWriter", "PendingRecord", "WriteFailure"]
 
 _LOGGER = logging.getLogger(__name__)
 
 MAX_BATCH_RECORDS: Final = 256
+MAX_BATCH_BYTES: Final = 1024 * 1024
 MAX_PENDING_RECORDS: Final = 4096
-RETRY_PAUSE_S: Final = 0.2
-
-
-class WriteFailure(StrEnum):
-    """Why an author doesn't know its record as decided."""
-
-    NOT_APPENDED = "not_appended"
-    """The record surely is not in the log and never will be."""
-    UNKNOWN = "unknown"
-    """The record may have been accepted, or may be before its lifetime ends."""
-    TOO_LARGE = "too_large"
-    OVERLOADED = "overloaded"
-
-
-@dataclass(kw_only=True, eq=False)
-class PendingRecord:
-    """A record on its way into the log."""
-
-    envelope: Envelope
-    data: bytes
-    sent: bool = False
-    perhaps_appended: bool = False
-    """An earlier append of it got no answer, so it may stand in the log."""
-    settled: Settled | None = None
-    failure: WriteFailure | None = None
-    done: trio.Event = field(default_factory=trio.Event)
-
-    def finish(
-        self, *, settled: Settled | None = None, failure: WriteFailure | None = None
-    ) -> None:
-        """Wake the author with the decision or the failure."""
-        self.settled = settled
-        self.failure = failure
-        self.done.set()
+FIRST_PAUSE_S: Final = 0.1
+LONGEST_PAUSE_S: Final = 2.0
 
 
 class LogWriter:
@@ -78,6 +50,8 @@
         self.wake = trio.Event()
         self.appends = 0
         self.platform_up = False
+        self.silent_since_ms: int | None = None
+        self.backoff = Backoff(first_s=FIRST_PAUSE_S, limit_s=LONGEST_PAUSE_S)
 
     def start(self, nursery: trio.Nursery) -> None:
         """Begin to append in the background."""
@@ -92,6 +66,8 @@
         lifetime_ms: int = DEFAULT_RECORD_LIFETIME_MS,
     ) -> Result[Settled, WriteFailure]:
         """Append one record and wait until the fold here has decided it."""
+        if not self.clock.is_known or self.is_silent:
+            return Err(WriteFailure.NOT_APPENDED)
         envelope = envelopes.seal(
             body,
             author=self.author,
@@ -104,10 +80,16 @@
             return Err(WriteFailure.TOO_LARGE)
         if len(self.waiting) >= MAX_PENDING_RECORDS:
             return Err(WriteFailure.OVERLOADED)
-        self._enqueue(pending)
-        with trio.move_on_after(timeout_s):
-            await pending.done.wait()
-        return self._conclude(pending)
+        return await self._async_wait(self._enqueue(pending), timeout_s)
+
+    @property
+    def is_silent(self) -> bool:
+        """Say whether nothing was heard of the platform since an append got no answer.
+
+        Without this, every author would wait for its whole timeout while the platform is down;
+        what can't be decided is refused at once.
+        """
+        return self.silent_since_ms is not None and (self.clock.heard_at_ms <= self.silent_since_ms)
 
     def settle(self, settled: Settled) -> None:
         """Hear from the fold how a record was decided."""
@@ -115,32 +97,65 @@
         if pending is not None:
             pending.finish(settled=settled)
 
-    def _enqueue(self, pending: PendingRecord) -> None:
+    def hear_duplicate(self, duplicate: Duplicate) -> None:
+        """Hear that a record was decided before its author began to wait for it."""
+        pending = self.waiting.pop(duplicate.record_id, None)
+        if pending is not None:
+            pending.finish(failure=WriteFailure.UNKNOWN)
+
+    def _enqueue(self, pending: PendingRecord) -> PendingRecord:
+        """Queue a record; a second author with the same record id waits for the same one."""
+        earlier = self.waiting.get(pending.envelope.id)
+        if earlier is not None:
+            return earlier
         self.queue.append(pending)
         self.waiting[pending.envelope.id] = pending
         self.wake.set()
+        return pending
 
-    def _conclude(self, pending: PendingRecord) -> Result[Settled, WriteFailure]:
-        if pending.settled is not None:
-            return Ok(pending.settled)
-        if pending.failure is not None:
-            return Err(pending.failure)
-        self.waiting.pop(pending.envelope.id, None)
-        if pending.sent:
-            return Err(WriteFailure.UNKNOWN)
-        self.queue.remove(pending)
-        return Err(WriteFailure.NOT_APPENDED)
+    async def _async_wait(
+        self, pending: PendingRecord, timeout_s: float
+    ) -> Result[Settled, WriteFailure]:
+        pending.authors += 1
+        try:
+            with trio.move_on_after(timeout_s):
+                await pending.done.wait()
+        finally:
+            pending.authors -= 1
+            # An author that was cancelled leaves here too; what it left waiting would count
+            # against the limit for ever.
+            if pending.authors == 0:
+                self._abandon(pending)
+        return pending.conclude()
+
+    def _abandon(self, pending: PendingRecord) -> None:
+        """Forget a record that nobody waits for; one that was never sent is taken back."""
+        if self.waiting.get(pending.envelope.id) is pending:
+            del self.waiting[pending.envelope.id]
+        if not pending.sent and pending in self.queue:
+            self.queue.remove(pending)
 
     async def _async_run(self) -> None:
         while True:
             await self.wake.wait()
             await trio.sleep(self.interval_s)
-            batch = self.queue[:MAX_BATCH_RECORDS]
+            batch = self._next_batch()
             if not batch:
                 self.wake = trio.Event()
                 continue
             await self._async_append(batch)
 
+    def _next_batch(self) -> list[PendingRecord]:
+        """Return the head of the queue, bounded in records and bytes."""
+        batch: list[PendingRecord] = []
+        size = 0
+        for pending in self.queue[:MAX_BATCH_RECORDS]:
+            size += len(pending.data)
+            if batch and (size > MAX_BATCH_BYTES or pending.alone or batch[0].alone):
+                break
+            batch.append(pending)
+        return batch
+
     async def _async_append(self, batch: list[PendingRecord]) -> None:
         for pending in batch:
             pending.sent = True
@@ -150,16 +165,35 @@
             case Ok(appended):
                 self.clock.hear(appended.now_ms)
                 self.platform_up = True
+                self.silent_since_ms = None
+                self.backoff.reset()
                 self._drop(batch)
             case Err(error):
-                self.platform_up = False
-                _LOGGER.warning("append failed: %s", error.detail, extra={"event": "append_failed"})
-                self._keep_or_fail(batch, error.failure)
-                await trio.sleep(RETRY_PAUSE_S)
+                await self._async_fail(batch, error)
+
+    async def _async_fail(self, batch: list[PendingRecord], error: PlatformError) -> None:
+        _LOGGER.warning("append failed: %s", error.detail, extra={"event": "append_failed"})
+        if error.failure is PlatformFailure.INVALID and len(batch) > 1:
+            self._part(batch)
+            return
+        self.platform_up = False
+        if error.failure is PlatformFailure.UNKNOWN:
+            self.silent_since_ms = monotonic_ms()
+        self._keep_or_fail(batch, error.failure)
+        await trio.sleep(self.backoff.next_s())
+
+    def _part(self, batch: list[PendingRecord]) -> None:
+        """Send each record of a batch alone: one that the platform never takes fails alone.
+
+        Otherwise such a record would stand at the head of the queue until its lifetime ends, and
+        all others of this process would be refused together with it.
+        """
+        for pending in batch:
+            pending.alone = True
 
     def _drop(self, batch: list[PendingRecord]) -> None:
-        done = {pending.envelope.id for pending in batch}
-        self.queue = [pending for pending in self.queue if pending.envelope.id not in done]
+        done = {id(pending) for pending in batch}
+        self.queue = [pending for pending in self.queue if id(pending) not in done]
 
     def _keep_or_fail(self, batch: list[PendingRecord], failure: PlatformFailure) -> None:
         """Fail at once what surely is not in the log; send again what may be.
@@ -172,10 +206,18 @@
                 pending.perhaps_appended = True
             if not pending.perhaps_appended:
                 self._fail(pending, WriteFailure.NOT_APPENDED)
-            elif pending.envelope.not_after_ms < now_ms or pending.envelope.id not in self.waiting:
+            elif self._is_hopeless(pending, failure, now_ms):
                 self._fail(pending, WriteFailure.UNKNOWN)
 
+    def _is_hopeless(self, pending: PendingRecord, failure: PlatformFailure, now_ms: int) -> bool:
+        return (
+            failure is PlatformFailure.INVALID
+            or pending.envelope.not_after_ms < now_ms
+            or pending.envelope.id not in self.waiting
+        )
+
     def _fail(self, pending: PendingRecord, failure: WriteFailure) -> None:
         self._drop([pending])
-        self.waiting.pop(pending.envelope.id, None)
+        if self.waiting.get(pending.envelope.id) is pending:
+            del self.waiting[pending.envelope.id]
         pending.finish(failure=failure)
--- a/heatherkeel/settings/models.py
+++ b/heatherkeel/settings/models.py
@@ -44,6 +44,19 @@
     renew_interval_ms: Milliseconds = 4_000
 
 
+class SnapshotSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """When the state is written back into the log, in records and in log time.
+
+    The interval must be a small part of the platform's retention. An author that has not
+    finished after `overtake_ms` is taken for dead.
+    """
+
+    interval_records: Annotated[int, Meta(ge=1, le=10_000_000)] = 20_000
+    interval_ms: Milliseconds = 600_000
+    overtake_ms: Milliseconds = 60_000
+    check_interval_ms: Milliseconds = 1_000
+
+
 class TeamSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """The token with which a team's operators sign their edits."""
 
@@ -59,4 +72,5 @@
     admin: ListenSettings = ListenSettings()
     peers: ListenSettings = ListenSettings()
     routing: RoutingSettings = RoutingSettings()
+    snapshots: SnapshotSettings = SnapshotSettings()
     teams: dict[ShortName, TeamSettings] = {}
--- a/heatherkeel/snapshots/const.py
+++ b/heatherkeel/snapshots/const.py
@@ -31,8 +31,14 @@
 JITTER_MS: Final = 2_000
 """Entry instances spread their marks over this time, by a hash of their id and the offset."""
 
-SCAN_RECORDS: Final = 64
+SCAN_RECORDS: Final = 16
 """Records that one step of the backward scan of the snapshot stream reads."""
 
 MAX_SCANNED_RECORDS: Final = 4_096
 """The backward scan ends after so many records."""
+
+APPEND_PAUSE_S: Final = 0.05
+"""Pause between two chunks: at most 20 of the several hundred appends a second are ours."""
+
+APPEND_TRIES: Final = 20
+"""Tries for one record of the snapshot stream before its snapshot is given up."""
--- /dev/null
+++ b/heatherkeel/snapshots/schedule.py
@@ -0,0 +1,63 @@
+"""Says when a snapshot is due, and in which order entry instances act."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+from heatherkeel.core.state import FleetState
+
+from .const import JITTER_MS, MAX_ENDORSERS
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SnapshotPolicy:
+    """A snapshot is due after so many records or so much log time, whichever is first.
+
+    An author that has not finished within `overtake_ms` is taken for dead.
+    """
+
+    interval_records: int
+    interval_ms: int
+    overtake_ms: int
+
+
+def is_due(state: FleetState, *, policy: SnapshotPolicy, oldest: int, now_ms: int) -> bool:
+    """Say whether the next snapshot should be begun; `oldest` is the first retained offset."""
+    newest = state.snapshots.newest
+    if newest is not None and not newest.whole and now_ms - newest.at_ms < policy.overtake_ms:
+        return False
+    whole = state.snapshots.newest_whole
+    if whole is None:
+        return state.next_offset >= policy.interval_records or oldest > 0
+    if state.next_offset - whole.offset >= policy.interval_records:
+        return True
+    if now_ms - whole.at_ms >= policy.interval_ms and state.next_offset > whole.offset + 2:
+        return True
+    return _runs_out(state, whole_offset=whole.offset, oldest=oldest)
+
+
+def _runs_out(state: FleetState, *, whole_offset: int, oldest: int) -> bool:
+    """Say whether half of the retained records came before the newest snapshot.
+
+    A shorter retention than the settings expect would drop the records after the snapshot, and
+    no newcomer could start; what the log itself says of its oldest record shows it in time.
+    """
+    return oldest > 0 and whole_offset < (oldest + state.next_offset) // 2
+
+
+def jitter_ms(instance: str, offset: int) -> int:
+    """Return how long an entry instance waits before it acts about an offset."""
+    return _rank(instance, offset) % JITTER_MS
+
+
+def endorsers(state: FleetState, *, author: str, offset: int) -> list[str]:
+    """Return who endorses a snapshot, one after the other; the author itself is the last."""
+    others = [name for name in state.membership.entries if name != author]
+    others.sort(key=lambda name: _rank(name, offset))
+    return [*others[:MAX_ENDORSERS], author]
+
+
+def _rank(instance: str, offset: int) -> int:
+    digest = hashlib.sha256(f"{instance}/{offset}".encode()).digest()
+    return int.from_bytes(digest[:8], "big")
--- /dev/null
+++ b/heatherkeel/snapshots/store.py
@@ -0,0 +1,164 @@
+"""The snapshot stream of the platform's log: appends to it, and the newest usable snapshot."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import trio
+from result import Err, Ok, Result
+
+from heatherkeel.core.state import FleetState
+from heatherkeel.helpers.backoff import Backoff
+from heatherkeel.platform.client import PlatformClient
+from heatherkeel.platform.errors import PlatformError, PlatformFailure
+
+from . import codec
+from .const import APPEND_TRIES, FORMAT, MAX_SCANNED_RECORDS, SCAN_RECORDS, STREAM_SUFFIX
+from .models import ManifestRecord, RefusalRecord, StreamRecord
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(kw_only=True)
+class Scan:
+    """What a backward scan has read so far; `low` is the lowest offset of it."""
+
+    low: int
+    oldest: int
+    records: dict[int, StreamRecord | None] = field(default_factory=dict)
+
+    def manifests(self) -> list[ManifestRecord]:
+        """Return all manifests, the newest state first."""
+        found = [item for item in self.records.values() if isinstance(item, ManifestRecord)]
+        return sorted(found, key=lambda manifest: -manifest.claim.offset)
+
+    def is_trusted(self, manifest: ManifestRecord) -> bool:
+        """Say whether more entry instances stand for a snapshot than against it.
+
+        A process with a wrong state endorses its own wrong claim, and refuses the right ones of
+        the others; it is one against those who were at the same offset.
+        """
+        claim = manifest.claim
+        backers = {claim.instance} | {
+            other.endorser for other in self.manifests() if other.claim == claim
+        }
+        refusers = {
+            refusal.instance
+            for refusal in self.records.values()
+            if isinstance(refusal, RefusalRecord)
+            and refusal.offset == claim.offset
+            and refusal.digest != claim.digest
+        }
+        return len(backers - refusers) > len(refusers)
+
+
+class SnapshotStore:
+    """Reads and appends records of the snapshot stream."""
+
+    def __init__(self, *, client: PlatformClient, stream: str) -> None:
+        self.client = client
+        self.stream = stream + STREAM_SUFFIX
+
+    async def async_append(self, record: StreamRecord) -> Result[int, PlatformError]:
+        """Append one record and return its offset.
+
+        A try whose answer was lost may leave a second copy. That does no harm: a chunk is found
+        by the offset that its manifest names, and all copies of a manifest say the same.
+        """
+        data = codec.encode_record(record)
+        backoff = Backoff(first_s=0.1, limit_s=2.0)
+        for _ in range(APPEND_TRIES):
+            outcome = await self.client.async_append(self.stream, [data])
+            match outcome:
+                case Ok(appended):
+                    return Ok(appended.first_offset)
+                case Err(error):
+                    last = error
+            await trio.sleep(backoff.next_s())
+        return Err(last)
+
+    async def async_records_from(self, offset: int) -> Iterable[StreamRecord | None]:
+        """Return the records from an offset on; none if they can't be read."""
+        outcome = await self.client.async_read(
+            self.stream, offset=offset, max_records=SCAN_RECORDS, wait_ms=0
+        )
+        match outcome:
+            case Ok(answer):
+                return [codec.decode_record(stored.data) for stored in answer.records]
+            case Err(_):
+                return []
+
+    async def async_load_newest(self, *, above: int) -> Result[FleetState | None, PlatformError]:
+        """Return the newest trusted state whose next offset is above `above`; None for none.
+
+        The stream is read backwards from its end, so that a start costs one snapshot and not
+        all that are retained.
+        """
+        bounds = await self._async_bounds()
+        if isinstance(bounds, Err):
+            return bounds
+        scan = bounds.ok_value
+        tried: set[int] = set()
+        stop = max(scan.oldest, scan.low - MAX_SCANNED_RECORDS)
+        while scan.low > stop:
+            await self._async_widen(scan)
+            for manifest in scan.manifests():
+                offset = manifest.claim.offset
+                if offset in tried or manifest.format != FORMAT or offset + 1 <= above:
+                    continue
+                if not scan.is_trusted(manifest):
+                    continue
+                tried.add(offset)
+                state = await self._async_load(scan, manifest)
+                if state is not None:
+                    return Ok(state)
+        return Ok(None)
+
+    async def _async_bounds(self) -> Result[Scan, PlatformError]:
+        """Return a scan that stands at the end of the stream."""
+        oldest = 0
+        while True:
+            outcome = await self.client.async_read(
+                self.stream, offset=oldest, max_records=1, wait_ms=0
+            )
+            match outcome:
+                case Ok(answer):
+                    return Ok(Scan(low=answer.next, oldest=answer.oldest))
+                case Err(error) if error.failure is PlatformFailure.OUT_OF_RETENTION:
+                    oldest = error.oldest
+                case Err(error):
+                    return Err(error)
+
+    async def _async_widen(self, scan: Scan) -> None:
+        """Read one more step below what was scanned."""
+        start = max(scan.oldest, scan.low - SCAN_RECORDS)
+        outcome = await self.client.async_read(
+            self.stream, offset=start, max_records=scan.low - start, wait_ms=0
+        )
+        if isinstance(outcome, Ok):
+            for stored in outcome.ok_value.records:
+                scan.records[stored.offset] = codec.decode_record(stored.data)
+        scan.low = start
+
+    async def _async_load(self, scan: Scan, manifest: ManifestRecord) -> FleetState | None:
+        chunks = [await self._async_chunk(scan, offset) for offset in manifest.claim.chunk_offsets]
+        match codec.load(manifest, chunks):
+            case Ok(state):
+                return state
+            case Err(failure):
+                _LOGGER.error(
+                    "snapshot left alone: %s",
+                    failure,
+                    extra={"event": "snapshot_unusable", "offset": manifest.claim.offset},
+                )
+                return None
+
+    async def _async_chunk(self, scan: Scan, offset: int) -> StreamRecord | None:
+        if offset in scan.records:
+            return scan.records[offset]
+        outcome = await self.client.async_read(self.stream, offset=offset, max_records=1, wait_ms=0)
+        if isinstance(outcome, Ok) and outcome.ok_value.records:
+            return codec.decode_record(outcome.ok_value.records[0].data)
+        return None
--- /dev/null
+++ b/heatherkeel/snapshots/writer.py
@@ -0,0 +1,160 @@
+"""Writes snapshots when they are due, and endorses those of others."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import trio
+from result import Err, Ok
+
+from heatherkeel.core.models import Rejected, RejectReason, Settled
+from heatherkeel.core.state import FleetState
+from heatherkeel.platform.follower import LogFollower
+from heatherkeel.platform.writer import LogWriter
+
+from . import codec, schedule
+from .const import APPEND_PAUSE_S, ENDORSE_STEP_MS, FORMAT
+from .models import (
+    ManifestRecord,
+    RefusalRecord,
+    SnapshotComplete,
+    SnapshotMark,
+    SnapshotMarked,
+    SnapshotVerified,
+)
+from .schedule import SnapshotPolicy
+from .store import SnapshotStore
+
+_LOGGER = logging.getLogger(__name__)
+
+WRITE_TIMEOUT_S = 10.0
+
+
+class SnapshotWriter:
+    """The part of one entry process that writes the state back into the log."""
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        incarnation: str,
+        state: Callable[[], FleetState],
+        log: LogWriter,
+        follower: LogFollower,
+        store: SnapshotStore,
+        policy: SnapshotPolicy,
+    ) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+        self.state = state
+        self.log = log
+        self.follower = follower
+        self.store = store
+        self.policy = policy
+        self.nursery: trio.Nursery | None = None
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Begin to act on what the fold says about snapshots."""
+        self.nursery = nursery
+
+    async def async_check(self) -> None:
+        """Mark a snapshot if one is due and nobody else does so first."""
+        if not self._may_act() or not self._is_due():
+            return
+        newest_offset = self._newest_offset()
+        await trio.sleep(schedule.jitter_ms(self.instance, newest_offset) / 1000)
+        if self._newest_offset() != newest_offset or not self._is_due():
+            return
+        body = SnapshotMark(
+            instance=self.instance, incarnation=self.incarnation, previous_offset=newest_offset
+        )
+        await self.log.async_write(body, timeout_s=WRITE_TIMEOUT_S)
+
+    def hear_marked(self, effect: SnapshotMarked) -> None:
+        """Write the state if the mark is this process's own."""
+        if self.nursery is not None and effect.mark.incarnation == self.incarnation:
+            self.nursery.start_soon(self._async_write, effect)
+
+    def hear_verified(self, effect: SnapshotVerified) -> None:
+        """Endorse a snapshot when it is this process's turn."""
+        if self.nursery is not None and self._may_act():
+            self.nursery.start_soon(self._async_endorse, effect)
+
+    def hear_settled(self, effect: Settled) -> None:
+        """Tell newcomers of a claim that the fold has found wrong."""
+        if effect.kind != "snapshots.complete" or not isinstance(effect.outcome, Rejected):
+            return
+        wrong = effect.outcome.reason is RejectReason.CONFLICT
+        if wrong and self.nursery is not None and self._may_act():
+            self.nursery.start_soon(self._async_refuse, effect.author)
+
+    def _may_act(self) -> bool:
+        """Say whether the fold is at the end of the log: what it says of old marks is past."""
+        return self.follower.caught_up.is_set() and self.follower.reachable
+
+    def _is_due(self) -> bool:
+        now_ms = self.log.clock.now_ms()
+        return schedule.is_due(
+            self.state(), policy=self.policy, oldest=self.follower.oldest, now_ms=now_ms
+        )
+
+    def _newest_offset(self) -> int:
+        newest = self.state().snapshots.newest
+        return -1 if newest is None else newest.offset
+
+    async def _async_write(self, effect: SnapshotMarked) -> None:
+        """Append the chunks one by one, then claim them."""
+        offset = effect.mark.offset
+        chunk_offsets: list[int] = []
+        for chunk in codec.cut(codec.pack(effect.state), offset=offset):
+            if self._newest_offset() != offset:
+                return
+            match await self.store.async_append(chunk):
+                case Ok(chunk_offset):
+                    chunk_offsets.append(chunk_offset)
+                case Err(error):
+                    extra = {"event": "snapshot_given_up", "offset": offset}
+                    _LOGGER.warning("snapshot given up: %s", error.detail, extra=extra)
+                    return
+            await trio.sleep(APPEND_PAUSE_S)
+        claim = SnapshotComplete(
+            instance=self.instance,
+            incarnation=self.incarnation,
+            offset=offset,
+            digest=effect.mark.digest,
+            state_bytes=len(effect.state),
+            chunk_offsets=chunk_offsets,
+        )
+        await self.log.async_write(claim, timeout_s=WRITE_TIMEOUT_S)
+
+    async def _async_endorse(self, effect: SnapshotVerified) -> None:
+        claim = effect.claim
+        order = schedule.endorsers(self.state(), author=claim.instance, offset=claim.offset)
+        if self.instance not in order:
+            return
+        await trio.sleep(order.index(self.instance) * ENDORSE_STEP_MS / 1000)
+        if self._newest_offset() != claim.offset or await self._async_is_endorsed(claim):
+            return
+        manifest = ManifestRecord(
+            format=FORMAT, claim=claim, at_ms=effect.mark.at_ms, endorser=self.instance
+        )
+        await self.store.async_append(manifest)
+        extra = {"event": "snapshot_endorsed", "offset": claim.offset}
+        _LOGGER.info("snapshot endorsed", extra=extra)
+
+    async def _async_is_endorsed(self, claim: SnapshotComplete) -> bool:
+        records = await self.store.async_records_from(claim.chunk_offsets[-1] + 1)
+        return any(isinstance(item, ManifestRecord) and item.claim == claim for item in records)
+
+    async def _async_refuse(self, author: str) -> None:
+        newest = self.state().snapshots.newest
+        if newest is None:
+            return
+        order = schedule.endorsers(self.state(), author=author, offset=newest.offset)
+        if self.instance not in order:
+            return
+        extra = {"event": "snapshot_refused", "offset": newest.offset}
+        _LOGGER.error("snapshot of %s has another digest", author, extra=extra)
+        refusal = RefusalRecord(offset=newest.offset, digest=newest.digest, instance=self.instance)
+        await self.store.async_append(refusal)
--- a/heatherkeel/standins/platform.py
+++ b/heatherkeel/standins/platform.py
@@ -168,10 +168,12 @@
         if offset >= stream.next_offset and wait_s:
             with trio.move_on_after(wait_s):
                 await stream.grown.wait()
-        answer = self._read(stream, offset, int(request.query.get("max", "512")))
+        answer = self.read(name, offset, int(request.query.get("max", "512")))
         await async_respond_json(send, answer, status=410 if offset < stream.oldest else 200)
 
-    def _read(self, stream: Stream, offset: int, max_records: int) -> ReadAnswer:
+    def read(self, name: str, offset: int, max_records: int) -> ReadAnswer:
+        """Return retained records from an offset on; none if the offset is no longer kept."""
+        stream = self.streams.setdefault(name, Stream())
         start = max(0, offset - stream.oldest)
         records = stream.records[start : start + max_records] if offset >= stream.oldest else []
         return ReadAnswer(
--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -70,6 +70,8 @@
     name: str
     popen: subprocess.Popen[bytes]
     log: Path
+    log_start: int = 0
+    """Bytes that an earlier process of this name had logged."""
     http: str = ""
     admin: str = ""
 
@@ -100,9 +102,13 @@
 
     def events(self) -> list[dict[str, Any]]:
         """Return the JSON lines that it has logged so far."""
-        lines = self.log.read_text(encoding="utf-8").splitlines()
+        lines = self.log.read_bytes()[self.log_start :].decode().splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
+    def has_logged(self, event: str) -> bool:
+        """Say whether it has logged an event of this name."""
+        return any(line.get("event") == event for line in self.events())
+
     def find_listening(self) -> dict[str, Any] | None:
         """Return the event that names the open ports."""
         if self.popen.poll() is not None:
@@ -134,11 +140,12 @@
     def spawn(self, name: str, *args: str) -> Process:
         """Start the program and return at once."""
         log = self.folder / f"{name}.log"
+        log_start = log.stat().st_size if log.exists() else 0
         with log.open("ab") as stream:
             popen = subprocess.Popen(
                 [sys.executable, "-m", "heatherkeel", *args], stdout=stream, stderr=stream
             )
-        process = Process(name=name, popen=popen, log=log)
+        process = Process(name=name, popen=popen, log=log, log_start=log_start)
         self.processes[name] = process
         return process
 
