--- a/heatherkeel/entry/node.py
+++ b/heatherkeel/entry/node.py
@@ -113,7 +113,7 @@
             return
         self.state.fleet = fleet
         self.follower.forget_records()
-        self.clock.hear(fleet.now_ms)
+        self.clock.hear_record(fleet.now_ms)
         _LOGGER.info(
             "state restored", extra={"event": "state_restored", "next_offset": fleet.next_offset}
         )
--- a/heatherkeel/platform/log_clock.py
+++ b/heatherkeel/platform/log_clock.py
@@ -17,6 +17,8 @@
     def __init__(self) -> None:
         self.heard_log_ms = 0
         self.heard_at_ms = monotonic_ms()
+        self.answers = 0
+        """Answers of the platform so far."""
 
     @property
     def is_known(self) -> bool:
@@ -24,7 +26,12 @@
         return self.heard_log_ms > 0
 
     def hear(self, log_ms: int) -> None:
-        """Take the log's time from an answer of the platform, or from a folded record."""
+        """Take the log's time from an answer of the platform."""
+        self.answers += 1
+        self.hear_record(log_ms)
+
+    def hear_record(self, log_ms: int) -> None:
+        """Take the log's time from a record that did not come from the platform itself."""
         if log_ms < self.heard_log_ms:
             return
         self.heard_log_ms = log_ms
--- a/heatherkeel/platform/writer.py
+++ b/heatherkeel/platform/writer.py
@@ -12,7 +12,6 @@
 from heatherkeel.core.const import DEFAULT_RECORD_LIFETIME_MS, MAX_RECORD_BYTES
 from heatherkeel.core.models import Duplicate, RecordBody, Settled
 from heatherkeel.helpers.backoff import Backoff
-from heatherkeel.helpers.clock import monotonic_ms
 
 from .client import PlatformClient
 from .errors import PlatformError, PlatformFailure
@@ -50,7 +49,7 @@
         self.wake = trio.Event()
         self.appends = 0
         self.platform_up = False
-        self.silent_since_ms: int | None = None
+        self.answers_at_failure = -1
         self.backoff = Backoff(first_s=FIRST_PAUSE_S, limit_s=LONGEST_PAUSE_S)
 
     def start(self, nursery: trio.Nursery) -> None:
@@ -89,7 +88,7 @@
         Without this, every author would wait for its whole timeout while the platform is down;
         what can't be decided is refused at once.
         """
-        return self.silent_since_ms is not None and (self.clock.heard_at_ms <= self.silent_since_ms)
+        return self.clock.answers == self.answers_at_failure
 
     def settle(self, settled: Settled) -> None:
         """Hear from the fold how a record was decided."""
@@ -165,7 +164,6 @@
             case Ok(appended):
                 self.clock.hear(appended.now_ms)
                 self.platform_up = True
-                self.silent_since_ms = None
                 self.backoff.reset()
                 self._drop(batch)
             case Err(error):
@@ -178,7 +176,7 @@
             return
         self.platform_up = False
         if error.failure is PlatformFailure.UNKNOWN:
-            self.silent_since_ms = monotonic_ms()
+            self.answers_at_failure = self.clock.answers
         self._keep_or_fail(batch, error.failure)
         await trio.sleep(self.backoff.next_s())
 
