--- a/heatherkeel/entry/node.py
+++ b/heatherkeel/entry/node.py
@@ -19,8 +19,8 @@
 from heatherkeel.platform.follower import LogFollower
 from heatherkeel.platform.log_clock import LogClock
 from heatherkeel.platform.writer import LogWriter
+from heatherkeel.requests.events import FleetRestored
 from heatherkeel.settings.models import EntrySettings
-from heatherkeel.snapshots.local import StateRestored
 from heatherkeel.snapshots.models import SnapshotMarked, SnapshotVerified
 from heatherkeel.snapshots.schedule import SnapshotPolicy
 from heatherkeel.snapshots.store import SnapshotStore
@@ -117,7 +117,7 @@
         _LOGGER.info(
             "state restored", extra={"event": "state_restored", "next_offset": fleet.next_offset}
         )
-        self.take(StateRestored(now_ms=monotonic_ms()))
+        self.take(FleetRestored(now_ms=monotonic_ms()))
 
     def take_record(self, record: LogRecord) -> None:
         """Fold one record of the log."""
--- a/heatherkeel/platform/follower.py
+++ b/heatherkeel/platform/follower.py
@@ -55,9 +55,10 @@
         self.rebuild = rebuild
         self.caught_up = trio.Event()
         self.reachable = False
+        self.heard_at_ms: int | None = None
+        """Monotonic time of the log's last answer."""
         self.out_of_retention = False
         self.oldest = 0
-        self.last_read_ms = monotonic_ms()
         self.last_record: LogRecord | None = None
         self.in_doubt = False
         self.backoff = Backoff(first_s=FIRST_PAUSE_S, limit_s=LONGEST_PAUSE_S)
@@ -96,8 +97,8 @@
 
     async def _async_take_all(self, answer: ReadAnswer) -> None:
         self.reachable = True
+        self.heard_at_ms = monotonic_ms()
         self.out_of_retention = False
-        self.last_read_ms = monotonic_ms()
         self.oldest = answer.oldest
         self.clock.hear(answer.now_ms)
         if answer.next < self.next_offset():
--- a/tests/snapshots/test_schedule.py
+++ b/tests/snapshots/test_schedule.py
@@ -55,7 +55,7 @@
     state = FleetState()
     for name in names:
         state.membership.entries[name] = EntryInstance(
-            incarnation="1", zone="a", peer_address="", lease_ms=1, lease_until_ms=1
+            instance=name, incarnation="1", zone="a", peer_address="", lease_ms=1, lease_until_ms=1
         )
     order = endorsers(state, author="e-5", offset=7)
     assert len(order) == MAX_ENDORSERS + 1 and order[-1] == "e-5" and "e-5" not in order[:-1]
