--- a/heatherkeel/jobs/const.py
+++ b/heatherkeel/jobs/const.py
@@ -84,3 +84,18 @@
 
 SPREAD_SLACK: Final = 1
 """Tasks of a family that a zone or a rack may hold above an even share."""
+
+START_GRACE_MS: Final = 2_000
+"""Time that other processes leave the placer to start a task, before they do it."""
+
+CHECKPOINT_REPEAT_MS: Final = 2_000
+"""Time after which a checkpoint that shows no result is asked for again."""
+
+USAGE_STEP_PERCENT: Final = 10
+"""Usage is reported again only when its peak has risen by this much."""
+
+VIEW_LAG_MS: Final = 5_000
+"""Longest time that the platform's view of a task is taken to lag."""
+
+MAX_PROGRAM_CHARS: Final = 2_000
+"""Longest description of what a job runs, in characters."""
--- a/heatherkeel/jobs/models.py
+++ b/heatherkeel/jobs/models.py
@@ -12,7 +12,7 @@
 from heatherkeel.catalogue.models import Count, Name, ServiceClass
 from heatherkeel.core.models import Effect
 
-from .const import MAX_JOB_ID_CHARS
+from .const import MAX_JOB_ID_CHARS, MAX_PROGRAM_CHARS
 
 JobId = Annotated[
     str, Meta(pattern=r"^[a-z0-9._-]+:[A-Za-z0-9._-]{1,95}$", max_length=MAX_JOB_ID_CHARS)
@@ -64,6 +64,8 @@
     """
 
     pool: Name
+    program: Annotated[str, Meta(max_length=MAX_PROGRAM_CHARS)] = ""
+    """What the platform is to run; it is passed on as it is."""
     family: Name = "default"
     """Jobs of one team and family are taken to be alike when sizes are learned."""
     service_class: ServiceClass = ServiceClass.BATCH
@@ -222,6 +224,7 @@
     job: str
     instance: str
     placer: str
+    program: str
     resources: Resources
     resume_from: str
     not_after_ms: int
--- /dev/null
+++ b/heatherkeel/jobs/observing.py
@@ -0,0 +1,182 @@
+"""Compares what the platform says of tasks with the fold: what to record, and what to ask again.
+
+Every entry instance can do this at any time. Nothing here depends on who placed a job, so a
+process that died between a record and its effect leaves nothing undone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from heatherkeel.core.models import Effect, RecordBody
+from heatherkeel.core.state import FleetState
+from heatherkeel.platform.tasks import ReportedExit, TaskState, TaskView
+
+from .const import CHECKPOINT_REPEAT_MS, MAX_BATCH, START_GRACE_MS, USAGE_STEP_PERCENT, VIEW_LAG_MS
+from .models import (
+    HOLDING,
+    CheckpointTask,
+    Job,
+    JobStatus,
+    StopTask,
+    task_job,
+    task_of,
+)
+from .placing import start_task
+from .records import (
+    LossEvidence,
+    TaskCheckpointed,
+    TaskEnded,
+    TaskExit,
+    TaskLost,
+    TaskProvedNotStarted,
+    TaskStarted,
+    UsageReport,
+    UsageSample,
+)
+from .transitions import stop_task
+
+_WAITING = (JobStatus.PLACED, JobStatus.UNKNOWN)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Watched:
+    """A task that the fold still wants to know about; `job` is None for an abandoned one."""
+
+    job: Job | None
+    instance: str
+
+
+def evidence_of(state: FleetState, views: Iterable[TaskView]) -> list[RecordBody]:
+    """Return the records of what the views prove beyond what the fold knows."""
+    records: list[RecordBody] = []
+    samples: list[UsageSample] = []
+    for view in views:
+        watched = _find_watched(state, view.task)
+        if watched is None:
+            continue
+        record = _evidence(view, watched.job)
+        if record is not None:
+            records.append(record)
+        elif watched.job is not None and _uses_more(view, watched.job):
+            samples.append(_sample(view))
+    for start in range(0, len(samples), MAX_BATCH):
+        records.append(UsageReport(samples=tuple(samples[start : start + MAX_BATCH])))
+    return records
+
+
+def effects_due(state: FleetState, views: Mapping[str, TaskView], placer: str) -> list[Effect]:
+    """Return the effects that the fold asked for and the platform doesn't show.
+
+    The placer's own starts come from the fold at once; here they are repeated by anybody, after
+    a short grace. A start that was void by then ends as a proof that the task never ran.
+    """
+    effects: list[Effect] = []
+    for job_id, job in state.jobs.live.items():
+        if job.status is JobStatus.QUEUED:
+            continue
+        effect = _effect_due(state, views.get(task_of(job_id, job)), placer, job_id, job)
+        if effect is not None:
+            effects.append(effect)
+    for task, orphan in state.jobs.orphans.items():
+        view = views.get(task)
+        if view is None or view.state is TaskState.RUNNING:
+            effects.append(StopTask(task=task, job=orphan.job, instance=orphan.instance))
+    return effects
+
+
+def _find_watched(state: FleetState, task: str) -> _Watched | None:
+    orphan = state.jobs.orphans.get(task)
+    if orphan is not None:
+        return _Watched(job=None, instance=orphan.instance)
+    job_id = task_job(task)
+    job = state.jobs.live.get(job_id)
+    if job is None or job.status is JobStatus.QUEUED or task_of(job_id, job) != task:
+        return None
+    return _Watched(job=job, instance=job.instance)
+
+
+def _evidence(view: TaskView, job: Job | None) -> RecordBody | None:
+    """Return what one view proves; `job` is None for a task that its job has given up on."""
+    match view.state:
+        case TaskState.RUNNING:
+            waits = job is not None and job.status in _WAITING
+            return TaskStarted(task=view.task) if waits else None
+        case TaskState.VOID if view.exit is ReportedExit.REFUSED:
+            return TaskEnded(
+                task=view.task, exit=TaskExit.REFUSED, ran=False, detail=view.detail[:200]
+            )
+        case TaskState.VOID:
+            return TaskProvedNotStarted(task=view.task)
+        case TaskState.ENDED if view.exit is ReportedExit.CHECKPOINTED:
+            return TaskCheckpointed(task=view.task, saved=True, stopped=True)
+        case TaskState.ENDED:
+            return _ended(view)
+        case TaskState.LAPSED:
+            if job is None or job.status not in HOLDING:
+                return None
+            return _lost(view, job.version, LossEvidence.LEASE_LAPSED)
+        case TaskState.GONE:
+            if job is not None and job.reserved is None:
+                return None
+            version = 1 if job is None else job.version
+            return _lost(view, version, LossEvidence.TASK_GONE)
+
+
+def _ended(view: TaskView) -> TaskEnded:
+    return TaskEnded(
+        task=view.task,
+        exit=TaskExit(view.exit),
+        retryable=view.retryable,
+        peak_memory_mib=view.peak_memory_mib,
+        cpu_millicores=view.cpu_millicores,
+        detail=view.detail[:200],
+    )
+
+
+def _lost(view: TaskView, version: int, evidence: LossEvidence) -> TaskLost:
+    return TaskLost(task=view.task, expected_version=version, evidence=evidence)
+
+
+def _uses_more(view: TaskView, job: Job) -> bool:
+    """Say whether usage rose enough for a record: the log takes few records a second."""
+    step = job.peak_memory_mib * USAGE_STEP_PERCENT // 100
+    if view.peak_memory_mib > job.peak_memory_mib + step:
+        return True
+    step = job.peak_cpu_millicores * USAGE_STEP_PERCENT // 100
+    return view.cpu_millicores > job.peak_cpu_millicores + step
+
+
+def _sample(view: TaskView) -> UsageSample:
+    return UsageSample(
+        task=view.task,
+        peak_memory_mib=view.peak_memory_mib,
+        cpu_millicores=view.cpu_millicores,
+    )
+
+
+def _effect_due(
+    state: FleetState, view: TaskView | None, placer: str, job_id: str, job: Job
+) -> Effect | None:
+    since_ms = state.now_ms - job.changed_ms
+    running = view is not None and view.state is TaskState.RUNNING
+    if job.cancelling and (view is None or running):
+        return stop_task(job_id, job)
+    if job.status is JobStatus.CHECKPOINTING and running and since_ms >= CHECKPOINT_REPEAT_MS:
+        return CheckpointTask(task=task_of(job_id, job), job=job_id, instance=job.instance)
+    if view is not None or job.started_ms > 0:
+        return None
+    if job.status is JobStatus.UNKNOWN:
+        return stop_task(job_id, job)
+    if job.status is not JobStatus.PLACED:
+        return None
+    if job.placer != placer and since_ms < START_GRACE_MS:
+        return None
+    start = start_task(job_id, job)
+    if state.now_ms <= start.not_after_ms:
+        return start
+    # Past its window a start would be refused. Stopping it leaves the proof that it never ran;
+    # the wait is for views that lag, as a task that did start must not be stopped.
+    waited = state.now_ms > start.not_after_ms + VIEW_LAG_MS
+    return stop_task(job_id, job) if waited else None
--- a/heatherkeel/jobs/placing.py
+++ b/heatherkeel/jobs/placing.py
@@ -67,6 +67,7 @@
         job=job_id,
         instance=job.instance,
         placer=job.placer,
+        program=job.spec.program,
         resources=job.reserved,
         resume_from=job.checkpoint if job.resumed else "",
         not_after_ms=job.changed_ms + START_WINDOW_MS,
--- a/tests/jobs/conftest.py
+++ b/tests/jobs/conftest.py
@@ -38,8 +38,10 @@
     not_after_ms: int = 0,
     family: str = "ledger",
     service_class: ServiceClass = ServiceClass.BATCH,
+    program: str = "",
 ) -> JobSpec:
     return JobSpec(
+        program=program,
         pool=POOL,
         family=family,
         service_class=service_class,
