--- a/heatherkeel/cli/standin.py
+++ b/heatherkeel/cli/standin.py
@@ -42,13 +42,13 @@
 
     from heatherkeel.helpers.logs import set_up_logs
     from heatherkeel.standins.platform import PlatformStandin
-    from heatherkeel.standins.process import async_run_standin
+    from heatherkeel.standins.process import async_run_platform, async_run_target
     from heatherkeel.standins.target import TargetStandin
 
     set_up_logs(instance=values.instance, zone="")
     if args == [PLATFORM]:
-        trio.run(lambda: async_run_standin(PlatformStandin(), bind=values.bind))
+        trio.run(lambda: async_run_platform(PlatformStandin(), bind=values.bind))
         return EXIT_OK
     target = TargetStandin(instance=values.instance, slots=values.slots)
-    trio.run(lambda: async_run_standin(target, bind=values.bind))
+    trio.run(lambda: async_run_target(target, bind=values.bind))
     return EXIT_OK
--- a/heatherkeel/platform/client.py
+++ b/heatherkeel/platform/client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar
+from typing import TypeVar
 
 import httpcore
 import msgspec
@@ -10,11 +10,20 @@
 from result import Err, Ok, Result
 
 from .errors import PlatformError, PlatformFailure
-from .models import Appended, AppendRequest, InstanceList, OperationRequest, ReadAnswer
+from .models import (
+    Appended,
+    AppendRequest,
+    InstanceList,
+    OperationRequest,
+    OperationStatus,
+    ReadAnswer,
+)
 
 ModelT = TypeVar("ModelT")
 _ENCODER = msgspec.json.Encoder()
 _STATUS_GONE = 410
+_STATUS_REQUEST_TIMEOUT = 408
+_REFUSED_FOR_NOW = (429, 503)
 
 
 class PlatformClient:
@@ -49,12 +58,11 @@
         return await self._async_call("GET", "/instances", InstanceList)
 
     async def async_operate(
-        self, instance: str, *, operation_id: str, action: str
-    ) -> Result[dict[str, Any], PlatformError]:
-        """Ask for an operation; a repeat under the same id takes effect once."""
-        body = _ENCODER.encode(OperationRequest(action=action))
+        self, instance: str, *, operation_id: str, request: OperationRequest
+    ) -> Result[OperationStatus, PlatformError]:
+        """Ask for an operation, or how far it is; a repeat under the same id has no effect."""
         path = f"/instances/{instance}/operations/{operation_id}"
-        return await self._async_call("PUT", path, dict, body)
+        return await self._async_call("PUT", path, OperationStatus, _ENCODER.encode(request))
 
     async def _async_call(
         self,
@@ -80,12 +88,33 @@
 
 def _decode(response: httpcore.Response, model: type[ModelT]) -> Result[ModelT, PlatformError]:
     if response.status == _STATUS_GONE:
-        oldest = msgspec.json.decode(response.content, type=ReadAnswer).oldest
-        return Err(PlatformError(failure=PlatformFailure.OUT_OF_RETENTION, oldest=oldest))
+        return Err(_decode_gone(response))
     if response.status >= 400:
-        detail = f"status {response.status}"
-        return Err(PlatformError(failure=PlatformFailure.REFUSED, detail=detail))
+        failure = _failure_of(response.status)
+        return Err(PlatformError(failure=failure, detail=f"status {response.status}"))
     try:
         return Ok(msgspec.json.decode(response.content, type=model))
-    except msgspec.DecodeError as err:
+    except (msgspec.DecodeError, UnicodeDecodeError) as err:
         return Err(PlatformError(failure=PlatformFailure.UNKNOWN, detail=str(err)))
+
+
+def _failure_of(status: int) -> PlatformFailure:
+    """Say what is known after an error answer.
+
+    A gateway answers 500, 502 or 504 when the store behind it was slow, and the append may have
+    been stored all the same. Only what the platform's interface names as refused is so.
+    """
+    if status in _REFUSED_FOR_NOW:
+        return PlatformFailure.REFUSED
+    if status >= 500 or status == _STATUS_REQUEST_TIMEOUT:
+        return PlatformFailure.UNKNOWN
+    return PlatformFailure.INVALID
+
+
+def _decode_gone(response: httpcore.Response) -> PlatformError:
+    """Read where the log now begins; a 410 by something in between doesn't say it."""
+    try:
+        oldest = msgspec.json.decode(response.content, type=ReadAnswer).oldest
+    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+        return PlatformError(failure=PlatformFailure.UNKNOWN, detail=f"status 410: {err}")
+    return PlatformError(failure=PlatformFailure.OUT_OF_RETENTION, oldest=oldest)
--- a/tests/jobs/conftest.py
+++ b/tests/jobs/conftest.py
@@ -21,7 +21,9 @@
 from heatherkeel.core.state import FleetState
 from heatherkeel.jobs.models import Job, JobSpec, JobStatus, Resources, task_id, task_of
 from heatherkeel.jobs.records import JobPlace, JobSubmit, TaskEnded, TaskExit, TaskStarted
-from heatherkeel.pools.models import InstanceAdmit
+from heatherkeel.membership.models import EntryJoin
+from heatherkeel.pools.models import InstanceAdmit, InstanceStatus
+from heatherkeel.waves.models import DrainStart, Purpose
 
 TEAM = "sheetal"
 POOL = "night"
@@ -38,8 +40,10 @@
     not_after_ms: int = 0,
     family: str = "ledger",
     service_class: ServiceClass = ServiceClass.BATCH,
+    program: str = "",
 ) -> JobSpec:
     return JobSpec(
+        program=program,
         pool=POOL,
         family=family,
         service_class=service_class,
@@ -78,6 +82,30 @@
         )
         self.accept(admit)
 
+    def drain(self, name: str) -> None:
+        """Begin to move a worker away; an entry instance of its zone has yet to acknowledge."""
+        worker = self.state.pools.instances[name]
+        self.accept(put("elsewhere", PoolEntry(owner=TEAM, size=0)))
+        self.accept(
+            EntryJoin(
+                instance="entry1",
+                incarnation="entry1-1",
+                zone=worker.zone,
+                peer_address="",
+                lease_ms=10_000,
+            )
+        )
+        self.accept(
+            DrainStart(
+                instance=name,
+                expected_version=worker.version,
+                coordinator="entry1",
+                purpose=Purpose.MOVE,
+                to_pool="elsewhere",
+            )
+        )
+        assert worker.status is InstanceStatus.DRAINING
+
     def append(self, body: RecordBody) -> Accepted | Rejected:
         data = encode(seal(body, author="test", now_ms=self.now_ms))
         record = LogRecord(offset=self.state.next_offset, at_ms=self.now_ms, data=data)
--- a/tests/jobs/test_policy.py
+++ b/tests/jobs/test_policy.py
@@ -13,7 +13,6 @@
 from heatherkeel.jobs.policy import PlacementRound, RoundRequest
 from heatherkeel.jobs.records import JobCheckpoint, JobPlace, JobUnplaceable, TaskCheckpointed
 from heatherkeel.membership.models import EntryJoin
-from heatherkeel.pools.models import InstanceStatus
 
 from .conftest import TEAM, Fleet, put, spec_of
 
@@ -120,7 +119,7 @@
     fleet.run("w0", "sheetal:over", spec_of(checkpointable=True))
     fleet.job("sheetal:over").started_ms = fleet.now_ms - 3_600_000
     assert plan_drains(fleet.state).records == []
-    fleet.state.pools.instances["w0"].status = InstanceStatus.DRAINING
+    fleet.drain("w0")
     planned = plan_drains(fleet.state)
     assert [body.job for body in planned.records] == ["sheetal:over"]
     reasons = {wait.job: wait.reason for wait in planned.waits}
@@ -140,7 +139,11 @@
     for name in ("entry1", "entry2", "entry3"):
         fleet.accept(
             EntryJoin(
-                instance=name, incarnation="1", zone="zone0", peer_address="", lease_ms=10_000
+                instance=name,
+                incarnation=f"{name}-1",
+                zone="zone0",
+                peer_address="",
+                lease_ms=10_000,
             )
         )
     pools = [f"pool{number}" for number in range(50)]
