Join the decisions on requests into the entry process

The thin round-robin pick is replaced: every request goes through the reducer as RequestArrived, and the front carries out what it decides. Connections to a target have a bounded age and idle time and can be closed one target at a time; a request that must not be sent twice gets one of its own. The lease's end by the own clock is set from before the renewal was written. A renewal acknowledges shares at once when others wait for it; a planned stop leaves the membership.

--- /dev/null
+++ b/heatherkeel/entry/claim_records.py
@@ -0,0 +1,79 @@
+"""Writes the claims of this process's requests, and their outcomes, to the log."""
+
+from __future__ import annotations
+
+import logging
+
+import trio
+from result import Err
+
+from heatherkeel.core.const import MAX_RECORD_LIFETIME_MS
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.requests.effects import ClaimRead, WriteClaim, WriteOutcome
+from heatherkeel.requests.events import ClaimDecided, ClaimWriteFailed
+
+from .const import OUTCOME_WRITE_TIMEOUT_S
+from .node import Node
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ClaimRecords:
+    """Carries out the effects that concern claims."""
+
+    def __init__(self, *, node: Node) -> None:
+        self.node = node
+        self.nursery: trio.Nursery | None = None
+        self.unwritten = 0
+        self.all_written = trio.Event()
+        node.subscribe(WriteClaim, self._write_claim)
+        node.subscribe(ClaimRead, self._decide)
+        node.subscribe(WriteOutcome, self._write_outcome)
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Write in the background."""
+        self.nursery = nursery
+
+    def _write_claim(self, effect: WriteClaim) -> None:
+        assert self.nursery is not None
+        self.nursery.start_soon(self._async_write_claim, effect)
+
+    async def _async_write_claim(self, effect: WriteClaim) -> None:
+        outcome = await self.node.writer.async_write(
+            effect.body, timeout_s=effect.timeout_ms / 1000, record_id=effect.record_id
+        )
+        if isinstance(outcome, Err):
+            failed = ClaimWriteFailed(now_ms=monotonic_ms(), request_id=effect.request_id)
+            self.node.take(failed)
+
+    def _decide(self, effect: ClaimRead) -> None:
+        decided = ClaimDecided(
+            now_ms=monotonic_ms(), request_id=effect.request_id, refusal=effect.refusal
+        )
+        self.node.take(decided)
+
+    def _write_outcome(self, effect: WriteOutcome) -> None:
+        assert self.nursery is not None
+        self.unwritten += 1
+        self.nursery.start_soon(self._async_write_outcome, effect)
+
+    async def _async_write_outcome(self, effect: WriteOutcome) -> None:
+        outcome = await self.node.writer.async_write(
+            effect.body,
+            timeout_s=OUTCOME_WRITE_TIMEOUT_S,
+            record_id=effect.record_id,
+            lifetime_ms=MAX_RECORD_LIFETIME_MS,
+        )
+        if isinstance(outcome, Err):
+            extra = {"event": "outcome_not_written", "record": effect.record_id}
+            _LOGGER.warning("outcome: %s", outcome.err_value, extra=extra)
+        self.unwritten -= 1
+        if not self.unwritten:
+            self.all_written.set()
+            self.all_written = trio.Event()
+
+    async def async_finish(self, *, timeout_s: float) -> None:
+        """Wait until every outcome is in the log: a repeat would be told *unknown* without it."""
+        with trio.move_on_after(timeout_s):
+            while self.unwritten:
+                await self.all_written.wait()
--- a/heatherkeel/entry/const.py
+++ b/heatherkeel/entry/const.py
@@ -24,7 +24,35 @@
 )
 """Headers that concern one connection only (RFC 9110, section 7.6.1)."""
 
-DEFAULT_RETRY_AFTER_S: Final = 1
+REASON_HEADER: Final = "heatherkeel-reason"
+"""Names why a request got no answer of a target; the same words label the counters."""
+
+REPLAYED_HEADER: Final = "heatherkeel-replayed"
+"""Says that an answer is the recorded one of an earlier request with the same key."""
+
+KEY_HEADER: Final = "idempotency-key"
+DEADLINE_HEADER: Final = "heatherkeel-deadline-ms"
+
+IDEMPOTENT_METHODS: Final = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
+"""Methods that may be sent again (RFC 9110, section 9.2.2)."""
+
+MAX_HELD_ANSWER_BYTES: Final = 256 * 1024
+"""Largest answer that is held until it is whole; of a larger one the parts are passed on."""
+
+MAX_CONNECTION_AGE_MS: Final = 60_000
+"""Age at which connections to a target are used no more."""
+
+MAX_IDLE_S: Final = 10.0
+"""Time after which an idle connection to a target is closed."""
+
+MAX_IDLE_CONNECTIONS: Final = 8
+"""Idle connections that are kept to one target: no more than it has slots."""
+
+OUTCOME_WRITE_TIMEOUT_S: Final = 60.0
+"""How long the outcome of a claimed request is tried to be written."""
+
+CLOSE_INTERVAL_MS: Final = 1_000
+"""How often connections that are used no more are closed."""
 
 HEALTH_PATH: Final = "/healthz"
 """Where targets answer health probes with 200."""
@@ -32,6 +60,9 @@
 WRITE_TIMEOUT_S: Final = 5.0
 """How long a duty waits for the fold to decide its record."""
 
+LEAVE_TIMEOUT_S: Final = 2.0
+"""How long a process that stops waits for the fold to take its leave."""
+
 MAX_ACKNOWLEDGED_AT_ONCE: Final = 256
 """Drains that one acknowledgement names; the rest follows in the next one."""
 
--- a/heatherkeel/entry/duties.py
+++ b/heatherkeel/entry/duties.py
@@ -7,9 +7,11 @@
 from result import Err, Ok
 
 from heatherkeel.core.models import Rejected
-from heatherkeel.membership.models import EntryJoin, EntryRenew
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.membership.models import EntryJoin, EntryLeave, EntryRenew
+from heatherkeel.requests.limits import acknowledged_offset, is_acknowledgement_due
 
-from .const import ACKNOWLEDGE_INTERVAL_MS, WRITE_TIMEOUT_S
+from .const import ACKNOWLEDGE_INTERVAL_MS, LEAVE_TIMEOUT_S, WRITE_TIMEOUT_S
 from .duties_acknowledge import Acknowledger
 from .duties_listing import InstanceListing
 from .node import Node
@@ -40,6 +42,11 @@
             interval_ms=settings.platform.instances_interval_ms,
             callback=self.listing.async_read,
         )
+        self.node.timers.subscribe(
+            name="shares",
+            interval_ms=ACKNOWLEDGE_INTERVAL_MS,
+            callback=self.async_acknowledge_shares,
+        )
         self.node.timers.subscribe(
             name="acknowledge",
             interval_ms=ACKNOWLEDGE_INTERVAL_MS,
@@ -49,11 +56,14 @@
     async def async_hold_lease(self) -> None:
         """Join, or renew the routing lease."""
         await self.node.follower.caught_up.wait()
+        started_ms = monotonic_ms()
         body = self._renewal() if self.joined else self._join()
         outcome = await self.node.writer.async_write(body, timeout_s=WRITE_TIMEOUT_S)
         match outcome:
             case Ok(settled):
                 self.joined = not isinstance(settled.outcome, Rejected)
+                if self.joined:
+                    self._extend_lease(started_ms)
             case Err(failure):
                 _LOGGER.warning("lease: %s", failure, extra={"event": "lease_not_renewed"})
 
@@ -72,4 +82,27 @@
             instance=self.node.settings.instance.id,
             incarnation=self.node.incarnation,
             offset_in_force=self.node.state.fleet.next_offset - 1,
+            shares_offset=acknowledged_offset(self.node.state),
+        )
+
+    def _extend_lease(self, started_ms: int) -> None:
+        """Count the lease from before the record was written: the log stamped it later than that.
+
+        A process that was paused finds by its own clock that the lease is over, before it sends.
+        """
+        lease = self.node.state.local.lease
+        until_ms = started_ms + self.node.settings.routing.lease_ms
+        lease.valid_until_ms = max(lease.valid_until_ms, until_ms)
+
+    async def async_acknowledge_shares(self) -> None:
+        """Renew at once when others wait for this process before their shares may grow."""
+        if is_acknowledgement_due(self.node.state):
+            await self.async_hold_lease()
+
+    async def async_leave(self) -> None:
+        """Give the lease and all shares back; nothing is in progress any more."""
+        body = EntryLeave(
+            instance=self.node.settings.instance.id, incarnation=self.node.incarnation
         )
+        if self.joined:
+            await self.node.writer.async_write(body, timeout_s=LEAVE_TIMEOUT_S)
--- a/heatherkeel/entry/duties_listing.py
+++ b/heatherkeel/entry/duties_listing.py
@@ -22,6 +22,7 @@
     InstanceStatus,
     Source,
 )
+from heatherkeel.requests.events import LeavingSource, TargetLeaving, TargetLive
 
 from .const import RETRY_MS, TAKEOVER_MS, WORKER_ROLE, WRITE_TIMEOUT_S
 from .node import Node
@@ -49,12 +50,17 @@
                 _LOGGER.warning("list: %s", error.detail, extra={"event": "list_failed"})
 
     def _note_leaving(self) -> None:
+        """Tell the router who leaves, and who is back, as the list has it."""
         routing = self.node.state.local.routing
-        routing.leaving = {
-            instance.id
-            for instance in self.by_id.values()
-            if instance.state is not ListedState.LIVE
-        }
+        for line in self.by_id.values():
+            if line.role != WORKER_ROLE:
+                continue
+            now_ms = monotonic_ms()
+            if line.state is ListedState.LIVE:
+                self.node.take(TargetLive(now_ms=now_ms, target=line.id))
+            elif line.id not in routing.leaving:
+                source = LeavingSource.PLATFORM_LIST
+                self.node.take(TargetLeaving(now_ms=now_ms, target=line.id, source=source))
 
     async def _async_report(self) -> None:
         await self.node.follower.caught_up.wait()
--- a/heatherkeel/entry/front.py
+++ b/heatherkeel/entry/front.py
@@ -1,35 +1,65 @@
-"""The callers' side: takes a request, sends it to a target, and passes the whole answer back."""
+"""The callers' side: takes a request through the reducer, and carries out what it decides."""
 
 from __future__ import annotations
 
-import logging
+import hashlib
+from dataclasses import dataclass, field
+from functools import partial
 
-import httpcore
 import trio
-from result import Err
+from result import Err, Ok, Result
 
-from heatherkeel.catalogue.models import ServiceEntry
 from heatherkeel.helpers.asgi import (
     ClientGoneError,
     Message,
     Receive,
     Request,
-    Send,
     async_respond_problem,
     async_run_lifespan,
     parse_request,
 )
-from heatherkeel.pools.models import Instance, InstanceStatus
+from heatherkeel.helpers.asgi import Send as AsgiSend
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.requests.const import MAX_KEY_CHARS
+from heatherkeel.requests.effects import (
+    AbortAnswer,
+    CloseConnections,
+    PassOn,
+    Refuse,
+    Replay,
+    Send,
+)
+from heatherkeel.requests.events import AttemptEnded, AttemptResult, CallerGone, RequestArrived
+from heatherkeel.requests.reasons import Outcome
+from heatherkeel.requests.targets import find_service
 
+from .answers import async_refuse, async_replay
+from .claim_records import ClaimRecords
+from .connections import TargetConnections
 from .const import (
-    DEFAULT_RETRY_AFTER_S,
+    DEADLINE_HEADER,
     HOP_BY_HOP_HEADERS,
-    INSTANCE_HEADER,
+    IDEMPOTENT_METHODS,
+    KEY_HEADER,
     OUTCOME_HEADER,
 )
+from .exchanges import Exchange, Exchanges
 from .node import Node
+from .sender import Attempt, OutgoingRequest, Sender, async_pass_on
 
-_LOGGER = logging.getLogger(__name__)
+
+@dataclass(kw_only=True)
+class Call:
+    """One caller's request while it is served."""
+
+    exchange: Exchange
+    outgoing: OutgoingRequest
+    idempotent: bool
+    receive: Receive
+    answer: AsgiSend
+    gone: bool = False
+    attempt: Attempt | None = None
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
 
 class Front:
@@ -37,15 +67,21 @@
 
     def __init__(self, *, node: Node) -> None:
         self.node = node
-        self.pool = httpcore.AsyncConnectionPool(
-            max_connections=1024, max_keepalive_connections=256, keepalive_expiry=30, retries=0
-        )
+        self.exchanges = Exchanges(node=node)
+        self.claims = ClaimRecords(node=node)
+        self.connections = TargetConnections()
+        self.sender = Sender(connections=self.connections)
+        node.subscribe(CloseConnections, self.connections.retire)
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Begin to write claims."""
+        self.claims.start(nursery)
 
     async def close(self) -> None:
         """Close the connections to targets."""
-        await self.pool.aclose()
+        await self.connections.close()
 
-    async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
+    async def __call__(self, scope: Message, receive: Receive, send: AsgiSend) -> None:
         """Serve one ASGI scope."""
         if scope["type"] == "lifespan":
             return await async_run_lifespan(receive, send)
@@ -53,105 +89,163 @@
             return None
         return await self._async_serve(parse_request(scope, receive), send)
 
-    async def _async_serve(self, request: Request, send: Send) -> None:
-        service = self._find_service(request.path)
-        if service is None:
-            return await _async_refuse(send, 404, "no_such_service", "No service has this path")
+    async def _async_serve(self, request: Request, send: AsgiSend) -> None:
+        options = read_options(request.headers)
+        if isinstance(options, Err):
+            return await _async_refuse_input(send, 400, "bad_header", options.err_value)
         try:
-            read = await request.async_body(limit_bytes=service.limits.max_body_bytes)
+            read = await request.async_body(limit_bytes=self._body_limit(request.path))
         except ClientGoneError:
             return None
         if isinstance(read, Err):
-            return await _async_refuse(send, 413, "body_too_large", "The body is too large")
-        picked = self._pick(service)
-        if picked is None:
-            return await _async_refuse(send, 503, "no_target", "No target is available")
-        name, instance = picked
-        # No await between the pick and the count: an acknowledgement in between would say that
-        # nothing is in progress, and the target would be stopped under this request.
-        view = self.node.state.local.routing.view_target(name, instance)
-        view.in_progress += 1
+            limit = f"At most {read.err_value.limit_bytes} bytes are taken"
+            return await _async_refuse_input(send, 413, "body_too_large", limit)
+        exchange = self.exchanges.open()
         try:
-            await self._async_forward(request, send, service, picked, read.ok_value)
+            await self._async_exchange(exchange, request, options.ok_value, read.ok_value, send)
         finally:
-            view.in_progress -= 1
-
-    def _find_service(self, path: str) -> ServiceEntry | None:
-        """Return the service with the longest matching path prefix."""
-        entries = [stored.entry for stored in self.node.state.fleet.catalogue.entries.values()]
-        matching = [
-            entry
-            for entry in entries
-            if isinstance(entry, ServiceEntry) and path.startswith(entry.path_prefix)
-        ]
-        return max(matching, key=lambda entry: len(entry.path_prefix), default=None)
-
-    def _pick(self, service: ServiceEntry) -> tuple[str, Instance] | None:
-        """Return the next target in turn, of the own availability zone if it has any."""
+            self.exchanges.close(exchange)
+        return None
+
+    def _body_limit(self, path: str) -> int:
         routing = self.node.state.local.routing
-        usable = [
-            (name, instance)
-            for name, instance in sorted(self.node.state.fleet.pools.instances.items())
-            if instance.pool == service.pool
-            and instance.status is InstanceStatus.SERVING
-            and name not in routing.leaving
-        ]
-        own_zone = [item for item in usable if item[1].zone == self.node.settings.instance.zone]
-        choice = own_zone or usable
-        if not choice:
-            return None
-        routing.turn += 1
-        return choice[routing.turn % len(choice)]
+        service = find_service(routing, path)
+        return routing.services[service].limits.max_body_bytes if service is not None else 0
 
-    async def _async_forward(
+    async def _async_exchange(
         self,
+        exchange: Exchange,
         request: Request,
-        send: Send,
-        service: ServiceEntry,
-        picked: tuple[str, Instance],
+        options: CallerOptions,
         body: bytes,
+        send: AsgiSend,
     ) -> None:
-        name, instance = picked
-        url = httpcore.URL(
-            scheme=b"http",
-            host=instance.address.split(":")[0].encode(),
-            port=int(instance.address.split(":")[1]),
-            target=request.raw_target,
+        idempotent = request.method in IDEMPOTENT_METHODS
+        keyed = bool(options.key) and not idempotent
+        outgoing = OutgoingRequest(
+            method=request.method,
+            raw_target=request.raw_target,
+            headers=_outgoing_headers(request.headers),
+            body=body,
+            keep_answer=keyed,
         )
-        headers = [
-            (key, value) for key, value in request.headers.items() if key not in HOP_BY_HOP_HEADERS
-        ]
-        try:
-            with trio.fail_after(service.limits.deadline_ms / 1000):
-                response = await self.pool.request(
-                    request.method, url, headers=headers, content=body
-                )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
-            return await _async_refuse(send, 503, "connect_failed", "The target did not connect")
-        except (httpcore.NetworkError, httpcore.ProtocolError, trio.TooSlowError):
-            return await _async_refuse(
-                send, 504, "no_answer", "Sent, but no whole answer came", outcome="unknown"
-            )
-        return await _async_pass_on(send, name, response)
-
-
-async def _async_pass_on(send: Send, name: str, response: httpcore.Response) -> None:
-    skipped = {key.encode() for key in HOP_BY_HOP_HEADERS} | {b"content-length"}
-    headers = [(key.lower(), value) for key, value in response.headers]
-    headers = [(key, value) for key, value in headers if key not in skipped]
-    outcome = b"ran" if (OUTCOME_HEADER.encode(), b"not_run") not in headers else b"not_run"
-    headers = [item for item in headers if item[0] != OUTCOME_HEADER.encode()]
-    headers.append((b"content-length", str(len(response.content)).encode()))
-    headers.append((OUTCOME_HEADER.encode(), outcome))
-    headers.append((INSTANCE_HEADER.encode(), name.encode()))
-    await send({"type": "http.response.start", "status": response.status, "headers": headers})
-    await send({"type": "http.response.body", "body": response.content})
-
-
-async def _async_refuse(
-    send: Send, status: int, kind: str, title: str, *, outcome: str = "not_run"
-) -> None:
-    headers = {OUTCOME_HEADER: outcome}
-    if status == 503:
-        headers["retry-after"] = str(DEFAULT_RETRY_AFTER_S)
+        call = Call(
+            exchange=exchange,
+            outgoing=outgoing,
+            idempotent=idempotent,
+            receive=request.receive,
+            answer=send,
+        )
+        arrived = RequestArrived(
+            now_ms=monotonic_ms(),
+            request_id=exchange.request_id,
+            path=request.path,
+            idempotent=idempotent,
+            key=options.key if keyed else "",
+            fingerprint=_fingerprint(outgoing) if keyed else "",
+            deadline_ms=options.deadline_ms,
+        )
+        self.node.take(arrived)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._async_watch_caller, call)
+            await self._async_carry_out(call)
+            nursery.cancel_scope.cancel()
+
+    async def _async_watch_caller(self, call: Call) -> None:
+        """Notice that the caller hung up.
+
+        What may be sent again is stopped, and its connection closed, so that the late answer can
+        reach nobody else. What may run only once goes on, so that a repeat finds its outcome.
+        """
+        while (await call.receive())["type"] != "http.disconnect":
+            continue
+        call.gone = True
+        self.node.take(CallerGone(now_ms=monotonic_ms(), request_id=call.exchange.request_id))
+        if call.idempotent:
+            call.scope.cancel()
+
+    async def _async_carry_out(self, call: Call) -> None:
+        """Carry out the effects of one request until its final answer."""
+        while True:
+            match await call.exchange.async_next():
+                case Send() as effect:
+                    await self._async_attempt(call, effect)
+                case PassOn() if call.attempt is not None:
+                    is_head = call.outgoing.method == "HEAD"
+                    return await async_pass_on(call.answer, call.attempt, is_head=is_head)
+                case Refuse() as effect:
+                    return await async_refuse(call.answer, effect)
+                case Replay() as effect:
+                    return await async_replay(call.answer, effect)
+                case AbortAnswer():
+                    # Ending without the rest makes the server close the caller's connection.
+                    return None
+
+    async def _async_attempt(self, call: Call, effect: Send) -> None:
+        started_ms = monotonic_ms()
+        call.attempt = None
+        report = partial(self._report, call, effect, started_ms)
+        with call.scope:
+            try:
+                call.attempt = await self.sender.async_send(call.outgoing, effect, call.answer)
+            except trio.Cancelled:
+                report(AttemptResult.CALLER_GONE)
+                raise
+            report(call.attempt.result)
+
+    def _report(self, call: Call, effect: Send, started_ms: int, result: AttemptResult) -> None:
+        """Tell the reducer; the connection is idle again or closed by now."""
+        now_ms = monotonic_ms()
+        attempt = call.attempt
+        whole = attempt is not None and result is AttemptResult.WHOLE_ANSWER
+        kept = attempt.recorded() if attempt and whole and call.outgoing.keep_answer else None
+        ended = AttemptEnded(
+            now_ms=now_ms,
+            request_id=call.exchange.request_id,
+            target=effect.target,
+            result=result,
+            latency_ms=now_ms - started_ms,
+            server_error=attempt is not None and whole and attempt.status >= 500,
+            answer=kept,
+        )
+        self.node.take(ended)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerOptions:
+    """What a caller may ask for by headers; `deadline_ms` 0 takes the service's."""
+
+    key: str = ""
+    deadline_ms: int = 0
+
+
+def read_options(headers: dict[str, str]) -> Result[CallerOptions, str]:
+    """Read the caller's headers, or say in words what is wrong with them."""
+    key = headers.get(KEY_HEADER, "")
+    if len(key) > MAX_KEY_CHARS:
+        return Err(f"{KEY_HEADER} has {len(key)} characters, at most {MAX_KEY_CHARS} are taken")
+    deadline = headers.get(DEADLINE_HEADER, "0")
+    if not (deadline.isascii() and deadline.isdigit() and len(deadline) <= 9):
+        return Err(f"{DEADLINE_HEADER} is not a whole number of milliseconds")
+    return Ok(CallerOptions(key=key, deadline_ms=int(deadline)))
+
+
+def _outgoing_headers(headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
+    return [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in headers.items()
+        if name not in HOP_BY_HOP_HEADERS
+    ]
+
+
+def _fingerprint(outgoing: OutgoingRequest) -> str:
+    digest = hashlib.sha256()
+    for part in (outgoing.method.encode(), outgoing.raw_target, outgoing.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+async def _async_refuse_input(send: AsgiSend, status: int, kind: str, title: str) -> None:
+    headers = {OUTCOME_HEADER: Outcome.NOT_RUN.value}
     await async_respond_problem(send, status=status, kind=kind, title=title, headers=headers)
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -8,6 +8,7 @@
 
 from heatherkeel import subjects  # noqa: F401
 from heatherkeel.admin.app import AdminApp
+from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
@@ -15,8 +16,11 @@
 from heatherkeel.monitoring.counting import count_effects
 from heatherkeel.monitoring.gauges import NodeGauges
 from heatherkeel.monitoring.readiness import Readiness
+from heatherkeel.requests.const import QUEUE_TICK_MS
+from heatherkeel.requests.events import QueueTick
 from heatherkeel.settings.models import EntrySettings
 
+from .const import CLOSE_INTERVAL_MS, WRITE_TIMEOUT_S
 from .duties import Duties
 from .front import Front
 from .node import Node
@@ -35,6 +39,7 @@
         self.readiness = Readiness(node=self.node)
         self.metrics = Metrics()
         self.front = Front(node=self.node)
+        self.duties = Duties(node=self.node, peer_address=settings.peers.bind)
         timed = TimedApp(inner=self.front, metrics=self.metrics)
         self.http = HttpServer(app=timed, bind=settings.http.bind)
         pages = MonitoringApp(
@@ -55,6 +60,7 @@
         count_effects(self.node, self.metrics)
         self.metrics.register([self.gauges])
         self.node.writer.start(nursery)
+        self.front.start(nursery)
         self.node.snapshots.start(nursery)
         await self.admin.start(nursery)
         NodeStart(node=self.node).start(nursery)
@@ -71,7 +77,15 @@
         )
 
     def _start_timers(self, nursery: trio.Nursery) -> None:
-        Duties(node=self.node, peer_address=self.settings.peers.bind).start()
+        self.duties.start()
+        self.node.timers.subscribe(
+            name="queues", interval_ms=QUEUE_TICK_MS, callback=self._async_tick_queues
+        )
+        self.node.timers.subscribe(
+            name="connections",
+            interval_ms=CLOSE_INTERVAL_MS,
+            callback=self.front.connections.async_close_retired,
+        )
         self.node.timers.subscribe(
             name="snapshots",
             interval_ms=self.settings.snapshots.check_interval_ms,
@@ -79,11 +93,19 @@
         )
         self.node.timers.start(nursery)
 
+    async def _async_tick_queues(self) -> None:
+        """Let the reducer see that time has passed, while something waits for it."""
+        routing = self.node.state.local.routing
+        if routing.deadlines or routing.ejected:
+            self.node.take(QueueTick(now_ms=monotonic_ms()))
+
     async def close(self) -> None:
         """Stop in order; the admin port answers to the end, so that the stop can be watched."""
         await async_stop_callers(
             http=self.http, readiness=self.readiness, fleet=self.node.state.fleet
         )
+        await self.front.claims.async_finish(timeout_s=WRITE_TIMEOUT_S)
+        await self.duties.async_leave()
         await self.admin.close()
 
     async def close_connections(self) -> None:
--- /dev/null
+++ b/heatherkeel/entry/sender.py
@@ -0,0 +1,174 @@
+"""Sends one request to one target, and says for sure how far it got."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+from dataclasses import dataclass, field
+from typing import Any
+
+import httpcore
+import trio
+
+from heatherkeel.helpers.asgi import Send as AsgiSend
+from heatherkeel.requests.const import MAX_KEPT_ANSWER_CHARS
+from heatherkeel.requests.effects import Send
+from heatherkeel.requests.events import AttemptResult
+from heatherkeel.requests.models import RecordedAnswer
+
+from .answers import RawHeaders, async_send_whole, pass_on_headers
+from .connections import TargetConnections
+from .const import MAX_HELD_ANSWER_BYTES, OUTCOME_HEADER
+
+_SENT_EVENT = "send_request_headers.started"
+_NOT_RUN = (OUTCOME_HEADER.encode(), b"not_run")
+_FAILURES = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OutgoingRequest:
+    """What is sent to a target, whatever the attempt."""
+
+    method: str
+    raw_target: bytes
+    headers: RawHeaders
+    body: bytes
+    keep_answer: bool
+    """Its answer is recorded, so its digest is needed."""
+
+
+@dataclass(kw_only=True)
+class Attempt:
+    """One send, with what has come back so far."""
+
+    sent: bool = False
+    """Some bytes of the request may have gone out."""
+    status: int = 0
+    headers: RawHeaders = field(default_factory=list)
+    held: bytearray = field(default_factory=bytearray)
+    """The answer so far, as long as nothing of it went to the caller."""
+    streaming: bool = False
+    """A part of the answer went to the caller."""
+    result: AttemptResult = AttemptResult.TIMED_OUT
+    digest: Any = field(default_factory=hashlib.sha256)
+    size: int = 0
+
+    async def async_trace(self, event: str, info: dict[str, Any]) -> None:
+        """Hear from the library how far it is."""
+        if event.endswith(_SENT_EVENT):
+            self.sent = True
+
+    def recorded(self) -> RecordedAnswer:
+        """Return what the log keeps of the answer."""
+        body = base64.b64encode(self.held).decode()
+        content_type = dict(self.headers).get(b"content-type", b"").decode("latin-1")
+        return RecordedAnswer(
+            http_status=self.status,
+            content_type=content_type[:128],
+            body=body if len(body) <= MAX_KEPT_ANSWER_CHARS and not self.streaming else "",
+            body_sha256=self.digest.hexdigest(),
+            body_bytes=self.size,
+        )
+
+
+class Sender:
+    """Sends requests to targets over their connections."""
+
+    def __init__(self, *, connections: TargetConnections) -> None:
+        self.connections = connections
+
+    async def async_send(
+        self, outgoing: OutgoingRequest, effect: Send, answer: AsgiSend
+    ) -> Attempt:
+        """Make one attempt; an answer too large to hold goes to the caller as it comes."""
+        attempt = Attempt()
+        with trio.move_on_after(effect.timeout_ms / 1000):
+            attempt.result = await self._async_try(attempt, outgoing, effect, answer)
+        if attempt.result is AttemptResult.TIMED_OUT:
+            attempt.result = _failure_of(attempt, AttemptResult.TIMED_OUT)
+        return attempt
+
+    async def _async_try(
+        self, attempt: Attempt, outgoing: OutgoingRequest, effect: Send, answer: AsgiSend
+    ) -> AttemptResult:
+        connections = self.connections.async_use(
+            effect.target, effect.address, fresh=effect.fresh_connection
+        )
+        try:
+            async with (
+                connections as pool,
+                pool.stream(
+                    outgoing.method,
+                    _url(effect.address, outgoing.raw_target),
+                    headers=outgoing.headers,
+                    content=outgoing.body,
+                    extensions={"trace": attempt.async_trace},
+                ) as response,
+            ):
+                return await _async_read(attempt, response, outgoing, effect, answer)
+        except _FAILURES:
+            return _failure_of(attempt, AttemptResult.BROKEN_AFTER_SEND)
+
+
+def _failure_of(attempt: Attempt, result: AttemptResult) -> AttemptResult:
+    """Return what a failure means, by how far the attempt had come."""
+    if not attempt.sent:
+        return AttemptResult.CONNECT_FAILED
+    return AttemptResult.BROKEN_IN_ANSWER if attempt.streaming else result
+
+
+def _url(address: str, raw_target: bytes) -> httpcore.URL:
+    host, _, port = address.partition(":")
+    return httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=raw_target)
+
+
+async def _async_read(
+    attempt: Attempt,
+    response: httpcore.Response,
+    outgoing: OutgoingRequest,
+    effect: Send,
+    answer: AsgiSend,
+) -> AttemptResult:
+    """Read the answer to its end; the library raises if it ends before its length.
+
+    A half-received answer must not look whole. It is held back until it is, and of one that is
+    too large to hold the caller's connection is broken if the rest doesn't come.
+    """
+    attempt.status = response.status
+    refused = any((name.lower(), value) == _NOT_RUN for name, value in response.headers)
+    attempt.headers = pass_on_headers(effect.target, response.headers)
+    async for part in response.aiter_stream():
+        attempt.size += len(part)
+        if outgoing.keep_answer:
+            attempt.digest.update(part)
+        await _async_take_part(attempt, part, answer)
+    if attempt.streaming:
+        await answer({"type": "http.response.body", "body": b""})
+    return AttemptResult.REFUSED_BEFORE_START if refused else AttemptResult.WHOLE_ANSWER
+
+
+async def _async_take_part(attempt: Attempt, part: bytes, answer: AsgiSend) -> None:
+    """Hold a part of the answer, or pass it on; a slow caller holds up the target."""
+    if not attempt.streaming and len(attempt.held) + len(part) <= MAX_HELD_ANSWER_BYTES:
+        attempt.held += part
+        return
+    if not attempt.streaming:
+        attempt.streaming = True
+        start = {"type": "http.response.start", "status": attempt.status}
+        await answer({**start, "headers": attempt.headers})
+        part = bytes(attempt.held) + part
+        attempt.held.clear()
+    await answer({"type": "http.response.body", "body": part, "more_body": True})
+
+
+async def async_pass_on(answer: AsgiSend, attempt: Attempt, *, is_head: bool) -> None:
+    """Give the caller a whole answer that was held."""
+    if attempt.streaming:
+        return
+    await async_send_whole(
+        answer,
+        status=attempt.status,
+        headers=attempt.headers,
+        body=bytes(attempt.held),
+        is_head=is_head,
+    )
--- a/heatherkeel/requests/const.py
+++ b/heatherkeel/requests/const.py
@@ -46,7 +46,7 @@
 UNAVAILABLE_RETRY_AFTER_MS: Final = 5_000
 """When to come back if there is no drain rate to reckon with: no target, no lease, no platform."""
 
-QUEUE_TICK_MS: Final = 20
+QUEUE_TICK_MS: Final = 50
 """How often the owner of the loop sends `QueueTick` while something is queued."""
 
 LIST_LAG_MS: Final = 15_000
--- a/heatherkeel/requests/limits.py
+++ b/heatherkeel/requests/limits.py
@@ -83,6 +83,16 @@
     return node.fleet.next_offset - 1
 
 
+def is_acknowledgement_due(node: NodeState) -> bool:
+    """Tell whether the log waits for this entry instance to acknowledge the newest view."""
+    views = node.local.routing.shares.views
+    entry = node.fleet.membership.entries.get(node.local.instance)
+    if entry is None or entry.incarnation != node.local.incarnation or not views:
+        return False
+    newest = views[-1].offset
+    return entry.shares_offset < newest <= acknowledged_offset(node)
+
+
 def _exceeds(node: NodeState, view: ShareView) -> bool:
     return any(
         target.in_progress > allotted(view, node.local, name, target)
--- a/heatherkeel/requests/reasons.py
+++ b/heatherkeel/requests/reasons.py
@@ -56,3 +56,4 @@
     DEADLINE = "deadline"
     NO_OTHER_TARGET = "no_other_target"
     LEASE_LAPSED = "lease_lapsed"
+    CALLER_GONE = "caller_gone"
--- a/heatherkeel/requests/retries.py
+++ b/heatherkeel/requests/retries.py
@@ -50,6 +50,8 @@
     gets twice or three times its load and goes too. Enough because retries are a bounded share
     of first tries, whatever fails.
     """
+    if result is AttemptResult.CALLER_GONE:
+        return Err(NoRetryReason.CALLER_GONE)
     if result not in RETRY_REASONS:
         return Err(NoRetryReason.ANSWER_STARTED)
     # Sent twice, a non-idempotent request could run twice, unless this target has not started.
