--- a/heatherkeel/requests/local.py
+++ b/heatherkeel/requests/local.py
@@ -7,6 +7,7 @@
 from enum import StrEnum
 
 from heatherkeel.catalogue.models import ServiceClass, ServiceEntry
+from heatherkeel.pools.models import Instance
 
 from .const import INITIAL_LATENCY_MS, RETRY_BUDGET_MAX
 
@@ -47,6 +48,8 @@
     """Where a request stands."""
 
     QUEUED = "queued"
+    CLAIMING = "claiming"
+    """It holds a slot and waits for its claim to be read back."""
     SENT = "sent"
 
 
@@ -67,6 +70,10 @@
     tried: tuple[str, ...] = ()
     may_have_run: bool = False
     """An attempt ended after something was sent, so *not run* can't be said any more."""
+    claim: str = ""
+    """Id of its claim record; empty if it needs none or has none yet."""
+    abandoned: bool = False
+    """Its caller hung up while its claim was on the way."""
 
 
 @dataclass(kw_only=True)
@@ -146,6 +153,8 @@
     prefixes: dict[str, str] = field(default_factory=dict)
     """Service names by path prefix."""
     requests: dict[str, ActiveRequest] = field(default_factory=dict)
+    claims: dict[str, str] = field(default_factory=dict)
+    """Requests that wait for their claim, by the id of the claim record."""
     waiting: dict[str, int] = field(default_factory=dict)
     """Queued requests by service."""
     deadlines: list[tuple[int, str]] = field(default_factory=list)
@@ -157,3 +166,8 @@
     leaving: set[str] = field(default_factory=set)
     """Targets that the platform's list shows as leaving."""
     turn: int = 0
+
+    def view_target(self, name: str, instance: Instance) -> TargetView:
+        """Return the view of a target, made when it is first needed."""
+        made = TargetView(address=instance.address, zone=instance.zone, pool=instance.pool)
+        return self.targets.setdefault(name, made)
--- a/tests/jobs/test_reducer.py
+++ b/tests/jobs/test_reducer.py
@@ -21,7 +21,6 @@
     UsageReport,
     UsageSample,
 )
-from heatherkeel.pools.models import InstanceStatus
 
 from .conftest import JOB, TEAM, Fleet, put, spec_of
 
@@ -101,7 +100,7 @@
 
 def test_a_draining_worker_gets_no_new_job(fleet: Fleet) -> None:
     fleet.submit()
-    fleet.state.pools.instances["w0"].status = InstanceStatus.DRAINING
+    fleet.drain("w0")
     assert fleet.refuse(fleet.placement("w0")) is RejectReason.IN_USE
 
 
