Let the test of a lost answer wait for the second copy in the log

It did not: it asked again before the writer had sent the second copy. It now reads the platform's stream until both copies stand in it. Switched off again: the test fails, as the repeat is then called stale.

--- a/tests/processes/test_edits_under_failure.py
+++ b/tests/processes/test_edits_under_failure.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from base64 import b64decode
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, Final
 
@@ -62,6 +63,8 @@
     fleet.set_faults("platform", lose_append_answers=1)
     accepted = put(entries[0], 5, idempotency_key=KEY)
     assert accepted.status == 200, accepted.content
+    _, second = wait_for(lambda: _two_copies(fleet), "the second copy is in the log")
+    fleet.wait_in_force(entries, second)
     again = put(entries[1], 5, idempotency_key=KEY)
     assert json.loads(again.content) == json.loads(accepted.content)
     changed = put(entries[1], 6, if_match='"1"')
@@ -72,6 +75,14 @@
         assert header(read, b"etag") == b'"2"'
 
 
+def _two_copies(fleet: Fleet) -> Any:
+    """Return the offsets of the edit's two copies, once both are in the log."""
+    platform = fleet.processes["platform"]
+    read = call_json("GET", platform.http, "/streams/fleet/records?from=0&max=512")
+    found = [offset for offset, _, data in read["records"] if KEY.encode() in b64decode(data)]
+    return found if len(found) == 2 else None
+
+
 def test_a_platform_that_refuses_has_accepted_nothing(fleet: Fleet) -> None:
     # The platform answers every append with an error. The operator is told at once that the
     # edit was not accepted, and it never comes into force later.
