--- a/heatherkeel/helpers/server.py
+++ b/heatherkeel/helpers/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Final
 
 import trio
@@ -31,10 +32,13 @@
         self.config = Config()
         self.config.bind = [bind]
         self.config.accesslog = None
-        self.config.errorlog = None
+        # Without a logger the library drops what an application raises, and the caller's 500
+        # has no trace anywhere.
+        self.config.errorlog = logging.getLogger("hypercorn.error")
         self.config.graceful_timeout = graceful_timeout_s
         self.config.include_server_header = False
         self.config.use_reloader = False
+        self.started = False
         self.config.h11_max_incomplete_size = MAX_HEADER_BYTES
         self.config.certfile = certfile or None
         self.config.keyfile = keyfile or None
@@ -46,6 +50,7 @@
     async def start(self, nursery: trio.Nursery) -> str:
         """Open the port and return its address as `host:port`."""
         urls = await nursery.start(self._async_serve)
+        self.started = True
         self.address = str(urls[0]).split("//", 1)[1]
         return self.address
 
@@ -61,8 +66,13 @@
         finally:
             self.stopped.set()
 
-    async def close(self) -> None:
-        """Take no new connection, let requests in progress finish, then return."""
+    async def close(self, *, finish_timeout_s: float | None = None) -> None:
+        """Take no new connection, let requests in progress finish, then return.
+
+        What has not finished after `finish_timeout_s` seconds is cut off.
+        """
+        if finish_timeout_s is not None:
+            self.config.graceful_timeout = finish_timeout_s
         self.stopping.set()
         await self.stopped.wait()
 
