Status shows waves and drains in progress

/status shows each unfinished wave with its counts and its halt, and each drain with the entry instances that have yet to acknowledge it, from the fold. The garbage test also reads the counter of skipped records at every entry instance: 5 at each of three. Removed: leaving out the body of an answer to HEAD, which the server does; a test on a real port holds it to that.

--- a/heatherkeel/admin/app.py
+++ b/heatherkeel/admin/app.py
@@ -43,12 +43,13 @@
             reply = await self._async_reply(request)
         except ClientGoneError:
             return None
-        return await _async_send(_without_body(send) if request.method == "HEAD" else send, reply)
+        return await _async_send(send, reply)
 
     async def _async_reply(self, request: Request) -> Reply:
         match = find_routes(request.path)
         if match is None:
             return Err(Problem(status=404, kind="no_such_path", title="No such path"))
+        # The server leaves out the body of an answer to HEAD.
         method = "GET" if request.method == "HEAD" else request.method
         route = match.routes.get(method)
         if route is None:
@@ -87,15 +88,6 @@
     )
 
 
-def _without_body(send: Send) -> Send:
-    """Drop the body of an answer to HEAD; its length stays in the header."""
-
-    async def async_send(message: Message) -> None:
-        await send({**message, "body": b""} if message["type"] == "http.response.body" else message)
-
-    return async_send
-
-
 async def _async_send(send: Send, reply: Reply) -> None:
     match reply:
         case Ok(answer):
--- a/heatherkeel/admin/status.py
+++ b/heatherkeel/admin/status.py
@@ -9,6 +9,7 @@
 
 from heatherkeel.core.state import FleetState, digest
 from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.waves.models import Purpose
 
 from .models import Access, Answer, Call, Reply
 from .routes import route
@@ -36,6 +37,26 @@
     heard_age_ms: int
 
 
+class DrainStatus(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """A planned stop or move under way; `waiting_for` are entry instances yet to acknowledge."""
+
+    purpose: Purpose
+    age_ms: int
+    waiting_for: list[str]
+    to_pool: str = ""
+
+
+class WaveStatus(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """A maintenance wave in progress; `halted_reason` says why it starts no further drain."""
+
+    number: int
+    age_ms: int
+    drained: int
+    returned: int
+    failed: int
+    halted_reason: str = ""
+
+
 class Status(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """The fleet as this entry instance sees it."""
 
@@ -45,6 +66,8 @@
     platform: PlatformStatus
     entry_instances: dict[str, EntryInstanceStatus]
     pools: dict[str, dict[str, int]]
+    waves: dict[str, WaveStatus]
+    drains: dict[str, DrainStatus]
     digest: str = ""
 
 
@@ -63,6 +86,8 @@
         platform=_platform_status(call),
         entry_instances=_entry_instances(fleet),
         pools=_pools(fleet),
+        waves=_waves(fleet),
+        drains=_drains(fleet),
         digest=digest(fleet) if call.request.query.get("digest") == "true" else "",
     )
     return Ok(Answer(value=status))
@@ -93,3 +118,31 @@
     for instance in fleet.pools.instances.values():
         counts.setdefault(instance.pool or NO_POOL, Counter())[instance.status] += 1
     return {pool: dict(count) for pool, count in counts.items()}
+
+
+def _waves(fleet: FleetState) -> dict[str, WaveStatus]:
+    """Return the waves that are not finished, by pool."""
+    return {
+        pool: WaveStatus(
+            number=wave.number,
+            age_ms=fleet.now_ms - wave.started_ms,
+            drained=wave.drained,
+            returned=wave.returned,
+            failed=wave.failed,
+            halted_reason=wave.halted_reason,
+        )
+        for pool, wave in fleet.waves.waves.items()
+        if not wave.finished_ms
+    }
+
+
+def _drains(fleet: FleetState) -> dict[str, DrainStatus]:
+    return {
+        instance: DrainStatus(
+            purpose=drain.purpose,
+            age_ms=fleet.now_ms - drain.started_ms,
+            waiting_for=sorted(set(drain.waiting.values())),
+            to_pool=drain.to_pool,
+        )
+        for instance, drain in fleet.waves.drains.items()
+    }
--- a/tests/processes/test_admin_port.py
+++ b/tests/processes/test_admin_port.py
@@ -47,6 +47,10 @@
     large = call("PUT", entry.admin, "/catalogue/desk", body=b"x" * 70_000, headers=SIGNED)
     assert large.status == 413
     assert status_of(ask(entry, head + b"\r\n")) == 200
+    for path in ("/status", "/healthz", "/metrics", "/nowhere"):
+        twice = f"HEAD {path} HTTP/1.1\r\nhost: x\r\n\r\n".encode() + head + b"\r\n"
+        first, second = ask(entry, twice).split(b"\r\n\r\nHTTP/1.1 ")
+        assert status_of(first) < 500 and second.startswith(b"200"), path
 
 
 def test_a_token_can_go_over_tls(fleet: Fleet) -> None:
@@ -106,6 +110,8 @@
     for entry in entries:
         skipped = [event for event in entry.events() if event.get("event") == "record_skipped"]
         assert len(skipped) == 5, entry.name
+        metrics = call("GET", entry.admin, "/metrics").content.decode()
+        assert 'heatherkeel_skipped_records_total{reason="malformed"} 5.0' in metrics
     accepted = fleet.put_entry(entries[0], "desk", POOL)
     assert accepted.status == 200
     fleet.wait_in_force(entries, json.loads(accepted.content)["offset"])
