heatherkeel catalogue: list, get, apply, status

apply takes JSON files of entries by name, edits only what differs under If-Match, shows each field that changes, and stops at the first entry that was not done, as later ones may need it. An edit of unknown outcome is repeated under one Idempotency-Key; after it "not accepted" is no longer believed of the whole edit. Exit status 0 done, 1 refused or not accepted, 2 usage, 3 unknown. The command registry lets a last argument come many times, and the overview shows only the first line of a command's help.

Switched off once, and what failed then: one key for all attempts (3 tests of test_applying.py), the memory that an earlier attempt may have been accepted (2).

--- /dev/null
+++ b/heatherkeel/admin/applying.py
@@ -0,0 +1,236 @@
+"""Brings the catalogue to what an operator's file says, one entry after the other."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, Final
+from urllib.parse import quote
+
+import msgspec
+from result import Err, Ok, Result
+
+from heatherkeel.catalogue.models import CatalogueEntry
+from heatherkeel.core.envelopes import new_record_id
+
+from .client import AdminClient, ApiAnswer, CallError, CallFailure
+
+REPEAT_FOR_S: Final = 30.0
+"""How long an edit of unknown outcome is repeated under its key."""
+PAUSE_S: Final = 1.0
+ABSENT: Final = "(none)"
+
+
+class ApplyOutcome(StrEnum):
+    """What became of one entry of the file."""
+
+    UNCHANGED = "unchanged"
+    CREATED = "created"
+    CHANGED = "changed"
+    DELETED = "deleted"
+    REFUSED = "refused"
+    NOT_ACCEPTED = "not accepted"
+    UNKNOWN = "unknown"
+
+
+DONE: Final = frozenset(
+    {
+        ApplyOutcome.UNCHANGED,
+        ApplyOutcome.CREATED,
+        ApplyOutcome.CHANGED,
+        ApplyOutcome.DELETED,
+    }
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Applied:
+    """The outcome of one entry, with the lines that explain it."""
+
+    name: str
+    outcome: ApplyOutcome
+    version: int = 0
+    offset: int = -1
+    lines: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Edit:
+    """One edit as it is sent, and repeated if its outcome is unknown."""
+
+    name: str
+    method: str
+    value: Any
+    precondition: tuple[str, str]
+    key: str
+    planned: ApplyOutcome
+    lines: tuple[str, ...]
+
+
+class Applier:
+    """Reads what is in force, edits what differs, and repeats only under one key."""
+
+    def __init__(
+        self,
+        *,
+        client: AdminClient,
+        repeat_for_s: float = REPEAT_FOR_S,
+        sleep: Callable[[float], None] = time.sleep,
+        now_s: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.client = client
+        self.repeat_for_s = repeat_for_s
+        self.sleep = sleep
+        self.now_s = now_s
+
+    def apply(self, name: str, wanted: Any) -> Applied:
+        """Create, change or (for None) delete one entry."""
+        match self.client.call("GET", path_of(name)):
+            case Ok(answer) if answer.status in (200, 404):
+                edit = plan_edit(name, wanted, answer)
+                return edit if isinstance(edit, Applied) else self._send(edit)
+            case Ok(answer):
+                return _refused(name, answer)
+            case Err(error):
+                return _not_reached(name, error)
+
+    def _send(self, edit: Edit) -> Applied:
+        """Send an edit until its outcome is known, or for as long as is worth waiting.
+
+        An answer that got lost may have been "accepted". The key makes a repeat harmless; after
+        it, only the outcome of the record itself is believed, and "this attempt was not
+        accepted" no longer means that the edit was not.
+        """
+        give_up_at = self.now_s() + self.repeat_for_s
+        perhaps_accepted = False
+        while True:
+            sent = self._attempt(edit)
+            outcome = _conclude(edit, sent, perhaps_accepted=perhaps_accepted)
+            perhaps_accepted = perhaps_accepted or _may_have_been_accepted(sent)
+            if outcome.outcome is not ApplyOutcome.UNKNOWN or self.now_s() > give_up_at:
+                return outcome
+            self.sleep(_pause_s(sent))
+
+    def _attempt(self, edit: Edit) -> Result[ApiAnswer, CallError]:
+        headers = {"idempotency-key": edit.key, edit.precondition[0]: edit.precondition[1]}
+        return self.client.call(edit.method, path_of(edit.name), value=edit.value, headers=headers)
+
+
+def path_of(name: str) -> str:
+    """Return the path of an entry; a name that can't be one must not reach another path."""
+    return f"/catalogue/{quote(name, safe='')}"
+
+
+def plan_edit(name: str, wanted: Any, read: ApiAnswer) -> Edit | Applied:
+    """Compare the entry in force with the wanted one."""
+    in_force = read.value if read.status == 200 else None
+    lines = tuple(diff_lines(_with_defaults(in_force), _with_defaults(wanted)))
+    if wanted == in_force or (in_force is not None and wanted is not None and not lines):
+        return Applied(name=name, outcome=ApplyOutcome.UNCHANGED)
+    if in_force is None:
+        lines = tuple(diff_lines(None, wanted))
+        planned, precondition = ApplyOutcome.CREATED, ("if-none-match", "*")
+    else:
+        planned, precondition = ApplyOutcome.CHANGED, ("if-match", read.headers.get("etag", ""))
+    if wanted is None:
+        planned = ApplyOutcome.DELETED
+    return Edit(
+        name=name,
+        method="DELETE" if wanted is None else "PUT",
+        value=wanted,
+        precondition=precondition,
+        key=new_record_id(),
+        planned=planned,
+        lines=() if wanted is None else lines,
+    )
+
+
+def diff_lines(before: Any, after: Any, path: str = "") -> Iterator[str]:
+    """Return one line for each field that differs."""
+    if isinstance(before, dict) and isinstance(after, dict):
+        for key in sorted({*before, *after}):
+            inner = f"{path}.{key}" if path else key
+            yield from diff_lines(before.get(key), after.get(key), inner)
+        return
+    if before is None and isinstance(after, dict):
+        yield from diff_lines({}, after, path)
+        return
+    if before != after:
+        yield f"{path}: {_show(before)} -> {_show(after)}"
+
+
+def problem_lines(answer: ApiAnswer) -> list[str]:
+    """Return what an error answer says, one line for each fault."""
+    problem = answer.value if isinstance(answer.value, dict) else {}
+    detail = problem.get("detail") or problem.get("title") or f"status {answer.status}"
+    return str(detail).splitlines()
+
+
+def _with_defaults(value: Any) -> Any:
+    """Fill in what an entry leaves out; one that is not valid stays as it is."""
+    try:
+        return msgspec.to_builtins(msgspec.convert(value, CatalogueEntry))
+    except msgspec.ValidationError:
+        return value
+
+
+def _show(value: Any) -> str:
+    return ABSENT if value is None else msgspec.json.encode(value).decode()
+
+
+def _conclude(edit: Edit, sent: Result[ApiAnswer, CallError], *, perhaps_accepted: bool) -> Applied:
+    """Say what is known of an edit after an attempt."""
+    if isinstance(sent, Err):
+        error = sent.err_value
+        unknown = perhaps_accepted or error.failure is CallFailure.UNKNOWN
+        return _failed(edit, [error.detail], unknown=unknown)
+    answer = sent.ok_value
+    if answer.status == 200:
+        return Applied(
+            name=edit.name,
+            outcome=edit.planned,
+            version=answer.value["version"],
+            offset=answer.value["offset"],
+            lines=edit.lines,
+        )
+    if _may_have_been_accepted(sent):
+        return _failed(edit, problem_lines(answer), unknown=True)
+    if answer.status == 503:
+        return _failed(edit, problem_lines(answer), unknown=perhaps_accepted)
+    return _refused(edit.name, answer)
+
+
+def _refused(name: str, answer: ApiAnswer) -> Applied:
+    outcome = ApplyOutcome.NOT_ACCEPTED if answer.status == 503 else ApplyOutcome.REFUSED
+    return Applied(name=name, outcome=outcome, lines=tuple(problem_lines(answer)))
+
+
+def _may_have_been_accepted(sent: Result[ApiAnswer, CallError]) -> bool:
+    if isinstance(sent, Err):
+        return sent.err_value.failure is CallFailure.UNKNOWN
+    kind = _kind(sent.ok_value)
+    return kind.endswith((":unknown", ":in_progress")) or sent.ok_value.status in (500, 502, 504)
+
+
+def _kind(answer: ApiAnswer) -> str:
+    return str(answer.value.get("type", "")) if isinstance(answer.value, dict) else ""
+
+
+def _failed(edit: Edit, lines: list[str], *, unknown: bool) -> Applied:
+    outcome = ApplyOutcome.UNKNOWN if unknown else ApplyOutcome.NOT_ACCEPTED
+    if unknown:
+        lines = [*lines, f"sent under Idempotency-Key {edit.key}"]
+    return Applied(name=edit.name, outcome=outcome, lines=tuple(lines))
+
+
+def _not_reached(name: str, error: CallError) -> Applied:
+    return Applied(name=name, outcome=ApplyOutcome.NOT_ACCEPTED, lines=(error.detail,))
+
+
+def _pause_s(sent: Result[ApiAnswer, CallError]) -> float:
+    if isinstance(sent, Err):
+        return PAUSE_S
+    told = sent.ok_value.headers.get("retry-after", "")
+    return float(told) if told.isdecimal() else PAUSE_S
--- a/heatherkeel/cli/const.py
+++ b/heatherkeel/cli/const.py
@@ -10,3 +10,6 @@
 
 EXIT_USAGE: Final = 2
 """The command line, or a file that it names, is wrong."""
+
+EXIT_UNKNOWN: Final = 3
+"""It may have been done: nobody could say in time."""
--- a/heatherkeel/cli/main.py
+++ b/heatherkeel/cli/main.py
@@ -8,6 +8,7 @@
 from absl import flags
 
 from . import (
+    catalogue,  # noqa: F401
     check,  # noqa: F401
     entry,  # noqa: F401
     load,  # noqa: F401
@@ -91,5 +92,5 @@
 
 
 def _overview() -> str:
-    lines = [f"  {name:12} {item.help}" for name, item in sorted(COMMANDS.items())]
+    lines = [f"  {name:12} {item.help.splitlines()[0]}" for name, item in sorted(COMMANDS.items())]
     return "usage: heatherkeel SUBCOMMAND [flags]\n\n" + "\n".join(lines)
--- a/heatherkeel/cli/registry.py
+++ b/heatherkeel/cli/registry.py
@@ -18,7 +18,7 @@
 
     `required` names the flags that have to be given. `arguments` names the positional
     arguments, each with the values that it may have; an empty tuple takes any text. Those from
-    `optional_from` on may be left out.
+    `optional_from` on may be left out; with `repeats_last` the last one may come many times.
     """
 
     name: str
@@ -29,6 +29,7 @@
     required: tuple[str, ...] = ()
     arguments: tuple[tuple[str, ...], ...] = ()
     optional_from: int | None = None
+    repeats_last: bool = False
 
     def find_fault(self, values: flags.FlagValues, args: list[str]) -> str | None:
         """Return what is wrong with the parsed command line, if anything is."""
@@ -38,7 +39,7 @@
         fewest = len(self.arguments) if self.optional_from is None else self.optional_from
         if len(args) < fewest:
             return "missing argument"
-        if len(args) > len(self.arguments):
+        if len(args) > len(self.arguments) and not self.repeats_last:
             return f"surplus argument {args[len(self.arguments)]!r}"
         return self._find_wrong_value(args)
 
@@ -61,6 +62,7 @@
     required: tuple[str, ...] = (),
     arguments: tuple[tuple[str, ...], ...] = (),
     optional_from: int | None = None,
+    repeats_last: bool = False,
 ) -> Callable[[Run], Run]:
     """Register a subcommand; a module that does so imports what is large only when it runs."""
 
@@ -74,6 +76,7 @@
             required=required,
             arguments=arguments,
             optional_from=optional_from,
+            repeats_last=repeats_last,
         )
         return run
 
--- /dev/null
+++ b/tests/admin/test_applying.py
@@ -0,0 +1,118 @@
+"""Applying a file: what is sent, what is repeated, and what is believed afterwards."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+from result import Err, Ok, Result
+
+from heatherkeel.admin.applying import Applied, Applier, ApplyOutcome, diff_lines
+from heatherkeel.admin.client import ApiAnswer, CallError, CallFailure
+
+POOL = {"kind": "pool", "owner": "sheetal", "size": 3}
+Answer = Result[ApiAnswer, CallError]
+
+
+def answer(status: int, value: Any = None, **headers: str) -> Answer:
+    return Ok(ApiAnswer(status=status, headers=headers, value=value))
+
+
+def problem(status: int, kind: str, detail: str = "told") -> Answer:
+    return answer(status, {"type": f"urn:heatherkeel:problem:{kind}", "detail": detail})
+
+
+ABSENT = problem(404, "not_found")
+ACCEPTED = answer(200, {"record": "sheetal:k", "version": 1, "offset": 7})
+LOST: Answer = Err(CallError(failure=CallFailure.UNKNOWN, detail="read failed"))
+NO_CONNECTION: Answer = Err(CallError(failure=CallFailure.NOT_SENT, detail="refused"))
+NOT_APPENDED = problem(503, "not_appended")
+
+
+@dataclass(kw_only=True)
+class ScriptedClient:
+    """Gives the scripted answers in turn, and keeps what was asked."""
+
+    answers: list[Answer]
+    calls: list[tuple[str, str, dict[str, str]]] = field(default_factory=list)
+
+    def call(
+        self, method: str, path: str, *, value: Any = None, headers: dict[str, str] | None = None
+    ) -> Answer:
+        self.calls.append((method, path, headers or {}))
+        return self.answers.pop(0)
+
+
+@dataclass(kw_only=True)
+class Clock:
+    """Time that moves only by sleeping."""
+
+    now_s: float = 0.0
+
+    def sleep(self, duration_s: float) -> None:
+        self.now_s += duration_s
+
+
+def apply(client: ScriptedClient, wanted: Any = POOL) -> Applied:
+    clock = Clock()
+    applier = Applier(
+        client=client,  # type: ignore[arg-type]
+        repeat_for_s=2.5,
+        sleep=clock.sleep,
+        now_s=lambda: clock.now_s,
+    )
+    return applier.apply("desk", wanted)
+
+
+def test_what_is_as_wanted_is_not_sent() -> None:
+    full = POOL | {"service_class": "interactive"}
+    client = ScriptedClient(answers=[answer(200, full, etag='"4"')])
+    assert apply(client).outcome is ApplyOutcome.UNCHANGED
+    absent = ScriptedClient(answers=[ABSENT])
+    assert apply(absent, None).outcome is ApplyOutcome.UNCHANGED
+
+
+def test_a_change_names_the_version_it_was_made_from() -> None:
+    client = ScriptedClient(answers=[answer(200, POOL | {"size": 2}, etag='"4"'), ACCEPTED])
+    applied = apply(client)
+    assert (applied.outcome, applied.lines) == (ApplyOutcome.CHANGED, ("size: 2 -> 3",))
+    assert client.calls[1][2]["if-match"] == '"4"'
+
+
+@pytest.mark.parametrize("first", [LOST, problem(503, "unknown"), problem(409, "in_progress")])
+def test_an_unknown_outcome_is_asked_for_again_under_one_key(first: Answer) -> None:
+    # The answer to an accepted edit got lost. The repeat under the same key is answered with the
+    # first one's outcome; a fresh key would be told that the entry exists, as if by another.
+    client = ScriptedClient(answers=[ABSENT, first, ACCEPTED])
+    assert apply(client).outcome is ApplyOutcome.CREATED
+    keys = [headers["idempotency-key"] for _, _, headers in client.calls[1:]]
+    assert len(keys) == 2 and keys[0] == keys[1]
+
+
+@pytest.mark.parametrize("later", [NOT_APPENDED, NO_CONNECTION])
+def test_what_may_have_been_accepted_stays_unknown(later: Answer) -> None:
+    # The first attempt may stand in the log; the next one surely does not. "Not accepted" is
+    # true of the second attempt only, and the operator would send the edit anew.
+    client = ScriptedClient(answers=[ABSENT, LOST, later, later, later])
+    applied = apply(client)
+    assert (applied.outcome, client.answers) == (ApplyOutcome.UNKNOWN, [])
+    assert applied.lines[-1].startswith("sent under Idempotency-Key ")
+    client = ScriptedClient(answers=[ABSENT, LOST, later, ACCEPTED])
+    assert apply(client).outcome is ApplyOutcome.CREATED
+
+
+@pytest.mark.parametrize("first", [NOT_APPENDED, NO_CONNECTION])
+def test_what_surely_was_not_accepted_is_said_at_once(first: Answer) -> None:
+    client = ScriptedClient(answers=[ABSENT, first])
+    assert apply(client).outcome is ApplyOutcome.NOT_ACCEPTED
+
+
+def test_differences_are_told_by_field() -> None:
+    before = {"budget": {"min_serving": 1, "reserve": "rack"}, "pool": "desk"}
+    after = {"budget": {"min_serving": 2, "reserve": "rack"}, "owner": "sheetal"}
+    assert list(diff_lines(before, after)) == [
+        "budget.min_serving: 1 -> 2",
+        'owner: (none) -> "sheetal"',
+        'pool: "desk" -> (none)',
+    ]
