--- a/heatherkeel/settings/models.py
+++ b/heatherkeel/settings/models.py
@@ -93,6 +93,19 @@
     readiness_wait_ms: Annotated[int, Meta(ge=0, le=600_000)] = 2_000
 
 
+class SnapshotSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """When the state is written back into the log, in records and in log time.
+
+    The interval must be a small part of the platform's retention. An author that has not
+    finished after `overtake_ms` is taken for dead.
+    """
+
+    interval_records: Annotated[int, Meta(ge=1, le=10_000_000)] = 20_000
+    interval_ms: Milliseconds = 600_000
+    overtake_ms: Milliseconds = 60_000
+    check_interval_ms: Milliseconds = 1_000
+
+
 class TeamSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """The token with which a team's operators sign their edits."""
 
@@ -109,4 +122,5 @@
     peers: ListenSettings = ListenSettings()
     routing: RoutingSettings = RoutingSettings()
     stop: StopSettings = StopSettings()
+    snapshots: SnapshotSettings = SnapshotSettings()
     teams: dict[ShortName, TeamSettings] = {}
