--- a/heatherkeel/cli/main.py
+++ b/heatherkeel/cli/main.py
@@ -65,6 +65,8 @@
 def _run(found: Command, values: flags.FlagValues, args: list[str]) -> int:
     try:
         return found.run(values, args)
+    except BrokenPipeError:
+        raise
     except OSError as err:
         return _fail(found, err)
     except BaseExceptionGroup as group:
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -97,3 +97,13 @@
         done = subprocess.run(argv, capture_output=True, text=True)
     assert done.returncode == 1 and done.stderr.count("\n") == 1
     assert "ddress already in use" in done.stderr
+
+
+def test_a_reader_that_leaves_early_gets_no_traceback() -> None:
+    # `heatherkeel load --help | head -1`: the pipe closes before everything is written.
+    argv = [sys.executable, "-m", "heatherkeel", "load", "--help"]
+    with subprocess.Popen(argv, stdout=subprocess.PIPE, stderr=subprocess.PIPE) as process:
+        assert process.stdout is not None and process.stderr is not None
+        process.stdout.close()
+        assert process.stderr.read() == b""
+    assert process.returncode == 1
