--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -20,6 +20,7 @@
 from .duties import Duties
 from .front import Front
 from .node import Node
+from .start import NodeStart
 from .stopping import async_stop_callers
 
 _LOGGER = logging.getLogger(__name__)
@@ -39,7 +40,12 @@
         pages = MonitoringApp(
             inner=AdminApp(node=self.node), metrics=self.metrics, readiness=self.readiness
         )
-        self.admin = HttpServer(app=pages, bind=settings.admin.bind)
+        self.admin = HttpServer(
+            app=pages,
+            bind=settings.admin.bind,
+            certfile=settings.admin.certfile,
+            keyfile=settings.admin.keyfile,
+        )
         self.gauges = NodeGauges(
             node=self.node, readiness=self.readiness, in_progress=lambda: timed.in_progress
         )
@@ -49,12 +55,12 @@
         count_effects(self.node, self.metrics)
         self.metrics.register([self.gauges])
         self.node.writer.start(nursery)
-        self.node.follower.start(nursery)
+        self.node.snapshots.start(nursery)
         await self.admin.start(nursery)
-        await self.node.follower.caught_up.wait()
+        NodeStart(node=self.node).start(nursery)
+        await self.node.may_serve.wait()
         await self.http.start(nursery)
-        Duties(node=self.node, peer_address=self.settings.peers.bind).start()
-        self.node.timers.start(nursery)
+        self._start_timers(nursery)
         _LOGGER.info(
             "listening",
             extra={
@@ -64,6 +70,15 @@
             },
         )
 
+    def _start_timers(self, nursery: trio.Nursery) -> None:
+        Duties(node=self.node, peer_address=self.settings.peers.bind).start()
+        self.node.timers.subscribe(
+            name="snapshots",
+            interval_ms=self.settings.snapshots.check_interval_ms,
+            callback=self.node.snapshots.async_check,
+        )
+        self.node.timers.start(nursery)
+
     async def close(self) -> None:
         """Stop in order; the admin port answers to the end, so that the stop can be watched."""
         await async_stop_callers(
