Readiness follows the whole start, not the log alone

Cause: a process may come to a state by other ways than reading the log to its end, and is ready only once its port for callers is open too.

--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -101,6 +101,7 @@
         with trio.CancelScope() as starting:
             nursery.start_soon(stop.async_cancel, starting)
             await process.start(nursery)
+            process.readiness.start()
         await stop.received.wait()
         if process.http.started:
             await process.close()
--- a/heatherkeel/monitoring/readiness.py
+++ b/heatherkeel/monitoring/readiness.py
@@ -11,7 +11,8 @@
     """Why an entry instance is not ready."""
 
     STOPPING = "stopping"
-    LOG_NOT_READ = "log_not_read"
+    STARTING = "starting"
+    """No state that it may serve by is in force yet, or its port is not open."""
     NO_CATALOGUE_ENTRY = "no_catalogue_entry"
 
 
@@ -20,8 +21,13 @@
 
     def __init__(self, *, node: Node) -> None:
         self.node = node
+        self.started = False
         self.stopping = False
 
+    def start(self) -> None:
+        """Be ready from now on, as soon as a catalogue entry is in force."""
+        self.started = True
+
     def stop(self) -> None:
         """Be ready no more, for good."""
         self.stopping = True
@@ -36,8 +42,8 @@
         reasons: list[NotReadyReason] = []
         if self.stopping:
             reasons.append(NotReadyReason.STOPPING)
-        if not self.node.follower.caught_up.is_set():
-            reasons.append(NotReadyReason.LOG_NOT_READ)
+        if not self.started:
+            reasons.append(NotReadyReason.STARTING)
         elif not self.node.state.fleet.catalogue.entries:
             reasons.append(NotReadyReason.NO_CATALOGUE_ENTRY)
         return reasons
