Pages for operators on settings, logs, metrics and probes, held to the code by tests

Each key with its default, each metric, state and readiness reason has to be on its page. Number keys have to end with a unit. The `_created` series are off: one more series for each label, of no use here.

--- a/heatherkeel/helpers/metrics.py
+++ b/heatherkeel/helpers/metrics.py
@@ -5,7 +5,13 @@
 from collections.abc import Iterable
 from enum import StrEnum
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Histogram,
+    disable_created_metrics,
+    generate_latest,
+)
 from prometheus_client.gc_collector import GCCollector
 from prometheus_client.process_collector import ProcessCollector
 from prometheus_client.registry import Collector
@@ -23,6 +29,8 @@
     """
 
     def __init__(self) -> None:
+        # One more series for each label, with the time of the process's start.
+        disable_created_metrics()  # type: ignore[no-untyped-call]
         self.registry = CollectorRegistry()
         ProcessCollector(registry=self.registry)
         GCCollector(registry=self.registry)
--- /dev/null
+++ b/tests/docs/test_operate.py
@@ -0,0 +1,55 @@
+"""The operators' pages name every key, metric and reason that there is."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, Final, get_args, get_origin
+
+import msgspec
+from prometheus_client.parser import text_string_to_metric_families
+
+from heatherkeel.helpers.faults import fields_by_key, is_struct, split_hint
+from heatherkeel.helpers.metrics import Metrics
+from heatherkeel.monitoring.gauges import TargetState
+from heatherkeel.monitoring.readiness import NotReadyReason
+from heatherkeel.settings.models import EntrySettings
+
+OPERATE: Final = Path(__file__).parents[2] / "docs" / "operate"
+UNITS: Final = ("_ms", "_s", "_bytes", "_records", "_mib")
+
+
+def leaves(model: Any, path: str = "") -> Iterator[tuple[str, Any, Any]]:
+    """Give the key path, type and default of every leaf of a settings model."""
+    for key, field in fields_by_key(model).items():
+        bare, _ = split_hint(field.type)
+        if is_struct(bare):
+            yield from leaves(bare, f"{path}{key}.")
+        elif get_origin(bare) is dict:
+            yield from leaves(get_args(bare)[1], f"{path}{key}.NAME.")
+        else:
+            yield f"{path}{key}", bare, field.default
+
+
+def test_the_settings_page_has_every_key_with_its_default() -> None:
+    rows = (OPERATE / "settings.md").read_text(encoding="utf-8").splitlines()
+    for path, _, default in leaves(EntrySettings):
+        shown = "" if default is msgspec.NODEFAULT else f"`{json.dumps(default)}` "
+        assert any(row.startswith(f"| `{path}` | {shown}|") for row in rows), path
+
+
+def test_numbers_name_their_unit() -> None:
+    for path, bare, _ in leaves(EntrySettings):
+        assert bare is not int or path.endswith(UNITS), path
+
+
+def test_the_metrics_page_has_every_metric_and_state() -> None:
+    page = (OPERATE / "logs-and-metrics.md").read_text(encoding="utf-8")
+    families = text_string_to_metric_families(Metrics().render().decode())
+    ours = [family for family in families if family.name.startswith("heatherkeel_")]
+    names = [f"{item.name}_total" if item.type == "counter" else item.name for item in ours]
+    assert len(names) > 5
+    for name in [*names, *TargetState, *NotReadyReason]:
+        assert re.search(rf"`{name}`", page), name
