--- a/tests/processes/test_stop.py
+++ b/tests/processes/test_stop.py
@@ -72,11 +72,14 @@
 def test_a_request_in_progress_outlives_the_stop(fleet: Fleet) -> None:
     # A caller waits for a slow answer when its entry instance is told to stop. First /readyz
     # says 503, then the port closes to new callers, the slow answer arrives whole, and only
-    # then the process ends, with status 0. A stop in another order cuts the caller off.
+    # then the process ends, with status 0. A stop in another order cuts the caller off. A
+    # connection that is only kept open does not hold the stop.
     entry = serving(fleet)
     fleet.set_faults("t-a", work_ms=SLOW_MS)
     caller = SlowCall(entry=entry)
     caller.start()
+    idle = httpcore.ConnectionPool()
+    assert idle.request("GET", f"http://{entry.http}/nothing").status == 404
     wait_for(lambda: fleet.counts("t-a")["in_progress"] == 1, "the slow request runs")
     entry.popen.send_signal(signal.SIGTERM)
     wait_for(lambda: readiness(entry) == (503, ["stopping"]), "e-a is not ready")
@@ -89,6 +92,7 @@
     assert answer is not None and answer.status == 200
     assert json.loads(answer.content)["request_id"] == "slow"
     assert entry.popen.wait(timeout=30) == 0
+    idle.close()
     events = [event["event"] for event in entry.events()]
     assert events.index("stopping") < events.index("requests_finished")
 
