Own routing lease by the monotonic clock, and pauses that are noticed

Cause: nothing set LeaseState.valid_until_ms, so a process did not know when to stop sending. A late timer tells of a pause; what was sent before it counts no more, and the lease is renewed at once. Ruled out: CLOCK_MONOTONIC, which stands still while a machine is suspended (CLOCK_BOOTTIME here). Safeguards switched off once, and the test that failed: counting from the answer (ends_here_before_it_ends_in_the_fold), renewals from before a pause (only_a_new_renewal_counts), late answers (never_shortens).

--- a/heatherkeel/entry/duties.py
+++ b/heatherkeel/entry/duties.py
@@ -7,7 +7,11 @@
 from result import Err, Ok
 
 from heatherkeel.core.models import Rejected
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.membership.const import PAUSE_CHECK_INTERVAL_MS
+from heatherkeel.membership.events import LeaseGranted, LeaseRefused, LeaseWanted
 from heatherkeel.membership.models import EntryJoin, EntryRenew
+from heatherkeel.membership.pause import PauseWatch
 
 from .const import ACKNOWLEDGE_INTERVAL_MS, WRITE_TIMEOUT_S
 from .duties_acknowledge import Acknowledger
@@ -26,6 +30,7 @@
         self.joined = False
         self.listing = InstanceListing(node=node)
         self.acknowledger = Acknowledger(node=node)
+        self.pauses = PauseWatch(take=node.take)
 
     def start(self) -> None:
         """Subscribe to the timer service."""
@@ -35,6 +40,12 @@
             interval_ms=settings.routing.renew_interval_ms,
             callback=self.async_hold_lease,
         )
+        self.node.subscribe(LeaseWanted, lambda _: self.node.timers.wake("lease"))
+        self.node.timers.subscribe(
+            name="pauses",
+            interval_ms=PAUSE_CHECK_INTERVAL_MS,
+            callback=self.pauses.async_check,
+        )
         self.node.timers.subscribe(
             name="instances",
             interval_ms=settings.platform.instances_interval_ms,
@@ -49,14 +60,27 @@
     async def async_hold_lease(self) -> None:
         """Join, or renew the routing lease."""
         await self.node.follower.caught_up.wait()
+        sent_ms = monotonic_ms()
+        renews = self.joined
         body = self._renewal() if self.joined else self._join()
         outcome = await self.node.writer.async_write(body, timeout_s=WRITE_TIMEOUT_S)
         match outcome:
             case Ok(settled):
                 self.joined = not isinstance(settled.outcome, Rejected)
+                self._tell_lease(sent_ms)
+                if renews and not self.joined:
+                    self.node.timers.wake("lease")
             case Err(failure):
                 _LOGGER.warning("lease: %s", failure, extra={"event": "lease_not_renewed"})
 
+    def _tell_lease(self, sent_ms: int) -> None:
+        now_ms = monotonic_ms()
+        if not self.joined:
+            self.node.take(LeaseRefused(now_ms=now_ms))
+            return
+        lease_ms = self.node.settings.routing.lease_ms
+        self.node.take(LeaseGranted(now_ms=now_ms, sent_ms=sent_ms, lease_ms=lease_ms))
+
     def _join(self) -> EntryJoin:
         settings = self.node.settings
         return EntryJoin(
--- a/heatherkeel/helpers/timers.py
+++ b/heatherkeel/helpers/timers.py
@@ -24,6 +24,7 @@
 
     def __init__(self) -> None:
         self.subscriptions: list[Subscription] = []
+        self.wakers: dict[str, trio.Event] = {}
         self.nursery: trio.Nursery | None = None
 
     def subscribe(self, *, name: str, interval_ms: int, callback: TimerCallback) -> None:
@@ -33,6 +34,11 @@
         if self.nursery is not None:
             self.nursery.start_soon(self._async_run, subscription)
 
+    def wake(self, name: str) -> None:
+        """Call a subscription now instead of at its next time."""
+        if name in self.wakers:
+            self.wakers[name].set()
+
     def start(self, nursery: trio.Nursery) -> None:
         """Begin to run all subscriptions."""
         self.nursery = nursery
@@ -41,5 +47,7 @@
 
     async def _async_run(self, subscription: Subscription) -> None:
         while True:
+            waker = self.wakers[subscription.name] = trio.Event()
             await subscription.callback()
-            await trio.sleep(subscription.interval_ms / 1000)
+            with trio.move_on_after(subscription.interval_ms / 1000):
+                await waker.wait()
--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -5,6 +5,7 @@
 import heatherkeel.catalogue.checks
 import heatherkeel.catalogue.reducer
 import heatherkeel.jobs.reducer
+import heatherkeel.membership.listeners
 import heatherkeel.membership.reducer
 import heatherkeel.pools.health
 import heatherkeel.pools.reducer
