--- a/heatherkeel/membership/listeners.py
+++ b/heatherkeel/membership/listeners.py
@@ -1,4 +1,4 @@
-"""Keeps the lease of this process by its own monotonic clock."""
+"""Keeps the lease of this process by its own monotonic clock, and what peers say."""
 
 from __future__ import annotations
 
@@ -6,7 +6,8 @@
 from heatherkeel.core.node import NodeState, listens
 
 from .const import LEASE_MARGIN_SHARE
-from .events import ClockGap, LeaseGranted, LeaseRefused, LeaseWanted
+from .events import ClockGap, LeaseGranted, LeaseRefused, LeaseWanted, PeerHeard
+from .local import PeerView
 
 
 @listens(LeaseGranted)
@@ -47,3 +48,18 @@
     node.local.lease.gap_seen_ms = event.now_ms
     node.local.lease.gaps += 1
     return [LeaseWanted()]
+
+
+@listens(PeerHeard)
+def note_peer(node: NodeState, event: PeerHeard) -> list[Effect]:
+    """Keep what a peer said last."""
+    heartbeat = event.heartbeat
+    node.local.peers.peers[heartbeat.instance] = PeerView(
+        incarnation=heartbeat.incarnation,
+        zone=heartbeat.zone,
+        address=heartbeat.address,
+        heard_ms=event.now_ms,
+        offset_in_force=heartbeat.offset_in_force,
+        log_age_ms=heartbeat.log_age_ms,
+    )
+    return []
--- a/heatherkeel/membership/local.py
+++ b/heatherkeel/membership/local.py
@@ -2,12 +2,54 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+
+@dataclass(kw_only=True)
+class PeerView:
+    """What the last heartbeat of a peer said; times in monotonic milliseconds of this process."""
+
+    incarnation: str
+    zone: str
+    address: str
+    heard_ms: int
+    offset_in_force: int
+    log_age_ms: int
+
+
+@dataclass(kw_only=True)
+class SponsoredNewcomer:
+    """A newcomer that the fold doesn't know, for which this process holds drains back."""
+
+    instance: str
+    acked_ms: int
+    """When its last heartbeat was answered: so long it may have gone on routing."""
+    quiet_drains: tuple[str, ...] = ()
+    member_since_ms: int = 0
+
+
+@dataclass(kw_only=True)
+class Sponsorship:
+    """What a newcomer that started from a peer may do before it has joined."""
+
+    sponsor: str
+    """Incarnation of the peer that gave the state."""
+    until_ms: int
 
 
 @dataclass(kw_only=True)
 class PeersState:
-    """Peers by entry instance id."""
+    """Peers by entry instance id, newcomers by incarnation."""
+
+    peers: dict[str, PeerView] = field(default_factory=dict)
+    sponsored: dict[str, SponsoredNewcomer] = field(default_factory=dict)
+    sponsorship: Sponsorship | None = None
+    undecodable: int = 0
+    """Messages that were dropped because they don't decode."""
+    replaced: int = 0
+    """Connections that were silent for too long and were opened anew."""
+    relayed: int = 0
+    """Records that came from a peer."""
 
 
 @dataclass(kw_only=True)
--- /dev/null
+++ b/heatherkeel/membership/sockets.py
@@ -0,0 +1,115 @@
+"""ZeroMQ sockets in a trio loop."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import trio
+import zmq
+
+from .const import DRAIN_MESSAGES, MAX_MESSAGE_BYTES, QUEUED_MESSAGES
+
+_LOGGER = logging.getLogger(__name__)
+
+Frames = list[bytes]
+ZMQ_HEARTBEAT_MS = 1_000
+ZMQ_SILENCE_MS = 5_000
+RECONNECT_MS = 100
+LONGEST_RECONNECT_MS = 5_000
+
+
+class EdgeSocket:
+    """One ZeroMQ socket; `handle` gets the frames of every message.
+
+    The library's descriptor is edge-triggered: it tells once that something happened, and any
+    call on the socket, also a send, may use that up. So after each wake-up the socket is read
+    until it would block, and after each send its events are looked at again. Without the second
+    a message that comes during a send lies there until the next one, perhaps for ever.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: zmq.Context[zmq.Socket[bytes]],
+        kind: int,
+        handle: Callable[[Frames], None],
+    ) -> None:
+        self.socket = context.socket(kind)
+        self.handle = handle
+        self.draining = False
+        self.scope = trio.CancelScope()
+        self.nursery: trio.Nursery | None = None
+        self.dropped = 0
+        """Messages that found their queue full."""
+        for option, value in (
+            (zmq.LINGER, 0),
+            (zmq.IMMEDIATE, 1 if kind == zmq.DEALER else 0),
+            (zmq.SNDHWM, QUEUED_MESSAGES),
+            (zmq.RCVHWM, QUEUED_MESSAGES),
+            (zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES),
+            (zmq.HEARTBEAT_IVL, ZMQ_HEARTBEAT_MS),
+            (zmq.HEARTBEAT_TIMEOUT, ZMQ_SILENCE_MS),
+            (zmq.RECONNECT_IVL, RECONNECT_MS),
+            (zmq.RECONNECT_IVL_MAX, LONGEST_RECONNECT_MS),
+        ):
+            self.socket.setsockopt(option, value)
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Begin to receive."""
+        self.nursery = nursery
+        nursery.start_soon(self._async_run)
+
+    def close(self) -> None:
+        """Close the socket; what waits in it is lost."""
+        self.scope.cancel()
+        self.socket.close()
+
+    def send(self, frames: Frames) -> bool:
+        """Send without waiting; False if the queue is full or nobody is connected."""
+        if self.socket.closed:
+            return False
+        try:
+            self.socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.Again:
+            self.dropped += 1
+            return False
+        finally:
+            self._drain_soon()
+        return True
+
+    async def _async_run(self) -> None:
+        with self.scope:
+            while not self.socket.closed:
+                if self._drain():
+                    await trio.lowlevel.checkpoint()
+                else:
+                    await trio.lowlevel.wait_readable(self.socket.fileno())
+
+    def _drain_soon(self) -> None:
+        """Handle in a task of its own what came during a send."""
+        if self.draining or self.socket.closed or self.nursery is None:
+            return
+        if self._has_message():
+            self.nursery.start_soon(self._async_drain)
+
+    async def _async_drain(self) -> None:
+        while self._drain():
+            await trio.lowlevel.checkpoint()
+
+    def _drain(self) -> bool:
+        """Handle what has come; True if there may be more."""
+        if self.draining:
+            return False
+        self.draining = True
+        try:
+            for _ in range(DRAIN_MESSAGES):
+                if self.socket.closed or not self._has_message():
+                    return False
+                self.handle(self.socket.recv_multipart(zmq.NOBLOCK))
+        finally:
+            self.draining = False
+        return True
+
+    def _has_message(self) -> bool:
+        return bool(int(self.socket.getsockopt(zmq.EVENTS)) & zmq.POLLIN)
--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -7,6 +7,7 @@
 import heatherkeel.jobs.reducer
 import heatherkeel.membership.listeners
 import heatherkeel.membership.reducer
+import heatherkeel.membership.sponsor
 import heatherkeel.pools.health
 import heatherkeel.pools.reducer
 import heatherkeel.requests.flow
