--- a/heatherkeel/entry/node.py
+++ b/heatherkeel/entry/node.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-import trio
 from result import Err
 
 from heatherkeel.core.models import Duplicate, Effect, LogRecord, Settled, Skipped
@@ -15,6 +14,7 @@
 from heatherkeel.core.state import FleetState
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.helpers.timers import TimerService
+from heatherkeel.membership.recent import RecentRecords
 from heatherkeel.platform.client import PlatformClient
 from heatherkeel.platform.follower import LogFollower
 from heatherkeel.platform.log_clock import LogClock
@@ -69,8 +69,8 @@
         )
         self.store = SnapshotStore(client=self.client, stream=settings.platform.stream)
         self.snapshots = self._make_snapshot_writer()
-        self.may_serve = trio.Event()
-        """Set once a state is in force that this process may serve by."""
+        self.recent = RecentRecords()
+        self.started_from_peer = False
         self.hearers: dict[type[Effect], list[Callable[[Any], None]]] = {}
         self.subscribe(Settled, self.writer.settle)
         self.subscribe(Settled, self.snapshots.hear_settled)
@@ -119,10 +119,22 @@
         )
         self.take(FleetRestored(now_ms=monotonic_ms()))
 
+    @property
+    def has_state(self) -> bool:
+        """Say whether a state is in force that this process may serve by."""
+        return self.follower.caught_up.is_set() or self.started_from_peer
+
     def take_record(self, record: LogRecord) -> None:
         """Fold one record of the log."""
+        self.recent.add(record)
         self.take(record)
 
+    def take_relayed(self, record: LogRecord) -> None:
+        """Fold a record that a peer has read from the log."""
+        self.follower.note_folded(record)
+        self.clock.hear_record(record.at_ms)
+        self.take_record(record)
+
     def take(self, event: Event) -> list[Effect]:
         """Reduce one event, tell the effects to those who subscribed, and return them all."""
         effects = reduce(self.state, event)
--- a/heatherkeel/membership/links.py
+++ b/heatherkeel/membership/links.py
@@ -58,6 +58,7 @@
         take: Callable[[Event], object],
         take_relayed: Callable[[LogRecord], None],
         heard_at_ms: Callable[[], int | None],
+        recent: RecentRecords,
         bind: str,
         seeds: list[str],
     ) -> None:
@@ -67,7 +68,7 @@
         self.heard_at_ms = heard_at_ms
         self.seeds = seeds
         self.address = bind
-        self.recent = RecentRecords()
+        self.recent = recent
         self.provider = StateProvider(state=lambda: node.fleet)
         self.fetch: StateFetch | None = None
         self.links: dict[str, PeerLink] = {}
--- a/heatherkeel/membership/sockets.py
+++ b/heatherkeel/membership/sockets.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable
+from contextlib import suppress
 
 import trio
 import zmq
@@ -62,7 +63,10 @@
 
     def close(self) -> None:
         """Close the socket; what waits in it is lost."""
+        if self.socket.closed:
+            return
         self.scope.cancel()
+        trio.lowlevel.notify_closing(self.socket.fileno())
         self.socket.close()
 
     def send(self, frames: Frames) -> bool:
@@ -79,7 +83,7 @@
         return True
 
     async def _async_run(self) -> None:
-        with self.scope:
+        with self.scope, suppress(trio.ClosedResourceError):
             while not self.socket.closed:
                 if self._drain():
                     await trio.lowlevel.checkpoint()
--- a/heatherkeel/settings/models.py
+++ b/heatherkeel/settings/models.py
@@ -34,6 +34,7 @@
         "digit at both ends",
     ),
 ]
+FilePath = Annotated[str, Meta(max_length=4096, description="the path of a file")]
 Milliseconds = Annotated[int, Meta(ge=1, le=3_600_000)]
 
 
@@ -51,6 +52,30 @@
     bind: BindAddress = "127.0.0.1:0"
 
 
+class AdminSettings(ListenSettings, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The administration port; with both files it speaks TLS.
+
+    Tokens go over this port, so an address that other machines reach needs TLS, or
+    `allow_plain` where something in front of it does that.
+    """
+
+    certfile: FilePath = ""
+    keyfile: FilePath = ""
+    allow_plain: bool = False
+    write_timeout_ms: Milliseconds = 10_000
+    """How long an edit waits for the log before its outcome is called unknown."""
+
+
+class PeersSettings(ListenSettings, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The port for peers, and whom to ask for a state while the platform is down.
+
+    `seeds` are peer addresses of entry instances in the own availability zone; while the
+    platform answers, all peers are known from the log.
+    """
+
+    seeds: Annotated[list[HostPort], Meta(max_length=64)] = []
+
+
 class PlatformSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """How the platform's services are reached."""
 
@@ -82,6 +107,15 @@
     check_interval_ms: Milliseconds = 1_000
 
 
+class StopSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A planned stop: how long callers are still taken after `/readyz` says 503.
+
+    It has to be longer than the balancer's probe interval, or a caller meets a closed port.
+    """
+
+    readiness_wait_ms: Annotated[int, Meta(ge=0, le=600_000)] = 2_000
+
+
 class TeamSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """The token with which a team's operators sign their edits."""
 
@@ -94,8 +128,9 @@
     instance: InstanceSettings
     platform: PlatformSettings
     http: ListenSettings = ListenSettings()
-    admin: ListenSettings = ListenSettings()
-    peers: ListenSettings = ListenSettings()
+    admin: AdminSettings = AdminSettings()
+    peers: PeersSettings = PeersSettings()
     routing: RoutingSettings = RoutingSettings()
     snapshots: SnapshotSettings = SnapshotSettings()
+    stop: StopSettings = StopSettings()
     teams: dict[ShortName, TeamSettings] = {}
