--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -74,6 +74,7 @@
     """Bytes that an earlier process of this name had logged."""
     http: str = ""
     admin: str = ""
+    peers: str = ""
 
     def kill(self) -> None:
         """Kill it at once, as a lost machine would."""
@@ -135,6 +136,7 @@
         listening = wait_for(process.find_listening, f"{name} listens")
         process.http = listening["http"]
         process.admin = listening.get("admin", "")
+        process.peers = listening.get("peers", "")
         return process
 
     def spawn(self, name: str, *args: str) -> Process:
