--- a/heatherkeel/monitoring/readiness.py
+++ b/heatherkeel/monitoring/readiness.py
@@ -5,6 +5,8 @@
 from enum import StrEnum
 
 from heatherkeel.entry.node import Node
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.membership.sponsor import may_route
 
 
 class NotReadyReason(StrEnum):
@@ -14,6 +16,7 @@
     STARTING = "starting"
     """No state that it may serve by is in force yet, or its port is not open."""
     NO_CATALOGUE_ENTRY = "no_catalogue_entry"
+    NO_SPONSOR = "no_sponsor"
 
 
 class Readiness:
@@ -46,4 +49,6 @@
             reasons.append(NotReadyReason.STARTING)
         elif not self.node.state.fleet.catalogue.entries:
             reasons.append(NotReadyReason.NO_CATALOGUE_ENTRY)
+        if not may_route(self.node.state, monotonic_ms()):
+            reasons.append(NotReadyReason.NO_SPONSOR)
         return reasons
--- a/heatherkeel/settings/models.py
+++ b/heatherkeel/settings/models.py
@@ -66,6 +66,16 @@
     """How long an edit waits for the log before its outcome is called unknown."""
 
 
+class PeersSettings(ListenSettings, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The port for peers, and whom to ask for a state while the platform is down.
+
+    `seeds` are peer addresses of entry instances in the own availability zone; while the
+    platform answers, all peers are known from the log.
+    """
+
+    seeds: Annotated[list[HostPort], Meta(max_length=64)] = []
+
+
 class PlatformSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """How the platform's services are reached."""
 
@@ -84,15 +94,6 @@
     renew_interval_ms: Milliseconds = 4_000
 
 
-class StopSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """A planned stop: how long callers are still taken after `/readyz` says 503.
-
-    It has to be longer than the balancer's probe interval, or a caller meets a closed port.
-    """
-
-    readiness_wait_ms: Annotated[int, Meta(ge=0, le=600_000)] = 2_000
-
-
 class SnapshotSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """When the state is written back into the log, in records and in log time.
 
@@ -106,6 +107,15 @@
     check_interval_ms: Milliseconds = 1_000
 
 
+class StopSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A planned stop: how long callers are still taken after `/readyz` says 503.
+
+    It has to be longer than the balancer's probe interval, or a caller meets a closed port.
+    """
+
+    readiness_wait_ms: Annotated[int, Meta(ge=0, le=600_000)] = 2_000
+
+
 class TeamSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """The token with which a team's operators sign their edits."""
 
@@ -119,8 +129,8 @@
     platform: PlatformSettings
     http: ListenSettings = ListenSettings()
     admin: AdminSettings = AdminSettings()
-    peers: ListenSettings = ListenSettings()
+    peers: PeersSettings = PeersSettings()
     routing: RoutingSettings = RoutingSettings()
-    stop: StopSettings = StopSettings()
     snapshots: SnapshotSettings = SnapshotSettings()
+    stop: StopSettings = StopSettings()
     teams: dict[ShortName, TeamSettings] = {}
