--- a/heatherkeel/measure/__main__.py
+++ b/heatherkeel/measure/__main__.py
@@ -9,11 +9,11 @@
 
 from heatherkeel import subjects  # noqa: F401
 
-from . import hop, idle, resident, slopes  # noqa: F401
+from . import hop, idle, measures, resident, slopes  # noqa: F401
 from .registry import MEASUREMENTS
 
 EXIT_USAGE: Final = 2
-DEFAULT: Final = "hop"
+DEFAULT: Final = "measures"
 
 
 def main(argv: list[str]) -> int:
