--- a/heatherkeel/cli/load.py
+++ b/heatherkeel/cli/load.py
@@ -2,15 +2,7 @@
 
 from __future__ import annotations
 
-import sys
-
 from absl import flags
-from result import Err
-
-from heatherkeel.load.const import EXIT_BROKEN_PROMISE, EXIT_USAGE
-from heatherkeel.load.errors import BadPlan
-from heatherkeel.load.models import Plan, Report, Service
-from heatherkeel.load.plan import check_plan, parse_service
 
 from .registry import command
 
@@ -40,58 +32,8 @@
     usage="--entry=IP:PORT --service=PATH[=WEIGHT] [flags]",
     define=_define,
 )
-def run_load(values: flags.FlagValues, args: list[str]) -> int:
+def run_load_command(values: flags.FlagValues, args: list[str]) -> int:
     """Run one load; exit 1 if a promise was broken, 2 for a plan that can't be run."""
-    import trio
-
-    from heatherkeel.load.run import LoadRun
-
-    services, faults = _parse_services(values.service)
-    plan = _make_plan(values, services)
-    checked = check_plan(plan)
-    if isinstance(checked, Err):
-        faults += checked.err_value
-    if args:
-        faults.append(BadPlan(flag="entry", detail=f"unexpected argument {args[0]!r}"))
-    if faults:
-        print("\n".join(f"heatherkeel load: {fault}" for fault in faults), file=sys.stderr)
-        return EXIT_USAGE
-    report = trio.run(LoadRun(plan=plan).async_run)
-    _print(report, as_json=values.json)
-    return EXIT_BROKEN_PROMISE if report.breaches else 0
-
-
-def _parse_services(texts: list[str]) -> tuple[list[Service], list[BadPlan]]:
-    parsed = [parse_service(text) for text in texts]
-    services = [item.ok_value for item in parsed if not isinstance(item, Err)]
-    return services, [item.err_value for item in parsed if isinstance(item, Err)]
-
-
-def _make_plan(values: flags.FlagValues, services: list[Service]) -> Plan:
-    return Plan(
-        entries=tuple(values.entry),
-        services=tuple(services),
-        targets=tuple(values.target),
-        rate=values.rate,
-        duration_s=values.duration_s,
-        max_requests=values.max_requests,
-        arrivals=values.arrivals,
-        seed=values.seed,
-        non_idempotent_share=values.non_idempotent_share,
-        keyed_share=values.keyed_share,
-        deadline_ms=values.deadline_ms,
-        timeout_ms=values.timeout_ms,
-        body_bytes=values.body_bytes,
-        max_in_flight=values.max_in_flight,
-    )
-
-
-def _print(report: Report, *, as_json: bool) -> None:
-    import msgspec
-
-    from heatherkeel.load.report import format_table
+    from heatherkeel.load.command import run_load
 
-    if as_json:
-        print(msgspec.json.encode(report, order="sorted").decode())
-        return
-    print(format_table(report))
+    return run_load(values)
--- a/heatherkeel/settings/models.py
+++ b/heatherkeel/settings/models.py
@@ -34,6 +34,7 @@
         "digit at both ends",
     ),
 ]
+FilePath = Annotated[str, Meta(max_length=4096, description="the path of a file")]
 Milliseconds = Annotated[int, Meta(ge=1, le=3_600_000)]
 
 
@@ -51,6 +52,20 @@
     bind: BindAddress = "127.0.0.1:0"
 
 
+class AdminSettings(ListenSettings, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The administration port; with both files it speaks TLS.
+
+    Tokens go over this port, so an address that other machines reach needs TLS, or
+    `allow_plain` where something in front of it does that.
+    """
+
+    certfile: FilePath = ""
+    keyfile: FilePath = ""
+    allow_plain: bool = False
+    write_timeout_ms: Milliseconds = 10_000
+    """How long an edit waits for the log before its outcome is called unknown."""
+
+
 class PlatformSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """How the platform's services are reached."""
 
@@ -69,6 +84,28 @@
     renew_interval_ms: Milliseconds = 4_000
 
 
+class StopSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A planned stop: how long callers are still taken after `/readyz` says 503.
+
+    It has to be longer than the balancer's probe interval, or a caller meets a closed port.
+    """
+
+    readiness_wait_ms: Annotated[int, Meta(ge=0, le=600_000)] = 2_000
+
+
+class SnapshotSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """When the state is written back into the log, in records and in log time.
+
+    The interval must be a small part of the platform's retention. An author that has not
+    finished after `overtake_ms` is taken for dead.
+    """
+
+    interval_records: Annotated[int, Meta(ge=1, le=10_000_000)] = 20_000
+    interval_ms: Milliseconds = 600_000
+    overtake_ms: Milliseconds = 60_000
+    check_interval_ms: Milliseconds = 1_000
+
+
 class TeamSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """The token with which a team's operators sign their edits."""
 
@@ -81,7 +118,9 @@
     instance: InstanceSettings
     platform: PlatformSettings
     http: ListenSettings = ListenSettings()
-    admin: ListenSettings = ListenSettings()
+    admin: AdminSettings = AdminSettings()
     peers: ListenSettings = ListenSettings()
     routing: RoutingSettings = RoutingSettings()
+    stop: StopSettings = StopSettings()
+    snapshots: SnapshotSettings = SnapshotSettings()
     teams: dict[ShortName, TeamSettings] = {}
