--- a/heatherkeel/entry/duties.py
+++ b/heatherkeel/entry/duties.py
@@ -8,7 +8,10 @@
 
 from heatherkeel.core.models import Rejected
 from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.membership.const import PAUSE_CHECK_INTERVAL_MS
+from heatherkeel.membership.events import LeaseGranted, LeaseRefused, LeaseWanted
 from heatherkeel.membership.models import EntryJoin, EntryLeave, EntryRenew
+from heatherkeel.membership.pause import PauseWatch
 from heatherkeel.requests.limits import acknowledged_offset, is_acknowledgement_due
 
 from .const import ACKNOWLEDGE_INTERVAL_MS, LEAVE_TIMEOUT_S, WRITE_TIMEOUT_S
@@ -22,12 +25,14 @@
 class Duties:
     """Timed work of one entry process."""
 
-    def __init__(self, *, node: Node, peer_address: str) -> None:
+    def __init__(self, *, node: Node) -> None:
         self.node = node
-        self.peer_address = peer_address
+        self.peer_address = ""
+        """Where peers reach this process; known once the port is open."""
         self.joined = False
         self.listing = InstanceListing(node=node)
         self.acknowledger = Acknowledger(node=node)
+        self.pauses = PauseWatch(take=node.take)
 
     def start(self) -> None:
         """Subscribe to the timer service."""
@@ -37,6 +42,12 @@
             interval_ms=settings.routing.renew_interval_ms,
             callback=self.async_hold_lease,
         )
+        self.node.subscribe(LeaseWanted, lambda _: self.node.timers.wake("lease"))
+        self.node.timers.subscribe(
+            name="pauses",
+            interval_ms=PAUSE_CHECK_INTERVAL_MS,
+            callback=self.pauses.async_check,
+        )
         self.node.timers.subscribe(
             name="instances",
             interval_ms=settings.platform.instances_interval_ms,
@@ -56,17 +67,27 @@
     async def async_hold_lease(self) -> None:
         """Join, or renew the routing lease."""
         await self.node.follower.caught_up.wait()
-        started_ms = monotonic_ms()
+        sent_ms = monotonic_ms()
+        renews = self.joined
         body = self._renewal() if self.joined else self._join()
         outcome = await self.node.writer.async_write(body, timeout_s=WRITE_TIMEOUT_S)
         match outcome:
             case Ok(settled):
                 self.joined = not isinstance(settled.outcome, Rejected)
-                if self.joined:
-                    self._extend_lease(started_ms)
+                self._tell_lease(sent_ms)
+                if renews and not self.joined:
+                    self.node.timers.wake("lease")
             case Err(failure):
                 _LOGGER.warning("lease: %s", failure, extra={"event": "lease_not_renewed"})
 
+    def _tell_lease(self, sent_ms: int) -> None:
+        now_ms = monotonic_ms()
+        if not self.joined:
+            self.node.take(LeaseRefused(now_ms=now_ms))
+            return
+        lease_ms = self.node.settings.routing.lease_ms
+        self.node.take(LeaseGranted(now_ms=now_ms, sent_ms=sent_ms, lease_ms=lease_ms))
+
     def _join(self) -> EntryJoin:
         settings = self.node.settings
         return EntryJoin(
@@ -85,15 +106,6 @@
             shares_offset=acknowledged_offset(self.node.state),
         )
 
-    def _extend_lease(self, started_ms: int) -> None:
-        """Count the lease from before the record was written: the log stamped it later than that.
-
-        A process that was paused finds by its own clock that the lease is over, before it sends.
-        """
-        lease = self.node.state.local.lease
-        until_ms = started_ms + self.node.settings.routing.lease_ms
-        lease.valid_until_ms = max(lease.valid_until_ms, until_ms)
-
     async def async_acknowledge_shares(self) -> None:
         """Renew at once when others wait for this process before their shares may grow."""
         if is_acknowledgement_due(self.node.state):
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -12,6 +12,8 @@
 from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
+from heatherkeel.membership.const import HEARTBEAT_INTERVAL_MS
+from heatherkeel.membership.links import PeerLinks
 from heatherkeel.monitoring.app import MonitoringApp, TimedApp
 from heatherkeel.monitoring.counting import count_effects
 from heatherkeel.monitoring.gauges import NodeGauges
@@ -38,8 +40,17 @@
         self.node = Node(settings=settings)
         self.readiness = Readiness(node=self.node)
         self.metrics = Metrics()
+        self.links = PeerLinks(
+            node=self.node.state,
+            take=self.node.take,
+            take_relayed=self.node.take_relayed,
+            heard_at_ms=lambda: self.node.follower.heard_at_ms,
+            recent=self.node.recent,
+            bind=settings.peers.bind,
+            seeds=settings.peers.seeds,
+        )
         self.front = Front(node=self.node)
-        self.duties = Duties(node=self.node, peer_address=settings.peers.bind)
+        self.duties = Duties(node=self.node)
         timed = TimedApp(inner=self.front, metrics=self.metrics)
         self.http = HttpServer(app=timed, bind=settings.http.bind)
         pages = MonitoringApp(
@@ -62,22 +73,27 @@
         self.node.writer.start(nursery)
         self.front.start(nursery)
         self.node.snapshots.start(nursery)
+        self.links.start(nursery)
         await self.admin.start(nursery)
-        NodeStart(node=self.node).start(nursery)
-        await self.node.may_serve.wait()
+        starting = NodeStart(node=self.node, links=self.links)
+        starting.start(nursery)
+        await starting.done.wait()
         await self.http.start(nursery)
-        self._start_timers(nursery)
+        self.duties.peer_address = self.links.address
+        self.duties.start()
+        self._subscribe_timers()
+        self.node.timers.start(nursery)
         _LOGGER.info(
             "listening",
             extra={
                 "event": "listening",
                 "http": self.http.address,
                 "admin": self.admin.address,
+                "peers": self.links.address,
             },
         )
 
-    def _start_timers(self, nursery: trio.Nursery) -> None:
-        self.duties.start()
+    def _subscribe_timers(self) -> None:
         self.node.timers.subscribe(
             name="queues", interval_ms=QUEUE_TICK_MS, callback=self._async_tick_queues
         )
@@ -91,7 +107,9 @@
             interval_ms=self.settings.snapshots.check_interval_ms,
             callback=self.node.snapshots.async_check,
         )
-        self.node.timers.start(nursery)
+        self.node.timers.subscribe(
+            name="peers", interval_ms=HEARTBEAT_INTERVAL_MS, callback=self.links.async_tick
+        )
 
     async def _async_tick_queues(self) -> None:
         """Let the reducer see that time has passed, while something waits for it."""
@@ -110,6 +128,7 @@
 
     async def close_connections(self) -> None:
         """Close what was opened to targets and to the platform."""
+        self.links.close()
         await self.front.close()
         await self.node.client.close()
 
@@ -123,6 +142,7 @@
         with trio.CancelScope() as starting:
             nursery.start_soon(stop.async_cancel, starting)
             await process.start(nursery)
+            process.readiness.start()
         await stop.received.wait()
         if process.http.started:
             await process.close()
--- a/heatherkeel/requests/arrival.py
+++ b/heatherkeel/requests/arrival.py
@@ -13,8 +13,8 @@
 from .queues import check_room, enqueue, forget, retry_after_ms
 from .reasons import RefusalReason
 from .retries import earn
-from .routing import pick
-from .sending import begin, lease_forbids, not_run
+from .routing import lease_forbids, pick
+from .sending import begin, not_run
 from .targets import find_service
 
 
--- a/heatherkeel/requests/const.py
+++ b/heatherkeel/requests/const.py
@@ -55,6 +55,12 @@
 SHARE_GRACE_MS: Final = 10_000
 """Time after a routing lease in which sends of its holder may still be in progress."""
 
+FULL_ZONE_MS: Final = 50
+"""How long a zone without room is not looked at again, unless a slot is freed there."""
+
+SPONSORED_SLOTS: Final = 1
+"""Slots of each near target that a sponsor leaves to a newcomer that the fold doesn't know."""
+
 SPILL_PERCENT: Final = 25
 """Part of a target's slots that entry instances of other availability zones share."""
 
--- a/heatherkeel/requests/limits.py
+++ b/heatherkeel/requests/limits.py
@@ -16,11 +16,11 @@
 
 from heatherkeel.catalogue.models import CatalogueChanged, ServiceEntry
 from heatherkeel.core.models import Duplicate, Effect, Settled, Skipped
-from heatherkeel.core.node import LocalState, NodeState, listens
+from heatherkeel.core.node import NodeState, listens
 from heatherkeel.core.state import FleetState
 from heatherkeel.membership.models import EntryInstance
 
-from .const import SHARE_GRACE_MS, SPILL_PERCENT
+from .const import SHARE_GRACE_MS, SPILL_PERCENT, SPONSORED_SLOTS
 from .events import FleetRestored
 from .local import ShareMember, ShareView, TargetView
 
@@ -28,8 +28,8 @@
 """Kinds of records after which the entry instances that share a target may be others."""
 
 
-def allotted(view: ShareView, local: LocalState, name: str, target: TargetView) -> int:
-    """Return this entry instance's share of the slots of target `name`, by one view.
+def allotted(view: ShareView, incarnation: str, zone: str, name: str, target: TargetView) -> int:
+    """Return the share of the slots of target `name` that an incarnation in `zone` has by a view.
 
     Most slots go to entry instances of the target's own availability zone, the rest to those of
     the others. A lapsed one keeps its share in its own availability zone: it may be cut off from
@@ -41,14 +41,14 @@
     far_slots = slots * SPILL_PERCENT // 100 if near else slots
     if not far:
         far_slots = 0
-    members, part = (near, slots - far_slots) if local.zone == target.zone else (far, far_slots)
-    return _part(members, part, local, name)
+    members, part = (near, slots - far_slots) if zone == target.zone else (far, far_slots)
+    return _part(members, part, incarnation, name)
 
 
-def _part(members: Sequence[ShareMember], slots: int, local: LocalState, name: str) -> int:
+def _part(members: Sequence[ShareMember], slots: int, incarnation: str, name: str) -> int:
     """Divide slots evenly; who gets the odd ones differs from target to target."""
     for rank, member in enumerate(members):
-        if member.instance == local.instance and member.incarnation == local.incarnation:
+        if member.incarnation == incarnation:
             turned = (rank + zlib.crc32(name.encode())) % len(members)
             return slots // len(members) + (turned < slots % len(members))
     return 0
@@ -65,9 +65,32 @@
     shares = node.local.routing.shares
     if target.cap_generation != shares.generation:
         target.cap_generation = shares.generation
-        held = _held_views(node, target.zone)
-        target.cap = min((allotted(view, node.local, name, target) for view in held), default=0)
-    return target.cap
+        target.cap = _least(node, _held_views(node, target.zone), name, target)
+    return _with_newcomers(node, name, target)
+
+
+def _least(node: NodeState, views: list[ShareView], name: str, target: TargetView) -> int:
+    local = node.local
+    shares = (allotted(view, local.incarnation, local.zone, name, target) for view in views)
+    return min(shares, default=0)
+
+
+def _with_newcomers(node: NodeState, name: str, target: TargetView) -> int:
+    """Part a share of the own availability zone between a sponsor and its newcomers.
+
+    A newcomer that started while the platform is down is in no view. Without a slot of its
+    sponsor's it could serve nobody until the platform is back.
+    """
+    local = node.local
+    sponsorship = local.peers.sponsorship
+    if local.zone != target.zone or not local.routing.shares.views:
+        return target.cap
+    if sponsorship is None:
+        left = target.cap - SPONSORED_SLOTS * len(local.peers.sponsored)
+        return max(left, min(target.cap, 1))
+    newest = local.routing.shares.views[-1]
+    lender = allotted(newest, sponsorship.sponsor, local.zone, name, target)
+    return min(lender - 1, SPONSORED_SLOTS) if lender else 0
 
 
 def acknowledged_offset(node: NodeState) -> int:
@@ -95,7 +118,7 @@
 
 def _exceeds(node: NodeState, view: ShareView) -> bool:
     return any(
-        target.in_progress > allotted(view, node.local, name, target)
+        target.in_progress > allotted(view, node.local.incarnation, node.local.zone, name, target)
         for name, target in node.local.routing.targets.items()
         if target.in_progress
     )
--- a/heatherkeel/requests/retries.py
+++ b/heatherkeel/requests/retries.py
@@ -16,7 +16,7 @@
 from .events import AttemptResult
 from .local import ActiveRequest, RetryBudget
 from .reasons import NoRetryReason, RetryReason
-from .routing import pick
+from .routing import lease_forbids, pick
 
 RETRY_REASONS = {
     AttemptResult.REFUSED_BEFORE_START: RetryReason.TARGET_REFUSED,
@@ -57,7 +57,7 @@
     # Sent twice, a non-idempotent request could run twice, unless this target has not started.
     if not request.idempotent and result not in NOT_RUN_RESULTS:
         return Err(NoRetryReason.NOT_IDEMPOTENT)
-    if not request.idempotent and now_ms >= node.local.lease.valid_until_ms:
+    if lease_forbids(node, request, now_ms):
         return Err(NoRetryReason.LEASE_LAPSED)
     if len(request.tried) >= MAX_ATTEMPTS:
         return Err(NoRetryReason.ATTEMPTS_USED)
--- a/heatherkeel/requests/waiting.py
+++ b/heatherkeel/requests/waiting.py
@@ -36,7 +36,10 @@
 
 
 def serve_waiting(node: NodeState, pool: str, freed: str | None, now_ms: int) -> list[Effect]:
-    """Send waiting requests in their order, until one finds no slot."""
+    """Send waiting requests in their order, until one finds no slot.
+
+    With a slot that was just freed, there is one for one of them.
+    """
     routing = node.local.routing
     view = routing.pools[pool]
     effects: list[Effect] = []
@@ -52,6 +55,8 @@
             break
         take(routing, view, service_class)
         effects.append(begin(node, request_id, request, target, now_ms))
+        if freed is not None:
+            break
     return effects
 
 
--- a/heatherkeel/subjects.py
+++ b/heatherkeel/subjects.py
@@ -5,7 +5,9 @@
 import heatherkeel.catalogue.checks
 import heatherkeel.catalogue.reducer
 import heatherkeel.jobs.reducer
+import heatherkeel.membership.listeners
 import heatherkeel.membership.reducer
+import heatherkeel.membership.sponsor
 import heatherkeel.pools.health
 import heatherkeel.pools.reducer
 import heatherkeel.requests.arrival
--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -9,6 +9,7 @@
 from heatherkeel.catalogue.models import RequestLimits
 from heatherkeel.core.node import LocalState, NodeState, reduce
 from heatherkeel.core.state import canonical_bytes, from_canonical_bytes
+from heatherkeel.membership.events import NewcomerStarted, StartedFromPeer
 from heatherkeel.membership.models import EntryLeave, EntryRenew
 from heatherkeel.requests import limits
 from heatherkeel.requests.const import SHARE_GRACE_MS
@@ -263,3 +264,26 @@
     acknowledge(log, "e1", "e2")
     catch_up(node, log)
     assert limits.share(node, "t0", target) == 4
+
+
+def test_a_sponsor_parts_its_share_with_its_newcomer() -> None:
+    # The platform is down, and a new process starts with the state of a peer of its zone. It is
+    # in no view, so it gets one of its sponsor's slots; the sponsor goes without it.
+    log = Log()
+    log.put_service()
+    log.admit(1)
+    log.join("e1", "east")
+    sponsor = make_node(log)
+    newcomer = NodeState(
+        local=LocalState(instance="e2", zone="east", incarnation=incarnation_of("e2"))
+    )
+    newcomer.fleet = from_canonical_bytes(canonical_bytes(sponsor.fleet))
+    reduce(newcomer, FleetRestored(now_ms=log.now_ms))
+    started = StartedFromPeer(now_ms=log.now_ms, sponsor=incarnation_of("e1"), sent_ms=log.now_ms)
+    reduce(newcomer, started)
+    begun = NewcomerStarted(now_ms=log.now_ms, instance="e2", incarnation=incarnation_of("e2"))
+    reduce(sponsor, begun)
+    shares = [
+        limits.share(node, "t0", node.local.routing.targets["t0"]) for node in (sponsor, newcomer)
+    ]
+    assert shares == [7, 1]
