Coordinator of drains in the entry process, and waves with real processes

Cause: the fold admits drains, stops and returns; somebody has to propose them and have the platform reboot what may be stopped. Any entry process does, in turn by rank; what one leaves undone the next takes over. A reboot's operation id is the drain's id and it names the boot it ends, so a coordinator that died, slept or lost an answer reboots nothing twice. A return counts only when the list shows the boot that the operation led to, and a probe on a new connection is answered. GET /maintenance says for whom a drain waits, and how long. Connection evidence: targets that fail requests, and failed ones, are probed. Ruled out: taking the list's newest boot as the one to stop (it lags and can show an earlier boot); a coordinator lease in the fold (rank needs no record).

--- a/heatherkeel/demo/const.py
+++ b/heatherkeel/demo/const.py
@@ -41,6 +41,16 @@
 ENTRY_SETTINGS: Final = "instances_interval_ms = 200"
 """The list of instances is read more often than by default, to keep the demo short."""
 
+MAINTENANCE: Final = "upkeep"
+MAINTENANCE_ENTRY: Final[dict[str, Any]] = {
+    "kind": "maintenance",
+    "owner": TEAM,
+    "pool": POOL,
+    "max_concurrent": 2,
+    "return_timeout_s": 10,
+    "wave_request": 1,
+}
+
 POOL_ENTRY: Final[dict[str, Any]] = {"kind": "pool", "owner": TEAM, "size": 6}
 
 
--- a/heatherkeel/demo/scenes.py
+++ b/heatherkeel/demo/scenes.py
@@ -9,12 +9,14 @@
 
 from heatherkeel.load.models import Outcome
 from heatherkeel.load.tally import Tally
-from heatherkeel.measure.const import SERVICE
+from heatherkeel.measure.const import POOL, SERVICE
 
 from .callers import Callers
 from .const import (
     DEADLINE_MS,
     KILLED_ZONE,
+    MAINTENANCE,
+    MAINTENANCE_ENTRY,
     POLL_S,
     QUIET_S,
     SCENE_TIMEOUT_S,
@@ -33,6 +35,7 @@
         nursery.start_soon(callers.async_run)
         await trio.sleep(QUIET_S)
         await _async_edit(stage, story)
+        await _async_maintain(stage, story)
         await _async_kill(stage, story)
         await trio.sleep(QUIET_S)
         callers.stop()
@@ -55,6 +58,23 @@
         story.broken.append("the edit did not come into force everywhere")
 
 
+async def _async_maintain(stage: Stage, story: Story) -> None:
+    """Ask for a wave by an edit, as an operator would, and wait until it has ended."""
+    started_s = trio.current_time()
+    await stage.async_put(MAINTENANCE, MAINTENANCE_ENTRY)
+
+    async def has_ended() -> bool:
+        answer = await stage.async_get(ZONES[0], "/maintenance")
+        wave = answer["waves"].get(POOL)
+        return wave is not None and wave["finished_ms"] > 0
+
+    if await _async_wait(has_ended):
+        story.wave_s = trio.current_time() - started_s
+    else:
+        status = await stage.async_get(ZONES[0], "/maintenance")
+        story.broken.append(f"the wave did not end: {status}")
+
+
 async def _async_kill(stage: Stage, story: Story) -> None:
     entry = stage.entries[KILLED_ZONE]
     story.killed = entry.name
@@ -65,6 +85,8 @@
 async def _async_judge(stage: Stage, story: Story, tally: Tally) -> None:
     tally.compare(Counter(await stage.async_runs()))
     story.totals = await stage.async_totals()
+    if story.totals.rebooted != len(stage.targets):
+        story.broken.append(f"{story.totals.rebooted} of {len(stage.targets)} targets rebooted")
     if story.totals.cut:
         story.broken.append(f"{story.totals.cut} requests in progress were cut by a stop")
     if story.totals.after_leaving:
--- a/heatherkeel/entry/const.py
+++ b/heatherkeel/entry/const.py
@@ -49,3 +49,18 @@
 
 ACKNOWLEDGE_INTERVAL_MS: Final = 50
 """How often a process looks whether it can acknowledge a drain; mostly there is none."""
+
+COORDINATE_INTERVAL_MS: Final = 100
+"""How often a process looks for steps of drains that are its turn."""
+
+PLAN_INTERVAL_MS: Final = 500
+"""How often the entry instance that is first in line plans new drains."""
+
+RETURN_POLL_MS: Final = 250
+"""How often the platform is asked how far a reboot is."""
+
+OBSERVE_INTERVAL_MS: Final = 500
+"""How often a process looks for instances in doubt."""
+
+OBSERVE_AGAIN_MS: Final = 5_000
+"""How long one process waits before it probes the same instance in doubt again."""
--- a/heatherkeel/entry/duties.py
+++ b/heatherkeel/entry/duties.py
@@ -9,8 +9,15 @@
 from heatherkeel.core.models import Rejected
 from heatherkeel.membership.models import EntryJoin, EntryRenew
 
-from .const import ACKNOWLEDGE_INTERVAL_MS, WRITE_TIMEOUT_S
+from .const import (
+    ACKNOWLEDGE_INTERVAL_MS,
+    COORDINATE_INTERVAL_MS,
+    OBSERVE_INTERVAL_MS,
+    WRITE_TIMEOUT_S,
+)
 from .duties_acknowledge import Acknowledger
+from .duties_coordinate import Coordinator
+from .duties_health import HealthObserver
 from .duties_listing import InstanceListing
 from .node import Node
 
@@ -26,6 +33,8 @@
         self.joined = False
         self.listing = InstanceListing(node=node)
         self.acknowledger = Acknowledger(node=node)
+        self.coordinator = Coordinator(node=node, listing=self.listing)
+        self.observer = HealthObserver(node=node, listing=self.listing)
 
     def start(self) -> None:
         """Subscribe to the timer service."""
@@ -40,11 +49,12 @@
             interval_ms=settings.platform.instances_interval_ms,
             callback=self.listing.async_read,
         )
-        self.node.timers.subscribe(
-            name="acknowledge",
-            interval_ms=ACKNOWLEDGE_INTERVAL_MS,
-            callback=self.acknowledger.async_acknowledge,
-        )
+        for name, interval_ms, callback in (
+            ("acknowledge", ACKNOWLEDGE_INTERVAL_MS, self.acknowledger.async_acknowledge),
+            ("coordinate", COORDINATE_INTERVAL_MS, self.coordinator.async_coordinate),
+            ("observe", OBSERVE_INTERVAL_MS, self.observer.async_observe),
+        ):
+            self.node.timers.subscribe(name=name, interval_ms=interval_ms, callback=callback)
 
     async def async_hold_lease(self) -> None:
         """Join, or renew the routing lease."""
--- /dev/null
+++ b/heatherkeel/entry/duties_health.py
@@ -0,0 +1,94 @@
+"""Reports what connections show: targets that fail, and failed ones that answer again."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import trio
+
+from heatherkeel.core.models import RecordBody
+from heatherkeel.core.node import NodeState
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.platform.models import ListedInstance, ListedState
+from heatherkeel.pools.models import Health, Instance, InstanceObserved, InstanceStatus
+from heatherkeel.requests.const import EJECT_AFTER_FAILURES
+from heatherkeel.waves.models import Returned
+
+from .const import OBSERVE_AGAIN_MS, WRITE_TIMEOUT_S
+from .duties_listing import InstanceListing
+from .node import Node
+from .probes import async_probe
+from .turns import Turns
+
+
+class HealthObserver:
+    """Probes what is in doubt, and tells the log what it found; the fold weighs the witnesses."""
+
+    def __init__(self, *, node: Node, listing: InstanceListing) -> None:
+        self.node = node
+        self.listing = listing
+        self.turns = Turns(takeover_ms=0, retry_ms=OBSERVE_AGAIN_MS)
+
+    async def async_observe(self) -> None:
+        """Probe every instance in doubt, side by side."""
+        await self.node.follower.caught_up.wait()
+        doubtful = {
+            f"{name}:{self.node.state.fleet.pools.instances[name].status}": name
+            for name in find_doubtful(self.node.state)
+        }
+        # Each process speaks for itself here: the fold wants several witnesses, so rank is 0.
+        due = self.turns.choose(doubtful, rank=0, now_ms=monotonic_ms())
+        async with trio.open_nursery() as nursery:
+            for key in due:
+                nursery.start_soon(partial(self._async_probe, doubtful[key]))
+
+    async def _async_probe(self, name: str) -> None:
+        address = self.node.state.fleet.pools.instances[name].address
+        answers = await async_probe(address)
+        instance = self.node.state.fleet.pools.instances.get(name)
+        if instance is None:
+            return
+        report = find_report(
+            name,
+            instance,
+            self.listing.by_id.get(name),
+            answers=answers,
+            observer=self.node.settings.instance.id,
+        )
+        if report is not None:
+            await self.node.writer.async_write(report, timeout_s=WRITE_TIMEOUT_S)
+
+
+def find_doubtful(node: NodeState) -> list[str]:
+    """Return the failed instances that no drain repairs, and those that fail requests here."""
+    failed = [
+        name
+        for name, instance in node.fleet.pools.instances.items()
+        if instance.status is InstanceStatus.FAILED and name not in node.fleet.waves.drains
+    ]
+    failing = [
+        name
+        for name, target in node.local.routing.targets.items()
+        if target.failures >= EJECT_AFTER_FAILURES and target.serving
+    ]
+    return sorted({*failed, *failing} & node.fleet.pools.instances.keys())
+
+
+def find_report(
+    name: str,
+    instance: Instance,
+    line: ListedInstance | None,
+    *,
+    answers: bool,
+    observer: str,
+) -> RecordBody | None:
+    """Return what a probe gives cause to record, if anything."""
+    if instance.status is InstanceStatus.SERVING and not answers:
+        return InstanceObserved(instance=name, health=Health.FAILED, observer=observer)
+    if instance.status is not InstanceStatus.FAILED or not answers or line is None:
+        return None
+    if line.state is not ListedState.LIVE:
+        return None
+    if line.boot_id != instance.boot_id:
+        return Returned(instance=name, expected_version=instance.version, boot_id=line.boot_id)
+    return InstanceObserved(instance=name, health=Health.HEALTHY, observer=observer)
--- a/heatherkeel/entry/duties_listing.py
+++ b/heatherkeel/entry/duties_listing.py
@@ -22,6 +22,7 @@
     InstanceStatus,
     Source,
 )
+from heatherkeel.requests.events import LeavingSource, TargetGone, TargetLeaving, TargetLive
 
 from .const import RETRY_MS, TAKEOVER_MS, WORKER_ROLE, WRITE_TIMEOUT_S
 from .node import Node
@@ -42,19 +43,26 @@
         """Read the list: note who is leaving, and report what the log doesn't know."""
         match await self.node.client.async_list_instances():
             case Ok(listed):
-                self.by_id = {instance.id: instance for instance in listed.instances}
-                self._note_leaving()
+                self._take({instance.id: instance for instance in listed.instances})
                 await self._async_report()
             case Err(error):
                 _LOGGER.warning("list: %s", error.detail, extra={"event": "list_failed"})
 
-    def _note_leaving(self) -> None:
+    def _take(self, lines: dict[str, ListedInstance]) -> None:
+        """Tell the router what changed: who leaves, is live again, or is no longer listed."""
+        now_ms = monotonic_ms()
         routing = self.node.state.local.routing
-        routing.leaving = {
-            instance.id
-            for instance in self.by_id.values()
-            if instance.state is not ListedState.LIVE
-        }
+        for name in self.by_id.keys() - lines.keys():
+            self.node.take(TargetGone(now_ms=now_ms, target=name))
+        for name, line in lines.items():
+            target = routing.targets.get(name)
+            held_back = target is not None and (target.leaving or target.gone)
+            if line.state is not ListedState.LIVE and name not in routing.leaving:
+                source = LeavingSource.PLATFORM_LIST
+                self.node.take(TargetLeaving(now_ms=now_ms, target=name, source=source))
+            elif line.state is ListedState.LIVE and (held_back or name in routing.leaving):
+                self.node.take(TargetLive(now_ms=now_ms, target=name))
+        self.by_id = lines
 
     async def _async_report(self) -> None:
         await self.node.follower.caught_up.wait()
--- /dev/null
+++ b/heatherkeel/waves/status.py
@@ -0,0 +1,136 @@
+"""Tells operators how waves go, and why a drain has not ended."""
+
+from __future__ import annotations
+
+import msgspec
+
+from heatherkeel.core.state import FleetState
+from heatherkeel.membership.reducer import find_incarnation
+from heatherkeel.pools.models import InstanceStatus
+
+from .models import Drain, Purpose
+from .wave import is_complete, is_halted, maintenance_of_pools
+
+
+class WaitStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry instance that has not acknowledged a drain; 0 ms while its lease holds."""
+
+    entry: str
+    zone: str
+    silent_ms: int
+
+
+class DrainStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """A drain under way; times in log milliseconds, `reason` in words for operators."""
+
+    pool: str
+    purpose: str
+    status: str
+    age_ms: int
+    waiting: list[WaitStatus]
+    reason: str
+
+
+class WaveStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """The newest wave of a pool; `finished_ms` is 0 while it goes on."""
+
+    number: int
+    started_ms: int
+    finished_ms: int
+    drained: int
+    returned: int
+    failed: int
+    halted: bool
+    reason: str
+
+
+class MaintenanceStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Waves by pool, drains by instance, and why instances are failed."""
+
+    waves: dict[str, WaveStatus]
+    drains: dict[str, DrainStatus]
+    failed: dict[str, str]
+
+
+def maintenance_status(fleet: FleetState) -> MaintenanceStatus:
+    """Return all that the log knows of maintenance."""
+    failed = {
+        instance_id: instance.failure
+        for instance_id, instance in sorted(fleet.pools.instances.items())
+        if instance.status is InstanceStatus.FAILED
+    }
+    return MaintenanceStatus(
+        waves=_explain_waves(fleet), drains=explain_drains(fleet), failed=failed
+    )
+
+
+def explain_drains(fleet: FleetState) -> dict[str, DrainStatus]:
+    """Return each drain under way with whom it waits for and how long, by instance id."""
+    return {
+        instance_id: _explain_drain(fleet, instance_id, drain)
+        for instance_id, drain in sorted(fleet.waves.drains.items())
+    }
+
+
+def _explain_drain(fleet: FleetState, instance_id: str, drain: Drain) -> DrainStatus:
+    instance = fleet.pools.instances[instance_id]
+    waiting = [
+        _explain_wait(fleet, entry, incarnation)
+        for incarnation, entry in sorted(drain.waiting.items(), key=lambda item: item[1])
+    ]
+    return DrainStatus(
+        pool=instance.pool,
+        purpose=drain.purpose,
+        status=instance.status,
+        age_ms=fleet.now_ms - drain.started_ms,
+        waiting=waiting,
+        reason=_give_reason(fleet, instance_id, drain, waiting),
+    )
+
+
+def _explain_wait(fleet: FleetState, entry: str, incarnation: str) -> WaitStatus:
+    known = find_incarnation(fleet.membership, incarnation)
+    if known is None:
+        return WaitStatus(entry=entry, zone="", silent_ms=0)
+    silent_ms = max(0, fleet.now_ms - known.lease_until_ms)
+    return WaitStatus(entry=entry, zone=known.zone, silent_ms=silent_ms)
+
+
+def _give_reason(
+    fleet: FleetState, instance_id: str, drain: Drain, waiting: list[WaitStatus]
+) -> str:
+    instance = fleet.pools.instances[instance_id]
+    if instance.status is InstanceStatus.STOPPED:
+        left_s = max(0, drain.return_by_ms - fleet.now_ms) // 1000
+        return f"stopped, has {left_s} s left to come back"
+    if instance.status is InstanceStatus.QUIESCED:
+        return "ready to join" if drain.purpose is Purpose.MOVE else "ready to stop"
+    age_s = (fleet.now_ms - drain.started_ms) // 1000
+    names = ", ".join(_name_wait(wait, instance.zone) for wait in waiting)
+    return f"not acknowledged for {age_s} s by {names}"
+
+
+def _name_wait(wait: WaitStatus, zone: str) -> str:
+    """Name whom a drain waits for, and for the silent ones what would end the wait."""
+    if not wait.silent_ms:
+        return f"{wait.entry} ({wait.zone})"
+    end = "its lease" if wait.zone != zone else "the platform's word that it is terminated"
+    return f"{wait.entry} ({wait.zone}), silent for {wait.silent_ms // 1000} s: {end} ends this"
+
+
+def _explain_waves(fleet: FleetState) -> dict[str, WaveStatus]:
+    maintained = maintenance_of_pools(fleet)
+    statuses: dict[str, WaveStatus] = {}
+    for pool, wave in sorted(fleet.waves.waves.items()):
+        halted = pool in maintained and is_halted(wave, maintained[pool][1])
+        statuses[pool] = WaveStatus(
+            number=wave.number,
+            started_ms=wave.started_ms,
+            finished_ms=wave.finished_ms if is_complete(fleet, pool, wave) else 0,
+            drained=wave.drained,
+            returned=wave.returned,
+            failed=wave.failed,
+            halted=halted,
+            reason=wave.halted_reason if halted else "",
+        )
+    return statuses
