An instance whose stop may still come is not taken back on a probe; tests of the duties

Cause: the platform can be slow. When the time to come back is over and the stop has not been carried out, the instance still answers; two healthy observations put it back into service, and the late stop would cut it. The fold now remembers the boot whose stop was issued, and takes only another boot as the end of it. Ruled out: leaving it to the processes that probe, which cannot tell why an instance failed.

--- a/heatherkeel/pools/health.py
+++ b/heatherkeel/pools/health.py
@@ -31,6 +31,11 @@
     if body.instance in state.waves.drains or instance.status not in STATUS_OF.values():
         detail = f"{body.instance} is in a drain"
         return Err(Rejected(reason=RejectReason.WRONG_STATE, detail=detail))
+    # A stop that the platform carries out late would cut the requests of an instance that was
+    # taken back because it still answered. Only another boot proves that the stop is over.
+    if body.health is Health.HEALTHY and instance.stopped_boot_id:
+        detail = f"the stop of boot {instance.stopped_boot_id} may still come"
+        return Err(Rejected(reason=RejectReason.WRONG_STATE, detail=detail))
     _remember(instance, body, now_ms=meta.now_ms)
     if instance.status is STATUS_OF[body.health] or not _is_enough(state, instance, body):
         return Ok(Accepted(version=instance.version))
--- a/heatherkeel/pools/models.py
+++ b/heatherkeel/pools/models.py
@@ -111,6 +111,8 @@
     """Repairs in a row that it did not come back from."""
     observations: dict[str, Observation] = field(default_factory=dict)
     """Fresh observations by observer; they are dropped when the status changes."""
+    stopped_boot_id: str = ""
+    """A boot whose stop was issued and that was not seen to end: the stop may still come."""
     failure: str = ""
     """Why it is FAILED, in words for operators."""
 
--- a/heatherkeel/waves/reducer.py
+++ b/heatherkeel/waves/reducer.py
@@ -91,10 +91,11 @@
     if isinstance(instance, Rejected):
         return Err(instance)
     drain = state.waves.drains.get(body.instance)
-    old_boots = {instance.boot_id, drain.stopped_boot_id if drain else ""}
+    old_boots = {instance.boot_id, drain.stopped_boot_id if drain else instance.stopped_boot_id}
     if body.boot_id in old_boots:
         return Err(_wrong(body.instance, f"boot {body.boot_id} was there before"))
     instance.boot_id = body.boot_id
+    instance.stopped_boot_id = ""
     set_status(instance, InstanceStatus.SERVING)
     if drain is None:
         return Ok(accept_change(state, meta, body.instance))
@@ -119,6 +120,7 @@
         return Err(_wrong(body.instance, f"has until {drain.return_by_ms}"))
     set_status(instance, InstanceStatus.FAILED)
     instance.failed_repairs += drain.purpose is Purpose.REPAIR
+    instance.stopped_boot_id = drain.stopped_boot_id
     instance.failure = f"did not come back from {drain.purpose.value}: {body.cause.value}"
     del state.waves.drains[body.instance]
     effects = wave.count_failed_return(state, meta, instance.pool, drain)
--- /dev/null
+++ b/tests/entry/test_turns.py
@@ -0,0 +1,57 @@
+"""Shared work is done by the first in line, and by the next when it lies undone."""
+
+from __future__ import annotations
+
+from heatherkeel.core.state import FleetState
+from heatherkeel.entry.turns import Turns, rank_of
+from heatherkeel.membership.models import EntryInstance
+
+NAMES = ("entry-a", "entry-b", "entry-c")
+
+
+def fleet(*, lapsed: str = "") -> FleetState:
+    state = FleetState()
+    for name in NAMES:
+        state.membership.entries[name] = EntryInstance(
+            instance=name,
+            incarnation=f"{name}.1",
+            zone="a",
+            peer_address="127.0.0.1:1",
+            lease_ms=10,
+            lease_until_ms=0 if name == lapsed else 100,
+        )
+    return state
+
+
+def test_each_entry_instance_has_its_own_rank() -> None:
+    ranks = [rank_of(fleet(), name, now_ms=50) for name in NAMES]
+    assert sorted(ranks) == [0, 1, 2]
+
+
+def test_the_next_moves_up_when_a_lease_runs_out() -> None:
+    first, second, third = sorted(NAMES, key=lambda name: rank_of(fleet(), name, now_ms=50))
+    assert rank_of(fleet(lapsed=first), second, now_ms=50) == 0
+    assert rank_of(fleet(lapsed=first), third, now_ms=50) == 1
+
+
+def test_work_that_lies_undone_is_taken_over() -> None:
+    # The first in line holds its lease but does nothing, cut off from one service of the
+    # platform perhaps. Without the takeover the drain would stand still for good.
+    turns = Turns(takeover_ms=1000, retry_ms=500)
+    assert turns.choose(["stop"], rank=1, now_ms=0) == []
+    assert turns.choose(["stop"], rank=1, now_ms=999) == []
+    assert turns.choose(["stop"], rank=1, now_ms=1000) == ["stop"]
+
+
+def test_work_is_not_repeated_before_its_pause() -> None:
+    turns = Turns(takeover_ms=1000, retry_ms=500)
+    assert turns.choose(["stop"], rank=0, now_ms=0) == ["stop"]
+    assert turns.choose(["stop"], rank=0, now_ms=499) == []
+    assert turns.choose(["stop"], rank=0, now_ms=500) == ["stop"]
+
+
+def test_work_that_was_done_and_comes_again_waits_its_turn_anew() -> None:
+    turns = Turns(takeover_ms=1000, retry_ms=500)
+    turns.choose(["stop"], rank=1, now_ms=0)
+    turns.choose([], rank=1, now_ms=900)
+    assert turns.choose(["stop"], rank=1, now_ms=1000) == []
--- a/tests/waves/test_drain.py
+++ b/tests/waves/test_drain.py
@@ -163,6 +163,22 @@
     assert log.instance("a0").status is InstanceStatus.FAILED
 
 
+def test_an_instance_whose_stop_may_still_come_is_not_taken_back() -> None:
+    # The platform is slow: a0 has not been stopped when its time to come back is over, and so
+    # it still answers. Taken back into service, it would be stopped with requests in progress.
+    log = small_fleet()
+    log.quiesce("a0")
+    log.must(log.stop("a0"))
+    log.must(ReturnFailed(instance="a0", expected_version=4, cause=ReturnFailure.START_FAILED))
+    healthy = InstanceObserved(
+        instance="a0", health=Health.HEALTHY, observer="entry-a", source=Source.PLATFORM
+    )
+    assert log.refused(healthy).reason is RejectReason.WRONG_STATE
+    version = log.instance("a0").version
+    log.must(Returned(instance="a0", expected_version=version, boot_id="a0.2"))
+    assert log.instance("a0").status is InstanceStatus.SERVING
+
+
 def test_a_failed_instance_is_repaired_without_touching_the_budget() -> None:
     log = small_fleet(min_serving=4)
     log.quiesce("a0")
