Late operations in the stand-in's tests; requests long enough for the wave to be cut if it could

The wave's requests took 100 ms, less than an operation needs to reach its target: with the acknowledgement given while requests were in progress the test still passed. They take 700 ms now. Safeguards switched off once: the count of requests in progress in find_quiet_drains (test_a_wave_under_load_cuts_nothing: 6 cut); the report of terminated entry instances (test_another_finishes_the_wave_of_a_killed_ coordinator: the wave never ends).

--- a/tests/processes/test_standins.py
+++ b/tests/processes/test_standins.py
@@ -11,9 +11,10 @@
 from .harness import Fleet, Process, call, call_json, wait_for
 
 
-def operate(platform: Process, operation_id: str, action: str = "reboot") -> Any:
+def operate(platform: Process, operation_id: str, *, boot_id: str = "") -> Any:
     path = f"/instances/t-a/operations/{operation_id}"
-    return call_json("PUT", platform.http, path, {"action": action}, timeout_s=1.0)
+    value = {"action": "reboot", "boot_id": boot_id}
+    return call_json("PUT", platform.http, path, value, timeout_s=1.0)
 
 
 def is_done(platform: Process, operation_id: str) -> bool:
@@ -47,6 +48,23 @@
     assert fleet.counts("platform")["operations"] == {"t-a": 1}
 
 
+def test_an_operation_that_is_carried_out_late_ends_no_later_boot(fleet: Fleet) -> None:
+    # The platform is slow with a reboot. Meanwhile the target has been rebooted by another
+    # operation and serves again. The late one named the earlier boot, so it must not end this.
+    platform = fleet.start_platform()
+    fleet.start_target("t-a", zone="a")
+    fleet.set_faults("platform", operation_delay_ms=500, reboot_ms=50)
+    operate(platform, "late", boot_id="1")
+    fleet.set_faults("platform", reboot_ms=50)
+    operate(platform, "quick", boot_id="1")
+    wait_for(lambda: is_done(platform, "quick"), "the target is back")
+    path = "/instances/t-a/operations/late"
+    wait_for(
+        lambda: call_json("GET", platform.http, path)["state"] == "overtaken", "the late one ends"
+    )
+    assert fleet.counts("t-a")["boot_id"] == "boot-2"
+
+
 def test_an_instance_that_never_returns_and_one_that_returns_failing(fleet: Fleet) -> None:
     platform = fleet.start_platform()
     target = fleet.start_target("t-a", zone="a")
--- a/tests/processes/test_waves.py
+++ b/tests/processes/test_waves.py
@@ -19,7 +19,7 @@
     # Callers ask all the time while each of six targets is drained, rebooted and taken back.
     # Every caller gets its whole answer. A stop that came before the last acknowledgement, or
     # an acknowledgement with a request in progress, would cut one at the target.
-    maintained.start(targets_per_zone=2, work_ms=100)
+    maintained.start(targets_per_zone=2, work_ms=700)
     with Callers(entries=list(maintained.entries.values())) as callers:
         maintained.put("upkeep", maintenance())
         wave = maintained.wait_for_wave("a")
