--- a/heatherkeel/entry/duties.py
+++ b/heatherkeel/entry/duties.py
@@ -4,6 +4,7 @@
 
 import logging
 
+import trio
 from result import Err, Ok
 
 from heatherkeel.core.models import Rejected
@@ -35,14 +36,18 @@
         self.node = node
         self.peer_address = peer_address
         self.joined = False
+        self.waited_for = trio.Event()
+        """Set when drains wait for this process: it has joined, or a peer sponsors it."""
         self.listing = InstanceListing(node=node)
         self.acknowledger = Acknowledger(node=node)
-        self.pauses = PauseWatch(take=node.take)
         self.coordinator = Coordinator(node=node, listing=self.listing)
         self.observer = HealthObserver(node=node, listing=self.listing)
+        self.pauses = PauseWatch(take=node.take)
 
     def start(self) -> None:
         """Subscribe to the timer service."""
+        if self.node.state.local.peers.sponsorship is not None:
+            self.waited_for.set()
         settings = self.node.settings
         self.node.timers.subscribe(
             name="lease",
@@ -78,6 +83,8 @@
             case Ok(settled):
                 self.joined = not isinstance(settled.outcome, Rejected)
                 self._tell_lease(sent_ms)
+                if self.joined:
+                    self.waited_for.set()
                 if renews and not self.joined:
                     self.node.timers.wake("lease")
             case Err(failure):
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -72,10 +72,14 @@
         starting = NodeStart(node=self.node, links=self.links)
         starting.start(nursery)
         await starting.done.wait()
-        await self.http.start(nursery)
-        Duties(node=self.node, peer_address=self.links.address).start()
+        duties = Duties(node=self.node, peer_address=self.links.address)
+        duties.start()
         self._subscribe_timers()
         self.node.timers.start(nursery)
+        # A drain waits for the entry instances that the fold knows when it starts. Callers that
+        # came before would be cut: nobody waits for this process when their target is stopped.
+        await duties.waited_for.wait()
+        await self.http.start(nursery)
         _LOGGER.info(
             "listening",
             extra={
