A planned stop or move ends only when no task of a job may run on the instance

A drain was over once all routers had acknowledged, while a job may run for hours: the stop would have cut it. The wave's stop and the move's join now ask for the tasks left. With the check off, test_a_move_ends_only_when_no_task_is_left fails. Drains of jobs go on while an instance is quiesced, too; before, only while it was draining.

--- a/heatherkeel/jobs/checkers.py
+++ b/heatherkeel/jobs/checkers.py
@@ -83,7 +83,9 @@
         if job.status not in HOLDING:
             continue
         instance = state.pools.instances.get(job.instance)
-        if instance is not None and instance.status is InstanceStatus.STOPPED:
+        drain = state.waves.drains.get(job.instance)
+        planned = drain is not None and not drain.was_failed
+        if planned and instance is not None and instance.status is InstanceStatus.STOPPED:
             detail = f"{job.instance} was stopped under it"
             yield _violation(state, "planned_stop_cuts_no_job", job_id, detail)
 
--- a/heatherkeel/jobs/draining.py
+++ b/heatherkeel/jobs/draining.py
@@ -5,11 +5,10 @@
 from dataclasses import dataclass, field
 
 from heatherkeel.core.state import FleetState
-from heatherkeel.pools.models import InstanceStatus
 
 from .const import DRAIN_PATIENCE_MS
 from .learning import expected_run_time_s
-from .models import HOLDING, Job, JobStatus
+from .models import HOLDING, LEAVING, Job, JobStatus
 from .records import CheckpointCause, JobCheckpoint
 
 _MS_PER_S = 1_000
@@ -41,7 +40,7 @@
     draining = {
         instance_id
         for instance_id, instance in state.pools.instances.items()
-        if instance.status is InstanceStatus.DRAINING and instance_id in state.jobs.loads
+        if instance.status in LEAVING and instance_id in state.jobs.loads
     }
     if not draining:
         return plan
--- a/heatherkeel/jobs/models.py
+++ b/heatherkeel/jobs/models.py
@@ -11,6 +11,7 @@
 
 from heatherkeel.catalogue.models import Count, Name, ServiceClass
 from heatherkeel.core.models import Effect
+from heatherkeel.pools.models import InstanceStatus
 
 from .const import MAX_JOB_ID_CHARS, MAX_PROGRAM_CHARS
 
@@ -44,6 +45,10 @@
 """States in which a job occupies its worker for certain."""
 
 
+LEAVING: Final = (InstanceStatus.DRAINING, InstanceStatus.QUIESCED)
+"""Status of a worker in a planned stop or move that its tasks can still hold up."""
+
+
 class Resources(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """An amount of the three resources; memory in MiB, processors in thousandths of a core."""
 
--- a/heatherkeel/jobs/placing.py
+++ b/heatherkeel/jobs/placing.py
@@ -12,6 +12,7 @@
 
 from .const import HOLD_MS, START_WINDOW_MS
 from .models import (
+    LEAVING,
     CheckpointTask,
     Hold,
     Job,
@@ -171,6 +172,6 @@
 
 def _check_drain(state: FleetState, job: Job) -> Rejected | None:
     instance = state.pools.instances.get(job.instance)
-    if instance is None or instance.status is not InstanceStatus.DRAINING:
+    if instance is None or instance.status not in LEAVING:
         return Rejected(reason=RejectReason.WRONG_STATE, detail=f"{job.instance} is not draining")
     return None
--- a/heatherkeel/waves/reducer.py
+++ b/heatherkeel/waves/reducer.py
@@ -8,6 +8,7 @@
 from heatherkeel.core.models import Accepted, RecordMeta, Rejected, RejectReason
 from heatherkeel.core.registry import handles
 from heatherkeel.core.state import FleetState
+from heatherkeel.jobs.draining import tasks_left
 from heatherkeel.pools.health import set_status
 from heatherkeel.pools.models import Instance, InstanceStatus
 from heatherkeel.pools.reducer import accept_change
@@ -72,6 +73,7 @@
     if drain.purpose is Purpose.MOVE:
         return Err(_wrong(body.instance, "is moved, not stopped"))
     refusal = None if drain.was_failed else _check_stop(state, instance, body.instance)
+    refusal = refusal or _check_tasks(state, drain, body.instance)
     if refusal is not None:
         return Err(refusal)
     drain.stopped_boot_id = body.boot_id or instance.boot_id
@@ -152,6 +154,9 @@
         return Err(_wrong(body.instance, "is stopped, not moved"))
     if not _is_pool(state, drain.to_pool):
         return Err(Rejected(reason=RejectReason.NOT_FOUND, detail=drain.to_pool))
+    refusal = _check_tasks(state, drain, body.instance)
+    if refusal is not None:
+        return Err(refusal)
     del state.waves.drains[body.instance]
     from_pool = instance.pool
     instance.pool = drain.to_pool
@@ -160,6 +165,19 @@
     return Ok(accept_change(state, meta, body.instance, *effects))
 
 
+def _check_tasks(state: FleetState, drain: Drain, instance_id: str) -> Rejected | None:
+    """Refuse to end a drain while tasks of jobs may run on the instance.
+
+    No entry instance routes to it any more, but a job runs for hours; stopped now, its work
+    would be lost, or run twice where it must not be.
+    """
+    tasks = 0 if drain.was_failed else tasks_left(state, instance_id)
+    if tasks == 0:
+        return None
+    detail = f"{instance_id}: {tasks} tasks of jobs may still run"
+    return Rejected(reason=RejectReason.IN_USE, detail=detail)
+
+
 def _find(state: FleetState, body: _Step, *statuses: InstanceStatus) -> Instance | Rejected:
     """Return the instance if its author saw its last change and it has one of the statuses.
 
--- a/tests/jobs/test_policy.py
+++ b/tests/jobs/test_policy.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from heatherkeel.catalogue.models import ServiceClass, TeamEntry
-from heatherkeel.core.models import Rejected
+from heatherkeel.core.models import Rejected, RejectReason
 from heatherkeel.jobs.draining import plan_drains, tasks_left
 from heatherkeel.jobs.models import JobStatus
 from heatherkeel.jobs.placers import placer_of
@@ -13,6 +13,7 @@
 from heatherkeel.jobs.policy import PlacementRound, RoundRequest
 from heatherkeel.jobs.records import JobCheckpoint, JobPlace, JobUnplaceable, TaskCheckpointed
 from heatherkeel.membership.models import EntryJoin
+from heatherkeel.waves.models import MoveJoin
 
 from .conftest import TEAM, Fleet, put, spec_of
 
@@ -129,6 +130,19 @@
     assert tasks_left(fleet.state, "w0") == 3
 
 
+def test_a_move_ends_only_when_no_task_is_left(fleet: Fleet) -> None:
+    # No request is routed to the worker any more, but a job still runs. Given to another pool
+    # now, the worker would be rebooted under it, or run the tasks of two pools.
+    task = fleet.run("w0")
+    fleet.drain("w0", routed=False)
+    version = fleet.state.pools.instances["w0"].version
+    move = MoveJoin(instance="w0", expected_version=version, coordinator="entry1")
+    assert fleet.refuse(move) is RejectReason.IN_USE
+    fleet.end(task)
+    fleet.accept(move)
+    assert fleet.state.pools.instances["w0"].pool == "elsewhere"
+
+
 def test_the_baseline_places_by_submission_and_declared_size(fleet: Fleet) -> None:
     for number in range(5):
         fleet.submit(f"sheetal:j{number}")
