--- a/heatherkeel/waves/coordinator.py
+++ b/heatherkeel/waves/coordinator.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from heatherkeel.core.state import FleetState
+from heatherkeel.jobs.draining import tasks_left
 from heatherkeel.pools.models import Instance, InstanceStatus
 
 from .budget import check_budgets
@@ -44,6 +45,8 @@
         )
     if instance.status is not InstanceStatus.QUIESCED:
         return None
+    if not drain.was_failed and tasks_left(fleet, instance_id):
+        return None
     step = MoveJoin if drain.purpose is Purpose.MOVE else StopIssued
     return step(instance=instance_id, expected_version=instance.version, coordinator=coordinator)
 
