Jobs over HTTP and the command line, and the duty that places, starts and watches them

Which entry instance places for a pool is chosen by rendezvous hashing, kept until somebody comes or goes; the second in line helps when an urgent job waits. Ruled out: acting on a missing view at once, as views lag; a task without a view is stopped only past its start window and the longest lag.

--- a/heatherkeel/admin/app.py
+++ b/heatherkeel/admin/app.py
@@ -18,7 +18,7 @@
     parse_request,
 )
 
-from . import catalogue, status  # noqa: F401
+from . import catalogue, jobs, status  # noqa: F401
 from .access import AccessControl
 from .const import RETRY_AFTER_S
 from .models import Access, Answer, Call, Problem, Reply
--- a/heatherkeel/cli/main.py
+++ b/heatherkeel/cli/main.py
@@ -10,6 +10,7 @@
 from . import (
     check,  # noqa: F401
     entry,  # noqa: F401
+    job,  # noqa: F401
     load,  # noqa: F401
     standin,  # noqa: F401
     version,  # noqa: F401
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -11,6 +11,7 @@
 from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
+from heatherkeel.jobs.duty import JobsDuty
 from heatherkeel.monitoring.app import MonitoringApp, TimedApp
 from heatherkeel.monitoring.counting import count_effects
 from heatherkeel.monitoring.gauges import NodeGauges
@@ -77,6 +78,7 @@
             interval_ms=self.settings.snapshots.check_interval_ms,
             callback=self.node.snapshots.async_check,
         )
+        JobsDuty(node=self.node).start(nursery)
         self.node.timers.start(nursery)
 
     async def close(self) -> None:
--- a/heatherkeel/jobs/best_fit.py
+++ b/heatherkeel/jobs/best_fit.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from heatherkeel.catalogue.models import ServiceClass
@@ -14,7 +14,7 @@
 from .learning import expected_size, family_key
 from .models import HOLDING, Job, Resources, job_team
 from .packing import PoolRooms, Room, find_rooms
-from .policy import PlacementRound, RoundRequest, due_jobs, placement, policy
+from .policy import PlacementRound, RoundRequest, due_jobs, placement, policy, wanted_jobs
 from .preemption import Preemptions, start_preemptions
 from .reservations import clip_need
 
@@ -52,8 +52,8 @@
         due=due,
         rooms=rooms,
         queue=fair_queue(state, due),
-        preemptions=start_preemptions(state, rooms),
-        spread=_count_families(state),
+        preemptions=start_preemptions(state, rooms, wanted_jobs(state, request)),
+        spread=_count_families(state, wanted_jobs(state, request)),
     )
     while planned.placed < request.limit:
         job_id = this.queue.pop()
@@ -155,10 +155,10 @@
     return suits
 
 
-def _count_families(state: FleetState) -> dict[SpreadKey, int]:
+def _count_families(state: FleetState, jobs: Mapping[str, Job]) -> dict[SpreadKey, int]:
     """Count the tasks of each family by pool, by availability zone and by rack."""
     spread: dict[SpreadKey, int] = {}
-    for job_id, job in state.jobs.live.items():
+    for job_id, job in jobs.items():
         if job.status not in HOLDING:
             continue
         instance = state.pools.instances.get(job.instance)
--- a/heatherkeel/jobs/const.py
+++ b/heatherkeel/jobs/const.py
@@ -99,3 +99,15 @@
 
 MAX_PROGRAM_CHARS: Final = 2_000
 """Longest description of what a job runs, in characters."""
+
+TAKE_OVER_MS: Final = 1_000
+"""How long an urgent job waits before the second in line places it, too."""
+
+ROUND_INTERVAL_MS: Final = 250
+"""Time between two rounds of the jobs duty."""
+
+MAX_CALLS: Final = 4
+"""Calls to the platform's task interface that one process makes at once."""
+
+MAX_SPARE_VIEWS: Final = 1_000
+"""Views of ended tasks that a process keeps before it throws the spare ones away."""
--- a/heatherkeel/jobs/draining.py
+++ b/heatherkeel/jobs/draining.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from heatherkeel.core.state import FleetState
@@ -31,8 +32,8 @@
     waits: list[DrainWait] = field(default_factory=list)
 
 
-def plan_drains(state: FleetState) -> DrainPlan:
-    """Plan for all draining workers.
+def plan_drains(state: FleetState, jobs: Mapping[str, Job] | None = None) -> DrainPlan:
+    """Plan for the jobs on draining workers, or for some of them.
 
     A job that is about to end is waited for: moving it would cost more than it has left to do.
     """
@@ -44,7 +45,7 @@
     }
     if not draining:
         return plan
-    for job_id, job in state.jobs.live.items():
+    for job_id, job in (state.jobs.live if jobs is None else jobs).items():
         if job.instance not in draining or job.reserved is None:
             continue
         reason = _why_wait(state, job_id, job)
--- /dev/null
+++ b/heatherkeel/jobs/duty.py
@@ -0,0 +1,200 @@
+"""The jobs duty of an entry process: places jobs, starts tasks, reports what becomes of them."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+
+import trio
+from result import Err, Ok, Result
+
+from heatherkeel.core.models import RecordBody
+from heatherkeel.entry.const import WRITE_TIMEOUT_S
+from heatherkeel.entry.node import Node
+from heatherkeel.platform.errors import PlatformError
+from heatherkeel.platform.task_client import TaskClient
+from heatherkeel.platform.tasks import TaskList, TaskRequest, TaskState, TaskView, ThrottleRequest
+
+from .const import MAX_CALLS, MAX_SPARE_VIEWS, ROUND_INTERVAL_MS
+from .draining import plan_drains
+from .models import (
+    CheckpointTask,
+    Job,
+    StartTask,
+    StopTask,
+    TaskEffect,
+    ThrottleTask,
+    task_job,
+    task_of,
+)
+from .observing import effects_due, evidence_of
+from .placers import PlacerOrder
+from .policies import DEFAULT_POLICY, POLICIES
+from .policy import RoundRequest
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class JobsDuty:
+    """Works for the pools whose turn it is; keeps nothing that another process would miss."""
+
+    def __init__(self, *, node: Node) -> None:
+        self.node = node
+        self.instance = node.settings.instance.id
+        self.tasks = TaskClient(client=node.client)
+        self.order = PlacerOrder()
+        self.views: dict[str, TaskView] = {}
+        self.seen = 0
+        self.waiting: dict[str, int] = {}
+        """Jobs that found no place in the last round, by reason."""
+        self.limiter = trio.CapacityLimiter(MAX_CALLS)
+        self.nursery: trio.Nursery | None = None
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Hear the effects of the fold, and subscribe to the timer service."""
+        self.nursery = nursery
+        self.node.subscribe(StartTask, self.hear_start)
+        self.node.subscribe(StopTask, self.hear_other)
+        self.node.subscribe(CheckpointTask, self.hear_other)
+        self.node.subscribe(ThrottleTask, self.hear_other)
+        self.node.timers.subscribe(
+            name="jobs", interval_ms=ROUND_INTERVAL_MS, callback=self.async_round
+        )
+
+    def hear_start(self, effect: StartTask) -> None:
+        """Start a task that this process placed, as soon as the fold has said so."""
+        if effect.placer == self.instance:
+            self._begin(effect)
+
+    def hear_other(self, effect: TaskEffect) -> None:
+        """Do what the fold asks of a task, if the pool of its worker is this process's turn."""
+        worker = self.node.state.fleet.pools.instances.get(effect.instance)
+        if worker is not None and self.order.of(worker.pool)[:1] == (self.instance,):
+            self._begin(effect)
+
+    async def async_round(self) -> None:
+        """See what changed, record it, place what waits, and repeat what was left undone."""
+        await self.node.follower.caught_up.wait()
+        fleet = self.node.state.fleet
+        if not fleet.jobs.live and not fleet.jobs.orphans:
+            return
+        now_ms = self.node.clock.now_ms()
+        jobs = self.order.jobs_in_turn(fleet, self.instance, now_ms)
+        if not jobs and not fleet.jobs.orphans:
+            return
+        if not await self._async_look():
+            return
+        await self._async_write(evidence_of(fleet, self._own_views(jobs)))
+        await self._async_write(self._plan(jobs, now_ms))
+        due = effects_due(fleet, self.views, self.instance, jobs=self._still_live(jobs))
+        await self._async_carry_out(due)
+
+    async def _async_look(self) -> bool:
+        """Read the tasks that changed; without them nothing can be told of a task."""
+        match await self.tasks.async_list(after=self.seen):
+            case Ok(listed):
+                self._take_list(listed)
+                return True
+            case Err(error):
+                _LOGGER.warning("tasks: %s", error.detail, extra={"event": "tasks_not_read"})
+                return False
+
+    def _take_list(self, listed: TaskList) -> None:
+        # A count that went back is that of a platform that was restored: its views are new.
+        if listed.upto < self.seen:
+            self.views = {}
+        self.seen = listed.upto
+        self.views.update({view.task: view for view in listed.tasks})
+        if len(self.views) > MAX_SPARE_VIEWS + 2 * len(self.node.state.fleet.jobs.live):
+            self.views = {task: view for task, view in self.views.items() if self._needs(view)}
+
+    def _needs(self, view: TaskView) -> bool:
+        """Say whether a view may still tell something.
+
+        That of a task that can run is kept, also if its job isn't known here: the placement may
+        be a record that this process has yet to read.
+        """
+        if view.state in (TaskState.RUNNING, TaskState.LAPSED):
+            return True
+        return task_job(view.task) in self.node.state.fleet.jobs.live
+
+    def _own_views(self, jobs: dict[str, Job]) -> list[TaskView]:
+        """Return the views of the own jobs and of tasks that were given up on."""
+        fleet = self.node.state.fleet
+        wanted = [*_tasks_of(jobs), *fleet.jobs.orphans]
+        return [self.views[task] for task in wanted if task in self.views]
+
+    def _plan(self, jobs: dict[str, Job], now_ms: int) -> list[RecordBody]:
+        fleet = self.node.state.fleet
+        request = RoundRequest(
+            placer=self.instance,
+            pools=frozenset(job.spec.pool for job in jobs.values()),
+            jobs=self._still_live(jobs),
+            now_ms=now_ms,
+        )
+        planned = POLICIES[DEFAULT_POLICY](fleet, request)
+        self.waiting = planned.waiting
+        return [*planned.records, *plan_drains(fleet, request.jobs).records]
+
+    def _still_live(self, jobs: dict[str, Job]) -> dict[str, Job]:
+        """Return those jobs as they are now; records of this round may have ended some."""
+        live = self.node.state.fleet.jobs.live
+        return {job_id: live[job_id] for job_id in jobs if job_id in live}
+
+    async def _async_write(self, bodies: Iterable[RecordBody]) -> None:
+        """Write records together, and wait until the fold has decided them."""
+        async with trio.open_nursery() as nursery:
+            for body in bodies:
+                nursery.start_soon(self._async_write_one, body)
+
+    async def _async_write_one(self, body: RecordBody) -> None:
+        await self.node.writer.async_write(body, timeout_s=WRITE_TIMEOUT_S)
+
+    def _begin(self, effect: TaskEffect) -> None:
+        if self.nursery is not None:
+            self.nursery.start_soon(self._async_call, effect)
+
+    async def _async_carry_out(self, effects: Iterable[TaskEffect]) -> None:
+        async with trio.open_nursery() as nursery:
+            for effect in effects:
+                nursery.start_soon(self._async_call, effect)
+
+    async def _async_call(self, effect: TaskEffect) -> None:
+        """Make the call of one effect; if it fails, a later round finds it undone."""
+        async with self.limiter:
+            outcome = await self._async_ask(effect)
+        match outcome:
+            case Ok(view):
+                # The list may be newer than this answer, so it only fills a gap.
+                self.views.setdefault(view.task, view)
+            case Err(error):
+                extra = {"event": "task_call_failed", "call": type(effect).__name__}
+                _LOGGER.warning("task call: %s", error.detail, extra=extra)
+
+    async def _async_ask(self, effect: TaskEffect) -> Result[TaskView, PlatformError]:
+        match effect:
+            case StartTask():
+                return await self.tasks.async_start(effect.task, _start_request(effect))
+            case StopTask():
+                return await self.tasks.async_stop(effect.task, effect.instance)
+            case CheckpointTask():
+                return await self.tasks.async_checkpoint(effect.task)
+            case ThrottleTask():
+                throttle = ThrottleRequest(cpu_millicores=effect.cpu_millicores)
+                return await self.tasks.async_throttle(effect.task, throttle)
+
+
+def _tasks_of(jobs: dict[str, Job]) -> Iterable[str]:
+    return (task_of(job_id, job) for job_id, job in jobs.items() if job.attempt)
+
+
+def _start_request(effect: StartTask) -> TaskRequest:
+    return TaskRequest(
+        instance=effect.instance,
+        program=effect.program,
+        cpu_millicores=effect.resources.cpu_millicores,
+        memory_mib=effect.resources.memory_mib,
+        accelerators=effect.resources.accelerators,
+        resume_from=effect.resume_from,
+        not_after_ms=effect.not_after_ms,
+    )
--- a/heatherkeel/jobs/models.py
+++ b/heatherkeel/jobs/models.py
@@ -263,6 +263,9 @@
     cpu_millicores: int
 
 
+TaskEffect = StartTask | StopTask | CheckpointTask | ThrottleTask
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobChanged(Effect):
     """A job reached a status; `reason` says why, where there is something to say."""
--- a/heatherkeel/jobs/observing.py
+++ b/heatherkeel/jobs/observing.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from heatherkeel.core.models import Effect, RecordBody
+from heatherkeel.core.models import RecordBody
 from heatherkeel.core.state import FleetState
 from heatherkeel.platform.tasks import ReportedExit, TaskState, TaskView
 
@@ -20,6 +20,7 @@
     Job,
     JobStatus,
     StopTask,
+    TaskEffect,
     task_job,
     task_of,
 )
@@ -66,17 +67,26 @@
     return records
 
 
-def effects_due(state: FleetState, views: Mapping[str, TaskView], placer: str) -> list[Effect]:
+def effects_due(
+    state: FleetState,
+    views: Mapping[str, TaskView],
+    placer: str,
+    *,
+    jobs: Mapping[str, Job] | None = None,
+    now_ms: int = 0,
+) -> list[TaskEffect]:
     """Return the effects that the fold asked for and the platform doesn't show.
 
     The placer's own starts come from the fold at once; here they are repeated by anybody, after
     a short grace. A start that was void by then ends as a proof that the task never ran.
+    `jobs` are those to look at; `now_ms` is the caller's estimate of log time.
     """
-    effects: list[Effect] = []
-    for job_id, job in state.jobs.live.items():
+    now_ms = max(now_ms, state.now_ms)
+    effects: list[TaskEffect] = []
+    for job_id, job in (state.jobs.live if jobs is None else jobs).items():
         if job.status is JobStatus.QUEUED:
             continue
-        effect = _effect_due(state, views.get(task_of(job_id, job)), placer, job_id, job)
+        effect = _effect_due(now_ms, views.get(task_of(job_id, job)), placer, job_id, job)
         if effect is not None:
             effects.append(effect)
     for task, orphan in state.jobs.orphans.items():
@@ -157,9 +167,9 @@
 
 
 def _effect_due(
-    state: FleetState, view: TaskView | None, placer: str, job_id: str, job: Job
-) -> Effect | None:
-    since_ms = state.now_ms - job.changed_ms
+    now_ms: int, view: TaskView | None, placer: str, job_id: str, job: Job
+) -> TaskEffect | None:
+    since_ms = now_ms - job.changed_ms
     running = view is not None and view.state is TaskState.RUNNING
     if job.cancelling and (view is None or running):
         return stop_task(job_id, job)
@@ -174,9 +184,9 @@
     if job.placer != placer and since_ms < START_GRACE_MS:
         return None
     start = start_task(job_id, job)
-    if state.now_ms <= start.not_after_ms:
+    if now_ms <= start.not_after_ms:
         return start
     # Past its window a start would be refused. Stopping it leaves the proof that it never ran;
     # the wait is for views that lag, as a task that did start must not be stopped.
-    waited = state.now_ms > start.not_after_ms + VIEW_LAG_MS
+    waited = now_ms > start.not_after_ms + VIEW_LAG_MS
     return stop_task(job_id, job) if waited else None
--- a/heatherkeel/jobs/placers.py
+++ b/heatherkeel/jobs/placers.py
@@ -7,27 +7,70 @@
 from __future__ import annotations
 
 import hashlib
+from dataclasses import dataclass, field
 
+from heatherkeel.catalogue.models import ServiceClass
 from heatherkeel.core.state import FleetState
 
+from .const import TAKE_OVER_MS
+from .models import Job, JobStatus
 
-def placer_of(state: FleetState, pool: str) -> str:
-    """Return the entry instance that places for a pool, or an empty string if none is there.
+
+@dataclass(kw_only=True)
+class PlacerOrder:
+    """The first two in line for each pool among the entry instances with a lease.
 
     Rendezvous hashing: when an entry instance comes or goes, only its own pools change hands.
+    The order is kept until somebody comes or goes, as hashing all pairs takes long.
     """
-    alive = [
-        instance_id
-        for instance_id, entry in state.membership.entries.items()
-        if entry.lease_until_ms > state.now_ms
-    ]
-    return max(alive, key=lambda instance_id: _weight(instance_id, pool), default="")
-
-
-def pools_of(state: FleetState, instance_id: str) -> frozenset[str]:
-    """Return the pools with live jobs that an entry instance places for."""
-    pools = {job.spec.pool for job in state.jobs.live.values()}
-    return frozenset(pool for pool in pools if placer_of(state, pool) == instance_id)
+
+    alive: frozenset[str] = frozenset()
+    first_two: dict[str, tuple[str, ...]] = field(default_factory=dict)
+
+    def refresh(self, state: FleetState, now_ms: int) -> None:
+        """Take in who has a lease at this log time."""
+        alive = frozenset(
+            instance_id
+            for instance_id, entry in state.membership.entries.items()
+            if entry.lease_until_ms > now_ms
+        )
+        if alive != self.alive:
+            self.alive = alive
+            self.first_two = {}
+
+    def of(self, pool: str) -> tuple[str, ...]:
+        """Return the first two in line for a pool, fewer if there are not as many."""
+        found = self.first_two.get(pool)
+        if found is None:
+            ordered = sorted(self.alive, key=lambda instance_id: _weight(instance_id, pool))
+            found = tuple(ordered[:2])
+            self.first_two[pool] = found
+        return found
+
+    def jobs_in_turn(self, state: FleetState, instance_id: str, now_ms: int) -> dict[str, Job]:
+        """Return the live jobs of the pools that are this entry instance's turn.
+
+        A placer that dies keeps its lease for a while, and urgent work can't wait for its end:
+        the second in line takes over a pool in which an urgent job has waited for long.
+        """
+        self.refresh(state, now_ms)
+        late = {
+            job.spec.pool
+            for job in state.jobs.live.values()
+            if _is_late(job, now_ms) and self.of(job.spec.pool)[1:] == (instance_id,)
+        }
+        return {
+            job_id: job
+            for job_id, job in state.jobs.live.items()
+            if self.of(job.spec.pool)[:1] == (instance_id,) or job.spec.pool in late
+        }
+
+
+def _is_late(job: Job, now_ms: int) -> bool:
+    urgent = job.spec.service_class is ServiceClass.URGENT
+    if not urgent or job.status not in (JobStatus.QUEUED, JobStatus.PLACED):
+        return False
+    return now_ms - max(job.changed_ms, job.not_before_ms) > TAKE_OVER_MS
 
 
 def _weight(instance_id: str, pool: str) -> bytes:
--- a/heatherkeel/jobs/policy.py
+++ b/heatherkeel/jobs/policy.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -22,10 +22,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoundRequest:
-    """What one round may do; `pools` None means all of them."""
+    """What one round may do; `pools` and `jobs` None mean all of them.
+
+    `now_ms` is the placer's estimate of log time. The state's own time stands still while nobody
+    writes, and a job whose retry has become due would wait for the next record.
+    """
 
     placer: str
     pools: frozenset[str] | None = None
+    jobs: Mapping[str, Job] | None = None
+    now_ms: int = 0
     limit: int = MAX_PLACEMENTS_PER_ROUND
 
 
@@ -71,21 +77,27 @@
     )
 
 
+def wanted_jobs(state: FleetState, request: RoundRequest) -> Mapping[str, Job]:
+    """Return the live jobs that a round looks at."""
+    return state.jobs.live if request.jobs is None else request.jobs
+
+
 def due_jobs(state: FleetState, request: RoundRequest, planned: PlacementRound) -> dict[str, Job]:
     """Return the queued jobs that may be placed now, and end those that never can be."""
     queued = [
         (job_id, job)
-        for job_id, job in state.jobs.live.items()
+        for job_id, job in wanted_jobs(state, request).items()
         if job.status is JobStatus.QUEUED
         and (request.pools is None or job.spec.pool in request.pools)
     ]
     if not queued:
         return {}
+    now_ms = max(state.now_ms, request.now_ms)
     shapes = pool_shapes(state, {job.spec.pool for _, job in queued})
     due: dict[str, Job] = {}
     never: list[str] = []
     for job_id, job in queued:
-        if job.not_before_ms > state.now_ms:
+        if job.not_before_ms > now_ms:
             planned.wait("retry_not_due")
         elif why_never(state, shapes, job_id, job):
             never.append(job_id)
--- a/heatherkeel/jobs/preemption.py
+++ b/heatherkeel/jobs/preemption.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from heatherkeel.catalogue.models import ServiceClass
@@ -28,8 +29,8 @@
 class Preemptions:
     """The preemptions of one round; no worker and no victim is used twice."""
 
-    state: FleetState
     rooms: dict[str, PoolRooms]
+    jobs: Mapping[str, Job]
     served: set[str]
     """Jobs for which room is being made already.
 
@@ -86,7 +87,7 @@
         self, pool: PoolRooms, job_id: str, only_team: str
     ) -> list[tuple[Room, list[Victim]]]:
         if self.victims is None:
-            self.victims = find_victims(self.state)
+            self.victims = find_victims(self.jobs)
         found = []
         for instance_id in sorted(self.victims.keys() & pool.by_id.keys()):
             room = pool.by_id[instance_id]
@@ -100,17 +101,19 @@
         return found
 
 
-def start_preemptions(state: FleetState, rooms: dict[str, PoolRooms]) -> Preemptions:
+def start_preemptions(
+    state: FleetState, rooms: dict[str, PoolRooms], jobs: Mapping[str, Job]
+) -> Preemptions:
     """Return the preemptions of a new round."""
     holds = state.jobs.holds.values()
     served = {hold.job for hold in holds if hold.until_ms > state.now_ms}
-    return Preemptions(state=state, rooms=rooms, served=served)
+    return Preemptions(rooms=rooms, jobs=jobs, served=served)
 
 
-def find_victims(state: FleetState) -> dict[str, list[Victim]]:
+def find_victims(jobs: Mapping[str, Job]) -> dict[str, list[Victim]]:
     """Return the running batch jobs that can be checkpointed, by worker."""
     victims: dict[str, list[Victim]] = {}
-    for job_id, job in state.jobs.live.items():
+    for job_id, job in jobs.items():
         if not _is_victim(job) or job.reserved is None:
             continue
         victim = Victim(
--- a/heatherkeel/platform/client.py
+++ b/heatherkeel/platform/client.py
@@ -44,27 +44,27 @@
     ) -> Result[Appended, PlatformError]:
         """Append records in order; an UNKNOWN failure may have taken effect."""
         body = _ENCODER.encode(AppendRequest(records=records))
-        return await self._async_call("POST", f"/streams/{stream}/records", Appended, body)
+        return await self.async_call("POST", f"/streams/{stream}/records", Appended, body)
 
     async def async_read(
         self, stream: str, *, offset: int, max_records: int, wait_ms: int
     ) -> Result[ReadAnswer, PlatformError]:
         """Read from an offset on, waiting up to `wait_ms` for the first record."""
         path = f"/streams/{stream}/records?from={offset}&max={max_records}&wait_ms={wait_ms}"
-        return await self._async_call("GET", path, ReadAnswer, wait_s=wait_ms / 1000)
+        return await self.async_call("GET", path, ReadAnswer, wait_s=wait_ms / 1000)
 
     async def async_list_instances(self) -> Result[InstanceList, PlatformError]:
         """Read the platform's list of instances."""
-        return await self._async_call("GET", "/instances", InstanceList)
+        return await self.async_call("GET", "/instances", InstanceList)
 
     async def async_operate(
         self, instance: str, *, operation_id: str, request: OperationRequest
     ) -> Result[OperationStatus, PlatformError]:
         """Ask for an operation, or how far it is; a repeat under the same id has no effect."""
         path = f"/instances/{instance}/operations/{operation_id}"
-        return await self._async_call("PUT", path, OperationStatus, _ENCODER.encode(request))
+        return await self.async_call("PUT", path, OperationStatus, _ENCODER.encode(request))
 
-    async def _async_call(
+    async def async_call(
         self,
         method: str,
         path: str,
@@ -72,6 +72,7 @@
         body: bytes | None = None,
         wait_s: float = 0.0,
     ) -> Result[ModelT, PlatformError]:
+        """Make one call, and decode the answer as a model."""
         try:
             with trio.fail_after(self.timeout_s + wait_s):
                 response = await self.pool.request(
--- /dev/null
+++ b/heatherkeel/platform/task_client.py
@@ -0,0 +1,54 @@
+"""Calls to the platform's task interface; none is ever repeated here."""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+import msgspec
+from result import Result
+
+from .client import PlatformClient
+from .errors import PlatformError
+from .tasks import StopRequest, TaskList, TaskRequest, TaskView, ThrottleRequest
+
+_ENCODER = msgspec.json.Encoder()
+
+
+class TaskClient:
+    """One process's way to the tasks on the platform's workers."""
+
+    def __init__(self, *, client: PlatformClient) -> None:
+        self.client = client
+
+    async def async_list(self, *, after: int) -> Result[TaskList, PlatformError]:
+        """Read the tasks that changed after a point; 0 reads all."""
+        return await self.client.async_call("GET", f"/tasks?after={after}", TaskList)
+
+    async def async_start(self, task: str, request: TaskRequest) -> Result[TaskView, PlatformError]:
+        """Start a task; a repeat under the same id starts nothing."""
+        return await self._async_send("PUT", _path(task), request)
+
+    async def async_stop(self, task: str, instance: str) -> Result[TaskView, PlatformError]:
+        """Stop a task; one that never started is void from then on."""
+        return await self._async_send("POST", _path(task, "stop"), StopRequest(instance=instance))
+
+    async def async_checkpoint(self, task: str) -> Result[TaskView, PlatformError]:
+        """Begin a checkpoint that the task stops at."""
+        return await self._async_send("POST", _path(task, "checkpoint"), None)
+
+    async def async_throttle(
+        self, task: str, request: ThrottleRequest
+    ) -> Result[TaskView, PlatformError]:
+        """Hold a task to a share of a core."""
+        return await self._async_send("POST", _path(task, "throttle"), request)
+
+    async def _async_send(
+        self, method: str, path: str, body: msgspec.Struct | None
+    ) -> Result[TaskView, PlatformError]:
+        encoded = b"" if body is None else _ENCODER.encode(body)
+        return await self.client.async_call(method, path, TaskView, encoded)
+
+
+def _path(task: str, action: str = "") -> str:
+    suffix = f"/{action}" if action else ""
+    return f"/tasks/{quote(task, safe=':')}{suffix}"
--- a/heatherkeel/platform/tasks.py
+++ b/heatherkeel/platform/tasks.py
@@ -75,3 +75,9 @@
     """Hold a task to this many thousandths of a core."""
 
     cpu_millicores: int
+
+
+class StopRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Stop a task; the worker is named in case the platform never heard of the task."""
+
+    instance: str
--- a/heatherkeel/standins/platform.py
+++ b/heatherkeel/standins/platform.py
@@ -31,6 +31,7 @@
 
 from .models import PlatformFaults
 from .operations import Operations, async_tell_target
+from .task_routes import TaskRoutes
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
@@ -67,6 +68,7 @@
         self.faults = PlatformFaults()
         self.appends = 0
         self.last_ms = 0
+        self.tasks = TaskRoutes(now_ms=self.now_ms)
 
     def start(self, nursery: trio.Nursery) -> None:
         """Say where work goes on in the background."""
@@ -110,6 +112,8 @@
                 await self._async_operate(request, send, instance, operation_id)
             case ("GET", ["instances", _, "operations", operation_id]):
                 await self._async_show_operation(send, operation_id)
+            case (_, ["tasks", *parts]):
+                await self.tasks.async_route(request, send, parts)
             case _:
                 await async_respond(send, status=404)
 
@@ -216,6 +220,9 @@
             body = (await request.async_body(limit_bytes=MAX_BODY_BYTES)).unwrap()
             self.faults = msgspec.json.decode(body, type=PlatformFaults)
             return await async_respond_json(send, self.faults)
+        if request.path.startswith("/standin/tasks/"):
+            parts = request.path.split("/")[3:]
+            return await self.tasks.async_control(request, send, parts)
         if request.path == "/standin/counts":
             counts = {"appends": self.appends, "operations": self.operations.count()}
             return await async_respond_json(send, counts)
--- a/heatherkeel/standins/tasks.py
+++ b/heatherkeel/standins/tasks.py
@@ -43,6 +43,8 @@
     """Starts are lost on their way, and no answer comes."""
     lease_ms: int = 2_000
     usage_lag_ms: int = 0
+    list_stands_still: bool = False
+    """The list of tasks shows nothing new."""
     checkpoint_ms: int = 100
     forget_voids: bool = False
     """Start tasks that were stopped before they started: breaks what we rely on."""
@@ -122,6 +124,8 @@
 
     def changed_since(self, count: int) -> TaskList:
         """Return the tasks that changed after a count of changes."""
+        if self.faults.list_stands_still:
+            return TaskList(upto=count, tasks=[])
         changed = [task.view for task in self.tasks.values() if task.changed > count]
         return TaskList(upto=self.changes, tasks=changed)
 
--- a/tests/jobs/test_policy.py
+++ b/tests/jobs/test_policy.py
@@ -8,14 +8,14 @@
 from heatherkeel.core.models import Rejected, RejectReason
 from heatherkeel.jobs.draining import plan_drains, tasks_left
 from heatherkeel.jobs.models import JobStatus
-from heatherkeel.jobs.placers import placer_of
+from heatherkeel.jobs.placers import PlacerOrder
 from heatherkeel.jobs.policies import POLICIES
 from heatherkeel.jobs.policy import PlacementRound, RoundRequest
 from heatherkeel.jobs.records import JobCheckpoint, JobPlace, JobUnplaceable, TaskCheckpointed
 from heatherkeel.membership.models import EntryJoin
 from heatherkeel.waves.models import MoveJoin
 
-from .conftest import TEAM, Fleet, put, spec_of
+from .conftest import POOL, TEAM, Fleet, put, spec_of
 
 URGENT = ServiceClass.URGENT
 
@@ -160,10 +160,34 @@
                 lease_ms=10_000,
             )
         )
+    order = PlacerOrder()
+    order.refresh(fleet.state, fleet.now_ms)
     pools = [f"pool{number}" for number in range(50)]
-    before = {pool: placer_of(fleet.state, pool) for pool in pools}
+    before = {pool: order.of(pool)[0] for pool in pools}
     assert len(set(before.values())) == 3
     fleet.state.membership.entries["entry2"].lease_until_ms = 0
-    after = {pool: placer_of(fleet.state, pool) for pool in pools}
+    order.refresh(fleet.state, fleet.now_ms)
+    after = {pool: order.of(pool)[0] for pool in pools}
     assert all(after[pool] == before[pool] for pool in pools if before[pool] != "entry2")
     assert "entry2" not in after.values()
+
+
+def test_the_second_in_line_takes_over_for_an_urgent_job(fleet: Fleet) -> None:
+    # The placer dies with its lease still good. Until it lapses nobody would place for its
+    # pools, and an urgent job has to start within seconds.
+    for name in ("entry1", "entry2"):
+        fleet.accept(
+            EntryJoin(
+                instance=name, incarnation=name, zone="zone0", peer_address="", lease_ms=15_000
+            )
+        )
+    fleet.submit("sheetal:night")
+    order = PlacerOrder()
+    order.refresh(fleet.state, fleet.now_ms)
+    _, second = order.of(POOL)
+    later_ms = fleet.now_ms + 1_001
+    assert order.jobs_in_turn(fleet.state, second, later_ms) == {}
+    fleet.submit("sheetal:now", spec_of(service_class=URGENT))
+    assert order.jobs_in_turn(fleet.state, second, fleet.now_ms) == {}
+    taken = order.jobs_in_turn(fleet.state, second, later_ms)
+    assert taken.keys() == {"sheetal:night", "sheetal:now"}
