--- a/tests/processes/test_edits_under_failure.py
+++ b/tests/processes/test_edits_under_failure.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+from base64 import b64decode
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, Final
 
 import httpcore
 
 from .harness import TOKEN, Fleet, Process, call, call_json, wait_for
+from .test_admin_port import append_raw
 
 POOL: Final = {"kind": "pool", "owner": "sheetal", "size": 3}
 KEY: Final = "shift-change"
@@ -55,13 +57,15 @@
 
 
 def test_an_append_whose_answer_is_lost_is_accepted_once(fleet: Fleet) -> None:
-    # The append took effect, its answer never came. The edit is read back and accepted; the
-    # writer appends the record again, and the second copy changes nothing at any reader.
+    # The append took effect, its answer never came. The edit is read back and accepted. Then a
+    # second copy of the record comes into the log, as from a writer that was paused before it
+    # read the first one back. The copy changes nothing at any reader, not even what is told.
     fleet.start_platform()
     entries = [fleet.start_entry(f"e-{zone}", zone=zone) for zone in "ab"]
     fleet.set_faults("platform", lose_append_answers=1)
     accepted = put(entries[0], 5, idempotency_key=KEY)
     assert accepted.status == 200, accepted.content
+    fleet.wait_in_force(entries, append_raw(fleet, _record_bytes(fleet)))
     again = put(entries[1], 5, idempotency_key=KEY)
     assert json.loads(again.content) == json.loads(accepted.content)
     changed = put(entries[1], 6, if_match='"1"')
@@ -72,6 +76,15 @@
         assert header(read, b"etag") == b'"2"'
 
 
+def _record_bytes(fleet: Fleet) -> bytes:
+    """Return the edit's record as it stands in the platform's stream, once."""
+    platform = fleet.processes["platform"]
+    read = call_json("GET", platform.http, "/streams/fleet/records?from=0&max=512")
+    records = [b64decode(data) for _, _, data in read["records"]]
+    [record] = [data for data in records if KEY.encode() in data]
+    return record
+
+
 def test_a_platform_that_refuses_has_accepted_nothing(fleet: Fleet) -> None:
     # The platform answers every append with an error. The operator is told at once that the
     # edit was not accepted, and it never comes into force later.
@@ -96,7 +109,8 @@
     # whether the append took effect, and says so. The operator repeats the edit under its key
     # through another entry instance; after the cut the first one knows the outcome too.
     fleet.start_platform()
-    fast = "[admin]\nwrite_timeout_ms = 1500\n"
+    # Longer than an append that is on its way when the cut begins, so that the edit is sent.
+    fast = "[admin]\nwrite_timeout_ms = 5000\n"
     cut, other = (fleet.start_entry(f"e-{zone}", zone=zone, extra=fast) for zone in "ab")
     fleet.set_faults("platform", cut_instances=["e-a"])
     unknown = put(cut, 5, idempotency_key=KEY)
