--- a/heatherkeel/cli/main.py
+++ b/heatherkeel/cli/main.py
@@ -11,6 +11,7 @@
     catalogue,  # noqa: F401
     check,  # noqa: F401
     entry,  # noqa: F401
+    job,  # noqa: F401
     load,  # noqa: F401
     standin,  # noqa: F401
     version,  # noqa: F401
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -11,6 +11,7 @@
 from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
+from heatherkeel.jobs.duty import JobsDuty
 from heatherkeel.membership.const import HEARTBEAT_INTERVAL_MS
 from heatherkeel.membership.links import PeerLinks
 from heatherkeel.monitoring.app import MonitoringApp, TimedApp
@@ -74,6 +75,7 @@
         await starting.done.wait()
         duties = Duties(node=self.node, peer_address=self.links.address)
         duties.start()
+        JobsDuty(node=self.node).start(nursery)
         self._subscribe_timers()
         self.node.timers.start(nursery)
         # A drain waits for the entry instances that the fold knows when it starts. Callers that
--- a/heatherkeel/jobs/draining.py
+++ b/heatherkeel/jobs/draining.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from heatherkeel.core.state import FleetState
-from heatherkeel.pools.models import InstanceStatus
 
 from .const import DRAIN_PATIENCE_MS
 from .learning import expected_run_time_s
-from .models import HOLDING, Job, JobStatus
+from .models import HOLDING, LEAVING, Job, JobStatus
 from .records import CheckpointCause, JobCheckpoint
 
 _MS_PER_S = 1_000
@@ -32,8 +32,8 @@
     waits: list[DrainWait] = field(default_factory=list)
 
 
-def plan_drains(state: FleetState) -> DrainPlan:
-    """Plan for all draining workers.
+def plan_drains(state: FleetState, jobs: Mapping[str, Job] | None = None) -> DrainPlan:
+    """Plan for the jobs on draining workers, or for some of them.
 
     A job that is about to end is waited for: moving it would cost more than it has left to do.
     """
@@ -41,11 +41,11 @@
     draining = {
         instance_id
         for instance_id, instance in state.pools.instances.items()
-        if instance.status is InstanceStatus.DRAINING and instance_id in state.jobs.loads
+        if instance.status in LEAVING and instance_id in state.jobs.loads
     }
     if not draining:
         return plan
-    for job_id, job in state.jobs.live.items():
+    for job_id, job in (state.jobs.live if jobs is None else jobs).items():
         if job.instance not in draining or job.reserved is None:
             continue
         reason = _why_wait(state, job_id, job)
