--- a/heatherkeel/cli/main.py
+++ b/heatherkeel/cli/main.py
@@ -7,6 +7,8 @@
 
 from absl import flags
 
+from heatherkeel.helpers.groups import find_system_error
+
 from . import (
     catalogue,  # noqa: F401
     check,  # noqa: F401
@@ -68,20 +70,12 @@
         return found.run(values, args)
     except BrokenPipeError:
         raise
-    except OSError as err:
-        return _fail(found, err)
-    except BaseExceptionGroup as group:
-        # The loop wraps what its tasks raise; anything but system errors is a broken invariant
-        # and keeps its traceback.
-        errors, others = group.split(OSError)
-        if errors is None or others is not None:
+    except (OSError, BaseExceptionGroup) as err:
+        error = find_system_error(err)
+        if error is None:
+            # A broken invariant keeps its traceback.
             raise
-        return _fail(found, _first(errors))
-
-
-def _first(group: BaseExceptionGroup[OSError]) -> OSError:
-    first = group.exceptions[0]
-    return _first(first) if isinstance(first, BaseExceptionGroup) else first
+        return _fail(found, error)
 
 
 def _fail(found: Command, error: OSError) -> int:
--- a/heatherkeel/helpers/server.py
+++ b/heatherkeel/helpers/server.py
@@ -10,6 +10,7 @@
 from hypercorn.trio import serve
 
 from .asgi import App, Message, Receive, Send, async_respond_problem
+from .groups import find_system_error
 
 MAX_HEADER_BYTES: Final = 16 * 1024
 """Largest path with headers; a longer one is answered with 431."""
@@ -48,8 +49,14 @@
         self.stopped = trio.Event()
 
     async def start(self, nursery: trio.Nursery) -> str:
-        """Open the port and return its address as `host:port`."""
-        urls = await nursery.start(self._async_serve)
+        """Open the port and return its address as `host:port`; `OSError` names the address."""
+        try:
+            urls = await nursery.start(self._async_serve)
+        except (OSError, BaseExceptionGroup) as err:
+            error = find_system_error(err)
+            if error is None:
+                raise
+            raise OSError(error.errno, f"{error.strerror}: {self.address}") from err
         self.started = True
         self.address = str(urls[0]).split("//", 1)[1]
         return self.address
--- a/heatherkeel/monitoring/gauges.py
+++ b/heatherkeel/monitoring/gauges.py
@@ -1,4 +1,4 @@
-"""Gauges of an entry process, worked out from its state when they are scraped."""
+"""What is read from an entry process's state when it is scraped."""
 
 from __future__ import annotations
 
@@ -6,13 +6,14 @@
 from collections.abc import Callable, Iterator
 from enum import StrEnum
 
-from prometheus_client.core import GaugeMetricFamily, Metric
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
 from heatherkeel.core.node import NodeState
 from heatherkeel.core.state import FleetState
 from heatherkeel.entry.node import Node
 from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.membership.local import PeersState
 from heatherkeel.pools.models import Instance, InstanceStatus
 
 from .readiness import Readiness
@@ -81,6 +82,7 @@
         yield _gauge("ready", "1 if ready.", not self.readiness.find_reasons())
         yield _gauge("requests_in_progress", "Requests of callers.", self.in_progress())
         yield self._targets()
+        yield from _peer_counters(self.node.state.local.peers)
 
     def _targets(self) -> GaugeMetricFamily:
         family = GaugeMetricFamily("heatherkeel_targets", "Targets by state.", labels=["state"])
@@ -89,5 +91,17 @@
         return family
 
 
+def _peer_counters(peers: PeersState) -> Iterator[Metric]:
+    yield _counter(
+        "peer_messages_undecodable", "Peer messages that don't decode.", peers.undecodable
+    )
+    yield _counter("peer_connections_replaced", "Silent connections to peers.", peers.replaced)
+    yield _counter("relayed_records", "Records that came from a peer.", peers.relayed)
+
+
+def _counter(name: str, text: str, value: int) -> CounterMetricFamily:
+    return CounterMetricFamily(f"heatherkeel_{name}", text, value=float(value))
+
+
 def _gauge(name: str, text: str, value: float) -> GaugeMetricFamily:
     return GaugeMetricFamily(f"heatherkeel_{name}", text, value=float(value))
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -96,7 +96,7 @@
         argv = [sys.executable, "-m", "heatherkeel", "standin", "platform", bind]
         done = subprocess.run(argv, capture_output=True, text=True)
     assert done.returncode == 1 and done.stderr.count("\n") == 1
-    assert "ddress already in use" in done.stderr
+    assert "ddress already in use" in done.stderr and bind.removeprefix("--bind=") in done.stderr
 
 
 def test_a_reader_that_leaves_early_gets_no_traceback() -> None:
--- a/tests/docs/test_operate.py
+++ b/tests/docs/test_operate.py
@@ -11,13 +11,18 @@
 import msgspec
 from prometheus_client.parser import text_string_to_metric_families
 
+from heatherkeel.entry.node import Node
 from heatherkeel.helpers.faults import fields_by_key, is_struct, split_hint
 from heatherkeel.helpers.metrics import Metrics
-from heatherkeel.monitoring.gauges import TargetState
-from heatherkeel.monitoring.readiness import NotReadyReason
+from heatherkeel.monitoring.gauges import NodeGauges, TargetState
+from heatherkeel.monitoring.readiness import NotReadyReason, Readiness
 from heatherkeel.settings.models import EntrySettings
 
 OPERATE: Final = Path(__file__).parents[2] / "docs" / "operate"
+SMALLEST: Final = {
+    "instance": {"id": "e-a", "zone": "a", "zones": ["a"]},
+    "platform": {"address": "127.0.0.1:1"},
+}
 UNITS: Final = ("_ms", "_s", "_bytes", "_records", "_mib")
 
 
@@ -30,7 +35,8 @@
         elif get_origin(bare) is dict:
             yield from leaves(get_args(bare)[1], f"{path}{key}.NAME.")
         else:
-            yield f"{path}{key}", bare, field.default
+            made = field.default_factory
+            yield f"{path}{key}", bare, field.default if made is msgspec.NODEFAULT else made()
 
 
 def test_the_settings_page_has_every_key_with_its_default() -> None:
@@ -45,9 +51,16 @@
         assert bare is not int or path.endswith(UNITS), path
 
 
+def idle_gauges() -> NodeGauges:
+    node = Node(settings=msgspec.convert(SMALLEST, EntrySettings))
+    return NodeGauges(node=node, readiness=Readiness(node=node), in_progress=lambda: 0)
+
+
 def test_the_metrics_page_has_every_metric_and_state() -> None:
     page = (OPERATE / "logs-and-metrics.md").read_text(encoding="utf-8")
-    families = text_string_to_metric_families(Metrics().render().decode())
+    metrics = Metrics()
+    metrics.register([idle_gauges()])
+    families = text_string_to_metric_families(metrics.render().decode())
     ours = [family for family in families if family.name.startswith("heatherkeel_")]
     names = [f"{item.name}_total" if item.type == "counter" else item.name for item in ours]
     assert len(names) > 5
