--- a/heatherkeel/admin/edits.py
+++ b/heatherkeel/admin/edits.py
@@ -76,14 +76,15 @@
         record_id=record_id,
         lifetime_ms=EDIT_LIFETIME_MS,
     )
+    # The record can have been decided although its author could not hear of it.
+    if record_id in node.state.fleet.outcomes:
+        return _tell_remembered(call, body, record_id)
     match written:
+        case Ok(settled):
+            return _tell_settled(settled)
         case Err(failure):
             repeated = "idempotency-key" in call.request.headers
             return Err(_tell_failure(failure, record_id, key, repeated=repeated))
-        case Ok(settled) if record_id in node.state.fleet.outcomes:
-            return _tell_remembered(call, body, record_id)
-        case Ok(settled):
-            return _tell_settled(settled)
 
 
 def _tell_remembered(call: Call, body: RecordBody, record_id: str) -> Reply:
--- a/heatherkeel/catalogue/checks.py
+++ b/heatherkeel/catalogue/checks.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterator
 
-from heatherkeel.core.models import Violation
-from heatherkeel.core.registry import checks
+from heatherkeel.core.models import Effect, Violation
+from heatherkeel.core.registry import checks, checks_step
 from heatherkeel.core.state import FleetState
 
 from .rules import find_faults
@@ -33,3 +33,28 @@
             yield Violation(
                 promise="catalogue_rules", offset=stored.offset, where=name, detail=str(fault)
             )
+
+
+@checks_step("catalogue_never_reverts")
+def check_never_reverts(
+    before: FleetState, effects: list[Effect], after: FleetState
+) -> Iterator[Violation]:
+    """Find versions that fell, and entries that changed without a new version."""
+    for name, version in before.catalogue.versions.items():
+        newest = after.catalogue.versions.get(name, 0)
+        unchanged = before.catalogue.entries.get(name) == after.catalogue.entries.get(name)
+        if newest < version or (newest == version and not unchanged):
+            yield Violation(
+                promise="catalogue_never_reverts",
+                offset=after.next_offset - 1,
+                where=name,
+                detail=f"version {version}, then {newest}, entry unchanged: {unchanged}",
+            )
+    for record_id, outcome in before.outcomes.items():
+        if after.outcomes.get(record_id, outcome) != outcome:
+            yield Violation(
+                promise="catalogue_never_reverts",
+                offset=after.next_offset - 1,
+                where=record_id,
+                detail="the outcome of a decided record changed",
+            )
