--- a/heatherkeel/entry/duties_acknowledge.py
+++ b/heatherkeel/entry/duties_acknowledge.py
@@ -7,6 +7,8 @@
 from result import Err
 
 from heatherkeel.core.node import NodeState
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.membership.sponsor import are_newcomers_quiet
 from heatherkeel.waves.models import AckedDrain, DrainAck
 
 from .const import MAX_ACKNOWLEDGED_AT_ONCE, WRITE_TIMEOUT_S
@@ -23,7 +25,7 @@
 
     async def async_acknowledge(self) -> None:
         """Acknowledge in one record all drains that wait for this process without need."""
-        quiet = find_quiet_drains(self.node.state)
+        quiet = find_quiet_drains(self.node.state, monotonic_ms())
         if not quiet:
             return
         body = DrainAck(
@@ -38,7 +40,7 @@
             )
 
 
-def find_quiet_drains(node: NodeState) -> list[AckedDrain]:
+def find_quiet_drains(node: NodeState, now_ms: int) -> list[AckedDrain]:
     """Return the drains that wait for this process although it has nothing in progress.
 
     An acknowledgement that comes early lets a target be stopped under a request, and its caller
@@ -55,6 +57,8 @@
     for instance_id, drain in sorted(node.fleet.waves.drains.items()):
         if node.local.incarnation not in drain.waiting:
             continue
+        if not are_newcomers_quiet(node, drain.id, now_ms):
+            continue
         view = routing.targets.get(instance_id)
         if view is None or view.in_progress == 0:
             quiet.append(AckedDrain(instance=instance_id, drain=drain.id))
