Count what the administration API refuses, by reason

Reasons of the API are an enum (admin/reasons.py) in place of bare strings, and each labels a counter, heatherkeel_admin_refusals_total; what the fold refuses is counted there as by_fold.

--- a/heatherkeel/admin/access.py
+++ b/heatherkeel/admin/access.py
@@ -13,6 +13,7 @@
 from heatherkeel.settings.models import TeamSettings
 
 from .models import Access, Problem
+from .reasons import ApiRefusal
 
 _SCHEME: Final = "bearer"
 
@@ -64,7 +65,7 @@
     )
     return Problem(
         status=401,
-        kind="unauthorized",
+        kind=ApiRefusal.UNAUTHORIZED,
         title="A team's token is needed",
         detail=detail,
         headers={"www-authenticate": "Bearer"},
--- a/heatherkeel/admin/app.py
+++ b/heatherkeel/admin/app.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from result import Err, Ok
 
 from heatherkeel.entry.node import Node
@@ -22,14 +24,18 @@
 from .access import AccessControl
 from .const import RETRY_AFTER_S
 from .models import Access, Answer, Call, Problem, Reply
+from .reasons import ApiRefusal
 from .routes import Match, Route, find_routes
 
 
 class AdminApp:
     """Finds the handler of a request, lets the caller in, and sends the reply."""
 
-    def __init__(self, *, node: Node) -> None:
+    def __init__(
+        self, *, node: Node, on_refusal: Callable[[ApiRefusal], None] = lambda refusal: None
+    ) -> None:
         self.node = node
+        self.on_refusal = on_refusal
         self.access = AccessControl(teams=node.settings.teams, bind=node.settings.admin.bind)
 
     async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
@@ -43,12 +49,15 @@
             reply = await self._async_reply(request)
         except ClientGoneError:
             return None
+        if isinstance(reply, Err):
+            kind = reply.err_value.kind
+            self.on_refusal(kind if isinstance(kind, ApiRefusal) else ApiRefusal.BY_FOLD)
         return await _async_send(send, reply)
 
     async def _async_reply(self, request: Request) -> Reply:
         match = find_routes(request.path)
         if match is None:
-            return Err(Problem(status=404, kind="no_such_path", title="No such path"))
+            return Err(Problem(status=404, kind=ApiRefusal.NO_SUCH_PATH, title="No such path"))
         # The server leaves out the body of an answer to HEAD.
         method = "GET" if request.method == "HEAD" else request.method
         route = match.routes.get(method)
@@ -70,7 +79,7 @@
     allowed = sorted({*match.routes, "HEAD"} if "GET" in match.routes else match.routes)
     return Problem(
         status=405,
-        kind="wrong_method",
+        kind=ApiRefusal.WRONG_METHOD,
         title="The path has no such method",
         detail=f"allowed: {', '.join(allowed)}",
         headers={"allow": ", ".join(allowed)},
@@ -81,7 +90,7 @@
     """Say so while the log was never read to its end: a 404 here would be a guess."""
     return Problem(
         status=503,
-        kind="not_ready",
+        kind=ApiRefusal.NOT_READY,
         title="No configuration is in force here yet",
         detail="Nothing was accepted: this entry instance has not read the log to its end.",
         headers={"retry-after": str(RETRY_AFTER_S)},
--- a/heatherkeel/admin/bodies.py
+++ b/heatherkeel/admin/bodies.py
@@ -15,6 +15,7 @@
 
 from .const import BODY_TIMEOUT_S, MAX_BODY_BYTES
 from .models import FieldFault, Problem
+from .reasons import ApiRefusal
 
 ENTRY: Final = "entry"
 """Begins the path of every field of an entry."""
@@ -53,7 +54,7 @@
     """Return the problem that names the faults of an entry."""
     return Problem(
         status=422,
-        kind="invalid",
+        kind=ApiRefusal.INVALID,
         title="The entry is not valid",
         detail="\n".join(f"{fault.field}: {fault.reason}" for fault in faults),
         faults=tuple(faults),
@@ -85,7 +86,7 @@
 def _wrong_type() -> Problem:
     return Problem(
         status=415,
-        kind="wrong_content_type",
+        kind=ApiRefusal.WRONG_CONTENT_TYPE,
         title="An entry is sent as JSON",
         detail=f"content-type: expected {JSON_TYPE}",
     )
@@ -94,7 +95,7 @@
 def _too_slow() -> Problem:
     return Problem(
         status=408,
-        kind="body_too_slow",
+        kind=ApiRefusal.BODY_TOO_SLOW,
         title="The entry did not come in time",
         detail=f"entry: waited {BODY_TIMEOUT_S:g} s; nothing was accepted",
         headers={"connection": "close"},
@@ -104,7 +105,7 @@
 def _too_large(limit_bytes: int) -> Problem:
     return Problem(
         status=413,
-        kind="body_too_large",
+        kind=ApiRefusal.BODY_TOO_LARGE,
         title="The entry is too large",
         detail=f"entry: at most {limit_bytes} bytes are read",
         extra={"limit_bytes": limit_bytes},
--- a/heatherkeel/admin/catalogue.py
+++ b/heatherkeel/admin/catalogue.py
@@ -17,6 +17,7 @@
 from .edits import async_submit, record_id_of
 from .models import Access, Answer, Call, FieldFault, Problem, Reply
 from .preconditions import expected_version, format_etag, idempotency_key, parse_etag
+from .reasons import ApiRefusal
 from .routes import route
 
 _NAME: Final = re.compile(NAME_PATTERN)
@@ -166,7 +167,9 @@
 
 
 def _not_found(field: str, detail: str) -> Problem:
-    return Problem(status=404, kind="not_found", title="Not found", detail=f"{field}: {detail}")
+    return Problem(
+        status=404, kind=ApiRefusal.NOT_FOUND, title="Not found", detail=f"{field}: {detail}"
+    )
 
 
 def _bad_name() -> Problem:
@@ -176,7 +179,7 @@
     )
     return Problem(
         status=422,
-        kind="invalid",
+        kind=ApiRefusal.INVALID,
         title="The name is not valid",
         detail=f"name: {reason}",
         faults=(FieldFault(field="name", reason=reason),),
--- a/heatherkeel/admin/edits.py
+++ b/heatherkeel/admin/edits.py
@@ -27,6 +27,7 @@
 )
 from .models import Answer, Call, FieldFault, Problem, Reply
 from .preconditions import format_etag
+from .reasons import ApiRefusal
 
 STATUS_OF_REASON: Final = {
     RejectReason.STALE_VERSION: 412,
@@ -157,7 +158,9 @@
 def _tell_failure(failure: WriteFailure, record_id: str, key: str, *, repeated: bool) -> Problem:
     if failure is WriteFailure.TOO_LARGE:
         title = "The entry is too large"
-        return Problem(status=413, kind=failure, title=title, detail="entry: was not accepted")
+        return Problem(
+            status=413, kind=ApiRefusal.TOO_LARGE, title=title, detail="entry: was not accepted"
+        )
     if failure is WriteFailure.UNKNOWN:
         return _may_have_been_accepted(record_id, key)
     return _not_accepted(failure, record_id, repeated=repeated)
@@ -177,7 +180,7 @@
         )
     return Problem(
         status=503,
-        kind=failure,
+        kind=ApiRefusal(failure.value),
         title="The edit was not accepted",
         detail=detail,
         headers={"retry-after": str(RETRY_AFTER_S), RECORD_HEADER: record_id},
@@ -193,7 +196,7 @@
     )
     return Problem(
         status=503,
-        kind=WriteFailure.UNKNOWN,
+        kind=ApiRefusal.UNKNOWN,
         title="The edit may have been accepted",
         detail=detail,
         headers={"retry-after": str(RETRY_AFTER_S), RECORD_HEADER: record_id},
@@ -204,7 +207,7 @@
 def _in_progress(record_id: str) -> Problem:
     return Problem(
         status=409,
-        kind="in_progress",
+        kind=ApiRefusal.IN_PROGRESS,
         title="The same edit is in progress",
         detail="idempotency-key: an edit under this key waits for the log",
         headers={"retry-after": str(IN_PROGRESS_RETRY_AFTER_S), RECORD_HEADER: record_id},
@@ -216,7 +219,7 @@
     detail = "idempotency-key: another edit came under this key; this one was not accepted"
     return Problem(
         status=422,
-        kind="idempotency_key_reused",
+        kind=ApiRefusal.IDEMPOTENCY_KEY_REUSED,
         title="The key belongs to another edit",
         detail=detail,
         faults=tuple(_split_faults(detail)),
--- a/heatherkeel/admin/models.py
+++ b/heatherkeel/admin/models.py
@@ -9,9 +9,12 @@
 
 from result import Result
 
+from heatherkeel.core.models import RejectReason
 from heatherkeel.entry.node import Node
 from heatherkeel.helpers.asgi import Request
 
+from .reasons import ApiRefusal
+
 
 class Access(StrEnum):
     """What a caller must show."""
@@ -55,7 +58,7 @@
     """An error as the caller sees it (RFC 9457); `kind` names its type."""
 
     status: int
-    kind: str
+    kind: ApiRefusal | RejectReason
     title: str
     detail: str = ""
     faults: tuple[FieldFault, ...] = ()
--- a/heatherkeel/admin/preconditions.py
+++ b/heatherkeel/admin/preconditions.py
@@ -12,6 +12,7 @@
 
 from .const import IDEMPOTENCY_KEY_PATTERN
 from .models import FieldFault, Problem
+from .reasons import ApiRefusal
 
 MAX_VERSION: Final = 1_000_000
 _ETAG: Final = re.compile(r'"([1-9][0-9]{0,6})"')
@@ -63,7 +64,7 @@
 def _bad_header(name: str, reason: str) -> Problem:
     return Problem(
         status=400,
-        kind="bad_header",
+        kind=ApiRefusal.BAD_HEADER,
         title="A header can't be read",
         detail=f"{name}: {reason}",
         faults=(FieldFault(field=name, reason=reason),),
@@ -73,7 +74,7 @@
 def _missing_precondition(in_force: int) -> Problem:
     return Problem(
         status=428,
-        kind="precondition_required",
+        kind=ApiRefusal.PRECONDITION_REQUIRED,
         title="Say which version this edit replaces",
         detail=f"if-match: missing; the version in force is {format_etag(in_force)}",
         headers={"etag": format_etag(in_force)},
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -49,7 +49,9 @@
         timed = TimedApp(inner=self.front, metrics=self.metrics)
         self.http = HttpServer(app=timed, bind=settings.http.bind)
         pages = MonitoringApp(
-            inner=AdminApp(node=self.node), metrics=self.metrics, readiness=self.readiness
+            inner=AdminApp(node=self.node, on_refusal=self.metrics.count_admin_refusal),
+            metrics=self.metrics,
+            readiness=self.readiness,
         )
         self.admin = HttpServer(
             app=pages,
--- a/heatherkeel/helpers/metrics.py
+++ b/heatherkeel/helpers/metrics.py
@@ -16,6 +16,7 @@
 from prometheus_client.process_collector import ProcessCollector
 from prometheus_client.registry import Collector
 
+from heatherkeel.admin.reasons import ApiRefusal
 from heatherkeel.core.models import RejectReason
 from heatherkeel.monitoring.const import LATENCY_BUCKETS_S
 from heatherkeel.requests.reasons import NoRetryReason, Outcome, RefusalReason, RetryReason
@@ -43,6 +44,9 @@
         self.not_retried = self._counter(
             "not_retried", "Failed attempts that no other followed, by reason.", NoRetryReason
         )
+        self.admin_refusals = self._counter(
+            "admin_refusals", "Administration requests that were refused, by reason.", ApiRefusal
+        )
         self.rejected_records = self._counter(
             "rejected_records", "Records that the fold refused, by reason.", RejectReason
         )
@@ -75,6 +79,10 @@
         for collector in collectors:
             self.registry.register(collector)
 
+    def count_admin_refusal(self, refusal: ApiRefusal) -> None:
+        """Count an administration request that was refused."""
+        self.admin_refusals.labels(refusal.value).inc()
+
     def observe_request(self, *, outcome: Outcome, seconds: float) -> None:
         """Take in one request that has its final answer."""
         self.durations.labels(outcome.value).observe(seconds)
--- a/tests/processes/test_admin_port.py
+++ b/tests/processes/test_admin_port.py
@@ -46,6 +46,8 @@
     assert status_of(ask(entry, b"\x16\x03\x01 nonsense\r\n\r\n")) == 400
     large = call("PUT", entry.admin, "/catalogue/desk", body=b"x" * 70_000, headers=SIGNED)
     assert large.status == 413
+    metrics = call("GET", entry.admin, "/metrics").content.decode()
+    assert 'heatherkeel_admin_refusals_total{reason="body_too_large"} 1.0' in metrics
     assert status_of(ask(entry, head + b"\r\n")) == 200
     for path in ("/status", "/healthz", "/metrics", "/nowhere"):
         twice = f"HEAD {path} HTTP/1.1\r\nhost: x\r\n\r\n".encode() + head + b"\r\n"
