Count refusals of other handlers too, and the fold's under one label

Problem.kind stays a plain string: handlers of other subjects name theirs. A refusal of the fold is never counted as the API's own, though both have an "invalid": switched off once, and test_each_refusal_is_counted_under_its_reason failed.

--- a/heatherkeel/admin/app.py
+++ b/heatherkeel/admin/app.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok
 
+from heatherkeel.core.models import RejectReason
 from heatherkeel.entry.node import Node
 from heatherkeel.helpers.asgi import (
     ClientGoneError,
@@ -50,8 +51,7 @@
         except ClientGoneError:
             return None
         if isinstance(reply, Err):
-            kind = reply.err_value.kind
-            self.on_refusal(kind if isinstance(kind, ApiRefusal) else ApiRefusal.BY_FOLD)
+            self.on_refusal(_refusal_of(reply.err_value.kind))
         return await _async_send(send, reply)
 
     async def _async_reply(self, request: Request) -> Reply:
@@ -75,6 +75,13 @@
         return await route.handler(call)
 
 
+def _refusal_of(kind: str) -> ApiRefusal:
+    """Return the label that a problem is counted under."""
+    if isinstance(kind, RejectReason) or kind not in set(ApiRefusal):
+        return ApiRefusal.BY_FOLD
+    return ApiRefusal(kind)
+
+
 def _wrong_method(match: Match) -> Problem:
     allowed = sorted({*match.routes, "HEAD"} if "GET" in match.routes else match.routes)
     return Problem(
--- a/heatherkeel/admin/edits.py
+++ b/heatherkeel/admin/edits.py
@@ -46,7 +46,7 @@
 }
 
 
-class Accepting(msgspec.Struct, frozen=True, kw_only=True):
+class AcceptedEdit(msgspec.Struct, frozen=True, kw_only=True):
     """Tells where an accepted edit stands in the log, and which version it made."""
 
     record: str
@@ -122,7 +122,7 @@
 
 def _tell_accepted(record_id: str, offset: int, version: int) -> Answer:
     return Answer(
-        value=Accepting(record=record_id, offset=offset, version=version),
+        value=AcceptedEdit(record=record_id, offset=offset, version=version),
         headers={"etag": format_etag(version), RECORD_HEADER: record_id},
     )
 
--- a/heatherkeel/admin/models.py
+++ b/heatherkeel/admin/models.py
@@ -9,12 +9,9 @@
 
 from result import Result
 
-from heatherkeel.core.models import RejectReason
 from heatherkeel.entry.node import Node
 from heatherkeel.helpers.asgi import Request
 
-from .reasons import ApiRefusal
-
 
 class Access(StrEnum):
     """What a caller must show."""
@@ -55,10 +52,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Problem:
-    """An error as the caller sees it (RFC 9457); `kind` names its type."""
+    """An error as the caller sees it (RFC 9457).
+
+    `kind` ends its type: an `ApiRefusal`, or the `RejectReason` of the fold.
+    """
 
     status: int
-    kind: ApiRefusal | RejectReason
+    kind: str
     title: str
     detail: str = ""
     faults: tuple[FieldFault, ...] = ()
--- a/heatherkeel/measure/edits.py
+++ b/heatherkeel/measure/edits.py
@@ -25,7 +25,7 @@
 QUANTILES = (0.5, 0.95, 0.99, 1.0)
 
 
-class Accepting(msgspec.Struct, frozen=True, kw_only=True):
+class AcceptedEdit(msgspec.Struct, frozen=True, kw_only=True):
     """What is read of the answer to an edit."""
 
     offset: int
@@ -128,7 +128,7 @@
     accepted_s = time.monotonic() - started_s
     if response.status != 200:
         raise MeasurementError(f"edit {number} was answered {response.status}")
-    offset = msgspec.json.decode(response.content, type=Accepting).offset
+    offset = msgspec.json.decode(response.content, type=AcceptedEdit).offset
     for item in watched:
         while item.offset < offset:
             await item.moved.wait()
--- a/tests/admin/test_catalogue_api.py
+++ b/tests/admin/test_catalogue_api.py
@@ -257,3 +257,16 @@
         assert (drain["purpose"], drain["age_ms"]) == ("maintenance", 500)
 
     run(scenario)
+
+
+def test_each_refusal_is_counted_under_its_reason() -> None:
+    async def scenario(api: Api) -> None:
+        counted: list[str] = []
+        api.app.on_refusal = counted.append
+        await api.call("PUT", "/catalogue/desk", POOL | {"size": -1})
+        await api.call("PUT", "/catalogue/stock", STOCK)
+        await api.call("PUT", "/catalogue/desk", POOL)
+        await api.call("GET", "/nowhere")
+        assert counted == ["invalid", "by_fold", "no_such_path"]
+
+    run(scenario)
