--- a/heatherkeel/admin/models.py
+++ b/heatherkeel/admin/models.py
@@ -52,7 +52,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Problem:
-    """An error as the caller sees it (RFC 9457); `kind` names its type."""
+    """An error as the caller sees it (RFC 9457).
+
+    `kind` ends its type: an `ApiRefusal`, or the `RejectReason` of the fold.
+    """
 
     status: int
     kind: str
