Peer links proved over real sockets, and newcomers that are stood in for

Cause: a newcomer that starts while the platform is down isn't in the fold, so no drain waits for it. The peer that gave its state sponsors it: it acknowledges a drain only after its newcomers are quiet about it, and they route only while it answers them and when they have folded all that it had. A second find: the state that a peer gives can be 10 s old, and drains acknowledged since would have waited for nobody; hence needed_offset. Ruled out: newcomers that serve on trust until the platform is back, and a record in the log (it is what does not answer). Safeguards switched off once, and the test that failed: events looked at after a send (no_message_lies_unread), silence bound (silent_connection), own zone only and members only (gives_its_state; the member check by a hang that the test's time limit now ends), next offset only (a hang likewise), count of undecodable bytes (dropped_and_counted), relay (alone_is_cut_off), newcomers' drains, their time after joining, their time after silence, needed_offset, own sponsor (tests/membership/test_sponsor.py, one or more each).

--- a/heatherkeel/entry/front.py
+++ b/heatherkeel/entry/front.py
@@ -19,6 +19,8 @@
     async_run_lifespan,
     parse_request,
 )
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.membership.sponsor import may_route
 from heatherkeel.pools.models import Instance, InstanceStatus
 
 from .const import (
@@ -63,6 +65,8 @@
             return None
         if isinstance(read, Err):
             return await _async_refuse(send, 413, "body_too_large", "The body is too large")
+        if not may_route(self.node.state, monotonic_ms()):
+            return await _async_refuse(send, 503, "no_sponsor", "No peer answers for this instance")
         picked = self._pick(service)
         if picked is None:
             return await _async_refuse(send, 503, "no_target", "No target is available")
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -105,7 +105,6 @@
 
     async def close_connections(self) -> None:
         """Close what was opened to targets and to the platform."""
-        self.links.close()
         await self.front.close()
         await self.node.client.close()
 
@@ -114,13 +113,18 @@
     """Run one entry process until SIGTERM or SIGINT."""
     process = EntryProcess(settings=settings)
     stop = StopSignal()
-    async with trio.open_nursery() as nursery:
-        await stop.start(nursery)
-        with trio.CancelScope() as starting:
-            nursery.start_soon(stop.async_cancel, starting)
-            await process.start(nursery)
-        await stop.received.wait()
-        if process.http.started:
-            await process.close()
-        nursery.cancel_scope.cancel()
+    try:
+        async with trio.open_nursery() as nursery:
+            await stop.start(nursery)
+            with trio.CancelScope() as starting:
+                nursery.start_soon(stop.async_cancel, starting)
+                await process.start(nursery)
+            await stop.received.wait()
+            if process.http.started:
+                await process.close()
+            nursery.cancel_scope.cancel()
+    finally:
+        # The library waits for its open sockets when the interpreter ends; a broken invariant
+        # must end the process.
+        process.links.close()
     await process.close_connections()
--- a/heatherkeel/entry/start.py
+++ b/heatherkeel/entry/start.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from heatherkeel.helpers.backoff import Backoff
+from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.membership.links import PeerLinks
 from heatherkeel.platform.errors import PlatformError, PlatformFailure
 
@@ -40,6 +41,18 @@
         if not self.node.started_from_peer:
             await self.node.follower.caught_up.wait()
         self.done.set()
+        await self._async_keep_sponsor()
+
+    async def _async_keep_sponsor(self) -> None:
+        """Look for another sponsor when the first is lost, until the fold knows this process."""
+        while self.node.state.local.peers.sponsorship is not None:
+            await trio.sleep(self.backoff.next_s())
+            sponsorship = self.node.state.local.peers.sponsorship
+            if sponsorship is None or monotonic_ms() < sponsorship.until_ms:
+                continue
+            fleet = await self.links.async_fetch_state()
+            if fleet is not None:
+                self.node.restore(fleet)
 
     async def _async_try(self) -> bool:
         """Say whether the log can be followed from here."""
--- a/heatherkeel/membership/events.py
+++ b/heatherkeel/membership/events.py
@@ -60,6 +60,7 @@
 
     sponsor: str
     sent_ms: int
+    needed_offset: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/membership/links.py
+++ b/heatherkeel/membership/links.py
@@ -91,7 +91,7 @@
         for link in self.links.values():
             link.close()
         self.router.close()
-        self.context.term()
+        self.context.destroy(linger=0)
 
     async def async_tick(self) -> None:
         """Link with the peers of now, replace silent connections, and send heartbeats."""
@@ -116,7 +116,10 @@
             state = fetch.state() if fetch.is_whole else None
             if state is not None:
                 event = StartedFromPeer(
-                    now_ms=monotonic_ms(), sponsor=link.incarnation, sent_ms=sent_ms
+                    now_ms=monotonic_ms(),
+                    sponsor=link.incarnation,
+                    sent_ms=sent_ms,
+                    needed_offset=fetch.needed_offset,
                 )
                 self.take(event)
                 return state
--- a/heatherkeel/membership/local.py
+++ b/heatherkeel/membership/local.py
@@ -35,6 +35,8 @@
     sponsor: str
     """Incarnation of the peer that gave the state."""
     until_ms: int
+    needed_offset: int
+    """What has to be folded first: the sponsor may have acknowledged drains up to there."""
 
 
 @dataclass(kw_only=True)
--- a/heatherkeel/membership/messages.py
+++ b/heatherkeel/membership/messages.py
@@ -74,9 +74,13 @@
 
 
 class StatePart(msgspec.Struct, frozen=True, kw_only=True, tag="state_part"):
-    """One part of a packed state; `digest` is the SHA-256 of the unpacked whole."""
+    """One part of a packed state; `digest` is the SHA-256 of the unpacked whole.
+
+    `in_force` is the offset that the peer itself has folded by now.
+    """
 
     offset: Count
+    in_force: Annotated[int, Meta(ge=-1)]
     digest: Short
     index: Count
     count: Count
--- a/heatherkeel/membership/sponsor.py
+++ b/heatherkeel/membership/sponsor.py
@@ -42,7 +42,9 @@
 def begin_sponsored(node: NodeState, event: StartedFromPeer) -> list[Effect]:
     """Route for as long as the sponsor surely holds drains back."""
     node.local.peers.sponsorship = Sponsorship(
-        sponsor=event.sponsor, until_ms=event.sent_ms + _own_part_ms()
+        sponsor=event.sponsor,
+        until_ms=event.sent_ms + _own_part_ms(),
+        needed_offset=event.needed_offset,
     )
     return []
 
@@ -65,9 +67,16 @@
 
 
 def may_route(node: NodeState, now_ms: int) -> bool:
-    """Say whether anybody would wait for this process before it stops a target."""
+    """Say whether anybody would wait for this process before it stops a target.
+
+    The state that a sponsor gives can be some seconds old. A drain that it acknowledged since
+    waits for nobody any more, so nothing is sent before that drain is folded here too.
+    """
     sponsorship = node.local.peers.sponsorship
-    return sponsorship is None or now_ms < sponsorship.until_ms
+    if sponsorship is None:
+        return True
+    is_folded = node.fleet.next_offset > sponsorship.needed_offset
+    return is_folded and now_ms < sponsorship.until_ms
 
 
 def are_newcomers_quiet(node: NodeState, drain_id: str, now_ms: int) -> bool:
--- a/heatherkeel/membership/transfer.py
+++ b/heatherkeel/membership/transfer.py
@@ -44,6 +44,7 @@
         start = wanted.index * STATE_PART_BYTES
         return StatePart(
             offset=kept.offset,
+            in_force=self.state().next_offset - 1,
             digest=kept.digest,
             index=wanted.index,
             count=-(-len(kept.packed) // STATE_PART_BYTES),
@@ -70,6 +71,8 @@
     offset: int = 0
     digest: str = ""
     count: int = 1
+    needed_offset: int = -1
+    """What the peer had folded when it gave the first part, and began to sponsor."""
     parts: list[bytes] = field(default_factory=list)
     grown: trio.Event = field(default_factory=trio.Event)
 
@@ -84,6 +87,7 @@
             return
         if not self.parts:
             self.offset, self.digest, self.count = part.offset, part.digest, part.count
+            self.needed_offset = part.in_force
         if (part.offset, part.digest, part.count) != (self.offset, self.digest, self.count):
             return
         self.parts.append(part.data)
--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -177,15 +177,19 @@
         }
         call_json("PUT", self.processes["platform"].http, f"/instances/{process.name}", line)
 
-    def start_entry(self, name: str, *, zone: str, extra: str = "") -> Process:
-        """Start an entry process, which stops without a wait unless `extra` has a section on it."""
+    def start_entry(self, name: str, *, zone: str, extra: str = "", platform: str = "") -> Process:
+        """Start an entry process, which stops without a wait unless `extra` has a section on it.
+
+        `platform` holds more lines of the section on the platform.
+        """
         if "[stop]" not in extra:
             extra += "\n[stop]\nreadiness_wait_ms = 0\n"
         settings = self.folder / f"{name}.toml"
-        settings.write_text(self.entry_settings(name, zone=zone) + extra, encoding="utf-8")
+        text = self.entry_settings(name, zone=zone, platform=platform) + extra
+        settings.write_text(text, encoding="utf-8")
         return self.start(name, "entry", f"--settings={settings}")
 
-    def entry_settings(self, name: str, *, zone: str) -> str:
+    def entry_settings(self, name: str, *, zone: str, platform: str = "") -> str:
         """Return the settings of an entry process."""
         return f"""
             [instance]
@@ -195,6 +199,7 @@
             [platform]
             address = "{self.processes["platform"].http}"
             instances_interval_ms = 100
+            {platform}
             [teams.sheetal]
             token = "{TOKEN}"
         """
--- a/tests/processes/test_cut_off.py
+++ b/tests/processes/test_cut_off.py
@@ -18,6 +18,13 @@
 }
 
 
+QUICK: Final = """
+            poll_wait_ms = 500
+            request_timeout_ms = 500
+"""
+"""A cut is silence; with these times it is noticed within about a second."""
+
+
 def seeds(process: Process) -> str:
     return f"""
             [peers]
@@ -37,7 +44,9 @@
     """Start a target and entry instances by availability zone, with one service in force."""
     fleet.start_platform()
     fleet.start_target("t-a", zone="a", pool="desk")
-    entries = {name: fleet.start_entry(name, zone=zone) for name, zone in names.items()}
+    entries = {
+        name: fleet.start_entry(name, zone=zone, platform=QUICK) for name, zone in names.items()
+    }
     first = next(iter(entries.values()))
     assert fleet.put_entry(first, "desk", POOL).status == 200
     accepted = fleet.put_entry(first, "stock", SERVICE)
