--- a/heatherkeel/measure/__main__.py
+++ b/heatherkeel/measure/__main__.py
@@ -9,7 +9,7 @@
 
 from heatherkeel import subjects  # noqa: F401
 
-from . import hop, idle, resident, slopes  # noqa: F401
+from . import hop, idle, resident, slopes, snapshots  # noqa: F401
 from .registry import MEASUREMENTS
 
 EXIT_USAGE: Final = 2
--- a/tests/platform/fake.py
+++ b/tests/platform/fake.py
@@ -27,6 +27,7 @@
         self.plan: list[PlatformFailure | str] = []
         self.readable = True
         self.poison = b"\0never\0"
+        self.refused_stream = ""
         self.batches: list[list[bytes]] = []
         self.on_append: Callable[[], Awaitable[None]] | None = None
 
@@ -38,6 +39,8 @@
         failure = self.plan.pop(0) if self.plan else None
         if any(self.poison in record for record in records):
             failure = PlatformFailure.INVALID
+        if stream == self.refused_stream:
+            failure = PlatformFailure.REFUSED
         if isinstance(failure, PlatformFailure):
             return Err(PlatformError(failure=failure))
         first_offset = self.platform.append(stream, records)
--- /dev/null
+++ b/tests/snapshots/test_writer.py
@@ -0,0 +1,143 @@
+"""Several entry instances and one log: one snapshot at a time, and one that somebody finishes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+import heatherkeel.subjects  # noqa: F401
+from heatherkeel.core.state import canonical_bytes
+from heatherkeel.entry.node import Node
+from heatherkeel.membership.models import EntryJoin
+from heatherkeel.settings.models import (
+    EntrySettings,
+    InstanceSettings,
+    PlatformSettings,
+    SnapshotSettings,
+)
+from heatherkeel.snapshots import codec
+from heatherkeel.snapshots.models import ManifestRecord
+from tests.platform.fake import FakeClient, run
+
+SNAPSHOTS = SnapshotSettings(interval_records=3, overtake_ms=5_000, check_interval_ms=50)
+
+
+def log_now_ms() -> int:
+    """Return a log time that goes with the scenario's own clock."""
+    return 1_000_000 + round(trio.current_time() * 1000)
+
+
+class Fleet:
+    """Entry instances on one platform in memory, each with calls of its own to it."""
+
+    def __init__(self, names: list[str]) -> None:
+        self.clients = {name: FakeClient() for name in names}
+        self.platform = self.clients[names[0]].platform
+        self.platform.now_ms = log_now_ms  # type: ignore[method-assign]
+        self.nodes = {name: self.make_node(name) for name in names}
+        self.scopes: dict[str, trio.CancelScope] = {}
+
+    def make_node(self, name: str) -> Node:
+        settings = EntrySettings(
+            instance=InstanceSettings(id=name, zone="a", zones=["a"]),
+            platform=PlatformSettings(address="127.0.0.1:1", batch_interval_ms=1),
+            snapshots=SNAPSHOTS,
+        )
+        node = Node(settings=settings)
+        client = self.clients[name]
+        client.platform = self.platform
+        node.client = node.writer.client = node.follower.client = node.store.client = client
+        return node
+
+    async def run_node(self, name: str) -> None:
+        node = self.nodes[name]
+        with trio.CancelScope() as self.scopes[name]:
+            async with trio.open_nursery() as nursery:
+                node.writer.start(nursery)
+                node.follower.start(nursery)
+                node.snapshots.start(nursery)
+                await node.follower.caught_up.wait()
+                body = EntryJoin(
+                    instance=name, incarnation=name, zone="a", peer_address="", lease_ms=9_000
+                )
+                await node.writer.async_write(body, timeout_s=5)
+                while True:
+                    await node.snapshots.async_check()
+                    await trio.sleep(0.05)
+
+    async def run_until(self, condition: Callable[[], object], *, also_s: float = 0) -> None:
+        """Run all until the condition holds, and some time more."""
+        with trio.fail_after(600):
+            async with trio.open_nursery() as nursery:
+                for name in self.nodes:
+                    nursery.start_soon(self.run_node, name)
+                while not condition():
+                    await trio.sleep(0.05)
+                await trio.sleep(also_s)
+                nursery.cancel_scope.cancel()
+
+    def kinds(self) -> Counter[str]:
+        """Count the records of the main log by kind."""
+        records = self.platform.read("fleet", 0, 9_999).records
+        return Counter(msgspec.json.decode(record.data)["kind"] for record in records)
+
+    def manifests(self) -> list[ManifestRecord]:
+        records = self.platform.read("fleet-snapshots", 0, 9_999).records
+        found = [codec.decode_record(record.data) for record in records]
+        return [record for record in found if isinstance(record, ManifestRecord)]
+
+    async def load(self) -> bytes | None:
+        loaded = (await next(iter(self.nodes.values())).store.async_load_newest(above=0)).unwrap()
+        return None if loaded is None else canonical_bytes(loaded)
+
+
+def test_of_many_entry_instances_one_writes_and_one_endorses() -> None:
+    # Eight entry instances see at the same record that a snapshot is due. More than one mark, or
+    # eight sets of chunks, would load the log that all others of the platform share.
+    async def scenario() -> None:
+        fleet = Fleet([f"e-{number}" for number in range(8)])
+        await fleet.run_until(fleet.manifests, also_s=0.9)
+        assert fleet.kinds()["snapshots.mark"] == 1
+        assert fleet.kinds()["snapshots.complete"] == 1
+        [manifest] = fleet.manifests()
+        assert manifest.endorser != manifest.claim.instance
+        assert await fleet.load() is not None
+
+    run(scenario)
+
+
+def test_an_author_that_dies_between_chunks_is_overtaken() -> None:
+    # The author of the mark is lost with its chunk unwritten. Nobody starts from its snapshot;
+    # another entry instance marks anew, and finishes.
+    async def scenario() -> None:
+        fleet = Fleet(["e-1", "e-2", "e-3"])
+        marked: list[str] = []
+
+        def kill_first_author() -> bool:
+            newest = fleet.nodes["e-1"].state.fleet.snapshots.newest
+            if newest is not None and not marked:
+                marked.append(newest.instance)
+                fleet.scopes[newest.instance].cancel()
+            return bool(fleet.manifests())
+
+        for client in fleet.clients.values():
+            client.refused_stream = "fleet-snapshots"
+
+        async def reopen() -> None:
+            while not marked:
+                assert await fleet.load() is None
+                await trio.sleep(0.05)
+            for name, client in fleet.clients.items():
+                client.refused_stream = "fleet-snapshots" if name == marked[0] else ""
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(reopen)
+            await fleet.run_until(kill_first_author)
+        assert fleet.manifests()[0].claim.instance != marked[0]
+        assert fleet.kinds()["snapshots.mark"] == 2
+        assert await fleet.load() is not None
+
+    run(scenario)
