--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -12,6 +12,7 @@
 from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
+from heatherkeel.jobs.duty import JobsDuty
 from heatherkeel.membership.const import HEARTBEAT_INTERVAL_MS
 from heatherkeel.membership.links import PeerLinks
 from heatherkeel.monitoring.app import MonitoringApp, TimedApp
@@ -54,7 +55,9 @@
         timed = TimedApp(inner=self.front, metrics=self.metrics)
         self.http = HttpServer(app=timed, bind=settings.http.bind)
         pages = MonitoringApp(
-            inner=AdminApp(node=self.node), metrics=self.metrics, readiness=self.readiness
+            inner=AdminApp(node=self.node, on_refusal=self.metrics.count_admin_refusal),
+            metrics=self.metrics,
+            readiness=self.readiness,
         )
         self.admin = HttpServer(
             app=pages,
@@ -78,11 +81,15 @@
         starting = NodeStart(node=self.node, links=self.links)
         starting.start(nursery)
         await starting.done.wait()
-        await self.http.start(nursery)
         self.duties.peer_address = self.links.address
         self.duties.start()
+        JobsDuty(node=self.node).start(nursery)
         self._subscribe_timers()
         self.node.timers.start(nursery)
+        # A drain waits for the entry instances that the fold knows when it starts. Callers that
+        # came before would be cut: nobody waits for this process when their target is stopped.
+        await self.duties.waited_for.wait()
+        await self.http.start(nursery)
         _LOGGER.info(
             "listening",
             extra={
@@ -128,7 +135,6 @@
 
     async def close_connections(self) -> None:
         """Close what was opened to targets and to the platform."""
-        self.links.close()
         await self.front.close()
         await self.node.client.close()
 
@@ -137,14 +143,19 @@
     """Run one entry process until SIGTERM or SIGINT."""
     process = EntryProcess(settings=settings)
     stop = StopSignal()
-    async with trio.open_nursery() as nursery:
-        await stop.start(nursery)
-        with trio.CancelScope() as starting:
-            nursery.start_soon(stop.async_cancel, starting)
-            await process.start(nursery)
-            process.readiness.start()
-        await stop.received.wait()
-        if process.http.started:
-            await process.close()
-        nursery.cancel_scope.cancel()
+    try:
+        async with trio.open_nursery() as nursery:
+            await stop.start(nursery)
+            with trio.CancelScope() as starting:
+                nursery.start_soon(stop.async_cancel, starting)
+                await process.start(nursery)
+                process.readiness.start()
+            await stop.received.wait()
+            if process.http.started:
+                await process.close()
+            nursery.cancel_scope.cancel()
+    finally:
+        # The library waits for its open sockets when the interpreter ends; a broken invariant
+        # must end the process.
+        process.links.close()
     await process.close_connections()
--- a/heatherkeel/requests/reasons.py
+++ b/heatherkeel/requests/reasons.py
@@ -22,6 +22,7 @@
     QUEUE_TOO_SLOW = "queue_too_slow"
     DEADLINE = "deadline"
     LEASE_LAPSED = "lease_lapsed"
+    NO_SPONSOR = "no_sponsor"
     TARGET_REFUSED = "target_refused"
     CONNECT_FAILED = "connect_failed"
     BROKEN_AFTER_SEND = "broken_after_send"
--- a/heatherkeel/requests/routing.py
+++ b/heatherkeel/requests/routing.py
@@ -11,6 +11,7 @@
 from .health import allowed
 from .limits import share
 from .local import ActiveRequest, FullZone, PoolView, RoutingState, TargetView
+from .reasons import RefusalReason
 
 _MULTIPLIER = 6364136223846793005
 _INCREMENT = 1442695040888963407
@@ -56,8 +57,8 @@
     return now_ms < lease_end_ms and request.deadline_at_ms <= lease_end_ms + SHARE_GRACE_MS
 
 
-def lease_forbids(node: NodeState, request: ActiveRequest, now_ms: int) -> bool:
-    """Tell whether a request needs a routing lease that this process no longer has.
+def lease_refusal(node: NodeState, request: ActiveRequest, now_ms: int) -> RefusalReason | None:
+    """Return why a request may not be sent without a routing lease, or none if it may.
 
     Failure: this process is cut off, or was paused, and a drain or another entry instance's claim
     went on without it. Symptom: a non-idempotent request runs on a target that is being stopped,
@@ -65,8 +66,10 @@
     a newcomer that the fold doesn't know sends nothing at all without its sponsor.
     """
     if not may_route(node, now_ms):
-        return True
-    return not request.idempotent and now_ms >= node.local.lease.valid_until_ms
+        return RefusalReason.NO_SPONSOR
+    if not request.idempotent and now_ms >= node.local.lease.valid_until_ms:
+        return RefusalReason.LEASE_LAPSED
+    return None
 
 
 def fits(node: NodeState, request: ActiveRequest, name: str, now_ms: int) -> bool:
--- a/heatherkeel/requests/sending.py
+++ b/heatherkeel/requests/sending.py
@@ -11,7 +11,7 @@
 from .models import KeyClaim
 from .reasons import Outcome, RefusalReason
 from .retries import attempt_timeout_ms
-from .routing import lease_forbids
+from .routing import lease_refusal
 
 
 def begin(
@@ -93,9 +93,7 @@
     """Return why a request may not be sent any more, or none."""
     if request.deadline_at_ms <= now_ms:
         return RefusalReason.DEADLINE
-    if lease_forbids(node, request, now_ms):
-        return RefusalReason.LEASE_LAPSED
-    return None
+    return lease_refusal(node, request, now_ms)
 
 
 def not_run(
--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -279,7 +279,9 @@
     )
     newcomer.fleet = from_canonical_bytes(canonical_bytes(sponsor.fleet))
     reduce(newcomer, FleetRestored(now_ms=log.now_ms))
-    started = StartedFromPeer(now_ms=log.now_ms, sponsor=incarnation_of("e1"), sent_ms=log.now_ms)
+    started = StartedFromPeer(
+        now_ms=log.now_ms, sponsor=incarnation_of("e1"), sent_ms=log.now_ms, needed_offset=0
+    )
     reduce(newcomer, started)
     begun = NewcomerStarted(now_ms=log.now_ms, instance="e2", incarnation=incarnation_of("e2"))
     reduce(sponsor, begun)
