A replaced process counts as long as it may run, also when its replacement has left

Cause: the end of a replaced incarnation's lease was kept with its replacement, and went with it when that left; a newcomer then took slots that the old process was using. Found by the state machine of tests/requests/test_limits.py (16 requests on 8 slots), and kept as test_a_replaced_process_still_counts_when_its_replacement_has_left. The membership's superseded incarnations say the same for longer, so the own field is gone.

Refusals of malformed input pass the reducer, so that they are counted by reason. A POST with a body to a path without a service was told 413 in place of 404.

--- a/heatherkeel/entry/answers.py
+++ b/heatherkeel/entry/answers.py
@@ -22,6 +22,8 @@
 RawHeaders = list[tuple[bytes, bytes]]
 
 STATUS_OF_REFUSAL: Final = {
+    RefusalReason.BAD_HEADER: 400,
+    RefusalReason.BODY_TOO_LARGE: 413,
     RefusalReason.NO_SERVICE: 404,
     RefusalReason.KEY_CONFLICT: 422,
     RefusalReason.KEY_IN_PROGRESS: 409,
@@ -76,6 +78,7 @@
         status=STATUS_OF_REFUSAL.get(effect.reason, 503),
         kind=effect.reason.value,
         title=TITLES[effect.outcome],
+        detail=effect.detail,
         headers=headers,
         extra={"outcome": effect.outcome.value, "retry_after_ms": effect.retry_after_ms},
     )
--- a/heatherkeel/entry/front.py
+++ b/heatherkeel/entry/front.py
@@ -14,7 +14,6 @@
     Message,
     Receive,
     Request,
-    async_respond_problem,
     async_run_lifespan,
     parse_request,
 )
@@ -29,8 +28,14 @@
     Replay,
     Send,
 )
-from heatherkeel.requests.events import AttemptEnded, AttemptResult, CallerGone, RequestArrived
-from heatherkeel.requests.reasons import Outcome
+from heatherkeel.requests.events import (
+    AttemptEnded,
+    AttemptResult,
+    CallerGone,
+    InputRefused,
+    RequestArrived,
+)
+from heatherkeel.requests.reasons import RefusalReason
 from heatherkeel.requests.targets import find_service
 
 from .answers import async_refuse, async_replay
@@ -41,7 +46,6 @@
     HOP_BY_HOP_HEADERS,
     IDEMPOTENT_METHODS,
     KEY_HEADER,
-    OUTCOME_HEADER,
 )
 from .exchanges import Exchange, Exchanges
 from .node import Node
@@ -90,43 +94,63 @@
         return await self._async_serve(parse_request(scope, receive), send)
 
     async def _async_serve(self, request: Request, send: AsgiSend) -> None:
-        options = read_options(request.headers)
-        if isinstance(options, Err):
-            return await _async_refuse_input(send, 400, "bad_header", options.err_value)
-        try:
-            read = await request.async_body(limit_bytes=self._body_limit(request.path))
-        except ClientGoneError:
-            return None
-        if isinstance(read, Err):
-            limit = f"At most {read.err_value.limit_bytes} bytes are taken"
-            return await _async_refuse_input(send, 413, "body_too_large", limit)
         exchange = self.exchanges.open()
         try:
-            await self._async_exchange(exchange, request, options.ok_value, read.ok_value, send)
+            match await self._async_read(request):
+                case Ok(read):
+                    await self._async_exchange(exchange, request, read, send)
+                case Err(fault):
+                    await self._async_refuse_input(exchange, fault, send)
+        except ClientGoneError:
+            return
         finally:
             self.exchanges.close(exchange)
-        return None
 
-    def _body_limit(self, path: str) -> int:
+    async def _async_read(self, request: Request) -> Result[ReadRequest, InputFault]:
+        """Read headers and body; of a path without a service nothing more is read."""
+        options = read_options(request.headers)
+        if isinstance(options, Err):
+            return Err(InputFault(reason=RefusalReason.BAD_HEADER, detail=options.err_value))
         routing = self.node.state.local.routing
-        service = find_service(routing, path)
-        return routing.services[service].limits.max_body_bytes if service is not None else 0
+        service = find_service(routing, request.path)
+        if service is None:
+            return Ok(ReadRequest(options=options.ok_value, body=b""))
+        limit_bytes = routing.services[service].limits.max_body_bytes
+        body = await request.async_body(limit_bytes=limit_bytes)
+        if isinstance(body, Err):
+            detail = f"at most {limit_bytes} bytes are taken"
+            return Err(InputFault(reason=RefusalReason.BODY_TOO_LARGE, detail=detail))
+        return Ok(ReadRequest(options=options.ok_value, body=body.ok_value))
+
+    async def _async_refuse_input(
+        self, exchange: Exchange, fault: InputFault, send: AsgiSend
+    ) -> None:
+        refused = InputRefused(
+            now_ms=monotonic_ms(),
+            request_id=exchange.request_id,
+            reason=fault.reason,
+            detail=fault.detail,
+        )
+        self.node.take(refused)
+        effect = await exchange.async_next()
+        assert isinstance(effect, Refuse)
+        await async_refuse(send, effect)
 
     async def _async_exchange(
         self,
         exchange: Exchange,
         request: Request,
-        options: CallerOptions,
-        body: bytes,
+        read: ReadRequest,
         send: AsgiSend,
     ) -> None:
+        options = read.options
         idempotent = request.method in IDEMPOTENT_METHODS
         keyed = bool(options.key) and not idempotent
         outgoing = OutgoingRequest(
             method=request.method,
             raw_target=request.raw_target,
             headers=_outgoing_headers(request.headers),
-            body=body,
+            body=read.body,
             keep_answer=keyed,
         )
         call = Call(
@@ -222,6 +246,22 @@
     deadline_ms: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadRequest:
+    """A request that is wholly read."""
+
+    options: CallerOptions
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InputFault:
+    """Why a request is not taken."""
+
+    reason: RefusalReason
+    detail: str
+
+
 def read_options(headers: dict[str, str]) -> Result[CallerOptions, str]:
     """Read the caller's headers, or say in words what is wrong with them."""
     key = headers.get(KEY_HEADER, "")
@@ -247,8 +287,3 @@
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.hexdigest()
-
-
-async def _async_refuse_input(send: AsgiSend, status: int, kind: str, title: str) -> None:
-    headers = {OUTCOME_HEADER: Outcome.NOT_RUN.value}
-    await async_respond_problem(send, status=status, kind=kind, title=title, headers=headers)
--- a/heatherkeel/membership/models.py
+++ b/heatherkeel/membership/models.py
@@ -60,8 +60,6 @@
     offset_in_force: int = -1
     joined_offset: int = 0
     shares_offset: int = -1
-    predecessor_until_ms: int = 0
-    """Until when a replaced incarnation of the same id may still be routing; 0 if none may."""
 
 
 @dataclass(kw_only=True)
--- a/heatherkeel/membership/reducer.py
+++ b/heatherkeel/membership/reducer.py
@@ -19,7 +19,6 @@
     known = find_incarnation(state.membership, body.incarnation)
     if known is not None and (known.instance, known.zone) != (body.instance, body.zone):
         return Err(Rejected(reason=RejectReason.CONFLICT, detail=known.instance))
-    replaced = state.membership.entries.get(body.instance)
     _supersede(state.membership, body)
     lease_until_ms = meta.now_ms + body.lease_ms
     if known is not None:
@@ -34,7 +33,6 @@
         offset_in_force=meta.offset,
         joined_offset=meta.offset,
         shares_offset=meta.offset,
-        predecessor_until_ms=_routing_until(replaced),
     )
     return Ok(Accepted())
 
@@ -100,10 +98,3 @@
         if entry.incarnation == incarnation:
             return entry
     return None
-
-
-def _routing_until(replaced: EntryInstance | None) -> int:
-    """Return until when a replaced incarnation may route: it may not know that it is replaced."""
-    if replaced is None:
-        return 0
-    return max(replaced.lease_until_ms, replaced.predecessor_until_ms)
--- a/heatherkeel/requests/arrival.py
+++ b/heatherkeel/requests/arrival.py
@@ -7,11 +7,11 @@
 
 from .claims import answer_repeat
 from .const import MAX_KEYED_DEADLINE_MS
-from .effects import Queued
-from .events import CallerGone, RequestArrived
+from .effects import Queued, Refuse
+from .events import CallerGone, InputRefused, RequestArrived
 from .local import ActiveRequest, RequestPhase
 from .queues import check_room, enqueue, forget, retry_after_ms
-from .reasons import RefusalReason
+from .reasons import Outcome, RefusalReason
 from .retries import earn
 from .routing import lease_refusal, pick
 from .sending import begin, not_run
@@ -38,6 +38,18 @@
     return [_wait(node, event.request_id, request, event.now_ms)]
 
 
+@listens(InputRefused)
+def on_input_refused(node: NodeState, event: InputRefused) -> list[Effect]:
+    """Refuse what is not well formed; it comes this way to be counted like any refusal."""
+    refusal = Refuse(
+        request_id=event.request_id,
+        outcome=Outcome.NOT_RUN,
+        reason=event.reason,
+        detail=event.detail,
+    )
+    return [refusal]
+
+
 def _make_request(node: NodeState, event: RequestArrived, service: str) -> ActiveRequest:
     entry = node.local.routing.services[service]
     # Whatever may be sent twice needs no claim, so its key is of no use.
--- a/heatherkeel/requests/effects.py
+++ b/heatherkeel/requests/effects.py
@@ -49,6 +49,7 @@
     outcome: Outcome
     reason: RefusalReason
     retry_after_ms: int = 0
+    detail: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/requests/events.py
+++ b/heatherkeel/requests/events.py
@@ -9,6 +9,7 @@
 from heatherkeel.core.node import LocalEvent
 
 from .models import RecordedAnswer
+from .reasons import RefusalReason
 
 
 class AttemptResult(StrEnum):
@@ -68,6 +69,15 @@
     """What to record of a whole answer; needed for requests with a key."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InputRefused(LocalEvent):
+    """A caller's request is not well formed; `detail` says in words what is wrong with it."""
+
+    request_id: str
+    reason: RefusalReason
+    detail: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ClaimDecided(LocalEvent):
     """The answer to `ClaimRead`: takes the claim's decision on, at the time that it is now."""
--- a/heatherkeel/requests/limits.py
+++ b/heatherkeel/requests/limits.py
@@ -19,6 +19,7 @@
 from heatherkeel.core.node import NodeState, listens
 from heatherkeel.core.state import FleetState
 from heatherkeel.membership.models import EntryInstance
+from heatherkeel.membership.reducer import all_incarnations
 
 from .const import SHARE_GRACE_MS, SPILL_PERCENT, SPONSORED_SLOTS
 from .events import FleetRestored
@@ -143,20 +144,13 @@
 
     A lapsed entry instance sends nothing across availability zones, but it may go on in its own:
     there it is waited for until it is known to be gone. None waits for the lapsed of any zone.
+    An incarnation that was replaced may not know it, and is waited for until it lapses.
     """
-    acknowledged = [
-        _acknowledged(fleet, entry)
-        for entry in fleet.membership.entries.values()
-        if waiting_for is None or entry.zone == waiting_for or not _is_lapsed(fleet, entry)
-    ]
-    return min(acknowledged, default=fleet.next_offset - 1)
-
-
-def _acknowledged(fleet: FleetState, entry: EntryInstance) -> int:
-    """Return what an entry instance acknowledged; a replaced incarnation may be further behind."""
-    if entry.predecessor_until_ms and entry.predecessor_until_ms + SHARE_GRACE_MS > fleet.now_ms:
-        return entry.joined_offset - 1
-    return entry.shares_offset
+    membership = fleet.membership
+    live = [entry for entry in all_incarnations(membership) if not _is_lapsed(fleet, entry)]
+    lapsed = [entry for entry in membership.entries.values() if _is_lapsed(fleet, entry)]
+    near = [entry for entry in lapsed if waiting_for is None or entry.zone == waiting_for]
+    return min((entry.shares_offset for entry in live + near), default=fleet.next_offset - 1)
 
 
 def _is_lapsed(fleet: FleetState, entry: EntryInstance) -> bool:
@@ -219,11 +213,9 @@
 
 
 def _next_change_ms(fleet: FleetState) -> int:
-    """Return the log time at which a lease lapses or a predecessor is over; 0 if none will."""
-    entries = fleet.membership.entries.values()
-    ends = [entry.lease_until_ms for entry in entries]
-    ends += [entry.predecessor_until_ms for entry in entries]
-    lapses = [end + SHARE_GRACE_MS + 1 for end in ends if end]
+    """Return the log time at which the next lease lapses, with its grace; 0 if none will."""
+    ends = [entry.lease_until_ms for entry in all_incarnations(fleet.membership)]
+    lapses = [end + SHARE_GRACE_MS + 1 for end in ends]
     return min((lapse for lapse in lapses if lapse > fleet.now_ms), default=0)
 
 
--- a/heatherkeel/requests/reasons.py
+++ b/heatherkeel/requests/reasons.py
@@ -16,6 +16,8 @@
 class RefusalReason(StrEnum):
     """Why a request got no answer of a target."""
 
+    BAD_HEADER = "bad_header"
+    BODY_TOO_LARGE = "body_too_large"
     NO_SERVICE = "no_service"
     NO_TARGET = "no_target"
     QUEUE_FULL = "queue_full"
--- a/tests/processes/test_requests_under_failure.py
+++ b/tests/processes/test_requests_under_failure.py
@@ -138,6 +138,10 @@
     )
     assert (other.status, header(other, "heatherkeel-outcome")) == (422, "not_run")
     assert runs(fleet, "o1") + runs(fleet, "o2") == 1
+    long = ask(second, "o3", "POST", idempotency_key="k" * 129)
+    assert (long.status, header(long, "heatherkeel-reason")) == (400, "bad_header")
+    lost = call("POST", second.http, "/nowhere", body=b"x")
+    assert (lost.status, header(lost, "heatherkeel-reason")) == (404, "no_service")
 
 
 def replayed(entry: Process) -> httpcore.Response | None:
--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -289,3 +289,22 @@
         limits.share(node, "t0", node.local.routing.targets["t0"]) for node in (sponsor, newcomer)
     ]
     assert shares == [7, 1]
+
+
+def test_a_replaced_process_still_counts_when_its_replacement_has_left() -> None:
+    # A process is replaced under its id while it still runs, and the replacement leaves. The old
+    # one has read neither and uses its share; a newcomer must not take the same slots.
+    log = Log()
+    log.put_service()
+    log.admit(1)
+    log.join("e1", "east", incarnation="old")
+    log.join("e1", "east", incarnation="new")
+    log.append(EntryLeave(instance="e1", incarnation="new"), author="e1")
+    log.join("e2", "east")
+    node = make_node(log, "e2")
+    target = node.local.routing.targets["t0"]
+    assert limits.share(node, "t0", target) == 0
+    log.now_ms += LEASE_MS + SHARE_GRACE_MS + 1
+    acknowledge(log, "e2", "e2")
+    catch_up(node, log)
+    assert limits.share(node, "t0", target) == 8
