Waves end when their last instance fails or goes; drains spread over zones

And the golden file of one wave showed both workers of a zone drained at once: among choices that reach equally many drains, the zone with the fewest comes first now.

--- a/heatherkeel/pools/health.py
+++ b/heatherkeel/pools/health.py
@@ -7,6 +7,7 @@
 from heatherkeel.core.models import Accepted, RecordMeta, Rejected, RejectReason
 from heatherkeel.core.registry import handles
 from heatherkeel.core.state import FleetState
+from heatherkeel.waves.wave import finish_wave
 
 from .const import OBSERVATION_LIFETIME_MS, OBSERVERS_NEEDED
 from .models import Health, Instance, InstanceObserved, InstanceStatus, Observation, Source
@@ -37,7 +38,8 @@
     set_status(instance, STATUS_OF[body.health])
     if body.health is Health.FAILED:
         instance.failure = f"seen to fail by {body.source.value}"
-    return Ok(accept_change(state, meta, body.instance))
+    finished = finish_wave(state, meta, instance.pool)
+    return Ok(accept_change(state, meta, body.instance, *finished))
 
 
 def set_status(instance: Instance, status: InstanceStatus) -> None:
--- a/heatherkeel/pools/reducer.py
+++ b/heatherkeel/pools/reducer.py
@@ -8,6 +8,7 @@
 from heatherkeel.core.models import Accepted, Effect, RecordMeta, Rejected, RejectReason
 from heatherkeel.core.registry import handles
 from heatherkeel.core.state import FleetState
+from heatherkeel.waves.wave import finish_wave
 
 from .models import Instance, InstanceAdmit, InstanceChanged, InstanceGone
 
@@ -47,7 +48,8 @@
     del state.pools.instances[body.instance]
     state.waves.drains.pop(body.instance, None)
     changed = InstanceChanged(instance=body.instance, offset=meta.offset)
-    return Ok(Accepted(effects=(changed,)))
+    finished = finish_wave(state, meta, instance.pool)
+    return Ok(Accepted(effects=(changed, *finished)))
 
 
 def accept_change(
--- a/heatherkeel/waves/policies.py
+++ b/heatherkeel/waves/policies.py
@@ -18,18 +18,21 @@
     What a budget holds in reserve is its largest rack or availability zone. A drain there makes
     that loss smaller, which leaves room for a drain elsewhere. Those helpful drains are paired
     with ones that need the help: spent on each other, the last rounds would have none left.
+    Among equals the availability zone with the fewest drains is next, so that each zone keeps
+    targets for its own callers.
     """
     racks = Counter(rack_of(instance) for instance in view.candidates.values())
     margins = {rack: view.margin_without(rack) for rack in racks}
     reach = _reach_of_racks(view, racks, [rack for rack in racks if margins[rack] >= 0])
     overdue_before_ms = view.now_ms - view.maintenance.period_h * HOUR_MS
 
-    def rank(item: tuple[str, Instance]) -> tuple[bool, int, int, int, int, str]:
+    def rank(item: tuple[str, Instance]) -> tuple[bool, int, int, int, int, int, str]:
         instance_id, instance = item
         rack = rack_of(instance)
         age = instance.maintained_ms
         is_early = age > overdue_before_ms
-        return is_early, -reach[rack], margins[rack], -racks[rack], age, instance_id
+        in_zone = view.draining[instance.zone]
+        return is_early, -reach[rack], in_zone, margins[rack], -racks[rack], age, instance_id
 
     fitting = [item for item in view.candidates.items() if rack_of(item[1]) in reach]
     return min(fitting, key=rank)[0] if fitting else None
@@ -84,11 +87,11 @@
 @policy("one_at_a_time")
 def choose_one(view: PoolView) -> str | None:
     """Choose by name, one instance at a time: the simplest baseline."""
-    return None if view.under_way else min(view.candidates)
+    return None if view.under_way() else min(view.candidates)
 
 
 @policy("fixed_share")
 def choose_fixed_share(view: PoolView) -> str | None:
     """Choose by name, a fixed share of the pool at a time."""
     share = max(1, view.size // FIXED_SHARE_DIVISOR)
-    return None if view.under_way >= share else min(view.candidates)
+    return None if view.under_way() >= share else min(view.candidates)
--- a/heatherkeel/waves/policy.py
+++ b/heatherkeel/waves/policy.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
@@ -35,12 +36,17 @@
     size: int
     serving: Headroom
     candidates: Members
-    under_way: int
+    draining: Counter[str]
+    """Planned drains under way, by availability zone."""
     now_ms: int
 
+    def under_way(self) -> int:
+        """Return how many planned drains are under way."""
+        return self.draining.total()
+
     def room(self) -> int:
         """Return how many more drains may be under way side by side."""
-        return self.maintenance.max_concurrent - self.under_way
+        return self.maintenance.max_concurrent - self.under_way()
 
     def margin_without(self, rack: Rack) -> int:
         """Return the least margin of the pool's budgets without one more instance of a rack."""
@@ -48,8 +54,9 @@
 
     def take(self, instance_id: str) -> None:
         """Count an instance as drained."""
-        self.serving.add(rack_of(self.candidates.pop(instance_id)), -1)
-        self.under_way += 1
+        instance = self.candidates.pop(instance_id)
+        self.serving.add(rack_of(instance), -1)
+        self.draining[instance.zone] += 1
 
 
 Policy = Callable[[PoolView], str | None]
@@ -129,7 +136,12 @@
 def _view_pool(
     fleet: FleetState, maintenance: MaintenanceEntry, members: Members, now_ms: int
 ) -> PoolView:
-    drains = [fleet.waves.drains[key] for key in members if key in fleet.waves.drains]
+    drains = fleet.waves.drains
+    draining = Counter(
+        instance.zone
+        for instance_id, instance in members.items()
+        if instance_id in drains and not drains[instance_id].was_failed
+    )
     candidates = _candidates(fleet, maintenance, members, now_ms)
     services = services_of(fleet, maintenance.pool) if candidates else ()
     return PoolView(
@@ -138,7 +150,7 @@
         size=len(members),
         serving=count_serving(members.values()),
         candidates=candidates,
-        under_way=sum(not drain.was_failed for drain in drains),
+        draining=draining,
         now_ms=now_ms,
     )
 
--- a/heatherkeel/waves/wave.py
+++ b/heatherkeel/waves/wave.py
@@ -115,14 +115,17 @@
 def count_return(state: FleetState, meta: RecordMeta, pool: str, drain: Drain) -> list[Effect]:
     """Count an instance that came back, and say so when it was the wave's last one."""
     wave = state.waves.waves.get(pool)
-    if wave is None or drain.purpose is not Purpose.MAINTENANCE:
-        return []
-    wave.returned += 1
+    if wave is not None and drain.purpose is Purpose.MAINTENANCE:
+        wave.returned += 1
     return finish_wave(state, meta, pool)
 
 
 def finish_wave(state: FleetState, meta: RecordMeta, pool: str) -> list[Effect]:
-    """Note the end of a wave that has become complete."""
+    """Note the end of a wave that has become complete.
+
+    The last instance can leave a wave in other ways than by its maintenance: it fails, is
+    repaired, moves away or is terminated. Whoever decides those asks here, too.
+    """
     wave = state.waves.waves.get(pool)
     if wave is None or wave.finished_ms or not is_complete(state, pool, wave):
         return []
@@ -149,7 +152,7 @@
     wave = state.waves.waves.get(pool)
     found = find_maintenance(state, pool)
     if wave is None or found is None or drain.purpose is not Purpose.MAINTENANCE:
-        return []
+        return finish_wave(state, meta, pool)
     maintenance, stored = found
     if wave.failed_since_offset != stored.offset:
         wave.failed_since_offset = stored.offset
--- a/tests/waves/test_wave.py
+++ b/tests/waves/test_wave.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from heatherkeel.core.models import Effect, RejectReason
+from heatherkeel.pools.models import Health, InstanceGone, InstanceObserved, Source
 from heatherkeel.waves.models import (
+    Purpose,
     Returned,
     ReturnFailed,
     ReturnFailure,
@@ -92,3 +94,40 @@
     log = small_fleet()
     refusal = log.refused(log.drain("a0", wave=2))
     assert (refusal.reason, refusal.version) == (RejectReason.STALE_VERSION, 1)
+
+
+def test_a_wave_ends_when_its_last_instance_fails_instead() -> None:
+    # All but c1 had their turn. c1 fails by itself, or its repair does, and nothing is left to
+    # maintain; a wave that never ended would hold up the next one's start and its figures.
+    log = small_fleet()
+    for instance_id in ALL[:-1]:
+        _maintain(log, instance_id)
+    seen = InstanceObserved(
+        instance="c1", health=Health.FAILED, observer="entry-a", source=Source.PLATFORM
+    )
+    assert isinstance(log.must(seen).effects[-1], WaveFinished)
+
+
+def test_a_wave_ends_when_its_last_instance_is_terminated() -> None:
+    log = small_fleet()
+    for instance_id in ALL[:-1]:
+        _maintain(log, instance_id)
+    gone = InstanceGone(instance="c1", boot_id="c1.1")
+    assert isinstance(log.must(gone).effects[-1], WaveFinished)
+
+
+def test_a_wave_ends_when_the_repair_of_its_last_instance_fails() -> None:
+    log = small_fleet(min_serving=0)
+    for instance_id in ALL[:-2]:
+        _maintain(log, instance_id)
+    _lose(log, "c1")
+    log.must(log.drain("c1", purpose=Purpose.REPAIR))
+    log.must(log.ack("entry-a", "c1"))
+    log.must(log.ack("entry-b", "c1"))
+    log.must(log.ack("entry-c", "c1"))
+    log.must(log.stop("c1"))
+    _maintain(log, "c0")
+    version = log.instance("c1").version
+    cause = ReturnFailure.START_FAILED
+    lost = log.must(ReturnFailed(instance="c1", expected_version=version, cause=cause))
+    assert isinstance(lost.effects[-1], WaveFinished)
