--- /dev/null
+++ b/heatherkeel/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replays recorded traces through the production fold, and says which promises held."""
