--- a/heatherkeel/waves/policy.py
+++ b/heatherkeel/waves/policy.py
@@ -90,9 +90,9 @@
             return drains
         wave = fleet.waves.waves.get(pool)
         halted = wave is not None and is_halted(wave, stored)
-        if halted or _closes_soon(maintenance, now_ms):
+        if halted or closes_soon(maintenance, now_ms):
             continue
-        view = _view_pool(fleet, maintenance, members.get(pool, {}), now_ms)
+        view = view_pool(fleet, maintenance, members.get(pool, {}), now_ms)
         drains += _plan_pool(fleet, view, coordinator, POLICIES[policy_name])
     return drains + plan_moves(fleet, coordinator=coordinator, taken=drains)
 
@@ -104,7 +104,7 @@
     return members
 
 
-def _closes_soon(maintenance: MaintenanceEntry, now_ms: int) -> bool:
+def closes_soon(maintenance: MaintenanceEntry, now_ms: int) -> bool:
     """Tell whether a stop that starts now could reach into counter hours."""
     latest_return_ms = now_ms + maintenance.return_timeout_s * 1000
     return is_closed(maintenance, now_ms) or is_closed(maintenance, latest_return_ms)
@@ -133,9 +133,10 @@
     return drains
 
 
-def _view_pool(
+def view_pool(
     fleet: FleetState, maintenance: MaintenanceEntry, members: Members, now_ms: int
 ) -> PoolView:
+    """Return what a policy chooses from."""
     drains = fleet.waves.drains
     draining = Counter(
         instance.zone
@@ -171,7 +172,7 @@
         serving = {key: value for key, value in serving.items() if is_covered(value, wave)}
     elif not _is_due(maintenance, 0 if wave is None else wave.request, serving, now_ms):
         return {}
-    silent = _silent_zones(fleet, now_ms) if serving else set()
+    silent = silent_zones(fleet, now_ms) if serving else set()
     return {key: value for key, value in serving.items() if value.zone not in silent}
 
 
@@ -182,7 +183,8 @@
     )
 
 
-def _silent_zones(fleet: FleetState, now_ms: int) -> set[str]:
+def silent_zones(fleet: FleetState, now_ms: int) -> set[str]:
+    """Return the availability zones in which a drain can't end now."""
     membership = fleet.membership
     lapsed = {entry.zone for entry in membership.entries.values() if entry.lease_until_ms <= now_ms}
     return lapsed | {entry.zone for entry in membership.superseded.values()}
--- a/heatherkeel/waves/wave.py
+++ b/heatherkeel/waves/wave.py
@@ -97,7 +97,10 @@
 
 
 def enter_wave(state: FleetState, meta: RecordMeta, pool: str) -> None:
-    """Count a maintenance drain in the pool's wave, opening a new one if the last is complete."""
+    """Count a maintenance drain in the pool's wave, opening a new one if the last is complete.
+
+    It was admitted, so an operator has let a halted wave go on: the old reason holds no more.
+    """
     wave = state.waves.waves.get(pool)
     number = next_number(state, pool)
     if wave is None or wave.number != number:
@@ -110,6 +113,7 @@
         )
         state.waves.waves[pool] = wave
     wave.drained += 1
+    wave.halted_reason = ""
 
 
 def count_return(state: FleetState, meta: RecordMeta, pool: str, drain: Drain) -> list[Effect]:
--- a/tests/waves/test_wave.py
+++ b/tests/waves/test_wave.py
@@ -86,6 +86,7 @@
     _lose(log, "b0")
     log.put("care", maintenance(max_concurrent=1))
     _maintain(log, "c0")
+    assert log.state.waves.waves["desk"].halted_reason == ""
     _lose(log, "c1")
     assert log.state.waves.waves["desk"].failed == 1
 
