End a wave whose last record is a repair, a cancelled drain, or the failure that halts it

Cause: a wave was only ended by the return of a maintenance drain. Ruled out: the operator's edit not letting the wave go on. Three tests, red before. With any of the three calls of finish_wave gone, its own test fails.

--- a/heatherkeel/waves/reducer.py
+++ b/heatherkeel/waves/reducer.py
@@ -138,7 +138,8 @@
     set_status(instance, status)
     if drain.was_failed:
         instance.failure = f"repair was cancelled: {body.reason}"
-    return Ok(accept_change(state, meta, body.instance))
+    effects = wave.finish_wave(state, meta, instance.pool)
+    return Ok(accept_change(state, meta, body.instance, *effects))
 
 
 @handles("waves.move_join", MoveJoin)
--- a/heatherkeel/waves/wave.py
+++ b/heatherkeel/waves/wave.py
@@ -113,11 +113,14 @@
 
 
 def count_return(state: FleetState, meta: RecordMeta, pool: str, drain: Drain) -> list[Effect]:
-    """Count an instance that came back, and say so when it was the wave's last one."""
+    """Count an instance that came back, and say so when it was the wave's last one.
+
+    A repair can be the last thing under way too. If only maintenance ended
+    a wave, one whose last instance was repaired would stay open for ever.
+    """
     wave = state.waves.waves.get(pool)
-    if wave is None or drain.purpose is not Purpose.MAINTENANCE:
-        return []
-    wave.returned += 1
+    if wave is not None and drain.purpose is Purpose.MAINTENANCE:
+        wave.returned += 1
     return finish_wave(state, meta, pool)
 
 
@@ -149,7 +152,7 @@
     wave = state.waves.waves.get(pool)
     found = find_maintenance(state, pool)
     if wave is None or found is None or drain.purpose is not Purpose.MAINTENANCE:
-        return []
+        return finish_wave(state, meta, pool)
     maintenance, stored = found
     if wave.failed_since_offset != stored.offset:
         wave.failed_since_offset = stored.offset
@@ -160,4 +163,5 @@
     wave.halted_offset = meta.offset
     wave.halted_reason = f"{wave.failed} instances of {pool} did not come back in this wave"
     halted = WaveHalted(pool=pool, wave=wave.number, reason=wave.halted_reason, offset=meta.offset)
-    return [halted]
+    # The last failure can leave nothing to maintain. No other record would then end the wave.
+    return [halted, *finish_wave(state, meta, pool)]
--- a/tests/waves/test_wave.py
+++ b/tests/waves/test_wave.py
@@ -4,6 +4,8 @@
 
 from heatherkeel.core.models import Effect, RejectReason
 from heatherkeel.waves.models import (
+    DrainCancel,
+    Purpose,
     Returned,
     ReturnFailed,
     ReturnFailure,
@@ -78,6 +80,53 @@
     assert log.refused(log.stop("c0")).reason is RejectReason.WAVE_HALTED
 
 
+def test_a_wave_that_its_last_failure_halts_is_finished_too() -> None:
+    # All others are maintained when the last two instances don't come back. Nothing is left to
+    # maintain, so no later record would end the wave: its operator would wait for it for ever.
+    log = small_fleet(min_serving=0)
+    for instance_id in ("b1", "c0", "c1", "a1"):
+        _maintain(log, instance_id)
+    _lose(log, "a0")
+    [_, halted, finished] = _lose(log, "b0")
+    assert isinstance(halted, WaveHalted) and isinstance(finished, WaveFinished)
+    assert log.state.waves.waves["desk"].finished_ms == log.now_ms
+
+
+def _repair_under_way(log: FoldedLog) -> None:
+    """Have a0 fail, all others maintained or failed, and only a0's repair still under way."""
+    _lose(log, "a0")
+    log.must(log.drain("a0", purpose=Purpose.REPAIR))
+    for instance_id in ("a1", "b1", "c0", "c1"):
+        _maintain(log, instance_id)
+    _lose(log, "b0")
+    assert not log.state.waves.waves["desk"].finished_ms
+
+
+def test_a_repair_that_comes_back_last_ends_the_wave() -> None:
+    # An instance of the wave is being repaired while all others have their turn. Its return is
+    # the wave's last record; without the end the operator would see an open wave for ever.
+    log = small_fleet(min_serving=0)
+    _repair_under_way(log)
+    for entry_id in sorted(set(log.drain_of("a0").waiting.values())):
+        log.must(log.ack(entry_id, "a0"))
+    log.must(log.stop("a0"))
+    version = log.instance("a0").version
+    body = Returned(instance="a0", expected_version=version, boot_id="a0.9")
+    assert isinstance(log.must(body).effects[-1], WaveFinished)
+
+
+def test_a_repair_that_is_cancelled_last_ends_the_wave() -> None:
+    log = small_fleet(min_serving=0)
+    _repair_under_way(log)
+    body = DrainCancel(
+        instance="a0",
+        expected_version=log.instance("a0").version,
+        coordinator="entry-a",
+        reason="x",
+    )
+    assert isinstance(log.must(body).effects[-1], WaveFinished)
+
+
 def test_an_edit_of_the_maintenance_entry_resumes_a_halted_wave() -> None:
     log = small_fleet(min_serving=0)
     _lose(log, "a0")
