Measure buffer cost, roll-out time and moves against baselines and bounds

Tried before: the fewest spare instances with which a wave ends at all, which is 9 for every policy and told nothing; and moves that counted repairs of failed instances, which relocate nothing.

--- a/heatherkeel/measure/bounds.py
+++ b/heatherkeel/measure/bounds.py
@@ -25,7 +25,7 @@
     most = most_at_once(users.WORKERS, need=need)
     rounds = ceil(users.WORKERS / most)
     return Bounds(
-        buffer_cost=fewest_spare(need),
+        buffer_cost=fewest_spare_in_window(user, need),
         roll_out_time_s=rounds * user.reboot_s,
         moves=users.WORKERS,
     )
@@ -39,6 +39,14 @@
     return workers - need
 
 
+def fewest_spare_in_window(user: User, need: int) -> int:
+    """Return the fewest instances above the need whose wave can end within the window."""
+    workers = need + fewest_spare(need)
+    while ceil(workers / most_at_once(workers, need=need)) * user.reboot_s > users.WINDOW_S:
+        workers += 1
+    return workers - need
+
+
 def most_at_once(workers: int, *, need: int) -> int:
     """Return how many instances can be out side by side with one zone more to lose.
 
--- a/heatherkeel/measure/wave_run.py
+++ b/heatherkeel/measure/wave_run.py
@@ -22,7 +22,7 @@
     Source,
 )
 from heatherkeel.waves.coordinator import next_steps
-from heatherkeel.waves.models import AckedDrain, DrainAck, DrainStart, Returned, StopIssued
+from heatherkeel.waves.models import AckedDrain, DrainAck, DrainStart, Purpose, Returned, StopIssued
 from heatherkeel.waves.policy import plan
 
 from . import users
@@ -45,8 +45,8 @@
 class WaveResult:
     """What one wave cost; `roll_out_time_s` is None if it didn't end within a day.
 
-    `moves` counts each time an instance was taken out of service or moved, by plan; `cancelled`
-    are those of them that were put back unmaintained.
+    `moves` counts each time a serving instance was taken out of service by plan, or moved to
+    another pool; a repair takes nothing out. `cancelled` drains were put back unmaintained.
     """
 
     roll_out_time_s: int | None
@@ -149,7 +149,8 @@
         if isinstance(settled.outcome, Rejected):
             self.refused += 1
             return
-        self.moves += isinstance(body, DrainStart)
+        if isinstance(body, DrainStart):
+            self.moves += body.purpose is not Purpose.REPAIR
         self.cancelled += settled.kind == "waves.drain_cancel"
         if isinstance(body, StopIssued):
             self._stop(body.instance)
