--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -11,6 +11,8 @@
 from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
+from heatherkeel.membership.const import HEARTBEAT_INTERVAL_MS
+from heatherkeel.membership.links import PeerLinks
 from heatherkeel.monitoring.app import MonitoringApp, TimedApp
 from heatherkeel.monitoring.counting import count_effects
 from heatherkeel.monitoring.gauges import NodeGauges
@@ -34,6 +36,15 @@
         self.node = Node(settings=settings)
         self.readiness = Readiness(node=self.node)
         self.metrics = Metrics()
+        self.links = PeerLinks(
+            node=self.node.state,
+            take=self.node.take,
+            take_relayed=self.node.take_relayed,
+            heard_at_ms=lambda: self.node.follower.heard_at_ms,
+            recent=self.node.recent,
+            bind=settings.peers.bind,
+            seeds=settings.peers.seeds,
+        )
         self.front = Front(node=self.node)
         timed = TimedApp(inner=self.front, metrics=self.metrics)
         self.http = HttpServer(app=timed, bind=settings.http.bind)
@@ -56,28 +67,34 @@
         self.metrics.register([self.gauges])
         self.node.writer.start(nursery)
         self.node.snapshots.start(nursery)
+        self.links.start(nursery)
         await self.admin.start(nursery)
-        NodeStart(node=self.node).start(nursery)
-        await self.node.may_serve.wait()
+        starting = NodeStart(node=self.node, links=self.links)
+        starting.start(nursery)
+        await starting.done.wait()
         await self.http.start(nursery)
-        self._start_timers(nursery)
+        Duties(node=self.node, peer_address=self.links.address).start()
+        self._subscribe_timers()
+        self.node.timers.start(nursery)
         _LOGGER.info(
             "listening",
             extra={
                 "event": "listening",
                 "http": self.http.address,
                 "admin": self.admin.address,
+                "peers": self.links.address,
             },
         )
 
-    def _start_timers(self, nursery: trio.Nursery) -> None:
-        Duties(node=self.node, peer_address=self.settings.peers.bind).start()
+    def _subscribe_timers(self) -> None:
         self.node.timers.subscribe(
             name="snapshots",
             interval_ms=self.settings.snapshots.check_interval_ms,
             callback=self.node.snapshots.async_check,
         )
-        self.node.timers.start(nursery)
+        self.node.timers.subscribe(
+            name="peers", interval_ms=HEARTBEAT_INTERVAL_MS, callback=self.links.async_tick
+        )
 
     async def close(self) -> None:
         """Stop in order; the admin port answers to the end, so that the stop can be watched."""
@@ -88,6 +105,7 @@
 
     async def close_connections(self) -> None:
         """Close what was opened to targets and to the platform."""
+        self.links.close()
         await self.front.close()
         await self.node.client.close()
 
@@ -101,6 +119,7 @@
         with trio.CancelScope() as starting:
             nursery.start_soon(stop.async_cancel, starting)
             await process.start(nursery)
+            process.readiness.start()
         await stop.received.wait()
         if process.http.started:
             await process.close()
