Read the platform's list again only when it has changed (If-None-Match)

Cause: every entry process reads the whole list twice a second. Ruled out: a longer interval, which would make leaving targets be seen later. A platform without validators answers as before (test_a_platform_without_validators_sends_the_whole_list). With the If-None-Match header left out, test_an_unchanged_list_is_not_sent_again fails: 200 for 304.

--- a/heatherkeel/platform/client.py
+++ b/heatherkeel/platform/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import TypeVar
 
 import httpcore
@@ -21,6 +22,7 @@
 
 ModelT = TypeVar("ModelT")
 _ENCODER = msgspec.json.Encoder()
+_STATUS_NOT_MODIFIED = 304
 _STATUS_GONE = 410
 _STATUS_REQUEST_TIMEOUT = 408
 _REFUSED_FOR_NOW = (429, 503)
@@ -33,6 +35,8 @@
         self.base_url = f"http://{address}"
         self.headers = [("x-instance", instance), ("x-zone", zone)]
         self.timeout_s = timeout_ms / 1000
+        self.listed = InstanceList(instances=[])
+        self.list_etag = ""
         self.pool = httpcore.AsyncConnectionPool(max_connections=8, retries=0, http2=False)
 
     async def close(self) -> None:
@@ -54,8 +58,23 @@
         return await self._async_call("GET", path, ReadAnswer, wait_s=wait_ms / 1000)
 
     async def async_list_instances(self) -> Result[InstanceList, PlatformError]:
-        """Read the platform's list of instances."""
-        return await self._async_call("GET", "/instances", InstanceList)
+        """Read the platform's list of instances; one that hasn't changed isn't sent again.
+
+        It is read several times a second by every process. With thousands of workers the whole
+        list would cost megabytes a second each (RFC 9110, section 13.1.2).
+        """
+        known = [("if-none-match", self.list_etag)] if self.list_etag else []
+        exchanged = await self._async_exchange("GET", "/instances", headers=known)
+        if isinstance(exchanged, Err):
+            return exchanged
+        response = exchanged.ok_value
+        if response.status == _STATUS_NOT_MODIFIED and known:
+            return Ok(self.listed)
+        decoded = _decode(response, InstanceList)
+        if isinstance(decoded, Ok):
+            self.listed = decoded.ok_value
+            self.list_etag = _find_etag(response)
+        return decoded
 
     async def async_operate(
         self, instance: str, *, operation_id: str, request: OperationRequest
@@ -72,10 +91,24 @@
         body: bytes | None = None,
         wait_s: float = 0.0,
     ) -> Result[ModelT, PlatformError]:
+        exchanged = await self._async_exchange(method, path, body=body, wait_s=wait_s)
+        if isinstance(exchanged, Err):
+            return exchanged
+        return _decode(exchanged.ok_value, model)
+
+    async def _async_exchange(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        wait_s: float = 0.0,
+        headers: Sequence[tuple[str, str]] = (),
+    ) -> Result[httpcore.Response, PlatformError]:
         try:
             with trio.fail_after(self.timeout_s + wait_s):
                 response = await self.pool.request(
-                    method, self.base_url + path, headers=self.headers, content=body
+                    method, self.base_url + path, headers=[*self.headers, *headers], content=body
                 )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as err:
             return Err(PlatformError(failure=PlatformFailure.NOT_SENT, detail=repr(err)))
@@ -83,7 +116,15 @@
             return Err(PlatformError(failure=PlatformFailure.UNKNOWN, detail=repr(err)))
         except trio.TooSlowError:
             return Err(PlatformError(failure=PlatformFailure.UNKNOWN, detail="timed out"))
-        return _decode(response, model)
+        return Ok(response)
+
+
+def _find_etag(response: httpcore.Response) -> str:
+    """Return the answer's validator, empty if the platform gives none."""
+    for name, value in response.headers:
+        if name.lower() == b"etag":
+            return value.decode("latin-1")
+    return ""
 
 
 def _decode(response: httpcore.Response, model: type[ModelT]) -> Result[ModelT, PlatformError]:
--- a/heatherkeel/standins/platform.py
+++ b/heatherkeel/standins/platform.py
@@ -61,6 +61,7 @@
         self.streams: dict[str, Stream] = {}
         self.instances: dict[str, ListedInstance] = {}
         self.list_versions: list[tuple[float, InstanceList]] = []
+        self.started_ms = log_now_ms()
         self.operations = Operations(
             find_instance=self.instances.__getitem__, list_instance=self.list_instance
         )
@@ -103,7 +104,7 @@
             case ("GET", ["streams", name, "records"]):
                 await self._async_read(request, send, name)
             case ("GET", ["instances"]):
-                await async_respond_json(send, self._listed())
+                await self._async_list(request, send)
             case ("PUT", ["instances", _]):
                 await self._async_put_instance(request, send)
             case ("PUT", ["instances", instance, "operations", operation_id]):
@@ -174,11 +175,19 @@
         listed = InstanceList(instances=list(self.instances.values()))
         self.list_versions.append((trio.current_time(), listed))
 
-    def _listed(self) -> InstanceList:
-        """Return the newest version of the list that is as old as the lag."""
+    async def _async_list(self, request: Request, send: Send) -> None:
+        """Answer with the list, or that the reader's copy is still the newest."""
+        version = self._visible_version()
+        headers = {"etag": f'"{self.started_ms}-{version}"'}
+        if request.headers.get("if-none-match") == headers["etag"]:
+            return await async_respond(send, status=304, headers=headers)
+        listed = self.list_versions[version][1] if version >= 0 else InstanceList(instances=[])
+        return await async_respond_json(send, listed, headers=headers)
+
+    def _visible_version(self) -> int:
+        """Return the number of the newest version that is as old as the lag; -1 for none."""
         seen_before = trio.current_time() - self.faults.list_lag_ms / 1000
-        visible = [listed for at, listed in self.list_versions if at <= seen_before]
-        return visible[-1] if visible else InstanceList(instances=[])
+        return sum(at <= seen_before for at, _ in self.list_versions) - 1
 
     async def _async_put_instance(self, request: Request, send: Send) -> None:
         body = (await request.async_body(limit_bytes=MAX_BODY_BYTES)).unwrap()
