--- a/heatherkeel/measure/fold_slopes.py
+++ b/heatherkeel/measure/fold_slopes.py
@@ -9,8 +9,17 @@
 
 from heatherkeel.core.models import RecordBody
 from heatherkeel.core.registry import KIND_OF_BODY
+from heatherkeel.jobs.models import JobSpec, Resources
+from heatherkeel.jobs.records import JobSubmit
 from heatherkeel.membership.models import EntryRenew
 from heatherkeel.pools.models import Health, InstanceObserved
+from heatherkeel.requests.models import (
+    ClaimOutcome,
+    ClaimStatus,
+    KeyClaim,
+    RecordedAnswer,
+    claim_name,
+)
 from heatherkeel.waves.models import (
     AckedDrain,
     DrainAck,
@@ -128,3 +137,50 @@
     yield Returned(
         instance=worker, expected_version=instances[worker].version, boot_id=f"{worker}-2"
     )
+
+
+@exercise
+def claims(log: MeasuredLog) -> Iterator[RecordBody]:
+    """Claim keys and record their outcomes."""
+    service = f"{size.pool_name(0)}-service"
+    for index in range(REPEATS):
+        key = f"key-{index:08d}"
+        yield KeyClaim(
+            service=service,
+            key=key,
+            fingerprint=f"{index:064x}",
+            instance=size.entry_id(0),
+            incarnation=f"{0:032x}",
+        )
+        claim = log.state.claims.claims[claim_name(service, key)].claim
+        answer = RecordedAnswer(
+            http_status=200,
+            content_type="application/json",
+            body="A" * 256,
+            body_sha256=f"{index:064x}",
+            body_bytes=192,
+        )
+        yield ClaimOutcome(
+            service=service, key=key, claim=claim, status=ClaimStatus.RAN, answer=answer
+        )
+
+
+@exercise
+def jobs(log: MeasuredLog) -> Iterator[RecordBody]:
+    """Submit jobs."""
+    for index in range(REPEATS):
+        team = f"team-{index:03d}"
+        needs = Resources(cpu_millicores=1_000, memory_mib=1_024)
+        spec = JobSpec(pool=size.pool_name(0), size=needs)
+        yield JobSubmit(job=f"{team}:job-{index}", team=team, spec=spec)
+
+
+def measure_record_bytes() -> dict[str, float]:
+    """Return the mean bytes of one record of each kind, as it goes into the log."""
+    log = build(size.fleet_records(workers=size.WORKERS))
+    sizes: dict[str, list[int]] = defaultdict(list)
+    for records in EXERCISES:
+        for body in records(log):
+            log.must(body)
+            sizes[KIND_OF_BODY[type(body)]].append(log.record_bytes)
+    return {kind: round(statistics.mean(values), 1) for kind, values in sorted(sizes.items())}
--- a/heatherkeel/measure/log.py
+++ b/heatherkeel/measure/log.py
@@ -30,6 +30,8 @@
         self.now_ms = start_ms
         self.fold_us = 0.0
         """Time of the newest fold, in microseconds."""
+        self.record_bytes = 0
+        """Bytes of the newest record."""
         self.records = 0
 
     def append(self, data: bytes) -> list[Effect]:
@@ -38,6 +40,7 @@
         start_ns = time.perf_counter_ns()
         effects = fold(self.state, record)
         self.fold_us = (time.perf_counter_ns() - start_ns) / 1000
+        self.record_bytes = len(data)
         self.records += 1
         return effects
 
--- a/heatherkeel/measure/resident.py
+++ b/heatherkeel/measure/resident.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import subprocess
 import sys
 import time
 from dataclasses import dataclass
@@ -15,6 +17,19 @@
 from .fleet import MeasuredFleet
 from .registry import measurement
 
+LIBRARIES: Final = (
+    "trio",
+    "zmq",
+    "prometheus_client",
+    "hypercorn.trio",
+    "httpcore",
+    "msgspec",
+    "result",
+    "absl.flags",
+    "pythonjsonlogger.json",
+)
+"""What an entry process imports that isn't ours."""
+
 SETTLE_S: Final = 2.0
 """Time after start-up in which freed buffers go back, before memory is read."""
 
@@ -67,11 +82,23 @@
             values=[item.cpu_s for item in started],
         ),
     ]
-    text = msgspec.json.encode(slopes).decode() if values.json else format_slopes(slopes)
-    sys.stdout.write(text + "\n")
+    libraries_mib = measure_libraries()
+    if values.json:
+        answer = {"slopes": slopes, "libraries_mib": libraries_mib}
+        sys.stdout.write(msgspec.json.encode(answer).decode() + "\n")
+        return 0
+    sys.stdout.write(format_slopes(slopes) + "\n")
+    sys.stdout.write(f"interpreter and libraries alone: {libraries_mib:.1f} MiB\n")
     return 0
 
 
+def measure_libraries() -> float:
+    """Return the resident MiB of a process that only imports the libraries of an entry process."""
+    code = f"import {', '.join(LIBRARIES)}; print(open('/proc/self/statm').read().split()[1])"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    return int(done.stdout) * os.sysconf("SC_PAGE_SIZE") / 2**20
+
+
 def _start(workers: int) -> Started:
     fleet = MeasuredFleet()
     try:
--- a/heatherkeel/measure/slopes.py
+++ b/heatherkeel/measure/slopes.py
@@ -8,7 +8,7 @@
 from absl import flags
 
 from .fit import Slope, format_slopes
-from .fold_slopes import measure_fold
+from .fold_slopes import measure_fold, measure_record_bytes
 from .registry import measurement
 from .state_slopes import measure_state
 
@@ -21,8 +21,11 @@
 def run_slopes(values: flags.FlagValues) -> int:
     """Measure and print all slopes."""
     slopes: list[Slope] = [*measure_state(), *measure_fold()]
+    record_bytes = measure_record_bytes()
     if values.json:
-        sys.stdout.write(msgspec.json.encode(slopes).decode() + "\n")
-    else:
-        sys.stdout.write(format_slopes(slopes) + "\n")
+        answer = {"slopes": slopes, "record_bytes": record_bytes}
+        sys.stdout.write(msgspec.json.encode(answer).decode() + "\n")
+        return 0
+    lines = [f"record {kind:34} {mean:>8} B" for kind, mean in record_bytes.items()]
+    sys.stdout.write("\n".join([format_slopes(slopes), *lines]) + "\n")
     return 0
--- a/heatherkeel/measure/state_slopes.py
+++ b/heatherkeel/measure/state_slopes.py
@@ -8,10 +8,12 @@
 
 from heatherkeel.core.models import RecordBody
 from heatherkeel.core.state import FleetState, canonical_bytes, digest, from_canonical_bytes
+from heatherkeel.requests.models import Claim, ClaimsState, ClaimStatus, RecordedAnswer
+from heatherkeel.waves.policy import plan
 
 from . import design_size as size
 from .fit import Slope, fit
-from .log import MeasuredLog
+from .log import START_MS, MeasuredLog
 
 REPEATS: Final = 5
 QUARTERS: Final = (1, 2, 3, 4)
@@ -47,6 +49,7 @@
         "entry instance", size.ENTRIES * 24, lambda n: (size.join_record(i) for i in range(n))
     )
     yield _seen_slope()
+    yield _claims_slope()
     yield from _time_slopes()
 
 
@@ -65,12 +68,47 @@
     return fit("state bytes", unit="B", per="remembered id", sizes=sizes, values=values)
 
 
+def _claims_slope() -> Slope:
+    """Measure keys with an outcome whose answer is kept, of 192 bytes."""
+    sizes = quarters_of(4_000)
+    values = []
+    for count in sizes:
+        claims = {f"stock/key-{index:08d}": _claim(index) for index in range(count)}
+        values.append(len(canonical_bytes(FleetState(claims=ClaimsState(claims=claims)))))
+    return fit("state bytes", unit="B", per="claimed key", sizes=sizes, values=values)
+
+
+def _claim(index: int) -> Claim:
+    answer = RecordedAnswer(
+        http_status=200,
+        content_type="application/json",
+        body="A" * 256,
+        body_sha256=f"{index:064x}",
+        body_bytes=192,
+    )
+    return Claim(
+        claim=f"{index:032x}",
+        fingerprint=f"{index:064x}",
+        instance=size.entry_id(0),
+        incarnation=f"{0:032x}",
+        changed_ms=START_MS,
+        offset=index,
+        status=ClaimStatus.RAN,
+        answer=answer,
+    )
+
+
+def _plan(state: FleetState) -> object:
+    return plan(state, state.now_ms, coordinator=size.entry_id(0))
+
+
 def _time_slopes() -> Iterator[Slope]:
     sizes = quarters_of(size.WORKERS)
     states = [build(size.fleet_records(workers=count)).state for count in sizes]
     steps: dict[str, Callable[[FleetState], object]] = {
         "canonical encoding": canonical_bytes,
         "canonical encoding and digest": digest,
+        "planning with nothing due": _plan,
     }
     for name, step in steps.items():
         values = [_best_ms(step, state) for state in states]
