--- a/heatherkeel/entry/duties.py
+++ b/heatherkeel/entry/duties.py
@@ -4,6 +4,7 @@
 
 import logging
 
+import trio
 from result import Err, Ok
 
 from heatherkeel.core.models import Rejected
@@ -13,8 +14,15 @@
 from heatherkeel.membership.models import EntryJoin, EntryRenew
 from heatherkeel.membership.pause import PauseWatch
 
-from .const import ACKNOWLEDGE_INTERVAL_MS, WRITE_TIMEOUT_S
+from .const import (
+    ACKNOWLEDGE_INTERVAL_MS,
+    COORDINATE_INTERVAL_MS,
+    OBSERVE_INTERVAL_MS,
+    WRITE_TIMEOUT_S,
+)
 from .duties_acknowledge import Acknowledger
+from .duties_coordinate import Coordinator
+from .duties_health import HealthObserver
 from .duties_listing import InstanceListing
 from .node import Node
 
@@ -28,12 +36,18 @@
         self.node = node
         self.peer_address = peer_address
         self.joined = False
+        self.waited_for = trio.Event()
+        """Set when drains wait for this process: it has joined, or a peer sponsors it."""
         self.listing = InstanceListing(node=node)
         self.acknowledger = Acknowledger(node=node)
+        self.coordinator = Coordinator(node=node, listing=self.listing)
+        self.observer = HealthObserver(node=node, listing=self.listing)
         self.pauses = PauseWatch(take=node.take)
 
     def start(self) -> None:
         """Subscribe to the timer service."""
+        if self.node.state.local.peers.sponsorship is not None:
+            self.waited_for.set()
         settings = self.node.settings
         self.node.timers.subscribe(
             name="lease",
@@ -51,11 +65,12 @@
             interval_ms=settings.platform.instances_interval_ms,
             callback=self.listing.async_read,
         )
-        self.node.timers.subscribe(
-            name="acknowledge",
-            interval_ms=ACKNOWLEDGE_INTERVAL_MS,
-            callback=self.acknowledger.async_acknowledge,
-        )
+        for name, interval_ms, callback in (
+            ("acknowledge", ACKNOWLEDGE_INTERVAL_MS, self.acknowledger.async_acknowledge),
+            ("coordinate", COORDINATE_INTERVAL_MS, self.coordinator.async_coordinate),
+            ("observe", OBSERVE_INTERVAL_MS, self.observer.async_observe),
+        ):
+            self.node.timers.subscribe(name=name, interval_ms=interval_ms, callback=callback)
 
     async def async_hold_lease(self) -> None:
         """Join, or renew the routing lease."""
@@ -68,6 +83,8 @@
             case Ok(settled):
                 self.joined = not isinstance(settled.outcome, Rejected)
                 self._tell_lease(sent_ms)
+                if self.joined:
+                    self.waited_for.set()
                 if renews and not self.joined:
                     self.node.timers.wake("lease")
             case Err(failure):
