--- a/heatherkeel/settings/models.py
+++ b/heatherkeel/settings/models.py
@@ -7,9 +7,10 @@
 import msgspec
 from msgspec import Meta
 
+from heatherkeel.catalogue.const import MAX_NAME_CHARS, NAME_PATTERN
 from heatherkeel.helpers.faults import SECRET
 
-from .const import ADDRESS_PATTERN, BIND_PATTERN, SHORT_NAME_PATTERN
+from .const import ADDRESS_PATTERN, BIND_PATTERN
 
 BindAddress = Annotated[
     str,
@@ -28,8 +29,8 @@
 ShortName = Annotated[
     str,
     Meta(
-        pattern=SHORT_NAME_PATTERN,
-        max_length=64,
+        pattern=NAME_PATTERN,
+        max_length=MAX_NAME_CHARS,
         description="up to 64 lower-case letters, digits, '.', '_' or '-', with a letter or "
         "digit at both ends",
     ),
