Live peers by their heartbeats, leases apart

Cause: the gauge counted routing leases as of the last record. With the platform away the fold's time stands still, so a cut-off instance showed all its peers as live.

--- a/heatherkeel/monitoring/gauges.py
+++ b/heatherkeel/monitoring/gauges.py
@@ -13,6 +13,7 @@
 from heatherkeel.core.state import FleetState
 from heatherkeel.entry.node import Node
 from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.membership.const import MAX_SILENCE_MS
 from heatherkeel.membership.local import PeersState
 from heatherkeel.pools.models import Instance, InstanceStatus
 
@@ -32,12 +33,18 @@
     FAILED = "failed"
 
 
-def count_live_peers(fleet: FleetState, *, own: str) -> int:
-    """Count the other entry instances whose routing lease holds at the fold's time."""
+def count_live_peers(peers: PeersState, *, now_ms: int) -> int:
+    """Count the linked peers whose heartbeats arrive; `now_ms` is the monotonic clock."""
+    return sum(1 for peer in peers.peers.values() if now_ms - peer.heard_ms <= MAX_SILENCE_MS)
+
+
+def count_leases(fleet: FleetState) -> int:
+    """Count the entry instances whose routing lease holds at the fold's time.
+
+    Without the log that time stands still, so this goes on to count instances that are lost.
+    """
     return sum(
-        1
-        for name, entry in fleet.membership.entries.items()
-        if name != own and entry.lease_until_ms >= fleet.now_ms
+        1 for entry in fleet.membership.entries.values() if entry.lease_until_ms >= fleet.now_ms
     )
 
 
@@ -74,15 +81,17 @@
     def collect(self) -> Iterator[Metric]:
         """Give every gauge."""
         fleet = self.node.state.fleet
-        own = self.node.settings.instance.id
+        peers = self.node.state.local.peers
         yield _gauge("offset_in_force", "Offset of the last record folded.", fleet.next_offset - 1)
-        yield _gauge("live_peers", "Other entry instances.", count_live_peers(fleet, own=own))
+        live_peers = count_live_peers(peers, now_ms=monotonic_ms())
+        yield _gauge("live_peers", "Linked peers whose heartbeats arrive.", live_peers)
+        yield _gauge("leases", "Entry instances that hold a routing lease.", count_leases(fleet))
         yield _gauge("catalogue_entries", "Entries in force.", len(fleet.catalogue.entries))
         yield _gauge("log_reachable", "1 if the log answered.", self.node.follower.reachable)
         yield _gauge("ready", "1 if ready.", not self.readiness.find_reasons())
         yield _gauge("requests_in_progress", "Requests of callers.", self.in_progress())
         yield self._targets()
-        yield from _peer_counters(self.node.state.local.peers)
+        yield from _peer_counters(peers)
 
     def _targets(self) -> GaugeMetricFamily:
         family = GaugeMetricFamily("heatherkeel_targets", "Targets by state.", labels=["state"])
--- a/tests/monitoring/test_metrics.py
+++ b/tests/monitoring/test_metrics.py
@@ -10,12 +10,15 @@
 from heatherkeel.core.models import Accepted, Duplicate, Effect, Rejected, RejectReason, Settled
 from heatherkeel.entry.node import Node
 from heatherkeel.helpers.metrics import Metrics
+from heatherkeel.membership.const import MAX_SILENCE_MS
+from heatherkeel.membership.local import PeerView
 from heatherkeel.membership.models import EntryInstance
 from heatherkeel.monitoring.app import find_outcome
 from heatherkeel.monitoring.counting import COUNTED
 from heatherkeel.monitoring.gauges import (
     NodeGauges,
     TargetState,
+    count_leases,
     count_live_peers,
     count_targets,
 )
@@ -112,7 +115,7 @@
     assert {kind.value for kind in TargetState} >= {status.value for status in InstanceStatus}
 
 
-def test_a_peer_whose_lease_lapsed_is_not_live() -> None:
+def test_an_entry_instance_whose_lease_lapsed_is_not_counted() -> None:
     fleet = node().state.fleet
     fleet.now_ms = 10
     for name, until_ms in (("e-a", 20), ("e-b", 10), ("e-c", 9)):
@@ -124,7 +127,23 @@
             lease_ms=5,
             lease_until_ms=until_ms,
         )
-    assert count_live_peers(fleet, own="e-a") == 1
+    assert count_leases(fleet) == 2
+
+
+def test_a_silent_peer_is_not_live() -> None:
+    # With the platform away the fold's time stands still and every lease seems to hold; only the
+    # heartbeats show that a peer is lost.
+    peers = node().state.local.peers
+    for name, heard_ms in (("e-b", 10_000), ("e-c", 9_999)):
+        peers.peers[name] = PeerView(
+            incarnation="i",
+            zone="a",
+            address="",
+            heard_ms=heard_ms,
+            offset_in_force=0,
+            log_age_ms=0,
+        )
+    assert count_live_peers(peers, now_ms=10_000 + MAX_SILENCE_MS) == 1
 
 
 def test_gauges_show_the_state_at_the_time_of_the_scrape() -> None:
