--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from functools import partial
 
 import trio
 
@@ -18,6 +19,7 @@
 from heatherkeel.monitoring.counting import count_effects
 from heatherkeel.monitoring.gauges import NodeGauges
 from heatherkeel.monitoring.readiness import Readiness
+from heatherkeel.requests.reasons import RefusalReason
 from heatherkeel.settings.models import EntrySettings
 
 from .duties import Duties
@@ -48,7 +50,13 @@
         )
         self.front = Front(node=self.node)
         timed = TimedApp(inner=self.front, metrics=self.metrics)
-        self.http = HttpServer(app=timed, bind=settings.http.bind)
+        self.http = HttpServer(
+            app=timed,
+            bind=settings.http.bind,
+            on_headers_too_large=partial(
+                self.metrics.count_refusal, RefusalReason.HEADERS_TOO_LARGE
+            ),
+        )
         pages = MonitoringApp(
             inner=AdminApp(node=self.node, on_refusal=self.metrics.count_admin_refusal),
             metrics=self.metrics,
--- a/heatherkeel/helpers/metrics.py
+++ b/heatherkeel/helpers/metrics.py
@@ -83,6 +83,10 @@
         """Count an administration request that was refused."""
         self.admin_refusals.labels(refusal.value).inc()
 
+    def count_refusal(self, reason: RefusalReason) -> None:
+        """Count a request that got no answer of a target."""
+        self.refusals.labels(reason.value).inc()
+
     def observe_request(self, *, outcome: Outcome, seconds: float) -> None:
         """Take in one request that has its final answer."""
         self.durations.labels(outcome.value).observe(seconds)
--- a/heatherkeel/helpers/server.py
+++ b/heatherkeel/helpers/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import Final
 
 import trio
@@ -27,8 +28,9 @@
         graceful_timeout_s: float = 10.0,
         certfile: str = "",
         keyfile: str = "",
+        on_headers_too_large: Callable[[], None] = lambda: None,
     ) -> None:
-        self.app = limit_headers(app)
+        self.app = limit_headers(app, on_headers_too_large)
         self.address = bind
         self.config = Config()
         self.config.bind = [bind]
@@ -84,8 +86,8 @@
         await self.stopped.wait()
 
 
-def limit_headers(app: App) -> App:
-    """Refuse requests with too long headers.
+def limit_headers(app: App, on_refusal: Callable[[], None]) -> App:
+    """Refuse requests with too long headers, and tell of each.
 
     The library's own limit holds only for what it waits to complete: headers that come in one
     read pass whatever their length, so the same request would be answered or not by its timing.
@@ -95,6 +97,7 @@
         size = _header_bytes(scope) if scope["type"] == "http" else 0
         if size <= MAX_HEADER_BYTES:
             return await app(scope, receive, send)
+        on_refusal()
         return await async_respond_problem(
             send,
             status=431,
--- a/heatherkeel/monitoring/app.py
+++ b/heatherkeel/monitoring/app.py
@@ -18,12 +18,15 @@
     async_respond_problem,
 )
 from heatherkeel.helpers.metrics import Metrics
-from heatherkeel.requests.reasons import Outcome
+from heatherkeel.requests.reasons import Outcome, RefusalReason
 
 from .const import HEALTH_PATH, METRICS_PATH, READINESS_PATH
 from .readiness import NotReadyReason, Readiness
 
 _OUTCOME_NAME = OUTCOME_HEADER.encode()
+_INPUT_REFUSALS = {400: RefusalReason.BAD_HEADER, 413: RefusalReason.BODY_TOO_LARGE}
+"""Refusals of what a caller sent, by status: they come before the reducer, so no effect tells."""
+
 _OUTCOMES = {outcome.value.encode(): outcome for outcome in Outcome}
 
 
@@ -89,6 +92,7 @@
             nonlocal outcome
             if message["type"] == "http.response.start":
                 outcome = find_outcome(message["headers"])
+                self._count_input_refusal(message["status"], outcome)
             await send(message)
 
         self.in_progress += 1
@@ -100,6 +104,11 @@
                 self.metrics.observe_request(outcome=outcome, seconds=time.monotonic() - started)
         return None
 
+    def _count_input_refusal(self, status: int, outcome: Outcome | None) -> None:
+        reason = _INPUT_REFUSALS.get(status)
+        if reason is not None and outcome is Outcome.NOT_RUN:
+            self.metrics.count_refusal(reason)
+
 
 def find_outcome(headers: list[tuple[bytes, bytes]]) -> Outcome | None:
     """Return the outcome that an answer's head tells its caller, if it does."""
--- a/heatherkeel/monitoring/counting.py
+++ b/heatherkeel/monitoring/counting.py
@@ -44,13 +44,13 @@
 @counts(Refuse)
 def count_refusal(metrics: Metrics, effect: Refuse) -> None:
     """Count a final answer that no target gave."""
-    metrics.refusals.labels(effect.reason.value).inc()
+    metrics.count_refusal(effect.reason)
 
 
 @counts(AbortAnswer)
 def count_abort(metrics: Metrics, effect: AbortAnswer) -> None:
     """Count an answer that broke off: its caller got no whole answer either."""
-    metrics.refusals.labels(effect.reason.value).inc()
+    metrics.count_refusal(effect.reason)
 
 
 @counts(Retried)
--- a/heatherkeel/requests/reasons.py
+++ b/heatherkeel/requests/reasons.py
@@ -35,6 +35,9 @@
     KEY_ANSWER_NOT_KEPT = "key_answer_not_kept"
     CLAIM_NOT_WRITTEN = "claim_not_written"
     TOO_MANY_CLAIMS = "too_many_claims"
+    BAD_HEADER = "bad_header"
+    BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
 
 
 class RetryReason(StrEnum):
--- a/tests/docs/test_operate.py
+++ b/tests/docs/test_operate.py
@@ -16,6 +16,7 @@
 from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.monitoring.gauges import NodeGauges, TargetState
 from heatherkeel.monitoring.readiness import NotReadyReason, Readiness
+from heatherkeel.requests.reasons import NoRetryReason, RefusalReason, RetryReason
 from heatherkeel.settings.models import EntrySettings
 
 OPERATE: Final = Path(__file__).parents[2] / "docs" / "operate"
@@ -64,5 +65,12 @@
     ours = [family for family in families if family.name.startswith("heatherkeel_")]
     names = [f"{item.name}_total" if item.type == "counter" else item.name for item in ours]
     assert len(names) > 5
-    for name in [*names, *TargetState, *NotReadyReason]:
+    for name in [
+        *names,
+        *TargetState,
+        *NotReadyReason,
+        *RefusalReason,
+        *RetryReason,
+        *NoRetryReason,
+    ]:
         assert re.search(rf"`{name}`", page), name
