--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from functools import partial
 
 import trio
 
@@ -19,7 +18,6 @@
 from heatherkeel.monitoring.counting import count_effects
 from heatherkeel.monitoring.gauges import NodeGauges
 from heatherkeel.monitoring.readiness import Readiness
-from heatherkeel.requests.reasons import RefusalReason
 from heatherkeel.settings.models import EntrySettings
 
 from .duties import Duties
@@ -53,9 +51,7 @@
         self.http = HttpServer(
             app=timed,
             bind=settings.http.bind,
-            on_headers_too_large=partial(
-                self.metrics.count_refusal, RefusalReason.HEADERS_TOO_LARGE
-            ),
+            on_headers_too_large=self.metrics.count_headers_too_large,
         )
         pages = MonitoringApp(
             inner=AdminApp(node=self.node, on_refusal=self.metrics.count_admin_refusal),
--- a/heatherkeel/helpers/metrics.py
+++ b/heatherkeel/helpers/metrics.py
@@ -87,6 +87,10 @@
         """Count a request that got no answer of a target."""
         self.refusals.labels(reason.value).inc()
 
+    def count_headers_too_large(self) -> None:
+        """Count a request that was refused before anything looked at it."""
+        self.count_refusal(RefusalReason.HEADERS_TOO_LARGE)
+
     def observe_request(self, *, outcome: Outcome, seconds: float) -> None:
         """Take in one request that has its final answer."""
         self.durations.labels(outcome.value).observe(seconds)
