--- a/heatherkeel/waves/policy.py
+++ b/heatherkeel/waves/policy.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
@@ -35,12 +36,17 @@
     size: int
     serving: Headroom
     candidates: Members
-    under_way: int
+    draining: Counter[str]
+    """Planned drains under way, by availability zone."""
     now_ms: int
 
+    def under_way(self) -> int:
+        """Return how many planned drains are under way."""
+        return self.draining.total()
+
     def room(self) -> int:
         """Return how many more drains may be under way side by side."""
-        return self.maintenance.max_concurrent - self.under_way
+        return self.maintenance.max_concurrent - self.under_way()
 
     def margin_without(self, rack: Rack) -> int:
         """Return the least margin of the pool's budgets without one more instance of a rack."""
@@ -48,8 +54,9 @@
 
     def take(self, instance_id: str) -> None:
         """Count an instance as drained."""
-        self.serving.add(rack_of(self.candidates.pop(instance_id)), -1)
-        self.under_way += 1
+        instance = self.candidates.pop(instance_id)
+        self.serving.add(rack_of(instance), -1)
+        self.draining[instance.zone] += 1
 
 
 Policy = Callable[[PoolView], str | None]
@@ -83,9 +90,9 @@
             return drains
         wave = fleet.waves.waves.get(pool)
         halted = wave is not None and is_halted(wave, stored)
-        if halted or _closes_soon(maintenance, now_ms):
+        if halted or closes_soon(maintenance, now_ms):
             continue
-        view = _view_pool(fleet, maintenance, members.get(pool, {}), now_ms)
+        view = view_pool(fleet, maintenance, members.get(pool, {}), now_ms)
         drains += _plan_pool(fleet, view, coordinator, POLICIES[policy_name])
     return drains + plan_moves(fleet, coordinator=coordinator, taken=drains)
 
@@ -97,7 +104,7 @@
     return members
 
 
-def _closes_soon(maintenance: MaintenanceEntry, now_ms: int) -> bool:
+def closes_soon(maintenance: MaintenanceEntry, now_ms: int) -> bool:
     """Tell whether a stop that starts now could reach into counter hours."""
     latest_return_ms = now_ms + maintenance.return_timeout_s * 1000
     return is_closed(maintenance, now_ms) or is_closed(maintenance, latest_return_ms)
@@ -126,10 +133,16 @@
     return drains
 
 
-def _view_pool(
+def view_pool(
     fleet: FleetState, maintenance: MaintenanceEntry, members: Members, now_ms: int
 ) -> PoolView:
-    drains = [fleet.waves.drains[key] for key in members if key in fleet.waves.drains]
+    """Return what a policy chooses from."""
+    drains = fleet.waves.drains
+    draining = Counter(
+        instance.zone
+        for instance_id, instance in members.items()
+        if instance_id in drains and not drains[instance_id].was_failed
+    )
     candidates = _candidates(fleet, maintenance, members, now_ms)
     services = services_of(fleet, maintenance.pool) if candidates else ()
     return PoolView(
@@ -138,7 +151,7 @@
         size=len(members),
         serving=count_serving(members.values()),
         candidates=candidates,
-        under_way=sum(not drain.was_failed for drain in drains),
+        draining=draining,
         now_ms=now_ms,
     )
 
@@ -159,7 +172,7 @@
         serving = {key: value for key, value in serving.items() if is_covered(value, wave)}
     elif not _is_due(maintenance, 0 if wave is None else wave.request, serving, now_ms):
         return {}
-    silent = _silent_zones(fleet, now_ms) if serving else set()
+    silent = silent_zones(fleet, now_ms) if serving else set()
     return {key: value for key, value in serving.items() if value.zone not in silent}
 
 
@@ -170,7 +183,8 @@
     )
 
 
-def _silent_zones(fleet: FleetState, now_ms: int) -> set[str]:
+def silent_zones(fleet: FleetState, now_ms: int) -> set[str]:
+    """Return the availability zones in which a drain can't end now."""
     membership = fleet.membership
     lapsed = {entry.zone for entry in membership.entries.values() if entry.lease_until_ms <= now_ms}
     return lapsed | {entry.zone for entry in membership.superseded.values()}
