The second in line carries out checkpoints of a pool that it took over

Cause: the second in line recorded the checkpoint but left the call to the placer, until it was repeated after 2 s. The placement measurement is registered beside the others (script/measure placement).

--- a/heatherkeel/jobs/duty.py
+++ b/heatherkeel/jobs/duty.py
@@ -45,6 +45,8 @@
         self.order = PlacerOrder()
         self.views: dict[str, TaskView] = {}
         self.seen = 0
+        self.pools: frozenset[str] = frozenset()
+        """Pools whose turn it was in the last round, also those taken over for urgent work."""
         self.waiting: dict[str, int] = {}
         """Jobs that found no place in the last round, by reason."""
         self.limiter = trio.CapacityLimiter(MAX_CALLS)
@@ -69,7 +71,7 @@
     def hear_other(self, effect: TaskEffect) -> None:
         """Do what the fold asks of a task, if the pool of its worker is this process's turn."""
         worker = self.node.state.fleet.pools.instances.get(effect.instance)
-        if worker is not None and self.order.of(worker.pool)[:1] == (self.instance,):
+        if worker is not None and worker.pool in self.pools:
             self._begin(effect)
 
     async def async_round(self) -> None:
@@ -80,6 +82,7 @@
             return
         now_ms = self.node.clock.now_ms()
         jobs = self.order.jobs_in_turn(fleet, self.instance, now_ms)
+        self.pools = frozenset(job.spec.pool for job in jobs.values())
         if not jobs and not fleet.jobs.orphans:
             return
         if not await self._async_look():
@@ -128,7 +131,7 @@
         fleet = self.node.state.fleet
         request = RoundRequest(
             placer=self.instance,
-            pools=frozenset(job.spec.pool for job in jobs.values()),
+            pools=self.pools,
             jobs=self._still_live(jobs),
             now_ms=now_ms,
         )
--- a/heatherkeel/measure/__main__.py
+++ b/heatherkeel/measure/__main__.py
@@ -9,7 +9,7 @@
 
 from heatherkeel import subjects  # noqa: F401
 
-from . import edits, hop, idle, measures, resident, slopes  # noqa: F401
+from . import edits, hop, idle, measures, placement, resident, slopes, urgent  # noqa: F401
 from .registry import MEASUREMENTS
 
 EXIT_USAGE: Final = 2
--- a/heatherkeel/measure/placement.py
+++ b/heatherkeel/measure/placement.py
@@ -1,6 +1,6 @@
 """Measures placement: time per round and decision, fold time, state bytes, and packing.
 
-`python -m heatherkeel.measure.placement` prints one line of JSON for each size, layout and
+`script/measure placement` prints one line of JSON for each size, layout and
 policy. All times are of one process on one core.
 """
 
@@ -13,6 +13,7 @@
 from typing import Final
 
 import msgspec
+from absl import flags
 
 from heatherkeel.jobs.models import Job, JobStatus
 from heatherkeel.jobs.policies import POLICIES
@@ -20,6 +21,7 @@
 from heatherkeel.jobs.records import TaskEnded, TaskExit
 
 from .fleet_of_jobs import MeasuredFold, make_fleet
+from .registry import measurement
 
 ZONES: Final = 24
 TEAMS: Final = 560
@@ -153,13 +155,13 @@
     return len(jobs)
 
 
-def main() -> None:
+@measurement(
+    "placement", help="Placement time, packing and state bytes.", define=lambda values: None
+)
+def run_placement(values: flags.FlagValues) -> int:
     """Measure every policy at every size."""
     for size in SIZES:
         for name in POLICIES:
             sys.stdout.write(msgspec.json.encode(measure(name, size)).decode() + "\n")
             sys.stdout.flush()
-
-
-if __name__ == "__main__":
-    main()
+    return 0
