--- a/heatherkeel/admin/edits.py
+++ b/heatherkeel/admin/edits.py
@@ -27,6 +27,7 @@
 )
 from .models import Answer, Call, FieldFault, Problem, Reply
 from .preconditions import format_etag
+from .reasons import ApiRefusal
 
 STATUS_OF_REASON: Final = {
     RejectReason.STALE_VERSION: 412,
@@ -45,7 +46,7 @@
 }
 
 
-class Accepting(msgspec.Struct, frozen=True, kw_only=True):
+class AcceptedEdit(msgspec.Struct, frozen=True, kw_only=True):
     """Tells where an accepted edit stands in the log, and which version it made."""
 
     record: str
@@ -76,14 +77,15 @@
         record_id=record_id,
         lifetime_ms=EDIT_LIFETIME_MS,
     )
+    # The record can have been decided although its author could not hear of it.
+    if record_id in node.state.fleet.outcomes:
+        return _tell_remembered(call, body, record_id)
     match written:
+        case Ok(settled):
+            return _tell_settled(settled)
         case Err(failure):
             repeated = "idempotency-key" in call.request.headers
             return Err(_tell_failure(failure, record_id, key, repeated=repeated))
-        case Ok(settled) if record_id in node.state.fleet.outcomes:
-            return _tell_remembered(call, body, record_id)
-        case Ok(settled):
-            return _tell_settled(settled)
 
 
 def _tell_remembered(call: Call, body: RecordBody, record_id: str) -> Reply:
@@ -120,7 +122,7 @@
 
 def _tell_accepted(record_id: str, offset: int, version: int) -> Answer:
     return Answer(
-        value=Accepting(record=record_id, offset=offset, version=version),
+        value=AcceptedEdit(record=record_id, offset=offset, version=version),
         headers={"etag": format_etag(version), RECORD_HEADER: record_id},
     )
 
@@ -156,7 +158,9 @@
 def _tell_failure(failure: WriteFailure, record_id: str, key: str, *, repeated: bool) -> Problem:
     if failure is WriteFailure.TOO_LARGE:
         title = "The entry is too large"
-        return Problem(status=413, kind=failure, title=title, detail="entry: was not accepted")
+        return Problem(
+            status=413, kind=ApiRefusal.TOO_LARGE, title=title, detail="entry: was not accepted"
+        )
     if failure is WriteFailure.UNKNOWN:
         return _may_have_been_accepted(record_id, key)
     return _not_accepted(failure, record_id, repeated=repeated)
@@ -176,7 +180,7 @@
         )
     return Problem(
         status=503,
-        kind=failure,
+        kind=ApiRefusal(failure.value),
         title="The edit was not accepted",
         detail=detail,
         headers={"retry-after": str(RETRY_AFTER_S), RECORD_HEADER: record_id},
@@ -192,7 +196,7 @@
     )
     return Problem(
         status=503,
-        kind=WriteFailure.UNKNOWN,
+        kind=ApiRefusal.UNKNOWN,
         title="The edit may have been accepted",
         detail=detail,
         headers={"retry-after": str(RETRY_AFTER_S), RECORD_HEADER: record_id},
@@ -203,7 +207,7 @@
 def _in_progress(record_id: str) -> Problem:
     return Problem(
         status=409,
-        kind="in_progress",
+        kind=ApiRefusal.IN_PROGRESS,
         title="The same edit is in progress",
         detail="idempotency-key: an edit under this key waits for the log",
         headers={"retry-after": str(IN_PROGRESS_RETRY_AFTER_S), RECORD_HEADER: record_id},
@@ -215,7 +219,7 @@
     detail = "idempotency-key: another edit came under this key; this one was not accepted"
     return Problem(
         status=422,
-        kind="idempotency_key_reused",
+        kind=ApiRefusal.IDEMPOTENCY_KEY_REUSED,
         title="The key belongs to another edit",
         detail=detail,
         faults=tuple(_split_faults(detail)),
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -50,7 +50,9 @@
         timed = TimedApp(inner=self.front, metrics=self.metrics)
         self.http = HttpServer(app=timed, bind=settings.http.bind)
         pages = MonitoringApp(
-            inner=AdminApp(node=self.node), metrics=self.metrics, readiness=self.readiness
+            inner=AdminApp(node=self.node, on_refusal=self.metrics.count_admin_refusal),
+            metrics=self.metrics,
+            readiness=self.readiness,
         )
         self.admin = HttpServer(
             app=pages,
@@ -73,11 +75,15 @@
         starting = NodeStart(node=self.node, links=self.links)
         starting.start(nursery)
         await starting.done.wait()
-        await self.http.start(nursery)
-        Duties(node=self.node, peer_address=self.links.address).start()
+        duties = Duties(node=self.node, peer_address=self.links.address)
+        duties.start()
         JobsDuty(node=self.node).start(nursery)
         self._subscribe_timers()
         self.node.timers.start(nursery)
+        # A drain waits for the entry instances that the fold knows when it starts. Callers that
+        # came before would be cut: nobody waits for this process when their target is stopped.
+        await duties.waited_for.wait()
+        await self.http.start(nursery)
         _LOGGER.info(
             "listening",
             extra={
@@ -107,7 +113,6 @@
 
     async def close_connections(self) -> None:
         """Close what was opened to targets and to the platform."""
-        self.links.close()
         await self.front.close()
         await self.node.client.close()
 
@@ -116,14 +121,19 @@
     """Run one entry process until SIGTERM or SIGINT."""
     process = EntryProcess(settings=settings)
     stop = StopSignal()
-    async with trio.open_nursery() as nursery:
-        await stop.start(nursery)
-        with trio.CancelScope() as starting:
-            nursery.start_soon(stop.async_cancel, starting)
-            await process.start(nursery)
-            process.readiness.start()
-        await stop.received.wait()
-        if process.http.started:
-            await process.close()
-        nursery.cancel_scope.cancel()
+    try:
+        async with trio.open_nursery() as nursery:
+            await stop.start(nursery)
+            with trio.CancelScope() as starting:
+                nursery.start_soon(stop.async_cancel, starting)
+                await process.start(nursery)
+                process.readiness.start()
+            await stop.received.wait()
+            if process.http.started:
+                await process.close()
+            nursery.cancel_scope.cancel()
+    finally:
+        # The library waits for its open sockets when the interpreter ends; a broken invariant
+        # must end the process.
+        process.links.close()
     await process.close_connections()
