--- a/heatherkeel/measure/__main__.py
+++ b/heatherkeel/measure/__main__.py
@@ -9,7 +9,17 @@
 
 from heatherkeel import subjects  # noqa: F401
 
-from . import edits, hop, idle, measures, resident, slopes, snapshots  # noqa: F401
+from . import (  # noqa: F401
+    edits,
+    hop,
+    idle,
+    measures,
+    placement,
+    resident,
+    slopes,
+    snapshots,
+    urgent,
+)
 from .registry import MEASUREMENTS
 
 EXIT_USAGE: Final = 2
