Cut an entry instance off only once it holds its lease, and wait 1 s for the log

A first lease still on its way would be the append that meets the silence, and the edit behind it would truly not be accepted.

--- a/tests/processes/test_catalogue_command.py
+++ b/tests/processes/test_catalogue_command.py
@@ -14,7 +14,8 @@
 import pytest
 from syrupy.assertion import SnapshotAssertion
 
-from .harness import TOKEN, Fleet, Process
+from .harness import TOKEN, Fleet, Process, wait_for
+from .test_edits_under_failure import has_joined
 
 POOL: Final = {"kind": "pool", "owner": "sheetal", "size": 3}
 STOCK: Final = {
@@ -118,8 +119,10 @@
     fleet.start_platform()
     # No lease is renewed meanwhile: the edit is the first append that meets the cut.
     quiet = "[routing]\nlease_ms = 600000\nrenew_interval_ms = 300000\n"
+    quiet += "[admin]\nwrite_timeout_ms = 1000\n"
     entry = fleet.start_entry("e-a", zone="a", extra=quiet)
     operator = Operator(entry=entry, folder=fleet.folder, token=TOKEN)
+    wait_for(lambda: has_joined(entry), "the first lease is held")
     fleet.set_faults("platform", cut_instances=["e-a"])
     unknown = operator.type(
         "apply", operator.write("desk.json", {"desk": POOL}), "--repeat-for-s=0"
--- a/tests/processes/test_edits_under_failure.py
+++ b/tests/processes/test_edits_under_failure.py
@@ -111,7 +111,9 @@
     fleet.start_platform()
     # No lease is renewed meanwhile: the edit is the first append that meets the cut.
     quiet = "[routing]\nlease_ms = 600000\nrenew_interval_ms = 300000\n"
+    quiet += "[admin]\nwrite_timeout_ms = 1000\n"
     cut, other = (fleet.start_entry(f"e-{zone}", zone=zone, extra=quiet) for zone in "ab")
+    wait_for(lambda: has_joined(cut), "the first lease is held")
     fleet.set_faults("platform", cut_instances=["e-a"])
     unknown = put(cut, 5, idempotency_key=KEY)
     assert unknown.status == 503
@@ -130,6 +132,11 @@
     assert json.loads(again.content) == json.loads(repeated.content)
 
 
+def has_joined(entry: Process) -> bool:
+    """Say whether an entry process has read back its own first lease."""
+    return entry.name in call_json("GET", entry.admin, "/status")["entry_instances"]
+
+
 def _unreachable(entry: Process) -> Any:
     status = call_json("GET", entry.admin, "/status")
     return None if status["platform"]["reachable"] else status
