--- a/heatherkeel/waves/reducer.py
+++ b/heatherkeel/waves/reducer.py
@@ -8,6 +8,7 @@
 from heatherkeel.core.models import Accepted, RecordMeta, Rejected, RejectReason
 from heatherkeel.core.registry import handles
 from heatherkeel.core.state import FleetState
+from heatherkeel.jobs.draining import tasks_left
 from heatherkeel.pools.health import set_status
 from heatherkeel.pools.models import Instance, InstanceStatus
 from heatherkeel.pools.reducer import accept_change
@@ -72,6 +73,7 @@
     if drain.purpose is Purpose.MOVE:
         return Err(_wrong(body.instance, "is moved, not stopped"))
     refusal = None if drain.was_failed else _check_stop(state, instance, body.instance)
+    refusal = refusal or _check_tasks(state, drain, body.instance)
     if refusal is not None:
         return Err(refusal)
     drain.stopped_boot_id = body.boot_id or instance.boot_id
@@ -91,10 +93,11 @@
     if isinstance(instance, Rejected):
         return Err(instance)
     drain = state.waves.drains.get(body.instance)
-    old_boots = {instance.boot_id, drain.stopped_boot_id if drain else ""}
+    old_boots = {instance.boot_id, drain.stopped_boot_id if drain else instance.stopped_boot_id}
     if body.boot_id in old_boots:
         return Err(_wrong(body.instance, f"boot {body.boot_id} was there before"))
     instance.boot_id = body.boot_id
+    instance.stopped_boot_id = ""
     set_status(instance, InstanceStatus.SERVING)
     if drain is None:
         return Ok(accept_change(state, meta, body.instance))
@@ -119,6 +122,7 @@
         return Err(_wrong(body.instance, f"has until {drain.return_by_ms}"))
     set_status(instance, InstanceStatus.FAILED)
     instance.failed_repairs += drain.purpose is Purpose.REPAIR
+    instance.stopped_boot_id = drain.stopped_boot_id
     instance.failure = f"did not come back from {drain.purpose.value}: {body.cause.value}"
     del state.waves.drains[body.instance]
     effects = wave.count_failed_return(state, meta, instance.pool, drain)
@@ -152,6 +156,9 @@
         return Err(_wrong(body.instance, "is stopped, not moved"))
     if not _is_pool(state, drain.to_pool):
         return Err(Rejected(reason=RejectReason.NOT_FOUND, detail=drain.to_pool))
+    refusal = _check_tasks(state, drain, body.instance)
+    if refusal is not None:
+        return Err(refusal)
     del state.waves.drains[body.instance]
     from_pool = instance.pool
     instance.pool = drain.to_pool
@@ -160,6 +167,19 @@
     return Ok(accept_change(state, meta, body.instance, *effects))
 
 
+def _check_tasks(state: FleetState, drain: Drain, instance_id: str) -> Rejected | None:
+    """Refuse to end a drain while tasks of jobs may run on the instance.
+
+    No entry instance routes to it any more, but a job runs for hours; stopped now, its work
+    would be lost, or run twice where it must not be.
+    """
+    tasks = 0 if drain.was_failed else tasks_left(state, instance_id)
+    if tasks == 0:
+        return None
+    detail = f"{instance_id}: {tasks} tasks of jobs may still run"
+    return Rejected(reason=RejectReason.IN_USE, detail=detail)
+
+
 def _find(state: FleetState, body: _Step, *statuses: InstanceStatus) -> Instance | Rejected:
     """Return the instance if its author saw its last change and it has one of the statuses.
 
