--- a/heatherkeel/entry/duties.py
+++ b/heatherkeel/entry/duties.py
@@ -11,12 +11,14 @@
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.membership.const import PAUSE_CHECK_INTERVAL_MS
 from heatherkeel.membership.events import LeaseGranted, LeaseRefused, LeaseWanted
-from heatherkeel.membership.models import EntryJoin, EntryRenew
+from heatherkeel.membership.models import EntryJoin, EntryLeave, EntryRenew
 from heatherkeel.membership.pause import PauseWatch
+from heatherkeel.requests.limits import acknowledged_offset, is_acknowledgement_due
 
 from .const import (
     ACKNOWLEDGE_INTERVAL_MS,
     COORDINATE_INTERVAL_MS,
+    LEAVE_TIMEOUT_S,
     OBSERVE_INTERVAL_MS,
     WRITE_TIMEOUT_S,
 )
@@ -32,9 +34,10 @@
 class Duties:
     """Timed work of one entry process."""
 
-    def __init__(self, *, node: Node, peer_address: str) -> None:
+    def __init__(self, *, node: Node) -> None:
         self.node = node
-        self.peer_address = peer_address
+        self.peer_address = ""
+        """Where peers reach this process; known once the port is open."""
         self.joined = False
         self.waited_for = trio.Event()
         """Set when drains wait for this process: it has joined, or a peer sponsors it."""
@@ -66,6 +69,7 @@
             callback=self.listing.async_read,
         )
         for name, interval_ms, callback in (
+            ("shares", ACKNOWLEDGE_INTERVAL_MS, self.async_acknowledge_shares),
             ("acknowledge", ACKNOWLEDGE_INTERVAL_MS, self.acknowledger.async_acknowledge),
             ("coordinate", COORDINATE_INTERVAL_MS, self.coordinator.async_coordinate),
             ("observe", OBSERVE_INTERVAL_MS, self.observer.async_observe),
@@ -113,4 +117,18 @@
             instance=self.node.settings.instance.id,
             incarnation=self.node.incarnation,
             offset_in_force=self.node.state.fleet.next_offset - 1,
+            shares_offset=acknowledged_offset(self.node.state),
         )
+
+    async def async_acknowledge_shares(self) -> None:
+        """Renew at once when others wait for this process before their shares may grow."""
+        if is_acknowledgement_due(self.node.state):
+            await self.async_hold_lease()
+
+    async def async_leave(self) -> None:
+        """Give the lease and all shares back; nothing is in progress any more."""
+        body = EntryLeave(
+            instance=self.node.settings.instance.id, incarnation=self.node.incarnation
+        )
+        if self.joined:
+            await self.node.writer.async_write(body, timeout_s=LEAVE_TIMEOUT_S)
--- a/heatherkeel/requests/const.py
+++ b/heatherkeel/requests/const.py
@@ -46,7 +46,7 @@
 UNAVAILABLE_RETRY_AFTER_MS: Final = 5_000
 """When to come back if there is no drain rate to reckon with: no target, no lease, no platform."""
 
-QUEUE_TICK_MS: Final = 20
+QUEUE_TICK_MS: Final = 50
 """How often the owner of the loop sends `QueueTick` while something is queued."""
 
 LIST_LAG_MS: Final = 15_000
@@ -55,6 +55,12 @@
 SHARE_GRACE_MS: Final = 10_000
 """Time after a routing lease in which sends of its holder may still be in progress."""
 
+FULL_ZONE_MS: Final = 50
+"""How long a zone without room is not looked at again, unless a slot is freed there."""
+
+SPONSORED_SLOTS: Final = 1
+"""Slots of each near target that a sponsor leaves to a newcomer that the fold doesn't know."""
+
 SPILL_PERCENT: Final = 25
 """Part of a target's slots that entry instances of other availability zones share."""
 
--- a/heatherkeel/requests/local.py
+++ b/heatherkeel/requests/local.py
@@ -86,12 +86,24 @@
     passed_over: int = 0
 
 
+@dataclass(kw_only=True)
+class FullZone:
+    """No target of a pool in one zone had room; holds for these shares, and for a moment only."""
+
+    generation: int
+    until_ms: int
+    freed: dict[str, None] = field(default_factory=dict)
+    """Targets on which a slot was freed since, each once."""
+
+
 @dataclass(kw_only=True)
 class PoolView:
     """One pool as this entry instance sees it: who may be picked, and who waits."""
 
     candidates: dict[str, list[str]] = field(default_factory=dict)
     """Targets that may get new work, by availability zone, in order of name."""
+    full: dict[str, FullZone] = field(default_factory=dict)
+    """Availability zones in which the last look found no room."""
     queues: dict[ServiceClass, ClassQueue] = field(default_factory=dict)
     waiting: int = 0
     in_progress: int = 0
--- a/heatherkeel/requests/retries.py
+++ b/heatherkeel/requests/retries.py
@@ -16,7 +16,7 @@
 from .events import AttemptResult
 from .local import ActiveRequest, RetryBudget
 from .reasons import NoRetryReason, RetryReason
-from .routing import pick
+from .routing import lease_refusal, pick
 
 RETRY_REASONS = {
     AttemptResult.REFUSED_BEFORE_START: RetryReason.TARGET_REFUSED,
@@ -50,12 +50,14 @@
     gets twice or three times its load and goes too. Enough because retries are a bounded share
     of first tries, whatever fails.
     """
+    if result is AttemptResult.CALLER_GONE:
+        return Err(NoRetryReason.CALLER_GONE)
     if result not in RETRY_REASONS:
         return Err(NoRetryReason.ANSWER_STARTED)
     # Sent twice, a non-idempotent request could run twice, unless this target has not started.
     if not request.idempotent and result not in NOT_RUN_RESULTS:
         return Err(NoRetryReason.NOT_IDEMPOTENT)
-    if not request.idempotent and now_ms >= node.local.lease.valid_until_ms:
+    if lease_refusal(node, request, now_ms) is not None:
         return Err(NoRetryReason.LEASE_LAPSED)
     if len(request.tried) >= MAX_ATTEMPTS:
         return Err(NoRetryReason.ATTEMPTS_USED)
--- a/heatherkeel/requests/targets.py
+++ b/heatherkeel/requests/targets.py
@@ -131,6 +131,7 @@
     """List a target among the candidates of its pool, or take it off."""
     _unindex(routing, name, target)
     pool = routing.pools.setdefault(target.pool, PoolView())
+    pool.full.pop(target.zone, None)
     if target.serving and not target.leaving and not target.gone:
         insort(pool.candidates.setdefault(target.zone, []), name)
 
