--- a/heatherkeel/entry/front.py
+++ b/heatherkeel/entry/front.py
@@ -125,7 +125,7 @@
         outgoing = OutgoingRequest(
             method=request.method,
             raw_target=request.raw_target,
-            headers=_outgoing_headers(request.headers),
+            headers=outgoing_headers(request.headers),
             body=body,
             keep_answer=keyed,
         )
@@ -233,11 +233,14 @@
     return Ok(CallerOptions(key=key, deadline_ms=int(deadline)))
 
 
-def _outgoing_headers(headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
+def outgoing_headers(headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
+    """Return what goes on to the target: all but what concerns the caller's connection only."""
+    listed = headers.get("connection", "").lower().split(",")
+    dropped = HOP_BY_HOP_HEADERS.union(name.strip() for name in listed)
     return [
         (name.encode("latin-1"), value.encode("latin-1"))
         for name, value in headers.items()
-        if name not in HOP_BY_HOP_HEADERS
+        if name not in dropped
     ]
 
 
