--- a/heatherkeel/cli/catalogue.py
+++ b/heatherkeel/cli/catalogue.py
@@ -27,7 +27,8 @@
     """The command line, or a file that it names, is wrong."""
 
 
-def _define(values: flags.FlagValues) -> None:
+def define_admin(values: flags.FlagValues) -> None:
+    """Define the flags that name an admin port and how to get in."""
     flags.DEFINE_string("admin", None, "Admin port of an entry instance.", flag_values=values)
     flags.register_validator(  # type: ignore[no-untyped-call]
         "admin",
@@ -47,6 +48,10 @@
         "Certificates that vouch for the admin port; turns TLS on.",
         flag_values=values,
     )
+
+
+def _define(values: flags.FlagValues) -> None:
+    define_admin(values)
     flags.DEFINE_float(
         "repeat-for-s",
         30.0,
@@ -84,7 +89,7 @@
 
     _check_arguments(action, args)
     entries = _read_files(args) if action == APPLY else {}
-    token = _read_token(values["token-file"].value)
+    token = read_token(values["token-file"].value)
     if action == APPLY and not token:
         raise UsageError(f"a token is needed: --token-file or {TOKEN_VARIABLE}")
     client = AdminClient(address=values.admin, token=token, cafile=values.cafile or "")
@@ -105,7 +110,8 @@
         raise UsageError(f"{action} takes no argument, got {args[0]!r}")
 
 
-def _read_token(file: str | None) -> str:
+def read_token(file: str | None) -> str:
+    """Return the team's token; raises `UsageError` if its file can't be read."""
     if not file:
         return os.environ.get(TOKEN_VARIABLE, "")
     try:
