--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -48,7 +48,11 @@
         )
         self.front = Front(node=self.node)
         timed = TimedApp(inner=self.front, metrics=self.metrics)
-        self.http = HttpServer(app=timed, bind=settings.http.bind)
+        self.http = HttpServer(
+            app=timed,
+            bind=settings.http.bind,
+            on_headers_too_large=self.metrics.count_headers_too_large,
+        )
         pages = MonitoringApp(
             inner=AdminApp(node=self.node, on_refusal=self.metrics.count_admin_refusal),
             metrics=self.metrics,
--- a/heatherkeel/waves/wave.py
+++ b/heatherkeel/waves/wave.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from heatherkeel.catalogue.models import MaintenanceEntry, StoredEntry
 from heatherkeel.core.models import Effect, RecordMeta, Rejected, RejectReason
 from heatherkeel.core.state import FleetState
@@ -14,19 +16,33 @@
 def maintenance_of_pools(state: FleetState) -> dict[str, tuple[MaintenanceEntry, StoredEntry]]:
     """Return the maintenance entry of each pool that has one."""
     found: dict[str, tuple[MaintenanceEntry, StoredEntry]] = {}
-    for _, stored in sorted(state.catalogue.entries.items(), key=_by_name):
+    for _, stored in sorted(_maintenance_entries(state), key=_by_name):
         if isinstance(stored.entry, MaintenanceEntry):
             found.setdefault(stored.entry.pool, (stored.entry, stored))
     return found
 
 
+def _maintenance_entries(state: FleetState) -> Iterator[tuple[str, StoredEntry]]:
+    for name, stored in state.catalogue.entries.items():
+        if isinstance(stored.entry, MaintenanceEntry):
+            yield name, stored
+
+
 def _by_name(item: tuple[str, StoredEntry]) -> str:
     return item[0]
 
 
 def find_maintenance(state: FleetState, pool: str) -> tuple[MaintenanceEntry, StoredEntry] | None:
     """Return the pool's maintenance entry; if operators made several, the first by name."""
-    return maintenance_of_pools(state).get(pool)
+    found = [
+        (name, stored.entry, stored)
+        for name, stored in state.catalogue.entries.items()
+        if isinstance(stored.entry, MaintenanceEntry) and stored.entry.pool == pool
+    ]
+    if not found:
+        return None
+    _, maintenance, stored = min(found, key=lambda item: item[0])
+    return maintenance, stored
 
 
 def is_closed(maintenance: MaintenanceEntry, now_ms: int) -> bool:
@@ -97,7 +113,10 @@
 
 
 def enter_wave(state: FleetState, meta: RecordMeta, pool: str) -> None:
-    """Count a maintenance drain in the pool's wave, opening a new one if the last is complete."""
+    """Count a maintenance drain in the pool's wave, opening a new one if the last is complete.
+
+    It was admitted, so an operator has let a halted wave go on: the old reason holds no more.
+    """
     wave = state.waves.waves.get(pool)
     number = next_number(state, pool)
     if wave is None or wave.number != number:
@@ -110,19 +129,27 @@
         )
         state.waves.waves[pool] = wave
     wave.drained += 1
+    wave.halted_reason = ""
 
 
 def count_return(state: FleetState, meta: RecordMeta, pool: str, drain: Drain) -> list[Effect]:
-    """Count an instance that came back, and say so when it was the wave's last one."""
+    """Count an instance that came back, and say so when it was the wave's last one.
+
+    A repair can be the last thing under way too. If only maintenance ended
+    a wave, one whose last instance was repaired would stay open for ever.
+    """
     wave = state.waves.waves.get(pool)
-    if wave is None or drain.purpose is not Purpose.MAINTENANCE:
-        return []
-    wave.returned += 1
+    if wave is not None and drain.purpose is Purpose.MAINTENANCE:
+        wave.returned += 1
     return finish_wave(state, meta, pool)
 
 
 def finish_wave(state: FleetState, meta: RecordMeta, pool: str) -> list[Effect]:
-    """Note the end of a wave that has become complete."""
+    """Note the end of a wave that has become complete.
+
+    The last instance can leave a wave in other ways than by its maintenance: it fails, is
+    repaired, moves away or is terminated. Whoever decides those asks here, too.
+    """
     wave = state.waves.waves.get(pool)
     if wave is None or wave.finished_ms or not is_complete(state, pool, wave):
         return []
@@ -149,7 +176,7 @@
     wave = state.waves.waves.get(pool)
     found = find_maintenance(state, pool)
     if wave is None or found is None or drain.purpose is not Purpose.MAINTENANCE:
-        return []
+        return finish_wave(state, meta, pool)
     maintenance, stored = found
     if wave.failed_since_offset != stored.offset:
         wave.failed_since_offset = stored.offset
@@ -160,4 +187,5 @@
     wave.halted_offset = meta.offset
     wave.halted_reason = f"{wave.failed} instances of {pool} did not come back in this wave"
     halted = WaveHalted(pool=pool, wave=wave.number, reason=wave.halted_reason, offset=meta.offset)
-    return [halted]
+    # The last failure can leave nothing to maintain. No other record would then end the wave.
+    return [halted, *finish_wave(state, meta, pool)]
--- a/tests/waves/test_wave.py
+++ b/tests/waves/test_wave.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from heatherkeel.core.models import Effect, RejectReason
+from heatherkeel.pools.models import Health, InstanceGone, InstanceObserved, Source
 from heatherkeel.waves.models import (
+    DrainCancel,
+    Purpose,
     Returned,
     ReturnFailed,
     ReturnFailure,
@@ -78,12 +81,60 @@
     assert log.refused(log.stop("c0")).reason is RejectReason.WAVE_HALTED
 
 
+def test_a_wave_that_its_last_failure_halts_is_finished_too() -> None:
+    # All others are maintained when the last two instances don't come back. Nothing is left to
+    # maintain, so no later record would end the wave: its operator would wait for it for ever.
+    log = small_fleet(min_serving=0)
+    for instance_id in ("b1", "c0", "c1", "a1"):
+        _maintain(log, instance_id)
+    _lose(log, "a0")
+    [_, halted, finished] = _lose(log, "b0")
+    assert isinstance(halted, WaveHalted) and isinstance(finished, WaveFinished)
+    assert log.state.waves.waves["desk"].finished_ms == log.now_ms
+
+
+def _repair_under_way(log: FoldedLog) -> None:
+    """Have a0 fail, all others maintained or failed, and only a0's repair still under way."""
+    _lose(log, "a0")
+    log.must(log.drain("a0", purpose=Purpose.REPAIR))
+    for instance_id in ("a1", "b1", "c0", "c1"):
+        _maintain(log, instance_id)
+    _lose(log, "b0")
+    assert not log.state.waves.waves["desk"].finished_ms
+
+
+def test_a_repair_that_comes_back_last_ends_the_wave() -> None:
+    # An instance of the wave is being repaired while all others have their turn. Its return is
+    # the wave's last record; without the end the operator would see an open wave for ever.
+    log = small_fleet(min_serving=0)
+    _repair_under_way(log)
+    for entry_id in sorted(set(log.drain_of("a0").waiting.values())):
+        log.must(log.ack(entry_id, "a0"))
+    log.must(log.stop("a0"))
+    version = log.instance("a0").version
+    body = Returned(instance="a0", expected_version=version, boot_id="a0.9")
+    assert isinstance(log.must(body).effects[-1], WaveFinished)
+
+
+def test_a_repair_that_is_cancelled_last_ends_the_wave() -> None:
+    log = small_fleet(min_serving=0)
+    _repair_under_way(log)
+    body = DrainCancel(
+        instance="a0",
+        expected_version=log.instance("a0").version,
+        coordinator="entry-a",
+        reason="x",
+    )
+    assert isinstance(log.must(body).effects[-1], WaveFinished)
+
+
 def test_an_edit_of_the_maintenance_entry_resumes_a_halted_wave() -> None:
     log = small_fleet(min_serving=0)
     _lose(log, "a0")
     _lose(log, "b0")
     log.put("care", maintenance(max_concurrent=1))
     _maintain(log, "c0")
+    assert log.state.waves.waves["desk"].halted_reason == ""
     _lose(log, "c1")
     assert log.state.waves.waves["desk"].failed == 1
 
@@ -92,3 +143,40 @@
     log = small_fleet()
     refusal = log.refused(log.drain("a0", wave=2))
     assert (refusal.reason, refusal.version) == (RejectReason.STALE_VERSION, 1)
+
+
+def test_a_wave_ends_when_its_last_instance_fails_instead() -> None:
+    # All but c1 had their turn. c1 fails by itself, or its repair does, and nothing is left to
+    # maintain; a wave that never ended would hold up the next one's start and its figures.
+    log = small_fleet()
+    for instance_id in ALL[:-1]:
+        _maintain(log, instance_id)
+    seen = InstanceObserved(
+        instance="c1", health=Health.FAILED, observer="entry-a", source=Source.PLATFORM
+    )
+    assert isinstance(log.must(seen).effects[-1], WaveFinished)
+
+
+def test_a_wave_ends_when_its_last_instance_is_terminated() -> None:
+    log = small_fleet()
+    for instance_id in ALL[:-1]:
+        _maintain(log, instance_id)
+    gone = InstanceGone(instance="c1", boot_id="c1.1")
+    assert isinstance(log.must(gone).effects[-1], WaveFinished)
+
+
+def test_a_wave_ends_when_the_repair_of_its_last_instance_fails() -> None:
+    log = small_fleet(min_serving=0)
+    for instance_id in ALL[:-2]:
+        _maintain(log, instance_id)
+    _lose(log, "c1")
+    log.must(log.drain("c1", purpose=Purpose.REPAIR))
+    log.must(log.ack("entry-a", "c1"))
+    log.must(log.ack("entry-b", "c1"))
+    log.must(log.ack("entry-c", "c1"))
+    log.must(log.stop("c1"))
+    _maintain(log, "c0")
+    version = log.instance("c1").version
+    cause = ReturnFailure.START_FAILED
+    lost = log.must(ReturnFailed(instance="c1", expected_version=version, cause=cause))
+    assert isinstance(lost.effects[-1], WaveFinished)
