--- a/heatherkeel/cli/main.py
+++ b/heatherkeel/cli/main.py
@@ -15,6 +15,7 @@
     entry,  # noqa: F401
     job,  # noqa: F401
     load,  # noqa: F401
+    replay,  # noqa: F401
     standin,  # noqa: F401
     version,  # noqa: F401
 )
