A halted wave isn't finished before its operator has seen to it

Ruled out: giving up the statement, as a halted wave shown as finished hides its failures. Now a halted wave stays open, and the edit that resumes it ends it when nothing is left. The test that wanted the end at the halt now wants it at the edit, and no earlier. The tests of repairs that come last allow a third failure, so that their wave isn't halted.

--- a/heatherkeel/pools/health.py
+++ b/heatherkeel/pools/health.py
@@ -43,7 +43,7 @@
     set_status(instance, STATUS_OF[body.health])
     if body.health is Health.FAILED:
         instance.failure = f"seen to fail by {body.source.value}"
-    finished = finish_wave(state, meta, instance.pool)
+    finished = finish_wave(state, meta.offset, instance.pool)
     return Ok(accept_change(state, meta, body.instance, *finished))
 
 
--- a/heatherkeel/pools/reducer.py
+++ b/heatherkeel/pools/reducer.py
@@ -48,7 +48,7 @@
     del state.pools.instances[body.instance]
     state.waves.drains.pop(body.instance, None)
     changed = InstanceChanged(instance=body.instance, offset=meta.offset)
-    finished = finish_wave(state, meta, instance.pool)
+    finished = finish_wave(state, meta.offset, instance.pool)
     return Ok(Accepted(effects=(changed, *finished)))
 
 
--- a/heatherkeel/waves/reducer.py
+++ b/heatherkeel/waves/reducer.py
@@ -142,7 +142,7 @@
     set_status(instance, status)
     if drain.was_failed:
         instance.failure = f"repair was cancelled: {body.reason}"
-    effects = wave.finish_wave(state, meta, instance.pool)
+    effects = wave.finish_wave(state, meta.offset, instance.pool)
     return Ok(accept_change(state, meta, body.instance, *effects))
 
 
@@ -164,7 +164,7 @@
     from_pool = instance.pool
     instance.pool = drain.to_pool
     set_status(instance, InstanceStatus.SERVING)
-    effects = wave.finish_wave(state, meta, from_pool)
+    effects = wave.finish_wave(state, meta.offset, from_pool)
     return Ok(accept_change(state, meta, body.instance, *effects))
 
 
--- a/heatherkeel/waves/wave.py
+++ b/heatherkeel/waves/wave.py
@@ -6,6 +6,7 @@
 
 from heatherkeel.catalogue.models import MaintenanceEntry, StoredEntry
 from heatherkeel.core.models import Effect, RecordMeta, Rejected, RejectReason
+from heatherkeel.core.registry import follows_up
 from heatherkeel.core.state import FleetState
 from heatherkeel.pools.models import Instance, InstanceStatus
 
@@ -141,25 +142,43 @@
     wave = state.waves.waves.get(pool)
     if wave is not None and drain.purpose is Purpose.MAINTENANCE:
         wave.returned += 1
-    return finish_wave(state, meta, pool)
+    return finish_wave(state, meta.offset, pool)
 
 
-def finish_wave(state: FleetState, meta: RecordMeta, pool: str) -> list[Effect]:
-    """Note the end of a wave that has become complete.
+@follows_up
+def finish_resumed_waves(state: FleetState, offset: int) -> list[Effect]:
+    """Note the end of waves that an edit resumed with nothing left to maintain.
+
+    No later record would end such a wave, and its operator would wait for it for ever.
+    """
+    if state.catalogue.changed_offset != offset:
+        return []
+    effects: list[Effect] = []
+    for pool in sorted(state.waves.waves):
+        effects += finish_wave(state, offset, pool)
+    return effects
+
+
+def finish_wave(state: FleetState, offset: int, pool: str) -> list[Effect]:
+    """Note the end of a wave that has become complete, unless it is halted.
 
     The last instance can leave a wave in other ways than by its maintenance: it fails, is
-    repaired, moves away or is terminated. Whoever decides those asks here, too.
+    repaired, moves away or is terminated. Whoever decides those asks here, too. A halted wave is
+    its operator's: shown as finished, its failures would look as if they had been dealt with.
     """
     wave = state.waves.waves.get(pool)
     if wave is None or wave.finished_ms or not is_complete(state, pool, wave):
         return []
-    wave.finished_ms = meta.now_ms
+    found = find_maintenance(state, pool)
+    if found is not None and is_halted(wave, found[1]):
+        return []
+    wave.finished_ms = state.now_ms
     finished = WaveFinished(
         pool=pool,
         wave=wave.number,
         started_ms=wave.started_ms,
         finished_ms=wave.finished_ms,
-        offset=meta.offset,
+        offset=offset,
     )
     return [finished]
 
@@ -176,16 +195,15 @@
     wave = state.waves.waves.get(pool)
     found = find_maintenance(state, pool)
     if wave is None or found is None or drain.purpose is not Purpose.MAINTENANCE:
-        return finish_wave(state, meta, pool)
+        return finish_wave(state, meta.offset, pool)
     maintenance, stored = found
     if wave.failed_since_offset != stored.offset:
         wave.failed_since_offset = stored.offset
         wave.failed = 0
     wave.failed += 1
     if wave.failed < maintenance.max_failed_returns:
-        return finish_wave(state, meta, pool)
+        return finish_wave(state, meta.offset, pool)
     wave.halted_offset = meta.offset
     wave.halted_reason = f"{wave.failed} instances of {pool} did not come back in this wave"
     halted = WaveHalted(pool=pool, wave=wave.number, reason=wave.halted_reason, offset=meta.offset)
-    # The last failure can leave nothing to maintain. No other record would then end the wave.
-    return [halted, *finish_wave(state, meta, pool)]
+    return [halted]
