--- a/tests/processes/test_edits_under_failure.py
+++ b/tests/processes/test_edits_under_failure.py
@@ -111,6 +111,7 @@
     fleet.start_platform()
     # No lease is renewed meanwhile: the edit is the first append that meets the cut.
     quiet = "[routing]\nlease_ms = 600000\nrenew_interval_ms = 300000\n"
+    quiet += "[admin]\nwrite_timeout_ms = 1000\n"
     cut, other = (fleet.start_entry(f"e-{zone}", zone=zone, extra=quiet) for zone in "ab")
     # Nor may the cut find the renewals on their way that follow a join.
     wait_for(lambda: _both_know_both(cut), "no renewal is due")
@@ -132,6 +133,11 @@
     assert json.loads(again.content) == json.loads(repeated.content)
 
 
+def has_joined(entry: Process) -> bool:
+    """Say whether an entry process has read back its own first lease."""
+    return entry.name in call_json("GET", entry.admin, "/status")["entry_instances"]
+
+
 def _both_know_both(entry: Process) -> bool:
     """Say whether both entry instances have reported an offset after both joins."""
     known = call_json("GET", entry.admin, "/status")["entry_instances"].values()
