--- a/heatherkeel/entry/duties.py
+++ b/heatherkeel/entry/duties.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from functools import partial
 
 import trio
 from result import Err, Ok
@@ -13,10 +14,12 @@
 from heatherkeel.membership.events import LeaseGranted, LeaseRefused, LeaseWanted
 from heatherkeel.membership.models import EntryJoin, EntryRenew
 from heatherkeel.membership.pause import PauseWatch
+from heatherkeel.pools.models import InstanceChanged
 
 from .const import (
     ACKNOWLEDGE_INTERVAL_MS,
     COORDINATE_INTERVAL_MS,
+    IDLE_INTERVAL_MS,
     OBSERVE_INTERVAL_MS,
     WRITE_TIMEOUT_S,
 )
@@ -65,12 +68,29 @@
             interval_ms=settings.platform.instances_interval_ms,
             callback=self.listing.async_read,
         )
+        self.node.timers.subscribe(
+            name="observe", interval_ms=OBSERVE_INTERVAL_MS, callback=self.observer.async_observe
+        )
+        # Most of the time nothing drains, and a wake-up costs some 0.2 ms. Whatever starts or
+        # moves a drain changes an instance, which wakes both.
         for name, interval_ms, callback in (
             ("acknowledge", ACKNOWLEDGE_INTERVAL_MS, self.acknowledger.async_acknowledge),
             ("coordinate", COORDINATE_INTERVAL_MS, self.coordinator.async_coordinate),
-            ("observe", OBSERVE_INTERVAL_MS, self.observer.async_observe),
         ):
-            self.node.timers.subscribe(name=name, interval_ms=interval_ms, callback=callback)
+            self.node.timers.subscribe(
+                name=name,
+                interval_ms=interval_ms,
+                callback=callback,
+                idle_interval_ms=IDLE_INTERVAL_MS,
+                is_idle=self._nothing_drains,
+            )
+            self.node.subscribe(InstanceChanged, partial(self._wake, name))
+
+    def _nothing_drains(self) -> bool:
+        return not self.node.state.fleet.waves.drains
+
+    def _wake(self, name: str, _: InstanceChanged) -> None:
+        self.node.timers.wake(name)
 
     async def async_hold_lease(self) -> None:
         """Join, or renew the routing lease."""
--- a/heatherkeel/helpers/timers.py
+++ b/heatherkeel/helpers/timers.py
@@ -8,15 +8,30 @@
 import trio
 
 TimerCallback = Callable[[], Awaitable[None]]
+IsIdle = Callable[[], bool]
+
+
+def never_idle() -> bool:
+    """Say that there is always work."""
+    return False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Subscription:
-    """Calls `callback` every `interval_ms`, the next time only when it has returned."""
+    """Calls `callback` every `interval_ms`, the next time only when it has returned.
+
+    While `is_idle`, it is called every `idle_interval_ms` only, or when somebody wakes it.
+    """
 
     name: str
     interval_ms: int
     callback: TimerCallback
+    idle_interval_ms: int
+    is_idle: IsIdle
+
+    def pause_s(self) -> float:
+        """Return the seconds until the next call."""
+        return (self.idle_interval_ms if self.is_idle() else self.interval_ms) / 1000
 
 
 class TimerService:
@@ -27,9 +42,23 @@
         self.wakers: dict[str, trio.Event] = {}
         self.nursery: trio.Nursery | None = None
 
-    def subscribe(self, *, name: str, interval_ms: int, callback: TimerCallback) -> None:
+    def subscribe(
+        self,
+        *,
+        name: str,
+        interval_ms: int,
+        callback: TimerCallback,
+        idle_interval_ms: int = 0,
+        is_idle: IsIdle = never_idle,
+    ) -> None:
         """Call `callback` at once after the start, and then every `interval_ms`."""
-        subscription = Subscription(name=name, interval_ms=interval_ms, callback=callback)
+        subscription = Subscription(
+            name=name,
+            interval_ms=interval_ms,
+            callback=callback,
+            idle_interval_ms=idle_interval_ms,
+            is_idle=is_idle,
+        )
         self.subscriptions.append(subscription)
         if self.nursery is not None:
             self.nursery.start_soon(self._async_run, subscription)
@@ -49,5 +78,5 @@
         while True:
             waker = self.wakers[subscription.name] = trio.Event()
             await subscription.callback()
-            with trio.move_on_after(subscription.interval_ms / 1000):
+            with trio.move_on_after(subscription.pause_s()):
                 await waker.wait()
