--- a/heatherkeel/entry/node.py
+++ b/heatherkeel/entry/node.py
@@ -119,11 +119,6 @@
         )
         self.take(FleetRestored(now_ms=monotonic_ms()))
 
-    @property
-    def has_state(self) -> bool:
-        """Say whether a state is in force that this process may serve by."""
-        return self.follower.caught_up.is_set() or self.started_from_peer
-
     def take_record(self, record: LogRecord) -> None:
         """Fold one record of the log."""
         self.recent.add(record)
--- a/heatherkeel/measure/__main__.py
+++ b/heatherkeel/measure/__main__.py
@@ -9,11 +9,19 @@
 
 from heatherkeel import subjects  # noqa: F401
 
-from . import hop, idle, resident, slopes, snapshots  # noqa: F401
+from . import (  # noqa: F401
+    edits,
+    hop,
+    idle,
+    measures,
+    resident,
+    slopes,
+    snapshots,
+)
 from .registry import MEASUREMENTS
 
 EXIT_USAGE: Final = 2
-DEFAULT: Final = "hop"
+DEFAULT: Final = "measures"
 
 
 def main(argv: list[str]) -> int:
--- a/tests/requests/fleet.py
+++ b/tests/requests/fleet.py
@@ -43,6 +43,15 @@
         data = encode(seal(body, author=author, now_ms=self.now_ms, record_id=record_id))
         self.records.append(LogRecord(offset=len(self.records), at_ms=self.now_ms, data=data))
 
+    def put_pool(self) -> None:
+        body = EntryPut(
+            name="desk",
+            expected_version=0,
+            team="sheetal",
+            entry=PoolEntry(owner="sheetal", size=12),
+        )
+        self.append(body, author="operator")
+
     def put_service(
         self,
         name: str = "stock",
@@ -53,6 +62,8 @@
         owner: str = "sheetal",
         limits: RequestLimits | None = None,
     ) -> None:
+        if not self.records:
+            self.put_pool()
         entry = ServiceEntry(
             owner=owner,
             service_class=service_class,
