Peers: a bad address ends no process, lost peers are forgotten; a dropped relayed record stops nobody

Cause, found by reading as an enemy: EntryJoin.peer_address is any text, and the connect to one that is none raised in every process that read the record; the map of peers grew with every replaced instance; and a follower whose last relayed record had left retention waited for a newer

--- a/heatherkeel/membership/choice.py
+++ b/heatherkeel/membership/choice.py
@@ -7,7 +7,7 @@
 
 from heatherkeel.core.node import NodeState
 
-from .const import CROSS_ZONE_PEERS, LEARNED_KEPT_MS
+from .const import CROSS_ZONE_PEERS, LEARNED_KEPT_MS, LOST_KEPT_MS
 
 
 def choose_peers(
@@ -37,5 +37,12 @@
     return chosen
 
 
+def forget_lost_peers(node: NodeState, now_ms: int) -> None:
+    """Forget peers that were replaced: with hundreds of restarts a day they would add up."""
+    peers = node.local.peers.peers
+    for name in [name for name, peer in peers.items() if now_ms - peer.heard_ms > LOST_KEPT_MS]:
+        del peers[name]
+
+
 def _rank(instance: str, address: str) -> bytes:
     return hashlib.sha256(f"{instance}/{address}".encode()).digest()
--- a/heatherkeel/membership/const.py
+++ b/heatherkeel/membership/const.py
@@ -51,5 +51,9 @@
 LEARNED_KEPT_MS: Final = 30_000
 """How long a peer that only its own heartbeats made known is linked after the last one."""
 
+LOST_KEPT_MS: Final = 600_000
+FORGET_TICKS: Final = 60
+"""What a peer said is forgotten some time after its last heartbeat, looked at every minute."""
+
 SPONSOR_LEASE_MS: Final = 6_000
 """How long a newcomer may route after a heartbeat that its sponsor has answered."""
--- a/heatherkeel/membership/links.py
+++ b/heatherkeel/membership/links.py
@@ -18,10 +18,11 @@
 from heatherkeel.core.state import FleetState
 from heatherkeel.helpers.clock import monotonic_ms
 
-from .choice import choose_peers
+from .choice import choose_peers, forget_lost_peers
 from .const import (
     CROSS_ZONE_TICKS,
     FETCH_TIMEOUT_S,
+    FORGET_TICKS,
     MAX_LOADS,
     RELAY_AFTER_MS,
 )
@@ -98,6 +99,8 @@
         now_ms = monotonic_ms()
         wanted = choose_peers(self.node, seeds=self.seeds, own=self.address, now_ms=now_ms)
         self._open_and_close(wanted)
+        if self.ticks % FORGET_TICKS == 0:
+            forget_lost_peers(self.node, now_ms)
         beats_across = self.ticks % CROSS_ZONE_TICKS == 0
         self.ticks += 1
         for address, is_near in wanted.items():
--- a/heatherkeel/membership/peer_link.py
+++ b/heatherkeel/membership/peer_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 
 import trio
@@ -11,6 +12,8 @@
 from .sockets import EdgeSocket, Frames
 from .suspicion import SilenceBound
 
+_LOGGER = logging.getLogger(__name__)
+
 REMEMBERED_HEARTBEATS = 16
 
 
@@ -38,12 +41,23 @@
         """When the first heartbeat without an answer was sent; 0 if all are answered."""
 
     def open(self, nursery: trio.Nursery) -> None:
-        """Connect."""
-        self.socket = EdgeSocket(context=self.context, kind=zmq.DEALER, handle=self._hear)
-        self.socket.socket.connect(f"tcp://{self.address}")
-        self.socket.start(nursery)
+        """Connect; an address that is none leaves the link without a socket.
+
+        Addresses come from records and messages of other processes. One bad record must not end
+        every process that reads it.
+        """
         self.waiting_since_ms = 0
         self.heard_ms = 0
+        socket = EdgeSocket(context=self.context, kind=zmq.DEALER, handle=self._hear)
+        try:
+            socket.socket.connect(f"tcp://{self.address}")
+        except zmq.ZMQError as err:
+            extra = {"event": "peer_address_bad", "address": self.address}
+            _LOGGER.warning("can't connect to a peer: %s", err, extra=extra)
+            socket.close()
+            return
+        socket.start(nursery)
+        self.socket = socket
 
     def close(self) -> None:
         """Disconnect; what is under way is lost."""
@@ -62,6 +76,8 @@
 
     def beat(self, heartbeat: Heartbeat, now_ms: int) -> None:
         """Send a heartbeat, and remember when."""
+        if self.socket is None:
+            return
         self.sent_ms[heartbeat.number] = now_ms
         self.sent_ms.pop(heartbeat.number - REMEMBERED_HEARTBEATS, None)
         self.waiting_since_ms = self.waiting_since_ms or now_ms
--- a/heatherkeel/platform/follower.py
+++ b/heatherkeel/platform/follower.py
@@ -154,12 +154,25 @@
         # Records between here and the oldest retained one may have changed anything; to go on
         # from the oldest would silently lose accepted edits.
         if error.failure is PlatformFailure.OUT_OF_RETENTION:
-            await self._async_rebuild(error.oldest)
+            await self._async_hear_gone(error.oldest)
             return
         self.reachable = False
         _LOGGER.warning("read failed: %s", error.detail, extra={"event": "log_read_failed"})
         await trio.sleep(self.backoff.next_s())
 
+    async def _async_hear_gone(self, oldest: int) -> None:
+        """Rebuild, unless only the record that was to be compared is no longer kept.
+
+        The next offset can then still be read, and to wait for a newer snapshot would stop this
+        process without need. A state that differs is found by the digest of the next snapshot.
+        """
+        if self._must_check() and oldest <= self.next_offset():
+            self.in_doubt = False
+            extra = {"event": "relay_not_compared", "offset": self.next_offset() - 1}
+            _LOGGER.warning("a relayed record is no longer kept by the log", extra=extra)
+            return
+        await self._async_rebuild(oldest)
+
     async def _async_rebuild(self, oldest: int) -> None:
         self.out_of_retention = True
         self.oldest = oldest
--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -15,10 +15,20 @@
 from heatherkeel.core.reducer import fold
 from heatherkeel.core.state import canonical_bytes
 from heatherkeel.helpers.clock import monotonic_ms
-from heatherkeel.membership.const import MAX_MESSAGE_BYTES
+from heatherkeel.membership.choice import choose_peers, forget_lost_peers
+from heatherkeel.membership.const import (
+    CROSS_ZONE_PEERS,
+    LEARNED_KEPT_MS,
+    LOST_KEPT_MS,
+    MAX_MESSAGE_BYTES,
+    MAX_SILENCE_MS,
+    MIN_SILENCE_MS,
+)
 from heatherkeel.membership.links import PeerLinks
-from heatherkeel.membership.models import EntryJoin
+from heatherkeel.membership.local import PeerView
+from heatherkeel.membership.models import EntryInstance, EntryJoin
 from heatherkeel.membership.recent import RecentRecords
+from heatherkeel.membership.suspicion import SilenceBound
 
 
 class Peer:
@@ -156,6 +166,66 @@
     trio.run(scenario)
 
 
+def test_a_bad_address_in_a_record_ends_no_process() -> None:
+    # An entry instance joins with an address that is none. Every other one reads the record and
+    # tries to connect there; it must go on, and be linked with the rest.
+    async def scenario() -> None:
+        peer, other = Peer("e-1"), Peer("e-2")
+        async with opened(peer, other):
+            for number, address in enumerate(("nonsense", "127.0.0.1:99999", "1.2.3:x", "")):
+                other.join(f"x-{number}", address)
+            other.join("e-1", peer.links.address)
+            await tick_until(lambda: "e-2" in peer.node.local.peers.peers, other)
+
+    trio.run(scenario)
+
+
+def test_only_some_peers_of_other_zones_are_linked_and_lost_ones_are_forgotten() -> None:
+    # 24 availability zones with ten entry instances each: heartbeats between all of them would
+    # cost more than all other control. Replaced peers must not add up for ever either.
+    node = NodeState(local=LocalState(instance="e-1", zone="z-0", incarnation="1"))
+    for number in range(240):
+        entry = EntryInstance(
+            instance=f"x-{number}",
+            incarnation=f"{number}",
+            zone=f"z-{number % 24}",
+            peer_address=f"10.0.0.{number}:1",
+            lease_ms=1,
+            lease_until_ms=1,
+        )
+        node.fleet.membership.entries[entry.instance] = entry
+    chosen = choose_peers(node, seeds=["10.9.9.9:1"], own="10.0.0.0:1", now_ms=0)
+    assert sum(chosen.values()) == 9 + 1
+    assert len(chosen) == 10 + 23 * CROSS_ZONE_PEERS
+    view = PeerView(
+        incarnation="1",
+        zone="z-0",
+        address="10.8.8.8:1",
+        heard_ms=0,
+        offset_in_force=0,
+        log_age_ms=0,
+    )
+    node.local.peers.peers["lost"] = view
+    assert "10.8.8.8:1" in choose_peers(node, seeds=[], own="", now_ms=LEARNED_KEPT_MS - 1)
+    assert "10.8.8.8:1" not in choose_peers(node, seeds=[], own="", now_ms=LEARNED_KEPT_MS)
+    forget_lost_peers(node, LOST_KEPT_MS)
+    assert "lost" in node.local.peers.peers
+    forget_lost_peers(node, LOST_KEPT_MS + 1)
+    assert not node.local.peers.peers
+
+
+def test_the_silence_bound_follows_the_link_between_its_limits() -> None:
+    # A peer far off answers every 5 s; taken for silent, its connection would be replaced again
+    # and again. One that is near must not be waited for as long.
+    near, far = SilenceBound(), SilenceBound()
+    for _ in range(100):
+        near.hear(1_000)
+        far.hear(5_000)
+    assert near.bound_ms() == MIN_SILENCE_MS and 5_000 <= far.bound_ms() < MAX_SILENCE_MS
+    far.hear(3_600_000)
+    assert far.bound_ms() <= MAX_SILENCE_MS
+
+
 def test_a_silent_connection_is_replaced_by_a_fresh_one() -> None:
     # Something between two peers loses track of their connection: bytes vanish, no error comes,
     # and a new connection would work. The sender finds it by its missing answers.
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -122,6 +122,25 @@
     run(scenario)
 
 
+def test_a_relayed_record_that_the_log_dropped_does_not_stop_the_follower() -> None:
+    # A peer relayed records during a cut. When the log answers again, it no longer keeps the
+    # last of them, but still has the next one. Nothing is lost, so the follower goes on.
+    async def scenario() -> None:
+        reader = Reader()
+        reader.append(b"a", b"b")
+        relayed = reader.client.platform.read(STREAM, 0, 2).records
+        for stored in relayed:
+            record = LogRecord(offset=stored.offset, at_ms=stored.at_ms, data=stored.data)
+            reader.records.append(record)
+            reader.follower.note_folded(record)
+        reader.client.platform.faults.retain_records = 1
+        reader.append(b"c")
+        await reader.run_for(5)
+        assert reader.data() == [b"a", b"b", b"c"] and reader.rebuilds == 0
+
+    run(scenario)
+
+
 def test_after_an_outage_processes_do_not_come_back_together() -> None:
     # The platform is down for a minute, and 50 processes wait for it. Their tries must not fall
     # into the same moment again and again, nor come more often than every second or so.
