A process whose state is not the others' ends itself

After a refused claim it now looks who stands for it; outvoted, it ends and its replacement starts from theirs. Ruled out: ending at the first refused claim (the author may be the wrong one).

--- a/heatherkeel/snapshots/const.py
+++ b/heatherkeel/snapshots/const.py
@@ -31,6 +31,9 @@
 JITTER_MS: Final = 2_000
 """Entry instances spread their marks over this time, by a hash of their id and the offset."""
 
+VERDICT_WAIT_S: Final = 5.0
+"""Time after a refused claim in which others endorse or refuse it."""
+
 SCAN_RECORDS: Final = 16
 """Records that one step of the backward scan of the snapshot stream reads."""
 
--- a/heatherkeel/snapshots/store.py
+++ b/heatherkeel/snapshots/store.py
@@ -34,6 +34,11 @@
         found = [item for item in self.records.values() if isinstance(item, ManifestRecord)]
         return sorted(found, key=lambda manifest: -manifest.claim.offset)
 
+    def backers(self, manifest: ManifestRecord) -> set[str]:
+        """Return who stands for a snapshot: its author and its endorsers."""
+        same = [other for other in self.manifests() if other.claim == manifest.claim]
+        return {manifest.claim.instance} | {other.endorser for other in same}
+
     def is_trusted(self, manifest: ManifestRecord) -> bool:
         """Say whether more entry instances stand for a snapshot than against it.
 
@@ -41,9 +46,7 @@
         the others; it is one against those who were at the same offset.
         """
         claim = manifest.claim
-        backers = {claim.instance} | {
-            other.endorser for other in self.manifests() if other.claim == claim
-        }
+        backers = self.backers(manifest)
         refusers = {
             refusal.instance
             for refusal in self.records.values()
@@ -116,6 +119,22 @@
                     return Ok(state)
         return Ok(None)
 
+    async def async_is_outvoted(self, *, offset: int, digest: str) -> bool:
+        """Say whether others stand for another state at this offset than the one with `digest`.
+
+        Looks only at the end of the stream, where the verdicts on the newest claim stand.
+        """
+        bounds = await self._async_bounds()
+        if isinstance(bounds, Err):
+            return False
+        scan = bounds.ok_value
+        await self._async_widen(scan)
+        return any(
+            manifest.claim.digest != digest and scan.is_trusted(manifest)
+            for manifest in scan.manifests()
+            if manifest.claim.offset == offset and len(scan.backers(manifest)) > 1
+        )
+
     async def _async_bounds(self) -> Result[Scan, PlatformError]:
         """Return a scan that stands at the end of the stream."""
         oldest = 0
--- a/heatherkeel/snapshots/writer.py
+++ b/heatherkeel/snapshots/writer.py
@@ -8,15 +8,17 @@
 import trio
 from result import Err, Ok
 
+from heatherkeel.core.errors import BrokenInvariantError
 from heatherkeel.core.models import Rejected, RejectReason, Settled
 from heatherkeel.core.state import FleetState
 from heatherkeel.platform.follower import LogFollower
 from heatherkeel.platform.writer import LogWriter
 
 from . import codec, schedule
-from .const import APPEND_PAUSE_S, ENDORSE_STEP_MS, FORMAT
+from .const import APPEND_PAUSE_S, ENDORSE_STEP_MS, FORMAT, VERDICT_WAIT_S
 from .models import (
     ManifestRecord,
+    MarkedSnapshot,
     RefusalRecord,
     SnapshotComplete,
     SnapshotMark,
@@ -31,6 +33,10 @@
 WRITE_TIMEOUT_S = 10.0
 
 
+class StateDivergedError(BrokenInvariantError):
+    """The state of this process is not the one that the others have at the same offset."""
+
+
 class SnapshotWriter:
     """The part of one entry process that writes the state back into the log."""
 
@@ -86,8 +92,9 @@
         if effect.kind != "snapshots.complete" or not isinstance(effect.outcome, Rejected):
             return
         wrong = effect.outcome.reason is RejectReason.CONFLICT
-        if wrong and self.nursery is not None and self._may_act():
-            self.nursery.start_soon(self._async_refuse, effect.author)
+        newest = self.state().snapshots.newest
+        if wrong and newest is not None and self.nursery is not None and self._may_act():
+            self.nursery.start_soon(self._async_refuse, effect.author, newest)
 
     def _may_act(self) -> bool:
         """Say whether the fold is at the end of the log: what it says of old marks is past."""
@@ -147,14 +154,21 @@
         records = await self.store.async_records_from(claim.chunk_offsets[-1] + 1)
         return any(isinstance(item, ManifestRecord) and item.claim == claim for item in records)
 
-    async def _async_refuse(self, author: str) -> None:
-        newest = self.state().snapshots.newest
-        if newest is None:
-            return
-        order = schedule.endorsers(self.state(), author=author, offset=newest.offset)
-        if self.instance not in order:
-            return
-        extra = {"event": "snapshot_refused", "offset": newest.offset}
+    async def _async_refuse(self, author: str, found: MarkedSnapshot) -> None:
+        """Tell others of a wrong claim, and find out which side is wrong.
+
+        One of both has a state that is not the log's, and decides otherwise than all others for
+        good. If more stand for the claim than against it, it is this one: it ends and is
+        replaced, which starts from their snapshot.
+        """
+        extra = {"event": "snapshot_refused", "offset": found.offset}
         _LOGGER.error("snapshot of %s has another digest", author, extra=extra)
-        refusal = RefusalRecord(offset=newest.offset, digest=newest.digest, instance=self.instance)
-        await self.store.async_append(refusal)
+        order = schedule.endorsers(self.state(), author=author, offset=found.offset)
+        if self.instance in order:
+            refusal = RefusalRecord(
+                offset=found.offset, digest=found.digest, instance=self.instance
+            )
+            await self.store.async_append(refusal)
+        await trio.sleep(VERDICT_WAIT_S)
+        if await self.store.async_is_outvoted(offset=found.offset, digest=found.digest):
+            raise StateDivergedError(f"others agree on another state at offset {found.offset}")
--- a/tests/snapshots/test_writer.py
+++ b/tests/snapshots/test_writer.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 import msgspec
+import pytest
 import trio
 
 import heatherkeel.subjects  # noqa: F401
@@ -20,6 +21,7 @@
 )
 from heatherkeel.snapshots import codec
 from heatherkeel.snapshots.models import ManifestRecord
+from heatherkeel.snapshots.writer import StateDivergedError
 from tests.platform.fake import FakeClient, run
 
 SNAPSHOTS = SnapshotSettings(interval_records=3, overtake_ms=5_000, check_interval_ms=50)
@@ -141,3 +143,24 @@
         assert await fleet.load() is not None
 
     run(scenario)
+
+
+def test_a_process_with_a_wrong_state_ends_itself() -> None:
+    # The memory of one entry instance went wrong. It refuses the snapshot on which the others
+    # agree, and would decide otherwise than all of them for good. It finds that it is the odd
+    # one and ends; the snapshot stays usable.
+    async def scenario() -> None:
+        fleet = Fleet(["e-1", "e-2", "e-3", "e-4"])
+        wrong = fleet.nodes["e-1"]
+        # It must not be the author, whose own digest is the claim.
+        wrong.snapshots.async_check = trio.lowlevel.checkpoint  # type: ignore[method-assign]
+        wrong.state.fleet.catalogue.versions["nonsense"] = 1
+        with pytest.raises(BaseExceptionGroup) as raised:
+            await fleet.run_until(lambda: False)
+        assert raised.group_contains(StateDivergedError)
+        assert fleet.manifests() and fleet.manifests()[0].endorser != "e-1"
+        right = fleet.manifests()[0].claim
+        loaded = (await fleet.nodes["e-2"].store.async_load_newest(above=0)).unwrap()
+        assert loaded is not None and loaded.next_offset == right.offset + 1
+
+    run(scenario)
