--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -11,6 +11,7 @@
 from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
+from heatherkeel.jobs.duty import JobsDuty
 from heatherkeel.membership.const import HEARTBEAT_INTERVAL_MS
 from heatherkeel.membership.links import PeerLinks
 from heatherkeel.monitoring.app import MonitoringApp, TimedApp
@@ -49,7 +50,9 @@
         timed = TimedApp(inner=self.front, metrics=self.metrics)
         self.http = HttpServer(app=timed, bind=settings.http.bind)
         pages = MonitoringApp(
-            inner=AdminApp(node=self.node), metrics=self.metrics, readiness=self.readiness
+            inner=AdminApp(node=self.node, on_refusal=self.metrics.count_admin_refusal),
+            metrics=self.metrics,
+            readiness=self.readiness,
         )
         self.admin = HttpServer(
             app=pages,
@@ -72,10 +75,15 @@
         starting = NodeStart(node=self.node, links=self.links)
         starting.start(nursery)
         await starting.done.wait()
-        await self.http.start(nursery)
-        Duties(node=self.node, peer_address=self.links.address).start()
+        duties = Duties(node=self.node, peer_address=self.links.address)
+        duties.start()
+        JobsDuty(node=self.node).start(nursery)
         self._subscribe_timers()
         self.node.timers.start(nursery)
+        # A drain waits for the entry instances that the fold knows when it starts. Callers that
+        # came before would be cut: nobody waits for this process when their target is stopped.
+        await duties.waited_for.wait()
+        await self.http.start(nursery)
         _LOGGER.info(
             "listening",
             extra={
