--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -8,6 +8,7 @@
 
 from heatherkeel import subjects  # noqa: F401
 from heatherkeel.admin.app import AdminApp
+from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
@@ -18,8 +19,11 @@
 from heatherkeel.monitoring.counting import count_effects
 from heatherkeel.monitoring.gauges import NodeGauges
 from heatherkeel.monitoring.readiness import Readiness
+from heatherkeel.requests.const import QUEUE_TICK_MS
+from heatherkeel.requests.events import QueueTick
 from heatherkeel.settings.models import EntrySettings
 
+from .const import CLOSE_INTERVAL_MS, WRITE_TIMEOUT_S
 from .duties import Duties
 from .front import Front
 from .node import Node
@@ -47,8 +51,13 @@
             seeds=settings.peers.seeds,
         )
         self.front = Front(node=self.node)
+        self.duties = Duties(node=self.node)
         timed = TimedApp(inner=self.front, metrics=self.metrics)
-        self.http = HttpServer(app=timed, bind=settings.http.bind)
+        self.http = HttpServer(
+            app=timed,
+            bind=settings.http.bind,
+            on_headers_too_large=self.metrics.count_headers_too_large,
+        )
         pages = MonitoringApp(
             inner=AdminApp(node=self.node, on_refusal=self.metrics.count_admin_refusal),
             metrics=self.metrics,
@@ -69,20 +78,21 @@
         count_effects(self.node, self.metrics)
         self.metrics.register([self.gauges])
         self.node.writer.start(nursery)
+        self.front.start(nursery)
         self.node.snapshots.start(nursery)
         self.links.start(nursery)
         await self.admin.start(nursery)
         starting = NodeStart(node=self.node, links=self.links)
         starting.start(nursery)
         await starting.done.wait()
-        duties = Duties(node=self.node, peer_address=self.links.address)
-        duties.start()
+        self.duties.peer_address = self.links.address
+        self.duties.start()
         JobsDuty(node=self.node).start(nursery)
         self._subscribe_timers()
         self.node.timers.start(nursery)
         # A drain waits for the entry instances that the fold knows when it starts. Callers that
         # came before would be cut: nobody waits for this process when their target is stopped.
-        await duties.waited_for.wait()
+        await self.duties.waited_for.wait()
         await self.http.start(nursery)
         _LOGGER.info(
             "listening",
@@ -95,6 +105,14 @@
         )
 
     def _subscribe_timers(self) -> None:
+        self.node.timers.subscribe(
+            name="queues", interval_ms=QUEUE_TICK_MS, callback=self._async_tick_queues
+        )
+        self.node.timers.subscribe(
+            name="connections",
+            interval_ms=CLOSE_INTERVAL_MS,
+            callback=self.front.connections.async_close_retired,
+        )
         self.node.timers.subscribe(
             name="snapshots",
             interval_ms=self.settings.snapshots.check_interval_ms,
@@ -104,11 +122,19 @@
             name="peers", interval_ms=HEARTBEAT_INTERVAL_MS, callback=self.links.async_tick
         )
 
+    async def _async_tick_queues(self) -> None:
+        """Let the reducer see that time has passed, while something waits for it."""
+        routing = self.node.state.local.routing
+        if routing.deadlines or routing.ejected:
+            self.node.take(QueueTick(now_ms=monotonic_ms()))
+
     async def close(self) -> None:
         """Stop in order; the admin port answers to the end, so that the stop can be watched."""
         await async_stop_callers(
             http=self.http, readiness=self.readiness, fleet=self.node.state.fleet
         )
+        await self.front.claims.async_finish(timeout_s=WRITE_TIMEOUT_S)
+        await self.duties.async_leave()
         await self.admin.close()
 
     async def close_connections(self) -> None:
--- a/heatherkeel/requests/arrival.py
+++ b/heatherkeel/requests/arrival.py
@@ -13,8 +13,8 @@
 from .queues import check_room, enqueue, forget, retry_after_ms
 from .reasons import RefusalReason
 from .retries import earn
-from .routing import pick
-from .sending import begin, lease_forbids, not_run
+from .routing import lease_refusal, pick
+from .sending import begin, not_run
 from .targets import find_service
 
 
@@ -66,8 +66,9 @@
         repeat = answer_repeat(node, request_id, request)
         if repeat is not None:
             return repeat
-    if lease_forbids(node, request, now_ms):
-        return not_run(request_id, RefusalReason.LEASE_LAPSED)
+    refusal = lease_refusal(node, request, now_ms)
+    if refusal is not None:
+        return not_run(request_id, refusal)
     pool = node.local.routing.pools.get(request.pool)
     if pool is None or not any(pool.candidates.values()):
         return not_run(request_id, RefusalReason.NO_TARGET)
--- a/heatherkeel/requests/reasons.py
+++ b/heatherkeel/requests/reasons.py
@@ -22,6 +22,7 @@
     QUEUE_TOO_SLOW = "queue_too_slow"
     DEADLINE = "deadline"
     LEASE_LAPSED = "lease_lapsed"
+    NO_SPONSOR = "no_sponsor"
     TARGET_REFUSED = "target_refused"
     CONNECT_FAILED = "connect_failed"
     BROKEN_AFTER_SEND = "broken_after_send"
@@ -35,6 +36,9 @@
     KEY_ANSWER_NOT_KEPT = "key_answer_not_kept"
     CLAIM_NOT_WRITTEN = "claim_not_written"
     TOO_MANY_CLAIMS = "too_many_claims"
+    BAD_HEADER = "bad_header"
+    BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
 
 
 class RetryReason(StrEnum):
@@ -56,3 +60,4 @@
     DEADLINE = "deadline"
     NO_OTHER_TARGET = "no_other_target"
     LEASE_LAPSED = "lease_lapsed"
+    CALLER_GONE = "caller_gone"
--- a/heatherkeel/requests/routing.py
+++ b/heatherkeel/requests/routing.py
@@ -5,11 +5,13 @@
 from collections.abc import Sequence
 
 from heatherkeel.core.node import NodeState
+from heatherkeel.membership.sponsor import may_route
 
-from .const import SHARE_GRACE_MS
+from .const import FULL_ZONE_MS, SHARE_GRACE_MS
 from .health import allowed
 from .limits import share
-from .local import ActiveRequest, RoutingState, TargetView
+from .local import ActiveRequest, FullZone, PoolView, RoutingState, TargetView
+from .reasons import RefusalReason
 
 _MULTIPLIER = 6364136223846793005
 _INCREMENT = 1442695040888963407
@@ -25,7 +27,7 @@
     pool = routing.pools.get(request.pool)
     if pool is None:
         return None
-    picked = _pick_among(node, pool.candidates.get(node.local.zone, ()), request, now_ms)
+    picked = _pick_in_zone(node, pool, node.local.zone, request, now_ms)
     if picked is not None or not may_cross(node, request, now_ms):
         return picked
     away = [zone for zone in sorted(pool.candidates) if zone != node.local.zone]
@@ -39,7 +41,7 @@
     pool = node.local.routing.pools[request.pool]
     start = draw(node.local.routing, len(zones)) if zones else 0
     for zone in (*zones[start:], *zones[:start]):
-        picked = _pick_among(node, pool.candidates[zone], request, now_ms)
+        picked = _pick_in_zone(node, pool, zone, request, now_ms)
         if picked is not None:
             return picked
     return None
@@ -55,6 +57,21 @@
     return now_ms < lease_end_ms and request.deadline_at_ms <= lease_end_ms + SHARE_GRACE_MS
 
 
+def lease_refusal(node: NodeState, request: ActiveRequest, now_ms: int) -> RefusalReason | None:
+    """Return why a request may not be sent without a routing lease, or none if it may.
+
+    Failure: this process is cut off, or was paused, and a drain or another entry instance's claim
+    went on without it. Symptom: a non-idempotent request runs on a target that is being stopped,
+    or runs twice. Enough because without a lease nothing is sent that may not be sent again, and
+    a newcomer that the fold doesn't know sends nothing at all without its sponsor.
+    """
+    if not may_route(node, now_ms):
+        return RefusalReason.NO_SPONSOR
+    if not request.idempotent and now_ms >= node.local.lease.valid_until_ms:
+        return RefusalReason.LEASE_LAPSED
+    return None
+
+
 def fits(node: NodeState, request: ActiveRequest, name: str, now_ms: int) -> bool:
     """Tell whether a target may take a request now."""
     target = node.local.routing.targets[name]
@@ -76,6 +93,29 @@
     return target.in_progress < allowed(target, share(node, name, target), now_ms)
 
 
+def _pick_in_zone(
+    node: NodeState, pool: PoolView, zone: str, request: ActiveRequest, now_ms: int
+) -> str | None:
+    """Pick in one zone; look at all its targets only if something may have changed since."""
+    generation = node.local.routing.shares.generation
+    full = pool.full.get(zone)
+    if full is not None and full.generation == generation and now_ms < full.until_ms:
+        return _take_freed(node, full, request, now_ms)
+    picked = _pick_among(node, pool.candidates.get(zone, ()), request, now_ms)
+    if picked is None and not request.tried:
+        pool.full[zone] = FullZone(generation=generation, until_ms=now_ms + FULL_ZONE_MS)
+    return picked
+
+
+def _take_freed(node: NodeState, full: FullZone, request: ActiveRequest, now_ms: int) -> str | None:
+    """Return a target on which a slot was freed since all were found full."""
+    while full.freed:
+        name, _ = full.freed.popitem()
+        if name in node.local.routing.targets and fits(node, request, name, now_ms):
+            return name
+    return None
+
+
 def _pick_among(
     node: NodeState, names: Sequence[str], request: ActiveRequest, now_ms: int
 ) -> str | None:
--- /dev/null
+++ b/tests/jobs/test_golden.py
@@ -0,0 +1,59 @@
+"""Golden file: a ledger job through a lapsed lease, as its owner and an operator could read it."""
+
+from __future__ import annotations
+
+from syrupy.assertion import SnapshotAssertion
+
+from heatherkeel.core.models import Effect, RecordBody, to_jsonable
+from heatherkeel.jobs.models import JobChanged, StartTask, StopTask
+from heatherkeel.jobs.records import (
+    JobResolve,
+    LossEvidence,
+    Resolution,
+    TaskEnded,
+    TaskExit,
+    TaskLost,
+    TaskStarted,
+)
+
+from .conftest import JOB, TEAM, Fleet
+
+
+def test_a_ledger_job_through_a_lapsed_lease(snapshot: SnapshotAssertion) -> None:
+    # The worker is cut off while the ledger job runs, its lease lapses, and the worker reboots:
+    # nobody can know how far the job came. Its owner looks at the books and has it run again.
+    fleet = Fleet()
+    lines: list[str] = []
+
+    def say(body: RecordBody) -> None:
+        fleet.now_ms += 1_000
+        fleet.accept(body)
+        lines.append(f"{fleet.now_ms:6} {type(body).__name__}")
+        lines.extend(f"         {_words(effect)}" for effect in fleet.effects)
+
+    def lost(evidence: LossEvidence) -> TaskLost:
+        return TaskLost(task=task, expected_version=fleet.job().version, evidence=evidence)
+
+    fleet.submit()
+    say(fleet.placement("w0"))
+    task = fleet.task()
+    say(TaskStarted(task=task))
+    say(lost(LossEvidence.LEASE_LAPSED))
+    say(lost(LossEvidence.TASK_GONE))
+    version = fleet.job().version
+    resolved = Resolution.RUN_AGAIN
+    say(JobResolve(job=JOB, team=TEAM, expected_version=version, resolution=resolved))
+    say(fleet.placement("w1"))
+    say(TaskStarted(task=fleet.task()))
+    say(TaskEnded(task=fleet.task(), exit=TaskExit.SUCCEEDED))
+    lines.append(str(to_jsonable(fleet.state.jobs.finished)))
+    assert "\n".join(lines) == snapshot
+
+
+def _words(effect: Effect) -> str:
+    match effect:
+        case JobChanged():
+            return f"{effect.job} v{effect.version} {effect.status} {effect.reason}".rstrip()
+        case StartTask() | StopTask():
+            return f"{type(effect).__name__} {effect.task} on {effect.instance}"
+    return type(effect).__name__
--- a/tests/processes/test_edits_under_failure.py
+++ b/tests/processes/test_edits_under_failure.py
@@ -111,7 +111,10 @@
     fleet.start_platform()
     # No lease is renewed meanwhile: the edit is the first append that meets the cut.
     quiet = "[routing]\nlease_ms = 600000\nrenew_interval_ms = 300000\n"
+    quiet += "[admin]\nwrite_timeout_ms = 1000\n"
     cut, other = (fleet.start_entry(f"e-{zone}", zone=zone, extra=quiet) for zone in "ab")
+    # Nor may the cut find the renewals on their way that follow a join.
+    wait_for(lambda: _both_know_both(cut), "no renewal is due")
     fleet.set_faults("platform", cut_instances=["e-a"])
     unknown = put(cut, 5, idempotency_key=KEY)
     assert unknown.status == 503
@@ -130,6 +133,17 @@
     assert json.loads(again.content) == json.loads(repeated.content)
 
 
+def has_joined(entry: Process) -> bool:
+    """Say whether an entry process has read back its own first lease."""
+    return entry.name in call_json("GET", entry.admin, "/status")["entry_instances"]
+
+
+def _both_know_both(entry: Process) -> bool:
+    """Say whether both entry instances have reported an offset after both joins."""
+    known = call_json("GET", entry.admin, "/status")["entry_instances"].values()
+    return len(known) == 2 and all(line["offset_in_force"] >= 1 for line in known)
+
+
 def _unreachable(entry: Process) -> Any:
     status = call_json("GET", entry.admin, "/status")
     return None if status["platform"]["reachable"] else status
