--- a/tests/processes/test_jobs.py
+++ b/tests/processes/test_jobs.py
@@ -161,6 +161,23 @@
     assert counts(fleet)["fresh_runs"] == {"sheetal:ledger": 1}
 
 
+def test_a_job_is_refused_while_the_platform_is_down(fleet: Fleet) -> None:
+    # Nothing can be agreed, so nothing is accepted, and the caller is told so at once. A job that
+    # runs meanwhile ends, and its end is recorded when the platform is back.
+    one = fleet.processes["entry1"]
+    submit(one, "before", run_ms=300)
+    wait_for(lambda: counts(fleet)["fresh_runs"], "the task runs")
+    fleet.set_faults("platform", down=True)
+    refused = submit(one, "during")
+    assert refused["status"] == 503
+    assert refused["detail"] == "It was not accepted, and will not be later."
+    fleet.set_faults("platform")
+    wait_status(one, "before", "succeeded")
+    submit(one, "during")
+    wait_status(one, "during", "succeeded")
+    assert set(counts(fleet)["fresh_runs"].values()) == {1}
+
+
 def test_an_urgent_job_gets_room_by_a_checkpoint(fleet: Fleet) -> None:
     # All workers are full of night work that can be checkpointed. The urgent job has to start
     # within seconds; the moved job goes on later from its checkpoint, and is not run anew.
