--- a/heatherkeel/entry/const.py
+++ b/heatherkeel/entry/const.py
@@ -51,6 +51,9 @@
 OUTCOME_WRITE_TIMEOUT_S: Final = 60.0
 """How long the outcome of a claimed request is tried to be written."""
 
+WATCH_INTERVAL_MS: Final = 50
+"""How often the callers of requests that are still open begin to be watched."""
+
 CLOSE_INTERVAL_MS: Final = 1_000
 """How often connections that are used no more are closed."""
 
--- a/heatherkeel/entry/front.py
+++ b/heatherkeel/entry/front.py
@@ -64,6 +64,8 @@
     gone: bool = False
     attempt: Attempt | None = None
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    ended: bool = False
+    watch: trio.CancelScope = field(default_factory=trio.CancelScope)
 
 
 class Front:
@@ -75,10 +77,13 @@
         self.claims = ClaimRecords(node=node)
         self.connections = TargetConnections()
         self.sender = Sender(connections=self.connections)
+        self.nursery: trio.Nursery | None = None
+        self.unwatched: list[Call] = []
         node.subscribe(CloseConnections, self.connections.retire)
 
     def start(self, nursery: trio.Nursery) -> None:
-        """Begin to write claims."""
+        """Begin to write claims, and to watch callers."""
+        self.nursery = nursery
         self.claims.start(nursery)
 
     async def close(self) -> None:
@@ -170,10 +175,24 @@
             deadline_ms=options.deadline_ms,
         )
         self.node.take(arrived)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._async_watch_caller, call)
+        self.unwatched.append(call)
+        try:
             await self._async_carry_out(call)
-            nursery.cancel_scope.cancel()
+        finally:
+            call.ended = True
+            call.watch.cancel()
+
+    async def async_watch_callers(self) -> None:
+        """Begin to watch the callers of requests that were not answered since the last time.
+
+        A task for every caller costs more than all decisions on its request, and most requests
+        are answered before it would have anything to tell.
+        """
+        assert self.nursery is not None
+        calls, self.unwatched = self.unwatched, []
+        for call in calls:
+            if not call.ended:
+                self.nursery.start_soon(self._async_watch_caller, call)
 
     async def _async_watch_caller(self, call: Call) -> None:
         """Notice that the caller hung up.
@@ -181,12 +200,15 @@
         What may be sent again is stopped, and its connection closed, so that the late answer can
         reach nobody else. What may run only once goes on, so that a repeat finds its outcome.
         """
-        while (await call.receive())["type"] != "http.disconnect":
-            continue
-        call.gone = True
-        self.node.take(CallerGone(now_ms=monotonic_ms(), request_id=call.exchange.request_id))
-        if call.idempotent:
-            call.scope.cancel()
+        with call.watch:
+            while (await call.receive())["type"] != "http.disconnect":
+                continue
+            if call.ended:
+                return
+            call.gone = True
+            self.node.take(CallerGone(now_ms=monotonic_ms(), request_id=call.exchange.request_id))
+            if call.idempotent:
+                call.scope.cancel()
 
     async def _async_carry_out(self, call: Call) -> None:
         """Carry out the effects of one request until its final answer."""
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -23,7 +23,7 @@
 from heatherkeel.requests.events import QueueTick
 from heatherkeel.settings.models import EntrySettings
 
-from .const import CLOSE_INTERVAL_MS, WRITE_TIMEOUT_S
+from .const import CLOSE_INTERVAL_MS, WATCH_INTERVAL_MS, WRITE_TIMEOUT_S
 from .duties import Duties
 from .front import Front
 from .node import Node
@@ -108,6 +108,11 @@
         self.node.timers.subscribe(
             name="queues", interval_ms=QUEUE_TICK_MS, callback=self._async_tick_queues
         )
+        self.node.timers.subscribe(
+            name="callers",
+            interval_ms=WATCH_INTERVAL_MS,
+            callback=self.front.async_watch_callers,
+        )
         self.node.timers.subscribe(
             name="connections",
             interval_ms=CLOSE_INTERVAL_MS,
--- a/tests/processes/test_requests_under_failure.py
+++ b/tests/processes/test_requests_under_failure.py
@@ -124,6 +124,20 @@
         assert answer.status == 200 and own_answer(answer, f"next{number}")
 
 
+def test_a_caller_that_hangs_up_frees_the_slot(fleet: Fleet) -> None:
+    # The target is silent, and the caller hangs up long before its deadline. Its request is
+    # ended then, so that the slot is free for others.
+    [entry] = start(fleet, targets=1)
+    fleet.set_faults("t0", silent=True)
+    host, port = entry.http.split(":")
+    with socket.create_connection((host, int(port))) as caller:
+        caller.sendall(b"GET /stock/x HTTP/1.1\r\nhost: x\r\nx-request-id: gone\r\n\r\n")
+        wait_for(lambda: runs(fleet, "gone"), "the target is at work")
+    counted = b'heatherkeel_refusals_total{reason="caller_gone"} 1.0'
+    metrics = partial(call, "GET", entry.admin, "/metrics")
+    wait_for(lambda: counted in metrics().content, "the request is ended")
+
+
 def test_a_key_runs_once_through_whichever_entry_instance(fleet: Fleet) -> None:
     # A retailer's order is sent twice under one key, through two entry instances. The second
     # caller gets the first one's answer. Another order under the same key is refused.
