--- a/heatherkeel/entry/const.py
+++ b/heatherkeel/entry/const.py
@@ -64,3 +64,6 @@
 
 OBSERVE_AGAIN_MS: Final = 5_000
 """How long one process waits before it probes the same instance in doubt again."""
+
+LEAVE_TIMEOUT_S: Final = 2.0
+"""How long a stopping process tries to say that it has left; the platform may be down."""
--- a/heatherkeel/entry/duties.py
+++ b/heatherkeel/entry/duties.py
@@ -11,16 +11,17 @@
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.membership.const import PAUSE_CHECK_INTERVAL_MS
 from heatherkeel.membership.events import LeaseGranted, LeaseRefused, LeaseWanted
-from heatherkeel.membership.models import EntryJoin, EntryRenew
+from heatherkeel.membership.models import EntryJoin, EntryLeave, EntryRenew
 from heatherkeel.membership.pause import PauseWatch
 
 from .const import (
     ACKNOWLEDGE_INTERVAL_MS,
     COORDINATE_INTERVAL_MS,
+    LEAVE_TIMEOUT_S,
     OBSERVE_INTERVAL_MS,
     WRITE_TIMEOUT_S,
 )
-from .duties_acknowledge import Acknowledger
+from .duties_acknowledge import Acknowledger, is_done_sending
 from .duties_coordinate import Coordinator
 from .duties_health import HealthObserver
 from .duties_listing import InstanceListing
@@ -32,10 +33,11 @@
 class Duties:
     """Timed work of one entry process."""
 
-    def __init__(self, *, node: Node, peer_address: str) -> None:
+    def __init__(self, *, node: Node) -> None:
         self.node = node
-        self.peer_address = peer_address
+        self.peer_address = ""
         self.joined = False
+        self.leaving = False
         self.waited_for = trio.Event()
         """Set when drains wait for this process: it has joined, or a peer sponsors it."""
         self.listing = InstanceListing(node=node)
@@ -44,8 +46,9 @@
         self.observer = HealthObserver(node=node, listing=self.listing)
         self.pauses = PauseWatch(take=node.take)
 
-    def start(self) -> None:
-        """Subscribe to the timer service."""
+    def start(self, *, peer_address: str) -> None:
+        """Subscribe to the timer service; `peer_address` is where peers reach this process."""
+        self.peer_address = peer_address
         if self.node.state.local.peers.sponsorship is not None:
             self.waited_for.set()
         settings = self.node.settings
@@ -74,6 +77,8 @@
 
     async def async_hold_lease(self) -> None:
         """Join, or renew the routing lease."""
+        if self.leaving:
+            return
         await self.node.follower.caught_up.wait()
         sent_ms = monotonic_ms()
         renews = self.joined
@@ -90,6 +95,21 @@
             case Err(failure):
                 _LOGGER.warning("lease: %s", failure, extra={"event": "lease_not_renewed"})
 
+    async def async_leave(self) -> None:
+        """Say for good that nothing is in progress here, after the last caller has its answer.
+
+        Drains in this availability zone wait for every process that may still send. One that
+        ended without a word would hold them until the platform says that its instance is
+        terminated, and after a mere restart under the same id the platform never says so.
+        """
+        self.leaving = True
+        if not self.joined or not is_done_sending(self.node.state):
+            return
+        body = EntryLeave(
+            instance=self.node.settings.instance.id, incarnation=self.node.incarnation
+        )
+        await self.node.writer.async_write(body, timeout_s=LEAVE_TIMEOUT_S)
+
     def _tell_lease(self, sent_ms: int) -> None:
         now_ms = monotonic_ms()
         if not self.joined:
--- a/heatherkeel/entry/duties_acknowledge.py
+++ b/heatherkeel/entry/duties_acknowledge.py
@@ -63,3 +63,12 @@
         if view is None or view.in_progress == 0:
             quiet.append(AckedDrain(instance=instance_id, drain=drain.id))
     return quiet
+
+
+def is_done_sending(node: NodeState) -> bool:
+    """Say whether nothing is in progress, here or at a newcomer that only this process speaks for.
+
+    Asked after the callers' port is closed, when nothing new can begin.
+    """
+    in_progress = any(view.in_progress for view in node.local.routing.targets.values())
+    return not in_progress and not node.local.peers.sponsored
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -46,6 +46,7 @@
             bind=settings.peers.bind,
             seeds=settings.peers.seeds,
         )
+        self.duties = Duties(node=self.node)
         self.front = Front(node=self.node)
         timed = TimedApp(inner=self.front, metrics=self.metrics)
         self.http = HttpServer(app=timed, bind=settings.http.bind)
@@ -75,14 +76,13 @@
         starting = NodeStart(node=self.node, links=self.links)
         starting.start(nursery)
         await starting.done.wait()
-        duties = Duties(node=self.node, peer_address=self.links.address)
-        duties.start()
+        self.duties.start(peer_address=self.links.address)
         JobsDuty(node=self.node).start(nursery)
         self._subscribe_timers()
         self.node.timers.start(nursery)
         # A drain waits for the entry instances that the fold knows when it starts. Callers that
         # came before would be cut: nobody waits for this process when their target is stopped.
-        await duties.waited_for.wait()
+        await self.duties.waited_for.wait()
         await self.http.start(nursery)
         _LOGGER.info(
             "listening",
@@ -109,6 +109,7 @@
         await async_stop_callers(
             http=self.http, readiness=self.readiness, fleet=self.node.state.fleet
         )
+        await self.duties.async_leave()
         await self.admin.close()
 
     async def close_connections(self) -> None:
