--- a/heatherkeel/entry/duties.py
+++ b/heatherkeel/entry/duties.py
@@ -13,6 +13,7 @@
 from heatherkeel.membership.events import LeaseGranted, LeaseRefused, LeaseWanted
 from heatherkeel.membership.models import EntryJoin, EntryLeave, EntryRenew
 from heatherkeel.membership.pause import PauseWatch
+from heatherkeel.requests.limits import acknowledged_offset, is_acknowledgement_due
 
 from .const import (
     ACKNOWLEDGE_INTERVAL_MS,
@@ -36,6 +37,7 @@
     def __init__(self, *, node: Node) -> None:
         self.node = node
         self.peer_address = ""
+        """Where peers reach this process; known once the port is open."""
         self.joined = False
         self.leaving = False
         self.waited_for = trio.Event()
@@ -46,9 +48,8 @@
         self.observer = HealthObserver(node=node, listing=self.listing)
         self.pauses = PauseWatch(take=node.take)
 
-    def start(self, *, peer_address: str) -> None:
-        """Subscribe to the timer service; `peer_address` is where peers reach this process."""
-        self.peer_address = peer_address
+    def start(self) -> None:
+        """Subscribe to the timer service."""
         if self.node.state.local.peers.sponsorship is not None:
             self.waited_for.set()
         settings = self.node.settings
@@ -69,6 +70,7 @@
             callback=self.listing.async_read,
         )
         for name, interval_ms, callback in (
+            ("shares", ACKNOWLEDGE_INTERVAL_MS, self.async_acknowledge_shares),
             ("acknowledge", ACKNOWLEDGE_INTERVAL_MS, self.acknowledger.async_acknowledge),
             ("coordinate", COORDINATE_INTERVAL_MS, self.coordinator.async_coordinate),
             ("observe", OBSERVE_INTERVAL_MS, self.observer.async_observe),
@@ -96,7 +98,7 @@
                 _LOGGER.warning("lease: %s", failure, extra={"event": "lease_not_renewed"})
 
     async def async_leave(self) -> None:
-        """Say for good that nothing is in progress here, after the last caller has its answer.
+        """Give the lease and all shares back for good, after the last caller has its answer.
 
         Drains in this availability zone wait for every process that may still send. One that
         ended without a word would hold them until the platform says that its instance is
@@ -133,4 +135,10 @@
             instance=self.node.settings.instance.id,
             incarnation=self.node.incarnation,
             offset_in_force=self.node.state.fleet.next_offset - 1,
+            shares_offset=acknowledged_offset(self.node.state),
         )
+
+    async def async_acknowledge_shares(self) -> None:
+        """Renew at once when others wait for this process before their shares may grow."""
+        if is_acknowledgement_due(self.node.state):
+            await self.async_hold_lease()
--- a/heatherkeel/requests/sending.py
+++ b/heatherkeel/requests/sending.py
@@ -11,6 +11,7 @@
 from .models import KeyClaim
 from .reasons import Outcome, RefusalReason
 from .retries import attempt_timeout_ms
+from .routing import lease_refusal
 
 
 def begin(
@@ -79,28 +80,20 @@
     routing = node.local.routing
     target = routing.targets[request.target]
     target.in_progress -= 1
-    routing.pools[request.pool].in_progress -= 1
+    pool = routing.pools[request.pool]
+    pool.in_progress -= 1
+    full = pool.full.get(target.zone)
+    if full is not None:
+        full.freed[request.target] = None
     if not target.in_progress and request.target not in node.fleet.pools.instances:
         del routing.targets[request.target]
 
 
-def lease_forbids(node: NodeState, request: ActiveRequest, now_ms: int) -> bool:
-    """Tell whether a request needs a routing lease that this process no longer has.
-
-    Failure: this process is cut off, or was paused, and a drain or another entry instance's claim
-    went on without it. Symptom: a non-idempotent request runs on a target that is being stopped,
-    or runs twice. Enough because without a lease nothing is sent that may not be sent again.
-    """
-    return not request.idempotent and now_ms >= node.local.lease.valid_until_ms
-
-
 def why_too_late(node: NodeState, request: ActiveRequest, now_ms: int) -> RefusalReason | None:
     """Return why a request may not be sent any more, or none."""
     if request.deadline_at_ms <= now_ms:
         return RefusalReason.DEADLINE
-    if lease_forbids(node, request, now_ms):
-        return RefusalReason.LEASE_LAPSED
-    return None
+    return lease_refusal(node, request, now_ms)
 
 
 def not_run(
