--- a/heatherkeel/entry/duties.py
+++ b/heatherkeel/entry/duties.py
@@ -25,7 +25,7 @@
     OBSERVE_INTERVAL_MS,
     WRITE_TIMEOUT_S,
 )
-from .duties_acknowledge import Acknowledger
+from .duties_acknowledge import Acknowledger, is_done_sending
 from .duties_coordinate import Coordinator
 from .duties_health import HealthObserver
 from .duties_listing import InstanceListing
@@ -42,6 +42,7 @@
         self.peer_address = ""
         """Where peers reach this process; known once the port is open."""
         self.joined = False
+        self.leaving = False
         self.waited_for = trio.Event()
         """Set when drains wait for this process: it has joined, or a peer sponsors it."""
         self.listing = InstanceListing(node=node)
@@ -104,6 +105,8 @@
 
     async def async_hold_lease(self) -> None:
         """Join, or renew the routing lease."""
+        if self.leaving:
+            return
         await self.node.follower.caught_up.wait()
         sent_ms = monotonic_ms()
         renews = self.joined
@@ -120,6 +123,21 @@
             case Err(failure):
                 _LOGGER.warning("lease: %s", failure, extra={"event": "lease_not_renewed"})
 
+    async def async_leave(self) -> None:
+        """Give the lease and all shares back for good, after the last caller has its answer.
+
+        Drains in this availability zone wait for every process that may still send. One that
+        ended without a word would hold them until the platform says that its instance is
+        terminated, and after a mere restart under the same id the platform never says so.
+        """
+        self.leaving = True
+        if not self.joined or not is_done_sending(self.node.state):
+            return
+        body = EntryLeave(
+            instance=self.node.settings.instance.id, incarnation=self.node.incarnation
+        )
+        await self.node.writer.async_write(body, timeout_s=LEAVE_TIMEOUT_S)
+
     def _tell_lease(self, sent_ms: int) -> None:
         now_ms = monotonic_ms()
         if not self.joined:
@@ -150,11 +168,3 @@
         """Renew at once when others wait for this process before their shares may grow."""
         if is_acknowledgement_due(self.node.state):
             await self.async_hold_lease()
-
-    async def async_leave(self) -> None:
-        """Give the lease and all shares back; nothing is in progress any more."""
-        body = EntryLeave(
-            instance=self.node.settings.instance.id, incarnation=self.node.incarnation
-        )
-        if self.joined:
-            await self.node.writer.async_write(body, timeout_s=LEAVE_TIMEOUT_S)
