Give each load run request ids and keys of its own

Cause: ids came from the seed, so a second run against the same targets found each of its POSTs counted twice (196 of 196 'at_most_once' broken) and repeated the first run's keys. Ruled out: a target being asked twice; with new ids the same runs break nothing. Header names are the front's own now.

--- a/heatherkeel/demo/callers.py
+++ b/heatherkeel/demo/callers.py
@@ -56,7 +56,7 @@
             non_idempotent_share=NON_IDEMPOTENT_SHARE,
             deadline_ms=DEADLINE_MS,
         )
-        return plan_requests(plan)
+        return plan_requests(plan, run_id="demo")
 
     async def _async_ask(self, request: PlannedRequest, intended_s: float) -> None:
         reply = await self.client.async_send(request, intended_s=intended_s)
--- a/heatherkeel/load/const.py
+++ b/heatherkeel/load/const.py
@@ -24,9 +24,6 @@
 """Range in microseconds and significant digits of every latency histogram."""
 
 REQUEST_ID_HEADER: Final = "x-request-id"
-IDEMPOTENCY_KEY_HEADER: Final = "idempotency-key"
-DEADLINE_HEADER: Final = "heatherkeel-deadline-ms"
-"""Milliseconds that the caller will wait, counted from the arrival at the entry instance."""
 
 PROBLEM_PREFIX: Final = "urn:heatherkeel:problem:"
 """What the `type` of every problem answer starts with."""
--- a/heatherkeel/load/plan.py
+++ b/heatherkeel/load/plan.py
@@ -10,10 +10,10 @@
 
 from result import Err, Ok, Result
 
+from heatherkeel.entry.const import DEADLINE_HEADER, KEY_HEADER
+
 from .arrivals import ARRIVALS
 from .const import (
-    DEADLINE_HEADER,
-    IDEMPOTENCY_KEY_HEADER,
     MAX_BODY_BYTES,
     MAX_DURATION_S,
     MAX_RATE,
@@ -100,12 +100,15 @@
         return Err(BadPlan(flag="service", detail=f"{weight!r} is not a weight"))
 
 
-def plan_requests(plan: Plan) -> list[PlannedRequest]:
-    """Return all requests of a run in order of arrival; the same seed gives the same ones."""
+def plan_requests(plan: Plan, *, run_id: str) -> list[PlannedRequest]:
+    """Return all requests of a run in order of arrival; the same seed gives the same ones.
+
+    Ids and keys begin with `run_id`, which has to be new for each run: targets still count the
+    ids of an earlier run, and entry instances would answer its keys with its outcomes.
+    """
     source = random.Random(plan.seed)
     arrivals = ARRIVALS[plan.arrivals](plan.rate, random.Random(plan.seed + 1))
     in_time = itertools.takewhile(lambda at_s: at_s < plan.duration_s, arrivals)
-    run_id = f"{source.getrandbits(64):016x}"
     make = _request_maker(plan, source, run_id)
     return [make(index, at_s) for index, at_s in enumerate(_first(in_time, plan.max_requests))]
 
@@ -143,7 +146,7 @@
 def _headers(plan: Plan, request_id: str, *, keyed: bool) -> tuple[tuple[str, str], ...]:
     headers = [(REQUEST_ID_HEADER, request_id)]
     if keyed:
-        headers.append((IDEMPOTENCY_KEY_HEADER, f"key-{request_id}"))
+        headers.append((KEY_HEADER, f"key-{request_id}"))
     if plan.deadline_ms:
         headers.append((DEADLINE_HEADER, str(plan.deadline_ms)))
     return tuple(headers)
--- a/heatherkeel/load/run.py
+++ b/heatherkeel/load/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import uuid
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import replace
@@ -34,7 +35,7 @@
 
     async def async_run(self) -> Report:
         """Send everything, wait for the last answer or timeout, and report."""
-        requests = plan_requests(self.plan)
+        requests = plan_requests(self.plan, run_id=uuid.uuid4().hex[:16])
         start_s = trio.current_time()
         try:
             await self._async_send_all(requests, start_s)
--- a/tests/load/test_plan.py
+++ b/tests/load/test_plan.py
@@ -25,10 +25,10 @@
 
 
 def test_poisson_arrivals_keep_the_rate_and_repeat_with_the_seed() -> None:
-    requests = plan_requests(PLAN)
+    requests = plan_requests(PLAN, run_id="r")
     assert 1850 < len(requests) < 2150
-    assert requests == plan_requests(PLAN)
-    assert requests != plan_requests(replace(PLAN, seed=2))
+    assert requests == plan_requests(PLAN, run_id="r")
+    assert requests != plan_requests(replace(PLAN, seed=2), run_id="r")
     gaps = [b.at_s - a.at_s for a, b in itertools.pairwise(requests)]
     mean = sum(gaps) / len(gaps)
     variance = sum((gap - mean) ** 2 for gap in gaps) / len(gaps)
@@ -36,16 +36,18 @@
 
 
 def test_constant_arrivals_are_evenly_spaced() -> None:
-    requests = plan_requests(replace(PLAN, arrivals="constant", rate=4.0, duration_s=1.0))
+    requests = plan_requests(
+        replace(PLAN, arrivals="constant", rate=4.0, duration_s=1.0), run_id="r"
+    )
     assert [request.at_s for request in requests] == [0.0, 0.25, 0.5, 0.75]
 
 
 def test_count_bounds_the_run() -> None:
-    assert len(plan_requests(replace(PLAN, max_requests=7))) == 7
+    assert len(plan_requests(replace(PLAN, max_requests=7), run_id="r")) == 7
 
 
 def test_shares_of_services_and_of_keys() -> None:
-    requests = plan_requests(PLAN)
+    requests = plan_requests(PLAN, run_id="r")
     posts = [request for request in requests if not request.idempotent]
     keyed = [request for request in posts if "idempotency-key" in dict(request.headers)]
     quotes = [request for request in requests if request.path.startswith("/quotes/")]
--- a/tests/load/test_run.py
+++ b/tests/load/test_run.py
@@ -71,6 +71,13 @@
     assert "none broken" in format_table(report)
 
 
+def test_a_second_run_with_the_same_seed_is_not_taken_for_doubled_requests() -> None:
+    # The same targets are asked twice with one seed. Were the ids the same, their counts of the
+    # first run would make every request of the second look doubled.
+    target = TargetStandin(instance="t", slots=100)
+    assert [broken(run(labelled(target), compare=True)) for _ in range(2)] == [set(), set()]
+
+
 def test_answer_of_another_request_is_found() -> None:
     # The caller gets a well-formed answer that a target gave to somebody else's request.
     other = labelled(
