--- a/heatherkeel/entry/front.py
+++ b/heatherkeel/entry/front.py
@@ -33,7 +33,9 @@
     AttemptResult,
     CallerGone,
     InputRefused,
+    LeavingSource,
     RequestArrived,
+    TargetLeaving,
 )
 from heatherkeel.requests.reasons import RefusalReason
 from heatherkeel.requests.targets import find_service
@@ -235,6 +237,12 @@
             server_error=attempt is not None and whole and attempt.status >= 500,
             answer=kept,
         )
+        # First, or the slot that the attempt frees goes to a request that waits: new work for
+        # a target that has just said that it takes none.
+        if attempt is not None and attempt.leaving:
+            self.node.take(
+                TargetLeaving(now_ms=now_ms, target=effect.target, source=LeavingSource.TARGET)
+            )
         self.node.take(ended)
 
 
--- a/heatherkeel/entry/sender.py
+++ b/heatherkeel/entry/sender.py
@@ -22,6 +22,7 @@
 
 _SENT_EVENT = "send_request_headers.started"
 _NOT_RUN = (OUTCOME_HEADER.encode(), b"not_run")
+_CLOSES = (b"connection", b"close")
 _FAILURES = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
 
@@ -50,6 +51,8 @@
     streaming: bool = False
     """A part of the answer went to the caller."""
     result: AttemptResult = AttemptResult.TIMED_OUT
+    leaving: bool = False
+    """The target refused and closes its connection: it takes no more work, not only now."""
     digest: Any = field(default_factory=hashlib.sha256)
     size: int = 0
 
@@ -135,7 +138,9 @@
     too large to hold the caller's connection is broken if the rest doesn't come.
     """
     attempt.status = response.status
-    refused = any((name.lower(), value) == _NOT_RUN for name, value in response.headers)
+    told = {(name.lower(), value) for name, value in response.headers}
+    refused = _NOT_RUN in told
+    attempt.leaving = refused and _CLOSES in told
     attempt.headers = pass_on_headers(effect.target, response.headers)
     async for part in response.aiter_stream():
         attempt.size += len(part)
--- a/heatherkeel/standins/target.py
+++ b/heatherkeel/standins/target.py
@@ -42,6 +42,7 @@
         self.boot_id = "1"
         self.cut = 0
         self.after_leaving = 0
+        self.refused = 0
         self.leaving_since_s = math.inf
         self.reboot: Reboot | None = None
         self.reboot_asked = trio.Event()
@@ -72,7 +73,7 @@
             return await async_respond(send, status=503 if self.faults.fail else 200)
         self._note_late(trio.current_time())
         if self._refuses():
-            return await async_respond(send, status=503, headers={"heatherkeel-outcome": "not_run"})
+            return await self._async_refuse(send)
         return await self._async_run(request, send)
 
     def _note_late(self, now_s: float) -> None:
@@ -84,6 +85,13 @@
         leaves = self.faults.refuse_when_leaving and self.leaving_since_s < math.inf
         return self.in_progress >= self.slots or self.faults.refuse or leaves
 
+    async def _async_refuse(self, send: Send) -> None:
+        self.refused += 1
+        headers = {"heatherkeel-outcome": "not_run"}
+        if self.leaving_since_s < math.inf:
+            headers["connection"] = "close"
+        await async_respond(send, status=503, headers=headers)
+
     async def _async_run(self, request: Request, send: Send) -> None:
         self.in_progress += 1
         self.most_in_progress = max(self.most_in_progress, self.in_progress)
@@ -147,4 +155,5 @@
             "boot_id": self.boot_id,
             "cut": self.cut,
             "after_leaving": self.after_leaving,
+            "refused": self.refused,
         }
