Keep callers' idle connections longer than a balancer does

Cause: the HTTP library closes a connection that has been idle for 5 s. Ruled out: the limit of requests a connection, where the library says so in its answer.

--- a/heatherkeel/helpers/server.py
+++ b/heatherkeel/helpers/server.py
@@ -16,6 +16,13 @@
 MAX_HEADER_BYTES: Final = 16 * 1024
 """Largest path with headers; a longer one is answered with 431."""
 
+KEEP_ALIVE_S: Final = 75.0
+"""How long an idle connection of a caller is kept, in seconds.
+
+Balancers keep theirs for a minute at most. If we closed first, a request could be on its way while
+the connection closes, and the balancer couldn't tell its caller whether it ran.
+"""
+
 
 class HttpServer:
     """One hypercorn server in this process's loop."""
@@ -47,6 +54,7 @@
         self.config.keyfile = keyfile or None
         # One protocol, so that one set of limits holds with and without TLS.
         self.config.alpn_protocols = ["http/1.1"]
+        self.config.keep_alive_timeout = KEEP_ALIVE_S
         self.stopping = trio.Event()
         self.stopped = trio.Event()
 
