--- a/heatherkeel/measure/const.py
+++ b/heatherkeel/measure/const.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-START_TIMEOUT_S: Final = 30.0
+START_TIMEOUT_S: Final = 60.0
 POLL_S: Final = 0.02
 STOP_TIMEOUT_S: Final = 10.0
 CALL_TIMEOUT_S: Final = 30.0
--- a/heatherkeel/measure/processes.py
+++ b/heatherkeel/measure/processes.py
@@ -116,9 +116,10 @@
     *,
     body: bytes = b"",
     headers: dict[str, str] | None = None,
+    timeout_s: float = CALL_TIMEOUT_S,
 ) -> httpcore.Response:
     """Make one HTTP call on a connection of its own."""
-    timeout = dict.fromkeys(("connect", "read", "write", "pool"), CALL_TIMEOUT_S)
+    timeout = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
     with httpcore.ConnectionPool(retries=0) as pool:
         return pool.request(
             method,
--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -7,56 +7,20 @@
 import subprocess
 import sys
 import tempfile
-import time
-from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
-from typing import Any, Final, TypeVar
+from typing import Any, Final
 
 import httpcore
 
-ValueT = TypeVar("ValueT")
+from heatherkeel.measure.processes import call as call
+from heatherkeel.measure.processes import wait_for as wait_for
 
-START_TIMEOUT_S: Final = 60.0
-WAIT_TIMEOUT_S: Final = 60.0
-POLL_S: Final = 0.02
 TOKEN: Final = "sheetal-token"
 
 
-def wait_for(condition: Callable[[], ValueT | None], what: str) -> ValueT:
-    """Poll until the condition gives a true value; a hang fails the test with its name."""
-    deadline = time.monotonic() + WAIT_TIMEOUT_S
-    while time.monotonic() < deadline:
-        value = condition()
-        if value:
-            return value
-        time.sleep(POLL_S)
-    raise AssertionError(f"never happened: {what}")
-
-
-def call(
-    method: str,
-    address: str,
-    path: str,
-    *,
-    body: bytes = b"",
-    headers: dict[str, str] | None = None,
-    timeout_s: float = 30.0,
-) -> httpcore.Response:
-    """Make one HTTP call on a connection of its own."""
-    timeout = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
-    with httpcore.ConnectionPool(retries=0) as pool:
-        return pool.request(
-            method,
-            f"http://{address}{path}",
-            headers=list((headers or {}).items()),
-            content=body,
-            extensions={"timeout": timeout},
-        )
-
-
 def call_json(method: str, address: str, path: str, value: Any = None, **options: Any) -> Any:
     """Make one call with a JSON body and return the decoded answer."""
     body = b"" if value is None else json.dumps(value).encode()
