--- a/heatherkeel/core/reducer.py
+++ b/heatherkeel/core/reducer.py
@@ -48,12 +48,19 @@
     state.next_offset += 1
     state.now_ms = max(state.now_ms, record.at_ms)
     _forget_old_ids(state)
-    effects = _take(state, record)
-    for follow_up in FOLLOW_UPS:
-        effects += follow_up(state, record.offset)
+    # What log time alone brings about comes before the record itself. A record that marks a
+    # snapshot would otherwise hold a state in which it had not happened yet, and whoever
+    # restored it would decide the next record otherwise than all others.
+    effects = _follow_up(state, record.offset)
+    effects += _take(state, record)
+    effects += _follow_up(state, record.offset)
     return effects
 
 
+def _follow_up(state: FleetState, offset: int) -> list[Effect]:
+    return [effect for follow_up in FOLLOW_UPS for effect in follow_up(state, offset)]
+
+
 def _take(state: FleetState, record: LogRecord) -> list[Effect]:
     envelope = _decode_envelope(record)
     if isinstance(envelope, Skipped):
--- a/heatherkeel/core/registry.py
+++ b/heatherkeel/core/registry.py
@@ -94,10 +94,10 @@
 
 
 def follows_up(follow_up: FollowUpT) -> FollowUpT:
-    """Register what is looked at after every record, also after one that was refused.
+    """Register what is looked at before and after every record, also one that is refused.
 
-    Log time moves with any record, and a lease can run out by it. A follow-up is called for
-    each record, so it has to return at once when there is nothing to do.
+    Log time moves with any record, and a lease can run out by it. A follow-up is called twice
+    for each record, so it has to return at once when there is nothing to do.
     """
     if follow_up in FOLLOW_UPS:
         raise RegistrationError(f"{follow_up.__name__} is registered twice")
