--- a/heatherkeel/measure/__main__.py
+++ b/heatherkeel/measure/__main__.py
@@ -15,6 +15,7 @@
     hop,
     idle,
     measures,
+    overload,
     placement,
     resident,
     slopes,
--- a/heatherkeel/measure/const.py
+++ b/heatherkeel/measure/const.py
@@ -28,3 +28,9 @@
 
 PRELOAD_BATCH: Final = 256
 """Records of one append when a log is filled before a measurement."""
+
+OVERLOAD_FACTORS: Final = (0.5, 1.0, 2.0, 4.0)
+"""Offered load as multiples of what the targets can do."""
+
+SLOTS_PER_TARGET: Final = 8
+LOCAL_ZONES: Final = ("a", "b", "c")
--- a/heatherkeel/measure/idle.py
+++ b/heatherkeel/measure/idle.py
@@ -15,6 +15,7 @@
 from absl import flags
 
 from . import design_size as size
+from .const import LOCAL_ZONES
 from .fit import MIN_SIZES, Slope, fit, format_slopes
 from .fleet import MeasuredFleet
 from .processes import Child
@@ -23,7 +24,6 @@
 
 SETTLE_S: Final = 5.0
 SAMPLE_S: Final = 1.0
-LOCAL_ZONES: Final = ("a", "b", "c")
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
