--- a/heatherkeel/measure/__main__.py
+++ b/heatherkeel/measure/__main__.py
@@ -10,6 +10,7 @@
 from heatherkeel import subjects  # noqa: F401
 
 from . import (  # noqa: F401
+    claims,
     decisions,
     edits,
     hop,
--- a/heatherkeel/measure/const.py
+++ b/heatherkeel/measure/const.py
@@ -34,3 +34,6 @@
 
 SLOTS_PER_TARGET: Final = 8
 LOCAL_ZONES: Final = ("a", "b", "c")
+
+CLAIM_RATES: Final = (1.0, 10.0, 100.0)
+"""Requests a second at which the cost of a claim is measured."""
