--- a/heatherkeel/measure/__main__.py
+++ b/heatherkeel/measure/__main__.py
@@ -31,6 +31,9 @@
 
 def main(argv: list[str]) -> int:
     """Run one measurement and return its exit status."""
+    if argv == ["--help"]:
+        sys.stdout.write(_overview())
+        return 0
     name = argv[0] if argv and not argv[0].startswith("--") else DEFAULT
     found = MEASUREMENTS.get(name)
     if found is None:
@@ -51,5 +54,10 @@
     return found.run(values)
 
 
+def _overview() -> str:
+    lines = [f"  {name:10} {found.help}\n" for name, found in sorted(MEASUREMENTS.items())]
+    return f"usage: script/measure [NAME] [flags]; {DEFAULT} without a name\n\n{''.join(lines)}"
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:]))
