One border type each for instance ids, entry instance ids and memory

The same annotated string stood under four names (InstanceId, InstanceRef, Author, EntryInstanceId) and once without one; a reader had to compare their bounds to learn that a drain's instance is a pool's instance, and that a coordinator is an entry instance. Memory in MiB stood twice with the same bounds. Bounds and records are unchanged.

--- a/heatherkeel/catalogue/models.py
+++ b/heatherkeel/catalogue/models.py
@@ -17,6 +17,7 @@
 Count = Annotated[int, Meta(ge=0, le=1_000_000)]
 PositiveCount = Annotated[int, Meta(ge=1, le=1_000_000)]
 DurationMs = Annotated[int, Meta(ge=1, le=86_400_000)]
+MemoryMib = Annotated[int, Meta(ge=0, le=1 << 40)]
 
 
 class ServiceClass(StrEnum):
@@ -80,7 +81,7 @@
     """A team and its quota over all pools; memory in MiB."""
 
     cpu_quota: Count = 0
-    memory_quota_mib: Annotated[int, Meta(ge=0, le=1 << 40)] = 0
+    memory_quota_mib: MemoryMib = 0
     accelerator_quota: Count = 0
 
 
--- a/heatherkeel/jobs/models.py
+++ b/heatherkeel/jobs/models.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta
 
-from heatherkeel.catalogue.models import Count, Name, ServiceClass
+from heatherkeel.catalogue.models import Count, MemoryMib, Name, ServiceClass
 from heatherkeel.core.models import Effect
 from heatherkeel.pools.models import InstanceStatus
 
@@ -23,8 +23,6 @@
 TaskId = Annotated[str, Meta(pattern=r"^[^:]+:[^:]+:[0-9]+:[0-9]+$", max_length=200)]
 """`team:name:submission:attempt`."""
 
-Memory = Annotated[int, Meta(ge=0, le=1 << 40)]
-
 
 class JobStatus(StrEnum):
     """Where a job stands; the last three are final."""
@@ -53,7 +51,7 @@
     """An amount of the three resources; memory in MiB, processors in thousandths of a core."""
 
     cpu_millicores: Annotated[int, Meta(ge=0, le=1_000_000_000)] = 0
-    memory_mib: Memory = 0
+    memory_mib: MemoryMib = 0
     accelerators: Count = 0
 
 
--- a/heatherkeel/jobs/records.py
+++ b/heatherkeel/jobs/records.py
@@ -8,12 +8,12 @@
 import msgspec
 from msgspec import Meta
 
-from heatherkeel.catalogue.models import Count, Name, PositiveCount
+from heatherkeel.catalogue.models import Count, MemoryMib, Name, PositiveCount
 from heatherkeel.core.models import RecordBody
 from heatherkeel.pools.models import InstanceId
 
 from .const import MAX_BATCH
-from .models import JobId, JobSpec, Memory, TaskId, task_job
+from .models import JobId, JobSpec, TaskId, task_job
 
 JobIds = Annotated[tuple[JobId, ...], Meta(min_length=1, max_length=MAX_BATCH)]
 ShortText = Annotated[str, Meta(max_length=200)]
@@ -130,7 +130,7 @@
     exit: TaskExit
     retryable: bool = True
     ran: bool = True
-    peak_memory_mib: Memory = 0
+    peak_memory_mib: MemoryMib = 0
     cpu_millicores: Count = 0
     detail: ShortText = ""
 
@@ -157,7 +157,7 @@
     """Measured use of one attempt so far."""
 
     task: TaskId
-    peak_memory_mib: Memory
+    peak_memory_mib: MemoryMib
     cpu_millicores: Count
 
 
--- a/heatherkeel/pools/models.py
+++ b/heatherkeel/pools/models.py
@@ -10,6 +10,7 @@
 
 from heatherkeel.catalogue.models import Count, Name
 from heatherkeel.core.models import Effect, RecordBody
+from heatherkeel.membership.models import EntryInstanceId
 
 InstanceId = Annotated[str, Meta(min_length=1, max_length=64)]
 Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
@@ -67,7 +68,7 @@
 
     instance: InstanceId
     health: Health
-    observer: Annotated[str, Meta(min_length=1, max_length=64)]
+    observer: EntryInstanceId
     source: Source = Source.PEER
 
 
--- a/heatherkeel/waves/models.py
+++ b/heatherkeel/waves/models.py
@@ -11,9 +11,9 @@
 
 from heatherkeel.catalogue.models import Name
 from heatherkeel.core.models import Effect, RecordBody
+from heatherkeel.membership.models import EntryInstanceId
+from heatherkeel.pools.models import InstanceId
 
-InstanceRef = Annotated[str, Meta(min_length=1, max_length=64)]
-Author = Annotated[str, Meta(min_length=1, max_length=64)]
 DrainId = Annotated[str, Meta(min_length=1, max_length=128)]
 Version = Annotated[int, Meta(ge=1)]
 
@@ -42,9 +42,9 @@
     `to_pool` is where a move ends.
     """
 
-    instance: InstanceRef
+    instance: InstanceId
     expected_version: Version
-    coordinator: Author
+    coordinator: EntryInstanceId
     purpose: Purpose
     to_pool: Name | None = None
     wave: Annotated[int, Meta(ge=0)] = 0
@@ -53,14 +53,14 @@
 class AckedDrain(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """One drain that an entry instance acknowledges."""
 
-    instance: InstanceRef
+    instance: InstanceId
     drain: DrainId
 
 
 class DrainAck(RecordBody, frozen=True, kw_only=True):
     """An entry instance has stopped sending to these, and nothing of its own is in progress."""
 
-    entry: Author
+    entry: EntryInstanceId
     incarnation: str
     instances: Annotated[tuple[AckedDrain, ...], Meta(min_length=1, max_length=1024)]
 
@@ -71,16 +71,16 @@
     `boot_id` is the boot that it found running, empty if that is the one in the state.
     """
 
-    instance: InstanceRef
+    instance: InstanceId
     expected_version: Version
-    coordinator: Author
+    coordinator: EntryInstanceId
     boot_id: str = ""
 
 
 class Returned(RecordBody, frozen=True, kw_only=True):
     """The platform shows the instance running with a boot that it didn't have before."""
 
-    instance: InstanceRef
+    instance: InstanceId
     expected_version: Version
     boot_id: Annotated[str, Meta(min_length=1, max_length=64)]
 
@@ -88,7 +88,7 @@
 class ReturnFailed(RecordBody, frozen=True, kw_only=True):
     """A stopped instance did not come back."""
 
-    instance: InstanceRef
+    instance: InstanceId
     expected_version: Version
     cause: ReturnFailure
 
@@ -96,18 +96,18 @@
 class DrainCancel(RecordBody, frozen=True, kw_only=True):
     """Put an instance that was not stopped yet back to what it was before its drain."""
 
-    instance: InstanceRef
+    instance: InstanceId
     expected_version: Version
-    coordinator: Author
+    coordinator: EntryInstanceId
     reason: Annotated[str, Meta(max_length=256)]
 
 
 class MoveJoin(RecordBody, frozen=True, kw_only=True):
     """Put a quiesced instance into the pool that its move names."""
 
-    instance: InstanceRef
+    instance: InstanceId
     expected_version: Version
-    coordinator: Author
+    coordinator: EntryInstanceId
 
 
 @dataclass(kw_only=True)
