A pool's maintenance entry and a wave's end are looked up by one piece of code each

Which entry counts when operators made several for one pool stood in two functions with two ways to sort; whether a wave is over stood in the policy as well as in the fold, so that a change of one could have made the policy propose waves that the fold refuses.

--- a/heatherkeel/waves/policy.py
+++ b/heatherkeel/waves/policy.py
@@ -19,10 +19,17 @@
 
 from .budget import Headroom, Rack, count_serving, rack_of, services_of
 from .const import DEFAULT_POLICY, EARLY_START_DIVISOR, HOUR_MS, MAX_DRAINS_PER_PLAN
-from .models import DrainStart, Purpose, Wave
+from .models import DrainStart, Purpose
 from .moves import plan_moves
 from .repairs import plan_repairs
-from .wave import is_closed, is_covered, is_halted, maintenance_of_pools, next_number
+from .wave import (
+    is_closed,
+    is_complete_for,
+    is_covered,
+    is_halted,
+    maintenance_of_pools,
+    next_number,
+)
 
 Members = dict[str, Instance]
 
@@ -168,7 +175,7 @@
         key: value for key, value in members.items() if value.status is InstanceStatus.SERVING
     }
     wave = fleet.waves.waves.get(maintenance.pool)
-    if wave is not None and not _is_over(fleet, wave, members):
+    if wave is not None and not is_complete_for(fleet, wave, members.items()):
         serving = {key: value for key, value in serving.items() if is_covered(value, wave)}
     elif not _is_due(maintenance, 0 if wave is None else wave.request, serving, now_ms):
         return {}
@@ -176,13 +183,6 @@
     return {key: value for key, value in serving.items() if value.zone not in silent}
 
 
-def _is_over(fleet: FleetState, wave: Wave, members: Members) -> bool:
-    return not any(
-        is_covered(instance, wave) or instance_id in fleet.waves.drains
-        for instance_id, instance in members.items()
-    )
-
-
 def silent_zones(fleet: FleetState, now_ms: int) -> set[str]:
     """Return the availability zones in which a drain can't end now."""
     membership = fleet.membership
--- a/heatherkeel/waves/wave.py
+++ b/heatherkeel/waves/wave.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from operator import itemgetter
 
 from heatherkeel.catalogue.models import MaintenanceEntry, StoredEntry
 from heatherkeel.core.models import Effect, RecordMeta, Rejected, RejectReason
@@ -15,37 +16,30 @@
 
 
 def maintenance_of_pools(state: FleetState) -> dict[str, tuple[MaintenanceEntry, StoredEntry]]:
-    """Return the maintenance entry of each pool that has one."""
+    """Return the maintenance entry of each pool that has one; of several, the first by name."""
     found: dict[str, tuple[MaintenanceEntry, StoredEntry]] = {}
-    for _, stored in sorted(_maintenance_entries(state), key=_by_name):
-        if isinstance(stored.entry, MaintenanceEntry):
-            found.setdefault(stored.entry.pool, (stored.entry, stored))
+    for _, maintenance, stored in sorted(_maintenance_entries(state), key=itemgetter(0)):
+        found.setdefault(maintenance.pool, (maintenance, stored))
     return found
 
 
-def _maintenance_entries(state: FleetState) -> Iterator[tuple[str, StoredEntry]]:
-    for name, stored in state.catalogue.entries.items():
-        if isinstance(stored.entry, MaintenanceEntry):
-            yield name, stored
-
-
-def _by_name(item: tuple[str, StoredEntry]) -> str:
-    return item[0]
-
-
 def find_maintenance(state: FleetState, pool: str) -> tuple[MaintenanceEntry, StoredEntry] | None:
     """Return the pool's maintenance entry; if operators made several, the first by name."""
-    found = [
-        (name, stored.entry, stored)
-        for name, stored in state.catalogue.entries.items()
-        if isinstance(stored.entry, MaintenanceEntry) and stored.entry.pool == pool
-    ]
+    found = [item for item in _maintenance_entries(state) if item[1].pool == pool]
     if not found:
         return None
-    _, maintenance, stored = min(found, key=lambda item: item[0])
+    _, maintenance, stored = min(found, key=itemgetter(0))
     return maintenance, stored
 
 
+def _maintenance_entries(
+    state: FleetState,
+) -> Iterator[tuple[str, MaintenanceEntry, StoredEntry]]:
+    for name, stored in state.catalogue.entries.items():
+        if isinstance(stored.entry, MaintenanceEntry):
+            yield name, stored.entry, stored
+
+
 def is_closed(maintenance: MaintenanceEntry, now_ms: int) -> bool:
     """Tell whether counter hours forbid a planned stop; they may span midnight (UTC)."""
     minute = now_ms // MINUTE_MS % MINUTES_PER_DAY
@@ -99,9 +93,15 @@
 
 def is_complete(state: FleetState, pool: str, wave: Wave) -> bool:
     """Tell whether a wave has nothing under way and nothing left to maintain."""
+    members = (item for item in state.pools.instances.items() if item[1].pool == pool)
+    return is_complete_for(state, wave, members)
+
+
+def is_complete_for(state: FleetState, wave: Wave, members: Iterable[tuple[str, Instance]]) -> bool:
+    """Tell whether a wave is complete, given the instances of its pool with their ids."""
     return not any(
-        instance.pool == pool and (is_covered(instance, wave) or instance_id in state.waves.drains)
-        for instance_id, instance in state.pools.instances.items()
+        is_covered(instance, wave) or instance_id in state.waves.drains
+        for instance_id, instance in members
     )
 
 
@@ -136,8 +136,8 @@
 def count_return(state: FleetState, meta: RecordMeta, pool: str, drain: Drain) -> list[Effect]:
     """Count an instance that came back, and say so when it was the wave's last one.
 
-    A repair can be the last thing under way too. If only maintenance ended
-    a wave, one whose last instance was repaired would stay open for ever.
+    A repair can be the last thing under way too. If only maintenance ended a wave, one whose last
+    instance was repaired would stay open for ever.
     """
     wave = state.waves.waves.get(pool)
     if wave is not None and drain.purpose is Purpose.MAINTENANCE:
