--- a/heatherkeel/membership/models.py
+++ b/heatherkeel/membership/models.py
@@ -49,7 +49,10 @@
 
 @dataclass(kw_only=True)
 class EntryInstance:
-    """An entry instance that may route; times in log milliseconds."""
+    """One incarnation of an entry instance that may route; times in log milliseconds.
+
+    `offset_in_force` is the newest offset that it said it has folded.
+    """
 
     instance: str
     incarnation: str
@@ -58,8 +61,8 @@
     lease_ms: int
     lease_until_ms: int
     offset_in_force: int = -1
-    joined_offset: int = 0
     shares_offset: int = -1
+    """The newest offset up to which it keeps to every share of a target's slots."""
 
 
 @dataclass(kw_only=True)
--- a/heatherkeel/membership/reducer.py
+++ b/heatherkeel/membership/reducer.py
@@ -31,7 +31,6 @@
         lease_ms=body.lease_ms,
         lease_until_ms=lease_until_ms,
         offset_in_force=meta.offset,
-        joined_offset=meta.offset,
         shares_offset=meta.offset,
     )
     return Ok(Accepted())
