--- a/heatherkeel/replay/replayer.py
+++ b/heatherkeel/replay/replayer.py
@@ -182,11 +182,11 @@
     @take.register
     def _(self, event: ExpectWave) -> None:
         wave = self.log.state.waves.waves.get(event.pool)
-        found = find_maintenance(self.log.state, event.pool)
-        if wave is None or found is None:
+        maintenance = find_maintenance(self.log.state, event.pool)
+        if wave is None or maintenance is None:
             self.log.violate(STATED_OUTCOME, event.pool, "has no wave")
             return
-        halted = is_halted(wave, found[1])
+        halted = is_halted(wave, maintenance)
         stated = (event.number, event.halted, event.finished, event.returned)
         is_so = (wave.number, halted, wave.finished_ms > 0, wave.returned)
         for name, want, have in zip(_WAVE_FIELDS, stated, is_so, strict=True):
--- a/heatherkeel/waves/explain.py
+++ b/heatherkeel/waves/explain.py
@@ -15,19 +15,18 @@
 
     `now_ms` is the reader's estimate of log time.
     """
-    found = find_maintenance(fleet, pool)
-    if found is None:
+    maintenance = find_maintenance(fleet, pool)
+    if maintenance is None:
         return ["the pool has no maintenance entry"]
-    maintenance, stored = found
     wave = fleet.waves.waves.get(pool)
-    if wave is not None and is_halted(wave, stored):
+    if wave is not None and is_halted(wave, maintenance):
         return [f"the wave is halted: {wave.halted_reason}; it goes on after an edit of the entry"]
-    if is_closed(maintenance, now_ms):
+    if is_closed(maintenance.entry, now_ms):
         return ["counter hours"]
-    if closes_soon(maintenance, now_ms):
+    if closes_soon(maintenance.entry, now_ms):
         return ["a stop that starts now could reach into counter hours"]
     members = {key: value for key, value in fleet.pools.instances.items() if value.pool == pool}
-    view = view_pool(fleet, maintenance, members, now_ms)
+    view = view_pool(fleet, maintenance.entry, members, now_ms)
     reasons = _explain_waits(fleet, pool)
     if view.room() <= 0:
         return [*reasons, f"max_concurrent: {view.under_way()} drains are under way"]
--- a/heatherkeel/waves/policy.py
+++ b/heatherkeel/waves/policy.py
@@ -92,14 +92,14 @@
     """
     drains = plan_repairs(fleet, coordinator=coordinator)
     members = _members_of_pools(fleet)
-    for pool, (maintenance, stored) in maintenance_of_pools(fleet).items():
+    for pool, maintenance in maintenance_of_pools(fleet).items():
         if len(drains) >= MAX_DRAINS_PER_PLAN:
             return drains
         wave = fleet.waves.waves.get(pool)
-        halted = wave is not None and is_halted(wave, stored)
-        if halted or closes_soon(maintenance, now_ms):
+        halted = wave is not None and is_halted(wave, maintenance)
+        if halted or closes_soon(maintenance.entry, now_ms):
             continue
-        view = view_pool(fleet, maintenance, members.get(pool, {}), now_ms)
+        view = view_pool(fleet, maintenance.entry, members.get(pool, {}), now_ms)
         drains += _plan_pool(fleet, view, coordinator, POLICIES[policy_name])
     return drains + plan_moves(fleet, coordinator=coordinator, taken=drains)
 
--- a/heatherkeel/waves/reducer.py
+++ b/heatherkeel/waves/reducer.py
@@ -247,11 +247,11 @@
 
 
 def _check_concurrent(state: FleetState, instance: Instance) -> Rejected | None:
-    found = wave.find_maintenance(state, instance.pool)
-    if found is None:
+    maintenance = wave.find_maintenance(state, instance.pool)
+    if maintenance is None:
         return None
     under_way = len(wave.planned_drains(state, instance.pool))
-    if under_way < found[0].max_concurrent:
+    if under_way < maintenance.entry.max_concurrent:
         return None
     detail = f"{under_way} drains of {instance.pool} are under way"
     return Rejected(reason=RejectReason.CONFLICT, detail=detail)
--- a/heatherkeel/waves/repairs.py
+++ b/heatherkeel/waves/repairs.py
@@ -16,12 +16,13 @@
     An instance that doesn't come back from repairs, or whose pool's wave is halted, is left to
     its operators: restarting it again would hide the cause.
     """
+    maintained = maintenance_of_pools(fleet)
     resting = {
         pool
-        for pool, (_, stored) in maintenance_of_pools(fleet).items()
-        if pool in fleet.waves.waves and is_halted(fleet.waves.waves[pool], stored)
+        for pool, maintenance in maintained.items()
+        if pool in fleet.waves.waves and is_halted(fleet.waves.waves[pool], maintenance)
     }
-    repaired = maintenance_of_pools(fleet).keys() - resting
+    repaired = maintained.keys() - resting
     return [
         DrainStart(
             instance=instance_id,
--- a/heatherkeel/waves/status.py
+++ b/heatherkeel/waves/status.py
@@ -122,7 +122,7 @@
     maintained = maintenance_of_pools(fleet)
     statuses: dict[str, WaveStatus] = {}
     for pool, wave in sorted(fleet.waves.waves.items()):
-        halted = pool in maintained and is_halted(wave, maintained[pool][1])
+        halted = pool in maintained and is_halted(wave, maintained[pool])
         statuses[pool] = WaveStatus(
             number=wave.number,
             started_ms=wave.started_ms,
--- a/heatherkeel/waves/wave.py
+++ b/heatherkeel/waves/wave.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from operator import itemgetter
 
-from heatherkeel.catalogue.models import MaintenanceEntry, StoredEntry
+from heatherkeel.catalogue.models import MaintenanceEntry
 from heatherkeel.core.models import Effect, RecordMeta, Rejected, RejectReason
 from heatherkeel.core.registry import follows_up
 from heatherkeel.core.state import FleetState
@@ -15,29 +16,37 @@
 from .models import Drain, Purpose, Wave, WaveFinished, WaveHalted
 
 
-def maintenance_of_pools(state: FleetState) -> dict[str, tuple[MaintenanceEntry, StoredEntry]]:
-    """Return the maintenance entry of each pool that has one; of several, the first by name."""
-    found: dict[str, tuple[MaintenanceEntry, StoredEntry]] = {}
-    for _, maintenance, stored in sorted(_maintenance_entries(state), key=itemgetter(0)):
-        found.setdefault(maintenance.pool, (maintenance, stored))
+@dataclass(kw_only=True, slots=True)
+class PoolMaintenance:
+    """The maintenance entry that counts for a pool, and the offset of its newest edit."""
+
+    entry: MaintenanceEntry
+    edited_offset: int
+
+
+def maintenance_of_pools(state: FleetState) -> dict[str, PoolMaintenance]:
+    """Return the maintenance of each pool that has an entry; of several, the first by name."""
+    found: dict[str, PoolMaintenance] = {}
+    for _, entry, edited_offset in sorted(_maintenance_entries(state), key=itemgetter(0)):
+        if entry.pool not in found:
+            found[entry.pool] = PoolMaintenance(entry=entry, edited_offset=edited_offset)
     return found
 
 
-def find_maintenance(state: FleetState, pool: str) -> tuple[MaintenanceEntry, StoredEntry] | None:
-    """Return the pool's maintenance entry; if operators made several, the first by name."""
+def find_maintenance(state: FleetState, pool: str) -> PoolMaintenance | None:
+    """Return the maintenance of a pool; if operators made several entries, the first by name."""
     found = [item for item in _maintenance_entries(state) if item[1].pool == pool]
     if not found:
         return None
-    _, maintenance, stored = min(found, key=itemgetter(0))
-    return maintenance, stored
+    _, entry, edited_offset = min(found, key=itemgetter(0))
+    return PoolMaintenance(entry=entry, edited_offset=edited_offset)
 
 
-def _maintenance_entries(
-    state: FleetState,
-) -> Iterator[tuple[str, MaintenanceEntry, StoredEntry]]:
+def _maintenance_entries(state: FleetState) -> Iterator[tuple[str, MaintenanceEntry, int]]:
+    """Yield name, entry and offset of the newest edit, as bare tuples: handlers ask often."""
     for name, stored in state.catalogue.entries.items():
         if isinstance(stored.entry, MaintenanceEntry):
-            yield name, stored.entry, stored
+            yield name, stored.entry, stored.offset
 
 
 def is_closed(maintenance: MaintenanceEntry, now_ms: int) -> bool:
@@ -51,10 +60,10 @@
 
 def return_timeout_ms(state: FleetState, pool: str) -> int:
     """Return how long a stopped instance of the pool has to come back."""
-    found = find_maintenance(state, pool)
-    if found is None:
+    maintenance = find_maintenance(state, pool)
+    if maintenance is None:
         return DEFAULT_RETURN_TIMEOUT_MS
-    return found[0].return_timeout_s * 1000
+    return maintenance.entry.return_timeout_s * 1000
 
 
 def planned_drains(state: FleetState, pool: str) -> list[Drain]:
@@ -68,21 +77,20 @@
 
 def check_planned_stop(state: FleetState, pool: str) -> Rejected | None:
     """Refuse a planned stop in counter hours, or while the pool's wave is halted."""
-    found = find_maintenance(state, pool)
-    if found is None:
+    maintenance = find_maintenance(state, pool)
+    if maintenance is None:
         return None
-    maintenance, stored = found
-    if is_closed(maintenance, state.now_ms):
+    if is_closed(maintenance.entry, state.now_ms):
         return Rejected(reason=RejectReason.OUTSIDE_HOURS, detail=pool)
     wave = state.waves.waves.get(pool)
-    if wave is not None and is_halted(wave, stored):
+    if wave is not None and is_halted(wave, maintenance):
         return Rejected(reason=RejectReason.WAVE_HALTED, detail=wave.halted_reason)
     return None
 
 
-def is_halted(wave: Wave, stored: StoredEntry) -> bool:
+def is_halted(wave: Wave, maintenance: PoolMaintenance) -> bool:
     """Tell whether a wave is halted and no operator has edited its maintenance entry since."""
-    return bool(wave.halted_reason) and stored.offset <= wave.halted_offset
+    return bool(wave.halted_reason) and maintenance.edited_offset <= wave.halted_offset
 
 
 def is_covered(instance: Instance, wave: Wave) -> bool:
@@ -121,12 +129,12 @@
     wave = state.waves.waves.get(pool)
     number = next_number(state, pool)
     if wave is None or wave.number != number:
-        found = find_maintenance(state, pool)
+        maintenance = find_maintenance(state, pool)
         wave = Wave(
             number=number,
             started_ms=meta.now_ms,
             started_offset=meta.offset,
-            request=0 if found is None else found[0].wave_request,
+            request=0 if maintenance is None else maintenance.entry.wave_request,
         )
         state.waves.waves[pool] = wave
     wave.drained += 1
@@ -169,8 +177,8 @@
     wave = state.waves.waves.get(pool)
     if wave is None or wave.finished_ms or not is_complete(state, pool, wave):
         return []
-    found = find_maintenance(state, pool)
-    if found is not None and is_halted(wave, found[1]):
+    maintenance = find_maintenance(state, pool)
+    if maintenance is not None and is_halted(wave, maintenance):
         return []
     wave.finished_ms = state.now_ms
     finished = WaveFinished(
@@ -193,15 +201,14 @@
     the budget of its moment.
     """
     wave = state.waves.waves.get(pool)
-    found = find_maintenance(state, pool)
-    if wave is None or found is None or drain.purpose is not Purpose.MAINTENANCE:
+    maintenance = find_maintenance(state, pool)
+    if wave is None or maintenance is None or drain.purpose is not Purpose.MAINTENANCE:
         return finish_wave(state, meta.offset, pool)
-    maintenance, stored = found
-    if wave.failed_since_offset != stored.offset:
-        wave.failed_since_offset = stored.offset
+    if wave.failed_since_offset != maintenance.edited_offset:
+        wave.failed_since_offset = maintenance.edited_offset
         wave.failed = 0
     wave.failed += 1
-    if wave.failed < maintenance.max_failed_returns:
+    if wave.failed < maintenance.entry.max_failed_returns:
         return finish_wave(state, meta.offset, pool)
     wave.halted_offset = meta.offset
     wave.halted_reason = f"{wave.failed} instances of {pool} did not come back in this wave"
