Requests: drop a counter and a method of the routing state that nothing reads

RoutingState.turn was never read or written, and view_target had no caller: targets.py makes its views itself. Found by looking up each attribute and method by name over package and tests. No change of behaviour; formatter, linter, types and the tests of requests and jobs pass.

--- a/heatherkeel/requests/local.py
+++ b/heatherkeel/requests/local.py
@@ -7,7 +7,6 @@
 from enum import StrEnum
 
 from heatherkeel.catalogue.models import ServiceClass, ServiceEntry
-from heatherkeel.pools.models import Instance
 
 from .const import INITIAL_LATENCY_MS, RETRY_BUDGET_MAX
 
@@ -177,9 +176,3 @@
     shares: SharesState = field(default_factory=SharesState)
     leaving: set[str] = field(default_factory=set)
     """Targets that the platform's list shows as leaving."""
-    turn: int = 0
-
-    def view_target(self, name: str, instance: Instance) -> TargetView:
-        """Return the view of a target, made when it is first needed."""
-        made = TargetView(address=instance.address, zone=instance.zone, pool=instance.pool)
-        return self.targets.setdefault(name, made)
