Jobs: name the module of checkers checks.py, as in every other subject

catalogue, requests and waves keep their checkers in checks.py; jobs alone said checkers.py, so a reader did not know where to look. A move and one import, no change of behaviour.

--- a/heatherkeel/jobs/reducer.py
+++ b/heatherkeel/jobs/reducer.py
@@ -9,7 +9,7 @@
 from heatherkeel.core.registry import handles
 from heatherkeel.core.state import FleetState
 
-from . import checkers, placing, tasks, usage  # noqa: F401
+from . import checks, placing, tasks, usage  # noqa: F401
 from .const import MAX_REMEMBERED_JOBS, MAX_REMEMBERED_PER_TEAM
 from .feasibility import pool_shapes, why_never
 from .models import Job, JobChanged, JobStatus, job_team
