Jobs: say once whether a worker's room is held, for placing, preemption and planning

The test of a hold's job and end stood three times, in the two checks of the fold and in the planner's view of free room; the planner must see a hold exactly as the fold will decide it. An empty job can't be held for: a checkpoint names an urgent job that is queued. No change of behaviour; the state machine test and the golden files of jobs pass unchanged.

--- a/heatherkeel/jobs/packing.py
+++ b/heatherkeel/jobs/packing.py
@@ -11,7 +11,7 @@
 
 from .models import Resources
 from .quarantine import is_quarantined
-from .reservations import capacity_of, free_of
+from .reservations import capacity_of, free_of, held_for
 
 _PER_MILLE = 1_000
 _NOTHING = Resources()
@@ -136,8 +136,6 @@
             continue
         capacity = capacity_of(instance)
         free = free_of(capacity, state.jobs.loads.get(instance_id))
-        hold = state.jobs.holds.get(instance_id)
-        held = hold is not None and hold.until_ms > state.now_ms
         room = Room(
             instance=instance_id,
             zone=instance.zone,
@@ -146,7 +144,7 @@
             cpu_millicores=free.cpu_millicores,
             memory_mib=free.memory_mib,
             accelerators=free.accelerators,
-            held_for=hold.job if hold is not None and held else "",
+            held_for=held_for(state, instance_id),
         )
         rooms.setdefault(instance.pool, PoolRooms()).add(room)
     for pool in rooms.values():
--- a/heatherkeel/jobs/placing.py
+++ b/heatherkeel/jobs/placing.py
@@ -24,7 +24,7 @@
 )
 from .quarantine import is_quarantined
 from .records import CheckpointCause, JobCheckpoint, JobPlace
-from .reservations import find_shortage, need_of, quota_of, take
+from .reservations import find_shortage, held_for, need_of, quota_of, take
 from .transitions import accepted, may_run_again, move, not_found, stale, wrong_state
 
 
@@ -106,8 +106,7 @@
         return Rejected(reason=RejectReason.IN_USE, detail=f"{body.instance} is {instance.status}")
     if is_quarantined(state, body.instance):
         return Rejected(reason=RejectReason.IN_USE, detail=f"{body.instance} is in quarantine")
-    hold = state.jobs.holds.get(body.instance)
-    if hold is not None and hold.until_ms > state.now_ms and hold.job != body.job:
+    if held_for(state, body.instance) not in ("", body.job):
         # Room made by preemption must not go to whoever is quicker: the urgent job would wait
         # for the next victim, and more work would be moved than was needed.
         return Rejected(reason=RejectReason.IN_USE, detail=f"{body.instance} is held")
@@ -164,8 +163,7 @@
         return Rejected(reason=RejectReason.CONFLICT, detail=f"{body.job} is not batch work")
     if victim.spec.pool != urgent.spec.pool:
         return Rejected(reason=RejectReason.CONFLICT, detail="they are of different pools")
-    hold = state.jobs.holds.get(victim.instance)
-    if hold is not None and hold.until_ms > state.now_ms and hold.job != body.for_job:
+    if held_for(state, victim.instance) not in ("", body.for_job):
         return Rejected(reason=RejectReason.IN_USE, detail=f"{victim.instance} is held")
     return None
 
--- a/heatherkeel/jobs/reservations.py
+++ b/heatherkeel/jobs/reservations.py
@@ -105,6 +105,14 @@
     return None
 
 
+def held_for(state: FleetState, instance_id: str) -> str:
+    """Return the urgent job that room on a worker is kept for now; empty if there is none."""
+    hold = state.jobs.holds.get(instance_id)
+    if hold is None or hold.until_ms <= state.now_ms:
+        return ""
+    return hold.job
+
+
 def take(state: FleetState, job_id: str, job: Job, instance_id: str, need: Resources) -> None:
     """Book a need on a worker and on the team of the job."""
     job.instance = instance_id
