Jobs: build the checkpoint effect in one place; drop a field of the planner that nothing reads

placing.py and observing.py each built the same CheckpointTask; it now stands beside stop_task, which they shared already. _Round.due was set and never read: the plan's loop has the same map at hand. No change of behaviour.

--- a/heatherkeel/jobs/best_fit.py
+++ b/heatherkeel/jobs/best_fit.py
@@ -29,7 +29,6 @@
     state: FleetState
     request: RoundRequest
     planned: PlacementRound
-    due: dict[str, Job]
     rooms: dict[str, PoolRooms]
     queue: FairQueue
     preemptions: Preemptions
@@ -49,7 +48,6 @@
         state=state,
         request=request,
         planned=planned,
-        due=due,
         rooms=rooms,
         queue=fair_queue(state, due),
         preemptions=start_preemptions(state, rooms, wanted_jobs(state, request)),
--- a/heatherkeel/jobs/observing.py
+++ b/heatherkeel/jobs/observing.py
@@ -16,7 +16,6 @@
 from .const import CHECKPOINT_REPEAT_MS, MAX_BATCH, START_GRACE_MS, USAGE_STEP_PERCENT, VIEW_LAG_MS
 from .models import (
     HOLDING,
-    CheckpointTask,
     Job,
     JobStatus,
     StopTask,
@@ -36,7 +35,7 @@
     UsageReport,
     UsageSample,
 )
-from .transitions import stop_task
+from .transitions import checkpoint_task, stop_task
 
 _WAITING = (JobStatus.PLACED, JobStatus.UNKNOWN)
 
@@ -174,7 +173,7 @@
     if job.cancelling and (view is None or running):
         return stop_task(job_id, job)
     if job.status is JobStatus.CHECKPOINTING and running and since_ms >= CHECKPOINT_REPEAT_MS:
-        return CheckpointTask(task=task_of(job_id, job), job=job_id, instance=job.instance)
+        return checkpoint_task(job_id, job)
     if view is not None or job.started_ms > 0:
         return None
     if job.status is JobStatus.UNKNOWN:
--- a/heatherkeel/jobs/placing.py
+++ b/heatherkeel/jobs/placing.py
@@ -13,7 +13,6 @@
 from .const import HOLD_MS, START_WINDOW_MS
 from .models import (
     LEAVING,
-    CheckpointTask,
     Hold,
     Job,
     JobStatus,
@@ -25,7 +24,15 @@
 from .quarantine import is_quarantined
 from .records import CheckpointCause, JobCheckpoint, JobPlace
 from .reservations import find_shortage, held_for, need_of, quota_of, take
-from .transitions import accepted, may_run_again, move, not_found, stale, wrong_state
+from .transitions import (
+    accepted,
+    checkpoint_task,
+    may_run_again,
+    move,
+    not_found,
+    stale,
+    wrong_state,
+)
 
 
 @handles("jobs.place", JobPlace)
@@ -146,11 +153,7 @@
         hold = Hold(job=body.for_job, until_ms=meta.now_ms + HOLD_MS)
         state.jobs.holds[job.instance] = hold
     changed = move(body.job, job, meta, JobStatus.CHECKPOINTING, f"for {body.cause}")
-    return Ok(accepted(job.version, changed, _checkpoint_task(body.job, job)))
-
-
-def _checkpoint_task(job_id: str, job: Job) -> CheckpointTask:
-    return CheckpointTask(task=task_of(job_id, job), job=job_id, instance=job.instance)
+    return Ok(accepted(job.version, changed, checkpoint_task(body.job, job)))
 
 
 def _check_preemption(state: FleetState, body: JobCheckpoint, victim: Job) -> Rejected | None:
--- a/heatherkeel/jobs/transitions.py
+++ b/heatherkeel/jobs/transitions.py
@@ -17,6 +17,7 @@
     RETRY_MAX_MS,
 )
 from .models import (
+    CheckpointTask,
     FinishedJob,
     Job,
     JobChanged,
@@ -142,6 +143,11 @@
     return StopTask(task=task_of(job_id, job), job=job_id, instance=job.instance)
 
 
+def checkpoint_task(job_id: str, job: Job) -> CheckpointTask:
+    """Return the effect that checkpoints the newest attempt of a job and stops it there."""
+    return CheckpointTask(task=task_of(job_id, job), job=job_id, instance=job.instance)
+
+
 def accepted(version: int, *effects: Effect) -> Accepted:
     """Take a record, with the effects that follow from it."""
     return Accepted(version=version, effects=effects)
