Keep the order of the service classes once, for requests and for jobs

queues.py and fairness.py each held it, under two names; it stands beside ServiceClass now. The docstring of FairQueue spoke of a method `charge` that doesn't exist: the planner calls TeamUse.add. No change of behaviour; the tests of requests, jobs and catalogue pass.

--- a/heatherkeel/catalogue/models.py
+++ b/heatherkeel/catalogue/models.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Annotated
+from typing import Annotated, Final
 
 import msgspec
 from msgspec import Meta
@@ -27,6 +27,10 @@
     BATCH = "batch"
 
 
+CLASS_ORDER: Final = (ServiceClass.URGENT, ServiceClass.INTERACTIVE, ServiceClass.BATCH)
+"""Classes in the order in which requests and jobs are served."""
+
+
 class Reserve(StrEnum):
     """The largest single loss that a budget must survive on top of every planned stop."""
 
--- a/heatherkeel/jobs/fairness.py
+++ b/heatherkeel/jobs/fairness.py
@@ -6,13 +6,12 @@
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 
-from heatherkeel.catalogue.models import ServiceClass
+from heatherkeel.catalogue.models import CLASS_ORDER, ServiceClass
 from heatherkeel.core.state import FleetState
 
 from .models import Job, Resources, job_team
 from .reservations import quota_of
 
-_CLASS_ORDER = (ServiceClass.URGENT, ServiceClass.INTERACTIVE, ServiceClass.BATCH)
 _SHARE_UNITS = 1_000_000
 _NO_QUOTA = Resources()
 
@@ -59,7 +58,7 @@
 
 @dataclass(kw_only=True, slots=True)
 class FairQueue:
-    """Hands out queued jobs; after each, the caller may `charge` its team for a placement.
+    """Hands out queued jobs; the caller counts each placement by `TeamUse.add`, before the next.
 
     Within a class the team with the smallest dominant share comes next, so that a team that
     submits ten thousand jobs at once can't push the others back by more than its quota's worth.
@@ -71,7 +70,7 @@
 
     def pop(self) -> str | None:
         """Return the next job, or None when all were handed out."""
-        for service_class in _CLASS_ORDER:
+        for service_class in CLASS_ORDER:
             heap = self.heaps.get(service_class)
             while heap:
                 share, team = heappop(heap)
--- a/heatherkeel/requests/queues.py
+++ b/heatherkeel/requests/queues.py
@@ -6,17 +6,13 @@
 import math
 from collections import deque
 from collections.abc import Iterator
-from typing import Final
 
-from heatherkeel.catalogue.models import ServiceClass
+from heatherkeel.catalogue.models import CLASS_ORDER, ServiceClass
 
 from .const import LATENCY_WEIGHT, MAX_PASSED_OVER, MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS
 from .local import ActiveRequest, ClassQueue, PoolView, RequestPhase, RoutingState
 from .reasons import RefusalReason
 
-CLASS_ORDER: Final = (ServiceClass.URGENT, ServiceClass.INTERACTIVE, ServiceClass.BATCH)
-"""Classes in the order in which they are served."""
-
 
 def check_room(routing: RoutingState, request: ActiveRequest, now_ms: int) -> RefusalReason | None:
     """Return why a request can't wait, or none if it can.
