Jobs, requests: units in const.py once, and module constants marked Final

Milliseconds per second stood as a name in draining.py and as a bare 1_000 in learning.py. The bound of the checker of claims says now what it counts. No change of behaviour.

--- a/heatherkeel/jobs/const.py
+++ b/heatherkeel/jobs/const.py
@@ -4,6 +4,9 @@
 
 from typing import Final
 
+MILLICORES_PER_CPU: Final = 1_000
+MS_PER_S: Final = 1_000
+
 MAX_JOB_ID_CHARS: Final = 160
 """Longest full job id (`team:name`), in characters."""
 
--- a/heatherkeel/jobs/draining.py
+++ b/heatherkeel/jobs/draining.py
@@ -7,13 +7,11 @@
 
 from heatherkeel.core.state import FleetState
 
-from .const import DRAIN_PATIENCE_MS
+from .const import DRAIN_PATIENCE_MS, MS_PER_S
 from .learning import expected_run_time_s
 from .models import HOLDING, LEAVING, Job, JobStatus
 from .records import CheckpointCause, JobCheckpoint
 
-_MS_PER_S = 1_000
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DrainWait:
@@ -71,13 +69,13 @@
         return "can't be checkpointed"
     remaining_ms = _remaining_ms(state, job_id, job)
     if 0 < remaining_ms <= DRAIN_PATIENCE_MS:
-        return f"expected to end in {remaining_ms // _MS_PER_S} s"
+        return f"expected to end in {remaining_ms // MS_PER_S} s"
     return ""
 
 
 def _remaining_ms(state: FleetState, job_id: str, job: Job) -> int:
     """Return the expected rest of the run; not above 0 if it lasts longer than was expected."""
-    expected_ms = expected_run_time_s(state, job_id, job) * _MS_PER_S
+    expected_ms = expected_run_time_s(state, job_id, job) * MS_PER_S
     return job.started_ms + expected_ms - state.now_ms
 
 
--- a/heatherkeel/jobs/learning.py
+++ b/heatherkeel/jobs/learning.py
@@ -10,6 +10,7 @@
     LEARNED_PERCENTILE,
     MAX_FAMILIES,
     MIN_FAMILY_SAMPLES,
+    MS_PER_S,
 )
 from .models import FamilyUsage, Job, Resources, job_team
 
@@ -31,7 +32,7 @@
     usage.updated_ms = now_ms
     _push(usage.memory_mib, job.peak_memory_mib)
     _push(usage.cpu_millicores, job.peak_cpu_millicores)
-    _push(usage.run_time_s, max(0, now_ms - job.started_ms) // 1_000 if job.started_ms else 0)
+    _push(usage.run_time_s, max(0, now_ms - job.started_ms) // MS_PER_S if job.started_ms else 0)
 
 
 def expected_size(state: FleetState, job_id: str, job: Job) -> Resources:
--- a/heatherkeel/jobs/reservations.py
+++ b/heatherkeel/jobs/reservations.py
@@ -7,11 +7,10 @@
 from heatherkeel.core.state import FleetState
 from heatherkeel.pools.models import Instance
 
+from .const import MILLICORES_PER_CPU
 from .learning import expected_size
 from .models import Job, Load, Orphan, Resources, job_team, task_of
 
-MILLICORES_PER_CPU = 1_000
-
 
 def capacity_of(instance: Instance) -> Resources:
     """Return all that a worker has."""
--- a/heatherkeel/requests/checks.py
+++ b/heatherkeel/requests/checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from typing import Final
 
 from heatherkeel.core.models import Effect, Violation
 from heatherkeel.core.registry import checks, checks_step
@@ -10,7 +11,8 @@
 
 from .models import Claim, ClaimStatus
 
-MAX_OPEN_ATTEMPTS = 1
+MAX_OPEN_ATTEMPTS: Final = 1
+"""Claims of one key that have not ended as *not run*: only one of them may have run."""
 
 
 @checks("a key runs at most once")
--- a/heatherkeel/requests/retries.py
+++ b/heatherkeel/requests/retries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from result import Err, Ok, Result
 
 from heatherkeel.core.node import NodeState
@@ -18,7 +20,7 @@
 from .reasons import NoRetryReason, RetryReason
 from .routing import lease_refusal, pick
 
-RETRY_REASONS = {
+RETRY_REASONS: Final = {
     AttemptResult.REFUSED_BEFORE_START: RetryReason.TARGET_REFUSED,
     AttemptResult.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
     AttemptResult.BROKEN_AFTER_SEND: RetryReason.BROKEN_AFTER_SEND,
@@ -26,7 +28,9 @@
 }
 """Results after which another target may be tried, with the label that counts it."""
 
-NOT_RUN_RESULTS = frozenset({AttemptResult.REFUSED_BEFORE_START, AttemptResult.CONNECT_FAILED})
+NOT_RUN_RESULTS: Final = frozenset(
+    {AttemptResult.REFUSED_BEFORE_START, AttemptResult.CONNECT_FAILED}
+)
 """Results that prove that the target did not start."""
 
 
