Requests: the form of a claim's id in one place

sending.py made the id from incarnation and request, and claims.py took it apart again with two copies of the same pattern. A changed form in one of them would have left won claims that nobody waits for open. No change of behaviour; the tests of claims pass unchanged.

--- a/heatherkeel/requests/claims.py
+++ b/heatherkeel/requests/claims.py
@@ -11,7 +11,14 @@
 from .effects import ClaimRead, Refuse, Replay, WriteOutcome
 from .events import ClaimDecided, ClaimWriteFailed
 from .local import ActiveRequest, RequestPhase
-from .models import Claim, ClaimChanged, ClaimOutcome, ClaimStatus, RecordedAnswer
+from .models import (
+    Claim,
+    ClaimChanged,
+    ClaimOutcome,
+    ClaimStatus,
+    RecordedAnswer,
+    claimed_request,
+)
 from .reasons import Outcome, RefusalReason
 from .reducer import claimant_may_answer, find_claim
 from .routing import is_candidate, pick
@@ -79,10 +86,9 @@
     log after that. Symptom: the caller's repeat is told *in progress* for nothing, then *unknown*.
     Enough because whoever finds its own claim won too late says that it did not run.
     """
-    own = effect.claim.startswith(f"{node.local.incarnation}-")
-    if not own or effect.status is not ClaimStatus.CLAIMED:
+    request_id = claimed_request(node.local.incarnation, effect.claim)
+    if request_id is None or effect.status is not ClaimStatus.CLAIMED:
         return []
-    request_id = effect.claim.removeprefix(f"{node.local.incarnation}-")
     if request_id in node.local.routing.requests:
         return []
     return [_outcome(effect.service, effect.key, effect.claim, ClaimStatus.NOT_RUN)]
--- a/heatherkeel/requests/models.py
+++ b/heatherkeel/requests/models.py
@@ -98,6 +98,17 @@
     return f"{service}/{key}"
 
 
+def claim_id(incarnation: str, request_id: str) -> str:
+    """Return the id of the claim record of a request at one incarnation of an entry instance."""
+    return f"{incarnation}-{request_id}"
+
+
+def claimed_request(incarnation: str, claim: str) -> str | None:
+    """Return the request that an incarnation's own claim is for, or none if it isn't its own."""
+    prefix = claim_id(incarnation, "")
+    return claim.removeprefix(prefix) if claim.startswith(prefix) else None
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ClaimChanged(Effect):
     """A key was claimed, or got its outcome."""
--- a/heatherkeel/requests/sending.py
+++ b/heatherkeel/requests/sending.py
@@ -8,7 +8,7 @@
 from .const import UNAVAILABLE_RETRY_AFTER_MS
 from .effects import Refuse, Send, WriteClaim
 from .local import ActiveRequest, RequestPhase
-from .models import KeyClaim
+from .models import KeyClaim, claim_id
 from .reasons import Outcome, RefusalReason
 from .retries import attempt_timeout_ms
 from .routing import lease_refusal
@@ -25,7 +25,7 @@
     if not request.key:
         return send(node, request_id, request, now_ms)
     request.phase = RequestPhase.CLAIMING
-    request.claim = f"{node.local.incarnation}-{request_id}"
+    request.claim = claim_id(node.local.incarnation, request_id)
     node.local.routing.claims[request.claim] = request_id
     body = KeyClaim(
         service=request.service,
