Reading a request stands in a module of its own, apart from what carries out decisions

entry/front.py had 322 lines and two jobs: reading the caller's options, headers and body, and carrying out the reducer's effects. The first is now entry/reading.py; front.py has 244 lines. Moved only: the one difference is that the routing state is handed in. The caller watch stays with the front, as it ends attempts that the front begins.

--- a/heatherkeel/entry/front.py
+++ b/heatherkeel/entry/front.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass, field
 from functools import partial
 
 import trio
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from heatherkeel.helpers.asgi import (
     ClientGoneError,
@@ -19,7 +18,6 @@
 )
 from heatherkeel.helpers.asgi import Send as AsgiSend
 from heatherkeel.helpers.clock import monotonic_ms
-from heatherkeel.requests.const import MAX_KEY_CHARS
 from heatherkeel.requests.effects import (
     AbortAnswer,
     CloseConnections,
@@ -37,20 +35,14 @@
     RequestArrived,
     TargetLeaving,
 )
-from heatherkeel.requests.reasons import RefusalReason
-from heatherkeel.requests.targets import find_service
 
 from .answers import async_refuse, async_replay
 from .claim_records import ClaimRecords
 from .connections import TargetConnections
-from .const import (
-    DEADLINE_HEADER,
-    HOP_BY_HOP_HEADERS,
-    IDEMPOTENT_METHODS,
-    KEY_HEADER,
-)
+from .const import IDEMPOTENT_METHODS
 from .exchanges import Exchange, Exchanges
 from .node import Node
+from .reading import InputFault, ReadRequest, async_read, fingerprint, outgoing_headers
 from .sender import Attempt, OutgoingRequest, Sender, async_pass_on
 
 
@@ -103,7 +95,7 @@
     async def _async_serve(self, request: Request, send: AsgiSend) -> None:
         exchange = self.exchanges.open()
         try:
-            match await self._async_read(request):
+            match await async_read(self.node.state.local.routing, request):
                 case Ok(read):
                     await self._async_exchange(exchange, request, read, send)
                 case Err(fault):
@@ -113,22 +105,6 @@
         finally:
             self.exchanges.close(exchange)
 
-    async def _async_read(self, request: Request) -> Result[ReadRequest, InputFault]:
-        """Read headers and body; of a path without a service nothing more is read."""
-        options = read_options(request.headers)
-        if isinstance(options, Err):
-            return Err(InputFault(reason=RefusalReason.BAD_HEADER, detail=options.err_value))
-        routing = self.node.state.local.routing
-        service = find_service(routing, request.path)
-        if service is None:
-            return Ok(ReadRequest(options=options.ok_value, body=b""))
-        limit_bytes = routing.services[service].limits.max_body_bytes
-        body = await request.async_body(limit_bytes=limit_bytes)
-        if isinstance(body, Err):
-            detail = f"at most {limit_bytes} bytes are taken"
-            return Err(InputFault(reason=RefusalReason.BODY_TOO_LARGE, detail=detail))
-        return Ok(ReadRequest(options=options.ok_value, body=body.ok_value))
-
     async def _async_refuse_input(
         self, exchange: Exchange, fault: InputFault, send: AsgiSend
     ) -> None:
@@ -173,7 +149,7 @@
             path=request.path,
             idempotent=idempotent,
             key=options.key if keyed else "",
-            fingerprint=_fingerprint(outgoing) if keyed else "",
+            fingerprint=fingerprint(outgoing) if keyed else "",
             deadline_ms=options.deadline_ms,
         )
         self.node.take(arrived)
@@ -266,57 +242,3 @@
                 TargetLeaving(now_ms=now_ms, target=effect.target, source=LeavingSource.TARGET)
             )
         self.node.take(ended)
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CallerOptions:
-    """What a caller may ask for by headers; `deadline_ms` 0 takes the service's."""
-
-    key: str = ""
-    deadline_ms: int = 0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ReadRequest:
-    """A request that is wholly read."""
-
-    options: CallerOptions
-    body: bytes
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class InputFault:
-    """Why a request is not taken."""
-
-    reason: RefusalReason
-    detail: str
-
-
-def read_options(headers: dict[str, str]) -> Result[CallerOptions, str]:
-    """Read the caller's headers, or say in words what is wrong with them."""
-    key = headers.get(KEY_HEADER, "")
-    if len(key) > MAX_KEY_CHARS:
-        return Err(f"{KEY_HEADER} has {len(key)} characters, at most {MAX_KEY_CHARS} are taken")
-    deadline = headers.get(DEADLINE_HEADER, "0")
-    if not (deadline.isascii() and deadline.isdigit() and len(deadline) <= 9):
-        return Err(f"{DEADLINE_HEADER} is not a whole number of milliseconds")
-    return Ok(CallerOptions(key=key, deadline_ms=int(deadline)))
-
-
-def outgoing_headers(headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
-    """Return what goes on to the target: all but what concerns the caller's connection only."""
-    listed = headers.get("connection", "").lower().split(",")
-    dropped = HOP_BY_HOP_HEADERS.union(name.strip() for name in listed)
-    return [
-        (name.encode("latin-1"), value.encode("latin-1"))
-        for name, value in headers.items()
-        if name not in dropped
-    ]
-
-
-def _fingerprint(outgoing: OutgoingRequest) -> str:
-    digest = hashlib.sha256()
-    for part in (outgoing.method.encode(), outgoing.raw_target, outgoing.body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()
--- /dev/null
+++ b/heatherkeel/entry/reading.py
@@ -0,0 +1,88 @@
+"""Reads a caller's request: its options, its body, and what of its headers goes on to a target."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from heatherkeel.helpers.asgi import Request
+from heatherkeel.requests.const import MAX_KEY_CHARS
+from heatherkeel.requests.local import RoutingState
+from heatherkeel.requests.reasons import RefusalReason
+from heatherkeel.requests.targets import find_service
+
+from .const import DEADLINE_HEADER, HOP_BY_HOP_HEADERS, KEY_HEADER
+from .sender import OutgoingRequest
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerOptions:
+    """What a caller may ask for by headers; `deadline_ms` 0 takes the service's."""
+
+    key: str = ""
+    deadline_ms: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadRequest:
+    """A request that is wholly read."""
+
+    options: CallerOptions
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InputFault:
+    """Why a request is not taken."""
+
+    reason: RefusalReason
+    detail: str
+
+
+async def async_read(routing: RoutingState, request: Request) -> Result[ReadRequest, InputFault]:
+    """Read headers and body; of a path without a service nothing more is read."""
+    options = read_options(request.headers)
+    if isinstance(options, Err):
+        return Err(InputFault(reason=RefusalReason.BAD_HEADER, detail=options.err_value))
+    service = find_service(routing, request.path)
+    if service is None:
+        return Ok(ReadRequest(options=options.ok_value, body=b""))
+    limit_bytes = routing.services[service].limits.max_body_bytes
+    body = await request.async_body(limit_bytes=limit_bytes)
+    if isinstance(body, Err):
+        detail = f"at most {limit_bytes} bytes are taken"
+        return Err(InputFault(reason=RefusalReason.BODY_TOO_LARGE, detail=detail))
+    return Ok(ReadRequest(options=options.ok_value, body=body.ok_value))
+
+
+def read_options(headers: dict[str, str]) -> Result[CallerOptions, str]:
+    """Read the caller's headers, or say in words what is wrong with them."""
+    key = headers.get(KEY_HEADER, "")
+    if len(key) > MAX_KEY_CHARS:
+        return Err(f"{KEY_HEADER} has {len(key)} characters, at most {MAX_KEY_CHARS} are taken")
+    deadline = headers.get(DEADLINE_HEADER, "0")
+    if not (deadline.isascii() and deadline.isdigit() and len(deadline) <= 9):
+        return Err(f"{DEADLINE_HEADER} is not a whole number of milliseconds")
+    return Ok(CallerOptions(key=key, deadline_ms=int(deadline)))
+
+
+def outgoing_headers(headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
+    """Return what goes on to the target: all but what concerns the caller's connection only."""
+    listed = headers.get("connection", "").lower().split(",")
+    dropped = HOP_BY_HOP_HEADERS.union(name.strip() for name in listed)
+    return [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in headers.items()
+        if name not in dropped
+    ]
+
+
+def fingerprint(outgoing: OutgoingRequest) -> str:
+    """Return what tells a repeat from another request that was given the same key."""
+    digest = hashlib.sha256()
+    for part in (outgoing.method.encode(), outgoing.raw_target, outgoing.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
--- a/tests/entry/test_headers.py
+++ b/tests/entry/test_headers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from heatherkeel.entry.front import outgoing_headers
+from heatherkeel.entry.reading import outgoing_headers
 
 
 def test_what_concerns_one_connection_stays_on_it() -> None:
