One way to read a body for entries and for jobs, and the API's refusals by name

admin/jobs.py read bodies under a time limit and named their faults with a copy of what admin/bodies.py does, without the reason why the limit is there. Both call bodies.py now. The kinds of its refusals were plain strings equal to members of ApiRefusal; they are the members now, so that the counter's labels and the answers stay the same.

--- a/heatherkeel/admin/bodies.py
+++ b/heatherkeel/admin/bodies.py
@@ -1,4 +1,4 @@
-"""Reads a catalogue entry from a request's body, and finds every fault of it."""
+"""Reads the bodies of requests; of a catalogue entry it finds every fault."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from heatherkeel.catalogue.models import CatalogueEntry
-from heatherkeel.helpers.asgi import JSON_TYPE, Request
+from heatherkeel.helpers.asgi import JSON_TYPE, BodyTooLarge, Request
 from heatherkeel.helpers.faults import collect_faults, format_path
 
 from .const import BODY_TIMEOUT_S, MAX_BODY_BYTES
@@ -20,6 +20,21 @@
 ENTRY: Final = "entry"
 """Begins the path of every field of an entry."""
 
+INVALID_ENTRY: Final = "The entry is not valid"
+
+
+async def async_read_body(
+    request: Request, *, limit_bytes: int
+) -> Result[bytes, BodyTooLarge] | None:
+    """Read the whole body, or return None if it does not come in time.
+
+    A caller that stops in the middle of its body would hold the connection for good. Raises
+    `ClientGoneError` if the caller hangs up.
+    """
+    with trio.move_on_after(BODY_TIMEOUT_S):
+        return await request.async_body(limit_bytes=limit_bytes)
+    return None
+
 
 async def async_read_entry(
     request: Request, *, teams: Collection[str]
@@ -27,10 +42,7 @@
     """Read the body as an entry; raises `ClientGoneError` if the caller hangs up."""
     if not _is_json(request.headers.get("content-type", JSON_TYPE)):
         return Err(_wrong_type())
-    read = None
-    # A caller that stops in the middle of its body would hold the connection for good.
-    with trio.move_on_after(BODY_TIMEOUT_S):
-        read = await request.async_body(limit_bytes=MAX_BODY_BYTES)
+    read = await async_read_body(request, limit_bytes=MAX_BODY_BYTES)
     if read is None:
         return Err(_too_slow())
     if isinstance(read, Err):
@@ -46,16 +58,16 @@
         return Err(_malformed(str(err)))
     faults = _shape_faults(document) + _owner_faults(document, teams)
     if faults:
-        return Err(invalid_entry(faults))
+        return Err(invalid_body(faults, title=INVALID_ENTRY))
     return Ok(msgspec.convert(document, CatalogueEntry))
 
 
-def invalid_entry(faults: list[FieldFault]) -> Problem:
-    """Return the problem that names the faults of an entry."""
+def invalid_body(faults: list[FieldFault], *, title: str) -> Problem:
+    """Return the problem that names the faults of a body."""
     return Problem(
         status=422,
         kind=ApiRefusal.INVALID,
-        title="The entry is not valid",
+        title=title,
         detail="\n".join(f"{fault.field}: {fault.reason}" for fault in faults),
         faults=tuple(faults),
     )
@@ -113,4 +125,6 @@
 
 
 def _malformed(message: str) -> Problem:
-    return invalid_entry([FieldFault(field=ENTRY, reason=f"not JSON: {message}")])
+    return invalid_body(
+        [FieldFault(field=ENTRY, reason=f"not JSON: {message}")], title=INVALID_ENTRY
+    )
--- a/heatherkeel/admin/jobs.py
+++ b/heatherkeel/admin/jobs.py
@@ -5,7 +5,6 @@
 from typing import Any, Final, TypeVar
 
 import msgspec
-import trio
 from result import Err, Ok, Result
 
 from heatherkeel.core.models import Accepted, RecordBody, Rejected, RejectReason
@@ -15,8 +14,10 @@
 from heatherkeel.jobs.records import JobCancel, JobResolve, JobSubmit, Resolution
 from heatherkeel.platform.writer import WriteFailure
 
-from .const import BODY_TIMEOUT_S, RETRY_AFTER_S
+from .bodies import async_read_body, invalid_body
+from .const import RETRY_AFTER_S
 from .models import Access, Answer, Call, FieldFault, Problem, Reply
+from .reasons import ApiRefusal
 from .routes import route
 
 MAX_JOBS_BODY_BYTES: Final = 1024 * 1024
@@ -147,13 +148,11 @@
 
 
 async def _async_read(call: Call, model: type[ModelT]) -> Result[ModelT, Problem]:
-    read = None
-    with trio.move_on_after(BODY_TIMEOUT_S):
-        read = await call.request.async_body(limit_bytes=MAX_JOBS_BODY_BYTES)
+    read = await async_read_body(call.request, limit_bytes=MAX_JOBS_BODY_BYTES)
     if read is None:
-        return Err(_problem(408, "body_too_slow", "The body did not come in time"))
+        return Err(_problem(408, ApiRefusal.BODY_TOO_SLOW, "The body did not come in time"))
     if isinstance(read, Err):
-        return Err(_problem(413, "body_too_large", "The body is too large"))
+        return Err(_problem(413, ApiRefusal.BODY_TOO_LARGE, "The body is too large"))
     try:
         document: Any = msgspec.json.decode(read.ok_value)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
@@ -210,7 +209,7 @@
     job = jobs.live.get(job_id) or jobs.finished.get(job_id)
     if job is None:
         detail = f"{job_id}: never submitted, or forgotten a day after its end"
-        return Err(_problem(404, "not_found", "No such job", detail))
+        return Err(_problem(404, ApiRefusal.NOT_FOUND, "No such job", detail))
     return Ok(Answer(value=_view(job_id, job), headers={"etag": f'"{job.version}"'}))
 
 
@@ -255,13 +254,7 @@
 
 
 def _invalid(faults: list[FieldFault]) -> Problem:
-    return Problem(
-        status=422,
-        kind="invalid",
-        title="The body is not valid",
-        detail="\n".join(f"{fault.field}: {fault.reason}" for fault in faults),
-        faults=tuple(faults),
-    )
+    return invalid_body(faults, title="The body is not valid")
 
 
 def _problem(status: int, kind: str, title: str, detail: str = "") -> Problem:
