Constants stand in const.py, and three names say what they name

- The header heatherkeel-target was INSTANCE_HEADER: TARGET_HEADER, as a target is meant.
- EntryProcess.close_connections is a coroutine other than start and close: async_close_connections.
- MAX_LISTED among all constants of the API: MAX_JOBS_LISTED, with what it means.
- Pauses of the start, the margin of the stop, and the limits of job bodies moved to const.py.
- The 30 s for which an edit is repeated stood in the command and in the applier: one constant.

No value changed.

--- a/heatherkeel/admin/applying.py
+++ b/heatherkeel/admin/applying.py
@@ -16,9 +16,8 @@
 from heatherkeel.core.envelopes import new_record_id
 
 from .client import AdminClient, ApiAnswer, CallError, CallFailure
+from .const import REPEAT_FOR_S
 
-REPEAT_FOR_S: Final = 30.0
-"""How long an edit of unknown outcome is repeated under its key."""
 PAUSE_S: Final = 1.0
 ABSENT: Final = "(none)"
 
--- a/heatherkeel/admin/jobs.py
+++ b/heatherkeel/admin/jobs.py
@@ -15,14 +15,11 @@
 from heatherkeel.platform.writer import WriteFailure
 
 from .bodies import async_read_body, invalid_body
-from .const import RETRY_AFTER_S
+from .const import MAX_JOBS_BODY_BYTES, MAX_JOBS_LISTED, RETRY_AFTER_S
 from .models import Access, Answer, Call, FieldFault, Problem, Reply
 from .reasons import ApiRefusal
 from .routes import route
 
-MAX_JOBS_BODY_BYTES: Final = 1024 * 1024
-"""Room for the ids of several thousand jobs to cancel."""
-MAX_LISTED: Final = 1_000
 STATUS_OF_REASON: Final = {
     RejectReason.ALREADY_EXISTS: 409,
     RejectReason.CONFLICT: 409,
@@ -105,7 +102,9 @@
         if _is_wanted(job_id, known[job_id], call.request.query)
     ]
     listed = JobList(
-        offset=fleet.next_offset - 1, more=len(wanted) > MAX_LISTED, jobs=wanted[:MAX_LISTED]
+        offset=fleet.next_offset - 1,
+        more=len(wanted) > MAX_JOBS_LISTED,
+        jobs=wanted[:MAX_JOBS_LISTED],
     )
     return Ok(Answer(value=listed))
 
--- a/heatherkeel/cli/catalogue.py
+++ b/heatherkeel/cli/catalogue.py
@@ -10,6 +10,7 @@
 
 from absl import flags
 
+from heatherkeel.admin.const import REPEAT_FOR_S
 from heatherkeel.settings.const import ADDRESS_PATTERN
 
 from .const import EXIT_FAILED, EXIT_OK, EXIT_UNKNOWN, EXIT_USAGE
@@ -54,7 +55,7 @@
     define_admin(values)
     flags.DEFINE_float(
         "repeat-for-s",
-        30.0,
+        REPEAT_FOR_S,
         "How long an edit of unknown outcome is repeated, in seconds.",
         lower_bound=0.0,
         upper_bound=3600.0,
--- a/heatherkeel/entry/answers.py
+++ b/heatherkeel/entry/answers.py
@@ -13,10 +13,10 @@
 
 from .const import (
     HOP_BY_HOP_HEADERS,
-    INSTANCE_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
     REPLAYED_HEADER,
+    TARGET_HEADER,
 )
 
 RawHeaders = list[tuple[bytes, bytes]]
@@ -43,7 +43,7 @@
 
 _DROPPED: Final = frozenset(name.encode() for name in HOP_BY_HOP_HEADERS) | {
     OUTCOME_HEADER.encode(),
-    INSTANCE_HEADER.encode(),
+    TARGET_HEADER.encode(),
     # The server writes its own.
     b"date",
 }
@@ -53,7 +53,7 @@
     """Return the headers of a target's answer for the caller."""
     kept = [(name.lower(), value) for name, value in headers if name.lower() not in _DROPPED]
     kept.append((OUTCOME_HEADER.encode(), Outcome.RAN.value.encode()))
-    kept.append((INSTANCE_HEADER.encode(), target.encode()))
+    kept.append((TARGET_HEADER.encode(), target.encode()))
     return kept
 
 
--- a/heatherkeel/entry/const.py
+++ b/heatherkeel/entry/const.py
@@ -7,7 +7,7 @@
 OUTCOME_HEADER: Final = "heatherkeel-outcome"
 """Says `ran`, `not_run` or `unknown` on every answer to a caller."""
 
-INSTANCE_HEADER: Final = "heatherkeel-target"
+TARGET_HEADER: Final = "heatherkeel-target"
 """Names the target that ran the request."""
 
 HOP_BY_HOP_HEADERS: Final = frozenset(
@@ -63,6 +63,13 @@
 WRITE_TIMEOUT_S: Final = 5.0
 """How long a duty waits for the fold to decide its record."""
 
+FINISH_MARGIN_S: Final = 5.0
+"""Time for an answer to reach a slow caller after the deadline of its request."""
+
+START_FIRST_PAUSE_S: Final = 0.1
+START_LONGEST_PAUSE_S: Final = 2.0
+"""Pauses between tries to find a state to serve by; they double from the first to the longest."""
+
 LEAVE_TIMEOUT_S: Final = 2.0
 """How long a process that stops waits for the fold to take its leave."""
 
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -142,7 +142,7 @@
         await self.duties.async_leave()
         await self.admin.close()
 
-    async def close_connections(self) -> None:
+    async def async_close_connections(self) -> None:
         """Close what was opened to targets and to the platform."""
         await self.front.close()
         await self.node.client.close()
@@ -167,4 +167,4 @@
         # The library waits for its open sockets when the interpreter ends; a broken invariant
         # must end the process.
         process.links.close()
-    await process.close_connections()
+    await process.async_close_connections()
--- a/heatherkeel/entry/start.py
+++ b/heatherkeel/entry/start.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from typing import Final
 
 import trio
 from result import Err, Ok
@@ -13,13 +12,11 @@
 from heatherkeel.membership.links import PeerLinks
 from heatherkeel.platform.errors import PlatformError, PlatformFailure
 
+from .const import START_FIRST_PAUSE_S, START_LONGEST_PAUSE_S
 from .node import Node
 
 _LOGGER = logging.getLogger(__name__)
 
-FIRST_PAUSE_S: Final = 0.1
-LONGEST_PAUSE_S: Final = 2.0
-
 
 class NodeStart:
     """Starts from the newest whole snapshot, from the log's first record, or from a peer."""
@@ -28,7 +25,7 @@
         self.node = node
         self.links = links
         self.done = trio.Event()
-        self.backoff = Backoff(first_s=FIRST_PAUSE_S, limit_s=LONGEST_PAUSE_S)
+        self.backoff = Backoff(first_s=START_FIRST_PAUSE_S, limit_s=START_LONGEST_PAUSE_S)
 
     def start(self, nursery: trio.Nursery) -> None:
         """Begin in the background; `done` tells the end."""
--- a/heatherkeel/entry/stopping.py
+++ b/heatherkeel/entry/stopping.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from typing import Final
 
 import trio
 
@@ -12,10 +11,9 @@
 from heatherkeel.helpers.server import HttpServer
 from heatherkeel.monitoring.readiness import Readiness
 
-_LOGGER = logging.getLogger(__name__)
+from .const import FINISH_MARGIN_S
 
-FINISH_MARGIN_S: Final = 5.0
-"""Time for an answer to reach a slow caller after the deadline of its request."""
+_LOGGER = logging.getLogger(__name__)
 
 
 async def async_stop_callers(*, http: HttpServer, readiness: Readiness, fleet: FleetState) -> None:
