--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -9,7 +9,6 @@
 from heatherkeel import subjects  # noqa: F401
 from heatherkeel.admin.app import AdminApp
 from heatherkeel.helpers.clock import monotonic_ms
-from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
 from heatherkeel.jobs.duty import JobsDuty
@@ -18,6 +17,7 @@
 from heatherkeel.monitoring.app import MonitoringApp, TimedApp
 from heatherkeel.monitoring.counting import count_effects
 from heatherkeel.monitoring.gauges import NodeGauges
+from heatherkeel.monitoring.metrics import Metrics
 from heatherkeel.monitoring.readiness import Readiness
 from heatherkeel.requests.const import QUEUE_TICK_MS
 from heatherkeel.requests.events import QueueTick
--- a/heatherkeel/monitoring/app.py
+++ b/heatherkeel/monitoring/app.py
@@ -17,10 +17,10 @@
     async_respond_json,
     async_respond_problem,
 )
-from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.requests.reasons import Outcome
 
 from .const import HEALTH_PATH, METRICS_PATH, READINESS_PATH
+from .metrics import Metrics
 from .readiness import NotReadyReason, Readiness
 
 _OUTCOME_NAME = OUTCOME_HEADER.encode()
--- a/heatherkeel/monitoring/counting.py
+++ b/heatherkeel/monitoring/counting.py
@@ -9,7 +9,6 @@
 from heatherkeel.core.errors import RegistrationError
 from heatherkeel.core.models import Duplicate, Effect, Rejected, Settled, Skipped
 from heatherkeel.entry.node import Node
-from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.requests.effects import (
     AbortAnswer,
     NotRetried,
@@ -18,6 +17,8 @@
     TargetEjected,
 )
 
+from .metrics import Metrics
+
 EffectT = TypeVar("EffectT", bound=Effect)
 CountEffect = Callable[[Metrics, EffectT], None]
 COUNTED: Final[dict[type[Effect], CountEffect[Any]]] = {}
--- a/heatherkeel/helpers/metrics.py
+++ b/heatherkeel/monitoring/metrics.py
@@ -18,9 +18,10 @@
 
 from heatherkeel.admin.reasons import ApiRefusal
 from heatherkeel.core.models import RejectReason
-from heatherkeel.monitoring.const import LATENCY_BUCKETS_S
 from heatherkeel.requests.reasons import NoRetryReason, Outcome, RefusalReason, RetryReason
 
+from .const import LATENCY_BUCKETS_S
+
 
 class Metrics:
     """What is counted as it happens; every label of every enum shows from the start as 0.
--- a/tests/docs/test_operate.py
+++ b/tests/docs/test_operate.py
@@ -13,8 +13,8 @@
 
 from heatherkeel.entry.node import Node
 from heatherkeel.helpers.faults import fields_by_key, is_struct, split_hint
-from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.monitoring.gauges import NodeGauges, TargetState
+from heatherkeel.monitoring.metrics import Metrics
 from heatherkeel.monitoring.readiness import NotReadyReason, Readiness
 from heatherkeel.requests.reasons import NoRetryReason, RefusalReason, RetryReason
 from heatherkeel.settings.models import EntrySettings
--- a/tests/monitoring/test_metrics.py
+++ b/tests/monitoring/test_metrics.py
@@ -9,7 +9,6 @@
 
 from heatherkeel.core.models import Accepted, Duplicate, Effect, Rejected, RejectReason, Settled
 from heatherkeel.entry.node import Node
-from heatherkeel.helpers.metrics import Metrics
 from heatherkeel.membership.const import MAX_SILENCE_MS
 from heatherkeel.membership.local import PeerView
 from heatherkeel.membership.models import EntryInstance
@@ -22,6 +21,7 @@
     count_live_peers,
     count_targets,
 )
+from heatherkeel.monitoring.metrics import Metrics
 from heatherkeel.monitoring.readiness import NotReadyReason, Readiness
 from heatherkeel.pools.models import Instance, InstanceStatus
 from heatherkeel.requests.effects import Refuse, Retried
