The flags and the token that two commands share stand in a module of their own

cli/job.py took them from cli/catalogue.py, where a reader of either command would not look for what both depend on. They are cli/admin_port.py now.

--- a/heatherkeel/cli/catalogue.py
+++ b/heatherkeel/cli/catalogue.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import os
-import re
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any
 
 from absl import flags
 
 from heatherkeel.admin.const import REPEAT_FOR_S
-from heatherkeel.settings.const import ADDRESS_PATTERN
 
+from .admin_port import TOKEN_VARIABLE, UsageError, define_admin, read_token
 from .const import EXIT_FAILED, EXIT_OK, EXIT_UNKNOWN, EXIT_USAGE
 from .registry import command
 
@@ -20,37 +18,9 @@
     from heatherkeel.admin.applying import Applied
     from heatherkeel.admin.client import AdminClient, ApiAnswer
 
-TOKEN_VARIABLE: Final = "HEATHERKEEL_TOKEN"
 LIST, GET, APPLY, STATUS = "list", "get", "apply", "status"
 
 
-class UsageError(Exception):
-    """The command line, or a file that it names, is wrong."""
-
-
-def define_admin(values: flags.FlagValues) -> None:
-    """Define the flags that name an admin port and how to get in."""
-    flags.DEFINE_string("admin", None, "Admin port of an entry instance.", flag_values=values)
-    flags.register_validator(  # type: ignore[no-untyped-call]
-        "admin",
-        lambda admin: admin is None or re.match(ADDRESS_PATTERN, admin) is not None,
-        message="expected an IP number and a port, such as 127.0.0.1:8080",
-        flag_values=values,
-    )
-    flags.DEFINE_string(
-        "token-file",
-        None,
-        f"File with the team's token; else {TOKEN_VARIABLE}.",
-        flag_values=values,
-    )
-    flags.DEFINE_string(
-        "cafile",
-        None,
-        "Certificates that vouch for the admin port; turns TLS on.",
-        flag_values=values,
-    )
-
-
 def _define(values: flags.FlagValues) -> None:
     define_admin(values)
     flags.DEFINE_float(
@@ -111,16 +81,6 @@
         raise UsageError(f"{action} takes no argument, got {args[0]!r}")
 
 
-def read_token(file: str | None) -> str:
-    """Return the team's token; raises `UsageError` if its file can't be read."""
-    if not file:
-        return os.environ.get(TOKEN_VARIABLE, "")
-    try:
-        return Path(file).read_text(encoding="utf-8").strip()
-    except (OSError, ValueError) as err:
-        raise UsageError(f"--token-file {file}: {err}") from err
-
-
 def _read_files(files: list[str]) -> dict[str, Any]:
     """Return the entries of all files in their order; a name may stand in one file only."""
     import msgspec
--- a/heatherkeel/cli/job.py
+++ b/heatherkeel/cli/job.py
@@ -11,7 +11,7 @@
 
 from absl import flags
 
-from .catalogue import UsageError, define_admin, read_token
+from .admin_port import UsageError, define_admin, read_token
 from .const import EXIT_FAILED, EXIT_OK, EXIT_UNKNOWN, EXIT_USAGE
 from .registry import command
 
