Status summaries have names of their own, and five docstrings say what holds now

admin/status.py and waves/status.py both had DrainStatus and WaveStatus, with other fields and other rules; those of /status are DrainSummary and WaveSummary. One function for both was weighed and left: the answers differ (a halt that an edit has lifted, a finished wave, whom a drain waits for). Docstrings: a halt reason stands until the next drain; readiness also needs that drains wait for the process; the duties also watch health and shares; the idle interval also serves shares.

--- a/heatherkeel/admin/status.py
+++ b/heatherkeel/admin/status.py
@@ -1,4 +1,7 @@
-"""Handler of `/status`: what is in force here and at every entry instance."""
+"""Handler of `/status`: what is in force here and at every entry instance.
+
+Of waves and drains it gives a summary; `/maintenance` explains each.
+"""
 
 from __future__ import annotations
 
@@ -37,7 +40,7 @@
     heard_age_ms: int
 
 
-class DrainStatus(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+class DrainSummary(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """A planned stop or move under way; `waiting_for` are entry instances yet to acknowledge."""
 
     purpose: Purpose
@@ -46,8 +49,11 @@
     to_pool: str = ""
 
 
-class WaveStatus(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """A maintenance wave in progress; `halted_reason` says why it starts no further drain."""
+class WaveSummary(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """A maintenance wave in progress; `halted_reason` says why it was halted.
+
+    It stands there until the next drain, also when an edit of the entry has let the wave go on.
+    """
 
     number: int
     age_ms: int
@@ -66,8 +72,8 @@
     platform: PlatformStatus
     entry_instances: dict[str, EntryInstanceStatus]
     pools: dict[str, dict[str, int]]
-    waves: dict[str, WaveStatus]
-    drains: dict[str, DrainStatus]
+    waves: dict[str, WaveSummary]
+    drains: dict[str, DrainSummary]
     digest: str = ""
 
 
@@ -120,10 +126,10 @@
     return {pool: dict(count) for pool, count in counts.items()}
 
 
-def _waves(fleet: FleetState) -> dict[str, WaveStatus]:
+def _waves(fleet: FleetState) -> dict[str, WaveSummary]:
     """Return the waves that are not finished, by pool."""
     return {
-        pool: WaveStatus(
+        pool: WaveSummary(
             number=wave.number,
             age_ms=fleet.now_ms - wave.started_ms,
             drained=wave.drained,
@@ -136,9 +142,9 @@
     }
 
 
-def _drains(fleet: FleetState) -> dict[str, DrainStatus]:
+def _drains(fleet: FleetState) -> dict[str, DrainSummary]:
     return {
-        instance: DrainStatus(
+        instance: DrainSummary(
             purpose=drain.purpose,
             age_ms=fleet.now_ms - drain.started_ms,
             waiting_for=sorted(set(drain.waiting.values())),
--- a/heatherkeel/entry/const.py
+++ b/heatherkeel/entry/const.py
@@ -95,7 +95,7 @@
 """How often a process looks for steps of drains that are its turn."""
 
 IDLE_INTERVAL_MS: Final = 500
-"""How often drains are looked for while none is under way: as often as a plan is made."""
+"""How often a duty looks for work while there is none: as often as a plan is made."""
 
 PLAN_INTERVAL_MS: Final = 500
 """How often the entry instance that is first in line plans new drains."""
--- a/heatherkeel/entry/duties.py
+++ b/heatherkeel/entry/duties.py
@@ -1,4 +1,4 @@
-"""What every entry process does by the clock: its lease, drains, the platform's list."""
+"""What every entry process does by the clock: lease, shares, drains, health, the list."""
 
 from __future__ import annotations
 
--- a/heatherkeel/entry/reading.py
+++ b/heatherkeel/entry/reading.py
@@ -80,7 +80,7 @@
 
 
 def fingerprint(outgoing: OutgoingRequest) -> str:
-    """Return what tells a repeat from another request that was given the same key."""
+    """Return a digest that tells a repeat from another request under the same key."""
     digest = hashlib.sha256()
     for part in (outgoing.method.encode(), outgoing.raw_target, outgoing.body):
         digest.update(len(part).to_bytes(8, "big"))
--- a/heatherkeel/monitoring/readiness.py
+++ b/heatherkeel/monitoring/readiness.py
@@ -17,10 +17,11 @@
     """No state that it may serve by is in force yet, or its port is not open."""
     NO_CATALOGUE_ENTRY = "no_catalogue_entry"
     NO_SPONSOR = "no_sponsor"
+    """It started from a peer's state, and no drain would wait for it now (`may_route`)."""
 
 
 class Readiness:
-    """Ready while a configuration is in force and no stop is planned."""
+    """Ready while a configuration is in force, drains wait for it, and no stop is planned."""
 
     def __init__(self, *, node: Node) -> None:
         self.node = node
