--- a/heatherkeel/jobs/reservations.py
+++ b/heatherkeel/jobs/reservations.py
@@ -7,11 +7,10 @@
 from heatherkeel.core.state import FleetState
 from heatherkeel.pools.models import Instance
 
+from .const import MILLICORES_PER_CPU
 from .learning import expected_size
 from .models import Job, Load, Orphan, Resources, job_team, task_of
 
-MILLICORES_PER_CPU = 1_000
-
 
 def capacity_of(instance: Instance) -> Resources:
     """Return all that a worker has."""
@@ -105,6 +104,14 @@
     return None
 
 
+def held_for(state: FleetState, instance_id: str) -> str:
+    """Return the urgent job that room on a worker is kept for now; empty if there is none."""
+    hold = state.jobs.holds.get(instance_id)
+    if hold is None or hold.until_ms <= state.now_ms:
+        return ""
+    return hold.job
+
+
 def take(state: FleetState, job_id: str, job: Job, instance_id: str, need: Resources) -> None:
     """Book a need on a worker and on the team of the job."""
     job.instance = instance_id
