Show a halt only while it is in force

Cause: /status showed the wave's reason until its next drain, also after the edit that resumed it, while /maintenance said that it is not halted. Both now ask one function. With its look at the edit switched off the new test fails.

--- a/heatherkeel/admin/status.py
+++ b/heatherkeel/admin/status.py
@@ -13,6 +13,7 @@
 from heatherkeel.core.state import FleetState, digest
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.waves.models import Purpose
+from heatherkeel.waves.wave import halt_in_force, maintenance_of_pools
 
 from .models import Access, Answer, Call, Reply
 from .routes import route
@@ -128,6 +129,7 @@
 
 def _waves(fleet: FleetState) -> dict[str, WaveSummary]:
     """Return the waves that are not finished, by pool."""
+    maintained = maintenance_of_pools(fleet)
     return {
         pool: WaveSummary(
             number=wave.number,
@@ -135,7 +137,7 @@
             drained=wave.drained,
             returned=wave.returned,
             failed=wave.failed,
-            halted_reason=wave.halted_reason,
+            halted_reason=halt_in_force(wave, maintained.get(pool)),
         )
         for pool, wave in fleet.waves.waves.items()
         if not wave.finished_ms
--- a/heatherkeel/waves/status.py
+++ b/heatherkeel/waves/status.py
@@ -9,7 +9,7 @@
 from heatherkeel.pools.models import InstanceStatus
 
 from .models import Drain, Purpose
-from .wave import is_complete, is_halted, maintenance_of_pools
+from .wave import halt_in_force, is_complete, maintenance_of_pools
 
 
 class WaitStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -122,7 +122,7 @@
     maintained = maintenance_of_pools(fleet)
     statuses: dict[str, WaveStatus] = {}
     for pool, wave in sorted(fleet.waves.waves.items()):
-        halted = pool in maintained and is_halted(wave, maintained[pool])
+        reason = halt_in_force(wave, maintained.get(pool))
         statuses[pool] = WaveStatus(
             number=wave.number,
             started_ms=wave.started_ms,
@@ -130,7 +130,7 @@
             drained=wave.drained,
             returned=wave.returned,
             failed=wave.failed,
-            halted=halted,
-            reason=wave.halted_reason if halted else "",
+            halted=bool(reason),
+            reason=reason,
         )
     return statuses
--- a/heatherkeel/waves/wave.py
+++ b/heatherkeel/waves/wave.py
@@ -93,6 +93,17 @@
     return bool(wave.halted_reason) and maintenance.edited_offset <= wave.halted_offset
 
 
+def halt_in_force(wave: Wave, maintenance: PoolMaintenance | None) -> str:
+    """Return why a wave is halted now, empty if it isn't or an edit has resumed it.
+
+    The wave itself keeps the reason until its next drain. An operator who has just edited the
+    entry would read it as if the edit had not been taken.
+    """
+    if maintenance is None or not is_halted(wave, maintenance):
+        return ""
+    return wave.halted_reason
+
+
 def is_covered(instance: Instance, wave: Wave) -> bool:
     """Tell whether a wave still has to maintain an instance."""
     was_maintained = instance.maintained_offset >= wave.started_offset
--- a/tests/waves/test_wave.py
+++ b/tests/waves/test_wave.py
@@ -13,6 +13,7 @@
     WaveFinished,
     WaveHalted,
 )
+from heatherkeel.waves.wave import find_maintenance, halt_in_force
 from tests.fleets import FoldedLog, maintenance, small_fleet
 
 ALL = ("a0", "a1", "b0", "b1", "c0", "c1")
@@ -145,6 +146,18 @@
     assert log.state.waves.waves["desk"].failed == 1
 
 
+def test_a_halt_is_not_shown_any_more_once_an_edit_has_resumed_the_wave() -> None:
+    # An operator edits the entry and looks at the status before the next drain. A halt that is
+    # still shown reads as if the edit had not been taken.
+    log = small_fleet(min_serving=0)
+    _lose(log, "a0")
+    _lose(log, "b0")
+    wave = log.state.waves.waves["desk"]
+    assert halt_in_force(wave, find_maintenance(log.state, "desk")) == wave.halted_reason != ""
+    log.put("care", maintenance(max_concurrent=1))
+    assert halt_in_force(wave, find_maintenance(log.state, "desk")) == ""
+
+
 def test_a_drain_names_the_wave_of_its_pool() -> None:
     log = small_fleet()
     refusal = log.refused(log.drain("a0", wave=2))
