Name in the logs each request that may have run

Cause: no log line carried a request's id, so nobody could look up what became of an unknown one. The line names the caller's x-request-id. Without it the new test fails.

--- a/heatherkeel/entry/claim_records.py
+++ b/heatherkeel/entry/claim_records.py
@@ -65,7 +65,7 @@
             lifetime_ms=MAX_RECORD_LIFETIME_MS,
         )
         if isinstance(outcome, Err):
-            extra = {"event": "outcome_not_written", "record": effect.record_id}
+            extra = {"event": "outcome_not_written", "record_id": effect.record_id}
             _LOGGER.warning("outcome: %s", outcome.err_value, extra=extra)
         self.unwritten -= 1
         if not self.unwritten:
--- a/heatherkeel/entry/const.py
+++ b/heatherkeel/entry/const.py
@@ -10,6 +10,9 @@
 TARGET_HEADER: Final = "heatherkeel-target"
 """Names the target that ran the request."""
 
+REQUEST_ID_HEADER: Final = "x-request-id"
+"""The caller's own id of a request; it goes on to the target, and into logs."""
+
 HOP_BY_HOP_HEADERS: Final = frozenset(
     {
         "connection",
--- a/heatherkeel/entry/front.py
+++ b/heatherkeel/entry/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -35,16 +36,19 @@
     RequestArrived,
     TargetLeaving,
 )
+from heatherkeel.requests.reasons import Outcome
 
 from .answers import async_refuse, async_replay
 from .claim_records import ClaimRecords
 from .connections import TargetConnections
-from .const import IDEMPOTENT_METHODS
+from .const import IDEMPOTENT_METHODS, REQUEST_ID_HEADER
 from .exchanges import Exchange, Exchanges
 from .node import Node
 from .reading import InputFault, ReadRequest, async_read, fingerprint, outgoing_headers
 from .sender import Attempt, OutgoingRequest, Sender, async_pass_on
 
+_LOGGER = logging.getLogger(__name__)
+
 
 @dataclass(kw_only=True)
 class Call:
@@ -198,6 +202,8 @@
                     is_head = call.outgoing.method == "HEAD"
                     return await async_pass_on(call.answer, call.attempt, is_head=is_head)
                 case Refuse() as effect:
+                    if effect.outcome is Outcome.UNKNOWN:
+                        _log_unknown(call, effect)
                     return await async_refuse(call.answer, effect)
                 case Replay() as effect:
                     return await async_replay(call.answer, effect)
@@ -242,3 +248,10 @@
                 TargetLeaving(now_ms=now_ms, target=effect.target, source=LeavingSource.TARGET)
             )
         self.node.take(ended)
+
+
+def _log_unknown(call: Call, refusal: Refuse) -> None:
+    """Tell operators which request may have run: somebody has to look at the target."""
+    request_id = dict(call.outgoing.headers).get(REQUEST_ID_HEADER.encode(), b"")
+    extra = {"event": "outcome_unknown", "request_id": request_id.decode("latin-1")}
+    _LOGGER.warning("outcome unknown: %s", refusal.reason, extra=extra)
--- a/tests/processes/test_logs.py
+++ b/tests/processes/test_logs.py
@@ -41,3 +41,19 @@
     assert entry.popen.returncode == 0
     for line in lines_of(entry):
         assert line.keys() >= FIELDS and (line["instance"], line["zone"]) == ("e-a", "a")
+
+
+def test_a_request_that_may_have_run_is_named_in_the_logs(fleet: Fleet) -> None:
+    # A target breaks off its answer to a certificate request. The caller is told "unknown", and
+    # an operator has to find out what became of it: the log names the caller's own request id.
+    fleet.start_platform()
+    fleet.start_target("t-a", zone="a", pool="desk")
+    entry = fleet.start_entry("e-a", zone="a")
+    fleet.put_entry(entry, "desk", {"kind": "pool", "owner": "sheetal", "size": 1})
+    service = {"kind": "service", "owner": "sheetal", "pool": "desk", "path_prefix": "/names"}
+    fleet.put_entry(entry, "names", service | {"budget": {"min_serving": 1}})
+    wait_for(lambda: call("GET", entry.http, "/names").status == 200, "it serves")
+    fleet.set_faults("t-a", half_answer=True)
+    call("POST", entry.http, "/names", body=b"x", headers={"x-request-id": "certificate-7"})
+    unknown = [event for event in entry.events() if event["event"] == "outcome_unknown"]
+    assert [event["request_id"] for event in unknown] == ["certificate-7"]
