--- a/heatherkeel/load/const.py
+++ b/heatherkeel/load/const.py
@@ -23,8 +23,6 @@
 LATENCY_DIGITS: Final = 3
 """Range in microseconds and significant digits of every latency histogram."""
 
-REQUEST_ID_HEADER: Final = "x-request-id"
-
 PROBLEM_PREFIX: Final = "urn:heatherkeel:problem:"
 """What the `type` of every problem answer starts with."""
 
--- a/heatherkeel/load/plan.py
+++ b/heatherkeel/load/plan.py
@@ -10,7 +10,7 @@
 
 from result import Err, Ok, Result
 
-from heatherkeel.entry.const import DEADLINE_HEADER, KEY_HEADER
+from heatherkeel.entry.const import DEADLINE_HEADER, KEY_HEADER, REQUEST_ID_HEADER
 
 from .arrivals import ARRIVALS
 from .const import (
@@ -18,7 +18,6 @@
     MAX_DURATION_S,
     MAX_RATE,
     MAX_REQUESTS,
-    REQUEST_ID_HEADER,
 )
 from .errors import BadPlan
 from .models import Plan, PlannedRequest, Service
