--- a/heatherkeel/admin/edits.py
+++ b/heatherkeel/admin/edits.py
@@ -17,7 +17,7 @@
     RejectReason,
     Settled,
 )
-from heatherkeel.platform.writer import WriteFailure
+from heatherkeel.fleetlog.writer import WriteFailure
 
 from .const import (
     EDIT_LIFETIME_MS,
--- a/heatherkeel/admin/jobs.py
+++ b/heatherkeel/admin/jobs.py
@@ -8,11 +8,11 @@
 from result import Err, Ok, Result
 
 from heatherkeel.core.models import Accepted, RecordBody, Rejected, RejectReason
+from heatherkeel.fleetlog.writer import WriteFailure
 from heatherkeel.helpers.faults import collect_faults, format_path
 from heatherkeel.jobs.const import MAX_BATCH
 from heatherkeel.jobs.models import FinishedJob, Job, JobSpec, JobStatus, Resources, job_team
 from heatherkeel.jobs.records import JobCancel, JobResolve, JobSubmit, Resolution
-from heatherkeel.platform.writer import WriteFailure
 
 from .bodies import async_read_body, invalid_body
 from .const import MAX_JOBS_BODY_BYTES, MAX_JOBS_LISTED, RETRY_AFTER_S
--- /dev/null
+++ b/heatherkeel/dispatch/const.py
@@ -0,0 +1,50 @@
+"""Times, limits and weights of dispatching."""
+
+from __future__ import annotations
+
+from typing import Final
+
+LEASE_MS: Final = 6000
+"""Lease of all that runs on a worker, in milliseconds.
+
+Long enough for a hand-over of the partition (2.5 s until a dead owner's membership runs out, and
+about a second to read its records), so that a change of owners ends no task. Short enough that
+tasks on a worker that is cut off are started elsewhere within some seconds.
+"""
+RENEW_GRACE_MS: Final = 5000
+"""How long an owner that can't reach the store goes on renewing leases, in milliseconds. Usual
+outages are shorter; beyond it tasks end by themselves, which a new owner may count on."""
+SLOWEST_CLOCK: Final = 1.02
+"""A worker's clock may be this much slower than ours (the platform's word)."""
+LAPSE_MARGIN_MS: Final = 500
+"""Added to the end of a lease before its tasks count as ended, in milliseconds: a task that is
+being killed may take as long as a stop."""
+LIST_WAIT_MS: Final = 2000
+"""How long a listing waits for an end, in milliseconds: the most that workers allow."""
+WATCH_WAIT_MS: Final = 500
+"""How long a listing waits where tasks serve beside tasks that fill: their tails are told for
+the last half second."""
+IDLE_LIST_MS: Final = 4000
+"""Pause between listings of a worker on which nothing runs; each look at a worker is priced."""
+FAILED_LIST_PAUSE_MS: Final = 300
+"""Pause after a listing that failed, in milliseconds."""
+TICK_MS: Final = 100
+"""Time between looks at what is due, in milliseconds."""
+ESTIMATE_SLACK: Final = 0.2
+"""Share of its remaining work by which a step may be behind and still count as in time:
+declared durations are off by about as much."""
+MAX_MISFITS: Final = 40
+"""Steps that don't fit in a row before a pass ends: a bound on the work of one event."""
+GREY_FAILURES: Final = 3
+"""Failed ends in a row, of different jobs, that set a worker aside. A task fails by its own
+fault in less than one of thirty runs, so three in a row by chance are rarer than 1 in 20,000."""
+GREY_PAUSE_MS: Final = 5000
+"""How long a worker that fails everything is set aside, in milliseconds."""
+MAX_SET_ASIDE: Final = 0.34
+"""Share of a pool's workers that may be set aside at once: beyond it the jobs are the likelier
+cause, and a pool without workers serves nobody."""
+MAX_APPEND_RECORDS: Final = 400
+"""Records of one append at the most, which keeps it well below the store's limit in bytes."""
+SENDERS: Final = 2
+"""Orders to one worker on their way at once. One takes about 3 ms, and a pool's turn asks for
+some 15 starts a second of each worker."""
--- /dev/null
+++ b/heatherkeel/dispatch/ends.py
@@ -0,0 +1,171 @@
+"""Runs end: done, failed, stopped, or lost with their worker."""
+
+from __future__ import annotations
+
+import logging
+
+from heatherkeel.platform.workers import EndedTask
+
+from .building import open_followers
+from .const import GREY_FAILURES, GREY_PAUSE_MS, MAX_SET_ASIDE
+from .events import Effects, SaveJob
+from .jobs import end_job, stop_run
+from .models import Job, JobState, PartitionState, Run, Step, Task, Worker
+from .pools import find_pool, forget_run, wait_for_room
+
+_LOGGER = logging.getLogger(__name__)
+
+DONE, FAILED = "done", "failed"
+
+
+def find_task(state: PartitionState, name: str) -> Task | None:
+    """Return the task of a name that a worker told; None if its job isn't known here."""
+    job_id, occurrence, step, index = name.rsplit(".", 3)
+    job = state.find_job(job_id)
+    steps = job.occurrences.get(int(occurrence)) if job else None
+    if steps is None or int(step) >= len(steps) or int(index) >= len(steps[int(step)].tasks):
+        return None
+    return steps[int(step)].tasks[int(index)]
+
+
+def take_end(state: PartitionState, worker: Worker, ended: EndedTask, effects: Effects) -> None:
+    """Take in one end that a worker lists."""
+    run = worker.runs.get((ended.task, ended.attempt))
+    task = run.task if run is not None else find_task(state, ended.task)
+    if run is not None:
+        forget_run(state, run)
+        effects.touch(run.task.step.job.service)
+    if task is None:
+        return
+    if ended.saved:
+        task.saved = ended.saved
+    job = task.step.job
+    if job.state.is_final():
+        return
+    if ended.outcome == DONE and not task.step.request.lasts:
+        worker.failed_jobs.clear()
+        finish_task(state, task, effects)
+    elif ended.outcome == FAILED:
+        fail_task(state, worker, task, ended, effects)
+    else:
+        _LOGGER.info(
+            "run ended early",
+            extra={
+                "event": "run_ended",
+                "task": ended.task,
+                "attempt": ended.attempt,
+                "worker": worker.id,
+                "outcome": ended.outcome,
+                "saved": bool(ended.saved),
+            },
+        )
+    effects.add(SaveJob(job_id=job.id))
+    if not job.state.is_final():
+        wait_for_room(state, task.step)
+
+
+def finish_task(state: PartitionState, task: Task, effects: Effects) -> None:
+    """Count a task as done; an end of a gang's member stands for all of them."""
+    step = task.step
+    done = step.tasks if step.request.is_gang else [task]
+    for member in done:
+        if member.is_done:
+            continue
+        member.is_done = True
+        step.done += 1
+        # An earlier run that had seemed lost may have ended as done meanwhile.
+        for run in list(member.runs):
+            if not step.request.is_gang:
+                stop_run(state, run, effects)
+    if not step.is_done():
+        return
+    find_pool(state, step.job.service).open_steps.pop(step, None)
+    for follower in open_followers(step):
+        wait_for_room(state, follower)
+        effects.touch(step.job.service)
+    _end_if_complete(state, step.job, effects)
+
+
+def _end_if_complete(state: PartitionState, job: Job, effects: Effects) -> None:
+    if len(job.occurrences) < job.expected_occurrences():
+        return
+    if all(step.is_done() for step in job.steps()):
+        end_job(state, job, JobState.COMPLETE, effects)
+
+
+def fail_task(
+    state: PartitionState, worker: Worker, task: Task, ended: EndedTask, effects: Effects
+) -> None:
+    """Count a failed end; the job fails with a task that has used up its attempts."""
+    job = task.step.job
+    step = task.step
+    counted = step.tasks if step.request.is_gang else [task]
+    for member in counted:
+        member.failures += 1
+    _LOGGER.warning(
+        "run failed",
+        extra={
+            "event": "run_failed",
+            "task": task.name,
+            "attempt": ended.attempt,
+            "worker": worker.id,
+            "failures": task.failures,
+        },
+    )
+    _suspect_worker(state, worker, job)
+    queue = state.queues.get(job.queue)
+    if step.request.lasts or queue is None or task.failures < queue.max_failures:
+        return
+    end_job(state, job, JobState.FAILED, effects)
+
+
+def _suspect_worker(state: PartitionState, worker: Worker, job: Job) -> None:
+    """Set a worker aside that has failed several jobs in a row.
+
+    A worker that fails all that it starts is the emptiest of its pool, so it would get most of
+    the work and use up the attempts of job after job.
+    """
+    if job.id not in worker.failed_jobs:
+        worker.failed_jobs.append(job.id)
+    if len(worker.failed_jobs) < GREY_FAILURES:
+        return
+    pool = find_pool(state, worker.entry.service)
+    aside = sum(1 for other in pool.workers.values() if other.aside_until_ms > state.now_ms)
+    if aside + 1 > MAX_SET_ASIDE * len(pool.workers):
+        return
+    worker.failed_jobs.clear()
+    worker.aside_until_ms = state.now_ms + GREY_PAUSE_MS
+    _LOGGER.warning(
+        "worker set aside: it fails what it starts",
+        extra={"event": "worker_aside", "worker": worker.id, "for_ms": GREY_PAUSE_MS},
+    )
+
+
+def lose_run(state: PartitionState, run: Run, effects: Effects, *, why: str) -> None:
+    """Take in that a run surely isn't there, and will never be; its task waits again."""
+    forget_run(state, run)
+    task = run.task
+    if run.saved:
+        task.saved = run.saved
+    job = task.step.job
+    effects.touch(job.service)
+    _LOGGER.info(
+        "run lost",
+        extra={
+            "event": "run_lost",
+            "task": task.name,
+            "attempt": run.attempt,
+            "worker": run.worker_id,
+            "why": why,
+        },
+    )
+    if job.state.is_final():
+        return
+    effects.add(SaveJob(job_id=job.id))
+    reopen(state, task.step)
+
+
+def reopen(state: PartitionState, step: Step) -> None:
+    """Let a step's waiting tasks be started again."""
+    if not step.is_done():
+        wait_for_room(state, step)
--- /dev/null
+++ b/heatherkeel/dispatch/events.py
@@ -0,0 +1,165 @@
+"""What can happen to a partition, and what its owner does about it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from heatherkeel.platform.callers import JobRequest
+from heatherkeel.platform.errors import CallError
+from heatherkeel.platform.operator import Queue, WorkerEntry
+from heatherkeel.platform.workers import Listing
+
+from .models import Run
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Event:
+    """Something that happened, at a time on the steady clock and on the wall."""
+
+    now_ms: int
+    wall_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class QueuesChanged(Event):
+    """The configuration names these queues."""
+
+    queues: dict[str, Queue]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkersListed(Event):
+    """The workers of this partition's services, as they stand in the store."""
+
+    entries: dict[str, WorkerEntry]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobSubmitted(Event):
+    """A job stands in the store."""
+
+    job_id: str
+    queue: str
+    service: str
+    request: JobRequest
+    accepted_wall_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobCanceled(Event):
+    """A caller's cancel stands in the store."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerAnswered(Event):
+    """A worker told its lease and all that it runs; the call was made at `sent_ms`."""
+
+    worker_id: str
+    sent_ms: int
+    listing: Listing
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerFailed(Event):
+    """A call to list a worker's tasks failed."""
+
+    worker_id: str
+    error: CallError
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StartAnswered(Event):
+    """A start was answered, or its time ran out; `error` is None if the task runs."""
+
+    run: Run
+    error: CallError | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StopAnswered(Event):
+    """A stop was answered, or its time ran out."""
+
+    run: Run
+    error: CallError | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkersLeaving(Event):
+    """The machines of these workers, and of no others, are to be emptied."""
+
+    worker_ids: frozenset[str]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Tick(Event):
+    """Some time has passed."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Effect:
+    """Something that the owner's process does."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SaveJob(Effect):
+    """Store how far a job is; effects named after it wait until that is done."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ForgetJob(Effect):
+    """Drop what is stored about a job, or, with `only_request`, what its caller sent."""
+
+    job_id: str
+    only_request: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StartTask(Effect):
+    """Send the order to start a run, once its attempt is stored."""
+
+    run: Run
+    token: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StopTask(Effect):
+    """Send the order to stop a run, at once."""
+
+    run: Run
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PaceTask(Effect):
+    """Let a run work at a share of its speed."""
+
+    run: Run
+    percent: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AcknowledgeEnds(Effect):
+    """Let a worker forget its ends up to a number, once they are stored."""
+
+    worker_id: str
+    number: int
+
+
+@dataclass(kw_only=True, slots=True)
+class Effects:
+    """The effects of one event, in order."""
+
+    items: list[Effect] = field(default_factory=list)
+    touched: dict[str, None] = field(default_factory=dict)
+    """Services whose waiting steps or room have changed."""
+
+    def add(self, effect: Effect) -> None:
+        """Add an effect."""
+        self.items.append(effect)
+
+    def touch(self, service: str) -> None:
+        """Look at a service's waiting steps after this event."""
+        self.touched[service] = None
--- /dev/null
+++ b/heatherkeel/dispatch/jobs.py
@@ -0,0 +1,127 @@
+"""Jobs come, end, and are canceled."""
+
+from __future__ import annotations
+
+import logging
+
+from .building import begin_occurrence, occurrence_begins_wall_ms, set_objective
+from .events import (
+    Effects,
+    ForgetJob,
+    JobCanceled,
+    JobSubmitted,
+    QueuesChanged,
+    SaveJob,
+    StopTask,
+)
+from .models import Job, JobState, PartitionState, Run, RunState
+from .pools import find_pool, forget_run, wait_for_room
+from .reducer import handles
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@handles(QueuesChanged)
+def take_queues(state: PartitionState, event: QueuesChanged, effects: Effects) -> None:
+    """Take in the queues; jobs that were accepted keep the objective that they were given."""
+    state.queues = event.queues
+
+
+@handles(JobSubmitted)
+def take_job(state: PartitionState, event: JobSubmitted, effects: Effects) -> None:
+    """Take in a job, once: callers repeat a submission that they saw no answer to."""
+    known = state.find_job(event.job_id)
+    if known is not None:
+        if known.state.is_final():
+            effects.add(ForgetJob(job_id=event.job_id, only_request=True))
+        return
+    job = Job(
+        id=event.job_id,
+        queue=event.queue,
+        service=event.service,
+        request=event.request,
+        accepted_ms=event.now_ms - max(0, min(event.wall_ms - event.accepted_wall_ms, 60_000)),
+        accepted_wall_ms=event.accepted_wall_ms,
+    )
+    set_objective(job, state.queues.get(job.queue))
+    state.jobs[job.id] = job
+    begin_due_occurrences(state, job, effects)
+    _LOGGER.info(
+        "job taken in",
+        extra={
+            "event": "job_taken",
+            "job": job.id,
+            "queue": job.queue,
+            "tasks": sum(step.count for step in job.request.steps),
+            "objective_ms": round(job.due_ms - job.accepted_ms),
+            "age_ms": event.now_ms - job.accepted_ms,
+        },
+    )
+
+
+def begin_due_occurrences(state: PartitionState, job: Job, effects: Effects) -> None:
+    """Begin each occurrence whose time has come; a job without times begins at once."""
+    while len(job.occurrences) < job.expected_occurrences():
+        number = len(job.occurrences)
+        begins_ms = float(job.accepted_ms)
+        if job.request.repeat_count:
+            late_ms = state.wall_ms - occurrence_begins_wall_ms(job, number)
+            if late_ms < 0:
+                return
+            begins_ms = float(state.now_ms - late_ms)
+        for step in begin_occurrence(job, number, begins_ms=begins_ms):
+            wait_for_room(state, step)
+        effects.touch(job.service)
+
+
+@handles(JobCanceled)
+def cancel_job(state: PartitionState, event: JobCanceled, effects: Effects) -> None:
+    """Start nothing more of a job, and stop what runs."""
+    job = state.jobs.get(event.job_id)
+    if job is None:
+        if event.job_id in state.finished:
+            effects.add(ForgetJob(job_id=event.job_id, only_request=True))
+        return
+    job.cancel_wanted = True
+    end_job(state, job, JobState.CANCELED, effects)
+
+
+def end_job(state: PartitionState, job: Job, ended_as: JobState, effects: Effects) -> None:
+    """Give a job its final state, and stop whatever still runs of it."""
+    job.state = ended_as
+    job.ended_ms = state.now_ms
+    del state.jobs[job.id]
+    state.finished[job.id] = job
+    pool = find_pool(state, job.service)
+    for step in job.steps():
+        pool.open_steps.pop(step, None)
+        for task in step.tasks:
+            for run in list(task.runs):
+                stop_run(state, run, effects)
+    effects.add(SaveJob(job_id=job.id))
+    effects.add(ForgetJob(job_id=job.id, only_request=True))
+    effects.touch(job.service)
+    _LOGGER.info(
+        "job ended",
+        extra={
+            "event": "job_ended",
+            "job": job.id,
+            "queue": job.queue,
+            "state": ended_as.value,
+            "took_ms": state.now_ms - job.accepted_ms,
+            "late_ms": round(state.now_ms - job.due_ms),
+        },
+    )
+
+
+def stop_run(state: PartitionState, run: Run, effects: Effects) -> None:
+    """Stop a run; its room stays taken until its worker lists the end."""
+    if run.state is RunState.STOPPING:
+        return
+    if run.state is RunState.PLANNED and run.answered_ms is None:
+        # The order hasn't left: it is dropped where it waits, since the run is forgotten.
+        forget_run(state, run)
+        return
+    run.state = RunState.STOPPING
+    run.answered_ms = None
+    effects.add(StopTask(run=run))
--- /dev/null
+++ b/heatherkeel/dispatch/lasting.py
@@ -0,0 +1,46 @@
+"""Takes lasting tasks off workers that leave, within what each step may miss."""
+
+from __future__ import annotations
+
+from .events import Effects
+from .jobs import stop_run
+from .models import PartitionState, Run, RunState, Step, Worker
+
+
+def leave_workers(state: PartitionState, effects: Effects) -> None:
+    """Stop what won't end by itself on workers that drain or whose machines are to go."""
+    for worker in state.workers.values():
+        if not worker.is_leaving and not worker.entry.is_draining():
+            continue
+        for run in list(worker.runs.values()):
+            if run.task.step.request.lasts and run.state is RunState.RUNNING:
+                _leave(state, worker, run, effects)
+
+
+def _leave(state: PartitionState, worker: Worker, run: Run, effects: Effects) -> None:
+    # A worker that drains takes its tasks with it in any case, and soon.
+    if worker.entry.is_draining() or may_stop(state, run):
+        stop_run(state, run, effects)
+
+
+def may_stop(state: PartitionState, run: Run) -> bool:
+    """Say whether a lasting task may be ended by us: so many others of its step may be away.
+
+    Stopping one that isn't at work takes nothing away. One that is counts as away from the
+    stop until a new run of it is at work.
+    """
+    step = run.task.step
+    if step.request.max_unavailable is None or run.at_work_ms is None:
+        return True
+    return count_away(step) < max(1, step.request.max_unavailable)
+
+
+def count_away(step: Step) -> int:
+    """Count the tasks of a lasting step that aren't at work."""
+    return sum(
+        1
+        for task in step.tasks
+        if not any(
+            run.at_work_ms is not None and run.state is RunState.RUNNING for run in task.runs
+        )
+    )
--- /dev/null
+++ b/heatherkeel/dispatch/load.py
@@ -0,0 +1,32 @@
+"""How full each pool of a partition is, for whoever moves machines."""
+
+from __future__ import annotations
+
+from heatherkeel.questions.messages import PoolLoad
+
+from .models import PartitionState, Pool
+
+
+def measure_pools(state: PartitionState) -> list[PoolLoad]:
+    """Return the load of each pool."""
+    return [_measure(pool) for pool in state.pools.values()]
+
+
+def _measure(pool: Pool) -> PoolLoad:
+    workers = pool.workers.values()
+    used_cpu = sum(worker.used_cpu for worker in workers)
+    waiting_cpu = sum(
+        step.request.cpu * len(step.waiting()) for step in pool.open_steps if not step.request.fills
+    )
+    lasting = {
+        worker.id: sum(1 for run in worker.runs.values() if run.task.step.request.lasts)
+        for worker in workers
+    }
+    return PoolLoad(
+        service=pool.service,
+        wanted_cpu=used_cpu + waiting_cpu,
+        used_cpu=used_cpu,
+        workers={worker.id: worker.used_cpu for worker in workers if worker.is_listed},
+        empty=[worker.id for worker in workers if worker.is_leaving and not worker.runs],
+        lasting={worker_id: count for worker_id, count in lasting.items() if count},
+    )
--- /dev/null
+++ b/heatherkeel/dispatch/models.py
@@ -0,0 +1,274 @@
+"""Jobs, tasks, runs and workers as their owner knows them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from heatherkeel.platform.callers import JobRequest, StepRequest
+from heatherkeel.platform.operator import Queue, WorkerEntry
+
+from .const import LAPSE_MARGIN_MS, SLOWEST_CLOCK
+
+
+class JobState(StrEnum):
+    """A job's state as callers see it."""
+
+    PENDING = "pending"
+    ACTIVE = "active"
+    COMPLETE = "complete"
+    FAILED = "failed"
+    CANCELED = "canceled"
+
+    def is_final(self) -> bool:
+        """Say whether nothing of the job will start any more."""
+        return self in (JobState.COMPLETE, JobState.FAILED, JobState.CANCELED)
+
+
+class RunState(StrEnum):
+    """How far one run of a task is."""
+
+    PLANNED = "planned"
+    """Decided; its attempt is being stored, and no order was sent."""
+    SENT = "sent"
+    """The order was sent and not answered: it may be carried out seconds later."""
+    RUNNING = "running"
+    STOPPING = "stopping"
+    """Its room is free only when the worker lists its end."""
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Run:
+    """One run of a task on one life of a worker."""
+
+    task: Task
+    attempt: int
+    worker_id: str
+    state: RunState = RunState.PLANNED
+    answered_ms: int | None = None
+    """When the worker answered the last order about it; None while one is unanswered. A listing
+    asked for later that doesn't show the run proves that it isn't there."""
+    started_ms: int = 0
+    at_work_ms: int | None = None
+    """Since when a lasting task has been at work."""
+    saved: str = ""
+    percent: float = 0.0
+    figure: float = 0.0
+    pace: int = 100
+    ticket: str = ""
+
+    def key(self) -> tuple[str, int]:
+        """Return what names the run at its worker."""
+        return (self.task.name, self.attempt)
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Task:
+    """One task of a step, through all its runs."""
+
+    step: Step
+    index: int
+    name: str
+    attempt: int = 0
+    """The highest attempt so far; they start at 1."""
+    failures: int = 0
+    saved: str = ""
+    is_done: bool = False
+    runs: list[Run] = field(default_factory=list)
+
+    def is_waiting(self) -> bool:
+        """Say whether the task may be started: nothing of it may still run anywhere."""
+        return not self.is_done and not self.runs
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Step:
+    """One step of one occurrence of a job."""
+
+    job: Job
+    occurrence: int
+    number: int
+    request: StepRequest
+    tasks: list[Task] = field(default_factory=list)
+    done: int = 0
+    latest_start_ms: float = 0.0
+    """When its tasks have to start for the job to meet its objective."""
+    is_open: bool = False
+    """All steps that it depends on are done."""
+
+    def name(self) -> str:
+        """Return the step's name, of which its tasks' names are made."""
+        return f"{self.job.id}.{self.occurrence}.{self.number}"
+
+    def is_done(self) -> bool:
+        """Say whether all of its tasks are done."""
+        return self.done == len(self.tasks)
+
+    def waiting(self) -> list[Task]:
+        """Return the tasks that may be started now."""
+        waiting = [task for task in self.tasks if task.is_waiting()]
+        if self.request.is_gang and len(waiting) < len(self.tasks):
+            return []
+        return waiting
+
+    def runs_on(self, worker_id: str) -> int:
+        """Count the step's runs on a worker."""
+        return sum(1 for task in self.tasks for run in task.runs if run.worker_id == worker_id)
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Job:
+    """A job from its submission until it is forgotten."""
+
+    id: str
+    queue: str
+    service: str
+    request: JobRequest
+    accepted_ms: int
+    """On the steady clock of the owner; may lie before the owner's start."""
+    accepted_wall_ms: int
+    state: JobState = JobState.PENDING
+    occurrences: dict[int, list[Step]] = field(default_factory=dict)
+    due_ms: float = 0.0
+    """Until when it has to be complete to meet its objective."""
+    cancel_wanted: bool = False
+    ended_ms: int | None = None
+
+    def steps(self) -> list[Step]:
+        """Return the steps of all occurrences that have begun."""
+        return [step for steps in self.occurrences.values() for step in steps]
+
+    def has_started(self) -> bool:
+        """Say whether a task has been started."""
+        return self.state is not JobState.PENDING
+
+    def expected_occurrences(self) -> int:
+        """Return how often its steps run in all."""
+        return max(1, self.request.repeat_count)
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Worker:
+    """One life of a worker, with the room that its runs take."""
+
+    id: str
+    entry: WorkerEntry
+    runs: dict[tuple[str, int], Run] = field(default_factory=dict)
+    used_cpu: int = 0
+    used_memory_mb: int = 0
+    used_gpu: int = 0
+    clock_ms: int | None = None
+    """The worker's clock as last told; None before its first answer under our token."""
+    clock_heard_ms: int = 0
+    """When that was, on our clock."""
+    lease_until_ms: int = 0
+    """The latest end of lease that was ever sent, on the worker's clock."""
+    unheard_until_ms: int = 0
+    """For a worker that we have never heard: when what an earlier owner started has lapsed."""
+    seen: int = 0
+    """The highest number of an end that was taken in."""
+    acknowledged: int = 0
+    """The highest number of an end that is stored."""
+    is_listed: bool = True
+    is_silent: bool = False
+    """The last call to it wasn't answered."""
+    is_leaving: bool = False
+    """Its machine is about to be moved or maintained."""
+    failed_jobs: list[str] = field(default_factory=list)
+    """Jobs whose tasks failed there since the last one that didn't."""
+    aside_until_ms: int = 0
+
+    def is_ready(self) -> bool:
+        """Say whether our token is known there, and what runs is known here."""
+        return self.clock_ms is not None
+
+    def takes_work(self, now_ms: int) -> bool:
+        """Say whether tasks may be started there."""
+        return (
+            self.is_ready()
+            and self.is_listed
+            and not self.is_silent
+            and not self.is_leaving
+            and not self.entry.is_draining()
+            and now_ms >= self.aside_until_ms
+        )
+
+    def free_cpu(self) -> int:
+        """Return the processor that nothing has taken, in thousandths of a core."""
+        return self.entry.capacity.cpu - self.used_cpu
+
+    def fits(self, step: StepRequest) -> bool:
+        """Say whether a task of a step has room; workers themselves may not guard theirs."""
+        capacity = self.entry.capacity
+        return (
+            (step.fills or self.used_cpu + step.cpu <= capacity.cpu)
+            and self.used_memory_mb + step.memory_mb <= capacity.memory_mb
+            and self.used_gpu + step.gpu <= capacity.gpu
+        )
+
+    def add(self, run: Run) -> None:
+        """Take room for a run."""
+        step = run.task.step.request
+        self.runs[run.key()] = run
+        self.used_cpu += 0 if step.fills else step.cpu
+        self.used_memory_mb += step.memory_mb
+        self.used_gpu += step.gpu
+
+    def remove(self, run: Run) -> None:
+        """Free the room of a run."""
+        step = run.task.step.request
+        del self.runs[run.key()]
+        self.used_cpu -= 0 if step.fills else step.cpu
+        self.used_memory_mb -= step.memory_mb
+        self.used_gpu -= step.gpu
+
+    def rack(self) -> str:
+        """Return the worker's rack, which is its second label."""
+        return self.entry.labels[1] if len(self.entry.labels) > 1 else ""
+
+    def clock_at(self, now_ms: int) -> int:
+        """Return the worker's clock, as nearly as it is known."""
+        return (self.clock_ms or 0) + now_ms - self.clock_heard_ms
+
+    def has_lapsed(self, now_ms: int) -> bool:
+        """Say whether all that ran there has surely ended, whatever the worker does.
+
+        No order of ours is carried out beyond the latest end of lease that we sent. Its clock
+        may be slow, so that end may come later than our clock says.
+        """
+        if self.clock_ms is None:
+            return now_ms > self.unheard_until_ms
+        surely = self.clock_ms + (now_ms - self.clock_heard_ms) / SLOWEST_CLOCK
+        return surely > self.lease_until_ms + LAPSE_MARGIN_MS
+
+
+@dataclass(kw_only=True, slots=True)
+class PartitionState:
+    """Everything that the owner of a partition knows about it."""
+
+    token: int
+    lease_ms: int
+    status_ms: int
+    remote_factor: float = 2.0
+    now_ms: int = 0
+    wall_ms: int = 0
+    jobs: dict[str, Job] = field(default_factory=dict)
+    finished: dict[str, Job] = field(default_factory=dict)
+    """Jobs that have ended, in the order of their ends, until they are forgotten."""
+    workers: dict[str, Worker] = field(default_factory=dict)
+    queues: dict[str, Queue] = field(default_factory=dict)
+    pools: dict[str, Pool] = field(default_factory=dict)
+
+    def find_job(self, job_id: str) -> Job | None:
+        """Return a job, also one that has ended."""
+        return self.jobs.get(job_id) or self.finished.get(job_id)
+
+
+@dataclass(kw_only=True, slots=True)
+class Pool:
+    """The workers of one service, and the steps that wait for room there."""
+
+    service: str
+    workers: dict[str, Worker] = field(default_factory=dict)
+    open_steps: dict[Step, None] = field(default_factory=dict)
+    """Steps with tasks to start, in the order in which they opened."""
--- /dev/null
+++ b/heatherkeel/dispatch/orders.py
@@ -0,0 +1,69 @@
+"""Answers to orders, and what an order without an answer means."""
+
+from __future__ import annotations
+
+import logging
+
+from heatherkeel.platform.errors import Failure
+
+from .ends import lose_run
+from .events import Effects, StartAnswered, StopAnswered, StopTask
+from .jobs import stop_run
+from .models import PartitionState, RunState
+from .reducer import handles
+
+_LOGGER = logging.getLogger(__name__)
+
+_NOT_DONE = frozenset(
+    {Failure.REFUSED, Failure.INVALID, Failure.RESERVED, Failure.OTHER_INSTANCE, Failure.FENCED}
+)
+
+
+@handles(StartAnswered)
+def take_start_answer(state: PartitionState, event: StartAnswered, effects: Effects) -> None:
+    """Take in how a start went.
+
+    Without an answer it may be carried out seconds later, on top of a second run elsewhere. A
+    stop makes the worker refuse it from then on, so the task is stopped there, and waits again
+    when the worker has said so.
+    """
+    run = event.run
+    if run not in run.task.runs:
+        return
+    if event.error is None:
+        run.answered_ms = event.now_ms
+        if run.state is RunState.PLANNED or run.state is RunState.SENT:
+            run.state = RunState.RUNNING
+        return
+    _LOGGER.info(
+        "start failed",
+        extra={
+            "event": "start_failed",
+            "task": run.task.name,
+            "attempt": run.attempt,
+            "worker": run.worker_id,
+            "failure": event.error.failure.value,
+            "detail": event.error.detail,
+        },
+    )
+    if event.error.failure in _NOT_DONE and run.state is not RunState.STOPPING:
+        lose_run(state, run, effects, why=f"start {event.error.failure}")
+        return
+    run.state = RunState.SENT
+    stop_run(state, run, effects)
+
+
+@handles(StopAnswered)
+def take_stop_answer(state: PartitionState, event: StopAnswered, effects: Effects) -> None:
+    """Take in how a stop went; one without an answer is sent again while the worker lives."""
+    run = event.run
+    if run not in run.task.runs:
+        return
+    if event.error is None:
+        run.answered_ms = event.now_ms
+        return
+    if event.error.failure is Failure.OTHER_INSTANCE:
+        lose_run(state, run, effects, why="worker gone")
+        return
+    if event.error.failure is not Failure.FENCED and run.worker_id in state.workers:
+        effects.add(StopTask(run=run))
--- /dev/null
+++ b/heatherkeel/dispatch/owner.py
@@ -0,0 +1,311 @@
+"""Runs one partition for as long as this process owns it."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from functools import partial
+
+import trio
+from result import Err
+
+from heatherkeel.directory.directory import Directory
+from heatherkeel.directory.follower import RETRY_PAUSE_S, TopicFollower
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.ownership.const import JOBS_TOPIC, WORK_TOPIC
+from heatherkeel.ownership.partitions import partition_of
+from heatherkeel.ownership.tenure import Tenure
+from heatherkeel.platform.framing import KeyedRecord
+from heatherkeel.platform.settings import InstanceSettings
+from heatherkeel.platform.store import StoreClient
+
+from . import subjects  # noqa: F401
+from .const import LEASE_MS, LIST_WAIT_MS, RENEW_GRACE_MS, TICK_MS
+from .events import (
+    AcknowledgeEnds,
+    Effect,
+    Event,
+    ForgetJob,
+    JobCanceled,
+    JobSubmitted,
+    PaceTask,
+    QueuesChanged,
+    SaveJob,
+    StartTask,
+    StopTask,
+    Tick,
+    WorkersLeaving,
+    WorkersListed,
+)
+from .journal import Journal
+from .models import PartitionState
+from .records import (
+    CANCEL_PREFIX,
+    PROGRESS_PREFIX,
+    REQUEST_PREFIX,
+    StoredRequest,
+    encode_progress,
+)
+from .recovery import StoredJobs, read_records, restore_jobs
+from .reducer import reduce_event
+from .session import WorkerSession
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class PartitionOwner:
+    """Feeds the reducer with what happens, and carries its effects out."""
+
+    def __init__(
+        self,
+        *,
+        partition: int,
+        token: int,
+        settings: InstanceSettings,
+        store: StoreClient,
+        directory: Directory,
+        tenure: Tenure,
+        on_fenced: Callable[[], None],
+    ) -> None:
+        self.partition = partition
+        self.settings = settings
+        self.store = store
+        self.directory = directory
+        self.tenure = tenure
+        self.on_fenced = on_fenced
+        self.state = PartitionState(
+            token=token,
+            lease_ms=min(LEASE_MS, settings.bounds.longest_lease_ms),
+            status_ms=round(settings.bounds.status_s * 1000),
+            remote_factor=settings.bounds.remote_factor,
+        )
+        self.journal = Journal(store=store, partition=partition, token=token, on_fenced=on_fenced)
+        self.sessions: dict[str, WorkerSession] = {}
+        self.scope = trio.CancelScope()
+        self.nursery: trio.Nursery | None = None
+        self.is_restored = False
+        self.dropped: dict[str, KeyedRecord] = {}
+        self.drop_wanted = trio.Event()
+        self.jobs_end = 0
+
+    async def async_run(self) -> None:
+        """Own the partition until `close`."""
+        with self.scope:
+            await self._async_restore()
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                self.directory.subscribe(self._take_directory)
+                nursery.start_soon(self.journal.async_run)
+                nursery.start_soon(self._async_follow_jobs)
+                nursery.start_soon(self._async_drop_requests)
+                nursery.start_soon(self._async_tick)
+                self._take_directory()
+        if self._take_directory in self.directory.subscribers:
+            self.directory.unsubscribe(self._take_directory)
+
+    def close(self) -> None:
+        """Give the partition up: no order leaves after this."""
+        self.scope.cancel()
+        for session in self.sessions.values():
+            session.close()
+
+    def may_order(self) -> bool:
+        """Say whether nobody else can own the partition yet."""
+        return self.tenure.is_valid(monotonic_ms())
+
+    def may_renew(self) -> bool:
+        """Say whether leases may still be renewed: a little longer than orders may be given."""
+        return monotonic_ms() < self.tenure.valid_until_ms + RENEW_GRACE_MS
+
+    def times(self) -> tuple[int, int]:
+        """Return the steady clock and the wall clock, in milliseconds."""
+        return monotonic_ms(), time.time_ns() // 1_000_000
+
+    def take(self, event: Event) -> None:
+        """Let the reducer decide, and carry out what it says."""
+        for effect in reduce_event(self.state, event):
+            self._perform(effect)
+
+    def take_leaving(self, worker_ids: frozenset[str]) -> None:
+        """Empty these workers, and no others."""
+        now_ms, wall_ms = self.times()
+        self.take(WorkersLeaving(now_ms=now_ms, wall_ms=wall_ms, worker_ids=worker_ids))
+
+    async def _async_restore(self) -> None:
+        """Shut earlier owners out, and read what they have stored."""
+        began_ms = monotonic_ms()
+        await self.directory.operator.caught_up.wait()
+        await self.directory.workers.caught_up.wait()
+        if not await self.journal.async_open():
+            await trio.sleep_forever()
+        records = await self._async_read_all(WORK_TOPIC) + await self._async_read_all(JOBS_TOPIC)
+        now_ms, wall_ms = self.times()
+        self.state.now_ms, self.state.wall_ms = now_ms, wall_ms
+        self._take_directory()
+        stored = read_records(records)
+        restore_jobs(self.state, stored)
+        self._submit_stored(stored)
+        self.is_restored = True
+        _LOGGER.info(
+            "partition taken over",
+            extra={
+                "event": "partition_owned",
+                "partition": self.partition,
+                "token": self.state.token,
+                "jobs": len(self.state.jobs),
+                "ended_jobs": len(self.state.finished),
+                "took_ms": monotonic_ms() - began_ms,
+            },
+        )
+
+    async def _async_read_all(self, topic: str) -> list[KeyedRecord]:
+        while True:
+            read = await self.store.async_read_all_newest(topic, self.partition)
+            if not isinstance(read, Err):
+                if topic == JOBS_TOPIC:
+                    self.jobs_end = read.ok_value.end
+                return read.ok_value.records
+            _LOGGER.warning(
+                "a partition's records can't be read yet",
+                extra={
+                    "event": "restore_waits",
+                    "partition": self.partition,
+                    "detail": read.err_value.detail,
+                },
+            )
+            await trio.sleep(RETRY_PAUSE_S)
+
+    def _submit_stored(self, stored: StoredJobs) -> None:
+        for job_id, request in stored.requests.items():
+            if job_id not in stored.progress:
+                self._submit(job_id, request)
+            elif stored.progress[job_id].state.is_final():
+                self._forget(ForgetJob(job_id=job_id, only_request=True))
+        now_ms, wall_ms = self.times()
+        for job_id in stored.canceled:
+            self.take(JobCanceled(now_ms=now_ms, wall_ms=wall_ms, job_id=job_id))
+
+    def _submit(self, job_id: str, request: StoredRequest) -> None:
+        now_ms, wall_ms = self.times()
+        self.take(
+            JobSubmitted(
+                now_ms=now_ms,
+                wall_ms=wall_ms,
+                job_id=job_id,
+                queue=request.queue,
+                service=request.service,
+                request=request.request,
+                accepted_wall_ms=request.accepted_wall_ms,
+            )
+        )
+
+    def _take_directory(self) -> None:
+        """Hand on the queues and the workers of this partition's services."""
+        known = self.directory.state
+        now_ms, wall_ms = self.times()
+        if known.queues is not self.state.queues:
+            self.take(QueuesChanged(now_ms=now_ms, wall_ms=wall_ms, queues=known.queues))
+        entries = {
+            worker_id: entry
+            for worker_id, entry in known.workers.items()
+            if self._owns(entry.service)
+        }
+        self.take(WorkersListed(now_ms=now_ms, wall_ms=wall_ms, entries=entries))
+        self._open_sessions()
+
+    def _owns(self, service: str) -> bool:
+        known = self.directory.state.services.get(service)
+        if known is not None and known.is_standby:
+            return False
+        return partition_of(service, self.settings.store.partitions) == self.partition
+
+    def _open_sessions(self) -> None:
+        if self.nursery is None:
+            return
+        for worker in self.state.workers.values():
+            if worker.id not in self.sessions and worker.entry.address:
+                session = WorkerSession(owner=self, worker=worker)
+                self.sessions[worker.id] = session
+                self.nursery.start_soon(session.async_run)
+        for worker_id in self.sessions.keys() - self.state.workers.keys():
+            self.sessions.pop(worker_id).close()
+
+    async def _async_follow_jobs(self) -> None:
+        follower = TopicFollower(
+            store=self.store,
+            topic=JOBS_TOPIC,
+            partition=self.partition,
+            take=self._take_job_records,
+            keep_only=lambda keys: None,
+            wait_ms=LIST_WAIT_MS,
+        )
+        follower.next_offset = self.jobs_end
+        await follower.async_run()
+
+    def _take_job_records(self, records: list[KeyedRecord]) -> None:
+        stored = read_records(records)
+        for job_id, request in stored.requests.items():
+            self._submit(job_id, request)
+        now_ms, wall_ms = self.times()
+        for job_id in stored.canceled:
+            self.take(JobCanceled(now_ms=now_ms, wall_ms=wall_ms, job_id=job_id))
+
+    async def _async_tick(self) -> None:
+        while True:
+            await trio.sleep(TICK_MS / 1000)
+            now_ms, wall_ms = self.times()
+            self.take(Tick(now_ms=now_ms, wall_ms=wall_ms))
+            self._open_sessions()
+
+    def _perform(self, effect: Effect) -> None:
+        match effect:
+            case SaveJob():
+                job = self.state.find_job(effect.job_id)
+                if job is not None:
+                    self.journal.put(f"{PROGRESS_PREFIX}{job.id}", partial(encode_progress, job))
+            case ForgetJob():
+                self._forget(effect)
+            case StartTask():
+                self.journal.when_stored(lambda: self._order(effect.run.worker_id, effect))
+            case StopTask() | PaceTask():
+                self._order(effect.run.worker_id, effect)
+            case AcknowledgeEnds():
+                self.journal.when_stored(lambda: self._acknowledge(effect))
+
+    def _order(self, worker_id: str, effect: Effect) -> None:
+        session = self.sessions.get(worker_id)
+        if session is not None:
+            session.give(effect)
+
+    def _acknowledge(self, effect: AcknowledgeEnds) -> None:
+        worker = self.state.workers.get(effect.worker_id)
+        session = self.sessions.get(effect.worker_id)
+        if worker is not None and session is not None:
+            worker.acknowledged = max(worker.acknowledged, effect.number)
+            session.take_stored()
+
+    def _forget(self, effect: ForgetJob) -> None:
+        """Drop records that nothing needs any more, the request only after the end is stored."""
+        if not effect.only_request:
+            self.journal.put(f"{PROGRESS_PREFIX}{effect.job_id}", bytes)
+            return
+        self.journal.when_stored(lambda: self._drop_request(effect.job_id))
+
+    def _drop_request(self, job_id: str) -> None:
+        for prefix in (REQUEST_PREFIX, CANCEL_PREFIX):
+            key = f"{prefix}{job_id}"
+            self.dropped[key] = KeyedRecord(key=key, value=b"")
+        self.drop_wanted.set()
+
+    async def _async_drop_requests(self) -> None:
+        """Drop requests of ended jobs a second at a time; one that stays is dropped later."""
+        while True:
+            await self.drop_wanted.wait()
+            await trio.sleep(1.0)
+            self.drop_wanted = trio.Event()
+            records, self.dropped = list(self.dropped.values()), {}
+            appended = await self.store.async_append(JOBS_TOPIC, self.partition, records)
+            if isinstance(appended, Err):
+                self.dropped = {record.key: record for record in records} | self.dropped
+                self.drop_wanted.set()
--- /dev/null
+++ b/heatherkeel/dispatch/pools.py
@@ -0,0 +1,28 @@
+"""The pools of a partition, and the steps that wait for room in them."""
+
+from __future__ import annotations
+
+from .models import PartitionState, Pool, Run, Step
+
+
+def find_pool(state: PartitionState, service: str) -> Pool:
+    """Return a service's pool; a new one has no workers."""
+    pool = state.pools.get(service)
+    if pool is None:
+        pool = state.pools[service] = Pool(service=service)
+    return pool
+
+
+def wait_for_room(state: PartitionState, step: Step) -> None:
+    """Let a step's tasks be started when there is room."""
+    if step.is_open and not step.job.state.is_final() and not step.job.cancel_wanted:
+        find_pool(state, step.job.service).open_steps[step] = None
+
+
+def forget_run(state: PartitionState, run: Run) -> None:
+    """Take a run that surely isn't there any more out of its task and off its worker."""
+    if run in run.task.runs:
+        run.task.runs.remove(run)
+    worker = state.workers.get(run.worker_id)
+    if worker is not None and worker.runs.get(run.key()) is run:
+        worker.remove(run)
--- /dev/null
+++ b/heatherkeel/dispatch/records.py
@@ -0,0 +1,144 @@
+"""What is stored of jobs: what callers sent, and how far each job is."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+from result import Err, Ok, Result
+
+from heatherkeel.platform.callers import JobRequest
+
+from .building import begin_occurrence
+from .models import Job, JobState, Run, RunState
+
+REQUEST_PREFIX: Final = "j"
+CANCEL_PREFIX: Final = "c"
+PROGRESS_PREFIX: Final = "p"
+
+
+class StoredRequest(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """A job as its caller sent it, with when it was accepted (milliseconds since 1970)."""
+
+    queue: str
+    service: str
+    accepted_wall_ms: int
+    request: JobRequest
+
+
+class StoredTask(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A task that has been started: its highest attempt, and where it runs, if anywhere."""
+
+    occurrence: int
+    step: int
+    index: int
+    attempt: int
+    failures: int
+    is_done: bool
+    saved: str
+    runs: list[tuple[int, str]]
+    """Attempt and worker of each run that may still be there."""
+
+
+class StoredProgress(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """How far a job is; of one that has ended only the state and its queue are kept."""
+
+    state: JobState
+    queue: str
+    service: str
+    accepted_wall_ms: int
+    begun: int = 0
+    """How many occurrences have begun."""
+    tasks: list[StoredTask] = []
+
+
+def encode_request(stored: StoredRequest) -> bytes:
+    """Return the record of a submission."""
+    return msgspec.json.encode(stored)
+
+
+def decode_request(value: bytes) -> Result[StoredRequest, str]:
+    """Read the record of a submission."""
+    try:
+        return Ok(msgspec.json.decode(value, type=StoredRequest))
+    except (ValueError, RecursionError) as err:
+        return Err(str(err))
+
+
+def encode_progress(job: Job) -> bytes:
+    """Return the record of how far a job is."""
+    is_final = job.state.is_final()
+    tasks = [] if is_final else _store_tasks(job)
+    return msgspec.json.encode(
+        StoredProgress(
+            state=job.state,
+            queue=job.queue,
+            service=job.service,
+            accepted_wall_ms=job.accepted_wall_ms,
+            begun=len(job.occurrences),
+            tasks=tasks,
+        )
+    )
+
+
+def decode_progress(value: bytes) -> Result[StoredProgress, str]:
+    """Read the record of how far a job is."""
+    try:
+        return Ok(msgspec.json.decode(value, type=StoredProgress))
+    except (ValueError, RecursionError) as err:
+        return Err(str(err))
+
+
+def _store_tasks(job: Job) -> list[StoredTask]:
+    return [
+        StoredTask(
+            occurrence=step.occurrence,
+            step=step.number,
+            index=task.index,
+            attempt=task.attempt,
+            failures=task.failures,
+            is_done=task.is_done,
+            saved=task.saved,
+            runs=[(run.attempt, run.worker_id) for run in task.runs],
+        )
+        for step in job.steps()
+        for task in step.tasks
+        if task.attempt
+    ]
+
+
+def restore_progress(job: Job, stored: StoredProgress, *, begins_ms: float) -> list[Run]:
+    """Bring a job to its stored progress; returns the runs that may still be at a worker."""
+    job.state = stored.state
+    for occurrence in range(stored.begun):
+        if occurrence not in job.occurrences:
+            begin_occurrence(job, occurrence, begins_ms=begins_ms)
+    runs = []
+    for record in stored.tasks:
+        step = job.occurrences[record.occurrence][record.step]
+        task = step.tasks[record.index]
+        task.attempt = record.attempt
+        task.failures = record.failures
+        task.saved = record.saved
+        task.is_done = record.is_done
+        step.done += record.is_done
+        for attempt, worker_id in record.runs:
+            # An order that its owner didn't see answered counts as answered here: once the new
+            # token is known at the worker, a late order under the old one is refused there.
+            run = Run(
+                task=task,
+                attempt=attempt,
+                worker_id=worker_id,
+                state=RunState.RUNNING,
+                answered_ms=0,
+            )
+            task.runs.append(run)
+            runs.append(run)
+    _open_steps(job)
+    return runs
+
+
+def _open_steps(job: Job) -> None:
+    for steps in job.occurrences.values():
+        for step in steps:
+            step.is_open = all(steps[earlier].is_done() for earlier in step.request.depends_on)
--- /dev/null
+++ b/heatherkeel/dispatch/recovery.py
@@ -0,0 +1,139 @@
+"""Rebuilds a partition from what is stored about it."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+from result import Err, Ok, Result
+
+from heatherkeel.platform.framing import KeyedRecord
+from heatherkeel.platform.operator import WorkerEntry
+
+from .building import set_objective
+from .const import LEASE_MS, RENEW_GRACE_MS, SLOWEST_CLOCK
+from .models import Job, PartitionState, Run, Worker
+from .pools import wait_for_room
+from .records import (
+    CANCEL_PREFIX,
+    PROGRESS_PREFIX,
+    REQUEST_PREFIX,
+    StoredProgress,
+    StoredRequest,
+    decode_progress,
+    decode_request,
+    restore_progress,
+)
+from .workers import add_worker
+
+_LOGGER = logging.getLogger(__name__)
+RecordT = TypeVar("RecordT")
+
+
+@dataclass(kw_only=True, slots=True)
+class StoredJobs:
+    """What stands in the store about a partition's jobs, by job."""
+
+    requests: dict[str, StoredRequest] = field(default_factory=dict)
+    progress: dict[str, StoredProgress] = field(default_factory=dict)
+    canceled: set[str] = field(default_factory=set)
+
+
+def read_records(records: list[KeyedRecord]) -> StoredJobs:
+    """Sort records by what they tell; those that can't be read are logged and left."""
+    stored = StoredJobs()
+    for record in sorted(records, key=lambda record: record.offset):
+        if not record.value:
+            continue
+        kind, job_id = record.key[:1], record.key[1:]
+        if kind == REQUEST_PREFIX:
+            _keep(decode_request(record.value), stored.requests, job_id)
+        elif kind == PROGRESS_PREFIX:
+            _keep(decode_progress(record.value), stored.progress, job_id)
+        elif kind == CANCEL_PREFIX:
+            stored.canceled.add(job_id)
+    return stored
+
+
+def _keep(decoded: Result[RecordT, str], kept: dict[str, RecordT], job_id: str) -> None:
+    match decoded:
+        case Ok(record):
+            kept[job_id] = record
+        case Err(detail):
+            _LOGGER.error(
+                "a stored record can't be read",
+                extra={"event": "record_unreadable", "job": job_id, "detail": detail},
+            )
+
+
+def restore_jobs(state: PartitionState, stored: StoredJobs) -> None:
+    """Bring back every job with stored progress, in the order in which they were accepted."""
+    in_order = sorted(stored.progress.items(), key=lambda item: item[1].accepted_wall_ms)
+    for job_id, progress in in_order:
+        request = stored.requests.get(job_id)
+        if progress.state.is_final():
+            state.finished[job_id] = _restore_ended(state, job_id, progress)
+        elif request is None:
+            _LOGGER.error(
+                "a job has progress but no request; it can't go on",
+                extra={"event": "request_missing", "job": job_id},
+            )
+        else:
+            _restore_active(state, job_id, progress, request)
+
+
+def _restore_ended(state: PartitionState, job_id: str, progress: StoredProgress) -> Job:
+    from heatherkeel.platform.callers import JobRequest
+
+    return Job(
+        id=job_id,
+        queue=progress.queue,
+        service=progress.service,
+        request=JobRequest(),
+        accepted_ms=state.now_ms,
+        accepted_wall_ms=progress.accepted_wall_ms,
+        state=progress.state,
+        ended_ms=state.now_ms,
+    )
+
+
+def _restore_active(
+    state: PartitionState, job_id: str, progress: StoredProgress, request: StoredRequest
+) -> None:
+    age_ms = max(0, state.wall_ms - progress.accepted_wall_ms)
+    job = Job(
+        id=job_id,
+        queue=request.queue,
+        service=request.service,
+        request=request.request,
+        accepted_ms=state.now_ms - age_ms,
+        accepted_wall_ms=progress.accepted_wall_ms,
+    )
+    set_objective(job, state.queues.get(job.queue))
+    state.jobs[job_id] = job
+    for run in restore_progress(job, progress, begins_ms=float(job.accepted_ms)):
+        _put_on_worker(state, run, job.service)
+    for step in job.steps():
+        if not step.is_done():
+            wait_for_room(state, step)
+
+
+def _put_on_worker(state: PartitionState, run: Run, service: str) -> None:
+    """Count a run at its worker until the worker, or the end of its lease, says what it is.
+
+    The earlier owner may have renewed leases until shortly before it was shut out, and for a
+    while after that if it couldn't know.
+    """
+    worker = state.workers.get(run.worker_id)
+    if worker is None:
+        longest_ms = RENEW_GRACE_MS + LEASE_MS * SLOWEST_CLOCK
+        worker = Worker(
+            id=run.worker_id,
+            entry=WorkerEntry(service=service, address=""),
+            is_listed=False,
+            is_silent=True,
+            unheard_until_ms=state.now_ms + round(longest_ms),
+        )
+        add_worker(state, worker)
+    worker.add(run)
--- /dev/null
+++ b/heatherkeel/dispatch/session.py
@@ -0,0 +1,196 @@
+"""One owner's conversation with one worker: listings that renew its lease, and orders."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import trio
+from result import Err
+
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.platform.errors import Failure
+from heatherkeel.platform.workers import StartOrder, WorkerClient
+
+from .const import (
+    FAILED_LIST_PAUSE_MS,
+    IDLE_LIST_MS,
+    LIST_WAIT_MS,
+    SENDERS,
+    WATCH_WAIT_MS,
+)
+from .events import (
+    Effect,
+    PaceTask,
+    StartAnswered,
+    StartTask,
+    StopAnswered,
+    StopTask,
+    WorkerAnswered,
+    WorkerFailed,
+)
+from .models import RunState, Worker
+
+if TYPE_CHECKING:
+    from .owner import PartitionOwner
+
+_MAX_ORDERS = math.inf
+
+
+class WorkerSession:
+    """Calls one life of a worker for the owner of its partition."""
+
+    def __init__(self, *, owner: PartitionOwner, worker: Worker) -> None:
+        self.owner = owner
+        self.worker = worker
+        self.client = WorkerClient(worker_id=worker.id, address=worker.entry.address)
+        self.scope = trio.CancelScope()
+        self.work_came = trio.Event()
+        self.stored = trio.Event()
+        self.send_order, self.orders = trio.open_memory_channel[Effect](_MAX_ORDERS)
+
+    def give(self, effect: Effect) -> None:
+        """Queue an order."""
+        self.send_order.send_nowait(effect)
+        self.work_came.set()
+
+    def take_stored(self) -> None:
+        """Hear that ends were stored, so that the next listing can acknowledge them."""
+        self.stored.set()
+
+    async def async_run(self) -> None:
+        """Talk to the worker until the owner closes the session."""
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                for _ in range(SENDERS):
+                    nursery.start_soon(self._async_send_orders)
+                await self._async_list()
+        with trio.CancelScope(shield=True):
+            await self.client.close()
+
+    def close(self) -> None:
+        """End the conversation; nothing that runs is touched."""
+        self.scope.cancel()
+
+    async def _async_list(self) -> None:
+        while True:
+            if not self.owner.may_renew():
+                await trio.sleep(FAILED_LIST_PAUSE_MS / 1000)
+                continue
+            if not await self._async_list_once():
+                await trio.sleep(FAILED_LIST_PAUSE_MS / 1000)
+            elif self.worker.seen > self.worker.acknowledged:
+                # Ends that aren't acknowledged come again at once, so wait until they may be.
+                with trio.move_on_after(LIST_WAIT_MS / 1000):
+                    await self.stored.wait()
+                self.stored = trio.Event()
+            elif not self.worker.runs:
+                with trio.move_on_after(IDLE_LIST_MS / 1000):
+                    await self.work_came.wait()
+                self.work_came = trio.Event()
+
+    async def _async_list_once(self) -> bool:
+        worker = self.worker
+        sent_ms = monotonic_ms()
+        is_first = worker.clock_ms is None
+        lease_until_ms = None if is_first else self._lease_until()
+        listed = await self.client.async_hold(
+            token=self.owner.state.token,
+            acknowledged=worker.acknowledged,
+            lease_until_ms=lease_until_ms,
+            wait_ms=0 if is_first or worker.is_silent else self._wait_ms(),
+        )
+        now_ms, wall_ms = self.owner.times()
+        if isinstance(listed, Err):
+            if listed.err_value.failure is Failure.FENCED:
+                self.owner.on_fenced()
+            failed = WorkerFailed(
+                now_ms=now_ms, wall_ms=wall_ms, worker_id=worker.id, error=listed.err_value
+            )
+            self.owner.take(failed)
+            return False
+        answered = WorkerAnswered(
+            now_ms=now_ms,
+            wall_ms=wall_ms,
+            worker_id=worker.id,
+            sent_ms=sent_ms,
+            listing=listed.ok_value,
+        )
+        self.owner.take(answered)
+        return True
+
+    def _wait_ms(self) -> int:
+        fills = serves = False
+        for run in self.worker.runs.values():
+            request = run.task.step.request
+            fills |= request.fills
+            serves |= request.tail_target_ms > 0
+        return WATCH_WAIT_MS if fills and serves else LIST_WAIT_MS
+
+    def _lease_until(self) -> int:
+        """Return the end of lease to send, and remember that it was sent."""
+        now_ms = monotonic_ms()
+        until_ms = self.worker.clock_at(now_ms) + self.owner.state.lease_ms
+        self.worker.lease_until_ms = max(self.worker.lease_until_ms, until_ms)
+        return until_ms
+
+    async def _async_send_orders(self) -> None:
+        async for effect in self.orders:
+            match effect:
+                case StartTask():
+                    await self._async_start(effect)
+                case StopTask():
+                    await self._async_stop(effect)
+                case PaceTask():
+                    await self._async_pace(effect)
+
+    async def _async_start(self, effect: StartTask) -> None:
+        run = effect.run
+        while not self.owner.may_order():
+            # The membership has run out: others may have been given this partition. Either it
+            # is renewed, or this session is closed.
+            await trio.sleep(FAILED_LIST_PAUSE_MS / 1000)
+        if run not in run.task.runs or run.state is not RunState.PLANNED:
+            return
+        run.state = RunState.SENT
+        started = await self.client.async_start_task(
+            StartOrder(
+                task=run.task.name,
+                attempt=run.attempt,
+                spec=run.task.step.job.request.spec,
+                token=self.owner.state.token,
+                lease_until_ms=self._lease_until(),
+                saved=run.saved,
+                ticket=run.ticket,
+            )
+        )
+        error = started.err_value if isinstance(started, Err) else None
+        if error is not None and error.failure is Failure.FENCED:
+            self.owner.on_fenced()
+        now_ms, wall_ms = self.owner.times()
+        self.owner.take(StartAnswered(now_ms=now_ms, wall_ms=wall_ms, run=run, error=error))
+
+    async def _async_stop(self, effect: StopTask) -> None:
+        run = effect.run
+        if run not in run.task.runs:
+            return
+        stopped = await self.client.async_stop_task(
+            task=run.task.name, attempt=run.attempt, token=self.owner.state.token
+        )
+        error = stopped.err_value if isinstance(stopped, Err) else None
+        if error is not None:
+            await trio.sleep(FAILED_LIST_PAUSE_MS / 1000)
+        now_ms, wall_ms = self.owner.times()
+        self.owner.take(StopAnswered(now_ms=now_ms, wall_ms=wall_ms, run=run, error=error))
+
+    async def _async_pace(self, effect: PaceTask) -> None:
+        run = effect.run
+        paced = await self.client.async_pace_task(
+            task=run.task.name,
+            attempt=run.attempt,
+            percent=effect.percent,
+            token=self.owner.state.token,
+        )
+        if isinstance(paced, Err):
+            # The next look at the tails decides anew, from the pace that is in force.
+            run.pace = -1
--- /dev/null
+++ b/heatherkeel/dispatch/workers.py
@@ -0,0 +1,193 @@
+"""Workers come, answer, fall silent and go."""
+
+from __future__ import annotations
+
+import logging
+
+from heatherkeel.platform.errors import Failure
+from heatherkeel.platform.workers import Listing, RunningTask
+
+from .ends import find_task, lose_run, take_end
+from .events import (
+    AcknowledgeEnds,
+    Effects,
+    StopTask,
+    WorkerAnswered,
+    WorkerFailed,
+    WorkersLeaving,
+    WorkersListed,
+)
+from .lasting import leave_workers
+from .models import PartitionState, Run, RunState, Worker
+from .pools import find_pool
+from .reducer import handles
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@handles(WorkersListed)
+def take_entries(state: PartitionState, event: WorkersListed, effects: Effects) -> None:
+    """Take in the workers' entries; one that is missing gets no work, but may still run some."""
+    for worker_id, entry in event.entries.items():
+        worker = state.workers.get(worker_id)
+        if worker is None:
+            add_worker(state, Worker(id=worker_id, entry=entry))
+            _tell(worker_id, "worker_listed", entry.service)
+        else:
+            worker.entry = entry
+            worker.is_listed = True
+        effects.touch(entry.service)
+    for worker in state.workers.values():
+        if worker.id not in event.entries and worker.is_listed:
+            worker.is_listed = False
+            _tell(worker.id, "worker_unlisted", worker.entry.service)
+    leave_workers(state, effects)
+
+
+def add_worker(state: PartitionState, worker: Worker) -> None:
+    """Add a worker to its pool."""
+    state.workers[worker.id] = worker
+    find_pool(state, worker.entry.service).workers[worker.id] = worker
+
+
+@handles(WorkerAnswered)
+def take_listing(state: PartitionState, event: WorkerAnswered, effects: Effects) -> None:
+    """Take in all that a worker runs and has ended."""
+    worker = state.workers.get(event.worker_id)
+    if worker is None:
+        return
+    if not worker.is_ready() or worker.is_silent:
+        effects.touch(worker.entry.service)
+    worker.is_silent = False
+    worker.clock_ms = event.listing.clock_ms
+    worker.clock_heard_ms = event.now_ms
+    ended_before = worker.seen
+    for ended in event.listing.ended:
+        if ended.number > worker.seen:
+            take_end(state, worker, ended, effects)
+            worker.seen = ended.number
+    if worker.seen > ended_before:
+        effects.add(AcknowledgeEnds(worker_id=worker.id, number=worker.seen))
+    _compare_runs(state, worker, event.listing, event.sent_ms, event.now_ms, effects)
+
+
+def _compare_runs(
+    state: PartitionState,
+    worker: Worker,
+    listing: Listing,
+    sent_ms: int,
+    now_ms: int,
+    effects: Effects,
+) -> None:
+    listed = set()
+    for row in listing.running:
+        listed.add((row.task, row.attempt))
+        run = worker.runs.get((row.task, row.attempt))
+        if run is None:
+            _stop_unknown(state, worker, row, effects)
+        else:
+            _update_run(run, row, now_ms)
+    for run in list(worker.runs.values()):
+        # Its last order was answered before this listing was asked for, and it isn't there:
+        # it has ended without a trace, or its start never came.
+        is_proved = run.answered_ms is not None and run.answered_ms < sent_ms
+        if run.key() not in listed and is_proved:
+            lose_run(state, run, effects, why="not listed")
+
+
+def _update_run(run: Run, row: RunningTask, now_ms: int) -> None:
+    run.percent = row.percent
+    run.figure = row.figure
+    if row.saved:
+        run.saved = row.saved
+    is_at_work = row.percent >= 100
+    if not is_at_work:
+        run.at_work_ms = None
+    elif run.at_work_ms is None:
+        run.at_work_ms = now_ms
+
+
+def _stop_unknown(
+    state: PartitionState, worker: Worker, row: RunningTask, effects: Effects
+) -> None:
+    """Stop a run that this owner doesn't know, such as one whose start came late.
+
+    Its room is counted until the worker lists its end. A run of a job that isn't known at all
+    can't be accounted for; it was started by an owner that stored its attempt first, so it is
+    of a job that has ended and been forgotten, and it ends with its lease.
+    """
+    task = find_task(state, row.task)
+    _LOGGER.warning(
+        "worker runs what it shouldn't",
+        extra={
+            "event": "run_unknown",
+            "task": row.task,
+            "attempt": row.attempt,
+            "worker": worker.id,
+            "known_job": task is not None,
+        },
+    )
+    if task is None:
+        return
+    run = Run(
+        task=task,
+        attempt=row.attempt,
+        worker_id=worker.id,
+        state=RunState.STOPPING,
+        saved=row.saved,
+    )
+    task.attempt = max(task.attempt, row.attempt)
+    task.runs.append(run)
+    worker.add(run)
+    effects.add(StopTask(run=run))
+
+
+@handles(WorkerFailed)
+def take_failure(state: PartitionState, event: WorkerFailed, effects: Effects) -> None:
+    """Take in that a worker didn't answer, or that its address now belongs to another life."""
+    worker = state.workers.get(event.worker_id)
+    if worker is None:
+        return
+    if event.error.failure is Failure.OTHER_INSTANCE:
+        drop_worker(state, worker, effects, why="another worker has its address")
+        return
+    if not worker.is_silent:
+        _tell(worker.id, "worker_silent", event.error.detail)
+    worker.is_silent = True
+    drop_if_lapsed(state, worker, effects)
+
+
+def drop_if_lapsed(state: PartitionState, worker: Worker, effects: Effects) -> None:
+    """Drop a worker that is out of reach once nothing can run on it any more."""
+    if not worker.has_lapsed(state.now_ms):
+        return
+    for run in list(worker.runs.values()):
+        lose_run(state, run, effects, why="lease lapsed")
+    if not worker.is_listed:
+        drop_worker(state, worker, effects, why="not listed any more")
+
+
+def drop_worker(state: PartitionState, worker: Worker, effects: Effects, *, why: str) -> None:
+    """Forget a worker on which surely nothing runs."""
+    for run in list(worker.runs.values()):
+        lose_run(state, run, effects, why=why)
+    del state.workers[worker.id]
+    del find_pool(state, worker.entry.service).workers[worker.id]
+    _tell(worker.id, "worker_dropped", why)
+
+
+@handles(WorkersLeaving)
+def take_leaving(state: PartitionState, event: WorkersLeaving, effects: Effects) -> None:
+    """Start nothing more on workers whose machines are about to go, and empty them."""
+    for worker in state.workers.values():
+        is_leaving = worker.id in event.worker_ids
+        if is_leaving != worker.is_leaving:
+            worker.is_leaving = is_leaving
+            effects.touch(worker.entry.service)
+    leave_workers(state, effects)
+
+
+def _tell(worker_id: str, event: str, detail: str) -> None:
+    _LOGGER.info(
+        "worker %s", worker_id, extra={"event": event, "worker": worker_id, "detail": detail}
+    )
--- a/heatherkeel/entry/duties_coordinate.py
+++ b/heatherkeel/entry/duties_coordinate.py
@@ -16,8 +16,7 @@
 
 from heatherkeel.core.models import Rejected
 from heatherkeel.core.state import FleetState
-from heatherkeel.helpers.clock import monotonic_ms
-from heatherkeel.platform.models import (
+from heatherkeel.fleetlog.models import (
     ListedInstance,
     ListedState,
     OperationAction,
@@ -25,6 +24,7 @@
     OperationState,
     OperationStatus,
 )
+from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.pools.models import InstanceStatus
 from heatherkeel.waves.coordinator import Step, next_steps
 from heatherkeel.waves.models import DrainStart, Returned
--- a/heatherkeel/entry/duties_health.py
+++ b/heatherkeel/entry/duties_health.py
@@ -8,8 +8,8 @@
 
 from heatherkeel.core.models import RecordBody
 from heatherkeel.core.node import NodeState
+from heatherkeel.fleetlog.models import ListedInstance, ListedState
 from heatherkeel.helpers.clock import monotonic_ms
-from heatherkeel.platform.models import ListedInstance, ListedState
 from heatherkeel.pools.models import Health, Instance, InstanceObserved, InstanceStatus
 from heatherkeel.requests.const import EJECT_AFTER_FAILURES
 from heatherkeel.waves.models import Returned
--- a/heatherkeel/entry/duties_listing.py
+++ b/heatherkeel/entry/duties_listing.py
@@ -10,10 +10,10 @@
 
 from heatherkeel.core.models import RecordBody
 from heatherkeel.core.state import FleetState
+from heatherkeel.fleetlog.models import ListedInstance, ListedState
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.membership.models import EntryGone
 from heatherkeel.membership.reducer import all_incarnations
-from heatherkeel.platform.models import ListedInstance, ListedState
 from heatherkeel.pools.models import (
     Health,
     InstanceAdmit,
--- a/heatherkeel/entry/node.py
+++ b/heatherkeel/entry/node.py
@@ -12,13 +12,13 @@
 from heatherkeel.core.models import Duplicate, Effect, LogRecord, Settled, Skipped
 from heatherkeel.core.node import Event, LocalState, NodeState, reduce
 from heatherkeel.core.state import FleetState
+from heatherkeel.fleetlog.client import PlatformClient
+from heatherkeel.fleetlog.follower import LogFollower
+from heatherkeel.fleetlog.log_clock import LogClock
+from heatherkeel.fleetlog.writer import LogWriter
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.helpers.timers import TimerService
 from heatherkeel.membership.recent import RecentRecords
-from heatherkeel.platform.client import PlatformClient
-from heatherkeel.platform.follower import LogFollower
-from heatherkeel.platform.log_clock import LogClock
-from heatherkeel.platform.writer import LogWriter
 from heatherkeel.requests.events import FleetRestored
 from heatherkeel.settings.models import EntrySettings
 from heatherkeel.snapshots.models import SnapshotMarked, SnapshotVerified
--- a/heatherkeel/entry/start.py
+++ b/heatherkeel/entry/start.py
@@ -7,10 +7,10 @@
 import trio
 from result import Err, Ok
 
+from heatherkeel.fleetlog.errors import PlatformError, PlatformFailure
 from heatherkeel.helpers.backoff import Backoff
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.membership.links import PeerLinks
-from heatherkeel.platform.errors import PlatformError, PlatformFailure
 
 from .const import START_FIRST_PAUSE_S, START_LONGEST_PAUSE_S
 from .node import Node
--- /dev/null
+++ b/heatherkeel/gateway/app.py
@@ -0,0 +1,268 @@
+"""The application that callers talk to."""
+
+from __future__ import annotations
+
+import logging
+import re
+import time
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import trio
+from result import Err
+
+from heatherkeel.directory.directory import DirectoryState
+from heatherkeel.dispatch.models import JobState
+from heatherkeel.dispatch.records import (
+    CANCEL_PREFIX,
+    REQUEST_PREFIX,
+    StoredRequest,
+    encode_request,
+)
+from heatherkeel.helpers.asgi import (
+    ClientGoneError,
+    Message,
+    Receive,
+    Request,
+    Send,
+    async_respond_json,
+    async_respond_problem,
+    async_run_lifespan,
+    parse_request,
+)
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.ownership.const import JOBS_TOPIC
+from heatherkeel.ownership.partitions import partition_of
+from heatherkeel.platform.callers import decode_job
+from heatherkeel.platform.const import DEADLINE_HEADER
+from heatherkeel.platform.errors import Failure
+from heatherkeel.platform.framing import KeyedRecord
+from heatherkeel.platform.operator import Queue
+from heatherkeel.platform.store import StoreClient
+
+from .const import (
+    ANSWER_MARGIN_MS,
+    APPEND_TIMEOUT_S,
+    DEFAULT_DEADLINE_MS,
+    REPEAT_PAUSE_S,
+    RETRY_AWAY_S,
+    RETRY_BUSY_S,
+)
+from .lookup import Lookup
+from .metrics import GatewayMetrics
+from .reasons import Refusal
+from .routing import find_queue
+
+_LOGGER = logging.getLogger(__name__)
+_JOB_ID: Final = re.compile(r"[0-9a-f]{16}\Z")
+_TOO_MANY: Final = 429
+_STATUS: Final = {
+    Refusal.NO_CONFIGURATION: 503,
+    Refusal.NO_SUCH_QUEUE: 404,
+    Refusal.NO_SUCH_JOB: 410,
+    Refusal.BAD_REQUEST: 400,
+    Refusal.TOO_LARGE: 413,
+    Refusal.WRONG_METHOD: 405,
+    Refusal.STORE_REFUSED: 503,
+    Refusal.STORE_SILENT: 504,
+    Refusal.OWNER_SILENT: 504,
+}
+
+
+class CallersApp:
+    """Takes jobs in, cancels them, and tells how they are."""
+
+    def __init__(
+        self,
+        *,
+        store: StoreClient,
+        directory: DirectoryState,
+        lookup: Lookup,
+        metrics: GatewayMetrics,
+        partitions: int,
+    ) -> None:
+        self.store = store
+        self.directory = directory
+        self.lookup = lookup
+        self.metrics = metrics
+        self.partitions = partitions
+
+    async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] == "lifespan":
+            return await async_run_lifespan(receive, send)
+        if scope["type"] != "http":
+            return None
+        began = time.monotonic()
+        exchange = Exchange(app=self, request=parse_request(scope, receive), send=send)
+        try:
+            await exchange.async_serve()
+        except ClientGoneError:
+            _LOGGER.info("caller left", extra={"event": "caller_gone", "path": scope["path"]})
+        self.metrics.observe(method=scope["method"], seconds=time.monotonic() - began)
+        return None
+
+
+class Exchange:
+    """One request of a caller, and its answer."""
+
+    def __init__(self, *, app: CallersApp, request: Request, send: Send) -> None:
+        self.app = app
+        self.request = request
+        self.send = send
+        deadline = request.headers.get(DEADLINE_HEADER, "")
+        wait_ms = int(deadline) if deadline.isdecimal() else DEFAULT_DEADLINE_MS
+        self.deadline_ms = monotonic_ms() + wait_ms - ANSWER_MARGIN_MS
+
+    async def async_serve(self) -> None:
+        """Answer the request."""
+        config = self.app.directory.config
+        if config is None:
+            return await self._async_refuse(Refusal.NO_CONFIGURATION, retry_s=RETRY_BUSY_S)
+        path = self.request.path
+        queue = find_queue(config, host=self.request.headers.get("host", ""), path=path)
+        if queue is None:
+            return await self._async_refuse(Refusal.NO_SUCH_QUEUE)
+        job_id = path[len(queue.path_prefix) :]
+        actions: dict[str, Callable[[Queue, str], Awaitable[None]]] = {
+            "POST": self._async_submit,
+            "GET": self._async_tell,
+            "DELETE": self._async_cancel,
+        }
+        action = actions.get(self.request.method)
+        if action is None:
+            return await self._async_refuse(Refusal.WRONG_METHOD)
+        if not job_id and self.request.method == "GET":
+            return await self._async_tell_length(queue)
+        if not _JOB_ID.match(job_id):
+            return await self._async_refuse(Refusal.NO_SUCH_QUEUE)
+        return await action(queue, job_id)
+
+    def _partition(self, queue: Queue) -> int:
+        return partition_of(queue.service, self.app.partitions)
+
+    async def _async_submit(self, queue: Queue, job_id: str) -> None:
+        config = self.app.directory.config
+        limit = config.limits.body_bytes if config else 0
+        body = await self.request.async_body(limit_bytes=limit)
+        if isinstance(body, Err):
+            return await self._async_refuse(Refusal.TOO_LARGE, job_id=job_id)
+        decoded = decode_job(body.ok_value)
+        if isinstance(decoded, Err):
+            return await self._async_refuse(
+                Refusal.BAD_REQUEST, job_id=job_id, detail=decoded.err_value
+            )
+        stored = StoredRequest(
+            queue=queue.name,
+            service=queue.service,
+            accepted_wall_ms=time.time_ns() // 1_000_000,
+            request=decoded.ok_value,
+        )
+        record = KeyedRecord(key=f"{REQUEST_PREFIX}{job_id}", value=encode_request(stored))
+        refusal = await self._async_store(queue, record, job_id)
+        if refusal is not None:
+            return None
+        self.app.lookup.remember(job_id)
+        _LOGGER.info(
+            "job accepted",
+            extra={
+                "event": "job_accepted",
+                "job": job_id,
+                "queue": queue.name,
+                "partition": self._partition(queue),
+                "version": config.version if config else 0,
+            },
+        )
+        return await async_respond_json(self.send, {"state": JobState.PENDING.value})
+
+    async def _async_store(self, queue: Queue, record: KeyedRecord, job_id: str) -> Refusal | None:
+        """Store a record, and answer the caller if that can't be done in time.
+
+        "Not accepted" is said only if no append was left without an answer: such an append may
+        be carried out seconds later.
+        """
+        is_unknown = False
+        while True:
+            left_s = (self.deadline_ms - monotonic_ms()) / 1000
+            if left_s <= 0:
+                break
+            appended = await self.app.store.async_append(
+                JOBS_TOPIC,
+                self._partition(queue),
+                [record],
+                timeout_s=min(APPEND_TIMEOUT_S, left_s),
+            )
+            if not isinstance(appended, Err):
+                return None
+            error = appended.err_value
+            is_unknown |= error.failure is not Failure.REFUSED
+            if not is_unknown:
+                retry_s = RETRY_BUSY_S if error.status == _TOO_MANY else RETRY_AWAY_S
+                await self._async_refuse(
+                    Refusal.STORE_REFUSED, job_id=job_id, detail=error.detail, retry_s=retry_s
+                )
+                return Refusal.STORE_REFUSED
+            await trio.sleep(REPEAT_PAUSE_S)
+        await self._async_refuse(Refusal.STORE_SILENT, job_id=job_id)
+        return Refusal.STORE_SILENT
+
+    async def _async_tell(self, queue: Queue, job_id: str) -> None:
+        found = await self._async_find(queue, job_id)
+        if isinstance(found, Refusal):
+            return await self._async_refuse(found, job_id=job_id)
+        return await async_respond_json(self.send, {"state": found.value})
+
+    async def _async_find(self, queue: Queue, job_id: str) -> JobState | Refusal:
+        """Return a job's state, or why it can't be told."""
+        found: JobState | Err[str] | None = Err("no answer in time")
+        with trio.move_on_after(max(0.0, (self.deadline_ms - monotonic_ms()) / 1000)):
+            found = await self.app.lookup.async_find_state(self._partition(queue), job_id)
+        if isinstance(found, Err):
+            return Refusal.OWNER_SILENT
+        return Refusal.NO_SUCH_JOB if found is None else found
+
+    async def _async_cancel(self, queue: Queue, job_id: str) -> None:
+        found = await self._async_find(queue, job_id)
+        if found is Refusal.NO_SUCH_JOB:
+            return await self._async_refuse(Refusal.NO_SUCH_JOB, job_id=job_id)
+        if not isinstance(found, JobState) or not found.is_final():
+            record = KeyedRecord(key=f"{CANCEL_PREFIX}{job_id}", value=b"1")
+            if await self._async_store(queue, record, job_id) is not None:
+                return None
+        _LOGGER.info(
+            "cancel accepted",
+            extra={"event": "cancel_accepted", "job": job_id, "queue": queue.name},
+        )
+        return await async_respond_json(self.send, {"state": JobState.CANCELED.value})
+
+    async def _async_tell_length(self, queue: Queue) -> None:
+        pending: int | None = None
+        with trio.move_on_after(max(0.0, (self.deadline_ms - monotonic_ms()) / 1000)):
+            pending = await self.app.lookup.async_count_pending(self._partition(queue), queue.name)
+        if pending is None:
+            return await self._async_refuse(Refusal.OWNER_SILENT)
+        return await async_respond_json(self.send, {"pendingJobs": pending})
+
+    async def _async_refuse(
+        self, reason: Refusal, *, job_id: str = "", detail: str = "", retry_s: int = 0
+    ) -> None:
+        self.app.metrics.count_refusal(reason)
+        _LOGGER.info(
+            "request refused",
+            extra={
+                "event": "refused",
+                "reason": reason.value,
+                "job": job_id,
+                "method": self.request.method,
+                "path": self.request.path,
+                "detail": detail,
+            },
+        )
+        await async_respond_problem(
+            self.send,
+            status=_STATUS[reason],
+            kind=reason.value,
+            title=reason.value.replace("_", " "),
+            detail=detail,
+            headers={"retry-after": str(retry_s)} if retry_s else None,
+        )
--- /dev/null
+++ b/heatherkeel/gateway/lookup.py
@@ -0,0 +1,120 @@
+"""Finds a job's state: from its partition's owner, or from the store if that is silent."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from result import Err
+
+from heatherkeel.dispatch.models import JobState
+from heatherkeel.dispatch.recovery import StoredJobs, read_records
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.ownership.const import JOBS_TOPIC, WORK_TOPIC
+from heatherkeel.ownership.holders import Holders
+from heatherkeel.platform.store import StoreClient
+from heatherkeel.questions.links import QuestionLinks
+from heatherkeel.questions.messages import (
+    Answer,
+    JobAsked,
+    JobTold,
+    NotOwner,
+    Question,
+    QueueAsked,
+    QueueTold,
+)
+
+from .const import RECENT_MS, STORED_MAX_AGE_MS
+
+
+@dataclass(kw_only=True, slots=True)
+class StoredReading:
+    """A partition's records as read at a time."""
+
+    read_ms: int
+    jobs: StoredJobs
+
+
+@dataclass(kw_only=True, slots=True)
+class Lookup:
+    """Asks owners, and the store in their place; remembers what this front has accepted."""
+
+    store: StoreClient
+    holders: Holders
+    links: QuestionLinks
+    recent: dict[str, int] = field(default_factory=dict)
+    readings: dict[int, StoredReading] = field(default_factory=dict)
+
+    def remember(self, job_id: str) -> None:
+        """Remember a job that was just accepted here."""
+        now_ms = monotonic_ms()
+        self.recent[job_id] = now_ms
+        while (oldest := next(iter(self.recent))) and now_ms - self.recent[oldest] > RECENT_MS:
+            del self.recent[oldest]
+
+    async def async_find_state(self, partition: int, job_id: str) -> JobState | Err[str] | None:
+        """Return a job's state, None if there is no such job, `Err` if nobody could tell."""
+        told = await self._async_ask(partition, JobAsked(partition=partition, job_id=job_id))
+        if isinstance(told, JobTold):
+            state = JobState(told.state) if told.state else None
+        else:
+            found = await self._async_find_stored(partition, job_id)
+            if isinstance(found, Err):
+                return JobState.PENDING if job_id in self.recent else found
+            state = found
+        # The owner reads a job from the store some milliseconds after it was accepted.
+        return JobState.PENDING if state is None and job_id in self.recent else state
+
+    async def async_count_pending(self, partition: int, queue: str) -> int | None:
+        """Return how many jobs of a queue wait; None if nobody could tell."""
+        told = await self._async_ask(partition, QueueAsked(partition=partition, queue=queue))
+        if isinstance(told, QueueTold):
+            return told.pending
+        stored = await self._async_read_stored(partition)
+        if isinstance(stored, Err):
+            return None
+        return sum(
+            1
+            for job_id, request in stored.requests.items()
+            if request.queue == queue
+            and (job_id not in stored.progress or stored.progress[job_id].state == "pending")
+        )
+
+    async def _async_ask(self, partition: int, question: Question) -> Answer | None:
+        """Ask the owner; one that fails, or that isn't the owner any more, is looked up anew."""
+        failed = ""
+        for _ in range(2):
+            address = await self.holders.async_find(partition, but_not=failed)
+            if not address or address == failed:
+                return None
+            answer = await self.links.async_ask(address, question)
+            if answer is not None and not isinstance(answer, NotOwner):
+                return answer
+            failed = address
+        return None
+
+    async def _async_find_stored(self, partition: int, job_id: str) -> JobState | Err[str] | None:
+        stored = await self._async_read_stored(partition)
+        if isinstance(stored, Err):
+            return stored
+        if job_id in stored.progress:
+            return stored.progress[job_id].state
+        if job_id in stored.canceled:
+            return JobState.CANCELED
+        return JobState.PENDING if job_id in stored.requests else None
+
+    async def _async_read_stored(self, partition: int) -> StoredJobs | Err[str]:
+        known = self.readings.get(partition)
+        now_ms = monotonic_ms()
+        if known is not None and now_ms - known.read_ms < STORED_MAX_AGE_MS:
+            return known.jobs
+        records = []
+        # Requests first: a job that ends in between is then found by its progress.
+        for topic in (JOBS_TOPIC, WORK_TOPIC):
+            read = await self.store.async_read_all_newest(topic, partition)
+            if isinstance(read, Err):
+                return Err(read.err_value.detail)
+            records.append(read.ok_value.records)
+        jobs, work = (read_records(part) for part in records)
+        merged = StoredJobs(requests=jobs.requests, progress=work.progress, canceled=jobs.canceled)
+        self.readings[partition] = StoredReading(read_ms=now_ms, jobs=merged)
+        return merged
--- /dev/null
+++ b/heatherkeel/gateway/routing.py
@@ -0,0 +1,16 @@
+"""Which queue a caller's request is for."""
+
+from __future__ import annotations
+
+from heatherkeel.platform.operator import Configuration, Queue
+
+
+def find_queue(config: Configuration, *, host: str, path: str) -> Queue | None:
+    """Return the queue of the host whose prefix is the longest that the path begins with."""
+    name = host.rsplit(":", 1)[0] if ":" in host else host
+    fitting = [
+        queue
+        for queue in config.queues
+        if queue.host == name and path.startswith(queue.path_prefix)
+    ]
+    return max(fitting, key=lambda queue: len(queue.path_prefix), default=None)
--- a/heatherkeel/helpers/logs.py
+++ b/heatherkeel/helpers/logs.py
@@ -6,7 +6,7 @@
 import sys
 from datetime import UTC, datetime
 from types import TracebackType
-from typing import Final
+from typing import Final, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -75,9 +75,14 @@
         """Drop the line: there is nowhere left to tell of it."""
 
 
-def set_up_logs(*, instance: str, zone: str, level: int = logging.INFO) -> None:
-    """Write every log line as JSON, with the process's instance and availability zone."""
-    handler = LineHandler(sys.stderr)
+def set_up_logs(
+    *, instance: str, zone: str, level: int = logging.INFO, stream: TextIO | None = None
+) -> None:
+    """Write every log line as JSON, with the process's instance and availability zone.
+
+    Lines go to standard error unless another stream is given.
+    """
+    handler = LineHandler(stream or sys.stderr)
     handler.setFormatter(LineFormatter(instance=instance, zone=zone))
     logging.basicConfig(level=level, handlers=[handler], force=True)
     logging.captureWarnings(True)
--- /dev/null
+++ b/heatherkeel/instance/process.py
@@ -0,0 +1,179 @@
+"""Puts the parts of a process together, and runs them until it is told to stop."""
+
+from __future__ import annotations
+
+import logging
+import os
+import signal
+import uuid
+from typing import Final
+
+import trio
+
+from heatherkeel.directory.directory import Directory
+from heatherkeel.dispatch.owner import PartitionOwner
+from heatherkeel.gateway.app import CallersApp
+from heatherkeel.gateway.lookup import Lookup
+from heatherkeel.gateway.metrics import GatewayMetrics
+from heatherkeel.helpers.server import HttpServer
+from heatherkeel.helpers.signals import StopSignal
+from heatherkeel.ownership.holders import Holders
+from heatherkeel.ownership.member import GroupMember
+from heatherkeel.ownership.partitions import fleet_partition
+from heatherkeel.ownership.tenure import Change
+from heatherkeel.platform.settings import InstanceSettings
+from heatherkeel.platform.store import StoreClient
+from heatherkeel.pooling.keeper import FleetKeeper
+from heatherkeel.questions.answering import answer_question
+from heatherkeel.questions.links import QuestionLinks
+
+from .status import StatusApp
+
+_LOGGER = logging.getLogger(__name__)
+
+LINGER_S: Final = 2.5
+"""How long callers are still served after the stop signal, in seconds: the platform's balancer
+needs two missed looks, a second apart, to send new connections elsewhere."""
+FINISH_S: Final = 1.5
+"""What requests in progress then get, in seconds."""
+
+
+class InstanceProcess:
+    """The servers, the partitions and the links of one process."""
+
+    def __init__(self, *, settings: InstanceSettings) -> None:
+        self.settings = settings
+        self.store = StoreClient(address=settings.store.address)
+        self.directory = Directory(store=self.store)
+        self.holders = Holders(store=self.store)
+        self.owners: dict[int, PartitionOwner] = {}
+        self.keeper: FleetKeeper | None = None
+        self.links = QuestionLinks(
+            bind=f"{settings.ip}:{settings.internal_ports[0]}",
+            answer=lambda question: answer_question(self.owners, question),
+        )
+        self.member = GroupMember(
+            store=self.store,
+            address=self.links.address,
+            incarnation=uuid.uuid4().hex[:12],
+            on_change=self._async_change,
+        )
+        self.metrics = GatewayMetrics()
+        self.lookup = Lookup(store=self.store, holders=self.holders, links=self.links)
+        self.callers = HttpServer(
+            app=CallersApp(
+                store=self.store,
+                directory=self.directory.state,
+                lookup=self.lookup,
+                metrics=self.metrics,
+                partitions=settings.store.partitions,
+            ),
+            bind=settings.listen.callers,
+        )
+        self.status = StatusApp(
+            directory=self.directory.state,
+            metrics=self.metrics,
+            owners=self.owners,
+        )
+        self.probes = HttpServer(app=self.status, bind=settings.listen.readiness)
+        self.nursery: trio.Nursery | None = None
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open the ports, and begin to follow the store and to own partitions."""
+        self.nursery = nursery
+        self.links.start(nursery)
+        await self.probes.start(nursery)
+        await self.callers.start(nursery)
+        self.directory.start(nursery)
+        self.member.start(nursery)
+        _LOGGER.info(
+            "started",
+            extra={
+                "event": "start",
+                "pid": os.getpid(),
+                "callers": self.callers.address,
+                "links": self.links.address,
+                "incarnation": self.member.incarnation,
+            },
+        )
+
+    async def close(self) -> None:
+        """Hand partitions over, let the balancer notice, and finish what is in progress."""
+        _LOGGER.info("stopping", extra={"event": "stop", "partitions": sorted(self.owners)})
+        self.status.is_stopping = True
+        await self.member.close()
+        await trio.sleep(LINGER_S)
+        await self.callers.close(finish_timeout_s=FINISH_S)
+        await self.probes.close(finish_timeout_s=0.1)
+        self.links.close()
+        await self.store.close()
+
+    async def _async_change(self, change: Change) -> None:
+        """Close what was lost before anything else, and begin with what was gained."""
+        fleet = fleet_partition(self.settings.store.partitions)
+        for partition in change.lost:
+            owner = self.owners.pop(partition, None)
+            if owner is not None:
+                owner.close()
+            if partition == fleet and self.keeper is not None:
+                self.keeper.close()
+                self.keeper = None
+        if self.nursery is None:
+            return
+        for partition, token in change.gained.items():
+            if partition == fleet:
+                self._keep_fleet(token)
+            else:
+                self._own(partition, token)
+
+    def _own(self, partition: int, token: int) -> None:
+        assert self.nursery is not None
+        owner = PartitionOwner(
+            partition=partition,
+            token=token,
+            settings=self.settings,
+            store=self.store,
+            directory=self.directory,
+            tenure=self.member.tenure,
+            on_fenced=self.member.rejoin,
+        )
+        self.owners[partition] = owner
+        self.nursery.start_soon(owner.async_run)
+
+    def _keep_fleet(self, token: int) -> None:
+        assert self.nursery is not None
+        self.keeper = FleetKeeper(
+            token=token,
+            settings=self.settings,
+            store=self.store,
+            directory=self.directory,
+            holders=self.holders,
+            links=self.links,
+            may_order=self.member.may_order,
+        )
+        self.nursery.start_soon(self.keeper.async_run)
+
+
+async def async_run_instance(settings: InstanceSettings) -> None:
+    """Run one process until it is told to stop."""
+    stop = StopSignal()
+    async with trio.open_nursery() as nursery:
+        await stop.start(nursery)
+        nursery.start_soon(_async_hear_reloads)
+        process = InstanceProcess(settings=settings)
+        await process.start(nursery)
+        await stop.received.wait()
+        await process.close()
+        nursery.cancel_scope.cancel()
+    _LOGGER.info("stopped", extra={"event": "stopped"})
+
+
+async def _async_hear_reloads() -> None:
+    """Take SIGHUP, which ends a process that doesn't listen to it.
+
+    What the settings name are addresses and bounds that hold for the life of a process; what may
+    change while it runs comes from the store.
+    """
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            _LOGGER.info("settings file changed", extra={"event": "reload"})
--- a/heatherkeel/jobs/duty.py
+++ b/heatherkeel/jobs/duty.py
@@ -11,9 +11,9 @@
 from heatherkeel.core.models import RecordBody
 from heatherkeel.entry.const import WRITE_TIMEOUT_S
 from heatherkeel.entry.node import Node
-from heatherkeel.platform.errors import PlatformError
-from heatherkeel.platform.task_client import TaskClient
-from heatherkeel.platform.tasks import TaskList, TaskRequest, TaskState, TaskView, ThrottleRequest
+from heatherkeel.fleetlog.errors import PlatformError
+from heatherkeel.fleetlog.task_client import TaskClient
+from heatherkeel.fleetlog.tasks import TaskList, TaskRequest, TaskState, TaskView, ThrottleRequest
 
 from .const import MAX_CALLS, MAX_SPARE_VIEWS, ROUND_INTERVAL_MS
 from .draining import plan_drains
--- a/heatherkeel/jobs/observing.py
+++ b/heatherkeel/jobs/observing.py
@@ -11,7 +11,7 @@
 
 from heatherkeel.core.models import RecordBody
 from heatherkeel.core.state import FleetState
-from heatherkeel.platform.tasks import ReportedExit, TaskState, TaskView
+from heatherkeel.fleetlog.tasks import ReportedExit, TaskState, TaskView
 
 from .const import CHECKPOINT_REPEAT_MS, MAX_BATCH, START_GRACE_MS, USAGE_STEP_PERCENT, VIEW_LAG_MS
 from .models import (
--- a/heatherkeel/measure/fleet.py
+++ b/heatherkeel/measure/fleet.py
@@ -13,7 +13,7 @@
 
 from heatherkeel.core.envelopes import encode, seal
 from heatherkeel.core.models import RecordBody
-from heatherkeel.platform.models import AppendRequest
+from heatherkeel.fleetlog.models import AppendRequest
 
 from .const import POOL, PRELOAD_BATCH, SERVICE, SERVICE_PATH, STREAM, TEAM, TOKEN
 from .processes import Child, MeasurementError, call, start_child, wait_for
--- a/heatherkeel/measure/snapshots.py
+++ b/heatherkeel/measure/snapshots.py
@@ -15,7 +15,7 @@
 from absl import flags
 
 from heatherkeel.core.state import FleetState, canonical_bytes
-from heatherkeel.platform.client import PlatformClient
+from heatherkeel.fleetlog.client import PlatformClient
 from heatherkeel.snapshots import codec
 from heatherkeel.snapshots.const import APPEND_PAUSE_S, FORMAT
 from heatherkeel.snapshots.models import (
--- /dev/null
+++ b/heatherkeel/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which process owns which partition, by the platform's word."""
--- /dev/null
+++ b/heatherkeel/ownership/const.py
@@ -0,0 +1,27 @@
+"""Times and names of ownership."""
+
+from __future__ import annotations
+
+from typing import Final
+
+GROUP: Final = "heatherkeel-owners"
+WORK_TOPIC: Final = "keyed.work"
+"""Progress and ends of jobs; only a partition's owner writes there, under its token."""
+JOBS_TOPIC: Final = "keyed.jobs"
+"""Jobs and cancels as callers sent them; every front writes there."""
+PRODUCER: Final = "owner"
+
+TTL_MS: Final = 2500
+"""How long the platform keeps a member that it doesn't hear, in milliseconds.
+
+Shorter than the time within which two holders may not take turns at a machine (3,000 ms on the
+deployments so far), so an owner that hears nothing has stopped before its successor begins.
+"""
+RENEW_INTERVAL_MS: Final = 600
+"""Four renewals fit into a membership, so that one slow or lost answer costs nothing."""
+RETRY_INTERVAL_MS: Final = 250
+"""Pause after a renewal that failed, in milliseconds."""
+HOLDERS_MAX_AGE_MS: Final = 4000
+"""How long a list of holders is believed without being read again, in milliseconds."""
+HOLDERS_MIN_AGE_MS: Final = 250
+"""A list is not read again sooner than this, however many ask, in milliseconds."""
--- /dev/null
+++ b/heatherkeel/ownership/holders.py
@@ -0,0 +1,57 @@
+"""Where the owner of each partition takes questions."""
+
+from __future__ import annotations
+
+import logging
+
+import trio
+from result import Err
+
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.platform.store import StoreClient
+
+from .const import GROUP, HOLDERS_MAX_AGE_MS, HOLDERS_MIN_AGE_MS, WORK_TOPIC
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Holders:
+    """The list of holders as last read; read again when it is old or was found wrong."""
+
+    def __init__(self, *, store: StoreClient) -> None:
+        self.store = store
+        self.addresses: dict[int, str] = {}
+        self.read_ms = -HOLDERS_MAX_AGE_MS
+        self.lock = trio.Lock()
+
+    async def async_find(self, partition: int, *, but_not: str = "") -> str:
+        """Return the address of a partition's owner; empty if none is known.
+
+        `but_not` is an address that has just failed: if the list still names it, the list is
+        read again.
+        """
+        address = self.addresses.get(partition, "")
+        age_ms = monotonic_ms() - self.read_ms
+        is_wrong = not address or address == but_not
+        if age_ms > HOLDERS_MAX_AGE_MS or (is_wrong and age_ms > HOLDERS_MIN_AGE_MS):
+            await self._async_read()
+        return self.addresses.get(partition, "")
+
+    async def _async_read(self) -> None:
+        asked_ms = monotonic_ms()
+        async with self.lock:
+            if self.read_ms >= asked_ms:
+                return
+            listed = await self.store.async_list_holders(group=GROUP)
+            self.read_ms = monotonic_ms()
+            if isinstance(listed, Err):
+                _LOGGER.warning(
+                    "the list of owners can't be read; the old one is used",
+                    extra={"event": "holders_unread", "detail": listed.err_value.detail},
+                )
+                return
+            self.addresses = {
+                holder.partition: holder.member.split("/", 1)[0]
+                for holder in listed.ok_value
+                if holder.topic == WORK_TOPIC and holder.member
+            }
--- /dev/null
+++ b/heatherkeel/platform/callers.py
@@ -0,0 +1,74 @@
+"""What callers send and get: jobs, their states, and a queue's length."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+from result import Err, Ok, Result
+
+MAX_SPEC_BYTES: Final = 4000
+MAX_TASKS: Final = 20_000
+"""Tasks of one step at the most: beyond it one request would take up the owner's memory."""
+
+
+class StepRequest(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """One step of a job; processor in thousandths of a core, memory in MiB, times in ms."""
+
+    count: int = 0
+    cpu: int = 0
+    memory_mb: int = msgspec.field(name="memMb", default=0)
+    gpu: int = 0
+    estimated_ms: int = msgspec.field(name="estimatedMs", default=0)
+    depends_on: tuple[int, ...] = msgspec.field(name="dependsOn", default=())
+    saves: bool = msgspec.field(name="checkpointing", default=False)
+    """Its tasks save what they have done from time to time."""
+    is_gang: bool = msgspec.field(name="gang", default=False)
+    is_colocated: bool = msgspec.field(name="colocated", default=False)
+    label: str = msgspec.field(name="requirements", default="")
+    """A label that the worker must have; empty for any worker."""
+    data_rack: str = msgspec.field(name="dataRack", default="")
+    max_per_worker: int = msgspec.field(name="antiAffinity", default=0)
+    """At most this many tasks of the step on one worker; 0 for no limit."""
+    may_copy: bool = msgspec.field(name="speculative", default=False)
+    lasts: bool = msgspec.field(name="longRunning", default=False)
+    image: str = ""
+    tail_target_ms: int = msgspec.field(name="targetMs", default=0)
+    fills: bool = False
+    """Its processor share isn't counted: it gets what the other tasks leave."""
+    max_unavailable: int | None = msgspec.field(name="maxUnavailable", default=None)
+
+
+class JobRequest(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """A job as a caller sends it."""
+
+    spec: str = ""
+    steps: tuple[StepRequest, ...] = ()
+    repeat_count: int = msgspec.field(name="repeatCount", default=0)
+    start_at_ms: int = msgspec.field(name="startAtMs", default=0)
+    interval_ms: int = msgspec.field(name="intervalMs", default=0)
+
+
+def decode_job(body: bytes) -> Result[JobRequest, str]:
+    """Read a job and check it; the error says what is wrong with it."""
+    try:
+        job = msgspec.json.decode(body, type=JobRequest)
+    except (ValueError, RecursionError) as err:
+        return Err(str(err))
+    fault = _find_fault(job)
+    return Err(fault) if fault else Ok(job)
+
+
+def _find_fault(job: JobRequest) -> str | None:
+    if not job.steps:
+        return "a job needs at least one step"
+    if len(job.spec.encode()) > MAX_SPEC_BYTES:
+        return f"spec is longer than {MAX_SPEC_BYTES} bytes"
+    for number, step in enumerate(job.steps):
+        if not 0 < step.count <= MAX_TASKS:
+            return f"steps[{number}].count must be from 1 to {MAX_TASKS}"
+        if any(not 0 <= earlier < number for earlier in step.depends_on):
+            return f"steps[{number}].dependsOn may name earlier steps only"
+        if min(step.cpu, step.memory_mb, step.gpu, step.estimated_ms) < 0:
+            return f"steps[{number}] has a negative amount"
+    return None
--- a/heatherkeel/platform/errors.py
+++ b/heatherkeel/platform/errors.py
@@ -1,4 +1,4 @@
-"""How a call to the platform can fail."""
+"""How a call to the platform, or to a worker, can fail."""
 
 from __future__ import annotations
 
@@ -6,25 +6,37 @@
 from enum import StrEnum
 
 
-class PlatformFailure(StrEnum):
+class Failure(StrEnum):
     """What is known about a failed call."""
 
-    NOT_SENT = "not_sent"
-    """No connection: the call surely had no effect."""
-    UNKNOWN = "unknown"
-    """Sent, but no answer: it may have taken effect."""
     REFUSED = "refused"
-    """The platform refused for now (429, 503): the call had no effect, a later one may."""
+    """Surely not done; a later call may be."""
     INVALID = "invalid"
-    """The platform refused this very call (other 4xx): it had no effect and never will."""
-    OUT_OF_RETENTION = "out_of_retention"
-    """The offset that was asked for is no longer kept."""
+    """Surely not done, and this very call never will be."""
+    UNKNOWN = "unknown"
+    """No answer: it may have been done, or may be done seconds later."""
+    FENCED = "fenced"
+    """Somebody with a higher token or epoch has taken over; nothing was done."""
+    OUT_OF_ORDER = "out_of_order"
+    """The log expects another sequence number of this producer; nothing was done."""
+    FORGOTTEN = "forgotten"
+    """The records that were asked for are no longer kept."""
+    OTHER_INSTANCE = "other_instance"
+    """The address belongs to another life of a worker; the one that was meant is gone."""
+    RESERVED = "reserved"
+    """Refused for a reason of the worker's own, which `detail` names; nothing was done."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class PlatformError:
-    """A failed call; `oldest` is the first retained offset where that is the reason."""
+class CallError:
+    """A failed call.
+
+    `number` is the sequence number that the log expects (OUT_OF_ORDER) or the first record that
+    it still keeps (FORGOTTEN); `clock_ms` the worker's clock where it told it.
+    """
 
-    failure: PlatformFailure
+    failure: Failure
     detail: str = ""
-    oldest: int = 0
+    status: int = 0
+    number: int = 0
+    clock_ms: int | None = None
--- /dev/null
+++ b/heatherkeel/platform/settings.py
@@ -0,0 +1,80 @@
+"""The settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+from result import Err, Ok, Result
+
+
+class ListenAddresses(msgspec.Struct, frozen=True, kw_only=True):
+    """Where this process takes calls, as `host:port`."""
+
+    callers: str = msgspec.field(name="frontend")
+    readiness: str
+
+
+class Bounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Times that the platform promises or asks for; milliseconds, or seconds where named so."""
+
+    longest_lease_ms: int = msgspec.field(name="holdMaxMs", default=6000)
+    machine_lease_ms: int = msgspec.field(name="leaseMs", default=3000)
+    """Two holders may not take turns at one machine within this time."""
+    stop_timeout_ms: int = msgspec.field(name="stopTimeoutMs", default=400)
+    drain_ms: int = msgspec.field(name="drainMs", default=2000)
+    grace_s: float = msgspec.field(name="graceS", default=6.0)
+    move_s: float = msgspec.field(name="migrationS", default=1.5)
+    maintenance_s: float = msgspec.field(name="maintenanceS", default=2.0)
+    remote_factor: float = msgspec.field(name="remoteFactor", default=2.0)
+    status_s: float = msgspec.field(name="status_s", default=120.0)
+    notice_ms: int = msgspec.field(name="noticeMs", default=4500)
+    """A lasting task counts as away until it has worked for this long."""
+    disturbance_ms: int = msgspec.field(name="interferenceMs", default=4000)
+    """A serving task may be over its target for this long because of tasks that fill."""
+    pace_ms: int = msgspec.field(name="paceMs", default=100)
+
+
+class StoreSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The platform's store."""
+
+    address: str
+    partitions: int = msgspec.field(name="parts", default=1)
+    record_bytes: int = msgspec.field(name="recordBytes", default=262144)
+    request_bytes: int = msgspec.field(name="requestBytes", default=2097152)
+    shortest_ttl_ms: int = msgspec.field(name="ttlMinMs", default=1000)
+
+
+class MachineSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The service that moves machines between pools."""
+
+    address: str = ""
+    operations_per_s: float = msgspec.field(name="dutyPerS", default=1.0)
+    readings_per_s: float = msgspec.field(name="ratePerS", default=1.0)
+
+
+class InstanceSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What one process is told; unknown fields are ignored."""
+
+    instance: str = msgspec.field(name="nodeName")
+    ip: str
+    zone: str
+    internal_ports: tuple[int, int] = msgspec.field(name="internalPortRange")
+    listen: ListenAddresses = msgspec.field(name="listenAddrs")
+    bounds: Bounds = msgspec.field(default_factory=Bounds)
+    store: StoreSettings = msgspec.field(name="platform")
+    machines: MachineSettings = msgspec.field(name="cloud", default_factory=MachineSettings)
+    advisor: str = msgspec.field(name="placementAdvisor", default="")
+
+
+def load_instance_settings(file: str) -> Result[InstanceSettings, str]:
+    """Read the settings file; the error is one line that names the file and the fault."""
+    try:
+        text = Path(file).read_text(encoding="utf-8")
+        return Ok(msgspec.convert(tomllib.loads(text), InstanceSettings))
+    except OSError as err:
+        return Err(f"{file}: cannot be read: {err.strerror or err}")
+    except ValueError as err:
+        # tomllib, the decoding of UTF-8 and msgspec all raise kinds of ValueError.
+        return Err(f"{file}: {str(err).splitlines()[0]}")
--- /dev/null
+++ b/heatherkeel/platform/store.py
@@ -0,0 +1,291 @@
+"""Calls to the platform's store: records of keyed topics, and groups that share partitions."""
+
+from __future__ import annotations
+
+from base64 import b64decode
+from dataclasses import dataclass
+from typing import Any, Final, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+from result import Err, Ok, Result
+
+from .caller import HttpCaller, Reply
+from .errors import CallError, Failure
+from .framing import FramingError, KeyedRecord, decode_read, encode_records
+
+ModelT = TypeVar("ModelT")
+
+WRITE_TIMEOUT_S: Final = 3.5
+"""Longest wait for an append, in seconds: a partition refuses what would wait for 2 s, and a
+slow store takes a second or more on top."""
+READ_TIMEOUT_S: Final = 2.5
+"""Longest wait for a reading beyond its own `wait_ms`, in seconds."""
+JOIN_TIMEOUT_S: Final = 1.2
+"""Longest wait for a renewal, in seconds: below the time for which a membership is good."""
+_GONE, _CONFLICT, _PRECONDITION = 410, 409, 412
+_REFUSED: Final = frozenset({429, 503, 507})
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Producer:
+    """Who appends: lower epochs are refused, and each sequence number is taken once."""
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadRecords:
+    """Records from an offset on, and where the log ends."""
+
+    end: int
+    records: list[KeyedRecord]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NewestRecords:
+    """One page of the newest records; pages are not a snapshot, so offsets decide."""
+
+    end: int
+    records: list[KeyedRecord]
+    has_more: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Share:
+    """What a member holds: its partitions by topic, under a generation that only rises."""
+
+    generation: int
+    partitions: dict[str, set[int]]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PartitionHolder:
+    """Which member holds a partition."""
+
+    topic: str
+    partition: int
+    member: str
+
+
+class _Answer(msgspec.Struct, kw_only=True):
+    reason: str = ""
+    end: int = msgspec.field(name="endKey", default=0)
+    first: int = 0
+    sequence: int = 0
+
+
+class _Item(msgspec.Struct, kw_only=True):
+    key: str
+    value: str = ""
+    offset: int = 0
+
+
+class _Newest(msgspec.Struct, kw_only=True):
+    items: list[_Item] = []
+    has_more: bool = msgspec.field(name="hasMore", default=False)
+    end: int = msgspec.field(name="endKey", default=0)
+
+
+class _Joined(msgspec.Struct, kw_only=True):
+    generation: int = 0
+    parts: list[tuple[str, int, int]] = []
+
+
+class StoreClient:
+    """One process's way to the store; waiting reads have connections of their own."""
+
+    def __init__(self, *, address: str) -> None:
+        self.writes = HttpCaller(address=address, connections=8)
+        self.reads = HttpCaller(address=address, connections=24)
+        self.membership = HttpCaller(address=address, connections=2)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for caller in (self.writes, self.reads, self.membership):
+            await caller.close()
+
+    async def async_append(
+        self,
+        topic: str,
+        partition: int,
+        records: list[KeyedRecord],
+        *,
+        producer: Producer | None = None,
+        timeout_s: float = WRITE_TIMEOUT_S,
+    ) -> Result[None, CallError]:
+        """Append all records or none; no record sets a producer's epoch only."""
+        query: dict[str, Any] = {"topic": topic, "part": partition}
+        if producer is not None:
+            query |= {
+                "producer": producer.name,
+                "epoch": producer.epoch,
+                "sequence": producer.sequence,
+            }
+        target = f"/heatherkeel/log-append?{urlencode(query)}"
+        called = await self.writes.async_call(
+            "POST", target, body=encode_records(records), timeout_s=timeout_s
+        )
+        checked = called.and_then(_check)
+        return Err(checked.err_value) if isinstance(checked, Err) else Ok(None)
+
+    async def async_read(
+        self, topic: str, partition: int, *, start: int, wait_ms: int
+    ) -> Result[ReadRecords, CallError]:
+        """Read from an offset on, waiting up to `wait_ms` for a first record."""
+        query = urlencode({"topic": topic, "part": partition, "from": start, "waitMs": wait_ms})
+        called = await self.reads.async_call(
+            "GET",
+            f"/heatherkeel/log-read?{query}",
+            timeout_s=READ_TIMEOUT_S + wait_ms / 1000,
+        )
+        checked = called.and_then(_check)
+        if isinstance(checked, Err):
+            return checked
+        try:
+            end, _, records = decode_read(checked.ok_value.body, start=start)
+        except FramingError as err:
+            return Err(CallError(failure=Failure.INVALID, detail=str(err)))
+        return Ok(ReadRecords(end=end, records=records))
+
+    async def async_read_newest(
+        self, topic: str, partition: int, *, after_key: str = ""
+    ) -> Result[NewestRecords, CallError]:
+        """Read one page of the newest record of each key."""
+        query: dict[str, Any] = {"topic": topic, "part": partition}
+        if after_key:
+            query["dependsOn"] = after_key
+        called = await self.reads.async_call(
+            "GET", f"/heatherkeel/log-newest?{urlencode(query)}", timeout_s=READ_TIMEOUT_S
+        )
+        decoded = _decode(called.and_then(_check), _Newest)
+        if isinstance(decoded, Err):
+            return decoded
+        page = decoded.ok_value
+        records = [
+            KeyedRecord(key=item.key, value=b64decode(item.value), offset=item.offset)
+            for item in page.items
+        ]
+        return Ok(NewestRecords(end=page.end, records=records, has_more=page.has_more))
+
+    async def async_read_all_newest(
+        self, topic: str, partition: int
+    ) -> Result[NewestRecords, CallError]:
+        """Read every page; `end` is that of the first, so reading on from it misses nothing."""
+        records: list[KeyedRecord] = []
+        end, after_key = -1, ""
+        while True:
+            read = await self.async_read_newest(topic, partition, after_key=after_key)
+            if isinstance(read, Err):
+                return read
+            page = read.ok_value
+            records += page.records
+            end = page.end if end < 0 else end
+            if not page.has_more or not page.records:
+                return Ok(NewestRecords(end=end, records=records, has_more=False))
+            after_key = page.records[-1].key
+
+    async def async_join(
+        self, *, group: str, member: str, topics: list[str], ttl_ms: int, generation: int
+    ) -> Result[Share, CallError]:
+        """Join a group, or stay in it for another `ttl_ms`."""
+        body = msgspec.json.encode(
+            {
+                "group": group,
+                "member": member,
+                "topics": topics,
+                "ttlMs": ttl_ms,
+                "generation": generation,
+            }
+        )
+        called = await self.membership.async_call(
+            "POST", "/heatherkeel/log-join", body=body, timeout_s=JOIN_TIMEOUT_S
+        )
+        decoded = _decode(called.and_then(_check), _Joined)
+        if isinstance(decoded, Err):
+            return decoded
+        partitions: dict[str, set[int]] = {}
+        for topic, partition, _ in decoded.ok_value.parts:
+            partitions.setdefault(topic, set()).add(partition)
+        return Ok(Share(generation=decoded.ok_value.generation, partitions=partitions))
+
+    async def async_leave(self, *, group: str, member: str) -> Result[None, CallError]:
+        """Leave a group, so that its partitions go to other members at once."""
+        body = msgspec.json.encode({"group": group, "member": member})
+        called = await self.membership.async_call(
+            "POST", "/heatherkeel/log-leave", body=body, timeout_s=JOIN_TIMEOUT_S
+        )
+        checked = called.and_then(_check)
+        return Err(checked.err_value) if isinstance(checked, Err) else Ok(None)
+
+    async def async_list_holders(self, *, group: str) -> Result[list[PartitionHolder], CallError]:
+        """Say which member holds which partition."""
+        called = await self.reads.async_call(
+            "GET",
+            f"/heatherkeel/log-owners?{urlencode({'group': group})}",
+            timeout_s=READ_TIMEOUT_S,
+        )
+        checked = called.and_then(_check)
+        if isinstance(checked, Err):
+            return checked
+        return _decode_holders(checked.ok_value.body)
+
+
+def _decode_holders(body: bytes) -> Result[list[PartitionHolder], CallError]:
+    """Read rows of topic, partition, member and offset, alone or under a name."""
+    try:
+        document = msgspec.json.decode(body)
+        if isinstance(document, dict):
+            document = next(rows for rows in document.values() if isinstance(rows, list))
+        return Ok(
+            [
+                PartitionHolder(topic=row[0], partition=row[1], member=row[2] or "")
+                for row in document
+            ]
+        )
+    except (ValueError, LookupError, TypeError, StopIteration) as err:
+        return Err(CallError(failure=Failure.INVALID, detail=f"list of holders: {err!r}"))
+
+
+def _check(reply: Reply) -> Result[Reply, CallError]:
+    if reply.status == 200:
+        return Ok(reply)
+    detail = f"status {reply.status}"
+    answer = _Answer()
+    if reply.status in (_CONFLICT, _GONE, _PRECONDITION):
+        try:
+            answer = msgspec.json.decode(reply.body, type=_Answer)
+        except ValueError:
+            detail += ", body not readable"
+    if reply.status in _REFUSED:
+        failure = Failure.REFUSED
+    elif reply.status == _GONE:
+        failure = Failure.FORGOTTEN
+    elif reply.status == _CONFLICT and answer.reason == "fenced":
+        failure = Failure.FENCED
+    elif reply.status == _CONFLICT:
+        failure = Failure.OUT_OF_ORDER
+    elif reply.status >= 500:
+        failure = Failure.UNKNOWN
+    else:
+        failure = Failure.INVALID
+    number = answer.first if reply.status == _GONE else answer.sequence
+    return Err(
+        CallError(
+            failure=failure,
+            detail=f"{detail} {answer.reason}".strip(),
+            status=reply.status,
+            number=number,
+        )
+    )
+
+
+def _decode(checked: Result[Reply, CallError], model: type[ModelT]) -> Result[ModelT, CallError]:
+    if isinstance(checked, Err):
+        return checked
+    try:
+        return Ok(msgspec.json.decode(checked.ok_value.body, type=model))
+    except (ValueError, RecursionError) as err:
+        return Err(CallError(failure=Failure.INVALID, detail=str(err)))
--- /dev/null
+++ b/heatherkeel/platform/workers.py
@@ -0,0 +1,195 @@
+"""Calls to one life of a worker: start, stop and pace tasks, hold its lease, list its tasks."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Final
+
+import msgspec
+from result import Err, Ok, Result
+
+from .caller import HttpCaller, Reply
+from .errors import CallError, Failure
+
+START_TIMEOUT_S: Final = 1.0
+"""Longest wait for a start, in seconds. Workers answer within a few milliseconds; an order
+without an answer may be carried out late, and the sooner that is known, the sooner the task runs
+elsewhere."""
+LIST_TIMEOUT_S: Final = 1.2
+"""Longest wait for a listing beyond its own `wait_ms`, in seconds."""
+CONNECTIONS: Final = 4
+"""Connections to one worker: one waits for ends, the others carry orders."""
+_INSTANCE_HEADER: Final = "heatherkeel-target-instance"
+_MISDIRECTED, _CONFLICT = 421, 409
+_UNHEALTHY: Final = frozenset({429, 503})
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunningTask:
+    """A task that runs; `figure` is its tail in ms, or its processor use, as of just now."""
+
+    task: str
+    attempt: int
+    saved: str
+    percent: float
+    figure: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EndedTask:
+    """A task that has ended; `number` counts the ends of this life of the worker."""
+
+    number: int
+    task: str
+    attempt: int
+    outcome: str
+    saved: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Listing:
+    """All that runs on a worker, and the ends that weren't acknowledged, by its clock."""
+
+    clock_ms: int
+    running: list[RunningTask]
+    ended: list[EndedTask]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StartOrder:
+    """An order to start one task; `lease_until_ms` is a time on the worker's clock."""
+
+    task: str
+    attempt: int
+    spec: str
+    token: int
+    lease_until_ms: int
+    saved: str = ""
+    ticket: str = ""
+
+
+class _Answer(msgspec.Struct, kw_only=True):
+    clock_ms: int = msgspec.field(name="clockMs", default=0)
+    reason: str = ""
+    running: list[list[Any]] = []
+    finished: list[list[Any]] = []
+
+
+class WorkerClient:
+    """One process's way to one life of a worker."""
+
+    def __init__(self, *, worker_id: str, address: str) -> None:
+        self.worker_id = worker_id
+        self.caller = HttpCaller(address=address, connections=CONNECTIONS)
+        self.headers = [(_INSTANCE_HEADER, worker_id)]
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.caller.close()
+
+    async def async_start_task(self, order: StartOrder) -> Result[int, CallError]:
+        """Start a task; returns the worker's clock in milliseconds."""
+        body: dict[str, Any] = {
+            "task": order.task,
+            "attempt": order.attempt,
+            "spec": order.spec,
+            "deadlineMs": order.lease_until_ms,
+            "fencingToken": order.token,
+        }
+        if order.saved:
+            body["checkpoint"] = order.saved
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return await self._async_order("run-start", body)
+
+    async def async_stop_task(
+        self, *, task: str, attempt: int, token: int
+    ) -> Result[int, CallError]:
+        """Stop a task; one that isn't there yet will be refused when it comes."""
+        body = {"task": task, "attempt": attempt, "fencingToken": token}
+        return await self._async_order("run-stop", body)
+
+    async def async_pace_task(
+        self, *, task: str, attempt: int, percent: int, token: int
+    ) -> Result[int, CallError]:
+        """Let a task work at a share of its speed, in percent."""
+        body = {"task": task, "attempt": attempt, "percent": percent, "fencingToken": token}
+        return await self._async_order("pace", body)
+
+    async def async_hold(
+        self, *, token: int, acknowledged: int, lease_until_ms: int | None, wait_ms: int
+    ) -> Result[Listing, CallError]:
+        """Renew the lease of all that runs, acknowledge ends, and list what there is."""
+        body: dict[str, Any] = {"fencingToken": token, "ackSeq": acknowledged}
+        if lease_until_ms is not None:
+            body["deadlineMs"] = lease_until_ms
+        if wait_ms:
+            body["waitMs"] = wait_ms
+        answered = await self._async_call("hold", body, LIST_TIMEOUT_S + wait_ms / 1000)
+        if isinstance(answered, Err):
+            return answered
+        answer = answered.ok_value
+        try:
+            return Ok(
+                Listing(
+                    clock_ms=answer.clock_ms,
+                    running=[_read_running(row) for row in answer.running],
+                    ended=[_read_ended(row) for row in answer.finished],
+                )
+            )
+        except (ValueError, TypeError, LookupError) as err:
+            return Err(CallError(failure=Failure.INVALID, detail=f"listing: {err!r}"))
+
+    async def _async_order(self, name: str, body: dict[str, Any]) -> Result[int, CallError]:
+        answered = await self._async_call(name, body, START_TIMEOUT_S)
+        return answered.map(lambda answer: answer.clock_ms)
+
+    async def _async_call(
+        self, name: str, body: dict[str, Any], timeout_s: float
+    ) -> Result[_Answer, CallError]:
+        called = await self.caller.async_call(
+            "POST",
+            f"/heatherkeel/{name}",
+            body=msgspec.json.encode(body),
+            headers=self.headers,
+            timeout_s=timeout_s,
+        )
+        return called.and_then(_check)
+
+
+def _read_running(row: list[Any]) -> RunningTask:
+    figure = float(row[4]) if len(row) > 4 else 0.0
+    return RunningTask(
+        task=row[0], attempt=int(row[1]), saved=row[2], percent=float(row[3]), figure=figure
+    )
+
+
+def _read_ended(row: list[Any]) -> EndedTask:
+    return EndedTask(
+        number=int(row[0]), task=row[1], attempt=int(row[2]), outcome=row[3], saved=row[4]
+    )
+
+
+def _check(reply: Reply) -> Result[_Answer, CallError]:
+    if reply.status == _MISDIRECTED:
+        return Err(CallError(failure=Failure.OTHER_INSTANCE, status=reply.status))
+    if reply.status in _UNHEALTHY:
+        return Err(CallError(failure=Failure.REFUSED, status=reply.status))
+    if reply.status not in (200, _CONFLICT):
+        failure = Failure.INVALID if reply.status < 500 else Failure.UNKNOWN
+        return Err(CallError(failure=failure, status=reply.status, detail=f"status {reply.status}"))
+    try:
+        answer = msgspec.json.decode(reply.body, type=_Answer)
+    except (ValueError, RecursionError) as err:
+        return Err(CallError(failure=Failure.UNKNOWN, status=reply.status, detail=str(err)))
+    if reply.status == 200:
+        return Ok(answer)
+    failure = Failure.FENCED if answer.reason == "fence" else Failure.RESERVED
+    return Err(
+        CallError(
+            failure=failure,
+            status=reply.status,
+            detail=answer.reason,
+            clock_ms=answer.clock_ms,
+        )
+    )
--- /dev/null
+++ b/heatherkeel/questions/__init__.py
@@ -0,0 +1,1 @@
+"""What processes ask each other directly: the owner of a partition knows its jobs."""
--- /dev/null
+++ b/heatherkeel/questions/answering.py
@@ -0,0 +1,36 @@
+"""Answers questions from the partitions that this process owns."""
+
+from __future__ import annotations
+
+from heatherkeel.dispatch.load import measure_pools
+from heatherkeel.dispatch.owner import PartitionOwner
+
+from .messages import (
+    Answer,
+    JobAsked,
+    JobTold,
+    NotOwner,
+    PoolsAsked,
+    PoolsTold,
+    Question,
+    QueueTold,
+)
+
+
+def answer_question(owners: dict[int, PartitionOwner], question: Question) -> Answer:
+    """Answer a question; an owner that hasn't read its records yet must not say "unknown"."""
+    owner = owners.get(question.partition)
+    if owner is None or not owner.is_restored:
+        return NotOwner()
+    if isinstance(question, JobAsked):
+        job = owner.state.find_job(question.job_id)
+        return JobTold(state=job.state.value if job else "")
+    if isinstance(question, PoolsAsked):
+        owner.take_leaving(frozenset(question.leaving))
+        return PoolsTold(pools=measure_pools(owner.state))
+    pending = sum(
+        1
+        for job in owner.state.jobs.values()
+        if job.queue == question.queue and not job.has_started()
+    )
+    return QueueTold(pending=pending)
--- /dev/null
+++ b/heatherkeel/questions/links.py
@@ -0,0 +1,130 @@
+"""Sockets for questions: one that takes them, and one to each process that was asked."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+import zmq
+from result import Err
+
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.membership.sockets import EdgeSocket, Frames
+
+from .const import ANSWER_TIMEOUT_S, CONNECT_POLL_S, UNUSED_AFTER_MS
+from .messages import Answer, Question, decode_answer, decode_question, encode_message
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(kw_only=True, slots=True)
+class Waiting:
+    """A question on its way."""
+
+    answered: trio.Event = field(default_factory=trio.Event)
+    answer: Answer | None = None
+
+
+class QuestionLink:
+    """A connection to one process; a question that gets no answer is given up, not sent again."""
+
+    def __init__(self, *, context: zmq.Context[zmq.Socket[bytes]], address: str) -> None:
+        self.socket = EdgeSocket(context=context, kind=zmq.DEALER, handle=self._take)
+        self.socket.socket.connect(f"tcp://{address}")
+        self.waiting: dict[bytes, Waiting] = {}
+        self.asked = 0
+        self.used_ms = monotonic_ms()
+
+    async def async_ask(self, question: Question, *, timeout_s: float) -> Answer | None:
+        """Return the answer; None if there is none in time."""
+        self.used_ms = monotonic_ms()
+        self.asked += 1
+        number = str(self.asked).encode()
+        waiting = self.waiting[number] = Waiting()
+        try:
+            with trio.move_on_after(timeout_s):
+                while not self.socket.send([number, encode_message(question)]):
+                    await trio.sleep(CONNECT_POLL_S)
+                await waiting.answered.wait()
+        finally:
+            del self.waiting[number]
+        return waiting.answer
+
+    def _take(self, frames: Frames) -> None:
+        if len(frames) != 2:
+            return
+        waiting = self.waiting.get(frames[0])
+        if waiting is None:
+            return
+        decoded = decode_answer(frames[1])
+        if isinstance(decoded, Err):
+            _LOGGER.error(
+                "an answer can't be read",
+                extra={"event": "answer_unreadable", "detail": decoded.err_value},
+            )
+        else:
+            waiting.answer = decoded.ok_value
+        waiting.answered.set()
+
+
+class QuestionLinks:
+    """All links of one process."""
+
+    def __init__(self, *, bind: str, answer: Callable[[Question], Answer]) -> None:
+        self.address = bind
+        self.answer = answer
+        self.context: zmq.Context[zmq.Socket[bytes]] = zmq.Context(io_threads=1)
+        self.router = EdgeSocket(context=self.context, kind=zmq.ROUTER, handle=self._take)
+        self.links: dict[str, QuestionLink] = {}
+        self.nursery: trio.Nursery | None = None
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Open the port; `zmq.ZMQError` if it is taken."""
+        self.nursery = nursery
+        self.router.socket.bind(f"tcp://{self.address}")
+        endpoint = self.router.socket.getsockopt_string(zmq.LAST_ENDPOINT)
+        self.address = endpoint.removeprefix("tcp://")
+        self.router.start(nursery)
+
+    def close(self) -> None:
+        """Close all links; questions under way get no answer."""
+        for link in self.links.values():
+            link.socket.close()
+        self.router.close()
+        self.context.destroy(linger=0)
+
+    async def async_ask(
+        self, address: str, question: Question, *, timeout_s: float = ANSWER_TIMEOUT_S
+    ) -> Answer | None:
+        """Ask the process at an address; None if no answer comes in time."""
+        if address == self.address:
+            return self.answer(question)
+        self._close_unused()
+        link = self.links.get(address)
+        if link is None:
+            link = self.links[address] = QuestionLink(context=self.context, address=address)
+            assert self.nursery is not None
+            link.socket.start(self.nursery)
+        return await link.async_ask(question, timeout_s=timeout_s)
+
+    def _close_unused(self) -> None:
+        now_ms = monotonic_ms()
+        for address, link in list(self.links.items()):
+            if not link.waiting and now_ms - link.used_ms > UNUSED_AFTER_MS:
+                del self.links[address]
+                link.socket.close()
+
+    def _take(self, frames: Frames) -> None:
+        if len(frames) != 3:
+            return
+        decoded = decode_question(frames[2])
+        if isinstance(decoded, Err):
+            _LOGGER.error(
+                "a question can't be read",
+                extra={"event": "question_unreadable", "detail": decoded.err_value},
+            )
+            return
+        answer = self.answer(decoded.ok_value)
+        self.router.send([frames[0], frames[1], encode_message(answer)])
--- /dev/null
+++ b/heatherkeel/questions/messages.py
@@ -0,0 +1,91 @@
+"""Messages between processes, as JSON of one version."""
+
+from __future__ import annotations
+
+import msgspec
+from result import Err, Ok, Result
+
+
+class JobAsked(msgspec.Struct, frozen=True, kw_only=True, tag="job"):
+    """Asks how a job is."""
+
+    partition: int
+    job_id: str
+
+
+class QueueAsked(msgspec.Struct, frozen=True, kw_only=True, tag="queue"):
+    """Asks how many accepted jobs of a queue have no task started."""
+
+    partition: int
+    queue: str
+
+
+class PoolsAsked(msgspec.Struct, frozen=True, kw_only=True, tag="pools"):
+    """Asks how full the pools are; these workers, and no others, are to be emptied meanwhile."""
+
+    partition: int
+    leaving: list[str]
+
+
+Question = JobAsked | QueueAsked | PoolsAsked
+
+
+class JobTold(msgspec.Struct, frozen=True, kw_only=True, tag="job"):
+    """A job's state; empty if the owner knows no such job."""
+
+    state: str = ""
+
+
+class QueueTold(msgspec.Struct, frozen=True, kw_only=True, tag="queue"):
+    """A queue's length."""
+
+    pending: int
+
+
+class PoolLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """What a pool's jobs ask for and have; processor in thousandths of a core."""
+
+    service: str
+    wanted_cpu: int
+    """Of tasks that could start now, and of what runs."""
+    used_cpu: int
+    workers: dict[str, int]
+    """The processor that runs take, by worker."""
+    empty: list[str]
+    """Workers that leave and on which nothing runs any more."""
+    lasting: dict[str, int]
+    """How many lasting tasks are at each worker that has any."""
+
+
+class PoolsTold(msgspec.Struct, frozen=True, kw_only=True, tag="pools"):
+    """The load of each pool of a partition."""
+
+    pools: list[PoolLoad]
+
+
+class NotOwner(msgspec.Struct, frozen=True, kw_only=True, tag="not_owner"):
+    """The process that was asked doesn't own the partition, or doesn't know its jobs yet."""
+
+
+Answer = JobTold | QueueTold | PoolsTold | NotOwner
+
+
+def encode_message(message: Question | Answer) -> bytes:
+    """Return a message's bytes."""
+    return msgspec.json.encode(message)
+
+
+def decode_question(data: bytes) -> Result[Question, str]:
+    """Read a question."""
+    try:
+        return Ok(msgspec.json.decode(data, type=Question))
+    except (ValueError, RecursionError) as err:
+        return Err(str(err))
+
+
+def decode_answer(data: bytes) -> Result[Answer, str]:
+    """Read an answer."""
+    try:
+        return Ok(msgspec.json.decode(data, type=Answer))
+    except (ValueError, RecursionError) as err:
+        return Err(str(err))
--- a/heatherkeel/snapshots/store.py
+++ b/heatherkeel/snapshots/store.py
@@ -10,9 +10,9 @@
 from result import Err, Ok, Result
 
 from heatherkeel.core.state import FleetState
+from heatherkeel.fleetlog.client import PlatformClient
+from heatherkeel.fleetlog.errors import PlatformError, PlatformFailure
 from heatherkeel.helpers.backoff import Backoff
-from heatherkeel.platform.client import PlatformClient
-from heatherkeel.platform.errors import PlatformError, PlatformFailure
 
 from . import codec
 from .const import APPEND_TRIES, FORMAT, MAX_SCANNED_RECORDS, SCAN_RECORDS, STREAM_SUFFIX
--- a/heatherkeel/snapshots/writer.py
+++ b/heatherkeel/snapshots/writer.py
@@ -11,8 +11,8 @@
 from heatherkeel.core.errors import BrokenInvariantError
 from heatherkeel.core.models import Rejected, RejectReason, Settled
 from heatherkeel.core.state import FleetState
-from heatherkeel.platform.follower import LogFollower
-from heatherkeel.platform.writer import LogWriter
+from heatherkeel.fleetlog.follower import LogFollower
+from heatherkeel.fleetlog.writer import LogWriter
 
 from . import codec, schedule
 from .const import APPEND_PAUSE_S, ENDORSE_STEP_MS, FORMAT, VERDICT_WAIT_S
--- a/heatherkeel/standins/operations.py
+++ b/heatherkeel/standins/operations.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from heatherkeel.platform.models import (
+from heatherkeel.fleetlog.models import (
     ListedInstance,
     ListedState,
     OperationAction,
--- a/heatherkeel/standins/platform.py
+++ b/heatherkeel/standins/platform.py
@@ -8,6 +8,16 @@
 import msgspec
 import trio
 
+from heatherkeel.fleetlog.models import (
+    Appended,
+    AppendRequest,
+    InstanceList,
+    ListedInstance,
+    ListedState,
+    OperationRequest,
+    ReadAnswer,
+    StoredRecord,
+)
 from heatherkeel.helpers.asgi import (
     Message,
     Receive,
@@ -18,16 +28,6 @@
     async_run_lifespan,
     parse_request,
 )
-from heatherkeel.platform.models import (
-    Appended,
-    AppendRequest,
-    InstanceList,
-    ListedInstance,
-    ListedState,
-    OperationRequest,
-    ReadAnswer,
-    StoredRecord,
-)
 
 from .models import PlatformFaults
 from .operations import Operations, async_tell_target
--- a/heatherkeel/standins/task_routes.py
+++ b/heatherkeel/standins/task_routes.py
@@ -8,8 +8,8 @@
 import msgspec
 import trio
 
+from heatherkeel.fleetlog.tasks import StopRequest, TaskRequest, TaskView, ThrottleRequest
 from heatherkeel.helpers.asgi import Request, Send, async_respond, async_respond_json
-from heatherkeel.platform.tasks import StopRequest, TaskRequest, TaskView, ThrottleRequest
 
 from .tasks import TaskFaults, TaskTable
 
--- a/heatherkeel/standins/tasks.py
+++ b/heatherkeel/standins/tasks.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from heatherkeel.platform.tasks import (
+from heatherkeel.fleetlog.tasks import (
     ReportedExit,
     TaskList,
     TaskRequest,
--- a/tests/admin/fakes.py
+++ b/tests/admin/fakes.py
@@ -14,9 +14,9 @@
 import heatherkeel.subjects  # noqa: F401
 from heatherkeel.admin.app import AdminApp
 from heatherkeel.entry.node import Node
+from heatherkeel.fleetlog.errors import PlatformError, PlatformFailure
+from heatherkeel.fleetlog.models import Appended, ReadAnswer, StoredRecord
 from heatherkeel.helpers.asgi import Message
-from heatherkeel.platform.errors import PlatformError, PlatformFailure
-from heatherkeel.platform.models import Appended, ReadAnswer, StoredRecord
 from heatherkeel.settings.models import (
     AdminSettings,
     EntrySettings,
--- a/tests/admin/test_edits.py
+++ b/tests/admin/test_edits.py
@@ -8,7 +8,7 @@
 from heatherkeel.admin.const import EDIT_LIFETIME_MS
 from heatherkeel.catalogue.models import EntryPut, PoolEntry
 from heatherkeel.core.envelopes import encode, seal
-from heatherkeel.platform.errors import PlatformFailure
+from heatherkeel.fleetlog.errors import PlatformFailure
 
 from .fakes import Api, MemoryLog, open_api, run
 
--- a/tests/entry/test_duties.py
+++ b/tests/entry/test_duties.py
@@ -9,14 +9,14 @@
 from heatherkeel.entry.duties_coordinate import has_returned
 from heatherkeel.entry.duties_health import find_doubtful, find_report
 from heatherkeel.entry.duties_listing import find_reports
-from heatherkeel.membership.models import EntryGone
-from heatherkeel.platform.models import (
+from heatherkeel.fleetlog.models import (
     ListedInstance,
     ListedState,
     OperationAction,
     OperationState,
     OperationStatus,
 )
+from heatherkeel.membership.models import EntryGone
 from heatherkeel.pools.models import Health, InstanceGone, InstanceObserved, Source
 from heatherkeel.requests.local import TargetView
 from heatherkeel.waves.models import Returned
--- a/tests/platform/fake.py
+++ b/tests/fleetlog/fake.py
@@ -9,9 +9,9 @@
 import trio.testing
 from result import Err, Ok, Result
 
-from heatherkeel.platform.client import PlatformClient
-from heatherkeel.platform.errors import PlatformError, PlatformFailure
-from heatherkeel.platform.models import Appended, ReadAnswer
+from heatherkeel.fleetlog.client import PlatformClient
+from heatherkeel.fleetlog.errors import PlatformError, PlatformFailure
+from heatherkeel.fleetlog.models import Appended, ReadAnswer
 from heatherkeel.standins.platform import PlatformStandin
 
 LOST_ANSWER = "lost_answer"
--- a/tests/platform/test_follower.py
+++ b/tests/fleetlog/test_follower.py
@@ -6,9 +6,9 @@
 import trio
 
 from heatherkeel.core.models import LogRecord
-from heatherkeel.platform.follower import LogFollower, LogRewrittenError
-from heatherkeel.platform.log_clock import LogClock
-from heatherkeel.platform.models import ReadAnswer
+from heatherkeel.fleetlog.follower import LogFollower, LogRewrittenError
+from heatherkeel.fleetlog.log_clock import LogClock
+from heatherkeel.fleetlog.models import ReadAnswer
 from heatherkeel.standins.platform import PlatformStandin
 
 from .fake import FakeClient, run
--- a/tests/platform/test_list.py
+++ b/tests/fleetlog/test_list.py
@@ -4,10 +4,10 @@
 
 import trio
 
+from heatherkeel.fleetlog.client import PlatformClient
+from heatherkeel.fleetlog.models import InstanceList, ListedInstance, ListedState
 from heatherkeel.helpers.asgi import Message, Receive, Send
 from heatherkeel.helpers.server import HttpServer
-from heatherkeel.platform.client import PlatformClient
-from heatherkeel.platform.models import InstanceList, ListedInstance, ListedState
 from heatherkeel.standins.platform import PlatformStandin
 
 
--- a/tests/platform/test_writer.py
+++ b/tests/fleetlog/test_writer.py
@@ -14,12 +14,12 @@
 from heatherkeel.core.models import Duplicate, LogRecord, Settled
 from heatherkeel.core.reducer import fold
 from heatherkeel.core.state import FleetState
+from heatherkeel.fleetlog import client as client_module
+from heatherkeel.fleetlog.errors import PlatformFailure
+from heatherkeel.fleetlog.log_clock import LogClock
+from heatherkeel.fleetlog.models import Appended
+from heatherkeel.fleetlog.writer import MAX_PENDING_RECORDS, LogWriter, WriteFailure
 from heatherkeel.membership.models import EntryJoin
-from heatherkeel.platform import client as client_module
-from heatherkeel.platform.errors import PlatformFailure
-from heatherkeel.platform.log_clock import LogClock
-from heatherkeel.platform.models import Appended
-from heatherkeel.platform.writer import MAX_PENDING_RECORDS, LogWriter, WriteFailure
 
 from .fake import LOST_ANSWER, FakeClient, run
 
@@ -239,7 +239,7 @@
     # The platform's clock is set back by an hour; the log holds its highest time until then.
     # An estimate that goes on rising would seal records that live too long, all of them refused.
     now = [1_000]
-    monkeypatch.setattr("heatherkeel.platform.log_clock.monotonic_ms", lambda: now[0])
+    monkeypatch.setattr("heatherkeel.fleetlog.log_clock.monotonic_ms", lambda: now[0])
     clock = LogClock()
     clock.hear(5_000_000)
     for _ in range(60):
--- a/tests/jobs/test_machine.py
+++ b/tests/jobs/test_machine.py
@@ -18,13 +18,13 @@
 from heatherkeel.core.reducer import fold
 from heatherkeel.core.registry import find_violations
 from heatherkeel.core.state import FleetState, canonical_bytes, from_canonical_bytes
+from heatherkeel.fleetlog.tasks import TaskRequest, TaskView
 from heatherkeel.jobs.models import CheckpointTask, JobStatus, StartTask, StopTask
 from heatherkeel.jobs.observing import effects_due, evidence_of
 from heatherkeel.jobs.policies import POLICIES
 from heatherkeel.jobs.policy import RoundRequest
 from heatherkeel.jobs.records import JobCancel, JobResolve, JobSubmit, Resolution
 from heatherkeel.membership.models import EntryJoin
-from heatherkeel.platform.tasks import TaskRequest, TaskView
 from heatherkeel.standins.tasks import Task, TaskTable, job_of
 
 from .conftest import TEAM, Fleet, spec_of
--- a/tests/membership/test_lease.py
+++ b/tests/membership/test_lease.py
@@ -14,7 +14,7 @@
 from heatherkeel.membership.const import PAUSE_BOUND_MS, PAUSE_CHECK_INTERVAL_MS
 from heatherkeel.membership.events import ClockGap, LeaseGranted, LeaseRefused, LeaseWanted
 from heatherkeel.membership.pause import PauseWatch
-from tests.platform.fake import run
+from tests.fleetlog.fake import run
 
 
 def make_node() -> NodeState:
--- a/tests/snapshots/test_store.py
+++ b/tests/snapshots/test_store.py
@@ -7,11 +7,11 @@
 
 import heatherkeel.subjects  # noqa: F401
 from heatherkeel.core.state import canonical_bytes
-from heatherkeel.platform.errors import PlatformFailure
+from heatherkeel.fleetlog.errors import PlatformFailure
 from heatherkeel.snapshots.const import MIN_MARK_INTERVAL_MS, SCAN_RECORDS
 from heatherkeel.snapshots.models import ManifestRecord, RefusalRecord, SnapshotMarked
 from heatherkeel.snapshots.store import SnapshotStore
-from tests.platform.fake import LOST_ANSWER, FakeClient, run
+from tests.fleetlog.fake import LOST_ANSWER, FakeClient, run
 
 from .test_fold import Log, join, marked_in, write
 
--- a/tests/snapshots/test_writer.py
+++ b/tests/snapshots/test_writer.py
@@ -22,7 +22,7 @@
 from heatherkeel.snapshots import codec
 from heatherkeel.snapshots.models import ManifestRecord
 from heatherkeel.snapshots.writer import StateDivergedError
-from tests.platform.fake import FakeClient, run
+from tests.fleetlog.fake import FakeClient, run
 
 SNAPSHOTS = SnapshotSettings(interval_records=3, overtake_ms=5_000, check_interval_ms=50)
 
