--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -90,6 +90,8 @@
     """The machines of these workers, and of no others, are to be emptied."""
 
     worker_ids: frozenset[str]
+    due: frozenset[str] = frozenset()
+    """Workers whose turn comes later."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/dispatch/lasting.py
+++ b/heatherkeel/dispatch/lasting.py
@@ -8,18 +8,26 @@
 
 
 def leave_workers(state: PartitionState, effects: Effects) -> None:
-    """Stop what won't end by itself on workers that drain or whose machines are to go."""
+    """Stop what won't end soon by itself on workers that drain or whose machines are to go."""
     for worker in state.workers.values():
         if not worker.is_leaving and not worker.entry.is_draining():
             continue
         for run in list(worker.runs.values()):
-            if run.task.step.request.lasts and run.state is RunState.RUNNING:
+            if run.state is RunState.RUNNING:
                 _leave(state, worker, run, effects)
 
 
 def _leave(state: PartitionState, worker: Worker, run: Run, effects: Effects) -> None:
-    # A worker that drains takes its tasks with it in any case, and soon.
-    if worker.entry.is_draining() or may_stop(state, run):
+    """Stop a run that would keep the worker from being empty; others soon end by themselves.
+
+    A task that saves goes on elsewhere from where it was stopped. A worker that drains takes
+    its lasting tasks with it in any case, and soon.
+    """
+    request = run.task.step.request
+    if not request.lasts:
+        if request.saves and not request.is_gang:
+            stop_run(state, run, effects)
+    elif worker.entry.is_draining() or may_stop(state, run):
         stop_run(state, run, effects)
 
 
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -174,6 +174,8 @@
     """The last call to it wasn't answered."""
     is_leaving: bool = False
     """Its machine is about to be moved or maintained."""
+    is_due: bool = False
+    """Its machine is to be maintained later."""
     failed_jobs: list[str] = field(default_factory=list)
     """Jobs whose tasks failed there since the last one that didn't."""
     aside_until_ms: int = 0
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -127,10 +127,10 @@
         for effect in reduce_event(self.state, event):
             self._perform(effect)
 
-    def take_leaving(self, worker_ids: frozenset[str]) -> None:
-        """Empty these workers, and no others."""
+    def take_leaving(self, worker_ids: frozenset[str], *, due: frozenset[str]) -> None:
+        """Empty these workers, and no others; those that are due follow later."""
         now_ms, wall_ms = self.times()
-        self.take(WorkersLeaving(now_ms=now_ms, wall_ms=wall_ms, worker_ids=worker_ids))
+        self.take(WorkersLeaving(now_ms=now_ms, wall_ms=wall_ms, worker_ids=worker_ids, due=due))
 
     async def _async_restore(self) -> None:
         """Shut earlier owners out, and read what they have stored."""
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -121,11 +121,12 @@
     """
     request = step.request
     best: Worker | None = None
-    best_rank: tuple[bool, int, str] | None = None
+    best_rank: tuple[bool, bool, int, str] | None = None
     for worker in workers:
         if not worker.fits(request) or not _is_allowed(step, worker):
             continue
-        rank = (worker.rack() == request.data_rack, worker.free_cpu(), worker.id)
+        stays = not (request.lasts and worker.is_due)
+        rank = (stays, worker.rack() == request.data_rack, worker.free_cpu(), worker.id)
         if best_rank is None or rank > best_rank:
             best, best_rank = worker, rank
     return best
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -180,6 +180,7 @@
 def take_leaving(state: PartitionState, event: WorkersLeaving, effects: Effects) -> None:
     """Start nothing more on workers whose machines are about to go, and empty them."""
     for worker in state.workers.values():
+        worker.is_due = worker.id in event.due
         is_leaving = worker.id in event.worker_ids
         if is_leaving != worker.is_leaving:
             worker.is_leaving = is_leaving
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -150,6 +150,7 @@
             holders=self.holders,
             links=self.links,
             may_order=self.member.may_order,
+            on_fenced=self.member.rejoin,
         )
         self.nursery.start_soon(self.keeper.async_run)
 
--- /dev/null
+++ b/heatherkeel/pooling/const.py
@@ -0,0 +1,36 @@
+"""Times and weights of moving and maintaining machines."""
+
+from __future__ import annotations
+
+from typing import Final
+
+PLAN_INTERVAL_MS: Final = 200
+"""Time between two looks at the pools, in milliseconds. A pool's turn lasts some seconds and a
+move takes 1.5 s, so a later look would be a large part of what the move can still give."""
+LIST_INTERVAL_MS: Final = 600
+"""Time between two readings of the list of machines, in milliseconds; each is priced."""
+LOAD_MAX_AGE_MS: Final = 1500
+"""A pool's load that is older than this decides nothing, in milliseconds."""
+ORDER_RETRY_MS: Final = 1000
+"""When an order that wasn't answered is given again, in milliseconds; a repeat of one that was
+carried out has no effect."""
+ORDER_SETTLE_MS: Final = 8000
+"""How long a machine counts as ordered away if the list never shows it so, in milliseconds: an
+order without an answer may be carried out seconds later."""
+FULL_SHARE: Final = 0.85
+"""Share of a pool's processor that may be wanted before it gets another machine."""
+KEEP_MS: Final = 2500
+"""A pool keeps machines for the highest demand of this long, in milliseconds."""
+PARK_AFTER_MS: Final = 2500
+"""How long a machine must have been surplus before it is sent to the standby pool, in ms. Two
+moves cost as much as 2.3 s of a machine in a pool."""
+ONE_AT_A_TIME_SHARE: Final = 0.34
+"""Share of a pool's machines that may be emptied or down for maintenance at once."""
+BUSY_SHARE: Final = 0.6
+"""A pool that wants more than this share of its processor is spared maintenance while others
+can be maintained, and while there is time."""
+MAINTENANCE_CYCLE_S: Final = 4.5
+"""What one machine's maintenance takes from the decision to empty it until it is back, in
+seconds: about 1.5 s to empty, 2 s down, and the time until that is seen."""
+STATUS_PREFIX: Final = "wave/"
+"""Key of a wave's status; the same in our own record of the machines that were begun."""
--- a/heatherkeel/pooling/keeper.py
+++ b/heatherkeel/pooling/keeper.py
@@ -2,15 +2,53 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 
+import msgspec
 import trio
+from result import Err, Result
 
 from heatherkeel.directory.directory import Directory
+from heatherkeel.dispatch.journal import Journal
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.ownership.const import WORK_TOPIC
 from heatherkeel.ownership.holders import Holders
+from heatherkeel.ownership.partitions import fleet_partition, partition_of
+from heatherkeel.platform.const import STATUS_TOPIC
+from heatherkeel.platform.errors import CallError
+from heatherkeel.platform.framing import KeyedRecord
+from heatherkeel.platform.machines import MachineClient
+from heatherkeel.platform.operator import encode_wave_status
 from heatherkeel.platform.settings import InstanceSettings
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.questions.links import QuestionLinks
+from heatherkeel.questions.messages import PoolsAsked, PoolsTold
+
+from .const import LIST_INTERVAL_MS, PLAN_INTERVAL_MS, STATUS_PREFIX
+from .models import (
+    DirectoryRead,
+    FleetEffect,
+    FleetEvent,
+    FleetState,
+    Intent,
+    MachinesListed,
+    OrderAnswered,
+    OrderMachine,
+    PlanDue,
+    PoolsMeasured,
+    Purpose,
+    SaveWave,
+    WaveProgress,
+)
+from .reducer import reduce_fleet
+
+_LOGGER = logging.getLogger(__name__)
+
+STATUS_RETRY_S = 0.5
+"""Pause before a wave's status is written again, in seconds."""
+LEASE_MARGIN_MS = 500
+"""Added to the time within which two holders may not take turns, in milliseconds."""
 
 
 class FleetKeeper:
@@ -26,15 +64,173 @@
         holders: Holders,
         links: QuestionLinks,
         may_order: Callable[[], bool],
+        on_fenced: Callable[[], None],
     ) -> None:
-        self.token = token
+        self.settings = settings
+        self.store = store
+        self.directory = directory
+        self.holders = holders
+        self.links = links
+        self.may_order = may_order
+        self.partition = fleet_partition(settings.store.partitions)
+        self.state = FleetState(token=token)
+        self.journal = Journal(
+            store=store, partition=self.partition, token=token, on_fenced=on_fenced
+        )
+        self.client = MachineClient(address=settings.machines.address, holder=settings.instance)
         self.scope = trio.CancelScope()
+        self.nursery: trio.Nursery | None = None
 
     async def async_run(self) -> None:
         """Keep the fleet until `close`."""
+        began_ms = monotonic_ms()
         with self.scope:
-            await trio.sleep_forever()
+            await self._async_restore()
+            # An earlier holder may have given orders until its membership ran out; two may not
+            # take turns at one machine within this time.
+            wait_ms = self.settings.bounds.machine_lease_ms + LEASE_MARGIN_MS
+            await trio.sleep(max(0, began_ms + wait_ms - monotonic_ms()) / 1000)
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                nursery.start_soon(self.journal.async_run)
+                nursery.start_soon(self._async_list)
+                await self._async_plan()
+        with trio.CancelScope(shield=True):
+            await self.client.close()
 
     def close(self) -> None:
-        """Give the fleet up."""
+        """Give the fleet up: no order leaves after this."""
         self.scope.cancel()
+
+    async def _async_restore(self) -> None:
+        await self.directory.operator.caught_up.wait()
+        if not await self.journal.async_open():
+            await trio.sleep_forever()
+        while True:
+            read = await self.store.async_read_all_newest(WORK_TOPIC, self.partition)
+            if not isinstance(read, Err):
+                break
+            await trio.sleep(STATUS_RETRY_S)
+        self._take_directory()
+        for record in read.ok_value.records:
+            if record.key.startswith(STATUS_PREFIX) and record.value:
+                self._restore_wave(record)
+        _LOGGER.info(
+            "fleet taken over",
+            extra={
+                "event": "fleet_owned",
+                "token": self.state.token,
+                "waves": len(self.state.waves),
+            },
+        )
+
+    def _restore_wave(self, record: KeyedRecord) -> None:
+        progress = self.state.waves.get(int(record.key.removeprefix(STATUS_PREFIX)))
+        if progress is not None:
+            progress.begun = set(msgspec.json.decode(record.value, type=list[str]))
+
+    def _take_directory(self) -> None:
+        known = self.directory.state
+        self._take(
+            DirectoryRead(now_ms=monotonic_ms(), services=known.services, waves=dict(known.waves))
+        )
+
+    async def _async_list(self) -> None:
+        while True:
+            sent_ms = monotonic_ms()
+            listed = await self.client.async_list()
+            if isinstance(listed, Err):
+                _LOGGER.warning(
+                    "machines can't be listed; the last list is used",
+                    extra={"event": "machines_unread", "detail": listed.err_value.detail},
+                )
+            else:
+                self._take(
+                    MachinesListed(now_ms=monotonic_ms(), machines=listed.ok_value, sent_ms=sent_ms)
+                )
+            await trio.sleep(LIST_INTERVAL_MS / 1000)
+
+    async def _async_plan(self) -> None:
+        while True:
+            self._take_directory()
+            await self._async_measure()
+            if self.may_order():
+                self._take(PlanDue(now_ms=monotonic_ms()))
+            await trio.sleep(PLAN_INTERVAL_MS / 1000)
+
+    async def _async_measure(self) -> None:
+        """Ask all pools' owners how full they are, and tell them which workers to empty."""
+        partitions = {
+            partition_of(name, self.settings.store.partitions)
+            for name, service in self.state.services.items()
+            if not service.is_standby
+        }
+        async with trio.open_nursery() as nursery:
+            for partition in sorted(partitions):
+                nursery.start_soon(self._async_measure_partition, partition)
+
+    async def _async_measure_partition(self, partition: int) -> None:
+        address = await self.holders.async_find(partition)
+        if not address:
+            return
+        intents = [intent for intent in self.state.intents.values() if intent.worker_id]
+        due = self.state.due_machines()
+        question = PoolsAsked(
+            partition=partition,
+            leaving=[intent.worker_id for intent in intents if intent.worker_id],
+            due=[
+                machine.worker_id
+                for machine in self.state.machines.values()
+                if machine.name in due and machine.worker_id
+            ],
+        )
+        answer = await self.links.async_ask(address, question)
+        if isinstance(answer, PoolsTold):
+            self._take(PoolsMeasured(now_ms=monotonic_ms(), loads=answer.pools))
+        else:
+            await self.holders.async_find(partition, but_not=address)
+
+    def _take(self, event: FleetEvent) -> None:
+        for effect in reduce_fleet(self.state, event):
+            self._perform(effect)
+
+    def _perform(self, effect: FleetEffect) -> None:
+        match effect:
+            case OrderMachine():
+                assert self.nursery is not None
+                self.nursery.start_soon(self._async_order, effect.intent)
+            case SaveWave():
+                self._save_wave(effect.progress)
+
+    async def _async_order(self, intent: Intent) -> None:
+        if not self.may_order():
+            return
+        token = self.state.token
+        ordered: Result[None, CallError]
+        if intent.purpose is Purpose.MOVE:
+            ordered = await self.client.async_move(intent.machine, pool=intent.pool, token=token)
+        else:
+            ordered = await self.client.async_maintain(
+                intent.machine, wave=intent.wave, token=token
+            )
+        error = ordered.err_value if isinstance(ordered, Err) else None
+        self._take(OrderAnswered(now_ms=monotonic_ms(), machine=intent.machine, error=error))
+
+    def _save_wave(self, progress: WaveProgress) -> None:
+        """Store what was begun; the operator hears that a wave is complete after that."""
+        key = f"{STATUS_PREFIX}{progress.wave.number}"
+        self.journal.put(key, lambda: msgspec.json.encode(sorted(progress.begun)))
+        self.journal.when_stored(lambda: self._tell_wave(key, progress))
+
+    def _tell_wave(self, key: str, progress: WaveProgress) -> None:
+        assert self.nursery is not None
+        if progress.is_complete or not progress.begun:
+            self.nursery.start_soon(self._async_tell_wave, key, progress.is_complete)
+
+    async def _async_tell_wave(self, key: str, is_complete: bool) -> None:
+        record = KeyedRecord(key=key, value=encode_wave_status(is_complete=is_complete))
+        while True:
+            written = await self.store.async_append(STATUS_TOPIC, 0, [record])
+            if not isinstance(written, Err):
+                return
+            await trio.sleep(STATUS_RETRY_S)
--- /dev/null
+++ b/heatherkeel/pooling/models.py
@@ -0,0 +1,151 @@
+"""What the fleet's owner knows about machines, pools and waves."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from heatherkeel.platform.errors import CallError
+from heatherkeel.platform.machines import Machine
+from heatherkeel.platform.operator import Service, Wave
+from heatherkeel.questions.messages import PoolLoad
+
+
+class Purpose(StrEnum):
+    """Why a machine is taken out of service."""
+
+    MOVE = "move"
+    MAINTAIN = "maintain"
+
+
+@dataclass(kw_only=True, slots=True)
+class Intent:
+    """A machine that is to go: first emptied, then ordered away."""
+
+    machine: str
+    worker_id: str | None
+    purpose: Purpose
+    pool: str = ""
+    """Where it moves to."""
+    wave: int = 0
+    began_ms: int
+    ordered_ms: int | None = None
+    """When the order was last given."""
+    is_carried_out: bool = False
+    """The order was answered with success."""
+
+
+@dataclass(kw_only=True, slots=True)
+class WaveProgress:
+    """A wave, and the machines whose maintenance has surely begun."""
+
+    wave: Wave
+    began_ms: int
+    begun: set[str] = field(default_factory=set)
+    is_complete: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class PoolView:
+    """A pool's load as last told, and its recent highest."""
+
+    load: PoolLoad
+    heard_ms: int
+    peaks: list[tuple[int, int]] = field(default_factory=list)
+    """When which processor was wanted, the highest of later ones only."""
+
+
+@dataclass(kw_only=True, slots=True)
+class FleetState:
+    """Everything that the fleet's owner knows."""
+
+    token: int
+    now_ms: int = 0
+    machines: dict[str, Machine] = field(default_factory=dict)
+    listed_ms: int | None = None
+    services: dict[str, Service] = field(default_factory=dict)
+    pools: dict[str, PoolView] = field(default_factory=dict)
+    waves: dict[int, WaveProgress] = field(default_factory=dict)
+    intents: dict[str, Intent] = field(default_factory=dict)
+    surplus_since: dict[str, int] = field(default_factory=dict)
+
+    def standby_pool(self) -> str | None:
+        """Return the pool whose machines are off, if there is one."""
+        return next((name for name, service in self.services.items() if service.is_standby), None)
+
+    def is_standby(self, pool: str) -> bool:
+        """Say whether a pool's machines are off."""
+        service = self.services.get(pool)
+        return service is not None and service.is_standby
+
+    def due_machines(self) -> set[str]:
+        """Return the machines that still have to be maintained."""
+        return {
+            machine
+            for progress in self.waves.values()
+            if not progress.is_complete
+            for machine in progress.wave.machines
+            if machine not in progress.begun and machine in self.machines
+        }
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetEvent:
+    """Something that happened, at a time on the steady clock."""
+
+    now_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MachinesListed(FleetEvent):
+    """The list of all machines, asked for at `sent_ms`."""
+
+    machines: list[Machine]
+    sent_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PoolsMeasured(FleetEvent):
+    """The loads of one partition's pools."""
+
+    loads: list[PoolLoad]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DirectoryRead(FleetEvent):
+    """The services and waves that the operator wants."""
+
+    services: dict[str, Service]
+    waves: dict[int, Wave]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OrderAnswered(FleetEvent):
+    """An order was answered, or its time ran out."""
+
+    machine: str
+    error: CallError | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlanDue(FleetEvent):
+    """It is time to look at the pools."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetEffect:
+    """Something that the fleet's owner does."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OrderMachine(FleetEffect):
+    """Give the order of an intent."""
+
+    intent: Intent
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SaveWave(FleetEffect):
+    """Store which machines of a wave were begun, and tell the operator how it is."""
+
+    progress: WaveProgress
--- /dev/null
+++ b/heatherkeel/pooling/reducer.py
@@ -0,0 +1,232 @@
+"""The reducer of the fleet: an event changes the state and gives effects."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
+
+from heatherkeel.platform.errors import Failure
+
+from .const import LOAD_MAX_AGE_MS, ORDER_RETRY_MS, ORDER_SETTLE_MS
+from .demand import plan_moves, remember_peak
+from .models import (
+    DirectoryRead,
+    FleetEffect,
+    FleetEvent,
+    FleetState,
+    Intent,
+    MachinesListed,
+    OrderAnswered,
+    OrderMachine,
+    PlanDue,
+    PoolsMeasured,
+    PoolView,
+    Purpose,
+    SaveWave,
+    WaveProgress,
+)
+from .waves import plan_maintenance
+
+_LOGGER = logging.getLogger(__name__)
+
+EventT = TypeVar("EventT", bound=FleetEvent)
+Handler = Callable[[FleetState, Any], list[FleetEffect]]
+HANDLERS: Final[dict[type[FleetEvent], Handler]] = {}
+
+
+def handles(
+    kind: type[EventT],
+) -> Callable[
+    [Callable[[FleetState, EventT], list[FleetEffect]]],
+    Callable[[FleetState, EventT], list[FleetEffect]],
+]:
+    """Register the handler of a kind of event."""
+
+    def register(
+        handler: Callable[[FleetState, EventT], list[FleetEffect]],
+    ) -> Callable[[FleetState, EventT], list[FleetEffect]]:
+        HANDLERS[kind] = handler
+        return handler
+
+    return register
+
+
+def reduce_fleet(state: FleetState, event: FleetEvent) -> list[FleetEffect]:
+    """Take in one event; returns what is to be done, in order."""
+    state.now_ms = max(state.now_ms, event.now_ms)
+    return HANDLERS[type(event)](state, event)
+
+
+@handles(DirectoryRead)
+def take_directory(state: FleetState, event: DirectoryRead) -> list[FleetEffect]:
+    """Take in services and waves; a wave that is new is told to be in progress."""
+    state.services = event.services
+    effects: list[FleetEffect] = []
+    for number, wave in event.waves.items():
+        if number not in state.waves:
+            state.waves[number] = WaveProgress(wave=wave, began_ms=state.now_ms)
+            effects.append(SaveWave(progress=state.waves[number]))
+            _LOGGER.info(
+                "wave taken in",
+                extra={
+                    "event": "wave_taken",
+                    "wave": number,
+                    "machines": len(wave.machines),
+                    "max_down": wave.max_down,
+                },
+            )
+    return effects
+
+
+@handles(PoolsMeasured)
+def take_loads(state: FleetState, event: PoolsMeasured) -> list[FleetEffect]:
+    """Take in the loads of some pools."""
+    for load in event.loads:
+        view = state.pools.get(load.service)
+        if view is None:
+            view = state.pools[load.service] = PoolView(load=load, heard_ms=state.now_ms)
+        view.load = load
+        view.heard_ms = state.now_ms
+        remember_peak(view, state.now_ms)
+    return []
+
+
+@handles(MachinesListed)
+def take_machines(state: FleetState, event: MachinesListed) -> list[FleetEffect]:
+    """Take in the list of machines, and end what it shows to be done."""
+    state.machines = {machine.name: machine for machine in event.machines}
+    state.listed_ms = event.sent_ms
+    for name, intent in list(state.intents.items()):
+        if _is_over(state, intent, event.sent_ms):
+            del state.intents[name]
+    return []
+
+
+def _is_over(state: FleetState, intent: Intent, sent_ms: int) -> bool:
+    """Say whether a list that was asked for at a time shows that an intent has come true.
+
+    An order without an answer may be carried out seconds later, so its machine isn't used for
+    anything else until it is shown to have gone, or until that time is over.
+    """
+    machine = state.machines.get(intent.machine)
+    if machine is None:
+        return True
+    if intent.ordered_ms is None:
+        return not machine.is_up()
+    if sent_ms <= intent.ordered_ms:
+        return False
+    if intent.is_carried_out:
+        return machine.is_up()
+    if state.now_ms - intent.ordered_ms > ORDER_SETTLE_MS:
+        return True
+    is_moved = intent.purpose is Purpose.MOVE and machine.pool == intent.pool
+    return is_moved and machine.is_up()
+
+
+@handles(OrderAnswered)
+def take_order_answer(state: FleetState, event: OrderAnswered) -> list[FleetEffect]:
+    """Take in how an order went."""
+    intent = state.intents.get(event.machine)
+    if intent is None:
+        return []
+    if event.error is None:
+        intent.is_carried_out = True
+        intent.ordered_ms = state.now_ms
+        _LOGGER.info(
+            "machine ordered away",
+            extra={
+                "event": "machine_ordered",
+                "machine": intent.machine,
+                "purpose": intent.purpose.value,
+                "pool": intent.pool,
+                "wave": intent.wave,
+                "took_ms": state.now_ms - intent.began_ms,
+            },
+        )
+        return _count_begun(state, intent)
+    _LOGGER.warning(
+        "order for a machine failed",
+        extra={
+            "event": "order_failed",
+            "machine": intent.machine,
+            "purpose": intent.purpose.value,
+            "failure": event.error.failure.value,
+            "detail": event.error.detail,
+        },
+    )
+    if event.error.failure not in (Failure.UNKNOWN, Failure.REFUSED):
+        del state.intents[event.machine]
+    return []
+
+
+def _count_begun(state: FleetState, intent: Intent) -> list[FleetEffect]:
+    progress = state.waves.get(intent.wave)
+    if intent.purpose is not Purpose.MAINTAIN or progress is None:
+        return []
+    progress.begun.add(intent.machine)
+    return [SaveWave(progress=progress)]
+
+
+@handles(PlanDue)
+def plan(state: FleetState, event: PlanDue) -> list[FleetEffect]:
+    """Decide which machines are to go, and order away those that are empty."""
+    if state.listed_ms is None:
+        return []
+    for intent in plan_maintenance(state) + plan_moves(state):
+        if intent.machine not in state.intents:
+            state.intents[intent.machine] = intent
+            _tell_intent(intent)
+    effects: list[FleetEffect] = []
+    for intent in state.intents.values():
+        if not intent.is_carried_out and _is_empty(state, intent) and _is_time(state, intent):
+            intent.ordered_ms = state.now_ms
+            effects.append(OrderMachine(intent=intent))
+    return effects + _complete_waves(state)
+
+
+def _tell_intent(intent: Intent) -> None:
+    _LOGGER.info(
+        "machine is to go",
+        extra={
+            "event": "machine_intent",
+            "machine": intent.machine,
+            "worker": intent.worker_id,
+            "purpose": intent.purpose.value,
+            "pool": intent.pool,
+            "wave": intent.wave,
+        },
+    )
+
+
+def _is_time(state: FleetState, intent: Intent) -> bool:
+    return intent.ordered_ms is None or state.now_ms - intent.ordered_ms >= ORDER_RETRY_MS
+
+
+def _is_empty(state: FleetState, intent: Intent) -> bool:
+    """Say whether the owner of the machine's pool has just told that nothing runs on it.
+
+    It starts nothing there from the moment when it first hears of the intent.
+    """
+    if intent.worker_id is None:
+        return True
+    return any(
+        intent.worker_id in view.load.empty
+        for view in state.pools.values()
+        if state.now_ms - view.heard_ms < LOAD_MAX_AGE_MS
+    )
+
+
+def _complete_waves(state: FleetState) -> list[FleetEffect]:
+    """Say that a wave is complete once each of its machines that is still there was begun."""
+    effects: list[FleetEffect] = []
+    for progress in state.waves.values():
+        left = [
+            name
+            for name in progress.wave.machines
+            if name not in progress.begun and name in state.machines
+        ]
+        if not progress.is_complete and not left:
+            progress.is_complete = True
+            effects.append(SaveWave(progress=progress))
+    return effects
--- /dev/null
+++ b/heatherkeel/pooling/waves.py
@@ -0,0 +1,114 @@
+"""Which machines to maintain next."""
+
+from __future__ import annotations
+
+from heatherkeel.platform.machines import Machine
+
+from .const import BUSY_SHARE, MAINTENANCE_CYCLE_S, ONE_AT_A_TIME_SHARE
+from .models import FleetState, Intent, Purpose, WaveProgress
+
+
+def plan_maintenance(state: FleetState) -> list[Intent]:
+    """Return the machines to empty for maintenance now."""
+    intents: list[Intent] = []
+    for progress in state.waves.values():
+        if not progress.is_complete:
+            intents += _plan_wave(state, progress, intents)
+    return intents
+
+
+def _plan_wave(state: FleetState, progress: WaveProgress, planned: list[Intent]) -> list[Intent]:
+    taken = state.intents.keys() | {intent.machine for intent in planned}
+    due = [
+        machine
+        for name in progress.wave.machines
+        if name not in progress.begun
+        and name not in taken
+        and (machine := state.machines.get(name)) is not None
+        and machine.is_up()
+    ]
+    slots = progress.wave.max_down - count_down(state, progress)
+    out = _count_out(state, planned)
+    sizes = _pool_sizes(state)
+    hurry = _is_late(state, progress, len(due))
+    intents: list[Intent] = []
+    for machine in sorted(due, key=lambda machine: _rank(state, machine)):
+        if len(intents) >= slots:
+            break
+        if not state.is_standby(machine.pool):
+            if not hurry and _load_share(state, machine.pool) > BUSY_SHARE:
+                continue
+            allowed = max(1, int(ONE_AT_A_TIME_SHARE * sizes.get(machine.pool, 0)))
+            if out.get(machine.pool, 0) >= allowed:
+                continue
+            out[machine.pool] = out.get(machine.pool, 0) + 1
+        intents.append(
+            Intent(
+                machine=machine.name,
+                worker_id=None if state.is_standby(machine.pool) else machine.worker_id,
+                purpose=Purpose.MAINTAIN,
+                wave=progress.wave.number,
+                began_ms=state.now_ms,
+            )
+        )
+    return intents
+
+
+def count_down(state: FleetState, progress: WaveProgress) -> int:
+    """Count the wave's machines that are down, or may be, or are being emptied for it."""
+    down = {
+        name
+        for name in progress.wave.machines
+        if (machine := state.machines.get(name)) is not None and machine.state == "upkeep"
+    }
+    down |= {
+        name
+        for name, intent in state.intents.items()
+        if intent.wave == progress.wave.number and intent.purpose is Purpose.MAINTAIN
+    }
+    return len(down)
+
+
+def _rank(state: FleetState, machine: Machine) -> tuple[bool, float, int, str]:
+    """Order machines that are off first, then those of the idlest pools, the emptiest first."""
+    if state.is_standby(machine.pool):
+        return (False, 0.0, 0, machine.name)
+    view = state.pools.get(machine.pool)
+    used = view.load.workers.get(machine.worker_id or "", 0) if view else 0
+    lasting = view.load.lasting.get(machine.worker_id or "", 0) if view else 0
+    return (True, _load_share(state, machine.pool) + lasting, used, machine.name)
+
+
+def _load_share(state: FleetState, pool: str) -> float:
+    view = state.pools.get(pool)
+    room = sum(
+        machine.capacity.cpu
+        for machine in state.machines.values()
+        if machine.pool == pool and machine.is_up()
+    )
+    return view.load.wanted_cpu / room if view is not None and room else 1.0
+
+
+def _pool_sizes(state: FleetState) -> dict[str, int]:
+    sizes: dict[str, int] = {}
+    for machine in state.machines.values():
+        sizes[machine.pool] = sizes.get(machine.pool, 0) + 1
+    return sizes
+
+
+def _count_out(state: FleetState, planned: list[Intent]) -> dict[str, int]:
+    """Count for each pool the machines that are out of service or about to be."""
+    out: dict[str, int] = {}
+    leaving = state.intents.keys() | {intent.machine for intent in planned}
+    for machine in state.machines.values():
+        if not machine.is_up() or machine.name in leaving:
+            out[machine.pool] = out.get(machine.pool, 0) + 1
+    return out
+
+
+def _is_late(state: FleetState, progress: WaveProgress, due: int) -> bool:
+    """Say whether the wave needs every machine that it may have down from now on."""
+    elapsed_s = (state.now_ms - progress.began_ms) / 1000
+    left_s = progress.wave.duration_s - elapsed_s
+    rounds = -(-due // max(1, progress.wave.max_down))
+    return left_s < (rounds + 2) * MAINTENANCE_CYCLE_S
--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -26,7 +26,7 @@
         job = owner.state.find_job(question.job_id)
         return JobTold(state=job.state.value if job else "")
     if isinstance(question, PoolsAsked):
-        owner.take_leaving(frozenset(question.leaving))
+        owner.take_leaving(frozenset(question.leaving), due=frozenset(question.due))
         return PoolsTold(pools=measure_pools(owner.state))
     pending = sum(
         1
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -25,6 +25,8 @@
 
     partition: int
     leaving: list[str]
+    due: list[str] = []
+    """Workers whose machines are to be maintained later: no place for a lasting task."""
 
 
 Question = JobAsked | QueueAsked | PoolsAsked
