--- a/heatherkeel/directory/follower.py
+++ b/heatherkeel/directory/follower.py
@@ -8,6 +8,7 @@
 import trio
 from result import Err, Ok
 
+from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
@@ -46,6 +47,8 @@
         self.next_offset: int | None = None
         self.caught_up = trio.Event()
         self.connected = True
+        self.read_ms = monotonic_ms()
+        """When the last reading was answered."""
 
     async def async_run(self) -> None:
         """Follow until cancelled."""
@@ -90,6 +93,7 @@
                 await self._async_fail(error)
 
     def _succeed(self) -> None:
+        self.read_ms = monotonic_ms()
         self.caught_up.set()
         if not self.connected:
             self.connected = True
--- a/heatherkeel/dispatch/building.py
+++ b/heatherkeel/dispatch/building.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from heatherkeel.platform.callers import StepRequest
+from heatherkeel.platform.callers import JobRequest, StepRequest
 from heatherkeel.platform.operator import Queue
 
-from .models import Job, Step, Task
+from .models import Job, JobState, Step, Task
 
 DEFAULT_TARGET_MS = 1000
 """Allowed on top of the work of a job whose queue isn't known, in milliseconds."""
@@ -70,3 +70,18 @@
 def occurrence_begins_wall_ms(job: Job, occurrence: int) -> int:
     """Return when an occurrence of a repeated job is due, on the wall clock."""
     return job.request.start_at_ms + occurrence * job.request.interval_ms
+
+
+def make_unknown_task(name: str, *, service: str) -> Task:
+    """Return a task in the place of one whose job isn't known; it only can be stopped."""
+    job = Job(
+        id=name.split(".", 1)[0],
+        queue="",
+        service=service,
+        request=JobRequest(),
+        accepted_ms=0,
+        accepted_wall_ms=0,
+        state=JobState.CANCELED,
+    )
+    step = Step(job=job, occurrence=0, number=0, request=StepRequest(count=1))
+    return Task(step=step, index=0, name=name)
--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -48,3 +48,8 @@
 SENDERS: Final = 2
 """Orders to one worker on their way at once. One takes about 3 ms, and a pool's turn asks for
 some 15 starts a second of each worker."""
+CURRENT_MS: Final = 1500
+"""An owner that hasn't read its partition for this long doesn't say that a job is unknown, in
+milliseconds: callers may rely on a job being known 3,000 ms after it was accepted."""
+FOLLOW_WAIT_MS: Final = 1000
+"""How long a reading of new jobs waits, in milliseconds; below the bound above."""
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -9,7 +9,7 @@
 from .building import open_followers
 from .const import GREY_FAILURES, GREY_PAUSE_MS, MAX_SET_ASIDE
 from .events import Effects, SaveJob
-from .jobs import end_job, stop_run
+from .jobs import end_job, save_ended, stop_run
 from .models import Job, JobState, PartitionState, Run, Step, Task, Worker
 from .pools import find_pool, forget_run, wait_for_room
 
@@ -41,6 +41,7 @@
         task.saved = ended.saved
     job = task.step.job
     if job.state.is_final():
+        save_ended(job, effects)
         return
     if ended.outcome == DONE and not task.step.request.lasts:
         worker.failed_jobs.clear()
@@ -160,6 +161,7 @@
         },
     )
     if job.state.is_final():
+        save_ended(job, effects)
         return
     effects.add(SaveJob(job_id=job.id))
     reopen(state, task.step)
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -98,8 +98,7 @@
         for task in step.tasks:
             for run in list(task.runs):
                 stop_run(state, run, effects)
-    effects.add(SaveJob(job_id=job.id))
-    effects.add(ForgetJob(job_id=job.id, only_request=True))
+    save_ended(job, effects)
     effects.touch(job.service)
     _LOGGER.info(
         "job ended",
@@ -114,6 +113,26 @@
     )
 
 
+def save_ended(job: Job, effects: Effects) -> None:
+    """Store an ended job; what its caller sent is needed for as long as a run may be left.
+
+    A next owner has to know these runs: workers keep what they run while their lease is renewed,
+    and the room that such a run takes follows from the request.
+    """
+    effects.add(SaveJob(job_id=job.id))
+    if not job.has_runs():
+        effects.add(ForgetJob(job_id=job.id, only_request=True))
+
+
+def stop_leftovers(state: PartitionState, effects: Effects) -> None:
+    """Stop what an earlier owner left running of jobs that have ended."""
+    for job in state.finished.values():
+        for step in job.steps():
+            for task in step.tasks:
+                for run in task.runs:
+                    stop_run(state, run, effects)
+
+
 def stop_run(state: PartitionState, run: Run, effects: Effects) -> None:
     """Stop a run; its room stays taken until its worker lists the end."""
     if run.state is RunState.STOPPING:
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -138,6 +138,10 @@
         """Return the steps of all occurrences that have begun."""
         return [step for steps in self.occurrences.values() for step in steps]
 
+    def has_runs(self) -> bool:
+        """Say whether a run of it may still be at a worker."""
+        return any(task.runs for step in self.steps() for task in step.tasks)
+
     def has_started(self) -> bool:
         """Say whether a task has been started."""
         return self.state is not JobState.PENDING
@@ -260,6 +264,8 @@
     workers: dict[str, Worker] = field(default_factory=dict)
     queues: dict[str, Queue] = field(default_factory=dict)
     pools: dict[str, Pool] = field(default_factory=dict)
+    gone_workers: set[str] = field(default_factory=set)
+    """Lives that have surely ended, though their entries may stand for some seconds more."""
 
     def find_job(self, job_id: str) -> Job | None:
         """Return a job, also one that has ended."""
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -21,10 +21,11 @@
 from heatherkeel.platform.store import StoreClient
 
 from . import subjects  # noqa: F401
-from .const import LEASE_MS, LIST_WAIT_MS, RENEW_GRACE_MS, TICK_MS
+from .const import CURRENT_MS, FOLLOW_WAIT_MS, LEASE_MS, RENEW_GRACE_MS, TICK_MS
 from .events import (
     AcknowledgeEnds,
     Effect,
+    Effects,
     Event,
     ForgetJob,
     JobCanceled,
@@ -38,6 +39,7 @@
     WorkersLeaving,
     WorkersListed,
 )
+from .jobs import stop_leftovers
 from .journal import Journal
 from .models import PartitionState
 from .records import (
@@ -82,12 +84,15 @@
         )
         self.journal = Journal(store=store, partition=partition, token=token, on_fenced=on_fenced)
         self.sessions: dict[str, WorkerSession] = {}
+        self.unsent: dict[str, list[Effect]] = {}
+        """Orders for workers that can't be called yet, such as stops decided in recovery."""
         self.scope = trio.CancelScope()
         self.nursery: trio.Nursery | None = None
         self.is_restored = False
         self.dropped: dict[str, KeyedRecord] = {}
         self.drop_wanted = trio.Event()
         self.jobs_end = 0
+        self.follower: TopicFollower | None = None
 
     async def async_run(self) -> None:
         """Own the partition until `close`."""
@@ -118,6 +123,20 @@
         """Say whether leases may still be renewed: a little longer than orders may be given."""
         return monotonic_ms() < self.tenure.valid_until_ms + RENEW_GRACE_MS
 
+    def is_current(self) -> bool:
+        """Say whether what isn't known here isn't stored either, but for the last moments.
+
+        An owner that the store turns away doesn't hear of jobs that others accept meanwhile, and
+        must not tell callers that there are none.
+        """
+        follower = self.follower
+        return (
+            self.is_restored
+            and self.may_order()
+            and follower is not None
+            and monotonic_ms() - follower.read_ms < CURRENT_MS
+        )
+
     def times(self) -> tuple[int, int]:
         """Return the steady clock and the wall clock, in milliseconds."""
         return monotonic_ms(), time.time_ns() // 1_000_000
@@ -180,8 +199,13 @@
         for job_id, request in stored.requests.items():
             if job_id not in stored.progress:
                 self._submit(job_id, request)
-            elif stored.progress[job_id].state.is_final():
-                self._forget(ForgetJob(job_id=job_id, only_request=True))
+        effects = Effects()
+        stop_leftovers(self.state, effects)
+        for job in self.state.finished.values():
+            if job.id in stored.requests and not job.has_runs():
+                effects.add(ForgetJob(job_id=job.id, only_request=True))
+        for effect in effects.items:
+            self._perform(effect)
         now_ms, wall_ms = self.times()
         for job_id in stored.canceled:
             self.take(JobCanceled(now_ms=now_ms, wall_ms=wall_ms, job_id=job_id))
@@ -227,18 +251,22 @@
             if worker.id not in self.sessions and worker.entry.address:
                 session = WorkerSession(owner=self, worker=worker)
                 self.sessions[worker.id] = session
+                for effect in self.unsent.pop(worker.id, []):
+                    session.give(effect)
                 self.nursery.start_soon(session.async_run)
         for worker_id in self.sessions.keys() - self.state.workers.keys():
             self.sessions.pop(worker_id).close()
+        for worker_id in self.unsent.keys() - self.state.workers.keys():
+            del self.unsent[worker_id]
 
     async def _async_follow_jobs(self) -> None:
-        follower = TopicFollower(
+        self.follower = follower = TopicFollower(
             store=self.store,
             topic=JOBS_TOPIC,
             partition=self.partition,
             take=self._take_job_records,
             keep_only=lambda keys: None,
-            wait_ms=LIST_WAIT_MS,
+            wait_ms=FOLLOW_WAIT_MS,
         )
         follower.next_offset = self.jobs_end
         await follower.async_run()
@@ -277,6 +305,8 @@
         session = self.sessions.get(worker_id)
         if session is not None:
             session.give(effect)
+        else:
+            self.unsent.setdefault(worker_id, []).append(effect)
 
     def _acknowledge(self, effect: AcknowledgeEnds) -> None:
         worker = self.state.workers.get(effect.worker_id)
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -41,7 +41,7 @@
 
 
 class StoredProgress(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """How far a job is; of one that has ended only the state and its queue are kept."""
+    """How far a job is; of one that has ended only tasks are kept that may still run."""
 
     state: JobState
     queue: str
@@ -67,8 +67,6 @@
 
 def encode_progress(job: Job) -> bytes:
     """Return the record of how far a job is."""
-    is_final = job.state.is_final()
-    tasks = [] if is_final else _store_tasks(job)
     return msgspec.json.encode(
         StoredProgress(
             state=job.state,
@@ -76,7 +74,7 @@
             service=job.service,
             accepted_wall_ms=job.accepted_wall_ms,
             begun=len(job.occurrences),
-            tasks=tasks,
+            tasks=_store_tasks(job),
         )
     )
 
@@ -90,6 +88,7 @@
 
 
 def _store_tasks(job: Job) -> list[StoredTask]:
+    has_ended = job.state.is_final()
     return [
         StoredTask(
             occurrence=step.occurrence,
@@ -103,7 +102,7 @@
         )
         for step in job.steps()
         for task in step.tasks
-        if task.attempt
+        if (task.runs if has_ended else task.attempt)
     ]
 
 
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from heatherkeel.platform.callers import JobRequest
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import WorkerEntry
 
@@ -72,7 +73,7 @@
     in_order = sorted(stored.progress.items(), key=lambda item: item[1].accepted_wall_ms)
     for job_id, progress in in_order:
         request = stored.requests.get(job_id)
-        if progress.state.is_final():
+        if progress.state.is_final() and (request is None or not progress.tasks):
             state.finished[job_id] = _restore_ended(state, job_id, progress)
         elif request is None:
             _LOGGER.error(
@@ -80,12 +81,10 @@
                 extra={"event": "request_missing", "job": job_id},
             )
         else:
-            _restore_active(state, job_id, progress, request)
+            _restore_job(state, job_id, progress, request)
 
 
 def _restore_ended(state: PartitionState, job_id: str, progress: StoredProgress) -> Job:
-    from heatherkeel.platform.callers import JobRequest
-
     return Job(
         id=job_id,
         queue=progress.queue,
@@ -98,7 +97,7 @@
     )
 
 
-def _restore_active(
+def _restore_job(
     state: PartitionState, job_id: str, progress: StoredProgress, request: StoredRequest
 ) -> None:
     age_ms = max(0, state.wall_ms - progress.accepted_wall_ms)
@@ -111,7 +110,9 @@
         accepted_wall_ms=progress.accepted_wall_ms,
     )
     set_objective(job, state.queues.get(job.queue))
-    state.jobs[job_id] = job
+    kept = state.finished if progress.state.is_final() else state.jobs
+    kept[job_id] = job
+    job.ended_ms = state.now_ms if progress.state.is_final() else None
     for run in restore_progress(job, progress, begins_ms=float(job.accepted_ms)):
         _put_on_worker(state, run, job.service)
     for step in job.steps():
@@ -127,13 +128,9 @@
     """
     worker = state.workers.get(run.worker_id)
     if worker is None:
-        longest_ms = RENEW_GRACE_MS + LEASE_MS * SLOWEST_CLOCK
-        worker = Worker(
-            id=run.worker_id,
-            entry=WorkerEntry(service=service, address=""),
-            is_listed=False,
-            is_silent=True,
-            unheard_until_ms=state.now_ms + round(longest_ms),
-        )
+        entry = WorkerEntry(service=service, address="")
+        worker = Worker(id=run.worker_id, entry=entry, is_listed=False, is_silent=True)
         add_worker(state, worker)
+    longest_ms = RENEW_GRACE_MS + LEASE_MS * SLOWEST_CLOCK
+    worker.unheard_until_ms = state.now_ms + round(longest_ms)
     worker.add(run)
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -7,6 +7,7 @@
 from heatherkeel.platform.errors import Failure
 from heatherkeel.platform.workers import Listing, RunningTask
 
+from .building import make_unknown_task
 from .ends import find_task, lose_run, take_end
 from .events import (
     AcknowledgeEnds,
@@ -28,7 +29,10 @@
 @handles(WorkersListed)
 def take_entries(state: PartitionState, event: WorkersListed, effects: Effects) -> None:
     """Take in the workers' entries; one that is missing gets no work, but may still run some."""
+    state.gone_workers &= event.entries.keys()
     for worker_id, entry in event.entries.items():
+        if worker_id in state.gone_workers:
+            continue
         worker = state.workers.get(worker_id)
         if worker is None:
             add_worker(state, Worker(id=worker_id, entry=entry))
@@ -112,9 +116,8 @@
 ) -> None:
     """Stop a run that this owner doesn't know, such as one whose start came late.
 
-    Its room is counted until the worker lists its end. A run of a job that isn't known at all
-    can't be accounted for; it was started by an owner that stored its attempt first, so it is
-    of a job that has ended and been forgotten, and it ends with its lease.
+    Its room is counted until the worker lists its end; that of a job which isn't known at all
+    can't be, but its lease is renewed with all others, so it has to be stopped too.
     """
     task = find_task(state, row.task)
     _LOGGER.warning(
@@ -127,8 +130,7 @@
             "known_job": task is not None,
         },
     )
-    if task is None:
-        return
+    task = task or make_unknown_task(row.task, service=worker.entry.service)
     run = Run(
         task=task,
         attempt=row.attempt,
@@ -149,6 +151,7 @@
     if worker is None:
         return
     if event.error.failure is Failure.OTHER_INSTANCE:
+        state.gone_workers.add(worker.id)
         drop_worker(state, worker, effects, why="another worker has its address")
         return
     if not worker.is_silent:
--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -18,16 +18,20 @@
 
 
 def answer_question(owners: dict[int, PartitionOwner], question: Question) -> Answer:
-    """Answer a question; an owner that hasn't read its records yet must not say "unknown"."""
+    """Answer a question; an owner that doesn't read its partition must not say "unknown"."""
     owner = owners.get(question.partition)
     if owner is None or not owner.is_restored:
         return NotOwner()
     if isinstance(question, JobAsked):
         job = owner.state.find_job(question.job_id)
+        if job is None and not owner.is_current():
+            return NotOwner()
         return JobTold(state=job.state.value if job else "")
     if isinstance(question, PoolsAsked):
         owner.take_leaving(frozenset(question.leaving), due=frozenset(question.due))
         return PoolsTold(pools=measure_pools(owner.state))
+    if not owner.is_current():
+        return NotOwner()
     pending = sum(
         1
         for job in owner.state.jobs.values()
--- /dev/null
+++ b/tests/dispatch/partition.py
@@ -0,0 +1,196 @@
+"""A partition without a process: events go in, and effects are kept."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from heatherkeel.dispatch import subjects  # noqa: F401
+from heatherkeel.dispatch.events import (
+    Effect,
+    Event,
+    JobCanceled,
+    JobSubmitted,
+    QueuesChanged,
+    StartAnswered,
+    StartTask,
+    StopTask,
+    Tick,
+    WorkerAnswered,
+    WorkerFailed,
+    WorkersLeaving,
+    WorkersListed,
+)
+from heatherkeel.dispatch.models import Job, PartitionState, Run
+from heatherkeel.dispatch.reducer import reduce_event
+from heatherkeel.platform.callers import JobRequest, StepRequest
+from heatherkeel.platform.errors import CallError, Failure
+from heatherkeel.platform.operator import Capacity, Queue, WorkerEntry
+from heatherkeel.platform.workers import EndedTask, Listing, RunningTask
+
+JOB = "00000000000000aa"
+OTHER_JOB = "00000000000000bb"
+
+
+class Partition:
+    """One partition's state, with a clock that tests move, and workers that it keeps honest."""
+
+    def __init__(self, *, workers: int = 2, cpu: int = 8000, max_failures: int = 2) -> None:
+        self.state = PartitionState(token=7, lease_ms=6000, status_ms=120_000)
+        self.now_ms = 1000
+        self.effects: list[Effect] = []
+        self.ends: dict[str, list[EndedTask]] = {}
+        queue = Queue(
+            name="quotes",
+            host="a.example",
+            path_prefix="/q/",
+            service="portal",
+            max_failures=max_failures,
+            slack_factor=1.6,
+            target_latency_ms=600,
+        )
+        self.give(QueuesChanged(**self.at(), queues={"quotes": queue}))
+        self.entries = {f"w{number}": make_entry(cpu=cpu) for number in range(workers)}
+        self.list_workers()
+        for worker_id in self.entries:
+            self.answer(worker_id)
+
+    def at(self) -> dict[str, Any]:
+        """Return the times of an event."""
+        return {"now_ms": self.now_ms, "wall_ms": self.now_ms}
+
+    def give(self, event: Event) -> list[Effect]:
+        """Reduce one event; returns its effects, which are kept too."""
+        effects = reduce_event(self.state, event)
+        self.effects += effects
+        return effects
+
+    def list_workers(self) -> list[Effect]:
+        """Say which workers have entries."""
+        return self.give(WorkersListed(**self.at(), entries=dict(self.entries)))
+
+    def submit(self, *steps: StepRequest, job_id: str = JOB) -> list[Effect]:
+        """Submit a job."""
+        return self.give(
+            JobSubmitted(
+                **self.at(),
+                job_id=job_id,
+                queue="quotes",
+                service="portal",
+                request=JobRequest(spec="s", steps=steps),
+                accepted_wall_ms=self.now_ms,
+            )
+        )
+
+    def cancel(self, job_id: str = JOB) -> list[Effect]:
+        """Cancel a job."""
+        return self.give(JobCanceled(**self.at(), job_id=job_id))
+
+    def leave(self, *worker_ids: str) -> list[Effect]:
+        """Say that the machines of these workers are to go."""
+        return self.give(WorkersLeaving(**self.at(), worker_ids=frozenset(worker_ids)))
+
+    def tick(self, ms: int) -> list[Effect]:
+        """Let time pass."""
+        self.now_ms += ms
+        return self.give(Tick(**self.at()))
+
+    def answer(self, worker_id: str, *, percent: float = 50.0) -> list[Effect]:
+        """Let a worker list the runs that it was told to start, and its ends."""
+        self.now_ms += 10
+        worker = self.state.workers[worker_id]
+        running = [
+            RunningTask(
+                task=run.task.name, attempt=run.attempt, saved="", percent=percent, figure=0.0
+            )
+            for run in worker.runs.values()
+            if run.answered_ms is not None
+        ]
+        listing = Listing(
+            clock_ms=self.now_ms + 500_000, running=running, ended=self.ends.get(worker_id, [])
+        )
+        sent_ms = self.now_ms - 5
+        return self.give(
+            WorkerAnswered(**self.at(), worker_id=worker_id, sent_ms=sent_ms, listing=listing)
+        )
+
+    def list_exactly(self, worker_id: str, *running: RunningTask) -> list[Effect]:
+        """Let a worker list just these runs, and its ends."""
+        self.now_ms += 10
+        listing = Listing(
+            clock_ms=self.now_ms + 500_000,
+            running=list(running),
+            ended=self.ends.get(worker_id, []),
+        )
+        return self.give(
+            WorkerAnswered(
+                **self.at(), worker_id=worker_id, sent_ms=self.now_ms - 5, listing=listing
+            )
+        )
+
+    def fail(self, worker_id: str, failure: Failure = Failure.UNKNOWN) -> list[Effect]:
+        """Let a listing fail."""
+        error = CallError(failure=failure)
+        return self.give(WorkerFailed(**self.at(), worker_id=worker_id, error=error))
+
+    def end(self, run: Run, outcome: str = "done", saved: str = "") -> list[Effect]:
+        """Let a run end, and its worker list that."""
+        ends = self.ends.setdefault(run.worker_id, [])
+        ends.append(
+            EndedTask(
+                number=len(ends) + 1,
+                task=run.task.name,
+                attempt=run.attempt,
+                outcome=outcome,
+                saved=saved,
+            )
+        )
+        if run.key() in self.state.workers[run.worker_id].runs:
+            run.answered_ms = None
+        return self.answer(run.worker_id)
+
+    def start_answered(self, run: Run, failure: Failure | None = None) -> list[Effect]:
+        """Let a start be answered, or its time run out."""
+        error = CallError(failure=failure) if failure else None
+        return self.give(StartAnswered(**self.at(), run=run, error=error))
+
+    def start_all(self) -> list[Run]:
+        """Let every planned start be answered with success; returns the runs."""
+        runs = started(self.effects)
+        self.effects = [effect for effect in self.effects if not isinstance(effect, StartTask)]
+        for run in runs:
+            if run in run.task.runs:
+                self.start_answered(run)
+        return runs
+
+    def job(self, job_id: str = JOB) -> Job:
+        """Return a job."""
+        job = self.state.find_job(job_id)
+        assert job is not None
+        return job
+
+
+def make_entry(*, cpu: int = 8000, state: str = "ready", rack: str = "r1") -> WorkerEntry:
+    """Return a worker's entry."""
+    return WorkerEntry(
+        service="portal",
+        address="10.0.0.1:80",
+        state=state,
+        capacity=Capacity(cpu=cpu, memory_mb=16_000, gpu=0),
+        labels=["a", rack],
+    )
+
+
+def make_step(count: int = 1, cpu: int = 2000, **more: object) -> StepRequest:
+    """Return a step of some tasks."""
+    fields: dict[str, object] = {"estimated_ms": 500, "memory_mb": 100} | more
+    return StepRequest(count=count, cpu=cpu, **fields)  # type: ignore[arg-type]
+
+
+def started(effects: list[Effect]) -> list[Run]:
+    """Return the runs that effects start."""
+    return [effect.run for effect in effects if isinstance(effect, StartTask)]
+
+
+def stopped(effects: list[Effect]) -> list[Run]:
+    """Return the runs that effects stop."""
+    return [effect.run for effect in effects if isinstance(effect, StopTask)]
--- /dev/null
+++ b/tests/dispatch/test_losses.py
@@ -0,0 +1,166 @@
+"""Workers fall silent, go, come back as others, or fail everything."""
+
+from __future__ import annotations
+
+from heatherkeel.dispatch.const import GREY_PAUSE_MS, LEASE_MS
+from heatherkeel.dispatch.models import JobState, Run
+from heatherkeel.platform.errors import Failure
+
+from .partition import JOB, Partition, make_entry, make_step, started, stopped
+
+
+def start_on(partition: Partition, worker_id: str, job_id: str = JOB) -> Run:
+    """Start a job of one task on a given worker; returns its run."""
+    partition.effects.clear()
+    for worker in partition.state.workers.values():
+        worker.is_leaving = worker.id != worker_id
+    partition.submit(make_step(), job_id=job_id)
+    (run,) = partition.start_all()
+    assert run.worker_id == worker_id
+    for worker in partition.state.workers.values():
+        worker.is_leaving = False
+    partition.state.workers[worker_id].lease_until_ms = partition.now_ms + 500_000 + LEASE_MS
+    return run
+
+
+def test_silent_worker_keeps_its_tasks_until_its_lease_has_lapsed() -> None:
+    """A worker is cut off and runs on; its entry lapses in the store.
+
+    Its task is neither gone nor free: started elsewhere, it would run twice. Once its lease has
+    surely run out, also by a clock that is 2% slow, the task starts elsewhere.
+    """
+    partition = Partition()
+    run = start_on(partition, "w0")
+    partition.fail("w0")
+    del partition.entries["w0"]
+    partition.list_workers()
+    partition.effects.clear()
+    partition.tick(LEASE_MS)
+    assert not started(partition.effects)
+    partition.tick(LEASE_MS // 10 + 600)
+    (again,) = started(partition.effects)
+    assert again.task is run.task
+    assert again.worker_id == "w1"
+    assert "w0" not in partition.state.workers
+
+
+def test_address_with_another_life_proves_that_the_worker_is_gone() -> None:
+    partition = Partition()
+    run = start_on(partition, "w0")
+    partition.effects.clear()
+    partition.fail("w0", Failure.OTHER_INSTANCE)
+    (again,) = started(partition.effects)
+    assert again.task is run.task
+
+
+def test_entry_of_a_life_that_is_gone_is_not_believed() -> None:
+    """A worker dies and another life takes its address; its own entry stands for seconds more.
+
+    Taken in again, the entry would be asked, and dropped, over and over until it lapses.
+    """
+    partition = Partition()
+    partition.fail("w0", Failure.OTHER_INSTANCE)
+    partition.list_workers()
+    assert "w0" not in partition.state.workers
+    del partition.entries["w0"]
+    partition.list_workers()
+    assert not partition.state.gone_workers
+
+
+def test_run_that_a_later_listing_lacks_starts_again() -> None:
+    partition = Partition()
+    run = start_on(partition, "w0")
+    partition.effects.clear()
+    partition.now_ms += 10
+    partition.list_exactly("w0")
+    (again,) = started(partition.effects)
+    assert again.attempt == run.attempt + 1
+
+
+def test_listing_asked_for_before_the_start_was_answered_proves_nothing() -> None:
+    """A listing waits at the worker while a task is started over another connection.
+
+    Answers on different connections overtake each other, so the listing may lack the task
+    though it runs. Only a listing asked for after the start's answer can prove it gone.
+    """
+    partition = Partition()
+    run = start_on(partition, "w0")
+    partition.now_ms -= 10
+    partition.list_exactly("w0")
+    assert run in run.task.runs
+
+
+def test_stopped_task_goes_on_from_what_it_saved() -> None:
+    partition = Partition()
+    run = start_on(partition, "w0")
+    partition.effects.clear()
+    partition.end(run, "stopped", saved="half")
+    (again,) = started(partition.effects)
+    assert again.saved == "half"
+
+
+def test_task_that_fails_as_often_as_allowed_fails_its_job() -> None:
+    partition = Partition(max_failures=2)
+    partition.submit(make_step(count=2))
+    first, _ = partition.start_all()
+    partition.end(first, "failed")
+    assert partition.job().state is JobState.ACTIVE
+    again = next(run for run in partition.start_all() if run.task is first.task)
+    effects = partition.end(again, "failed")
+    assert partition.job().state is JobState.FAILED
+    assert len(stopped(effects)) == 1
+
+
+def test_ends_other_than_failed_use_up_no_attempt() -> None:
+    partition = Partition(max_failures=1)
+    partition.submit(make_step())
+    for _ in range(4):
+        (run,) = partition.start_all()
+        partition.end(run, "lapsed")
+    assert partition.job().state is JobState.ACTIVE
+
+
+def test_worker_that_fails_job_after_job_is_set_aside_and_tried_again() -> None:
+    """One worker fails all that it starts, so it is the emptiest of its pool.
+
+    It would get most of the work, and job after job would use up its attempts there. After
+    three jobs in a row it gets nothing for a while.
+    """
+    partition = Partition(workers=3, max_failures=9)
+    for number in range(3):
+        partition.end(start_on(partition, "w0", f"{number:016x}"), "failed")
+    assert partition.state.workers["w0"].aside_until_ms > partition.now_ms
+    assert not partition.state.workers["w0"].runs
+    partition.tick(GREY_PAUSE_MS)
+    assert partition.state.workers["w0"].takes_work(partition.now_ms)
+
+
+def test_draining_worker_gets_no_new_work() -> None:
+    partition = Partition(workers=1)
+    partition.entries["w0"] = make_entry(state="draining")
+    partition.list_workers()
+    assert not started(partition.submit(make_step()))
+
+
+def test_lasting_tasks_leave_one_at_a_time() -> None:
+    """Two machines with tasks of one lasting step are to be maintained at once.
+
+    The step may miss one task. The second is stopped only when the first is at work again
+    elsewhere, since a task that starts still counts as away.
+    """
+    partition = Partition(workers=4)
+    partition.submit(make_step(count=2, cpu=100, lasts=True, max_unavailable=1, max_per_worker=1))
+    first, second = partition.start_all()
+    for worker_id in partition.entries:
+        partition.answer(worker_id, percent=100.0)
+    (stop,) = stopped(partition.leave(first.worker_id, second.worker_id))
+    partition.end(stop, "stopped")
+    (moved,) = partition.start_all()
+    partition.answer(moved.worker_id, percent=20.0)
+    partition.effects.clear()
+    partition.tick(100)
+    assert not stopped(partition.effects)
+    partition.answer(moved.worker_id, percent=100.0)
+    partition.tick(100)
+    (other,) = stopped(partition.effects)
+    assert {stop, other} == {first, second}
--- /dev/null
+++ b/tests/dispatch/test_recovery.py
@@ -0,0 +1,129 @@
+"""A partition is taken over by a new owner, who knows only what is stored."""
+
+from __future__ import annotations
+
+from heatherkeel.dispatch.const import LEASE_MS, RENEW_GRACE_MS
+from heatherkeel.dispatch.events import Effects, ForgetJob, SaveJob
+from heatherkeel.dispatch.jobs import stop_leftovers
+from heatherkeel.dispatch.models import JobState, RunState
+from heatherkeel.dispatch.records import (
+    PROGRESS_PREFIX,
+    REQUEST_PREFIX,
+    StoredRequest,
+    encode_progress,
+    encode_request,
+)
+from heatherkeel.dispatch.recovery import read_records, restore_jobs
+from heatherkeel.platform.callers import JobRequest
+from heatherkeel.platform.framing import KeyedRecord
+from heatherkeel.platform.workers import RunningTask
+
+from .partition import JOB, Partition, make_step, started, stopped
+
+
+def take_over(earlier: Partition, *, workers: int = 2, asked: bool = False) -> Partition:
+    """Return the partition as its next owner reads it; `asked` workers have told their runs."""
+    job = earlier.job()
+    request = StoredRequest(
+        queue=job.queue, service=job.service, accepted_wall_ms=1000, request=job.request
+    )
+    records = [
+        KeyedRecord(key=f"{REQUEST_PREFIX}{JOB}", value=encode_request(request), offset=1),
+        KeyedRecord(key=f"{PROGRESS_PREFIX}{JOB}", value=encode_progress(job), offset=2),
+    ]
+    later = Partition(workers=0)
+    later.now_ms = later.state.now_ms = earlier.now_ms
+    later.entries = dict(list(earlier.entries.items())[:workers])
+    later.list_workers()
+    restore_jobs(later.state, read_records(records))
+    effects = Effects()
+    stop_leftovers(later.state, effects)
+    later.effects += effects.items
+    if asked:
+        for worker_id in later.entries:
+            later.answer(worker_id)
+    return later
+
+
+def test_silent_worker_of_an_earlier_owner_keeps_its_tasks_until_its_lease_has_lapsed() -> None:
+    """An owner dies, and its successor can't reach one of the workers, though it is listed.
+
+    The task there runs on under the lease that the earlier owner gave. Started elsewhere at
+    the first failed call, it runs twice.
+    """
+    earlier = Partition()
+    earlier.submit(make_step())
+    (run,) = earlier.start_all()
+    later = take_over(earlier)
+    later.fail(run.worker_id)
+    other = next(worker_id for worker_id in later.entries if worker_id != run.worker_id)
+    later.answer(other)
+    later.tick(LEASE_MS)
+    assert not started(later.effects)
+    later.tick(RENEW_GRACE_MS + LEASE_MS)
+    (again,) = started(later.effects)
+    assert again.attempt == run.attempt + 1
+
+
+def test_task_that_a_worker_lists_is_taken_over_running() -> None:
+    earlier = Partition()
+    earlier.submit(make_step())
+    (run,) = earlier.start_all()
+    later = take_over(earlier, asked=True)
+    assert not started(later.effects)
+    assert later.state.workers[run.worker_id].used_cpu == 2000
+
+
+def test_start_that_never_left_is_given_anew_once_the_worker_has_told_its_runs() -> None:
+    earlier = Partition()
+    earlier.submit(make_step())
+    (run,) = started(earlier.effects)
+    later = take_over(earlier)
+    later.list_exactly(run.worker_id)
+    (again,) = started(later.effects)
+    assert again.attempt == run.attempt + 1
+
+
+def test_cancel_is_carried_on_by_the_next_owner() -> None:
+    """A job is canceled, its end is stored, and the owner dies before its stops arrive.
+
+    The workers run on, and their leases are renewed with those of all other tasks. What still
+    runs of an ended job stays stored until it is gone, so the next owner stops it.
+    """
+    earlier = Partition()
+    earlier.submit(make_step())
+    (run,) = earlier.start_all()
+    effects = earlier.cancel()
+    assert not any(isinstance(effect, ForgetJob) for effect in effects)
+    later = take_over(earlier)
+    assert later.job().state is JobState.CANCELED
+    assert [stop.key() for stop in stopped(later.effects)] == [run.key()]
+    assert later.state.workers[run.worker_id].used_cpu == 2000
+    (left,) = later.state.workers[run.worker_id].runs.values()
+    left.answered_ms = later.now_ms
+    later.effects.clear()
+    later.list_exactly(run.worker_id)
+    kinds = [type(effect) for effect in later.effects]
+    assert kinds.index(SaveJob) < kinds.index(ForgetJob)
+
+
+def test_run_of_a_job_that_nobody_knows_is_stopped() -> None:
+    partition = Partition()
+    row = RunningTask(task="00000000000000ff.0.0.3", attempt=4, saved="", percent=1, figure=0)
+    (run,) = stopped(partition.list_exactly("w0", row))
+    assert run.key() == ("00000000000000ff.0.0.3", 4)
+    assert run.state is RunState.STOPPING
+    assert not stopped(partition.list_exactly("w0", row))
+
+
+def test_ended_job_keeps_its_state_without_its_request() -> None:
+    earlier = Partition()
+    earlier.submit(make_step())
+    (run,) = earlier.start_all()
+    earlier.end(run)
+    job = earlier.job()
+    record = KeyedRecord(key=f"{PROGRESS_PREFIX}{JOB}", value=encode_progress(job), offset=2)
+    later = Partition()
+    restore_jobs(later.state, read_records([record]))
+    assert later.job().state is JobState.COMPLETE
+    assert later.job().request == JobRequest()
