--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -11,9 +11,6 @@
 about a second to read its records), so that a change of owners ends no task. Short enough that
 tasks on a worker that is cut off are started elsewhere within some seconds.
 """
-RENEW_GRACE_MS: Final = 5000
-"""How long an owner that can't reach the store goes on renewing leases, in milliseconds. Usual
-outages are shorter; beyond it tasks end by themselves, which a new owner may count on."""
 SLOWEST_CLOCK: Final = 1.02
 """A worker's clock may be this much slower than ours (the platform's word)."""
 LAPSE_MARGIN_MS: Final = 500
@@ -45,6 +42,16 @@
 cause, and a pool without workers serves nobody."""
 MAX_APPEND_RECORDS: Final = 400
 """Records of one append at the most, which keeps it well below the store's limit in bytes."""
+LIVES_INTERVAL_MS: Final = 600
+"""Time between two looks at the list of machines while a worker with tasks is silent, in
+milliseconds. The list names the life that each machine is in, so it tells that a worker has
+crashed seconds before its lease would."""
+SILENT_MS: Final = 1200
+"""How long a worker must have been silent before that list is believed about it, in milliseconds:
+the list is up to 800 ms old, so it may lack a worker that has just come."""
+LEAVING_MS: Final = 2000
+"""How long a worker counts as leaving without being named again, in milliseconds. Longer than
+what the fleet's owner acts on, so nothing starts on a machine that it may still order away."""
 SENDERS: Final = 2
 """Orders to one worker on their way at once. One takes about 3 ms, and a pool's turn asks for
 some 15 starts a second of each worker."""
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -59,6 +59,8 @@
     worker_id: str
     sent_ms: int
     listing: Listing
+    acknowledged: int = 0
+    """Up to where the call acknowledged ends."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -94,10 +96,20 @@
     """Workers whose turn comes later."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LivesListed(Event):
+    """The list of machines names these lives of workers as being up."""
+
+    worker_ids: frozenset[str]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Tick(Event):
     """Some time has passed."""
 
+    can_start: bool = True
+    """Starts can be stored and sent, so what is stopped here can go on elsewhere."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Effect:
--- a/heatherkeel/dispatch/lasting.py
+++ b/heatherkeel/dispatch/lasting.py
@@ -8,7 +8,12 @@
 
 
 def leave_workers(state: PartitionState, effects: Effects) -> None:
-    """Stop what won't end soon by itself on workers that drain or whose machines are to go."""
+    """Stop what won't end soon by itself on workers that drain or whose machines are to go.
+
+    While nothing can be started, a stopped task would only wait.
+    """
+    if not state.can_start:
+        return
     for worker in state.workers.values():
         if not worker.is_leaving and not worker.entry.is_draining():
             continue
@@ -40,15 +45,15 @@
     step = run.task.step
     if step.request.max_unavailable is None or run.at_work_ms is None:
         return True
-    return count_away(step) < max(1, step.request.max_unavailable)
-
-
-def count_away(step: Step) -> int:
-    """Count the tasks of a lasting step that aren't at work."""
-    return sum(
-        1
-        for task in step.tasks
-        if not any(
-            run.at_work_ms is not None and run.state is RunState.RUNNING for run in task.runs
-        )
-    )
+    return count_away(state, step) < max(1, step.request.max_unavailable)
+
+
+def count_away(state: PartitionState, step: Step) -> int:
+    """Count the tasks of a lasting step that aren't at work, or aren't known to be."""
+    return sum(1 for task in step.tasks if not any(_works(state, run) for run in task.runs))
+
+
+def _works(state: PartitionState, run: Run) -> bool:
+    worker = state.workers.get(run.worker_id)
+    is_heard = worker is not None and not worker.is_silent
+    return is_heard and run.at_work_ms is not None and run.state is RunState.RUNNING
--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -27,6 +27,6 @@
         wanted_cpu=used_cpu + waiting_cpu,
         used_cpu=used_cpu,
         workers={worker.id: worker.used_cpu for worker in workers if worker.is_listed},
-        empty=[worker.id for worker in workers if worker.is_leaving and not worker.runs],
+        empty=[worker.id for worker in workers if worker.is_leaving and worker.is_empty()],
         lasting={worker_id: count for worker_id, count in lasting.items() if count},
     )
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -173,9 +173,12 @@
     """The highest number of an end that was taken in."""
     acknowledged: int = 0
     """The highest number of an end that is stored."""
+    told: int = 0
+    """The highest number of an end that the worker was told to be stored."""
     is_listed: bool = True
     is_silent: bool = False
     """The last call to it wasn't answered."""
+    silent_since_ms: int = 0
     is_leaving: bool = False
     """Its machine is about to be moved or maintained."""
     is_due: bool = False
@@ -188,6 +191,13 @@
         """Say whether our token is known there, and what runs is known here."""
         return self.clock_ms is not None
 
+    def is_empty(self) -> bool:
+        """Say whether nothing is lost if its machine goes now.
+
+        Nothing runs, and no end of a run is known only here.
+        """
+        return not self.runs and self.is_ready() and self.told >= self.seen
+
     def takes_work(self, now_ms: int) -> bool:
         """Say whether tasks may be started there."""
         return (
@@ -266,6 +276,10 @@
     pools: dict[str, Pool] = field(default_factory=dict)
     gone_workers: set[str] = field(default_factory=set)
     """Lives that have surely ended, though their entries may stand for some seconds more."""
+    leaving_ms: int = 0
+    """When the fleet's owner last named the workers that leave."""
+    can_start: bool = True
+    """Whether starts can be stored and sent now."""
 
     def find_job(self, job_id: str) -> Job | None:
         """Return a job, also one that has ended."""
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -17,11 +17,12 @@
 from heatherkeel.ownership.partitions import partition_of
 from heatherkeel.ownership.tenure import Tenure
 from heatherkeel.platform.framing import KeyedRecord
+from heatherkeel.platform.machines import MachineClient
 from heatherkeel.platform.settings import InstanceSettings
 from heatherkeel.platform.store import StoreClient
 
 from . import subjects  # noqa: F401
-from .const import CURRENT_MS, FOLLOW_WAIT_MS, LEASE_MS, RENEW_GRACE_MS, TICK_MS
+from .const import CURRENT_MS, FOLLOW_WAIT_MS, LEASE_MS, LIVES_INTERVAL_MS, TICK_MS
 from .events import (
     AcknowledgeEnds,
     Effect,
@@ -30,6 +31,7 @@
     ForgetJob,
     JobCanceled,
     JobSubmitted,
+    LivesListed,
     PaceTask,
     QueuesChanged,
     SaveJob,
@@ -83,6 +85,7 @@
             remote_factor=settings.bounds.remote_factor,
         )
         self.journal = Journal(store=store, partition=partition, token=token, on_fenced=on_fenced)
+        self.machines = MachineClient(address=settings.machines.address, holder=settings.instance)
         self.sessions: dict[str, WorkerSession] = {}
         self.unsent: dict[str, list[Effect]] = {}
         """Orders for workers that can't be called yet, such as stops decided in recovery."""
@@ -105,7 +108,10 @@
                 nursery.start_soon(self._async_follow_jobs)
                 nursery.start_soon(self._async_drop_requests)
                 nursery.start_soon(self._async_tick)
+                nursery.start_soon(self._async_list_lives)
                 self._take_directory()
+        with trio.CancelScope(shield=True):
+            await self.machines.close()
         if self._take_directory in self.directory.subscribers:
             self.directory.unsubscribe(self._take_directory)
 
@@ -116,12 +122,12 @@
             session.close()
 
     def may_order(self) -> bool:
-        """Say whether nobody else can own the partition yet."""
-        return self.tenure.is_valid(monotonic_ms())
+        """Say whether nobody else can own the partition yet.
 
-    def may_renew(self) -> bool:
-        """Say whether leases may still be renewed: a little longer than orders may be given."""
-        return monotonic_ms() < self.tenure.valid_until_ms + RENEW_GRACE_MS
+        Leases are renewed for as long only: the next owner counts on that. They outlast the
+        membership by some seconds, so that usual outages of the store end no task.
+        """
+        return self.tenure.is_valid(monotonic_ms())
 
     def is_current(self) -> bool:
         """Say whether what isn't known here isn't stored either, but for the last moments.
@@ -283,9 +289,28 @@
         while True:
             await trio.sleep(TICK_MS / 1000)
             now_ms, wall_ms = self.times()
-            self.take(Tick(now_ms=now_ms, wall_ms=wall_ms))
+            can_start = self.may_order() and self.journal.connected
+            self.take(Tick(now_ms=now_ms, wall_ms=wall_ms, can_start=can_start))
             self._open_sessions()
 
+    async def _async_list_lives(self) -> None:
+        """Look at the list of machines for as long as a worker with tasks is silent."""
+        while True:
+            await trio.sleep(LIVES_INTERVAL_MS / 1000)
+            silent = [w for w in self.state.workers.values() if w.is_silent and w.runs]
+            if not silent or not self.machines.caller.address:
+                continue
+            listed = await self.machines.async_list()
+            if isinstance(listed, Err):
+                _LOGGER.info(
+                    "machines can't be listed; silent workers count until their leases lapse",
+                    extra={"event": "machines_unread", "detail": listed.err_value.detail},
+                )
+                continue
+            alive = [m.worker_id for m in listed.ok_value if m.is_up() and m.worker_id]
+            now_ms, wall_ms = self.times()
+            self.take(LivesListed(now_ms=now_ms, wall_ms=wall_ms, worker_ids=frozenset(alive)))
+
     def _perform(self, effect: Effect) -> None:
         match effect:
             case SaveJob():
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -8,12 +8,13 @@
 
 from result import Err, Ok, Result
 
+from heatherkeel.ownership.const import TTL_MS
 from heatherkeel.platform.callers import JobRequest
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import WorkerEntry
 
 from .building import set_objective
-from .const import LEASE_MS, RENEW_GRACE_MS, SLOWEST_CLOCK
+from .const import LEASE_MS, SLOWEST_CLOCK
 from .models import Job, PartitionState, Run, Worker
 from .pools import wait_for_room
 from .records import (
@@ -123,14 +124,14 @@
 def _put_on_worker(state: PartitionState, run: Run, service: str) -> None:
     """Count a run at its worker until the worker, or the end of its lease, says what it is.
 
-    The earlier owner may have renewed leases until shortly before it was shut out, and for a
-    while after that if it couldn't know.
+    The earlier owner may have renewed leases for as long as its membership was good, if it
+    couldn't know that it was shut out.
     """
     worker = state.workers.get(run.worker_id)
     if worker is None:
         entry = WorkerEntry(service=service, address="")
         worker = Worker(id=run.worker_id, entry=entry, is_listed=False, is_silent=True)
         add_worker(state, worker)
-    longest_ms = RENEW_GRACE_MS + LEASE_MS * SLOWEST_CLOCK
+    longest_ms = TTL_MS + LEASE_MS * SLOWEST_CLOCK
     worker.unheard_until_ms = state.now_ms + round(longest_ms)
     worker.add(run)
--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -74,7 +74,7 @@
 
     async def _async_list(self) -> None:
         while True:
-            if not self.owner.may_renew():
+            if not self.owner.may_order():
                 await trio.sleep(FAILED_LIST_PAUSE_MS / 1000)
                 continue
             if not await self._async_list_once():
@@ -94,9 +94,10 @@
         sent_ms = monotonic_ms()
         is_first = worker.clock_ms is None
         lease_until_ms = None if is_first else self._lease_until()
+        acknowledged = worker.acknowledged
         listed = await self.client.async_hold(
             token=self.owner.state.token,
-            acknowledged=worker.acknowledged,
+            acknowledged=acknowledged,
             lease_until_ms=lease_until_ms,
             wait_ms=0 if is_first or worker.is_silent else self._wait_ms(),
         )
@@ -115,11 +116,14 @@
             worker_id=worker.id,
             sent_ms=sent_ms,
             listing=listed.ok_value,
+            acknowledged=acknowledged,
         )
         self.owner.take(answered)
         return True
 
     def _wait_ms(self) -> int:
+        if not self.worker.runs:
+            return 0
         fills = serves = False
         for run in self.worker.runs.values():
             request = run.task.step.request
--- a/heatherkeel/dispatch/ticks.py
+++ b/heatherkeel/dispatch/ticks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .const import LEAVING_MS
 from .events import Effects, ForgetJob, Tick
 from .jobs import begin_due_occurrences
 from .lasting import leave_workers
@@ -13,6 +14,8 @@
 @handles(Tick)
 def take_tick(state: PartitionState, event: Tick, effects: Effects) -> None:
     """Begin what is due, give up workers whose leases have lapsed, forget old jobs."""
+    state.can_start = event.can_start
+    _end_leaving(state, effects)
     for job in state.jobs.values():
         if job.request.repeat_count:
             begin_due_occurrences(state, job, effects)
@@ -26,6 +29,16 @@
             effects.touch(pool.service)
 
 
+def _end_leaving(state: PartitionState, effects: Effects) -> None:
+    """Use workers again that nobody takes away any more, as when the fleet's owner is gone."""
+    if state.now_ms - state.leaving_ms < LEAVING_MS:
+        return
+    for worker in state.workers.values():
+        if worker.is_leaving:
+            worker.is_leaving = False
+            effects.touch(worker.entry.service)
+
+
 def _forget_ended(state: PartitionState, effects: Effects) -> None:
     for job in list(state.finished.values()):
         if state.now_ms - (job.ended_ms or 0) < state.status_ms:
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -8,10 +8,12 @@
 from heatherkeel.platform.workers import Listing, RunningTask
 
 from .building import make_unknown_task
+from .const import SILENT_MS
 from .ends import find_task, lose_run, take_end
 from .events import (
     AcknowledgeEnds,
     Effects,
+    LivesListed,
     StopTask,
     WorkerAnswered,
     WorkerFailed,
@@ -63,6 +65,7 @@
     if not worker.is_ready() or worker.is_silent:
         effects.touch(worker.entry.service)
     worker.is_silent = False
+    worker.told = max(worker.told, event.acknowledged)
     worker.clock_ms = event.listing.clock_ms
     worker.clock_heard_ms = event.now_ms
     ended_before = worker.seen
@@ -156,10 +159,24 @@
         return
     if not worker.is_silent:
         _tell(worker.id, "worker_silent", event.error.detail)
+        worker.silent_since_ms = state.now_ms
     worker.is_silent = True
     drop_if_lapsed(state, worker, effects)
 
 
+@handles(LivesListed)
+def take_lives(state: PartitionState, event: LivesListed, effects: Effects) -> None:
+    """Give up silent workers whose machines are in another life by now, or down.
+
+    A worker that was cut off, and runs on, is still named there.
+    """
+    for worker in list(state.workers.values()):
+        is_long = state.now_ms - worker.silent_since_ms >= SILENT_MS
+        if worker.is_silent and is_long and worker.id not in event.worker_ids:
+            state.gone_workers.add(worker.id)
+            drop_worker(state, worker, effects, why="its machine is in another life")
+
+
 def drop_if_lapsed(state: PartitionState, worker: Worker, effects: Effects) -> None:
     """Drop a worker that is out of reach once nothing can run on it any more."""
     if not worker.has_lapsed(state.now_ms):
@@ -182,6 +199,7 @@
 @handles(WorkersLeaving)
 def take_leaving(state: PartitionState, event: WorkersLeaving, effects: Effects) -> None:
     """Start nothing more on workers whose machines are about to go, and empty them."""
+    state.leaving_ms = state.now_ms
     for worker in state.workers.values():
         worker.is_due = worker.id in event.due
         is_leaving = worker.id in event.worker_ids
--- a/heatherkeel/pooling/keeper.py
+++ b/heatherkeel/pooling/keeper.py
@@ -154,8 +154,7 @@
         while True:
             self._take_directory()
             await self._async_measure()
-            if self.may_order():
-                self._take(PlanDue(now_ms=monotonic_ms()))
+            self._take(PlanDue(now_ms=monotonic_ms(), may_order=self.may_order()))
             await trio.sleep(PLAN_INTERVAL_MS / 1000)
 
     async def _async_measure(self) -> None:
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -131,6 +131,9 @@
 class PlanDue(FleetEvent):
     """It is time to look at the pools."""
 
+    may_order: bool = True
+    """Orders may be given; if not, another process may be the fleet's owner by now."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FleetEffect:
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -171,6 +171,9 @@
 @handles(PlanDue)
 def plan(state: FleetState, event: PlanDue) -> list[FleetEffect]:
     """Decide which machines are to go, and order away those that are empty."""
+    if not event.may_order:
+        _drop_plans(state)
+        return []
     if state.listed_ms is None:
         return []
     for intent in plan_maintenance(state) + plan_moves(state):
@@ -185,6 +188,13 @@
     return effects + _complete_waves(state)
 
 
+def _drop_plans(state: FleetState) -> None:
+    """Let machines serve on that no order was given for: none can be given now."""
+    for name, intent in list(state.intents.items()):
+        if intent.ordered_ms is None:
+            del state.intents[name]
+
+
 def _tell_intent(intent: Intent) -> None:
     _LOGGER.info(
         "machine is to go",
--- a/tests/dispatch/test_losses.py
+++ b/tests/dispatch/test_losses.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from heatherkeel.dispatch.const import GREY_PAUSE_MS, LEASE_MS
+from heatherkeel.dispatch.const import GREY_PAUSE_MS, LEASE_MS, LEAVING_MS, SILENT_MS
+from heatherkeel.dispatch.events import LivesListed, Tick
 from heatherkeel.dispatch.models import JobState, Run
 from heatherkeel.platform.errors import Failure
 
@@ -164,3 +165,77 @@
     partition.tick(100)
     (other,) = stopped(partition.effects)
     assert {stop, other} == {first, second}
+
+
+def test_lasting_task_on_a_silent_worker_counts_as_away() -> None:
+    """A rack falls silent with a task of a lasting step; another task's machine is to go.
+
+    The silent worker's task seemed to be at work when it was last heard of. Stopping the other
+    one leaves two of the step away, where one may be.
+    """
+    partition = Partition(workers=3)
+    partition.submit(make_step(count=2, cpu=100, lasts=True, max_unavailable=1, max_per_worker=1))
+    first, second = partition.start_all()
+    for worker_id in partition.entries:
+        partition.answer(worker_id, percent=100.0)
+    partition.fail(first.worker_id)
+    assert not stopped(partition.leave(second.worker_id))
+
+
+def test_nothing_is_taken_off_a_leaving_worker_while_nothing_can_be_started() -> None:
+    partition = Partition()
+    partition.submit(make_step(cpu=100, lasts=True, max_unavailable=1))
+    (run,) = partition.start_all()
+    partition.answer(run.worker_id, percent=100.0)
+    partition.give(Tick(**partition.at(), can_start=False))
+    assert not stopped(partition.leave(run.worker_id))
+
+
+def test_worker_serves_again_when_nobody_takes_it_away_any_more() -> None:
+    """The fleet's owner dies after it has named a worker that is to be emptied.
+
+    Left as leaving, the worker would get no work for good.
+    """
+    partition = Partition(workers=1)
+    partition.leave("w0")
+    assert not started(partition.submit(make_step()))
+    partition.tick(LEAVING_MS)
+    assert started(partition.effects)
+
+
+def test_worker_is_empty_only_when_it_was_told_that_its_ends_are_stored() -> None:
+    """A task ends, and its worker's machine is to be maintained.
+
+    The machine takes its list of ends with it. Were the owner to die before it has stored the
+    end, the task would run again after it was done.
+    """
+    partition = Partition()
+    run = start_on(partition, "w0")
+    partition.end(run)
+    worker = partition.state.workers["w0"]
+    assert not worker.runs
+    assert not worker.is_empty()
+    worker.told = worker.seen
+    assert worker.is_empty()
+
+
+def test_silent_worker_whose_machine_is_in_another_life_is_given_up_at_once() -> None:
+    partition = Partition()
+    run = start_on(partition, "w0")
+    partition.effects.clear()
+    partition.fail("w0")
+    partition.now_ms += SILENT_MS
+    partition.give(LivesListed(**partition.at(), worker_ids=frozenset({"w1"})))
+    (again,) = started(partition.effects)
+    assert again.task is run.task
+
+
+def test_silent_worker_that_its_machine_still_names_keeps_its_tasks() -> None:
+    """A worker is cut off from this process and from the store, and runs on."""
+    partition = Partition()
+    start_on(partition, "w0")
+    partition.effects.clear()
+    partition.fail("w0")
+    partition.now_ms += SILENT_MS
+    partition.give(LivesListed(**partition.at(), worker_ids=frozenset({"w0", "w1"})))
+    assert not started(partition.effects)
--- a/tests/dispatch/test_recovery.py
+++ b/tests/dispatch/test_recovery.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from heatherkeel.dispatch.const import LEASE_MS, RENEW_GRACE_MS
+from heatherkeel.dispatch.const import LEASE_MS
 from heatherkeel.dispatch.events import Effects, ForgetJob, SaveJob
 from heatherkeel.dispatch.jobs import stop_leftovers
 from heatherkeel.dispatch.models import JobState, RunState
@@ -14,6 +14,7 @@
     encode_request,
 )
 from heatherkeel.dispatch.recovery import read_records, restore_jobs
+from heatherkeel.ownership.const import TTL_MS
 from heatherkeel.platform.callers import JobRequest
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.workers import RunningTask
@@ -60,7 +61,7 @@
     later.answer(other)
     later.tick(LEASE_MS)
     assert not started(later.effects)
-    later.tick(RENEW_GRACE_MS + LEASE_MS)
+    later.tick(TTL_MS + LEASE_MS)
     (again,) = started(later.effects)
     assert again.attempt == run.attempt + 1
 
