--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -48,6 +48,8 @@
     answered_ms: int | None = None
     """When the worker answered the last order about it; None while one is unanswered. A listing
     asked for later that doesn't show the run proves that it isn't there."""
+    unanswered_ms: int | None = None
+    """When it was given up to wait for the answer to its start."""
     started_ms: int = 0
     at_work_ms: int | None = None
     """Since when a lasting task has been at work."""
--- a/heatherkeel/dispatch/orders.py
+++ b/heatherkeel/dispatch/orders.py
@@ -25,7 +25,8 @@
 
     Without an answer it may be carried out seconds later, on top of a second run elsewhere. A
     stop makes the worker refuse it from then on, so the task is stopped there, and waits again
-    when the worker has said so.
+    when the worker has said so. A lasting task may be at work by now, and a stop would take it
+    from its users: it is stopped only if the next listing doesn't show it.
     """
     run = event.run
     if run not in run.task.runs:
@@ -49,8 +50,13 @@
     if event.error.failure in _NOT_DONE and run.state is not RunState.STOPPING:
         lose_run(state, run, effects, why=f"start {event.error.failure}")
         return
+    if run.state is RunState.STOPPING:
+        return
     run.state = RunState.SENT
-    stop_run(state, run, effects)
+    if run.task.step.request.lasts:
+        run.unanswered_ms = event.now_ms
+    else:
+        stop_run(state, run, effects)
 
 
 @handles(StopAnswered)
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -20,6 +20,7 @@
     WorkersLeaving,
     WorkersListed,
 )
+from .jobs import stop_run
 from .lasting import leave_workers
 from .models import PartitionState, Run, RunState, Worker
 from .pools import find_pool
@@ -98,11 +99,20 @@
         # Its last order was answered before this listing was asked for, and it isn't there:
         # it has ended without a trace, or its start never came.
         is_proved = run.answered_ms is not None and run.answered_ms < sent_ms
-        if run.key() not in listed and is_proved:
+        if run.key() in listed:
+            continue
+        if is_proved:
             lose_run(state, run, effects, why="not listed")
+        elif run.unanswered_ms is not None and run.unanswered_ms < sent_ms:
+            run.unanswered_ms = None
+            stop_run(state, run, effects)
 
 
 def _update_run(run: Run, row: RunningTask, now_ms: int) -> None:
+    if run.unanswered_ms is not None:
+        run.unanswered_ms = None
+        run.answered_ms = now_ms
+        run.state = RunState.RUNNING
     run.percent = row.percent
     run.figure = row.figure
     if row.saved:
--- a/tests/dispatch/test_starts.py
+++ b/tests/dispatch/test_starts.py
@@ -74,6 +74,27 @@
     assert again.attempt == run.attempt + 1
 
 
+def test_lasting_task_whose_start_went_unanswered_is_kept_if_it_runs() -> None:
+    """A worker starts a lasting task, and its answer is lost.
+
+    The task is at work when the answer's time is up. Stopped, it would be away while another
+    of its step may be too. The next listing shows it, so it is kept.
+    """
+    partition = Partition(workers=1)
+    (run,) = started(partition.submit(make_step(lasts=True, max_unavailable=1)))
+    assert not stopped(partition.start_answered(run, Failure.UNKNOWN))
+    row = RunningTask(task=run.task.name, attempt=1, saved="", percent=100.0, figure=0.0)
+    assert not stopped(partition.list_exactly("w0", row))
+    assert run.state is RunState.RUNNING
+
+
+def test_lasting_task_whose_start_went_unanswered_is_stopped_if_it_does_not_run() -> None:
+    partition = Partition(workers=1)
+    (run,) = started(partition.submit(make_step(lasts=True, max_unavailable=1)))
+    partition.start_answered(run, Failure.UNKNOWN)
+    assert stopped(partition.list_exactly("w0")) == [run]
+
+
 def test_refused_start_runs_elsewhere_at_once() -> None:
     partition = Partition()
     (run,) = started(partition.submit(make_step()))
