--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -53,6 +53,8 @@
             "job": job.id,
             "queue": job.queue,
             "tasks": sum(step.count for step in job.request.steps),
+            "lasts": any(step.lasts for step in job.request.steps),
+            "fills": any(step.fills for step in job.request.steps),
             "objective_ms": round(job.due_ms - job.accepted_ms),
             "age_ms": event.now_ms - job.accepted_ms,
         },
--- a/heatherkeel/platform/caller.py
+++ b/heatherkeel/platform/caller.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Final
 
 import httpcore
 import trio
@@ -14,6 +17,17 @@
 
 _TIMEOUTS = {"connect": CONNECT_TIMEOUT_S}
 
+_RESET_ON_CLOSE: Final = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+"""A connection is closed when its call's time is up, and then it is reset.
+
+A plain close leaves unsent bytes with the kernel, which goes on sending them: an order given up
+in a network partition reached its machine two seconds after the partition had healed, behind the
+orders of the next owner. A reset drops them.
+"""
+_GIVE_UP_SENDING: Final = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2000)
+"""A connection whose bytes nobody has acknowledged for 2,000 ms is dead; none of our calls waits
+longer for its first byte to arrive."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Reply:
@@ -38,6 +52,7 @@
             keepalive_expiry=KEEP_ALIVE_S,
             retries=0,
             http2=False,
+            socket_options=[_RESET_ON_CLOSE, _GIVE_UP_SENDING],
         )
 
     async def close(self) -> None:
--- /dev/null
+++ b/tests/platform/test_caller.py
@@ -0,0 +1,72 @@
+"""One call at a time, and what is left of it when its time is up."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+import trio
+from result import Err
+
+from heatherkeel.platform.caller import HttpCaller
+from heatherkeel.platform.errors import Failure
+
+
+def test_call_that_was_given_up_is_reset_and_not_sent_later() -> None:
+    """An order is sent into a network partition, its time runs out, and others take over.
+
+    Closed the plain way, the connection delivers the order once the partition heals, behind
+    those of the next owner. Reset, it delivers nothing more.
+    """
+
+    async def async_test() -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        caller = HttpCaller(address=f"127.0.0.1:{listener.getsockname()[1]}", connections=1)
+        called = await caller.async_call("POST", "/order", body=b"{}", timeout_s=0.1)
+        assert isinstance(called, Err)
+        assert called.err_value.failure is Failure.UNKNOWN
+        connection, _ = listener.accept()
+        with connection, listener, pytest.raises(ConnectionResetError):
+            while connection.recv(65536):
+                pass
+        await caller.close()
+
+    trio.run(async_test)
+
+
+def test_call_without_a_listener_was_surely_not_sent() -> None:
+
+    async def async_test() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+        caller = HttpCaller(address=address, connections=1)
+        called = await caller.async_call("GET", "/", timeout_s=1.0)
+        assert isinstance(called, Err)
+        assert called.err_value.failure is Failure.REFUSED
+        await caller.close()
+
+    trio.run(async_test)
+
+
+def test_connection_is_kept_for_the_next_call() -> None:
+
+    async def async_test() -> None:
+        accepted = 0
+
+        async def async_answer(stream: trio.SocketStream) -> None:
+            nonlocal accepted
+            accepted += 1
+            while await stream.receive_some():
+                await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, async_answer, 0, "127.0.0.1")  # type: ignore[arg-type]
+            port = listeners[0].socket.getsockname()[1]
+            caller = HttpCaller(address=f"127.0.0.1:{port}", connections=1)
+            for _ in range(3):
+                assert not isinstance(await caller.async_call("GET", "/", timeout_s=1.0), Err)
+            await caller.close()
+            nursery.cancel_scope.cancel()
+        assert accepted == 1
+
+    trio.run(async_test)
