--- a/heatherkeel/gateway/app.py
+++ b/heatherkeel/gateway/app.py
@@ -63,6 +63,7 @@
     Refusal.BAD_REQUEST: 400,
     Refusal.TOO_LARGE: 413,
     Refusal.WRONG_METHOD: 405,
+    Refusal.STORE_AWAY: 503,
     Refusal.STORE_REFUSED: 503,
     Refusal.STORE_SILENT: 504,
     Refusal.OWNER_SILENT: 504,
@@ -182,15 +183,19 @@
         be carried out seconds later.
         """
         is_unknown = False
+        partition = self._partition(queue)
+        if self.app.store.find_health(JOBS_TOPIC, partition).is_away():
+            await self._async_refuse(Refusal.STORE_AWAY, job_id=job_id, retry_s=RETRY_AWAY_S)
+            return Refusal.STORE_AWAY
         while True:
             left_s = (self.deadline_ms - monotonic_ms()) / 1000
             if left_s <= 0:
                 break
             appended = await self.app.store.async_append(
                 JOBS_TOPIC,
-                self._partition(queue),
+                partition,
                 [record],
-                timeout_s=min(APPEND_TIMEOUT_S, left_s),
+                longest_s=min(APPEND_TIMEOUT_S, left_s),
             )
             if not isinstance(appended, Err):
                 return None
--- a/heatherkeel/gateway/reasons.py
+++ b/heatherkeel/gateway/reasons.py
@@ -14,6 +14,8 @@
     BAD_REQUEST = "bad_request"
     TOO_LARGE = "too_large"
     WRONG_METHOD = "wrong_method"
+    STORE_AWAY = "store_away"
+    """Nothing was sent to the store, which has been failing: the job never runs."""
     STORE_REFUSED = "store_refused"
     """The store did nothing: the job was not accepted and never runs."""
     STORE_SILENT = "store_silent"
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -18,6 +18,7 @@
 from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
 from heatherkeel.ownership.holders import Holders
+from heatherkeel.ownership.isolation import IsolationWatch
 from heatherkeel.ownership.member import GroupMember
 from heatherkeel.ownership.partitions import fleet_partition
 from heatherkeel.ownership.tenure import Change
@@ -26,6 +27,7 @@
 from heatherkeel.pooling.keeper import FleetKeeper
 from heatherkeel.questions.answering import answer_question
 from heatherkeel.questions.links import QuestionLinks
+from heatherkeel.questions.messages import QueueAsked
 
 from .status import StatusApp
 
@@ -51,6 +53,7 @@
         self.links = QuestionLinks(
             bind=f"{settings.ip}:{settings.internal_ports[0]}",
             answer=lambda question: answer_question(self.owners, question),
+            on_heard=lambda: self.isolation.take_heard(),
         )
         self.member = GroupMember(
             store=self.store,
@@ -58,6 +61,9 @@
             incarnation=uuid.uuid4().hex[:12],
             on_change=self._async_change,
         )
+        self.isolation = IsolationWatch(
+            member=self.member, holders=self.holders, async_reach=self._async_reach
+        )
         self.metrics = GatewayMetrics()
         self.lookup = Lookup(store=self.store, holders=self.holders, links=self.links)
         self.callers = HttpServer(
@@ -86,6 +92,7 @@
         await self.callers.start(nursery)
         self.directory.start(nursery)
         self.member.start(nursery)
+        nursery.start_soon(self.isolation.async_run)
         _LOGGER.info(
             "started",
             extra={
@@ -108,6 +115,11 @@
         self.links.close()
         await self.store.close()
 
+    async def _async_reach(self, address: str) -> bool:
+        """Say whether the process at an address answers; what it answers doesn't matter."""
+        question = QueueAsked(partition=-1, queue="")
+        return await self.links.async_ask(address, question) is not None
+
     async def _async_change(self, change: Change) -> None:
         """Close what was lost before anything else, and begin with what was gained."""
         fleet = fleet_partition(self.settings.store.partitions)
--- a/heatherkeel/ownership/const.py
+++ b/heatherkeel/ownership/const.py
@@ -25,3 +25,12 @@
 """How long a list of holders is believed without being read again, in milliseconds."""
 HOLDERS_MIN_AGE_MS: Final = 250
 """A list is not read again sooner than this, however many ask, in milliseconds."""
+HOLDERS_REFRESH_MS: Final = 2000
+"""How recent a list of holders has to be to look for peers in it, in milliseconds."""
+PEER_CHECK_INTERVAL_MS: Final = 700
+"""Time between two looks whether other processes can be reached, in milliseconds."""
+PEERS_ASKED: Final = 3
+"""Other processes that are asked in one look, one after the other."""
+ISOLATED_AFTER_MS: Final = 2200
+"""How long no other process must have been reached, in milliseconds, until partitions are given up:
+three looks, so that a few lost packets or a restart of some peers don't count."""
--- a/heatherkeel/ownership/holders.py
+++ b/heatherkeel/ownership/holders.py
@@ -10,7 +10,7 @@
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.platform.store import StoreClient
 
-from .const import GROUP, HOLDERS_MAX_AGE_MS, HOLDERS_MIN_AGE_MS, WORK_TOPIC
+from .const import GROUP, HOLDERS_MAX_AGE_MS, HOLDERS_MIN_AGE_MS, HOLDERS_REFRESH_MS, WORK_TOPIC
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -37,6 +37,11 @@
             await self._async_read()
         return self.addresses.get(partition, "")
 
+    async def async_refresh(self) -> None:
+        """Read the list again unless it is recent."""
+        if monotonic_ms() - self.read_ms > HOLDERS_REFRESH_MS:
+            await self._async_read()
+
     async def _async_read(self) -> None:
         asked_ms = monotonic_ms()
         async with self.lock:
--- /dev/null
+++ b/heatherkeel/ownership/isolation.py
@@ -0,0 +1,75 @@
+"""Finds out that no other process can be reached, though the store can."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from heatherkeel.helpers.clock import monotonic_ms
+
+from .const import ISOLATED_AFTER_MS, PEER_CHECK_INTERVAL_MS, PEERS_ASKED
+from .holders import Holders
+from .member import GroupMember
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class IsolationWatch:
+    """Keeps a process out of the group of owners while no other can reach it.
+
+    Such a process keeps its membership, since it reaches the store. As the fleet's owner it sees
+    no pool's load and moves no machine; as an owner of jobs it is asked in vain by all fronts, and
+    its pools get no machines. One that is alone in the group stays.
+    """
+
+    def __init__(
+        self,
+        *,
+        member: GroupMember,
+        holders: Holders,
+        async_reach: Callable[[str], Awaitable[bool]],
+    ) -> None:
+        self.member = member
+        self.holders = holders
+        self.async_reach = async_reach
+        self.heard_ms = monotonic_ms()
+
+    def take_heard(self) -> None:
+        """Hear that another process has asked something."""
+        self.heard_ms = monotonic_ms()
+
+    async def async_run(self) -> None:
+        """Check until cancelled."""
+        while True:
+            await trio.sleep(PEER_CHECK_INTERVAL_MS / 1000)
+            if self.member.may_order() or self.member.is_paused:
+                await self._async_check()
+
+    async def _async_check(self) -> None:
+        if monotonic_ms() - self.heard_ms < PEER_CHECK_INTERVAL_MS:
+            return self._take_reached()
+        await self.holders.async_refresh()
+        own = self.member.address
+        peers = sorted({address for address in self.holders.addresses.values() if address != own})
+        if not peers:
+            return self._take_reached()
+        # Others each time, so that one dead peer doesn't count for all.
+        start = monotonic_ms() // PEER_CHECK_INTERVAL_MS % len(peers)
+        for address in [*peers[start:], *peers[:start]][:PEERS_ASKED]:
+            if await self.async_reach(address):
+                return self._take_reached()
+        if monotonic_ms() - self.heard_ms >= ISOLATED_AFTER_MS and not self.member.is_paused:
+            _LOGGER.warning(
+                "no other process can be reached; giving up all partitions",
+                extra={"event": "isolated", "asked": len(peers[:PEERS_ASKED])},
+            )
+            await self.member.async_pause()
+        return None
+
+    def _take_reached(self) -> None:
+        self.heard_ms = monotonic_ms()
+        if self.member.is_paused:
+            _LOGGER.info("other processes can be reached again", extra={"event": "reachable"})
+            self.member.resume()
--- a/heatherkeel/ownership/member.py
+++ b/heatherkeel/ownership/member.py
@@ -38,6 +38,7 @@
         platform sees a new member and raises the generation."""
         self.connected = True
         self.closing = False
+        self.is_paused = False
         self.fence_seen = trio.Event()
 
     @property
@@ -59,6 +60,17 @@
         """Say whether this process may still give orders for what it holds."""
         return not self.closing and self.tenure.is_valid(monotonic_ms())
 
+    async def async_pause(self) -> None:
+        """Give all partitions up, and stay out of the group until `resume`."""
+        self.is_paused = True
+        await self.on_change(self.tenure.drop())
+        await self._async_leave()
+        self.leaves += 1
+
+    def resume(self) -> None:
+        """Join the group again."""
+        self.is_paused = False
+
     def rejoin(self) -> None:
         """Join under a new name: somebody else has proved to own what this process held."""
         self.fence_seen.set()
@@ -76,15 +88,19 @@
 
     async def _async_renew(self) -> int:
         """Renew once; returns the pause until the next time in milliseconds."""
+        if self.is_paused:
+            return RETRY_INTERVAL_MS
+        name = self.name
         sent_ms = monotonic_ms()
         joined = await self.store.async_join(
             group=GROUP,
-            member=self.name,
+            member=name,
             topics=[WORK_TOPIC],
             ttl_ms=TTL_MS,
             generation=self.tenure.generation,
         )
-        if self.closing:
+        if self.closing or self.is_paused or name != self.name:
+            # Given up meanwhile: this answer may have come after the leave was carried out.
             return 0
         if isinstance(joined, Err):
             self._tell_connected(False, joined.err_value.detail)
--- a/heatherkeel/platform/store.py
+++ b/heatherkeel/platform/store.py
@@ -8,21 +8,32 @@
 from urllib.parse import urlencode
 
 import msgspec
+import trio
 from result import Err, Ok, Result
 
 from .caller import HttpCaller, Reply
 from .errors import CallError, Failure
 from .framing import FramingError, KeyedRecord, decode_read, encode_records
+from .patience import Patience
 
 ModelT = TypeVar("ModelT")
 
 WRITE_TIMEOUT_S: Final = 3.5
 """Longest wait for an append, in seconds: a partition refuses what would wait for 2 s, and a
 slow store takes a second or more on top."""
+SHORTEST_TIMEOUT_S: Final = 0.3
+"""Shortest wait for a write or a renewal, in seconds: answers take 5 to 15 ms, and a busy
+partition some tens of milliseconds."""
 READ_TIMEOUT_S: Final = 2.5
 """Longest wait for a reading beyond its own `wait_ms`, in seconds."""
 JOIN_TIMEOUT_S: Final = 1.2
 """Longest wait for a renewal, in seconds: below the time for which a membership is good."""
+AWAY_FAILURES: Final = 3
+"""Writes in a row that fail before the store counts as away. Where a third of all answers are
+lost, three in a row are lost once in 27."""
+PROBE_INTERVAL_S: Final = 0.25
+"""How often a write is tried while the store is away, in seconds."""
+_TROUBLE: Final = frozenset({Failure.REFUSED, Failure.UNKNOWN})
 _GONE, _CONFLICT, _PRECONDITION = 410, 409, 412
 _REFUSED: Final = frozenset({429, 503, 507})
 
@@ -94,6 +105,34 @@
     parts: list[tuple[str, int, int]] = []
 
 
+@dataclass(kw_only=True, slots=True)
+class PartitionHealth:
+    """Whether this process's writes to a partition get done; some may fail while others don't."""
+
+    failures: int = 0
+    """Writes in a row that were refused or not answered."""
+    failed_s: float = 0.0
+    """When the last one failed."""
+
+    def take(self, checked: Result[Reply, CallError]) -> None:
+        """Take in how a write went; one that was refused for its content was answered."""
+        if isinstance(checked, Err) and checked.err_value.failure in _TROUBLE:
+            self.failures += 1
+            self.failed_s = trio.current_time()
+        else:
+            self.failures = 0
+
+    def is_away(self) -> bool:
+        """Say whether a write now would almost surely fail too.
+
+        One call each `PROBE_INTERVAL_S` goes through, and ends this with its success.
+        """
+        return (
+            self.failures >= AWAY_FAILURES
+            and trio.current_time() - self.failed_s < PROBE_INTERVAL_S
+        )
+
+
 class StoreClient:
     """One process's way to the store; waiting reads have connections of their own."""
 
@@ -101,12 +140,19 @@
         self.writes = HttpCaller(address=address, connections=8)
         self.reads = HttpCaller(address=address, connections=24)
         self.membership = HttpCaller(address=address, connections=2)
+        self.write_patience = Patience(shortest_s=SHORTEST_TIMEOUT_S, longest_s=WRITE_TIMEOUT_S)
+        self.join_patience = Patience(shortest_s=SHORTEST_TIMEOUT_S, longest_s=JOIN_TIMEOUT_S)
+        self.health: dict[tuple[str, int], PartitionHealth] = {}
 
     async def close(self) -> None:
         """Close all connections."""
         for caller in (self.writes, self.reads, self.membership):
             await caller.close()
 
+    def find_health(self, topic: str, partition: int) -> PartitionHealth:
+        """Say how this process's writes to a partition went."""
+        return self.health.setdefault((topic, partition), PartitionHealth())
+
     async def async_append(
         self,
         topic: str,
@@ -114,7 +160,7 @@
         records: list[KeyedRecord],
         *,
         producer: Producer | None = None,
-        timeout_s: float = WRITE_TIMEOUT_S,
+        longest_s: float = WRITE_TIMEOUT_S,
     ) -> Result[None, CallError]:
         """Append all records or none; no record sets a producer's epoch only."""
         query: dict[str, Any] = {"topic": topic, "part": partition}
@@ -125,10 +171,14 @@
                 "sequence": producer.sequence,
             }
         target = f"/heatherkeel/log-append?{urlencode(query)}"
+        began_s = trio.current_time()
+        timeout_s = min(longest_s, self.write_patience.timeout_s())
         called = await self.writes.async_call(
             "POST", target, body=encode_records(records), timeout_s=timeout_s
         )
+        _learn(self.write_patience, called, trio.current_time() - began_s)
         checked = called.and_then(_check)
+        self.find_health(topic, partition).take(checked)
         return Err(checked.err_value) if isinstance(checked, Err) else Ok(None)
 
     async def async_read(
@@ -200,9 +250,12 @@
                 "generation": generation,
             }
         )
+        began_s = trio.current_time()
+        timeout_s = self.join_patience.timeout_s()
         called = await self.membership.async_call(
-            "POST", "/heatherkeel/log-join", body=body, timeout_s=JOIN_TIMEOUT_S
+            "POST", "/heatherkeel/log-join", body=body, timeout_s=timeout_s
         )
+        _learn(self.join_patience, called, trio.current_time() - began_s)
         decoded = _decode(called.and_then(_check), _Joined)
         if isinstance(decoded, Err):
             return decoded
@@ -233,6 +286,13 @@
         return _decode_holders(checked.ok_value.body)
 
 
+def _learn(patience: Patience, called: Result[Reply, CallError], took_s: float) -> None:
+    if isinstance(called, Ok):
+        patience.take_answer(took_s)
+    elif called.err_value.failure is Failure.UNKNOWN:
+        patience.take_silence()
+
+
 def _decode_holders(body: bytes) -> Result[list[PartitionHolder], CallError]:
     """Read rows of topic, partition, member and offset, alone or under a name."""
     try:
--- a/heatherkeel/questions/links.py
+++ b/heatherkeel/questions/links.py
@@ -72,9 +72,16 @@
 class QuestionLinks:
     """All links of one process."""
 
-    def __init__(self, *, bind: str, answer: Callable[[Question], Answer]) -> None:
+    def __init__(
+        self,
+        *,
+        bind: str,
+        answer: Callable[[Question], Answer],
+        on_heard: Callable[[], None] = lambda: None,
+    ) -> None:
         self.address = bind
         self.answer = answer
+        self.on_heard = on_heard
         self.context: zmq.Context[zmq.Socket[bytes]] = zmq.Context(io_threads=1)
         self.router = EdgeSocket(context=self.context, kind=zmq.ROUTER, handle=self._take)
         self.links: dict[str, QuestionLink] = {}
@@ -126,5 +133,6 @@
                 extra={"event": "question_unreadable", "detail": decoded.err_value},
             )
             return
+        self.on_heard()
         answer = self.answer(decoded.ok_value)
         self.router.send([frames[0], frames[1], encode_message(answer)])
--- a/tests/platform/test_caller.py
+++ b/tests/platform/test_caller.py
@@ -60,7 +60,8 @@
                 await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
 
         async with trio.open_nursery() as nursery:
-            listeners = await nursery.start(trio.serve_tcp, async_answer, 0, "127.0.0.1")  # type: ignore[arg-type]
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, async_answer, listeners)
             port = listeners[0].socket.getsockname()[1]
             caller = HttpCaller(address=f"127.0.0.1:{port}", connections=1)
             for _ in range(3):
