--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -9,10 +9,10 @@
 
 def measure_pools(state: PartitionState) -> list[PoolLoad]:
     """Return the load of each pool."""
-    return [_measure(pool) for pool in state.pools.values()]
+    return [_measure(pool, state.now_ms) for pool in state.pools.values()]
 
 
-def _measure(pool: Pool) -> PoolLoad:
+def _measure(pool: Pool, now_ms: int) -> PoolLoad:
     workers = pool.workers.values()
     used_cpu = sum(worker.used_cpu for worker in workers)
     waiting_cpu = sum(
@@ -26,6 +26,8 @@
         service=pool.service,
         wanted_cpu=used_cpu + waiting_cpu,
         used_cpu=used_cpu,
+        arriving_cpu=pool.arriving_cpu(now_ms),
+        slack_ms=round(pool.slack_ms) if pool.slack_ms is not None else None,
         workers={worker.id: worker.used_cpu for worker in workers if worker.is_listed},
         empty=[worker.id for worker in workers if worker.is_leaving and worker.is_empty()],
         lasting={worker_id: count for worker_id, count in lasting.items() if count},
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 from heatherkeel.platform.callers import JobRequest, StepRequest
 from heatherkeel.platform.operator import Queue, WorkerEntry
 
-from .const import LAPSE_MARGIN_MS, SLOWEST_CLOCK
+from .const import (
+    ARRIVAL_WINDOW_MS,
+    FEWEST_ARRIVALS,
+    LAPSE_MARGIN_MS,
+    SLACK_WEIGHT,
+    SLOWEST_CLOCK,
+)
 
 
 class JobState(StrEnum):
@@ -51,6 +58,8 @@
     unanswered_ms: int | None = None
     """When it was given up to wait for the answer to its start."""
     started_ms: int = 0
+    is_doubtful: bool = False
+    """Its worker doesn't answer."""
     at_work_ms: int | None = None
     """Since when a lasting task has been at work."""
     saved: str = ""
@@ -79,8 +88,13 @@
     runs: list[Run] = field(default_factory=list)
 
     def is_waiting(self) -> bool:
-        """Say whether the task may be started: nothing of it may still run anywhere."""
-        return not self.is_done and not self.runs
+        """Say whether the task may be started: nothing of it may still run anywhere.
+
+        Where copies are allowed, a run on a worker that doesn't answer keeps nobody waiting.
+        """
+        if self.is_done or not self.runs:
+            return not self.is_done
+        return self.step.request.may_copy and all(run.is_doubtful for run in self.runs)
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -296,3 +310,29 @@
     workers: dict[str, Worker] = field(default_factory=dict)
     open_steps: dict[Step, None] = field(default_factory=dict)
     """Steps with tasks to start, in the order in which they opened."""
+    arrivals: deque[tuple[int, float]] = field(default_factory=deque)
+    """When the jobs of the last while came, and the core-milliseconds that each asks for."""
+    slack_ms: float | None = None
+    """How long a job may usually wait and still meet its objective; None before the first."""
+
+    def take_arrival(self, job: Job, now_ms: int) -> None:
+        """Take in that a job has come."""
+        steps = job.request.steps
+        if any(step.lasts for step in steps):
+            return
+        work = sum(step.count * step.cpu * step.estimated_ms / 1000 for step in steps)
+        self.arrivals.append((now_ms, work))
+        slack_ms = min(step.latest_start_ms for step in job.steps()) - job.accepted_ms
+        known_ms = slack_ms if self.slack_ms is None else self.slack_ms
+        self.slack_ms = known_ms + SLACK_WEIGHT * (slack_ms - known_ms)
+
+    def arriving_cpu(self, now_ms: int) -> int:
+        """Return the processor that jobs ask for at the pace at which they come now.
+
+        Of few jobs nothing is said: one large job would seem to be a surge.
+        """
+        while self.arrivals and now_ms - self.arrivals[0][0] > ARRIVAL_WINDOW_MS:
+            self.arrivals.popleft()
+        if len(self.arrivals) < FEWEST_ARRIVALS:
+            return 0
+        return round(sum(work for _, work in self.arrivals) * 1000 / ARRIVAL_WINDOW_MS)
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from math import ceil
+
 from heatherkeel.platform.callers import StepRequest
 
-from .const import ESTIMATE_SLACK, MAX_MISFITS
+from .const import ESTIMATE_SLACK, LASTING_SHARE, MAX_MISFITS
 from .events import Effects, SaveJob, StartTask
 from .models import JobState, PartitionState, Pool, Run, RunState, Step, Task, Worker
 from .pools import find_pool
@@ -119,14 +121,44 @@
 
     The least loaded worker disturbs the task least, and spreads what a lost worker takes away.
     """
+    if step.request.lasts:
+        return _choose_lasting(step, workers)
     request = step.request
     best: Worker | None = None
-    best_rank: tuple[bool, bool, int, str] | None = None
+    best_rank: tuple[bool, int, str] | None = None
     for worker in workers:
         if not worker.fits(request) or not _is_allowed(step, worker):
             continue
-        stays = not (request.lasts and worker.is_due)
-        rank = (stays, worker.rack() == request.data_rack, worker.free_cpu(), worker.id)
+        rank = (worker.rack() == request.data_rack, worker.free_cpu(), worker.id)
+        if best_rank is None or rank > best_rank:
+            best, best_rank = worker, rank
+    return best
+
+
+def _choose_lasting(step: Step, workers: list[Worker]) -> Worker | None:
+    """Return the worker for a lasting task: one of few, each with a share of the step's tasks.
+
+    A machine with a lasting task can't be sent away, so the fewer have one, the fewer are paid
+    for between a pool's turns. Two of them, in different racks, keep half of the tasks at work
+    when one is lost. Machines that are soon to be maintained come last.
+    """
+    most = max(1, ceil(LASTING_SHARE * len(step.tasks)))
+    racks = {state_worker.rack() for state_worker in workers if step.runs_on(state_worker.id)}
+    best: Worker | None = None
+    best_rank: tuple[bool, bool, bool, bool, int, str] | None = None
+    for worker in workers:
+        if not worker.fits(step.request) or not _is_allowed(step, worker):
+            continue
+        here = step.runs_on(worker.id)
+        has_lasting = any(run.task.step.request.lasts for run in worker.runs.values())
+        rank = (
+            not worker.is_due,
+            here < most,
+            has_lasting,
+            here > 0 or worker.rack() not in racks,
+            worker.free_cpu(),
+            worker.id,
+        )
         if best_rank is None or rank > best_rank:
             best, best_rank = worker, rank
     return best
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -23,7 +23,7 @@
 from .jobs import stop_run
 from .lasting import leave_workers
 from .models import PartitionState, Run, RunState, Worker
-from .pools import find_pool
+from .pools import find_pool, wait_for_room
 from .reducer import handles
 
 _LOGGER = logging.getLogger(__name__)
@@ -66,6 +66,8 @@
     if not worker.is_ready() or worker.is_silent:
         effects.touch(worker.entry.service)
     worker.is_silent = False
+    for run in worker.runs.values():
+        run.is_doubtful = False
     worker.told = max(worker.told, event.acknowledged)
     worker.clock_ms = event.listing.clock_ms
     worker.clock_heard_ms = event.now_ms
@@ -170,10 +172,20 @@
     if not worker.is_silent:
         _tell(worker.id, "worker_silent", event.error.detail)
         worker.silent_since_ms = state.now_ms
+        doubt_runs(state, worker, effects)
     worker.is_silent = True
     drop_if_lapsed(state, worker, effects)
 
 
+def doubt_runs(state: PartitionState, worker: Worker, effects: Effects) -> None:
+    """Let tasks that may be copied start elsewhere too, while their worker doesn't answer."""
+    for run in worker.runs.values():
+        run.is_doubtful = True
+        if run.task.is_waiting():
+            wait_for_room(state, run.task.step)
+            effects.touch(worker.entry.service)
+
+
 @handles(LivesListed)
 def take_lives(state: PartitionState, event: LivesListed, effects: Effects) -> None:
     """Give up silent workers whose machines are in another life by now, or down.
--- a/heatherkeel/ownership/const.py
+++ b/heatherkeel/ownership/const.py
@@ -11,14 +11,14 @@
 """Jobs and cancels as callers sent them; every front writes there."""
 PRODUCER: Final = "owner"
 
-TTL_MS: Final = 2500
+TTL_MS: Final = 1800
 """How long the platform keeps a member that it doesn't hear, in milliseconds.
 
-Shorter than the time within which two holders may not take turns at a machine (3,000 ms on the
-deployments so far), so an owner that hears nothing has stopped before its successor begins.
+The jobs of a lost owner wait for so long. Three renewals fit into it, so that one slow or lost
+answer costs nothing.
 """
-RENEW_INTERVAL_MS: Final = 600
-"""Four renewals fit into a membership, so that one slow or lost answer costs nothing."""
+RENEW_INTERVAL_MS: Final = 450
+"""Time between two renewals of a membership, in milliseconds."""
 RETRY_INTERVAL_MS: Final = 250
 """Pause after a renewal that failed, in milliseconds."""
 HOLDERS_MAX_AGE_MS: Final = 4000
--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -34,3 +34,20 @@
 seconds: about 1.5 s to empty, 2 s down, and the time until that is seen."""
 STATUS_PREFIX: Final = "wave/"
 """Key of a wave's status; the same in our own record of the machines that were begun."""
+REACTION_MS: Final = 2200
+"""Time from a pool's want of a machine until it runs tasks, in milliseconds: 1,500 of the move, and
+the rest to see the want, to see the new worker's entry, and to make its acquaintance."""
+SHORT_FLOOR_SHARE: Final = 0.67
+LONG_FLOOR_SHARE: Final = 0.5
+"""Share of its first machines that a pool keeps between its turns, where its jobs can wait for less
+and for more than that."""
+SURPLUS_GAP_MS: Final = 500
+"""How much of that time may lack a look at the pool, in milliseconds."""
+RECENT_ORDERS_MS: Final = 10_000
+"""How long a machine's last order is kept for a next owner, in milliseconds."""
+STALE_ORDER_MS: Final = 1000
+"""An order that leaves later than this after it was decided is decided anew, in milliseconds."""
+CLOCK_MARGIN_MS: Final = 1000
+"""What the clocks of two owners may differ by, in milliseconds."""
+FEWEST_MACHINES: Final = 2
+"""A pool keeps at least this many machines: one may be lost or maintained at any time."""
--- a/heatherkeel/pooling/demand.py
+++ b/heatherkeel/pooling/demand.py
@@ -6,13 +6,23 @@
 
 from heatherkeel.platform.machines import Machine
 
-from .const import FULL_SHARE, KEEP_MS, LOAD_MAX_AGE_MS, PARK_AFTER_MS
+from .const import (
+    FEWEST_MACHINES,
+    FULL_SHARE,
+    KEEP_MS,
+    LOAD_MAX_AGE_MS,
+    LONG_FLOOR_SHARE,
+    PARK_AFTER_MS,
+    REACTION_MS,
+    SHORT_FLOOR_SHARE,
+    SURPLUS_GAP_MS,
+)
 from .models import FleetState, Intent, PoolView, Purpose
 
 
 def remember_peak(view: PoolView, now_ms: int) -> None:
     """Keep the highest demand of the last while."""
-    wanted = view.load.wanted_cpu
+    wanted = max(view.load.wanted_cpu, view.load.arriving_cpu)
     view.peaks = [
         (at_ms, cpu) for at_ms, cpu in view.peaks if cpu > wanted and now_ms - at_ms < KEEP_MS
     ]
@@ -56,7 +66,7 @@
     view = _fresh(state, pool)
     if view is None:
         return None
-    wanted = view.load.wanted_cpu
+    wanted = max(view.load.wanted_cpu, view.load.arriving_cpu)
     if recent:
         wanted = max([wanted, *(cpu for _, cpu in view.peaks)])
     sizes = [machine.capacity.cpu for machine in machines or state.machines.values()]
@@ -122,23 +132,52 @@
         if machine.worker_id in view.load.workers and machine.worker_id not in view.load.lasting
     ]
     pinned = len(machines) - len(free)
-    spare = len(machines) - max(needed, pinned, 1)
+    spare = len(machines) - max(needed, pinned, _floor(state, pool, view))
     free.sort(key=lambda machine: (view.load.workers[machine.worker_id or ""], machine.name))
     return free[: max(0, spare)]
 
 
+def _floor(state: FleetState, pool: str, view: PoolView) -> int:
+    """Return how many machines a pool keeps between its turns.
+
+    Machines come about two seconds after they are wanted. Jobs that can wait for that need no
+    machine beforehand, but for what may be lost or maintained meanwhile, or while the fleet has
+    no owner; others need most of those that the pool had at first.
+    """
+    slack_ms = view.load.slack_ms
+    share = SHORT_FLOOR_SHARE
+    if slack_ms is not None and slack_ms > REACTION_MS:
+        share = LONG_FLOOR_SHARE
+    return max(FEWEST_MACHINES, ceil(share * state.home_sizes.get(pool, 0)))
+
+
 def _plan_parking(state: FleetState, donors: list[Machine]) -> list[Intent]:
-    """Send machines to the standby pool that have been surplus for some time."""
+    """Send machines to the standby pool, as many as a pool could spare all the last while."""
     standby = state.standby_pool()
-    surplus = {machine.name: machine for machine in donors if machine.pool != standby}
-    state.surplus_since = {name: state.surplus_since.get(name, state.now_ms) for name in surplus}
     if standby is None:
         return []
-    return [
-        _move(state, machine, standby)
-        for name, machine in surplus.items()
-        if state.now_ms - state.surplus_since[name] >= PARK_AFTER_MS
+    parked = []
+    for pool, view in state.pools.items():
+        surplus = [machine for machine in donors if machine.pool == pool]
+        least = _least_surplus(state, view, len(surplus))
+        parked += [_move(state, machine, standby) for machine in surplus[:least]]
+        if least:
+            view.surplus.clear()
+    return parked
+
+
+def _least_surplus(state: FleetState, view: PoolView, count: int) -> int:
+    """Return how many machines a pool could spare at any time of the last while.
+
+    Counted, not named: which of its machines are the emptiest changes with every look.
+    """
+    view.surplus = [
+        (at_ms, known) for at_ms, known in view.surplus if state.now_ms - at_ms <= PARK_AFTER_MS
     ]
+    view.surplus.append((state.now_ms, count))
+    if state.now_ms - view.surplus[0][0] < PARK_AFTER_MS - SURPLUS_GAP_MS:
+        return 0
+    return min(known for _, known in view.surplus)
 
 
 def _move(state: FleetState, machine: Machine, pool: str) -> Intent:
--- a/heatherkeel/pooling/keeper.py
+++ b/heatherkeel/pooling/keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Callable
 
 import msgspec
@@ -25,7 +26,14 @@
 from heatherkeel.questions.links import QuestionLinks
 from heatherkeel.questions.messages import PoolsAsked, PoolsTold
 
-from .const import LIST_INTERVAL_MS, PLAN_INTERVAL_MS, STATUS_PREFIX
+from .const import (
+    CLOCK_MARGIN_MS,
+    LIST_INTERVAL_MS,
+    PLAN_INTERVAL_MS,
+    RECENT_ORDERS_MS,
+    STALE_ORDER_MS,
+    STATUS_PREFIX,
+)
 from .models import (
     DirectoryRead,
     FleetEffect,
@@ -47,8 +55,12 @@
 
 STATUS_RETRY_S = 0.5
 """Pause before a wave's status is written again, in seconds."""
-LEASE_MARGIN_MS = 500
-"""Added to the time within which two holders may not take turns, in milliseconds."""
+ORDERS_KEY = "orders"
+"""Key of our own record of the last orders: when each machine was ordered away."""
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
 
 
 class FleetKeeper:
@@ -78,18 +90,15 @@
             store=store, partition=self.partition, token=token, on_fenced=on_fenced
         )
         self.client = MachineClient(address=settings.machines.address, holder=settings.instance)
+        self.orders: dict[str, int] = {}
+        """When each machine was ordered away last, in milliseconds since 1970."""
         self.scope = trio.CancelScope()
         self.nursery: trio.Nursery | None = None
 
     async def async_run(self) -> None:
         """Keep the fleet until `close`."""
-        began_ms = monotonic_ms()
         with self.scope:
             await self._async_restore()
-            # An earlier holder may have given orders until its membership ran out; two may not
-            # take turns at one machine within this time.
-            wait_ms = self.settings.bounds.machine_lease_ms + LEASE_MARGIN_MS
-            await trio.sleep(max(0, began_ms + wait_ms - monotonic_ms()) / 1000)
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
                 nursery.start_soon(self.journal.async_run)
@@ -115,6 +124,8 @@
         for record in read.ok_value.records:
             if record.key.startswith(STATUS_PREFIX) and record.value:
                 self._restore_wave(record)
+            elif record.key == ORDERS_KEY and record.value:
+                self._restore_orders(record)
         _LOGGER.info(
             "fleet taken over",
             extra={
@@ -124,6 +135,19 @@
             },
         )
 
+    def _restore_orders(self, record: KeyedRecord) -> None:
+        """Leave machines alone for a while that an earlier owner has ordered away just now.
+
+        Two holders may not take turns at one machine within its lease. Each order is stored
+        before it leaves, and our epoch stops those that aren't stored by now.
+        """
+        lease_ms = self.settings.bounds.machine_lease_ms + CLOCK_MARGIN_MS
+        now_ms = monotonic_ms()
+        self.orders = msgspec.json.decode(record.value, type=dict[str, int])
+        for machine, ordered_wall_ms in self.orders.items():
+            age_ms = max(0, _wall_ms() - ordered_wall_ms)
+            self.state.blocked_until_ms[machine] = now_ms + max(0, lease_ms - age_ms)
+
     def _restore_wave(self, record: KeyedRecord) -> None:
         progress = self.state.waves.get(int(record.key.removeprefix(STATUS_PREFIX)))
         if progress is not None:
@@ -196,13 +220,27 @@
     def _perform(self, effect: FleetEffect) -> None:
         match effect:
             case OrderMachine():
-                assert self.nursery is not None
-                self.nursery.start_soon(self._async_order, effect.intent)
+                self._store_order(effect.intent)
             case SaveWave():
                 self._save_wave(effect.progress)
 
-    async def _async_order(self, intent: Intent) -> None:
-        if not self.may_order():
+    def _store_order(self, intent: Intent) -> None:
+        """Store that a machine is ordered away, and then give the order."""
+        wall_ms = _wall_ms()
+        self.orders = {
+            machine: at_ms
+            for machine, at_ms in self.orders.items()
+            if wall_ms - at_ms < RECENT_ORDERS_MS
+        } | {intent.machine: wall_ms}
+        self.journal.put(ORDERS_KEY, lambda: msgspec.json.encode(self.orders))
+        decided_ms = monotonic_ms()
+        assert self.nursery is not None
+        nursery = self.nursery
+        self.journal.when_stored(lambda: nursery.start_soon(self._async_order, intent, decided_ms))
+
+    async def _async_order(self, intent: Intent, decided_ms: int) -> None:
+        if not self.may_order() or monotonic_ms() - decided_ms > STALE_ORDER_MS:
+            intent.ordered_ms = None
             return
         token = self.state.token
         ordered: Result[None, CallError]
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -53,6 +53,8 @@
     heard_ms: int
     peaks: list[tuple[int, int]] = field(default_factory=list)
     """When which processor was wanted, the highest of later ones only."""
+    surplus: list[tuple[int, int]] = field(default_factory=list)
+    """When how many machines could be spared."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -67,7 +69,10 @@
     pools: dict[str, PoolView] = field(default_factory=dict)
     waves: dict[int, WaveProgress] = field(default_factory=dict)
     intents: dict[str, Intent] = field(default_factory=dict)
-    surplus_since: dict[str, int] = field(default_factory=dict)
+    blocked_until_ms: dict[str, int] = field(default_factory=dict)
+    """Machines that an earlier owner has ordered away just now, and until when we may not."""
+    home_sizes: dict[str, int] = field(default_factory=dict)
+    """How many machines each pool had when this owner first saw it."""
 
     def standby_pool(self) -> str | None:
         """Return the pool whose machines are off, if there is one."""
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -97,6 +97,9 @@
     """Take in the list of machines, and end what it shows to be done."""
     state.machines = {machine.name: machine for machine in event.machines}
     state.listed_ms = event.sent_ms
+    if not state.home_sizes:
+        for machine in event.machines:
+            state.home_sizes[machine.pool] = state.home_sizes.get(machine.pool, 0) + 1
     for name, intent in list(state.intents.items()):
         if _is_over(state, intent, event.sent_ms):
             del state.intents[name]
@@ -210,6 +213,8 @@
 
 
 def _is_time(state: FleetState, intent: Intent) -> bool:
+    if state.now_ms < state.blocked_until_ms.get(intent.machine, 0):
+        return False
     return intent.ordered_ms is None or state.now_ms - intent.ordered_ms >= ORDER_RETRY_MS
 
 
