--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -41,8 +41,8 @@
 REACTION_MS: Final = 2200
 """Time from a pool's want of a machine until it runs tasks, in milliseconds: 1,500 of the move, and
 the rest to see the want, to see the new worker's entry, and to make its acquaintance."""
-SHORT_FLOOR_SHARE: Final = 0.67
-LONG_FLOOR_SHARE: Final = 0.5
+SHORT_FLOOR_SHARE: Final = 0.5
+LONG_FLOOR_SHARE: Final = 0.34
 """Share of its first machines that a pool keeps between its turns, where its jobs can wait for less
 and for more than that."""
 SURPLUS_GAP_MS: Final = 500
