Stand-ins of the users' platform, and the whole path against them

The store with keyed topics, producers and groups, workers with leases and tokens, machines, and faults that a test switches on. Eleven tests from submission to end: an owner killed, lost answers, late starts, a refusing store, a wave, machines of the standby pool.

--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -88,6 +88,7 @@
         """Open the ports, and begin to follow the store and to own partitions."""
         self.nursery = nursery
         self.links.start(nursery)
+        self.member.address = self.links.address
         await self.probes.start(nursery)
         await self.callers.start(nursery)
         self.directory.start(nursery)
--- /dev/null
+++ b/heatherkeel/standins/fleet_worker.py
@@ -0,0 +1,140 @@
+"""A stand-in for one life of a worker: runs tasks under leases, and refuses lower tokens."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import trio
+
+from .keyed_log import Answer
+
+STOP_S: Final = 0.05
+"""How long a stop takes, in seconds."""
+
+WorkOf = Callable[[str], float | None]
+"""Tells for a job's spec how many milliseconds a task takes; None for one that lasts."""
+
+
+@dataclass(kw_only=True, slots=True)
+class StandinRun:
+    """A task that runs."""
+
+    task: str
+    attempt: int
+    spec: str
+    cpu_started_s: float
+    ends_s: float | None
+    stopping_s: float | None = None
+
+
+@dataclass(kw_only=True, slots=True)
+class FleetWorker:
+    """What a worker remembers; a new life remembers nothing."""
+
+    id: str
+    service: str
+    machine: str
+    work_of: WorkOf
+    address: str = ""
+    token: int = 0
+    lease_until_ms: int = 0
+    runs: dict[str, StandinRun] = field(default_factory=dict)
+    refused: dict[str, int] = field(default_factory=dict)
+    """The highest attempt of a task that was stopped or has ended here."""
+    ended: list[list[Any]] = field(default_factory=list)
+    acknowledged: int = 0
+    numbers: int = 0
+    started: list[tuple[str, int]] = field(default_factory=list)
+    """Every start that was carried out, for tests."""
+    changed: trio.Event = field(default_factory=trio.Event)
+
+    def clock_ms(self) -> int:
+        """Return the worker's clock."""
+        return round(time.monotonic() * 1000) + 100_000
+
+    def start_task(self, body: dict[str, Any]) -> Answer:
+        """Start a task."""
+        refusal = self._check_token(body)
+        if refusal is not None:
+            return refusal
+        task, attempt = body["task"], int(body["attempt"])
+        if body["deadlineMs"] < self.clock_ms():
+            return self._refuse("late")
+        running = self.runs.get(task)
+        if running is not None and running.attempt == attempt:
+            return Answer(body={"clockMs": self.clock_ms()})
+        if attempt <= self.refused.get(task, 0) or running is not None:
+            return self._refuse("old")
+        self.lease_until_ms = max(self.lease_until_ms, body["deadlineMs"])
+        work_ms = self.work_of(body["spec"])
+        now_s = time.monotonic()
+        self.runs[task] = StandinRun(
+            task=task,
+            attempt=attempt,
+            spec=body["spec"],
+            cpu_started_s=now_s,
+            ends_s=None if work_ms is None else now_s + work_ms / 1000,
+        )
+        self.started.append((task, attempt))
+        return Answer(body={"clockMs": self.clock_ms()})
+
+    def stop_task(self, body: dict[str, Any]) -> Answer:
+        """Stop a task; one that isn't there is refused from now on."""
+        refusal = self._check_token(body)
+        if refusal is not None:
+            return refusal
+        task, attempt = body["task"], int(body["attempt"])
+        self.refused[task] = max(self.refused.get(task, 0), attempt)
+        run = self.runs.get(task)
+        if run is not None and run.attempt <= attempt:
+            run.stopping_s = run.stopping_s or time.monotonic() + STOP_S
+        return Answer(body={"clockMs": self.clock_ms()})
+
+    async def async_hold(self, body: dict[str, Any]) -> Answer:
+        """Renew the lease, and list what runs and what has ended."""
+        refusal = self._check_token(body)
+        if refusal is not None:
+            return refusal
+        self.acknowledged = max(self.acknowledged, int(body.get("ackSeq", 0)))
+        self.ended = [row for row in self.ended if row[0] > self.acknowledged]
+        self.lease_until_ms = max(self.lease_until_ms, int(body.get("deadlineMs", 0)))
+        until_s = time.monotonic() + int(body.get("waitMs", 0)) / 1000
+        while not self.ended and time.monotonic() < until_s:
+            self.changed = trio.Event()
+            with trio.move_on_after(max(0.0, until_s - time.monotonic())):
+                await self.changed.wait()
+        running = [[run.task, run.attempt, "", 100, 0] for run in self.runs.values()]
+        return Answer(
+            body={"clockMs": self.clock_ms(), "running": running, "finished": self.ended[:500]}
+        )
+
+    def look(self) -> None:
+        """End what is due: done, stopped, or without a lease."""
+        now_s = time.monotonic()
+        for run in list(self.runs.values()):
+            if run.stopping_s is not None and now_s >= run.stopping_s:
+                self._end(run, "stopped")
+            elif self.clock_ms() > self.lease_until_ms:
+                self._end(run, "lapsed")
+            elif run.ends_s is not None and now_s >= run.ends_s:
+                self._end(run, "failed" if run.spec.startswith("fails") else "done")
+
+    def _end(self, run: StandinRun, outcome: str) -> None:
+        del self.runs[run.task]
+        self.refused[run.task] = max(self.refused.get(run.task, 0), run.attempt)
+        self.numbers += 1
+        self.ended.append([self.numbers, run.task, run.attempt, outcome, ""])
+        self.changed.set()
+
+    def _check_token(self, body: dict[str, Any]) -> Answer | None:
+        token = int(body.get("fencingToken", 0))
+        if token < self.token:
+            return self._refuse("fence")
+        self.token = token
+        return None
+
+    def _refuse(self, reason: str) -> Answer:
+        return Answer(status=409, body={"clockMs": self.clock_ms(), "reason": reason})
--- /dev/null
+++ b/heatherkeel/standins/users_platform.py
@@ -0,0 +1,279 @@
+"""The users' platform in one loop: its store, its workers and its machines, with faults."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import msgspec
+import trio
+from result import Err
+
+from heatherkeel.helpers.asgi import (
+    App,
+    Message,
+    Receive,
+    Request,
+    Send,
+    async_respond,
+    async_run_lifespan,
+    parse_request,
+)
+from heatherkeel.helpers.server import HttpServer
+
+from .fleet_worker import FleetWorker, WorkOf
+from .keyed_log import Answer, KeyedLog
+
+MOVE_S: Final = 0.2
+"""How long a machine is away when it moves or is maintained, in seconds."""
+HEARTBEAT_S: Final = 0.2
+LOOK_S: Final = 0.01
+_BODY_BYTES: Final = 4 * 1024 * 1024
+
+Handle = Callable[[Request, bytes], Awaitable[Answer]]
+
+
+@dataclass(kw_only=True, slots=True)
+class Faults:
+    """What goes wrong, as a test switches it on."""
+
+    store_refuses: bool = False
+    """Every call to the store gets 503."""
+    store_silent: bool = False
+    """No call to the store is carried out or answered."""
+    lose_appends: int = 0
+    """So many of the next appends are carried out and not answered."""
+    lose_starts: int = 0
+    """So many of the next starts are not answered, and carried out late."""
+    late_start_s: float = 0.5
+
+
+@dataclass(kw_only=True, slots=True)
+class StandinMachine:
+    """A machine, its pool, and the life of the worker on it."""
+
+    name: str
+    pool: str
+    state: str = "up"
+    worker: FleetWorker | None = None
+    server: HttpServer | None = None
+
+
+@dataclass(kw_only=True)
+class UsersPlatform:
+    """Starts and stops the stand-ins; tests read its fields."""
+
+    work_of: WorkOf
+    standby: str = "spare"
+    log: KeyedLog = field(default_factory=KeyedLog)
+    faults: Faults = field(default_factory=Faults)
+    machines: dict[str, StandinMachine] = field(default_factory=dict)
+    maintained: list[str] = field(default_factory=list)
+    everyone: list[FleetWorker] = field(default_factory=list)
+    """Every life of every worker, for tests."""
+
+    def __post_init__(self) -> None:
+        self.ids = itertools.count(1)
+        self.nursery: trio.Nursery | None = None
+        self.store = HttpServer(app=self._app(self._async_store), bind="127.0.0.1:0")
+        self.cloud = HttpServer(app=self._app(self._async_cloud), bind="127.0.0.1:0")
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open the store and the machines' service."""
+        self.nursery = nursery
+        await self.store.start(nursery)
+        await self.cloud.start(nursery)
+        nursery.start_soon(self._async_live)
+
+    async def async_add_machine(self, name: str, pool: str) -> StandinMachine:
+        """Add a machine; in the standby pool it is off."""
+        machine = self.machines[name] = StandinMachine(name=name, pool=pool)
+        await self._async_boot(machine)
+        return machine
+
+    def configure(self, version: int, queues: list[dict[str, Any]], services: list[str]) -> None:
+        """Write a configuration as the operator does."""
+        config = {
+            "version": version,
+            "routes": queues,
+            "services": [{"name": name, "standby": name == self.standby} for name in services],
+            "limits": {"maxBodyBytes": 262144},
+        }
+        self.log.put("keyed.op", "config", msgspec.json.encode(config))
+
+    def demand_wave(self, number: int, machines: list[str], *, max_down: int) -> None:
+        """Ask for maintenance as the operator does."""
+        wave = {"wave": number, "machines": machines, "durationS": 20, "maxCount": max_down}
+        self.log.put("keyed.op", f"wave/{number}", msgspec.json.encode(wave))
+
+    def wave_state(self, number: int) -> str:
+        """Return what the system has told of a wave."""
+        found = self.log.newest("keyed.status", 0).get(f"wave/{number}")
+        return str(msgspec.json.decode(found[1])["state"]) if found else ""
+
+    async def async_end_worker(self, machine: StandinMachine) -> None:
+        """End a worker's life, without a word."""
+        if machine.server is not None:
+            await machine.server.close(finish_timeout_s=0.0)
+        machine.worker = machine.server = None
+
+    async def _async_boot(self, machine: StandinMachine) -> None:
+        machine.state = "up"
+        if machine.pool == self.standby:
+            return
+        worker = FleetWorker(
+            id=f"i-{next(self.ids)}",
+            service=machine.pool,
+            machine=machine.name,
+            work_of=self.work_of,
+        )
+
+        async def async_handle(request: Request, body: bytes) -> Answer:
+            return await self._async_worker(worker, request, body)
+
+        machine.server = HttpServer(app=self._app(async_handle), bind="127.0.0.1:0")
+        assert self.nursery is not None
+        worker.address = await machine.server.start(self.nursery)
+        machine.worker = worker
+        self.everyone.append(worker)
+
+    async def _async_live(self) -> None:
+        """Let tasks end, and workers write their entries."""
+        for turn in itertools.count():
+            for machine in self.machines.values():
+                if machine.worker is not None:
+                    machine.worker.look()
+            if turn % round(HEARTBEAT_S / LOOK_S) == 0:
+                self._write_entries(turn)
+            await trio.sleep(LOOK_S)
+
+    def _write_entries(self, turn: int) -> None:
+        present = {}
+        for machine in self.machines.values():
+            if machine.worker is not None:
+                present[machine.worker.id] = {
+                    "service": machine.worker.service,
+                    "address": machine.worker.address,
+                    "state": "ready",
+                    "capacity": {"cpu": 8000, "memMb": 16000, "gpu": 0},
+                    "labels": ["a", "r1"],
+                    "machine": machine.name,
+                    "sequence": turn,
+                }
+        for worker_id in self.log.newest("keyed.servers", 0).keys() - present.keys():
+            self.log.put("keyed.servers", worker_id, b"")
+        for worker_id, entry in present.items():
+            self.log.put("keyed.servers", worker_id, msgspec.json.encode(entry))
+
+    def _app(self, handle: Handle) -> App:
+        async def async_app(scope: Message, receive: Receive, send: Send) -> None:
+            if scope["type"] == "lifespan":
+                return await async_run_lifespan(receive, send)
+            request = parse_request(scope, receive)
+            body = await request.async_body(limit_bytes=_BODY_BYTES)
+            data = b"" if isinstance(body, Err) else body.ok_value
+            answer = await handle(request, data)
+            raw = answer.body
+            content = raw if isinstance(raw, bytes) else msgspec.json.encode(raw)
+            return await async_respond(send, status=answer.status, body=content)
+
+        return async_app
+
+    async def _async_store(self, request: Request, body: bytes) -> Answer:
+        if self.faults.store_silent:
+            await trio.sleep_forever()
+        if self.faults.store_refuses:
+            return Answer(status=503)
+        match request.path.rsplit("/", 1)[-1]:
+            case "log-append":
+                answer = self.log.append(request.query, body)
+                if self.faults.lose_appends:
+                    self.faults.lose_appends -= 1
+                    await trio.sleep_forever()
+                return answer
+            case "log-read":
+                return await self._async_read(request.query)
+            case "log-newest":
+                return self.log.read_newest(request.query)
+            case "log-join":
+                return self.log.join(msgspec.json.decode(body))
+            case "log-leave":
+                return self.log.leave(msgspec.json.decode(body))
+            case "log-owners":
+                return self.log.list_holders(request.query)
+        return Answer(status=404)
+
+    async def _async_read(self, query: dict[str, str]) -> Answer:
+        with trio.move_on_after(int(query.get("waitMs", "0")) / 1000):
+            while True:
+                answer = self.log.read(query)
+                if answer is not None:
+                    return answer
+                await trio.sleep(LOOK_S)
+        return self.log.read(query | {"waitMs": "0"}) or Answer(status=503)
+
+    async def _async_worker(self, worker: FleetWorker, request: Request, body: bytes) -> Answer:
+        if request.headers.get("heatherkeel-target-instance") != worker.id:
+            return Answer(status=421)
+        decoded = msgspec.json.decode(body) if body else {}
+        match request.path.rsplit("/", 1)[-1]:
+            case "run-start":
+                if self.faults.lose_starts:
+                    self.faults.lose_starts -= 1
+                    await trio.sleep(self.faults.late_start_s)
+                    worker.start_task(decoded)
+                    await trio.sleep_forever()
+                return worker.start_task(decoded)
+            case "run-stop":
+                return worker.stop_task(decoded)
+            case "hold":
+                return await worker.async_hold(decoded)
+        return Answer(status=404)
+
+    async def _async_cloud(self, request: Request, body: bytes) -> Answer:
+        decoded = msgspec.json.decode(body) if body else {}
+        match request.path.rsplit("/", 1)[-1]:
+            case "machines":
+                return self._list_machines()
+            case "machine-move":
+                return await self._async_take_away(decoded["machine"], decoded["pool"])
+            case "machine-upkeep":
+                machine = self.machines[decoded["machine"]]
+                if machine.name not in self.maintained:
+                    self.maintained.append(machine.name)
+                    return await self._async_take_away(machine.name, machine.pool)
+                return Answer()
+        return Answer(status=404)
+
+    def _list_machines(self) -> Answer:
+        rows = [
+            {
+                "machine": machine.name,
+                "pool": machine.pool,
+                "state": machine.state,
+                "zone": "a",
+                "labels": ["a", "r1"],
+                "capacity": {"cpu": 8000, "memMb": 16000, "gpu": 0},
+                "id": machine.worker.id if machine.worker else None,
+            }
+            for machine in self.machines.values()
+        ]
+        return Answer(body={"machines": rows, "nextPageToken": None})
+
+    async def _async_take_away(self, name: str, pool: str) -> Answer:
+        """End what runs on a machine, and bring it back in a pool after a while."""
+        machine = self.machines[name]
+        if machine.state != "up":
+            return Answer(status=409, body={"reason": "busy"})
+        machine.state = "moving"
+        machine.pool = pool
+        await self.async_end_worker(machine)
+        assert self.nursery is not None
+        self.nursery.start_soon(self._async_return, machine)
+        return Answer()
+
+    async def _async_return(self, machine: StandinMachine) -> None:
+        await trio.sleep(MOVE_S)
+        await self._async_boot(machine)
--- /dev/null
+++ b/tests/instance/site.py
@@ -0,0 +1,178 @@
+"""A small site: the users' platform as stand-ins, and processes of the product, in one loop."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import httpcore
+import msgspec
+import trio
+
+from heatherkeel.instance.process import InstanceProcess
+from heatherkeel.platform.settings import (
+    Bounds,
+    InstanceSettings,
+    ListenAddresses,
+    MachineSettings,
+    StoreSettings,
+)
+from heatherkeel.standins.users_platform import UsersPlatform
+
+HOST = "a.example"
+QUEUE = {
+    "name": "quotes",
+    "host": HOST,
+    "pathPrefix": "/q/",
+    "service": "portal",
+    "maxAttempts": 2,
+    "slackFactor": 1.6,
+    "targetLatencyMs": 600,
+}
+STEP = {"count": 2, "cpu": 1000, "memMb": 100, "estimatedMs": 100}
+WAIT_S = 25.0
+"""Longest wait for a condition, in seconds; far beyond what any needs on a busy machine."""
+
+
+def work_of(spec: str) -> float | None:
+    """Tell how long a task takes by its spec: `lasts`, or milliseconds as its last word."""
+    return None if spec.startswith("lasts") else float(spec.rsplit(" ", 1)[-1])
+
+
+class Site:
+    """Stand-ins, processes, and a caller."""
+
+    def __init__(self, *, nursery: trio.Nursery) -> None:
+        self.nursery = nursery
+        self.platform = UsersPlatform(work_of=work_of)
+        self.processes: list[InstanceProcess] = []
+        self.scopes: list[trio.CancelScope] = []
+        self.http = httpcore.AsyncConnectionPool(retries=0)
+
+    async def start(self, *, processes: int, machines: int = 2, spares: int = 0) -> None:
+        """Start everything, and wait until all processes are ready."""
+        await self.platform.start(self.nursery)
+        for number in range(machines):
+            await self.platform.async_add_machine(f"m{number}", "portal")
+        for number in range(spares):
+            await self.platform.async_add_machine(f"s{number}", "spare")
+        self.platform.configure(1, [QUEUE], ["portal", "spare"])
+        for _ in range(processes):
+            await self.async_add_process()
+
+    async def async_add_process(self) -> InstanceProcess:
+        """Start one more process."""
+        settings = InstanceSettings(
+            instance=f"edge-{len(self.processes)}",
+            ip="127.0.0.1",
+            zone="a",
+            internal_ports=(0, 0),
+            listen=ListenAddresses(callers="127.0.0.1:0", readiness="127.0.0.1:0"),
+            bounds=Bounds(longest_lease_ms=6000, machine_lease_ms=300),
+            store=StoreSettings(address=self.platform.store.address, partitions=3),
+            machines=MachineSettings(address=self.platform.cloud.address),
+        )
+        process = InstanceProcess(settings=settings)
+        scope = trio.CancelScope()
+        self.processes.append(process)
+        self.scopes.append(scope)
+        await self.nursery.start(self._async_run, process, scope)
+        await self.async_wait(lambda: process.directory.state.config is not None)
+        return process
+
+    async def _async_run(
+        self,
+        process: InstanceProcess,
+        scope: trio.CancelScope,
+        task_status: trio.TaskStatus[None],
+    ) -> None:
+        with scope:
+            async with trio.open_nursery() as nursery:
+                await process.start(nursery)
+                task_status.started()
+        process.links.close()
+
+    def kill(self, process: InstanceProcess) -> None:
+        """End a process in the middle of whatever it does."""
+        self.scopes[self.processes.index(process)].cancel()
+
+    def owner_of(self, service: str) -> InstanceProcess | None:
+        """Return the process that runs a service's jobs."""
+        for process, scope in zip(self.processes, self.scopes, strict=True):
+            if scope.cancel_called:
+                continue
+            for owner in process.owners.values():
+                if owner.is_restored and owner._owns(service) and owner.may_order():
+                    return process
+        return None
+
+    async def async_call(
+        self, process: InstanceProcess, method: str, path: str, body: Any = None
+    ) -> tuple[int, dict[str, Any]]:
+        """Call a process as a caller does; returns status and body."""
+        response = await self.http.request(
+            method,
+            f"http://{process.callers.address}{path}",
+            headers=[("host", HOST), ("content-type", "application/json")],
+            content=msgspec.json.encode(body) if body is not None else None,
+        )
+        return response.status, msgspec.json.decode(response.content)
+
+    async def async_submit(
+        self, process: InstanceProcess, job_id: str, spec: str, *steps: dict[str, Any]
+    ) -> int:
+        """Hand a job in; returns the status."""
+        body = {"spec": spec, "steps": list(steps) or [STEP]}
+        status, _ = await self.async_call(process, "POST", f"/q/{job_id}", body)
+        return status
+
+    async def async_state(self, process: InstanceProcess, job_id: str) -> str:
+        """Return a job's state, or the status of the refusal."""
+        status, body = await self.async_call(process, "GET", f"/q/{job_id}")
+        return str(body.get("state", status)) if status == 200 else str(status)
+
+    async def async_wait_state(self, process: InstanceProcess, job_id: str, state: str) -> None:
+        """Wait until a job has a state."""
+
+        async def async_check() -> bool:
+            return await self.async_state(process, job_id) == state
+
+        await self.async_wait_for(async_check)
+
+    async def async_wait(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+
+        async def async_check() -> bool:
+            return condition()
+
+        await self.async_wait_for(async_check)
+
+    async def async_wait_for(self, condition: Callable[[], Awaitable[bool]]) -> None:
+        """Wait until a condition holds that takes a call to find out."""
+        with trio.fail_after(WAIT_S):
+            while not await condition():
+                await trio.sleep(0.02)
+
+    def starts(self, job_id: str) -> list[tuple[str, int]]:
+        """Return every start of a job's tasks that a worker carried out."""
+        return [
+            start
+            for worker in self.platform.everyone
+            for start in worker.started
+            if start[0].startswith(job_id)
+        ]
+
+
+@asynccontextmanager
+async def open_site(**sizes: int) -> AsyncIterator[Site]:
+    """Run a site for the length of a block."""
+    async with trio.open_nursery() as nursery:
+        site = Site(nursery=nursery)
+        await site.start(**sizes)
+        try:
+            yield site
+        finally:
+            for process in site.processes:
+                process.links.close()
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/instance/test_whole_path.py
@@ -0,0 +1,184 @@
+"""A job from its submission to its end, through real processes and the stand-ins."""
+
+from __future__ import annotations
+
+import trio
+
+from .site import STEP, open_site
+
+JOB = "00000000000000a1"
+OTHER_JOB = "00000000000000a2"
+
+
+def test_job_is_run_and_shown_as_complete_by_every_process() -> None:
+    async def async_test() -> None:
+        async with open_site(processes=2) as site:
+            first, second = site.processes
+            assert (
+                await site.async_submit(first, JOB, "work 50", STEP, STEP | {"dependsOn": [0]})
+                == 200
+            )
+            await site.async_wait_state(first, JOB, "complete")
+            await site.async_wait_state(second, JOB, "complete")
+            assert len(site.starts(JOB)) == 4
+
+    trio.run(async_test)
+
+
+def test_submission_that_is_repeated_elsewhere_remains_one_job() -> None:
+    async def async_test() -> None:
+        async with open_site(processes=2) as site:
+            for process in [*site.processes, *site.processes]:
+                assert await site.async_submit(process, JOB, "work 100") == 200
+            await site.async_wait_state(site.processes[0], JOB, "complete")
+            assert await site.async_submit(site.processes[1], JOB, "work 100") == 200
+            assert len(site.starts(JOB)) == 2
+
+    trio.run(async_test)
+
+
+def test_canceled_job_is_stopped() -> None:
+    async def async_test() -> None:
+        async with open_site(processes=2) as site:
+            first, second = site.processes
+            await site.async_submit(first, JOB, "lasts", STEP | {"longRunning": True})
+            await site.async_wait(lambda: len(site.starts(JOB)) == 2)
+            status, _ = await site.async_call(second, "DELETE", f"/q/{JOB}")
+            assert status == 200
+            await site.async_wait_state(first, JOB, "canceled")
+            await site.async_wait(lambda: not any(worker.runs for worker in site.platform.everyone))
+
+    trio.run(async_test)
+
+
+def test_job_whose_tasks_always_fail_is_shown_as_failed() -> None:
+    async def async_test() -> None:
+        async with open_site(processes=1) as site:
+            process = site.processes[0]
+            await site.async_submit(process, JOB, "fails 10", STEP | {"count": 1})
+            await site.async_wait_state(process, JOB, "failed")
+            assert len(site.starts(JOB)) == 2
+
+    trio.run(async_test)
+
+
+def test_unknown_things_are_refused_by_name() -> None:
+    async def async_test() -> None:
+        async with open_site(processes=1) as site:
+            process = site.processes[0]
+            await site.async_wait(lambda: site.owner_of("portal") is process)
+            assert (await site.async_call(process, "GET", f"/q/{JOB}"))[0] == 410
+            assert (await site.async_call(process, "GET", f"/none/{JOB}"))[0] == 404
+            status, problem = await site.async_call(process, "POST", f"/q/{JOB}", {"steps": []})
+            assert (status, problem["detail"]) == (400, "a job needs at least one step")
+            status, body = await site.async_call(process, "GET", "/q/")
+            assert (status, body) == (200, {"pendingJobs": 0})
+
+    trio.run(async_test)
+
+
+def test_owner_killed_in_the_middle_of_a_job_doubles_and_loses_nothing() -> None:
+    """The process that owns a job is killed while its tasks run.
+
+    Another becomes the owner once the membership has run out, finds the tasks at their workers
+    under the leases that outlast the change, and starts only what never ran.
+    """
+
+    async def async_test() -> None:
+        async with open_site(processes=2) as site:
+            await site.async_wait(lambda: site.owner_of("portal") is not None)
+            owner = site.owner_of("portal")
+            assert owner is not None
+            other = next(process for process in site.processes if process is not owner)
+            await site.async_submit(other, JOB, "work 3000", STEP, STEP | {"dependsOn": [0]})
+            await site.async_wait(lambda: len(site.starts(JOB)) == 2)
+            site.kill(owner)
+            await site.async_wait_state(other, JOB, "complete")
+            assert sorted(attempt for _, attempt in site.starts(JOB)) == [1, 1, 1, 1]
+
+    trio.run(async_test)
+
+
+def test_lost_answers_of_the_store_double_nothing() -> None:
+    async def async_test() -> None:
+        async with open_site(processes=2) as site:
+            await site.async_wait(lambda: site.owner_of("portal") is not None)
+            site.platform.faults.lose_appends = 3
+            assert await site.async_submit(site.processes[0], JOB, "work 50") == 200
+            site.platform.faults.lose_appends = 2
+            await site.async_wait_state(site.processes[0], JOB, "complete")
+            assert len(site.starts(JOB)) == 2
+
+    trio.run(async_test)
+
+
+def test_start_that_is_carried_out_late_does_not_run_beside_another() -> None:
+    """A worker doesn't answer a start, and carries it out after the next attempt has begun."""
+
+    async def async_test() -> None:
+        async with open_site(processes=1) as site:
+            process = site.processes[0]
+            await site.async_wait(lambda: site.owner_of("portal") is process)
+            site.platform.faults.late_start_s = 1.5
+            site.platform.faults.lose_starts = 1
+            await site.async_submit(process, JOB, "work 1500", STEP | {"count": 1})
+            await site.async_wait_state(process, JOB, "complete")
+            await trio.sleep(0.6)
+            ends = [row for worker in site.platform.everyone for row in worker.ended]
+            done = [worker.numbers for worker in site.platform.everyone]
+            assert len(site.starts(JOB)) == 1
+            assert sum(done) == 1 and len(ends) <= 1
+
+    trio.run(async_test)
+
+
+def test_store_that_refuses_is_told_as_not_accepted_with_when_to_come_back() -> None:
+    async def async_test() -> None:
+        async with open_site(processes=1) as site:
+            process = site.processes[0]
+            await site.async_wait(lambda: site.owner_of("portal") is process)
+            site.platform.faults.store_refuses = True
+            assert await site.async_submit(process, JOB, "work 10") == 503
+            site.platform.faults.store_refuses = False
+            await site.async_wait_state(process, JOB, "410")
+            assert await site.async_submit(process, OTHER_JOB, "work 10") == 200
+            await site.async_wait_state(process, OTHER_JOB, "complete")
+            assert not site.starts(JOB)
+
+    trio.run(async_test)
+
+
+def test_wave_maintains_every_machine_and_ends_no_task_that_is_not_moved() -> None:
+    async def async_test() -> None:
+        async with open_site(processes=2, machines=3) as site:
+            process = site.processes[0]
+            lasting = STEP | {"longRunning": True, "maxUnavailable": 1}
+            await site.async_submit(process, JOB, "lasts", lasting)
+            await site.async_wait(lambda: len(site.starts(JOB)) == 2)
+            site.platform.demand_wave(1, ["m0", "m1", "m2"], max_down=1)
+            await site.async_wait(lambda: site.platform.wave_state(1) == "complete")
+            assert sorted(site.platform.maintained) == ["m0", "m1", "m2"]
+            await site.async_wait(
+                lambda: sum(len(worker.runs) for worker in site.platform.everyone) == 2
+            )
+
+    trio.run(async_test)
+
+
+def test_pool_that_is_short_gets_a_machine_of_the_standby_pool() -> None:
+    async def async_test() -> None:
+        async with open_site(processes=1, machines=2, spares=2) as site:
+            process = site.processes[0]
+            wide = STEP | {"count": 40, "cpu": 2000}
+            await site.async_submit(process, JOB, "work 800", wide)
+            await site.async_wait(
+                lambda: any(
+                    machine.pool == "portal"
+                    for name, machine in site.platform.machines.items()
+                    if name.startswith("s")
+                )
+            )
+            await site.async_wait_state(process, JOB, "complete")
+            assert len(site.starts(JOB)) == 40
+
+    trio.run(async_test)
