--- a/heatherkeel/dispatch/lasting.py
+++ b/heatherkeel/dispatch/lasting.py
@@ -4,7 +4,7 @@
 
 from .events import Effects
 from .jobs import stop_run
-from .models import PartitionState, Run, RunState, Step, Worker
+from .models import PartitionState, Run, RunState, Step, Task, Worker
 
 
 def leave_workers(state: PartitionState, effects: Effects) -> None:
@@ -39,18 +39,22 @@
 def may_stop(state: PartitionState, run: Run) -> bool:
     """Say whether a lasting task may be ended by us: so many others of its step may be away.
 
-    Stopping one that isn't at work takes nothing away. One that is counts as away from the
-    stop until a new run of it is at work.
+    Whether it is at work itself makes no difference: its worker tells that up to half a second
+    late, and to a new owner not at all before the first listing.
     """
     step = run.task.step
-    if step.request.max_unavailable is None or run.at_work_ms is None:
+    if step.request.max_unavailable is None:
         return True
-    return count_away(state, step) < max(1, step.request.max_unavailable)
+    return count_away(state, step, but=run.task) < max(1, step.request.max_unavailable)
 
 
-def count_away(state: PartitionState, step: Step) -> int:
-    """Count the tasks of a lasting step that aren't at work, or aren't known to be."""
-    return sum(1 for task in step.tasks if not any(_works(state, run) for run in task.runs))
+def count_away(state: PartitionState, step: Step, *, but: Task) -> int:
+    """Count the other tasks of a lasting step that aren't at work, or aren't known to be."""
+    return sum(
+        1
+        for task in step.tasks
+        if task is not but and not any(_works(state, run) for run in task.runs)
+    )
 
 
 def _works(state: PartitionState, run: Run) -> bool:
--- a/tests/dispatch/test_recovery.py
+++ b/tests/dispatch/test_recovery.py
@@ -159,3 +159,15 @@
     later.effects.clear()
     later.leave(first.worker_id, second.worker_id)
     assert not stopped(later.effects)
+
+
+def test_tasks_that_were_not_listed_yet_are_taken_for_being_at_work() -> None:
+    """An owner takes over while machines with lasting tasks are to go.
+
+    It doesn't know yet which tasks are at work. Taken for idle, all of them are stopped at once.
+    """
+    earlier = Partition(workers=4)
+    earlier.submit(make_step(count=4, cpu=100, lasts=True, max_unavailable=1))
+    runs = earlier.start_all()
+    later = take_over(earlier, workers=4)
+    assert not stopped(later.leave(*{run.worker_id for run in runs}))
