--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -68,3 +68,13 @@
 LASTING_SHARE: Final = 0.5
 """Share of a step's lasting tasks that may be on one worker. Spread over all workers of a pool they
 would keep each of its machines from being sent away between the pool's turns."""
+PACE_INTERVAL_MS: Final = 450
+"""Time between two looks at a worker's tails, in milliseconds: they are told for the last 500."""
+PACE_DOWN_SHARE: Final = 0.85
+"""Share of its target from which on a tail slows down the tasks that fill beside it."""
+PACE_CALM_SHARE: Final = 0.6
+"""Share of its target up to which a tail lets them speed up."""
+PACE_CALM_STEP: Final = 10
+"""By how much they speed up with one look, in percent."""
+PACE_LOWEST: Final = 25
+"""From this pace on the next step down is a stop, in percent."""
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -200,6 +200,8 @@
     silent_since_ms: int = 0
     is_leaving: bool = False
     """Its machine is about to be moved or maintained."""
+    paced_ms: int = 0
+    """When the pace of its filling tasks was last looked at."""
     is_due: bool = False
     """Its machine is to be maintained later."""
     failed_jobs: list[str] = field(default_factory=list)
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -23,6 +23,7 @@
 from .jobs import stop_run
 from .lasting import leave_workers
 from .models import PartitionState, Run, RunState, Worker
+from .pacing import pace_worker
 from .pools import find_pool, wait_for_room
 from .reducer import handles
 
@@ -79,6 +80,7 @@
     if worker.seen > ended_before:
         effects.add(AcknowledgeEnds(worker_id=worker.id, number=worker.seen))
     _compare_runs(state, worker, event.listing, event.sent_ms, event.now_ms, effects)
+    pace_worker(state, worker, effects)
 
 
 def _compare_runs(
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -79,7 +79,7 @@
         self.status = StatusApp(
             directory=self.directory.state,
             metrics=self.metrics,
-            owners=self.owners,
+            store_heard_ms=lambda: self.member.answered_ms,
         )
         self.probes = HttpServer(app=self.status, bind=settings.listen.readiness)
         self.nursery: trio.Nursery | None = None
--- a/heatherkeel/instance/status.py
+++ b/heatherkeel/instance/status.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Final
+
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from heatherkeel.directory.directory import DirectoryState
-from heatherkeel.dispatch.owner import PartitionOwner
 from heatherkeel.gateway.metrics import GatewayMetrics
 from heatherkeel.helpers.asgi import (
     Message,
@@ -16,9 +18,14 @@
     async_respond_problem,
     async_run_lifespan,
 )
+from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.monitoring.const import METRICS_PATH
 from heatherkeel.platform.const import READINESS_PATH
 
+STORE_SILENT_MS: Final = 1200
+"""Without an answer of the store for this long a process takes no new callers, in milliseconds. It
+renews its membership every 450 ms, so two in a row have failed."""
+
 
 class StatusApp:
     """Says whether this process takes callers, and shows its counters."""
@@ -28,11 +35,11 @@
         *,
         directory: DirectoryState,
         metrics: GatewayMetrics,
-        owners: dict[int, PartitionOwner],
+        store_heard_ms: Callable[[], int],
     ) -> None:
         self.directory = directory
         self.metrics = metrics
-        self.owners = owners
+        self.store_heard_ms = store_heard_ms
         self.is_stopping = False
 
     async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
@@ -49,5 +56,18 @@
             return await async_respond_problem(
                 send, status=404, kind="no_such_page", title="no such page"
             )
-        is_ready = self.directory.config is not None and not self.is_stopping
+        is_ready = self.is_ready()
         return await async_respond_json(send, {"ready": is_ready}, status=200 if is_ready else 503)
+
+    def is_ready(self) -> bool:
+        """Say whether this process should get new callers.
+
+        One that is cut off from the store can accept nothing, while another may. Where none can,
+        the platform goes on using all of them.
+        """
+        heard_ago_ms = monotonic_ms() - self.store_heard_ms()
+        return (
+            self.directory.config is not None
+            and not self.is_stopping
+            and heard_ago_ms < STORE_SILENT_MS
+        )
--- a/heatherkeel/ownership/member.py
+++ b/heatherkeel/ownership/member.py
@@ -37,6 +37,8 @@
         """How often this process gave its membership up; part of its name, so that the
         platform sees a new member and raises the generation."""
         self.connected = True
+        self.answered_ms = monotonic_ms()
+        """When the store answered a renewal last."""
         self.closing = False
         self.is_paused = False
         self.fence_seen = trio.Event()
@@ -89,6 +91,7 @@
     async def _async_renew(self) -> int:
         """Renew once; returns the pause until the next time in milliseconds."""
         if self.is_paused:
+            self.answered_ms = monotonic_ms()
             return RETRY_INTERVAL_MS
         name = self.name
         sent_ms = monotonic_ms()
@@ -105,6 +108,7 @@
         if isinstance(joined, Err):
             self._tell_connected(False, joined.err_value.detail)
             return RETRY_INTERVAL_MS
+        self.answered_ms = monotonic_ms()
         self._tell_connected(True, "")
         change = self.tenure.take(joined.ok_value, sent_ms=sent_ms, now_ms=monotonic_ms())
         if not change.lost and not change.gained:
--- /dev/null
+++ b/tests/instance/test_status.py
@@ -0,0 +1,55 @@
+"""What the platform's probe is told."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import trio
+
+from heatherkeel.directory.directory import DirectoryState
+from heatherkeel.gateway.metrics import GatewayMetrics
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.instance.status import STORE_SILENT_MS, StatusApp
+from heatherkeel.platform.operator import Configuration
+
+from .site import open_site
+
+
+def make_status(*, store_heard_ms: int) -> StatusApp:
+    """Return the status of a process that has a configuration."""
+    return StatusApp(
+        directory=DirectoryState(config=Configuration(version=1)),
+        metrics=GatewayMetrics(),
+        store_heard_ms=lambda: store_heard_ms,
+    )
+
+
+def test_process_without_the_store_takes_no_new_callers() -> None:
+    """A zone is cut off from the store; its processes can accept nothing.
+
+    Ready as before, they would get a third of all callers, and refuse them.
+    """
+    assert make_status(store_heard_ms=monotonic_ms()).is_ready()
+    assert not make_status(store_heard_ms=monotonic_ms() - STORE_SILENT_MS).is_ready()
+
+
+def test_process_that_stops_takes_no_new_callers() -> None:
+    status = make_status(store_heard_ms=monotonic_ms())
+    status.is_stopping = True
+    assert not status.is_ready()
+
+
+def test_probe_and_metrics_are_answered_over_http() -> None:
+    async def async_test() -> None:
+        async with open_site(processes=1) as site:
+            address = site.processes[0].probes.address
+
+            async def async_get(path: str) -> Any:
+                return await site.http.request("GET", f"http://{address}{path}")
+
+            assert (await async_get("/heatherkeel/readyz")).status == 200
+            assert (await async_get("/elsewhere")).status == 404
+            metrics = (await async_get("/metrics")).content.decode()
+            assert 'heatherkeel_job_refusals_total{reason="store_away"} 0.0' in metrics
+
+    trio.run(async_test)
