Orders for machines are stored aside while the fleet's own partition is down

Ruled out: ownership (the keeper held its partition), the loads (asked and answered). What is left of it: the owner's zone is cut while its partition is down, so no next owner can begin.

--- a/heatherkeel/pooling/keeper.py
+++ b/heatherkeel/pooling/keeper.py
@@ -55,6 +55,8 @@
 
 STATUS_RETRY_S = 0.5
 """Pause before a wave's status is written again, in seconds."""
+ORDERS_TOPIC = "keyed.orders"
+"""Where orders are stored while the fleet's own partition is down."""
 ORDERS_KEY = "orders"
 """Key of our own record of the last orders: when each machine was ordered away."""
 
@@ -90,6 +92,8 @@
             store=store, partition=self.partition, token=token, on_fenced=on_fenced
         )
         self.client = MachineClient(address=settings.machines.address, holder=settings.instance)
+        self.aside_partition = 0
+        """Where the last order that was stored aside stands."""
         self.orders: dict[str, int] = {}
         """When each machine was ordered away last, in milliseconds since 1970."""
         self.scope = trio.CancelScope()
@@ -115,16 +119,14 @@
         await self.directory.operator.caught_up.wait()
         if not await self.journal.async_open():
             await trio.sleep_forever()
-        while True:
-            read = await self.store.async_read_all_newest(WORK_TOPIC, self.partition)
-            if not isinstance(read, Err):
-                break
-            await trio.sleep(STATUS_RETRY_S)
+        own = await self._async_read_all(WORK_TOPIC, self.partition)
+        aside = await self._async_read_aside()
         self._take_directory()
-        for record in read.ok_value.records:
+        for record in own:
             if record.key.startswith(STATUS_PREFIX) and record.value:
                 self._restore_wave(record)
-            elif record.key == ORDERS_KEY and record.value:
+        for record in [*own, *aside]:
+            if record.key == ORDERS_KEY and record.value:
                 self._restore_orders(record)
         _LOGGER.info(
             "fleet taken over",
@@ -135,6 +137,33 @@
             },
         )
 
+    async def _async_read_aside(self) -> list[KeyedRecord]:
+        """Read the orders that were stored aside; a partition that is down is waited for."""
+        records: list[KeyedRecord] = []
+
+        async def async_read(partition: int) -> None:
+            records.extend(await self._async_read_all(ORDERS_TOPIC, partition))
+
+        async with trio.open_nursery() as nursery:
+            for partition in range(self.settings.store.partitions):
+                nursery.start_soon(async_read, partition)
+        return records
+
+    async def _async_read_all(self, topic: str, partition: int) -> list[KeyedRecord]:
+        while True:
+            read = await self.store.async_read_all_newest(topic, partition)
+            if not isinstance(read, Err):
+                return read.ok_value.records
+            _LOGGER.warning(
+                "the fleet's records can't be read yet",
+                extra={
+                    "event": "restore_waits",
+                    "topic": topic,
+                    "detail": read.err_value.detail,
+                },
+            )
+            await trio.sleep(STATUS_RETRY_S)
+
     def _restore_orders(self, record: KeyedRecord) -> None:
         """Leave machines alone for a while that an earlier owner has ordered away just now.
 
@@ -143,9 +172,9 @@
         """
         lease_ms = self.settings.bounds.machine_lease_ms + CLOCK_MARGIN_MS
         now_ms = monotonic_ms()
-        self.orders = msgspec.json.decode(record.value, type=dict[str, int])
-        for machine, ordered_wall_ms in self.orders.items():
-            age_ms = max(0, _wall_ms() - ordered_wall_ms)
+        for machine, at_ms in msgspec.json.decode(record.value, type=dict[str, int]).items():
+            self.orders[machine] = max(at_ms, self.orders.get(machine, 0))
+            age_ms = max(0, _wall_ms() - self.orders[machine])
             self.state.blocked_until_ms[machine] = now_ms + max(0, lease_ms - age_ms)
 
     def _restore_wave(self, record: KeyedRecord) -> None:
@@ -232,12 +261,43 @@
             for machine, at_ms in self.orders.items()
             if wall_ms - at_ms < RECENT_ORDERS_MS
         } | {intent.machine: wall_ms}
-        self.journal.put(ORDERS_KEY, lambda: msgspec.json.encode(self.orders))
         decided_ms = monotonic_ms()
         assert self.nursery is not None
         nursery = self.nursery
+        if not self.journal.connected:
+            nursery.start_soon(self._async_order_aside, intent, decided_ms)
+            return
+        self.journal.put(ORDERS_KEY, self._encode_orders)
         self.journal.when_stored(lambda: nursery.start_soon(self._async_order, intent, decided_ms))
 
+    async def _async_order_aside(self, intent: Intent, decided_ms: int) -> None:
+        """Store an order wherever it can be, and give it, while our own partition is down.
+
+        Parts of the store may be down for seconds while the rest works, and with them no pool
+        would get a machine. No next owner can begin before our partition is back, and it reads
+        these records too.
+        """
+        record = KeyedRecord(key=ORDERS_KEY, value=self._encode_orders())
+        partitions = self.settings.store.partitions
+        first = self.aside_partition
+        for further in range(partitions):
+            partition = (first + further) % partitions
+            stored = await self.store.async_append(ORDERS_TOPIC, partition, [record])
+            if not isinstance(stored, Err):
+                self.aside_partition = partition
+                return await self._async_order(intent, decided_ms)
+            if monotonic_ms() - decided_ms > STALE_ORDER_MS:
+                break
+        _LOGGER.warning(
+            "an order can't be stored, so it isn't given",
+            extra={"event": "order_unstored", "machine": intent.machine},
+        )
+        intent.ordered_ms = None
+        return None
+
+    def _encode_orders(self) -> bytes:
+        return msgspec.json.encode(self.orders)
+
     async def _async_order(self, intent: Intent, decided_ms: int) -> None:
         if not self.may_order() or monotonic_ms() - decided_ms > STALE_ORDER_MS:
             intent.ordered_ms = None
--- a/heatherkeel/standins/users_platform.py
+++ b/heatherkeel/standins/users_platform.py
@@ -43,6 +43,8 @@
     """Every call to the store gets 503."""
     store_silent: bool = False
     """No call to the store is carried out or answered."""
+    down_partitions: set[tuple[str, int]] = field(default_factory=set)
+    """Topics and partitions to which every append gets 503."""
     lose_appends: int = 0
     """So many of the next appends are carried out and not answered."""
     lose_starts: int = 0
@@ -188,6 +190,9 @@
             return Answer(status=503)
         match request.path.rsplit("/", 1)[-1]:
             case "log-append":
+                place = (request.query["topic"], int(request.query["part"]))
+                if place in self.faults.down_partitions:
+                    return Answer(status=503)
                 answer = self.log.append(request.query, body)
                 if self.faults.lose_appends:
                     self.faults.lose_appends -= 1
--- /dev/null
+++ b/tests/pooling/test_orders_record.py
@@ -0,0 +1,75 @@
+"""Orders for machines are stored before they leave, wherever that can be done."""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+import trio
+
+from heatherkeel.ownership.const import WORK_TOPIC
+from heatherkeel.pooling.keeper import ORDERS_KEY, ORDERS_TOPIC, FleetKeeper
+from tests.instance.site import STEP, Site, open_site
+
+JOB = "00000000000000c1"
+
+
+def find_keeper(site: Site) -> FleetKeeper | None:
+    """Return the fleet's owner once it has begun."""
+    for process in site.processes:
+        if process.keeper is not None and process.keeper.nursery is not None:
+            return process.keeper
+    return None
+
+
+def test_machines_move_while_the_fleets_own_partition_is_down() -> None:
+    """A part of the store is down, and the fleet's partition with it; a queue's turn comes.
+
+    Orders wait to be stored there, so the pool stays at the few machines that it keeps between
+    its turns, for as long as the outage lasts.
+    """
+
+    async def async_test() -> None:
+        async with open_site(processes=1, machines=2, spares=2) as site:
+            await site.async_wait(lambda: find_keeper(site) is not None)
+            keeper = find_keeper(site)
+            assert keeper is not None
+            site.platform.faults.down_partitions |= {
+                (WORK_TOPIC, keeper.partition),
+                (ORDERS_TOPIC, 0),
+            }
+            wide = STEP | {"count": 40, "cpu": 2000}
+            await site.async_submit(site.processes[0], JOB, "work 800", wide)
+            await site.async_wait(
+                lambda: any(
+                    machine.pool == "portal"
+                    for name, machine in site.platform.machines.items()
+                    if name.startswith("s")
+                )
+            )
+            assert msgspec.json.decode(site.platform.log.newest(ORDERS_TOPIC, 1)[ORDERS_KEY][1])
+
+    trio.run(async_test)
+
+
+def test_next_owner_leaves_machines_alone_that_were_just_ordered_away() -> None:
+    """The fleet's owner orders a machine away and is killed; its successor begins at once.
+
+    Two holders that take turns at one machine within its lease break its agreement with the
+    platform. The record of the last order tells for which machines the successor has to wait.
+    """
+
+    async def async_test() -> None:
+        async with open_site(processes=1) as site:
+            wall_ms = time.time_ns() // 1_000_000 + 60_000
+            record = msgspec.json.encode({"m0": wall_ms, "m1": wall_ms - 120_000})
+            site.platform.log.put(ORDERS_TOPIC, ORDERS_KEY, record)
+            site.kill(site.processes[0])
+            await site.async_add_process()
+            await site.async_wait(lambda: find_keeper(site) is not None)
+            keeper = site.processes[1].keeper
+            assert keeper is not None
+            blocked = keeper.state.blocked_until_ms
+            assert blocked["m0"] > blocked["m1"]
+
+    trio.run(async_test)
