--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -78,3 +78,5 @@
 """By how much they speed up with one look, in percent."""
 PACE_LOWEST: Final = 25
 """From this pace on the next step down is a stop, in percent."""
+MAX_LOOKED_AT: Final = 200
+"""Steps of one urgency that one pass looks at, at the most; the next event goes on."""
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -10,8 +10,9 @@
 from .const import GREY_FAILURES, GREY_PAUSE_MS, MAX_SET_ASIDE
 from .events import Effects, SaveJob
 from .jobs import end_job, save_ended, stop_run
-from .models import Job, JobState, PartitionState, Run, Step, Task, Worker
+from .models import Job, JobState, Run, Step, Task, Worker
 from .pools import find_pool, forget_run, wait_for_room
+from .state import PartitionState
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -80,7 +81,7 @@
                 stop_run(state, run, effects)
     if not step.is_done():
         return
-    find_pool(state, step.job.service).open_steps.pop(step, None)
+    find_pool(state, step.job.service).open_steps.discard(step)
     for follower in open_followers(step):
         wait_for_room(state, follower)
         effects.touch(step.job.service)
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -14,9 +14,10 @@
     SaveJob,
     StopTask,
 )
-from .models import Job, JobState, PartitionState, Run, RunState
+from .models import Job, JobState, Run, RunState
 from .pools import find_pool, forget_run, wait_for_room
 from .reducer import handles
+from .state import PartitionState
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -98,7 +99,7 @@
     state.finished[job.id] = job
     pool = find_pool(state, job.service)
     for step in job.steps():
-        pool.open_steps.pop(step, None)
+        pool.open_steps.discard(step)
         for task in step.tasks:
             for run in list(task.runs):
                 stop_run(state, run, effects)
--- a/heatherkeel/dispatch/lasting.py
+++ b/heatherkeel/dispatch/lasting.py
@@ -4,7 +4,8 @@
 
 from .events import Effects
 from .jobs import stop_run
-from .models import PartitionState, Run, RunState, Step, Task, Worker
+from .models import Run, RunState, Step, Task, Worker
+from .state import PartitionState
 
 
 def leave_workers(state: PartitionState, effects: Effects) -> None:
--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -4,7 +4,7 @@
 
 from heatherkeel.questions.messages import PoolLoad
 
-from .models import PartitionState, Pool
+from .state import PartitionState, Pool
 
 
 def measure_pools(state: PartitionState) -> list[PoolLoad]:
--- a/heatherkeel/dispatch/orders.py
+++ b/heatherkeel/dispatch/orders.py
@@ -9,8 +9,9 @@
 from .ends import lose_run
 from .events import Effects, StartAnswered, StopAnswered, StopTask
 from .jobs import stop_run
-from .models import PartitionState, RunState
+from .models import RunState
 from .reducer import handles
+from .state import PartitionState
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -43,7 +43,6 @@
 )
 from .jobs import stop_leftovers
 from .journal import Journal
-from .models import PartitionState
 from .records import (
     CANCEL_PREFIX,
     PROGRESS_PREFIX,
@@ -54,6 +53,7 @@
 from .recovery import StoredJobs, read_records, restore_jobs
 from .reducer import reduce_event
 from .session import WorkerSession
+from .state import PartitionState
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/heatherkeel/dispatch/pacing.py
+++ b/heatherkeel/dispatch/pacing.py
@@ -12,7 +12,8 @@
     PACE_LOWEST,
 )
 from .events import Effects, PaceTask
-from .models import PartitionState, Run, RunState, Worker
+from .models import Run, RunState, Worker
+from .state import PartitionState
 
 _LOGGER = logging.getLogger(__name__)
 FULL_PACE = 100
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -6,10 +6,11 @@
 
 from heatherkeel.platform.callers import StepRequest
 
-from .const import ESTIMATE_SLACK, LASTING_SHARE, MAX_MISFITS
+from .const import LASTING_SHARE, MAX_MISFITS
 from .events import Effects, SaveJob, StartTask
-from .models import JobState, PartitionState, Pool, Run, RunState, Step, Task, Worker
+from .models import JobState, Run, RunState, Step, Task, Worker
 from .pools import find_pool
+from .state import PartitionState, Pool
 
 
 def place_tasks(state: PartitionState, service: str, effects: Effects) -> None:
@@ -21,48 +22,25 @@
     if not workers:
         return
     misfits = 0
-    for step in order_steps(state, pool):
-        if not _place_step(state, pool, step, workers, effects):
-            misfits += 1
+    free_cpu = max(worker.free_cpu() for worker in workers)
+    for step in pool.open_steps.in_order(state.now_ms):
+        # Most of what waits in a full pool is passed over by this alone.
+        has_room = step.request.fills or step.request.cpu <= free_cpu
+        if has_room and _place_step(state, pool, step, workers, effects):
+            free_cpu = max(worker.free_cpu() for worker in workers)
+            continue
+        misfits += 1
         if misfits > MAX_MISFITS:
             return
 
 
-def order_steps(state: PartitionState, pool: Pool) -> list[Step]:
-    """Return the steps with waiting tasks, the most urgent first."""
-    return sorted(pool.open_steps, key=lambda step: _rank(state, step))
-
-
-def _rank(state: PartitionState, step: Step) -> tuple[int, float, float, str]:
-    """Order lasting tasks first, then what can still meet its objective, then the rest.
-
-    Among those in time the one that has to start first goes first. A job that is late is worth
-    a tenth or less, so it takes only room that no job in time can use; there the one with the
-    least work left goes first, since each is worth about the same.
-    """
-    if step.request.lasts:
-        return (0, float(step.request.fills), step.latest_start_ms, step.name())
-    work_ms = step.job.due_ms - step.latest_start_ms
-    slack_ms = step.latest_start_ms + ESTIMATE_SLACK * work_ms - state.now_ms
-    if slack_ms >= 0:
-        return (1, step.latest_start_ms, 0.0, step.name())
-    lateness_class = 2 if state.now_ms < _worthless_ms(step) else 3
-    return (lateness_class, work_ms, step.latest_start_ms, step.name())
-
-
-def _worthless_ms(step: Step) -> float:
-    """Return when the step's job is worth nothing any more: at three times its objective."""
-    job = step.job
-    return job.accepted_ms + 3 * (job.due_ms - job.accepted_ms)
-
-
 def _place_step(
     state: PartitionState, pool: Pool, step: Step, workers: list[Worker], effects: Effects
 ) -> bool:
     """Start what fits of a step; says whether anything did."""
     waiting = step.waiting()
     if not waiting:
-        del pool.open_steps[step]
+        pool.open_steps.discard(step)
         return True
     if step.request.is_gang:
         return _place_gang(state, pool, step, waiting, workers, effects)
@@ -184,7 +162,7 @@
 ) -> None:
     """Store the new attempts, and start them after that."""
     if is_all:
-        del pool.open_steps[step]
+        pool.open_steps.discard(step)
     if not placed:
         return
     job = step.job
--- a/heatherkeel/dispatch/pools.py
+++ b/heatherkeel/dispatch/pools.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from .models import PartitionState, Pool, Run, Step
+from .models import Run, Step
+from .state import PartitionState, Pool
 
 
 def find_pool(state: PartitionState, service: str) -> Pool:
@@ -16,7 +17,7 @@
 def wait_for_room(state: PartitionState, step: Step) -> None:
     """Let a step's tasks be started when there is room."""
     if step.is_open and not step.job.state.is_final() and not step.job.cancel_wanted:
-        find_pool(state, step.job.service).open_steps[step] = None
+        find_pool(state, step.job.service).open_steps.add(step, state.now_ms)
 
 
 def forget_run(state: PartitionState, run: Run) -> None:
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -15,7 +15,7 @@
 
 from .building import set_objective
 from .const import LEASE_MS, SLOWEST_CLOCK
-from .models import Job, PartitionState, Run, Worker
+from .models import Job, Run, Worker
 from .pools import wait_for_room
 from .records import (
     CANCEL_PREFIX,
@@ -27,6 +27,7 @@
     decode_request,
     restore_progress,
 )
+from .state import PartitionState
 from .workers import add_worker
 
 _LOGGER = logging.getLogger(__name__)
--- a/heatherkeel/dispatch/reducer.py
+++ b/heatherkeel/dispatch/reducer.py
@@ -9,8 +9,8 @@
 from typing import Any, Final, TypeVar
 
 from .events import Effect, Effects, Event
-from .models import PartitionState
 from .placement import place_tasks
+from .state import PartitionState
 
 EventT = TypeVar("EventT", bound=Event)
 Handler = Callable[[PartitionState, Any, Effects], None]
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -22,10 +22,11 @@
 )
 from .jobs import stop_run
 from .lasting import leave_workers
-from .models import PartitionState, Run, RunState, Worker
+from .models import Run, RunState, Worker
 from .pacing import pace_worker
 from .pools import find_pool, wait_for_room
 from .reducer import handles
+from .state import PartitionState
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/heatherkeel/measure/__main__.py
+++ b/heatherkeel/measure/__main__.py
@@ -12,6 +12,7 @@
 from . import (  # noqa: F401
     claims,
     decisions,
+    dispatching,
     edits,
     hop,
     idle,
--- a/tests/dispatch/partition.py
+++ b/tests/dispatch/partition.py
@@ -20,8 +20,9 @@
     WorkersLeaving,
     WorkersListed,
 )
-from heatherkeel.dispatch.models import Job, PartitionState, Run
+from heatherkeel.dispatch.models import Job, Run
 from heatherkeel.dispatch.reducer import reduce_event
+from heatherkeel.dispatch.state import PartitionState
 from heatherkeel.platform.callers import JobRequest, StepRequest
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.operator import Capacity, Queue, WorkerEntry
