--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -78,5 +78,12 @@
 """By how much they speed up with one look, in percent."""
 PACE_LOWEST: Final = 25
 """From this pace on the next step down is a stop, in percent."""
+MAX_ADVISED: Final = 30
+"""Workers named in one question to the advisor, which takes time for each; an objective allows for
+one question on so many a step."""
+ADVICE_RETRY_MS: Final = 1500
+"""When a question that wasn't answered is asked again, in milliseconds."""
+TICKET_MARGIN_MS: Final = 150
+"""A ticket isn't used in its last milliseconds: a start is stored before it leaves."""
 MAX_LOOKED_AT: Final = 200
 """Steps of one urgency that one pass looks at, at the most; the next event goes on."""
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -9,7 +9,7 @@
 from heatherkeel.platform.operator import Queue, WorkerEntry
 from heatherkeel.platform.workers import Listing
 
-from .models import Run
+from .models import Run, Step
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -103,6 +103,17 @@
     worker_ids: frozenset[str]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AdviceTold(Event):
+    """The advisor told which of some workers may run a step; `tickets` is None if it didn't."""
+
+    step: Step
+    worker_ids: tuple[str, ...]
+    tickets: dict[str, str] | None
+    asked_ms: int
+    validity_ms: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Tick(Event):
     """Some time has passed."""
@@ -155,6 +166,14 @@
     percent: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskAdvice(Effect):
+    """Ask the advisor which of some workers may run a step."""
+
+    step: Step
+    worker_ids: tuple[str, ...]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AcknowledgeEnds(Effect):
     """Let a worker forget its ends up to a number, once they are stored."""
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -16,7 +16,7 @@
 )
 from .models import Job, JobState, Run, RunState
 from .pools import find_pool, forget_run, wait_for_room
-from .reducer import handles
+from .registry import handles
 from .state import PartitionState
 
 _LOGGER = logging.getLogger(__name__)
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -90,6 +90,14 @@
         return self.step.request.may_copy and all(run.is_doubtful for run in self.runs)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ticket:
+    """A worker's permission to run a step, and until when it is good on our clock."""
+
+    text: str
+    until_ms: int
+
+
 @dataclass(kw_only=True, slots=True, eq=False)
 class Step:
     """One step of one occurrence of a job."""
@@ -104,6 +112,11 @@
     """When its tasks have to start for the job to meet its objective."""
     is_open: bool = False
     """All steps that it depends on are done."""
+    tickets: dict[str, Ticket] = field(default_factory=dict)
+    barred: set[str] = field(default_factory=set)
+    """Workers that may not run it."""
+    advice_asked_ms: int = 0
+    """When the question that is under way was asked; 0 if none is."""
 
     def name(self) -> str:
         """Return the step's name, of which its tasks' names are made."""
--- a/heatherkeel/dispatch/orders.py
+++ b/heatherkeel/dispatch/orders.py
@@ -10,11 +10,13 @@
 from .events import Effects, StartAnswered, StopAnswered, StopTask
 from .jobs import stop_run
 from .models import RunState
-from .reducer import handles
+from .registry import handles
 from .state import PartitionState
 
 _LOGGER = logging.getLogger(__name__)
 
+NO_TICKET = "ticket"
+"""Why a worker refuses a start whose ticket is missing, or not good any more."""
 _NOT_DONE = frozenset(
     {Failure.REFUSED, Failure.INVALID, Failure.RESERVED, Failure.OTHER_INSTANCE, Failure.FENCED}
 )
@@ -48,6 +50,8 @@
             "detail": event.error.detail,
         },
     )
+    if event.error.detail == NO_TICKET:
+        run.task.step.tickets.pop(run.worker_id, None)
     if event.error.failure in _NOT_DONE and run.state is not RunState.STOPPING:
         lose_run(state, run, effects, why=f"start {event.error.failure}")
         return
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -8,7 +8,7 @@
 from functools import partial
 
 import trio
-from result import Err
+from result import Err, Ok
 
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.follower import RETRY_PAUSE_S, TopicFollower
@@ -16,6 +16,7 @@
 from heatherkeel.ownership.const import JOBS_TOPIC, WORK_TOPIC
 from heatherkeel.ownership.partitions import partition_of
 from heatherkeel.ownership.tenure import Tenure
+from heatherkeel.platform.advice import Advisor, AdvisorClient
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.machines import MachineClient
 from heatherkeel.platform.settings import InstanceSettings
@@ -25,6 +26,8 @@
 from .const import CURRENT_MS, FOLLOW_WAIT_MS, LEASE_MS, LIVES_INTERVAL_MS, TICK_MS
 from .events import (
     AcknowledgeEnds,
+    AdviceTold,
+    AskAdvice,
     Effect,
     Effects,
     Event,
@@ -86,6 +89,8 @@
         )
         self.journal = Journal(store=store, partition=partition, token=token, on_fenced=on_fenced)
         self.machines = MachineClient(address=settings.machines.address, holder=settings.instance)
+        self.advisor = AdvisorClient(address=settings.advisor)
+        self.advice_lock = trio.Lock()
         self.sessions: dict[str, WorkerSession] = {}
         self.unsent: dict[str, list[Effect]] = {}
         """Orders for workers that can't be called yet, such as stops decided in recovery."""
@@ -112,6 +117,7 @@
                 self._take_directory()
         with trio.CancelScope(shield=True):
             await self.machines.close()
+            await self.advisor.close()
         if self._take_directory in self.directory.subscribers:
             self.directory.unsubscribe(self._take_directory)
 
@@ -325,9 +331,43 @@
                 self.journal.when_stored(lambda: self._order(effect.run.worker_id, effect))
             case StopTask() | PaceTask():
                 self._order(effect.run.worker_id, effect)
+            case AskAdvice():
+                assert self.nursery is not None
+                self.nursery.start_soon(self._async_ask_advice, effect)
             case AcknowledgeEnds():
                 self.journal.when_stored(lambda: self._acknowledge(effect))
 
+    async def _async_ask_advice(self, effect: AskAdvice) -> None:
+        """Ask one question after the other: the advisor handles one of a machine at a time."""
+        step, workers = effect.step, list(effect.worker_ids)
+        queue = self.state.queues.get(step.job.queue)
+        advisor = queue.advisor if queue else None
+        timeout_s = (advisor or Advisor()).timeout_s(len(workers))
+        async with self.advice_lock:
+            asked_ms = monotonic_ms()
+            advised = await self.advisor.async_advise(step.name(), workers, timeout_s=timeout_s)
+        tickets, validity_ms = None, 0
+        match advised:
+            case Ok(advice):
+                tickets, validity_ms = advice.tickets(), advice.validity_ms
+            case Err(error):
+                _LOGGER.warning(
+                    "no advice",
+                    extra={"event": "no_advice", "step": step.name(), "detail": error.detail},
+                )
+        now_ms, wall_ms = self.times()
+        self.take(
+            AdviceTold(
+                now_ms=now_ms,
+                wall_ms=wall_ms,
+                step=step,
+                worker_ids=effect.worker_ids,
+                tickets=tickets,
+                asked_ms=asked_ms,
+                validity_ms=validity_ms,
+            )
+        )
+
     def _order(self, worker_id: str, effect: Effect) -> None:
         session = self.sessions.get(worker_id)
         if session is not None:
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -11,6 +11,7 @@
 from .models import JobState, Run, RunState, Step, Task, Worker
 from .pools import find_pool
 from .state import PartitionState, Pool
+from .tickets import find_ticketed, needs_advice
 
 
 def place_tasks(state: PartitionState, service: str, effects: Effects) -> None:
@@ -38,6 +39,8 @@
     state: PartitionState, pool: Pool, step: Step, workers: list[Worker], effects: Effects
 ) -> bool:
     """Start what fits of a step; says whether anything did."""
+    if needs_advice(state, step):
+        workers = find_ticketed(state, step, workers, effects)
     waiting = step.waiting()
     if not waiting:
         pool.open_steps.discard(step)
@@ -150,7 +153,14 @@
 
 
 def _plan_run(task: Task, worker: Worker, attempt: int) -> Run:
-    run = Run(task=task, attempt=attempt, worker_id=worker.id, saved=task.saved)
+    ticket = task.step.tickets.get(worker.id)
+    run = Run(
+        task=task,
+        attempt=attempt,
+        worker_id=worker.id,
+        saved=task.saved,
+        ticket=ticket.text if ticket else "",
+    )
     task.attempt = attempt
     task.runs.append(run)
     worker.add(run)
--- a/heatherkeel/dispatch/reducer.py
+++ b/heatherkeel/dispatch/reducer.py
@@ -5,34 +5,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Any, Final, TypeVar
-
 from .events import Effect, Effects, Event
 from .placement import place_tasks
+from .registry import HANDLERS
 from .state import PartitionState
 
-EventT = TypeVar("EventT", bound=Event)
-Handler = Callable[[PartitionState, Any, Effects], None]
-HANDLERS: Final[dict[type[Event], Handler]] = {}
-
-
-def handles(
-    kind: type[EventT],
-) -> Callable[
-    [Callable[[PartitionState, EventT, Effects], None]],
-    Callable[[PartitionState, EventT, Effects], None],
-]:
-    """Register the handler of a kind of event."""
-
-    def register(
-        handler: Callable[[PartitionState, EventT, Effects], None],
-    ) -> Callable[[PartitionState, EventT, Effects], None]:
-        HANDLERS[kind] = handler
-        return handler
-
-    return register
-
 
 def reduce_event(state: PartitionState, event: Event) -> list[Effect]:
     """Take in one event; returns what is to be done, in order.
--- a/heatherkeel/dispatch/subjects.py
+++ b/heatherkeel/dispatch/subjects.py
@@ -4,5 +4,6 @@
 
 import heatherkeel.dispatch.jobs
 import heatherkeel.dispatch.orders
+import heatherkeel.dispatch.tickets
 import heatherkeel.dispatch.ticks
 import heatherkeel.dispatch.workers  # noqa: F401
--- a/heatherkeel/dispatch/ticks.py
+++ b/heatherkeel/dispatch/ticks.py
@@ -6,7 +6,7 @@
 from .events import Effects, ForgetJob, Tick
 from .jobs import begin_due_occurrences
 from .lasting import leave_workers
-from .reducer import handles
+from .registry import handles
 from .state import PartitionState
 from .workers import drop_if_lapsed
 
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -25,7 +25,7 @@
 from .models import Run, RunState, Worker
 from .pacing import pace_worker
 from .pools import find_pool, wait_for_room
-from .reducer import handles
+from .registry import handles
 from .state import PartitionState
 
 _LOGGER = logging.getLogger(__name__)
--- a/heatherkeel/platform/operator.py
+++ b/heatherkeel/platform/operator.py
@@ -5,6 +5,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from .advice import Advisor
+
 
 class Queue(msgspec.Struct, frozen=True, kw_only=True):
     """A route of callers: jobs sent to it run on the workers of one service."""
@@ -20,15 +22,9 @@
     max_failures: int = msgspec.field(name="maxAttempts", default=1)
     """A task may end as failed this many times; other ends don't count."""
     slack_factor: float = msgspec.field(name="slackFactor", default=1.0)
-    advisor: msgspec.Raw = msgspec.field(
-        name="placementAdvisor", default_factory=lambda: msgspec.Raw(b"null")
-    )
+    advisor: Advisor | None = msgspec.field(name="placementAdvisor", default=None)
     """Given where only some workers may run a step, and the advisor knows which."""
 
-    def needs_advice(self) -> bool:
-        """Say whether a start on this queue needs a ticket."""
-        return bytes(self.advisor) not in (b"null", b"{}", b"")
-
 
 class Service(msgspec.Struct, frozen=True, kw_only=True):
     """A service, which is also a pool of machines."""
--- a/heatherkeel/standins/users_platform.py
+++ b/heatherkeel/standins/users_platform.py
@@ -35,6 +35,16 @@
 Handle = Callable[[Request, bytes], Awaitable[Answer]]
 
 
+def make_ticket(step: str, worker_id: str) -> str:
+    """Return the ticket of a worker for a step."""
+    return f"ticket-{step}-{worker_id}"
+
+
+def _has_ticket(worker: FleetWorker, order: dict[str, Any]) -> bool:
+    step = order["task"].rsplit(".", 1)[0]
+    return bool(order.get("ticket") == make_ticket(step, worker.id))
+
+
 @dataclass(kw_only=True, slots=True)
 class Faults:
     """What goes wrong, as a test switches it on."""
@@ -73,6 +83,9 @@
     faults: Faults = field(default_factory=Faults)
     machines: dict[str, StandinMachine] = field(default_factory=dict)
     maintained: list[str] = field(default_factory=list)
+    allowed: set[str] = field(default_factory=set)
+    """Workers that the advisor lets run every step."""
+    needs_tickets: bool = False
     everyone: list[FleetWorker] = field(default_factory=list)
     """Every life of every worker, for tests."""
 
@@ -230,6 +243,9 @@
                     await trio.sleep(self.faults.late_start_s)
                     worker.start_task(decoded)
                     await trio.sleep_forever()
+                if self.needs_tickets and not _has_ticket(worker, decoded):
+                    body_409 = {"clockMs": worker.clock_ms(), "reason": "ticket"}
+                    return Answer(status=409, body=body_409)
                 return worker.start_task(decoded)
             case "run-stop":
                 return worker.stop_task(decoded)
@@ -240,6 +256,8 @@
     async def _async_cloud(self, request: Request, body: bytes) -> Answer:
         decoded = msgspec.json.decode(body) if body else {}
         match request.path.rsplit("/", 1)[-1]:
+            case "advise":
+                return self._advise(decoded)
             case "machines":
                 return self._list_machines()
             case "machine-move":
@@ -252,6 +270,14 @@
                 return Answer()
         return Answer(status=404)
 
+    def _advise(self, question: dict[str, Any]) -> Answer:
+        rows = [
+            [worker_id, make_ticket(question["step"], worker_id)]
+            for worker_id in question["workers"]
+            if worker_id in self.allowed
+        ]
+        return Answer(body={"allowed": rows, "validityMs": 3000})
+
     def _list_machines(self) -> Answer:
         rows = [
             {
--- a/tests/instance/site.py
+++ b/tests/instance/site.py
@@ -72,6 +72,7 @@
             bounds=Bounds(longest_lease_ms=6000, machine_lease_ms=300),
             store=StoreSettings(address=self.platform.store.address, partitions=3),
             machines=MachineSettings(address=self.platform.cloud.address),
+            advisor=self.platform.cloud.address,
         )
         process = InstanceProcess(settings=settings)
         scope = trio.CancelScope()
--- a/tests/instance/test_whole_path.py
+++ b/tests/instance/test_whole_path.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from .site import STEP, open_site
+from .site import QUEUE, STEP, open_site
 
 JOB = "00000000000000a1"
 OTHER_JOB = "00000000000000a2"
@@ -182,3 +182,24 @@
             assert len(site.starts(JOB)) == 40
 
     trio.run(async_test)
+
+
+def test_job_of_an_advised_queue_runs_only_where_the_advisor_allows_it() -> None:
+    async def async_test() -> None:
+        async with open_site(processes=1, machines=3) as site:
+            process = site.processes[0]
+            site.platform.needs_tickets = True
+            chosen = site.platform.everyone[1]
+            site.platform.allowed.add(chosen.id)
+            advised = QUEUE | {"placementAdvisor": {"decisionMs": 5, "validityMs": 3000}}
+            site.platform.configure(2, [advised], ["portal", "spare"])
+            await site.async_wait(
+                lambda: (config := process.directory.state.config) is not None
+                and config.version == 2
+            )
+            await site.async_submit(process, JOB, "work 50")
+            await site.async_wait_state(process, JOB, "complete")
+            assert len(chosen.started) == 2
+            assert len(site.starts(JOB)) == 2
+
+    trio.run(async_test)
--- /dev/null
+++ b/tests/platform/test_borders.py
@@ -0,0 +1,126 @@
+"""What comes from outside is read whole or refused by name, whatever it is."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from heatherkeel.platform.callers import decode_job
+from heatherkeel.platform.framing import (
+    FramingError,
+    KeyedRecord,
+    decode_read,
+    encode_records,
+)
+from heatherkeel.platform.operator import (
+    decode_configuration,
+    decode_wave,
+    decode_worker,
+)
+from heatherkeel.platform.settings import load_instance_settings
+
+KEYS = st.text(min_size=1, max_size=30).filter(lambda key: len(key.encode()) < 256)
+
+
+@given(st.lists(st.tuples(KEYS, st.binary(max_size=50))), st.integers(0, 1000))
+def test_records_are_read_back_as_they_were_written(
+    pairs: list[tuple[str, bytes]], start: int
+) -> None:
+    records = [KeyedRecord(key=key, value=value) for key, value in pairs]
+    head = (start + len(records)).to_bytes(8, "big") + (0).to_bytes(8, "big")
+    end, first, read = decode_read(head + encode_records(records), start=start)
+    assert (end, first) == (start + len(records), 0)
+    assert [(record.key, record.value) for record in read] == pairs
+    assert [record.offset for record in read] == list(range(start, end))
+
+
+@given(st.binary(max_size=80))
+def test_body_that_is_no_list_of_records_is_refused(body: bytes) -> None:
+    try:
+        decode_read(body, start=0)
+    except FramingError as err:
+        assert str(err)
+
+
+@given(
+    st.binary(max_size=200)
+    | st.recursive(
+        st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+        lambda inner: st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from(["spec", "steps", "count", "dependsOn", "repeatCount"]), inner
+        ),
+    ).map(msgspec.json.encode)
+)
+def test_no_body_of_a_caller_raises(body: bytes) -> None:
+    assert isinstance(decode_job(body), Ok | Err)
+    assert isinstance(decode_configuration(body), Ok | Err)
+    assert isinstance(decode_worker(body), Ok | Err)
+    assert isinstance(decode_wave(body), Ok | Err)
+
+
+@pytest.mark.parametrize(
+    ("job", "fault"),
+    [
+        ({"steps": []}, "a job needs at least one step"),
+        ({"steps": [{"count": 0}]}, "steps[0].count"),
+        ({"steps": [{"count": 1, "dependsOn": [0]}]}, "earlier steps only"),
+        ({"steps": [{"count": 1, "cpu": -1}]}, "negative amount"),
+        ({"spec": "x" * 4001, "steps": [{"count": 1}]}, "longer than 4000 bytes"),
+        ({"steps": [{"count": "one"}]}, "Expected `int`"),
+    ],
+)
+def test_faulty_job_is_refused_with_its_fault(job: object, fault: str) -> None:
+    decoded = decode_job(msgspec.json.encode(job))
+    assert isinstance(decoded, Err)
+    assert fault in decoded.err_value
+
+
+SETTINGS = """
+nodeName = "edge-1"
+ip = "10.0.0.1"
+zone = "a"
+internalPortRange = [7060, 7075]
+somethingNew = 5
+[listenAddrs]
+frontend = "10.0.0.1:1"
+readiness = "10.0.0.1:2"
+[platform]
+address = "10.0.0.9:3"
+parts = 12
+"""
+
+
+def test_settings_ignore_what_they_do_not_know(tmp_path) -> None:  # type: ignore[no-untyped-def]
+    file = tmp_path / "settings.toml"
+    file.write_text(SETTINGS)
+    loaded = load_instance_settings(str(file))
+    assert isinstance(loaded, Ok)
+    assert loaded.ok_value.instance == "edge-1"
+    assert loaded.ok_value.store.partitions == 12
+
+
+@pytest.mark.parametrize(
+    ("change", "fault"),
+    [
+        (("ip = ", "ipp = "), "missing required field `ip`"),
+        (("parts = 12", 'parts = "12"'), "$.platform.parts"),
+        (("[listenAddrs]", "[listenAddrs"), "settings.toml:"),
+    ],
+)
+def test_faulty_settings_give_one_clear_line(tmp_path, change, fault) -> None:  # type: ignore[no-untyped-def]
+    file = tmp_path / "settings.toml"
+    file.write_text(SETTINGS.replace(*change))
+    loaded = load_instance_settings(str(file))
+    assert isinstance(loaded, Err)
+    assert fault in loaded.err_value
+    assert "\n" not in loaded.err_value
+
+
+def test_missing_settings_file_is_named() -> None:
+    loaded = load_instance_settings("/nowhere/settings.toml")
+    assert isinstance(loaded, Err)
+    assert loaded.err_value == "/nowhere/settings.toml: cannot be read: No such file or directory"
--- /dev/null
+++ b/tests/pooling/fleet.py
@@ -0,0 +1,95 @@
+"""A fleet without a process: lists, loads and orders go in, and effects are kept."""
+
+from __future__ import annotations
+
+from heatherkeel.platform.errors import CallError
+from heatherkeel.platform.machines import Machine
+from heatherkeel.platform.operator import Capacity, Service, Wave
+from heatherkeel.pooling.models import (
+    DirectoryRead,
+    FleetEffect,
+    FleetEvent,
+    FleetState,
+    Intent,
+    MachinesListed,
+    OrderAnswered,
+    OrderMachine,
+    PlanDue,
+    PoolsMeasured,
+)
+from heatherkeel.pooling.reducer import reduce_fleet
+from heatherkeel.questions.messages import PoolLoad
+
+CPU = 10_000
+
+
+class Fleet:
+    """Pools of machines, and what each asks for."""
+
+    def __init__(self, *, waves: list[Wave] | None = None, **pools: int) -> None:
+        self.state = FleetState(token=3)
+        self.now_ms = 10_000
+        self.effects: list[FleetEffect] = []
+        self.pool_of = {f"{pool}{n}": pool for pool, count in pools.items() for n in range(count)}
+        self.state_of: dict[str, str] = {}
+        self.used: dict[str, int] = {}
+        self.lasting: dict[str, int] = {}
+        self.empty: set[str] = set()
+        services = {name: Service(name=name, is_standby=name == "spare") for name in pools}
+        self.give(
+            DirectoryRead(
+                now_ms=self.now_ms,
+                services=services,
+                waves={wave.number: wave for wave in waves or []},
+            )
+        )
+        self.list_machines()
+
+    def give(self, event: FleetEvent) -> list[FleetEffect]:
+        """Reduce one event; returns its effects, which are kept too."""
+        effects = reduce_fleet(self.state, event)
+        self.effects += effects
+        return effects
+
+    def list_machines(self) -> None:
+        """Read the list of machines."""
+        machines = [
+            Machine(
+                name=name,
+                pool=pool,
+                state=self.state_of.get(name, "up"),
+                capacity=Capacity(cpu=CPU),
+                worker_id=None if pool == "spare" else f"i-{name}",
+            )
+            for name, pool in self.pool_of.items()
+        ]
+        self.give(MachinesListed(now_ms=self.now_ms, machines=machines, sent_ms=self.now_ms))
+
+    def measure(self, **wanted: int) -> None:
+        """Tell what pools ask for."""
+        loads = []
+        for pool, cpu in wanted.items():
+            members = [name for name, at in self.pool_of.items() if at == pool]
+            loads.append(
+                PoolLoad(
+                    service=pool,
+                    wanted_cpu=cpu,
+                    used_cpu=min(cpu, CPU * len(members)),
+                    workers={f"i-{name}": self.used.get(name, 0) for name in members},
+                    empty=[f"i-{name}" for name in members if name in self.empty],
+                    lasting={
+                        f"i-{name}": self.lasting[name] for name in members if name in self.lasting
+                    },
+                )
+            )
+        self.give(PoolsMeasured(now_ms=self.now_ms, loads=loads))
+
+    def plan(self, *, after_ms: int = 100, may_order: bool = True) -> list[Intent]:
+        """Plan; returns the machines that are ordered away."""
+        self.now_ms += after_ms
+        effects = self.give(PlanDue(now_ms=self.now_ms, may_order=may_order))
+        return [effect.intent for effect in effects if isinstance(effect, OrderMachine)]
+
+    def answer(self, machine: str, error: CallError | None = None) -> None:
+        """Answer an order."""
+        self.give(OrderAnswered(now_ms=self.now_ms, machine=machine, error=error))
--- /dev/null
+++ b/tests/pooling/test_plans.py
@@ -0,0 +1,147 @@
+"""Which machines go where, and when they may be ordered away."""
+
+from __future__ import annotations
+
+from heatherkeel.platform.errors import CallError, Failure
+from heatherkeel.platform.operator import Wave
+from heatherkeel.pooling.const import KEEP_MS, PARK_AFTER_MS
+from heatherkeel.pooling.models import SaveWave
+
+from .fleet import CPU, Fleet
+
+
+def test_pool_in_its_turn_gets_standby_machines_at_once() -> None:
+    """A queue's turn begins: it asks for five times what its pool holds."""
+    fleet = Fleet(desk=2, spare=4)
+    fleet.measure(desk=5 * CPU)
+    moved = fleet.plan()
+    assert len(moved) == 4
+    assert {intent.pool for intent in moved} == {"desk"}
+
+
+def test_machines_on_their_way_are_counted() -> None:
+    fleet = Fleet(desk=2, spare=6)
+    fleet.measure(desk=3 * CPU)
+    first, second = fleet.plan()
+    for intent in (first, second):
+        fleet.answer(intent.machine)
+    fleet.measure(desk=3 * CPU)
+    assert not fleet.plan()
+
+
+def test_surplus_of_one_pool_serves_another_once_it_is_empty() -> None:
+    """Another pool's machine is emptied first, and ordered away only when its owner says so."""
+    fleet = Fleet(desk=2, portal=6)
+    fleet.measure(desk=3 * CPU, portal=0)
+    assert not fleet.plan()
+    leaving = [intent.machine for intent in fleet.state.intents.values()]
+    assert len(leaving) == 2 and all(name.startswith("portal") for name in leaving)
+    fleet.empty = {leaving[0]}
+    fleet.measure(desk=3 * CPU, portal=0)
+    (moved,) = fleet.plan()
+    assert (moved.machine, moved.pool) == (leaving[0], "desk")
+
+
+def test_machine_with_a_lasting_task_is_not_moved() -> None:
+    fleet = Fleet(desk=2, portal=3)
+    fleet.lasting = {f"portal{n}": 1 for n in range(3)}
+    fleet.measure(desk=5 * CPU, portal=0)
+    fleet.plan()
+    assert not fleet.state.intents
+
+
+def test_surplus_is_parked_only_after_a_while_and_not_below_the_floor() -> None:
+    fleet = Fleet(desk=6, spare=1)
+    for _ in range((KEEP_MS + PARK_AFTER_MS) // 100 + 2):
+        fleet.measure(desk=0)
+        fleet.plan()
+    parked = [intent for intent in fleet.state.intents.values() if intent.pool == "spare"]
+    assert len(parked) == 3
+
+
+def test_pool_whose_load_is_not_known_gives_and_gets_nothing() -> None:
+    """A pool's owner can't be reached. Its last load may be long past."""
+    fleet = Fleet(desk=2, portal=6, spare=2)
+    fleet.measure(desk=5 * CPU, portal=0)
+    assert not fleet.plan(after_ms=5000)
+    assert not fleet.state.intents
+
+
+def test_wave_keeps_to_how_many_may_be_down_and_begins_with_what_is_off() -> None:
+    wave = Wave(number=1, machines=["spare0", "desk0", "desk1"], max_down=1, duration_s=60)
+    fleet = Fleet(waves=[wave], desk=6, spare=2)
+    fleet.measure(desk=0)
+    (first,) = fleet.plan()
+    assert first.machine == "spare0"
+    fleet.answer("spare0")
+    fleet.measure(desk=0)
+    assert not fleet.plan()
+
+
+def test_wave_is_complete_only_when_each_machine_was_begun() -> None:
+    """A wave is told to be complete, and a machine of it was never maintained: a broken promise.
+
+    Only an answered order counts; a machine that has left the fleet needs none.
+    """
+    wave = Wave(number=1, machines=["spare0", "spare1", "gone"], max_down=2, duration_s=60)
+    fleet = Fleet(waves=[wave], spare=2)
+    for intent in fleet.plan():
+        fleet.answer(intent.machine, CallError(failure=Failure.UNKNOWN))
+    fleet.plan()
+    assert not fleet.state.waves[1].is_complete
+    for intent in fleet.plan(after_ms=1500):
+        fleet.answer(intent.machine)
+    fleet.plan()
+    assert fleet.state.waves[1].is_complete
+    last = fleet.effects[-1]
+    assert isinstance(last, SaveWave) and last.progress.is_complete
+
+
+def test_pool_in_its_turn_is_spared_maintenance_while_there_is_time() -> None:
+    wave = Wave(number=1, machines=["desk0", "portal0"], max_down=2, duration_s=60)
+    fleet = Fleet(waves=[wave], desk=4, portal=4)
+    fleet.measure(desk=3 * CPU, portal=0)
+    fleet.plan()
+    assert [intent.machine for intent in fleet.state.intents.values()] == ["portal0"]
+
+
+def test_late_wave_spares_no_pool() -> None:
+    wave = Wave(number=1, machines=["desk0"], max_down=1, duration_s=10)
+    fleet = Fleet(waves=[wave], desk=4)
+    fleet.measure(desk=3 * CPU)
+    fleet.plan()
+    assert list(fleet.state.intents) == ["desk0"]
+
+
+def test_order_without_an_answer_keeps_its_machine_out_of_other_plans() -> None:
+    """A move isn't answered, and may be carried out seconds later.
+
+    Used by its pool meanwhile, the machine would take its tasks with it.
+    """
+    fleet = Fleet(desk=2, spare=1)
+    fleet.measure(desk=5 * CPU)
+    (moved,) = fleet.plan()
+    fleet.answer(moved.machine, CallError(failure=Failure.UNKNOWN))
+    fleet.list_machines()
+    assert moved.machine in fleet.state.intents
+    fleet.measure(desk=5 * CPU)
+    (again,) = fleet.plan(after_ms=1200)
+    assert again.machine == moved.machine
+
+
+def test_owner_that_may_not_order_lets_unordered_machines_serve_on() -> None:
+    fleet = Fleet(desk=2, portal=6)
+    fleet.measure(desk=5 * CPU, portal=0)
+    fleet.plan()
+    assert fleet.state.intents
+    fleet.plan(may_order=False)
+    assert not fleet.state.intents
+
+
+def test_machine_that_another_owner_has_just_ordered_waits() -> None:
+    fleet = Fleet(desk=2, spare=1)
+    fleet.state.blocked_until_ms["spare0"] = fleet.now_ms + 3000
+    fleet.measure(desk=5 * CPU)
+    assert not fleet.plan()
+    fleet.measure(desk=5 * CPU)
+    assert fleet.plan(after_ms=3000)
