--- a/heatherkeel/cli/instance.py
+++ b/heatherkeel/cli/instance.py
@@ -48,6 +48,6 @@
     from heatherkeel.instance.process import async_run_instance
 
     settings = loaded.ok_value
-    set_up_logs(instance=settings.instance, zone=settings.zone, stream=sys.stdout)
+    set_up_logs(instance=settings.instance, zone=settings.zone, descriptor=sys.stdout.fileno())
     trio.run(async_run_instance, settings)
     return EXIT_OK
--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -68,6 +68,13 @@
 LASTING_SHARE: Final = 0.5
 """Share of a step's lasting tasks that may be on one worker. Spread over all workers of a pool they
 would keep each of its machines from being sent away between the pool's turns."""
+STANDING_MS: Final = 1200
+"""Without any progress for this long a task stands still, in milliseconds. Progress is told in
+whole percent, and the longest tasks take about 5 s, so one that moves shows it every 50 ms."""
+FEWEST_STANDING: Final = 2
+"""So many tasks at least, and all of a worker's, have to stand still at once."""
+OVERDUE_FACTOR: Final = 1.6
+"""A task that has run for so many times its declared duration is looked at more often."""
 PACE_INTERVAL_MS: Final = 450
 """Time between two looks at a worker's tails, in milliseconds: they are told for the last 500."""
 PACE_DOWN_SHARE: Final = 0.85
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -7,11 +7,12 @@
 from heatherkeel.platform.workers import EndedTask
 
 from .building import open_followers
-from .const import GREY_FAILURES, GREY_PAUSE_MS, MAX_SET_ASIDE
+from .const import GREY_FAILURES, GREY_PAUSE_MS
 from .events import Effects, SaveJob
 from .jobs import end_job, save_ended, stop_run
 from .models import Job, JobState, Run, Step, Task, Worker
 from .pools import find_pool, forget_run, wait_for_room
+from .standing import may_set_aside
 from .state import PartitionState
 
 _LOGGER = logging.getLogger(__name__)
@@ -131,9 +132,7 @@
         worker.failed_jobs.append(job.id)
     if len(worker.failed_jobs) < GREY_FAILURES:
         return
-    pool = find_pool(state, worker.entry.service)
-    aside = sum(1 for other in pool.workers.values() if other.aside_until_ms > state.now_ms)
-    if aside + 1 > MAX_SET_ASIDE * len(pool.workers):
+    if not may_set_aside(state, worker):
         return
     worker.failed_jobs.clear()
     worker.aside_until_ms = state.now_ms + GREY_PAUSE_MS
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -57,6 +57,8 @@
     """Since when a lasting task has been at work."""
     saved: str = ""
     percent: float = 0.0
+    moved_ms: int = 0
+    """When its percent was first seen, or changed last."""
     figure: float = 0.0
     pace: int = 100
     ticket: str = ""
--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -30,6 +30,7 @@
     WorkerFailed,
 )
 from .models import RunState, Worker
+from .standing import has_overdue
 
 if TYPE_CHECKING:
     from .owner import PartitionOwner
@@ -129,7 +130,8 @@
             request = run.task.step.request
             fills |= request.fills
             serves |= request.tail_target_ms > 0
-        return WATCH_WAIT_MS if fills and serves else LIST_WAIT_MS
+        is_watched = (fills and serves) or has_overdue(self.worker, monotonic_ms())
+        return WATCH_WAIT_MS if is_watched else LIST_WAIT_MS
 
     def _lease_until(self) -> int:
         """Return the end of lease to send, and remember that it was sent."""
--- /dev/null
+++ b/heatherkeel/dispatch/standing.py
@@ -0,0 +1,69 @@
+"""Finds workers on which tasks stand still, and lets their tasks go on elsewhere."""
+
+from __future__ import annotations
+
+import logging
+
+from .const import (
+    FEWEST_STANDING,
+    GREY_PAUSE_MS,
+    MAX_SET_ASIDE,
+    OVERDUE_FACTOR,
+    STANDING_MS,
+)
+from .events import Effects
+from .jobs import stop_run
+from .models import Run, RunState, Worker
+from .pools import find_pool
+from .state import PartitionState
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def leave_standing(state: PartitionState, worker: Worker, effects: Effects) -> None:
+    """Set a worker aside on which nothing makes progress, and stop what stands there.
+
+    A worker may answer, list its tasks and never end one. Nothing lapses and nothing fails, so
+    its tasks would wait for as long as it stands. One task alone that stands still may be its own
+    fault; several of different ages at once are the worker's.
+    """
+    runs = [run for run in worker.runs.values() if _can_stand(run)]
+    standing = [run for run in runs if state.now_ms - run.moved_ms >= STANDING_MS]
+    if len(standing) < max(FEWEST_STANDING, len(runs)):
+        return
+    if not may_set_aside(state, worker):
+        return
+    worker.aside_until_ms = state.now_ms + GREY_PAUSE_MS
+    _LOGGER.warning(
+        "worker set aside: its tasks stand still",
+        extra={
+            "event": "worker_aside",
+            "worker": worker.id,
+            "standing": len(standing),
+            "for_ms": GREY_PAUSE_MS,
+        },
+    )
+    for run in standing:
+        stop_run(state, run, effects)
+
+
+def may_set_aside(state: PartitionState, worker: Worker) -> bool:
+    """Say whether one more worker of a pool may get no work for a while."""
+    pool = find_pool(state, worker.entry.service)
+    aside = sum(1 for other in pool.workers.values() if other.aside_until_ms > state.now_ms)
+    return aside + 1 <= MAX_SET_ASIDE * len(pool.workers)
+
+
+def has_overdue(worker: Worker, now_ms: int) -> bool:
+    """Say whether a task has run for much longer than it was said to take."""
+    return any(
+        now_ms - run.started_ms > OVERDUE_FACTOR * run.task.step.request.estimated_ms
+        for run in worker.runs.values()
+        if _can_stand(run)
+    )
+
+
+def _can_stand(run: Run) -> bool:
+    request = run.task.step.request
+    is_plain = not request.lasts and not request.is_gang and not request.fills
+    return run.state is RunState.RUNNING and is_plain and run.moved_ms > 0
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -26,6 +26,7 @@
 from .pacing import pace_worker
 from .pools import find_pool, wait_for_room
 from .registry import handles
+from .standing import leave_standing
 from .state import PartitionState
 
 _LOGGER = logging.getLogger(__name__)
@@ -82,6 +83,7 @@
         effects.add(AcknowledgeEnds(worker_id=worker.id, number=worker.seen))
     _compare_runs(state, worker, event.listing, event.sent_ms, event.now_ms, effects)
     pace_worker(state, worker, effects)
+    leave_standing(state, worker, effects)
 
 
 def _compare_runs(
@@ -118,6 +120,8 @@
         run.unanswered_ms = None
         run.answered_ms = now_ms
         run.state = RunState.RUNNING
+    if row.percent != run.percent or not run.moved_ms:
+        run.moved_ms = now_ms
     run.percent = row.percent
     run.figure = row.figure
     if row.saved:
--- a/heatherkeel/helpers/logs.py
+++ b/heatherkeel/helpers/logs.py
@@ -6,10 +6,12 @@
 import sys
 from datetime import UTC, datetime
 from types import TracebackType
-from typing import Final, TextIO
+from typing import Final
 
 from pythonjsonlogger.json import JsonFormatter
 
+from .bounded_logs import LineLimiter, NonBlockingStream
+
 _LOGGER = logging.getLogger(__name__)
 
 DEFAULT_EVENT: Final = "log"
@@ -76,13 +78,17 @@
 
 
 def set_up_logs(
-    *, instance: str, zone: str, level: int = logging.INFO, stream: TextIO | None = None
+    *, instance: str, zone: str, level: int = logging.INFO, descriptor: int | None = None
 ) -> None:
     """Write every log line as JSON, with the process's instance and availability zone.
 
-    Lines go to standard error unless another stream is given.
+    Lines go to standard error, or bounded and without waiting to another descriptor.
     """
-    handler = LineHandler(stream or sys.stderr)
+    if descriptor is None:
+        handler = LineHandler(sys.stderr)
+    else:
+        handler = LineHandler(NonBlockingStream(descriptor))
+        handler.addFilter(LineLimiter())
     handler.setFormatter(LineFormatter(instance=instance, zone=zone))
     logging.basicConfig(level=level, handlers=[handler], force=True)
     logging.captureWarnings(True)
--- a/tests/dispatch/test_losses.py
+++ b/tests/dispatch/test_losses.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from heatherkeel.dispatch.const import GREY_PAUSE_MS, LEASE_MS, LEAVING_MS, SILENT_MS
+from heatherkeel.dispatch.const import GREY_PAUSE_MS, LEASE_MS, LEAVING_MS, SILENT_MS, STANDING_MS
 from heatherkeel.dispatch.events import LivesListed, Tick
 from heatherkeel.dispatch.models import JobState, Run
 from heatherkeel.platform.errors import Failure
+from heatherkeel.platform.workers import RunningTask
 
-from .partition import JOB, Partition, make_entry, make_step, started, stopped
+from .partition import JOB, OTHER_JOB, Partition, make_entry, make_step, started, stopped
 
 
 def start_on(partition: Partition, worker_id: str, job_id: str = JOB) -> Run:
@@ -239,3 +240,32 @@
     partition.now_ms += SILENT_MS
     partition.give(LivesListed(**partition.at(), worker_ids=frozenset({"w0", "w1"})))
     assert not started(partition.effects)
+
+
+def test_worker_whose_tasks_stand_still_is_left() -> None:
+    """A worker answers and lists its tasks, but none of them gets any further.
+
+    Nothing ends, fails or lapses, so the jobs would wait for as long as the worker stands. Its
+    tasks are stopped and go on elsewhere, and it gets no work for a while.
+    """
+    partition = Partition(workers=4)
+    first = start_on(partition, "w0")
+    second = start_on(partition, "w0", OTHER_JOB)
+    partition.answer("w0", percent=30.0)
+    partition.now_ms += STANDING_MS
+    effects = partition.answer("w0", percent=30.0)
+    assert set(stopped(effects)) == {first, second}
+    assert not partition.state.workers["w0"].takes_work(partition.now_ms)
+
+
+def test_worker_with_one_task_that_moves_is_kept() -> None:
+    partition = Partition(workers=4)
+    first = start_on(partition, "w0")
+    second = start_on(partition, "w0", OTHER_JOB)
+    partition.answer("w0", percent=30.0)
+    partition.now_ms += STANDING_MS
+    rows = [
+        RunningTask(task=run.task.name, attempt=1, saved="", percent=percent, figure=0.0)
+        for run, percent in ((first, 30.0), (second, 31.0))
+    ]
+    assert not stopped(partition.list_exactly("w0", *rows))
