--- a/heatherkeel/dispatch/orders.py
+++ b/heatherkeel/dispatch/orders.py
@@ -12,11 +12,13 @@
 from .models import RunState
 from .registry import handles
 from .state import PartitionState
+from .workers import drop_worker, fall_silent
 
 _LOGGER = logging.getLogger(__name__)
 
 NO_TICKET = "ticket"
 """Why a worker refuses a start whose ticket is missing, or not good any more."""
+_NOT_REACHED = frozenset({Failure.REFUSED, Failure.UNKNOWN})
 _NOT_DONE = frozenset(
     {Failure.REFUSED, Failure.INVALID, Failure.RESERVED, Failure.OTHER_INSTANCE, Failure.FENCED}
 )
@@ -50,6 +52,14 @@
             "detail": event.error.detail,
         },
     )
+    worker = state.workers.get(run.worker_id)
+    if worker is not None and event.error.failure is Failure.OTHER_INSTANCE:
+        state.gone_workers.add(worker.id)
+        drop_worker(state, worker, effects, why="another worker has its address")
+        return
+    if worker is not None and event.error.failure in _NOT_REACHED:
+        # The emptiest worker of a pool would be tried again at once, and again.
+        fall_silent(state, worker, effects, detail=event.error.detail)
     if event.error.detail == NO_TICKET:
         run.task.step.tickets.pop(run.worker_id, None)
     if event.error.failure in _NOT_DONE and run.state is not RunState.STOPPING:
--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -173,6 +173,9 @@
         error = started.err_value if isinstance(started, Err) else None
         if error is not None and error.failure is Failure.FENCED:
             self.owner.on_fenced()
+        if error is not None:
+            # Whether the worker still answers is found out now, not at the next idle look.
+            self.work_came.set()
         now_ms, wall_ms = self.owner.times()
         self.owner.take(StartAnswered(now_ms=now_ms, wall_ms=wall_ms, run=run, error=error))
 
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -176,14 +176,20 @@
         state.gone_workers.add(worker.id)
         drop_worker(state, worker, effects, why="another worker has its address")
         return
-    if not worker.is_silent:
-        _tell(worker.id, "worker_silent", event.error.detail)
-        worker.silent_since_ms = state.now_ms
-        doubt_runs(state, worker, effects)
-    worker.is_silent = True
+    fall_silent(state, worker, effects, detail=event.error.detail)
     drop_if_lapsed(state, worker, effects)
 
 
+def fall_silent(state: PartitionState, worker: Worker, effects: Effects, *, detail: str) -> None:
+    """Give a worker nothing more to do until it is heard again."""
+    if worker.is_silent:
+        return
+    worker.is_silent = True
+    worker.silent_since_ms = state.now_ms
+    _tell(worker.id, "worker_silent", detail)
+    doubt_runs(state, worker, effects)
+
+
 def doubt_runs(state: PartitionState, worker: Worker, effects: Effects) -> None:
     """Let tasks that may be copied start elsewhere too, while their worker doesn't answer."""
     for run in worker.runs.values():
--- a/tests/dispatch/test_losses.py
+++ b/tests/dispatch/test_losses.py
@@ -269,3 +269,29 @@
         for run, percent in ((first, 30.0), (second, 31.0))
     ]
     assert not stopped(partition.list_exactly("w0", *rows))
+
+
+def test_worker_that_refuses_the_connection_is_not_tried_again_at_once() -> None:
+    """A machine has moved away, and its worker's entry stands for seconds more.
+
+    It is the emptiest of its pool, so a start that couldn't reach it goes to it again, each time
+    with a new attempt to store and a new connection. It gets no work before it is heard again.
+    """
+    partition = Partition(workers=2)
+    worker = partition.state.workers["w0"]
+    partition.state.workers["w1"].is_leaving = True
+    (run,) = started(partition.submit(make_step()))
+    partition.state.workers["w1"].is_leaving = False
+    (again,) = started(partition.start_answered(run, Failure.REFUSED))
+    assert again.worker_id == "w1"
+    assert not worker.takes_work(partition.now_ms)
+    partition.answer("w0")
+    assert worker.takes_work(partition.now_ms)
+
+
+def test_start_that_another_life_answered_proves_the_worker_gone() -> None:
+    partition = Partition(workers=2)
+    (run,) = started(partition.submit(make_step()))
+    (again,) = started(partition.start_answered(run, Failure.OTHER_INSTANCE))
+    assert again.worker_id != run.worker_id
+    assert run.worker_id not in partition.state.workers
