--- a/heatherkeel/pooling/demand.py
+++ b/heatherkeel/pooling/demand.py
@@ -116,18 +116,21 @@
         if state.is_standby(pool):
             donors += list(machines)
         elif pool not in short:
-            donors += _surplus(state, pool, machines)
+            donors += _surplus(state, pool, machines, recent=not short)
     donors.sort(key=lambda machine: (not state.is_standby(machine.pool), machine.name))
     return donors
 
 
-def _surplus(state: FleetState, pool: str, machines: list[Machine]) -> list[Machine]:
-    """Return a pool's machines beyond its recent demand, without lasting tasks, emptiest first.
+def _surplus(
+    state: FleetState, pool: str, machines: list[Machine], *, recent: bool
+) -> list[Machine]:
+    """Return a pool's machines beyond its demand, without lasting tasks, the emptiest first.
 
+    What was wanted in the last seconds counts, unless another pool is short right now.
     A machine with a lasting task stays: moving it would end the task, and its step may not have
     two on one worker.
     """
-    needed = _needed(state, pool, machines, recent=True)
+    needed = _needed(state, pool, machines, recent=recent)
     view = state.pools.get(pool)
     if needed is None or view is None:
         return []
