--- /dev/null
+++ b/heatherkeel/dispatch/dropping.py
@@ -0,0 +1,41 @@
+"""Drops from the store what callers sent of jobs that have ended."""
+
+from __future__ import annotations
+
+import trio
+from result import Err
+
+from heatherkeel.ownership.const import JOBS_TOPIC
+from heatherkeel.platform.framing import KeyedRecord
+from heatherkeel.platform.store import StoreClient
+
+from .records import CANCEL_PREFIX, REQUEST_PREFIX
+
+
+class RequestDropper:
+    """Gathers drops for a second at a time: nothing waits for them."""
+
+    def __init__(self, *, store: StoreClient, partition: int) -> None:
+        self.store = store
+        self.partition = partition
+        self.dropped: dict[str, KeyedRecord] = {}
+        self.drop_wanted = trio.Event()
+
+    def drop(self, job_id: str) -> None:
+        """Drop what the caller of an ended job sent."""
+        for prefix in (REQUEST_PREFIX, CANCEL_PREFIX):
+            key = f"{prefix}{job_id}"
+            self.dropped[key] = KeyedRecord(key=key, value=b"")
+        self.drop_wanted.set()
+
+    async def async_run(self) -> None:
+        """Drop requests of ended jobs a second at a time; one that stays is dropped later."""
+        while True:
+            await self.drop_wanted.wait()
+            await trio.sleep(1.0)
+            self.drop_wanted = trio.Event()
+            records, self.dropped = list(self.dropped.values()), {}
+            appended = await self.store.async_append(JOBS_TOPIC, self.partition, records)
+            if isinstance(appended, Err):
+                self.dropped = {record.key: record for record in records} | self.dropped
+                self.drop_wanted.set()
--- /dev/null
+++ b/heatherkeel/dispatch/inquiries.py
@@ -0,0 +1,88 @@
+"""What an owner asks others than its workers: which lives there are, and who may run a step."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import trio
+from result import Err, Ok
+
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.platform.advice import Advisor, AdvisorClient
+from heatherkeel.platform.machines import MachineClient
+
+from .const import LIVES_INTERVAL_MS
+from .events import AdviceTold, AskAdvice, LivesListed
+
+if TYPE_CHECKING:
+    from .owner import PartitionOwner
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Inquiries:
+    """Asks the list of machines and the advisor for one owner."""
+
+    def __init__(self, *, owner: PartitionOwner) -> None:
+        self.owner = owner
+        settings = owner.settings
+        self.machines = MachineClient(address=settings.machines.address, holder=settings.instance)
+        self.advisor = AdvisorClient(address=settings.advisor)
+        self.advice_lock = trio.Lock()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.machines.close()
+        await self.advisor.close()
+
+    async def async_list_lives(self) -> None:
+        """Look at the list of machines for as long as a worker with tasks is silent."""
+        while True:
+            await trio.sleep(LIVES_INTERVAL_MS / 1000)
+            silent = [w for w in self.owner.state.workers.values() if w.is_silent and w.runs]
+            if not silent or not self.machines.caller.address:
+                continue
+            listed = await self.machines.async_list()
+            if isinstance(listed, Err):
+                _LOGGER.info(
+                    "machines can't be listed; silent workers count until their leases lapse",
+                    extra={"event": "machines_unread", "detail": listed.err_value.detail},
+                )
+                continue
+            alive = [m.worker_id for m in listed.ok_value if m.is_up() and m.worker_id]
+            now_ms, wall_ms = self.owner.times()
+            self.owner.take(
+                LivesListed(now_ms=now_ms, wall_ms=wall_ms, worker_ids=frozenset(alive))
+            )
+
+    async def async_ask_advice(self, effect: AskAdvice) -> None:
+        """Ask one question after the other: the advisor handles one of a machine at a time."""
+        step, workers = effect.step, list(effect.worker_ids)
+        queue = self.owner.state.queues.get(step.job.queue)
+        advisor = queue.advisor if queue else None
+        timeout_s = (advisor or Advisor()).timeout_s(len(workers))
+        async with self.advice_lock:
+            asked_ms = monotonic_ms()
+            advised = await self.advisor.async_advise(step.name(), workers, timeout_s=timeout_s)
+        tickets, validity_ms = None, 0
+        match advised:
+            case Ok(advice):
+                tickets, validity_ms = advice.tickets(), advice.validity_ms
+            case Err(error):
+                _LOGGER.warning(
+                    "no advice",
+                    extra={"event": "no_advice", "step": step.name(), "detail": error.detail},
+                )
+        now_ms, wall_ms = self.owner.times()
+        self.owner.take(
+            AdviceTold(
+                now_ms=now_ms,
+                wall_ms=wall_ms,
+                step=step,
+                worker_ids=effect.worker_ids,
+                tickets=tickets,
+                asked_ms=asked_ms,
+                validity_ms=validity_ms,
+            )
+        )
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -8,7 +8,7 @@
 from functools import partial
 
 import trio
-from result import Err, Ok
+from result import Err
 
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.follower import RETRY_PAUSE_S, TopicFollower
@@ -16,17 +16,15 @@
 from heatherkeel.ownership.const import JOBS_TOPIC, WORK_TOPIC
 from heatherkeel.ownership.partitions import partition_of
 from heatherkeel.ownership.tenure import Tenure
-from heatherkeel.platform.advice import Advisor, AdvisorClient
 from heatherkeel.platform.framing import KeyedRecord
-from heatherkeel.platform.machines import MachineClient
 from heatherkeel.platform.settings import InstanceSettings
 from heatherkeel.platform.store import StoreClient
 
 from . import subjects  # noqa: F401
-from .const import CURRENT_MS, FOLLOW_WAIT_MS, LEASE_MS, LIVES_INTERVAL_MS, TICK_MS
+from .const import CURRENT_MS, FOLLOW_WAIT_MS, LEASE_MS, TICK_MS
+from .dropping import RequestDropper
 from .events import (
     AcknowledgeEnds,
-    AdviceTold,
     AskAdvice,
     Effect,
     Effects,
@@ -34,7 +32,6 @@
     ForgetJob,
     JobCanceled,
     JobSubmitted,
-    LivesListed,
     PaceTask,
     QueuesChanged,
     SaveJob,
@@ -44,12 +41,11 @@
     WorkersLeaving,
     WorkersListed,
 )
+from .inquiries import Inquiries
 from .jobs import stop_leftovers
 from .journal import Journal
 from .records import (
-    CANCEL_PREFIX,
     PROGRESS_PREFIX,
-    REQUEST_PREFIX,
     StoredRequest,
     encode_progress,
 )
@@ -85,20 +81,16 @@
             token=token,
             lease_ms=min(LEASE_MS, settings.bounds.longest_lease_ms),
             status_ms=round(settings.bounds.status_s * 1000),
-            remote_factor=settings.bounds.remote_factor,
         )
         self.journal = Journal(store=store, partition=partition, token=token, on_fenced=on_fenced)
-        self.machines = MachineClient(address=settings.machines.address, holder=settings.instance)
-        self.advisor = AdvisorClient(address=settings.advisor)
-        self.advice_lock = trio.Lock()
         self.sessions: dict[str, WorkerSession] = {}
         self.unsent: dict[str, list[Effect]] = {}
         """Orders for workers that can't be called yet, such as stops decided in recovery."""
         self.scope = trio.CancelScope()
         self.nursery: trio.Nursery | None = None
         self.is_restored = False
-        self.dropped: dict[str, KeyedRecord] = {}
-        self.drop_wanted = trio.Event()
+        self.inquiries = Inquiries(owner=self)
+        self.dropper = RequestDropper(store=store, partition=partition)
         self.jobs_end = 0
         self.follower: TopicFollower | None = None
 
@@ -111,13 +103,12 @@
                 self.directory.subscribe(self._take_directory)
                 nursery.start_soon(self.journal.async_run)
                 nursery.start_soon(self._async_follow_jobs)
-                nursery.start_soon(self._async_drop_requests)
+                nursery.start_soon(self.dropper.async_run)
                 nursery.start_soon(self._async_tick)
-                nursery.start_soon(self._async_list_lives)
+                nursery.start_soon(self.inquiries.async_list_lives)
                 self._take_directory()
         with trio.CancelScope(shield=True):
-            await self.machines.close()
-            await self.advisor.close()
+            await self.inquiries.close()
         if self._take_directory in self.directory.subscribers:
             self.directory.unsubscribe(self._take_directory)
 
@@ -245,12 +236,13 @@
         entries = {
             worker_id: entry
             for worker_id, entry in known.workers.items()
-            if self._owns(entry.service)
+            if self.owns(entry.service)
         }
         self.take(WorkersListed(now_ms=now_ms, wall_ms=wall_ms, entries=entries))
         self._open_sessions()
 
-    def _owns(self, service: str) -> bool:
+    def owns(self, service: str) -> bool:
+        """Say whether a service's jobs and workers belong to this partition."""
         known = self.directory.state.services.get(service)
         if known is not None and known.is_standby:
             return False
@@ -299,24 +291,6 @@
             self.take(Tick(now_ms=now_ms, wall_ms=wall_ms, can_start=can_start))
             self._open_sessions()
 
-    async def _async_list_lives(self) -> None:
-        """Look at the list of machines for as long as a worker with tasks is silent."""
-        while True:
-            await trio.sleep(LIVES_INTERVAL_MS / 1000)
-            silent = [w for w in self.state.workers.values() if w.is_silent and w.runs]
-            if not silent or not self.machines.caller.address:
-                continue
-            listed = await self.machines.async_list()
-            if isinstance(listed, Err):
-                _LOGGER.info(
-                    "machines can't be listed; silent workers count until their leases lapse",
-                    extra={"event": "machines_unread", "detail": listed.err_value.detail},
-                )
-                continue
-            alive = [m.worker_id for m in listed.ok_value if m.is_up() and m.worker_id]
-            now_ms, wall_ms = self.times()
-            self.take(LivesListed(now_ms=now_ms, wall_ms=wall_ms, worker_ids=frozenset(alive)))
-
     def _perform(self, effect: Effect) -> None:
         match effect:
             case SaveJob():
@@ -333,41 +307,10 @@
                 self._order(effect.run.worker_id, effect)
             case AskAdvice():
                 assert self.nursery is not None
-                self.nursery.start_soon(self._async_ask_advice, effect)
+                self.nursery.start_soon(self.inquiries.async_ask_advice, effect)
             case AcknowledgeEnds():
                 self.journal.when_stored(lambda: self._acknowledge(effect))
 
-    async def _async_ask_advice(self, effect: AskAdvice) -> None:
-        """Ask one question after the other: the advisor handles one of a machine at a time."""
-        step, workers = effect.step, list(effect.worker_ids)
-        queue = self.state.queues.get(step.job.queue)
-        advisor = queue.advisor if queue else None
-        timeout_s = (advisor or Advisor()).timeout_s(len(workers))
-        async with self.advice_lock:
-            asked_ms = monotonic_ms()
-            advised = await self.advisor.async_advise(step.name(), workers, timeout_s=timeout_s)
-        tickets, validity_ms = None, 0
-        match advised:
-            case Ok(advice):
-                tickets, validity_ms = advice.tickets(), advice.validity_ms
-            case Err(error):
-                _LOGGER.warning(
-                    "no advice",
-                    extra={"event": "no_advice", "step": step.name(), "detail": error.detail},
-                )
-        now_ms, wall_ms = self.times()
-        self.take(
-            AdviceTold(
-                now_ms=now_ms,
-                wall_ms=wall_ms,
-                step=step,
-                worker_ids=effect.worker_ids,
-                tickets=tickets,
-                asked_ms=asked_ms,
-                validity_ms=validity_ms,
-            )
-        )
-
     def _order(self, worker_id: str, effect: Effect) -> None:
         session = self.sessions.get(worker_id)
         if session is not None:
@@ -387,22 +330,4 @@
         if not effect.only_request:
             self.journal.put(f"{PROGRESS_PREFIX}{effect.job_id}", bytes)
             return
-        self.journal.when_stored(lambda: self._drop_request(effect.job_id))
-
-    def _drop_request(self, job_id: str) -> None:
-        for prefix in (REQUEST_PREFIX, CANCEL_PREFIX):
-            key = f"{prefix}{job_id}"
-            self.dropped[key] = KeyedRecord(key=key, value=b"")
-        self.drop_wanted.set()
-
-    async def _async_drop_requests(self) -> None:
-        """Drop requests of ended jobs a second at a time; one that stays is dropped later."""
-        while True:
-            await self.drop_wanted.wait()
-            await trio.sleep(1.0)
-            self.drop_wanted = trio.Event()
-            records, self.dropped = list(self.dropped.values()), {}
-            appended = await self.store.async_append(JOBS_TOPIC, self.partition, records)
-            if isinstance(appended, Err):
-                self.dropped = {record.key: record for record in records} | self.dropped
-                self.drop_wanted.set()
+        self.journal.when_stored(lambda: self.dropper.drop(effect.job_id))
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -50,7 +50,6 @@
     token: int
     lease_ms: int
     status_ms: int
-    remote_factor: float = 2.0
     now_ms: int = 0
     wall_ms: int = 0
     jobs: dict[str, Job] = field(default_factory=dict)
--- a/heatherkeel/gateway/app.py
+++ b/heatherkeel/gateway/app.py
@@ -25,7 +25,7 @@
     Receive,
     Request,
     Send,
-    async_respond_json,
+    async_respond,
     async_respond_problem,
     async_run_lifespan,
     parse_request,
@@ -33,7 +33,11 @@
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.ownership.const import JOBS_TOPIC
 from heatherkeel.ownership.partitions import partition_of
-from heatherkeel.platform.callers import decode_job
+from heatherkeel.platform.callers import (
+    decode_job,
+    encode_job_state,
+    encode_queue_length,
+)
 from heatherkeel.platform.const import DEADLINE_HEADER
 from heatherkeel.platform.errors import Failure
 from heatherkeel.platform.framing import KeyedRecord
@@ -174,7 +178,7 @@
                 "version": config.version if config else 0,
             },
         )
-        return await async_respond_json(self.send, {"state": JobState.PENDING.value})
+        return await self._async_tell_state(JobState.PENDING)
 
     async def _async_store(self, queue: Queue, record: KeyedRecord, job_id: str) -> Refusal | None:
         """Store a record, and answer the caller if that can't be done in time.
@@ -215,7 +219,7 @@
         found = await self._async_find(queue, job_id)
         if isinstance(found, Refusal):
             return await self._async_refuse(found, job_id=job_id)
-        return await async_respond_json(self.send, {"state": found.value})
+        return await self._async_tell_state(found)
 
     async def _async_find(self, queue: Queue, job_id: str) -> JobState | Refusal:
         """Return a job's state, or why it can't be told."""
@@ -238,7 +242,7 @@
             "cancel accepted",
             extra={"event": "cancel_accepted", "job": job_id, "queue": queue.name},
         )
-        return await async_respond_json(self.send, {"state": JobState.CANCELED.value})
+        return await self._async_tell_state(JobState.CANCELED)
 
     async def _async_tell_length(self, queue: Queue) -> None:
         pending: int | None = None
@@ -246,7 +250,10 @@
             pending = await self.app.lookup.async_count_pending(self._partition(queue), queue.name)
         if pending is None:
             return await self._async_refuse(Refusal.OWNER_SILENT)
-        return await async_respond_json(self.send, {"pendingJobs": pending})
+        return await async_respond(self.send, status=200, body=encode_queue_length(pending))
+
+    async def _async_tell_state(self, state: JobState) -> None:
+        await async_respond(self.send, status=200, body=encode_job_state(state.value))
 
     async def _async_refuse(
         self, reason: Refusal, *, job_id: str = "", detail: str = "", retry_s: int = 0
--- a/heatherkeel/platform/callers.py
+++ b/heatherkeel/platform/callers.py
@@ -72,3 +72,13 @@
         if min(step.cpu, step.memory_mb, step.gpu, step.estimated_ms) < 0:
             return f"steps[{number}] has a negative amount"
     return None
+
+
+def encode_job_state(state: str) -> bytes:
+    """Return the body that tells a job's state; our names for states are the platform's."""
+    return msgspec.json.encode({"state": state})
+
+
+def encode_queue_length(pending: int) -> bytes:
+    """Return the body that tells how many accepted jobs have no task started."""
+    return msgspec.json.encode({"pendingJobs": pending})
--- a/heatherkeel/platform/operator.py
+++ b/heatherkeel/platform/operator.py
@@ -15,7 +15,6 @@
     host: str
     path_prefix: str = msgspec.field(name="pathPrefix")
     service: str
-    timeout_ms: int = msgspec.field(name="timeoutMs", default=3000)
     target_latency_ms: int = msgspec.field(name="targetLatencyMs", default=1000)
     """What the objective of a job allows on top of its stretched chain of work."""
     priority: int = 0
--- a/heatherkeel/platform/settings.py
+++ b/heatherkeel/platform/settings.py
@@ -17,23 +17,12 @@
 
 
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
-    """Times that the platform promises or asks for; milliseconds, or seconds where named so."""
+    """Times that the platform promises or asks for, as far as anything depends on them."""
 
     longest_lease_ms: int = msgspec.field(name="holdMaxMs", default=6000)
     machine_lease_ms: int = msgspec.field(name="leaseMs", default=3000)
     """Two holders may not take turns at one machine within this time."""
-    stop_timeout_ms: int = msgspec.field(name="stopTimeoutMs", default=400)
-    drain_ms: int = msgspec.field(name="drainMs", default=2000)
-    grace_s: float = msgspec.field(name="graceS", default=6.0)
-    move_s: float = msgspec.field(name="migrationS", default=1.5)
-    maintenance_s: float = msgspec.field(name="maintenanceS", default=2.0)
-    remote_factor: float = msgspec.field(name="remoteFactor", default=2.0)
     status_s: float = msgspec.field(name="status_s", default=120.0)
-    notice_ms: int = msgspec.field(name="noticeMs", default=4500)
-    """A lasting task counts as away until it has worked for this long."""
-    disturbance_ms: int = msgspec.field(name="interferenceMs", default=4000)
-    """A serving task may be over its target for this long because of tasks that fill."""
-    pace_ms: int = msgspec.field(name="paceMs", default=100)
 
 
 class StoreSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -41,17 +30,12 @@
 
     address: str
     partitions: int = msgspec.field(name="parts", default=1)
-    record_bytes: int = msgspec.field(name="recordBytes", default=262144)
-    request_bytes: int = msgspec.field(name="requestBytes", default=2097152)
-    shortest_ttl_ms: int = msgspec.field(name="ttlMinMs", default=1000)
 
 
 class MachineSettings(msgspec.Struct, frozen=True, kw_only=True):
     """The service that moves machines between pools."""
 
     address: str = ""
-    operations_per_s: float = msgspec.field(name="dutyPerS", default=1.0)
-    readings_per_s: float = msgspec.field(name="ratePerS", default=1.0)
 
 
 class InstanceSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/instance/site.py
+++ b/tests/instance/site.py
@@ -104,7 +104,7 @@
             if scope.cancel_called:
                 continue
             for owner in process.owners.values():
-                if owner.is_restored and owner._owns(service) and owner.may_order():
+                if owner.is_restored and owner.owns(service) and owner.may_order():
                     return process
         return None
 
