--- /dev/null
+++ b/tests/dispatch/test_machine.py
@@ -0,0 +1,409 @@
+"""Owners, workers and the store in any order of events: no task twice, no room exceeded.
+
+The reducer's effects are carried out one by one, or lost with their owner. Orders are answered, or
+not; carried out, or not, or later; workers end tasks, fall silent, die and lose their leases. What
+real workers do is checked, not what the owner believes.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from heatherkeel.dispatch.events import (
+    AcknowledgeEnds,
+    Effect,
+    Effects,
+    ForgetJob,
+    LivesListed,
+    SaveJob,
+    StartAnswered,
+    StartTask,
+    StopAnswered,
+    StopTask,
+    WorkerAnswered,
+)
+from heatherkeel.dispatch.jobs import stop_leftovers
+from heatherkeel.dispatch.models import RunState
+from heatherkeel.dispatch.records import (
+    PROGRESS_PREFIX,
+    REQUEST_PREFIX,
+    StoredRequest,
+    encode_progress,
+    encode_request,
+)
+from heatherkeel.dispatch.recovery import read_records, restore_jobs
+from heatherkeel.platform.errors import CallError, Failure
+from heatherkeel.platform.framing import KeyedRecord
+from heatherkeel.platform.workers import EndedTask, Listing, RunningTask
+
+from .partition import Partition, make_entry, make_step
+
+LEASE_MS = 6000
+CPU = 4000
+TASK_CPU = 2000
+
+
+@dataclass
+class RealWorker:
+    """What a worker really does, by the published protocol."""
+
+    id: str
+    token: int = 0
+    lease_until_ms: int = 0
+    runs: dict[str, int] = field(default_factory=dict)
+    refused: dict[str, int] = field(default_factory=dict)
+    ended: list[EndedTask] = field(default_factory=list)
+    numbers: int = 0
+    is_alive: bool = True
+
+    def start(self, task: str, attempt: int, token: int, until_ms: int, now_ms: int) -> str:
+        """Start a task; returns why not, or nothing."""
+        if token < self.token:
+            return "fence"
+        self.token = token
+        if until_ms < now_ms:
+            return "late"
+        if self.runs.get(task) == attempt:
+            return ""
+        if attempt <= self.refused.get(task, 0) or task in self.runs:
+            return "old"
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        self.runs[task] = attempt
+        return ""
+
+    def stop(self, task: str, attempt: int, token: int) -> str:
+        """Stop a task, at once; returns why not, or nothing."""
+        if token < self.token:
+            return "fence"
+        self.token = token
+        self.refused[task] = max(self.refused.get(task, 0), attempt)
+        if self.runs.get(task, attempt + 1) <= attempt:
+            self.end(task, "stopped")
+        return ""
+
+    def end(self, task: str, outcome: str) -> None:
+        """End a task."""
+        attempt = self.runs.pop(task)
+        self.refused[task] = max(self.refused.get(task, 0), attempt)
+        self.numbers += 1
+        self.ended.append(
+            EndedTask(number=self.numbers, task=task, attempt=attempt, outcome=outcome, saved="")
+        )
+
+    def look(self, now_ms: int) -> None:
+        """Kill everything whose lease has run out."""
+        if now_ms > self.lease_until_ms:
+            for task in list(self.runs):
+                self.end(task, "lapsed")
+
+
+@dataclass(frozen=True)
+class LateOrder:
+    """An order that is carried out some time after it was given up."""
+
+    worker_id: str
+    kind: str
+    task: str
+    attempt: int
+    token: int
+    until_ms: int
+
+
+class DispatchMachine(RuleBasedStateMachine):
+    """Two workers, an owner and its successors."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.workers: dict[str, RealWorker] = {}
+        self.everyone: list[RealWorker] = []
+        self.lives = 0
+        self.partition = Partition(workers=0)
+        self.requests: dict[str, bytes] = {}
+        self.progress: dict[str, bytes] = {}
+        self.waiting: list[Effect] = []
+        self.late: list[LateOrder] = []
+        self.noted: set[str] = set()
+        self.jobs = 0
+        for _ in range(2):
+            self._add_worker()
+        self._list()
+
+    # What happens to the fleet.
+
+    def _add_worker(self) -> None:
+        self.lives += 1
+        worker = RealWorker(id=f"w{self.lives}")
+        self.workers[worker.id] = worker
+        self.everyone.append(worker)
+        self.partition.entries[worker.id] = make_entry(cpu=CPU)
+
+    def _list(self) -> None:
+        self._collect(self.partition.list_workers())
+
+    def _collect(self, effects: list[Effect]) -> None:
+        self.waiting += effects
+
+    @rule()
+    def submit(self) -> None:
+        """A job comes."""
+        if self.jobs >= 5:
+            return
+        self.jobs += 1
+        job_id = f"{self.jobs:016x}"
+        step = make_step(count=2, cpu=TASK_CPU)
+        self._collect(self.partition.submit(step, job_id=job_id))
+        job = self.partition.job(job_id)
+        stored = StoredRequest(
+            queue="quotes", service="portal", accepted_wall_ms=1000, request=job.request
+        )
+        self.requests[job_id] = encode_request(stored)
+
+    @precondition(lambda self: self.jobs)
+    @rule(number=st.integers(1, 5))
+    def cancel(self, number: int) -> None:
+        """A job is canceled."""
+        job_id = f"{min(number, self.jobs):016x}"
+        if self.partition.state.find_job(job_id):
+            self._collect(self.partition.cancel(job_id))
+
+    @rule()
+    def work_on(self) -> None:
+        """Everything goes well for a while."""
+        for _ in range(2):
+            # Bounded: a stop that can't reach its worker is sent again and again.
+            for _ in range(len(self.waiting) + 10):
+                if self.waiting:
+                    self.perform("done")
+            for number in range(len(self.partition.state.workers)):
+                self.hold(number, False)
+
+    @precondition(lambda self: self.waiting)
+    @rule(fate=st.sampled_from(["done", "unanswered", "lost", "late"]))
+    def perform_some(self, fate: str) -> None:
+        """The owner's process carries out its effects up to the next order."""
+        for _ in range(len(self.waiting)):
+            is_order = isinstance(self.waiting[0], StartTask | StopTask)
+            self.perform(fate)
+            if is_order:
+                return
+
+    def perform(self, fate: str) -> None:
+        """Carry out the next effect."""
+        effect = self.waiting.pop(0)
+        match effect:
+            case SaveJob():
+                job = self.partition.state.find_job(effect.job_id)
+                if job is not None:
+                    self.progress[job.id] = encode_progress(job)
+            case ForgetJob(only_request=True):
+                self.requests.pop(effect.job_id, None)
+            case AcknowledgeEnds():
+                worker = self.partition.state.workers.get(effect.worker_id)
+                if worker is not None:
+                    worker.acknowledged = max(worker.acknowledged, effect.number)
+            case StartTask():
+                self._perform_start(effect, fate)
+            case StopTask():
+                self._perform_stop(effect, fate)
+
+    def _lease(self, worker_id: str) -> int:
+        worker = self.partition.state.workers[worker_id]
+        until_ms = worker.clock_at(self.partition.now_ms) + LEASE_MS
+        worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+        return until_ms
+
+    def _perform_start(self, effect: StartTask, fate: str) -> None:
+        run = effect.run
+        if run not in run.task.runs or run.state is not RunState.PLANNED:
+            return
+        run.state = RunState.SENT
+        until_ms = self._lease(run.worker_id)
+        order = LateOrder(
+            run.worker_id, "start", run.task.name, run.attempt, self.partition.state.token, until_ms
+        )
+        error = self._send(order, fate)
+        answered = StartAnswered(**self.partition.at(), run=run, error=error)
+        self._collect(self.partition.give(answered))
+
+    def _perform_stop(self, effect: StopTask, fate: str) -> None:
+        run = effect.run
+        if run not in run.task.runs:
+            return
+        order = LateOrder(
+            run.worker_id, "stop", run.task.name, run.attempt, self.partition.state.token, 0
+        )
+        error = self._send(order, fate)
+        answered = StopAnswered(**self.partition.at(), run=run, error=error)
+        self._collect(self.partition.give(answered))
+
+    def _send(self, order: LateOrder, fate: str) -> CallError | None:
+        worker = self.workers[order.worker_id]
+        if not worker.is_alive:
+            return CallError(failure=Failure.REFUSED)
+        if fate == "late":
+            self.late.append(order)
+        if fate in ("lost", "late"):
+            return CallError(failure=Failure.UNKNOWN)
+        reason = self._carry_out(order)
+        if fate == "unanswered":
+            return CallError(failure=Failure.UNKNOWN)
+        if not reason:
+            return None
+        failure = Failure.FENCED if reason == "fence" else Failure.RESERVED
+        return CallError(failure=failure, detail=reason)
+
+    def _carry_out(self, order: LateOrder) -> str:
+        worker = self.workers[order.worker_id]
+        now_ms = self._clock()
+        if order.kind == "stop":
+            return worker.stop(order.task, order.attempt, order.token)
+        was_running = order.task in worker.runs
+        reason = worker.start(order.task, order.attempt, order.token, order.until_ms, now_ms)
+        if not reason and not was_running:
+            assert order.task not in self.noted, f"{order.task} starts after its end was noted"
+        return reason
+
+    def _clock(self) -> int:
+        return self.partition.now_ms + 500_000
+
+    @precondition(lambda self: self.late)
+    @rule()
+    def carry_out_late(self) -> None:
+        """An order that was given up is carried out."""
+        order = self.late.pop(0)
+        if self.workers[order.worker_id].is_alive:
+            self._carry_out(order)
+
+    @rule(number=st.integers(0, 3), fails=st.booleans())
+    def end_task(self, number: int, fails: bool) -> None:
+        """A task ends at its worker."""
+        running = [(w, task) for w in self.workers.values() if w.is_alive for task in w.runs]
+        if running:
+            worker, task = running[number % len(running)]
+            worker.end(task, "failed" if fails and number == 3 else "done")
+
+    @rule(number=st.integers(0, 5), is_silent=st.booleans())
+    def hold(self, number: int, is_silent: bool) -> None:
+        """The owner lists a worker's tasks, or doesn't reach it."""
+        known = [w for w in self.partition.state.workers.values() if w.id in self.workers]
+        if not known:
+            return
+        believed = known[number % len(known)]
+        worker = self.workers[believed.id]
+        if is_silent or not worker.is_alive:
+            self._collect(self.partition.fail(worker.id))
+            return
+        if self.partition.state.token < worker.token:
+            return
+        worker.token = self.partition.state.token
+        if believed.is_ready():
+            worker.lease_until_ms = max(worker.lease_until_ms, self._lease(worker.id))
+        self._note_ends(worker, believed.acknowledged)
+        sent_ms = self.partition.now_ms
+        self.partition.now_ms += 10
+        rows = [
+            RunningTask(
+                task=task, attempt=attempt, saved="", percent=self.partition.now_ms, figure=0
+            )
+            for task, attempt in worker.runs.items()
+        ]
+        listing = Listing(clock_ms=self._clock(), running=rows, ended=list(worker.ended))
+        answered = WorkerAnswered(
+            **self.partition.at(),
+            worker_id=worker.id,
+            sent_ms=sent_ms,
+            listing=listing,
+            acknowledged=believed.acknowledged,
+        )
+        self._collect(self.partition.give(answered))
+
+    def _note_ends(self, worker: RealWorker, acknowledged: int) -> None:
+        for ended in worker.ended:
+            if ended.number <= acknowledged and ended.outcome == "done":
+                self.noted.add(ended.task)
+        worker.ended = [ended for ended in worker.ended if ended.number > acknowledged]
+
+    @rule(ms=st.sampled_from([50, 400, 1300, 7000]))
+    def pass_time(self, ms: int) -> None:
+        """Some time passes."""
+        self._collect(self.partition.tick(ms))
+        for worker in self.workers.values():
+            worker.look(self._clock())
+
+    @precondition(lambda self: any(worker.runs for worker in self.workers.values()))
+    @rule(number=st.integers(0, 1))
+    def kill_worker(self, number: int) -> None:
+        """A worker dies with all that it ran, and a new life begins on its machine."""
+        alive = [worker for worker in self.workers.values() if worker.is_alive]
+        worker = alive[number % len(alive)]
+        worker.is_alive = False
+        worker.runs.clear()
+        worker.ended.clear()
+        del self.partition.entries[worker.id]
+        self._add_worker()
+        self._list()
+
+    @rule()
+    def list_lives(self) -> None:
+        """The list of machines is read."""
+        alive = frozenset(worker.id for worker in self.workers.values() if worker.is_alive)
+        self._collect(self.partition.give(LivesListed(**self.partition.at(), worker_ids=alive)))
+
+    @precondition(lambda self: self.jobs)
+    @rule()
+    def take_over(self) -> None:
+        """The owner dies, with all that it hasn't carried out, and another takes over."""
+        earlier = self.partition
+        later = Partition(workers=0)
+        later.state.token = earlier.state.token + 1
+        later.now_ms = later.state.now_ms = later.state.wall_ms = earlier.now_ms + 10
+        later.entries = earlier.entries
+        self.partition = later
+        self.waiting = []
+        self._list()
+        records = [
+            KeyedRecord(key=f"{prefix}{job_id}", value=value, offset=offset)
+            for offset, (prefix, job_id, value) in enumerate(
+                [(REQUEST_PREFIX, *item) for item in self.requests.items()]
+                + [(PROGRESS_PREFIX, *item) for item in self.progress.items()]
+            )
+        ]
+        stored = read_records(records)
+        restore_jobs(later.state, stored)
+        for job_id, request in stored.requests.items():
+            if job_id not in stored.progress:
+                self._collect(later.submit(*request.request.steps, job_id=job_id))
+        effects = Effects()
+        stop_leftovers(later.state, effects)
+        self._collect(effects.items)
+
+    # What must hold.
+
+    @invariant()
+    def no_task_runs_twice(self) -> None:
+        """No task runs on two workers that are up."""
+        running = [task for worker in self.everyone if worker.is_alive for task in worker.runs]
+        assert len(running) == len(set(running)), running
+
+    @invariant()
+    def no_worker_is_over_its_room(self) -> None:
+        """No worker runs more than it has room for."""
+        for worker in self.everyone:
+            assert len(worker.runs) * TASK_CPU <= CPU, worker
+
+    @invariant()
+    def complete_means_done(self) -> None:
+        """A job is complete only when each of its tasks is done."""
+        for job in self.partition.state.finished.values():
+            if job.state == "complete":
+                assert all(step.is_done() for step in job.steps())
+
+
+TestDispatch = DispatchMachine.TestCase
+TestDispatch.settings = settings(
+    max_examples=150, stateful_step_count=60, deadline=None, derandomize=True
+)
