The state machine checks each start as it is carried out

With a safeguard off (the wait for a lease, the stop after an unanswered start, the next owner's wait, the room of what is being stopped) it fails; with the proof by a listing off it doesn't, which dispatch/test_losses.py covers.

--- a/tests/dispatch/test_machine.py
+++ b/tests/dispatch/test_machine.py
@@ -265,6 +265,8 @@
         reason = worker.start(order.task, order.attempt, order.token, order.until_ms, now_ms)
         if not reason and not was_running:
             assert order.task not in self.noted, f"{order.task} starts after its end was noted"
+            self.no_task_runs_twice()
+            self.no_worker_is_over_its_room()
         return reason
 
     def _clock(self) -> int:
@@ -405,5 +407,5 @@
 
 TestDispatch = DispatchMachine.TestCase
 TestDispatch.settings = settings(
-    max_examples=150, stateful_step_count=60, deadline=None, derandomize=True
+    max_examples=400, stateful_step_count=50, deadline=None, derandomize=True
 )
