--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -145,3 +145,20 @@
     assert not fleet.plan()
     fleet.measure(desk=5 * CPU)
     assert fleet.plan(after_ms=3000)
+
+
+def test_pool_whose_turn_has_just_ended_gives_to_one_whose_turn_begins() -> None:
+    """One queue's turn ends as the next one's begins, and no machine is on standby.
+
+    Kept for what the first pool wanted a second ago, its machines would idle for the first half
+    of the next turn.
+    """
+    fleet = Fleet(desk=2, portal=6)
+    fleet.measure(desk=0, portal=5 * CPU)
+    fleet.plan()
+    assert not fleet.state.intents
+    fleet.now_ms += 300
+    fleet.measure(desk=4 * CPU, portal=0)
+    fleet.plan()
+    assert len(fleet.state.intents) == 3
+    assert {intent.pool for intent in fleet.state.intents.values()} == {"desk"}
