--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -104,7 +104,7 @@
     step = task.step
     counted = step.tasks if step.request.is_gang else [task]
     for member in counted:
-        member.failures += 1
+        member.failed_attempts.add(ended.attempt)
     _LOGGER.warning(
         "run failed",
         extra={
@@ -112,12 +112,12 @@
             "task": task.name,
             "attempt": ended.attempt,
             "worker": worker.id,
-            "failures": task.failures,
+            "failures": task.failures(),
         },
     )
     _suspect_worker(state, worker, job)
     queue = state.queues.get(job.queue)
-    if step.request.lasts or queue is None or task.failures < queue.max_failures:
+    if step.request.lasts or queue is None or task.failures() < queue.max_failures:
         return
     end_job(state, job, JobState.FAILED, effects)
 
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -77,11 +77,17 @@
     name: str
     attempt: int = 0
     """The highest attempt so far; they start at 1."""
-    failures: int = 0
+    failed_attempts: set[int] = field(default_factory=set)
+    """Attempts that ended as failed; a worker lists an end again to a next owner, and it must not
+    count twice."""
     saved: str = ""
     is_done: bool = False
     runs: list[Run] = field(default_factory=list)
 
+    def failures(self) -> int:
+        """Return how often the task has failed."""
+        return len(self.failed_attempts)
+
     def is_waiting(self) -> bool:
         """Say whether the task may be started: nothing of it may still run anywhere.
 
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -33,7 +33,7 @@
     step: int
     index: int
     attempt: int
-    failures: int
+    failed_attempts: list[int]
     is_done: bool
     saved: str
     runs: list[tuple[int, str, bool]]
@@ -95,7 +95,7 @@
             step=step.number,
             index=task.index,
             attempt=task.attempt,
-            failures=task.failures,
+            failed_attempts=sorted(task.failed_attempts),
             is_done=task.is_done,
             saved=task.saved,
             runs=[
@@ -119,7 +119,7 @@
         step = job.occurrences[record.occurrence][record.step]
         task = step.tasks[record.index]
         task.attempt = record.attempt
-        task.failures = record.failures
+        task.failed_attempts = set(record.failed_attempts)
         task.saved = record.saved
         task.is_done = record.is_done
         step.done += record.is_done
--- a/tests/dispatch/test_recovery.py
+++ b/tests/dispatch/test_recovery.py
@@ -171,3 +171,20 @@
     runs = earlier.start_all()
     later = take_over(earlier, workers=4)
     assert not stopped(later.leave(*{run.worker_id for run in runs}))
+
+
+def test_failed_end_that_is_listed_again_to_the_next_owner_counts_once() -> None:
+    """A task fails, its end is stored, and the owner dies before the worker is told so.
+
+    The worker lists the end to the next owner too. Counted again, the job is shown as failed
+    though no task has failed as often as it may.
+    """
+    earlier = Partition(workers=2, max_failures=2)
+    earlier.submit(make_step())
+    (run,) = earlier.start_all()
+    earlier.end(run, "failed")
+    later = take_over(earlier)
+    later.state.queues = earlier.state.queues
+    later.ends = earlier.ends
+    later.list_exactly(run.worker_id)
+    assert later.job().state is JobState.ACTIVE
