One piece of code where the same logic stood twice

A worker's life ends, a worker is set aside, a partition is read whole, and the wall clock is read, each in one function; state that nothing read (a start's token, since when a task is at work) or that followed from other state (that a cancel is wanted) is gone; whom the fleet's owner asks to leave is worked out once a look and not once a partition.

--- a/heatherkeel/directory/follower.py
+++ b/heatherkeel/directory/follower.py
@@ -11,7 +11,7 @@
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.framing import KeyedRecord
-from heatherkeel.platform.store import StoreClient
+from heatherkeel.platform.store import NewestRecords, StoreClient
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -109,3 +109,21 @@
                 extra={"event": "topic_lost", "topic": self.topic, "detail": error.detail},
             )
         await trio.sleep(RETRY_PAUSE_S)
+
+
+async def async_read_whole(store: StoreClient, topic: str, partition: int) -> NewestRecords:
+    """Read all newest records of a partition, however long it takes until they can be read."""
+    while True:
+        read = await store.async_read_all_newest(topic, partition)
+        if not isinstance(read, Err):
+            return read.ok_value
+        _LOGGER.warning(
+            "a partition's records can't be read yet",
+            extra={
+                "event": "restore_waits",
+                "topic": topic,
+                "partition": partition,
+                "detail": read.err_value.detail,
+            },
+        )
+        await trio.sleep(RETRY_PAUSE_S)
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -7,12 +7,12 @@
 from heatherkeel.platform.workers import EndedTask
 
 from .building import open_followers
-from .const import GREY_FAILURES, GREY_PAUSE_MS
+from .const import GREY_FAILURES
 from .events import Effects, SaveJob
 from .jobs import end_job, save_ended, stop_run
-from .models import Job, JobState, Run, Step, Task, Worker
+from .models import Job, JobState, Run, Task, Worker
 from .pools import find_pool, forget_run, wait_for_room
-from .standing import may_set_aside
+from .standing import set_aside
 from .state import PartitionState
 
 _LOGGER = logging.getLogger(__name__)
@@ -132,14 +132,8 @@
         worker.failed_jobs.append(job.id)
     if len(worker.failed_jobs) < GREY_FAILURES:
         return
-    if not may_set_aside(state, worker):
-        return
-    worker.failed_jobs.clear()
-    worker.aside_until_ms = state.now_ms + GREY_PAUSE_MS
-    _LOGGER.warning(
-        "worker set aside: it fails what it starts",
-        extra={"event": "worker_aside", "worker": worker.id, "for_ms": GREY_PAUSE_MS},
-    )
+    if set_aside(state, worker, why="it fails what it starts"):
+        worker.failed_jobs.clear()
 
 
 def lose_run(state: PartitionState, run: Run, effects: Effects, *, why: str) -> None:
@@ -164,10 +158,5 @@
         save_ended(job, effects)
         return
     effects.add(SaveJob(job_id=job.id))
-    reopen(state, task.step)
-
-
-def reopen(state: PartitionState, step: Step) -> None:
-    """Let a step's waiting tasks be started again."""
-    if not step.is_done():
-        wait_for_room(state, step)
+    if not task.step.is_done():
+        wait_for_room(state, task.step)
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -147,7 +147,6 @@
     """Send the order to start a run, once its attempt is stored."""
 
     run: Run
-    token: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -87,7 +87,6 @@
         if event.job_id in state.finished:
             effects.add(ForgetJob(job_id=event.job_id, only_request=True))
         return
-    job.cancel_wanted = True
     end_job(state, job, JobState.CANCELED, effects)
 
 
--- a/heatherkeel/dispatch/lasting.py
+++ b/heatherkeel/dispatch/lasting.py
@@ -61,4 +61,4 @@
 def _works(state: PartitionState, run: Run) -> bool:
     worker = state.workers.get(run.worker_id)
     is_heard = worker is not None and not worker.is_silent
-    return is_heard and run.at_work_ms is not None and run.state is RunState.RUNNING
+    return is_heard and run.is_at_work and run.state is RunState.RUNNING
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -53,8 +53,8 @@
     started_ms: int = 0
     is_doubtful: bool = False
     """Its worker doesn't answer."""
-    at_work_ms: int | None = None
-    """Since when a lasting task has been at work."""
+    is_at_work: bool = False
+    """A lasting task was at work when its worker listed it last."""
     saved: str = ""
     percent: float = 0.0
     moved_ms: int = 0
@@ -161,7 +161,6 @@
     occurrences: dict[int, list[Step]] = field(default_factory=dict)
     due_ms: float = 0.0
     """Until when it has to be complete to meet its objective."""
-    cancel_wanted: bool = False
     ended_ms: int | None = None
 
     def steps(self) -> list[Step]:
--- a/heatherkeel/dispatch/orders.py
+++ b/heatherkeel/dispatch/orders.py
@@ -12,7 +12,7 @@
 from .models import RunState
 from .registry import handles
 from .state import PartitionState
-from .workers import drop_worker, fall_silent
+from .workers import ADDRESS_TAKEN, end_life, fall_silent
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -54,8 +54,7 @@
     )
     worker = state.workers.get(run.worker_id)
     if worker is not None and event.error.failure is Failure.OTHER_INSTANCE:
-        state.gone_workers.add(worker.id)
-        drop_worker(state, worker, effects, why="another worker has its address")
+        end_life(state, worker, effects, why=ADDRESS_TAKEN)
         return
     if worker is not None and event.error.failure in _NOT_REACHED:
         # The emptiest worker of a pool would be tried again at once, and again.
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable
 from functools import partial
 
 import trio
-from result import Err
 
 from heatherkeel.directory.directory import Directory
-from heatherkeel.directory.follower import RETRY_PAUSE_S, TopicFollower
-from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.directory.follower import TopicFollower, async_read_whole
+from heatherkeel.helpers.clock import monotonic_ms, wall_ms
 from heatherkeel.ownership.const import JOBS_TOPIC, WORK_TOPIC
 from heatherkeel.ownership.partitions import partition_of
 from heatherkeel.ownership.tenure import Tenure
@@ -142,7 +140,7 @@
 
     def times(self) -> tuple[int, int]:
         """Return the steady clock and the wall clock, in milliseconds."""
-        return monotonic_ms(), time.time_ns() // 1_000_000
+        return monotonic_ms(), wall_ms()
 
     def take(self, event: Event) -> None:
         """Let the reducer decide, and carry out what it says."""
@@ -161,11 +159,13 @@
         await self.directory.workers.caught_up.wait()
         if not await self.journal.async_open():
             await trio.sleep_forever()
-        records = await self._async_read_all(WORK_TOPIC) + await self._async_read_all(JOBS_TOPIC)
+        work = await async_read_whole(self.store, WORK_TOPIC, self.partition)
+        jobs = await async_read_whole(self.store, JOBS_TOPIC, self.partition)
+        self.jobs_end = jobs.end
         now_ms, wall_ms = self.times()
         self.state.now_ms, self.state.wall_ms = now_ms, wall_ms
         self._take_directory()
-        stored = read_records(records)
+        stored = read_records(work.records + jobs.records)
         restore_jobs(self.state, stored)
         self._submit_stored(stored)
         self.is_restored = True
@@ -181,23 +181,6 @@
             },
         )
 
-    async def _async_read_all(self, topic: str) -> list[KeyedRecord]:
-        while True:
-            read = await self.store.async_read_all_newest(topic, self.partition)
-            if not isinstance(read, Err):
-                if topic == JOBS_TOPIC:
-                    self.jobs_end = read.ok_value.end
-                return read.ok_value.records
-            _LOGGER.warning(
-                "a partition's records can't be read yet",
-                extra={
-                    "event": "restore_waits",
-                    "partition": self.partition,
-                    "detail": read.err_value.detail,
-                },
-            )
-            await trio.sleep(RETRY_PAUSE_S)
-
     def _submit_stored(self, stored: StoredJobs) -> None:
         for job_id, request in stored.requests.items():
             if job_id not in stored.progress:
@@ -299,9 +282,7 @@
                     self.journal.put(f"{PROGRESS_PREFIX}{job.id}", partial(encode_progress, job))
             case ForgetJob():
                 self._forget(effect)
-            case StartTask():
-                self.journal.when_stored(lambda: self._order(effect.run.worker_id, effect))
-            case StopTask(once_stored=True):
+            case StartTask() | StopTask(once_stored=True):
                 self.journal.when_stored(lambda: self._order(effect.run.worker_id, effect))
             case StopTask() | PaceTask():
                 self._order(effect.run.worker_id, effect)
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -183,4 +183,4 @@
         for run in task.runs:
             if run.state is RunState.PLANNED and run.started_ms == 0:
                 run.started_ms = state.now_ms
-                effects.add(StartTask(run=run, token=state.token))
+                effects.add(StartTask(run=run))
--- a/heatherkeel/dispatch/pools.py
+++ b/heatherkeel/dispatch/pools.py
@@ -16,7 +16,7 @@
 
 def wait_for_room(state: PartitionState, step: Step) -> None:
     """Let a step's tasks be started when there is room."""
-    if step.is_open and not step.job.state.is_final() and not step.job.cancel_wanted:
+    if step.is_open and not step.job.state.is_final():
         find_pool(state, step.job.service).open_steps.add(step, state.now_ms)
 
 
--- a/heatherkeel/dispatch/standing.py
+++ b/heatherkeel/dispatch/standing.py
@@ -31,27 +31,29 @@
     standing = [run for run in runs if state.now_ms - run.moved_ms >= STANDING_MS]
     if len(standing) < max(FEWEST_STANDING, len(runs)):
         return
-    if not may_set_aside(state, worker):
+    if not set_aside(state, worker, why=f"{len(standing)} tasks stand still"):
         return
+    for run in standing:
+        stop_run(state, run, effects)
+
+
+def set_aside(state: PartitionState, worker: Worker, *, why: str) -> bool:
+    """Give a worker no work for a while, unless too many of its pool get none already."""
+    pool = find_pool(state, worker.entry.service)
+    aside = sum(1 for other in pool.workers.values() if other.aside_until_ms > state.now_ms)
+    if aside + 1 > MAX_SET_ASIDE * len(pool.workers):
+        return False
     worker.aside_until_ms = state.now_ms + GREY_PAUSE_MS
     _LOGGER.warning(
-        "worker set aside: its tasks stand still",
+        "worker set aside",
         extra={
             "event": "worker_aside",
             "worker": worker.id,
-            "standing": len(standing),
+            "why": why,
             "for_ms": GREY_PAUSE_MS,
         },
     )
-    for run in standing:
-        stop_run(state, run, effects)
-
-
-def may_set_aside(state: PartitionState, worker: Worker) -> bool:
-    """Say whether one more worker of a pool may get no work for a while."""
-    pool = find_pool(state, worker.entry.service)
-    aside = sum(1 for other in pool.workers.values() if other.aside_until_ms > state.now_ms)
-    return aside + 1 <= MAX_SET_ASIDE * len(pool.workers)
+    return True
 
 
 def has_overdue(worker: Worker, now_ms: int) -> bool:
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -31,6 +31,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+ADDRESS_TAKEN = "another worker has its address"
+
 
 @handles(WorkersListed)
 def take_entries(state: PartitionState, event: WorkersListed, effects: Effects) -> None:
@@ -126,11 +128,7 @@
     run.figure = row.figure
     if row.saved:
         run.saved = row.saved
-    is_at_work = row.percent >= 100
-    if not is_at_work:
-        run.at_work_ms = None
-    elif run.at_work_ms is None:
-        run.at_work_ms = now_ms
+    run.is_at_work = row.percent >= 100
 
 
 def _stop_unknown(
@@ -173,13 +171,18 @@
     if worker is None:
         return
     if event.error.failure is Failure.OTHER_INSTANCE:
-        state.gone_workers.add(worker.id)
-        drop_worker(state, worker, effects, why="another worker has its address")
+        end_life(state, worker, effects, why=ADDRESS_TAKEN)
         return
     fall_silent(state, worker, effects, detail=event.error.detail)
     drop_if_lapsed(state, worker, effects)
 
 
+def end_life(state: PartitionState, worker: Worker, effects: Effects, *, why: str) -> None:
+    """Take in that a life of a worker is over, whatever its entry says for some seconds more."""
+    state.gone_workers.add(worker.id)
+    drop_worker(state, worker, effects, why=why)
+
+
 def fall_silent(state: PartitionState, worker: Worker, effects: Effects, *, detail: str) -> None:
     """Give a worker nothing more to do until it is heard again."""
     if worker.is_silent:
@@ -208,8 +211,7 @@
     for worker in list(state.workers.values()):
         is_long = state.now_ms - worker.silent_since_ms >= SILENT_MS
         if worker.is_silent and is_long and worker.id not in event.worker_ids:
-            state.gone_workers.add(worker.id)
-            drop_worker(state, worker, effects, why="its machine is in another life")
+            end_life(state, worker, effects, why="its machine is in another life")
 
 
 def drop_if_lapsed(state: PartitionState, worker: Worker, effects: Effects) -> None:
--- a/heatherkeel/gateway/app.py
+++ b/heatherkeel/gateway/app.py
@@ -30,7 +30,7 @@
     async_run_lifespan,
     parse_request,
 )
-from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.helpers.clock import monotonic_ms, wall_ms
 from heatherkeel.ownership.const import JOBS_TOPIC
 from heatherkeel.ownership.partitions import partition_of
 from heatherkeel.platform.callers import (
@@ -160,7 +160,7 @@
         stored = StoredRequest(
             queue=queue.name,
             service=queue.service,
-            accepted_wall_ms=time.time_ns() // 1_000_000,
+            accepted_wall_ms=wall_ms(),
             request=decoded.ok_value,
         )
         record = KeyedRecord(key=f"{REQUEST_PREFIX}{job_id}", value=encode_request(stored))
--- a/heatherkeel/helpers/clock.py
+++ b/heatherkeel/helpers/clock.py
@@ -1,4 +1,4 @@
-"""Monotonic time of this process."""
+"""The clocks of this process, in milliseconds."""
 
 from __future__ import annotations
 
@@ -13,3 +13,8 @@
 def monotonic_ms() -> int:
     """Return the monotonic clock in milliseconds."""
     return time.clock_gettime_ns(CLOCK) // 1_000_000
+
+
+def wall_ms() -> int:
+    """Return the time of day in milliseconds since 1970; it may jump."""
+    return time.time_ns() // 1_000_000
--- a/heatherkeel/pooling/keeper.py
+++ b/heatherkeel/pooling/keeper.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -11,8 +10,9 @@
 from result import Err, Result
 
 from heatherkeel.directory.directory import Directory
+from heatherkeel.directory.follower import async_read_whole
 from heatherkeel.dispatch.journal import Journal
-from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.helpers.clock import monotonic_ms, wall_ms
 from heatherkeel.ownership.const import WORK_TOPIC
 from heatherkeel.ownership.holders import Holders
 from heatherkeel.ownership.partitions import fleet_partition, partition_of
@@ -61,10 +61,6 @@
 """Key of our own record of the last orders: when each machine was ordered away."""
 
 
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
-
-
 class FleetKeeper:
     """Moves and maintains machines."""
 
@@ -119,7 +115,7 @@
         await self.directory.operator.caught_up.wait()
         if not await self.journal.async_open():
             await trio.sleep_forever()
-        own = await self._async_read_all(WORK_TOPIC, self.partition)
+        own = (await async_read_whole(self.store, WORK_TOPIC, self.partition)).records
         aside = await self._async_read_aside()
         self._take_directory()
         for record in own:
@@ -142,28 +138,14 @@
         records: list[KeyedRecord] = []
 
         async def async_read(partition: int) -> None:
-            records.extend(await self._async_read_all(ORDERS_TOPIC, partition))
+            read = await async_read_whole(self.store, ORDERS_TOPIC, partition)
+            records.extend(read.records)
 
         async with trio.open_nursery() as nursery:
             for partition in range(self.settings.store.partitions):
                 nursery.start_soon(async_read, partition)
         return records
 
-    async def _async_read_all(self, topic: str, partition: int) -> list[KeyedRecord]:
-        while True:
-            read = await self.store.async_read_all_newest(topic, partition)
-            if not isinstance(read, Err):
-                return read.ok_value.records
-            _LOGGER.warning(
-                "the fleet's records can't be read yet",
-                extra={
-                    "event": "restore_waits",
-                    "topic": topic,
-                    "detail": read.err_value.detail,
-                },
-            )
-            await trio.sleep(STATUS_RETRY_S)
-
     def _restore_orders(self, record: KeyedRecord) -> None:
         """Leave machines alone for a while that an earlier owner has ordered away just now.
 
@@ -174,7 +156,7 @@
         now_ms = monotonic_ms()
         for machine, at_ms in msgspec.json.decode(record.value, type=dict[str, int]).items():
             self.orders[machine] = max(at_ms, self.orders.get(machine, 0))
-            age_ms = max(0, _wall_ms() - self.orders[machine])
+            age_ms = max(0, wall_ms() - self.orders[machine])
             self.state.blocked_until_ms[machine] = now_ms + max(0, lease_ms - age_ms)
 
     def _restore_wave(self, record: KeyedRecord) -> None:
@@ -217,25 +199,19 @@
             for name, service in self.state.services.items()
             if not service.is_standby
         }
+        intents = self.state.intents.values()
+        leaving = [intent.worker_id for intent in intents if intent.worker_id]
+        due = self.state.due_workers()
         async with trio.open_nursery() as nursery:
             for partition in sorted(partitions):
-                nursery.start_soon(self._async_measure_partition, partition)
+                question = PoolsAsked(partition=partition, leaving=leaving, due=due)
+                nursery.start_soon(self._async_measure_partition, question)
 
-    async def _async_measure_partition(self, partition: int) -> None:
+    async def _async_measure_partition(self, question: PoolsAsked) -> None:
+        partition = question.partition
         address = await self.holders.async_find(partition)
         if not address:
             return
-        intents = [intent for intent in self.state.intents.values() if intent.worker_id]
-        due = self.state.due_machines()
-        question = PoolsAsked(
-            partition=partition,
-            leaving=[intent.worker_id for intent in intents if intent.worker_id],
-            due=[
-                machine.worker_id
-                for machine in self.state.machines.values()
-                if machine.name in due and machine.worker_id
-            ],
-        )
         answer = await self.links.async_ask(address, question)
         if isinstance(answer, PoolsTold):
             self._take(PoolsMeasured(now_ms=monotonic_ms(), loads=answer.pools))
@@ -255,12 +231,12 @@
 
     def _store_order(self, intent: Intent) -> None:
         """Store that a machine is ordered away, and then give the order."""
-        wall_ms = _wall_ms()
+        ordered_ms = wall_ms()
         self.orders = {
             machine: at_ms
             for machine, at_ms in self.orders.items()
-            if wall_ms - at_ms < RECENT_ORDERS_MS
-        } | {intent.machine: wall_ms}
+            if ordered_ms - at_ms < RECENT_ORDERS_MS
+        } | {intent.machine: ordered_ms}
         decided_ms = monotonic_ms()
         assert self.nursery is not None
         nursery = self.nursery
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -84,15 +84,17 @@
         service = self.services.get(pool)
         return service is not None and service.is_standby
 
-    def due_machines(self) -> set[str]:
-        """Return the machines that still have to be maintained."""
-        return {
-            machine
+    def due_workers(self) -> list[str]:
+        """Return the workers whose machines still have to be maintained."""
+        return [
+            machine.worker_id
             for progress in self.waves.values()
             if not progress.is_complete
-            for machine in progress.wave.machines
-            if machine not in progress.begun and machine in self.machines
-        }
+            for name in progress.wave.machines
+            if name not in progress.begun
+            and (machine := self.machines.get(name)) is not None
+            and machine.worker_id
+        ]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
