--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -10,6 +10,7 @@
 import trio
 from result import Err
 
+from heatherkeel.ownership.partitions import Layout
 from heatherkeel.platform.const import CONFIG_KEY, CONFIG_TOPIC, WAVE_PREFIX, WORKERS_TOPIC
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import (
@@ -47,6 +48,12 @@
     services: dict[str, Service] = field(default_factory=dict)
     waves: dict[int, Wave] = field(default_factory=dict)
     workers: dict[str, WorkerEntry] = field(default_factory=dict)
+    layout: Layout = field(default_factory=Layout)
+    """How services are shared out among partitions; empty until the fleet's owner has told."""
+
+    def serving(self) -> set[str]:
+        """Return the services whose machines run jobs."""
+        return {name for name, service in self.services.items() if not service.is_standby}
 
 
 class Directory:
@@ -55,6 +62,8 @@
     def __init__(self, *, store: StoreClient) -> None:
         self.state = DirectoryState()
         self.subscribers: list[Callable[[], None]] = []
+        self.nursery: trio.Nursery | None = None
+        self.follows_workers = False
         self.operator = TopicFollower(
             store=store,
             topic=CONFIG_TOPIC,
@@ -74,9 +83,18 @@
         )
 
     def start(self, nursery: trio.Nursery) -> None:
-        """Begin to follow both topics."""
+        """Begin to follow what the operator writes."""
+        self.nursery = nursery
         nursery.start_soon(self.operator.async_run)
-        nursery.start_soon(self.workers.async_run)
+
+    def follow_workers(self) -> None:
+        """Begin to follow the workers' entries; only who owns a partition needs them.
+
+        They are most of what there is to read: 150 workers write a hundred times a second.
+        """
+        if self.nursery is not None and not self.follows_workers:
+            self.follows_workers = True
+            self.nursery.start_soon(self.workers.async_run)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call `callback` after each change."""
@@ -86,6 +104,21 @@
         """Call `callback` no more."""
         self.subscribers.remove(callback)
 
+    def take_layout(self, layout: Layout) -> None:
+        """Take in a layout that is stored; one that names less than the known one is older."""
+        if len(layout.shares) <= len(self.state.layout.shares):
+            return
+        self.state.layout = layout
+        _LOGGER.info(
+            "layout known",
+            extra={
+                "event": "layout",
+                "shares": {name: list(parts) for name, parts in layout.shares.items()},
+                "machines": len(layout.places),
+            },
+        )
+        self._tell()
+
     def _tell(self) -> None:
         for callback in list(self.subscribers):
             callback()
--- /dev/null
+++ b/heatherkeel/directory/layout_reader.py
@@ -0,0 +1,75 @@
+"""Learns how services are shared out among partitions, which the fleet's owner has stored."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import trio
+from result import Err, Ok
+
+from heatherkeel.ownership.const import LAYOUT_KEY, LAYOUT_RETRY_S, WORK_TOPIC
+from heatherkeel.ownership.partitions import Layout, decode_layout, fleet_partition
+from heatherkeel.platform.framing import KeyedRecord
+from heatherkeel.platform.store import StoreClient
+
+from .directory import Directory
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class LayoutReader:
+    """Reads the layout when a service is configured that it doesn't name, and not otherwise."""
+
+    def __init__(
+        self,
+        *,
+        store: StoreClient,
+        partitions: int,
+        directory: Directory,
+        async_ask_peers: Callable[[], Awaitable[Layout | None]],
+    ) -> None:
+        self.store = store
+        self.partition = fleet_partition(partitions)
+        self.directory = directory
+        self.async_ask_peers = async_ask_peers
+
+    async def async_run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            known = self.directory.state
+            if not known.serving() <= known.layout.shares.keys():
+                await self._async_read()
+            await trio.sleep(LAYOUT_RETRY_S)
+
+    async def _async_read(self) -> None:
+        read = await self.store.async_read_all_newest(WORK_TOPIC, self.partition)
+        if isinstance(read, Err):
+            # Part of the store may be down for seconds, and this partition with it: a process
+            # that starts then would refuse every job though their own partitions work.
+            _LOGGER.info(
+                "the layout can't be read; asking other processes",
+                extra={"event": "layout_unread", "detail": read.err_value.detail},
+            )
+            layout = await self.async_ask_peers()
+            if layout is not None:
+                self.directory.take_layout(layout)
+            return
+        stored = find_layout(read.ok_value.records)
+        if stored is not None:
+            self.directory.take_layout(stored)
+
+
+def find_layout(records: list[KeyedRecord]) -> Layout | None:
+    """Return the layout that stands in the fleet's partition; None if none does."""
+    for record in records:
+        if record.key != LAYOUT_KEY or not record.value:
+            continue
+        match decode_layout(record.value):
+            case Ok(layout):
+                return layout
+            case Err(detail):
+                _LOGGER.error(
+                    "the layout can't be read", extra={"event": "layout_bad", "detail": detail}
+                )
+    return None
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -12,9 +12,9 @@
 from heatherkeel.directory.follower import TopicFollower, async_read_whole
 from heatherkeel.helpers.clock import monotonic_ms, wall_ms
 from heatherkeel.ownership.const import JOBS_TOPIC, WORK_TOPIC
-from heatherkeel.ownership.partitions import partition_of
 from heatherkeel.ownership.tenure import Tenure
 from heatherkeel.platform.framing import KeyedRecord
+from heatherkeel.platform.operator import WorkerEntry
 from heatherkeel.platform.settings import InstanceSettings
 from heatherkeel.platform.store import StoreClient
 
@@ -219,17 +219,21 @@
         entries = {
             worker_id: entry
             for worker_id, entry in known.workers.items()
-            if self.owns(entry.service)
+            if self.owns(worker_id, entry)
         }
         self.take(WorkersListed(now_ms=now_ms, wall_ms=wall_ms, entries=entries))
         self._open_sessions()
 
-    def owns(self, service: str) -> bool:
-        """Say whether a service's jobs and workers belong to this partition."""
-        known = self.directory.state.services.get(service)
-        if known is not None and known.is_standby:
+    def owns(self, worker_id: str, entry: WorkerEntry) -> bool:
+        """Say whether a worker belongs to this partition."""
+        service = self.directory.state.services.get(entry.service)
+        if service is not None and service.is_standby:
             return False
-        return partition_of(service, self.settings.store.partitions) == self.partition
+        machine = entry.machine or worker_id
+        return (
+            self.directory.state.layout.partition_of_machine(entry.service, machine)
+            == self.partition
+        )
 
     def _open_sessions(self) -> None:
         if self.nursery is None:
--- a/heatherkeel/gateway/app.py
+++ b/heatherkeel/gateway/app.py
@@ -32,7 +32,6 @@
 )
 from heatherkeel.helpers.clock import monotonic_ms, wall_ms
 from heatherkeel.ownership.const import JOBS_TOPIC
-from heatherkeel.ownership.partitions import partition_of
 from heatherkeel.platform.callers import (
     decode_job,
     encode_job_state,
@@ -62,6 +61,7 @@
 _TOO_MANY: Final = 429
 _STATUS: Final = {
     Refusal.NO_CONFIGURATION: 503,
+    Refusal.NO_LAYOUT: 503,
     Refusal.NO_SUCH_QUEUE: 404,
     Refusal.NO_SUCH_JOB: 410,
     Refusal.BAD_REQUEST: 400,
@@ -84,13 +84,11 @@
         directory: DirectoryState,
         lookup: Lookup,
         metrics: GatewayMetrics,
-        partitions: int,
     ) -> None:
         self.store = store
         self.directory = directory
         self.lookup = lookup
         self.metrics = metrics
-        self.partitions = partitions
 
     async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -137,14 +135,20 @@
         action = actions.get(self.request.method)
         if action is None:
             return await self._async_refuse(Refusal.WRONG_METHOD)
+        if not self.app.directory.layout.partitions_of(queue.service):
+            # A new service, or a process that has just started: no job of it is stored anywhere
+            # before every process would send it to the same owner.
+            return await self._async_refuse(Refusal.NO_LAYOUT, retry_s=RETRY_BUSY_S)
         if not job_id and self.request.method == "GET":
             return await self._async_tell_length(queue)
         if not _JOB_ID.match(job_id):
             return await self._async_refuse(Refusal.NO_SUCH_QUEUE)
         return await action(queue, job_id)
 
-    def _partition(self, queue: Queue) -> int:
-        return partition_of(queue.service, self.app.partitions)
+    def _partition(self, queue: Queue, job_id: str) -> int:
+        partition = self.app.directory.layout.partition_of_job(queue.service, job_id)
+        assert partition is not None, "a service that is laid out stays so"
+        return partition
 
     async def _async_submit(self, queue: Queue, job_id: str) -> None:
         config = self.app.directory.config
@@ -174,7 +178,7 @@
                 "event": "job_accepted",
                 "job": job_id,
                 "queue": queue.name,
-                "partition": self._partition(queue),
+                "partition": self._partition(queue, job_id),
                 "version": config.version if config else 0,
             },
         )
@@ -187,7 +191,7 @@
         be carried out seconds later.
         """
         is_unknown = False
-        partition = self._partition(queue)
+        partition = self._partition(queue, job_id)
         if self.app.store.find_health(JOBS_TOPIC, partition).is_away():
             await self._async_refuse(Refusal.STORE_AWAY, job_id=job_id, retry_s=RETRY_AWAY_S)
             return Refusal.STORE_AWAY
@@ -225,7 +229,7 @@
         """Return a job's state, or why it can't be told."""
         found: JobState | Err[str] | None = Err("no answer in time")
         with trio.move_on_after(max(0.0, (self.deadline_ms - monotonic_ms()) / 1000)):
-            found = await self.app.lookup.async_find_state(self._partition(queue), job_id)
+            found = await self.app.lookup.async_find_state(self._partition(queue, job_id), job_id)
         if isinstance(found, Err):
             return Refusal.OWNER_SILENT
         return Refusal.NO_SUCH_JOB if found is None else found
@@ -247,7 +251,8 @@
     async def _async_tell_length(self, queue: Queue) -> None:
         pending: int | None = None
         with trio.move_on_after(max(0.0, (self.deadline_ms - monotonic_ms()) / 1000)):
-            pending = await self.app.lookup.async_count_pending(self._partition(queue), queue.name)
+            partitions = self.app.directory.layout.partitions_of(queue.service)
+            pending = await self.app.lookup.async_count_pending(partitions, queue.name)
         if pending is None:
             return await self._async_refuse(Refusal.OWNER_SILENT)
         return await async_respond(self.send, status=200, body=encode_queue_length(pending))
--- a/heatherkeel/gateway/lookup.py
+++ b/heatherkeel/gateway/lookup.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+import trio
 from result import Err
 
 from heatherkeel.dispatch.models import JobState
@@ -64,8 +66,20 @@
         # The owner reads a job from the store some milliseconds after it was accepted.
         return JobState.PENDING if state is None and job_id in self.recent else state
 
-    async def async_count_pending(self, partition: int, queue: str) -> int | None:
-        """Return how many jobs of a queue wait; None if nobody could tell."""
+    async def async_count_pending(self, partitions: Sequence[int], queue: str) -> int | None:
+        """Return how many jobs of a queue wait in all its partitions; None if one can't be told."""
+        counts: list[int | None] = []
+
+        async def async_count(partition: int) -> None:
+            counts.append(await self._async_count_in(partition, queue))
+
+        async with trio.open_nursery() as nursery:
+            for partition in partitions:
+                nursery.start_soon(async_count, partition)
+        known = [count for count in counts if count is not None]
+        return sum(known) if len(known) == len(counts) else None
+
+    async def _async_count_in(self, partition: int, queue: str) -> int | None:
         told = await self._async_ask(partition, QueueAsked(partition=partition, queue=queue))
         if isinstance(told, QueueTold):
             return told.pending
--- a/heatherkeel/gateway/reasons.py
+++ b/heatherkeel/gateway/reasons.py
@@ -9,6 +9,8 @@
     """Reasons, as they stand in answers, logs and counters."""
 
     NO_CONFIGURATION = "no_configuration"
+    NO_LAYOUT = "no_layout"
+    """It isn't known yet which partitions run the queue's jobs."""
     NO_SUCH_QUEUE = "no_such_queue"
     NO_SUCH_JOB = "no_such_job"
     BAD_REQUEST = "bad_request"
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -11,6 +11,7 @@
 import trio
 
 from heatherkeel.directory.directory import Directory
+from heatherkeel.directory.layout_reader import LayoutReader
 from heatherkeel.dispatch.owner import PartitionOwner
 from heatherkeel.gateway.app import CallersApp
 from heatherkeel.gateway.lookup import Lookup
@@ -20,14 +21,15 @@
 from heatherkeel.ownership.holders import Holders
 from heatherkeel.ownership.isolation import IsolationWatch
 from heatherkeel.ownership.member import GroupMember
-from heatherkeel.ownership.partitions import fleet_partition
+from heatherkeel.ownership.partitions import Layout, fleet_partition
+from heatherkeel.ownership.reserve import ReserveWatch
 from heatherkeel.ownership.tenure import Change
 from heatherkeel.platform.settings import InstanceSettings
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.pooling.keeper import FleetKeeper
 from heatherkeel.questions.answering import answer_question
 from heatherkeel.questions.links import QuestionLinks
-from heatherkeel.questions.messages import QueueAsked
+from heatherkeel.questions.messages import LayoutAsked, LayoutTold, QueueAsked
 
 from .status import StatusApp
 
@@ -52,15 +54,31 @@
         self.keeper: FleetKeeper | None = None
         self.links = QuestionLinks(
             bind=f"{settings.ip}:{settings.internal_ports[0]}",
-            answer=lambda question: answer_question(self.owners, question),
+            answer=lambda question: answer_question(
+                self.owners, self.directory.state.layout, question
+            ),
             on_heard=lambda: self.isolation.take_heard(),
         )
+        partitions = settings.store.partitions
+        self.layouts = LayoutReader(
+            store=self.store,
+            partitions=partitions,
+            directory=self.directory,
+            async_ask_peers=self._async_ask_layout,
+        )
         self.member = GroupMember(
             store=self.store,
             address=self.links.address,
             incarnation=uuid.uuid4().hex[:12],
+            room=settings.limits.room(),
             on_change=self._async_change,
         )
+        self.reserve = ReserveWatch(
+            member=self.member,
+            holders=self.holders,
+            room=settings.limits.room(),
+            partitions=partitions,
+        )
         self.isolation = IsolationWatch(
             member=self.member, holders=self.holders, async_reach=self._async_reach
         )
@@ -72,14 +90,13 @@
                 directory=self.directory.state,
                 lookup=self.lookup,
                 metrics=self.metrics,
-                partitions=settings.store.partitions,
             ),
             bind=settings.listen.callers,
         )
         self.status = StatusApp(
             directory=self.directory.state,
             metrics=self.metrics,
-            store_heard_ms=lambda: self.member.answered_ms,
+            store_heard_ms=self._store_heard_ms,
         )
         self.probes = HttpServer(app=self.status, bind=settings.listen.readiness)
         self.nursery: trio.Nursery | None = None
@@ -92,6 +109,8 @@
         await self.probes.start(nursery)
         await self.callers.start(nursery)
         self.directory.start(nursery)
+        nursery.start_soon(self.layouts.async_run)
+        nursery.start_soon(self.reserve.async_run)
         self.member.start(nursery)
         nursery.start_soon(self.isolation.async_run)
         _LOGGER.info(
@@ -116,6 +135,20 @@
         self.links.close()
         await self.store.close()
 
+    def _store_heard_ms(self) -> int:
+        """Return when the store last answered anything that is asked all the time."""
+        followed = self.directory.operator.read_ms
+        return max(self.member.answered_ms, self.holders.answered_ms, followed)
+
+    async def _async_ask_layout(self) -> Layout | None:
+        """Ask owners, one after the other, how services are laid out."""
+        await self.holders.async_refresh()
+        for address in sorted(set(self.holders.addresses.values())):
+            answer = await self.links.async_ask(address, LayoutAsked(partition=-1))
+            if isinstance(answer, LayoutTold) and answer.layout.shares:
+                return answer.layout
+        return None
+
     async def _async_reach(self, address: str) -> bool:
         """Say whether the process at an address answers; what it answers doesn't matter."""
         question = QueueAsked(partition=-1, queue="")
@@ -133,6 +166,8 @@
                 self.keeper = None
         if self.nursery is None:
             return
+        if change.gained:
+            self.directory.follow_workers()
         for partition, token in change.gained.items():
             if partition == fleet:
                 self._keep_fleet(token)
--- a/heatherkeel/instance/status.py
+++ b/heatherkeel/instance/status.py
@@ -68,6 +68,7 @@
         heard_ago_ms = monotonic_ms() - self.store_heard_ms()
         return (
             self.directory.config is not None
+            and bool(self.directory.layout.shares)
             and not self.is_stopping
             and heard_ago_ms < STORE_SILENT_MS
         )
--- a/heatherkeel/ownership/const.py
+++ b/heatherkeel/ownership/const.py
@@ -10,6 +10,10 @@
 JOBS_TOPIC: Final = "keyed.jobs"
 """Jobs and cancels as callers sent them; every front writes there."""
 PRODUCER: Final = "owner"
+LAYOUT_KEY: Final = "layout"
+"""Key of the layout in the fleet's partition of the topic of work."""
+LAYOUT_RETRY_S: Final = 0.3
+"""Time between two looks whether a service isn't laid out yet, in seconds."""
 
 TTL_MS: Final = 1800
 """How long the platform keeps a member that it doesn't hear, in milliseconds.
@@ -34,3 +38,18 @@
 ISOLATED_AFTER_MS: Final = 2200
 """How long no other process must have been reached, in milliseconds, until partitions are given up:
 three looks, so that a few lost packets or a restart of some peers don't count."""
+
+ENOUGH_ROOM: Final = 1000
+"""Processor from which on a process always takes part in owning partitions, in thousandths of a
+core. A partition in its turn took 0.3 to 0.5 of a core; with half a core its calls come late."""
+FEWEST_OWNERS: Final = 3
+"""With fewer processes that own partitions, smaller ones join: one or two may be lost at once."""
+RESERVE_CHECK_MS: Final = 900
+"""Time between two looks of a small process at the list of owners, in milliseconds; its answers
+also show whether this process reaches the store."""
+STEP_IN_AFTER_MS: Final = 1500
+"""How long owners must have been missing before a small process joins, in milliseconds: two looks,
+so that neither a start nor a hand-over among the larger ones counts."""
+STAND_BACK_AFTER_MS: Final = 10_000
+"""How long the larger ones must have been enough before it leaves, in milliseconds: each change of
+owners costs the jobs of its partitions about a second."""
--- a/heatherkeel/ownership/holders.py
+++ b/heatherkeel/ownership/holders.py
@@ -11,6 +11,7 @@
 from heatherkeel.platform.store import StoreClient
 
 from .const import GROUP, HOLDERS_MAX_AGE_MS, HOLDERS_MIN_AGE_MS, HOLDERS_REFRESH_MS, WORK_TOPIC
+from .member import parse_member
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -21,6 +22,10 @@
     def __init__(self, *, store: StoreClient) -> None:
         self.store = store
         self.addresses: dict[int, str] = {}
+        self.rooms: dict[str, int] = {}
+        """The processor of each owner's process by its address, in thousandths of a core."""
+        self.answered_ms = -HOLDERS_MAX_AGE_MS
+        """When the store answered last."""
         self.read_ms = -HOLDERS_MAX_AGE_MS
         self.lock = trio.Lock()
 
@@ -42,6 +47,12 @@
         if monotonic_ms() - self.read_ms > HOLDERS_REFRESH_MS:
             await self._async_read()
 
+    async def async_read_since(self, since_ms: int) -> bool:
+        """Read the list unless that was done since a time; says whether it could be read."""
+        if self.answered_ms < since_ms:
+            await self._async_read()
+        return self.answered_ms >= since_ms
+
     async def _async_read(self) -> None:
         asked_ms = monotonic_ms()
         async with self.lock:
@@ -55,8 +66,11 @@
                     extra={"event": "holders_unread", "detail": listed.err_value.detail},
                 )
                 return
-            self.addresses = {
-                holder.partition: holder.member.split("/", 1)[0]
+            self.answered_ms = self.read_ms
+            members = {
+                holder.partition: parse_member(holder.member)
                 for holder in listed.ok_value
                 if holder.topic == WORK_TOPIC and holder.member
             }
+            self.addresses = {number: address for number, (address, _) in members.items()}
+            self.rooms = dict(members.values())
--- a/heatherkeel/ownership/isolation.py
+++ b/heatherkeel/ownership/isolation.py
@@ -11,7 +11,7 @@
 
 from .const import ISOLATED_AFTER_MS, PEER_CHECK_INTERVAL_MS, PEERS_ASKED
 from .holders import Holders
-from .member import GroupMember
+from .member import GroupMember, StayOut
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -44,7 +44,7 @@
         """Check until cancelled."""
         while True:
             await trio.sleep(PEER_CHECK_INTERVAL_MS / 1000)
-            if self.member.may_order() or self.member.is_paused:
+            if self.member.may_order() or StayOut.ISOLATED in self.member.out_for:
                 await self._async_check()
 
     async def _async_check(self) -> None:
@@ -60,16 +60,17 @@
         for address in [*peers[start:], *peers[:start]][:PEERS_ASKED]:
             if await self.async_reach(address):
                 return self._take_reached()
-        if monotonic_ms() - self.heard_ms >= ISOLATED_AFTER_MS and not self.member.is_paused:
+        is_long = monotonic_ms() - self.heard_ms >= ISOLATED_AFTER_MS
+        if is_long and StayOut.ISOLATED not in self.member.out_for:
             _LOGGER.warning(
                 "no other process can be reached; giving up all partitions",
                 extra={"event": "isolated", "asked": len(peers[:PEERS_ASKED])},
             )
-            await self.member.async_pause()
+            await self.member.async_pause(StayOut.ISOLATED)
         return None
 
     def _take_reached(self) -> None:
         self.heard_ms = monotonic_ms()
-        if self.member.is_paused:
+        if StayOut.ISOLATED in self.member.out_for:
             _LOGGER.info("other processes can be reached again", extra={"event": "reachable"})
-            self.member.resume()
+            self.member.resume(StayOut.ISOLATED)
--- a/heatherkeel/ownership/member.py
+++ b/heatherkeel/ownership/member.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from enum import StrEnum
 
 import trio
 from result import Err
@@ -17,6 +18,27 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class StayOut(StrEnum):
+    """Why a process doesn't take part in owning partitions."""
+
+    ISOLATED = "isolated"
+    """No other process can be reached."""
+    RESERVE = "reserve"
+    """It has little processor, and larger ones own everything."""
+
+
+def name_member(address: str, *, room: int, life: str) -> str:
+    """Return a member's name: where it takes questions, its processor, and which life it is."""
+    return f"{address}/{room}/{life}"
+
+
+def parse_member(name: str) -> tuple[str, int]:
+    """Return a member's address, and its processor in thousandths of a core; 0 if not told."""
+    address, _, rest = name.partition("/")
+    room, _, _ = rest.partition("/")
+    return address, int(room) if room.isdecimal() else 0
+
+
 class GroupMember:
     """One process's membership; its name tells others where to reach it."""
 
@@ -26,11 +48,13 @@
         store: StoreClient,
         address: str,
         incarnation: str,
+        room: int = 0,
         on_change: Callable[[Change], Awaitable[None]],
     ) -> None:
         self.store = store
         self.address = address
         self.incarnation = incarnation
+        self.room = room
         self.on_change = on_change
         self.tenure = Tenure(topic=WORK_TOPIC)
         self.leaves = 0
@@ -40,13 +64,19 @@
         self.answered_ms = monotonic_ms()
         """When the store answered a renewal last."""
         self.closing = False
-        self.is_paused = False
+        self.out_for: set[StayOut] = set()
         self.fence_seen = trio.Event()
 
     @property
     def name(self) -> str:
-        """Return the member's name: where it takes questions, and which life of it this is."""
-        return f"{self.address}/{self.incarnation}-{self.leaves}"
+        """Return the member's name; it changes with each time that the membership is given up."""
+        life = f"{self.incarnation}-{self.leaves}"
+        return name_member(self.address, room=self.room, life=life)
+
+    @property
+    def is_paused(self) -> bool:
+        """Say whether this process stays out of the group."""
+        return bool(self.out_for)
 
     def start(self, nursery: trio.Nursery) -> None:
         """Begin to renew the membership."""
@@ -62,16 +92,16 @@
         """Say whether this process may still give orders for what it holds."""
         return not self.closing and self.tenure.is_valid(monotonic_ms())
 
-    async def async_pause(self) -> None:
+    async def async_pause(self, reason: StayOut) -> None:
         """Give all partitions up, and stay out of the group until `resume`."""
-        self.is_paused = True
+        self.out_for.add(reason)
         await self.on_change(self.tenure.drop())
         await self._async_leave()
         self.leaves += 1
 
-    def resume(self) -> None:
-        """Join the group again."""
-        self.is_paused = False
+    def resume(self, reason: StayOut) -> None:
+        """Join the group again, unless there is another reason not to."""
+        self.out_for.discard(reason)
 
     def rejoin(self) -> None:
         """Join under a new name: somebody else has proved to own what this process held."""
@@ -91,7 +121,6 @@
     async def _async_renew(self) -> int:
         """Renew once; returns the pause until the next time in milliseconds."""
         if self.is_paused:
-            self.answered_ms = monotonic_ms()
             return RETRY_INTERVAL_MS
         name = self.name
         sent_ms = monotonic_ms()
--- a/heatherkeel/ownership/partitions.py
+++ b/heatherkeel/ownership/partitions.py
@@ -1,21 +1,100 @@
-"""Which partition a service belongs to."""
+"""Which partitions run a service's jobs, and which of them each worker belongs to."""
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Final
 from zlib import crc32
 
+import msgspec
+from result import Err, Ok, Result
+
+WORKERS_A_SHARE: Final = 12
+"""Machines for which a service gets one more partition.
+
+One owner's calls take about 1 ms of a core each, and a dozen workers in their turn ask for some 350
+starts a second. With fewer machines in a share, jobs of eight tasks pack badly: each takes most of
+one or two workers.
+"""
+
 
 def fleet_partition(partitions: int) -> int:
     """Return the partition whose owner moves and maintains machines."""
     return partitions - 1
 
 
-def partition_of(service: str, partitions: int) -> int:
-    """Return the partition of a service's jobs and workers.
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Layout:
+    """How services are shared out among partitions.
+
+    It is stored once and only ever grows: if a service's partitions or a machine's place changed,
+    jobs would be sent to owners that don't know them, and a worker would have two.
+    """
+
+    shares: Mapping[str, tuple[int, ...]] = field(default_factory=dict)
+    """The partitions of each service; each has its own jobs and workers."""
+    places: Mapping[str, int] = field(default_factory=dict)
+    """The number of each machine, by which the machines of a pool are dealt out evenly."""
+
+    def partitions_of(self, service: str) -> tuple[int, ...]:
+        """Return the partitions of a service; none if it isn't laid out yet."""
+        return self.shares.get(service, ())
+
+    def partition_of_job(self, service: str, job_id: str) -> int | None:
+        """Return the partition of a job; None if its service isn't laid out yet."""
+        return _pick(self.partitions_of(service), crc32(job_id.encode()))
+
+    def partition_of_machine(self, service: str, machine: str) -> int | None:
+        """Return the partition of a machine while it is in a service's pool.
 
-    A hash of the name alone: with a place in a list, adding a service would send the jobs of
-    others to owners that don't know them.
+        Machines that came after the layout was made are dealt out by a hash of their names.
+        """
+        place = self.places.get(machine)
+        return _pick(
+            self.partitions_of(service), crc32(machine.encode()) if place is None else place
+        )
+
+    def all_partitions(self) -> list[int]:
+        """Return every partition that has a share of a service."""
+        return sorted({number for shares in self.shares.values() for number in shares})
+
+    def encode(self) -> bytes:
+        """Return the bytes under which it is stored."""
+        return msgspec.json.encode(self)
+
+
+def decode_layout(value: bytes) -> Result[Layout, str]:
+    """Read a stored layout."""
+    try:
+        return Ok(msgspec.json.decode(value, type=Layout))
+    except (ValueError, RecursionError) as err:
+        return Err(str(err))
+
+
+def extend_layout(
+    layout: Layout, *, services: list[str], machines: list[str], partitions: int
+) -> Layout:
+    """Return a layout with these services too; `machines` stand in the order of pools and racks.
+
+    A pool in its turn holds more machines than at first, so all machines count for its shares,
+    and not its own ones. Machines are numbered once, so that the neighbours in a rack belong to
+    different shares and the loss of a rack hits all of them alike.
     """
-    if partitions == 1:
-        return 0
-    return crc32(service.encode()) % (partitions - 1)
+    missing = [service for service in sorted(services) if service not in layout.shares]
+    if not missing:
+        return layout
+    owned = max(1, partitions - 1)
+    size = len(machines) / len(services)
+    count = min(owned, max(1, round(size / WORKERS_A_SHARE)))
+    first = sum(len(shares) for shares in layout.shares.values())
+    shares = dict(layout.shares)
+    for number, service in enumerate(missing):
+        start = first + number * count
+        shares[service] = tuple((start + further) % owned for further in range(count))
+    places = layout.places or {machine: number for number, machine in enumerate(machines)}
+    return Layout(shares=shares, places=places)
+
+
+def _pick(partitions: tuple[int, ...], number: int) -> int | None:
+    return partitions[number % len(partitions)] if partitions else None
--- /dev/null
+++ b/heatherkeel/ownership/reserve.py
@@ -0,0 +1,86 @@
+"""Keeps processes with little processor out of the group while larger ones own everything."""
+
+from __future__ import annotations
+
+import logging
+
+import trio
+
+from heatherkeel.helpers.clock import monotonic_ms
+
+from .const import (
+    ENOUGH_ROOM,
+    FEWEST_OWNERS,
+    RESERVE_CHECK_MS,
+    STAND_BACK_AFTER_MS,
+    STEP_IN_AFTER_MS,
+)
+from .holders import Holders
+from .member import GroupMember, StayOut
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ReserveWatch:
+    """Lets a small process join only when partitions would be without an owner otherwise.
+
+    The platform deals partitions out evenly among whoever joins. Where most machines have half a
+    core, most partitions would go to them, and their jobs would wait for their owner's calls
+    while the larger machines idle.
+    """
+
+    def __init__(
+        self, *, member: GroupMember, holders: Holders, room: int, partitions: int
+    ) -> None:
+        self.member = member
+        self.holders = holders
+        self.room = room
+        self.partitions = partitions
+        self.changing_since_ms: int | None = None
+        """Since when each look has asked for the other state."""
+        if room < ENOUGH_ROOM:
+            member.out_for.add(StayOut.RESERVE)
+
+    async def async_run(self) -> None:
+        """Check until cancelled; a process with enough room has nothing to check."""
+        while self.room < ENOUGH_ROOM:
+            await trio.sleep(RESERVE_CHECK_MS / 1000)
+            if await self.holders.async_read_since(monotonic_ms()):
+                await self._async_decide()
+
+    async def _async_decide(self) -> None:
+        is_out = StayOut.RESERVE in self.member.out_for
+        wants_change = self._is_needed() if is_out else not self._is_needed_among(larger=True)
+        if not wants_change:
+            self.changing_since_ms = None
+            return
+        now_ms = monotonic_ms()
+        if self.changing_since_ms is None:
+            self.changing_since_ms = now_ms
+        waited_ms = now_ms - self.changing_since_ms
+        if waited_ms < (STEP_IN_AFTER_MS if is_out else STAND_BACK_AFTER_MS):
+            return
+        self.changing_since_ms = None
+        _LOGGER.info(
+            "a small process %s",
+            "joins the owners" if is_out else "leaves the owners to larger ones",
+            extra={
+                "event": "reserve",
+                "room": self.room,
+                "owners": len(self.holders.rooms),
+                "owned": len(self.holders.addresses),
+            },
+        )
+        if is_out:
+            self.member.resume(StayOut.RESERVE)
+        else:
+            await self.member.async_pause(StayOut.RESERVE)
+
+    def _is_needed(self) -> bool:
+        return self._is_needed_among(larger=False)
+
+    def _is_needed_among(self, *, larger: bool) -> bool:
+        """Say whether partitions lack an owner, or have so few that their loss would hurt."""
+        least = ENOUGH_ROOM if larger else 0
+        owners = [room for room in self.holders.rooms.values() if room >= least]
+        return len(owners) < FEWEST_OWNERS or len(self.holders.addresses) < self.partitions
--- a/heatherkeel/platform/settings.py
+++ b/heatherkeel/platform/settings.py
@@ -38,6 +38,18 @@
     address: str = ""
 
 
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """What this process may use of its machine."""
+
+    core_share: float = msgspec.field(name="cpuShare", default=1.0)
+    core_speed: float = msgspec.field(name="cores", default=1.0)
+    """Its share of a core is so many times as fast as one."""
+
+    def room(self) -> int:
+        """Return its processor, in thousandths of a core."""
+        return round(1000 * self.core_share * self.core_speed)
+
+
 class InstanceSettings(msgspec.Struct, frozen=True, kw_only=True):
     """What one process is told; unknown fields are ignored."""
 
@@ -46,6 +58,7 @@
     zone: str
     internal_ports: tuple[int, int] = msgspec.field(name="internalPortRange")
     listen: ListenAddresses = msgspec.field(name="listenAddrs")
+    limits: Limits = msgspec.field(default_factory=Limits)
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     store: StoreSettings = msgspec.field(name="platform")
     machines: MachineSettings = msgspec.field(name="cloud", default_factory=MachineSettings)
--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -55,3 +55,6 @@
 """What the clocks of two owners may differ by, in milliseconds."""
 FEWEST_MACHINES: Final = 2
 """A pool keeps at least this many machines: one may be lost or maintained at any time."""
+LAYOUT_WAIT_MS: Final = 4000
+"""How long the list of machines is waited for before services are laid out by what workers say of
+themselves, in milliseconds; callers come 12 s after the first start."""
--- a/heatherkeel/pooling/demand.py
+++ b/heatherkeel/pooling/demand.py
@@ -1,7 +1,8 @@
-"""How many machines each pool needs, and which to move."""
+"""How many machines each share of a pool needs, and which to move."""
 
 from __future__ import annotations
 
+from collections import Counter
 from math import ceil
 
 from heatherkeel.platform.machines import Machine
@@ -16,16 +17,16 @@
     PARK_AFTER_MS,
     SURPLUS_GAP_MS,
 )
-from .models import FleetState, Intent, PoolView, Purpose
+from .models import FleetState, Intent, Purpose, Share, ShareView
 
 
-def demanded_cpu(view: PoolView) -> float:
-    """Return what a pool's jobs ask for, or soon will at the pace at which they come."""
+def demanded_cpu(view: ShareView) -> float:
+    """Return what a share's jobs ask for, or soon will at the pace at which they come."""
     load = view.load
     return max(load.wanted_cpu, load.arriving_cpu * FULL_SHARE / ARRIVING_SHARE)
 
 
-def remember_peak(view: PoolView, now_ms: int) -> None:
+def remember_peak(view: ShareView, now_ms: int) -> None:
     """Keep the highest demand of the last while."""
     wanted = demanded_cpu(view)
     view.peaks = [
@@ -35,40 +36,56 @@
 
 
 def plan_moves(state: FleetState) -> list[Intent]:
-    """Return the machines to move now: to pools that are short, then to the standby pool."""
+    """Return the machines to move now: to shares that are short, then to the standby pool."""
     members = _members(state)
     short = _shortages(state, members)
     donors = _donors(state, members, short)
     intents = []
-    for pool in sorted(short, key=lambda name: short[name], reverse=True):
-        for _ in range(short[pool]):
-            donor = next((machine for machine in donors if machine.pool != pool), None)
+    for share in sorted(short, key=lambda share: short[share], reverse=True):
+        for _ in range(short[share]):
+            donor = next((donor for donor in donors if _suits(state, donor, share)), None)
             if donor is None:
                 break
             donors.remove(donor)
-            intents.append(_move(state, donor, pool))
+            intents.append(_move(state, donor, share.pool))
     return intents + _plan_parking(state, donors)
 
 
-def _members(state: FleetState) -> dict[str, list[Machine]]:
-    """Return the machines of each pool that are up and stay."""
-    members: dict[str, list[Machine]] = {name: [] for name in state.services}
-    for machine in state.machines.values():
-        if machine.is_up() and machine.name not in state.intents and machine.pool in members:
-            members[machine.pool].append(machine)
+def _suits(state: FleetState, machine: Machine, share: Share) -> bool:
+    """Say whether a machine would be in a share once it was in the share's pool."""
+    return machine.pool != share.pool and state.share_of(machine.name, share.pool) == share
+
+
+def _members(state: FleetState) -> dict[Share, list[Machine]]:
+    """Return the machines of each share that are up and stay."""
+    members: dict[Share, list[Machine]] = {share: [] for share in state.shares()}
+    for machine in _staying(state):
+        share = state.share_of(machine.name, machine.pool)
+        if share in members:
+            members[share].append(machine)
     return members
 
 
-def _fresh(state: FleetState, pool: str) -> PoolView | None:
-    view = state.pools.get(pool)
+def _staying(state: FleetState) -> list[Machine]:
+    return [
+        machine
+        for machine in state.machines.values()
+        if machine.is_up() and machine.name not in state.intents
+    ]
+
+
+def _fresh(state: FleetState, share: Share) -> ShareView | None:
+    view = state.views.get(share)
     if view is None or state.now_ms - view.heard_ms > LOAD_MAX_AGE_MS:
         return None
     return view
 
 
-def _needed(state: FleetState, pool: str, machines: list[Machine], *, recent: bool) -> int | None:
-    """Return how many machines a pool's demand asks for; None if that isn't known."""
-    view = _fresh(state, pool)
+def _needed(
+    state: FleetState, share: Share, machines: list[Machine], *, recent: bool
+) -> int | None:
+    """Return how many machines a share's demand asks for; None if that isn't known."""
+    view = _fresh(state, share)
     if view is None:
         return None
     wanted = demanded_cpu(view)
@@ -79,59 +96,58 @@
     return ceil(wanted / (FULL_SHARE * max(1.0, size)))
 
 
-def _shortages(state: FleetState, members: dict[str, list[Machine]]) -> dict[str, int]:
-    """Return how many machines each pool lacks, counting those on their way to it."""
+def _shortages(state: FleetState, members: dict[Share, list[Machine]]) -> dict[Share, int]:
+    """Return how many machines each share lacks, counting those on their way to it."""
+    coming = _count_coming(state)
     short = {}
-    for pool, machines in members.items():
-        if state.is_standby(pool):
-            continue
-        needed = _needed(state, pool, machines, recent=False)
+    for share, machines in members.items():
+        needed = _needed(state, share, machines, recent=False)
         if needed is None:
             continue
-        coming = sum(
-            1
-            for intent in state.intents.values()
-            if intent.pool == pool and intent.purpose is Purpose.MOVE
-        )
-        coming += sum(
-            1
-            for machine in state.machines.values()
-            if machine.pool == pool
-            and not machine.is_up()
-            and machine.state != "down"
-            and machine.name not in state.intents
-        )
-        lacking = needed - len(machines) - coming
+        lacking = needed - len(machines) - coming[share]
         if lacking > 0:
-            short[pool] = lacking
+            short[share] = lacking
     return short
 
 
+def _count_coming(state: FleetState) -> Counter[Share | None]:
+    """Count the machines on their way to each share, by order or as the list shows them."""
+    coming = Counter(
+        state.share_of(intent.machine, intent.pool)
+        for intent in state.intents.values()
+        if intent.purpose is Purpose.MOVE
+    )
+    coming.update(
+        state.share_of(machine.name, machine.pool)
+        for machine in state.machines.values()
+        if not machine.is_up() and machine.state != "down" and machine.name not in state.intents
+    )
+    return coming
+
+
 def _donors(
-    state: FleetState, members: dict[str, list[Machine]], short: dict[str, int]
+    state: FleetState, members: dict[Share, list[Machine]], short: dict[Share, int]
 ) -> list[Machine]:
     """Return machines that may be moved, those that serve nobody first."""
-    donors = []
-    for pool, machines in members.items():
-        if state.is_standby(pool):
-            donors += list(machines)
-        elif pool not in short:
-            donors += _surplus(state, pool, machines, recent=not short)
+    donors = [machine for machine in _staying(state) if state.is_standby(machine.pool)]
+    for share, machines in members.items():
+        if share not in short:
+            donors += _surplus(state, share, machines, recent=not short)
     donors.sort(key=lambda machine: (not state.is_standby(machine.pool), machine.name))
     return donors
 
 
 def _surplus(
-    state: FleetState, pool: str, machines: list[Machine], *, recent: bool
+    state: FleetState, share: Share, machines: list[Machine], *, recent: bool
 ) -> list[Machine]:
-    """Return a pool's machines beyond its demand, without lasting tasks, the emptiest first.
+    """Return a share's machines beyond its demand, without lasting tasks, the emptiest first.
 
-    What was wanted in the last seconds counts, unless another pool is short right now.
+    What was wanted in the last seconds counts, unless another share is short right now.
     A machine with a lasting task stays: moving it would end the task, and its step may not have
     two on one worker.
     """
-    needed = _needed(state, pool, machines, recent=recent)
-    view = state.pools.get(pool)
+    needed = _needed(state, share, machines, recent=recent)
+    view = state.views.get(share)
     if needed is None or view is None:
         return []
     free = [
@@ -140,28 +156,32 @@
         if machine.worker_id in view.load.workers and machine.worker_id not in view.load.lasting
     ]
     pinned = len(machines) - len(free)
-    spare = len(machines) - max(needed, pinned, _floor(state, pool))
+    spare = len(machines) - max(needed, pinned, _floor(state, share))
     free.sort(key=lambda machine: (view.load.workers[machine.worker_id or ""], machine.name))
     return free[: max(0, spare)]
 
 
-def _floor(state: FleetState, pool: str) -> int:
-    """Return how many machines a pool keeps between its turns.
+def _floor(state: FleetState, share: Share) -> int:
+    """Return how many machines a share keeps between its turns.
 
     Machines come about two seconds after they are wanted; these are for the jobs until then, and
     for what may be lost or maintained, or while the fleet has no owner.
     """
-    return max(FEWEST_MACHINES, ceil(FLOOR_SHARE * state.home_sizes.get(pool, 0)))
+    return max(FEWEST_MACHINES, ceil(FLOOR_SHARE * state.home_sizes.get(share, 0)))
 
 
 def _plan_parking(state: FleetState, donors: list[Machine]) -> list[Intent]:
-    """Send machines to the standby pool, as many as a pool could spare all the last while."""
+    """Send machines to the standby pool, as many as a share could spare all the last while."""
     standby = state.standby_pool()
     if standby is None:
         return []
     parked = []
-    for pool, view in state.pools.items():
-        surplus = [machine for machine in donors if machine.pool == pool]
+    for share, view in state.views.items():
+        surplus = [
+            machine
+            for machine in donors
+            if machine.pool == share.pool and state.share_of(machine.name, share.pool) == share
+        ]
         least = _least_surplus(state, view, len(surplus))
         parked += [_move(state, machine, standby) for machine in surplus[:least]]
         if least:
@@ -169,8 +189,8 @@
     return parked
 
 
-def _least_surplus(state: FleetState, view: PoolView, count: int) -> int:
-    """Return how many machines a pool could spare at any time of the last while.
+def _least_surplus(state: FleetState, view: ShareView, count: int) -> int:
+    """Return how many machines a share could spare at any time of the last while.
 
     Counted, not named: which of its machines are the emptiest changes with every look.
     """
--- a/heatherkeel/pooling/keeper.py
+++ b/heatherkeel/pooling/keeper.py
@@ -11,11 +11,12 @@
 
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.follower import async_read_whole
+from heatherkeel.directory.layout_reader import find_layout
 from heatherkeel.dispatch.journal import Journal
 from heatherkeel.helpers.clock import monotonic_ms, wall_ms
-from heatherkeel.ownership.const import WORK_TOPIC
+from heatherkeel.ownership.const import LAYOUT_KEY, WORK_TOPIC
 from heatherkeel.ownership.holders import Holders
-from heatherkeel.ownership.partitions import fleet_partition, partition_of
+from heatherkeel.ownership.partitions import Layout, extend_layout, fleet_partition
 from heatherkeel.platform.const import STATUS_TOPIC
 from heatherkeel.platform.errors import CallError
 from heatherkeel.platform.framing import KeyedRecord
@@ -28,6 +29,7 @@
 
 from .const import (
     CLOCK_MARGIN_MS,
+    LAYOUT_WAIT_MS,
     LIST_INTERVAL_MS,
     PLAN_INTERVAL_MS,
     RECENT_ORDERS_MS,
@@ -87,6 +89,9 @@
         self.journal = Journal(
             store=store, partition=self.partition, token=token, on_fenced=on_fenced
         )
+        self.layout = Layout()
+        """As it is stored, or about to be."""
+        self.began_ms = monotonic_ms()
         self.client = MachineClient(address=settings.machines.address, holder=settings.instance)
         self.aside_partition = 0
         """Where the last order that was stored aside stands."""
@@ -116,6 +121,8 @@
         if not await self.journal.async_open():
             await trio.sleep_forever()
         own = (await async_read_whole(self.store, WORK_TOPIC, self.partition)).records
+        self.layout = find_layout(own) or self.layout
+        self.directory.take_layout(self.layout)
         aside = await self._async_read_aside()
         self._take_directory()
         for record in own:
@@ -167,7 +174,12 @@
     def _take_directory(self) -> None:
         known = self.directory.state
         self._take(
-            DirectoryRead(now_ms=monotonic_ms(), services=known.services, waves=dict(known.waves))
+            DirectoryRead(
+                now_ms=monotonic_ms(),
+                services=known.services,
+                waves=dict(known.waves),
+                layout=known.layout,
+            )
         )
 
     async def _async_list(self) -> None:
@@ -187,23 +199,49 @@
 
     async def _async_plan(self) -> None:
         while True:
+            self._extend_layout()
             self._take_directory()
             await self._async_measure()
             self._take(PlanDue(now_ms=monotonic_ms(), may_order=self.may_order()))
             await trio.sleep(PLAN_INTERVAL_MS / 1000)
 
+    def _extend_layout(self) -> None:
+        """Lay out services that are new; others hear of it once it is stored."""
+        services = sorted(self.directory.state.serving())
+        machines = self._list_places()
+        if not services or not machines:
+            return
+        layout = extend_layout(
+            self.layout,
+            services=services,
+            machines=machines,
+            partitions=self.settings.store.partitions,
+        )
+        if layout is self.layout:
+            return
+        self.layout = layout
+        self.journal.put(LAYOUT_KEY, layout.encode)
+        self.journal.when_stored(lambda: self.directory.take_layout(layout))
+
+    def _list_places(self) -> list[str]:
+        """Return all machines in the order of pools and racks; none while they aren't known.
+
+        What workers say of themselves leaves out the standby machines, so it is used only where
+        the list stays away: jobs can't be taken in before services are laid out.
+        """
+        listed = [(m.pool, m.zone, m.rack(), m.name) for m in self.state.machines.values()]
+        if not listed and monotonic_ms() - self.began_ms >= LAYOUT_WAIT_MS:
+            entries = self.directory.state.workers.values()
+            listed = [(e.service, e.zone, "", e.machine) for e in entries if e.machine]
+        return [name for *_, name in sorted(listed)]
+
     async def _async_measure(self) -> None:
         """Ask all pools' owners how full they are, and tell them which workers to empty."""
-        partitions = {
-            partition_of(name, self.settings.store.partitions)
-            for name, service in self.state.services.items()
-            if not service.is_standby
-        }
         intents = self.state.intents.values()
         leaving = [intent.worker_id for intent in intents if intent.worker_id]
         due = self.state.due_workers()
         async with trio.open_nursery() as nursery:
-            for partition in sorted(partitions):
+            for partition in self.state.layout.all_partitions():
                 question = PoolsAsked(partition=partition, leaving=leaving, due=due)
                 nursery.start_soon(self._async_measure_partition, question)
 
@@ -214,7 +252,9 @@
             return
         answer = await self.links.async_ask(address, question)
         if isinstance(answer, PoolsTold):
-            self._take(PoolsMeasured(now_ms=monotonic_ms(), loads=answer.pools))
+            self._take(
+                PoolsMeasured(now_ms=monotonic_ms(), partition=partition, loads=answer.pools)
+            )
         else:
             await self.holders.async_find(partition, but_not=address)
 
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -4,7 +4,9 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import NamedTuple
 
+from heatherkeel.ownership.partitions import Layout
 from heatherkeel.platform.errors import CallError
 from heatherkeel.platform.machines import Machine
 from heatherkeel.platform.operator import Service, Wave
@@ -18,6 +20,13 @@
     MAINTAIN = "maintain"
 
 
+class Share(NamedTuple):
+    """A partition's part of a pool: its own jobs, and the machines that may run them."""
+
+    pool: str
+    partition: int
+
+
 @dataclass(kw_only=True, slots=True)
 class Intent:
     """A machine that is to go: first emptied, then ordered away."""
@@ -47,8 +56,8 @@
 
 
 @dataclass(kw_only=True, slots=True)
-class PoolView:
-    """A pool's load as last told, and its recent highest."""
+class ShareView:
+    """A share's load as last told, and its recent highest."""
 
     load: PoolLoad
     heard_ms: int
@@ -67,13 +76,14 @@
     machines: dict[str, Machine] = field(default_factory=dict)
     listed_ms: int | None = None
     services: dict[str, Service] = field(default_factory=dict)
-    pools: dict[str, PoolView] = field(default_factory=dict)
+    layout: Layout = field(default_factory=Layout)
+    views: dict[Share, ShareView] = field(default_factory=dict)
     waves: dict[int, WaveProgress] = field(default_factory=dict)
     intents: dict[str, Intent] = field(default_factory=dict)
     blocked_until_ms: dict[str, int] = field(default_factory=dict)
     """Machines that an earlier owner has ordered away just now, and until when we may not."""
-    home_sizes: dict[str, int] = field(default_factory=dict)
-    """How many machines each pool had when this owner first saw it."""
+    home_sizes: dict[Share, int] = field(default_factory=dict)
+    """How many machines each share had when this owner first saw it."""
 
     def standby_pool(self) -> str | None:
         """Return the pool whose machines are off, if there is one."""
@@ -84,6 +94,25 @@
         service = self.services.get(pool)
         return service is not None and service.is_standby
 
+    def shares(self) -> list[Share]:
+        """Return the shares of all pools that serve."""
+        return [
+            Share(pool=name, partition=partition)
+            for name in self.services
+            if not self.is_standby(name)
+            for partition in self.layout.partitions_of(name)
+        ]
+
+    def share_of(self, machine: str, pool: str) -> Share | None:
+        """Return the share that a machine belongs to while it is in a pool; None if it has none."""
+        partition = self.layout.partition_of_machine(pool, machine)
+        return None if partition is None else Share(pool=pool, partition=partition)
+
+    def view_of(self, machine: Machine) -> ShareView | None:
+        """Return the view of the share that a machine is in."""
+        share = self.share_of(machine.name, machine.pool)
+        return None if share is None else self.views.get(share)
+
     def due_workers(self) -> list[str]:
         """Return the workers whose machines still have to be maintained."""
         return [
@@ -116,15 +145,17 @@
 class PoolsMeasured(FleetEvent):
     """The loads of one partition's pools."""
 
+    partition: int
     loads: list[PoolLoad]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DirectoryRead(FleetEvent):
-    """The services and waves that the operator wants."""
+    """The services and waves that the operator wants, and how services are laid out."""
 
     services: dict[str, Service]
     waves: dict[int, Wave]
+    layout: Layout
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from typing import Any, Final, TypeVar
 
@@ -21,9 +22,10 @@
     OrderMachine,
     PlanDue,
     PoolsMeasured,
-    PoolView,
     Purpose,
     SaveWave,
+    Share,
+    ShareView,
     WaveProgress,
 )
 from .waves import plan_maintenance
@@ -62,6 +64,7 @@
 def take_directory(state: FleetState, event: DirectoryRead) -> list[FleetEffect]:
     """Take in services and waves; a wave that is new is told to be in progress."""
     state.services = event.services
+    state.layout = event.layout
     effects: list[FleetEffect] = []
     for number, wave in event.waves.items():
         if number not in state.waves:
@@ -81,11 +84,12 @@
 
 @handles(PoolsMeasured)
 def take_loads(state: FleetState, event: PoolsMeasured) -> list[FleetEffect]:
-    """Take in the loads of some pools."""
+    """Take in the loads of one partition's shares."""
     for load in event.loads:
-        view = state.pools.get(load.service)
+        share = Share(pool=load.service, partition=event.partition)
+        view = state.views.get(share)
         if view is None:
-            view = state.pools[load.service] = PoolView(load=load, heard_ms=state.now_ms)
+            view = state.views[share] = ShareView(load=load, heard_ms=state.now_ms)
         view.load = load
         view.heard_ms = state.now_ms
         remember_peak(view, state.now_ms)
@@ -98,14 +102,23 @@
     state.machines = {machine.name: machine for machine in event.machines}
     state.listed_ms = event.sent_ms
     if not state.home_sizes:
-        for machine in event.machines:
-            state.home_sizes[machine.pool] = state.home_sizes.get(machine.pool, 0) + 1
+        state.home_sizes = _count_homes(state)
     for name, intent in list(state.intents.items()):
         if _is_over(state, intent, event.sent_ms):
             del state.intents[name]
     return []
 
 
+def _count_homes(state: FleetState) -> dict[Share, int]:
+    """Count each share's machines; none before the services are laid out."""
+    homes: Counter[Share] = Counter()
+    for machine in state.machines.values():
+        share = state.share_of(machine.name, machine.pool)
+        if share is not None:
+            homes[share] += 1
+    return homes
+
+
 def _is_over(state: FleetState, intent: Intent, sent_ms: int) -> bool:
     """Say whether a list that was asked for at a time shows that an intent has come true.
 
@@ -228,7 +241,7 @@
         return True
     return any(
         intent.worker_id in view.load.empty
-        for view in state.pools.values()
+        for view in state.views.values()
         if state.now_ms - view.heard_ms < LOAD_MAX_AGE_MS
     )
 
--- a/heatherkeel/pooling/waves.py
+++ b/heatherkeel/pooling/waves.py
@@ -74,20 +74,21 @@
     """Order machines that are off first, then those of the idlest pools, the emptiest first."""
     if state.is_standby(machine.pool):
         return (False, 0.0, 0, machine.name)
-    view = state.pools.get(machine.pool)
+    view = state.view_of(machine)
     used = view.load.workers.get(machine.worker_id or "", 0) if view else 0
     lasting = view.load.lasting.get(machine.worker_id or "", 0) if view else 0
     return (True, _load_share(state, machine.pool) + lasting, used, machine.name)
 
 
 def _load_share(state: FleetState, pool: str) -> float:
-    view = state.pools.get(pool)
+    views = [view for share, view in state.views.items() if share.pool == pool]
     room = sum(
         machine.capacity.cpu
         for machine in state.machines.values()
         if machine.pool == pool and machine.is_up()
     )
-    return view.load.wanted_cpu / room if view is not None and room else 1.0
+    wanted_cpu = sum(view.load.wanted_cpu for view in views)
+    return wanted_cpu / room if views and room else 1.0
 
 
 def _pool_sizes(state: FleetState) -> dict[str, int]:
--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -4,11 +4,14 @@
 
 from heatherkeel.dispatch.load import measure_pools
 from heatherkeel.dispatch.owner import PartitionOwner
+from heatherkeel.ownership.partitions import Layout
 
 from .messages import (
     Answer,
     JobAsked,
     JobTold,
+    LayoutAsked,
+    LayoutTold,
     NotOwner,
     PoolsAsked,
     PoolsTold,
@@ -17,8 +20,12 @@
 )
 
 
-def answer_question(owners: dict[int, PartitionOwner], question: Question) -> Answer:
+def answer_question(
+    owners: dict[int, PartitionOwner], layout: Layout, question: Question
+) -> Answer:
     """Answer a question; an owner that doesn't read its partition must not say "unknown"."""
+    if isinstance(question, LayoutAsked):
+        return LayoutTold(layout=layout)
     owner = owners.get(question.partition)
     if owner is None or not owner.is_restored:
         return NotOwner()
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -5,6 +5,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from heatherkeel.ownership.partitions import Layout
+
 
 class JobAsked(msgspec.Struct, frozen=True, kw_only=True, tag="job"):
     """Asks how a job is."""
@@ -29,7 +31,13 @@
     """Workers whose machines are to be maintained later: no place for a lasting task."""
 
 
-Question = JobAsked | QueueAsked | PoolsAsked
+class LayoutAsked(msgspec.Struct, frozen=True, kw_only=True, tag="layout"):
+    """Asks how services are laid out, of a process that need not own anything."""
+
+    partition: int
+
+
+Question = JobAsked | QueueAsked | PoolsAsked | LayoutAsked
 
 
 class JobTold(msgspec.Struct, frozen=True, kw_only=True, tag="job"):
@@ -67,11 +75,17 @@
     pools: list[PoolLoad]
 
 
+class LayoutTold(msgspec.Struct, frozen=True, kw_only=True, tag="layout"):
+    """The layout as the process that was asked knows it; empty if it doesn't."""
+
+    layout: Layout
+
+
 class NotOwner(msgspec.Struct, frozen=True, kw_only=True, tag="not_owner"):
     """The process that was asked doesn't own the partition, or doesn't know its jobs yet."""
 
 
-Answer = JobTold | QueueTold | PoolsTold | NotOwner
+Answer = JobTold | QueueTold | PoolsTold | LayoutTold | NotOwner
 
 
 def encode_message(message: Question | Answer) -> bytes:
--- a/tests/instance/site.py
+++ b/tests/instance/site.py
@@ -79,7 +79,7 @@
         self.processes.append(process)
         self.scopes.append(scope)
         await self.nursery.start(self._async_run, process, scope)
-        await self.async_wait(lambda: process.directory.state.config is not None)
+        await self.async_wait(process.status.is_ready)
         return process
 
     async def _async_run(
@@ -104,7 +104,8 @@
             if scope.cancel_called:
                 continue
             for owner in process.owners.values():
-                if owner.is_restored and owner.owns(service) and owner.may_order():
+                shares = owner.directory.state.layout.partitions_of(service)
+                if owner.is_restored and owner.partition in shares and owner.may_order():
                     return process
         return None
 
--- /dev/null
+++ b/tests/instance/test_shares.py
@@ -0,0 +1,108 @@
+"""A large service has several owners, and every process knows which."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from functools import partial
+
+import pytest
+import trio
+
+from heatherkeel.directory.directory import DirectoryState
+from heatherkeel.ownership import partitions
+from heatherkeel.ownership.const import WORK_TOPIC
+from heatherkeel.ownership.partitions import fleet_partition
+
+from .site import QUEUE, Site, open_site
+
+JOBS = [f"{number:016x}" for number in range(1, 17)]
+
+
+@pytest.fixture(autouse=True)
+def _two_machines_a_share(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    """Let four machines be a large pool."""
+    monkeypatch.setattr(partitions, "WORKERS_A_SHARE", 2)
+    yield
+
+
+def is_laid_out(known: DirectoryState, service: str) -> bool:
+    """Say whether a process knows the partitions of a service."""
+    return service in known.layout.shares
+
+
+async def async_submit_all(site: Site) -> None:
+    """Hand all jobs in, to one process after the other."""
+    for number, job_id in enumerate(JOBS):
+        process = site.processes[number % len(site.processes)]
+        assert await site.async_submit(process, job_id, "work 50") == 200
+
+
+def test_jobs_of_a_large_service_run_with_all_of_its_owners() -> None:
+    """One queue's jobs go to two partitions, each with workers of its own."""
+
+    async def async_test() -> None:
+        async with open_site(processes=2, machines=4) as site:
+            await async_submit_all(site)
+            for job_id in JOBS:
+                await site.async_wait_state(site.processes[0], job_id, "complete")
+            owners = [owner for process in site.processes for owner in process.owners.values()]
+            ran = {owner.partition: owner.state.finished.keys() for owner in owners}
+            shares = site.processes[0].directory.state.layout.partitions_of("portal")
+            assert len(shares) == 2
+            assert all(ran[partition] for partition in shares)
+            assert sum(len(jobs) for jobs in ran.values()) == len(JOBS)
+            assert all(len(site.starts(job_id)) == 2 for job_id in JOBS)
+
+    trio.run(async_test)
+
+
+def test_queues_length_counts_all_of_its_owners() -> None:
+    """No machine has room: whoever asks hears of the jobs of both partitions."""
+
+    async def async_test() -> None:
+        async with open_site(processes=2, machines=4) as site:
+            step = {"count": 1, "cpu": 10_000_000, "memMb": 1, "estimatedMs": 10}
+            for job_id in JOBS:
+                assert await site.async_submit(site.processes[0], job_id, "work 1", step) == 200
+
+            async def async_check() -> bool:
+                _, body = await site.async_call(site.processes[1], "GET", "/q/")
+                return body.get("pendingJobs") == len(JOBS)
+
+            await site.async_wait_for(async_check)
+
+    trio.run(async_test)
+
+
+def test_process_that_starts_while_the_layout_cannot_be_read_asks_others() -> None:
+    """A part of the store is down, the fleet's partition with it, and an instance is replaced.
+
+    Without the layout it would refuse every job for as long as the outage lasts, though the
+    partitions of the jobs work.
+    """
+
+    async def async_test() -> None:
+        async with open_site(processes=1, machines=4) as site:
+            first = site.processes[0]
+            site.platform.faults.down_partitions |= {(WORK_TOPIC, fleet_partition(3))}
+            second = await site.async_add_process()
+            assert second.directory.state.layout == first.directory.state.layout
+            assert await site.async_submit(second, JOBS[0], "work 10") == 200
+            await site.async_wait_state(first, JOBS[0], "complete")
+
+    trio.run(async_test)
+
+
+def test_service_that_is_new_is_laid_out_and_others_stay() -> None:
+    """An operator adds a service; jobs of the older one must not change their owners."""
+
+    async def async_test() -> None:
+        async with open_site(processes=2, machines=4) as site:
+            before = site.processes[0].directory.state.layout.shares["portal"]
+            site.platform.configure(2, [QUEUE], ["portal", "desk", "spare"])
+            for process in site.processes:
+                known = process.directory.state
+                await site.async_wait(partial(is_laid_out, known, "desk"))
+                assert known.layout.shares["portal"] == before
+
+    trio.run(async_test)
--- a/tests/instance/test_status.py
+++ b/tests/instance/test_status.py
@@ -10,6 +10,7 @@
 from heatherkeel.gateway.metrics import GatewayMetrics
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.instance.status import STORE_SILENT_MS, StatusApp
+from heatherkeel.ownership.partitions import Layout
 from heatherkeel.platform.operator import Configuration
 
 from .site import open_site
@@ -18,7 +19,9 @@
 def make_status(*, store_heard_ms: int) -> StatusApp:
     """Return the status of a process that has a configuration."""
     return StatusApp(
-        directory=DirectoryState(config=Configuration(version=1)),
+        directory=DirectoryState(
+            config=Configuration(version=1), layout=Layout(shares={"portal": (0,)})
+        ),
         metrics=GatewayMetrics(),
         store_heard_ms=lambda: store_heard_ms,
     )
--- a/tests/ownership/test_isolation.py
+++ b/tests/ownership/test_isolation.py
@@ -9,7 +9,7 @@
 from heatherkeel.ownership.const import ISOLATED_AFTER_MS, PEER_CHECK_INTERVAL_MS, WORK_TOPIC
 from heatherkeel.ownership.holders import Holders
 from heatherkeel.ownership.isolation import IsolationWatch
-from heatherkeel.ownership.member import GroupMember
+from heatherkeel.ownership.member import GroupMember, StayOut
 from heatherkeel.ownership.tenure import Change
 from heatherkeel.platform.store import PartitionHolder, Share, StoreClient
 
@@ -95,7 +95,7 @@
 
 def test_process_takes_part_again_once_it_reaches_another() -> None:
     isolated = Isolated(others=1)
-    isolated.member.is_paused = True
+    isolated.member.out_for.add(StayOut.ISOLATED)
     isolated.is_reachable = True
     trio.run(async_live, isolated, 3 * PEER_CHECK_INTERVAL_MS)
     assert not isolated.member.is_paused
--- /dev/null
+++ b/tests/ownership/test_partitions.py
@@ -0,0 +1,80 @@
+"""Services are shared out among partitions once, evenly, and for good."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from heatherkeel.ownership.partitions import Layout, decode_layout, extend_layout
+
+NAMES = st.lists(st.text("abcdef", min_size=1, max_size=6), unique=True, min_size=1, max_size=8)
+
+
+def make_layout(*, pools: int, machines: int, partitions: int = 12) -> Layout:
+    """Lay out some pools of as many machines each."""
+    return extend_layout(
+        Layout(),
+        services=[f"pool{number}" for number in range(pools)],
+        machines=[f"m{number}" for number in range(pools * machines)],
+        partitions=partitions,
+    )
+
+
+def test_small_pools_have_one_partition_each_and_no_two_the_same() -> None:
+    """Four pools of seven machines: with a hash of the name two of them often met in one."""
+    layout = make_layout(pools=4, machines=7)
+    assert sorted(layout.shares.values()) == [(0,), (1,), (2,), (3,)]
+
+
+def test_large_pools_are_shared_evenly() -> None:
+    """A pool of 45 machines in its turn is more than one owner's calls can carry."""
+    layout = make_layout(pools=4, machines=45)
+    assert all(len(shares) == 4 for shares in layout.shares.values())
+    used = Counter(number for shares in layout.shares.values() for number in shares)
+    assert max(used.values()) - min(used.values()) <= 1
+
+
+def test_neighbours_in_a_rack_belong_to_different_shares() -> None:
+    """A lost rack takes a like part of every share, and none whole."""
+    layout = make_layout(pools=4, machines=45)
+    rack = [f"m{number}" for number in range(8)]
+    shares = Counter(layout.partition_of_machine("pool0", machine) for machine in rack)
+    assert set(shares.values()) == {2}
+
+
+@given(before=NAMES, added=NAMES, jobs=NAMES, machines=st.integers(1, 300))
+def test_what_is_laid_out_never_moves(
+    before: list[str], added: list[str], jobs: list[str], machines: int
+) -> None:
+    """A service is added: nobody's jobs or workers get another owner by it."""
+    names = [f"m{number}" for number in range(machines)]
+    first = extend_layout(Layout(), services=before, machines=names, partitions=12)
+    then = extend_layout(
+        first, services=sorted({*before, *added}), machines=names[::-1], partitions=12
+    )
+    for service in before:
+        for job in jobs:
+            assert first.partition_of_job(service, job) == then.partition_of_job(service, job)
+        for machine in [*names, "later"]:
+            known = first.partition_of_machine(service, machine)
+            assert known == then.partition_of_machine(service, machine)
+
+
+@given(services=NAMES, machines=st.integers(1, 300), partitions=st.integers(1, 24))
+def test_layout_outlives_the_store_and_spares_the_fleets_partition(
+    services: list[str], machines: int, partitions: int
+) -> None:
+    names = [f"m{number}" for number in range(machines)]
+    layout = extend_layout(Layout(), services=services, machines=names, partitions=partitions)
+    assert decode_layout(layout.encode()).unwrap() == layout
+    used = layout.all_partitions()
+    assert used[0] >= 0
+    assert used[-1] < max(1, partitions - 1)
+
+
+def test_service_that_is_not_laid_out_has_no_partition() -> None:
+    layout = make_layout(pools=1, machines=3)
+    assert layout.partition_of_job("elsewhere", "00aa") is None
+    assert layout.partition_of_machine("elsewhere", "m1") is None
--- a/tests/pooling/fleet.py
+++ b/tests/pooling/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from heatherkeel.ownership.partitions import Layout
 from heatherkeel.platform.errors import CallError
 from heatherkeel.platform.machines import Machine
 from heatherkeel.platform.operator import Capacity, Service, Wave
@@ -16,6 +17,7 @@
     OrderMachine,
     PlanDue,
     PoolsMeasured,
+    Share,
 )
 from heatherkeel.pooling.reducer import reduce_fleet
 from heatherkeel.questions.messages import PoolLoad
@@ -26,7 +28,7 @@
 class Fleet:
     """Pools of machines, and what each asks for."""
 
-    def __init__(self, *, waves: list[Wave] | None = None, **pools: int) -> None:
+    def __init__(self, *, waves: list[Wave] | None = None, shares: int = 1, **pools: int) -> None:
         self.state = FleetState(token=3)
         self.now_ms = 10_000
         self.effects: list[FleetEffect] = []
@@ -41,10 +43,18 @@
                 now_ms=self.now_ms,
                 services=services,
                 waves={wave.number: wave for wave in waves or []},
+                layout=self.make_layout(shares, list(pools)),
             )
         )
         self.list_machines()
 
+    def make_layout(self, shares: int, pools: list[str]) -> Layout:
+        """Give each pool so many shares, and deal the machines out to them in turn."""
+        return Layout(
+            shares={name: tuple(range(shares)) for name in pools if name != "spare"},
+            places={name: place for place, name in enumerate(self.pool_of)},
+        )
+
     def give(self, event: FleetEvent) -> list[FleetEffect]:
         """Reduce one event; returns its effects, which are kept too."""
         effects = reduce_fleet(self.state, event)
@@ -65,11 +75,15 @@
         ]
         self.give(MachinesListed(now_ms=self.now_ms, machines=machines, sent_ms=self.now_ms))
 
-    def measure(self, **wanted: int) -> None:
-        """Tell what pools ask for."""
+    def measure(self, *, partition: int = 0, **wanted: int) -> None:
+        """Tell what a partition's shares of pools ask for."""
         loads = []
         for pool, cpu in wanted.items():
-            members = [name for name, at in self.pool_of.items() if at == pool]
+            members = [
+                name
+                for name, at in self.pool_of.items()
+                if at == pool and self.state.share_of(name, at) == Share(pool, partition)
+            ]
             loads.append(
                 PoolLoad(
                     service=pool,
@@ -82,7 +96,7 @@
                     },
                 )
             )
-        self.give(PoolsMeasured(now_ms=self.now_ms, loads=loads))
+        self.give(PoolsMeasured(now_ms=self.now_ms, partition=partition, loads=loads))
 
     def plan(self, *, after_ms: int = 100, may_order: bool = True) -> list[Intent]:
         """Plan; returns the machines that are ordered away."""
--- a/tests/pooling/test_orders_record.py
+++ b/tests/pooling/test_orders_record.py
@@ -15,8 +15,10 @@
 
 
 def find_keeper(site: Site) -> FleetKeeper | None:
-    """Return the fleet's owner once it has begun."""
-    for process in site.processes:
+    """Return the fleet's owner once it has begun; one that was killed owns nothing."""
+    for process, scope in zip(site.processes, site.scopes, strict=True):
+        if scope.cancel_called:
+            continue
         if process.keeper is not None and process.keeper.nursery is not None:
             return process.keeper
     return None
@@ -67,7 +69,7 @@
             site.kill(site.processes[0])
             await site.async_add_process()
             await site.async_wait(lambda: find_keeper(site) is not None)
-            keeper = site.processes[1].keeper
+            keeper = find_keeper(site)
             assert keeper is not None
             blocked = keeper.state.blocked_until_ms
             assert blocked["m0"] > blocked["m1"]
--- /dev/null
+++ b/tests/pooling/test_shares.py
@@ -0,0 +1,47 @@
+"""A pool's shares get and give machines each for itself."""
+
+from __future__ import annotations
+
+from heatherkeel.pooling.const import KEEP_MS, PARK_AFTER_MS
+from heatherkeel.pooling.models import Share
+
+from .fleet import CPU, Fleet
+
+
+def test_share_gets_machines_that_will_be_its_own() -> None:
+    """In a pool's turn one of its two shares is short, and the other isn't.
+
+    A machine belongs to the same share wherever it goes, so half of the standby machines would
+    join the share that has room enough.
+    """
+    fleet = Fleet(shares=2, desk=4, spare=6)
+    fleet.measure(partition=0, desk=CPU)
+    fleet.measure(partition=1, desk=4 * CPU)
+    ordered = fleet.plan()
+    assert len(ordered) == 3
+    for intent in ordered:
+        assert fleet.state.share_of(intent.machine, "desk") == Share("desk", 1)
+
+
+def test_share_that_is_not_heard_gets_and_gives_nothing() -> None:
+    """One partition's owner is gone, the other's goes on: its load says nothing of the first."""
+    fleet = Fleet(shares=2, desk=12, spare=4)
+    for _ in range((PARK_AFTER_MS + KEEP_MS) // 100 + 5):
+        fleet.measure(partition=0, desk=0)
+        intents = fleet.plan()
+        for intent in intents:
+            assert fleet.state.share_of(intent.machine, "desk") == Share("desk", 0)
+
+
+def test_each_share_keeps_its_floor() -> None:
+    """Between turns a third of each share stays: what one has beyond it doesn't help the other."""
+    fleet = Fleet(shares=2, desk=24, spare=0)
+    gone: set[str] = set()
+    for _ in range((PARK_AFTER_MS + KEEP_MS) // 100 * 3):
+        for partition in range(2):
+            fleet.measure(partition=partition, desk=0)
+        fleet.plan()
+        gone |= fleet.state.intents.keys()
+    left = [name for name in fleet.pool_of if name not in gone]
+    shares = [fleet.state.share_of(name, "desk") for name in left]
+    assert shares.count(Share("desk", 0)) == shares.count(Share("desk", 1)) == 5
