Pools get machines for the memory that their tasks want, too

Cause: lasting tasks of 47 GB ask for a third of a machine's processor and all of its memory; their pool looked idle, was sent machines away, and half of the tasks never ran. Tests: two plans by memory, both red before.

--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -15,9 +15,12 @@
 def _measure(pool: Pool, now_ms: int) -> PoolLoad:
     workers = pool.workers.values()
     used_cpu = sum(worker.used_cpu for worker in workers)
-    waiting_cpu = sum(
-        step.request.cpu * len(step.waiting()) for step in pool.open_steps if not step.request.fills
-    )
+    used_memory_mb = sum(worker.used_memory_mb for worker in workers)
+    waiting_cpu = waiting_memory_mb = 0
+    for step in pool.open_steps:
+        count = len(step.waiting())
+        waiting_cpu += 0 if step.request.fills else step.request.cpu * count
+        waiting_memory_mb += step.request.memory_mb * count
     lasting = {
         worker.id: sum(1 for run in worker.runs.values() if run.task.step.request.lasts)
         for worker in workers
@@ -25,6 +28,7 @@
     return PoolLoad(
         service=pool.service,
         wanted_cpu=used_cpu + waiting_cpu,
+        wanted_memory_mb=used_memory_mb + waiting_memory_mb,
         used_cpu=used_cpu,
         arriving_cpu=pool.arriving_cpu(now_ms),
         workers={worker.id: worker.used_cpu for worker in workers if worker.is_listed},
--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -18,7 +18,7 @@
 """How long a machine counts as ordered away if the list never shows it so, in milliseconds: an
 order without an answer may be carried out seconds later."""
 FULL_SHARE: Final = 0.85
-"""Share of a pool's processor that may be wanted before it gets another machine."""
+"""Share of a pool's processor, or memory, that may be wanted before it gets another machine."""
 ARRIVING_SHARE: Final = 1.15
 """Share of a pool's processor that may arrive before it gets another machine. Above one, since the
 pace of the first second of a turn is off by a third; what it really is shows as what is wanted a
--- a/heatherkeel/pooling/demand.py
+++ b/heatherkeel/pooling/demand.py
@@ -91,9 +91,17 @@
     wanted = demanded_cpu(view)
     if recent:
         wanted = max([wanted, *(cpu for _, cpu in view.peaks)])
-    sizes = [machine.capacity.cpu for machine in machines or state.machines.values()]
-    size = sum(sizes) / len(sizes) if sizes else 1
-    return ceil(wanted / (FULL_SHARE * max(1.0, size)))
+    sizes = [machine.capacity for machine in machines or state.machines.values()]
+    return max(
+        _machines_for(wanted, [size.cpu for size in sizes]),
+        _machines_for(view.load.wanted_memory_mb, [size.memory_mb for size in sizes]),
+    )
+
+
+def _machines_for(wanted: float, sizes: list[int]) -> int:
+    """Return how many machines of a mean size hold what is wanted, filled as far as they may be."""
+    size = sum(sizes) / len(sizes) if sizes else 0
+    return ceil(wanted / (FULL_SHARE * size)) if size else 0
 
 
 def _shortages(state: FleetState, members: dict[Share, list[Machine]]) -> dict[Share, int]:
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -59,6 +59,8 @@
     wanted_cpu: int
     """Of tasks that could start now, and of what runs."""
     used_cpu: int
+    wanted_memory_mb: int = 0
+    """Likewise; lasting tasks may need more machines for their memory than for their processor."""
     arriving_cpu: int = 0
     """What jobs ask for at the pace at which they come now; 0 if few come."""
     workers: dict[str, int]
--- a/tests/pooling/fleet.py
+++ b/tests/pooling/fleet.py
@@ -23,6 +23,7 @@
 from heatherkeel.questions.messages import PoolLoad
 
 CPU = 10_000
+MEMORY_MB = 100_000
 
 
 class Fleet:
@@ -36,6 +37,7 @@
         self.state_of: dict[str, str] = {}
         self.used: dict[str, int] = {}
         self.lasting: dict[str, int] = {}
+        self.wanted_memory_mb: dict[str, int] = {}
         self.empty: set[str] = set()
         services = {name: Service(name=name, is_standby=name == "spare") for name in pools}
         self.give(
@@ -68,7 +70,7 @@
                 name=name,
                 pool=pool,
                 state=self.state_of.get(name, "up"),
-                capacity=Capacity(cpu=CPU),
+                capacity=Capacity(cpu=CPU, memory_mb=MEMORY_MB),
                 worker_id=None if pool == "spare" else f"i-{name}",
             )
             for name, pool in self.pool_of.items()
@@ -88,6 +90,7 @@
                 PoolLoad(
                     service=pool,
                     wanted_cpu=cpu,
+                    wanted_memory_mb=self.wanted_memory_mb.get(pool, 0),
                     used_cpu=min(cpu, CPU * len(members)),
                     workers={f"i-{name}": self.used.get(name, 0) for name in members},
                     empty=[f"i-{name}" for name in members if name in self.empty],
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -7,7 +7,7 @@
 from heatherkeel.pooling.const import KEEP_MS, PARK_AFTER_MS
 from heatherkeel.pooling.models import SaveWave
 
-from .fleet import CPU, Fleet
+from .fleet import CPU, MEMORY_MB, Fleet
 
 
 def test_pool_in_its_turn_gets_standby_machines_at_once() -> None:
@@ -162,3 +162,24 @@
     fleet.plan()
     assert len(fleet.state.intents) == 3
     assert {intent.pool for intent in fleet.state.intents.values()} == {"desk"}
+
+
+def test_pool_whose_tasks_lack_memory_gets_machines() -> None:
+    """Lasting tasks of 47 GB each ask for a third of the processor and for all of the memory.
+
+    Their pool looked idle, so it was sent machines away, and half of its tasks never started.
+    """
+    fleet = Fleet(desk=4, spare=6)
+    fleet.wanted_memory_mb["desk"] = 6 * MEMORY_MB
+    fleet.measure(desk=CPU)
+    assert len(fleet.plan()) == 4
+
+
+def test_machines_that_hold_memory_are_not_surplus() -> None:
+    """After a turn the processor is idle, and what lasts still needs the machines."""
+    fleet = Fleet(desk=8, spare=1)
+    fleet.wanted_memory_mb["desk"] = 6 * MEMORY_MB
+    for _ in range((PARK_AFTER_MS + KEEP_MS) // 100 + 10):
+        fleet.measure(desk=0)
+        fleet.plan()
+    assert not fleet.state.intents
