--- a/heatherkeel/cli/main.py
+++ b/heatherkeel/cli/main.py
@@ -13,6 +13,7 @@
     catalogue,  # noqa: F401
     check,  # noqa: F401
     entry,  # noqa: F401
+    explain,  # noqa: F401
     instance,  # noqa: F401
     job,  # noqa: F401
     load,  # noqa: F401
