Lasting tasks that fit on no machine get one; they go before a pool's turn

Ruled out: the account of room (the same step's other tasks ran), the hand-over (there was none). Tests: a plan for an unplaced task, its place before a turn, and the load that tells of it.

--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -16,11 +16,12 @@
     workers = pool.workers.values()
     used_cpu = sum(worker.used_cpu for worker in workers)
     used_memory_mb = sum(worker.used_memory_mb for worker in workers)
-    waiting_cpu = waiting_memory_mb = 0
+    waiting_cpu = waiting_memory_mb = unplaced = 0
     for step in pool.open_steps:
         count = len(step.waiting())
         waiting_cpu += 0 if step.request.fills else step.request.cpu * count
         waiting_memory_mb += step.request.memory_mb * count
+        unplaced += count if step.request.lasts else 0
     lasting = {
         worker.id: sum(1 for run in worker.runs.values() if run.task.step.request.lasts)
         for worker in workers
@@ -29,6 +30,7 @@
         service=pool.service,
         wanted_cpu=used_cpu + waiting_cpu,
         wanted_memory_mb=used_memory_mb + waiting_memory_mb,
+        unplaced=unplaced,
         used_cpu=used_cpu,
         arriving_cpu=pool.arriving_cpu(now_ms),
         workers={worker.id: worker.used_cpu for worker in workers if worker.is_listed},
--- a/heatherkeel/pooling/demand.py
+++ b/heatherkeel/pooling/demand.py
@@ -41,7 +41,7 @@
     short = _shortages(state, members)
     donors = _donors(state, members, short)
     intents = []
-    for share in sorted(short, key=lambda share: short[share], reverse=True):
+    for share in sorted(short, key=lambda share: _rank(state, share, short), reverse=True):
         for _ in range(short[share]):
             donor = next((donor for donor in donors if _suits(state, donor, share)), None)
             if donor is None:
@@ -51,6 +51,11 @@
     return intents + _plan_parking(state, donors)
 
 
+def _rank(state: FleetState, share: Share, short: dict[Share, int]) -> tuple[bool, int]:
+    """Order shares: where lasting tasks find no room first, since nothing else ends their wait."""
+    return (state.views[share].load.unplaced > 0, short[share])
+
+
 def _suits(state: FleetState, machine: Machine, share: Share) -> bool:
     """Say whether a machine would be in a share once it was in the share's pool."""
     return machine.pool != share.pool and state.share_of(machine.name, share.pool) == share
@@ -92,7 +97,11 @@
     if recent:
         wanted = max([wanted, *(cpu for _, cpu in view.peaks)])
     sizes = [machine.capacity for machine in machines or state.machines.values()]
+    # The sums say that there is room, and each single machine has too little of it left for a
+    # large lasting task: it would wait for as long as the others run.
+    one_more = len(machines) + 1 if view.load.unplaced else 0
     return max(
+        one_more,
         _machines_for(wanted, [size.cpu for size in sizes]),
         _machines_for(view.load.wanted_memory_mb, [size.memory_mb for size in sizes]),
     )
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -183,3 +183,23 @@
         fleet.measure(desk=0)
         fleet.plan()
     assert not fleet.state.intents
+
+
+def test_lasting_task_that_fits_on_no_machine_gets_one() -> None:
+    """Each machine has a little memory left, and none enough for one more task of 32 GB.
+
+    By their sums the pool has room, so no machine came; the task never ran again.
+    """
+    fleet = Fleet(desk=4, spare=6)
+    fleet.unplaced["desk"] = 3
+    fleet.measure(desk=CPU)
+    assert len(fleet.plan()) == 1
+    fleet.measure(desk=CPU)
+    assert not fleet.plan(), "the next one is asked for when this one has come"
+
+
+def test_lasting_tasks_without_room_go_before_a_pools_turn() -> None:
+    fleet = Fleet(desk=4, portal=4, spare=1)
+    fleet.unplaced["desk"] = 1
+    fleet.measure(desk=CPU, portal=9 * CPU)
+    assert [intent.pool for intent in fleet.plan()] == ["desk"]
