A pool's floor comes from its size when it was laid out

Cause: each next owner of the fleet took the sizes that it saw first for the pools' own; in a turn the floor of the full pool doubled, and those of the others shrank. Test: a next owner that begins in a turn parks down to the first floor; red before.

--- a/heatherkeel/ownership/partitions.py
+++ b/heatherkeel/ownership/partitions.py
@@ -36,6 +36,8 @@
     """The partitions of each service; each has its own jobs and workers."""
     places: Mapping[str, int] = field(default_factory=dict)
     """The number of each machine, by which the machines of a pool are dealt out evenly."""
+    homes: Mapping[str, int] = field(default_factory=dict)
+    """How many machines each service had when it was laid out, before any was moved."""
 
     def partitions_of(self, service: str) -> tuple[int, ...]:
         """Return the partitions of a service; none if it isn't laid out yet."""
@@ -73,9 +75,9 @@
 
 
 def extend_layout(
-    layout: Layout, *, services: list[str], machines: list[str], partitions: int
+    layout: Layout, *, services: list[str], pools: Mapping[str, list[str]], partitions: int
 ) -> Layout:
-    """Return a layout with these services too; `machines` stand in the order of pools and racks.
+    """Return a layout with these services too; `pools` has all machines, in the order of racks.
 
     A pool in its turn holds more machines than at first, so all machines count for its shares,
     and not its own ones. Machines are numbered once, so that the neighbours in a rack belong to
@@ -85,6 +87,7 @@
     if not missing:
         return layout
     owned = max(1, partitions - 1)
+    machines = [machine for pool in sorted(pools) for machine in pools[pool]]
     size = len(machines) / len(services)
     count = min(owned, max(1, round(size / WORKERS_A_SHARE)))
     first = sum(len(shares) for shares in layout.shares.values())
@@ -93,7 +96,8 @@
         start = first + number * count
         shares[service] = tuple((start + further) % owned for further in range(count))
     places = layout.places or {machine: number for number, machine in enumerate(machines)}
-    return Layout(shares=shares, places=places)
+    homes = {service: len(pools.get(service, [])) for service in missing}
+    return Layout(shares=shares, places=places, homes=dict(layout.homes) | homes)
 
 
 def _pick(partitions: tuple[int, ...], number: int) -> int | None:
--- a/heatherkeel/pooling/demand.py
+++ b/heatherkeel/pooling/demand.py
@@ -184,7 +184,7 @@
     Machines come about two seconds after they are wanted; these are for the jobs until then, and
     for what may be lost or maintained, or while the fleet has no owner.
     """
-    return max(FEWEST_MACHINES, ceil(FLOOR_SHARE * state.home_sizes.get(share, 0)))
+    return max(FEWEST_MACHINES, ceil(FLOOR_SHARE * state.home_size(share)))
 
 
 def _plan_parking(state: FleetState, donors: list[Machine]) -> list[Intent]:
--- a/heatherkeel/pooling/keeper.py
+++ b/heatherkeel/pooling/keeper.py
@@ -208,13 +208,13 @@
     def _extend_layout(self) -> None:
         """Lay out services that are new; others hear of it once it is stored."""
         services = sorted(self.directory.state.serving())
-        machines = self._list_places()
-        if not services or not machines:
+        pools = self._list_pools()
+        if not services or not pools:
             return
         layout = extend_layout(
             self.layout,
             services=services,
-            machines=machines,
+            pools=pools,
             partitions=self.settings.store.partitions,
         )
         if layout is self.layout:
@@ -223,8 +223,8 @@
         self.journal.put(LAYOUT_KEY, layout.encode)
         self.journal.when_stored(lambda: self.directory.take_layout(layout))
 
-    def _list_places(self) -> list[str]:
-        """Return all machines in the order of pools and racks; none while they aren't known.
+    def _list_pools(self) -> dict[str, list[str]]:
+        """Return the machines of each pool in the order of racks; none while they aren't known.
 
         What workers say of themselves leaves out the standby machines, so it is used only where
         the list stays away: jobs can't be taken in before services are laid out.
@@ -233,7 +233,10 @@
         if not listed and monotonic_ms() - self.began_ms >= LAYOUT_WAIT_MS:
             entries = self.directory.state.workers.values()
             listed = [(e.service, e.zone, "", e.machine) for e in entries if e.machine]
-        return [name for *_, name in sorted(listed)]
+        pools: dict[str, list[str]] = {}
+        for pool, _, _, machine in sorted(listed):
+            pools.setdefault(pool, []).append(machine)
+        return pools
 
     async def _async_measure(self) -> None:
         """Ask all pools' owners how full they are, and tell them which workers to empty."""
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -82,8 +82,6 @@
     intents: dict[str, Intent] = field(default_factory=dict)
     blocked_until_ms: dict[str, int] = field(default_factory=dict)
     """Machines that an earlier owner has ordered away just now, and until when we may not."""
-    home_sizes: dict[Share, int] = field(default_factory=dict)
-    """How many machines each share had when this owner first saw it."""
 
     def standby_pool(self) -> str | None:
         """Return the pool whose machines are off, if there is one."""
@@ -108,6 +106,11 @@
         partition = self.layout.partition_of_machine(pool, machine)
         return None if partition is None else Share(pool=pool, partition=partition)
 
+    def home_size(self, share: Share) -> float:
+        """Return how many machines a share had at first, on average of its pool's shares."""
+        shares = self.layout.partitions_of(share.pool)
+        return self.layout.homes.get(share.pool, 0) / len(shares) if shares else 0.0
+
     def view_of(self, machine: Machine) -> ShareView | None:
         """Return the view of the share that a machine is in."""
         share = self.share_of(machine.name, machine.pool)
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from collections import Counter
 from collections.abc import Callable
 from typing import Any, Final, TypeVar
 
@@ -101,24 +100,12 @@
     """Take in the list of machines, and end what it shows to be done."""
     state.machines = {machine.name: machine for machine in event.machines}
     state.listed_ms = event.sent_ms
-    if not state.home_sizes:
-        state.home_sizes = _count_homes(state)
     for name, intent in list(state.intents.items()):
         if _is_over(state, intent, event.sent_ms):
             del state.intents[name]
     return []
 
 
-def _count_homes(state: FleetState) -> dict[Share, int]:
-    """Count each share's machines; none before the services are laid out."""
-    homes: Counter[Share] = Counter()
-    for machine in state.machines.values():
-        share = state.share_of(machine.name, machine.pool)
-        if share is not None:
-            homes[share] += 1
-    return homes
-
-
 def _is_over(state: FleetState, intent: Intent, sent_ms: int) -> bool:
     """Say whether a list that was asked for at a time shows that an intent has come true.
 
--- a/tests/ownership/test_partitions.py
+++ b/tests/ownership/test_partitions.py
@@ -17,7 +17,10 @@
     return extend_layout(
         Layout(),
         services=[f"pool{number}" for number in range(pools)],
-        machines=[f"m{number}" for number in range(pools * machines)],
+        pools={
+            f"pool{pool}": [f"m{pool * machines + number}" for number in range(machines)]
+            for pool in range(pools)
+        },
         partitions=partitions,
     )
 
@@ -50,9 +53,9 @@
 ) -> None:
     """A service is added: nobody's jobs or workers get another owner by it."""
     names = [f"m{number}" for number in range(machines)]
-    first = extend_layout(Layout(), services=before, machines=names, partitions=12)
+    first = extend_layout(Layout(), services=before, pools={"a": names}, partitions=12)
     then = extend_layout(
-        first, services=sorted({*before, *added}), machines=names[::-1], partitions=12
+        first, services=sorted({*before, *added}), pools={"b": names[::-1]}, partitions=12
     )
     for service in before:
         for job in jobs:
@@ -67,7 +70,7 @@
     services: list[str], machines: int, partitions: int
 ) -> None:
     names = [f"m{number}" for number in range(machines)]
-    layout = extend_layout(Layout(), services=services, machines=names, partitions=partitions)
+    layout = extend_layout(Layout(), services=services, pools={"a": names}, partitions=partitions)
     assert decode_layout(layout.encode()).unwrap() == layout
     used = layout.all_partitions()
     assert used[0] >= 0
--- a/tests/pooling/fleet.py
+++ b/tests/pooling/fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from heatherkeel.ownership.partitions import Layout
 from heatherkeel.platform.errors import CallError
 from heatherkeel.platform.machines import Machine
@@ -56,6 +58,7 @@
         return Layout(
             shares={name: tuple(range(shares)) for name in pools if name != "spare"},
             places={name: place for place, name in enumerate(self.pool_of)},
+            homes=Counter(self.pool_of.values()),
         )
 
     def give(self, event: FleetEvent) -> list[FleetEffect]:
--- a/tests/pooling/test_shares.py
+++ b/tests/pooling/test_shares.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from heatherkeel.pooling.const import KEEP_MS, PARK_AFTER_MS
-from heatherkeel.pooling.models import Share
+from heatherkeel.pooling.models import DirectoryRead, Share
 
 from .fleet import CPU, Fleet
 
@@ -45,3 +47,21 @@
     left = [name for name in fleet.pool_of if name not in gone]
     shares = [fleet.state.share_of(name, "desk") for name in left]
     assert shares.count(Share("desk", 0)) == shares.count(Share("desk", 1)) == 5
+
+
+def test_next_owner_keeps_no_more_than_the_first() -> None:
+    """The fleet's owner is lost in a pool's turn, when that pool has twice its machines.
+
+    The next one took what it saw first for the pool's own size, and its floor doubled for good.
+    """
+    fleet = Fleet(desk=24, spare=0)
+    layout = replace(fleet.state.layout, homes={"desk": 12})
+    fleet.give(
+        DirectoryRead(now_ms=fleet.now_ms, services=fleet.state.services, waves={}, layout=layout)
+    )
+    gone: set[str] = set()
+    for _ in range((PARK_AFTER_MS + KEEP_MS) // 100 * 3):
+        fleet.measure(desk=0)
+        fleet.plan()
+        gone |= fleet.state.intents.keys()
+    assert len(fleet.pool_of) - len(gone) == 5
