Lasting tasks that spread over workers get as many as they need, at once

Cause: a step with at most one or two tasks a worker needs 12 or 14 workers, and its share of the service has nine. Ruled out: memory (the tasks of the third job had 170 GB free), targets of tails (none are set). Tests: the load of a step that spreads, red before; plans for it.

--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from math import ceil
+
+from heatherkeel.platform.callers import StepRequest
 from heatherkeel.questions.messages import PoolLoad
 
 from .state import PartitionState, Pool
@@ -16,12 +19,13 @@
     workers = pool.workers.values()
     used_cpu = sum(worker.used_cpu for worker in workers)
     used_memory_mb = sum(worker.used_memory_mb for worker in workers)
-    waiting_cpu = waiting_memory_mb = unplaced = 0
+    waiting_cpu = waiting_memory_mb = lacking = 0
     for step in pool.open_steps:
         count = len(step.waiting())
         waiting_cpu += 0 if step.request.fills else step.request.cpu * count
         waiting_memory_mb += step.request.memory_mb * count
-        unplaced += count if step.request.lasts else 0
+        if step.request.lasts:
+            lacking = max(lacking, _workers_for(step.request, count, pool))
     lasting = {
         worker.id: sum(1 for run in worker.runs.values() if run.task.step.request.lasts)
         for worker in workers
@@ -30,10 +34,27 @@
         service=pool.service,
         wanted_cpu=used_cpu + waiting_cpu,
         wanted_memory_mb=used_memory_mb + waiting_memory_mb,
-        unplaced=unplaced,
+        lacking=lacking,
         used_cpu=used_cpu,
         arriving_cpu=pool.arriving_cpu(now_ms),
         workers={worker.id: worker.used_cpu for worker in workers if worker.is_listed},
         empty=[worker.id for worker in workers if worker.is_leaving and worker.is_empty()],
         lasting={worker_id: count for worker_id, count in lasting.items() if count},
     )
+
+
+def _workers_for(step: StepRequest, count: int, pool: Pool) -> int:
+    """Return how many empty workers hold so many tasks of a step; at least one if there are any.
+
+    Steps that wait at the same time can share them, unless their tasks are large; what is still
+    without room then asks again.
+    """
+    most = step.max_per_worker or count
+    worker = next(iter(pool.workers.values()), None)
+    if worker is not None:
+        room = worker.entry.capacity
+        if step.cpu:
+            most = min(most, room.cpu // step.cpu)
+        if step.memory_mb:
+            most = min(most, room.memory_mb // step.memory_mb)
+    return ceil(count / max(1, most))
--- a/heatherkeel/pooling/demand.py
+++ b/heatherkeel/pooling/demand.py
@@ -53,7 +53,7 @@
 
 def _rank(state: FleetState, share: Share, short: dict[Share, int]) -> tuple[bool, int]:
     """Order shares: where lasting tasks find no room first, since nothing else ends their wait."""
-    return (state.views[share].load.unplaced > 0, short[share])
+    return (state.views[share].load.lacking > 0, short[share])
 
 
 def _suits(state: FleetState, machine: Machine, share: Share) -> bool:
@@ -97,11 +97,11 @@
     if recent:
         wanted = max([wanted, *(cpu for _, cpu in view.peaks)])
     sizes = [machine.capacity for machine in machines or state.machines.values()]
-    # The sums say that there is room, and each single machine has too little of it left for a
-    # large lasting task: it would wait for as long as the others run.
-    one_more = len(machines) + 1 if view.load.unplaced else 0
+    # The sums say that there is room, and no single machine may take a lasting task: each has too
+    # little left, or as many tasks of its step as it may. It would wait for as long as they run.
+    lacking = len(machines) + view.load.lacking if view.load.lacking else 0
     return max(
-        one_more,
+        lacking,
         _machines_for(wanted, [size.cpu for size in sizes]),
         _machines_for(view.load.wanted_memory_mb, [size.memory_mb for size in sizes]),
     )
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -63,8 +63,8 @@
     """Likewise; lasting tasks may need more machines for their memory than for their processor."""
     arriving_cpu: int = 0
     """What jobs ask for at the pace at which they come now; 0 if few come."""
-    unplaced: int = 0
-    """Lasting tasks that could start and found no room."""
+    lacking: int = 0
+    """Workers that lasting tasks without room need beside those that there are."""
     workers: dict[str, int]
     """The processor that runs take, by worker."""
     empty: list[str]
--- a/tests/dispatch/test_load.py
+++ b/tests/dispatch/test_load.py
@@ -14,13 +14,25 @@
     (load,) = measure_pools(partition.state)
     assert load.used_cpu == 8000
     assert (load.wanted_cpu, load.wanted_memory_mb) == (12_000, 600)
-    assert load.unplaced == 0
+    assert load.lacking == 0
 
 
-def test_lasting_tasks_without_room_are_counted() -> None:
+def test_lasting_tasks_without_room_ask_for_workers() -> None:
     """Two of six lasting tasks find no worker; what ends soon by itself isn't counted with them."""
     partition = Partition(workers=1, cpu=8000)
     partition.submit(StepRequest(count=6, cpu=2000, lasts=True))
     partition.submit(StepRequest(count=3, cpu=2000, estimated_ms=100), job_id=OTHER_JOB)
     (load,) = measure_pools(partition.state)
-    assert load.unplaced == 2
+    assert load.lacking == 1
+
+
+def test_step_that_spreads_asks_for_as_many_workers_as_it_must_have() -> None:
+    """Twelve lasting tasks, one a worker at the most, meet a share of four workers.
+
+    The room of the four would hold them all, so by their sums nothing was missing; half of the
+    tasks had to wait while machines came one every two seconds.
+    """
+    partition = Partition(workers=4, cpu=8000)
+    partition.submit(StepRequest(count=12, cpu=100, lasts=True, max_per_worker=1))
+    (load,) = measure_pools(partition.state)
+    assert load.lacking == 8
--- a/tests/pooling/fleet.py
+++ b/tests/pooling/fleet.py
@@ -40,7 +40,7 @@
         self.used: dict[str, int] = {}
         self.lasting: dict[str, int] = {}
         self.wanted_memory_mb: dict[str, int] = {}
-        self.unplaced: dict[str, int] = {}
+        self.lacking: dict[str, int] = {}
         self.empty: set[str] = set()
         services = {name: Service(name=name, is_standby=name == "spare") for name in pools}
         self.give(
@@ -94,7 +94,7 @@
                 PoolLoad(
                     service=pool,
                     wanted_cpu=cpu,
-                    unplaced=self.unplaced.get(pool, 0),
+                    lacking=self.lacking.get(pool, 0),
                     wanted_memory_mb=self.wanted_memory_mb.get(pool, 0),
                     used_cpu=min(cpu, CPU * len(members)),
                     workers={f"i-{name}": self.used.get(name, 0) for name in members},
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -191,15 +191,15 @@
     By their sums the pool has room, so no machine came; the task never ran again.
     """
     fleet = Fleet(desk=4, spare=6)
-    fleet.unplaced["desk"] = 3
+    fleet.lacking["desk"] = 3
     fleet.measure(desk=CPU)
-    assert len(fleet.plan()) == 1
+    assert len(fleet.plan()) == 3
     fleet.measure(desk=CPU)
-    assert not fleet.plan(), "the next one is asked for when this one has come"
+    assert not fleet.plan(), "more are asked for only when these have come"
 
 
 def test_lasting_tasks_without_room_go_before_a_pools_turn() -> None:
     fleet = Fleet(desk=4, portal=4, spare=1)
-    fleet.unplaced["desk"] = 1
+    fleet.lacking["desk"] = 1
     fleet.measure(desk=CPU, portal=9 * CPU)
     assert [intent.pool for intent in fleet.plan()] == ["desk"]
