--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -5,6 +5,7 @@
 from math import ceil
 
 from heatherkeel.platform.callers import StepRequest
+from heatherkeel.platform.operator import Capacity
 from heatherkeel.questions.messages import PoolLoad
 
 from .state import PartitionState, Pool
@@ -44,17 +45,21 @@
 
 
 def _workers_for(step: StepRequest, count: int, pool: Pool) -> int:
-    """Return how many empty workers hold so many tasks of a step; at least one if there are any.
+    """Return how many empty workers hold so many tasks of a step.
 
     Steps that wait at the same time can share them, unless their tasks are large; what is still
-    without room then asks again.
+    without room then asks again. Nothing is asked for tasks that are larger than any worker, or
+    that want a label: machines would come without end, and none of them might help.
     """
-    most = step.max_per_worker or count
-    worker = next(iter(pool.workers.values()), None)
-    if worker is not None:
-        room = worker.entry.capacity
-        if step.cpu:
-            most = min(most, room.cpu // step.cpu)
-        if step.memory_mb:
-            most = min(most, room.memory_mb // step.memory_mb)
-    return ceil(count / max(1, most))
+    most = max(
+        (_count_fitting(step, worker.entry.capacity) for worker in pool.workers.values()), default=0
+    )
+    if not most or step.label:
+        return 0
+    return ceil(count / min(most, step.max_per_worker or count))
+
+
+def _count_fitting(step: StepRequest, room: Capacity) -> int:
+    """Return how many tasks of a step an empty worker holds; one that asks for nothing fits all."""
+    asked = ((step.cpu, room.cpu), (step.memory_mb, room.memory_mb), (step.gpu, room.gpu))
+    return min((has // wants for wants, has in asked if wants), default=step.count)
--- a/tests/dispatch/test_load.py
+++ b/tests/dispatch/test_load.py
@@ -36,3 +36,12 @@
     partition.submit(StepRequest(count=12, cpu=100, lasts=True, max_per_worker=1))
     (load,) = measure_pools(partition.state)
     assert load.lacking == 8
+
+
+def test_tasks_that_no_worker_can_ever_hold_ask_for_none() -> None:
+    """A job that can never be done waits; machines that came for it would come without end."""
+    partition = Partition(workers=2, cpu=8000)
+    partition.submit(StepRequest(count=2, cpu=9000, lasts=True))
+    partition.submit(StepRequest(count=2, cpu=100, lasts=True, label="gpu"), job_id=OTHER_JOB)
+    (load,) = measure_pools(partition.state)
+    assert load.lacking == 0
