A wave takes no more machines than its pace needs while a pool lacks some

Ruled out: the loads (heard every 2 ms), the store (back before), orders (none failed). Test: a wave and a turn that begin together, red before.

--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -36,6 +36,8 @@
 MAINTENANCE_CYCLE_S: Final = 4.5
 """What one machine's maintenance takes from the decision to empty it until it is back, in
 seconds: about 1.5 s to empty, 2 s down, and the time until that is seen."""
+PACE_MARGIN: Final = 1.5
+"""How far a wave is ahead of its time while a pool lacks machines: some take longer to empty."""
 STATUS_PREFIX: Final = "wave/"
 """Key of a wave's status; the same in our own record of the machines that were begun."""
 FLOOR_SHARE: Final = 0.34
--- a/heatherkeel/pooling/demand.py
+++ b/heatherkeel/pooling/demand.py
@@ -35,6 +35,11 @@
     view.peaks.append((now_ms, wanted))
 
 
+def is_short(state: FleetState) -> bool:
+    """Say whether a share lacks machines now."""
+    return bool(_shortages(state, _members(state)))
+
+
 def plan_moves(state: FleetState) -> list[Intent]:
     """Return the machines to move now: to shares that are short, then to the standby pool."""
     members = _members(state)
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -9,7 +9,7 @@
 from heatherkeel.platform.errors import Failure
 
 from .const import LOAD_MAX_AGE_MS, ORDER_RETRY_MS, ORDER_SETTLE_MS
-from .demand import plan_moves, remember_peak
+from .demand import is_short, plan_moves, remember_peak
 from .models import (
     DirectoryRead,
     FleetEffect,
@@ -180,7 +180,8 @@
         return []
     if state.listed_ms is None:
         return []
-    for intent in plan_maintenance(state) + plan_moves(state):
+    maintained = plan_maintenance(state, is_short=is_short(state))
+    for intent in maintained + plan_moves(state):
         if intent.machine not in state.intents:
             state.intents[intent.machine] = intent
             _tell_intent(intent)
--- a/heatherkeel/pooling/waves.py
+++ b/heatherkeel/pooling/waves.py
@@ -2,22 +2,26 @@
 
 from __future__ import annotations
 
+from math import ceil
+
 from heatherkeel.platform.machines import Machine
 
-from .const import BUSY_SHARE, MAINTENANCE_CYCLE_S, ONE_AT_A_TIME_SHARE
+from .const import BUSY_SHARE, MAINTENANCE_CYCLE_S, ONE_AT_A_TIME_SHARE, PACE_MARGIN
 from .models import FleetState, Intent, Purpose, WaveProgress
 
 
-def plan_maintenance(state: FleetState) -> list[Intent]:
-    """Return the machines to empty for maintenance now."""
+def plan_maintenance(state: FleetState, *, is_short: bool) -> list[Intent]:
+    """Return the machines to empty for maintenance now; `is_short` if a pool lacks machines."""
     intents: list[Intent] = []
     for progress in state.waves.values():
         if not progress.is_complete:
-            intents += _plan_wave(state, progress, intents)
+            intents += _plan_wave(state, progress, intents, is_short=is_short)
     return intents
 
 
-def _plan_wave(state: FleetState, progress: WaveProgress, planned: list[Intent]) -> list[Intent]:
+def _plan_wave(
+    state: FleetState, progress: WaveProgress, planned: list[Intent], *, is_short: bool
+) -> list[Intent]:
     taken = state.intents.keys() | {intent.machine for intent in planned}
     due = [
         machine
@@ -27,7 +31,10 @@
         and (machine := state.machines.get(name)) is not None
         and machine.is_up()
     ]
-    slots = progress.wave.max_down - count_down(state, progress)
+    down = count_down(state, progress)
+    slots = progress.wave.max_down - down
+    if is_short:
+        slots = min(slots, _pace(state, progress, len(due) + down) - down)
     out = _count_out(state, planned)
     sizes = _pool_sizes(state)
     hurry = _is_late(state, progress, len(due))
@@ -108,6 +115,18 @@
     return out
 
 
+def _pace(state: FleetState, progress: WaveProgress, left: int) -> int:
+    """Return how many machines have to be down at once for the wave to end in time.
+
+    While a pool lacks machines a wave takes no more of them than that. It begins with those that
+    are off, which are the ones that the pool's turn is waiting for: a wave that took 35 of them
+    at once left the pool two seconds behind for the rest of its turn.
+    """
+    elapsed_s = (state.now_ms - progress.began_ms) / 1000
+    left_s = max(MAINTENANCE_CYCLE_S, progress.wave.duration_s - elapsed_s)
+    return ceil(PACE_MARGIN * left * MAINTENANCE_CYCLE_S / left_s)
+
+
 def _is_late(state: FleetState, progress: WaveProgress, due: int) -> bool:
     """Say whether the wave needs every machine that it may have down from now on."""
     elapsed_s = (state.now_ms - progress.began_ms) / 1000
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -203,3 +203,28 @@
     fleet.lacking["desk"] = 1
     fleet.measure(desk=CPU, portal=9 * CPU)
     assert [intent.pool for intent in fleet.plan()] == ["desk"]
+
+
+def test_wave_keeps_its_pace_while_a_pool_lacks_machines() -> None:
+    """A wave of twelve machines, all off, begins together with a pool's turn.
+
+    All twelve went down at once, and the turn had to wait for them.
+    """
+    names = [f"spare{number}" for number in range(12)]
+    fleet = Fleet(
+        desk=4, spare=12, waves=[Wave(number=1, machines=names, max_down=12, duration_s=27)]
+    )
+    fleet.measure(desk=20 * CPU)
+    ordered = fleet.plan()
+    maintained = [intent for intent in ordered if intent.wave]
+    assert len(maintained) == 4
+    assert len(ordered) - len(maintained) == 8
+
+
+def test_wave_takes_all_that_it_may_while_no_pool_lacks_any() -> None:
+    names = [f"spare{number}" for number in range(12)]
+    fleet = Fleet(
+        desk=4, spare=12, waves=[Wave(number=1, machines=names, max_down=12, duration_s=27)]
+    )
+    fleet.measure(desk=CPU)
+    assert len([intent for intent in fleet.plan() if intent.wave]) == 12
