--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -25,7 +25,7 @@
         count = len(step.waiting())
         waiting_cpu += 0 if step.request.fills else step.request.cpu * count
         waiting_memory_mb += step.request.memory_mb * count
-        if step.request.lasts:
+        if step.request.lasts and count:
             lacking = max(lacking, _workers_for(step.request, count, pool))
     lasting = {
         worker.id: sum(1 for run in worker.runs.values() if run.task.step.request.lasts)
--- a/tests/dispatch/test_load.py
+++ b/tests/dispatch/test_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from heatherkeel.dispatch.load import measure_pools
+from heatherkeel.dispatch.pools import wait_for_room
 from heatherkeel.platform.callers import StepRequest
 
 from .partition import OTHER_JOB, Partition
@@ -45,3 +46,18 @@
     partition.submit(StepRequest(count=2, cpu=100, lasts=True, label="gpu"), job_id=OTHER_JOB)
     (load,) = measure_pools(partition.state)
     assert load.lacking == 0
+
+
+def test_step_that_waits_with_nothing_to_start_asks_for_none() -> None:
+    """A lasting task ran on a worker that fell silent; its step waits until that is settled.
+
+    Nothing of the step can start meanwhile. Its owner ended with a division by zero, and with it
+    all partitions of the process.
+    """
+    partition = Partition(workers=1, cpu=8000)
+    partition.answer("w0")
+    partition.submit(StepRequest(count=1, cpu=2000, lasts=True))
+    (step,) = partition.job().steps()
+    wait_for_room(partition.state, step)
+    (load,) = measure_pools(partition.state)
+    assert load.lacking == 0
