The pace at which a pool's jobs come is told by all its shares together

Cause: a pace counts from five jobs in 800 ms on, and each of four shares gets a quarter of them: of large jobs none saw enough, and machines came only when jobs waited already. Two tests, the first red before.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -67,9 +67,6 @@
 """How long a reading of new jobs waits, in milliseconds; below the bound above."""
 ARRIVAL_WINDOW_MS: Final = 800
 """Time over which the pace of arrivals is measured, in milliseconds."""
-FEWEST_ARRIVALS: Final = 5
-"""Arrivals within that time from which on a pace is told. In its turn a queue of short jobs gets
-some 18, between its turns less than one."""
 LASTING_SHARE: Final = 0.5
 """Share of a step's lasting tasks that may be on one worker. Spread over all workers of a pool they
 would keep each of its machines from being sent away between the pool's turns."""
--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -38,6 +38,7 @@
         lacking=lacking,
         used_cpu=used_cpu,
         arriving_cpu=pool.arriving_cpu(now_ms),
+        arrivals=len(pool.arrivals),
         workers={worker.id: worker.used_cpu for worker in workers if worker.is_listed},
         empty=[worker.id for worker in workers if worker.is_leaving and worker.is_empty()],
         lasting={worker_id: count for worker_id, count in lasting.items() if count},
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -7,7 +7,7 @@
 
 from heatherkeel.platform.operator import Queue
 
-from .const import ARRIVAL_WINDOW_MS, FEWEST_ARRIVALS
+from .const import ARRIVAL_WINDOW_MS
 from .models import Job, Worker
 from .open_steps import OpenSteps
 
@@ -32,14 +32,9 @@
         self.arrivals.append((now_ms, work))
 
     def arriving_cpu(self, now_ms: int) -> int:
-        """Return the processor that jobs ask for at the pace at which they come now.
-
-        Of few jobs nothing is said: one large job would seem to be a surge.
-        """
+        """Return the processor that jobs ask for at the pace at which they come now."""
         while self.arrivals and now_ms - self.arrivals[0][0] > ARRIVAL_WINDOW_MS:
             self.arrivals.popleft()
-        if len(self.arrivals) < FEWEST_ARRIVALS:
-            return 0
         return round(sum(work for _, work in self.arrivals) * 1000 / ARRIVAL_WINDOW_MS)
 
 
--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -17,6 +17,10 @@
 ORDER_SETTLE_MS: Final = 8000
 """How long a machine counts as ordered away if the list never shows it so, in milliseconds: an
 order without an answer may be carried out seconds later."""
+FEWEST_ARRIVALS: Final = 5
+"""Jobs that a pool must have got lately for their pace to count: of fewer, one large job would seem
+to be a surge. In its turn a queue of short jobs gets some 18 in that time, between its turns less
+than one."""
 FULL_SHARE: Final = 0.85
 """Share of a pool's processor, or memory, that may be wanted before it gets another machine."""
 ARRIVING_SHARE: Final = 1.15
--- a/heatherkeel/pooling/demand.py
+++ b/heatherkeel/pooling/demand.py
@@ -9,6 +9,7 @@
 
 from .const import (
     ARRIVING_SHARE,
+    FEWEST_ARRIVALS,
     FEWEST_MACHINES,
     FLOOR_SHARE,
     FULL_SHARE,
@@ -20,19 +21,36 @@
 from .models import FleetState, Intent, Purpose, Share, ShareView
 
 
-def demanded_cpu(view: ShareView) -> float:
+def demanded_cpu(state: FleetState, share: Share) -> float:
     """Return what a share's jobs ask for, or soon will at the pace at which they come."""
-    load = view.load
-    return max(load.wanted_cpu, load.arriving_cpu * FULL_SHARE / ARRIVING_SHARE)
+    wanted_cpu = state.views[share].load.wanted_cpu
+    return max(wanted_cpu, _arriving_cpu(state, share) * FULL_SHARE / ARRIVING_SHARE)
 
 
-def remember_peak(view: ShareView, now_ms: int) -> None:
+def _arriving_cpu(state: FleetState, share: Share) -> float:
+    """Return a share's part of the pace at which its pool's jobs come; 0 of few jobs.
+
+    Jobs are dealt out evenly, and one share alone gets too few to tell: of large jobs none of four
+    shares saw five in time, and their pool's machines came only when the jobs waited.
+    """
+    loads = [
+        view.load
+        for other, view in state.views.items()
+        if other.pool == share.pool and state.now_ms - view.heard_ms <= LOAD_MAX_AGE_MS
+    ]
+    if sum(load.arrivals for load in loads) < FEWEST_ARRIVALS:
+        return 0.0
+    return sum(load.arriving_cpu for load in loads) / len(loads)
+
+
+def remember_peak(state: FleetState, share: Share) -> None:
     """Keep the highest demand of the last while."""
-    wanted = demanded_cpu(view)
+    view = state.views[share]
+    wanted = demanded_cpu(state, share)
     view.peaks = [
-        (at_ms, cpu) for at_ms, cpu in view.peaks if cpu > wanted and now_ms - at_ms < KEEP_MS
+        (at_ms, cpu) for at_ms, cpu in view.peaks if cpu > wanted and state.now_ms - at_ms < KEEP_MS
     ]
-    view.peaks.append((now_ms, wanted))
+    view.peaks.append((state.now_ms, wanted))
 
 
 def is_short(state: FleetState) -> bool:
@@ -98,7 +116,7 @@
     view = _fresh(state, share)
     if view is None:
         return None
-    wanted = demanded_cpu(view)
+    wanted = demanded_cpu(state, share)
     if recent:
         wanted = max([wanted, *(cpu for _, cpu in view.peaks)])
     sizes = [machine.capacity for machine in machines or state.machines.values()]
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -91,7 +91,7 @@
             view = state.views[share] = ShareView(load=load, heard_ms=state.now_ms)
         view.load = load
         view.heard_ms = state.now_ms
-        remember_peak(view, state.now_ms)
+        remember_peak(state, share)
     return []
 
 
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -62,7 +62,9 @@
     wanted_memory_mb: int = 0
     """Likewise; lasting tasks may need more machines for their memory than for their processor."""
     arriving_cpu: int = 0
-    """What jobs ask for at the pace at which they come now; 0 if few come."""
+    """What jobs ask for at the pace at which they come now."""
+    arrivals: int = 0
+    """Of how many jobs that pace was taken."""
     lacking: int = 0
     """Workers that lasting tasks without room need beside those that there are."""
     workers: dict[str, int]
--- a/tests/pooling/fleet.py
+++ b/tests/pooling/fleet.py
@@ -41,6 +41,8 @@
         self.lasting: dict[str, int] = {}
         self.wanted_memory_mb: dict[str, int] = {}
         self.lacking: dict[str, int] = {}
+        self.arriving: dict[str, tuple[int, int]] = {}
+        """How many jobs came lately, and the processor that they ask for, by pool."""
         self.empty: set[str] = set()
         services = {name: Service(name=name, is_standby=name == "spare") for name in pools}
         self.give(
@@ -94,6 +96,8 @@
                 PoolLoad(
                     service=pool,
                     wanted_cpu=cpu,
+                    arrivals=self.arriving.get(pool, (0, 0))[0],
+                    arriving_cpu=self.arriving.get(pool, (0, 0))[1],
                     lacking=self.lacking.get(pool, 0),
                     wanted_memory_mb=self.wanted_memory_mb.get(pool, 0),
                     used_cpu=min(cpu, CPU * len(members)),
--- a/tests/pooling/test_shares.py
+++ b/tests/pooling/test_shares.py
@@ -65,3 +65,24 @@
         fleet.plan()
         gone |= fleet.state.intents.keys()
     assert len(fleet.pool_of) - len(gone) == 5
+
+
+def test_pace_of_large_jobs_is_told_by_all_shares_together() -> None:
+    """In its turn a queue of large jobs gets ten a second, and each of two shares three lately.
+
+    Neither has enough to tell a surge from one large job; together they do, and machines come
+    before the first job has to wait.
+    """
+    fleet = Fleet(shares=2, desk=8, spare=8)
+    fleet.arriving["desk"] = (3, 6 * CPU)
+    for partition in range(2):
+        fleet.measure(partition=partition, desk=0)
+    assert len(fleet.plan()) == 4
+
+
+def test_one_large_job_is_no_surge() -> None:
+    fleet = Fleet(shares=2, desk=8, spare=8)
+    fleet.arriving["desk"] = (2, 6 * CPU)
+    for partition in range(2):
+        fleet.measure(partition=partition, desk=0)
+    assert not fleet.plan()
