Tasks that no machine of their share can hold get one that can

Cause: machines are parked by how empty they are. With the last machine of a label gone from a share, a step that wants the label waited for good; by processor and memory its pool had room. Tests: the plan and the load, red before; what can't be met anywhere moves nothing.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -67,6 +67,8 @@
 """How long a reading of new jobs waits, in milliseconds; below the bound above."""
 ARRIVAL_WINDOW_MS: Final = 800
 """Time over which the pace of arrivals is measured, in milliseconds."""
+MAX_NEEDS: Final = 4
+"""Needs of waiting steps that a pool tells at once; the next ones are told when these are met."""
 LASTING_SHARE: Final = 0.5
 """Share of a step's lasting tasks that may be on one worker. Spread over all workers of a pool they
 would keep each of its machines from being sent away between the pool's turns."""
--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -6,8 +6,9 @@
 
 from heatherkeel.platform.callers import StepRequest
 from heatherkeel.platform.operator import Capacity
-from heatherkeel.questions.messages import PoolLoad
+from heatherkeel.questions.messages import Need, PoolLoad
 
+from .const import MAX_NEEDS
 from .state import PartitionState, Pool
 
 
@@ -21,8 +22,12 @@
     used_cpu = sum(worker.used_cpu for worker in workers)
     used_memory_mb = sum(worker.used_memory_mb for worker in workers)
     waiting_cpu = waiting_memory_mb = lacking = 0
+    needs: list[Need] = []
+    rooms = _largest_rooms(pool)
     for step in pool.open_steps:
         count = len(step.waiting())
+        if count and len(needs) < MAX_NEEDS and not _has_worker(rooms, step.request):
+            needs.append(_make_need(step.request))
         waiting_cpu += 0 if step.request.fills else step.request.cpu * count
         waiting_memory_mb += step.request.memory_mb * count
         if step.request.lasts and count:
@@ -36,6 +41,7 @@
         wanted_cpu=used_cpu + waiting_cpu,
         wanted_memory_mb=used_memory_mb + waiting_memory_mb,
         lacking=lacking,
+        needs=needs,
         used_cpu=used_cpu,
         arriving_cpu=pool.arriving_cpu(now_ms),
         arrivals=len(pool.arrivals),
@@ -45,6 +51,39 @@
     )
 
 
+def _largest_rooms(pool: Pool) -> dict[str, Capacity]:
+    """Return the most of each kind of room that workers with a label have; under "" of all."""
+    rooms: dict[str, Capacity] = {}
+    for worker in pool.workers.values():
+        if not worker.is_listed or worker.is_leaving or worker.entry.is_draining():
+            continue
+        room = worker.entry.capacity
+        for label in ("", *worker.entry.labels):
+            known = rooms.get(label, Capacity())
+            rooms[label] = Capacity(
+                cpu=max(known.cpu, room.cpu),
+                memory_mb=max(known.memory_mb, room.memory_mb),
+                gpu=max(known.gpu, room.gpu),
+            )
+    return rooms
+
+
+def _has_worker(rooms: dict[str, Capacity], step: StepRequest) -> bool:
+    """Say whether a worker could hold a task of a step if it were empty."""
+    room = rooms.get(step.label)
+    return (
+        room is not None
+        and (step.fills or step.cpu <= room.cpu)
+        and step.memory_mb <= room.memory_mb
+        and step.gpu <= room.gpu
+    )
+
+
+def _make_need(step: StepRequest) -> Need:
+    cpu = 0 if step.fills else step.cpu
+    return Need(label=step.label, cpu=cpu, memory_mb=step.memory_mb, gpu=step.gpu)
+
+
 def _workers_for(step: StepRequest, count: int, pool: Pool) -> int:
     """Return how many empty workers hold so many tasks of a step.
 
--- a/heatherkeel/pooling/demand.py
+++ b/heatherkeel/pooling/demand.py
@@ -6,6 +6,7 @@
 from math import ceil
 
 from heatherkeel.platform.machines import Machine
+from heatherkeel.questions.messages import Need
 
 from .const import (
     ARRIVING_SHARE,
@@ -63,7 +64,7 @@
     members = _members(state)
     short = _shortages(state, members)
     donors = _donors(state, members, short)
-    intents = []
+    intents = _plan_needs(state, donors)
     for share in sorted(short, key=lambda share: _rank(state, share, short), reverse=True):
         for _ in range(short[share]):
             donor = next((donor for donor in donors if _suits(state, donor, share)), None)
@@ -79,6 +80,64 @@
     return (state.views[share].load.lacking > 0, short[share])
 
 
+def _plan_needs(state: FleetState, donors: list[Machine]) -> list[Intent]:
+    """Return the machines to move for tasks that no machine of their share can hold.
+
+    Machines are parked by how empty they are, and not by what is special about them. A task that
+    wants a label, or more than most machines have, would wait for good once the last of these had
+    gone. Where no machine to spare can hold it either, nothing is moved.
+    """
+    intents: list[Intent] = []
+    for share in state.shares():
+        view = _fresh(state, share)
+        for need in view.load.needs if view is not None else []:
+            if _is_met(state, share, need, intents):
+                continue
+            donor = next(
+                (donor for donor in donors if _holds(donor, need) and _suits(state, donor, share)),
+                None,
+            )
+            if donor is not None:
+                donors.remove(donor)
+                intents.append(_move(state, donor, share.pool))
+    return intents
+
+
+def _is_met(state: FleetState, share: Share, need: Need, planned: list[Intent]) -> bool:
+    """Say whether a machine that holds a need is in a share already, or on its way there.
+
+    Its worker may be seconds from being listed.
+    """
+    coming = {
+        intent.machine
+        for intent in [*state.intents.values(), *planned]
+        if intent.purpose is Purpose.MOVE and state.share_of(intent.machine, intent.pool) == share
+    }
+    return any(
+        _holds(machine, need)
+        and machine.state != "down"
+        and (
+            machine.name in coming
+            or (
+                machine.name not in state.intents
+                and state.share_of(machine.name, machine.pool) == share
+            )
+        )
+        for machine in state.machines.values()
+    )
+
+
+def _holds(machine: Machine, need: Need) -> bool:
+    """Say whether a machine could hold a task that asks for a need."""
+    room = machine.capacity
+    return (
+        (not need.label or need.label in machine.labels)
+        and need.cpu <= room.cpu
+        and need.memory_mb <= room.memory_mb
+        and need.gpu <= room.gpu
+    )
+
+
 def _suits(state: FleetState, machine: Machine, share: Share) -> bool:
     """Say whether a machine would be in a share once it was in the share's pool."""
     return machine.pool != share.pool and state.share_of(machine.name, share.pool) == share
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -52,6 +52,15 @@
     pending: int
 
 
+class Need(msgspec.Struct, frozen=True, kw_only=True):
+    """What a task asks for that no worker of its share has, even an empty one."""
+
+    label: str = ""
+    cpu: int = 0
+    memory_mb: int = 0
+    gpu: int = 0
+
+
 class PoolLoad(msgspec.Struct, frozen=True, kw_only=True):
     """What a pool's jobs ask for and have; processor in thousandths of a core."""
 
@@ -67,6 +76,8 @@
     """Of how many jobs that pace was taken."""
     lacking: int = 0
     """Workers that lasting tasks without room need beside those that there are."""
+    needs: list[Need] = []
+    """Of steps that wait; a few at the most."""
     workers: dict[str, int]
     """The processor that runs take, by worker."""
     empty: list[str]
--- a/tests/dispatch/test_load.py
+++ b/tests/dispatch/test_load.py
@@ -5,6 +5,7 @@
 from heatherkeel.dispatch.load import measure_pools
 from heatherkeel.dispatch.pools import wait_for_room
 from heatherkeel.platform.callers import StepRequest
+from heatherkeel.questions.messages import Need
 
 from .partition import OTHER_JOB, Partition
 
@@ -61,3 +62,23 @@
     wait_for_room(partition.state, step)
     (load,) = measure_pools(partition.state)
     assert load.lacking == 0
+
+
+def test_needs_that_no_worker_of_the_share_has_are_told() -> None:
+    """A step wants a label, another more processor than any worker has; a third only waits."""
+    partition = Partition(workers=2, cpu=8000)
+    partition.submit(
+        StepRequest(count=1, cpu=100, estimated_ms=100, label="b"),
+        StepRequest(count=1, cpu=9000, estimated_ms=100),
+        StepRequest(count=9, cpu=8000, estimated_ms=100),
+    )
+    (load,) = measure_pools(partition.state)
+    assert load.needs == [Need(label="b", cpu=100), Need(cpu=9000)]
+
+
+def test_label_of_a_worker_that_leaves_is_needed_anew() -> None:
+    partition = Partition(workers=2, cpu=8000)
+    partition.submit(StepRequest(count=9, cpu=8000, estimated_ms=100, label="a"))
+    assert measure_pools(partition.state)[0].needs == []
+    partition.leave("w0", "w1")
+    assert measure_pools(partition.state)[0].needs == [Need(label="a", cpu=8000)]
--- a/tests/pooling/fleet.py
+++ b/tests/pooling/fleet.py
@@ -22,7 +22,7 @@
     Share,
 )
 from heatherkeel.pooling.reducer import reduce_fleet
-from heatherkeel.questions.messages import PoolLoad
+from heatherkeel.questions.messages import Need, PoolLoad
 
 CPU = 10_000
 MEMORY_MB = 100_000
@@ -41,6 +41,8 @@
         self.lasting: dict[str, int] = {}
         self.wanted_memory_mb: dict[str, int] = {}
         self.lacking: dict[str, int] = {}
+        self.needs: dict[str, list[Need]] = {}
+        self.labels_of: dict[str, list[str]] = {}
         self.arriving: dict[str, tuple[int, int]] = {}
         """How many jobs came lately, and the processor that they ask for, by pool."""
         self.empty: set[str] = set()
@@ -77,6 +79,7 @@
                 pool=pool,
                 state=self.state_of.get(name, "up"),
                 capacity=Capacity(cpu=CPU, memory_mb=MEMORY_MB),
+                labels=self.labels_of.get(name, ["a", "r1"]),
                 worker_id=None if pool == "spare" else f"i-{name}",
             )
             for name, pool in self.pool_of.items()
@@ -98,6 +101,7 @@
                     wanted_cpu=cpu,
                     arrivals=self.arriving.get(pool, (0, 0))[0],
                     arriving_cpu=self.arriving.get(pool, (0, 0))[1],
+                    needs=self.needs.get(pool, []),
                     lacking=self.lacking.get(pool, 0),
                     wanted_memory_mb=self.wanted_memory_mb.get(pool, 0),
                     used_cpu=min(cpu, CPU * len(members)),
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -6,6 +6,7 @@
 from heatherkeel.platform.operator import Wave
 from heatherkeel.pooling.const import KEEP_MS, PARK_AFTER_MS
 from heatherkeel.pooling.models import SaveWave
+from heatherkeel.questions.messages import Need
 
 from .fleet import CPU, MEMORY_MB, Fleet
 
@@ -228,3 +229,36 @@
     )
     fleet.measure(desk=CPU)
     assert len([intent for intent in fleet.plan() if intent.wave]) == 12
+
+
+def test_task_that_wants_a_label_gets_a_machine_that_has_it() -> None:
+    """Between turns the last machine with a label was parked; then a job comes that wants it.
+
+    By processor and memory its pool has room for the job, so nothing was moved, and it waited for
+    good.
+    """
+    fleet = Fleet(desk=4, spare=6)
+    fleet.labels_of["spare4"] = ["b", "r2"]
+    fleet.list_machines()
+    fleet.needs["desk"] = [Need(label="b", cpu=100)]
+    fleet.measure(desk=CPU)
+    assert [intent.machine for intent in fleet.plan()] == ["spare4"]
+    fleet.measure(desk=CPU)
+    assert not fleet.plan(), "one is on its way"
+
+
+def test_need_that_no_machine_can_meet_moves_none() -> None:
+    """Jobs that can never be done come in numbers; they mustn't draw machines from others."""
+    fleet = Fleet(desk=4, spare=6)
+    fleet.needs["desk"] = [Need(label="none"), Need(cpu=2 * CPU)]
+    fleet.measure(desk=CPU)
+    assert not fleet.plan()
+
+
+def test_machine_that_is_there_but_not_listed_yet_meets_a_need() -> None:
+    fleet = Fleet(desk=4, spare=6)
+    fleet.labels_of |= {"desk0": ["b", "r1"], "spare0": ["b", "r2"]}
+    fleet.list_machines()
+    fleet.needs["desk"] = [Need(label="b")]
+    fleet.measure(desk=CPU)
+    assert not fleet.plan()
