--- a/tests/instance/test_shares.py
+++ b/tests/instance/test_shares.py
@@ -13,6 +13,7 @@
 from heatherkeel.ownership import partitions
 from heatherkeel.ownership.const import LAYOUT_KEY, WORK_TOPIC
 from heatherkeel.ownership.partitions import fleet_partition
+from heatherkeel.pooling.const import PLAN_INTERVAL_MS
 
 from .site import QUEUE, Site, open_site
 
@@ -32,8 +33,13 @@
 
 
 def is_keeping(process: InstanceProcess) -> bool:
-    """Say whether a process owns the fleet, and has seen its machines."""
-    return process.keeper is not None and process.keeper.state.listed_ms is not None
+    """Say whether a process owns the fleet, and has planned since it has seen its machines."""
+    if process.keeper is None:
+        return False
+    state = process.keeper.state
+    if state.listed_ms is None:
+        return False
+    return state.now_ms - state.listed_ms >= 3 * PLAN_INTERVAL_MS
 
 
 async def async_submit_all(site: Site) -> None:
