--- /dev/null
+++ b/tests/gateway/test_lookup.py
@@ -0,0 +1,74 @@
+"""A queue's length is the sum over the partitions of its service, or isn't told at all."""
+
+from __future__ import annotations
+
+import trio
+from result import Err, Ok, Result
+
+from heatherkeel.gateway.lookup import Lookup
+from heatherkeel.ownership.holders import Holders
+from heatherkeel.platform.errors import CallError, Failure
+from heatherkeel.platform.store import NewestRecords, StoreClient
+from heatherkeel.questions.links import QuestionLinks
+from heatherkeel.questions.messages import Answer, NotOwner, Question, QueueTold
+
+
+class FakeStore(StoreClient):
+    """A store in which nothing stands, and of which a partition may be down."""
+
+    def __init__(self, *, down: set[int]) -> None:
+        self.down = down
+
+    async def async_read_all_newest(
+        self, topic: str, partition: int
+    ) -> Result[NewestRecords, CallError]:
+        """Read an empty partition."""
+        if partition in self.down:
+            return Err(CallError(failure=Failure.REFUSED, status=503))
+        return Ok(NewestRecords(end=0, records=[], has_more=False))
+
+
+class FakeHolders(Holders):
+    """Every partition has an owner, at an address with its number."""
+
+    async def async_find(self, partition: int, *, but_not: str = "") -> str:
+        """Return the owner's address."""
+        return f"owner-{partition}"
+
+
+class FakeLinks(QuestionLinks):
+    """Owners that know so many waiting jobs; one that isn't named doesn't own its partition."""
+
+    def __init__(self, pending: dict[int, int]) -> None:
+        self.pending = pending
+
+    async def async_ask(
+        self, address: str, question: Question, *, timeout_s: float = 0.5
+    ) -> Answer | None:
+        """Answer for the owner at an address."""
+        pending = self.pending.get(question.partition)
+        return NotOwner() if pending is None else QueueTold(pending=pending)
+
+
+def count(pending: dict[int, int], *, down: set[int] | None = None) -> int | None:
+    """Ask for the length of a queue with three partitions."""
+    store = FakeStore(down=down or set())
+    lookup = Lookup(store=store, holders=FakeHolders(store=store), links=FakeLinks(pending))
+    return trio.run(lookup.async_count_pending, (0, 1, 2), "quotes")
+
+
+def test_all_partitions_of_a_queue_are_added_up() -> None:
+    assert count({0: 3, 1: 0, 2: 4}) == 7
+
+
+def test_store_tells_for_an_owner_that_is_gone() -> None:
+    """A partition changes hands; the records of its jobs tell how many wait."""
+    assert count({0: 3, 2: 4}) == 7
+
+
+def test_part_of_a_length_is_never_told_as_the_whole() -> None:
+    """One owner is gone, and its part of the store is down with it.
+
+    The sum of the others would be far too low: whoever scales by it would send machines away.
+    """
+    assert count({0: 3, 2: 4}, down={1}) is None
--- /dev/null
+++ b/tests/questions/test_messages.py
@@ -0,0 +1,71 @@
+"""Messages between processes are read whole or not at all."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err
+
+from heatherkeel.ownership.partitions import Layout
+from heatherkeel.questions.messages import (
+    Answer,
+    JobAsked,
+    JobTold,
+    LayoutAsked,
+    LayoutTold,
+    Need,
+    NotOwner,
+    PoolLoad,
+    PoolsAsked,
+    PoolsTold,
+    Question,
+    QueueAsked,
+    QueueTold,
+    decode_answer,
+    decode_question,
+    encode_message,
+)
+
+LOAD = PoolLoad(
+    service="desk",
+    wanted_cpu=10,
+    used_cpu=5,
+    workers={"w0": 5},
+    empty=["w1"],
+    lasting={"w0": 2},
+    needs=[Need(label="b", gpu=1)],
+)
+
+
+@pytest.mark.parametrize(
+    "question",
+    [
+        JobAsked(partition=1, job_id="aa"),
+        QueueAsked(partition=2, queue="quotes"),
+        PoolsAsked(partition=3, leaving=["w0"], due=["w1"]),
+        LayoutAsked(partition=-1),
+    ],
+)
+def test_questions_arrive_as_they_were_asked(question: Question) -> None:
+    assert decode_question(encode_message(question)).unwrap() == question
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        JobTold(state="active"),
+        QueueTold(pending=7),
+        PoolsTold(pools=[LOAD]),
+        LayoutTold(layout=Layout(shares={"desk": (0, 3)}, places={"m1": 4}, homes={"desk": 9})),
+        NotOwner(),
+    ],
+)
+def test_answers_arrive_as_they_were_given(answer: Answer) -> None:
+    assert decode_answer(encode_message(answer)).unwrap() == answer
+
+
+@given(st.binary())
+def test_anything_else_is_an_error_and_no_exception(data: bytes) -> None:
+    assert isinstance(decode_question(data), Err)
+    assert isinstance(decode_answer(data), Err)
