A process whose only peers have died doesn't take itself for cut off

Cause: the list of owners names a dead peer while its membership lasts, and a copy of the list for two seconds more. A survivor that reached nobody gave up all partitions. The list is read anew before anything is given up, and the time covers a membership and a look. Test: red before.

--- a/heatherkeel/ownership/const.py
+++ b/heatherkeel/ownership/const.py
@@ -35,9 +35,12 @@
 """Time between two looks whether other processes can be reached, in milliseconds."""
 PEERS_ASKED: Final = 3
 """Other processes that are asked in one look, one after the other."""
-ISOLATED_AFTER_MS: Final = 2200
-"""How long no other process must have been reached, in milliseconds, until partitions are given up:
-three looks, so that a few lost packets or a restart of some peers don't count."""
+ISOLATED_AFTER_MS: Final = TTL_MS + PEER_CHECK_INTERVAL_MS + 300
+"""How long no other process must have been reached, in milliseconds, until partitions are given up.
+
+Four looks, so that a few lost packets don't count; and longer than peers that have died are listed,
+which may have been reached one look before their end.
+"""
 
 ENOUGH_ROOM: Final = 1000
 """Processor from which on a process always takes part in owning partitions, in thousandths of a
--- a/heatherkeel/ownership/isolation.py
+++ b/heatherkeel/ownership/isolation.py
@@ -51,8 +51,7 @@
         if monotonic_ms() - self.heard_ms < PEER_CHECK_INTERVAL_MS:
             return self._take_reached()
         await self.holders.async_refresh()
-        own = self.member.address
-        peers = sorted({address for address in self.holders.addresses.values() if address != own})
+        peers = self._list_peers()
         if not peers:
             return self._take_reached()
         # Others each time, so that one dead peer doesn't count for all.
@@ -60,8 +59,14 @@
         for address in [*peers[start:], *peers[:start]][:PEERS_ASKED]:
             if await self.async_reach(address):
                 return self._take_reached()
-        is_long = monotonic_ms() - self.heard_ms >= ISOLATED_AFTER_MS
-        if is_long and StayOut.ISOLATED not in self.member.out_for:
+        if not self._is_long() or StayOut.ISOLATED in self.member.out_for:
+            return None
+        # The list that was read last may name peers that have died since, and only these: a
+        # process that is left alone would give up what nobody else can take.
+        is_read = await self.holders.async_read_since(monotonic_ms())
+        if is_read and not self._list_peers():
+            return self._take_reached()
+        if self._is_long():
             _LOGGER.warning(
                 "no other process can be reached; giving up all partitions",
                 extra={"event": "isolated", "asked": len(peers[:PEERS_ASKED])},
@@ -69,6 +74,13 @@
             await self.member.async_pause(StayOut.ISOLATED)
         return None
 
+    def _is_long(self) -> bool:
+        return monotonic_ms() - self.heard_ms >= ISOLATED_AFTER_MS
+
+    def _list_peers(self) -> list[str]:
+        own = self.member.address
+        return sorted({address for address in self.holders.addresses.values() if address != own})
+
     def _take_reached(self) -> None:
         self.heard_ms = monotonic_ms()
         if StayOut.ISOLATED in self.member.out_for:
--- a/tests/ownership/test_isolation.py
+++ b/tests/ownership/test_isolation.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import math
+import time
+
 import trio
 import trio.testing
 from result import Ok
 
-from heatherkeel.ownership.const import ISOLATED_AFTER_MS, PEER_CHECK_INTERVAL_MS, WORK_TOPIC
+from heatherkeel.ownership.const import (
+    ISOLATED_AFTER_MS,
+    PEER_CHECK_INTERVAL_MS,
+    TTL_MS,
+    WORK_TOPIC,
+)
 from heatherkeel.ownership.holders import Holders
 from heatherkeel.ownership.isolation import IsolationWatch
 from heatherkeel.ownership.member import GroupMember, StayOut
@@ -19,6 +27,8 @@
 
     def __init__(self, *, others: int) -> None:
         self.others = others
+        self.others_until_s = math.inf
+        """Until when the others are listed, on the steady clock."""
         self.left = 0
 
     async def async_join(self, **_: object) -> Ok[Share]:
@@ -36,6 +46,7 @@
             [
                 PartitionHolder(topic=WORK_TOPIC, partition=2 + n, member=f"10.0.0.{n}:1/x")
                 for n in range(self.others)
+                if time.monotonic() < self.others_until_s
             ]
         )
 
@@ -100,3 +111,15 @@
     trio.run(async_live, isolated, 3 * PEER_CHECK_INTERVAL_MS)
     assert not isolated.member.is_paused
     assert isolated.changes[-1].gained == {1: 3}
+
+
+def test_process_whose_only_peer_has_died_keeps_its_partitions() -> None:
+    """Of two processes one is killed; the list of owners names it while its membership lasts, and
+    the survivor's copy of that list for up to two seconds more.
+
+    The survivor reached nobody, took itself for cut off, and gave up all partitions there were.
+    """
+    isolated = Isolated(others=1)
+    isolated.store.others_until_s = time.monotonic() + TTL_MS / 1000
+    trio.run(async_live, isolated, ISOLATED_AFTER_MS + 3 * PEER_CHECK_INTERVAL_MS)
+    assert isolated.store.left == 0
