An entry that can't be read names no worker, and costs no other

Cause: an entry by another writer left the older one of its key in use; a record shorter than its key, or one item of a page that couldn't be decoded, cost the whole reading, and each one after it. An address that can't be dialled would have ended the process that called it. Change: entries are checked field by field (state, address, amounts); a bad one takes its worker out until a good one comes; records are read one by one. Told once for each key and fault.

--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -64,6 +64,8 @@
         self.subscribers: list[Callable[[], None]] = []
         self.nursery: trio.Nursery | None = None
         self.follows_workers = False
+        self.unreadable: dict[str, str] = {}
+        """Keys of workers' entries that can't be read, and why; bounded by the topic's keys."""
         self.operator = TopicFollower(
             store=store,
             topic=CONFIG_TOPIC,
@@ -178,21 +180,31 @@
         for record in records:
             if not record.value:
                 self.state.workers.pop(record.key, None)
+                self.unreadable.pop(record.key, None)
                 continue
             decoded = decode_worker(record.value)
             if isinstance(decoded, Err):
-                _LOGGER.error(
-                    "a worker's entry can't be read",
-                    extra={
-                        "event": "worker_unreadable",
-                        "worker": record.key,
-                        "detail": decoded.err_value,
-                    },
-                )
+                self._leave_out(record.key, decoded.err_value)
                 continue
+            self.unreadable.pop(record.key, None)
             self.state.workers[record.key] = decoded.ok_value
         self._tell()
 
+    def _leave_out(self, worker_id: str, detail: str) -> None:
+        """Use a worker no more whose newest entry can't be read: the older one holds no longer.
+
+        What it runs goes on under its lease. It is told once, and not with each heartbeat.
+        """
+        self.state.workers.pop(worker_id, None)
+        if self.unreadable.get(worker_id) == detail:
+            return
+        self.unreadable[worker_id] = detail
+        _LOGGER.error(
+            "a worker's entry can't be read; the worker isn't used",
+            extra={"event": "worker_unreadable", "worker": worker_id, "detail": detail},
+        )
+
     def _keep_workers(self, keys: set[str]) -> None:
-        for worker_id in self.state.workers.keys() - keys:
-            del self.state.workers[worker_id]
+        for known in (self.state.workers, self.unreadable):
+            for worker_id in known.keys() - keys:
+                del known[worker_id]
--- a/heatherkeel/platform/framing.py
+++ b/heatherkeel/platform/framing.py
@@ -8,6 +8,7 @@
 
 _LENGTH_BYTES: Final = 4
 _OFFSET_BYTES: Final = 8
+UNREADABLE_KEY: Final = ""
 
 
 class FramingError(ValueError):
@@ -16,7 +17,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class KeyedRecord:
-    """The newest value of a key; an empty value means that the key was dropped."""
+    """The newest value of a key; an empty value means that the key was dropped.
+
+    An empty key stands for one that can't be read. Nobody looks for it; the record is kept, since
+    the offsets of those behind it are counted from it.
+    """
 
     key: str
     value: bytes
@@ -59,8 +64,20 @@
 
 
 def _decode_record(content: bytes, offset: int) -> KeyedRecord:
+    """Take a record apart; one that is shorter than its key has none.
+
+    An error here would be one for the whole reading, and for each one after it: a single record
+    by somebody else would keep a process from all others for good.
+    """
     if not content or len(content) < 1 + content[0]:
-        raise FramingError(f"record {offset} is shorter than its key")
+        return KeyedRecord(key=UNREADABLE_KEY, value=b"", offset=offset)
     stop = 1 + content[0]
-    key = content[1:stop].decode("utf-8", "replace")
-    return KeyedRecord(key=key, value=content[stop:], offset=offset)
+    return KeyedRecord(key=_decode_key(content[1:stop]), value=content[stop:], offset=offset)
+
+
+def _decode_key(key: bytes) -> str:
+    """Return a key as text; replacing bytes could make it another worker's key."""
+    try:
+        return key.decode()
+    except UnicodeDecodeError:
+        return UNREADABLE_KEY
--- a/heatherkeel/platform/operator.py
+++ b/heatherkeel/platform/operator.py
@@ -2,11 +2,21 @@
 
 from __future__ import annotations
 
+from ipaddress import AddressValueError, IPv4Address
+from typing import Final
+
 import msgspec
 from result import Err, Ok, Result
 
 from .advice import Advisor
 
+MAX_CPU: Final = 4_096_000
+"""Processor of the largest machine that is believed, in thousandths of a core."""
+MAX_MEMORY_MB: Final = 1 << 28
+"""Memory of the largest machine that is believed, in MiB."""
+MAX_GPU: Final = 1 << 16
+READY, DRAINING = "ready", "draining"
+
 
 class Queue(msgspec.Struct, frozen=True, kw_only=True):
     """A route of callers: jobs sent to it run on the workers of one service."""
@@ -71,7 +81,7 @@
     service: str
     address: str
     zone: str = ""
-    state: str = "ready"
+    state: str = READY
     capacity: Capacity = msgspec.field(default_factory=Capacity)
     labels: list[str] = msgspec.field(default_factory=list)
     """Its kind, and its rack."""
@@ -80,7 +90,24 @@
 
     def is_draining(self) -> bool:
         """Say whether the worker is about to leave."""
-        return self.state != "ready"
+        return self.state != READY
+
+
+class _StrictCapacity(msgspec.Struct, frozen=True, kw_only=True):
+    cpu: int
+    memory_mb: int = msgspec.field(name="memMb")
+    gpu: int = 0
+
+
+class _StrictWorkerEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """The fields that every worker writes: an entry without one of them is somebody else's."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _StrictCapacity
+    labels: list[str]
 
 
 def decode_configuration(value: bytes) -> Result[Configuration, str]:
@@ -94,8 +121,39 @@
 
 
 def decode_worker(value: bytes) -> Result[WorkerEntry, str]:
-    """Decode one worker's entry."""
-    return _decode(value, WorkerEntry)
+    """Decode one worker's entry; the error says why it names no worker to use.
+
+    Others than workers may write there. Taken at its word, an entry with an address that can't be
+    dialled ends the process that calls it, one with a state that nobody knows would take tasks off
+    a sound worker, and one with the room of a hundred machines would get the jobs of a whole pool.
+    """
+    strict = _decode(value, _StrictWorkerEntry)
+    if isinstance(strict, Err):
+        return strict
+    fault = _find_fault(strict.ok_value)
+    return Err(fault) if fault else _decode(value, WorkerEntry)
+
+
+def _find_fault(entry: _StrictWorkerEntry) -> str | None:
+    if entry.state not in (READY, DRAINING):
+        return f"state {entry.state!r} isn't known"
+    if not _is_address(entry.address):
+        return f"address {entry.address!r} isn't an IPv4 address and a port"
+    room = entry.capacity
+    if not (0 <= room.cpu <= MAX_CPU and 0 <= room.memory_mb <= MAX_MEMORY_MB):
+        return "its capacity can't be that of a machine"
+    if not 0 <= room.gpu <= MAX_GPU:
+        return "its accelerators can't be those of a machine"
+    return None
+
+
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    return port.isdecimal() and port.isascii() and 0 < int(port[:6]) < 1 << 16
 
 
 def encode_wave_status(*, is_complete: bool) -> bytes:
--- a/heatherkeel/platform/store.py
+++ b/heatherkeel/platform/store.py
@@ -13,7 +13,7 @@
 
 from .caller import HttpCaller, Reply
 from .errors import CallError, Failure
-from .framing import FramingError, KeyedRecord, decode_read, encode_records
+from .framing import UNREADABLE_KEY, FramingError, KeyedRecord, decode_read, encode_records
 from .patience import Patience
 
 ModelT = TypeVar("ModelT")
@@ -95,7 +95,7 @@
 
 
 class _Newest(msgspec.Struct, kw_only=True):
-    items: list[_Item] = []
+    items: list[msgspec.Raw] = []
     has_more: bool = msgspec.field(name="hasMore", default=False)
     end: int = msgspec.field(name="endKey", default=0)
 
@@ -214,10 +214,7 @@
         if isinstance(decoded, Err):
             return decoded
         page = decoded.ok_value
-        records = [
-            KeyedRecord(key=item.key, value=b64decode(item.value), offset=item.offset)
-            for item in page.items
-        ]
+        records = [_decode_item(item) for item in page.items]
         return Ok(NewestRecords(end=page.end, records=records, has_more=page.has_more))
 
     async def async_read_all_newest(
@@ -233,9 +230,10 @@
             page = read.ok_value
             records += page.records
             end = page.end if end < 0 else end
-            if not page.has_more or not page.records:
+            last_key = next((item.key for item in reversed(page.records) if item.key), "")
+            if not page.has_more or last_key in ("", after_key):
                 return Ok(NewestRecords(end=end, records=records, has_more=False))
-            after_key = page.records[-1].key
+            after_key = last_key
 
     async def async_join(
         self, *, group: str, member: str, topics: list[str], ttl_ms: int, generation: int
@@ -309,6 +307,16 @@
         return Err(CallError(failure=Failure.INVALID, detail=f"list of holders: {err!r}"))
 
 
+def _decode_item(item: msgspec.Raw) -> KeyedRecord:
+    """Read one record of a page; one that can't be read must not cost the page's others."""
+    try:
+        decoded = msgspec.json.decode(item, type=_Item)
+        value = b64decode(decoded.value)
+    except (ValueError, RecursionError):
+        return KeyedRecord(key=UNREADABLE_KEY, value=b"")
+    return KeyedRecord(key=decoded.key, value=value, offset=decoded.offset)
+
+
 def _check(reply: Reply) -> Result[Reply, CallError]:
     if reply.status == 200:
         return Ok(reply)
--- a/heatherkeel/standins/users_platform.py
+++ b/heatherkeel/standins/users_platform.py
@@ -173,6 +173,7 @@
                 present[machine.worker.id] = {
                     "service": machine.worker.service,
                     "address": machine.worker.address,
+                    "zone": "a",
                     "state": "ready",
                     "capacity": {"cpu": 8000, "memMb": 16000, "gpu": 0},
                     "labels": ["a", "r1"],
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from base64 import b64encode
+
 import msgspec
+import pytest
 import trio
+from result import Ok
 
 from heatherkeel.directory.directory import Directory
+from heatherkeel.platform.caller import Reply
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
 from tests.instance.site import QUEUE, open_site
@@ -50,6 +55,76 @@
     assert directory.state.config.version == 1
 
 
+def worker_record(worker_id: str, **change: object) -> KeyedRecord:
+    """Return the record of a worker's entry, as the worker writes it but for a change."""
+    entry = {
+        "service": "desk",
+        "address": "10.1.0.9:8080",
+        "zone": "a",
+        "state": "ready",
+        "capacity": {"cpu": 4000, "memMb": 8192, "gpu": 0},
+        "labels": ["a", "r1"],
+    }
+    return KeyedRecord(key=worker_id, value=msgspec.json.encode(entry | change))
+
+
+def test_entry_that_cannot_be_read_takes_its_worker_out_and_no_other(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Another writer puts something under a worker's key, again and again; another worker stays.
+
+    The older entry holds no longer, so nothing is sent to it. When the worker has written again,
+    it is used again. The log tells of it once, not with each heartbeat.
+    """
+    directory = make_directory()
+    known = directory.state.workers
+    directory.workers.take([worker_record("w1"), worker_record("w2")])
+    for _ in range(3):
+        directory.workers.take([worker_record("w1", state="resting")])
+    assert set(known) == {"w2"}
+    told = [row for row in caplog.records if getattr(row, "event", "") == "worker_unreadable"]
+    assert len(told) == 1
+    directory.workers.take([KeyedRecord(key="w1", value=b"\xff{")])
+    assert set(known) == {"w2"}
+    directory.workers.take([worker_record("w1")])
+    assert set(known) == {"w1", "w2"}
+
+
+def test_unreadable_entry_among_the_newest_records_hides_no_other() -> None:
+    """The history is forgotten, and the newest records hold entries by another writer.
+
+    One has a value that is no base64, one a key that is a number: read as one document they would
+    cost the whole page, and all workers with it, for as long as they stand.
+    """
+    answer = msgspec.json.encode(
+        {
+            "items": [
+                {"key": "w1", "value": b64encode(worker_record("w1").value).decode(), "offset": 3},
+                {"key": "w2", "value": "%%%", "offset": 4},
+                {"key": 5, "value": "", "offset": 5},
+                {"key": "w3", "value": b64encode(b"{").decode(), "offset": 6},
+            ],
+            "hasMore": False,
+            "endKey": 7,
+        }
+    )
+
+    async def async_test() -> None:
+        directory = make_directory()
+        store = directory.workers.store
+
+        async def async_call(*_: object, **__: object) -> Ok[Reply]:
+            return Ok(Reply(status=200, body=answer))
+
+        store.reads.async_call = async_call  # type: ignore[method-assign]
+        read = await store.async_read_all_newest("keyed.servers", 0)
+        assert isinstance(read, Ok)
+        directory.workers.take(read.ok_value.records)
+        assert set(directory.state.workers) == {"w1"}
+
+    trio.run(async_test)
+
+
 def test_workers_that_went_while_the_history_was_forgotten_are_dropped() -> None:
     """The store forgets its history, and with it the records that say which workers went.
 
--- a/tests/platform/test_borders.py
+++ b/tests/platform/test_borders.py
@@ -40,6 +40,23 @@
     assert [record.offset for record in read] == list(range(start, end))
 
 
+@pytest.mark.parametrize(
+    "content", [b"", b"\x05ab", b"\x02\xff\xfevalue"], ids=["empty", "short", "not text"]
+)
+def test_record_without_a_readable_key_costs_no_other(content: bytes) -> None:
+    """Somebody writes a record whose key can't be read between two good ones.
+
+    A process that gave the whole reading up would meet it again with the next one, and would
+    never hear of a worker again. The good ones are read, each under its own offset.
+    """
+    good = [KeyedRecord(key="a", value=b"1"), KeyedRecord(key="b", value=b"2")]
+    bad = len(content).to_bytes(4, "big") + content
+    head = (9).to_bytes(8, "big") + (0).to_bytes(8, "big")
+    body = head + encode_records(good[:1]) + bad + encode_records(good[1:])
+    _, _, read = decode_read(body, start=6)
+    assert [(record.key, record.offset) for record in read] == [("a", 6), ("", 7), ("b", 8)]
+
+
 @given(st.binary(max_size=80))
 def test_body_that_is_no_list_of_records_is_refused(body: bytes) -> None:
     try:
@@ -65,6 +82,58 @@
     assert isinstance(decode_wave(body), Ok | Err)
 
 
+ENTRY = {
+    "service": "desk",
+    "address": "10.1.0.9:8080",
+    "zone": "a",
+    "state": "ready",
+    "capacity": {"cpu": 64000, "memMb": 131072, "gpu": 0},
+    "labels": ["a", "r1-3"],
+}
+ROOM = {"cpu": 1, "memMb": 1}
+
+
+def test_entry_as_workers_write_it_is_read() -> None:
+    decoded = decode_worker(msgspec.json.encode(ENTRY | {"machine": "m1", "sequence": 4}))
+    assert isinstance(decoded, Ok)
+    assert (decoded.ok_value.machine, decoded.ok_value.capacity.cpu) == ("m1", 64000)
+
+
+@pytest.mark.parametrize("field", sorted(ENTRY))
+def test_entry_without_a_field_names_no_worker(field: str) -> None:
+    entry = {name: value for name, value in ENTRY.items() if name != field}
+    assert isinstance(decode_worker(msgspec.json.encode(entry)), Err)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"state": None},
+        {"service": 7},
+        {"address": "10.1.0.9"},
+        {"address": "10.1.0.9:0"},
+        {"address": "10.1.0.9:99999999"},
+        {"address": "10.1.0.9:\u0661"},
+        {"address": "desk.example:80"},
+        {"capacity": []},
+        {"capacity": {"cpu": 1}},
+        {"capacity": ROOM | {"cpu": -1}},
+        {"capacity": ROOM | {"cpu": 10**15}},
+        {"capacity": ROOM | {"memMb": -5}},
+        {"capacity": ROOM | {"gpu": 10**9}},
+        {"capacity": ROOM | {"cpu": "64000"}},
+        {"labels": [1, 2]},
+        {"labels": "a"},
+        {"machine": 3},
+        {"remainingMs": "soon"},
+    ],
+    ids=str,
+)
+def test_entry_that_no_worker_writes_names_no_worker(change: dict[str, object]) -> None:
+    assert isinstance(decode_worker(msgspec.json.encode(ENTRY | change)), Err)
+
+
 @pytest.mark.parametrize(
     ("job", "fault"),
     [
