Calls to the store go through a peer while the store turns a process away

Cause: a store that refuses, resets or ignores single processes stopped what these own for 2.1 s, and left their callers with refusals and answers that said neither yes nor no; with the fleet's owner among them no machine moved in a pool's turn. Change: a call that fails directly is made by another process, one hop, bounded, logged, counted. Weighed: shorter memberships, giving up at once, submissions only (docs/design).

--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -29,7 +29,16 @@
 from heatherkeel.pooling.keeper import FleetKeeper
 from heatherkeel.questions.answering import answer_question
 from heatherkeel.questions.links import QuestionLinks
-from heatherkeel.questions.messages import LayoutAsked, LayoutTold, QueueAsked
+from heatherkeel.questions.messages import (
+    Answer,
+    LayoutAsked,
+    LayoutTold,
+    QueueAsked,
+    StoreAsked,
+)
+from heatherkeel.relay.answering import StoreRelay
+from heatherkeel.relay.metrics import RelayMetrics
+from heatherkeel.relay.route import PeerRoute
 
 from .status import StatusApp
 
@@ -47,7 +56,15 @@
 
     def __init__(self, *, settings: InstanceSettings) -> None:
         self.settings = settings
-        self.store = StoreClient(address=settings.store.address)
+        self.metrics = GatewayMetrics()
+        relay_metrics = RelayMetrics(registry=self.metrics.registry)
+        route = PeerRoute(
+            list_peers=lambda: self.holders.list_others(self.links.address),
+            async_ask=self._async_ask_store,
+            metrics=relay_metrics,
+        )
+        self.store = StoreClient(address=settings.store.address, route=route)
+        self.relay = StoreRelay(store=self.store, metrics=relay_metrics)
         self.directory = Directory(store=self.store)
         self.holders = Holders(store=self.store)
         self.owners: dict[int, PartitionOwner] = {}
@@ -57,6 +74,7 @@
             answer=lambda question: answer_question(
                 self.owners, self.directory.state.layout, question
             ),
+            async_answer_store=self.relay.async_answer,
             on_heard=lambda: self.isolation.take_heard(),
         )
         partitions = settings.store.partitions
@@ -82,7 +100,6 @@
         self.isolation = IsolationWatch(
             member=self.member, holders=self.holders, async_reach=self._async_reach
         )
-        self.metrics = GatewayMetrics()
         self.lookup = Lookup(store=self.store, holders=self.holders, links=self.links)
         self.callers = HttpServer(
             app=CallersApp(
@@ -149,6 +166,11 @@
                 return answer.layout
         return None
 
+    async def _async_ask_store(
+        self, address: str, asked: StoreAsked, timeout_s: float
+    ) -> Answer | None:
+        return await self.links.async_ask(address, asked, timeout_s=timeout_s)
+
     async def _async_reach(self, address: str) -> bool:
         """Say whether the process at an address answers; what it answers doesn't matter."""
         question = QueueAsked(partition=-1, queue="")
--- a/heatherkeel/ownership/holders.py
+++ b/heatherkeel/ownership/holders.py
@@ -42,6 +42,10 @@
             await self._async_read()
         return self.addresses.get(partition, "")
 
+    def list_others(self, own: str) -> list[str]:
+        """Return the addresses of the owners that were read last, but for our own."""
+        return sorted(set(self.addresses.values()) - {own})
+
     async def async_refresh(self) -> None:
         """Read the list again unless it is recent."""
         if monotonic_ms() - self.read_ms > HOLDERS_REFRESH_MS:
--- a/heatherkeel/ownership/isolation.py
+++ b/heatherkeel/ownership/isolation.py
@@ -78,8 +78,7 @@
         return monotonic_ms() - self.heard_ms >= ISOLATED_AFTER_MS
 
     def _list_peers(self) -> list[str]:
-        own = self.member.address
-        return sorted({address for address in self.holders.addresses.values() if address != own})
+        return self.holders.list_others(self.member.address)
 
     def _take_reached(self) -> None:
         self.heard_ms = monotonic_ms()
--- a/heatherkeel/platform/store.py
+++ b/heatherkeel/platform/store.py
@@ -15,6 +15,7 @@
 from .errors import CallError, Failure
 from .framing import UNREADABLE_KEY, FramingError, KeyedRecord, decode_read, encode_records
 from .patience import Patience
+from .route import DirectRoute, StoreCall, StoreRoute
 
 ModelT = TypeVar("ModelT")
 
@@ -28,6 +29,8 @@
 """Longest wait for a reading beyond its own `wait_ms`, in seconds."""
 JOIN_TIMEOUT_S: Final = 1.2
 """Longest wait for a renewal, in seconds: below the time for which a membership is good."""
+PEER_CONNECTIONS: Final = 24
+"""Connections for the calls of others; most of these wait for records."""
 AWAY_FAILURES: Final = 3
 """Writes in a row that fail before the store counts as away. Where a third of all answers are
 lost, three in a row are lost once in 27."""
@@ -136,7 +139,10 @@
 class StoreClient:
     """One process's way to the store; waiting reads have connections of their own."""
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(self, *, address: str, route: StoreRoute | None = None) -> None:
+        self.route = route or DirectRoute()
+        self.for_peers = HttpCaller(address=address, connections=PEER_CONNECTIONS)
+        """For calls that other processes ask for."""
         self.writes = HttpCaller(address=address, connections=8)
         self.reads = HttpCaller(address=address, connections=24)
         self.membership = HttpCaller(address=address, connections=2)
@@ -146,9 +152,13 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        for caller in (self.writes, self.reads, self.membership):
+        for caller in (self.writes, self.reads, self.membership, self.for_peers):
             await caller.close()
 
+    async def async_make(self, call: StoreCall) -> Result[Reply, CallError]:
+        """Make a call that another process asks for, directly."""
+        return await DirectRoute().async_call(self.for_peers, call)
+
     def find_health(self, topic: str, partition: int) -> PartitionHealth:
         """Say how this process's writes to a partition went."""
         return self.health.setdefault((topic, partition), PartitionHealth())
@@ -173,8 +183,11 @@
         target = f"/heatherkeel/log-append?{urlencode(query)}"
         began_s = trio.current_time()
         timeout_s = min(longest_s, self.write_patience.timeout_s())
-        called = await self.writes.async_call(
-            "POST", target, body=encode_records(records), timeout_s=timeout_s
+        called = await self.route.async_call(
+            self.writes,
+            StoreCall(
+                method="POST", target=target, body=encode_records(records), timeout_s=timeout_s
+            ),
         )
         _learn(self.write_patience, called, trio.current_time() - began_s)
         checked = called.and_then(_check)
@@ -186,10 +199,10 @@
     ) -> Result[ReadRecords, CallError]:
         """Read from an offset on, waiting up to `wait_ms` for a first record."""
         query = urlencode({"topic": topic, "part": partition, "from": start, "waitMs": wait_ms})
-        called = await self.reads.async_call(
-            "GET",
+        called = await self._async_get(
             f"/heatherkeel/log-read?{query}",
             timeout_s=READ_TIMEOUT_S + wait_ms / 1000,
+            waits=wait_ms > 0,
         )
         checked = called.and_then(_check)
         if isinstance(checked, Err):
@@ -207,9 +220,7 @@
         query: dict[str, Any] = {"topic": topic, "part": partition}
         if after_key:
             query["dependsOn"] = after_key
-        called = await self.reads.async_call(
-            "GET", f"/heatherkeel/log-newest?{urlencode(query)}", timeout_s=READ_TIMEOUT_S
-        )
+        called = await self._async_get(f"/heatherkeel/log-newest?{urlencode(query)}")
         decoded = _decode(called.and_then(_check), _Newest)
         if isinstance(decoded, Err):
             return decoded
@@ -250,9 +261,7 @@
         )
         began_s = trio.current_time()
         timeout_s = self.join_patience.timeout_s()
-        called = await self.membership.async_call(
-            "POST", "/heatherkeel/log-join", body=body, timeout_s=timeout_s
-        )
+        called = await self._async_post("/heatherkeel/log-join", body, timeout_s=timeout_s)
         _learn(self.join_patience, called, trio.current_time() - began_s)
         decoded = _decode(called.and_then(_check), _Joined)
         if isinstance(decoded, Err):
@@ -265,24 +274,30 @@
     async def async_leave(self, *, group: str, member: str) -> Result[None, CallError]:
         """Leave a group, so that its partitions go to other members at once."""
         body = msgspec.json.encode({"group": group, "member": member})
-        called = await self.membership.async_call(
-            "POST", "/heatherkeel/log-leave", body=body, timeout_s=JOIN_TIMEOUT_S
-        )
+        called = await self._async_post("/heatherkeel/log-leave", body, timeout_s=JOIN_TIMEOUT_S)
         checked = called.and_then(_check)
         return Err(checked.err_value) if isinstance(checked, Err) else Ok(None)
 
     async def async_list_holders(self, *, group: str) -> Result[list[PartitionHolder], CallError]:
         """Say which member holds which partition."""
-        called = await self.reads.async_call(
-            "GET",
-            f"/heatherkeel/log-owners?{urlencode({'group': group})}",
-            timeout_s=READ_TIMEOUT_S,
-        )
+        called = await self._async_get(f"/heatherkeel/log-owners?{urlencode({'group': group})}")
         checked = called.and_then(_check)
         if isinstance(checked, Err):
             return checked
         return _decode_holders(checked.ok_value.body)
 
+    async def _async_get(
+        self, target: str, *, timeout_s: float = READ_TIMEOUT_S, waits: bool = False
+    ) -> Result[Reply, CallError]:
+        call = StoreCall(method="GET", target=target, timeout_s=timeout_s, waits=waits)
+        return await self.route.async_call(self.reads, call)
+
+    async def _async_post(
+        self, target: str, body: bytes, *, timeout_s: float
+    ) -> Result[Reply, CallError]:
+        call = StoreCall(method="POST", target=target, body=body, timeout_s=timeout_s)
+        return await self.route.async_call(self.membership, call)
+
 
 def _learn(patience: Patience, called: Result[Reply, CallError], took_s: float) -> None:
     if isinstance(called, Ok):
--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -17,6 +17,7 @@
     PoolsTold,
     Question,
     QueueTold,
+    StoreAsked,
 )
 
 
@@ -26,6 +27,7 @@
     """Answer a question; an owner that doesn't read its partition must not say "unknown"."""
     if isinstance(question, LayoutAsked):
         return LayoutTold(layout=layout)
+    assert not isinstance(question, StoreAsked), "answered by whoever makes the call"
     owner = owners.get(question.partition)
     if owner is None or not owner.is_restored:
         return NotOwner()
--- a/heatherkeel/questions/links.py
+++ b/heatherkeel/questions/links.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -14,7 +14,14 @@
 from heatherkeel.membership.sockets import EdgeSocket, Frames
 
 from .const import ANSWER_TIMEOUT_S, CONNECT_POLL_S, UNUSED_AFTER_MS
-from .messages import Answer, Question, decode_answer, decode_question, encode_message
+from .messages import (
+    Answer,
+    Question,
+    StoreAsked,
+    decode_answer,
+    decode_question,
+    encode_message,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -77,10 +84,12 @@
         *,
         bind: str,
         answer: Callable[[Question], Answer],
+        async_answer_store: Callable[[StoreAsked], Awaitable[Answer]],
         on_heard: Callable[[], None] = lambda: None,
     ) -> None:
         self.address = bind
         self.answer = answer
+        self.async_answer_store = async_answer_store
         self.on_heard = on_heard
         self.context: zmq.Context[zmq.Socket[bytes]] = zmq.Context(io_threads=1)
         self.router = EdgeSocket(context=self.context, kind=zmq.ROUTER, handle=self._take)
@@ -107,6 +116,7 @@
     ) -> Answer | None:
         """Ask the process at an address; None if no answer comes in time."""
         if address == self.address:
+            assert not isinstance(question, StoreAsked), "a call is never forwarded to oneself"
             return self.answer(question)
         self._close_unused()
         link = self.links.get(address)
@@ -134,5 +144,16 @@
             )
             return
         self.on_heard()
-        answer = self.answer(decoded.ok_value)
+        question = decoded.ok_value
+        if isinstance(question, StoreAsked):
+            assert self.nursery is not None
+            self.nursery.start_soon(self._async_answer, frames, question)
+            return
+        self._reply(frames, self.answer(question))
+
+    async def _async_answer(self, frames: Frames, question: StoreAsked) -> None:
+        """Answer what takes a call to the store, while other questions go on."""
+        self._reply(frames, await self.async_answer_store(question))
+
+    def _reply(self, frames: Frames, answer: Answer) -> None:
         self.router.send([frames[0], frames[1], encode_message(answer)])
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from heatherkeel.ownership.partitions import Layout
+from heatherkeel.platform.errors import Failure
 
 
 class JobAsked(msgspec.Struct, frozen=True, kw_only=True, tag="job"):
@@ -37,7 +38,21 @@
     partition: int
 
 
-Question = JobAsked | QueueAsked | PoolsAsked | LayoutAsked
+class StoreAsked(msgspec.Struct, frozen=True, kw_only=True, tag="store"):
+    """Asks a process to make a call to the store, which turns the asking one away.
+
+    It is about no partition of the process that is asked.
+    """
+
+    partition: int = -1
+    method: str
+    target: str
+    body: bytes | None = None
+    timeout_s: float
+    sent_wall_ms: int
+
+
+Question = JobAsked | QueueAsked | PoolsAsked | LayoutAsked | StoreAsked
 
 
 class JobTold(msgspec.Struct, frozen=True, kw_only=True, tag="job"):
@@ -102,7 +117,16 @@
     """The process that was asked doesn't own the partition, or doesn't know its jobs yet."""
 
 
-Answer = JobTold | QueueTold | PoolsTold | LayoutTold | NotOwner
+class StoreTold(msgspec.Struct, frozen=True, kw_only=True, tag="store"):
+    """The store's answer, or with `failure` why there is none."""
+
+    status: int = 0
+    body: bytes = b""
+    failure: Failure | None = None
+    detail: str = ""
+
+
+Answer = JobTold | QueueTold | PoolsTold | LayoutTold | StoreTold | NotOwner
 
 
 def encode_message(message: Question | Answer) -> bytes:
--- a/heatherkeel/standins/users_platform.py
+++ b/heatherkeel/standins/users_platform.py
@@ -53,6 +53,10 @@
     """Every call to the store gets 503."""
     store_silent: bool = False
     """No call to the store is carried out or answered."""
+    side_refuses: bool = False
+    """Every call to the store's second address gets 503."""
+    side_silent: bool = False
+    """No call to the store's second address is carried out or answered."""
     down_partitions: set[tuple[str, int]] = field(default_factory=set)
     """Topics and partitions to which every append gets 503."""
     lose_appends: int = 0
@@ -95,12 +99,15 @@
         self.ids = itertools.count(1)
         self.nursery: trio.Nursery | None = None
         self.store = HttpServer(app=self._app(self._async_store), bind="127.0.0.1:0")
+        self.side_store = HttpServer(app=self._app(self._async_side_store), bind="127.0.0.1:0")
+        """The same store at a second address, for processes that it turns away alone."""
         self.cloud = HttpServer(app=self._app(self._async_cloud), bind="127.0.0.1:0")
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Open the store and the machines' service."""
         self.nursery = nursery
         await self.store.start(nursery)
+        await self.side_store.start(nursery)
         await self.cloud.start(nursery)
         nursery.start_soon(self._async_live)
 
@@ -226,6 +233,13 @@
                 return self.log.list_holders(request.query)
         return Answer(status=404)
 
+    async def _async_side_store(self, request: Request, body: bytes) -> Answer:
+        if self.faults.side_silent:
+            await trio.sleep_forever()
+        if self.faults.side_refuses:
+            return Answer(status=503)
+        return await self._async_store(request, body)
+
     async def _async_read(self, query: dict[str, str]) -> Answer:
         with trio.move_on_after(int(query.get("waitMs", "0")) / 1000):
             while True:
--- a/tests/instance/site.py
+++ b/tests/instance/site.py
@@ -61,7 +61,9 @@
         for _ in range(processes):
             await self.async_add_process()
 
-    async def async_add_process(self, *, is_ready: bool = True) -> InstanceProcess:
+    async def async_add_process(
+        self, *, is_ready: bool = True, store_address: str = ""
+    ) -> InstanceProcess:
         """Start one more process, and wait until it is ready or has at least a configuration."""
         settings = InstanceSettings(
             instance=f"edge-{len(self.processes)}",
@@ -70,7 +72,7 @@
             internal_ports=(0, 0),
             listen=ListenAddresses(callers="127.0.0.1:0", readiness="127.0.0.1:0"),
             bounds=Bounds(longest_lease_ms=6000, machine_lease_ms=300),
-            store=StoreSettings(address=self.platform.store.address, partitions=3),
+            store=StoreSettings(address=store_address or self.platform.store.address, partitions=3),
             machines=MachineSettings(address=self.platform.cloud.address),
             advisor=self.platform.cloud.address,
         )
--- /dev/null
+++ b/tests/instance/test_turned_away.py
@@ -0,0 +1,48 @@
+"""A process that the store turns away while it serves the others, through real processes."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from heatherkeel.instance.process import InstanceProcess
+
+from .site import Site, open_site
+
+JOB = "00000000000000b1"
+
+
+async def async_add_side_process(site: Site) -> InstanceProcess:
+    """Add a process with a store address of its own, and wait until it knows its peers."""
+    address = site.platform.side_store.address
+    process = await site.async_add_process(store_address=address)
+
+    async def async_knows_peers() -> bool:
+        await process.holders.async_refresh()
+        return bool(process.holders.list_others(process.links.address))
+
+    await site.async_wait_for(async_knows_peers)
+    return process
+
+
+@pytest.mark.parametrize("fault", ["side_refuses", "side_silent"])
+def test_process_that_is_turned_away_takes_jobs_and_keeps_its_partitions(fault: str) -> None:
+    """The store refuses one process, or doesn't answer it, for longer than a membership lasts.
+
+    A caller of that process hands a job in: it is stored through a peer, run, and shown. What the
+    process owns stays its own, since its renewals arrive too; it goes on taking callers.
+    """
+
+    async def async_test() -> None:
+        async with open_site(processes=1) as site:
+            process = await async_add_side_process(site)
+            await site.async_wait(lambda: bool(process.owners))
+            setattr(site.platform.faults, fault, True)
+            assert await site.async_submit(process, JOB, "work 50") == 200
+            await site.async_wait_state(process, JOB, "complete")
+            await trio.sleep(2.5)
+            assert process.member.may_order()
+            assert process.status.is_ready()
+            assert len(site.starts(JOB)) == 2
+
+    trio.run(async_test)
--- /dev/null
+++ b/tests/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of heatherkeel.relay."""
