--- a/heatherkeel/ownership/holders.py
+++ b/heatherkeel/ownership/holders.py
@@ -46,14 +46,10 @@
         """Return the addresses of the owners that were read last, but for our own."""
         return sorted(set(self.addresses.values()) - {own})
 
-    async def async_refresh(self) -> None:
-        """Read the list again unless it is recent."""
-        if monotonic_ms() - self.read_ms > HOLDERS_REFRESH_MS:
-            await self._async_read()
-
-    async def async_read_since(self, since_ms: int) -> bool:
-        """Read the list unless that was done since a time; says whether it could be read."""
-        if self.answered_ms < since_ms:
+    async def async_refresh(self, *, max_age_ms: int = HOLDERS_REFRESH_MS) -> bool:
+        """Read the list unless it is so recent; says whether it is that now."""
+        since_ms = monotonic_ms() - max_age_ms
+        if self.read_ms < since_ms:
             await self._async_read()
         return self.answered_ms >= since_ms
 
--- a/heatherkeel/ownership/isolation.py
+++ b/heatherkeel/ownership/isolation.py
@@ -63,7 +63,7 @@
             return None
         # The list that was read last may name peers that have died since, and only these: a
         # process that is left alone would give up what nobody else can take.
-        is_read = await self.holders.async_read_since(monotonic_ms())
+        is_read = await self.holders.async_refresh(max_age_ms=0)
         if is_read and not self._list_peers():
             return self._take_reached()
         if self._is_long():
--- a/heatherkeel/ownership/reserve.py
+++ b/heatherkeel/ownership/reserve.py
@@ -45,12 +45,13 @@
         """Check until cancelled; a process with enough room has nothing to check."""
         while self.room < ENOUGH_ROOM:
             await trio.sleep(RESERVE_CHECK_MS / 1000)
-            if await self.holders.async_read_since(monotonic_ms()):
+            if await self.holders.async_refresh(max_age_ms=0):
                 await self._async_decide()
 
     async def _async_decide(self) -> None:
         is_out = StayOut.RESERVE in self.member.out_for
-        wants_change = self._is_needed() if is_out else not self._is_needed_among(larger=True)
+        lacks_owners = self._lacks_owners(larger_only=not is_out)
+        wants_change = lacks_owners if is_out else not lacks_owners
         if not wants_change:
             self.changing_since_ms = None
             return
@@ -76,11 +77,8 @@
         else:
             await self.member.async_pause(StayOut.RESERVE)
 
-    def _is_needed(self) -> bool:
-        return self._is_needed_among(larger=False)
-
-    def _is_needed_among(self, *, larger: bool) -> bool:
+    def _lacks_owners(self, *, larger_only: bool) -> bool:
         """Say whether partitions lack an owner, or have so few that their loss would hurt."""
-        least = ENOUGH_ROOM if larger else 0
+        least = ENOUGH_ROOM if larger_only else 0
         owners = [room for room in self.holders.rooms.values() if room >= least]
         return len(owners) < FEWEST_OWNERS or len(self.holders.addresses) < self.partitions
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -9,7 +9,6 @@
 from heatherkeel.platform.errors import Failure
 
 from .const import LOAD_MAX_AGE_MS, ORDER_RETRY_MS, ORDER_SETTLE_MS
-from .demand import is_short, plan_moves, remember_peak
 from .models import (
     DirectoryRead,
     FleetEffect,
@@ -27,6 +26,8 @@
     ShareView,
     WaveProgress,
 )
+from .moves import plan_moves
+from .supply import measure_supply, remember_peak
 from .waves import plan_maintenance
 
 _LOGGER = logging.getLogger(__name__)
@@ -180,8 +181,9 @@
         return []
     if state.listed_ms is None:
         return []
-    maintained = plan_maintenance(state, is_short=is_short(state))
-    for intent in maintained + plan_moves(state):
+    supply = measure_supply(state)
+    maintained = plan_maintenance(state, is_short=bool(supply.short))
+    for intent in maintained + plan_moves(state, supply):
         if intent.machine not in state.intents:
             state.intents[intent.machine] = intent
             _tell_intent(intent)
--- /dev/null
+++ b/heatherkeel/pooling/supply.py
@@ -0,0 +1,184 @@
+"""What the shares of pools have and need: machines, demand, what is on its way."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from math import ceil
+
+from heatherkeel.platform.machines import Machine
+
+from .const import (
+    ARRIVING_SHARE,
+    FEWEST_ARRIVALS,
+    FEWEST_LOST,
+    FULL_SHARE,
+    KEEP_MS,
+    LOAD_MAX_AGE_MS,
+    LOST_SHARE,
+    MOST_UNHEARD_SHARE,
+)
+from .models import FleetState, Purpose, Share, ShareView
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Supply:
+    """What the shares have, and how many machines those that are short lack."""
+
+    members: dict[Share, list[Machine]]
+    short: dict[Share, int]
+
+
+def measure_supply(state: FleetState) -> Supply:
+    """Work out what each share has and lacks now."""
+    members = _list_members(state)
+    return Supply(members=members, short=_find_short(state, members))
+
+
+def demanded_cpu(state: FleetState, share: Share) -> float:
+    """Return what a share's jobs ask for, or soon will at the pace at which they come."""
+    wanted_cpu = state.views[share].load.wanted_cpu
+    return max(wanted_cpu, _arriving_cpu(state, share) * FULL_SHARE / ARRIVING_SHARE)
+
+
+def _arriving_cpu(state: FleetState, share: Share) -> float:
+    """Return a share's part of the pace at which its pool's jobs come; 0 of few jobs.
+
+    Jobs are dealt out evenly, and one share alone gets too few to tell: of large jobs none of four
+    shares saw five in time, and their pool's machines came only when the jobs waited.
+    """
+    loads = [
+        view.load
+        for other, view in state.views.items()
+        if other.pool == share.pool and state.now_ms - view.heard_ms <= LOAD_MAX_AGE_MS
+    ]
+    if sum(load.arrivals for load in loads) < FEWEST_ARRIVALS:
+        return 0.0
+    return sum(load.arriving_cpu for load in loads) / len(loads)
+
+
+def remember_peak(state: FleetState, share: Share) -> None:
+    """Keep the highest demand of the last while."""
+    view = state.views[share]
+    wanted = demanded_cpu(state, share)
+    view.peaks = [
+        (at_ms, cpu) for at_ms, cpu in view.peaks if cpu > wanted and state.now_ms - at_ms < KEEP_MS
+    ]
+    view.peaks.append((state.now_ms, wanted))
+
+
+def _list_members(state: FleetState) -> dict[Share, list[Machine]]:
+    """Return the machines of each share that are up and stay."""
+    members: dict[Share, list[Machine]] = {share: [] for share in state.shares()}
+    for machine in list_staying(state):
+        share = state.share_of(machine.name, machine.pool)
+        if share in members:
+            members[share].append(machine)
+    return {share: _heard(state, share, machines) for share, machines in members.items()}
+
+
+def _heard(state: FleetState, share: Share, machines: list[Machine]) -> list[Machine]:
+    """Return the machines whose workers answer their share's owner.
+
+    A zone that is cut off takes its workers along, and their machines are still listed as up. Taken
+    for room, they would keep the share from getting others for as long as the cut lasts. Where most
+    don't answer, it is the owner that is cut off, and more machines wouldn't help it. Over ten days
+    with a cut zone each, 4.1% of jobs weren't served instead of 5.2%.
+    """
+    view = find_fresh(state, share)
+    unheard = set(view.load.unheard) if view is not None else set()
+    heard = [machine for machine in machines if machine.worker_id not in unheard]
+    return heard if len(heard) >= MOST_UNHEARD_SHARE * len(machines) else machines
+
+
+def list_staying(state: FleetState) -> list[Machine]:
+    """Return the machines that are up and aren't to go."""
+    return [
+        machine
+        for machine in state.machines.values()
+        if machine.is_up() and machine.name not in state.intents
+    ]
+
+
+def find_fresh(state: FleetState, share: Share) -> ShareView | None:
+    """Return what is known of a share's load; None if that is too old to decide by."""
+    view = state.views.get(share)
+    if view is None or state.now_ms - view.heard_ms > LOAD_MAX_AGE_MS:
+        return None
+    return view
+
+
+def count_needed(
+    state: FleetState, share: Share, machines: list[Machine], *, recent: bool
+) -> int | None:
+    """Return how many machines a share's demand asks for; None if that isn't known."""
+    view = find_fresh(state, share)
+    if view is None:
+        return None
+    wanted = demanded_cpu(state, share)
+    if recent:
+        wanted = max([wanted, *(cpu for _, cpu in view.peaks)])
+    sizes = [machine.capacity for machine in machines or state.machines.values()]
+    # The sums say that there is room, and no single machine may take a lasting task: each has too
+    # little left, or as many tasks of its step as it may. It would wait for as long as they run.
+    lacking = len(machines) + view.load.lacking if view.load.lacking else 0
+    return max(
+        lacking,
+        _machines_for(wanted, [size.cpu for size in sizes]),
+        _machines_for(view.load.wanted_memory_mb, [size.memory_mb for size in sizes]),
+    )
+
+
+def _machines_for(wanted: float, sizes: list[int]) -> int:
+    """Return how many machines of a mean size hold what is wanted, filled as far as they may be."""
+    size = sum(sizes) / len(sizes) if sizes else 0
+    return ceil(wanted / (FULL_SHARE * size)) if size else 0
+
+
+def _find_short(state: FleetState, members: dict[Share, list[Machine]]) -> dict[Share, int]:
+    """Return how many machines each share lacks, counting those on their way to it."""
+    coming = _count_coming(state)
+    short = {}
+    for share, machines in members.items():
+        needed = count_needed(state, share, machines, recent=False)
+        if needed is None:
+            continue
+        lacking = needed - len(machines) - coming[share]
+        if lacking > 0:
+            short[share] = lacking
+    return short
+
+
+def _count_coming(state: FleetState) -> Counter[Share | None]:
+    """Count the machines on their way to each share, by order or as the list shows them."""
+    coming = Counter(
+        state.share_of(intent.machine, intent.pool)
+        for intent in state.intents.values()
+        if intent.purpose is Purpose.MOVE
+    )
+    coming.update(
+        state.share_of(machine.name, machine.pool)
+        for machine in state.machines.values()
+        if not machine.is_up() and machine.state != "down" and machine.name not in state.intents
+    )
+    return coming
+
+
+def find_lost_zones(state: FleetState) -> set[str]:
+    """Return the zones most of whose workers don't answer: a machine there helps no share now."""
+    known: Counter[str] = Counter()
+    unheard: Counter[str] = Counter()
+    for share in state.shares():
+        view = find_fresh(state, share)
+        if view is None:
+            continue
+        silent = set(view.load.unheard)
+        for machine in state.machines.values():
+            if machine.worker_id in view.load.workers:
+                known[machine.zone] += 1
+                unheard[machine.zone] += machine.worker_id in silent
+    return {
+        zone
+        for zone, count in unheard.items()
+        if count >= FEWEST_LOST and count > LOST_SHARE * known[zone]
+    }
