--- a/heatherkeel/relay/const.py
+++ b/heatherkeel/relay/const.py
@@ -18,6 +18,8 @@
 REST_S: Final = 1.0
 """Pause after a forwarded call that failed, in seconds. While the store is down for everybody each
 process forwards one call in this time, so the store's load hardly grows."""
+FAILURES_TO_REST: Final = 2
+"""Forwarded calls in a row that must fail before a process that is turned away rests."""
 OLDEST_MS: Final = 1500
 """A call that left its process longer ago is not made, in milliseconds. A partition can hold a
 message up for seconds, and a renewal that comes so late would bring a member back that has left."""
--- a/heatherkeel/relay/route.py
+++ b/heatherkeel/relay/route.py
@@ -16,6 +16,7 @@
 from heatherkeel.questions.messages import Answer, StoreAsked, StoreTold
 
 from .const import (
+    FAILURES_TO_REST,
     FORWARD_MARGIN_S,
     LARGEST_BODY,
     LONGEST_FORWARD_S,
@@ -66,6 +67,8 @@
         self.rest_until_s = 0.0
         self.turn = 0
         """Which peer is asked; the next one after each failure."""
+        self.failures = 0
+        """Forwarded calls in a row that failed."""
         self.waiting_reads: set[trio.CancelScope] = set()
 
     async def async_call(self, caller: HttpCaller, call: StoreCall) -> Result[Reply, CallError]:
@@ -144,12 +147,24 @@
         told = _read_answer(answer)
         if _is_answered(told):
             self.metrics.count_forwarded(Forwarded.ANSWERED)
+            self.failures = 0
             return told
-        self.turn += 1
-        self.rest_until_s = trio.current_time() + REST_S
         self.metrics.count_forwarded(Forwarded.FAILED)
+        self._take_failure()
         return told
 
+    def _take_failure(self) -> None:
+        """Ask the next peer from now on; rest once it looks as if the store served none.
+
+        While this process is turned away a peer that fails may be the only one that does, and
+        without another it would be left without the store for as long as it rests.
+        """
+        self.turn += 1
+        self.failures += 1
+        if not self.is_turned_away or self.failures >= FAILURES_TO_REST:
+            self.failures = 0
+            self.rest_until_s = trio.current_time() + REST_S
+
 
 def _read_answer(answer: Answer | None) -> Result[Reply, CallError]:
     if not isinstance(answer, StoreTold):
--- a/tests/relay/test_route.py
+++ b/tests/relay/test_route.py
@@ -99,6 +99,25 @@
     assert scene.take_tried() == ["direct", "direct"]
 
 
+@trio.testing.trio_test
+async def test_next_peer_is_asked_at_once_when_one_fails(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """While the store turns this process away, the peer that it goes through fails too.
+
+    With a rest after the first failure its owner couldn't store anything for a second.
+    """
+    scene = Scene()
+    scene.direct = Ok(BUSY)
+    assert isinstance(await scene.async_make(), Ok)
+    scene.take_tried()
+    scene.peer = None
+    assert isinstance(await scene.async_make(), Err)
+    scene.peer = StoreTold(status=200, body=b"by peer")
+    assert await scene.async_make() == Ok(Reply(status=200, body=b"by peer"))
+    assert scene.take_tried() == ["p1", "direct", "p2"]
+
+
 @trio.testing.trio_test
 async def test_store_that_refuses_everybody_is_not_asked_twice_by_each_call(
     autojump_clock: trio.testing.MockClock,
