--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -82,6 +82,8 @@
     intents: dict[str, Intent] = field(default_factory=dict)
     blocked_until_ms: dict[str, int] = field(default_factory=dict)
     """Machines that an earlier owner has ordered away just now, and until when we may not."""
+    told_ms: int = 0
+    """When the log was last told how the pools stand."""
 
     def standby_pool(self) -> str | None:
         """Return the pool whose machines are off, if there is one."""
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -28,6 +28,7 @@
 )
 from .moves import plan_moves
 from .supply import measure_supply, remember_peak
+from .telling import tell_pools
 from .waves import plan_maintenance
 
 _LOGGER = logging.getLogger(__name__)
@@ -182,6 +183,7 @@
     if state.listed_ms is None:
         return []
     supply = measure_supply(state)
+    tell_pools(state, supply)
     maintained = plan_maintenance(state, is_short=bool(supply.short))
     for intent in maintained + plan_moves(state, supply):
         if intent.machine not in state.intents:
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.operator import Wave
 from heatherkeel.pooling.const import KEEP_MS, PARK_AFTER_MS
@@ -262,3 +264,17 @@
     fleet.needs["desk"] = [Need(label="b")]
     fleet.measure(desk=CPU)
     assert not fleet.plan()
+
+
+def test_log_tells_once_a_second_how_the_pools_stand(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level("INFO")
+    fleet = Fleet(desk=3, spare=4)
+    fleet.lasting = {"desk0": 1}
+    fleet.measure(desk=5 * CPU)
+    for _ in range(12):
+        fleet.plan()
+    told = [row for row in caplog.records if getattr(row, "event", "") == "pools"]
+    assert len(told) == 2
+    (line,) = told[0].shares  # type: ignore[attr-defined]
+    assert (line["machines"], line["lacking"], line["pinned"]) == (3, 3, 1)
+    assert line["wanted_cpu"] == 5 * CPU
