Order for loads beyond the room: small jobs first under a backlog, last chances for late ones

Change: a job's work puts it back a little; with two seconds of work waiting the smallest goes first; a small late step that must start now or never goes before those in time. Ruled out: the smallest first at any load, last chances without a bound (simulated, docs).

--- a/heatherkeel/dispatch/building.py
+++ b/heatherkeel/dispatch/building.py
@@ -23,6 +23,19 @@
     return chains
 
 
+def work_ahead(steps: tuple[StepRequest, ...]) -> list[float]:
+    """Return for each step what it and all later steps ask for, in core-milliseconds.
+
+    Tasks that fill take no room.
+    """
+    ahead = [0.0] * (len(steps) + 1)
+    for number in range(len(steps) - 1, -1, -1):
+        step = steps[number]
+        own = 0.0 if step.fills else step.count * step.cpu * step.estimated_ms / 1000
+        ahead[number] = ahead[number + 1] + own
+    return ahead[:-1]
+
+
 def set_objective(job: Job, queue: Queue | None) -> None:
     """Work out until when the job should be complete."""
     chain_ms = max(longest_chain_ms(job.request.steps), default=0.0)
@@ -35,6 +48,7 @@
     """Make the steps and tasks of one occurrence; steps that depend on none are open."""
     due_ms = begins_ms + job.due_ms - job.accepted_ms
     chains = longest_chain_ms(job.request.steps)
+    works = work_ahead(job.request.steps)
     steps = []
     for number, request in enumerate(job.request.steps):
         step = Step(
@@ -43,6 +57,7 @@
             number=number,
             request=request,
             latest_start_ms=due_ms - chains[number],
+            work=works[number],
             is_open=not request.depends_on,
         )
         prefix = step.name()
--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -35,6 +35,19 @@
 ESTIMATE_SLACK: Final = 0.2
 """Share of its remaining work by which a step may be behind and still count as in time:
 declared durations are off by about as much."""
+LATER_BY_WORK: Final = 0.64
+"""By how many milliseconds a step is put back for each millisecond of a worker's whole processor
+that it and the steps behind it ask for. Of two jobs that are due at about the same time the smaller
+goes first: in simulated turns 0.87 instead of 0.83 of the jobs were in time."""
+BACKLOG_MS: Final = 2000
+"""From so much work of steps in time on, as milliseconds of the pool's whole processor, the
+smallest go first. Objectives leave a second or two of waiting; at 500 ms a simulated turn that was
+met had 0.02 more of its jobs late."""
+LAST_CHANCE_MS: Final = 600
+"""How long before its job is worth nothing a late step may go first, in milliseconds."""
+RESCUE_MS: Final = 90
+"""Work that may go first so at any time, as milliseconds of the pool's whole processor: a sixth of
+the time above."""
 MAX_MISFITS: Final = 40
 """Steps that don't fit in a row before a pass ends: a bound on the work of one event."""
 GREY_FAILURES: Final = 3
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -118,6 +118,8 @@
     done: int = 0
     latest_start_ms: float = 0.0
     """When its tasks have to start for the job to meet its objective."""
+    work: float = 0.0
+    """What it and the steps behind it ask for, in core-milliseconds, as declared."""
     is_open: bool = False
     """All steps that it depends on are done."""
     tickets: dict[str, Ticket] = field(default_factory=dict)
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -22,6 +22,8 @@
     workers = [worker for worker in pool.workers.values() if worker.takes_work(state.now_ms)]
     if not workers:
         return
+    sizes = [worker.entry.capacity.cpu / 1000 for worker in workers]
+    pool.open_steps.set_room(cores=sum(sizes), worker_cores=max(sizes))
     misfits = 0
     free_cpu = max(worker.free_cpu() for worker in workers)
     for step in pool.open_steps.in_order(state.now_ms):
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -7,6 +7,7 @@
 
 from heatherkeel.platform.operator import Queue
 
+from .building import work_ahead
 from .const import ARRIVAL_WINDOW_MS
 from .models import Job, Worker
 from .open_steps import OpenSteps
@@ -28,8 +29,7 @@
         steps = job.request.steps
         if any(step.lasts for step in steps):
             return
-        work = sum(step.count * step.cpu * step.estimated_ms / 1000 for step in steps)
-        self.arrivals.append((now_ms, work))
+        self.arrivals.append((now_ms, work_ahead(steps)[0]))
 
     def arriving_cpu(self, now_ms: int) -> int:
         """Return the processor that jobs ask for at the pace at which they come now."""
