--- a/heatherkeel/platform/route.py
+++ b/heatherkeel/platform/route.py
@@ -21,8 +21,13 @@
     target: str
     body: bytes | None = None
     timeout_s: float
-    waits: bool = False
-    """A reading that waits for a record: it may be given up and made again at any time."""
+    wait_s: float = 0.0
+    """How long a reading waits for a record; it may be given up and made again at any time."""
+
+    @property
+    def waits(self) -> bool:
+        """Say whether the call is a reading that waits."""
+        return self.wait_s > 0
 
     def is_for_store(self) -> bool:
         """Say whether the target is one of the store's calls on records and groups."""
--- a/heatherkeel/platform/store.py
+++ b/heatherkeel/platform/store.py
@@ -202,7 +202,7 @@
         called = await self._async_get(
             f"/heatherkeel/log-read?{query}",
             timeout_s=READ_TIMEOUT_S + wait_ms / 1000,
-            waits=wait_ms > 0,
+            wait_s=wait_ms / 1000,
         )
         checked = called.and_then(_check)
         if isinstance(checked, Err):
@@ -287,9 +287,9 @@
         return _decode_holders(checked.ok_value.body)
 
     async def _async_get(
-        self, target: str, *, timeout_s: float = READ_TIMEOUT_S, waits: bool = False
+        self, target: str, *, timeout_s: float = READ_TIMEOUT_S, wait_s: float = 0.0
     ) -> Result[Reply, CallError]:
-        call = StoreCall(method="GET", target=target, timeout_s=timeout_s, waits=waits)
+        call = StoreCall(method="GET", target=target, timeout_s=timeout_s, wait_s=wait_s)
         return await self.route.async_call(self.reads, call)
 
     async def _async_post(
--- a/heatherkeel/relay/route.py
+++ b/heatherkeel/relay/route.py
@@ -17,6 +17,7 @@
 
 from .const import (
     FAILURES_TO_REST,
+    FAILURES_TO_TURN,
     FORWARD_MARGIN_S,
     LARGEST_BODY,
     LONGEST_FORWARD_S,
@@ -69,22 +70,32 @@
         """Which peer is asked; the next one after each failure."""
         self.failures = 0
         """Forwarded calls in a row that failed."""
+        self.direct_failures = 0
+        """Direct calls in a row that failed, where a peer was served."""
         self.waiting_reads: set[trio.CancelScope] = set()
 
     async def async_call(self, caller: HttpCaller, call: StoreCall) -> Result[Reply, CallError]:
-        """Make one call, directly or through a peer."""
+        """Make one call, directly or through a peer.
+
+        A reading that waits never decides by itself: its connection is reset whenever the store
+        forgets its history, and each process would go through a peer for a while, with a link that
+        may have gone silent at the same moment. Its next try is 300 ms later, and renewals and
+        appends find out sooner whether this process is turned away.
+        """
         if self._goes_through_peer(call):
             forwarded = await self._async_forward(call)
-            if _is_answered(forwarded):
+            if _is_answered(forwarded) or call.waits:
                 return forwarded
             return _join(forwarded, await self._async_direct(caller, call))
         direct = await self._async_direct(caller, call)
         if _is_answered(direct) or self._rests():
             return direct
+        if call.waits and not self.is_turned_away:
+            return direct
         forwarded = await self._async_forward(call)
         if not _is_answered(forwarded):
             return _join(direct, forwarded)
-        self._take_turned_away(direct)
+        self._count_turned_away(direct)
         return forwarded
 
     def _goes_through_peer(self, call: StoreCall) -> bool:
@@ -109,16 +120,20 @@
                 answer = await self.direct.async_call(caller, _within(call, longest_s))
             finally:
                 self.waiting_reads.discard(scope)
-        if _is_answered(answer) and self.is_turned_away and not call.waits:
+        if not _is_answered(answer) or call.waits:
+            return answer
+        self.direct_failures = 0
+        if self.is_turned_away:
             self.is_turned_away = False
             _LOGGER.info(
                 "the store is reached directly again", extra={"event": "store_direct_regained"}
             )
         return answer
 
-    def _take_turned_away(self, direct: Result[Reply, CallError]) -> None:
-        """Go through peers from now on, also with readings that wait for the store in vain."""
-        if self.is_turned_away:
+    def _count_turned_away(self, direct: Result[Reply, CallError]) -> None:
+        """Go through peers after some failures, also with readings that wait in vain."""
+        self.direct_failures += 1
+        if self.is_turned_away or self.direct_failures < FAILURES_TO_TURN:
             return
         self.is_turned_away = True
         self.probe_s = trio.current_time() + PROBE_INTERVAL_S
@@ -135,7 +150,7 @@
         if not peers or len(call.body or b"") > LARGEST_BODY:
             return Err(CallError(failure=Failure.REFUSED, detail="no other process to ask"))
         peer = peers[self.turn % len(peers)]
-        longest_s = call.timeout_s if call.waits else min(call.timeout_s, LONGEST_FORWARD_S)
+        longest_s = min(call.timeout_s, call.wait_s + LONGEST_FORWARD_S)
         asked = StoreAsked(
             method=call.method,
             target=call.target,
@@ -175,7 +190,7 @@
 
 
 def _within(call: StoreCall, longest_s: float) -> StoreCall:
-    if call.timeout_s <= longest_s or call.waits:
+    if call.waits or call.timeout_s <= longest_s:
         return call
     return StoreCall(method=call.method, target=call.target, body=call.body, timeout_s=longest_s)
 
