--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -14,6 +14,7 @@
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
 from tests.instance.site import QUEUE, open_site
+from tests.platform.entries import ENTRY
 
 
 def make_directory() -> Directory:
@@ -57,15 +58,7 @@
 
 def worker_record(worker_id: str, **change: object) -> KeyedRecord:
     """Return the record of a worker's entry, as the worker writes it but for a change."""
-    entry = {
-        "service": "desk",
-        "address": "10.1.0.9:8080",
-        "zone": "a",
-        "state": "ready",
-        "capacity": {"cpu": 4000, "memMb": 8192, "gpu": 0},
-        "labels": ["a", "r1"],
-    }
-    return KeyedRecord(key=worker_id, value=msgspec.json.encode(entry | change))
+    return KeyedRecord(key=worker_id, value=msgspec.json.encode(ENTRY | change))
 
 
 def test_entry_that_cannot_be_read_takes_its_worker_out_and_no_other(
--- a/tests/platform/test_borders.py
+++ b/tests/platform/test_borders.py
@@ -25,6 +25,8 @@
 )
 from heatherkeel.platform.settings import load_instance_settings
 
+from .entries import ENTRY
+
 KEYS = st.text(min_size=1, max_size=30).filter(lambda key: len(key.encode()) < 256)
 
 
@@ -82,14 +84,6 @@
     assert isinstance(decode_wave(body), Ok | Err)
 
 
-ENTRY = {
-    "service": "desk",
-    "address": "10.1.0.9:8080",
-    "zone": "a",
-    "state": "ready",
-    "capacity": {"cpu": 64000, "memMb": 131072, "gpu": 0},
-    "labels": ["a", "r1-3"],
-}
 ROOM = {"cpu": 1, "memMb": 1}
 
 
