--- a/heatherkeel/snapshots/writer.py
+++ b/heatherkeel/snapshots/writer.py
@@ -113,6 +113,8 @@
     async def _async_write(self, effect: SnapshotMarked) -> None:
         """Append the chunks one by one, then claim them."""
         offset = effect.mark.offset
+        extra = {"event": "snapshot_marked", "offset": offset, "state_bytes": len(effect.state)}
+        _LOGGER.info("writing a snapshot", extra=extra)
         chunk_offsets: list[int] = []
         for chunk in codec.cut(codec.pack(effect.state), offset=offset):
             if self._newest_offset() != offset:
--- a/tests/snapshots/test_schedule.py
+++ b/tests/snapshots/test_schedule.py
@@ -45,6 +45,42 @@
     assert due(state_at(400, newest=begun), now_ms=15_000)
 
 
+def joined(*, incarnation: str = "1", lease_until_ms: int) -> EntryInstance:
+    return EntryInstance(
+        instance="e-1",
+        incarnation=incarnation,
+        zone="a",
+        peer_address="",
+        lease_ms=2_000,
+        lease_until_ms=lease_until_ms,
+    )
+
+
+def test_an_author_whose_lease_lapsed_is_overtaken_at_once() -> None:
+    # An author is killed right after its mark. The log keeps few records; were the others to
+    # wait the whole time for it, the records after the last snapshot would be gone, and the
+    # killed process could not start again. Its lease tells them much sooner.
+    begun = replace(WHOLE, offset=300, at_ms=10_000, whole=False)
+    state = state_at(400, newest=begun)
+    state.membership.entries["e-1"] = joined(lease_until_ms=12_000)
+    assert not due(state, now_ms=11_999) and due(state, now_ms=12_000)
+
+
+def test_an_author_that_has_started_anew_is_overtaken_at_once() -> None:
+    # The killed author is back under its id. What it had begun is lost with its memory.
+    begun = replace(WHOLE, offset=300, at_ms=10_000, whole=False)
+    state = state_at(400, newest=begun)
+    state.membership.entries["e-1"] = joined(incarnation="2", lease_until_ms=20_000)
+    assert due(state, now_ms=10_001)
+
+
+def test_an_author_that_has_not_joined_has_its_whole_time() -> None:
+    # A process that has just started may mark before its first lease. That there is none says
+    # nothing against it.
+    begun = replace(WHOLE, offset=300, at_ms=10_000, whole=False)
+    assert not due(state_at(400, newest=begun), now_ms=14_999)
+
+
 def test_entry_instances_are_spread_and_few_endorse() -> None:
     # 200 entry instances see at the same record that a snapshot is due. Their times differ, so
     # that most of them see the first one's mark and stay quiet.
--- a/tests/snapshots/test_writer.py
+++ b/tests/snapshots/test_writer.py
@@ -35,7 +35,11 @@
 class Fleet:
     """Entry instances on one platform in memory, each with calls of its own to it."""
 
-    def __init__(self, names: list[str]) -> None:
+    def __init__(
+        self, names: list[str], *, snapshots: SnapshotSettings = SNAPSHOTS, lease_ms: int = 9_000
+    ) -> None:
+        self.snapshots = snapshots
+        self.lease_ms = lease_ms
         self.clients = {name: FakeClient() for name in names}
         self.platform = self.clients[names[0]].platform
         self.platform.now_ms = log_now_ms  # type: ignore[method-assign]
@@ -46,7 +50,7 @@
         settings = EntrySettings(
             instance=InstanceSettings(id=name, zone="a", zones=["a"]),
             platform=PlatformSettings(address="127.0.0.1:1", batch_interval_ms=1),
-            snapshots=SNAPSHOTS,
+            snapshots=self.snapshots,
         )
         node = Node(settings=settings)
         client = self.clients[name]
@@ -63,7 +67,11 @@
                 node.snapshots.start(nursery)
                 await node.follower.caught_up.wait()
                 body = EntryJoin(
-                    instance=name, incarnation=name, zone="a", peer_address="", lease_ms=9_000
+                    instance=name,
+                    incarnation=node.snapshots.incarnation,
+                    zone="a",
+                    peer_address="",
+                    lease_ms=self.lease_ms,
                 )
                 await node.writer.async_write(body, timeout_s=5)
                 while True:
@@ -111,36 +119,52 @@
     run(scenario)
 
 
+async def lose_first_author(fleet: Fleet) -> None:
+    """Run until a snapshot is whole, with its first author lost and its chunk unwritten."""
+    marked: list[str] = []
+
+    def kill_first_author() -> bool:
+        newest = fleet.nodes["e-1"].state.fleet.snapshots.newest
+        if newest is not None and not marked:
+            marked.append(newest.instance)
+            fleet.scopes[newest.instance].cancel()
+        return bool(fleet.manifests())
+
+    for client in fleet.clients.values():
+        client.refused_stream = "fleet-snapshots"
+
+    async def reopen() -> None:
+        while not marked:
+            assert await fleet.load() is None
+            await trio.sleep(0.05)
+        for name, client in fleet.clients.items():
+            client.refused_stream = "fleet-snapshots" if name == marked[0] else ""
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(reopen)
+        await fleet.run_until(kill_first_author)
+    assert fleet.manifests()[0].claim.instance != marked[0]
+    assert fleet.kinds()["snapshots.mark"] == 2
+    assert await fleet.load() is not None
+
+
 def test_an_author_that_dies_between_chunks_is_overtaken() -> None:
     # The author of the mark is lost with its chunk unwritten. Nobody starts from its snapshot;
     # another entry instance marks anew, and finishes.
+    run(lambda: lose_first_author(Fleet(["e-1", "e-2", "e-3"])))
+
+
+def test_an_author_that_dies_is_overtaken_when_its_lease_lapses() -> None:
+    # The same, with a log that takes an author for dead only after a minute. A newcomer waits
+    # for the next snapshot all that time if the log has dropped its first records. The author's
+    # lease of two seconds says sooner that it is gone: it takes that, the jitter of the two marks
+    # (two seconds each), and the turns of the endorsers.
     async def scenario() -> None:
-        fleet = Fleet(["e-1", "e-2", "e-3"])
-        marked: list[str] = []
-
-        def kill_first_author() -> bool:
-            newest = fleet.nodes["e-1"].state.fleet.snapshots.newest
-            if newest is not None and not marked:
-                marked.append(newest.instance)
-                fleet.scopes[newest.instance].cancel()
-            return bool(fleet.manifests())
-
-        for client in fleet.clients.values():
-            client.refused_stream = "fleet-snapshots"
-
-        async def reopen() -> None:
-            while not marked:
-                assert await fleet.load() is None
-                await trio.sleep(0.05)
-            for name, client in fleet.clients.items():
-                client.refused_stream = "fleet-snapshots" if name == marked[0] else ""
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(reopen)
-            await fleet.run_until(kill_first_author)
-        assert fleet.manifests()[0].claim.instance != marked[0]
-        assert fleet.kinds()["snapshots.mark"] == 2
-        assert await fleet.load() is not None
+        patient = SnapshotSettings(interval_records=3, overtake_ms=60_000, check_interval_ms=50)
+        fleet = Fleet(["e-1", "e-2", "e-3"], snapshots=patient, lease_ms=2_000)
+        begun = trio.current_time()
+        await lose_first_author(fleet)
+        assert trio.current_time() - begun < 10
 
     run(scenario)
 
