--- a/heatherkeel/directory/follower.py
+++ b/heatherkeel/directory/follower.py
@@ -11,7 +11,8 @@
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.framing import KeyedRecord
-from heatherkeel.platform.store import NewestRecords, StoreClient
+from heatherkeel.platform.store import StoreClient
+from heatherkeel.platform.store_answers import NewestRecords
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/heatherkeel/ownership/tenure.py
+++ b/heatherkeel/ownership/tenure.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from heatherkeel.platform.store import Share
+from heatherkeel.platform.store_answers import Share
 
 from .const import TTL_MS
 
--- a/heatherkeel/platform/store.py
+++ b/heatherkeel/platform/store.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from base64 import b64decode
 from dataclasses import dataclass
-from typing import Any, Final, TypeVar
+from typing import Any, Final
 from urllib.parse import urlencode
 
 import msgspec
@@ -13,11 +12,21 @@
 
 from .caller import HttpCaller, Reply
 from .errors import CallError, Failure
-from .framing import UNREADABLE_KEY, FramingError, KeyedRecord, decode_read, encode_records
+from .framing import FramingError, KeyedRecord, decode_read, encode_records
 from .patience import Patience
 from .route import DirectRoute, StoreCall, StoreRoute
-
-ModelT = TypeVar("ModelT")
+from .store_answers import (
+    Joined,
+    NewestPage,
+    NewestRecords,
+    PartitionHolder,
+    ReadRecords,
+    Share,
+    check,
+    decode,
+    decode_holders,
+    decode_item,
+)
 
 WRITE_TIMEOUT_S: Final = 3.5
 """Longest wait for an append, in seconds: a partition refuses what would wait for 2 s, and a
@@ -37,8 +46,6 @@
 PROBE_INTERVAL_S: Final = 0.25
 """How often a write is tried while the store is away, in seconds."""
 _TROUBLE: Final = frozenset({Failure.REFUSED, Failure.UNKNOWN})
-_GONE, _CONFLICT, _PRECONDITION = 410, 409, 412
-_REFUSED: Final = frozenset({429, 503, 507})
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -50,64 +57,6 @@
     sequence: int
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ReadRecords:
-    """Records from an offset on, and where the log ends."""
-
-    end: int
-    records: list[KeyedRecord]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class NewestRecords:
-    """One page of the newest records; pages are not a snapshot, so offsets decide."""
-
-    end: int
-    records: list[KeyedRecord]
-    has_more: bool
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Share:
-    """What a member holds: its partitions by topic, under a generation that only rises."""
-
-    generation: int
-    partitions: dict[str, set[int]]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PartitionHolder:
-    """Which member holds a partition."""
-
-    topic: str
-    partition: int
-    member: str
-
-
-class _Answer(msgspec.Struct, kw_only=True):
-    reason: str = ""
-    end: int = msgspec.field(name="endKey", default=0)
-    first: int = 0
-    sequence: int = 0
-
-
-class _Item(msgspec.Struct, kw_only=True):
-    key: str
-    value: str = ""
-    offset: int = 0
-
-
-class _Newest(msgspec.Struct, kw_only=True):
-    items: list[msgspec.Raw] = []
-    has_more: bool = msgspec.field(name="hasMore", default=False)
-    end: int = msgspec.field(name="endKey", default=0)
-
-
-class _Joined(msgspec.Struct, kw_only=True):
-    generation: int = 0
-    parts: list[tuple[str, int, int]] = []
-
-
 @dataclass(kw_only=True, slots=True)
 class PartitionHealth:
     """Whether this process's writes to a partition get done; some may fail while others don't."""
@@ -187,7 +136,7 @@
             self.writes, target, encode_records(records), timeout_s=timeout_s
         )
         _learn(self.write_patience, called, trio.current_time() - began_s)
-        checked = called.and_then(_check)
+        checked = called.and_then(check)
         self.find_health(topic, partition).take(checked)
         return Err(checked.err_value) if isinstance(checked, Err) else Ok(None)
 
@@ -201,7 +150,7 @@
             timeout_s=READ_TIMEOUT_S + wait_ms / 1000,
             wait_s=wait_ms / 1000,
         )
-        checked = called.and_then(_check)
+        checked = called.and_then(check)
         if isinstance(checked, Err):
             return checked
         try:
@@ -218,11 +167,11 @@
         if after_key:
             query["dependsOn"] = after_key
         called = await self._async_get(f"/heatherkeel/log-newest?{urlencode(query)}")
-        decoded = _decode(called.and_then(_check), _Newest)
+        decoded = decode(called.and_then(check), NewestPage)
         if isinstance(decoded, Err):
             return decoded
         page = decoded.ok_value
-        records = [_decode_item(item) for item in page.items]
+        records = [decode_item(item) for item in page.items]
         return Ok(NewestRecords(end=page.end, records=records, has_more=page.has_more))
 
     async def async_read_all_newest(
@@ -262,7 +211,7 @@
             self.membership, "/heatherkeel/log-join", body, timeout_s=timeout_s
         )
         _learn(self.join_patience, called, trio.current_time() - began_s)
-        decoded = _decode(called.and_then(_check), _Joined)
+        decoded = decode(called.and_then(check), Joined)
         if isinstance(decoded, Err):
             return decoded
         partitions: dict[str, set[int]] = {}
@@ -276,16 +225,16 @@
         called = await self._async_post(
             self.membership, "/heatherkeel/log-leave", body, timeout_s=JOIN_TIMEOUT_S
         )
-        checked = called.and_then(_check)
+        checked = called.and_then(check)
         return Err(checked.err_value) if isinstance(checked, Err) else Ok(None)
 
     async def async_list_holders(self, *, group: str) -> Result[list[PartitionHolder], CallError]:
         """Say which member holds which partition."""
         called = await self._async_get(f"/heatherkeel/log-owners?{urlencode({'group': group})}")
-        checked = called.and_then(_check)
+        checked = called.and_then(check)
         if isinstance(checked, Err):
             return checked
-        return _decode_holders(checked.ok_value.body)
+        return decode_holders(checked.ok_value.body)
 
     async def _async_get(
         self, target: str, *, timeout_s: float = READ_TIMEOUT_S, wait_s: float = 0.0
@@ -305,71 +254,3 @@
         patience.take_answer(took_s)
     elif called.err_value.failure is Failure.UNKNOWN:
         patience.take_silence()
-
-
-def _decode_holders(body: bytes) -> Result[list[PartitionHolder], CallError]:
-    """Read rows of topic, partition, member and offset, alone or under a name."""
-    try:
-        document = msgspec.json.decode(body)
-        if isinstance(document, dict):
-            document = next(rows for rows in document.values() if isinstance(rows, list))
-        return Ok(
-            [
-                PartitionHolder(topic=row[0], partition=row[1], member=row[2] or "")
-                for row in document
-            ]
-        )
-    except (ValueError, LookupError, TypeError, StopIteration) as err:
-        return Err(CallError(failure=Failure.INVALID, detail=f"list of holders: {err!r}"))
-
-
-def _decode_item(item: msgspec.Raw) -> KeyedRecord:
-    """Read one record of a page; one that can't be read must not cost the page's others."""
-    try:
-        decoded = msgspec.json.decode(item, type=_Item)
-        value = b64decode(decoded.value)
-    except (ValueError, RecursionError):
-        return KeyedRecord(key=UNREADABLE_KEY, value=b"")
-    return KeyedRecord(key=decoded.key, value=value, offset=decoded.offset)
-
-
-def _check(reply: Reply) -> Result[Reply, CallError]:
-    if reply.status == 200:
-        return Ok(reply)
-    detail = f"status {reply.status}"
-    answer = _Answer()
-    if reply.status in (_CONFLICT, _GONE, _PRECONDITION):
-        try:
-            answer = msgspec.json.decode(reply.body, type=_Answer)
-        except ValueError:
-            detail += ", body not readable"
-    if reply.status in _REFUSED:
-        failure = Failure.REFUSED
-    elif reply.status == _GONE:
-        failure = Failure.FORGOTTEN
-    elif reply.status == _CONFLICT and answer.reason == "fenced":
-        failure = Failure.FENCED
-    elif reply.status == _CONFLICT:
-        failure = Failure.OUT_OF_ORDER
-    elif reply.status >= 500:
-        failure = Failure.UNKNOWN
-    else:
-        failure = Failure.INVALID
-    number = answer.first if reply.status == _GONE else answer.sequence
-    return Err(
-        CallError(
-            failure=failure,
-            detail=f"{detail} {answer.reason}".strip(),
-            status=reply.status,
-            number=number,
-        )
-    )
-
-
-def _decode(checked: Result[Reply, CallError], model: type[ModelT]) -> Result[ModelT, CallError]:
-    if isinstance(checked, Err):
-        return checked
-    try:
-        return Ok(msgspec.json.decode(checked.ok_value.body, type=model))
-    except (ValueError, RecursionError) as err:
-        return Err(CallError(failure=Failure.INVALID, detail=str(err)))
--- a/tests/directory/test_layout_reader.py
+++ b/tests/directory/test_layout_reader.py
@@ -12,7 +12,8 @@
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import Service
-from heatherkeel.platform.store import NewestRecords, StoreClient
+from heatherkeel.platform.store import StoreClient
+from heatherkeel.platform.store_answers import NewestRecords
 
 LAYOUT = Layout(shares={"desk": (0, 1)})
 LARGER = Layout(shares={"desk": (0, 1), "portal": (2,)})
--- a/tests/gateway/test_lookup.py
+++ b/tests/gateway/test_lookup.py
@@ -8,7 +8,8 @@
 from heatherkeel.gateway.lookup import Lookup
 from heatherkeel.ownership.holders import Holders
 from heatherkeel.platform.errors import CallError, Failure
-from heatherkeel.platform.store import NewestRecords, StoreClient
+from heatherkeel.platform.store import StoreClient
+from heatherkeel.platform.store_answers import NewestRecords
 from heatherkeel.questions.links import QuestionLinks
 from heatherkeel.questions.messages import Answer, NotOwner, Question, QueueTold
 
--- a/tests/ownership/test_isolation.py
+++ b/tests/ownership/test_isolation.py
@@ -19,7 +19,8 @@
 from heatherkeel.ownership.isolation import IsolationWatch
 from heatherkeel.ownership.member import GroupMember, StayOut
 from heatherkeel.ownership.tenure import Change
-from heatherkeel.platform.store import PartitionHolder, Share, StoreClient
+from heatherkeel.platform.store import StoreClient
+from heatherkeel.platform.store_answers import PartitionHolder, Share
 
 
 class FakeStore(StoreClient):
--- a/tests/ownership/test_reserve.py
+++ b/tests/ownership/test_reserve.py
@@ -15,7 +15,8 @@
 from heatherkeel.ownership.reserve import ReserveWatch
 from heatherkeel.ownership.tenure import Change
 from heatherkeel.platform.errors import CallError, Failure
-from heatherkeel.platform.store import PartitionHolder, StoreClient
+from heatherkeel.platform.store import StoreClient
+from heatherkeel.platform.store_answers import PartitionHolder
 
 PARTITIONS = 6
 
--- a/tests/ownership/test_tenure.py
+++ b/tests/ownership/test_tenure.py
@@ -4,7 +4,7 @@
 
 from heatherkeel.ownership.const import TTL_MS, WORK_TOPIC
 from heatherkeel.ownership.tenure import Tenure
-from heatherkeel.platform.store import Share
+from heatherkeel.platform.store_answers import Share
 
 
 def share(generation: int, *partitions: int) -> Share:
