Each service deals the machines out to its shares in another way

Cause: a machine's share was its number modulo the shares, alike for every service. Ruled out: the owner's process (0.00 s from accepting to taking in), uneven hashes (190 to 202 jobs). Change: which of a group's machines goes to which share is turned by a hash of service and group. Stored layouts keep their way (is_mixed). Test of the load first red: 19 machines left to a share, 30 asked for. One share a service, as on the small sites: nothing changes.

--- a/heatherkeel/ownership/partitions.py
+++ b/heatherkeel/ownership/partitions.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from functools import cache
+from hashlib import sha256
 from typing import Final
 from zlib import crc32
 
@@ -38,6 +40,8 @@
     """The number of each machine, by which the machines of a pool are dealt out evenly."""
     homes: Mapping[str, int] = field(default_factory=dict)
     """How many machines each service had when it was laid out, before any was moved."""
+    is_mixed: bool = False
+    """Each service deals the machines out in another way; layouts stored earlier don't say so."""
 
     def partitions_of(self, service: str) -> tuple[int, ...]:
         """Return the partitions of a service; none if it isn't laid out yet."""
@@ -51,11 +55,19 @@
         """Return the partition of a machine while it is in a service's pool.
 
         Machines that came after the layout was made are dealt out by a hash of their names.
+
+        Neighbours go to different shares, and which of them to which differs from service to
+        service. Were it the same for all, the machines that could come to a share would be those
+        of one share of each other service; where two of these have lasting tasks, which can't be
+        sent away, a share got 8 machines in its turn and its three siblings 32 each.
         """
+        partitions = self.partitions_of(service)
         place = self.places.get(machine)
-        return _pick(
-            self.partitions_of(service), crc32(machine.encode()) if place is None else place
-        )
+        if place is None:
+            return _pick(partitions, crc32(machine.encode()))
+        if self.is_mixed and partitions:
+            place += _rotation(service, place // len(partitions))
+        return _pick(partitions, place)
 
     def all_partitions(self) -> list[int]:
         """Return every partition that has a share of a service."""
@@ -97,7 +109,22 @@
         shares[service] = tuple((start + further) % owned for further in range(count))
     places = layout.places or {machine: number for number, machine in enumerate(machines)}
     homes = {service: len(pools.get(service, [])) for service in missing}
-    return Layout(shares=shares, places=places, homes=dict(layout.homes) | homes)
+    return Layout(
+        shares=shares,
+        places=places,
+        homes=dict(layout.homes) | homes,
+        is_mixed=layout.is_mixed or not layout.places,
+    )
+
+
+@cache
+def _rotation(service: str, group: int) -> int:
+    """Return by how much the shares of a group of neighbours are turned for a service.
+
+    By a cryptographic hash: cyclic checks of two names differ by the same bits whatever follows
+    them, and two services would deal alike.
+    """
+    return sha256(f"{service}/{group}".encode()).digest()[0]
 
 
 def _pick(partitions: tuple[int, ...], number: int) -> int | None:
--- a/tests/ownership/test_partitions.py
+++ b/tests/ownership/test_partitions.py
@@ -47,6 +47,60 @@
     assert set(shares.values()) == {2}
 
 
+def count_free_by_share(layout: Layout, *, service: str, pinned: set[str]) -> Counter[int | None]:
+    """Count the machines that may come to each share of a service."""
+    return Counter(
+        layout.partition_of_machine(service, machine)
+        for machine in layout.places
+        if machine not in pinned
+    )
+
+
+def test_lasting_tasks_of_other_services_weigh_on_all_shares_alike() -> None:
+    """The load: a queue's turn asks for most machines, while two others have lasting tasks.
+
+    A lasting job belongs to one share of its service, and pins machines there: 17 and 9 of 45,
+    as seen with tasks that may not stand together. Had each service dealt the machines out alike,
+    these could all be of one share of the third service: it had 19 machines to serve a quarter of
+    the jobs, and its siblings 45 each.
+    """
+    layout = make_layout(pools=4, machines=45)
+    for first in layout.partitions_of("pool0"):
+        for second in layout.partitions_of("pool1"):
+            pinned = {
+                machine
+                for service, partition, count in (("pool0", first, 17), ("pool1", second, 9))
+                for machine in [
+                    name
+                    for name in layout.places
+                    if layout.partition_of_machine(service, name) == partition
+                ][:count]
+            }
+            free = count_free_by_share(layout, service="pool2", pinned=pinned)
+            assert min(free.values()) >= 30
+
+
+def test_machines_are_dealt_out_evenly_by_every_service() -> None:
+    layout = make_layout(pools=4, machines=45)
+    for service in layout.shares:
+        free = count_free_by_share(layout, service=service, pinned=set())
+        assert set(free.values()) == {45}
+
+
+def test_layout_that_was_stored_earlier_deals_as_it_did() -> None:
+    """Processes of two versions must name the same owner for each worker."""
+    layout = make_layout(pools=4, machines=45)
+    stored = layout.encode().replace(b',"is_mixed":true', b"")
+    earlier = decode_layout(stored).unwrap()
+    extended = extend_layout(
+        earlier, services=["pool0", "pool9"], pools={"pool9": []}, partitions=12
+    )
+    for known in (earlier, extended):
+        shares = known.partitions_of("pool0")
+        for machine, place in layout.places.items():
+            assert known.partition_of_machine("pool0", machine) == shares[place % len(shares)]
+
+
 @given(before=NAMES, added=NAMES, jobs=NAMES, machines=st.integers(1, 300))
 def test_what_is_laid_out_never_moves(
     before: list[str], added: list[str], jobs: list[str], machines: int
