Workers whose machines have gone are named as leaving until their entries end; orders in a file of their own

Cause: an intent ends when the list shows its machine elsewhere, and the worker was no longer named as leaving.

--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -66,6 +66,9 @@
 0.04 more than two thirds. Machines that idle in three pools out of four cost more than what is late
 in the two seconds until a fourth has them.
 """
+DEPARTED_MS: Final = 8000
+"""How long a worker whose machine has gone is still named as leaving, in milliseconds: its entry
+stands for three heartbeats of 1,500 ms after its last one, and is read some hundreds later."""
 SURPLUS_GAP_MS: Final = 300
 """How much of that time may lack a look at the pool, in milliseconds."""
 RECENT_ORDERS_MS: Final = 10_000
--- a/heatherkeel/pooling/keeper.py
+++ b/heatherkeel/pooling/keeper.py
@@ -7,18 +7,17 @@
 
 import msgspec
 import trio
-from result import Err, Result
+from result import Err
 
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.follower import async_read_whole
 from heatherkeel.directory.layout_reader import find_layout
 from heatherkeel.dispatch.journal import Journal
-from heatherkeel.helpers.clock import monotonic_ms, wall_ms
+from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.ownership.const import LAYOUT_KEY, WORK_TOPIC
 from heatherkeel.ownership.holders import Holders
 from heatherkeel.ownership.partitions import Layout, extend_layout, fleet_partition
 from heatherkeel.platform.const import STATUS_TOPIC
-from heatherkeel.platform.errors import CallError
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.machines import MachineClient
 from heatherkeel.platform.operator import encode_wave_status
@@ -28,12 +27,9 @@
 from heatherkeel.questions.messages import PoolsAsked, PoolsTold
 
 from .const import (
-    CLOCK_MARGIN_MS,
     LAYOUT_WAIT_MS,
     LIST_INTERVAL_MS,
     PLAN_INTERVAL_MS,
-    RECENT_ORDERS_MS,
-    STALE_ORDER_MS,
     STATUS_PREFIX,
 )
 from .models import (
@@ -41,26 +37,20 @@
     FleetEffect,
     FleetEvent,
     FleetState,
-    Intent,
     MachinesListed,
-    OrderAnswered,
     OrderMachine,
     PlanDue,
     PoolsMeasured,
-    Purpose,
     SaveWave,
     WaveProgress,
 )
+from .ordering import MachineOrders
 from .reducer import reduce_fleet
 
 _LOGGER = logging.getLogger(__name__)
 
 STATUS_RETRY_S = 0.5
 """Pause before a wave's status is written again, in seconds."""
-ORDERS_TOPIC = "keyed.orders"
-"""Where orders are stored while the fleet's own partition is down."""
-ORDERS_KEY = "orders"
-"""Key of our own record of the last orders: when each machine was ordered away."""
 
 
 class FleetKeeper:
@@ -93,10 +83,15 @@
         """As it is stored, or about to be; None before it is read, and where it can't be."""
         self.began_ms = monotonic_ms()
         self.client = MachineClient(address=settings.machines.address, holder=settings.instance)
-        self.aside_partition = 0
-        """Where the last order that was stored aside stands."""
-        self.orders: dict[str, int] = {}
-        """When each machine was ordered away last, in milliseconds since 1970."""
+        self.orders = MachineOrders(
+            token=token,
+            partitions=settings.store.partitions,
+            store=store,
+            journal=self.journal,
+            client=self.client,
+            may_order=may_order,
+            on_answered=self._take,
+        )
         self.scope = trio.CancelScope()
         self.nursery: trio.Nursery | None = None
 
@@ -106,6 +101,7 @@
             await self._async_restore()
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
+                self.orders.start(nursery)
                 nursery.start_soon(self.journal.async_run)
                 nursery.start_soon(self._async_list)
                 await self._async_plan()
@@ -124,14 +120,13 @@
         self.layout = find_layout(own)
         if self.layout is not None:
             self.directory.take_layout(self.layout)
-        aside = await self._async_read_aside()
+        lease_ms = self.settings.bounds.machine_lease_ms
+        blocked = await self.orders.async_restore(own, lease_ms=lease_ms)
+        self.state.blocked_until_ms.update(blocked)
         self._take_directory()
         for record in own:
             if record.key.startswith(STATUS_PREFIX) and record.value:
                 self._restore_wave(record)
-        for record in [*own, *aside]:
-            if record.key == ORDERS_KEY and record.value:
-                self._restore_orders(record)
         _LOGGER.info(
             "fleet taken over",
             extra={
@@ -141,32 +136,6 @@
             },
         )
 
-    async def _async_read_aside(self) -> list[KeyedRecord]:
-        """Read the orders that were stored aside; a partition that is down is waited for."""
-        records: list[KeyedRecord] = []
-
-        async def async_read(partition: int) -> None:
-            read = await async_read_whole(self.store, ORDERS_TOPIC, partition)
-            records.extend(read.records)
-
-        async with trio.open_nursery() as nursery:
-            for partition in range(self.settings.store.partitions):
-                nursery.start_soon(async_read, partition)
-        return records
-
-    def _restore_orders(self, record: KeyedRecord) -> None:
-        """Leave machines alone for a while that an earlier owner has ordered away just now.
-
-        Two holders may not take turns at one machine within its lease. Each order is stored
-        before it leaves, and our epoch stops those that aren't stored by now.
-        """
-        lease_ms = self.settings.bounds.machine_lease_ms + CLOCK_MARGIN_MS
-        now_ms = monotonic_ms()
-        for machine, at_ms in msgspec.json.decode(record.value, type=dict[str, int]).items():
-            self.orders[machine] = max(at_ms, self.orders.get(machine, 0))
-            age_ms = max(0, wall_ms() - self.orders[machine])
-            self.state.blocked_until_ms[machine] = now_ms + max(0, lease_ms - age_ms)
-
     def _restore_wave(self, record: KeyedRecord) -> None:
         progress = self.state.waves.get(int(record.key.removeprefix(STATUS_PREFIX)))
         if progress is not None:
@@ -241,11 +210,10 @@
 
     async def _async_measure(self) -> None:
         """Ask all pools' owners how full they are, and tell them which workers to empty."""
-        intents = self.state.intents.values()
-        leaving = [intent.worker_id for intent in intents if intent.worker_id]
         due = self.state.due_workers()
         async with trio.open_nursery() as nursery:
             for partition in self.state.layout.all_partitions():
+                leaving = self.state.leaving_workers(partition)
                 question = PoolsAsked(partition=partition, leaving=leaving, due=due)
                 nursery.start_soon(self._async_measure_partition, question)
 
@@ -269,70 +237,10 @@
     def _perform(self, effect: FleetEffect) -> None:
         match effect:
             case OrderMachine():
-                self._store_order(effect.intent)
+                self.orders.give(effect.intent)
             case SaveWave():
                 self._save_wave(effect.progress)
 
-    def _store_order(self, intent: Intent) -> None:
-        """Store that a machine is ordered away, and then give the order."""
-        ordered_ms = wall_ms()
-        self.orders = {
-            machine: at_ms
-            for machine, at_ms in self.orders.items()
-            if ordered_ms - at_ms < RECENT_ORDERS_MS
-        } | {intent.machine: ordered_ms}
-        decided_ms = monotonic_ms()
-        assert self.nursery is not None
-        nursery = self.nursery
-        if not self.journal.connected:
-            nursery.start_soon(self._async_order_aside, intent, decided_ms)
-            return
-        self.journal.put(ORDERS_KEY, self._encode_orders)
-        self.journal.when_stored(lambda: nursery.start_soon(self._async_order, intent, decided_ms))
-
-    async def _async_order_aside(self, intent: Intent, decided_ms: int) -> None:
-        """Store an order wherever it can be, and give it, while our own partition is down.
-
-        Parts of the store may be down for seconds while the rest works, and with them no pool
-        would get a machine. No next owner can begin before our partition is back, and it reads
-        these records too.
-        """
-        record = KeyedRecord(key=ORDERS_KEY, value=self._encode_orders())
-        partitions = self.settings.store.partitions
-        first = self.aside_partition
-        for further in range(partitions):
-            partition = (first + further) % partitions
-            stored = await self.store.async_append(ORDERS_TOPIC, partition, [record])
-            if not isinstance(stored, Err):
-                self.aside_partition = partition
-                return await self._async_order(intent, decided_ms)
-            if monotonic_ms() - decided_ms > STALE_ORDER_MS:
-                break
-        _LOGGER.warning(
-            "an order can't be stored, so it isn't given",
-            extra={"event": "order_unstored", "machine": intent.machine},
-        )
-        intent.ordered_ms = None
-        return None
-
-    def _encode_orders(self) -> bytes:
-        return msgspec.json.encode(self.orders)
-
-    async def _async_order(self, intent: Intent, decided_ms: int) -> None:
-        if not self.may_order() or monotonic_ms() - decided_ms > STALE_ORDER_MS:
-            intent.ordered_ms = None
-            return
-        token = self.state.token
-        ordered: Result[None, CallError]
-        if intent.purpose is Purpose.MOVE:
-            ordered = await self.client.async_move(intent.machine, pool=intent.pool, token=token)
-        else:
-            ordered = await self.client.async_maintain(
-                intent.machine, wave=intent.wave, token=token
-            )
-        error = ordered.err_value if isinstance(ordered, Err) else None
-        self._take(OrderAnswered(now_ms=monotonic_ms(), machine=intent.machine, error=error))
-
     def _save_wave(self, progress: WaveProgress) -> None:
         """Store what was begun; the operator hears that a wave is complete after that."""
         key = f"{STATUS_PREFIX}{progress.wave.number}"
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -45,6 +45,13 @@
     """The order was answered with success."""
 
 
+class Departure(NamedTuple):
+    """A worker whose machine has gone, though its entry may stand for some seconds more."""
+
+    share: Share
+    until_ms: int
+
+
 @dataclass(kw_only=True, slots=True)
 class WaveProgress:
     """A wave, and the machines whose maintenance has surely begun."""
@@ -82,6 +89,8 @@
     """When which pace of arrivals was seen in a pool, as a share's part of it."""
     waves: dict[int, WaveProgress] = field(default_factory=dict)
     intents: dict[str, Intent] = field(default_factory=dict)
+    departed: dict[str, Departure] = field(default_factory=dict)
+    """Workers whose machines were ordered away and have gone, by their ids."""
     blocked_until_ms: dict[str, int] = field(default_factory=dict)
     """Machines that an earlier owner has ordered away just now, and until when we may not."""
     told_ms: int = 0
@@ -120,6 +129,26 @@
         share = self.share_of(machine.name, machine.pool)
         return None if share is None else self.views.get(share)
 
+    def leaving_workers(self, partition: int) -> list[str]:
+        """Return the workers of a partition's shares on which nothing may start any more.
+
+        One whose machine has gone is still named: its entry stands for some seconds, and an empty
+        worker is what its share's owner would choose first. On a calm day 384 starts met no one.
+        """
+        leaving = [
+            intent.worker_id
+            for intent in self.intents.values()
+            if intent.worker_id
+            and (share := self.share_of(intent.machine, intent.from_pool)) is not None
+            and share.partition == partition
+        ]
+        departed = [
+            worker_id
+            for worker_id, departure in self.departed.items()
+            if departure.share.partition == partition and self.now_ms < departure.until_ms
+        ]
+        return leaving + departed
+
     def due_workers(self) -> list[str]:
         """Return the workers whose machines still have to be maintained."""
         return [
--- /dev/null
+++ b/heatherkeel/pooling/ordering.py
@@ -0,0 +1,154 @@
+"""Gives the orders for machines: each is stored before it leaves."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Final
+
+import msgspec
+import trio
+from result import Err, Result
+
+from heatherkeel.directory.follower import async_read_whole
+from heatherkeel.dispatch.journal import Journal
+from heatherkeel.helpers.clock import monotonic_ms, wall_ms
+from heatherkeel.platform.errors import CallError
+from heatherkeel.platform.framing import KeyedRecord
+from heatherkeel.platform.machines import MachineClient
+from heatherkeel.platform.store import StoreClient
+
+from .const import CLOCK_MARGIN_MS, RECENT_ORDERS_MS, STALE_ORDER_MS
+from .models import Intent, OrderAnswered, Purpose
+
+_LOGGER = logging.getLogger(__name__)
+
+ORDERS_TOPIC: Final = "keyed.orders"
+"""Where orders are stored while the fleet's own partition is down."""
+ORDERS_KEY: Final = "orders"
+"""Key of our own record of the last orders: when each machine was ordered away."""
+
+
+class MachineOrders:
+    """Stores orders, and then gives them under the fleet owner's token."""
+
+    def __init__(
+        self,
+        *,
+        token: int,
+        partitions: int,
+        store: StoreClient,
+        journal: Journal,
+        client: MachineClient,
+        may_order: Callable[[], bool],
+        on_answered: Callable[[OrderAnswered], None],
+    ) -> None:
+        self.token = token
+        self.partitions = partitions
+        self.store = store
+        self.journal = journal
+        self.client = client
+        self.may_order = may_order
+        self.on_answered = on_answered
+        self.aside_partition = 0
+        """Where the last order that was stored aside stands."""
+        self.ordered_ms: dict[str, int] = {}
+        """When each machine was ordered away last, in milliseconds since 1970."""
+        self.nursery: trio.Nursery | None = None
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Begin to give orders."""
+        self.nursery = nursery
+
+    async def async_restore(self, own: Iterable[KeyedRecord], *, lease_ms: int) -> dict[str, int]:
+        """Return until when each machine may not be ordered, by what earlier owners have stored.
+
+        `own` are the records of the fleet's partition; times are on the steady clock.
+
+        Two holders may not take turns at one machine within its lease. Each order is stored
+        before it leaves, and our epoch stops those that aren't stored by now.
+        """
+        blocked_until_ms: dict[str, int] = {}
+        now_ms = monotonic_ms()
+        for record in [*own, *await self._async_read_aside()]:
+            if record.key != ORDERS_KEY or not record.value:
+                continue
+            for machine, at_ms in msgspec.json.decode(record.value, type=dict[str, int]).items():
+                self.ordered_ms[machine] = max(at_ms, self.ordered_ms.get(machine, 0))
+                age_ms = max(0, wall_ms() - self.ordered_ms[machine])
+                left_ms = max(0, lease_ms + CLOCK_MARGIN_MS - age_ms)
+                blocked_until_ms[machine] = now_ms + left_ms
+        return blocked_until_ms
+
+    async def _async_read_aside(self) -> list[KeyedRecord]:
+        """Read the orders that were stored aside; a partition that is down is waited for."""
+        records: list[KeyedRecord] = []
+
+        async def async_read(partition: int) -> None:
+            read = await async_read_whole(self.store, ORDERS_TOPIC, partition)
+            records.extend(read.records)
+
+        async with trio.open_nursery() as nursery:
+            for partition in range(self.partitions):
+                nursery.start_soon(async_read, partition)
+        return records
+
+    def give(self, intent: Intent) -> None:
+        """Store that a machine is ordered away, and then give the order."""
+        now_wall_ms = wall_ms()
+        self.ordered_ms = {
+            machine: at_ms
+            for machine, at_ms in self.ordered_ms.items()
+            if now_wall_ms - at_ms < RECENT_ORDERS_MS
+        } | {intent.machine: now_wall_ms}
+        decided_ms = monotonic_ms()
+        assert self.nursery is not None
+        nursery = self.nursery
+        if not self.journal.connected:
+            nursery.start_soon(self._async_give_aside, intent, decided_ms)
+            return
+        self.journal.put(ORDERS_KEY, self._encode)
+        self.journal.when_stored(lambda: nursery.start_soon(self._async_give, intent, decided_ms))
+
+    async def _async_give_aside(self, intent: Intent, decided_ms: int) -> None:
+        """Store an order wherever it can be, and give it, while our own partition is down.
+
+        Parts of the store may be down for seconds while the rest works, and with them no pool
+        would get a machine. No next owner can begin before our partition is back, and it reads
+        these records too.
+        """
+        record = KeyedRecord(key=ORDERS_KEY, value=self._encode())
+        first = self.aside_partition
+        for further in range(self.partitions):
+            partition = (first + further) % self.partitions
+            stored = await self.store.async_append(ORDERS_TOPIC, partition, [record])
+            if not isinstance(stored, Err):
+                self.aside_partition = partition
+                return await self._async_give(intent, decided_ms)
+            if monotonic_ms() - decided_ms > STALE_ORDER_MS:
+                break
+        _LOGGER.warning(
+            "an order can't be stored, so it isn't given",
+            extra={"event": "order_unstored", "machine": intent.machine},
+        )
+        intent.ordered_ms = None
+        return None
+
+    def _encode(self) -> bytes:
+        return msgspec.json.encode(self.ordered_ms)
+
+    async def _async_give(self, intent: Intent, decided_ms: int) -> None:
+        if not self.may_order() or monotonic_ms() - decided_ms > STALE_ORDER_MS:
+            intent.ordered_ms = None
+            return
+        ordered: Result[None, CallError]
+        if intent.purpose is Purpose.MOVE:
+            ordered = await self.client.async_move(
+                intent.machine, pool=intent.pool, token=self.token
+            )
+        else:
+            ordered = await self.client.async_maintain(
+                intent.machine, wave=intent.wave, token=self.token
+            )
+        error = ordered.err_value if isinstance(ordered, Err) else None
+        self.on_answered(OrderAnswered(now_ms=monotonic_ms(), machine=intent.machine, error=error))
--- /dev/null
+++ b/tests/pooling/test_departed.py
@@ -0,0 +1,77 @@
+"""Workers whose machines have gone: their entries stand for some seconds, and they get no tasks."""
+
+from __future__ import annotations
+
+from heatherkeel.pooling.const import DEPARTED_MS
+from heatherkeel.pooling.models import OrderMachine
+
+from .fleet import Fleet
+
+
+def take_away(fleet: Fleet) -> str:
+    """Let an idle pool's first surplus machine be parked; returns its name."""
+    fleet.measure(desk=0)
+    fleet.empty = set(fleet.pool_of)
+    for _ in range(20):
+        fleet.measure(desk=0)
+        intents = fleet.plan()
+        if intents:
+            break
+    machine = intents[0].machine
+    for effect in fleet.effects:
+        if isinstance(effect, OrderMachine):
+            fleet.answer(effect.intent.machine)
+    return machine
+
+
+def test_worker_whose_machine_has_gone_is_named_as_leaving() -> None:
+    # An idle machine is sent to the standby pool. Its worker's entry stands for seconds more, and
+    # an empty worker is the first that its share's owner would choose: the tasks of the next job
+    # would be sent to an address where nobody answers, and wait for that.
+    fleet = Fleet(desk=9, spare=0)
+    machine = take_away(fleet)
+    assert f"i-{machine}" in fleet.state.leaving_workers(0)
+    fleet.pool_of[machine] = "spare"
+    fleet.now_ms += 100
+    fleet.list_machines()
+    assert machine not in fleet.state.intents
+    assert f"i-{machine}" in fleet.state.leaving_workers(0)
+
+
+def test_worker_is_named_until_its_entry_has_surely_gone() -> None:
+    fleet = Fleet(desk=9, spare=0)
+    machine = take_away(fleet)
+    fleet.pool_of[machine] = "spare"
+    fleet.now_ms += 100
+    fleet.list_machines()
+    fleet.now_ms += DEPARTED_MS
+    fleet.list_machines()
+    assert f"i-{machine}" not in fleet.state.leaving_workers(0)
+    assert not fleet.state.departed
+
+
+def test_machine_that_never_went_serves_on() -> None:
+    # The order had no answer and was never carried out: after its time the list shows the same
+    # life in the same pool. Its worker must get tasks again.
+    fleet = Fleet(desk=9, spare=0)
+    machine = take_away(fleet)
+    fleet.state.intents[machine].is_carried_out = False
+    fleet.now_ms += 60_000
+    fleet.list_machines()
+    assert machine not in fleet.state.intents
+    assert fleet.state.leaving_workers(0) == []
+
+
+def test_only_the_owner_of_the_workers_share_is_told() -> None:
+    # Each owner is asked ten times a second, and a turn's end takes eighty machines away: told of
+    # all of them, eleven owners would get two megabits a second over links of five.
+    fleet = Fleet(desk=16, spare=0, shares=2)
+    fleet.empty = set(fleet.pool_of)
+    for _ in range(20):
+        for partition in (0, 1):
+            fleet.measure(partition=partition, desk=0)
+        fleet.plan()
+    leaving = [set(fleet.state.leaving_workers(partition)) for partition in (0, 1)]
+    named = {intent.worker_id for intent in fleet.state.intents.values()}
+    assert leaving[0] and leaving[1] and not leaving[0] & leaving[1]
+    assert leaving[0] | leaving[1] == named
--- a/tests/pooling/test_orders_record.py
+++ b/tests/pooling/test_orders_record.py
@@ -8,7 +8,8 @@
 import trio
 
 from heatherkeel.ownership.const import WORK_TOPIC
-from heatherkeel.pooling.keeper import ORDERS_KEY, ORDERS_TOPIC, FleetKeeper
+from heatherkeel.pooling.keeper import FleetKeeper
+from heatherkeel.pooling.ordering import ORDERS_KEY, ORDERS_TOPIC
 from tests.instance.site import STEP, Site, open_site
 
 JOB = "00000000000000c1"
