Revert "Callers of a process that hears nothing of the store are told no at once"

Not served fell (0.025 to 0.018 for 202), but callers who were sent away for two seconds came back later than their own process could have stored their jobs.

--- a/heatherkeel/gateway/app.py
+++ b/heatherkeel/gateway/app.py
@@ -194,14 +194,8 @@
         """
         is_unknown = False
         partition = self._partition(queue, job_id)
-        store = self.app.store
-        if store.is_silent() or store.find_health(JOBS_TOPIC, partition).is_away():
-            await self._async_refuse(
-                Refusal.STORE_AWAY,
-                job_id=job_id,
-                detail=f"last answer of the store {monotonic_ms() - store.heard_ms} ms ago",
-                retry_s=RETRY_AWAY_S,
-            )
+        if self.app.store.find_health(JOBS_TOPIC, partition).is_away():
+            await self._async_refuse(Refusal.STORE_AWAY, job_id=job_id, retry_s=RETRY_AWAY_S)
             return Refusal.STORE_AWAY
         while True:
             left_s = (self.deadline_ms - monotonic_ms()) / 1000
--- a/heatherkeel/platform/store.py
+++ b/heatherkeel/platform/store.py
@@ -10,8 +10,6 @@
 import trio
 from result import Err, Ok, Result
 
-from heatherkeel.helpers.clock import monotonic_ms
-
 from .caller import HttpCaller, Reply
 from .errors import CallError, Failure
 from .framing import FramingError, KeyedRecord, decode_read, encode_records
@@ -45,9 +43,6 @@
 AWAY_FAILURES: Final = 3
 """Writes in a row that fail before the store counts as away. Where a third of all answers are
 lost, three in a row are lost once in 27."""
-SILENT_MS: Final = 1500
-"""Without any answer for this long the store doesn't reach this process, in milliseconds: each
-process asks it something every 900 ms at the least."""
 PROBE_INTERVAL_S: Final = 0.25
 """How often a write is tried while the store is away, in seconds."""
 _TROUBLE: Final = frozenset({Failure.REFUSED, Failure.UNKNOWN})
@@ -103,8 +98,6 @@
         self.write_patience = Patience(shortest_s=SHORTEST_TIMEOUT_S, longest_s=WRITE_TIMEOUT_S)
         self.join_patience = Patience(shortest_s=SHORTEST_TIMEOUT_S, longest_s=JOIN_TIMEOUT_S)
         self.health: dict[tuple[str, int], PartitionHealth] = {}
-        self.heard_ms = monotonic_ms()
-        """When anything was answered last, whatever it said."""
 
     async def close(self) -> None:
         """Close all connections."""
@@ -119,14 +112,6 @@
         """Say how this process's writes to a partition went."""
         return self.health.setdefault((topic, partition), PartitionHealth())
 
-    def is_silent(self) -> bool:
-        """Say whether the store is out of reach for this process, also through its peers.
-
-        In a zone that is cut off each write has to run out of its time before it counts as
-        failed, partition by partition; meanwhile the callers of all of them wait in vain.
-        """
-        return monotonic_ms() - self.heard_ms >= SILENT_MS
-
     async def async_append(
         self,
         topic: str,
@@ -255,19 +240,13 @@
         self, target: str, *, timeout_s: float = READ_TIMEOUT_S, wait_s: float = 0.0
     ) -> Result[Reply, CallError]:
         call = StoreCall(method="GET", target=target, timeout_s=timeout_s, wait_s=wait_s)
-        return await self._async_call(self.reads, call)
+        return await self.route.async_call(self.reads, call)
 
     async def _async_post(
         self, caller: HttpCaller, target: str, body: bytes, *, timeout_s: float
     ) -> Result[Reply, CallError]:
         call = StoreCall(method="POST", target=target, body=body, timeout_s=timeout_s)
-        return await self._async_call(caller, call)
-
-    async def _async_call(self, caller: HttpCaller, call: StoreCall) -> Result[Reply, CallError]:
-        called = await self.route.async_call(caller, call)
-        if isinstance(called, Ok):
-            self.heard_ms = monotonic_ms()
-        return called
+        return await self.route.async_call(caller, call)
 
 
 def _learn(patience: Patience, called: Result[Reply, CallError], took_s: float) -> None:
