--- a/heatherkeel/gateway/app.py
+++ b/heatherkeel/gateway/app.py
@@ -45,6 +45,7 @@
 
 from .const import (
     ANSWER_MARGIN_MS,
+    APPEND_TIMEOUT_S,
     DEFAULT_DEADLINE_MS,
     REPEAT_PAUSE_S,
     RETRY_AWAY_S,
@@ -54,7 +55,6 @@
 from .metrics import GatewayMetrics
 from .reasons import Refusal
 from .routing import find_queue
-from .submissions import Submissions
 
 _LOGGER = logging.getLogger(__name__)
 _JOB_ID: Final = re.compile(r"[0-9a-f]{16}\Z")
@@ -81,13 +81,11 @@
         self,
         *,
         store: StoreClient,
-        submissions: Submissions,
         directory: DirectoryState,
         lookup: Lookup,
         metrics: GatewayMetrics,
     ) -> None:
         self.store = store
-        self.submissions = submissions
         self.directory = directory
         self.lookup = lookup
         self.metrics = metrics
@@ -201,7 +199,12 @@
             left_s = (self.deadline_ms - monotonic_ms()) / 1000
             if left_s <= 0:
                 break
-            appended = await self.app.submissions.async_store(partition, record, longest_s=left_s)
+            appended = await self.app.store.async_append(
+                JOBS_TOPIC,
+                partition,
+                [record],
+                longest_s=min(APPEND_TIMEOUT_S, left_s),
+            )
             if not isinstance(appended, Err):
                 return None
             error = appended.err_value
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -16,7 +16,6 @@
 from heatherkeel.gateway.app import CallersApp
 from heatherkeel.gateway.lookup import Lookup
 from heatherkeel.gateway.metrics import GatewayMetrics
-from heatherkeel.gateway.submissions import Submissions
 from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
 from heatherkeel.ownership.holders import Holders
@@ -102,11 +101,9 @@
             member=self.member, holders=self.holders, async_reach=self._async_reach
         )
         self.lookup = Lookup(store=self.store, holders=self.holders, links=self.links)
-        self.submissions = Submissions(store=self.store)
         self.callers = HttpServer(
             app=CallersApp(
                 store=self.store,
-                submissions=self.submissions,
                 directory=self.directory.state,
                 lookup=self.lookup,
                 metrics=self.metrics,
@@ -126,7 +123,6 @@
         self.nursery = nursery
         self.links.start(nursery)
         self.member.address = self.links.address
-        self.submissions.start(nursery)
         await self.probes.start(nursery)
         await self.callers.start(nursery)
         self.directory.start(nursery)
