A worker is named as leaving to whoever has it, also where its entry names no machine

Found when reading the change again: the owner of a worker without a machine in its entry is found by the worker's id, and the filter by the machine's share would have told another owner.

--- a/heatherkeel/pooling/keeper.py
+++ b/heatherkeel/pooling/keeper.py
@@ -211,10 +211,12 @@
     async def _async_measure(self) -> None:
         """Ask all pools' owners how full they are, and tell them which workers to empty."""
         due = self.state.due_workers()
+        leaving = self.state.leaving_workers()
         async with trio.open_nursery() as nursery:
             for partition in self.state.layout.all_partitions():
-                leaving = self.state.leaving_workers(partition)
-                question = PoolsAsked(partition=partition, leaving=leaving, due=due)
+                question = PoolsAsked(
+                    partition=partition, leaving=leaving.get(partition, []), due=due
+                )
                 nursery.start_soon(self._async_measure_partition, question)
 
     async def _async_measure_partition(self, question: PoolsAsked) -> None:
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -48,7 +48,8 @@
 class Departure(NamedTuple):
     """A worker whose machine has gone, though its entry may stand for some seconds more."""
 
-    share: Share
+    partition: int
+    """Whose worker it was."""
     until_ms: int
 
 
@@ -129,25 +130,41 @@
         share = self.share_of(machine.name, machine.pool)
         return None if share is None else self.views.get(share)
 
-    def leaving_workers(self, partition: int) -> list[str]:
-        """Return the workers of a partition's shares on which nothing may start any more.
+    def leaving_workers(self) -> dict[int, list[str]]:
+        """Return, by partition, the workers on which nothing may start any more.
 
         One whose machine has gone is still named: its entry stands for some seconds, and an empty
         worker is what its share's owner would choose first. On a calm day 384 starts met no one.
         """
-        leaving = [
-            intent.worker_id
-            for intent in self.intents.values()
-            if intent.worker_id
-            and (share := self.share_of(intent.machine, intent.from_pool)) is not None
-            and share.partition == partition
-        ]
-        departed = [
-            worker_id
-            for worker_id, departure in self.departed.items()
-            if departure.share.partition == partition and self.now_ms < departure.until_ms
-        ]
-        return leaving + departed
+        leaving: dict[int, list[str]] = {}
+        for intent in self.intents.values():
+            partition = self._partition_of(intent)
+            if intent.worker_id and partition is not None:
+                leaving.setdefault(partition, []).append(intent.worker_id)
+        for worker_id, departure in self.departed.items():
+            if self.now_ms < departure.until_ms:
+                leaving.setdefault(departure.partition, []).append(worker_id)
+        return leaving
+
+    def _partition_of(self, intent: Intent) -> int | None:
+        """Return whose worker is to go: the partition that has told of it, or that should.
+
+        A worker whose entry names no machine is dealt out by its own id.
+        """
+        for share, view in self.views.items():
+            if intent.worker_id in view.load.workers:
+                return share.partition
+        share_now = self.share_of(intent.machine, intent.from_pool)
+        return None if share_now is None else share_now.partition
+
+    def remember_departure(self, intent: Intent, *, until_ms: int) -> None:
+        """Keep tasks from a worker whose machine the list shows in another life."""
+        machine = self.machines.get(intent.machine)
+        is_there = machine is not None and machine.worker_id == intent.worker_id
+        partition = self._partition_of(intent)
+        if intent.worker_id is None or intent.ordered_ms is None or is_there or partition is None:
+            return
+        self.departed[intent.worker_id] = Departure(partition=partition, until_ms=until_ms)
 
     def due_workers(self) -> list[str]:
         """Return the workers whose machines still have to be maintained."""
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -10,7 +10,6 @@
 
 from .const import DEPARTED_MS, LOAD_MAX_AGE_MS, ORDER_RETRY_MS, ORDER_SETTLE_MS
 from .models import (
-    Departure,
     DirectoryRead,
     FleetEffect,
     FleetEvent,
@@ -106,7 +105,7 @@
     for name, intent in list(state.intents.items()):
         if _is_over(state, intent, event.sent_ms):
             del state.intents[name]
-            _remember_departure(state, intent)
+            state.remember_departure(intent, until_ms=state.now_ms + DEPARTED_MS)
     state.departed = {
         worker_id: departure
         for worker_id, departure in state.departed.items()
@@ -115,17 +114,6 @@
     return []
 
 
-def _remember_departure(state: FleetState, intent: Intent) -> None:
-    """Keep a worker from getting tasks whose machine the list shows in another life."""
-    machine = state.machines.get(intent.machine)
-    share = state.share_of(intent.machine, intent.from_pool)
-    is_there = machine is not None and machine.worker_id == intent.worker_id
-    if intent.worker_id is None or intent.ordered_ms is None or is_there or share is None:
-        return
-    until_ms = state.now_ms + DEPARTED_MS
-    state.departed[intent.worker_id] = Departure(share=share, until_ms=until_ms)
-
-
 def _is_over(state: FleetState, intent: Intent, sent_ms: int) -> bool:
     """Say whether a list that was asked for at a time shows that an intent has come true.
 
--- a/tests/pooling/test_departed.py
+++ b/tests/pooling/test_departed.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from heatherkeel.platform.operator import Wave
 from heatherkeel.pooling.const import DEPARTED_MS
-from heatherkeel.pooling.models import OrderMachine
+from heatherkeel.pooling.models import OrderMachine, Share
 
 from .fleet import Fleet
 
@@ -30,12 +31,12 @@
     # would be sent to an address where nobody answers, and wait for that.
     fleet = Fleet(desk=9, spare=0)
     machine = take_away(fleet)
-    assert f"i-{machine}" in fleet.state.leaving_workers(0)
+    assert f"i-{machine}" in fleet.state.leaving_workers().get(0, [])
     fleet.pool_of[machine] = "spare"
     fleet.now_ms += 100
     fleet.list_machines()
     assert machine not in fleet.state.intents
-    assert f"i-{machine}" in fleet.state.leaving_workers(0)
+    assert f"i-{machine}" in fleet.state.leaving_workers().get(0, [])
 
 
 def test_worker_is_named_until_its_entry_has_surely_gone() -> None:
@@ -46,7 +47,7 @@
     fleet.list_machines()
     fleet.now_ms += DEPARTED_MS
     fleet.list_machines()
-    assert f"i-{machine}" not in fleet.state.leaving_workers(0)
+    assert f"i-{machine}" not in fleet.state.leaving_workers().get(0, [])
     assert not fleet.state.departed
 
 
@@ -59,7 +60,7 @@
     fleet.now_ms += 60_000
     fleet.list_machines()
     assert machine not in fleet.state.intents
-    assert fleet.state.leaving_workers(0) == []
+    assert not fleet.state.leaving_workers()
 
 
 def test_only_the_owner_of_the_workers_share_is_told() -> None:
@@ -71,7 +72,23 @@
         for partition in (0, 1):
             fleet.measure(partition=partition, desk=0)
         fleet.plan()
-    leaving = [set(fleet.state.leaving_workers(partition)) for partition in (0, 1)]
+    leaving = [set(fleet.state.leaving_workers()[partition]) for partition in (0, 1)]
     named = {intent.worker_id for intent in fleet.state.intents.values()}
     assert leaving[0] and leaving[1] and not leaving[0] & leaving[1]
     assert leaving[0] | leaving[1] == named
+
+
+def test_worker_that_names_no_machine_is_told_to_whoever_has_it() -> None:
+    # Its entry lacks the machine, so its owner is found by the worker's own id and not by the
+    # machine's number. Were the other owner told, it would never be emptied, and its machine's
+    # maintenance would never begin.
+    wave = Wave(number=1, machines=["desk0"], duration_s=30, max_down=1)
+    fleet = Fleet(desk=4, spare=0, shares=2, waves=[wave])
+    owner = fleet.state.share_of("desk0", "desk")
+    assert owner is not None
+    other = 1 - owner.partition
+    fleet.measure(partition=other, desk=0)
+    view = fleet.state.views[Share("desk", other)]
+    view.load.workers["i-desk0"] = 0
+    fleet.plan()
+    assert fleet.state.leaving_workers() == {other: ["i-desk0"]}
