--- a/tests/pooling/test_departed.py
+++ b/tests/pooling/test_departed.py
@@ -65,7 +65,7 @@
 
 def test_only_the_owner_of_the_workers_share_is_told() -> None:
     # Each owner is asked ten times a second, and a turn's end takes eighty machines away: told of
-    # all of them, eleven owners would get two megabits a second over links of five.
+    # all of them, eleven owners would be sent a megabit a second, over a link of five at worst.
     fleet = Fleet(desk=16, spare=0, shares=2)
     fleet.empty = set(fleet.pool_of)
     for _ in range(20):
