A task that fits beside no lasting task of its share gets a machine

By the sums the share had room, and an empty machine would have held it, so no machine was moved and the job had nothing running for 34 s. Ruled out: the order (nothing else waited), a label (none).

Change: a worker's room for such a task is reckoned less its lasting tasks, and a machine with a lasting task meets no need. Two tests, red before.

--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from math import ceil
 
 from heatherkeel.platform.callers import StepRequest
@@ -13,6 +14,14 @@
 from .state import PartitionState, Pool
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Room:
+    """What a worker has beside its lasting tasks, and its labels."""
+
+    capacity: Capacity
+    labels: list[str]
+
+
 def measure_pools(state: PartitionState) -> list[PoolLoad]:
     """Return the load of each pool."""
     return [_measure(pool, state.now_ms) for pool in state.pools.values()]
@@ -24,7 +33,7 @@
     used_memory_mb = sum(worker.used_memory_mb for worker in workers)
     waiting_cpu = waiting_memory_mb = lacking = 0
     needs: list[Need] = []
-    rooms = _largest_rooms(pool)
+    rooms = _list_rooms(pool)
     for step in pool.open_steps:
         count = len(step.waiting())
         if count and len(needs) < MAX_NEEDS and not _has_worker(rooms, step.request):
@@ -61,31 +70,42 @@
     return is_silent or worker.aside_until_ms > now_ms
 
 
-def _largest_rooms(pool: Pool) -> dict[str, Capacity]:
-    """Return the most of each kind of room that workers with a label have; under "" of all."""
-    rooms: dict[str, Capacity] = {}
-    for worker in pool.workers.values():
-        if not worker.is_listed or worker.is_leaving or worker.entry.is_draining():
-            continue
-        room = worker.entry.capacity
-        for label in ("", *worker.entry.labels):
-            known = rooms.get(label, Capacity())
-            rooms[label] = Capacity(
-                cpu=max(known.cpu, room.cpu),
-                memory_mb=max(known.memory_mb, room.memory_mb),
-                gpu=max(known.gpu, room.gpu),
-            )
+def _list_rooms(pool: Pool) -> list[_Room]:
+    """Return what each worker has for tasks that end, the largest first.
+
+    What its lasting tasks take never becomes free by itself, so a task that is larger than the rest
+    would wait there for good.
+    """
+    rooms = [
+        _measure_room(worker)
+        for worker in pool.workers.values()
+        if worker.is_listed and not worker.is_leaving and not worker.entry.is_draining()
+    ]
+    rooms.sort(key=lambda room: room.capacity.cpu, reverse=True)
     return rooms
 
 
-def _has_worker(rooms: dict[str, Capacity], step: StepRequest) -> bool:
-    """Say whether a worker could hold a task of a step if it were empty."""
-    room = rooms.get(step.label)
-    return (
-        room is not None
-        and (step.fills or step.cpu <= room.cpu)
-        and step.memory_mb <= room.memory_mb
-        and step.gpu <= room.gpu
+def _measure_room(worker: Worker) -> _Room:
+    cpu = memory_mb = gpu = 0
+    for run in worker.runs.values():
+        request = run.task.step.request
+        if request.lasts:
+            cpu += 0 if request.fills else request.cpu
+            memory_mb += request.memory_mb
+            gpu += request.gpu
+    whole = worker.entry.capacity
+    left = Capacity(cpu=whole.cpu - cpu, memory_mb=whole.memory_mb - memory_mb, gpu=whole.gpu - gpu)
+    return _Room(capacity=left, labels=worker.entry.labels)
+
+
+def _has_worker(rooms: list[_Room], step: StepRequest) -> bool:
+    """Say whether a worker could hold a task of a step once its short tasks have ended."""
+    return any(
+        (not step.label or step.label in room.labels)
+        and (step.fills or step.cpu <= room.capacity.cpu)
+        and step.memory_mb <= room.capacity.memory_mb
+        and step.gpu <= room.capacity.gpu
+        for room in rooms
     )
 
 
--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -63,8 +63,10 @@
 def _is_met(state: FleetState, share: Share, need: Need, planned: list[Intent]) -> bool:
     """Say whether a machine that holds a need is in a share already, or on its way there.
 
-    Its worker may be seconds from being listed.
+    Its worker may be seconds from being listed. One with a lasting task has been looked at by the
+    share's owner, and holds the need no longer.
     """
+    lasting = state.views[share].load.lasting
     coming = {
         intent.machine
         for intent in [*state.intents.values(), *planned]
@@ -73,6 +75,7 @@
     return any(
         _holds(machine, need)
         and machine.state != "down"
+        and machine.worker_id not in lasting
         and (
             machine.name in coming
             or (
--- a/tests/dispatch/test_load.py
+++ b/tests/dispatch/test_load.py
@@ -77,6 +77,27 @@
     assert load.needs == [Need(label="b", cpu=100), Need(cpu=9000)]
 
 
+def test_task_that_fits_beside_no_lasting_task_is_a_need() -> None:
+    """A task of most of a machine waits in a share whose every machine has a lasting task.
+
+    By the sums its share has room, and an empty machine of that size would do, so nothing was
+    moved: the job had nothing running for as long as the lasting tasks stayed.
+    """
+    partition = Partition(workers=2, cpu=64_000)
+    partition.submit(StepRequest(count=2, cpu=9000, lasts=True, max_per_worker=1), job_id=OTHER_JOB)
+    partition.start_all()
+    partition.submit(StepRequest(count=1, cpu=58_000, estimated_ms=500))
+    assert measure_pools(partition.state)[0].needs == [Need(cpu=58_000)]
+
+
+def test_task_that_fits_once_short_tasks_have_ended_is_no_need() -> None:
+    partition = Partition(workers=2, cpu=64_000)
+    partition.submit(StepRequest(count=2, cpu=9000, estimated_ms=500), job_id=OTHER_JOB)
+    partition.start_all()
+    partition.submit(StepRequest(count=2, cpu=58_000, estimated_ms=500))
+    assert measure_pools(partition.state)[0].needs == []
+
+
 def test_label_of_a_worker_that_leaves_is_needed_anew() -> None:
     partition = Partition(workers=2, cpu=8000)
     partition.submit(StepRequest(count=9, cpu=8000, estimated_ms=100, label="a"))
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -266,6 +266,20 @@
     assert not fleet.plan()
 
 
+def test_machine_with_a_lasting_task_meets_no_need() -> None:
+    """A task of most of a machine waits, and each machine of its share has a lasting task.
+
+    An empty one is moved there, once, and stays until the task has started on it.
+    """
+    fleet = Fleet(desk=2, spare=2)
+    fleet.lasting = {"desk0": 1, "desk1": 2}
+    fleet.needs["desk"] = [Need(cpu=CPU - 1)]
+    fleet.measure(desk=CPU // 2)
+    assert len(fleet.plan()) == 1
+    fleet.measure(desk=CPU // 2)
+    assert not fleet.plan()
+
+
 def test_log_tells_once_a_second_how_the_pools_stand(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level("INFO")
     fleet = Fleet(desk=3, spare=4)
