--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -11,6 +11,7 @@
 
 from .const import MAX_NEEDS, UNHEARD_MS
 from .models import Worker
+from .open_steps import Urgency, find_urgency
 from .state import PartitionState, Pool
 
 
@@ -23,7 +24,12 @@
 
 
 def measure_pools(state: PartitionState) -> list[PoolLoad]:
-    """Return the load of each pool."""
+    """Return the load of each pool.
+
+    Jobs that are worth nothing any more take the room that is left, and ask for no machine: after
+    a turn that was beyond the room, a pool asked for three times what there was, nearly all of it
+    for these, while the next pool in its turn lacked machines for jobs in time.
+    """
     return [_measure(pool, state.now_ms) for pool in state.pools.values()]
 
 
@@ -38,6 +44,8 @@
         count = len(step.waiting())
         if count and len(needs) < MAX_NEEDS and not _has_worker(rooms, step.request):
             needs.append(_make_need(step.request))
+        if find_urgency(step, now_ms) is Urgency.WORTHLESS:
+            continue
         waiting_cpu += 0 if step.request.fills else step.request.cpu * count
         waiting_memory_mb += step.request.memory_mb * count
         if step.request.lasts and count:
--- a/tests/dispatch/test_load.py
+++ b/tests/dispatch/test_load.py
@@ -98,6 +98,18 @@
     assert measure_pools(partition.state)[0].needs == []
 
 
+def test_work_that_is_worth_nothing_any_more_asks_for_no_machine() -> None:
+    """A turn that was beyond the room leaves jobs that nobody waits for any more.
+
+    They run when there is room; machines are for the jobs of the next pool in its turn.
+    """
+    partition = Partition(workers=1, cpu=8000)
+    partition.submit(StepRequest(count=40, cpu=8000, estimated_ms=500))
+    assert measure_pools(partition.state)[0].wanted_cpu == 40 * 8000
+    partition.tick(60_000)
+    assert measure_pools(partition.state)[0].wanted_cpu == 8000
+
+
 def test_label_of_a_worker_that_leaves_is_needed_anew() -> None:
     partition = Partition(workers=2, cpu=8000)
     partition.submit(StepRequest(count=9, cpu=8000, estimated_ms=100, label="a"))
