--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -10,10 +10,9 @@
 from .const import (
     FEWEST_MACHINES,
     FLOOR_SHARE,
-    PARK_AFTER_MS,
-    SURPLUS_GAP_MS,
 )
-from .models import FleetState, Intent, Purpose, Share, ShareView
+from .models import FleetState, Intent, Purpose, Share
+from .parking import choose_parked
 from .supply import Supply, count_needed, find_fresh, find_lost_zones, list_staying
 
 
@@ -32,6 +31,14 @@
     return intents + _plan_parking(state, donors)
 
 
+def _plan_parking(state: FleetState, donors: list[Machine]) -> list[Intent]:
+    """Send machines to the standby pool that no share needs."""
+    standby = state.standby_pool()
+    if standby is None:
+        return []
+    return [_move(state, machine, standby) for machine in choose_parked(state, donors)]
+
+
 def _rank(state: FleetState, share: Share, short: dict[Share, int]) -> tuple[bool, int]:
     """Order shares: where lasting tasks find no room first, since nothing else ends their wait."""
     return (state.views[share].load.lacking > 0, short[share])
@@ -153,39 +160,6 @@
     return max(FEWEST_MACHINES, ceil(FLOOR_SHARE * state.home_size(share)))
 
 
-def _plan_parking(state: FleetState, donors: list[Machine]) -> list[Intent]:
-    """Send machines to the standby pool, as many as a share could spare all the last while."""
-    standby = state.standby_pool()
-    if standby is None:
-        return []
-    parked = []
-    for share, view in state.views.items():
-        surplus = [
-            machine
-            for machine in donors
-            if machine.pool == share.pool and state.share_of(machine.name, share.pool) == share
-        ]
-        least = _least_surplus(state, view, len(surplus))
-        parked += [_move(state, machine, standby) for machine in surplus[:least]]
-        if least:
-            view.surplus.clear()
-    return parked
-
-
-def _least_surplus(state: FleetState, view: ShareView, count: int) -> int:
-    """Return how many machines a share could spare at any time of the last while.
-
-    Counted, not named: which of its machines are the emptiest changes with every look.
-    """
-    view.surplus = [
-        (at_ms, known) for at_ms, known in view.surplus if state.now_ms - at_ms <= PARK_AFTER_MS
-    ]
-    view.surplus.append((state.now_ms, count))
-    if state.now_ms - view.surplus[0][0] < PARK_AFTER_MS - SURPLUS_GAP_MS:
-        return 0
-    return min(known for _, known in view.surplus)
-
-
 def _move(state: FleetState, machine: Machine, pool: str) -> Intent:
     return Intent(
         machine=machine.name,
