Floors give way while another share is short

Hypothesis: at the height of a turn the three resting pools keep 105 to 113 of 276 machines as floors and under lasting tasks, while the pool in its turn wants twice what it has.

Change: while a share is short, the others keep two machines each, not a third of their first ones.

--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -132,7 +132,8 @@
 ) -> list[Machine]:
     """Return a share's machines beyond its demand, without lasting tasks, the emptiest first.
 
-    What was wanted in the last seconds counts, unless another share is short right now.
+    What was wanted in the last seconds counts, and what a share keeps between its turns, unless
+    another share is short right now.
     A machine with a lasting task stays: moving it would end the task, and its step may not have
     two on one worker.
     """
@@ -146,7 +147,8 @@
         if machine.worker_id in view.load.workers and machine.worker_id not in view.load.lasting
     ]
     pinned = len(machines) - len(free)
-    spare = len(machines) - max(needed, pinned, _floor(state, share))
+    floor = _floor(state, share) if recent else FEWEST_MACHINES
+    spare = len(machines) - max(needed, pinned, floor)
     free.sort(key=lambda machine: (view.load.workers[machine.worker_id or ""], machine.name))
     return free[: max(0, spare)]
 
