A share for each 24 machines of a service instead of 12

Hypothesis: shares can't help each other, so a pool in its turn lacks machines though it has room.

Tests about four shares lay out twice as many machines, with the same parts of them pinned.

--- a/tests/ownership/test_partitions.py
+++ b/tests/ownership/test_partitions.py
@@ -32,8 +32,8 @@
 
 
 def test_large_pools_are_shared_evenly() -> None:
-    """A pool of 45 machines in its turn is more than one owner's calls can carry."""
-    layout = make_layout(pools=4, machines=45)
+    """A pool of 90 machines in its turn is more than one owner's calls can carry."""
+    layout = make_layout(pools=4, machines=90)
     assert all(len(shares) == 4 for shares in layout.shares.values())
     used = Counter(number for shares in layout.shares.values() for number in shares)
     assert max(used.values()) - min(used.values()) <= 1
@@ -41,7 +41,7 @@
 
 def test_neighbours_in_a_rack_belong_to_different_shares() -> None:
     """A lost rack takes a like part of every share, and none whole."""
-    layout = make_layout(pools=4, machines=45)
+    layout = make_layout(pools=4, machines=90)
     rack = [f"m{number}" for number in range(8)]
     shares = Counter(layout.partition_of_machine("pool0", machine) for machine in rack)
     assert set(shares.values()) == {2}
@@ -59,17 +59,17 @@
 def test_lasting_tasks_of_other_services_weigh_on_all_shares_alike() -> None:
     """The load: a queue's turn asks for most machines, while two others have lasting tasks.
 
-    A lasting job belongs to one share of its service, and pins machines there: 17 and 9 of 45,
-    as seen with tasks that may not stand together. Had each service dealt the machines out alike,
-    these could all be of one share of the third service: it had 19 machines to serve a quarter of
-    the jobs, and its siblings 45 each.
+    A lasting job belongs to one share of its service, and pins machines there: 34 and 18 of 90,
+    the parts seen with tasks that may not stand together. Had each service dealt the machines out
+    alike, these could all be of one share of the third service: it had 38 machines to serve a
+    quarter of the jobs, and its siblings 90 each.
     """
-    layout = make_layout(pools=4, machines=45)
+    layout = make_layout(pools=4, machines=90)
     for first in layout.partitions_of("pool0"):
         for second in layout.partitions_of("pool1"):
             pinned = {
                 machine
-                for service, partition, count in (("pool0", first, 17), ("pool1", second, 9))
+                for service, partition, count in (("pool0", first, 34), ("pool1", second, 18))
                 for machine in [
                     name
                     for name in layout.places
@@ -77,19 +77,19 @@
                 ][:count]
             }
             free = count_free_by_share(layout, service="pool2", pinned=pinned)
-            assert min(free.values()) >= 30
+            assert min(free.values()) >= 60
 
 
 def test_machines_are_dealt_out_evenly_by_every_service() -> None:
-    layout = make_layout(pools=4, machines=45)
+    layout = make_layout(pools=4, machines=90)
     for service in layout.shares:
         free = count_free_by_share(layout, service=service, pinned=set())
-        assert set(free.values()) == {45}
+        assert set(free.values()) == {90}
 
 
 def test_layout_that_was_stored_earlier_deals_as_it_did() -> None:
     """Processes of two versions must name the same owner for each worker."""
-    layout = make_layout(pools=4, machines=45)
+    layout = make_layout(pools=4, machines=90)
     stored = layout.encode().replace(b',"is_mixed":true', b"")
     earlier = decode_layout(stored).unwrap()
     extended = extend_layout(
