A wave begins early with machines that have lasting tasks

Change: after machines that are off, those with lasting tasks go first, in up to half of the places.

--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -59,6 +59,9 @@
 turn's on small deployments, and a third of it on large ones."""
 ONE_AT_A_TIME_SHARE: Final = 0.34
 """Share of a pool's machines that may be emptied or down for maintenance at once."""
+SLOW_SHARE: Final = 0.5
+"""Share of the machines that a wave may have down at once that may be those with lasting tasks,
+which take some ten times as long to empty as others."""
 BUSY_SHARE: Final = 0.6
 """A pool that wants more than this share of its processor is spared maintenance while others
 can be maintained, and while there is time."""
--- a/heatherkeel/pooling/waves.py
+++ b/heatherkeel/pooling/waves.py
@@ -6,7 +6,7 @@
 
 from heatherkeel.platform.machines import Machine
 
-from .const import BUSY_SHARE, MAINTENANCE_CYCLE_S, ONE_AT_A_TIME_SHARE, PACE_MARGIN
+from .const import BUSY_SHARE, MAINTENANCE_CYCLE_S, ONE_AT_A_TIME_SHARE, PACE_MARGIN, SLOW_SHARE
 from .models import FleetState, Intent, Purpose, WaveProgress
 
 
@@ -38,10 +38,15 @@
     out = _count_out(state, planned)
     sizes = _pool_sizes(state)
     hurry = _is_late(state, progress, len(due))
+    slow_left = _count_slow_slots(state, progress)
     intents: list[Intent] = []
     for machine in sorted(due, key=lambda machine: _rank(state, machine)):
         if len(intents) >= slots:
             break
+        if _has_lasting(state, machine):
+            if slow_left <= 0:
+                continue
+            slow_left -= 1
         if not state.is_standby(machine.pool):
             if not hurry and _load_share(state, machine.pool) > BUSY_SHARE:
                 continue
@@ -77,14 +82,40 @@
     return len(down)
 
 
-def _rank(state: FleetState, machine: Machine) -> tuple[bool, float, int, str]:
-    """Order machines that are off first, then those of the idlest pools, the emptiest first."""
+def _rank(state: FleetState, machine: Machine) -> tuple[bool, bool, float, int, str]:
+    """Order machines that are off first, then what takes longest to empty, then the idlest.
+
+    Lasting tasks leave one after the other, as far as their step's budget allows: emptying took up
+    to 14 s where others take 0.4 s. Left for last, two of 147 machines were a second late.
+    """
     if state.is_standby(machine.pool):
-        return (False, 0.0, 0, machine.name)
+        return (False, False, 0.0, 0, machine.name)
     view = state.view_of(machine)
     used = view.load.workers.get(machine.worker_id or "", 0) if view else 0
-    lasting = view.load.lasting.get(machine.worker_id or "", 0) if view else 0
-    return (True, _load_share(state, machine.pool) + lasting, used, machine.name)
+    is_quick = not _has_lasting(state, machine)
+    return (True, is_quick, _load_share(state, machine.pool), used, machine.name)
+
+
+def _has_lasting(state: FleetState, machine: Machine) -> bool:
+    view = state.view_of(machine)
+    return view is not None and machine.worker_id in view.load.lasting
+
+
+def _count_slow_slots(state: FleetState, progress: WaveProgress) -> int:
+    """Return how many more machines with lasting tasks may be emptied for a wave now.
+
+    Each keeps a place among those that are down for as long as it is emptied, so the others of the
+    wave go on through the rest of the places.
+    """
+    emptying = sum(
+        1
+        for intent in state.intents.values()
+        if intent.wave == progress.wave.number
+        and intent.purpose is Purpose.MAINTAIN
+        and (machine := state.machines.get(intent.machine)) is not None
+        and _has_lasting(state, machine)
+    )
+    return max(1, int(SLOW_SHARE * progress.wave.max_down)) - emptying
 
 
 def _load_share(state: FleetState, pool: str) -> float:
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -7,7 +7,7 @@
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.operator import Wave
 from heatherkeel.pooling.const import KEEP_MS, PARK_AFTER_MS
-from heatherkeel.pooling.models import SaveWave
+from heatherkeel.pooling.models import Purpose, SaveWave
 from heatherkeel.questions.messages import Need
 
 from .fleet import CPU, MEMORY_MB, Fleet
@@ -81,6 +81,22 @@
     assert not fleet.plan()
 
 
+def test_wave_begins_early_with_what_takes_longest_to_empty() -> None:
+    """Lasting tasks leave one after the other, so such a machine is empty after some ten seconds.
+
+    Begun last, it is still at work when the wave's time is over. Half of the places go on with
+    machines that are empty at once.
+    """
+    names = [f"desk{number}" for number in range(12)]
+    fleet = Fleet(waves=[Wave(number=1, machines=names, max_down=4)], desk=24)
+    fleet.lasting = {f"desk{number}": 2 for number in range(6, 12)}
+    fleet.measure(desk=0)
+    fleet.plan()
+    begun = {i.machine for i in fleet.state.intents.values() if i.purpose is Purpose.MAINTAIN}
+    assert len(begun) == 4
+    assert len(begun & fleet.lasting.keys()) == 2
+
+
 def test_wave_is_complete_only_when_each_machine_was_begun() -> None:
     """A wave is told to be complete, and a machine of it was never maintained: a broken promise.
 
