--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -111,7 +111,12 @@
 
 
 def _list_donors(state: FleetState, supply: Supply) -> list[Machine]:
-    """Return machines that may be moved, those that serve nobody first."""
+    """Return machines that may be moved, those that serve nobody first.
+
+    One that an earlier owner of the fleet has just ordered away may not be ordered for some seconds
+    more. Where that owner had parked a turn's machines before it was lost, the next turn waited for
+    just these, while the pool of the last turn had a hundred that idled.
+    """
     donors = [machine for machine in list_staying(state) if state.is_standby(machine.pool)]
     for share, machines in supply.members.items():
         if share not in supply.short:
@@ -120,6 +125,7 @@
     donors.sort(
         key=lambda machine: (
             machine.zone in lost,
+            state.now_ms < state.blocked_until_ms.get(machine.name, 0),
             not state.is_standby(machine.pool),
             machine.name,
         )
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -166,6 +166,22 @@
     assert fleet.plan(after_ms=3000)
 
 
+def test_machines_that_may_be_ordered_now_go_first() -> None:
+    """The fleet's owner is lost just after it has parked a turn's machines, and a turn begins.
+
+    The next owner may not order these for some seconds; machines that idle in a pool can go now.
+    """
+    fleet = Fleet(desk=4, portal=12, spare=6)
+    for number in range(6):
+        fleet.state.blocked_until_ms[f"spare{number}"] = fleet.now_ms + 3000
+    fleet.measure(desk=6 * CPU, portal=0)
+    fleet.empty = set(fleet.pool_of)
+    fleet.measure(desk=6 * CPU, portal=0)
+    ordered = fleet.plan()
+    assert len(ordered) == 4
+    assert {intent.from_pool for intent in ordered} == {"portal"}
+
+
 def test_pool_whose_turn_has_just_ended_gives_to_one_whose_turn_begins() -> None:
     """One queue's turn ends as the next one's begins, and no machine is on standby.
 
