A next owner of the fleet knows since when a wave lasts

Change: the record of a wave says when it was taken in, beside the machines that were begun; the bare list of earlier versions is still read.

--- a/heatherkeel/pooling/keeper.py
+++ b/heatherkeel/pooling/keeper.py
@@ -5,7 +5,6 @@
 import logging
 from collections.abc import Callable
 
-import msgspec
 import trio
 from result import Err
 
@@ -13,7 +12,7 @@
 from heatherkeel.directory.follower import async_read_whole
 from heatherkeel.directory.layout_reader import find_layout
 from heatherkeel.dispatch.journal import Journal
-from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.helpers.clock import monotonic_ms, wall_ms
 from heatherkeel.ownership.const import LAYOUT_KEY, WORK_TOPIC
 from heatherkeel.ownership.holders import Holders
 from heatherkeel.ownership.partitions import Layout, extend_layout, fleet_partition
@@ -46,6 +45,7 @@
 )
 from .ordering import MachineOrders
 from .reducer import reduce_fleet
+from .wave_records import encode_wave, restore_wave
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -139,7 +139,7 @@
     def _restore_wave(self, record: KeyedRecord) -> None:
         progress = self.state.waves.get(int(record.key.removeprefix(STATUS_PREFIX)))
         if progress is not None:
-            progress.begun = set(msgspec.json.decode(record.value, type=list[str]))
+            restore_wave(progress, record.value, now_ms=monotonic_ms(), wall_ms=wall_ms())
 
     def _take_directory(self) -> None:
         known = self.directory.state
@@ -246,7 +246,9 @@
     def _save_wave(self, progress: WaveProgress) -> None:
         """Store what was begun; the operator hears that a wave is complete after that."""
         key = f"{STATUS_PREFIX}{progress.wave.number}"
-        self.journal.put(key, lambda: msgspec.json.encode(sorted(progress.begun)))
+        self.journal.put(
+            key, lambda: encode_wave(progress, now_ms=monotonic_ms(), wall_ms=wall_ms())
+        )
         self.journal.when_stored(lambda: self._tell_wave(key, progress))
 
     def _tell_wave(self, key: str, progress: WaveProgress) -> None:
