--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -68,6 +68,8 @@
         self.directory = Directory(store=self.store)
         self.holders = Holders(store=self.store)
         self.owners: dict[int, PartitionOwner] = {}
+        self.unused: dict[int, int] = {}
+        """Partitions that were gained and that no service has, with their tokens."""
         self.keeper: FleetKeeper | None = None
         self.links = QuestionLinks(
             bind=f"{settings.ip}:{settings.internal_ports[0]}",
@@ -125,6 +127,7 @@
         self.member.address = self.links.address
         await self.probes.start(nursery)
         await self.callers.start(nursery)
+        self.directory.subscribe(self._own_used)
         self.directory.start(nursery)
         nursery.start_soon(self.layouts.async_run)
         nursery.start_soon(self.reserve.async_run)
@@ -180,6 +183,7 @@
         """Close what was lost before anything else, and begin with what was gained."""
         fleet = fleet_partition(self.settings.store.partitions)
         for partition in change.lost:
+            self.unused.pop(partition, None)
             owner = self.owners.pop(partition, None)
             if owner is not None:
                 owner.close()
@@ -188,16 +192,28 @@
                 self.keeper = None
         if self.nursery is None:
             return
-        if change.gained:
-            self.directory.follow_workers()
         for partition, token in change.gained.items():
             if partition == fleet:
                 self._keep_fleet(token)
             else:
+                self.unused[partition] = token
+        self._own_used()
+
+    def _own_used(self) -> None:
+        """Begin with the partitions that services have, also when one is laid out later.
+
+        Where a store has more partitions than services have shares, most processes would follow
+        the entries of all workers, the largest part of what there is to read, for a partition in
+        which nothing can be.
+        """
+        for partition in self.directory.state.layout.all_partitions():
+            token = self.unused.pop(partition, None)
+            if token is not None:
                 self._own(partition, token)
 
     def _own(self, partition: int, token: int) -> None:
         assert self.nursery is not None
+        self.directory.follow_workers()
         owner = PartitionOwner(
             partition=partition,
             token=token,
@@ -212,6 +228,7 @@
 
     def _keep_fleet(self, token: int) -> None:
         assert self.nursery is not None
+        self.directory.follow_workers()
         self.keeper = FleetKeeper(
             token=token,
             settings=self.settings,
--- a/heatherkeel/ownership/partitions.py
+++ b/heatherkeel/ownership/partitions.py
@@ -19,7 +19,7 @@
 it had while the others idled, and a pool in its turn used 0.64 of its processor. Of three with 24,
 it used 0.8, and 0.86 of a day's jobs were in time instead of 0.73. A start takes an owner 0.6 ms of
 a core for the call alone: the busiest owner of such a share took 0.25 of a core as the mean of a
-day, and 0.40 where tasks are shorter, so twice the size would ask for more than a small process has.
+day, and 0.40 where tasks are shorter. Twice the size would ask for more than a small process has.
 """
 
 
--- a/tests/instance/test_shares.py
+++ b/tests/instance/test_shares.py
@@ -179,3 +179,25 @@
             assert stored == record
 
     trio.run(async_test)
+
+
+def test_process_follows_no_workers_for_a_partition_that_no_service_has() -> None:
+    """A store has more partitions than the services need, and two processes are dealt all of them.
+
+    Only whoever owns one in which jobs can be reads what hundreds of workers write. A service that
+    is laid out later is owned at once.
+    """
+
+    async def async_test() -> None:
+        async with open_site(processes=2, machines=2) as site:
+            await site.async_wait(lambda: bool(restored_owners(site)))
+            layout = site.processes[0].directory.state.layout
+            assert set(restored_owners(site)) == set(layout.all_partitions()) == {0}
+            idle = next(process for process in site.processes if not process.owners)
+            await site.async_wait(lambda: bool(idle.unused) or idle.keeper is not None)
+            assert idle.directory.follows_workers == (idle.keeper is not None)
+            further = QUEUE | {"name": "books", "pathPrefix": "/b/", "service": "desk"}
+            site.platform.configure(2, [QUEUE, further], ["portal", "desk", "spare"])
+            await site.async_wait(lambda: set(restored_owners(site)) == {0, 1})
+
+    trio.run(async_test)
