--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -88,9 +88,6 @@
 LASTING_SHARE: Final = 0.5
 """Share of a step's lasting tasks that may be on one worker. Spread over all workers of a pool they
 would keep each of its machines from being sent away between the pool's turns."""
-GATHER_INTERVAL_MS: Final = 500
-"""Time between two looks whether lasting tasks can be gathered on fewer workers, in milliseconds.
-One that is moved is at work again after about a second."""
 STANDING_MS: Final = 1200
 """Without any progress for this long a task stands still, in milliseconds. Progress is told in
 whole percent, and the longest tasks take about 5 s, so one that moves shows it every 50 ms."""
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -224,8 +224,6 @@
     """When the pace of its filling tasks was last looked at."""
     is_due: bool = False
     """Its machine is to be maintained later."""
-    is_vacated: bool = False
-    """Its lasting tasks are being moved to others that have some."""
     failed_jobs: list[str] = field(default_factory=list)
     """Jobs whose tasks failed there since the last one that didn't."""
     aside_until_ms: int = 0
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -142,25 +142,22 @@
 
     A machine with a lasting task can't be sent away, so the fewer have one, the fewer are paid
     for between a pool's turns. Two of them, in different racks, keep half of the tasks at work
-    when one is lost. Machines that are soon to be maintained come last, and before them the one
-    that is being emptied so that its machine can go.
+    when one is lost. Machines that are soon to be maintained come last.
     """
-    most = most_lasting_here(step)
+    most = max(1, ceil(LASTING_SHARE * len(step.tasks)))
     racks = {state_worker.rack() for state_worker in workers if step.runs_on(state_worker.id)}
     best: Worker | None = None
-    best_rank: tuple[bool, bool, bool, bool, bool, int, int, str] | None = None
+    best_rank: tuple[bool, bool, bool, bool, int, str] | None = None
     for worker in workers:
         if not worker.fits(step.request) or not _is_allowed(step, worker):
             continue
         here = step.runs_on(worker.id)
-        lasting = sum(1 for run in worker.runs.values() if run.task.step.request.lasts)
+        has_lasting = any(run.task.step.request.lasts for run in worker.runs.values())
         rank = (
             not worker.is_due,
-            not worker.is_vacated,
             here < most,
-            lasting > 0,
+            has_lasting,
             here > 0 or worker.rack() not in racks,
-            lasting,
             worker.free_cpu(),
             worker.id,
         )
@@ -169,11 +166,6 @@
     return best
 
 
-def most_lasting_here(step: Step) -> int:
-    """Return how many of a step's lasting tasks may stand on one worker while others have room."""
-    return max(1, ceil(LASTING_SHARE * len(step.tasks)))
-
-
 def _is_allowed(step: Step, worker: Worker) -> bool:
     request = step.request
     if request.label and request.label not in worker.entry.labels:
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -57,8 +57,6 @@
     """Lives that have surely ended, though their entries may stand for some seconds more."""
     leaving_ms: int = 0
     """When the fleet's owner last named the workers that leave."""
-    gathered_ms: int = 0
-    """When it was last looked whether lasting tasks can be gathered."""
     can_start: bool = True
     """Whether starts can be stored and sent now."""
 
--- a/heatherkeel/dispatch/ticks.py
+++ b/heatherkeel/dispatch/ticks.py
@@ -4,7 +4,6 @@
 
 from .const import LEAVING_MS
 from .events import Effects, ForgetJob, Tick
-from .gathering import gather_lasting
 from .jobs import begin_due_occurrences
 from .lasting import leave_workers
 from .registry import handles
@@ -24,7 +23,6 @@
         if worker.is_silent or (not worker.is_listed and not worker.runs):
             drop_if_lapsed(state, worker, effects)
     leave_workers(state, effects)
-    gather_lasting(state, effects)
     _forget_ended(state, effects)
     for pool in state.pools.values():
         if pool.open_steps:
