--- a/heatherkeel/gateway/app.py
+++ b/heatherkeel/gateway/app.py
@@ -46,6 +46,7 @@
 from .const import (
     ANSWER_MARGIN_MS,
     APPEND_TIMEOUT_S,
+    CUT_OFF_LOOKUP_S,
     DEFAULT_DEADLINE_MS,
     REPEAT_PAUSE_S,
     RETRY_AWAY_S,
@@ -59,6 +60,7 @@
 _LOGGER = logging.getLogger(__name__)
 _JOB_ID: Final = re.compile(r"[0-9a-f]{16}\Z")
 _TOO_MANY: Final = 429
+CLOSE_HEADER: Final = (b"connection", b"close")
 _STATUS: Final = {
     Refusal.NO_CONFIGURATION: 503,
     Refusal.NO_LAYOUT: 503,
@@ -75,7 +77,12 @@
 
 
 class CallersApp:
-    """Takes jobs in, cancels them, and tells how they are."""
+    """Takes jobs in, cancels them, and tells how they are.
+
+    While this process shouldn't get callers, since it is cut off from the store or is stopping, it
+    closes each connection with its answer. The balancer sends new connections elsewhere by then,
+    but an open one stays: its caller would meet the same refusals for as long as the cut lasts.
+    """
 
     def __init__(
         self,
@@ -84,11 +91,13 @@
         directory: DirectoryState,
         lookup: Lookup,
         metrics: GatewayMetrics,
+        takes_callers: Callable[[], bool],
     ) -> None:
         self.store = store
         self.directory = directory
         self.lookup = lookup
         self.metrics = metrics
+        self.takes_callers = takes_callers
 
     async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -97,7 +106,13 @@
         if scope["type"] != "http":
             return None
         began = time.monotonic()
-        exchange = Exchange(app=self, request=parse_request(scope, receive), send=send)
+
+        async def async_send(message: Message) -> None:
+            if message["type"] == "http.response.start" and not self.takes_callers():
+                message["headers"] = [*message["headers"], CLOSE_HEADER]
+            await send(message)
+
+        exchange = Exchange(app=self, request=parse_request(scope, receive), send=async_send)
         try:
             await exchange.async_serve()
         except ClientGoneError:
@@ -228,7 +243,10 @@
     async def _async_find(self, queue: Queue, job_id: str) -> JobState | Refusal:
         """Return a job's state, or why it can't be told."""
         found: JobState | Err[str] | None = Err("no answer in time")
-        with trio.move_on_after(max(0.0, (self.deadline_ms - monotonic_ms()) / 1000)):
+        left_s = max(0.0, (self.deadline_ms - monotonic_ms()) / 1000)
+        if not self.app.takes_callers():
+            left_s = min(left_s, CUT_OFF_LOOKUP_S)
+        with trio.move_on_after(left_s):
             found = await self.app.lookup.async_find_state(self._partition(queue, job_id), job_id)
         if isinstance(found, Err):
             return Refusal.OWNER_SILENT
--- a/heatherkeel/gateway/const.py
+++ b/heatherkeel/gateway/const.py
@@ -11,6 +11,10 @@
 APPEND_TIMEOUT_S: Final = 1.0
 """Longest wait for one append of a submission, in seconds. It can be repeated, since a second
 record of the same job changes nothing, so it pays to try again on a new connection."""
+CUT_OFF_LOOKUP_S: Final = 0.8
+"""Longest wait for a job's state in a process that the store doesn't answer, in seconds. Its owner
+answers within milliseconds if it can be reached; if not, the caller's next try meets another
+process. Waiting for the store until the caller's deadline would cost it two seconds more."""
 REPEAT_PAUSE_S: Final = 0.1
 RETRY_BUSY_S: Final = 1
 """Retry-After where the store's rate was exceeded, in seconds: it counts by the second."""
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -103,20 +103,21 @@
             member=self.member, holders=self.holders, async_reach=self._async_reach
         )
         self.lookup = Lookup(store=self.store, holders=self.holders, links=self.links)
+        self.status = StatusApp(
+            directory=self.directory.state,
+            metrics=self.metrics,
+            store_heard_ms=self._store_heard_ms,
+        )
         self.callers = HttpServer(
             app=CallersApp(
                 store=self.store,
                 directory=self.directory.state,
                 lookup=self.lookup,
                 metrics=self.metrics,
+                takes_callers=self.status.is_ready,
             ),
             bind=settings.listen.callers,
         )
-        self.status = StatusApp(
-            directory=self.directory.state,
-            metrics=self.metrics,
-            store_heard_ms=self._store_heard_ms,
-        )
         self.probes = HttpServer(app=self.status, bind=settings.listen.readiness)
         self.nursery: trio.Nursery | None = None
 
--- /dev/null
+++ b/tests/gateway/test_connections.py
@@ -0,0 +1,115 @@
+"""Callers whose process can't serve them come back through the balancer."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+
+from heatherkeel.directory.directory import DirectoryState
+from heatherkeel.gateway.app import CLOSE_HEADER, CallersApp
+from heatherkeel.gateway.lookup import Lookup
+from heatherkeel.gateway.metrics import GatewayMetrics
+from heatherkeel.ownership.holders import Holders
+from heatherkeel.ownership.partitions import Layout
+from heatherkeel.platform.operator import Configuration, Queue
+from heatherkeel.questions.messages import Answer, JobTold, Question
+
+from .test_lookup import FakeHolders, FakeLinks, FakeStore
+
+QUEUE = Queue(name="quotes", host="a.example", path_prefix="/q/", service="portal")
+PATH = "/q/00000000000000aa"
+DEADLINE_MS = 3000
+
+
+class SilentLinks(FakeLinks):
+    """Owners that don't answer: each question takes its whole time."""
+
+    async def async_ask(
+        self, address: str, question: Question, *, timeout_s: float = 0.5
+    ) -> Answer | None:
+        """Wait in vain."""
+        await trio.sleep(timeout_s)
+        return None
+
+
+class KnowingLinks(FakeLinks):
+    """Owners that know every job."""
+
+    async def async_ask(
+        self, address: str, question: Question, *, timeout_s: float = 0.5
+    ) -> Answer | None:
+        """Tell that the job runs."""
+        return JobTold(state="active")
+
+
+class SilentStore(FakeStore):
+    """A store that doesn't answer."""
+
+    async def async_read_all_newest(self, topic: str, partition: int) -> Any:
+        """Wait for longer than any caller does."""
+        await trio.sleep(60)
+
+
+def ask(links: FakeLinks, *, takes_callers: bool) -> tuple[int, bool, float]:
+    """Ask for a job; returns the status, whether the connection is closed, and the seconds."""
+    store = SilentStore(down=set())
+    holders: Holders = FakeHolders(store=store)
+    directory = DirectoryState(
+        config=Configuration(version=1, queues=[QUEUE]), layout=Layout(shares={"portal": (0,)})
+    )
+    app = CallersApp(
+        store=store,
+        directory=directory,
+        lookup=Lookup(store=store, holders=holders, links=links),
+        metrics=GatewayMetrics(),
+        takes_callers=lambda: takes_callers,
+    )
+    scope = {
+        "type": "http",
+        "method": "GET",
+        "path": PATH,
+        "raw_path": PATH.encode(),
+        "query_string": b"",
+        "headers": [(b"host", b"a.example"), (b"heatherkeel-deadline-ms", b"%d" % DEADLINE_MS)],
+    }
+    sent: list[dict[str, Any]] = []
+
+    async def async_receive() -> dict[str, Any]:
+        return {"type": "http.request", "body": b""}
+
+    async def async_send(message: dict[str, Any]) -> None:
+        sent.append(message)
+
+    async def async_run() -> float:
+        began = trio.current_time()
+        await app(scope, async_receive, async_send)
+        return trio.current_time() - began
+
+    took_s = trio.run(async_run, clock=trio.testing.MockClock(autojump_threshold=0))
+    return sent[0]["status"], CLOSE_HEADER in sent[0]["headers"], took_s
+
+
+def test_process_that_is_cut_off_answers_soon_and_closes_the_connection() -> None:
+    """A zone is cut off; a caller has a connection to a process there, and asks for its job.
+
+    Neither the job's owner nor the store answers. Held until its deadline on the same connection,
+    the caller would meet the same again and again, while any process elsewhere could tell.
+    """
+    status, is_closed, took_s = ask(SilentLinks({}), takes_callers=False)
+    assert (status, is_closed) == (504, True)
+    assert took_s < 1.0
+
+
+def test_process_that_takes_callers_asks_for_as_long_as_they_wait() -> None:
+    """One answer of the store takes long; there is no reason to think that others fare better."""
+    status, is_closed, took_s = ask(SilentLinks({}), takes_callers=True)
+    assert (status, is_closed) == (504, False)
+    assert took_s == pytest.approx(DEADLINE_MS / 1000, abs=0.3)
+
+
+def test_answers_are_given_also_by_a_process_that_is_stopping() -> None:
+    assert ask(KnowingLinks({}), takes_callers=False)[:2] == (200, True)
+    assert ask(KnowingLinks({}), takes_callers=True)[:2] == (200, False)
