--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -45,18 +45,8 @@
 again in the worst seconds.
 """
 PARK_AFTER_MS: Final = 700
-"""How long a machine must have been surplus before it is sent to the standby pool, in milliseconds,
-where parked machines stay there."""
-LONGEST_PARK_AFTER_MS: Final = 2500
-"""The same where all of them are asked for again soon, in milliseconds. Two moves cost as much as
-2.4 s of a machine in a pool."""
-RECALL_MS: Final = 5000
-"""Until when after it was parked a machine that is asked for again should have stayed, in
-milliseconds: a queue's turn follows another's within a second or two, and its demand grows for
-some seconds."""
-RECALL_WEIGHT: Final = 0.03
-"""How much one machine changes what is believed of the next: some thirty machines are most of one
-turn's on small deployments, and a third of it on large ones."""
+"""How long a machine must have been surplus before it is sent to the standby pool, in ms. Two
+moves cost as much as 2.3 s of a machine in a pool."""
 ONE_AT_A_TIME_SHARE: Final = 0.34
 """Share of a pool's machines that may be emptied or down for maintenance at once."""
 SLOW_SHARE: Final = 0.5
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -94,10 +94,6 @@
     """Workers whose machines were ordered away and have gone, by their ids."""
     blocked_until_ms: dict[str, int] = field(default_factory=dict)
     """Machines that an earlier owner has ordered away just now, and until when we may not."""
-    parked_ms: list[int] = field(default_factory=list)
-    """When machines were ordered into the standby pool that nobody has asked for since."""
-    recalled_share: float = 0.0
-    """Which share of the machines that were parked lately was asked for again soon."""
     told_ms: int = 0
     """When the log was last told how the pools stand."""
 
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -27,7 +27,7 @@
     WaveProgress,
 )
 from .moves import plan_moves
-from .parking import remember_move, take_back_parking
+from .parking import take_back_parking
 from .supply import measure_supply, remember_peak
 from .telling import tell_pools
 from .waves import plan_maintenance
@@ -201,8 +201,6 @@
     effects: list[FleetEffect] = []
     for intent in state.intents.values():
         if not intent.is_carried_out and _is_empty(state, intent) and _is_time(state, intent):
-            if intent.ordered_ms is None:
-                remember_move(state, intent)
             intent.ordered_ms = state.now_ms
             effects.append(OrderMachine(intent=intent))
     return effects + _complete_waves(state)
