--- a/heatherkeel/gateway/app.py
+++ b/heatherkeel/gateway/app.py
@@ -183,7 +183,9 @@
             request=decoded.ok_value,
         )
         record = KeyedRecord(key=f"{REQUEST_PREFIX}{job_id}", value=encode_request(stored))
-        refusal = await self._async_store(queue, record, job_id)
+        refusal = await self._async_store(
+            queue, record, job_id, is_stored=lambda: self._async_is_taken(queue, job_id)
+        )
         if refusal is not None:
             return None
         self.app.lookup.remember(job_id)
@@ -199,9 +201,17 @@
         )
         return await self._async_tell_state(JobState.PENDING)
 
-    async def _async_store(self, queue: Queue, record: KeyedRecord, job_id: str) -> Refusal | None:
+    async def _async_store(
+        self,
+        queue: Queue,
+        record: KeyedRecord,
+        job_id: str,
+        *,
+        is_stored: Callable[[], Awaitable[bool]] | None = None,
+    ) -> Refusal | None:
         """Store a record, and answer the caller if that can't be done in time.
 
+        `is_stored` finds out whether an append that wasn't answered has been done all the same.
         "Not accepted" is said only if no append was left without an answer: such an append may
         be carried out seconds later.
         """
@@ -230,10 +240,20 @@
                     Refusal.STORE_REFUSED, job_id=job_id, detail=error.detail, retry_s=retry_s
                 )
                 return Refusal.STORE_REFUSED
+            if is_stored is not None and await is_stored():
+                return None
             await trio.sleep(REPEAT_PAUSE_S)
         await self._async_refuse(Refusal.STORE_SILENT, job_id=job_id)
         return Refusal.STORE_SILENT
 
+    async def _async_is_taken(self, queue: Queue, job_id: str) -> bool:
+        """Say whether a job's owner has read it from the store, so that it is surely accepted.
+
+        Where answers of the store are lost, or late, another append would only add to its load.
+        """
+        partition = self._partition(queue, job_id)
+        return await self.app.lookup.async_is_taken(partition, job_id)
+
     async def _async_tell(self, queue: Queue, job_id: str) -> None:
         found = await self._async_find(queue, job_id)
         if isinstance(found, Refusal):
--- a/heatherkeel/gateway/lookup.py
+++ b/heatherkeel/gateway/lookup.py
@@ -66,6 +66,11 @@
         # The owner reads a job from the store some milliseconds after it was accepted.
         return JobState.PENDING if state is None and job_id in self.recent else state
 
+    async def async_is_taken(self, partition: int, job_id: str) -> bool:
+        """Say whether a partition's owner knows a job."""
+        told = await self._async_ask(partition, JobAsked(partition=partition, job_id=job_id))
+        return isinstance(told, JobTold) and bool(told.state)
+
     async def async_count_pending(self, partitions: Sequence[int], queue: str) -> int | None:
         """Return how many jobs of a queue wait in all its partitions; None if one can't be told."""
         counts: list[int | None] = []
--- a/heatherkeel/platform/patience.py
+++ b/heatherkeel/platform/patience.py
@@ -26,9 +26,13 @@
 
     def timeout_s(self) -> float:
         """Return how long to wait for the next answer."""
-        wanted_s = max(self.shortest_s, FACTOR * self.usual_s) * 2.0**self.failures
+        wanted_s = max(self.shortest_s, self.learned_s()) * 2.0**self.failures
         return min(self.longest_s, float(wanted_s))
 
+    def learned_s(self) -> float:
+        """Return how long answers may take by those that came, in seconds; 0 if none has."""
+        return FACTOR * self.usual_s
+
     def take_answer(self, took_s: float) -> None:
         """Take in that an answer came after some time."""
         self.failures = 0
--- a/heatherkeel/platform/store.py
+++ b/heatherkeel/platform/store.py
@@ -97,6 +97,8 @@
         self.membership = HttpCaller(address=address, connections=2)
         self.write_patience = Patience(shortest_s=SHORTEST_TIMEOUT_S, longest_s=WRITE_TIMEOUT_S)
         self.join_patience = Patience(shortest_s=SHORTEST_TIMEOUT_S, longest_s=JOIN_TIMEOUT_S)
+        self.read_patience = Patience(shortest_s=SHORTEST_TIMEOUT_S, longest_s=READ_TIMEOUT_S)
+        """Learned from readings, and used only to know how slow the store is."""
         self.health: dict[tuple[str, int], PartitionHealth] = {}
 
     async def close(self) -> None:
@@ -131,7 +133,7 @@
             }
         target = f"/heatherkeel/log-append?{urlencode(query)}"
         began_s = trio.current_time()
-        timeout_s = min(longest_s, self.write_patience.timeout_s())
+        timeout_s = min(longest_s, self._write_timeout_s())
         called = await self._async_post(
             self.writes, target, encode_records(records), timeout_s=timeout_s
         )
@@ -140,6 +142,16 @@
         self.find_health(topic, partition).take(checked)
         return Err(checked.err_value) if isinstance(checked, Err) else Ok(None)
 
+    def _write_timeout_s(self) -> float:
+        """Return how long to wait for an append, by how the store answers anything.
+
+        Most processes write only when a caller comes. One that has not met a slow store yet gave
+        its appends up and sent them again, and again through a peer, until a partition that takes
+        ten a second then had four for each job, and jobs were refused that it had room for.
+        """
+        others_s = max(self.join_patience.learned_s(), self.read_patience.learned_s())
+        return max(self.write_patience.timeout_s(), min(WRITE_TIMEOUT_S, others_s))
+
     async def async_read(
         self, topic: str, partition: int, *, start: int, wait_ms: int
     ) -> Result[ReadRecords, CallError]:
@@ -240,7 +252,11 @@
         self, target: str, *, timeout_s: float = READ_TIMEOUT_S, wait_s: float = 0.0
     ) -> Result[Reply, CallError]:
         call = StoreCall(method="GET", target=target, timeout_s=timeout_s, wait_s=wait_s)
-        return await self.route.async_call(self.reads, call)
+        began_s = trio.current_time()
+        called = await self.route.async_call(self.reads, call)
+        if not call.waits:
+            _learn(self.read_patience, called, trio.current_time() - began_s)
+        return called
 
     async def _async_post(
         self, caller: HttpCaller, target: str, body: bytes, *, timeout_s: float
