--- /dev/null
+++ b/tests/gateway/calling.py
@@ -0,0 +1,57 @@
+"""Calls of one caller to the application, without a server between them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from heatherkeel.directory.directory import DirectoryState
+from heatherkeel.gateway.app import CallersApp
+from heatherkeel.gateway.lookup import Lookup
+from heatherkeel.gateway.metrics import GatewayMetrics
+from heatherkeel.ownership.partitions import Layout
+from heatherkeel.platform.operator import Configuration, Queue
+from heatherkeel.platform.store import StoreClient
+from heatherkeel.questions.links import QuestionLinks
+
+from .test_lookup import FakeHolders
+
+QUEUE = Queue(name="quotes", host="a.example", path_prefix="/q/", service="portal")
+JOB_PATH = "/q/00000000000000aa"
+
+
+def make_app(store: StoreClient, links: QuestionLinks, *, takes_callers: bool = True) -> CallersApp:
+    """Return the application of a process that knows one queue, with one partition."""
+    return CallersApp(
+        store=store,
+        directory=DirectoryState(
+            config=Configuration(version=1, queues=[QUEUE]), layout=Layout(shares={"portal": (0,)})
+        ),
+        lookup=Lookup(store=store, holders=FakeHolders(store=store), links=links),
+        metrics=GatewayMetrics(),
+        takes_callers=lambda: takes_callers,
+    )
+
+
+async def async_call(
+    app: CallersApp, method: str, *, deadline_ms: int, body: bytes = b""
+) -> dict[str, Any]:
+    """Make a call about one job; returns the head of the answer."""
+    deadline = str(deadline_ms).encode()
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": JOB_PATH,
+        "raw_path": JOB_PATH.encode(),
+        "query_string": b"",
+        "headers": [(b"host", b"a.example"), (b"heatherkeel-deadline-ms", deadline)],
+    }
+    sent: list[dict[str, Any]] = []
+
+    async def async_receive() -> dict[str, Any]:
+        return {"type": "http.request", "body": body}
+
+    async def async_send(message: dict[str, Any]) -> None:
+        sent.append(message)
+
+    await app(scope, async_receive, async_send)
+    return sent[0]
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -8,19 +8,12 @@
 import trio
 import trio.testing
 
-from heatherkeel.directory.directory import DirectoryState
-from heatherkeel.gateway.app import CLOSE_HEADER, CallersApp
-from heatherkeel.gateway.lookup import Lookup
-from heatherkeel.gateway.metrics import GatewayMetrics
-from heatherkeel.ownership.holders import Holders
-from heatherkeel.ownership.partitions import Layout
-from heatherkeel.platform.operator import Configuration, Queue
+from heatherkeel.gateway.app import CLOSE_HEADER
 from heatherkeel.questions.messages import Answer, JobTold, Question
 
-from .test_lookup import FakeHolders, FakeLinks, FakeStore
+from .calling import async_call, make_app
+from .test_lookup import FakeLinks, FakeStore
 
-QUEUE = Queue(name="quotes", host="a.example", path_prefix="/q/", service="portal")
-PATH = "/q/00000000000000aa"
 DEADLINE_MS = 3000
 
 
@@ -55,41 +48,15 @@
 
 def ask(links: FakeLinks, *, takes_callers: bool) -> tuple[int, bool, float]:
     """Ask for a job; returns the status, whether the connection is closed, and the seconds."""
-    store = SilentStore(down=set())
-    holders: Holders = FakeHolders(store=store)
-    directory = DirectoryState(
-        config=Configuration(version=1, queues=[QUEUE]), layout=Layout(shares={"portal": (0,)})
-    )
-    app = CallersApp(
-        store=store,
-        directory=directory,
-        lookup=Lookup(store=store, holders=holders, links=links),
-        metrics=GatewayMetrics(),
-        takes_callers=lambda: takes_callers,
-    )
-    scope = {
-        "type": "http",
-        "method": "GET",
-        "path": PATH,
-        "raw_path": PATH.encode(),
-        "query_string": b"",
-        "headers": [(b"host", b"a.example"), (b"heatherkeel-deadline-ms", b"%d" % DEADLINE_MS)],
-    }
-    sent: list[dict[str, Any]] = []
-
-    async def async_receive() -> dict[str, Any]:
-        return {"type": "http.request", "body": b""}
-
-    async def async_send(message: dict[str, Any]) -> None:
-        sent.append(message)
-
-    async def async_run() -> float:
-        began = trio.current_time()
-        await app(scope, async_receive, async_send)
-        return trio.current_time() - began
-
-    took_s = trio.run(async_run, clock=trio.testing.MockClock(autojump_threshold=0))
-    return sent[0]["status"], CLOSE_HEADER in sent[0]["headers"], took_s
+    app = make_app(SilentStore(down=set()), links, takes_callers=takes_callers)
+
+    async def async_ask() -> tuple[int, bool, float]:
+        began_s = trio.current_time()
+        head = await async_call(app, "GET", deadline_ms=DEADLINE_MS)
+        took_s = trio.current_time() - began_s
+        return head["status"], CLOSE_HEADER in head["headers"], took_s
+
+    return trio.run(async_ask, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
 def test_process_that_is_cut_off_answers_soon_and_closes_the_connection() -> None:
--- a/tests/gateway/test_submissions.py
+++ b/tests/gateway/test_submissions.py
@@ -2,27 +2,21 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
 
 import msgspec
 import trio
 from result import Err, Result
 
-from heatherkeel.directory.directory import DirectoryState
-from heatherkeel.gateway.app import CallersApp
-from heatherkeel.gateway.lookup import Lookup
-from heatherkeel.gateway.metrics import GatewayMetrics
-from heatherkeel.ownership.partitions import Layout
 from heatherkeel.platform.errors import CallError, Failure
-from heatherkeel.platform.operator import Configuration, Queue
 from heatherkeel.platform.store import PartitionHealth
 from heatherkeel.questions.messages import Answer, JobTold, Question
 from tests.instance.site import STEP
 
-from .test_lookup import FakeHolders, FakeLinks, FakeStore
+from .calling import async_call, make_app
+from .test_lookup import FakeLinks, FakeStore
 
-QUEUE = Queue(name="quotes", host="a.example", path_prefix="/q/", service="portal")
-PATH = "/q/00000000000000aa"
 APPEND_S = 0.05
 DEADLINE_MS = 750
 
@@ -61,35 +55,10 @@
 def submit(*, knows: bool) -> tuple[int, int]:
     """Hand a job in; returns the status, and how often it was appended."""
     store = LossyStore()
-    links = ReadingLinks(knows=knows)
-    app = CallersApp(
-        store=store,
-        directory=DirectoryState(
-            config=Configuration(version=1, queues=[QUEUE]), layout=Layout(shares={"portal": (0,)})
-        ),
-        lookup=Lookup(store=store, holders=FakeHolders(store=store), links=links),
-        metrics=GatewayMetrics(),
-        takes_callers=lambda: True,
-    )
-    scope = {
-        "type": "http",
-        "method": "POST",
-        "path": PATH,
-        "raw_path": PATH.encode(),
-        "query_string": b"",
-        "headers": [(b"host", b"a.example"), (b"heatherkeel-deadline-ms", b"%d" % DEADLINE_MS)],
-    }
-    sent: list[dict[str, Any]] = []
-
-    async def async_receive() -> dict[str, Any]:
-        body = msgspec.json.encode({"spec": "work 50", "steps": [STEP]})
-        return {"type": "http.request", "body": body}
-
-    async def async_send(message: dict[str, Any]) -> None:
-        sent.append(message)
-
-    trio.run(app, scope, async_receive, async_send)
-    return sent[0]["status"], store.appends
+    app = make_app(store, ReadingLinks(knows=knows))
+    body = msgspec.json.encode({"spec": "work 50", "steps": [STEP]})
+    head = trio.run(partial(async_call, app, "POST", deadline_ms=DEADLINE_MS, body=body))
+    return head["status"], store.appends
 
 
 def test_job_that_its_owner_knows_is_accepted_without_another_append() -> None:
