Processes that own nothing hear the store each 800 ms

With readings that wait for 1,000 ms, and a store that answers 200 ms late, they would have gone out of rotation for a moment of every second: nothing else tells them any more that they reach the store.

--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -29,10 +29,13 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-CONFIG_WAIT_MS: Final = 1000
+CONFIG_WAIT_MS: Final = 800
 """How long one reading waits for a change, in milliseconds. A connection that has gone silent
-is noticed with the reading that meets it; with the reading's own timeout that is within 4 s. The
-answers also tell a process that owns nothing that it reaches the store."""
+is noticed with the reading that meets it; with the reading's own timeout that is within 4 s.
+
+The answers also tell a process that owns nothing that it reaches the store: it takes no callers
+after 1,200 ms without any, and a slow store answers some hundreds of milliseconds late.
+"""
 WORKERS_WAIT_MS: Final = 1000
 WORKERS_PAUSE_MS: Final = 250
 """Pause between two readings of the workers' entries, in milliseconds. Thirty workers write
--- a/heatherkeel/instance/status.py
+++ b/heatherkeel/instance/status.py
@@ -23,8 +23,8 @@
 from heatherkeel.platform.const import READINESS_PATH
 
 STORE_SILENT_MS: Final = 1200
-"""Without an answer of the store for this long a process takes no new callers, in milliseconds. It
-renews its membership every 450 ms, so two in a row have failed."""
+"""Without an answer of the store for this long a process takes no new callers, in milliseconds. A
+member renews every 450 ms, so two in a row have failed; others read on each 800 ms."""
 
 
 class StatusApp:
