--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -139,9 +139,9 @@
     """Return a share's machines beyond its demand, without lasting tasks, the emptiest first.
 
     What was wanted in the last seconds counts, and what a share keeps between its turns, unless
-    another share is short right now. A third more machines then go to the pool in its turn: one day
-    earned 0.862 of what its jobs were worth instead of 0.837. A machine with a lasting task stays:
-    moving it would end the task, and its step may not have two on one worker.
+    another share is short right now: two seconds into a turn its pool has a third more machines,
+    and one day earned 0.862 of what its jobs were worth instead of 0.837. A machine with a lasting
+    task stays: moving it would end the task, and its step may not have two on one worker.
     """
     needed = count_needed(state, share, machines, recent=recent)
     view = state.views.get(share)
