--- a/tests/ownership/test_share_balance.py
+++ b/tests/ownership/test_share_balance.py
@@ -1,8 +1,8 @@
 """How evenly a queue's turn falls on the shares of its service.
 
-The load is that of a large fleet: 276 machines of 64 cores, and a queue in its turn with some twelve
-jobs a second, each of two steps of eight tasks of 20 cores for 2.1 s. Shares can't help each other, so
-the one that gets most decides how many jobs are late.
+The load is that of a large fleet: 276 machines of 64 cores, and a queue in its turn with some
+twelve jobs a second, each of two steps of eight tasks of 20 cores for 2.1 s. Shares can't help each
+other, so the one that gets most decides how many jobs are late.
 """
 
 from __future__ import annotations
@@ -25,8 +25,8 @@
 SLACK_FACTOR = 1.6
 """How much longer than its own work a job may take by its objective."""
 MOST_OVER_MEAN = SLACK_FACTOR * FULL_SHARE
-"""What the fullest share may get of the mean. Pools get machines for the mean, filled to a share, and
-work that is so much more than that takes so much longer."""
+"""What the fullest share may get of the mean. Pools get machines for the mean, filled to a share,
+and work that is so much more than that takes so much longer."""
 
 
 def lay_out() -> Layout:
@@ -69,7 +69,7 @@
 
 
 def test_every_share_can_get_more_machines_than_its_part_of_a_turn_needs() -> None:
-    """A turn may ask for half of all machines, a third of them for each share; 92 may come to one."""
+    """A turn may ask for half of all machines, and each share for a third of these."""
     layout = lay_out()
     for service in SERVICES:
         for partition in layout.partitions_of(service):
