--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -5,16 +5,20 @@
 import socket
 import subprocess
 import sys
+from importlib import import_module
 from pathlib import Path
 from typing import Final
 
 import pytest
 
-from heatherkeel.cli.main import main
+from heatherkeel.cli.main import SUBCOMMANDS, main
 from heatherkeel.cli.registry import COMMANDS
 
 HEAVY: Final = ("trio", "httpcore", "hypercorn", "msgspec", "zmq", "prometheus_client")
 Captured = pytest.CaptureFixture[str]
+# The command line loads a subcommand only when it is asked for; the cases below are made of all.
+for subcommand in SUBCOMMANDS:
+    import_module(f"heatherkeel.cli.{subcommand}")
 
 
 def told(capsys: Captured, *argv: str) -> tuple[int, str]:
@@ -28,6 +32,10 @@
     assert status == 2 and err.count("\n") == 1 and "nknown" in err
 
 
+def test_every_subcommand_is_registered_by_the_module_of_its_name() -> None:
+    assert set(COMMANDS) == set(SUBCOMMANDS)
+
+
 @pytest.mark.parametrize("name", sorted(COMMANDS))
 def test_every_command_has_help_and_refuses_what_it_does_not_know(
     capsys: Captured, name: str
