--- a/heatherkeel/gateway/exchange.py
+++ b/heatherkeel/gateway/exchange.py
@@ -144,8 +144,13 @@
             request=decoded.ok_value,
         )
         record = KeyedRecord(key=f"{REQUEST_PREFIX}{job_id}", value=encode_request(stored))
+        partition = self._partition(queue, job_id)
+        # Where answers of the store are lost, or late, another append would only add to its load.
         refusal = await self._async_store(
-            queue, record, job_id, is_stored=lambda: self._async_is_taken(queue, job_id)
+            partition,
+            record,
+            job_id,
+            is_stored=lambda: self.parts.lookup.async_is_taken(partition, job_id),
         )
         if refusal is not None:
             return None
@@ -156,7 +161,7 @@
                 "event": "job_accepted",
                 "job": job_id,
                 "queue": queue.name,
-                "partition": self._partition(queue, job_id),
+                "partition": partition,
                 "version": config.version if config else 0,
             },
         )
@@ -164,7 +169,7 @@
 
     async def _async_store(
         self,
-        queue: Queue,
+        partition: int,
         record: KeyedRecord,
         job_id: str,
         *,
@@ -177,7 +182,6 @@
         be carried out seconds later.
         """
         is_unknown = False
-        partition = self._partition(queue, job_id)
         if self.parts.store.find_health(JOBS_TOPIC, partition).is_away():
             await self._async_refuse(Refusal.STORE_AWAY, job_id=job_id, retry_s=RETRY_AWAY_S)
             return Refusal.STORE_AWAY
@@ -207,14 +211,6 @@
         await self._async_refuse(Refusal.STORE_SILENT, job_id=job_id)
         return Refusal.STORE_SILENT
 
-    async def _async_is_taken(self, queue: Queue, job_id: str) -> bool:
-        """Say whether a job's owner has read it from the store, so that it is surely accepted.
-
-        Where answers of the store are lost, or late, another append would only add to its load.
-        """
-        partition = self._partition(queue, job_id)
-        return await self.parts.lookup.async_is_taken(partition, job_id)
-
     async def _async_tell(self, queue: Queue, job_id: str) -> None:
         found = await self._async_find(queue, job_id)
         if isinstance(found, Refusal):
@@ -239,7 +235,7 @@
             return await self._async_refuse(Refusal.NO_SUCH_JOB, job_id=job_id)
         if not isinstance(found, JobState) or not found.is_final():
             record = KeyedRecord(key=f"{CANCEL_PREFIX}{job_id}", value=b"1")
-            if await self._async_store(queue, record, job_id) is not None:
+            if await self._async_store(self._partition(queue, job_id), record, job_id) is not None:
                 return None
         _LOGGER.info(
             "cancel accepted",
--- a/heatherkeel/gateway/lookup.py
+++ b/heatherkeel/gateway/lookup.py
@@ -67,7 +67,7 @@
         return JobState.PENDING if state is None and job_id in self.recent else state
 
     async def async_is_taken(self, partition: int, job_id: str) -> bool:
-        """Say whether a partition's owner knows a job."""
+        """Say whether a partition's owner has read a job from the store, so that it is accepted."""
         told = await self._async_ask(partition, JobAsked(partition=partition, job_id=job_id))
         return isinstance(told, JobTold) and bool(told.state)
 
