--- a/heatherkeel/gateway/app.py
+++ b/heatherkeel/gateway/app.py
@@ -4,10 +4,8 @@
 
 import logging
 import time
-from collections.abc import Callable
 from typing import Final
 
-from heatherkeel.directory.directory import DirectoryState
 from heatherkeel.helpers.asgi import (
     ClientGoneError,
     Message,
@@ -16,11 +14,8 @@
     async_run_lifespan,
     parse_request,
 )
-from heatherkeel.platform.store import StoreClient
 
 from .exchange import Exchange, GatewayParts
-from .lookup import Lookup
-from .metrics import GatewayMetrics
 
 _LOGGER = logging.getLogger(__name__)
 CLOSE_HEADER: Final = (b"connection", b"close")
@@ -34,22 +29,8 @@
     but an open one stays: its caller would meet the same refusals for as long as the cut lasts.
     """
 
-    def __init__(
-        self,
-        *,
-        store: StoreClient,
-        directory: DirectoryState,
-        lookup: Lookup,
-        metrics: GatewayMetrics,
-        takes_callers: Callable[[], bool],
-    ) -> None:
-        self.parts = GatewayParts(
-            store=store,
-            directory=directory,
-            lookup=lookup,
-            metrics=metrics,
-            takes_callers=takes_callers,
-        )
+    def __init__(self, *, parts: GatewayParts) -> None:
+        self.parts = parts
 
     async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -14,6 +14,7 @@
 from heatherkeel.directory.layout_reader import LayoutReader
 from heatherkeel.dispatch.owner import PartitionOwner
 from heatherkeel.gateway.app import CallersApp
+from heatherkeel.gateway.exchange import GatewayParts
 from heatherkeel.gateway.lookup import Lookup
 from heatherkeel.gateway.metrics import GatewayMetrics
 from heatherkeel.helpers.server import HttpServer
@@ -110,11 +111,13 @@
         )
         self.callers = HttpServer(
             app=CallersApp(
-                store=self.store,
-                directory=self.directory.state,
-                lookup=self.lookup,
-                metrics=self.metrics,
-                takes_callers=self.status.is_ready,
+                parts=GatewayParts(
+                    store=self.store,
+                    directory=self.directory.state,
+                    lookup=self.lookup,
+                    metrics=self.metrics,
+                    takes_callers=self.status.is_ready,
+                )
             ),
             bind=settings.listen.callers,
         )
--- a/tests/gateway/calling.py
+++ b/tests/gateway/calling.py
@@ -6,6 +6,7 @@
 
 from heatherkeel.directory.directory import DirectoryState
 from heatherkeel.gateway.app import CallersApp
+from heatherkeel.gateway.exchange import GatewayParts
 from heatherkeel.gateway.lookup import Lookup
 from heatherkeel.gateway.metrics import GatewayMetrics
 from heatherkeel.ownership.partitions import Layout
@@ -21,7 +22,7 @@
 
 def make_app(store: StoreClient, links: QuestionLinks, *, takes_callers: bool = True) -> CallersApp:
     """Return the application of a process that knows one queue, with one partition."""
-    return CallersApp(
+    parts = GatewayParts(
         store=store,
         directory=DirectoryState(
             config=Configuration(version=1, queues=[QUEUE]), layout=Layout(shares={"portal": (0,)})
@@ -30,6 +31,7 @@
         metrics=GatewayMetrics(),
         takes_callers=lambda: takes_callers,
     )
+    return CallersApp(parts=parts)
 
 
 async def async_call(
