Sight: a lost run tells how long it had been there and what went with it; losses are counted by reason

run_lost named the worker and why it is gone, so the logs could not tell a task that crashes its worker from those that went down beside it. It now says how far its order was, its age, how long its worker listed it and how many runs were lost with it. heatherkeel_runs_lost counts losses by reason.

--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -8,9 +8,9 @@
 
 from .building import open_followers
 from .const import GREY_FAILURES
-from .events import Effects, SaveJob
+from .events import CountLoss, Effects, SaveJob
 from .jobs import end_job, save_ended, stop_run
-from .models import Job, JobState, Run, Task, Worker
+from .models import Job, JobState, LossReason, Run, Task, Worker
 from .pools import find_pool, forget_run, wait_for_room
 from .standing import set_aside
 from .state import PartitionState
@@ -136,27 +136,42 @@
         worker.failed_jobs.clear()
 
 
-def lose_run(state: PartitionState, run: Run, effects: Effects, *, why: str) -> None:
+def lose_run(state: PartitionState, run: Run, effects: Effects, *, reason: LossReason) -> None:
     """Take in that a run surely isn't there, and will never be; its task waits again."""
+    _tell_loss(state, run, reason)
+    effects.add(CountLoss(reason=reason))
     forget_run(state, run)
     task = run.task
     if run.saved:
         task.saved = run.saved
     job = task.step.job
     effects.touch(job.service)
+    if job.state.is_final():
+        save_ended(job, effects)
+        return
+    effects.add(SaveJob(job_id=job.id))
+    if not task.step.is_done():
+        wait_for_room(state, task.step)
+
+
+def _tell_loss(state: PartitionState, run: Run, reason: LossReason) -> None:
+    """Tell what a run that is lost with its worker may have had to do with that.
+
+    A worker that was never heard to run it may have gone because of its start.
+    """
+    worker = state.workers.get(run.worker_id)
+    is_listed = worker is not None and run.listed_since_ms > 0
     _LOGGER.info(
         "run lost",
         extra={
             "event": "run_lost",
-            "task": task.name,
+            "task": run.task.name,
             "attempt": run.attempt,
             "worker": run.worker_id,
-            "why": why,
+            "why": reason.value,
+            "order": run.state.value,
+            "age_ms": state.now_ms - run.started_ms if run.started_ms else None,
+            "listed_for_ms": worker.clock_heard_ms - run.listed_since_ms if is_listed else None,
+            "beside": len(worker.runs) - 1 if worker else None,
         },
     )
-    if job.state.is_final():
-        save_ended(job, effects)
-        return
-    effects.add(SaveJob(job_id=job.id))
-    if not task.step.is_done():
-        wait_for_room(state, task.step)
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -9,7 +9,7 @@
 from heatherkeel.platform.operator import Queue, WorkerEntry
 from heatherkeel.platform.workers import Listing
 
-from .models import Run, Step
+from .models import LossReason, Run, Step
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -181,6 +181,13 @@
     number: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CountLoss(Effect):
+    """Count a run that was lost, and whose task starts again."""
+
+    reason: LossReason
+
+
 @dataclass(kw_only=True, slots=True)
 class Effects:
     """The effects of one event, in order."""
--- /dev/null
+++ b/heatherkeel/dispatch/metrics.py
@@ -0,0 +1,25 @@
+"""Counters of what owners decide."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter
+
+from .models import LossReason
+
+
+class DispatchMetrics:
+    """What is counted as it happens; every reason shows from the start as 0."""
+
+    def __init__(self, *, registry: CollectorRegistry) -> None:
+        self.losses = Counter(
+            "heatherkeel_runs_lost",
+            "Runs that were lost, so that their tasks had to start again, by reason.",
+            ["reason"],
+            registry=registry,
+        )
+        for reason in LossReason:
+            self.losses.labels(reason.name.lower())
+
+    def count_loss(self, reason: LossReason) -> None:
+        """Count a run that was lost."""
+        self.losses.labels(reason.name.lower()).inc()
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -25,6 +25,18 @@
         return self in (JobState.COMPLETE, JobState.FAILED, JobState.CANCELED)
 
 
+class LossReason(StrEnum):
+    """How it was proved that a run isn't at its worker, and will never be."""
+
+    OTHER_LIFE = "its machine is in another life"
+    ADDRESS_TAKEN = "another worker has its address"
+    LEASE_LAPSED = "lease lapsed"
+    UNLISTED = "not listed any more"
+    RUN_NOT_LISTED = "not listed"
+    START_NOT_DONE = "its start was not carried out"
+    WORKER_GONE = "worker gone"
+
+
 class RunState(StrEnum):
     """How far one run of a task is."""
 
@@ -57,6 +69,8 @@
     """A lasting task was at work when its worker listed it last."""
     saved: str = ""
     percent: float = 0.0
+    listed_since_ms: int = 0
+    """When its worker listed it first; 0 if it never did."""
     moved_ms: int = 0
     """When its percent was first seen, or changed last."""
     figure: float = 0.0
--- a/heatherkeel/dispatch/orders.py
+++ b/heatherkeel/dispatch/orders.py
@@ -9,10 +9,10 @@
 from .ends import lose_run
 from .events import Effects, StartAnswered, StopAnswered, StopTask
 from .jobs import stop_run
-from .models import RunState
+from .models import LossReason, RunState
 from .registry import handles
 from .state import PartitionState
-from .workers import ADDRESS_TAKEN, end_life, fall_silent
+from .workers import end_life, fall_silent
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -54,7 +54,7 @@
     )
     worker = state.workers.get(run.worker_id)
     if worker is not None and event.error.failure is Failure.OTHER_INSTANCE:
-        end_life(state, worker, effects, why=ADDRESS_TAKEN)
+        end_life(state, worker, effects, reason=LossReason.ADDRESS_TAKEN)
         return
     if worker is not None and event.error.failure in _NOT_REACHED:
         # The emptiest worker of a pool would be tried again at once, and again.
@@ -62,7 +62,7 @@
     if event.error.detail == NO_TICKET:
         run.task.step.tickets.pop(run.worker_id, None)
     if event.error.failure in _NOT_DONE and run.state is not RunState.STOPPING:
-        lose_run(state, run, effects, why=f"start {event.error.failure}")
+        lose_run(state, run, effects, reason=LossReason.START_NOT_DONE)
         return
     if run.state is RunState.STOPPING:
         return
@@ -83,7 +83,7 @@
         run.answered_ms = event.now_ms
         return
     if event.error.failure is Failure.OTHER_INSTANCE:
-        lose_run(state, run, effects, why="worker gone")
+        lose_run(state, run, effects, reason=LossReason.WORKER_GONE)
         return
     if event.error.failure is not Failure.FENCED and run.worker_id in state.workers:
         effects.add(StopTask(run=run))
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -24,6 +24,7 @@
 from .events import (
     AcknowledgeEnds,
     AskAdvice,
+    CountLoss,
     Effect,
     Effects,
     Event,
@@ -42,6 +43,7 @@
 from .inquiries import Inquiries
 from .jobs import stop_leftovers
 from .journal import Journal
+from .metrics import DispatchMetrics
 from .records import (
     PROGRESS_PREFIX,
     StoredRequest,
@@ -67,6 +69,7 @@
         store: StoreClient,
         directory: Directory,
         tenure: Tenure,
+        metrics: DispatchMetrics,
         on_fenced: Callable[[], None],
     ) -> None:
         self.partition = partition
@@ -74,6 +77,7 @@
         self.store = store
         self.directory = directory
         self.tenure = tenure
+        self.metrics = metrics
         self.on_fenced = on_fenced
         self.state = PartitionState(
             token=token,
@@ -293,6 +297,8 @@
             case AskAdvice():
                 assert self.nursery is not None
                 self.nursery.start_soon(self.inquiries.async_ask_advice, effect)
+            case CountLoss():
+                self.metrics.count_loss(effect.reason)
             case AcknowledgeEnds():
                 self.journal.when_stored(lambda: self._acknowledge(effect))
 
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -22,7 +22,7 @@
 )
 from .jobs import stop_run
 from .lasting import leave_workers
-from .models import Run, RunState, Worker
+from .models import LossReason, Run, RunState, Worker
 from .pacing import pace_worker
 from .pools import find_pool, wait_for_room
 from .registry import handles
@@ -31,8 +31,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-ADDRESS_TAKEN = "another worker has its address"
-
 
 @handles(WorkersListed)
 def take_entries(state: PartitionState, event: WorkersListed, effects: Effects) -> None:
@@ -111,7 +109,7 @@
         if run.key() in listed:
             continue
         if is_proved:
-            lose_run(state, run, effects, why="not listed")
+            lose_run(state, run, effects, reason=LossReason.RUN_NOT_LISTED)
         elif run.unanswered_ms is not None and run.unanswered_ms < sent_ms:
             run.unanswered_ms = None
             stop_run(state, run, effects)
@@ -122,6 +120,7 @@
         run.unanswered_ms = None
         run.answered_ms = now_ms
         run.state = RunState.RUNNING
+    run.listed_since_ms = run.listed_since_ms or now_ms
     if row.percent != run.percent or not run.moved_ms:
         run.moved_ms = now_ms
     run.percent = row.percent
@@ -171,16 +170,18 @@
     if worker is None:
         return
     if event.error.failure is Failure.OTHER_INSTANCE:
-        end_life(state, worker, effects, why=ADDRESS_TAKEN)
+        end_life(state, worker, effects, reason=LossReason.ADDRESS_TAKEN)
         return
     fall_silent(state, worker, effects, detail=event.error.detail)
     drop_if_lapsed(state, worker, effects)
 
 
-def end_life(state: PartitionState, worker: Worker, effects: Effects, *, why: str) -> None:
+def end_life(
+    state: PartitionState, worker: Worker, effects: Effects, *, reason: LossReason
+) -> None:
     """Take in that a life of a worker is over, whatever its entry says for some seconds more."""
     state.gone_workers.add(worker.id)
-    drop_worker(state, worker, effects, why=why)
+    drop_worker(state, worker, effects, reason=reason)
 
 
 def fall_silent(state: PartitionState, worker: Worker, effects: Effects, *, detail: str) -> None:
@@ -211,7 +212,7 @@
     for worker in list(state.workers.values()):
         is_long = state.now_ms - worker.silent_since_ms >= SILENT_MS
         if worker.is_silent and is_long and worker.id not in event.worker_ids:
-            end_life(state, worker, effects, why="its machine is in another life")
+            end_life(state, worker, effects, reason=LossReason.OTHER_LIFE)
 
 
 def drop_if_lapsed(state: PartitionState, worker: Worker, effects: Effects) -> None:
@@ -219,18 +220,20 @@
     if not worker.has_lapsed(state.now_ms):
         return
     for run in list(worker.runs.values()):
-        lose_run(state, run, effects, why="lease lapsed")
+        lose_run(state, run, effects, reason=LossReason.LEASE_LAPSED)
     if not worker.is_listed:
-        drop_worker(state, worker, effects, why="not listed any more")
+        drop_worker(state, worker, effects, reason=LossReason.UNLISTED)
 
 
-def drop_worker(state: PartitionState, worker: Worker, effects: Effects, *, why: str) -> None:
+def drop_worker(
+    state: PartitionState, worker: Worker, effects: Effects, *, reason: LossReason
+) -> None:
     """Forget a worker on which surely nothing runs."""
     for run in list(worker.runs.values()):
-        lose_run(state, run, effects, why=why)
+        lose_run(state, run, effects, reason=reason)
     del state.workers[worker.id]
     del find_pool(state, worker.entry.service).workers[worker.id]
-    _tell(worker.id, "worker_dropped", why)
+    _tell(worker.id, "worker_dropped", reason.value)
 
 
 @handles(WorkersLeaving)
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -12,6 +12,7 @@
 
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.layout_reader import LayoutReader
+from heatherkeel.dispatch.metrics import DispatchMetrics
 from heatherkeel.dispatch.owner import PartitionOwner
 from heatherkeel.gateway.app import CallersApp
 from heatherkeel.gateway.exchange import GatewayParts
@@ -58,6 +59,7 @@
     def __init__(self, *, settings: InstanceSettings) -> None:
         self.settings = settings
         self.metrics = GatewayMetrics()
+        self.dispatch_metrics = DispatchMetrics(registry=self.metrics.registry)
         relay_metrics = RelayMetrics(registry=self.metrics.registry)
         route = PeerRoute(
             list_peers=lambda: self.holders.list_others(self.links.address),
@@ -225,6 +227,7 @@
             store=self.store,
             directory=self.directory,
             tenure=self.member.tenure,
+            metrics=self.dispatch_metrics,
             on_fenced=self.member.rejoin,
         )
         self.owners[partition] = owner
