--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -160,7 +160,9 @@
     A worker that was never heard to run it may have gone because of its start.
     """
     worker = state.workers.get(run.worker_id)
-    is_listed = worker is not None and run.listed_since_ms > 0
+    listed_for_ms = None
+    if worker is not None and run.listed_since_ms:
+        listed_for_ms = worker.clock_heard_ms - run.listed_since_ms
     _LOGGER.info(
         "run lost",
         extra={
@@ -171,7 +173,7 @@
             "why": reason.value,
             "order": run.state.value,
             "age_ms": state.now_ms - run.started_ms if run.started_ms else None,
-            "listed_for_ms": worker.clock_heard_ms - run.listed_since_ms if is_listed else None,
+            "listed_for_ms": listed_for_ms,
             "beside": len(worker.runs) - 1 if worker else None,
         },
     )
--- a/heatherkeel/standins/fleet_worker.py
+++ b/heatherkeel/standins/fleet_worker.py
@@ -13,6 +13,13 @@
 
 STOP_S: Final = 0.05
 """How long a stop takes, in seconds."""
+SHRINK_KNOWN_S: Final = 1.0
+"""How long after a worker's room has shrunk nobody may overlook it any more, in seconds."""
+CRASHES: Final = "crashes"
+"""In a job whose spec begins with this word, the task with the index that the next word names
+crashes each worker that starts it."""
+TASK_CPU: Final = 1000
+"""What each task takes of its worker's room, in thousandths of a core."""
 
 WorkOf = Callable[[str], float | None]
 """Tells for a job's spec how many milliseconds a task takes; None for one that lasts."""
@@ -49,8 +56,27 @@
     numbers: int = 0
     started: list[tuple[str, int]] = field(default_factory=list)
     """Every start that was carried out, for tests."""
+    cpu: int = 8000
+    """The room that it says it has, in thousandths of a core; it doesn't guard it."""
+    shrunk_from: int = 0
+    """The room before it shrank last."""
+    shrunk_s: float = 0.0
+    overfilled: list[str] = field(default_factory=list)
+    """Starts that brought it over its room, for tests."""
+    has_crashed: bool = False
+    """A task that it was to start has crashed it."""
     changed: trio.Event = field(default_factory=trio.Event)
 
+    def resize(self, cpu: int) -> None:
+        """Say from now on that it has another room."""
+        self.shrunk_from, self.shrunk_s = self.counted_cpu(), time.monotonic()
+        self.cpu = cpu
+
+    def counted_cpu(self) -> int:
+        """Return the room that starts are held to: one that has shrunk counts a little later."""
+        is_known = time.monotonic() - self.shrunk_s > SHRINK_KNOWN_S
+        return self.cpu if is_known else max(self.cpu, self.shrunk_from)
+
     def clock_ms(self) -> int:
         """Return the worker's clock."""
         return round(time.monotonic() * 1000) + 100_000
@@ -79,6 +105,9 @@
             ends_s=None if work_ms is None else now_s + work_ms / 1000,
         )
         self.started.append((task, attempt))
+        if len(self.runs) * TASK_CPU > self.counted_cpu():
+            self.overfilled.append(task)
+        self.has_crashed = self.has_crashed or _crashes(task, body["spec"])
         return Answer(body={"clockMs": self.clock_ms()})
 
     def stop_task(self, body: dict[str, Any]) -> Answer:
@@ -138,3 +167,8 @@
 
     def _refuse(self, reason: str) -> Answer:
         return Answer(status=409, body={"clockMs": self.clock_ms(), "reason": reason})
+
+
+def _crashes(task: str, spec: str) -> bool:
+    words = spec.split()
+    return words[:2] == [CRASHES, task.rsplit(".", 1)[-1]]
--- a/heatherkeel/standins/users_platform.py
+++ b/heatherkeel/standins/users_platform.py
@@ -28,6 +28,8 @@
 
 MOVE_S: Final = 0.2
 """How long a machine is away when it moves or is maintained, in seconds."""
+CRASH_S: Final = 0.4
+"""How long a machine is away after its worker has crashed, in seconds."""
 HEARTBEAT_S: Final = 0.2
 LOOK_S: Final = 0.01
 _BODY_BYTES: Final = 4 * 1024 * 1024
@@ -143,6 +145,13 @@
             await machine.server.close(finish_timeout_s=0.0)
         machine.worker = machine.server = None
 
+    async def _async_crash(self, machine: StandinMachine) -> None:
+        """End a worker's life without a word, and begin another on its machine after a while."""
+        machine.state = "down"
+        await self.async_end_worker(machine)
+        assert self.nursery is not None
+        self.nursery.start_soon(self._async_return, machine, CRASH_S)
+
     async def _async_boot(self, machine: StandinMachine) -> None:
         machine.state = "up"
         if machine.pool == self.standby:
@@ -167,8 +176,11 @@
         """Let tasks end, and workers write their entries."""
         for turn in itertools.count():
             for machine in self.machines.values():
-                if machine.worker is not None:
-                    machine.worker.look()
+                if machine.worker is None:
+                    continue
+                machine.worker.look()
+                if machine.worker.has_crashed:
+                    await self._async_crash(machine)
             if turn % round(HEARTBEAT_S / LOOK_S) == 0:
                 self._write_entries(turn)
             await trio.sleep(LOOK_S)
@@ -182,7 +194,7 @@
                     "address": machine.worker.address,
                     "zone": "a",
                     "state": "ready",
-                    "capacity": {"cpu": 8000, "memMb": 16000, "gpu": 0},
+                    "capacity": {"cpu": machine.worker.cpu, "memMb": 16000, "gpu": 0},
                     "labels": ["a", "r1"],
                     "machine": machine.name,
                     "sequence": turn,
@@ -322,9 +334,9 @@
         machine.pool = pool
         await self.async_end_worker(machine)
         assert self.nursery is not None
-        self.nursery.start_soon(self._async_return, machine)
+        self.nursery.start_soon(self._async_return, machine, MOVE_S)
         return Answer()
 
-    async def _async_return(self, machine: StandinMachine) -> None:
-        await trio.sleep(MOVE_S)
+    async def _async_return(self, machine: StandinMachine, after_s: float) -> None:
+        await trio.sleep(after_s)
         await self._async_boot(machine)
--- /dev/null
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -0,0 +1,108 @@
+"""A task crashes every worker that starts it.
+
+Its caller never hears how the job ends. Workers of the pool go down one after the other, each with
+all that it ran: seconds apart, each a few milliseconds after the task was started there.
+"""
+
+from __future__ import annotations
+
+from heatherkeel.dispatch.const import SILENT_MS
+from heatherkeel.dispatch.events import LivesListed
+from heatherkeel.dispatch.models import JobState, Run
+from heatherkeel.platform.callers import StepRequest
+
+from .partition import JOB, OTHER_JOB, Partition, make_entry, make_step
+
+ALLOWED_AFTER_THREE = 2
+"""How often a task may be started again after three workers have crashed under it."""
+FEWEST_CRASHES = 2
+"""After one crash alone nobody can say that the task was the cause."""
+
+
+class CrashingFleet:
+    """A partition whose workers crash when they start a given task, and come back as others."""
+
+    def __init__(self, partition: Partition, *, crashing: str) -> None:
+        self.partition = partition
+        self.crashing = crashing
+        self.crashes = 0
+        self.lives = 100
+
+    def turn(self) -> list[Run]:
+        """Let planned starts be carried out, and what they crash be found gone; returns them."""
+        runs = self.partition.start_all()
+        crashed = {run.worker_id for run in runs if run.task.name == self.crashing}
+        for worker_id in list(self.partition.state.workers):
+            if worker_id not in crashed:
+                self.partition.answer(worker_id, percent=100.0)
+        for worker_id in crashed:
+            self.crashes += 1
+            self.crash(worker_id)
+        self.partition.tick(100)
+        return runs
+
+    def crash(self, worker_id: str) -> None:
+        """Let a worker crash, and the list of machines name the next life of its machine."""
+        partition = self.partition
+        partition.fail(worker_id)
+        for _ in range(SILENT_MS // 100):
+            for other in list(partition.state.workers):
+                if other != worker_id and not partition.state.workers[other].is_silent:
+                    partition.answer(other, percent=100.0)
+            partition.tick(100)
+        self.lives += 1
+        del partition.entries[worker_id]
+        partition.entries[f"w{self.lives}"] = make_entry()
+        partition.list_workers()
+        partition.answer(f"w{self.lives}")
+        alive = frozenset(partition.entries)
+        partition.give(LivesListed(**partition.at(), worker_ids=alive))
+
+
+def play(partition: Partition, *steps: StepRequest, turns: int = 12) -> CrashingFleet:
+    """Submit a job whose first task crashes workers, and play some turns."""
+    partition.submit(*steps)
+    fleet = CrashingFleet(partition, crashing=f"{JOB}.0.0.0")
+    for _ in range(turns):
+        fleet.turn()
+    return fleet
+
+
+def test_task_that_crashes_each_worker_is_given_up() -> None:
+    partition = Partition(workers=4)
+    fleet = play(partition, make_step(count=3))
+    assert FEWEST_CRASHES <= fleet.crashes <= 3 + ALLOWED_AFTER_THREE
+    assert partition.job().state is JobState.FAILED
+
+
+def test_tasks_that_go_down_beside_it_are_not_given_up() -> None:
+    """A lasting job and a short one share the workers that crash, and wait at the same moments.
+
+    Started anew beside the task that crashes workers, they go down with it again and again, and
+    would be taken for the cause as well as it.
+    """
+    partition = Partition(workers=3)
+    partition.submit(make_step(count=3, cpu=100, lasts=True), job_id=OTHER_JOB)
+    short = f"{3:016x}"
+    partition.submit(make_step(count=3, cpu=100), job_id=short)
+    play(partition, make_step(count=3))
+    assert partition.job().state is JobState.FAILED
+    assert partition.job(OTHER_JOB).state is JobState.ACTIVE
+    assert partition.job(short).state is JobState.ACTIVE
+    assert all(task.runs for step in partition.job(OTHER_JOB).steps() for task in step.tasks)
+
+
+def test_task_that_has_run_for_a_while_before_each_crash_is_kept() -> None:
+    """A lasting task sees many workers go in its life; none of them because of it."""
+    partition = Partition(workers=3)
+    partition.submit(make_step(cpu=100, lasts=True))
+    fleet = CrashingFleet(partition, crashing="")
+    for _ in range(8):
+        fleet.turn()
+        for _ in range(30):
+            for worker_id in list(partition.state.workers):
+                partition.answer(worker_id, percent=100.0)
+            partition.tick(100)
+        (run,) = partition.job().runs()
+        fleet.crash(run.worker_id)
+    assert partition.job().state is JobState.ACTIVE
--- a/tests/instance/site.py
+++ b/tests/instance/site.py
@@ -36,8 +36,9 @@
 
 
 def work_of(spec: str) -> float | None:
-    """Tell how long a task takes by its spec: `lasts`, or milliseconds as its last word."""
-    return None if spec.startswith("lasts") else float(spec.rsplit(" ", 1)[-1])
+    """Tell how long a task takes by its spec: its last word is `lasts`, or milliseconds."""
+    how_long = spec.rsplit(" ", 1)[-1]
+    return None if how_long == "lasts" else float(how_long)
 
 
 class Site:
