A task that crashes each worker that starts it is given up after three

Callers saw a job that never ended, and other jobs that lost workers under them, one each 1.2 s. Cause: a loss was charged to the worker alone. Owners now count workers that are lost in a row under a task, store the count with its attempts, and show its job as failed after three (four where workers had listed the run). A run that is done, or listed at work for two seconds, clears its task. Why it holds: the count is stored before the next start leaves, so it survives hand-overs. What goes down beside the cause isn't taken for it: from the second crash on a suspect starts where no other job's suspect is, and nothing starts beside it.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -58,6 +58,16 @@
 MAX_SET_ASIDE: Final = 0.34
 """Share of a pool's workers that may be set aside at once: beyond it the jobs are the likelier
 cause, and a pool without workers serves nobody."""
+MAX_SUDDEN_CRASHES: Final = 3
+"""Workers that a task may crash in a row before they listed its run; then its job is given up. Two
+by chance happen where workers go down and up by turns, three hardly ever."""
+MAX_CRASHES: Final = 4
+"""The same for workers that had listed it: each may as well have gone for another reason."""
+APART_CRASHES: Final = 2
+"""From so many crashes in a row on a task gets a worker where nothing else is under suspicion."""
+PROVEN_MS: Final = 2000
+"""A run that its worker has listed for this long doesn't crash it, in milliseconds. Most tasks have
+ended by then; lasting ones outlive many workers that go for reasons of their own."""
 MAX_APPEND_RECORDS: Final = 400
 """Records of one append at the most, which keeps it well below the store's limit in bytes."""
 LIVES_INTERVAL_MS: Final = 600
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -8,12 +8,13 @@
 
 from .building import open_followers
 from .const import GREY_FAILURES
-from .events import CountLoss, Effects, SaveJob
+from .events import CountGivenUp, CountLoss, Effects, SaveJob
 from .jobs import end_job, save_ended, stop_run
 from .models import Job, JobState, LossReason, Run, Task, Worker
 from .pools import find_pool, forget_run, wait_for_room
 from .standing import set_aside
 from .state import PartitionState
+from .suspicion import clear_task, count_crash
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -75,6 +76,7 @@
         if member.is_done:
             continue
         member.is_done = True
+        clear_task(member)
         step.done += 1
         # An earlier run that had seemed lost may have ended as done meanwhile.
         for run in list(member.runs):
@@ -149,6 +151,10 @@
     if job.state.is_final():
         save_ended(job, effects)
         return
+    if count_crash(run, reason):
+        effects.add(CountGivenUp())
+        end_job(state, job, JobState.FAILED, effects)
+        return
     effects.add(SaveJob(job_id=job.id))
     if not task.step.is_done():
         wait_for_room(state, task.step)
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -188,6 +188,11 @@
     reason: LossReason
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CountGivenUp(Effect):
+    """Count a job that was given up since a task of it crashes workers."""
+
+
 @dataclass(kw_only=True, slots=True)
 class Effects:
     """The effects of one event, in order."""
--- a/heatherkeel/dispatch/metrics.py
+++ b/heatherkeel/dispatch/metrics.py
@@ -20,6 +20,12 @@
         for reason in LossReason:
             self.losses.labels(reason.name.lower())
 
+        self.given_up = Counter(
+            "heatherkeel_jobs_given_up",
+            "Jobs that were shown as failed since a task of them crashes workers.",
+            registry=registry,
+        )
+
     def count_loss(self, reason: LossReason) -> None:
         """Count a run that was lost."""
         self.losses.labels(reason.name.lower()).inc()
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -94,6 +94,8 @@
     failed_attempts: set[int] = field(default_factory=set)
     """Attempts that ended as failed; a worker lists an end again to a next owner, and it must not
     count twice."""
+    crashes: int = 0
+    """Workers that were lost in a row under a run that hadn't proved itself."""
     saved: str = ""
     is_done: bool = False
     runs: list[Run] = field(default_factory=list)
@@ -179,6 +181,8 @@
     accepted_wall_ms: int
     state: JobState = JobState.PENDING
     occurrences: dict[int, list[Step]] = field(default_factory=dict)
+    crashes: int = 0
+    """The most workers that were lost in a row under one of its tasks."""
     due_ms: float = 0.0
     """Until when it has to be complete to meet its objective."""
     ended_ms: int | None = None
@@ -228,6 +232,8 @@
     """The highest number of an end that is stored."""
     told: int = 0
     """The highest number of an end that the worker was told to be stored."""
+    suspects: dict[tuple[str, int], Run] = field(default_factory=dict)
+    """Runs of tasks under which a worker was lost, until they have proved themselves."""
     is_listed: bool = True
     is_silent: bool = False
     """The last call to it wasn't answered."""
@@ -281,6 +287,8 @@
         """Take room for a run."""
         step = run.task.step.request
         self.runs[run.key()] = run
+        if run.task.crashes:
+            self.suspects[run.key()] = run
         self.used_cpu += 0 if step.fills else step.cpu
         self.used_memory_mb += step.memory_mb
         self.used_gpu += step.gpu
@@ -289,6 +297,7 @@
         """Free the room of a run."""
         step = run.task.step.request
         del self.runs[run.key()]
+        self.suspects.pop(run.key(), None)
         self.used_cpu -= 0 if step.fills else step.cpu
         self.used_memory_mb -= step.memory_mb
         self.used_gpu -= step.gpu
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -24,6 +24,7 @@
 from .events import (
     AcknowledgeEnds,
     AskAdvice,
+    CountGivenUp,
     CountLoss,
     Effect,
     Effects,
@@ -299,6 +300,8 @@
                 self.nursery.start_soon(self.inquiries.async_ask_advice, effect)
             case CountLoss():
                 self.metrics.count_loss(effect.reason)
+            case CountGivenUp():
+                self.metrics.given_up.inc()
             case AcknowledgeEnds():
                 self.journal.when_stored(lambda: self._acknowledge(effect))
 
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -11,6 +11,7 @@
 from .models import JobState, Run, RunState, Step, Task, Worker
 from .pools import find_pool
 from .state import PartitionState, Pool
+from .suspicion import list_choices
 from .tickets import find_ticketed, needs_advice
 
 
@@ -47,12 +48,13 @@
     if not waiting:
         pool.open_steps.discard(step)
         return True
+    choices = list_choices(step, workers)
     if step.request.is_gang:
-        return _place_gang(state, pool, step, waiting, workers, effects)
+        return _place_gang(state, pool, step, waiting, choices, effects)
     placed = 0
     holders = step.holders()
     for task in waiting:
-        worker = choose_worker(step, workers, holders=holders)
+        worker = _choose_first(step, choices, holders)
         if worker is None:
             break
         _plan_run(task, worker, task.attempt + 1)
@@ -62,18 +64,28 @@
     return placed > 0
 
 
+def _choose_first(step: Step, choices: list[list[Worker]], holders: set[str]) -> Worker | None:
+    """Return the worker for one more task of a step, from the best choice that has one."""
+    for workers in choices:
+        worker = choose_worker(step, workers, holders=holders)
+        if worker is not None:
+            return worker
+    return None
+
+
 def _place_gang(
     state: PartitionState,
     pool: Pool,
     step: Step,
     waiting: list[Task],
-    workers: list[Worker],
+    choices: list[list[Worker]],
     effects: Effects,
 ) -> bool:
     """Start all of a gang's tasks under one attempt, or none: part of a gang only waits."""
     attempt = max(task.attempt for task in waiting) + 1
     saved = max((task.saved for task in waiting), key=len)
-    for group in _gang_groups(step.request, workers):
+    groups = [group for workers in choices for group in _gang_groups(step.request, workers)]
+    for group in groups:
         planned: list[Run] = []
         holders = step.holders()
         for task in waiting:
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -38,6 +38,8 @@
     saved: str
     runs: list[tuple[int, str, bool]]
     """Attempt and worker of each run that may still be there, and whether it is being stopped."""
+    crashes: int = 0
+    """How many workers were lost in a row under it."""
 
 
 class StoredProgress(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -101,6 +103,7 @@
             runs=[
                 (run.attempt, run.worker_id, run.state is RunState.STOPPING) for run in task.runs
             ],
+            crashes=task.crashes,
         )
         for step in job.steps()
         for task in step.tasks
@@ -122,6 +125,8 @@
         task.failed_attempts = set(record.failed_attempts)
         task.saved = record.saved
         task.is_done = record.is_done
+        task.crashes = record.crashes
+        job.crashes = max(job.crashes, task.crashes)
         step.done += record.is_done
         for attempt, worker_id, is_stopping in record.runs:
             # An order that its owner didn't see answered counts as answered here: once the new
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -28,6 +28,7 @@
 from .registry import handles
 from .standing import leave_standing
 from .state import PartitionState
+from .suspicion import take_listed
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -102,6 +103,7 @@
             _stop_unknown(state, worker, row, effects)
         else:
             _update_run(run, row, now_ms)
+            take_listed(worker, run, now_ms, effects)
     for run in list(worker.runs.values()):
         # Its last order was answered before this listing was asked for, and it isn't there:
         # it has ended without a trace, or its start never came.
--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -1,7 +1,9 @@
 """A task crashes every worker that starts it.
 
 Its caller never hears how the job ends. Workers of the pool go down one after the other, each with
-all that it ran: seconds apart, each a few milliseconds after the task was started there.
+all that it ran: seconds apart, each a few milliseconds after the task was started there. A loss was
+charged to the worker alone, and its task waited again as if nothing had been. On a fleet the same
+task was lost 66 times in a row, under owners before and after a hand-over, and never once listed.
 """
 
 from __future__ import annotations
@@ -12,6 +14,7 @@
 from heatherkeel.platform.callers import StepRequest
 
 from .partition import JOB, OTHER_JOB, Partition, make_entry, make_step
+from .test_recovery import take_over
 
 ALLOWED_AFTER_THREE = 2
 """How often a task may be started again after three workers have crashed under it."""
@@ -75,6 +78,29 @@
     assert partition.job().state is JobState.FAILED
 
 
+def test_lasting_task_that_crashes_each_worker_is_given_up() -> None:
+    partition = Partition(workers=4)
+    fleet = play(partition, make_step(count=2, cpu=500, lasts=True))
+    assert FEWEST_CRASHES <= fleet.crashes <= 3 + ALLOWED_AFTER_THREE
+    assert partition.job().state is JobState.FAILED
+
+
+def test_crashes_are_counted_across_a_hand_over() -> None:
+    """Each owner dies after one more worker has crashed; its successor knows what is stored."""
+    partition = Partition(workers=4)
+    partition.submit(make_step())
+    fleet = CrashingFleet(partition, crashing=f"{JOB}.0.0.0")
+    for _ in range(8):
+        fleet.turn()
+        if fleet.partition.job().state is JobState.FAILED:
+            break
+        fleet.partition = take_over(fleet.partition, workers=4)
+        for worker_id in fleet.partition.entries:
+            fleet.partition.list_exactly(worker_id)
+    assert fleet.partition.job().state is JobState.FAILED
+    assert fleet.crashes <= 3 + ALLOWED_AFTER_THREE
+
+
 def test_tasks_that_go_down_beside_it_are_not_given_up() -> None:
     """A lasting job and a short one share the workers that crash, and wait at the same moments.
 
--- a/tests/instance/test_crashing_tasks.py
+++ b/tests/instance/test_crashing_tasks.py
@@ -1,7 +1,8 @@
 """A task crashes every worker that starts it, in real processes and the stand-ins.
 
 The caller asks for the job's state and is told `active` for good; meanwhile the pool's workers
-crash one after the other, and other callers' jobs go down with them.
+crash one after the other, and other callers' jobs go down with them. Owners didn't count workers
+that are lost under a task, so they started it again without end.
 """
 
 from __future__ import annotations
