--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -8,7 +8,7 @@
 from heatherkeel.platform.callers import JobRequest, StepRequest
 from heatherkeel.platform.operator import WorkerEntry
 
-from .const import LAPSE_MARGIN_MS, SLOWEST_CLOCK
+from .const import LAPSE_MARGIN_MS, MAX_SUDDEN_CRASHES, SLOWEST_CLOCK
 
 
 class JobState(StrEnum):
@@ -107,11 +107,15 @@
     def is_waiting(self) -> bool:
         """Say whether the task may be started: nothing of it may still run anywhere.
 
-        Where copies are allowed, a run on a worker that doesn't answer keeps nobody waiting.
+        Where copies are allowed, a run on a worker that doesn't answer keeps nobody waiting. Such a
+        worker may have crashed under it, long before that is known, so it counts as if it had: else
+        copies would crash one worker after the other.
         """
         if self.is_done or not self.runs:
             return not self.is_done
-        return self.step.request.may_copy and all(run.is_doubtful for run in self.runs)
+        if not self.step.request.may_copy or not all(run.is_doubtful for run in self.runs):
+            return False
+        return self.crashes + len(self.runs) < MAX_SUDDEN_CRASHES
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from heatherkeel.dispatch.const import SILENT_MS
+from heatherkeel.dispatch.const import LEASE_MS, SILENT_MS
 from heatherkeel.dispatch.events import LivesListed
 from heatherkeel.dispatch.models import JobState, Run
 from heatherkeel.platform.callers import StepRequest
@@ -132,3 +132,21 @@
         (run,) = partition.job().runs()
         fleet.crash(run.worker_id)
     assert partition.job().state is JobState.ACTIVE
+
+
+def test_copies_beside_silent_workers_are_bounded_too() -> None:
+    """A task that may be copied starts elsewhere as soon as its worker doesn't answer.
+
+    Long before the first worker is known to have crashed, its copies have crashed the next ones.
+    """
+    partition = Partition(workers=10)
+    for worker in partition.state.workers.values():
+        worker.lease_until_ms = partition.now_ms + 500_000 + LEASE_MS
+    partition.submit(make_step(may_copy=True))
+    started = 0
+    for _ in range(10):
+        for run in partition.start_all():
+            started += 1
+            partition.fail(run.worker_id)
+        partition.tick(100)
+    assert started <= 3 + ALLOWED_AFTER_THREE
