Planned starts that a shrunk room no longer holds are taken back

A start waits until its attempt is stored, for seconds on a slow store. A worker whose room shrinks meanwhile doesn't guard it and would start the task all the same: every task there gets slower, and the platform's limit is broken. When an entry tells of less room, planned starts are taken back, the latest first, and go elsewhere; a gang as a whole. What was sent stays. Test red before: both planned starts left.

--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -274,6 +274,15 @@
             and now_ms >= self.aside_until_ms
         )
 
+    def is_overfull(self) -> bool:
+        """Say whether its runs take more than the room that its entry tells."""
+        capacity = self.entry.capacity
+        return (
+            self.used_cpu > capacity.cpu
+            or self.used_memory_mb > capacity.memory_mb
+            or self.used_gpu > capacity.gpu
+        )
+
     def free_cpu(self) -> int:
         """Return the processor that nothing has taken, in thousandths of a core."""
         return self.entry.capacity.cpu - self.used_cpu
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -26,6 +26,7 @@
 from .pacing import pace_worker
 from .pools import find_pool, wait_for_room
 from .registry import handles
+from .rooms import fit_planned
 from .standing import leave_standing
 from .state import PartitionState
 from .suspicion import take_listed
@@ -47,6 +48,7 @@
         else:
             worker.entry = entry
             worker.is_listed = True
+            fit_planned(state, worker, effects)
         effects.touch(entry.service)
     for worker in state.workers.values():
         if worker.id not in event.entries and worker.is_listed:
--- a/tests/dispatch/partition.py
+++ b/tests/dispatch/partition.py
@@ -149,9 +149,11 @@
             run.answered_ms = None
         return self.answer(run.worker_id)
 
-    def start_answered(self, run: Run, failure: Failure | None = None) -> list[Effect]:
+    def start_answered(
+        self, run: Run, failure: Failure | None = None, *, detail: str = ""
+    ) -> list[Effect]:
         """Let a start be answered, or its time run out."""
-        error = CallError(failure=failure) if failure else None
+        error = CallError(failure=failure, detail=detail) if failure else None
         return self.give(StartAnswered(**self.at(), run=run, error=error))
 
     def start_all(self) -> list[Run]:
--- /dev/null
+++ b/tests/dispatch/test_shrinking_room.py
@@ -0,0 +1,44 @@
+"""A worker's room shrinks while it runs, and its entry says so a little later.
+
+Workers that don't guard their room start whatever they are told to, so a start that comes after the
+shrinking puts them over it, and all tasks there suffer. What was planned by the older entry must
+not leave any more.
+"""
+
+from __future__ import annotations
+
+from heatherkeel.dispatch.models import RunState
+
+from .partition import OTHER_JOB, Partition, make_entry, make_step, started
+
+
+def shrink(partition: Partition, worker_id: str, cpu: int) -> None:
+    """Let a worker's entry say that it has less room."""
+    partition.entries[worker_id] = make_entry(cpu=cpu)
+    partition.list_workers()
+
+
+def test_planned_start_that_no_longer_fits_goes_elsewhere() -> None:
+    """A start waits until it is stored; meanwhile the worker's entry tells of less room."""
+    partition = Partition(workers=2, cpu=4000)
+    planned = started(partition.submit(make_step(count=2, cpu=2000)))
+    (worker_id,) = {run.worker_id for run in planned}
+    partition.effects.clear()
+    shrink(partition, worker_id, 2000)
+    kept = [run for run in planned if run in run.task.runs]
+    assert len(kept) == 1
+    (moved,) = started(partition.effects)
+    assert moved.worker_id != worker_id
+
+
+def test_what_runs_stays_when_its_room_shrinks_and_nothing_joins_it() -> None:
+    partition = Partition(workers=1, cpu=4000)
+    partition.submit(make_step(count=2, cpu=2000))
+    runs = partition.start_all()
+    shrink(partition, "w0", 1000)
+    assert all(run.state is RunState.RUNNING for run in runs)
+    assert not started(partition.submit(make_step(cpu=100), job_id=OTHER_JOB))
+    partition.end(runs[0])
+    assert not started(partition.effects)
+    partition.end(runs[1])
+    assert started(partition.effects)
