A worker that refuses a start for want of room, or as invalid, isn't asked again at once

Its room has shrunk and its entry doesn't say so yet, or it can't read the order: the emptiest of its pool, it got the same start with a new attempt every few milliseconds, each stored and priced. It gets nothing for 400 ms, or until a run of its own ends. Test: 10 refusals in 200 ms before, 1 after; red before the change.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -68,6 +68,9 @@
 PROVEN_MS: Final = 2000
 """A run that its worker has listed for this long doesn't crash it, in milliseconds. Most tasks have
 ended by then; lasting ones outlive many workers that go for reasons of their own."""
+FULL_PAUSE_MS: Final = 400
+"""How long a worker that had no room for a start gets no more, in milliseconds, unless a run of its
+own ends. Its entry tells of a smaller room after a second or two."""
 MAX_APPEND_RECORDS: Final = 400
 """Records of one append at the most, which keeps it well below the store's limit in bytes."""
 LIVES_INTERVAL_MS: Final = 600
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -37,6 +37,7 @@
     task = run.task if run is not None else find_task(state, ended.task)
     if run is not None:
         forget_run(state, run)
+        worker.full_until_ms = 0
         effects.touch(run.task.step.job.service)
     if task is None:
         return
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -251,6 +251,8 @@
     failed_jobs: list[str] = field(default_factory=list)
     """Jobs whose tasks failed there since the last one that didn't."""
     aside_until_ms: int = 0
+    full_until_ms: int = 0
+    """Until when it gets no more, since it had no room for a start that seemed to fit."""
 
     def is_ready(self) -> bool:
         """Say whether our token is known there, and what runs is known here."""
@@ -271,7 +273,7 @@
             and not self.is_silent
             and not self.is_leaving
             and not self.entry.is_draining()
-            and now_ms >= self.aside_until_ms
+            and now_ms >= max(self.aside_until_ms, self.full_until_ms)
         )
 
     def is_overfull(self) -> bool:
--- a/heatherkeel/dispatch/orders.py
+++ b/heatherkeel/dispatch/orders.py
@@ -4,8 +4,9 @@
 
 import logging
 
-from heatherkeel.platform.errors import Failure
+from heatherkeel.platform.errors import CallError, Failure
 
+from .const import FULL_PAUSE_MS
 from .ends import lose_run
 from .events import Effects, StartAnswered, StopAnswered, StopTask
 from .jobs import stop_run
@@ -18,6 +19,8 @@
 
 NO_TICKET = "ticket"
 """Why a worker refuses a start whose ticket is missing, or not good any more."""
+NO_ROOM = "room"
+"""Why a worker that guards its room refuses a start that doesn't fit."""
 _NOT_REACHED = frozenset({Failure.REFUSED, Failure.UNKNOWN})
 _NOT_DONE = frozenset(
     {Failure.REFUSED, Failure.INVALID, Failure.RESERVED, Failure.OTHER_INSTANCE, Failure.FENCED}
@@ -59,6 +62,10 @@
     if worker is not None and event.error.failure in _NOT_REACHED:
         # The emptiest worker of a pool would be tried again at once, and again.
         fall_silent(state, worker, effects, detail=event.error.detail)
+    if worker is not None and _is_refused_for_good(event.error):
+        # Its room has shrunk, and its entry doesn't say so yet, or it can't read the order. Still
+        # the emptiest of its pool, it would be sent the same start every few milliseconds.
+        worker.full_until_ms = state.now_ms + FULL_PAUSE_MS
     if event.error.detail == NO_TICKET:
         run.task.step.tickets.pop(run.worker_id, None)
     if event.error.failure in _NOT_DONE and run.state is not RunState.STOPPING:
@@ -73,6 +80,11 @@
         stop_run(state, run, effects)
 
 
+def _is_refused_for_good(error: CallError) -> bool:
+    """Say whether the same start would be refused again for some time."""
+    return error.detail == NO_ROOM or error.failure is Failure.INVALID
+
+
 @handles(StopAnswered)
 def take_stop_answer(state: PartitionState, event: StopAnswered, effects: Effects) -> None:
     """Take in how a stop went; one without an answer is sent again while the worker lives."""
--- a/heatherkeel/dispatch/rooms.py
+++ b/heatherkeel/dispatch/rooms.py
@@ -12,9 +12,9 @@
 def fit_planned(state: PartitionState, worker: Worker, effects: Effects) -> None:
     """Take back planned starts, the latest first, until a worker's room holds the rest.
 
-    A start waits until it is stored, for seconds where the store is slow. Workers don't guard their
-    room, so one that has shrunk meanwhile would start it all the same, and all that runs there would
-    suffer. What has been sent can't be taken back.
+    A start waits until it is stored, for seconds where the store is slow. Workers may not guard
+    their room, so one that has shrunk meanwhile would start it all the same, and all that runs
+    there would suffer. What has been sent can't be taken back.
     """
     for run in reversed(list(worker.runs.values())):
         if not worker.is_overfull():
--- a/tests/dispatch/test_shrinking_room.py
+++ b/tests/dispatch/test_shrinking_room.py
@@ -7,7 +7,10 @@
 
 from __future__ import annotations
 
+import pytest
+
 from heatherkeel.dispatch.models import RunState
+from heatherkeel.platform.errors import Failure
 
 from .partition import OTHER_JOB, Partition, make_entry, make_step, started
 
@@ -42,3 +45,25 @@
     assert not started(partition.effects)
     partition.end(runs[1])
     assert started(partition.effects)
+
+
+@pytest.mark.parametrize("refusal", [(Failure.RESERVED, "room"), (Failure.INVALID, "")])
+def test_worker_that_refuses_a_start_is_not_asked_again_at_once(
+    refusal: tuple[Failure, str],
+) -> None:
+    """A worker that guards its room has shrunk, and its entry doesn't say so yet.
+
+    It stays the emptiest of its pool, so each refused start went back to it, one every few
+    milliseconds.
+    """
+    partition = Partition(workers=1)
+    partition.submit(make_step())
+    refusals = 0
+    for _ in range(10):
+        for run in started(partition.effects):
+            if run not in run.task.runs:
+                continue
+            refusals += 1
+            partition.start_answered(run, refusal[0], detail=refusal[1])
+        partition.tick(20)
+    assert refusals == 1
