Nothing starts on a worker whose entry is too old to tell its room

A worker that can't write its entry, or whose entries this process can't read, may have shrunk unheard, and it doesn't guard its room. After the platform's window and a heartbeat, less 500 ms, its entry counts as outdated: nothing starts there, and what is planned goes elsewhere, until its next entry.

--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -10,6 +10,7 @@
 import trio
 from result import Err
 
+from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.ownership.partitions import Layout
 from heatherkeel.platform.const import CONFIG_KEY, CONFIG_TOPIC, WAVE_PREFIX, WORKERS_TOPIC
 from heatherkeel.platform.framing import KeyedRecord
@@ -52,6 +53,8 @@
     services: dict[str, Service] = field(default_factory=dict)
     waves: dict[int, Wave] = field(default_factory=dict)
     workers: dict[str, WorkerEntry] = field(default_factory=dict)
+    heard_ms: dict[str, int] = field(default_factory=dict)
+    """When each worker's entry was read last, on the steady clock."""
     layout: Layout = field(default_factory=Layout)
     """How services are shared out among partitions; empty until the fleet's owner has told."""
 
@@ -195,6 +198,7 @@
         known = self.state.workers.get(record.key)
         if not record.value:
             self.state.workers.pop(record.key, None)
+            self.state.heard_ms.pop(record.key, None)
             self.unreadable.pop(record.key, None)
             return known is not None
         decoded = decode_worker(record.value)
@@ -203,6 +207,7 @@
             return known is not None
         self.unreadable.pop(record.key, None)
         self.state.workers[record.key] = decoded.ok_value
+        self.state.heard_ms[record.key] = monotonic_ms()
         return decoded.ok_value != known
 
     def _leave_out(self, worker_id: str, detail: str) -> None:
@@ -211,6 +216,7 @@
         What it runs goes on under its lease. It is told once, and not with each heartbeat.
         """
         self.state.workers.pop(worker_id, None)
+        self.state.heard_ms.pop(worker_id, None)
         if self.unreadable.get(worker_id) == detail:
             return
         self.unreadable[worker_id] = detail
@@ -221,7 +227,7 @@
 
     def _keep_workers(self, keys: set[str]) -> None:
         before = len(self.state.workers)
-        for known in (self.state.workers, self.unreadable):
+        for known in (self.state.workers, self.state.heard_ms, self.unreadable):
             for worker_id in known.keys() - keys:
                 del known[worker_id]
         if len(self.state.workers) != before:
--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -71,6 +71,9 @@
 FULL_PAUSE_MS: Final = 400
 """How long a worker that had no room for a start gets no more, in milliseconds, unless a run of its
 own ends. Its entry tells of a smaller room after a second or two."""
+ENTRY_MARGIN_MS: Final = 500
+"""How much sooner than the platform's word an entry counts as outdated, in milliseconds: readings
+of entries are up to 250 ms apart, and a start takes some time to arrive."""
 MAX_APPEND_RECORDS: Final = 400
 """Records of one append at the most, which keeps it well below the store's limit in bytes."""
 LIVES_INTERVAL_MS: Final = 600
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -120,6 +120,8 @@
 
     can_start: bool = True
     """Starts can be stored and sent, so what is stopped here can go on elsewhere."""
+    outdated: frozenset[str] = frozenset()
+    """Workers whose entries were read too long ago to tell their room."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -246,6 +246,8 @@
     """Its machine is about to be moved or maintained."""
     paced_ms: int = 0
     """When the pace of its filling tasks was last looked at."""
+    is_outdated: bool = False
+    """Its entry was read too long ago to tell its room."""
     is_due: bool = False
     """Its machine is to be maintained later."""
     failed_jobs: list[str] = field(default_factory=list)
@@ -272,6 +274,7 @@
             and self.is_listed
             and not self.is_silent
             and not self.is_leaving
+            and not self.is_outdated
             and not self.entry.is_draining()
             and now_ms >= max(self.aside_until_ms, self.full_until_ms)
         )
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -19,7 +19,7 @@
 from heatherkeel.platform.store import StoreClient
 
 from . import subjects  # noqa: F401
-from .const import CURRENT_MS, FOLLOW_WAIT_MS, LEASE_MS, TICK_MS
+from .const import CURRENT_MS, ENTRY_MARGIN_MS, FOLLOW_WAIT_MS, LEASE_MS, TICK_MS
 from .dropping import RequestDropper
 from .events import (
     AcknowledgeEnds,
@@ -85,6 +85,10 @@
             lease_ms=min(LEASE_MS, settings.bounds.longest_lease_ms),
             status_ms=round(settings.bounds.status_s * 1000),
         )
+        self.entry_age_ms = (
+            settings.bounds.stable_window_ms + settings.heartbeat_ms - ENTRY_MARGIN_MS
+        )
+        """How old a worker's entry may be for starts, in milliseconds."""
         self.journal = Journal(store=store, partition=partition, token=token, on_fenced=on_fenced)
         self.sessions: dict[str, WorkerSession] = {}
         self.unsent: dict[str, list[Effect]] = {}
@@ -280,9 +284,21 @@
             await trio.sleep(TICK_MS / 1000)
             now_ms, wall_ms = self.times()
             can_start = self.may_order() and self.journal.connected
-            self.take(Tick(now_ms=now_ms, wall_ms=wall_ms, can_start=can_start))
+            outdated = self._find_outdated(now_ms)
+            tick = Tick(now_ms=now_ms, wall_ms=wall_ms, can_start=can_start, outdated=outdated)
+            self.take(tick)
             self._open_sessions()
 
+    def _find_outdated(self, now_ms: int) -> frozenset[str]:
+        """Return the workers whose rooms may have shrunk so long ago that it counts by now."""
+        since_ms = now_ms - self.entry_age_ms
+        heard_ms = self.directory.state.heard_ms
+        return frozenset(
+            worker_id
+            for worker_id in self.state.workers
+            if heard_ms.get(worker_id, now_ms) < since_ms
+        )
+
     def _perform(self, effect: Effect) -> None:
         match effect:
             case SaveJob():
--- a/heatherkeel/dispatch/rooms.py
+++ b/heatherkeel/dispatch/rooms.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import logging
+
 from .events import Effects, SaveJob
 from .jobs import stop_run
 from .models import Run, RunState, Worker
 from .pools import wait_for_room
 from .state import PartitionState
 
+_LOGGER = logging.getLogger(__name__)
+
 
 def fit_planned(state: PartitionState, worker: Worker, effects: Effects) -> None:
     """Take back planned starts, the latest first, until a worker's room holds the rest.
@@ -23,6 +27,33 @@
             take_back(state, run, effects)
 
 
+def take_outdated(state: PartitionState, outdated: frozenset[str], effects: Effects) -> None:
+    """Start nothing on workers whose room may have shrunk unheard, and nothing that is planned.
+
+    While their entries can't be read, or they can't write them, a start may come long after they
+    have shrunk. Their runs go on, and they take work again with their next entry.
+    """
+    for worker in state.workers.values():
+        is_outdated = worker.id in outdated
+        if is_outdated == worker.is_outdated:
+            continue
+        worker.is_outdated = is_outdated
+        _LOGGER.info(
+            "a worker's room is %sknown",
+            "not " if is_outdated else "",
+            extra={"event": "worker_outdated", "worker": worker.id, "outdated": is_outdated},
+        )
+        effects.touch(worker.entry.service)
+        if is_outdated:
+            _take_back_planned(state, worker, effects)
+
+
+def _take_back_planned(state: PartitionState, worker: Worker, effects: Effects) -> None:
+    for run in list(worker.runs.values()):
+        if run.state is RunState.PLANNED:
+            take_back(state, run, effects)
+
+
 def take_back(state: PartitionState, run: Run, effects: Effects) -> None:
     """Take back a planned start; a gang starts whole or not at all."""
     step = run.task.step
--- a/heatherkeel/dispatch/ticks.py
+++ b/heatherkeel/dispatch/ticks.py
@@ -7,6 +7,7 @@
 from .jobs import begin_due_occurrences
 from .lasting import leave_workers
 from .registry import handles
+from .rooms import take_outdated
 from .state import PartitionState
 from .workers import drop_if_lapsed
 
@@ -15,6 +16,7 @@
 def take_tick(state: PartitionState, event: Tick, effects: Effects) -> None:
     """Begin what is due, give up workers whose leases have lapsed, forget old jobs."""
     state.can_start = event.can_start
+    take_outdated(state, event.outdated, effects)
     _end_leaving(state, effects)
     for job in state.jobs.values():
         if job.request.repeat_count:
--- a/heatherkeel/platform/settings.py
+++ b/heatherkeel/platform/settings.py
@@ -25,6 +25,8 @@
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
     """Times that the platform promises or asks for, as far as anything depends on them."""
 
+    stable_window_ms: int = msgspec.field(name="stableWindowMs", default=3000)
+    """A worker's room that has shrunk counts so long, and a heartbeat, after that."""
     longest_lease_ms: int = msgspec.field(name="holdMaxMs", default=6000)
     machine_lease_ms: int = msgspec.field(name="leaseMs", default=3000)
     """Two holders may not take turns at one machine within this time."""
@@ -63,6 +65,8 @@
     ip: str
     zone: str
     internal_ports: tuple[Port, Port] = msgspec.field(name="internalPortRange")
+    heartbeat_ms: Annotated[int, Meta(gt=0)] = msgspec.field(name="heartbeatMs", default=1500)
+    """How often workers write their entries, about."""
     listen: ListenAddresses = msgspec.field(name="listenAddrs")
     limits: Limits = msgspec.field(default_factory=Limits)
     bounds: Bounds = msgspec.field(default_factory=Bounds)
--- a/heatherkeel/standins/users_platform.py
+++ b/heatherkeel/standins/users_platform.py
@@ -66,6 +66,8 @@
     lose_starts: int = 0
     """So many of the next starts are not answered, and carried out late."""
     late_start_s: float = 0.5
+    entries_silent: bool = False
+    """Workers can't write their entries."""
     lose_listings: int = 0
     """So many of the next listings that wait for an end are never answered."""
 
@@ -181,7 +183,8 @@
                 machine.worker.look()
                 if machine.worker.has_crashed:
                     await self._async_crash(machine)
-            if turn % round(HEARTBEAT_S / LOOK_S) == 0:
+            is_due = turn % round(HEARTBEAT_S / LOOK_S) == 0
+            if is_due and not self.faults.entries_silent:
                 self._write_entries(turn)
             await trio.sleep(LOOK_S)
 
--- a/tests/dispatch/test_shrinking_room.py
+++ b/tests/dispatch/test_shrinking_room.py
@@ -1,14 +1,15 @@
 """A worker's room shrinks while it runs, and its entry says so a little later.
 
 Workers that don't guard their room start whatever they are told to, so a start that comes after the
-shrinking puts them over it, and all tasks there suffer. What was planned by the older entry must
-not leave any more.
+shrinking puts them over it, and all tasks there suffer. What was planned by the older entry, or is
+planned while entries can't be read, must not leave any more.
 """
 
 from __future__ import annotations
 
 import pytest
 
+from heatherkeel.dispatch.events import Tick
 from heatherkeel.dispatch.models import RunState
 from heatherkeel.platform.errors import Failure
 
@@ -47,6 +48,19 @@
     assert started(partition.effects)
 
 
+def test_nothing_starts_where_the_room_is_not_known_any_more() -> None:
+    """A worker's entry hasn't been read for so long that its room may have shrunk unheard."""
+    partition = Partition(workers=2)
+    (run,) = started(partition.submit(make_step()))
+    partition.effects.clear()
+    everyone = frozenset(partition.entries)
+    partition.give(Tick(**partition.at(), outdated=everyone))
+    assert partition.state.workers[run.worker_id].is_outdated
+    assert not started(partition.submit(make_step(), job_id=OTHER_JOB))
+    partition.give(Tick(**partition.at(), outdated=frozenset()))
+    assert started(partition.effects)
+
+
 @pytest.mark.parametrize("refusal", [(Failure.RESERVED, "room"), (Failure.INVALID, "")])
 def test_worker_that_refuses_a_start_is_not_asked_again_at_once(
     refusal: tuple[Failure, str],
