A job can't take up the memory of one owner after the other

Only the tasks of one step were bounded, so a request of 262 kB could ask for 300 million of them, and a repeated job that is due began all of its occurrences at once. A job now has 1,000 steps and 20,000 tasks at the most (400 with the reason), occurrences begin while fewer than 20,000 tasks of the job are open, and a name in a worker's listing that is none is passed over instead of ending the process. Tests red before the change.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -74,6 +74,9 @@
 ENTRY_MARGIN_MS: Final = 500
 """How much sooner than the platform's word an entry counts as outdated, in milliseconds: readings
 of entries are up to 250 ms apart, and a start takes some time to arrive."""
+MAX_OPEN_TASKS: Final = 20_000
+"""Tasks of a repeated job's occurrences that are in progress at once. All that is due may be more
+than the memory of its owner's process holds, and of each that takes the partition over."""
 MAX_APPEND_RECORDS: Final = 400
 """Records of one append at the most, which keeps it well below the store's limit in bytes."""
 LIVES_INTERVAL_MS: Final = 600
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -22,13 +22,16 @@
 
 
 def find_task(state: PartitionState, name: str) -> Task | None:
-    """Return the task of a name that a worker told; None if its job isn't known here."""
-    job_id, occurrence, step, index = name.rsplit(".", 3)
+    """Return the task of a name that a worker told; None if it isn't known here, or is none."""
+    job_id, *places = name.rsplit(".", 3)
     job = state.find_job(job_id)
-    steps = job.occurrences.get(int(occurrence)) if job else None
-    if steps is None or int(step) >= len(steps) or int(index) >= len(steps[int(step)].tasks):
+    if job is None or len(places) != 3 or not all(place.isdecimal() for place in places):
         return None
-    return steps[int(step)].tasks[int(index)]
+    occurrence, step, index = map(int, places)
+    steps = job.occurrences.get(occurrence, [])
+    if step >= len(steps) or index >= len(steps[step].tasks):
+        return None
+    return steps[step].tasks[index]
 
 
 def take_end(state: PartitionState, worker: Worker, ended: EndedTask, effects: Effects) -> None:
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -5,6 +5,7 @@
 import logging
 
 from .building import begin_occurrence, occurrence_begins_wall_ms, set_objective
+from .const import MAX_OPEN_TASKS
 from .events import (
     Effects,
     ForgetJob,
@@ -65,7 +66,11 @@
 
 
 def begin_due_occurrences(state: PartitionState, job: Job, effects: Effects) -> None:
-    """Begin each occurrence whose time has come; a job without times begins at once."""
+    """Begin each occurrence whose time has come; a job without times begins at once.
+
+    Of more than can be in progress at once the rest is held back until earlier ones are done.
+    """
+    open_tasks: int | None = None
     while len(job.occurrences) < job.expected_occurrences():
         number = len(job.occurrences)
         begins_ms = float(job.accepted_ms)
@@ -74,11 +79,20 @@
             if late_ms < 0:
                 return
             begins_ms = float(state.now_ms - late_ms)
+        if open_tasks is None:
+            open_tasks = _count_open_tasks(job)
+        if open_tasks >= MAX_OPEN_TASKS:
+            return
         for step in begin_occurrence(job, number, begins_ms=begins_ms):
+            open_tasks += len(step.tasks)
             wait_for_room(state, step)
         effects.touch(job.service)
 
 
+def _count_open_tasks(job: Job) -> int:
+    return sum(len(step.tasks) for step in job.steps() if not step.is_done())
+
+
 @handles(JobCanceled)
 def cancel_job(state: PartitionState, event: JobCanceled, effects: Effects) -> None:
     """Start nothing more of a job, and stop what runs."""
--- a/heatherkeel/platform/callers.py
+++ b/heatherkeel/platform/callers.py
@@ -8,8 +8,11 @@
 from result import Err, Ok, Result
 
 MAX_SPEC_BYTES: Final = 4000
+MAX_STEPS: Final = 1_000
+"""Steps of one job at the most: each that is done is looked for in all others."""
 MAX_TASKS: Final = 20_000
-"""Tasks of one step at the most: beyond it one request would take up the owner's memory."""
+"""Tasks of one job at the most, repetitions apart. Beyond it one request would take up the memory
+of its owner's process, and then that of each process that takes the partition over."""
 
 
 class StepRequest(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -62,6 +65,8 @@
 def _find_fault(job: JobRequest) -> str | None:
     if not job.steps:
         return "a job needs at least one step"
+    if len(job.steps) > MAX_STEPS:
+        return f"a job may have {MAX_STEPS} steps"
     if len(job.spec.encode()) > MAX_SPEC_BYTES:
         return f"spec is longer than {MAX_SPEC_BYTES} bytes"
     for number, step in enumerate(job.steps):
@@ -71,6 +76,8 @@
             return f"steps[{number}].dependsOn may name earlier steps only"
         if min(step.cpu, step.memory_mb, step.gpu, step.estimated_ms) < 0:
             return f"steps[{number}] has a negative amount"
+    if sum(step.count for step in job.steps) > MAX_TASKS:
+        return f"a job may have {MAX_TASKS} tasks"
     return None
 
 
--- a/tests/platform/test_borders.py
+++ b/tests/platform/test_borders.py
@@ -135,6 +135,8 @@
         ({"steps": [{"count": 0}]}, "steps[0].count"),
         ({"steps": [{"count": 1, "dependsOn": [0]}]}, "earlier steps only"),
         ({"steps": [{"count": 1, "cpu": -1}]}, "negative amount"),
+        ({"steps": [{"count": 20_000}, {"count": 1}]}, "20000 tasks"),
+        ({"steps": [{"count": 1}] * 1001}, "1000 steps"),
         ({"spec": "x" * 4001, "steps": [{"count": 1}]}, "longer than 4000 bytes"),
         ({"steps": [{"count": "one"}]}, "Expected `int`"),
     ],
