--- a/tests/dispatch/test_machine.py
+++ b/tests/dispatch/test_machine.py
@@ -2,7 +2,8 @@
 
 The reducer's effects are carried out one by one, or lost with their owner. Orders are answered, or
 not; carried out, or not, or later; workers end tasks, fall silent, die and lose their leases. What
-real workers do is checked, not what the owner believes.
+real workers do is checked, not what the owner believes. One job's first task crashes each worker
+that starts it, and workers' rooms shrink and grow: one counts as soon as its entry tells of it.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from heatherkeel.dispatch.const import SILENT_MS
 from heatherkeel.dispatch.events import (
     AcknowledgeEnds,
     Effect,
@@ -45,6 +47,10 @@
 LEASE_MS = 6000
 CPU = 4000
 TASK_CPU = 2000
+CRASHING = f"{2:016x}.0.0.0"
+"""The task that crashes workers, of the second job."""
+MOST_CRASHES = 5
+"""Three workers may crash under a task, and it may be started twice more after that."""
 
 
 @dataclass
@@ -58,6 +64,7 @@
     refused: dict[str, int] = field(default_factory=dict)
     ended: list[EndedTask] = field(default_factory=list)
     numbers: int = 0
+    cpu: int = CPU
     is_alive: bool = True
 
     def start(self, task: str, attempt: int, token: int, until_ms: int, now_ms: int) -> str:
@@ -128,6 +135,7 @@
         self.late: list[LateOrder] = []
         self.noted: set[str] = set()
         self.jobs = 0
+        self.crashes = 0
         for _ in range(2):
             self._add_worker()
         self._list()
@@ -180,6 +188,7 @@
                     self.perform("done")
             for number in range(len(self.partition.state.workers)):
                 self.hold(number, False)
+            self.find_dead_workers()
 
     @precondition(lambda self: self.waiting)
     @rule(fate=st.sampled_from(["done", "unanswered", "lost", "late"]))
@@ -266,7 +275,10 @@
         if not reason and not was_running:
             assert order.task not in self.noted, f"{order.task} starts after its end was noted"
             self.no_task_runs_twice()
-            self.no_worker_is_over_its_room()
+            assert len(worker.runs) * TASK_CPU <= worker.cpu, worker
+            if order.task == CRASHING:
+                self.crashes += 1
+                self._kill(worker)
         return reason
 
     def _clock(self) -> int:
@@ -341,7 +353,18 @@
     def kill_worker(self, number: int) -> None:
         """A worker dies with all that it ran, and a new life begins on its machine."""
         alive = [worker for worker in self.workers.values() if worker.is_alive]
+        self._kill(alive[number % len(alive)])
+
+    @rule(number=st.integers(0, 1), cpu=st.sampled_from([0, TASK_CPU, CPU]))
+    def resize_worker(self, number: int, cpu: int) -> None:
+        """A worker's room changes, and its entry tells of it."""
+        alive = [worker for worker in self.workers.values() if worker.is_alive]
         worker = alive[number % len(alive)]
+        worker.cpu = cpu
+        self.partition.entries[worker.id] = make_entry(cpu=cpu)
+        self._list()
+
+    def _kill(self, worker: RealWorker) -> None:
         worker.is_alive = False
         worker.runs.clear()
         worker.ended.clear()
@@ -355,6 +378,18 @@
         alive = frozenset(worker.id for worker in self.workers.values() if worker.is_alive)
         self._collect(self.partition.give(LivesListed(**self.partition.at(), worker_ids=alive)))
 
+    @rule()
+    def find_dead_workers(self) -> None:
+        """Dead workers don't answer, and the list of machines doesn't name them any more."""
+        dead = [worker for worker in self.workers.values() if not worker.is_alive]
+        known = [worker for worker in dead if worker.id in self.partition.state.workers]
+        if not known:
+            return
+        for worker in known:
+            self._collect(self.partition.fail(worker.id))
+        self.pass_time(SILENT_MS)
+        self.list_lives()
+
     @precondition(lambda self: self.jobs)
     @rule()
     def take_over(self) -> None:
@@ -392,11 +427,16 @@
         assert len(running) == len(set(running)), running
 
     @invariant()
-    def no_worker_is_over_its_room(self) -> None:
-        """No worker runs more than it has room for."""
+    def no_worker_is_over_its_largest_room(self) -> None:
+        """No worker runs more than it ever had room for."""
         for worker in self.everyone:
             assert len(worker.runs) * TASK_CPU <= CPU, worker
 
+    @invariant()
+    def crashing_task_is_given_up(self) -> None:
+        """A task that crashes its workers takes down a bounded number of them."""
+        assert self.crashes <= MOST_CRASHES
+
     @invariant()
     def complete_means_done(self) -> None:
         """A job is complete only when each of its tasks is done."""
