What has run for long before its worker goes isn't suspected

A lasting task that had been at work for 40 s when a short one crashed its worker was charged with that crash, and with two more beside the same task would have been given up. Lasting tasks under a single suspicion share workers as before: apart they would pin more machines. Two tests, red before the change.

--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -71,6 +71,8 @@
     percent: float = 0.0
     listed_since_ms: int = 0
     """When its worker listed it first; 0 if it never did."""
+    is_proven: bool = False
+    """It has been listed at work for so long that it isn't what would crash its worker."""
     moved_ms: int = 0
     """When its percent was first seen, or changed last."""
     figure: float = 0.0
--- a/heatherkeel/dispatch/suspicion.py
+++ b/heatherkeel/dispatch/suspicion.py
@@ -34,7 +34,7 @@
     The count is stored with the attempts before the next start leaves, so a next owner goes on
     from it.
     """
-    if reason not in _WITH_ITS_WORKER or run.state is RunState.PLANNED:
+    if reason not in _WITH_ITS_WORKER or run.state is RunState.PLANNED or run.is_proven:
         return False
     task = run.task
     job = task.step.job
@@ -71,12 +71,13 @@
 
     One that stands still has proved nothing, but doesn't keep others off its worker for good.
     """
-    if not run.task.crashes or now_ms - run.listed_since_ms < PROVEN_MS:
+    if run.is_proven or now_ms - run.listed_since_ms < PROVEN_MS:
         return
     job = run.task.step.job
     if worker.suspects.pop(run.key(), None) is not None:
         effects.touch(job.service)
-    if run.percent > 0:
+    run.is_proven = run.percent > 0
+    if run.is_proven and run.task.crashes:
         clear_task(run.task)
         effects.add(SaveJob(job_id=job.id))
 
@@ -86,13 +87,16 @@
 
     A worker with a task that is suspected by more than one crash is closed to all other jobs: what
     started there would go down with it, and be suspected as much. One with a task that is suspected
-    by a single crash, as all are that were lost with a rack, is only avoided. A suspect itself goes
-    where it takes no lasting tasks of others along.
+    by a single crash, as all are that were lost with a rack, is only avoided; not by lasting tasks,
+    which would keep so many more machines from being sent away. A suspect itself goes where it
+    takes no lasting tasks of others along.
     """
     job = step.job
     if not job.crashes and not any(worker.suspects for worker in workers):
         return [workers]
     open_to_it = [worker for worker in workers if _most_crashes(worker, job) < APART_CRASHES]
+    if step.request.lasts and job.crashes < APART_CRASHES:
+        return [open_to_it]
     calm = [worker for worker in open_to_it if not _most_crashes(worker, job)]
     choices = [calm, open_to_it]
     if job.crashes:
--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from heatherkeel.dispatch.const import LEASE_MS, SILENT_MS
+from heatherkeel.dispatch.const import LEASE_MS, PROVEN_MS, SILENT_MS
 from heatherkeel.dispatch.events import LivesListed
 from heatherkeel.dispatch.models import JobState, Run
 from heatherkeel.platform.callers import StepRequest
@@ -134,6 +134,30 @@
     assert partition.job().state is JobState.ACTIVE
 
 
+def test_lasting_tasks_that_were_lost_together_share_few_workers_again() -> None:
+    """A rack goes down with two lasting jobs; each machine that has one can't be sent away."""
+    partition = Partition(workers=3)
+    partition.submit(make_step(cpu=100, lasts=True))
+    partition.submit(make_step(cpu=100, lasts=True), job_id=OTHER_JOB)
+    first, second = partition.start_all()
+    assert first.worker_id == second.worker_id
+    CrashingFleet(partition, crashing="").crash(first.worker_id)
+    first, second = partition.start_all()
+    assert first.worker_id == second.worker_id
+
+
+def test_crash_after_a_long_run_is_no_suspicion() -> None:
+    """A worker goes down with a task that has been at work for long, for a reason of its own."""
+    partition = Partition(workers=3)
+    partition.submit(make_step(cpu=100, lasts=True))
+    (run,) = partition.start_all()
+    for _ in range(PROVEN_MS // 100 + 1):
+        partition.answer(run.worker_id, percent=100.0)
+        partition.tick(100)
+    CrashingFleet(partition, crashing="").crash(run.worker_id)
+    assert run.task.crashes == 0
+
+
 def test_copies_beside_silent_workers_are_bounded_too() -> None:
     """A task that may be copied starts elsewhere as soon as its worker doesn't answer.
 
