--- a/heatherkeel/dispatch/rooms.py
+++ b/heatherkeel/dispatch/rooms.py
@@ -38,16 +38,21 @@
         if is_outdated == worker.is_outdated:
             continue
         worker.is_outdated = is_outdated
-        _LOGGER.info(
-            "a worker's room is %sknown",
-            "not " if is_outdated else "",
-            extra={"event": "worker_outdated", "worker": worker.id, "outdated": is_outdated},
-        )
+        if worker.is_listed and not worker.is_leaving and not worker.is_silent:
+            _tell(worker)
         effects.touch(worker.entry.service)
         if is_outdated:
             _take_back_planned(state, worker, effects)
 
 
+def _tell(worker: Worker) -> None:
+    _LOGGER.info(
+        "a worker's room is %sknown",
+        "not " if worker.is_outdated else "",
+        extra={"event": "worker_outdated", "worker": worker.id, "outdated": worker.is_outdated},
+    )
+
+
 def _take_back_planned(state: PartitionState, worker: Worker, effects: Effects) -> None:
     for run in list(worker.runs.values()):
         if run.state is RunState.PLANNED:
--- a/tests/dispatch/test_machine.py
+++ b/tests/dispatch/test_machine.py
@@ -119,7 +119,7 @@
     token: int
     until_ms: int
     cpu: int
-    """The worker's room when the order was sent: one that is carried out late can't know of less."""
+    """The worker's room when the order was sent; it can't know of less if it comes late."""
 
 
 class DispatchMachine(RuleBasedStateMachine):
