--- a/heatherkeel/pooling/waves.py
+++ b/heatherkeel/pooling/waves.py
@@ -37,10 +37,11 @@
         slots = min(slots, _pace(state, progress, len(due) + down) - down)
     out = _count_out(state, planned)
     sizes = _pool_sizes(state)
+    loads = _pool_loads(state)
     hurry = _is_late(state, progress, len(due))
     slow_left = _count_slow_slots(state, progress)
     intents: list[Intent] = []
-    for machine in sorted(due, key=lambda machine: _rank(state, machine)):
+    for machine in sorted(due, key=lambda machine: _rank(state, machine, loads)):
         if len(intents) >= slots:
             break
         if _has_lasting(state, machine):
@@ -48,7 +49,7 @@
                 continue
             slow_left -= 1
         if not state.is_standby(machine.pool):
-            if not hurry and _load_share(state, machine.pool) > BUSY_SHARE:
+            if not hurry and loads[machine.pool] > BUSY_SHARE:
                 continue
             allowed = max(1, int(ONE_AT_A_TIME_SHARE * sizes.get(machine.pool, 0)))
             if out.get(machine.pool, 0) >= allowed:
@@ -82,7 +83,9 @@
     return len(down)
 
 
-def _rank(state: FleetState, machine: Machine) -> tuple[bool, bool, float, int, str]:
+def _rank(
+    state: FleetState, machine: Machine, loads: dict[str, float]
+) -> tuple[bool, bool, float, int, str]:
     """Order machines that are off first, then what takes longest to empty, then the idlest.
 
     Lasting tasks leave one after the other, as far as their step's budget allows: emptying took up
@@ -93,7 +96,7 @@
     view = state.view_of(machine)
     used = view.load.workers.get(machine.worker_id or "", 0) if view else 0
     is_quick = not _has_lasting(state, machine)
-    return (True, is_quick, _load_share(state, machine.pool), used, machine.name)
+    return (True, is_quick, loads[machine.pool], used, machine.name)
 
 
 def _has_lasting(state: FleetState, machine: Machine) -> bool:
@@ -118,15 +121,19 @@
     return max(1, int(SLOW_SHARE * progress.wave.max_down)) - emptying
 
 
-def _load_share(state: FleetState, pool: str) -> float:
-    views = [view for share, view in state.views.items() if share.pool == pool]
-    room = sum(
-        machine.capacity.cpu
-        for machine in state.machines.values()
-        if machine.pool == pool and machine.is_up()
-    )
-    wanted_cpu = sum(view.load.wanted_cpu for view in views)
-    return wanted_cpu / room if views and room else 1.0
+def _pool_loads(state: FleetState) -> dict[str, float]:
+    """Return for each pool the share of its processor that is wanted; 1 where nothing is known."""
+    rooms = dict.fromkeys((machine.pool for machine in state.machines.values()), 0)
+    for machine in state.machines.values():
+        if machine.is_up():
+            rooms[machine.pool] += machine.capacity.cpu
+    wanted: dict[str, int] = {}
+    for share, view in state.views.items():
+        wanted[share.pool] = wanted.get(share.pool, 0) + view.load.wanted_cpu
+    return {
+        pool: wanted[pool] / room if pool in wanted and room else 1.0
+        for pool, room in rooms.items()
+    }
 
 
 def _pool_sizes(state: FleetState) -> dict[str, int]:
