Two crashes are enough where nothing else may be the cause

Hypothesis: a third crash of a worker tells nothing new if the second came right after its task began there, with no other job on trial. Where the last worker had listed the run, or never said that it began, four it stays: a start may be the first to find out that a rack is dark (test, red with that line switched off).

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -58,11 +58,14 @@
 MAX_SET_ASIDE: Final = 0.34
 """Share of a pool's workers that may be set aside at once: beyond it the jobs are the likelier
 cause, and a pool without workers serves nobody."""
+MAX_SOLE_CRASHES: Final = 2
+"""Workers that may go in a row under a task, the last right after it began there and with no other
+job on trial; then its job is given up."""
 MAX_SUDDEN_CRASHES: Final = 3
-"""Workers that a task may crash in a row before they listed its run; then its job is given up. Two
-by chance happen where workers go down and up by turns, three hardly ever."""
+"""The same where others were on trial on the last: each of them may be the cause."""
 MAX_CRASHES: Final = 4
-"""The same for workers that had listed it: each may as well have gone for another reason."""
+"""The same where the last listed its run, or never said that it began: it may as well have gone
+later, or have been gone before, for another reason."""
 APART_CRASHES: Final = 2
 """From so many crashes in a row on a task gets a worker where nothing else is under suspicion."""
 PROVEN_MS: Final = 2000
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -142,8 +142,18 @@
         worker.failed_jobs.clear()
 
 
-def lose_run(state: PartitionState, run: Run, effects: Effects, *, reason: LossReason) -> None:
-    """Take in that a run surely isn't there, and will never be; its task waits again."""
+def lose_run(
+    state: PartitionState,
+    run: Run,
+    effects: Effects,
+    *,
+    reason: LossReason,
+    is_sole: bool = False,
+) -> None:
+    """Take in that a run surely isn't there, and will never be; its task waits again.
+
+    `is_sole` says that no other job may have crashed the worker.
+    """
     _tell_loss(state, run, reason)
     effects.add(CountLoss(reason=reason))
     forget_run(state, run)
@@ -155,7 +165,7 @@
     if job.state.is_final():
         save_ended(job, effects)
         return
-    if count_crash(run, reason):
+    if count_crash(run, reason, is_sole=is_sole):
         effects.add(CountGivenUp())
         end_job(state, job, JobState.FAILED, effects)
         return
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -69,6 +69,8 @@
     """A lasting task was at work when its worker listed it last."""
     saved: str = ""
     percent: float = 0.0
+    has_begun: bool = False
+    """Its worker answered that it started it."""
     listed_since_ms: int = 0
     """When its worker listed it first; 0 if it never did."""
     is_proven: bool = False
--- a/heatherkeel/dispatch/orders.py
+++ b/heatherkeel/dispatch/orders.py
@@ -40,6 +40,7 @@
     if run not in run.task.runs:
         return
     if event.error is None:
+        run.has_begun = True
         run.answered_ms = event.now_ms
         if run.state is RunState.PLANNED or run.state is RunState.SENT:
             run.state = RunState.RUNNING
--- a/heatherkeel/dispatch/suspicion.py
+++ b/heatherkeel/dispatch/suspicion.py
@@ -9,7 +9,13 @@
 
 import logging
 
-from .const import APART_CRASHES, MAX_CRASHES, MAX_SUDDEN_CRASHES, PROVEN_MS
+from .const import (
+    APART_CRASHES,
+    MAX_CRASHES,
+    MAX_SOLE_CRASHES,
+    MAX_SUDDEN_CRASHES,
+    PROVEN_MS,
+)
 from .events import Effects, SaveJob
 from .models import Job, LossReason, Run, RunState, Step, Task, Worker
 
@@ -28,9 +34,24 @@
 of machines can't be read nothing else tells of a crash."""
 
 
-def count_crash(run: Run, reason: LossReason) -> bool:
+def find_sole_job(worker: Worker) -> Job | None:
+    """Return the only job that may have crashed a worker, if there is just one.
+
+    Any run that was sent there and hasn't proved itself may have.
+    """
+    jobs = {
+        run.task.step.job
+        for run in worker.runs.values()
+        if run.state is not RunState.PLANNED and not run.is_proven
+    }
+    return jobs.pop() if len(jobs) == 1 else None
+
+
+def count_crash(run: Run, reason: LossReason, *, is_sole: bool) -> bool:
     """Take in that a run was lost; says whether its task has to be given up.
 
+    `is_sole` says that no other job may have crashed the worker.
+
     The count is stored with the attempts before the next start leaves, so a next owner goes on
     from it.
     """
@@ -40,8 +61,7 @@
     job = task.step.job
     task.crashes += 1
     job.crashes = max(job.crashes, task.crashes)
-    most = MAX_CRASHES if run.listed_since_ms else MAX_SUDDEN_CRASHES
-    if task.crashes < most:
+    if task.crashes < _most_allowed(run, is_sole=is_sole):
         return False
     _LOGGER.error(
         "job given up: its task crashes workers",
@@ -57,6 +77,12 @@
     return True
 
 
+def _most_allowed(run: Run, *, is_sole: bool) -> int:
+    if run.listed_since_ms or not run.has_begun:
+        return MAX_CRASHES
+    return MAX_SOLE_CRASHES if is_sole else MAX_SUDDEN_CRASHES
+
+
 def clear_task(task: Task) -> None:
     """Suspect a task no more."""
     if not task.crashes:
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -29,7 +29,7 @@
 from .rooms import fit_planned
 from .standing import leave_standing
 from .state import PartitionState
-from .suspicion import take_listed
+from .suspicion import find_sole_job, take_listed
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -223,18 +223,26 @@
     """Drop a worker that is out of reach once nothing can run on it any more."""
     if not worker.has_lapsed(state.now_ms):
         return
-    for run in list(worker.runs.values()):
-        lose_run(state, run, effects, reason=LossReason.LEASE_LAPSED)
+    _lose_runs(state, worker, effects, reason=LossReason.LEASE_LAPSED)
     if not worker.is_listed:
         drop_worker(state, worker, effects, reason=LossReason.UNLISTED)
 
 
+def _lose_runs(
+    state: PartitionState, worker: Worker, effects: Effects, *, reason: LossReason
+) -> None:
+    """Take in that all that a worker ran went with it."""
+    sole = find_sole_job(worker)
+    for run in list(worker.runs.values()):
+        is_sole = run.task.step.job is sole
+        lose_run(state, run, effects, reason=reason, is_sole=is_sole)
+
+
 def drop_worker(
     state: PartitionState, worker: Worker, effects: Effects, *, reason: LossReason
 ) -> None:
     """Forget a worker on which surely nothing runs."""
-    for run in list(worker.runs.values()):
-        lose_run(state, run, effects, reason=reason)
+    _lose_runs(state, worker, effects, reason=reason)
     del state.workers[worker.id]
     del find_pool(state, worker.entry.service).workers[worker.id]
     _tell(worker.id, "worker_dropped", reason.value)
--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -10,10 +10,11 @@
 
 from heatherkeel.dispatch.const import LEASE_MS, PROVEN_MS, SILENT_MS
 from heatherkeel.dispatch.events import LivesListed
-from heatherkeel.dispatch.models import JobState, Run
+from heatherkeel.dispatch.models import JobState, Run, RunState
 from heatherkeel.platform.callers import StepRequest
+from heatherkeel.platform.errors import Failure
 
-from .partition import JOB, OTHER_JOB, Partition, make_entry, make_step
+from .partition import JOB, OTHER_JOB, Partition, make_entry, make_step, started
 from .test_recovery import take_over
 
 ALLOWED_AFTER_THREE = 2
@@ -158,6 +159,23 @@
     assert run.task.crashes == 0
 
 
+def test_starts_that_never_reached_their_workers_are_weaker_evidence() -> None:
+    """A rack loses power. Idle workers are asked seldom, so a start is the first to find that out.
+
+    Its task is sent to one dead worker after the other, and none of them went because of it.
+    """
+    partition = Partition(workers=5)
+    partition.submit(make_step())
+    fleet = CrashingFleet(partition, crashing="")
+    for _ in range(3):
+        (run,) = started(partition.effects)
+        partition.effects.clear()
+        run.state = RunState.SENT
+        partition.start_answered(run, Failure.UNKNOWN)
+        fleet.crash(run.worker_id)
+    assert partition.job().state is JobState.ACTIVE
+
+
 def test_copies_beside_silent_workers_are_bounded_too() -> None:
     """A task that may be copied starts elsewhere as soon as its worker doesn't answer.
 
