--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -59,18 +59,18 @@
 """Share of a pool's workers that may be set aside at once: beyond it the jobs are the likelier
 cause, and a pool without workers serves nobody."""
 MAX_SOLE_CRASHES: Final = 2
-"""Workers that may go in a row under a task, the last right after it began there and with no other
-job on trial; then its job is given up."""
+"""Workers that may be lost in a row under a task before its job is given up, if the last was lost
+right after the task began there, and only this job was suspected of that."""
 MAX_SUDDEN_CRASHES: Final = 3
-"""The same where others were on trial on the last: each of them may be the cause."""
+"""The same where other jobs were suspected too: each of them may be the cause."""
 MAX_CRASHES: Final = 4
-"""The same where the last listed its run, or never said that it began: it may as well have gone
-later, or have been gone before, for another reason."""
+"""The same where the last had listed the run, or never said that it began: it may as well have been
+lost later, or before, for another reason."""
 APART_CRASHES: Final = 2
-"""From so many crashes in a row on a task gets a worker where nothing else is under suspicion."""
+"""From so many on a task starts only where no task of another job is suspected."""
 PROVEN_MS: Final = 2000
-"""A run that its worker has listed for this long doesn't crash it, in milliseconds. Most tasks have
-ended by then; lasting ones outlive many workers that go for reasons of their own."""
+"""A run that its worker has listed for this long isn't suspected, in milliseconds. Most tasks have
+ended by then; lasting ones are lost with many workers that go for reasons of their own."""
 FULL_PAUSE_MS: Final = 400
 """How long a worker that had no room for a start gets no more, in milliseconds, unless a run of its
 own ends. Its entry tells of a smaller room after a second or two."""
--- a/heatherkeel/dispatch/metrics.py
+++ b/heatherkeel/dispatch/metrics.py
@@ -19,7 +19,6 @@
         )
         for reason in LossReason:
             self.losses.labels(reason.name.lower())
-
         self.given_up = Counter(
             "heatherkeel_jobs_given_up",
             "Jobs that were shown as failed since a task of them crashes workers.",
--- a/heatherkeel/dispatch/orders.py
+++ b/heatherkeel/dispatch/orders.py
@@ -58,6 +58,7 @@
     )
     worker = state.workers.get(run.worker_id)
     if worker is not None and event.error.failure is Failure.OTHER_INSTANCE:
+        lose_run(state, run, effects, reason=LossReason.START_NOT_DONE)
         end_life(state, worker, effects, reason=LossReason.ADDRESS_TAKEN)
         return
     if worker is not None and event.error.failure in _NOT_REACHED:
--- a/heatherkeel/dispatch/suspicion.py
+++ b/heatherkeel/dispatch/suspicion.py
@@ -50,10 +50,8 @@
 def count_crash(run: Run, reason: LossReason, *, is_sole: bool) -> bool:
     """Take in that a run was lost; says whether its task has to be given up.
 
-    `is_sole` says that no other job may have crashed the worker.
-
-    The count is stored with the attempts before the next start leaves, so a next owner goes on
-    from it.
+    `is_sole` says that no other job may have crashed the worker. The count is stored with the
+    attempts before the next start leaves, so a next owner goes on from it.
     """
     if reason not in _WITH_ITS_WORKER or run.state is RunState.PLANNED or run.is_proven:
         return False
--- a/tests/dispatch/test_crashing_pool.py
+++ b/tests/dispatch/test_crashing_pool.py
@@ -1,7 +1,7 @@
 """One job in ten has a task that crashes each worker that starts it.
 
 Callers of the other nine see their jobs late, or failed for no fault of theirs: whatever is started
-on a worker goes down with it, is started beside the next such task, and looks as guilty as it.
+on a worker goes down with it, is started beside the next such task, and is suspected as much as it.
 """
 
 from __future__ import annotations
--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -176,6 +176,15 @@
     assert partition.job().state is JobState.ACTIVE
 
 
+def test_start_that_another_life_refused_is_no_suspicion() -> None:
+    """A machine has moved, and another worker has its address: the start was surely not done."""
+    partition = Partition(workers=2)
+    (run,) = started(partition.submit(make_step()))
+    run.state = RunState.SENT
+    partition.start_answered(run, Failure.OTHER_INSTANCE)
+    assert run.task.crashes == 0
+
+
 def test_copies_beside_silent_workers_are_bounded_too() -> None:
     """A task that may be copied starts elsewhere as soon as its worker doesn't answer.
 
