--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -55,6 +55,8 @@
     pools: dict[str, Pool] = field(default_factory=dict)
     gone_workers: set[str] = field(default_factory=set)
     """Lives that have surely ended, though their entries may stand for some seconds more."""
+    left_out: dict[str, int] = field(default_factory=dict)
+    """Of these, workers whose entries were told not to be believed, and the start of that life."""
     leaving_ms: int = 0
     """When the fleet's owner last named the workers that leave."""
     can_start: bool = True
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -5,7 +5,8 @@
 import logging
 
 from heatherkeel.platform.errors import Failure
-from heatherkeel.platform.workers import Listing, RunningTask
+from heatherkeel.platform.operator import WorkerEntry
+from heatherkeel.platform.workers import EndedTask, Listing, RunningTask
 
 from .building import make_unknown_task
 from .const import SILENT_MS
@@ -38,8 +39,10 @@
 def take_entries(state: PartitionState, event: WorkersListed, effects: Effects) -> None:
     """Take in the workers' entries; one that is missing gets no work, but may still run some."""
     state.gone_workers &= event.entries.keys()
+    state.left_out = {key: born for key, born in state.left_out.items() if key in event.entries}
     for worker_id, entry in event.entries.items():
         if worker_id in state.gone_workers:
+            _tell_left_out(state, worker_id, entry)
             continue
         worker = state.workers.get(worker_id)
         if worker is None:
@@ -71,6 +74,7 @@
         return
     if not worker.is_ready() or worker.is_silent:
         effects.touch(worker.entry.service)
+        _tell_heard(worker, event.listing)
     worker.is_silent = False
     for run in worker.runs.values():
         run.is_doubtful = False
@@ -82,6 +86,8 @@
         if ended.number > worker.seen:
             take_end(state, worker, ended, effects)
             worker.seen = ended.number
+        elif (ended.task, ended.attempt) in worker.runs:
+            _tell_passed_over(worker, ended)
     if worker.seen > ended_before:
         effects.add(AcknowledgeEnds(worker_id=worker.id, number=worker.seen))
     _compare_runs(state, worker, event.listing, event.sent_ms, event.now_ms, effects)
@@ -261,6 +267,52 @@
     leave_workers(state, effects)
 
 
+def _tell_left_out(state: PartitionState, worker_id: str, entry: WorkerEntry) -> None:
+    """Tell once for each life that its entry isn't believed, since the worker counts as gone."""
+    if state.left_out.get(worker_id) == entry.born:
+        return
+    state.left_out[worker_id] = entry.born
+    _LOGGER.info(
+        "a worker that counts as gone has an entry",
+        extra={"event": "worker_left_out", "worker": worker_id, "born": entry.born},
+    )
+
+
+def _tell_heard(worker: Worker, listing: Listing) -> None:
+    """Tell what a worker says of its life, and how far its ends were known."""
+    _LOGGER.info(
+        "worker heard",
+        extra={
+            "event": "worker_heard",
+            "worker": worker.id,
+            "born": listing.born,
+            "clock_ms": listing.clock_ms,
+            "clock_before_ms": worker.clock_ms,
+            "silent_since_ms": worker.silent_since_ms if worker.is_silent else None,
+            "running": len(listing.running),
+            "known_runs": len(worker.runs),
+            "last_end": listing.ended[-1].number if listing.ended else 0,
+            "seen": worker.seen,
+            "acknowledged": worker.acknowledged,
+        },
+    )
+
+
+def _tell_passed_over(worker: Worker, ended: EndedTask) -> None:
+    _LOGGER.warning(
+        "the end of a run that should be there is passed over, since its number is known",
+        extra={
+            "event": "end_passed_over",
+            "task": ended.task,
+            "attempt": ended.attempt,
+            "worker": worker.id,
+            "outcome": ended.outcome,
+            "number": ended.number,
+            "seen": worker.seen,
+        },
+    )
+
+
 def _tell(worker_id: str, event: str, detail: str) -> None:
     _LOGGER.info(
         "worker %s", worker_id, extra={"event": event, "worker": worker_id, "detail": detail}
--- a/heatherkeel/platform/operator.py
+++ b/heatherkeel/platform/operator.py
@@ -87,6 +87,8 @@
     """Its kind, and its rack."""
     machine: str = ""
     remaining_ms: int | None = msgspec.field(name="remainingMs", default=None)
+    born: int = 0
+    """When this life of the worker began, in milliseconds since 1970; 0 if it doesn't tell."""
 
     def is_draining(self) -> bool:
         """Say whether the worker is about to leave."""
--- a/heatherkeel/platform/workers.py
+++ b/heatherkeel/platform/workers.py
@@ -58,6 +58,8 @@
     clock_ms: int
     running: list[RunningTask]
     ended: list[EndedTask]
+    born: int = 0
+    """When this life of the worker began, in milliseconds since 1970; 0 if it doesn't tell."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,6 +78,7 @@
 class _Answer(msgspec.Struct, kw_only=True):
     clock_ms: int = msgspec.field(name="clockMs", default=0)
     reason: str = ""
+    born: int = 0
     running: list[list[Any]] = []
     finished: list[list[Any]] = []
 
@@ -142,6 +145,7 @@
             return Ok(
                 Listing(
                     clock_ms=answer.clock_ms,
+                    born=answer.born,
                     running=[_read_running(row) for row in answer.running],
                     ended=[_read_ended(row) for row in answer.finished],
                 )
