--- a/heatherkeel/standins/fleet_worker.py
+++ b/heatherkeel/standins/fleet_worker.py
@@ -18,6 +18,9 @@
 CRASHES: Final = "crashes"
 """In a job whose spec begins with this word, the task with the index that the next word names
 crashes each worker that starts it."""
+FIRST_CLOCK_MS: Final = 500_000
+"""Where the clock of a worker's first life begins, in milliseconds; that of a later life under the
+same id begins at 0."""
 TASK_CPU: Final = 1000
 """What each task takes of its worker's room, in thousandths of a core."""
 
@@ -46,6 +49,10 @@
     machine: str
     work_of: WorkOf
     address: str = ""
+    born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
+    """When this life began, in milliseconds since 1970."""
+    began_s: float = field(default_factory=time.monotonic)
+    first_clock_ms: int = FIRST_CLOCK_MS
     token: int = 0
     lease_until_ms: int = 0
     runs: dict[str, StandinRun] = field(default_factory=dict)
@@ -79,7 +86,7 @@
 
     def clock_ms(self) -> int:
         """Return the worker's clock."""
-        return round(time.monotonic() * 1000) + 100_000
+        return round((time.monotonic() - self.began_s) * 1000) + self.first_clock_ms
 
     def start_task(self, body: dict[str, Any]) -> Answer:
         """Start a task."""
@@ -137,7 +144,12 @@
                 await self.changed.wait()
         running = [[run.task, run.attempt, "", 100, 0] for run in self.runs.values()]
         return Answer(
-            body={"clockMs": self.clock_ms(), "running": running, "finished": self.ended[:500]}
+            body={
+                "clockMs": self.clock_ms(),
+                "born": self.born,
+                "running": running,
+                "finished": self.ended[:500],
+            }
         )
 
     def look(self) -> None:
--- a/heatherkeel/standins/users_platform.py
+++ b/heatherkeel/standins/users_platform.py
@@ -23,7 +23,7 @@
 )
 from heatherkeel.helpers.server import HttpServer
 
-from .fleet_worker import FleetWorker, WorkOf
+from .fleet_worker import FIRST_CLOCK_MS, FleetWorker, WorkOf
 from .keyed_log import Answer, KeyedLog
 
 MOVE_S: Final = 0.2
@@ -68,6 +68,8 @@
     late_start_s: float = 0.5
     entries_silent: bool = False
     """Workers can't write their entries."""
+    keep_ids: bool = False
+    """A worker that has crashed starts again under its id and at its address."""
     lose_listings: int = 0
     """So many of the next listings that wait for an end are never answered."""
 
@@ -147,28 +149,34 @@
             await machine.server.close(finish_timeout_s=0.0)
         machine.worker = machine.server = None
 
-    async def _async_crash(self, machine: StandinMachine) -> None:
+    async def async_crash(self, machine: StandinMachine, *, away_s: float = CRASH_S) -> None:
         """End a worker's life without a word, and begin another on its machine after a while."""
         machine.state = "down"
+        earlier = machine.worker if self.faults.keep_ids else None
         await self.async_end_worker(machine)
         assert self.nursery is not None
-        self.nursery.start_soon(self._async_return, machine, CRASH_S)
+        self.nursery.start_soon(self._async_return, machine, away_s, earlier)
 
-    async def _async_boot(self, machine: StandinMachine) -> None:
+    async def _async_boot(
+        self, machine: StandinMachine, earlier: FleetWorker | None = None
+    ) -> None:
+        """Begin a worker's life; after an `earlier` one, under its id and at its address."""
         machine.state = "up"
         if machine.pool == self.standby:
             return
         worker = FleetWorker(
-            id=f"i-{next(self.ids)}",
+            id=earlier.id if earlier else f"i-{next(self.ids)}",
             service=machine.pool,
             machine=machine.name,
             work_of=self.work_of,
+            first_clock_ms=0 if earlier else FIRST_CLOCK_MS,
         )
 
         async def async_handle(request: Request, body: bytes) -> Answer:
             return await self._async_worker(worker, request, body)
 
-        machine.server = HttpServer(app=self._app(async_handle), bind="127.0.0.1:0")
+        address = earlier.address if earlier else "127.0.0.1:0"
+        machine.server = HttpServer(app=self._app(async_handle), bind=address)
         assert self.nursery is not None
         worker.address = await machine.server.start(self.nursery)
         machine.worker = worker
@@ -182,7 +190,7 @@
                     continue
                 machine.worker.look()
                 if machine.worker.has_crashed:
-                    await self._async_crash(machine)
+                    await self.async_crash(machine)
             is_due = turn % round(HEARTBEAT_S / LOOK_S) == 0
             if is_due and not self.faults.entries_silent:
                 self._write_entries(turn)
@@ -200,6 +208,7 @@
                     "capacity": {"cpu": machine.worker.cpu, "memMb": 16000, "gpu": 0},
                     "labels": ["a", "r1"],
                     "machine": machine.name,
+                    "born": machine.worker.born,
                     "sequence": turn,
                 }
         for worker_id in self.log.newest("keyed.servers", 0).keys() - present.keys():
@@ -340,6 +349,8 @@
         self.nursery.start_soon(self._async_return, machine, MOVE_S)
         return Answer()
 
-    async def _async_return(self, machine: StandinMachine, after_s: float) -> None:
+    async def _async_return(
+        self, machine: StandinMachine, after_s: float, earlier: FleetWorker | None = None
+    ) -> None:
         await trio.sleep(after_s)
-        await self._async_boot(machine)
+        await self._async_boot(machine, earlier)
--- a/tests/dispatch/partition.py
+++ b/tests/dispatch/partition.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+import msgspec
+
 from heatherkeel.dispatch import subjects  # noqa: F401
 from heatherkeel.dispatch.events import (
     Effect,
@@ -40,6 +42,8 @@
         self.now_ms = 1000
         self.effects: list[Effect] = []
         self.ends: dict[str, list[EndedTask]] = {}
+        self.began_ms: dict[str, int] = {}
+        """When the present life of a worker that has started again began."""
         queue = Queue(
             name="quotes",
             host="a.example",
@@ -106,9 +110,7 @@
             for run in worker.runs.values()
             if run.answered_ms is not None
         ]
-        listing = Listing(
-            clock_ms=self.now_ms + 500_000, running=running, ended=self.ends.get(worker_id, [])
-        )
+        listing = self._list(worker_id, running)
         sent_ms = self.now_ms - 5
         return self.give(
             WorkerAnswered(**self.at(), worker_id=worker_id, sent_ms=sent_ms, listing=listing)
@@ -117,17 +119,33 @@
     def list_exactly(self, worker_id: str, *running: RunningTask) -> list[Effect]:
         """Let a worker list just these runs, and its ends."""
         self.now_ms += 10
-        listing = Listing(
-            clock_ms=self.now_ms + 500_000,
-            running=list(running),
-            ended=self.ends.get(worker_id, []),
-        )
+        listing = self._list(worker_id, list(running))
         return self.give(
             WorkerAnswered(
                 **self.at(), worker_id=worker_id, sent_ms=self.now_ms - 5, listing=listing
             )
         )
 
+    def _list(self, worker_id: str, running: list[RunningTask]) -> Listing:
+        began_ms = self.began_ms.get(worker_id)
+        clock_ms = self.now_ms + 500_000 if began_ms is None else self.now_ms - began_ms
+        ended = self.ends.get(worker_id, [])
+        return Listing(clock_ms=clock_ms, born=began_ms or 1, running=running, ended=ended)
+
+    def restart(self, worker_id: str, *, is_listed: bool = True) -> None:
+        """Let a worker start again under its id; its entry may tell of it later."""
+        self.now_ms += 10
+        self.began_ms[worker_id] = self.now_ms
+        self.ends[worker_id] = []
+        if is_listed:
+            self.write_entry(worker_id)
+
+    def write_entry(self, worker_id: str) -> None:
+        """Let a worker write its entry anew."""
+        born = self.began_ms.get(worker_id, 1)
+        self.entries[worker_id] = msgspec.structs.replace(self.entries[worker_id], born=born)
+        self.list_workers()
+
     def fail(self, worker_id: str, failure: Failure = Failure.UNKNOWN) -> list[Effect]:
         """Let a listing fail."""
         error = CallError(failure=failure)
