A worker that starts again under its id is another life, and nothing is known of it

What callers saw: tasks that ran again after their ends, up to four times (TWICE); a job that waits for good beside workers that are up (LOST). Cause: all that an owner knew of a worker was kept by its id. Ends of the new life were passed over since their numbers were known, and acknowledged unseen; a worker that was given up stayed so for as long as its id had an entry; leases counted by the earlier life's clock; tasks that crash workers were charged with nothing, since their runs weren't listed any more.

Why it works: a life is an id and its start (born). With another start, in a listing or an entry, the worker is taken over as by a next owner, and its new Worker has nothing of the earlier one.

--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -9,7 +9,7 @@
 from heatherkeel.platform.operator import Queue, WorkerEntry
 from heatherkeel.platform.workers import Listing
 
-from .models import LossReason, Run, Step
+from .models import LossReason, Run, Step, Worker
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -167,6 +167,11 @@
     percent: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OpenSessions(Effect):
+    """Talk to the present life of each worker, and to no earlier one any more."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AskAdvice(Effect):
     """Ask the advisor which of some workers may run a step."""
@@ -177,9 +182,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AcknowledgeEnds(Effect):
-    """Let a worker forget its ends up to a number, once they are stored."""
+    """Let one life of a worker forget its ends up to a number, once they are stored."""
 
-    worker_id: str
+    worker: Worker
     number: int
 
 
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import NamedTuple
 
 from heatherkeel.platform.callers import JobRequest, StepRequest
 from heatherkeel.platform.operator import WorkerEntry
@@ -35,6 +36,7 @@
     RUN_NOT_LISTED = "not listed"
     START_NOT_DONE = "its start was not carried out"
     WORKER_GONE = "worker gone"
+    WORKER_RESTARTED = "its worker has started again"
 
 
 class RunState(StrEnum):
@@ -80,6 +82,8 @@
     figure: float = 0.0
     pace: int = 100
     ticket: str = ""
+    is_carried: bool = False
+    """Its worker has started again since its order was sent, and hasn't listed it."""
 
     def key(self) -> tuple[str, int]:
         """Return what names the run at its worker."""
@@ -216,12 +220,26 @@
         return max(1, self.request.repeat_count)
 
 
+class Life(NamedTuple):
+    """One life of a worker: it may start again under the id that it had."""
+
+    worker_id: str
+    born: int
+    """When it began, in milliseconds since 1970; 0 if it didn't tell."""
+
+
 @dataclass(kw_only=True, slots=True, eq=False)
 class Worker:
     """One life of a worker, with the room that its runs take."""
 
     id: str
     entry: WorkerEntry
+    born: int = 0
+    """When this life began, in milliseconds since 1970; 0 as long as it isn't known."""
+    former: frozenset[int] = frozenset()
+    """When earlier lives under this id began, of which entries may still be read."""
+    sole_suspect: Job | None = None
+    """The only job that may have crashed the life before, if there is just one."""
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     used_cpu: int = 0
     used_memory_mb: int = 0
@@ -260,6 +278,14 @@
     full_until_ms: int = 0
     """Until when it gets no more, since it had no room for a start that seemed to fit."""
 
+    def is_other_life(self, born: int) -> bool:
+        """Say whether a life that began at a time is another one than this."""
+        return bool(born and self.born and born != self.born)
+
+    def has_entry(self) -> bool:
+        """Say whether its entry is of this life: another one may be of another size."""
+        return not self.is_other_life(self.entry.born)
+
     def is_ready(self) -> bool:
         """Say whether our token is known there, and what runs is known here."""
         return self.clock_ms is not None
@@ -271,11 +297,22 @@
         """
         return not self.runs and self.is_ready() and self.told >= self.seen
 
+    def to_acknowledge(self) -> int:
+        """Return up to which number the next listing may forget ends; 0 for none.
+
+        The worker may have started again by then. Its ends have these numbers too, and would be
+        forgotten unseen, so they are named once, and not to a worker that has just been silent.
+        """
+        if self.is_silent or self.told >= self.acknowledged:
+            return 0
+        return self.acknowledged
+
     def takes_work(self, now_ms: int) -> bool:
         """Say whether tasks may be started there."""
         return (
             self.is_ready()
             and self.is_listed
+            and self.has_entry()
             and not self.is_silent
             and not self.is_leaving
             and not self.is_outdated
--- a/heatherkeel/dispatch/orders.py
+++ b/heatherkeel/dispatch/orders.py
@@ -10,10 +10,11 @@
 from .ends import lose_run
 from .events import Effects, StartAnswered, StopAnswered, StopTask
 from .jobs import stop_run
+from .lives import end_life
 from .models import LossReason, RunState
 from .registry import handles
 from .state import PartitionState
-from .workers import end_life, fall_silent
+from .workers import fall_silent
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -32,6 +32,7 @@
     ForgetJob,
     JobCanceled,
     JobSubmitted,
+    OpenSessions,
     PaceTask,
     QueuesChanged,
     SaveJob,
@@ -84,6 +85,7 @@
             token=token,
             lease_ms=min(LEASE_MS, settings.bounds.longest_lease_ms),
             status_ms=round(settings.bounds.status_s * 1000),
+            longest_lease_ms=settings.bounds.longest_lease_ms,
         )
         self.entry_age_ms = (
             settings.bounds.stable_window_ms + settings.heartbeat_ms - ENTRY_MARGIN_MS
@@ -248,6 +250,9 @@
         if self.nursery is None:
             return
         for worker in self.state.workers.values():
+            known = self.sessions.get(worker.id)
+            if known is not None and known.worker is not worker:
+                self.sessions.pop(worker.id).close()
             if worker.id not in self.sessions and worker.entry.address:
                 session = WorkerSession(owner=self, worker=worker)
                 self.sessions[worker.id] = session
@@ -311,6 +316,8 @@
                 self.journal.when_stored(lambda: self._order(effect.run.worker_id, effect))
             case StopTask() | PaceTask():
                 self._order(effect.run.worker_id, effect)
+            case OpenSessions():
+                self._open_sessions()
             case AskAdvice():
                 assert self.nursery is not None
                 self.nursery.start_soon(self.inquiries.async_ask_advice, effect)
@@ -329,9 +336,9 @@
             self.unsent.setdefault(worker_id, []).append(effect)
 
     def _acknowledge(self, effect: AcknowledgeEnds) -> None:
-        worker = self.state.workers.get(effect.worker_id)
-        session = self.sessions.get(effect.worker_id)
-        if worker is not None and session is not None:
+        worker = effect.worker
+        session = self.sessions.get(worker.id)
+        if session is not None and session.worker is worker:
             worker.acknowledged = max(worker.acknowledged, effect.number)
             session.take_stored()
 
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -15,6 +15,7 @@
 
 from .building import set_objective
 from .const import LEASE_MS, SLOWEST_CLOCK
+from .lives import add_worker
 from .models import Job, Run, Worker
 from .pools import wait_for_room
 from .records import (
@@ -28,7 +29,6 @@
     restore_progress,
 )
 from .state import PartitionState
-from .workers import add_worker
 
 _LOGGER = logging.getLogger(__name__)
 RecordT = TypeVar("RecordT")
--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -84,6 +84,8 @@
                 with trio.move_on_after(LIST_WAIT_MS / 1000):
                     await self.stored.wait()
                 self.stored = trio.Event()
+            elif self.worker.told < self.worker.acknowledged:
+                continue
             elif not self.worker.runs:
                 with trio.move_on_after(IDLE_LIST_MS / 1000):
                     await self.work_came.wait()
@@ -94,13 +96,15 @@
         sent_ms = monotonic_ms()
         is_first = worker.clock_ms is None
         lease_until_ms = None if is_first else self._lease_until()
-        acknowledged = worker.acknowledged
+        acknowledged = worker.to_acknowledge()
         listed = await self.client.async_hold(
             token=self.owner.state.token,
             acknowledged=acknowledged,
             lease_until_ms=lease_until_ms,
             wait_ms=0 if is_first or worker.is_silent else self._wait_ms(),
         )
+        if self.owner.state.workers.get(worker.id) is not worker:
+            return False
         now_ms, wall_ms = self.owner.times()
         if isinstance(listed, Err):
             if listed.err_value.failure is Failure.FENCED:
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -8,8 +8,8 @@
 from heatherkeel.platform.operator import Queue
 
 from .building import work_ahead
-from .const import ARRIVAL_WINDOW_MS
-from .models import Job, Worker
+from .const import ARRIVAL_WINDOW_MS, LEASE_MS
+from .models import Job, Life, Worker
 from .open_steps import OpenSteps
 
 
@@ -45,6 +45,8 @@
     token: int
     lease_ms: int
     status_ms: int
+    longest_lease_ms: int = LEASE_MS
+    """What workers shorten longer leases to."""
     now_ms: int = 0
     wall_ms: int = 0
     jobs: dict[str, Job] = field(default_factory=dict)
@@ -53,7 +55,7 @@
     workers: dict[str, Worker] = field(default_factory=dict)
     queues: dict[str, Queue] = field(default_factory=dict)
     pools: dict[str, Pool] = field(default_factory=dict)
-    gone_workers: set[str] = field(default_factory=set)
+    gone_lives: set[Life] = field(default_factory=set)
     """Lives that have surely ended, though their entries may stand for some seconds more."""
     left_out: dict[str, int] = field(default_factory=dict)
     """Of these, workers whose entries were told not to be believed, and the start of that life."""
@@ -62,6 +64,12 @@
     can_start: bool = True
     """Whether starts can be stored and sent now."""
 
+    def is_gone(self, life: Life) -> bool:
+        """Say whether a life has surely ended; one that doesn't tell its start may be any."""
+        if life.born:
+            return life in self.gone_lives
+        return any(gone.worker_id == life.worker_id for gone in self.gone_lives)
+
     def find_job(self, job_id: str) -> Job | None:
         """Return a job, also one that has ended."""
         return self.jobs.get(job_id) or self.finished.get(job_id)
--- a/heatherkeel/dispatch/suspicion.py
+++ b/heatherkeel/dispatch/suspicion.py
@@ -28,6 +28,7 @@
         LossReason.LEASE_LAPSED,
         LossReason.UNLISTED,
         LossReason.WORKER_GONE,
+        LossReason.WORKER_RESTARTED,
     }
 )
 """Losses that may be a crash. A lease also lapses on a worker that is cut off, but where the list
--- a/heatherkeel/dispatch/ticks.py
+++ b/heatherkeel/dispatch/ticks.py
@@ -6,10 +6,10 @@
 from .events import Effects, ForgetJob, Tick
 from .jobs import begin_due_occurrences
 from .lasting import leave_workers
+from .lives import drop_if_lapsed
 from .registry import handles
 from .rooms import take_outdated
 from .state import PartitionState
-from .workers import drop_if_lapsed
 
 
 @handles(Tick)
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -1,4 +1,4 @@
-"""Workers come, answer, fall silent and go."""
+"""Workers write entries, answer, and fall silent."""
 
 from __future__ import annotations
 
@@ -9,12 +9,10 @@
 from heatherkeel.platform.workers import EndedTask, Listing, RunningTask
 
 from .building import make_unknown_task
-from .const import SILENT_MS
 from .ends import find_task, lose_run, take_end
 from .events import (
     AcknowledgeEnds,
     Effects,
-    LivesListed,
     StopTask,
     WorkerAnswered,
     WorkerFailed,
@@ -23,14 +21,15 @@
 )
 from .jobs import stop_run
 from .lasting import leave_workers
-from .models import LossReason, Run, RunState, Worker
+from .lives import add_worker, begin_life, drop_if_lapsed, end_life, tell_worker
+from .models import Life, LossReason, Run, RunState, Worker
 from .pacing import pace_worker
-from .pools import find_pool, wait_for_room
+from .pools import wait_for_room
 from .registry import handles
 from .rooms import fit_planned
 from .standing import leave_standing
 from .state import PartitionState
-from .suspicion import find_sole_job, take_listed
+from .suspicion import take_listed
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -38,61 +37,103 @@
 @handles(WorkersListed)
 def take_entries(state: PartitionState, event: WorkersListed, effects: Effects) -> None:
     """Take in the workers' entries; one that is missing gets no work, but may still run some."""
-    state.gone_workers &= event.entries.keys()
+    state.gone_lives = {life for life in state.gone_lives if life.worker_id in event.entries}
     state.left_out = {key: born for key, born in state.left_out.items() if key in event.entries}
     for worker_id, entry in event.entries.items():
-        if worker_id in state.gone_workers:
+        if state.is_gone(Life(worker_id=worker_id, born=entry.born)):
             _tell_left_out(state, worker_id, entry)
             continue
         worker = state.workers.get(worker_id)
         if worker is None:
-            add_worker(state, Worker(id=worker_id, entry=entry))
-            _tell(worker_id, "worker_listed", entry.service)
+            add_worker(state, Worker(id=worker_id, entry=entry, born=entry.born))
+            tell_worker(worker_id, "worker_listed", entry.service)
         else:
-            worker.entry = entry
-            worker.is_listed = True
-            fit_planned(state, worker, effects)
+            _take_entry(state, worker, entry, effects)
         effects.touch(entry.service)
     for worker in state.workers.values():
         if worker.id not in event.entries and worker.is_listed:
             worker.is_listed = False
-            _tell(worker.id, "worker_unlisted", worker.entry.service)
+            tell_worker(worker.id, "worker_unlisted", worker.entry.service)
     leave_workers(state, effects)
 
 
-def add_worker(state: PartitionState, worker: Worker) -> None:
-    """Add a worker to its pool."""
-    state.workers[worker.id] = worker
-    find_pool(state, worker.entry.service).workers[worker.id] = worker
+def _take_entry(
+    state: PartitionState, worker: Worker, entry: WorkerEntry, effects: Effects
+) -> None:
+    """Take in what a known worker says of itself; its listings may tell of a new life sooner."""
+    worker.is_listed = True
+    if entry.born in worker.former:
+        return
+    if worker.is_other_life(entry.born) or entry.service != worker.entry.service:
+        worker = begin_life(state, worker, effects, entry=entry, born=entry.born)
+    worker.entry = entry
+    worker.born = worker.born or entry.born
+    fit_planned(state, worker, effects)
 
 
 @handles(WorkerAnswered)
 def take_listing(state: PartitionState, event: WorkerAnswered, effects: Effects) -> None:
     """Take in all that a worker runs and has ended."""
-    worker = state.workers.get(event.worker_id)
+    worker = _find_life(state, event, effects)
     if worker is None:
         return
+    _take_heard(state, worker, event, effects)
+    _take_ends(state, worker, event.listing, effects)
+    _compare_runs(state, worker, event.listing, event.sent_ms, event.now_ms, effects)
+    pace_worker(state, worker, effects)
+    leave_standing(state, worker, effects)
+
+
+def _find_life(state: PartitionState, event: WorkerAnswered, effects: Effects) -> Worker | None:
+    """Return the worker in the life that has answered; None if that is over."""
+    worker = state.workers.get(event.worker_id)
+    born = event.listing.born
+    if worker is None or born in worker.former:
+        return None
+    if worker.is_other_life(born):
+        return begin_life(state, worker, effects, entry=worker.entry, born=born)
+    worker.born = worker.born or born
+    worker.told = max(worker.told, event.acknowledged)
+    return worker
+
+
+def _take_heard(
+    state: PartitionState, worker: Worker, event: WorkerAnswered, effects: Effects
+) -> None:
+    """Take in that a worker answers, and its clock."""
     if not worker.is_ready() or worker.is_silent:
         effects.touch(worker.entry.service)
         _tell_heard(worker, event.listing)
     worker.is_silent = False
     for run in worker.runs.values():
         run.is_doubtful = False
-    worker.told = max(worker.told, event.acknowledged)
+    if not worker.is_ready():
+        _bound_lease(state, worker, event.listing.clock_ms)
     worker.clock_ms = event.listing.clock_ms
     worker.clock_heard_ms = event.now_ms
+
+
+def _take_ends(state: PartitionState, worker: Worker, listing: Listing, effects: Effects) -> None:
+    """Take in the ends that weren't known; they are acknowledged once that is stored."""
     ended_before = worker.seen
-    for ended in event.listing.ended:
+    for ended in listing.ended:
         if ended.number > worker.seen:
             take_end(state, worker, ended, effects)
             worker.seen = ended.number
         elif (ended.task, ended.attempt) in worker.runs:
             _tell_passed_over(worker, ended)
     if worker.seen > ended_before:
-        effects.add(AcknowledgeEnds(worker_id=worker.id, number=worker.seen))
-    _compare_runs(state, worker, event.listing, event.sent_ms, event.now_ms, effects)
-    pace_worker(state, worker, effects)
-    leave_standing(state, worker, effects)
+        effects.add(AcknowledgeEnds(worker=worker, number=worker.seen))
+
+
+def _bound_lease(state: PartitionState, worker: Worker, clock_ms: int) -> None:
+    """Tell how long what was sent to an earlier life may run in this one.
+
+    The end of its lease was reckoned by the earlier life's clock, and may be far off by this one's:
+    the worker has shortened it to the longest that it grants.
+    """
+    if any(run.is_carried for run in worker.runs.values()):
+        worker.lease_until_ms = max(worker.lease_until_ms, clock_ms + state.longest_lease_ms)
 
 
 def _compare_runs(
@@ -119,17 +160,25 @@
         if run.key() in listed:
             continue
         if is_proved:
-            lose_run(state, run, effects, reason=LossReason.RUN_NOT_LISTED)
+            _lose_unlisted(state, worker, run, effects)
         elif run.unanswered_ms is not None and run.unanswered_ms < sent_ms:
             run.unanswered_ms = None
             stop_run(state, run, effects)
 
 
+def _lose_unlisted(state: PartitionState, worker: Worker, run: Run, effects: Effects) -> None:
+    """Give up a run that isn't there; one that was sent to an earlier life ended with that."""
+    reason = LossReason.WORKER_RESTARTED if run.is_carried else LossReason.RUN_NOT_LISTED
+    is_sole = run.is_carried and run.task.step.job is worker.sole_suspect
+    lose_run(state, run, effects, reason=reason, is_sole=is_sole)
+
+
 def _update_run(run: Run, row: RunningTask, now_ms: int) -> None:
     if run.unanswered_ms is not None:
         run.unanswered_ms = None
         run.answered_ms = now_ms
         run.state = RunState.RUNNING
+    run.is_carried = False
     run.listed_since_ms = run.listed_since_ms or now_ms
     if row.percent != run.percent or not run.moved_ms:
         run.moved_ms = now_ms
@@ -186,21 +235,13 @@
     drop_if_lapsed(state, worker, effects)
 
 
-def end_life(
-    state: PartitionState, worker: Worker, effects: Effects, *, reason: LossReason
-) -> None:
-    """Take in that a life of a worker is over, whatever its entry says for some seconds more."""
-    state.gone_workers.add(worker.id)
-    drop_worker(state, worker, effects, reason=reason)
-
-
 def fall_silent(state: PartitionState, worker: Worker, effects: Effects, *, detail: str) -> None:
     """Give a worker nothing more to do until it is heard again."""
     if worker.is_silent:
         return
     worker.is_silent = True
     worker.silent_since_ms = state.now_ms
-    _tell(worker.id, "worker_silent", detail)
+    tell_worker(worker.id, "worker_silent", detail)
     doubt_runs(state, worker, effects)
 
 
@@ -213,47 +254,6 @@
             effects.touch(worker.entry.service)
 
 
-@handles(LivesListed)
-def take_lives(state: PartitionState, event: LivesListed, effects: Effects) -> None:
-    """Give up silent workers whose machines are in another life by now, or down.
-
-    A worker that was cut off, and runs on, is still named there.
-    """
-    for worker in list(state.workers.values()):
-        is_long = state.now_ms - worker.silent_since_ms >= SILENT_MS
-        if worker.is_silent and is_long and worker.id not in event.worker_ids:
-            end_life(state, worker, effects, reason=LossReason.OTHER_LIFE)
-
-
-def drop_if_lapsed(state: PartitionState, worker: Worker, effects: Effects) -> None:
-    """Drop a worker that is out of reach once nothing can run on it any more."""
-    if not worker.has_lapsed(state.now_ms):
-        return
-    _lose_runs(state, worker, effects, reason=LossReason.LEASE_LAPSED)
-    if not worker.is_listed:
-        drop_worker(state, worker, effects, reason=LossReason.UNLISTED)
-
-
-def _lose_runs(
-    state: PartitionState, worker: Worker, effects: Effects, *, reason: LossReason
-) -> None:
-    """Take in that all that a worker ran went with it."""
-    sole = find_sole_job(worker)
-    for run in list(worker.runs.values()):
-        is_sole = run.task.step.job is sole
-        lose_run(state, run, effects, reason=reason, is_sole=is_sole)
-
-
-def drop_worker(
-    state: PartitionState, worker: Worker, effects: Effects, *, reason: LossReason
-) -> None:
-    """Forget a worker on which surely nothing runs."""
-    _lose_runs(state, worker, effects, reason=reason)
-    del state.workers[worker.id]
-    del find_pool(state, worker.entry.service).workers[worker.id]
-    _tell(worker.id, "worker_dropped", reason.value)
-
-
 @handles(WorkersLeaving)
 def take_leaving(state: PartitionState, event: WorkersLeaving, effects: Effects) -> None:
     """Start nothing more on workers whose machines are about to go, and empty them."""
@@ -311,9 +311,3 @@
             "seen": worker.seen,
         },
     )
-
-
-def _tell(worker_id: str, event: str, detail: str) -> None:
-    _LOGGER.info(
-        "worker %s", worker_id, extra={"event": event, "worker": worker_id, "detail": detail}
-    )
--- a/tests/dispatch/partition.py
+++ b/tests/dispatch/partition.py
@@ -191,7 +191,7 @@
 
 
 def make_entry(
-    *, cpu: int = 8000, state: str = "ready", rack: str = "r1", zone: str = "a"
+    *, cpu: int = 8000, state: str = "ready", rack: str = "r1", zone: str = "a", born: int = 1
 ) -> WorkerEntry:
     """Return a worker's entry."""
     return WorkerEntry(
@@ -201,6 +201,7 @@
         state=state,
         capacity=Capacity(cpu=cpu, memory_mb=16_000, gpu=0),
         labels=["a", rack],
+        born=born,
     )
 
 
--- a/tests/dispatch/test_machine.py
+++ b/tests/dispatch/test_machine.py
@@ -4,6 +4,7 @@
 not; carried out, or not, or later; workers end tasks, fall silent, die and lose their leases. What
 real workers do is checked, not what the owner believes. One job's first task crashes each worker
 that starts it, and workers' rooms shrink and grow: one counts as soon as its entry tells of it.
+Workers also start again under their ids, which their listings tell, and later their entries.
 """
 
 from __future__ import annotations
@@ -45,6 +46,8 @@
 from .partition import Partition, make_entry, make_step
 
 LEASE_MS = 6000
+FIRST_BORN = 1
+"""When the first life under each id began."""
 CPU = 4000
 TASK_CPU = 2000
 CRASHING = f"{2:016x}.0.0.0"
@@ -65,7 +68,15 @@
     ended: list[EndedTask] = field(default_factory=list)
     numbers: int = 0
     cpu: int = CPU
+    known_cpu: int = CPU
+    """The room that starts are held to: what its entry, or that of the life before, has told."""
     is_alive: bool = True
+    born: int = 0
+    acknowledged: int = 0
+
+    def clock(self, now_ms: int) -> int:
+        """Return the clock of this life: that of a first life is far ahead."""
+        return now_ms + 500_000 if self.born == FIRST_BORN else now_ms - self.born
 
     def start(self, task: str, attempt: int, token: int, until_ms: int, now_ms: int) -> str:
         """Start a task; returns why not, or nothing."""
@@ -118,6 +129,8 @@
     attempt: int
     token: int
     until_ms: int
+    worker: RealWorker
+    """The life that it has reached: a later one knows nothing of it."""
     cpu: int
     """The worker's room when the order was sent; it can't know of less if it comes late."""
 
@@ -146,10 +159,10 @@
 
     def _add_worker(self) -> None:
         self.lives += 1
-        worker = RealWorker(id=f"w{self.lives}")
+        worker = RealWorker(id=f"w{self.lives}", born=FIRST_BORN)
         self.workers[worker.id] = worker
         self.everyone.append(worker)
-        self.partition.entries[worker.id] = make_entry(cpu=CPU)
+        self.partition.entries[worker.id] = make_entry(cpu=CPU, born=worker.born)
 
     def _list(self) -> None:
         self._collect(self.partition.list_workers())
@@ -213,9 +226,7 @@
             case ForgetJob(only_request=True):
                 self.requests.pop(effect.job_id, None)
             case AcknowledgeEnds():
-                worker = self.partition.state.workers.get(effect.worker_id)
-                if worker is not None:
-                    worker.acknowledged = max(worker.acknowledged, effect.number)
+                effect.worker.acknowledged = max(effect.worker.acknowledged, effect.number)
             case StartTask():
                 self._perform_start(effect, fate)
             case StopTask():
@@ -255,11 +266,12 @@
             attempt=run.attempt,
             token=self.partition.state.token,
             until_ms=until_ms,
-            cpu=self.workers[run.worker_id].cpu,
+            worker=self.workers[run.worker_id],
+            cpu=self.workers[run.worker_id].known_cpu,
         )
 
     def _send(self, order: LateOrder, fate: str) -> CallError | None:
-        worker = self.workers[order.worker_id]
+        worker = order.worker
         if not worker.is_alive:
             return CallError(failure=Failure.REFUSED)
         if fate == "late":
@@ -275,8 +287,8 @@
         return CallError(failure=failure, detail=reason)
 
     def _carry_out(self, order: LateOrder) -> str:
-        worker = self.workers[order.worker_id]
-        now_ms = self._clock()
+        worker = order.worker
+        now_ms = worker.clock(self.partition.now_ms)
         if order.kind == "stop":
             return worker.stop(order.task, order.attempt, order.token)
         was_running = order.task in worker.runs
@@ -284,21 +296,18 @@
         if not reason and not was_running:
             assert order.task not in self.noted, f"{order.task} starts after its end was noted"
             self.no_task_runs_twice()
-            assert len(worker.runs) * TASK_CPU <= max(worker.cpu, order.cpu), worker
+            assert len(worker.runs) * TASK_CPU <= max(worker.known_cpu, order.cpu), worker
             if order.task == CRASHING:
                 self.crashes += 1
                 self._kill(worker)
         return reason
 
-    def _clock(self) -> int:
-        return self.partition.now_ms + 500_000
-
     @precondition(lambda self: self.late)
     @rule()
     def carry_out_late(self) -> None:
         """An order that was given up is carried out."""
         order = self.late.pop(0)
-        if self.workers[order.worker_id].is_alive:
+        if order.worker.is_alive:
             self._carry_out(order)
 
     @rule(number=st.integers(0, 3), fails=st.booleans())
@@ -325,7 +334,8 @@
         worker.token = self.partition.state.token
         if believed.is_ready():
             worker.lease_until_ms = max(worker.lease_until_ms, self._lease(worker.id))
-        self._note_ends(worker, believed.acknowledged)
+        acknowledged = believed.to_acknowledge()
+        self._note_ends(worker, acknowledged)
         sent_ms = self.partition.now_ms
         self.partition.now_ms += 10
         rows = [
@@ -334,28 +344,35 @@
             )
             for task, attempt in worker.runs.items()
         ]
-        listing = Listing(clock_ms=self._clock(), running=rows, ended=list(worker.ended))
+        listing = Listing(
+            clock_ms=worker.clock(self.partition.now_ms),
+            born=worker.born,
+            running=rows,
+            ended=list(worker.ended),
+        )
         answered = WorkerAnswered(
             **self.partition.at(),
             worker_id=worker.id,
             sent_ms=sent_ms,
             listing=listing,
-            acknowledged=believed.acknowledged,
+            acknowledged=acknowledged,
         )
         self._collect(self.partition.give(answered))
 
     def _note_ends(self, worker: RealWorker, acknowledged: int) -> None:
+        """Let a worker forget ends up to a number, also such as come later."""
+        worker.acknowledged = max(worker.acknowledged, acknowledged)
         for ended in worker.ended:
-            if ended.number <= acknowledged and ended.outcome == "done":
+            if ended.number <= worker.acknowledged and ended.outcome == "done":
                 self.noted.add(ended.task)
-        worker.ended = [ended for ended in worker.ended if ended.number > acknowledged]
+        worker.ended = [ended for ended in worker.ended if ended.number > worker.acknowledged]
 
     @rule(ms=st.sampled_from([50, 400, 1300, 7000]))
     def pass_time(self, ms: int) -> None:
         """Some time passes."""
         self._collect(self.partition.tick(ms))
         for worker in self.workers.values():
-            worker.look(self._clock())
+            worker.look(worker.clock(self.partition.now_ms))
 
     @precondition(lambda self: any(worker.runs for worker in self.workers.values()))
     @rule(number=st.integers(0, 1))
@@ -370,7 +387,31 @@
         alive = [worker for worker in self.workers.values() if worker.is_alive]
         worker = alive[number % len(alive)]
         worker.cpu = cpu
-        self.partition.entries[worker.id] = make_entry(cpu=cpu)
+        self._write_entry(worker)
+
+    @rule(number=st.integers(0, 1), cpu=st.sampled_from([TASK_CPU, CPU]))
+    def restart_worker(self, number: int, cpu: int) -> None:
+        """A worker starts again under its id; its entry tells of it later."""
+        alive = [worker for worker in self.workers.values() if worker.is_alive]
+        earlier = alive[number % len(alive)]
+        earlier.is_alive = False
+        earlier.runs.clear()
+        self.partition.now_ms += 10
+        later = RealWorker(
+            id=earlier.id, born=self.partition.now_ms, cpu=cpu, known_cpu=earlier.known_cpu
+        )
+        self.workers[later.id] = later
+        self.everyone.append(later)
+
+    @rule(number=st.integers(0, 1))
+    def write_entry(self, number: int) -> None:
+        """A worker writes its entry."""
+        alive = [worker for worker in self.workers.values() if worker.is_alive]
+        self._write_entry(alive[number % len(alive)])
+
+    def _write_entry(self, worker: RealWorker) -> None:
+        worker.known_cpu = worker.cpu
+        self.partition.entries[worker.id] = make_entry(cpu=worker.cpu, born=worker.born)
         self._list()
 
     def _kill(self, worker: RealWorker) -> None:
