What an earlier owner started counts for a lease once its worker has told its clock

Callers saw nothing of it yet: an owner's session sends a lease before each call, so the end of the lease is known by the time that a call can fail. The reducer alone gave up a restored run as soon as a worker that had answered once was silent, and started its task beside it. The end of the lease is set with the first listing, before anything can fail.

--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -127,13 +127,16 @@
 
 
 def _bound_lease(state: PartitionState, worker: Worker, clock_ms: int) -> None:
-    """Tell how long what was sent to an earlier life may run in this one.
+    """Tell how long what we haven't started in this life may run, whoever renews its lease.
 
-    The end of its lease was reckoned by the earlier life's clock, and may be far off by this one's:
-    the worker has shortened it to the longest that it grants.
+    An earlier owner can't renew it any more. Of what was sent to an earlier life the end of the
+    lease may be far off by this one's clock; the worker has shortened it to the longest it grants.
     """
-    if any(run.is_carried for run in worker.runs.values()):
-        worker.lease_until_ms = max(worker.lease_until_ms, clock_ms + state.longest_lease_ms)
+    if not worker.runs:
+        return
+    is_carried = any(run.is_carried for run in worker.runs.values())
+    lease_ms = state.longest_lease_ms if is_carried else state.lease_ms
+    worker.lease_until_ms = max(worker.lease_until_ms, clock_ms + lease_ms)
 
 
 def _compare_runs(
--- a/tests/dispatch/test_recovery.py
+++ b/tests/dispatch/test_recovery.py
@@ -66,6 +66,20 @@
     assert again.attempt == run.attempt + 1
 
 
+def test_worker_that_falls_silent_after_its_first_listing_keeps_its_tasks_for_a_lease() -> None:
+    """Guards against a second run while the lease that the earlier owner gave goes on."""
+    earlier = Partition()
+    earlier.submit(make_step())
+    (run,) = earlier.start_all()
+    later = take_over(earlier, asked=True)
+    later.fail(run.worker_id)
+    later.effects.clear()
+    later.tick(LEASE_MS)
+    assert not started(later.effects)
+    later.tick(LEASE_MS // 10 + 600)
+    assert [again.task.name for again in started(later.effects)] == [run.task.name]
+
+
 def test_task_that_a_worker_lists_is_taken_over_running() -> None:
     earlier = Partition()
     earlier.submit(make_step())
