The life that a run was sent to is stored with it, so that a next owner counts the crash

Callers: a job whose task crashes its workers goes on for as many workers more as its partition changes owners, where these come back under their ids. Cause: what is stored of a run named its worker by id alone, so the next owner took the run for one that just isn't listed. The test failed before (0 crashes counted). Records without the field are read as before.

--- a/heatherkeel/dispatch/lives.py
+++ b/heatherkeel/dispatch/lives.py
@@ -72,7 +72,6 @@
 
 def _carry_over(state: PartitionState, run: Run, later: Worker, effects: Effects) -> None:
     """Count a run at the new life until that lists it, or doesn't."""
-    run.is_carried = True
     later.add(run)
     if run.state is RunState.SENT:
         # Its answer isn't waited for any more.
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -58,6 +58,9 @@
     task: Task
     attempt: int
     worker_id: str
+    born: int = 0
+    """When the life of the worker began that it was sent to, or that has listed it; 0 if that isn't
+    known."""
     state: RunState = RunState.PLANNED
     answered_ms: int | None = None
     """When the worker answered the last order about it; None while one is unanswered. A listing
@@ -82,8 +85,6 @@
     figure: float = 0.0
     pace: int = 100
     ticket: str = ""
-    is_carried: bool = False
-    """Its worker has started again since its order was sent, and hasn't listed it."""
 
     def key(self) -> tuple[str, int]:
         """Return what names the run at its worker."""
@@ -282,6 +283,10 @@
         """Say whether a life that began at a time is another one than this."""
         return bool(born and self.born and born != self.born)
 
+    def was_sent_before(self, run: Run) -> bool:
+        """Say whether a run was sent to an earlier life, and hasn't been listed in this one."""
+        return self.is_other_life(run.born)
+
     def has_entry(self) -> bool:
         """Say whether its entry is of this life: another one may be of another size."""
         return not self.is_other_life(self.entry.born)
@@ -346,6 +351,7 @@
         """Take room for a run."""
         step = run.task.step.request
         self.runs[run.key()] = run
+        run.born = run.born or self.born
         if run.task.crashes:
             self.suspects[run.key()] = run
         self.used_cpu += 0 if step.fills else step.cpu
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -40,6 +40,8 @@
     """Attempt and worker of each run that may still be there, and whether it is being stopped."""
     crashes: int = 0
     """How many workers were lost in a row under it."""
+    lives: list[int] = []
+    """When the life of each run's worker began, in the order of the runs; 0 if that isn't known."""
 
 
 class StoredProgress(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -104,6 +106,7 @@
                 (run.attempt, run.worker_id, run.state is RunState.STOPPING) for run in task.runs
             ],
             crashes=task.crashes,
+            lives=[run.born for run in task.runs],
         )
         for step in job.steps()
         for task in step.tasks
@@ -128,13 +131,14 @@
         task.crashes = record.crashes
         job.crashes = max(job.crashes, task.crashes)
         step.done += record.is_done
-        for attempt, worker_id, is_stopping in record.runs:
+        for number, (attempt, worker_id, is_stopping) in enumerate(record.runs):
             # An order that its owner didn't see answered counts as answered here: once the new
             # token is known at the worker, a late order under the old one is refused there.
             run = Run(
                 task=task,
                 attempt=attempt,
                 worker_id=worker_id,
+                born=record.lives[number] if number < len(record.lives) else 0,
                 state=RunState.STOPPING if is_stopping else RunState.RUNNING,
                 answered_ms=None if is_stopping else 0,
             )
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -134,8 +134,8 @@
     """
     if not worker.runs:
         return
-    is_carried = any(run.is_carried for run in worker.runs.values())
-    lease_ms = state.longest_lease_ms if is_carried else state.lease_ms
+    is_shortened = any(worker.was_sent_before(run) for run in worker.runs.values())
+    lease_ms = state.longest_lease_ms if is_shortened else state.lease_ms
     worker.lease_until_ms = max(worker.lease_until_ms, clock_ms + lease_ms)
 
 
@@ -154,6 +154,7 @@
         if run is None:
             _stop_unknown(state, worker, row, effects)
         else:
+            run.born = worker.born
             _update_run(run, row, now_ms)
             take_listed(worker, run, now_ms, effects)
     for run in list(worker.runs.values()):
@@ -171,8 +172,9 @@
 
 def _lose_unlisted(state: PartitionState, worker: Worker, run: Run, effects: Effects) -> None:
     """Give up a run that isn't there; one that was sent to an earlier life ended with that."""
-    reason = LossReason.WORKER_RESTARTED if run.is_carried else LossReason.RUN_NOT_LISTED
-    is_sole = run.is_carried and run.task.step.job is worker.sole_suspect
+    ended_before = worker.was_sent_before(run)
+    reason = LossReason.WORKER_RESTARTED if ended_before else LossReason.RUN_NOT_LISTED
+    is_sole = ended_before and run.task.step.job is worker.sole_suspect
     lose_run(state, run, effects, reason=reason, is_sole=is_sole)
 
 
@@ -181,7 +183,6 @@
         run.unanswered_ms = None
         run.answered_ms = now_ms
         run.state = RunState.RUNNING
-    run.is_carried = False
     run.listed_since_ms = run.listed_since_ms or now_ms
     if row.percent != run.percent or not run.moved_ms:
         run.moved_ms = now_ms
--- a/tests/dispatch/test_recovery.py
+++ b/tests/dispatch/test_recovery.py
@@ -80,6 +80,18 @@
     assert [again.task.name for again in started(later.effects)] == [run.task.name]
 
 
+def test_crash_of_a_worker_that_starts_again_under_a_next_owner_is_counted() -> None:
+    """Guards against starts without end of a task that crashes workers, owner after owner."""
+    earlier = Partition()
+    earlier.submit(make_step())
+    (run,) = earlier.start_all()
+    earlier.restart(run.worker_id)
+    later = take_over(earlier)
+    later.began_ms = earlier.began_ms
+    later.list_exactly(run.worker_id)
+    assert later.job().crashes == 1
+
+
 def test_task_that_a_worker_lists_is_taken_over_running() -> None:
     earlier = Partition()
     earlier.submit(make_step())
