--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -66,6 +66,8 @@
 MAX_CRASHES: Final = 4
 """The same where the last had listed the run, or never said that it began: it may as well have been
 lost later, or before, for another reason."""
+MAX_DOUBTFUL_RUNS: Final = 3
+"""Workers that don't answer, or were lost, under a task before no copy of it starts beside them."""
 APART_CRASHES: Final = 2
 """From so many on a task starts only where no task of another job is suspected."""
 PROVEN_MS: Final = 2000
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -9,7 +9,7 @@
 from heatherkeel.platform.callers import JobRequest, StepRequest
 from heatherkeel.platform.operator import WorkerEntry
 
-from .const import LAPSE_MARGIN_MS, MAX_SUDDEN_CRASHES, SLOWEST_CLOCK
+from .const import LAPSE_MARGIN_MS, MAX_DOUBTFUL_RUNS, SLOWEST_CLOCK
 
 
 class JobState(StrEnum):
@@ -124,7 +124,7 @@
             return not self.is_done
         if not self.step.request.may_copy or not all(run.is_doubtful for run in self.runs):
             return False
-        return self.crashes + len(self.runs) < MAX_SUDDEN_CRASHES
+        return self.crashes + len(self.runs) < MAX_DOUBTFUL_RUNS
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -327,12 +327,11 @@
 
     def is_overfull(self) -> bool:
         """Say whether its runs take more than the room that its entry tells."""
+        return not self._holds(self.used_cpu, self.used_memory_mb, self.used_gpu)
+
+    def _holds(self, cpu: int, memory_mb: int, gpu: int) -> bool:
         capacity = self.entry.capacity
-        return (
-            self.used_cpu > capacity.cpu
-            or self.used_memory_mb > capacity.memory_mb
-            or self.used_gpu > capacity.gpu
-        )
+        return cpu <= capacity.cpu and memory_mb <= capacity.memory_mb and gpu <= capacity.gpu
 
     def free_cpu(self) -> int:
         """Return the processor that nothing has taken, in thousandths of a core."""
@@ -340,11 +339,10 @@
 
     def fits(self, step: StepRequest) -> bool:
         """Say whether a task of a step has room; workers themselves may not guard theirs."""
-        capacity = self.entry.capacity
-        return (
-            (step.fills or self.used_cpu + step.cpu <= capacity.cpu)
-            and self.used_memory_mb + step.memory_mb <= capacity.memory_mb
-            and self.used_gpu + step.gpu <= capacity.gpu
+        return self._holds(
+            0 if step.fills else self.used_cpu + step.cpu,
+            self.used_memory_mb + step.memory_mb,
+            self.used_gpu + step.gpu,
         )
 
     def add(self, run: Run) -> None:
--- a/heatherkeel/dispatch/orders.py
+++ b/heatherkeel/dispatch/orders.py
@@ -65,7 +65,7 @@
     if worker is not None and event.error.failure in _NOT_REACHED:
         # The emptiest worker of a pool would be tried again at once, and again.
         fall_silent(state, worker, effects, detail=event.error.detail)
-    if worker is not None and _is_refused_for_good(event.error):
+    if worker is not None and _is_refused_for_some_time(event.error):
         # Its room has shrunk, and its entry doesn't say so yet, or it can't read the order. Still
         # the emptiest of its pool, it would be sent the same start every few milliseconds.
         worker.full_until_ms = state.now_ms + FULL_PAUSE_MS
@@ -83,7 +83,7 @@
         stop_run(state, run, effects)
 
 
-def _is_refused_for_good(error: CallError) -> bool:
+def _is_refused_for_some_time(error: CallError) -> bool:
     """Say whether the same start would be refused again for some time."""
     return error.detail == NO_ROOM or error.failure is Failure.INVALID
 
--- a/heatherkeel/dispatch/suspicion.py
+++ b/heatherkeel/dispatch/suspicion.py
@@ -119,10 +119,11 @@
     job = step.job
     if not job.crashes and not any(worker.suspects for worker in workers):
         return [workers]
-    open_to_it = [worker for worker in workers if _most_crashes(worker, job) < APART_CRASHES]
+    crashes = {worker.id: _most_crashes(worker, job) for worker in workers}
+    open_to_it = [worker for worker in workers if crashes[worker.id] < APART_CRASHES]
     if step.request.lasts and job.crashes < APART_CRASHES:
         return [open_to_it]
-    calm = [worker for worker in open_to_it if not _most_crashes(worker, job)]
+    calm = [worker for worker in open_to_it if not crashes[worker.id]]
     choices = [calm, open_to_it]
     if job.crashes:
         choices.insert(0, [worker for worker in calm if not _has_lasting_of_others(worker, job)])
--- /dev/null
+++ b/tests/dispatch/real_workers.py
@@ -0,0 +1,90 @@
+"""Workers as they really are, for the state machine of dispatching."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from heatherkeel.platform.workers import EndedTask
+
+CPU = 4000
+FIRST_BORN = 1
+"""When the first life under each id began."""
+
+
+@dataclass
+class RealWorker:
+    """What a worker really does, by the published protocol."""
+
+    id: str
+    token: int = 0
+    lease_until_ms: int = 0
+    runs: dict[str, int] = field(default_factory=dict)
+    refused: dict[str, int] = field(default_factory=dict)
+    ended: list[EndedTask] = field(default_factory=list)
+    numbers: int = 0
+    cpu: int = CPU
+    known_cpu: int = CPU
+    """The room that starts are held to: what its entry, or that of the life before, has told."""
+    is_alive: bool = True
+    born: int = 0
+    acknowledged: int = 0
+
+    def clock(self, now_ms: int) -> int:
+        """Return the clock of this life: that of a first life is far ahead."""
+        return now_ms + 500_000 if self.born == FIRST_BORN else now_ms - self.born
+
+    def start(self, task: str, attempt: int, token: int, until_ms: int, now_ms: int) -> str:
+        """Start a task; returns why not, or nothing."""
+        if token < self.token:
+            return "fence"
+        self.token = token
+        if until_ms < now_ms:
+            return "late"
+        if self.runs.get(task) == attempt:
+            return ""
+        if attempt <= self.refused.get(task, 0) or task in self.runs:
+            return "old"
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        self.runs[task] = attempt
+        return ""
+
+    def stop(self, task: str, attempt: int, token: int) -> str:
+        """Stop a task, at once; returns why not, or nothing."""
+        if token < self.token:
+            return "fence"
+        self.token = token
+        self.refused[task] = max(self.refused.get(task, 0), attempt)
+        if self.runs.get(task, attempt + 1) <= attempt:
+            self.end(task, "stopped")
+        return ""
+
+    def end(self, task: str, outcome: str) -> None:
+        """End a task."""
+        attempt = self.runs.pop(task)
+        self.refused[task] = max(self.refused.get(task, 0), attempt)
+        self.numbers += 1
+        self.ended.append(
+            EndedTask(number=self.numbers, task=task, attempt=attempt, outcome=outcome, saved="")
+        )
+
+    def look(self, now_ms: int) -> None:
+        """Kill everything whose lease has run out."""
+        if now_ms > self.lease_until_ms:
+            for task in list(self.runs):
+                self.end(task, "lapsed")
+
+
+@dataclass(frozen=True, kw_only=True)
+class LateOrder:
+    """An order that is carried out some time after it was given up."""
+
+    worker_id: str
+    kind: str
+    task: str
+    attempt: int
+    token: int
+    until_ms: int
+    worker: RealWorker
+    """The life that it has reached: a later one knows nothing of it."""
+    cpu: int
+    """The worker's room when the order was sent; it can't know of less if it comes late."""
