An entry of a life that was never met, and is read late, starts no new one

Callers saw nothing of it yet. An owner that takes over while the store reads behind could take an older life's entry for a restart, and start what runs a second time. Entries are believed only of later lives; listings, which come from the worker itself, of any other.

--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -283,6 +283,13 @@
         """Say whether a life that began at a time is another one than this."""
         return bool(born and self.born and born != self.born)
 
+    def is_earlier_life(self, born: int) -> bool:
+        """Say whether an entry that tells a start was written before this life, and read late.
+
+        A wall clock that was put back may have made a later life the one with the smaller start.
+        """
+        return born in self.former or 0 < born < self.born
+
     def was_sent_before(self, run: Run) -> bool:
         """Say whether a run was sent to an earlier life, and hasn't been listed in this one."""
         return self.is_other_life(run.born)
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -62,7 +62,7 @@
 ) -> None:
     """Take in what a known worker says of itself; its listings may tell of a new life sooner."""
     worker.is_listed = True
-    if entry.born in worker.former:
+    if worker.is_earlier_life(entry.born):
         return
     if worker.is_other_life(entry.born) or entry.service != worker.entry.service:
         worker = begin_life(state, worker, effects, entry=entry, born=entry.born)
--- a/tests/dispatch/test_restarts.py
+++ b/tests/dispatch/test_restarts.py
@@ -100,6 +100,19 @@
     assert partition.state.workers["w0"].born == partition.began_ms["w0"]
 
 
+def test_late_entry_of_a_life_that_was_never_met_changes_nothing() -> None:
+    """Guards against a second run beside one that is taken for gone, since a store reads behind."""
+    partition = Partition(workers=1)
+    partition.restart("w0")
+    partition.answer("w0")
+    run = start_on(partition, "w0")
+    list_run(partition, run)
+    late = msgspec.structs.replace(partition.entries["w0"], born=partition.began_ms["w0"] - 500)
+    partition.entries["w0"] = late
+    partition.list_workers()
+    assert run in run.task.runs
+
+
 def test_new_life_takes_no_work_before_its_room_is_known() -> None:
     """Guards against starts beyond the room of a worker that came back smaller (LIMIT)."""
     partition = Partition(workers=1)
