A small site in trouble of every kind, with workers that start again under their ids

Stand-ins keep a history of what workers did; after some seconds of crashes, lost orders and listings, hidden entries, a store that refuses, and killed processes, no task may have run twice or after its noted end, and every job that was accepted must end.

--- a/heatherkeel/standins/fleet_worker.py
+++ b/heatherkeel/standins/fleet_worker.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Any, Final
 
 import trio
@@ -28,6 +29,29 @@
 """Tells for a job's spec how many milliseconds a task takes; None for one that lasts."""
 
 
+class Happening(StrEnum):
+    """What a worker did with a task, or what became of its life."""
+
+    STARTED = "started"
+    ENDED = "ended"
+    ACKNOWLEDGED = "acknowledged"
+    """Its end was taken note of."""
+    LIFE_ENDED = "life ended"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TaskEvent:
+    """One line of what workers really did, in order."""
+
+    at_s: float
+    what: Happening
+    life: tuple[str, int]
+    """The worker's id, and when its life began."""
+    task: str = ""
+    attempt: int = 0
+    outcome: str = ""
+
+
 @dataclass(kw_only=True, slots=True)
 class StandinRun:
     """A task that runs."""
@@ -72,6 +96,10 @@
     """Starts that brought it over its room, for tests."""
     has_crashed: bool = False
     """A task that it was to start has crashed it."""
+    is_over: bool = False
+    """Its life has ended: nothing is carried out any more."""
+    history: list[TaskEvent] = field(default_factory=list)
+    """What all workers did, for tests."""
     changed: trio.Event = field(default_factory=trio.Event)
 
     def resize(self, cpu: int) -> None:
@@ -112,6 +140,7 @@
             ends_s=None if work_ms is None else now_s + work_ms / 1000,
         )
         self.started.append((task, attempt))
+        self._tell(Happening.STARTED, task, attempt)
         if len(self.runs) * TASK_CPU > self.counted_cpu():
             self.overfilled.append(task)
         self.has_crashed = self.has_crashed or _crashes(task, body["spec"])
@@ -135,7 +164,7 @@
         if refusal is not None:
             return refusal
         self.acknowledged = max(self.acknowledged, int(body.get("ackSeq", 0)))
-        self.ended = [row for row in self.ended if row[0] > self.acknowledged]
+        self._forget_acknowledged()
         self.lease_until_ms = max(self.lease_until_ms, int(body.get("deadlineMs", 0)))
         until_s = time.monotonic() + int(body.get("waitMs", 0)) / 1000
         while not self.ended and time.monotonic() < until_s:
@@ -163,11 +192,37 @@
             elif run.ends_s is not None and now_s >= run.ends_s:
                 self._end(run, "failed" if run.spec.startswith("fails") else "done")
 
+    def end_life(self) -> None:
+        """End this life, and all that runs in it, without a word."""
+        self.is_over = True
+        self.runs.clear()
+        self._tell(Happening.LIFE_ENDED, "", 0)
+
+    def _forget_acknowledged(self) -> None:
+        """Forget the ends that were acknowledged, also such as come under numbers up to there."""
+        for number, task, attempt, outcome, _ in self.ended:
+            if number <= self.acknowledged:
+                self._tell(Happening.ACKNOWLEDGED, task, attempt, outcome)
+        self.ended = [row for row in self.ended if row[0] > self.acknowledged]
+
+    def _tell(self, what: Happening, task: str, attempt: int, outcome: str = "") -> None:
+        event = TaskEvent(
+            at_s=time.monotonic(),
+            what=what,
+            life=(self.id, self.born),
+            task=task,
+            attempt=attempt,
+            outcome=outcome,
+        )
+        self.history.append(event)
+
     def _end(self, run: StandinRun, outcome: str) -> None:
         del self.runs[run.task]
         self.refused[run.task] = max(self.refused.get(run.task, 0), run.attempt)
         self.numbers += 1
         self.ended.append([self.numbers, run.task, run.attempt, outcome, ""])
+        self._tell(Happening.ENDED, run.task, run.attempt, outcome)
+        self._forget_acknowledged()
         self.changed.set()
 
     def _check_token(self, body: dict[str, Any]) -> Answer | None:
--- a/heatherkeel/standins/users_platform.py
+++ b/heatherkeel/standins/users_platform.py
@@ -23,7 +23,7 @@
 )
 from heatherkeel.helpers.server import HttpServer
 
-from .fleet_worker import FIRST_CLOCK_MS, FleetWorker, WorkOf
+from .fleet_worker import FIRST_CLOCK_MS, FleetWorker, TaskEvent, WorkOf
 from .keyed_log import Answer, KeyedLog
 
 MOVE_S: Final = 0.2
@@ -100,6 +100,8 @@
     needs_tickets: bool = False
     everyone: list[FleetWorker] = field(default_factory=list)
     """Every life of every worker, for tests."""
+    history: list[TaskEvent] = field(default_factory=list)
+    """What workers did, for tests."""
 
     def __post_init__(self) -> None:
         self.ids = itertools.count(1)
@@ -145,6 +147,8 @@
 
     async def async_end_worker(self, machine: StandinMachine) -> None:
         """End a worker's life, without a word."""
+        if machine.worker is not None:
+            machine.worker.end_life()
         if machine.server is not None:
             await machine.server.close(finish_timeout_s=0.0)
         machine.worker = machine.server = None
@@ -170,6 +174,7 @@
             machine=machine.name,
             work_of=self.work_of,
             first_clock_ms=0 if earlier else FIRST_CLOCK_MS,
+            history=self.history,
         )
 
         async def async_handle(request: Request, body: bytes) -> Answer:
@@ -274,6 +279,8 @@
         return self.log.read(query | {"waitMs": "0"}) or Answer(status=503)
 
     async def _async_worker(self, worker: FleetWorker, request: Request, body: bytes) -> Answer:
+        if worker.is_over:
+            await trio.sleep_forever()
         if request.headers.get("heatherkeel-target-instance") != worker.id:
             return Answer(status=421)
         decoded = msgspec.json.decode(body) if body else {}
@@ -282,7 +289,8 @@
                 if self.faults.lose_starts:
                     self.faults.lose_starts -= 1
                     await trio.sleep(self.faults.late_start_s)
-                    worker.start_task(decoded)
+                    if not worker.is_over:
+                        worker.start_task(decoded)
                     await trio.sleep_forever()
                 if self.needs_tickets and not _has_ticket(worker, decoded):
                     body_409 = {"clockMs": worker.clock_ms(), "reason": "ticket"}
