--- a/heatherkeel/standins/fleet_worker.py
+++ b/heatherkeel/standins/fleet_worker.py
@@ -5,11 +5,11 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import StrEnum
 from typing import Any, Final
 
 import trio
 
+from .history import Happening, TaskEvent
 from .keyed_log import Answer
 
 STOP_S: Final = 0.05
@@ -29,29 +29,6 @@
 """Tells for a job's spec how many milliseconds a task takes; None for one that lasts."""
 
 
-class Happening(StrEnum):
-    """What a worker did with a task, or what became of its life."""
-
-    STARTED = "started"
-    ENDED = "ended"
-    ACKNOWLEDGED = "acknowledged"
-    """Its end was taken note of."""
-    LIFE_ENDED = "life ended"
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class TaskEvent:
-    """One line of what workers really did, in order."""
-
-    at_s: float
-    what: Happening
-    life: tuple[str, int]
-    """The worker's id, and when its life began."""
-    task: str = ""
-    attempt: int = 0
-    outcome: str = ""
-
-
 @dataclass(kw_only=True, slots=True)
 class StandinRun:
     """A task that runs."""
--- a/heatherkeel/standins/users_platform.py
+++ b/heatherkeel/standins/users_platform.py
@@ -23,57 +23,23 @@
 )
 from heatherkeel.helpers.server import HttpServer
 
-from .fleet_worker import FIRST_CLOCK_MS, FleetWorker, TaskEvent, WorkOf
+from .faults import Faults
+from .fleet_worker import FIRST_CLOCK_MS, FleetWorker, WorkOf
+from .history import TaskEvent
 from .keyed_log import Answer, KeyedLog
+from .store_api import LOOK_S, StoreApi
+from .worker_api import WorkerApi, make_ticket
 
 MOVE_S: Final = 0.2
 """How long a machine is away when it moves or is maintained, in seconds."""
 CRASH_S: Final = 0.4
 """How long a machine is away after its worker has crashed, in seconds."""
 HEARTBEAT_S: Final = 0.2
-LOOK_S: Final = 0.01
 _BODY_BYTES: Final = 4 * 1024 * 1024
 
 Handle = Callable[[Request, bytes], Awaitable[Answer]]
 
 
-def make_ticket(step: str, worker_id: str) -> str:
-    """Return the ticket of a worker for a step."""
-    return f"ticket-{step}-{worker_id}"
-
-
-def _has_ticket(worker: FleetWorker, order: dict[str, Any]) -> bool:
-    step = order["task"].rsplit(".", 1)[0]
-    return bool(order.get("ticket") == make_ticket(step, worker.id))
-
-
-@dataclass(kw_only=True, slots=True)
-class Faults:
-    """What goes wrong, as a test switches it on."""
-
-    store_refuses: bool = False
-    """Every call to the store gets 503."""
-    store_silent: bool = False
-    """No call to the store is carried out or answered."""
-    side_refuses: bool = False
-    """Every call to the store's second address gets 503."""
-    side_silent: bool = False
-    """No call to the store's second address is carried out or answered."""
-    down_partitions: set[tuple[str, int]] = field(default_factory=set)
-    """Topics and partitions to which every append gets 503."""
-    lose_appends: int = 0
-    """So many of the next appends are carried out and not answered."""
-    lose_starts: int = 0
-    """So many of the next starts are not answered, and carried out late."""
-    late_start_s: float = 0.5
-    entries_silent: bool = False
-    """Workers can't write their entries."""
-    keep_ids: bool = False
-    """A worker that has crashed starts again under its id and at its address."""
-    lose_listings: int = 0
-    """So many of the next listings that wait for an end are never answered."""
-
-
 @dataclass(kw_only=True, slots=True)
 class StandinMachine:
     """A machine, its pool, and the life of the worker on it."""
@@ -97,7 +63,6 @@
     maintained: list[str] = field(default_factory=list)
     allowed: set[str] = field(default_factory=set)
     """Workers that the advisor lets run every step."""
-    needs_tickets: bool = False
     everyone: list[FleetWorker] = field(default_factory=list)
     """Every life of every worker, for tests."""
     history: list[TaskEvent] = field(default_factory=list)
@@ -106,8 +71,12 @@
     def __post_init__(self) -> None:
         self.ids = itertools.count(1)
         self.nursery: trio.Nursery | None = None
-        self.store = HttpServer(app=self._app(self._async_store), bind="127.0.0.1:0")
-        self.side_store = HttpServer(app=self._app(self._async_side_store), bind="127.0.0.1:0")
+        self.store_api = StoreApi(log=self.log, faults=self.faults)
+        self.worker_api = WorkerApi(faults=self.faults)
+        self.store = HttpServer(app=self._app(self.store_api.async_handle), bind="127.0.0.1:0")
+        self.side_store = HttpServer(
+            app=self._app(self.store_api.async_handle_side), bind="127.0.0.1:0"
+        )
         """The same store at a second address, for processes that it turns away alone."""
         self.cloud = HttpServer(app=self._app(self._async_cloud), bind="127.0.0.1:0")
 
@@ -178,7 +147,7 @@
         )
 
         async def async_handle(request: Request, body: bytes) -> Answer:
-            return await self._async_worker(worker, request, body)
+            return await self.worker_api.async_handle(worker, request, body)
 
         address = earlier.address if earlier else "127.0.0.1:0"
         machine.server = HttpServer(app=self._app(async_handle), bind=address)
@@ -235,76 +204,6 @@
 
         return async_app
 
-    async def _async_store(self, request: Request, body: bytes) -> Answer:
-        if self.faults.store_silent:
-            await trio.sleep_forever()
-        if self.faults.store_refuses:
-            return Answer(status=503)
-        match request.path.rsplit("/", 1)[-1]:
-            case "log-append":
-                place = (request.query["topic"], int(request.query["part"]))
-                if place in self.faults.down_partitions:
-                    return Answer(status=503)
-                answer = self.log.append(request.query, body)
-                if self.faults.lose_appends:
-                    self.faults.lose_appends -= 1
-                    await trio.sleep_forever()
-                return answer
-            case "log-read":
-                return await self._async_read(request.query)
-            case "log-newest":
-                return self.log.read_newest(request.query)
-            case "log-join":
-                return self.log.join(msgspec.json.decode(body))
-            case "log-leave":
-                return self.log.leave(msgspec.json.decode(body))
-            case "log-owners":
-                return self.log.list_holders(request.query)
-        return Answer(status=404)
-
-    async def _async_side_store(self, request: Request, body: bytes) -> Answer:
-        if self.faults.side_silent:
-            await trio.sleep_forever()
-        if self.faults.side_refuses:
-            return Answer(status=503)
-        return await self._async_store(request, body)
-
-    async def _async_read(self, query: dict[str, str]) -> Answer:
-        with trio.move_on_after(int(query.get("waitMs", "0")) / 1000):
-            while True:
-                answer = self.log.read(query)
-                if answer is not None:
-                    return answer
-                await trio.sleep(LOOK_S)
-        return self.log.read(query | {"waitMs": "0"}) or Answer(status=503)
-
-    async def _async_worker(self, worker: FleetWorker, request: Request, body: bytes) -> Answer:
-        if worker.is_over:
-            await trio.sleep_forever()
-        if request.headers.get("heatherkeel-target-instance") != worker.id:
-            return Answer(status=421)
-        decoded = msgspec.json.decode(body) if body else {}
-        match request.path.rsplit("/", 1)[-1]:
-            case "run-start":
-                if self.faults.lose_starts:
-                    self.faults.lose_starts -= 1
-                    await trio.sleep(self.faults.late_start_s)
-                    if not worker.is_over:
-                        worker.start_task(decoded)
-                    await trio.sleep_forever()
-                if self.needs_tickets and not _has_ticket(worker, decoded):
-                    body_409 = {"clockMs": worker.clock_ms(), "reason": "ticket"}
-                    return Answer(status=409, body=body_409)
-                return worker.start_task(decoded)
-            case "run-stop":
-                return worker.stop_task(decoded)
-            case "hold":
-                if self.faults.lose_listings and decoded.get("waitMs"):
-                    self.faults.lose_listings -= 1
-                    await trio.sleep_forever()
-                return await worker.async_hold(decoded)
-        return Answer(status=404)
-
     async def _async_cloud(self, request: Request, body: bytes) -> Answer:
         decoded = msgspec.json.decode(body) if body else {}
         match request.path.rsplit("/", 1)[-1]:
--- a/tests/instance/chaos.py
+++ b/tests/instance/chaos.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from heatherkeel.standins.fleet_worker import Happening, TaskEvent
+from heatherkeel.standins.history import Happening, TaskEvent
 
 from .site import STEP, Site, open_site
 
--- a/tests/instance/test_whole_path.py
+++ b/tests/instance/test_whole_path.py
@@ -185,7 +185,7 @@
     async def async_test() -> None:
         async with open_site(processes=1, machines=3) as site:
             process = site.processes[0]
-            site.platform.needs_tickets = True
+            site.platform.worker_api.needs_tickets = True
             chosen = site.platform.everyone[1]
             site.platform.allowed.add(chosen.id)
             advised = QUEUE | {"placementAdvisor": {"decisionMs": 5, "validityMs": 3000}}
