--- a/heatherkeel/explain/const.py
+++ b/heatherkeel/explain/const.py
@@ -18,7 +18,16 @@
     | {"store_lost", "store_regained"}
 )
 """What befell a process; told of those that have a line of the job."""
-WORKER_EVENTS: Final = frozenset({"worker_aside", "worker_dropped", "worker_silent"})
+WORKER_EVENTS: Final = frozenset(
+    {
+        "worker_aside",
+        "worker_dropped",
+        "worker_heard",
+        "worker_left_out",
+        "worker_restarted",
+        "worker_silent",
+    }
+)
 """What an owner came to believe of a worker; told of those on which the job lost something."""
 HIDDEN_FIELDS: Final = frozenset(
     {"event", "instance", "level", "logger", "message", "taskName", "time", "zone"}
--- a/tests/explain/test_timeline.py
+++ b/tests/explain/test_timeline.py
@@ -105,6 +105,21 @@
     assert "worker=w1" in out and "worker=w2" not in out
 
 
+def test_restart_of_a_worker_is_told_with_the_run_that_it_cost(
+    tmp_path: Path, capsys: Captured
+) -> None:
+    files = write_logs(
+        tmp_path,
+        owner=[
+            (1.0, accepted()),
+            (2.0, {"event": "worker_restarted", "worker": "w1", "born": 1796286683078}),
+            (2.1, {"event": "run_lost", "task": f"{JOB}.0.0.0", "worker": "w1"}),
+        ],
+    )
+    assert main(["explain", JOB, *files]) == 0
+    assert "born=1796286683078" in capsys.readouterr().out
+
+
 def test_lines_with_a_collectors_prefix_are_read_and_others_are_counted(
     tmp_path: Path, capsys: Captured
 ) -> None:
