script/measure surges: what a surge of one queue, or of all, leaves to whom

A simulation of several pools with machines that move, by the production reducers. Nothing decides otherwise by it.

--- a/heatherkeel/measure/__main__.py
+++ b/heatherkeel/measure/__main__.py
@@ -22,6 +22,7 @@
     resident,
     slopes,
     snapshots,
+    surges,
     urgent,
 )
 from .registry import MEASUREMENTS
