--- a/heatherkeel/dispatch/lives.py
+++ b/heatherkeel/dispatch/lives.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import logging
-
 from heatherkeel.platform.operator import WorkerEntry
 
 from .const import SILENT_MS, SLOWEST_CLOCK
@@ -15,8 +13,7 @@
 from .rooms import take_back
 from .state import PartitionState
 from .suspicion import find_sole_job
-
-_LOGGER = logging.getLogger(__name__)
+from .telling import tell_restart, tell_worker
 
 
 def add_worker(state: PartitionState, worker: Worker) -> None:
@@ -45,7 +42,7 @@
         is_due=worker.is_due,
         is_outdated=worker.is_outdated,
     )
-    _tell_restart(worker, later)
+    tell_restart(worker, later)
     for run in list(worker.runs.values()):
         if worker.runs.get(run.key()) is run:
             _end_with_life(state, run, later, effects)
@@ -135,25 +132,3 @@
     for run in list(worker.runs.values()):
         is_sole = run.task.step.job is sole
         lose_run(state, run, effects, reason=reason, is_sole=is_sole)
-
-
-def _tell_restart(worker: Worker, later: Worker) -> None:
-    _LOGGER.info(
-        "a worker has started again",
-        extra={
-            "event": "worker_restarted",
-            "worker": worker.id,
-            "born": later.born,
-            "born_before": worker.born,
-            "runs": len(worker.runs),
-            "seen": worker.seen,
-            "acknowledged": worker.acknowledged,
-        },
-    )
-
-
-def tell_worker(worker_id: str, event: str, detail: str) -> None:
-    """Log something that is believed of a worker."""
-    _LOGGER.info(
-        "worker %s", worker_id, extra={"event": event, "worker": worker_id, "detail": detail}
-    )
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -6,7 +6,7 @@
 
 from heatherkeel.platform.errors import Failure
 from heatherkeel.platform.operator import WorkerEntry
-from heatherkeel.platform.workers import EndedTask, Listing, RunningTask
+from heatherkeel.platform.workers import Listing, RunningTask
 
 from .building import make_unknown_task
 from .ends import find_task, lose_run, take_end
@@ -21,7 +21,7 @@
 )
 from .jobs import stop_run
 from .lasting import leave_workers
-from .lives import add_worker, begin_life, drop_if_lapsed, end_life, tell_worker
+from .lives import add_worker, begin_life, drop_if_lapsed, end_life
 from .models import Life, LossReason, Run, RunState, Worker
 from .pacing import pace_worker
 from .pools import wait_for_room
@@ -30,6 +30,7 @@
 from .standing import leave_standing
 from .state import PartitionState
 from .suspicion import take_listed
+from .telling import tell_heard, tell_left_out, tell_passed_over, tell_worker
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -41,7 +42,7 @@
     state.left_out = {key: born for key, born in state.left_out.items() if key in event.entries}
     for worker_id, entry in event.entries.items():
         if state.is_gone(Life(worker_id=worker_id, born=entry.born)):
-            _tell_left_out(state, worker_id, entry)
+            tell_left_out(state, worker_id, entry)
             continue
         worker = state.workers.get(worker_id)
         if worker is None:
@@ -103,7 +104,7 @@
     """Take in that a worker answers, and its clock."""
     if not worker.is_ready() or worker.is_silent:
         effects.touch(worker.entry.service)
-        _tell_heard(worker, event.listing)
+        tell_heard(worker, event.listing)
     worker.is_silent = False
     for run in worker.runs.values():
         run.is_doubtful = False
@@ -121,7 +122,7 @@
             take_end(state, worker, ended, effects)
             worker.seen = ended.number
         elif (ended.task, ended.attempt) in worker.runs:
-            _tell_passed_over(worker, ended)
+            tell_passed_over(worker, ended)
     if worker.seen > ended_before:
         effects.add(AcknowledgeEnds(worker=worker, number=worker.seen))
 
@@ -269,49 +270,3 @@
             worker.is_leaving = is_leaving
             effects.touch(worker.entry.service)
     leave_workers(state, effects)
-
-
-def _tell_left_out(state: PartitionState, worker_id: str, entry: WorkerEntry) -> None:
-    """Tell once for each life that its entry isn't believed, since the worker counts as gone."""
-    if state.left_out.get(worker_id) == entry.born:
-        return
-    state.left_out[worker_id] = entry.born
-    _LOGGER.info(
-        "a worker that counts as gone has an entry",
-        extra={"event": "worker_left_out", "worker": worker_id, "born": entry.born},
-    )
-
-
-def _tell_heard(worker: Worker, listing: Listing) -> None:
-    """Tell what a worker says of its life, and how far its ends were known."""
-    _LOGGER.info(
-        "worker heard",
-        extra={
-            "event": "worker_heard",
-            "worker": worker.id,
-            "born": listing.born,
-            "clock_ms": listing.clock_ms,
-            "clock_before_ms": worker.clock_ms,
-            "silent_since_ms": worker.silent_since_ms if worker.is_silent else None,
-            "running": len(listing.running),
-            "known_runs": len(worker.runs),
-            "last_end": listing.ended[-1].number if listing.ended else 0,
-            "seen": worker.seen,
-            "acknowledged": worker.acknowledged,
-        },
-    )
-
-
-def _tell_passed_over(worker: Worker, ended: EndedTask) -> None:
-    _LOGGER.warning(
-        "the end of a run that should be there is passed over, since its number is known",
-        extra={
-            "event": "end_passed_over",
-            "task": ended.task,
-            "attempt": ended.attempt,
-            "worker": worker.id,
-            "outcome": ended.outcome,
-            "number": ended.number,
-            "seen": worker.seen,
-        },
-    )
