Ends that are stored are acknowledged before newer ones are waited for

Found by reading, since ends are acknowledged only right after a listing. Callers would have seen tasks that end late beside a slow store: each listing brought newer ends, the session waited until these were stored, and by then the listing was too old to acknowledge any. 24 to 32 ends piled up on a worker in 7 s with appends of 200 ms, and a worker lists 500 at the most. What is stored goes with the next listing, right after the one that was just answered; then the rest is waited for.

--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -79,13 +79,14 @@
                 continue
             if not await self._async_list_once():
                 await trio.sleep(FAILED_LIST_PAUSE_MS / 1000)
+            elif self.worker.told < self.worker.acknowledged:
+                # Ends are acknowledged only right after a listing, so newer ones are stored later.
+                continue
             elif self.worker.seen > self.worker.acknowledged:
                 # Ends that aren't acknowledged come again at once, so wait until they may be.
                 with trio.move_on_after(LIST_WAIT_MS / 1000):
                     await self.stored.wait()
                 self.stored = trio.Event()
-            elif self.worker.told < self.worker.acknowledged:
-                continue
             elif not self.worker.runs:
                 with trio.move_on_after(IDLE_LIST_MS / 1000):
                     await self.work_came.wait()
--- a/heatherkeel/standins/faults.py
+++ b/heatherkeel/standins/faults.py
@@ -21,6 +21,8 @@
     """Topics and partitions to which every append gets 503."""
     lose_appends: int = 0
     """So many of the next appends are carried out and not answered."""
+    append_s: float = 0.0
+    """How long an append takes, in seconds."""
     lose_starts: int = 0
     """So many of the next starts are not answered, and carried out late."""
     late_start_s: float = 0.5
--- a/heatherkeel/standins/store_api.py
+++ b/heatherkeel/standins/store_api.py
@@ -35,6 +35,7 @@
                 place = (request.query["topic"], int(request.query["part"]))
                 if place in self.faults.down_partitions:
                     return Answer(status=503)
+                await trio.sleep(self.faults.append_s)
                 answer = self.log.append(request.query, body)
                 if self.faults.lose_appends:
                     self.faults.lose_appends -= 1
--- a/tests/instance/test_restarted_workers.py
+++ b/tests/instance/test_restarted_workers.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from heatherkeel.standins.fleet_worker import TASK_CPU
+
 from .site import STEP, Site, open_site
 
 EARLIER = "00000000000000a1"
@@ -39,6 +41,25 @@
     trio.run(async_test)
 
 
+def test_ends_are_acknowledged_while_a_slow_store_is_behind_a_busy_worker() -> None:
+    """Guards against ends that pile up on a worker until it lists no newer ones."""
+
+    async def async_test() -> None:
+        async with open_site(processes=1, machines=1) as site:
+            (process,) = site.processes
+            site.platform.faults.append_s = 0.2
+            (worker,) = site.platform.everyone
+            most = 0
+            for number in range(240):
+                spec = f"work {100 + number * 37 % 400}"
+                site.nursery.start_soon(site.async_submit, process, f"{number:016x}", spec)
+                await trio.sleep(0.025)
+                most = max(most, len(worker.ended))
+            assert 0 < most <= 2 * worker.cpu // TASK_CPU
+
+    trio.run(async_test)
+
+
 def test_worker_that_started_again_before_its_entry_lapsed_gets_work() -> None:
     """Guards against jobs that wait for good, since their worker was given up under its id."""
 
