Lives that are over are kept by worker; a comment says why stored ends go first

Read again: each reading of entries looked through all lives that are over for each worker that doesn't tell its start.

--- a/heatherkeel/dispatch/lives.py
+++ b/heatherkeel/dispatch/lives.py
@@ -7,7 +7,7 @@
 from .const import SILENT_MS, SLOWEST_CLOCK
 from .ends import lose_run
 from .events import Effects, LivesListed, OpenSessions, StopTask
-from .models import Life, LossReason, Run, RunState, Worker
+from .models import LossReason, Run, RunState, Worker
 from .pools import find_pool
 from .registry import handles
 from .rooms import take_back
@@ -88,8 +88,8 @@
     state: PartitionState, worker: Worker, effects: Effects, *, reason: LossReason
 ) -> None:
     """Take in that a life of a worker is over, whatever its entry says for some seconds more."""
-    for born in (worker.born, *worker.former):
-        state.gone_lives.add(Life(worker_id=worker.id, born=born))
+    earlier = state.gone_lives.get(worker.id, frozenset())
+    state.gone_lives[worker.id] = earlier | worker.former | {worker.born}
     drop_worker(state, worker, effects, reason=reason)
 
 
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -4,7 +4,6 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import NamedTuple
 
 from heatherkeel.platform.callers import JobRequest, StepRequest
 from heatherkeel.platform.operator import WorkerEntry
@@ -221,14 +220,6 @@
         return max(1, self.request.repeat_count)
 
 
-class Life(NamedTuple):
-    """One life of a worker: it may start again under the id that it had."""
-
-    worker_id: str
-    born: int
-    """When it began, in milliseconds since 1970; 0 if it didn't tell."""
-
-
 @dataclass(kw_only=True, slots=True, eq=False)
 class Worker:
     """One life of a worker, with the room that its runs take."""
--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -80,7 +80,8 @@
             if not await self._async_list_once():
                 await trio.sleep(FAILED_LIST_PAUSE_MS / 1000)
             elif self.worker.told < self.worker.acknowledged:
-                # Ends are acknowledged only right after a listing, so newer ones are stored later.
+                # What is stored may be acknowledged only now: while newer ends are waited for, the
+                # listing would grow too old.
                 continue
             elif self.worker.seen > self.worker.acknowledged:
                 # Ends that aren't acknowledged come again at once, so wait until they may be.
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -9,7 +9,7 @@
 
 from .building import work_ahead
 from .const import ARRIVAL_WINDOW_MS, LEASE_MS
-from .models import Job, Life, Worker
+from .models import Job, Worker
 from .open_steps import OpenSteps
 
 
@@ -55,8 +55,8 @@
     workers: dict[str, Worker] = field(default_factory=dict)
     queues: dict[str, Queue] = field(default_factory=dict)
     pools: dict[str, Pool] = field(default_factory=dict)
-    gone_lives: set[Life] = field(default_factory=set)
-    """Lives that have surely ended, though their entries may stand for some seconds more."""
+    gone_lives: dict[str, frozenset[int]] = field(default_factory=dict)
+    """When lives began that have surely ended, by worker, while an entry stands under its id."""
     left_out: dict[str, int] = field(default_factory=dict)
     """Of these, workers whose entries were told not to be believed, and the start of that life."""
     leaving_ms: int = 0
@@ -64,11 +64,10 @@
     can_start: bool = True
     """Whether starts can be stored and sent now."""
 
-    def is_gone(self, life: Life) -> bool:
+    def is_gone(self, worker_id: str, born: int) -> bool:
         """Say whether a life has surely ended; one that doesn't tell its start may be any."""
-        if life.born:
-            return life in self.gone_lives
-        return any(gone.worker_id == life.worker_id for gone in self.gone_lives)
+        gone = self.gone_lives.get(worker_id)
+        return gone is not None and (not born or born in gone)
 
     def find_job(self, job_id: str) -> Job | None:
         """Return a job, also one that has ended."""
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -22,7 +22,7 @@
 from .jobs import stop_run
 from .lasting import leave_workers
 from .lives import add_worker, begin_life, drop_if_lapsed, end_life
-from .models import Life, LossReason, Run, RunState, Worker
+from .models import LossReason, Run, RunState, Worker
 from .pacing import pace_worker
 from .pools import wait_for_room
 from .registry import handles
@@ -38,10 +38,11 @@
 @handles(WorkersListed)
 def take_entries(state: PartitionState, event: WorkersListed, effects: Effects) -> None:
     """Take in the workers' entries; one that is missing gets no work, but may still run some."""
-    state.gone_lives = {life for life in state.gone_lives if life.worker_id in event.entries}
-    state.left_out = {key: born for key, born in state.left_out.items() if key in event.entries}
+    for known in (state.gone_lives, state.left_out):
+        for worker_id in known.keys() - event.entries.keys():
+            del known[worker_id]
     for worker_id, entry in event.entries.items():
-        if state.is_gone(Life(worker_id=worker_id, born=entry.born)):
+        if state.is_gone(worker_id, entry.born):
             tell_left_out(state, worker_id, entry)
             continue
         worker = state.workers.get(worker_id)
