--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -41,12 +41,17 @@
 WORKERS_PAUSE_MS: Final = 250
 """Pause between reads of the workers' entries, in milliseconds; batches frequent heartbeats."""
 
+MAX_LOGGED_QUEUES: Final = 20
+"""Maximum number of added or removed queues in a log line."""
+
 
 @dataclass(kw_only=True, slots=True)
 class DirectoryState:
     """The records that were read last."""
 
     config: Configuration | None = None
+    config_as_of_ms: int | None = None
+    """Monotonic time up to which `config` is known to be the newest; None if there is none yet."""
     queues: dict[str, Queue] = field(default_factory=dict)
     """Every queue ever configured, since accepted jobs continue after its removal."""
     services: dict[str, Service] = field(default_factory=dict)
@@ -57,6 +62,16 @@
     layout: Layout = field(default_factory=Layout)
     """Assignment of services to partitions; empty until it is known."""
 
+    def config_version(self) -> int:
+        """Return the version of the configuration in force; 0 before the first."""
+        return self.config.version if self.config is not None else 0
+
+    def config_age_ms(self) -> int | None:
+        """Return the age of the knowledge that `config` is the newest, in milliseconds."""
+        if self.config is None or self.config_as_of_ms is None:
+            return None
+        return monotonic_ms() - self.config_as_of_ms
+
     def serving(self) -> set[str]:
         """Return the names of the services whose machines run jobs."""
         return {name for name, service in self.services.items() if not service.is_standby}
@@ -78,6 +93,7 @@
             partition=0,
             on_records=self._apply_operator_records,
             on_keys=self._retain_operator_keys,
+            on_read=self._record_operator_read,
             wait_ms=CONFIG_WAIT_MS,
         )
         self.workers = TopicFollower(
@@ -131,6 +147,9 @@
         for callback in list(self.subscribers):
             callback()
 
+    def _record_operator_read(self, as_of_ms: int) -> None:
+        self.state.config_as_of_ms = as_of_ms
+
     def _apply_operator_records(self, records: list[KeyedRecord]) -> None:
         for record in records:
             if record.key == CONFIG_KEY:
@@ -153,6 +172,7 @@
         # callers have already seen in force.
         if known is not None and config.version <= known.version:
             return
+        before = known.queues if known is not None else []
         self.state.config = config
         self.state.queues |= {queue.name: queue for queue in config.queues}
         self.state.services = {service.name: service for service in config.services}
@@ -163,6 +183,8 @@
                 "version": config.version,
                 "queues": len(config.queues),
                 "offset": record.offset,
+                "added": _list_paths(config.queues, without=before),
+                "removed": _list_paths(before, without=config.queues),
             },
         )
 
@@ -230,3 +252,14 @@
                 del entries[worker_id]
         if len(self.state.workers) != before:
             self._notify()
+
+
+def _list_paths(queues: list[Queue], *, without: list[Queue]) -> list[str]:
+    """Return the hosts and paths of queues that aren't in the other list, for a log line."""
+    known = {(queue.host, queue.path_prefix, queue.service) for queue in without}
+    paths = [
+        f"{queue.host}{queue.path_prefix}"
+        for queue in queues
+        if (queue.host, queue.path_prefix, queue.service) not in known
+    ]
+    return paths[:MAX_LOGGED_QUEUES]
--- a/heatherkeel/directory/follower.py
+++ b/heatherkeel/directory/follower.py
@@ -25,6 +25,7 @@
 
     `on_records` is called with records. `on_keys` is called with all existing keys after the newest
     records have been read again; deletions in forgotten history are only visible this way.
+    `on_read` is called after each answer with `as_of_ms`.
     """
 
     def __init__(
@@ -37,12 +38,14 @@
         on_keys: Callable[[set[str]], None],
         wait_ms: int,
         pause_ms: int = 0,
+        on_read: Callable[[int], None] = lambda as_of_ms: None,
     ) -> None:
         self.store = store
         self.topic = topic
         self.partition = partition
         self.on_records = on_records
         self.on_keys = on_keys
+        self.on_read = on_read
         self.wait_ms = wait_ms
         self.pause_s = pause_ms / 1000
         self.next_offset: int | None = None
@@ -50,6 +53,8 @@
         self.connected = True
         self.read_ms = monotonic_ms()
         """When the store last answered a read."""
+        self.as_of_ms: int | None = None
+        """Monotonic time up to which all records are known; None before the first read."""
 
     async def async_run(self) -> None:
         """Follow until cancelled."""
@@ -60,6 +65,7 @@
                 await self._async_read_next(self.next_offset)
 
     async def _async_read_newest(self) -> None:
+        sent_ms = monotonic_ms()
         read = await self.store.async_read_all_newest(self.topic, self.partition)
         if isinstance(read, Err):
             return await self._async_handle_failure(read.err_value)
@@ -69,10 +75,11 @@
         self.on_keys({record.key for record in records if record.value})
         self.on_records(records)
         self.next_offset = page.end
-        self._record_success()
+        self._record_success(as_of_ms=sent_ms)
         return None
 
     async def _async_read_next(self, start: int) -> None:
+        sent_ms = monotonic_ms()
         read = await self.store.async_read(
             self.topic, self.partition, start=start, wait_ms=self.wait_ms
         )
@@ -81,7 +88,9 @@
                 self.next_offset = start + len(answer.records)
                 if answer.records:
                     self.on_records(answer.records)
-                self._record_success()
+                # The store answers without records only after the full wait.
+                waited_ms = 0 if answer.records else self.wait_ms
+                self._record_success(as_of_ms=min(sent_ms + waited_ms, monotonic_ms()))
                 if self.pause_s:
                     await trio.sleep(self.pause_s)
             case Err(error) if error.failure is Failure.FORGOTTEN:
@@ -93,8 +102,11 @@
             case Err(error):
                 await self._async_handle_failure(error)
 
-    def _record_success(self) -> None:
+    def _record_success(self, *, as_of_ms: int) -> None:
+        """Record an answer, which may have been delayed and so is older than its arrival."""
         self.read_ms = monotonic_ms()
+        self.as_of_ms = as_of_ms
+        self.on_read(as_of_ms)
         self.caught_up.set()
         if not self.connected:
             self.connected = True
--- a/heatherkeel/gateway/exchange.py
+++ b/heatherkeel/gateway/exchange.py
@@ -12,6 +12,7 @@
 from result import Err
 
 from heatherkeel.directory.directory import DirectoryState
+from heatherkeel.directory.metrics import ConfigMetrics
 from heatherkeel.dispatch.models import JobState
 from heatherkeel.dispatch.records import (
     CANCEL_PREFIX,
@@ -78,6 +79,7 @@
     directory: DirectoryState
     lookup: Lookup
     metrics: GatewayMetrics
+    config_metrics: ConfigMetrics
     accepts_callers: Callable[[], bool]
     """Returns whether this process is ready for callers."""
 
@@ -96,6 +98,7 @@
     async def async_serve(self) -> None:
         """Handle the request and send the response."""
         config = self.context.directory.config
+        self.context.config_metrics.observe_request(self.context.directory.config_age_ms())
         if config is None:
             return await self._async_refuse(Refusal.NO_CONFIGURATION, retry_s=RETRY_SOON_S)
         path = self.request.path
@@ -121,6 +124,14 @@
             return await self._async_refuse(Refusal.NO_SUCH_QUEUE)
         return await action(queue, job_id)
 
+    def _describe_config(self) -> dict[str, int | None]:
+        """Return the configuration's version and age for a log line."""
+        directory = self.context.directory
+        return {
+            "version": directory.config_version(),
+            "config_age_ms": directory.config_age_ms(),
+        }
+
     def _partition(self, queue: Queue, job_id: str) -> int:
         partition = self.context.directory.layout.partition_of_job(queue.service, job_id)
         assert partition is not None, "a service in the layout is never removed"
@@ -162,7 +173,7 @@
                 "job": job_id,
                 "queue": queue.name,
                 "partition": partition,
-                "version": config.version if config else 0,
+                **self._describe_config(),
             },
         )
         return await self._async_send_state(JobState.PENDING)
@@ -241,7 +252,12 @@
                 return None
         _LOGGER.info(
             "cancel accepted",
-            extra={"event": "cancel_accepted", "job": job_id, "queue": queue.name},
+            extra={
+                "event": "cancel_accepted",
+                "job": job_id,
+                "queue": queue.name,
+                **self._describe_config(),
+            },
         )
         return await self._async_send_state(JobState.CANCELED)
 
@@ -252,6 +268,15 @@
             pending = await self.context.lookup.async_count_pending(partitions, queue.name)
         if pending is None:
             return await self._async_refuse(Refusal.OWNER_SILENT)
+        _LOGGER.info(
+            "queue length answered",
+            extra={
+                "event": "queue_counted",
+                "path": self.request.path,
+                "pending": pending,
+                **self._describe_config(),
+            },
+        )
         return await async_respond(self.send, status=200, body=encode_queue_length(pending))
 
     async def _async_send_state(self, state: JobState) -> None:
@@ -270,6 +295,7 @@
                 "method": self.request.method,
                 "path": self.request.path,
                 "detail": detail,
+                **self._describe_config(),
             },
         )
         await async_respond_problem(
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -12,6 +12,7 @@
 
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.layout_reader import LayoutReader
+from heatherkeel.directory.metrics import ConfigMetrics
 from heatherkeel.dispatch.metrics import DispatchMetrics
 from heatherkeel.dispatch.owner import PartitionOwner
 from heatherkeel.gateway.app import JobApiApp
@@ -69,6 +70,9 @@
         self.store = StoreClient(address=settings.store.address, route=route)
         self.relay = StoreRelay(store=self.store, metrics=relay_metrics)
         self.directory = Directory(store=self.store)
+        config_metrics = ConfigMetrics(
+            registry=self.metrics.registry, directory=self.directory.state
+        )
         self.holders = HolderCache(store=self.store)
         self.owners: dict[int, PartitionOwner] = {}
         self.unused_partitions: dict[int, int] = {}
@@ -118,6 +122,7 @@
                     directory=self.directory.state,
                     lookup=self.lookup,
                     metrics=self.metrics,
+                    config_metrics=config_metrics,
                     accepts_callers=self.status.is_ready,
                 )
             ),
--- /dev/null
+++ b/tests/directory/test_follower.py
@@ -0,0 +1,70 @@
+"""Tests for reads of a topic."""
+
+from __future__ import annotations
+
+from typing import cast
+
+import trio
+import trio.testing
+from result import Ok, Result
+
+from heatherkeel.directory.follower import TopicFollower
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.platform.errors import CallError
+from heatherkeel.platform.framing import KeyedRecord
+from heatherkeel.platform.store import StoreClient
+from heatherkeel.platform.store_answers import ReadRecords
+
+WAIT_MS = 60
+
+
+class DelayingStore:
+    """Answers one read, late, and no other."""
+
+    def __init__(self, records: list[KeyedRecord], *, delay_s: float) -> None:
+        self.records = records
+        self.delay_s = delay_s
+        self.answered = False
+
+    async def async_read(
+        self, topic: str, partition: int, *, start: int, wait_ms: int
+    ) -> Result[ReadRecords, CallError]:
+        """Answer after the delay."""
+        if self.answered:
+            await trio.sleep_forever()
+        self.answered = True
+        await trio.sleep(self.delay_s)
+        return Ok(ReadRecords(end=len(self.records), records=self.records))
+
+
+async def async_read_once(records: list[KeyedRecord], *, delay_s: float) -> int:
+    """Return the age of the records after one delayed answer, in milliseconds."""
+    store = DelayingStore(records, delay_s=delay_s)
+    follower = TopicFollower(
+        store=cast(StoreClient, store),
+        topic="keyed.op",
+        partition=0,
+        on_records=lambda records: None,
+        on_keys=lambda keys: None,
+        wait_ms=WAIT_MS,
+    )
+    follower.next_offset = 0
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.async_run)
+        await follower.caught_up.wait()
+        nursery.cancel_scope.cancel()
+    assert follower.as_of_ms is not None
+    return monotonic_ms() - follower.as_of_ms
+
+
+@trio.testing.trio_test
+async def test_age_of_records_includes_the_delay_of_their_answer() -> None:
+    """An answer that arrives late must not make old records look new."""
+    record = KeyedRecord(key="config", value=b"{}")
+    assert await async_read_once([record], delay_s=0.2) >= 199
+
+
+@trio.testing.trio_test
+async def test_answer_without_records_proves_their_age_only_up_to_the_wait() -> None:
+    """The store looked when the wait was over; the rest of the time may have been a delay."""
+    assert 200 - WAIT_MS - 1 <= await async_read_once([], delay_s=0.2) < 190
--- a/tests/gateway/calling.py
+++ b/tests/gateway/calling.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from heatherkeel.directory.directory import DirectoryState
+from heatherkeel.directory.metrics import ConfigMetrics
 from heatherkeel.gateway.app import JobApiApp
 from heatherkeel.gateway.exchange import GatewayContext
 from heatherkeel.gateway.lookup import Lookup
@@ -24,13 +25,16 @@
     store: StoreClient, links: QuestionLinks, *, accepts_callers: bool = True
 ) -> JobApiApp:
     """Return an application with one queue in one partition."""
+    directory = DirectoryState(
+        config=Configuration(version=1, queues=[QUEUE]), layout=Layout(shares={"portal": (0,)})
+    )
+    metrics = GatewayMetrics()
     context = GatewayContext(
         store=store,
-        directory=DirectoryState(
-            config=Configuration(version=1, queues=[QUEUE]), layout=Layout(shares={"portal": (0,)})
-        ),
+        directory=directory,
         lookup=Lookup(store=store, holders=FakeHolderCache(store=store), links=links),
-        metrics=GatewayMetrics(),
+        metrics=metrics,
+        config_metrics=ConfigMetrics(registry=metrics.registry, directory=directory),
         accepts_callers=lambda: accepts_callers,
     )
     return JobApiApp(context=context)
