--- a/heatherkeel/standins/faults.py
+++ b/heatherkeel/standins/faults.py
@@ -17,6 +17,8 @@
     """Every call to the store's second address gets 503."""
     side_silent: bool = False
     """No call to the store's second address is carried out or answered."""
+    side_silent_topics: set[str] = field(default_factory=set)
+    """Topics whose reads at the store's second address are never answered."""
     down_partitions: set[tuple[str, int]] = field(default_factory=set)
     """Topics and partitions to which every append gets 503."""
     lose_appends: int = 0
--- a/heatherkeel/standins/store_api.py
+++ b/heatherkeel/standins/store_api.py
@@ -55,11 +55,19 @@
 
     async def async_handle_side(self, request: Request, body: bytes) -> Answer:
         """Answer one call that came to the second address."""
-        if self.faults.side_silent:
+        if self._is_side_silent(request):
             await trio.sleep_forever()
         if self.faults.side_refuses:
             return Answer(status=503)
-        return await self.async_handle(request, body)
+        answer = await self.async_handle(request, body)
+        if self._is_side_silent(request):
+            await trio.sleep_forever()
+        return answer
+
+    def _is_side_silent(self, request: Request) -> bool:
+        return (
+            self.faults.side_silent or request.query.get("topic") in self.faults.side_silent_topics
+        )
 
     async def _async_read(self, query: dict[str, str]) -> Answer:
         with trio.move_on_after(int(query.get("waitMs", "0")) / 1000):
--- a/tests/instance/site.py
+++ b/tests/instance/site.py
@@ -14,6 +14,7 @@
 from heatherkeel.platform.settings import (
     Bounds,
     InstanceSettings,
+    Limits,
     ListenAddresses,
     MachineSettings,
     StoreSettings,
@@ -63,7 +64,7 @@
             await self.async_add_process()
 
     async def async_add_process(
-        self, *, is_ready: bool = True, store_address: str = ""
+        self, *, is_ready: bool = True, store_address: str = "", core_share: float = 1.0
     ) -> InstanceProcess:
         """Start a process and wait until it has a configuration, and by default is ready."""
         settings = InstanceSettings(
@@ -72,6 +73,7 @@
             zone="a",
             internal_ports=(0, 0),
             listen=ListenAddresses(callers="127.0.0.1:0", readiness="127.0.0.1:0"),
+            limits=Limits(core_share=core_share),
             bounds=Bounds(longest_lease_ms=6000, machine_lease_ms=300),
             store=StoreSettings(address=store_address or self.platform.store.address, partitions=3),
             machines=MachineSettings(address=self.platform.cloud.address),
