--- a/tests/instance/test_config_of_refused_processes.py
+++ b/tests/instance/test_config_of_refused_processes.py
@@ -43,7 +43,7 @@
 
 @pytest.mark.parametrize("fault", ["side_silent", "side_refuses"])
 def test_owners_refused_by_the_store_do_not_deny_an_added_queue(fault: str) -> None:
-    """Guards against 404 by an outdated configuration while a process without partitions is served."""
+    """Guards against 404 by an outdated version while a process without partitions is served."""
 
     async def async_test() -> None:
         async with open_site(processes=0) as site:
