Learn the operator's records from other processes

Callers: processes that the store refuses answer 404 for queues that others have served for seconds (up to 15 s after the acknowledgement; 85 of 100 refused for 22 s: ten such answers).

Cause: a refused process has one way to the configuration, the store through one peer at a time, and which one depends on luck: reads begin to go that way only after two other calls did, peers are asked in the order of their addresses, refused or not, and what a peer has in memory helps nobody. Class: knowledge that is there is kept behind a dependency that isn't.

Now every process keeps the operator's newest records with the time up to which they are known to be all, and answers others with them and their age. A wait that follows records is shortened by their age, so that the age stays below one wait. Layouts are asked of all known processes too.

--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -26,16 +26,12 @@
 )
 from heatherkeel.platform.store import StoreClient
 
+from .const import DEFAULT_APPLY_MS, MAX_AGE_FRACTION, READ_WAIT_FRACTION
 from .follower import TopicFollower
+from .records import OperatorRecords
 
 _LOGGER = logging.getLogger(__name__)
 
-CONFIG_WAIT_MS: Final = 800
-"""Time that one read waits for a change, in milliseconds.
-
-The answers also show that this process reaches the store; it refuses callers if none arrives in
-time, so the wait is shorter than that limit.
-"""
 WORKERS_WAIT_MS: Final = 1000
 """Time that one read of the workers' entries waits for a change, in milliseconds."""
 WORKERS_PAUSE_MS: Final = 250
@@ -50,8 +46,9 @@
     """The records that were read last."""
 
     config: Configuration | None = None
-    config_as_of_ms: int | None = None
-    """Monotonic time up to which `config` is known to be the newest; None if there is none yet."""
+    operator_records: OperatorRecords = field(default_factory=OperatorRecords)
+    apply_ms: int = DEFAULT_APPLY_MS
+    """Time in which a change of the configuration must be in force, in milliseconds."""
     queues: dict[str, Queue] = field(default_factory=dict)
     """Every queue ever configured, since accepted jobs continue after its removal."""
     services: dict[str, Service] = field(default_factory=dict)
@@ -68,9 +65,12 @@
 
     def config_age_ms(self) -> int | None:
         """Return the age of the knowledge that `config` is the newest, in milliseconds."""
-        if self.config is None or self.config_as_of_ms is None:
-            return None
-        return monotonic_ms() - self.config_as_of_ms
+        return None if self.config is None else self.operator_records.age_ms()
+
+    def is_config_recent(self, *, fraction: float = MAX_AGE_FRACTION) -> bool:
+        """Return whether `config` was the newest within a fraction of `apply_ms`."""
+        age_ms = self.config_age_ms()
+        return age_ms is not None and age_ms < self.apply_ms * fraction
 
     def serving(self) -> set[str]:
         """Return the names of the services whose machines run jobs."""
@@ -80,8 +80,9 @@
 class Directory:
     """Follows the operator's and the workers' topics, and notifies subscribers of changes."""
 
-    def __init__(self, *, store: StoreClient) -> None:
-        self.state = DirectoryState()
+    def __init__(self, *, store: StoreClient, apply_ms: int = DEFAULT_APPLY_MS) -> None:
+        self.store = store
+        self.state = DirectoryState(apply_ms=apply_ms)
         self.subscribers: list[Callable[[], None]] = []
         self.nursery: trio.Nursery | None = None
         self.follows_workers = False
@@ -94,7 +95,7 @@
             on_records=self._apply_operator_records,
             on_keys=self._retain_operator_keys,
             on_read=self._record_operator_read,
-            wait_ms=CONFIG_WAIT_MS,
+            wait_ms=round(apply_ms * READ_WAIT_FRACTION),
         )
         self.workers = TopicFollower(
             store=store,
@@ -147,18 +148,44 @@
         for callback in list(self.subscribers):
             callback()
 
+    async def async_check_operator(self) -> None:
+        """Read the operator's topic at once, beside the read that waits and may have been lost."""
+        known = self.state.operator_records
+        if known.as_of_ms is None:
+            return
+        sent_ms, start = monotonic_ms(), known.end
+        read = await self.store.async_read_at_once(CONFIG_TOPIC, 0, start=start)
+        if isinstance(read, Err):
+            return
+        records = read.ok_value.records
+        if records:
+            self._apply_added(known.add(records), source="store")
+        known.confirm(end=start + len(records), as_of_ms=sent_ms)
+
+    def apply_peer_records(self, records: list[KeyedRecord], *, end: int, as_of_ms: int) -> None:
+        """Apply records that another process knew; it had all before `end` at `as_of_ms`."""
+        added = self.state.operator_records.add(records)
+        if added:
+            self._apply_added(added, source="peer")
+        self.state.operator_records.confirm(end=end, as_of_ms=as_of_ms)
+
     def _record_operator_read(self, as_of_ms: int) -> None:
-        self.state.config_as_of_ms = as_of_ms
+        end = self.operator.next_offset
+        assert end is not None, "set before each answer is reported"
+        self.state.operator_records.confirm(end=end, as_of_ms=as_of_ms)
 
     def _apply_operator_records(self, records: list[KeyedRecord]) -> None:
+        self._apply_added(self.state.operator_records.add(records), source="store")
+
+    def _apply_added(self, records: list[KeyedRecord], *, source: str) -> None:
         for record in records:
             if record.key == CONFIG_KEY:
-                self._apply_configuration(record)
+                self._apply_configuration(record, source=source)
             elif record.key.startswith(WAVE_PREFIX):
                 self._apply_wave(record)
         self._notify()
 
-    def _apply_configuration(self, record: KeyedRecord) -> None:
+    def _apply_configuration(self, record: KeyedRecord, *, source: str) -> None:
         decoded = decode_configuration(record.value)
         if isinstance(decoded, Err):
             _LOGGER.error(
@@ -183,6 +210,7 @@
                 "version": config.version,
                 "queues": len(config.queues),
                 "offset": record.offset,
+                "source": source,
                 "added": _list_paths(config.queues, without=before),
                 "removed": _list_paths(before, without=config.queues),
             },
--- a/heatherkeel/directory/follower.py
+++ b/heatherkeel/directory/follower.py
@@ -19,6 +19,9 @@
 RETRY_PAUSE_S = 0.3
 """Pause after a failed read, in seconds."""
 
+SHORTEST_WAIT_MS = 50
+"""Shortest wait of a read, in milliseconds."""
+
 
 class TopicFollower:
     """Passes on each record once and in order.
@@ -80,16 +83,15 @@
 
     async def _async_read_next(self, start: int) -> None:
         sent_ms = monotonic_ms()
-        read = await self.store.async_read(
-            self.topic, self.partition, start=start, wait_ms=self.wait_ms
-        )
+        wait_ms = self._next_wait_ms(sent_ms)
+        read = await self.store.async_read(self.topic, self.partition, start=start, wait_ms=wait_ms)
         match read:
             case Ok(answer):
                 self.next_offset = start + len(answer.records)
                 if answer.records:
                     self.on_records(answer.records)
                 # The store answers without records only after the full wait.
-                waited_ms = 0 if answer.records else self.wait_ms
+                waited_ms = 0 if answer.records else wait_ms
                 self._record_success(as_of_ms=min(sent_ms + waited_ms, monotonic_ms()))
                 if self.pause_s:
                     await trio.sleep(self.pause_s)
@@ -102,6 +104,16 @@
             case Err(error):
                 await self._async_handle_failure(error)
 
+    def _next_wait_ms(self, now_ms: int) -> int:
+        """Return the wait of the next read, shortened by the age of what is known.
+
+        After an answer with records it isn't known whether there are more, so that a full wait
+        would let the age grow to twice the wait.
+        """
+        if self.as_of_ms is None:
+            return self.wait_ms
+        return max(SHORTEST_WAIT_MS, self.wait_ms - (now_ms - self.as_of_ms))
+
     def _record_success(self, *, as_of_ms: int) -> None:
         """Record an answer, which may have been delayed and so is older than its arrival."""
         self.read_ms = monotonic_ms()
--- /dev/null
+++ b/heatherkeel/directory/peer_sync.py
@@ -0,0 +1,185 @@
+"""Exchanges the operator's records with other processes."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable, Sequence
+
+import trio
+
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.platform.framing import KeyedRecord
+from heatherkeel.questions.messages import (
+    Answer,
+    OperatorAnswer,
+    OperatorQuestion,
+    OperatorRecord,
+)
+
+from .const import (
+    ANSWER_TIMEOUT_S,
+    ASK_PEERS_FRACTION,
+    FRUITLESS_ROUNDS,
+    GREETING_INTERVAL_S,
+    MAX_NAMED_PEERS,
+    MAX_ROUND_PAUSE_S,
+    PEERS_PER_ROUND,
+    ROUND_PAUSE_S,
+)
+from .directory import Directory
+from .peers import PeerList
+
+_LOGGER = logging.getLogger(__name__)
+
+AsyncAsk = Callable[[str, OperatorQuestion, float], Awaitable[Answer | None]]
+"""Asks the process at an address, with a timeout in seconds."""
+
+
+class PeerSync:
+    """Asks other processes for newer records while its own reads of the store are too old.
+
+    The store may refuse most processes, and calls that it refuses may depend on peers that it
+    refuses too. Any process answers with what it knows, and how old that is; so one process that
+    reaches the store is enough for all that reach it, directly or through others.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: Directory,
+        peers: PeerList,
+        find_own: Callable[[], str],
+        reaches_store: Callable[[], bool],
+        async_ask: AsyncAsk,
+    ) -> None:
+        self.directory = directory
+        self.peers = peers
+        self.find_own = find_own
+        self.reaches_store = reaches_store
+        self.async_ask = async_ask
+        self.fruitless_rounds = 0
+        """Consecutive rounds after which the records were still too old."""
+        self.is_behind = False
+
+    async def async_run(self) -> None:
+        """Keep the operator's records recent until cancelled."""
+        greeting_s = trio.current_time()
+        while True:
+            if self._needs_newer():
+                await self._async_refresh()
+                pause_s = min(MAX_ROUND_PAUSE_S, ROUND_PAUSE_S * 2.0**self.fruitless_rounds)
+            elif trio.current_time() >= greeting_s:
+                greeting_s = trio.current_time() + GREETING_INTERVAL_S
+                await self.peers.async_find_owners()
+                await self._async_ask_all(self.peers.list_random(1))
+                continue
+            else:
+                self._record_recent()
+                pause_s = max(ROUND_PAUSE_S, min(self._due_s(), greeting_s - trio.current_time()))
+            await trio.sleep(pause_s)
+
+    def answer(self, question: OperatorQuestion) -> OperatorAnswer:
+        """Answer another process with all records that it lacks."""
+        self.peers.record_answer(question.sender, reaches_store=question.reaches_store)
+        known = self.directory.state.operator_records
+        records = [
+            OperatorRecord(key=record.key, value=record.value, offset=record.offset)
+            for record in known.list_from(question.end)
+        ]
+        return OperatorAnswer(
+            records=records,
+            end=known.end,
+            age_ms=known.age_ms(),
+            reaches_store=self.reaches_store(),
+            peers=self.peers.list_alive(MAX_NAMED_PEERS),
+        )
+
+    def _is_recent(self) -> bool:
+        return self.directory.state.is_config_recent()
+
+    def _needs_newer(self) -> bool:
+        return not self.directory.state.is_config_recent(fraction=ASK_PEERS_FRACTION)
+
+    def _due_s(self) -> float:
+        """Return the seconds until the records will be too old, unless they are read again."""
+        state = self.directory.state
+        return (state.apply_ms * ASK_PEERS_FRACTION - (state.config_age_ms() or 0)) / 1000
+
+    async def _async_refresh(self) -> None:
+        """Read the store and ask several processes at once, until the records are recent."""
+        addresses = self.peers.list_addresses()[:PEERS_PER_ROUND]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._async_read_store, nursery.cancel_scope)
+            await self._async_ask_all(addresses)
+            if not self._needs_newer():
+                nursery.cancel_scope.cancel()
+        self.fruitless_rounds = self.fruitless_rounds + 1 if self._needs_newer() else 0
+        if self.fruitless_rounds == FRUITLESS_ROUNDS and not self._is_recent():
+            self._record_behind(addresses)
+
+    async def _async_read_store(self, scope: trio.CancelScope) -> None:
+        await self.directory.async_check_operator()
+        if not self._needs_newer():
+            scope.cancel()
+
+    async def _async_ask_all(self, addresses: Sequence[str]) -> None:
+        async with trio.open_nursery() as nursery:
+            for address in addresses:
+                nursery.start_soon(self._async_ask_one, address, nursery.cancel_scope)
+
+    async def _async_ask_one(self, address: str, scope: trio.CancelScope) -> None:
+        state = self.directory.state
+        question = OperatorQuestion(
+            sender=self.find_own(),
+            reaches_store=self.reaches_store(),
+            end=state.operator_records.end,
+        )
+        asked_ms = monotonic_ms()
+        answer = await self.async_ask(address, question, ANSWER_TIMEOUT_S)
+        if not isinstance(answer, OperatorAnswer):
+            self.peers.record_silence(address)
+            return
+        self.peers.record_answer(address, reaches_store=answer.reaches_store)
+        self.peers.record_named(answer.peers)
+        if answer.age_ms is None:
+            return
+        self.directory.apply_peer_records(
+            [
+                KeyedRecord(key=record.key, value=record.value, offset=record.offset)
+                for record in answer.records
+            ],
+            end=answer.end,
+            # The answer's age grew while it was on its way, by less than the question took.
+            as_of_ms=asked_ms - answer.age_ms,
+        )
+        if not self._needs_newer():
+            scope.cancel()
+
+    def _record_behind(self, addresses: Sequence[str]) -> None:
+        if self.is_behind:
+            return
+        self.is_behind = True
+        state = self.directory.state
+        _LOGGER.warning(
+            "the configuration may be outdated, and no other process knows a newer one",
+            extra={
+                "event": "config_outdated",
+                "version": state.config_version(),
+                "config_age_ms": state.config_age_ms(),
+                "asked": list(addresses),
+            },
+        )
+
+    def _record_recent(self) -> None:
+        if not self.is_behind:
+            return
+        self.is_behind = False
+        state = self.directory.state
+        _LOGGER.info(
+            "the configuration is known to be recent again",
+            extra={
+                "event": "config_recent",
+                "version": state.config_version(),
+                "config_age_ms": state.config_age_ms(),
+            },
+        )
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -13,6 +13,8 @@
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.layout_reader import LayoutReader
 from heatherkeel.directory.metrics import ConfigMetrics
+from heatherkeel.directory.peer_sync import PeerSync
+from heatherkeel.directory.peers import PeerList
 from heatherkeel.dispatch.metrics import DispatchMetrics
 from heatherkeel.dispatch.owner import PartitionOwner
 from heatherkeel.gateway.app import JobApiApp
@@ -36,6 +38,8 @@
     Answer,
     LayoutAnswer,
     LayoutQuestion,
+    OperatorQuestion,
+    Question,
     QueueQuestion,
     RelayQuestion,
 )
@@ -63,13 +67,13 @@
         self.dispatch_metrics = DispatchMetrics(registry=self.metrics.registry)
         relay_metrics = RelayMetrics(registry=self.metrics.registry)
         route = PeerRoute(
-            list_peers=lambda: self.holders.list_others(self.links.address),
+            list_peers=self._list_relays,
             async_ask=self._async_ask_store,
             metrics=relay_metrics,
         )
         self.store = StoreClient(address=settings.store.address, route=route)
         self.relay = StoreRelay(store=self.store, metrics=relay_metrics)
-        self.directory = Directory(store=self.store)
+        self.directory = Directory(store=self.store, apply_ms=settings.bounds.config_apply_ms)
         config_metrics = ConfigMetrics(
             registry=self.metrics.registry, directory=self.directory.state
         )
@@ -80,12 +84,21 @@
         self.fleet_owner: FleetOwner | None = None
         self.links = QuestionLinks(
             bind=f"{settings.ip}:{settings.internal_ports[0]}",
-            answer=lambda question: answer_question(
-                self.owners, self.directory.state.layout, question
-            ),
+            answer=self._answer,
             async_answer_relay=self.relay.async_answer,
             on_question=lambda: self.isolation.record_contact(),
         )
+        self.peers = PeerList(
+            holders=self.holders,
+            find_own=lambda: self.links.address,
+        )
+        self.peer_sync = PeerSync(
+            directory=self.directory,
+            peers=self.peers,
+            find_own=lambda: self.links.address,
+            reaches_store=route.is_served,
+            async_ask=self._async_ask_operator,
+        )
         partitions = settings.store.partitions
         self.layouts = LayoutReader(
             store=self.store,
@@ -140,6 +153,7 @@
         await self.callers.start(nursery)
         self.directory.subscribe(self._own_used_partitions)
         self.directory.start(nursery)
+        nursery.start_soon(self.peer_sync.async_run)
         nursery.start_soon(self.layouts.async_run)
         nursery.start_soon(self.reserve.async_run)
         self.member.start(nursery)
@@ -171,10 +185,22 @@
         operator_read_ms = self.directory.operator.read_ms
         return max(self.member.answered_ms, self.holders.answered_ms, operator_read_ms)
 
+    def _answer(self, question: Question) -> Answer:
+        if isinstance(question, OperatorQuestion):
+            return self.peer_sync.answer(question)
+        return answer_question(self.owners, self.directory.state.layout, question)
+
+    def _list_relays(self) -> list[str]:
+        """Return the processes to which calls may be forwarded: owners, or all if none is known.
+
+        A process that has started while the store refuses it knows no owners.
+        """
+        return self.holders.list_others(self.links.address) or self.peers.list_addresses()
+
     async def _async_ask_layout(self) -> Layout | None:
-        """Ask the partition owners one by one for the layout of the services."""
+        """Ask the other processes one by one for the layout of the services."""
         await self.holders.async_refresh()
-        for address in sorted(set(self.holders.addresses.values())):
+        for address in self.peers.list_addresses():
             answer = await self.links.async_ask(address, LayoutQuestion(partition=-1))
             if isinstance(answer, LayoutAnswer) and answer.layout.shares:
                 return answer.layout
@@ -182,6 +208,14 @@
 
     async def _async_ask_store(
         self, address: str, asked: RelayQuestion, timeout_s: float
+    ) -> Answer | None:
+        answer = await self.links.async_ask(address, asked, timeout_s=timeout_s)
+        if answer is None:
+            self.peers.record_silence(address)
+        return answer
+
+    async def _async_ask_operator(
+        self, address: str, asked: OperatorQuestion, timeout_s: float
     ) -> Answer | None:
         return await self.links.async_ask(address, asked, timeout_s=timeout_s)
 
--- a/heatherkeel/platform/settings.py
+++ b/heatherkeel/platform/settings.py
@@ -27,6 +27,8 @@
 
     stable_window_ms: int = msgspec.field(name="stableWindowMs", default=3000)
     """How long, plus one heartbeat, a worker's old capacity stays valid after a reduction."""
+    config_apply_ms: Annotated[int, Meta(gt=0)] = msgspec.field(name="configApplyMs", default=2000)
+    """Time in which a change of the configuration must be in force."""
     longest_lease_ms: int = msgspec.field(name="holdMaxMs", default=6000)
     machine_lease_ms: int = msgspec.field(name="leaseMs", default=3000)
     """Lease of a machine; two holders may not order the same machine within this time."""
--- a/heatherkeel/platform/store.py
+++ b/heatherkeel/platform/store.py
@@ -167,6 +167,19 @@
         )
         return _decode_read(called, start=start)
 
+    async def async_read_at_once(
+        self, topic: str, partition: int, *, start: int
+    ) -> Result[ReadRecords, CallError]:
+        """Read from an offset directly, without waiting and with a short timeout."""
+        query = urlencode({"topic": topic, "part": partition, "from": start})
+        call = StoreCall(
+            method="GET", target=f"/heatherkeel/log-read?{query}", timeout_s=self._overdue_s()
+        )
+        called = await DirectRoute().async_call(self.reads, call)
+        if isinstance(called, Ok):
+            self._cancel_overdue()
+        return _decode_read(called, start=start)
+
     async def async_read_newest(
         self, topic: str, partition: int, *, after_key: str = ""
     ) -> Result[NewestRecords, CallError]:
--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -13,6 +13,7 @@
     LayoutAnswer,
     LayoutQuestion,
     NotOwner,
+    OperatorQuestion,
     PoolsAnswer,
     PoolsQuestion,
     Question,
@@ -30,7 +31,7 @@
     """
     if isinstance(question, LayoutQuestion):
         return LayoutAnswer(layout=layout)
-    assert not isinstance(question, RelayQuestion), "answered by the relay"
+    assert not isinstance(question, RelayQuestion | OperatorQuestion), "answered by others"
     owner = owners.get(question.partition)
     if owner is None or not owner.is_restored:
         return NotOwner()
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -52,7 +52,21 @@
     sent_wall_ms: int
 
 
-Question = JobQuestion | QueueQuestion | PoolsQuestion | LayoutQuestion | RelayQuestion
+class OperatorQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="operator"):
+    """Asks for the operator's records that the asking process lacks; concerns no partition."""
+
+    partition: int = -1
+    sender: str
+    """Address of the asking process."""
+    reaches_store: bool
+    """The asking process's own calls to the store are answered."""
+    end: int
+    """Offset from which on the asking process knows no records."""
+
+
+Question = (
+    JobQuestion | QueueQuestion | PoolsQuestion | LayoutQuestion | RelayQuestion | OperatorQuestion
+)
 
 
 class JobAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="job"):
@@ -128,7 +142,31 @@
     detail: str = ""
 
 
-Answer = JobAnswer | QueueAnswer | PoolsAnswer | LayoutAnswer | RelayAnswer | NotOwner
+class OperatorRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One of the operator's records; an empty value means that the key was deleted."""
+
+    key: str
+    value: bytes
+    offset: int
+
+
+class OperatorAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="operator"):
+    """The operator's records from an offset on, as far as the process that was asked knows them."""
+
+    records: list[OperatorRecord]
+    end: int
+    """Offset up to which the newest record of each key is known, also by its absence here."""
+    age_ms: int | None
+    """Time since these records were known to be all; None if they weren't read yet."""
+    reaches_store: bool
+    """The calls to the store of the process that was asked are answered."""
+    peers: list[str] = []
+    """Addresses of a few other processes."""
+
+
+Answer = (
+    JobAnswer | QueueAnswer | PoolsAnswer | LayoutAnswer | RelayAnswer | OperatorAnswer | NotOwner
+)
 
 
 def encode_message(message: Question | Answer) -> bytes:
--- a/heatherkeel/relay/const.py
+++ b/heatherkeel/relay/const.py
@@ -28,3 +28,6 @@
 """Maximum number of concurrent calls on behalf of peers."""
 MAX_BODY_BYTES: Final = 512 * 1024
 """Largest body of a forwarded call or of its answer, in bytes; half of the largest message."""
+SERVED_MAX_AGE_S: Final = 1.2
+"""Age of the last direct answer from which a process may not reach the store, in seconds; longer
+than a read waits for records."""
--- a/heatherkeel/relay/route.py
+++ b/heatherkeel/relay/route.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
 from typing import Final
@@ -25,6 +26,7 @@
     MAX_BODY_BYTES,
     PROBE_INTERVAL_S,
     PROBE_TIMEOUT_S,
+    SERVED_MAX_AGE_S,
 )
 from .metrics import Forwarded, RelayMetrics
 
@@ -70,8 +72,15 @@
         """Consecutive forwarded calls that failed."""
         self.direct_failures = 0
         """Consecutive direct calls that failed but succeeded through a peer."""
+        self.answered_s = -math.inf
+        """Time of the last answered direct call, in seconds of trio's clock."""
         self.waiting_reads: set[trio.CancelScope] = set()
 
+    def is_served(self) -> bool:
+        """Return whether the store has answered a direct call recently."""
+        age_s = trio.current_time() - self.answered_s
+        return not self.is_rejected and age_s < SERVED_MAX_AGE_S
+
     async def async_call(self, caller: HttpCaller, call: StoreCall) -> Result[Reply, CallError]:
         """Make one call, directly or through a peer.
 
@@ -118,6 +127,8 @@
                 answer = await self.direct.async_call(caller, _limit_timeout(call, longest_s))
             finally:
                 self.waiting_reads.discard(scope)
+        if _is_answered(answer):
+            self.answered_s = trio.current_time()
         if not _is_answered(answer) or call.waits:
             return answer
         self.direct_failures = 0
--- /dev/null
+++ b/tests/directory/test_peer_sync.py
@@ -0,0 +1,146 @@
+"""Tests of the exchange of the operator's records between processes."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import partial
+from typing import Final
+
+import trio
+from result import Err, Result
+
+from heatherkeel.directory.const import DEFAULT_APPLY_MS, GREETING_INTERVAL_S
+from heatherkeel.directory.directory import Directory
+from heatherkeel.directory.peer_sync import PeerSync
+from heatherkeel.directory.peers import PeerList
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.ownership.holders import HolderCache
+from heatherkeel.platform.errors import CallError, Failure
+from heatherkeel.platform.store import StoreClient
+from heatherkeel.platform.store_answers import ReadRecords
+from heatherkeel.questions.messages import Answer, OperatorAnswer, OperatorQuestion
+
+from .test_directory import configuration
+
+READ_TIMEOUT_S: Final = 0.05
+
+
+class SilentStore(StoreClient):
+    """A store that answers nothing."""
+
+    async def async_read_at_once(
+        self, topic: str, partition: int, *, start: int
+    ) -> Result[ReadRecords, CallError]:
+        """Run out of time."""
+        await trio.sleep(READ_TIMEOUT_S)
+        return Err(CallError(failure=Failure.UNKNOWN, detail="no answer in time"))
+
+
+class Process:
+    """A process that the store doesn't answer, and the processes that it reaches."""
+
+    def __init__(self, address: str, network: dict[str, Process], *reached: str) -> None:
+        self.address = address
+        self.network = network
+        self.directory = Directory(store=SilentStore(address="127.0.0.1:1"))
+        holders = HolderCache(store=self.directory.store)
+        holders.addresses = dict(enumerate(reached))
+        self.peers = PeerList(holders=holders, find_own=lambda: address)
+        self.sync = PeerSync(
+            directory=self.directory,
+            peers=self.peers,
+            find_own=lambda: address,
+            reaches_store=lambda: False,
+            async_ask=self.async_ask,
+        )
+        self.delay_s = 0.0
+        """Delay of the answers of this process, in seconds."""
+        self.asked = 0
+        network[address] = self
+
+    async def async_ask(
+        self, address: str, question: OperatorQuestion, timeout_s: float
+    ) -> Answer | None:
+        """Ask another process, which may answer late."""
+        self.asked += 1
+        other = self.network[address]
+        answer = other.sync.answer(question)
+        with trio.move_on_after(timeout_s):
+            await trio.sleep(other.delay_s)
+            return answer
+        return None
+
+    def read(self, version: int, *, age_ms: int = 0) -> None:
+        """Apply what the store answered a while ago."""
+        record = replace(configuration(version, f"q{version}"), offset=version)
+        self.directory.operator.on_records([record])
+        self.directory.state.operator_records.confirm(
+            end=version + 1, as_of_ms=monotonic_ms() - age_ms
+        )
+
+    def version(self) -> int:
+        """Return the version in force."""
+        return self.directory.state.config_version()
+
+
+async def async_run_for(seconds: float, *processes: Process) -> None:
+    """Run the exchange of some processes for a while."""
+    with trio.move_on_after(seconds):
+        async with trio.open_nursery() as nursery:
+            for process in processes:
+                nursery.start_soon(process.sync.async_run)
+
+
+def test_configuration_passes_through_processes_that_do_not_reach_the_store() -> None:
+    """Guards against a process that reaches nobody but refused ones staying behind."""
+    network: dict[str, Process] = {}
+    first = Process("a", network)
+    second, third = Process("b", network, "a"), Process("c", network, "b")
+    first.read(2)
+    second.read(1, age_ms=DEFAULT_APPLY_MS)
+    third.read(1, age_ms=DEFAULT_APPLY_MS)
+    trio.run(partial(async_run_for, 1.0, second, third))
+    assert (second.version(), third.version()) == (2, 2)
+    assert third.directory.state.is_config_recent()
+
+
+def test_process_that_is_behind_makes_no_other_recent() -> None:
+    """Guards against two refused processes taking each other's old configuration for new."""
+    network: dict[str, Process] = {}
+    first, second = Process("a", network, "b"), Process("b", network, "a")
+    for process in (first, second):
+        process.read(1, age_ms=DEFAULT_APPLY_MS)
+    trio.run(partial(async_run_for, 1.0, first, second))
+    assert not first.directory.state.is_config_recent()
+    assert not second.directory.state.is_config_recent()
+
+
+def test_age_of_a_delayed_answer_includes_its_delay() -> None:
+    network: dict[str, Process] = {}
+    first, second = Process("a", network), Process("b", network, "a")
+    first.read(2, age_ms=300)
+    first.delay_s = 0.15
+    second.read(1, age_ms=DEFAULT_APPLY_MS)
+    trio.run(partial(async_run_for, 0.2, second))
+    assert second.version() == 2
+    age_ms = second.directory.state.config_age_ms()
+    assert age_ms is not None
+    assert age_ms >= 449
+
+
+def test_refused_process_that_knows_nobody_learns_from_a_greeting() -> None:
+    """Guards against a process that restarts while the store refuses it staying alone."""
+    network: dict[str, Process] = {}
+    served, restarted = Process("a", network, "b"), Process("b", network)
+    served.read(2)
+    trio.run(partial(async_run_for, GREETING_INTERVAL_S, served, restarted))
+    assert restarted.version() == 2
+
+
+def test_answer_names_no_record_that_the_other_process_knows() -> None:
+    process = Process("a", {})
+    process.read(1)
+    question = OperatorQuestion(sender="b", reaches_store=True, end=2)
+    answer = process.sync.answer(question)
+    assert isinstance(answer, OperatorAnswer)
+    assert answer.records == []
--- a/tests/instance/site.py
+++ b/tests/instance/site.py
@@ -64,7 +64,11 @@
             await self.async_add_process()
 
     async def async_add_process(
-        self, *, is_ready: bool = True, store_address: str = "", core_share: float = 1.0
+        self,
+        *,
+        is_ready: bool = True,
+        store_address: str = "",
+        core_share: float = 1.0,
     ) -> InstanceProcess:
         """Start a process and wait until it has a configuration, and by default is ready."""
         settings = InstanceSettings(
