Don't deny or count a queue by a configuration that may be outdated

Cause: nothing that is decided from the configuration knew how old it was. Readiness took the newest answer of any call for it, so a renewal that succeeded made a process ready whose configuration was old. Class: the age of one piece of knowledge is taken from another.

Now 404, and a count of a queue, are given only by a configuration that was the newest within nine tenths of configApplyMs; else 503 (config_outdated) with Retry-After 1. A request waits up to 0.3 s for a round of questions to other processes, but not while such rounds bring nothing. Jobs of known queues are accepted all the same, so that a process that is alone serves what it can. Readiness asks for a recent configuration.

--- a/heatherkeel/directory/peer_sync.py
+++ b/heatherkeel/directory/peer_sync.py
@@ -59,6 +59,9 @@
         self.async_ask = async_ask
         self.fruitless_rounds = 0
         """Consecutive rounds after which the records were still too old."""
+        self.round_ended = trio.Event()
+        self.woken = trio.Event()
+        """Set when a request waits for recent records."""
         self.is_behind = False
 
     async def async_run(self) -> None:
@@ -76,7 +79,19 @@
             else:
                 self._record_recent()
                 pause_s = max(ROUND_PAUSE_S, min(self._due_s(), greeting_s - trio.current_time()))
-            await trio.sleep(pause_s)
+            with trio.move_on_after(pause_s):
+                await self.woken.wait()
+            self.woken = trio.Event()
+
+    async def async_wait_recent(self, timeout_s: float) -> None:
+        """Wait until the records are recent; return at once if other processes can't help.
+
+        After a freeze they are outdated, and the first round makes them recent again.
+        """
+        with trio.move_on_after(timeout_s):
+            while not self._is_recent() and self.fruitless_rounds < FRUITLESS_ROUNDS:
+                self.woken.set()
+                await self.round_ended.wait()
 
     def answer(self, question: OperatorQuestion) -> OperatorAnswer:
         """Answer another process with all records that it lacks."""
@@ -114,6 +129,8 @@
             if not self._needs_newer():
                 nursery.cancel_scope.cancel()
         self.fruitless_rounds = self.fruitless_rounds + 1 if self._needs_newer() else 0
+        self.round_ended.set()
+        self.round_ended = trio.Event()
         if self.fruitless_rounds == FRUITLESS_ROUNDS and not self._is_recent():
             self._record_behind(addresses)
 
--- a/heatherkeel/gateway/const.py
+++ b/heatherkeel/gateway/const.py
@@ -14,6 +14,9 @@
 """Timeout of a job lookup in a process that is not ready, in seconds, so that the caller can soon
 retry at another process."""
 APPEND_RETRY_DELAY_S: Final = 0.1
+CONFIG_WAIT_S: Final = 0.3
+"""How long a request waits for a recent configuration, in seconds; long enough for one question to
+another process."""
 RETRY_SOON_S: Final = 1
 """Retry-After for short conditions such as the store's rate limit per second, in seconds."""
 RETRY_LATER_S: Final = 2
--- a/heatherkeel/gateway/exchange.py
+++ b/heatherkeel/gateway/exchange.py
@@ -43,6 +43,7 @@
     ANSWER_MARGIN_MS,
     APPEND_RETRY_DELAY_S,
     APPEND_TIMEOUT_S,
+    CONFIG_WAIT_S,
     DEFAULT_DEADLINE_MS,
     NOT_READY_LOOKUP_TIMEOUT_S,
     RETRY_LATER_S,
@@ -58,6 +59,7 @@
 _TOO_MANY_REQUESTS: Final = 429
 _STATUS_BY_REASON: Final = {
     Refusal.NO_CONFIGURATION: 503,
+    Refusal.CONFIG_OUTDATED: 503,
     Refusal.NO_LAYOUT: 503,
     Refusal.NO_SUCH_QUEUE: 404,
     Refusal.NO_SUCH_JOB: 410,
@@ -80,6 +82,8 @@
     lookup: Lookup
     metrics: GatewayMetrics
     config_metrics: ConfigMetrics
+    async_wait_recent: Callable[[float], Awaitable[None]]
+    """Waits until the configuration is recent, for at most so many seconds."""
     accepts_callers: Callable[[], bool]
     """Returns whether this process is ready for callers."""
 
@@ -97,14 +101,18 @@
 
     async def async_serve(self) -> None:
         """Handle the request and send the response."""
-        config = self.context.directory.config
-        self.context.config_metrics.observe_request(self.context.directory.config_age_ms())
+        directory = self.context.directory
+        if directory.config is not None and not directory.is_config_recent():
+            remaining_s = max(0.0, (self.deadline_ms - monotonic_ms()) / 1000)
+            await self.context.async_wait_recent(min(CONFIG_WAIT_S, remaining_s))
+        self.context.config_metrics.observe_request(directory.config_age_ms())
+        config = directory.config
         if config is None:
             return await self._async_refuse(Refusal.NO_CONFIGURATION, retry_s=RETRY_SOON_S)
         path = self.request.path
         queue = find_queue(config, host=self.request.headers.get("host", ""), path=path)
         if queue is None:
-            return await self._async_refuse(Refusal.NO_SUCH_QUEUE)
+            return await self._async_deny_queue()
         job_id = path[len(queue.path_prefix) :]
         actions: dict[str, Callable[[Queue, str], Awaitable[None]]] = {
             "POST": self._async_submit,
@@ -119,11 +127,24 @@
             # different partitions.
             return await self._async_refuse(Refusal.NO_LAYOUT, retry_s=RETRY_SOON_S)
         if not job_id and self.request.method == "GET":
+            if not directory.is_config_recent():
+                # The queue may have been removed.
+                return await self._async_refuse(Refusal.CONFIG_OUTDATED, retry_s=RETRY_SOON_S)
             return await self._async_send_queue_length(queue)
         if not _JOB_ID.match(job_id):
             return await self._async_refuse(Refusal.NO_SUCH_QUEUE)
         return await action(queue, job_id)
 
+    async def _async_deny_queue(self) -> None:
+        """Refuse a request for an unknown queue; "not found" only if no version can have added it.
+
+        A job for a known queue is accepted by an older version as well, so that a process which
+        can't learn of changes still serves what it can.
+        """
+        if self.context.directory.is_config_recent():
+            return await self._async_refuse(Refusal.NO_SUCH_QUEUE)
+        return await self._async_refuse(Refusal.CONFIG_OUTDATED, retry_s=RETRY_SOON_S)
+
     def _describe_config(self) -> dict[str, int | None]:
         """Return the configuration's version and age for a log line."""
         directory = self.context.directory
--- a/heatherkeel/gateway/reasons.py
+++ b/heatherkeel/gateway/reasons.py
@@ -9,6 +9,8 @@
     """Reasons, as used in responses, logs and metrics."""
 
     NO_CONFIGURATION = "no_configuration"
+    CONFIG_OUTDATED = "config_outdated"
+    """This process may have missed a change by which the request would be answered otherwise."""
     NO_LAYOUT = "no_layout"
     """The partitions of the queue's service are not known yet."""
     NO_SUCH_QUEUE = "no_such_queue"
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -136,6 +136,7 @@
                     lookup=self.lookup,
                     metrics=self.metrics,
                     config_metrics=config_metrics,
+                    async_wait_recent=self.peer_sync.async_wait_recent,
                     accepts_callers=self.status.is_ready,
                 )
             ),
--- a/heatherkeel/instance/status.py
+++ b/heatherkeel/instance/status.py
@@ -62,12 +62,13 @@
     def is_ready(self) -> bool:
         """Return whether this process should receive new callers.
 
-        A process that is cut off from the store can't accept jobs, while others may. If no process
-        is ready, the platform keeps using all of them.
+        A process that is cut off from the store can't accept jobs, while others may. One whose
+        configuration may be outdated would deny queues that others serve. If no process is ready,
+        the platform keeps using all of them.
         """
         answer_age_ms = monotonic_ms() - self.store_answered_ms()
         return (
-            self.directory.config is not None
+            self.directory.is_config_recent()
             and bool(self.directory.layout.shares)
             and not self.is_stopping
             and answer_age_ms < STORE_ANSWER_MAX_AGE_MS
--- a/tests/directory/test_peer_sync.py
+++ b/tests/directory/test_peer_sync.py
@@ -137,6 +137,41 @@
     assert restarted.version() == 2
 
 
+def test_request_after_a_freeze_waits_for_one_round() -> None:
+    """Guards against 503 for requests that were sent to a process just after its freeze."""
+    network: dict[str, Process] = {}
+    served, frozen = Process("a", network), Process("b", network, "a")
+    served.read(2)
+    frozen.read(1, age_ms=DEFAULT_APPLY_MS)
+
+    async def async_test() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(frozen.sync.async_run)
+            await frozen.sync.async_wait_recent(5.0)
+            nursery.cancel_scope.cancel()
+
+    trio.run(async_test)
+    assert frozen.directory.state.is_config_recent()
+
+
+def test_request_does_not_wait_for_processes_that_cannot_help() -> None:
+    """Guards against delaying each request while nobody reaches the store."""
+    network: dict[str, Process] = {}
+    alone = Process("a", network)
+    alone.read(1, age_ms=DEFAULT_APPLY_MS)
+
+    async def async_test() -> float:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(alone.sync.async_run)
+            await alone.sync.async_wait_recent(10.0)
+            began_s = trio.current_time()
+            await alone.sync.async_wait_recent(10.0)
+            nursery.cancel_scope.cancel()
+        return trio.current_time() - began_s
+
+    assert trio.run(async_test) < 0.05
+
+
 def test_answer_names_no_record_that_the_other_process_knows() -> None:
     process = Process("a", {})
     process.read(1)
--- a/tests/gateway/calling.py
+++ b/tests/gateway/calling.py
@@ -10,6 +10,7 @@
 from heatherkeel.gateway.exchange import GatewayContext
 from heatherkeel.gateway.lookup import Lookup
 from heatherkeel.gateway.metrics import GatewayMetrics
+from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.ownership.partitions import Layout
 from heatherkeel.platform.operator import Configuration, Queue
 from heatherkeel.platform.store import StoreClient
@@ -21,19 +22,29 @@
 JOB_PATH = "/q/00000000000000aa"
 
 
+async def async_wait_not(timeout_s: float) -> None:
+    """Return at once: no other process can help."""
+
+
 def make_app(
-    store: StoreClient, links: QuestionLinks, *, accepts_callers: bool = True
+    store: StoreClient,
+    links: QuestionLinks,
+    *,
+    accepts_callers: bool = True,
+    config_age_ms: int = 0,
 ) -> JobApiApp:
     """Return an application with one queue in one partition."""
     directory = DirectoryState(
         config=Configuration(version=1, queues=[QUEUE]), layout=Layout(shares={"portal": (0,)})
     )
+    directory.operator_records.confirm(end=1, as_of_ms=monotonic_ms() - config_age_ms)
     metrics = GatewayMetrics()
     context = GatewayContext(
         store=store,
         directory=directory,
         lookup=Lookup(store=store, holders=FakeHolderCache(store=store), links=links),
         metrics=metrics,
+        async_wait_recent=async_wait_not,
         config_metrics=ConfigMetrics(registry=metrics.registry, directory=directory),
         accepts_callers=lambda: accepts_callers,
     )
@@ -41,15 +52,15 @@
 
 
 async def async_call(
-    app: JobApiApp, method: str, *, deadline_ms: int, body: bytes = b""
+    app: JobApiApp, method: str, *, deadline_ms: int, body: bytes = b"", path: str = JOB_PATH
 ) -> dict[str, Any]:
-    """Send a request for one job; returns the start message of the response."""
+    """Send a request, for one job by default; returns the start message of the response."""
     deadline = str(deadline_ms).encode()
     scope = {
         "type": "http",
         "method": method,
-        "path": JOB_PATH,
-        "raw_path": JOB_PATH.encode(),
+        "path": path,
+        "raw_path": path.encode(),
         "query_string": b"",
         "headers": [(b"host", b"a.example"), (b"heatherkeel-deadline-ms", deadline)],
     }
--- a/tests/instance/test_status.py
+++ b/tests/instance/test_status.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from heatherkeel.directory.const import DEFAULT_APPLY_MS
 from heatherkeel.directory.directory import DirectoryState
 from heatherkeel.gateway.metrics import GatewayMetrics
 from heatherkeel.helpers.clock import monotonic_ms
@@ -16,12 +17,14 @@
 from .site import open_site
 
 
-def make_status(*, store_answered_ms: int) -> StatusApp:
+def make_status(*, store_answered_ms: int, config_age_ms: int = 0) -> StatusApp:
     """Return the status of a process that has a configuration."""
+    directory = DirectoryState(
+        config=Configuration(version=1), layout=Layout(shares={"portal": (0,)})
+    )
+    directory.operator_records.confirm(end=1, as_of_ms=monotonic_ms() - config_age_ms)
     return StatusApp(
-        directory=DirectoryState(
-            config=Configuration(version=1), layout=Layout(shares={"portal": (0,)})
-        ),
+        directory=directory,
         metrics=GatewayMetrics(),
         store_answered_ms=lambda: store_answered_ms,
     )
@@ -33,6 +36,12 @@
     assert not make_status(store_answered_ms=monotonic_ms() - STORE_ANSWER_MAX_AGE_MS).is_ready()
 
 
+def test_process_with_an_old_configuration_is_not_ready() -> None:
+    """Guards against taking the store's answer to any call for the age of the configuration."""
+    status = make_status(store_answered_ms=monotonic_ms(), config_age_ms=DEFAULT_APPLY_MS)
+    assert not status.is_ready()
+
+
 def test_stopping_process_is_not_ready() -> None:
     status = make_status(store_answered_ms=monotonic_ms())
     status.is_stopping = True
