Name the version of the configuration by which a job was accepted

Callers: 404 for a queue whose job the same process had started a quarter of a second before.

Cause: a stored submission named no version. An owner whose configuration was behind started tasks that a newer version allows, and as a gateway went on answering by its own older one. Class: processes act on one another's decisions without knowing what these were based on.

Now submissions name their version, and so do the questions for the operator's records. A process that hears of a newer version than its own asks for it at once, and refuses all callers (503, config_outdated) until it knows what was the newest after it heard. A version that no later read finds is not waited for, so one that can't be decoded here refuses nobody for good. Records without a version read as 0, and older processes ignore it.

--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -49,6 +49,10 @@
     operator_records: OperatorRecords = field(default_factory=OperatorRecords)
     apply_ms: int = DEFAULT_APPLY_MS
     """Time in which a change of the configuration must be in force, in milliseconds."""
+    named_version: int = 0
+    """Highest version of the configuration that another process has named."""
+    named_ms: int = 0
+    """When that version was first named, on the monotonic clock."""
     queues: dict[str, Queue] = field(default_factory=dict)
     """Every queue ever configured, since accepted jobs continue after its removal."""
     services: dict[str, Service] = field(default_factory=dict)
@@ -67,10 +71,24 @@
         """Return the age of the knowledge that `config` is the newest, in milliseconds."""
         return None if self.config is None else self.operator_records.age_ms()
 
+    def is_config_superseded(self) -> bool:
+        """Return whether a newer configuration is known to exist.
+
+        A version that no later read has found isn't believed: it may not be decodable here.
+        """
+        as_of_ms = self.operator_records.as_of_ms
+        return self.named_version > self.config_version() and (
+            as_of_ms is None or as_of_ms <= self.named_ms
+        )
+
     def is_config_recent(self, *, fraction: float = MAX_AGE_FRACTION) -> bool:
         """Return whether `config` was the newest within a fraction of `apply_ms`."""
         age_ms = self.config_age_ms()
-        return age_ms is not None and age_ms < self.apply_ms * fraction
+        return (
+            age_ms is not None
+            and age_ms < self.apply_ms * fraction
+            and not self.is_config_superseded()
+        )
 
     def serving(self) -> set[str]:
         """Return the names of the services whose machines run jobs."""
@@ -86,6 +104,8 @@
         self.subscribers: list[Callable[[], None]] = []
         self.nursery: trio.Nursery | None = None
         self.follows_workers = False
+        self.superseded = trio.Event()
+        """Set when another process has named a version that is unknown here."""
         self.unreadable: dict[str, str] = {}
         """Errors of workers' entries that can't be decoded, by key."""
         self.operator = TopicFollower(
@@ -148,6 +168,17 @@
         for callback in list(self.subscribers):
             callback()
 
+    def record_named_version(self, version: int) -> None:
+        """Record a version of the configuration that another process has named.
+
+        This process may be about to act on what that version allows. It must not deny it to
+        callers afterwards.
+        """
+        if version > max(self.state.named_version, self.state.config_version()):
+            self.state.named_version = version
+            self.state.named_ms = monotonic_ms()
+            self.superseded.set()
+
     async def async_check_operator(self) -> None:
         """Read the operator's topic at once, beside the read that waits and may have been lost."""
         known = self.state.operator_records
--- a/heatherkeel/directory/peer_sync.py
+++ b/heatherkeel/directory/peer_sync.py
@@ -60,8 +60,6 @@
         self.fruitless_rounds = 0
         """Consecutive rounds after which the records were still too old."""
         self.round_ended = trio.Event()
-        self.woken = trio.Event()
-        """Set when a request waits for recent records."""
         self.is_behind = False
 
     async def async_run(self) -> None:
@@ -80,8 +78,8 @@
                 self._record_recent()
                 pause_s = max(ROUND_PAUSE_S, min(self._due_s(), greeting_s - trio.current_time()))
             with trio.move_on_after(pause_s):
-                await self.woken.wait()
-            self.woken = trio.Event()
+                await self.directory.superseded.wait()
+            self.directory.superseded = trio.Event()
 
     async def async_wait_recent(self, timeout_s: float) -> None:
         """Wait until the records are recent; return at once if other processes can't help.
@@ -90,12 +88,13 @@
         """
         with trio.move_on_after(timeout_s):
             while not self._is_recent() and self.fruitless_rounds < FRUITLESS_ROUNDS:
-                self.woken.set()
+                self.directory.superseded.set()
                 await self.round_ended.wait()
 
     def answer(self, question: OperatorQuestion) -> OperatorAnswer:
         """Answer another process with all records that it lacks."""
         self.peers.record_answer(question.sender, reaches_store=question.reaches_store)
+        self.directory.record_named_version(question.version)
         known = self.directory.state.operator_records
         records = [
             OperatorRecord(key=record.key, value=record.value, offset=record.offset)
@@ -149,6 +148,7 @@
         question = OperatorQuestion(
             sender=self.find_own(),
             reaches_store=self.reaches_store(),
+            version=state.config_version(),
             end=state.operator_records.end,
         )
         asked_ms = monotonic_ms()
@@ -183,6 +183,7 @@
                 "event": "config_outdated",
                 "version": state.config_version(),
                 "config_age_ms": state.config_age_ms(),
+                "named_version": state.named_version,
                 "asked": list(addresses),
             },
         )
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -179,6 +179,7 @@
         self.state.now_ms, self.state.wall_ms = now_ms, wall_ms
         self._update_from_directory()
         stored = read_records(work.records + jobs.records)
+        self._record_versions(stored)
         restore_jobs(self.state, stored)
         self._submit_stored(stored)
         self.is_restored = True
@@ -209,6 +210,11 @@
         for job_id in stored.canceled:
             self.handle_event(JobCanceled(now_ms=now_ms, wall_ms=wall_ms, job_id=job_id))
 
+    def _record_versions(self, stored: StoredJobs) -> None:
+        """Tell the directory by which versions of the configuration others have accepted jobs."""
+        versions = [request.version for request in stored.requests.values()]
+        self.directory.record_named_version(max(versions, default=0))
+
     def _submit(self, job_id: str, request: StoredRequest) -> None:
         now_ms, wall_ms = self.times()
         self.handle_event(
@@ -280,6 +286,7 @@
 
     def _handle_job_records(self, records: list[KeyedRecord]) -> None:
         stored = read_records(records)
+        self._record_versions(stored)
         for job_id, request in stored.requests.items():
             self._submit(job_id, request)
         now_ms, wall_ms = self.times()
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -23,6 +23,8 @@
     queue: str
     service: str
     accepted_wall_ms: int
+    version: int = 0
+    """Version of the configuration by which it was accepted; 0 if unknown."""
     request: JobRequest
 
 
--- a/heatherkeel/gateway/exchange.py
+++ b/heatherkeel/gateway/exchange.py
@@ -109,6 +109,8 @@
         config = directory.config
         if config is None:
             return await self._async_refuse(Refusal.NO_CONFIGURATION, retry_s=RETRY_SOON_S)
+        if directory.is_config_superseded():
+            return await self._async_refuse(Refusal.CONFIG_OUTDATED, retry_s=RETRY_SOON_S)
         path = self.request.path
         queue = find_queue(config, host=self.request.headers.get("host", ""), path=path)
         if queue is None:
@@ -173,6 +175,7 @@
             queue=queue.name,
             service=queue.service,
             accepted_wall_ms=wall_ms(),
+            version=self.context.directory.config_version(),
             request=decoded.ok_value,
         )
         record = KeyedRecord(key=f"{REQUEST_PREFIX}{job_id}", value=encode_request(stored))
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -60,6 +60,8 @@
     """Address of the asking process."""
     reaches_store: bool
     """The asking process's own calls to the store are answered."""
+    version: int
+    """Version of the configuration that the asking process knows; 0 if none."""
     end: int
     """Offset from which on the asking process knows no records."""
 
--- a/tests/directory/test_peer_sync.py
+++ b/tests/directory/test_peer_sync.py
@@ -172,10 +172,34 @@
     assert trio.run(async_test) < 0.05
 
 
+def test_unknown_version_is_requested_at_once() -> None:
+    """Guards against an owner that acts on a version of which it learns only later."""
+    network: dict[str, Process] = {}
+    served, owner = Process("a", network), Process("b", network, "a")
+    served.read(2)
+    owner.read(1)
+    owner.directory.record_named_version(2)
+    assert owner.directory.state.is_config_superseded()
+    trio.run(partial(async_run_for, 0.2, owner))
+    assert owner.version() == 2
+    assert not owner.directory.state.is_config_superseded()
+
+
+def test_version_that_no_later_read_finds_is_not_waited_for() -> None:
+    """Guards against refusing callers for good after a version that can't be decoded here."""
+    process = Process("a", {})
+    process.read(1)
+    process.directory.record_named_version(9)
+    assert process.directory.state.is_config_superseded()
+    process.read(1, age_ms=-1)
+    process.directory.record_named_version(9)
+    assert not process.directory.state.is_config_superseded()
+
+
 def test_answer_names_no_record_that_the_other_process_knows() -> None:
     process = Process("a", {})
     process.read(1)
-    question = OperatorQuestion(sender="b", reaches_store=True, end=2)
+    question = OperatorQuestion(sender="b", reaches_store=True, version=1, end=2)
     answer = process.sync.answer(question)
     assert isinstance(answer, OperatorAnswer)
     assert answer.records == []
--- a/tests/gateway/calling.py
+++ b/tests/gateway/calling.py
@@ -32,12 +32,15 @@
     *,
     accepts_callers: bool = True,
     config_age_ms: int = 0,
+    named_version: int = 0,
 ) -> JobApiApp:
     """Return an application with one queue in one partition."""
     directory = DirectoryState(
         config=Configuration(version=1, queues=[QUEUE]), layout=Layout(shares={"portal": (0,)})
     )
     directory.operator_records.confirm(end=1, as_of_ms=monotonic_ms() - config_age_ms)
+    directory.named_version = named_version
+    directory.named_ms = monotonic_ms() + 1
     metrics = GatewayMetrics()
     context = GatewayContext(
         store=store,
--- a/tests/gateway/test_outdated_config.py
+++ b/tests/gateway/test_outdated_config.py
@@ -38,12 +38,13 @@
         return Ok(None)
 
 
-def call(method: str, path: str, *, config_age_ms: int) -> dict[str, Any]:
+def call(method: str, path: str, *, config_age_ms: int, named_version: int = 0) -> dict[str, Any]:
     """Send a request to a process that knows version 1; returns the start of the response."""
     app = make_app(
         AcceptingStore(),
         FakeLinks({0: 3}),
         config_age_ms=config_age_ms,
+        named_version=named_version,
     )
     return trio.run(partial(async_call, app, method, deadline_ms=DEADLINE_MS, body=BODY, path=path))
 
@@ -64,3 +65,9 @@
 def test_job_of_a_known_queue_is_accepted_by_an_old_configuration() -> None:
     """Guards against a process that can't learn of changes refusing what it can serve."""
     assert call("POST", JOB_PATH, config_age_ms=60_000)["status"] == 200
+
+
+@pytest.mark.parametrize("method", ["POST", "GET", "DELETE"])
+def test_nothing_is_answered_by_a_version_that_is_known_to_be_outdated(method: str) -> None:
+    """Guards against acting on a version and then answering by an older one."""
+    assert call(method, JOB_PATH, config_age_ms=0, named_version=2)["status"] == 503
