Replace a connection to a process that has stopped answering

A connection may also go silent for good.

Now a connection with two unanswered questions in a row and no message for 500 ms is closed, and the next question opens a new one; an attempt to connect lasts 500 ms and the pause between attempts 400 ms at most.

--- a/heatherkeel/questions/links.py
+++ b/heatherkeel/questions/links.py
@@ -13,7 +13,15 @@
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.membership.sockets import EdgeSocket, Frames
 
-from .const import ANSWER_TIMEOUT_S, CONNECT_POLL_S, UNUSED_AFTER_MS
+from .const import (
+    ANSWER_TIMEOUT_S,
+    CONNECT_POLL_S,
+    CONNECT_TIMEOUT_MS,
+    MAX_RECONNECT_MS,
+    REPLACED_AFTER_MS,
+    UNANSWERED_BEFORE_REPLACING,
+    UNUSED_AFTER_MS,
+)
 from .messages import (
     Answer,
     Question,
@@ -39,10 +47,26 @@
 
     def __init__(self, *, context: zmq.Context[zmq.Socket[bytes]], address: str) -> None:
         self.socket = EdgeSocket(context=context, kind=zmq.DEALER, handle=self._handle_frames)
+        for option, value in (
+            (zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS),
+            (zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_MS),
+        ):
+            self.socket.socket.setsockopt(option, value)
         self.socket.socket.connect(f"tcp://{address}")
         self.pending: dict[bytes, PendingQuestion] = {}
         self.question_count = 0
         self.used_ms = monotonic_ms()
+        self.heard_ms = monotonic_ms()
+        """When a message was last received."""
+        self.unanswered = 0
+        """Questions that were sent and not answered since then."""
+
+    def is_dead(self) -> bool:
+        """Return whether the connection, or the process at its end, seems to be gone."""
+        return (
+            self.unanswered >= UNANSWERED_BEFORE_REPLACING
+            and monotonic_ms() - self.heard_ms > REPLACED_AFTER_MS
+        )
 
     async def async_ask(self, question: Question, *, timeout_s: float) -> Answer | None:
         """Send a question and return the answer; None if none arrives in time."""
@@ -54,6 +78,7 @@
             with trio.move_on_after(timeout_s):
                 while not self.socket.send([number, encode_message(question)]):
                     await trio.sleep(CONNECT_POLL_S)
+                self.unanswered += 1
                 await pending.answered.wait()
         finally:
             del self.pending[number]
@@ -62,6 +87,8 @@
     def _handle_frames(self, frames: Frames) -> None:
         if len(frames) != 2:
             return
+        self.heard_ms = monotonic_ms()
+        self.unanswered = 0
         pending = self.pending.get(frames[0])
         if pending is None:
             return
@@ -126,7 +153,25 @@
             link = self.links[address] = QuestionLink(context=self.context, address=address)
             assert self.nursery is not None
             link.socket.start(self.nursery)
-        return await link.async_ask(question, timeout_s=timeout_s)
+        answer = await link.async_ask(question, timeout_s=timeout_s)
+        if answer is None and link.is_dead():
+            self._replace(address, link)
+        return answer
+
+    def _replace(self, address: str, link: QuestionLink) -> None:
+        """Close a dead link, so that the next question opens a new connection.
+
+        A connection may go silent without an error. After a network partition, TCP also waits for
+        seconds before it sends its bytes again, while a new connection works at once.
+        """
+        if self.links.get(address) is not link:
+            return
+        _LOGGER.info(
+            "no answer on a connection; opening a new one",
+            extra={"event": "link_replaced", "address": address, "unanswered": link.unanswered},
+        )
+        del self.links[address]
+        link.socket.close()
 
     def _close_unused(self) -> None:
         now_ms = monotonic_ms()
