Take the age of an owner's jobs from when they were read, not from when the answer came

It counts from the sending of the read now (plus its wait, if nothing came), as the configuration's age does; the test of that age is directory/test_follower.py.

--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -101,6 +101,8 @@
         self.queries = OwnerQueries(owner=self)
         self.request_dropper = RequestDropper(store=store, partition=partition)
         self.jobs_end_offset = 0
+        self.jobs_as_of_ms: int | None = None
+        """When the read of all jobs began, on the monotonic clock."""
         self.follower: TopicFollower | None = None
 
     async def async_run(self) -> None:
@@ -141,12 +143,12 @@
         An owner without access to the store doesn't learn of jobs that others accept meanwhile,
         and must not report to callers that these don't exist.
         """
-        follower = self.follower
+        as_of_ms = self.follower.as_of_ms if self.follower is not None else None
         return (
             self.is_restored
             and self.can_order()
-            and follower is not None
-            and monotonic_ms() - follower.read_ms < MAX_READ_AGE_MS
+            and as_of_ms is not None
+            and monotonic_ms() - as_of_ms < MAX_READ_AGE_MS
         )
 
     def times(self) -> tuple[int, int]:
@@ -173,6 +175,7 @@
         if not await self.journal.async_open():
             await trio.sleep_forever()
         work = await async_read_newest_with_retry(self.store, WORK_TOPIC, self.partition)
+        self.jobs_as_of_ms = monotonic_ms()
         jobs = await async_read_newest_with_retry(self.store, JOBS_TOPIC, self.partition)
         self.jobs_end_offset = jobs.end
         now_ms, wall_ms = self.times()
@@ -282,6 +285,7 @@
             wait_ms=FOLLOW_WAIT_MS,
         )
         follower.next_offset = self.jobs_end_offset
+        follower.as_of_ms = self.jobs_as_of_ms
         await follower.async_run()
 
     def _handle_job_records(self, records: list[KeyedRecord]) -> None:
