Start with the processes that the settings name

A process that restarts while the store refuses it can read neither the configuration nor who the others are. It waited for one of them to ask it; with the seeds of the settings file, which the platform gives to a role that serves its control interface, it asks at once. The role listens on no port of it: only the seeds' hosts are used, with the first internal port. Test: a process that restarts at its address while refused knows a recent configuration within 3 s, without seeds too.

--- a/heatherkeel/directory/peers.py
+++ b/heatherkeel/directory/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 import trio
@@ -42,8 +42,12 @@
     restart it would know nobody, although others know its address.
     """
 
-    def __init__(self, *, holders: HolderCache, find_own: Callable[[], str]) -> None:
+    def __init__(
+        self, *, holders: HolderCache, find_own: Callable[[], str], seeds: Sequence[str] = ()
+    ) -> None:
         self.holders = holders
+        self.seeds = seeds
+        """Addresses that the settings name."""
         self.find_own = find_own
         self.known: dict[str, KnownPeer] = {}
         self.random = random.Random()
@@ -76,7 +80,7 @@
             address: peer for address, peer in self.known.items() if peer.heard_ms >= since_ms
         }
         own = self.find_own()
-        addresses = [*({*self.holders.addresses.values(), *self.known} - {own})]
+        addresses = [*({*self.holders.addresses.values(), *self.known, *self.seeds} - {own})]
         self.random.shuffle(addresses)
         return sorted(addresses, key=self._rank)
 
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -91,6 +91,7 @@
         self.peers = PeerList(
             holders=self.holders,
             find_own=lambda: self.links.address,
+            seeds=settings.list_seed_links(),
         )
         self.peer_sync = PeerSync(
             directory=self.directory,
--- a/heatherkeel/platform/settings.py
+++ b/heatherkeel/platform/settings.py
@@ -69,6 +69,8 @@
     internal_ports: tuple[Port, Port] = msgspec.field(name="internalPortRange")
     heartbeat_ms: Annotated[int, Meta(gt=0)] = msgspec.field(name="heartbeatMs", default=1500)
     """Approximate interval at which workers write their entries."""
+    seeds: list[str] = []
+    """Addresses of a few processes, which may be outdated; empty if the platform names none."""
     listen: ListenAddresses = msgspec.field(name="listenAddrs")
     limits: Limits = msgspec.field(default_factory=Limits)
     bounds: Bounds = msgspec.field(default_factory=Bounds)
@@ -76,6 +78,14 @@
     machines: MachineSettings = msgspec.field(name="cloud", default_factory=MachineSettings)
     advisor: str = msgspec.field(name="placementAdvisor", default="")
 
+    def list_seed_links(self) -> list[str]:
+        """Return the addresses at which the seeds answer questions; ports are the same everywhere.
+
+        A process that starts while the store refuses it knows no others.
+        """
+        port = self.internal_ports[0]
+        return [f"{seed.rpartition(':')[0]}:{port}" for seed in self.seeds if ":" in seed]
+
 
 def load_instance_settings(file: str) -> Result[InstanceSettings, str]:
     """Read the settings file; the error is one line with the file and the fault."""
--- a/tests/instance/site.py
+++ b/tests/instance/site.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -69,13 +69,16 @@
         is_ready: bool = True,
         store_address: str = "",
         core_share: float = 1.0,
+        internal_port: int = 0,
+        seeds: Sequence[str] = (),
     ) -> InstanceProcess:
         """Start a process and wait until it has a configuration, and by default is ready."""
         settings = InstanceSettings(
             instance=f"edge-{len(self.processes)}",
             ip="127.0.0.1",
             zone="a",
-            internal_ports=(0, 0),
+            internal_ports=(internal_port, internal_port),
+            seeds=list(seeds),
             listen=ListenAddresses(callers="127.0.0.1:0", readiness="127.0.0.1:0"),
             limits=Limits(core_share=core_share),
             bounds=Bounds(longest_lease_ms=6000, machine_lease_ms=300),
--- a/tests/instance/test_config_under_faults.py
+++ b/tests/instance/test_config_under_faults.py
@@ -15,6 +15,8 @@
 JOB: Final = "00000000000000c1"
 APPLY_S: Final = 2.0
 """Time in which a change must be in force, in seconds (`configApplyMs`)."""
+STABLE_S: Final = 3.0
+"""Time after a restart from which a process is held to that, in seconds (`stableWindowMs`)."""
 ROLLBACK_S: Final = 0.25
 """Time after which a process must not answer by a version older than one that it has acted on."""
 
@@ -88,3 +90,25 @@
             assert versions == [2, 2]
 
     trio.run(async_test)
+
+
+def test_process_that_restarts_while_refused_learns_the_configuration() -> None:
+    """Guards against a refused process that knows nobody staying without a configuration."""
+
+    async def async_test() -> None:
+        async with open_site(processes=1) as site:
+            (refused,) = await async_add_side_processes(site, 1)
+            port = int(refused.links.address.rpartition(":")[2])
+            await site.async_wait(lambda: refused.links.address in site.processes[0].peers.known)
+            site.platform.faults.side_silent = True
+            site.kill(refused)
+            await trio.sleep(0.1)
+            with trio.fail_after(STABLE_S):
+                restarted = await site.async_add_process(
+                    is_ready=False,
+                    store_address=site.platform.side_store.address,
+                    internal_port=port,
+                )
+            assert restarted.directory.state.is_config_recent()
+
+    trio.run(async_test)
