--- a/tests/directory/test_records_machine.py
+++ b/tests/directory/test_records_machine.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any
 
 from hypothesis import strategies as st
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, invariant, rule
@@ -113,4 +112,4 @@
                 assert known.newest[key].offset >= offset
 
 
-TestRecords: Any = RecordsMachine.TestCase
+TestRecords = RecordsMachine.TestCase
