--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -97,10 +97,7 @@
 
 
 def test_an_instance_loads_only_what_it_uses() -> None:
-    """A process that is killed is back only when its modules are loaded: a second on half a core.
-
-    What operators' subcommands need, and the engine with a log of its own, isn't among them.
-    """
+    """Guards against slow restarts by modules that only operators' subcommands or `entry` need."""
     code = (
         "from heatherkeel.cli.main import main; import sys; main(['instance', '--settings=/none']);"
         "import heatherkeel.instance.process;"
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -59,9 +59,7 @@
 
 
 def test_unchanged_heartbeats_notify_no_subscriber() -> None:
-    """Heartbeats that change nothing must not make each owner compare all entries; a worker that
-    joins, drains or leaves must notify the subscribers.
-    """
+    """Guards against comparing all entries after each heartbeat, and against missing a change."""
     directory = make_directory()
     notified: list[int] = []
     directory.subscribe(lambda: notified.append(len(directory.state.workers)))
@@ -87,9 +85,7 @@
 def test_unreadable_entry_drops_only_its_worker(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
-    """A worker whose entry can't be decoded is ignored until it writes a valid one; the error is
-    logged once and not with each heartbeat.
-    """
+    """Guards against using an outdated entry, and against logging its error with each heartbeat."""
     directory = make_directory()
     known = directory.state.workers
     directory.workers.on_records([worker_record("w1"), worker_record("w2")])
--- a/tests/directory/test_layout_reader.py
+++ b/tests/directory/test_layout_reader.py
@@ -97,9 +97,7 @@
 
 
 def test_layout_is_read_only_while_a_new_service_is_missing() -> None:
-    """The reader retries until the layout names a newly configured service, and then stops reading
-    until the next change.
-    """
+    """Guards against giving up before a new service is laid out, and against reading on after."""
     store = FakeStore([record(LAYOUT.encode())])
     directory = Directory(store=store)
     directory.state.services = {"desk": Service(name="desk")}
--- a/tests/dispatch/test_load.py
+++ b/tests/dispatch/test_load.py
@@ -104,10 +104,7 @@
 
 
 def test_unresponsive_worker_is_reported() -> None:
-    """Guards against counting the capacity of a worker that doesn't answer.
-
-    The worker stays listed while its heartbeats reach the store.
-    """
+    """Guards against counting the capacity of a listed worker that doesn't answer."""
     partition = Partition(workers=2, cpu=8000)
     partition.fail_listing("w0")
     assert measure_pools(partition.state)[0].unheard == []
--- a/tests/dispatch/test_losses.py
+++ b/tests/dispatch/test_losses.py
@@ -32,10 +32,7 @@
 
 
 def test_unresponsive_worker_keeps_its_tasks_until_its_lease_has_expired() -> None:
-    """Guards against a second run beside a worker that is cut off and continues.
-
-    The lease must have expired even on a worker's clock that is 2% slow.
-    """
+    """Guards against a second run beside a worker that is cut off, also if its clock is 2% slow."""
     partition = Partition()
     run = start_job_on(partition, "w0")
     partition.fail_listing("w0")
@@ -82,10 +79,7 @@
 
 
 def test_listing_requested_before_the_start_was_answered_is_no_proof() -> None:
-    """Guards against a second run when answers on different connections arrive out of order.
-
-    Only a listing requested after the start's answer can prove that the task is gone.
-    """
+    """Guards against a second run when answers on different connections arrive out of order."""
     partition = Partition()
     run = start_job_on(partition, "w0")
     partition.now_ms -= 10
@@ -142,10 +136,7 @@
 
 
 def test_long_running_tasks_are_moved_one_at_a_time() -> None:
-    """Guards against exceeding `max_unavailable` when two machines are drained at once.
-
-    A task that is still starting counts as unavailable.
-    """
+    """Guards against exceeding `max_unavailable` when two machines are drained at once."""
     partition = Partition(workers=4)
     partition.submit(make_step(count=2, cpu=100, lasts=True, max_unavailable=1, max_per_worker=1))
     first, second = partition.start_planned_runs()
--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -24,10 +24,7 @@
 
 
 def test_best_effort_task_is_throttled_to_zero_within_three_listings() -> None:
-    """Guards against best-effort tasks that keep a tail latency over its target.
-
-    The pace is halved twice and then set to 0; it recovers in small steps.
-    """
+    """Guards against best-effort tasks that keep a tail latency over its target."""
     partition = Partition(workers=1)
     partition.submit(make_step(lasts=True, tail_target_ms=50))
     (serving,) = partition.start_planned_runs()
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -43,10 +43,7 @@
 
 
 def test_step_too_large_for_one_worker_mostly_stays_in_one_zone() -> None:
-    """Guards against steps spread over several zones, which any unreachable zone delays.
-
-    Tasks in such a zone can't start elsewhere before their leases have expired.
-    """
+    """Guards against steps over several zones, whose tasks wait for the leases of any lost zone."""
     partition = make_partition(workers=16, cpu=16_000)
     placements = submit_jobs(partition, make_step(count=6, cpu=3500))
     zones = [{partition.entries[worker].zone for worker in workers} for workers in placements]
--- a/tests/dispatch/test_recovery.py
+++ b/tests/dispatch/test_recovery.py
@@ -108,10 +108,7 @@
 
 
 def test_cancel_is_continued_by_the_next_owner() -> None:
-    """Guards against tasks that keep running when the owner dies before its stops are sent.
-
-    The runs of an ended job stay stored until they are gone.
-    """
+    """Guards against tasks that keep running when the owner dies before its stops are sent."""
     earlier = Partition()
     earlier.submit(make_step())
     (run,) = earlier.start_planned_runs()
@@ -152,10 +149,7 @@
 
 
 def test_stop_of_a_long_running_task_is_known_to_the_next_owner() -> None:
-    """Guards against exceeding `max_unavailable` when the owner dies after it sent a stop.
-
-    The worker may still list the stopped task as running.
-    """
+    """Guards against exceeding `max_unavailable` when the owner dies after it sent a stop."""
     earlier = Partition(workers=4)
     earlier.submit(make_step(count=2, cpu=100, lasts=True, max_unavailable=1))
     first, second = earlier.start_planned_runs()
--- a/tests/dispatch/test_starts.py
+++ b/tests/dispatch/test_starts.py
@@ -24,10 +24,7 @@
 
 
 def test_capacity_of_a_stopping_run_still_counts() -> None:
-    """Guards against overloading a worker that is still stopping a task.
-
-    Its capacity is free only once the end is listed.
-    """
+    """Guards against overloading a worker that is still stopping a task."""
     partition = Partition(workers=1, cpu=4000)
     partition.submit(make_step(cpu=4000))
     (run,) = partition.start_planned_runs()
@@ -55,10 +52,7 @@
 
 
 def test_unanswered_start_is_stopped_before_the_task_starts_elsewhere() -> None:
-    """Guards against a second run beside a start that the worker executes late.
-
-    The task waits until a listing requested after the stop's answer doesn't show it.
-    """
+    """Guards against a second run beside a start that the worker executes late."""
     partition = Partition()
     (run,) = started_runs(partition.submit(make_step()))
     partition.effects.clear()
--- a/tests/explain/test_timeline.py
+++ b/tests/explain/test_timeline.py
@@ -37,10 +37,7 @@
 
 
 def test_timeline_follows_a_job_through_a_change_of_owner(tmp_path: Path, capsys: Captured) -> None:
-    """Guards against a timeline that ends when the owner of the job's partition is replaced.
-
-    The job's lines stop in one file and continue in another; no line mentions both owners.
-    """
+    """Guards against a timeline that ends when the owner of the job's partition is replaced."""
     files = write_logs(
         tmp_path,
         front=[(1.0, accepted())],
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -60,9 +60,7 @@
 
 
 def test_process_that_is_not_ready_responds_soon_and_closes_the_connection() -> None:
-    """A caller must not be kept at a partitioned process until its deadline, since other
-    processes could return the job's state.
-    """
+    """Guards against keeping a caller at a partitioned process while others could answer."""
     status, is_closed, took_s = ask(UnresponsiveLinks({}), accepts_callers=False)
     assert (status, is_closed) == (504, True)
     assert took_s < 1.0
--- a/tests/instance/test_end_to_end.py
+++ b/tests/instance/test_end_to_end.py
@@ -78,10 +78,7 @@
 
 
 def test_owner_killed_during_a_job_neither_repeats_nor_loses_tasks() -> None:
-    """Guards against repeated or lost tasks when the owner's process is killed.
-
-    The tasks keep running under their leases until the next owner finds them.
-    """
+    """Guards against repeated or lost tasks when the owner's process is killed."""
 
     async def async_test() -> None:
         async with open_site(processes=2) as site:
--- a/tests/instance/test_service_partitions.py
+++ b/tests/instance/test_service_partitions.py
@@ -171,10 +171,7 @@
 
 
 def test_process_follows_no_workers_for_an_unused_partition() -> None:
-    """Guards against reading all worker entries in processes whose partitions have no jobs.
-
-    A service that is added later is owned at once.
-    """
+    """Guards against reading all worker entries in processes whose partitions have no jobs."""
 
     async def async_test() -> None:
         async with open_site(processes=2, machines=2) as site:
--- a/tests/instance/test_starts_after_cancel.py
+++ b/tests/instance/test_starts_after_cancel.py
@@ -26,10 +26,7 @@
 
 
 def test_task_started_after_the_cancel_is_stopped() -> None:
-    """Guards against a run that goes on when a worker executes a start after the cancel.
-
-    The worker refuses the start after a stop, or a listing shows the run and it is stopped.
-    """
+    """Guards against a run that goes on when a worker executes a start after the cancel."""
 
     async def async_test() -> None:
         async with open_site(processes=2) as site:
@@ -48,10 +45,7 @@
 
 
 def test_task_started_after_the_cancel_is_stopped_by_the_next_owner() -> None:
-    """Guards against a run that goes on when the owner that started it was killed.
-
-    The next owner reads the stored attempt and stops any run of it that a worker lists.
-    """
+    """Guards against a run that goes on when the owner that started it was killed."""
 
     async def async_test() -> None:
         async with open_site(processes=2) as site:
--- a/tests/instance/test_store_faults_of_one_process.py
+++ b/tests/instance/test_store_faults_of_one_process.py
@@ -27,10 +27,7 @@
 
 @pytest.mark.parametrize("fault", ["side_refuses", "side_silent"])
 def test_process_refused_by_the_store_accepts_jobs_and_keeps_its_partitions(fault: str) -> None:
-    """Guards against losing jobs and ownership on a process that can't use the store.
-
-    Its jobs and its membership renewals are stored through a peer.
-    """
+    """Guards against losing jobs and ownership on a process that can't use the store."""
 
     async def async_test() -> None:
         async with open_site(processes=1) as site:
--- a/tests/ownership/test_isolation.py
+++ b/tests/ownership/test_isolation.py
@@ -87,9 +87,7 @@
 
 
 def test_isolated_process_gives_up_its_partitions() -> None:
-    """An instance reaches the store but no other instance: as the fleet's owner it would keep its
-    membership and assign no machines, since it receives no pool's load.
-    """
+    """Guards against an owner that reaches the store and no other process, and assigns nothing."""
     scene = IsolationScene(others=2)
     trio.run(async_run_for, scene, ISOLATED_AFTER_MS + 2 * PEER_CHECK_INTERVAL_MS)
     assert scene.store.left == 1
@@ -113,9 +111,7 @@
 
 
 def test_process_whose_only_peer_has_died_keeps_its_partitions() -> None:
-    """A killed peer stays listed until its membership expires; the survivor must not consider
-    itself isolated and give up all partitions.
-    """
+    """Guards against giving up all partitions while a killed peer is still listed."""
     scene = IsolationScene(others=1)
     scene.store.others_until_s = time.monotonic() + TTL_MS / 1000
     trio.run(async_run_for, scene, ISOLATED_AFTER_MS + 3 * PEER_CHECK_INTERVAL_MS)
--- a/tests/ownership/test_partition_ownership.py
+++ b/tests/ownership/test_partition_ownership.py
@@ -34,9 +34,7 @@
 
 
 def test_partition_that_others_may_have_owned_is_gained_anew() -> None:
-    """A process is frozen while another owns its partition; with its outdated state and old token
-    it would do the other's work again.
-    """
+    """Guards against repeating another owner's work after a freeze, with outdated state."""
     ownership = PartitionOwnership(topic=WORK_TOPIC)
     ownership.apply_renewal(assignment(4, 1), sent_ms=0, now_ms=5)
     change = ownership.apply_renewal(assignment(6, 1), sent_ms=9000, now_ms=9005)
--- a/tests/ownership/test_partitions.py
+++ b/tests/ownership/test_partitions.py
@@ -57,9 +57,7 @@
 
 
 def test_long_running_tasks_of_other_services_affect_all_shares_alike() -> None:
-    """Long-running tasks pin machines of one share of their service; if all services distributed
-    machines alike, the same share of every other service would lose all of them.
-    """
+    """Guards against one share of every service losing the machines that another's tasks pin."""
     layout = make_layout(pools=4, machines=90)
     for first in layout.partitions_of("pool0"):
         for second in layout.partitions_of("pool1"):
--- a/tests/pooling/test_lost_zone.py
+++ b/tests/pooling/test_lost_zone.py
@@ -25,10 +25,7 @@
 
 
 def test_pool_gets_replacements_for_unresponsive_machines() -> None:
-    """Machines in a zone that is cut off are still listed as up.
-
-    Counted as capacity, they would keep the pool from getting others until the zone is back.
-    """
+    """Guards against counting machines of a cut-off zone, which stay listed as up, as capacity."""
     fleet = make_fleet(desk=8, spare=8)
     fleet.measure(desk=WANTED)
     assert not fleet.plan()
--- a/tests/pooling/test_orders_record.py
+++ b/tests/pooling/test_orders_record.py
@@ -26,10 +26,7 @@
 
 
 def test_machines_move_while_the_fleets_own_partition_is_down() -> None:
-    """Demand rises during a partial outage of the store that includes the fleet's partition.
-
-    Without another place to store orders, the pool would get no machines during the outage.
-    """
+    """Guards against a pool without machines while orders can't be stored in their partition."""
 
     async def async_test() -> None:
         async with open_site(processes=1, machines=2, spares=2) as site:
@@ -55,10 +52,7 @@
 
 
 def test_new_owner_does_not_order_machines_that_were_just_ordered() -> None:
-    """The fleet's owner is killed right after an order, and its successor starts at once.
-
-    Orders of two holders for one machine within its lease violate the platform's rules.
-    """
+    """Guards against two holders' orders for one machine within its lease."""
 
     async def async_test() -> None:
         async with open_site(processes=1) as site:
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -82,10 +82,7 @@
 
 
 def test_wave_begins_with_machines_that_take_longest_to_empty() -> None:
-    """Machines with long-running tasks take longest to empty and would end late if begun last.
-
-    Half of the wave's concurrency remains for machines that empty quickly.
-    """
+    """Guards against a late wave, and against only such machines taking up its concurrency."""
     names = [f"desk{number}" for number in range(12)]
     fleet = Fleet(waves=[Wave(number=1, machines=names, max_down=4)], desk=24)
     fleet.long_running = {f"desk{number}": 2 for number in range(6, 12)}
@@ -97,10 +94,7 @@
 
 
 def test_wave_is_complete_only_when_each_machine_was_begun() -> None:
-    """A wave mustn't be reported complete while one of its machines wasn't maintained.
-
-    Only successful orders count; a machine that has left the fleet needs none.
-    """
+    """Guards against reporting a wave complete while one of its machines wasn't maintained."""
     wave = Wave(number=1, machines=["spare0", "spare1", "gone"], max_down=2, duration_s=60)
     fleet = Fleet(waves=[wave], spare=2)
     for intent in fleet.plan():
@@ -132,10 +126,7 @@
 
 
 def test_unanswered_order_reserves_its_machine() -> None:
-    """An unanswered move may be carried out seconds later.
-
-    Tasks placed on the machine in the meantime would be lost.
-    """
+    """Guards against losing tasks that were placed on a machine whose move is executed late."""
     fleet = Fleet(desk=2, spare=1)
     fleet.measure(desk=5 * CPU)
     (moved,) = fleet.plan()
@@ -166,10 +157,7 @@
 
 
 def test_machines_that_can_be_ordered_now_are_preferred() -> None:
-    """A new owner may not order machines for some seconds that its predecessor moved to standby.
-
-    Idle machines of another pool can be ordered at once.
-    """
+    """Guards against waiting for machines that the earlier owner has just ordered."""
     fleet = Fleet(desk=4, portal=12, spare=6)
     for number in range(6):
         fleet.state.blocked_until_ms[f"spare{number}"] = fleet.now_ms + 3000
@@ -182,10 +170,7 @@
 
 
 def test_pool_releases_machines_at_once_when_another_has_a_shortfall() -> None:
-    """Demand moves from one pool to another while no machine is on standby.
-
-    The first pool mustn't keep its machines for its own recent peak.
-    """
+    """Guards against a pool keeping machines for its own recent peak while another lacks them."""
     fleet = Fleet(desk=2, portal=6)
     fleet.measure(desk=0, portal=5 * CPU)
     fleet.plan()
@@ -216,10 +201,7 @@
 
 
 def test_long_running_task_that_fits_on_no_machine_gets_one() -> None:
-    """The pool's free memory suffices in total, but on no single machine.
-
-    Without another machine the task would never start.
-    """
+    """Guards against a task that never starts since memory suffices only in total."""
     fleet = Fleet(desk=4, spare=6)
     fleet.lacking["desk"] = 3
     fleet.measure(desk=CPU)
@@ -236,10 +218,7 @@
 
 
 def test_wave_is_limited_to_its_schedule_while_a_pool_lacks_machines() -> None:
-    """A wave of standby machines begins as a pool's demand rises.
-
-    If all of them went down at once, the pool would have to wait for them.
-    """
+    """Guards against taking all standby machines down as a pool's demand rises."""
     names = [f"spare{number}" for number in range(12)]
     fleet = Fleet(
         desk=4, spare=12, waves=[Wave(number=1, machines=names, max_down=12, duration_s=27)]
@@ -261,10 +240,7 @@
 
 
 def test_task_that_needs_a_label_gets_a_machine_with_it() -> None:
-    """A job needs a label, and the last machine with it has moved to the standby pool.
-
-    The pool has enough processor and memory, so without a check for labels nothing would move.
-    """
+    """Guards against a job that waits while the last machine with its label is on standby."""
     fleet = Fleet(desk=4, spare=6)
     fleet.labels_of["spare4"] = ["b", "r2"]
     fleet.list_machines()
@@ -293,10 +269,7 @@
 
 
 def test_machine_with_a_long_running_task_meets_no_need() -> None:
-    """A large task waits while each machine of its share has a long-running task.
-
-    One empty machine is moved to the share for it, and only one.
-    """
+    """Guards against a large task that waits while each machine of its share is partly taken."""
     fleet = Fleet(desk=2, spare=2)
     fleet.long_running = {"desk0": 1, "desk1": 2}
     fleet.needs["desk"] = [Need(cpu=CPU - 1)]
--- a/tests/pooling/test_shares.py
+++ b/tests/pooling/test_shares.py
@@ -11,10 +11,7 @@
 
 
 def test_share_gets_machines_that_belong_to_it() -> None:
-    """Only one of a pool's two shares has a shortfall.
-
-    Half of the standby machines would join the other share, since a machine's share is fixed.
-    """
+    """Guards against moving standby machines that would join another share of the pool."""
     fleet = Fleet(shares=2, desk=4, spare=6)
     fleet.measure(partition=0, desk=CPU)
     fleet.measure(partition=1, desk=4 * CPU)
@@ -49,10 +46,7 @@
 
 
 def test_new_owner_keeps_the_initial_minimum() -> None:
-    """The fleet's owner is lost while a pool has twice its initial machines.
-
-    The next owner mustn't take the current size for the initial one, which sets the minimum.
-    """
+    """Guards against a new owner that takes a pool's current size for its initial one."""
     fleet = Fleet(desk=24, spare=0)
     layout = replace(fleet.state.layout, homes={"desk": 12})
     fleet.reduce(
@@ -67,10 +61,7 @@
 
 
 def test_arrival_rate_is_measured_over_all_shares() -> None:
-    """Neither share has enough recent jobs to tell a surge from one large job.
-
-    Together they do, so machines are ordered before jobs have to wait.
-    """
+    """Guards against late orders since no share alone has enough jobs to show a surge."""
     fleet = Fleet(shares=2, desk=8, spare=8)
     fleet.arriving["desk"] = (3, 6 * CPU)
     for partition in range(2):
--- a/tests/pooling/test_standby.py
+++ b/tests/pooling/test_standby.py
@@ -11,10 +11,7 @@
 
 
 def test_unsent_move_to_standby_is_cancelled_on_a_shortfall() -> None:
-    """A machine that is being emptied for standby goes to the pool with a shortfall instead.
-
-    Otherwise it would be unavailable for two moves.
-    """
+    """Guards against a machine that is unavailable for two moves instead of one."""
     fleet = Fleet(desk=20, portal=10, spare=0)
     for _ in range((PEAK_RETENTION_MS + STANDBY_DELAY_MS) // LOOK_MS + 2):
         fleet.measure(desk=0, portal=0)
--- a/tests/pooling/test_wave_records.py
+++ b/tests/pooling/test_wave_records.py
@@ -55,10 +55,7 @@
 
 
 def test_new_owner_defers_no_busy_pool_when_the_wave_is_late() -> None:
-    """The fleet's owner is lost half-way through a wave whose last machines are in a busy pool.
-
-    A new owner that restarted the wave's time would defer them past the wave's end.
-    """
+    """Guards against a new owner that restarts a wave's time and defers machines past its end."""
     first = make_progress(began_ms=0, begun={"desk0"})
     value = encode_wave(first, now_ms=14_000, wall_ms=WALL_MS)
     fleet = Fleet(waves=[WAVE], desk=4)
--- a/tests/relay/test_route.py
+++ b/tests/relay/test_route.py
@@ -89,9 +89,7 @@
 async def test_rejected_process_calls_through_a_peer(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
-    """Calls must go through a peer while the store rejects only this process, until a direct probe
-    succeeds.
-    """
+    """Guards against direct calls while the store rejects only this process."""
     scene = Scene()
     scene.direct = Ok(BUSY)
     assert await scene.async_make() == Ok(Reply(status=200, body=b"by peer"))
