--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,9 +4,14 @@
 
 import pytest
 import trio.testing
+from hypothesis import settings
 
 pytest_plugins = ["pytester", "tests.known_red"]
 
+# The time of one example depends on what else the machine does, so it is no verdict.
+settings.register_profile("suite", derandomize=True, deadline=None)
+settings.load_profile("suite")
+
 
 @pytest.fixture
 def autojump_clock() -> trio.testing.MockClock:
