Keep the pause between fruitless rounds from overflowing

Found on the last read: the pause doubled with an uncapped count, and 2.0**1024 raises OverflowError. A process without the store and without others that know more would have ended after some eight minutes of an outage, and all others with it. The exponent is capped where the longest pause is reached, so the pauses stay as they were. The new test fails before (OverflowError).

--- a/heatherkeel/directory/const.py
+++ b/heatherkeel/directory/const.py
@@ -22,6 +22,8 @@
 """Pause between rounds of questions, in seconds."""
 MAX_ROUND_PAUSE_S: Final = 0.4
 """Longest such pause, in seconds; limits the load while the store is down for all processes."""
+MAX_DOUBLINGS: Final = 3
+"""Doublings of the shortest pause that reach the longest one."""
 GREETING_INTERVAL_S: Final = 1.0
 """Interval at which another process is asked in any case, in seconds, so that processes which the
 store refuses from their start become known."""
--- a/heatherkeel/directory/peer_sync.py
+++ b/heatherkeel/directory/peer_sync.py
@@ -21,6 +21,7 @@
     ASK_PEERS_FRACTION,
     FRUITLESS_ROUNDS,
     GREETING_INTERVAL_S,
+    MAX_DOUBLINGS,
     MAX_NAMED_PEERS,
     MAX_ROUND_PAUSE_S,
     PEERS_PER_ROUND,
@@ -68,7 +69,9 @@
         while True:
             if self._needs_newer():
                 await self._async_refresh()
-                pause_s = min(MAX_ROUND_PAUSE_S, ROUND_PAUSE_S * 2.0**self.fruitless_rounds)
+                # Capped before the power, which overflows after minutes without the store.
+                doublings = min(self.fruitless_rounds, MAX_DOUBLINGS)
+                pause_s = min(MAX_ROUND_PAUSE_S, ROUND_PAUSE_S * 2.0**doublings)
             elif trio.current_time() >= greeting_s:
                 greeting_s = trio.current_time() + GREETING_INTERVAL_S
                 await self.peers.async_find_owners()
--- a/tests/directory/test_peer_sync.py
+++ b/tests/directory/test_peer_sync.py
@@ -203,3 +203,12 @@
     answer = process.sync.answer(question)
     assert isinstance(answer, OperatorAnswer)
     assert answer.records == []
+
+
+def test_process_survives_any_number_of_fruitless_rounds() -> None:
+    """Guards against a process that ends after minutes without the store and other processes."""
+    alone = Process("a", {})
+    alone.read(1, age_ms=DEFAULT_APPLY_MS)
+    alone.sync.fruitless_rounds = 5000
+    trio.run(partial(async_run_for, 0.2, alone))
+    assert alone.sync.fruitless_rounds > 5000
