Put new jobs of workspaces above their part of the capacity after those of others

Change: the fleet's owner averages what each workspace uses over all partitions, divides that by weight (max-min fair), and tells owners with the offers of limits who is above its part; without news for 1 s all are treated alike. On where the settings name competition for capacity.

--- a/heatherkeel/dispatch/limits.py
+++ b/heatherkeel/dispatch/limits.py
@@ -10,6 +10,7 @@
 from .capacity import cancel_planned_start
 from .events import CountLimited, Effects, GrantsOffered, LimitsChanged
 from .models import Run, RunState, Step
+from .over_part import set_over_part
 from .registry import handles
 from .state import PartitionState
 
@@ -26,7 +27,10 @@
 @handles(GrantsOffered)
 def apply_grants(state: PartitionState, event: GrantsOffered, effects: Effects) -> None:
     """Apply what workspaces may have running here; tasks that waited for it may start."""
-    if not state.accounts.apply_offer(event.offer):
+    is_granted = state.accounts.apply_offer(event.offer)
+    if state.accounts.is_newest(event.offer):
+        set_over_part(state, frozenset(event.offer.over_part), effects)
+    if not is_granted:
         return
     cancel_starts_over_limits(state, effects)
     for pool in state.pools.values():
--- a/heatherkeel/dispatch/open_steps.py
+++ b/heatherkeel/dispatch/open_steps.py
@@ -18,7 +18,7 @@
     MAX_STEPS_EXAMINED,
     WORK_DELAY_FACTOR,
 )
-from .models import Step
+from .models import Job, Step
 
 WORTHLESS_FACTOR: Final = 3
 """A job is worth nothing after this many times its objective, as documented by the platform."""
@@ -35,17 +35,19 @@
 
     LASTING = 0
     IN_TIME = 1
-    LATE = 2
-    EXCESS = 3
+    OVER_PART = 2
+    """In time, but not begun, and of a workspace that uses more than its part of the capacity."""
+    LATE = 3
+    EXCESS = 4
     """Of a workspace that submits more than its weight: it gets what others leave."""
-    WORTHLESS = 4
+    WORTHLESS = 5
 
 
 class OpenSteps:
     """Keeps waiting steps sorted, so that an event's cost doesn't depend on how many wait.
 
-    A step's urgency only decreases, and only with time. It is updated when the step is visited,
-    which is before any less urgent step gets capacity.
+    A step's urgency only decreases with time. It is updated when the step is visited, which is
+    before any less urgent step gets capacity. Where it may rise, the steps are sorted again.
     """
 
     def __init__(self) -> None:
@@ -117,6 +119,12 @@
         elif urgency is Urgency.LATE:
             self.late_by_last_start.remove(_entry_by_last_start(step))
 
+    def sort_again(self, workspaces: frozenset[str], now_ms: int) -> None:
+        """Sort the steps of some workspaces again, whose urgency may have risen or fallen."""
+        for step in [step for step in self.entries if step.job.workspace in workspaces]:
+            self.discard(step)
+            self._insert(step, find_urgency(step, now_ms))
+
     def set_capacity(self, *, cores: float, largest_worker_cores: float) -> None:
         """Set the cores of the pool's workers in total, and those of its largest worker."""
         self.cores = cores
@@ -128,7 +136,7 @@
         rescued = self._find_rescued(now_ms)
         yield from rescued
         yield from self._iter_steps(Urgency.IN_TIME, self._steps_in_time(), now_ms)
-        for urgency in (Urgency.LATE, Urgency.EXCESS, Urgency.WORTHLESS):
+        for urgency in (Urgency.OVER_PART, Urgency.LATE, Urgency.EXCESS, Urgency.WORTHLESS):
             for step in self._iter_steps(urgency, self.sorted[urgency], now_ms):
                 if step not in rescued:
                     yield step
@@ -242,4 +250,14 @@
         return Urgency.WORTHLESS
     if step.job.is_excess:
         return Urgency.EXCESS
-    return Urgency.IN_TIME if is_in_time else Urgency.LATE
+    if not is_in_time:
+        return Urgency.LATE
+    return Urgency.OVER_PART if _is_over_part(step.job) else Urgency.IN_TIME
+
+
+def _is_over_part(job: Job) -> bool:
+    """Return whether a job waits for others' because of its workspace.
+
+    Jobs that have begun go on: what they have done would be lost for nobody's good.
+    """
+    return job.account is not None and job.account.is_over_part and not job.has_started()
--- a/heatherkeel/dispatch/ticks.py
+++ b/heatherkeel/dispatch/ticks.py
@@ -8,6 +8,7 @@
 from .eviction import evict_tasks
 from .incarnations import drop_if_expired
 from .jobs import begin_due_occurrences
+from .over_part import expire_over_part
 from .registry import handles
 from .state import PartitionState
 
@@ -19,6 +20,7 @@
     state.accounts.are_limits_recent = event.are_limits_recent
     update_outdated_workers(state, event.outdated, effects)
     _expire_leaving(state, effects)
+    expire_over_part(state, effects)
     for job in state.jobs.values():
         if job.request.repeat_count:
             begin_due_occurrences(state, job, effects)
--- a/heatherkeel/pooling/fleet_owner.py
+++ b/heatherkeel/pooling/fleet_owner.py
@@ -26,6 +26,7 @@
 from heatherkeel.questions.messages import GrantsAnswer, GrantsQuestion, PoolsAnswer, PoolsQuestion
 from heatherkeel.workspaces.lending import Lender
 from heatherkeel.workspaces.messages import GrantOffer
+from heatherkeel.workspaces.recent_use import RecentUse
 
 from .const import (
     LAYOUT_TIMEOUT_MS,
@@ -80,6 +81,7 @@
         self.partition = fleet_partition(settings.store.partitions)
         self.state = FleetOwnerState(token=token)
         self.lender = Lender(token=token)
+        self.recent_use = RecentUse()
         self.journal = Journal(
             store=store, partition=self.partition, token=token, on_fenced=on_fenced
         )
@@ -261,6 +263,18 @@
             partitions,
             known.limits,
             are_limits_recent=known.is_config_recent() and self.can_order(),
+            over_part=self._find_over_part(),
+        )
+
+    def _find_over_part(self) -> list[str]:
+        """Return the workspaces above their part of the capacity, where parts go by weight."""
+        if not self.settings.shares_by_weight():
+            return []
+        borrowers = self.lender.borrowers.items()
+        return self.recent_use.update(
+            {partition: borrower.reports.values() for partition, borrower in borrowers},
+            weights={name: known.weight for name, known in self.directory.state.workspaces.items()},
+            now_ms=monotonic_ms(),
         )
 
     async def _async_measure_partition(self, question: PoolsQuestion) -> None:
@@ -275,6 +289,7 @@
             )
             if answer.accounts is not None:
                 self.lender.record(partition, answer.accounts)
+                self.recent_use.record_answer(partition, now_ms=monotonic_ms())
         else:
             await self.holders.async_find(partition, failed_address=address)
 
--- a/heatherkeel/workspaces/account.py
+++ b/heatherkeel/workspaces/account.py
@@ -52,6 +52,8 @@
     None if the configuration doesn't name it."""
     buckets: dict[str, RateBucket] = field(default_factory=dict)
     """What is left of that in this partition, by service."""
+    is_over_part: bool = False
+    """Whether it uses more than its part of capacity for which others wait."""
 
     def takes_share(self, service: str, *, partitions: int, now_ms: int) -> bool:
         """Count a job of a service, which has so many partitions; False if it exceeds the weight.
@@ -133,6 +135,10 @@
     lender: int = 0
     sequence: int = 0
     """The newest offer that was applied."""
+    over_part: frozenset[str] = frozenset()
+    """The workspaces above their part, as the lender last told."""
+    over_part_ms: int = 0
+    """When it told that."""
     is_known_to_lender: bool = False
     """Whether a lender has made an offer to this owner."""
     revision: int = 0
@@ -172,6 +178,20 @@
             self._apply_grant(grant)
         return bool(offer.grants)
 
+    def is_newest(self, offer: GrantOffer) -> bool:
+        """Return whether no later offer was applied."""
+        return (offer.lender, offer.sequence) == (self.lender, self.sequence)
+
+    def set_over_part(self, workspaces: frozenset[str], *, now_ms: int) -> frozenset[str]:
+        """Set the workspaces above their part; return those for which that changed."""
+        changed = workspaces ^ self.over_part
+        self.over_part, self.over_part_ms = workspaces, now_ms
+        for workspace in changed:
+            account = self.find(workspace)
+            if account is not None:
+                account.is_over_part = workspace in workspaces
+        return changed
+
     def _apply_grant(self, grant: Grant) -> None:
         account = self.find(grant.workspace)
         if account is not None:
--- a/heatherkeel/workspaces/lending.py
+++ b/heatherkeel/workspaces/lending.py
@@ -94,7 +94,12 @@
         the others cost nothing."""
 
     def make_offers(
-        self, partitions: Sequence[int], limits: Mapping[str, Amount], *, are_limits_recent: bool
+        self,
+        partitions: Sequence[int],
+        limits: Mapping[str, Amount],
+        *,
+        are_limits_recent: bool,
+        over_part: Sequence[str] = (),
     ) -> dict[int, GrantOffer]:
         """Return an offer to the owner of each partition; most contain no grants.
 
@@ -120,6 +125,7 @@
                 owner=borrower.owner,
                 since=borrower.revision,
                 grants=grants[partition],
+                over_part=list(over_part),
             )
             for partition, borrower in self.borrowers.items()
         }
--- a/heatherkeel/workspaces/messages.py
+++ b/heatherkeel/workspaces/messages.py
@@ -28,6 +28,8 @@
     since: int
     """Revision of that owner's accounts that the lender knows."""
     grants: list[Grant] = []
+    over_part: list[str] = []
+    """Workspaces that use more than their part of capacity for which others wait."""
 
 
 class AccountReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
