Leave HTTP/1.1 itself to h11

The parser and its tests are gone with it; tests show that faulty answers and surplus bytes end the connection.

--- a/heatherkeel/platform/caller.py
+++ b/heatherkeel/platform/caller.py
@@ -5,12 +5,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+import h11
 import trio
 from result import Err, Ok, Result
 
-from .connections import ConnectionLostError, ConnectionPool, NoConnectionError, encode_request
+from .connections import ConnectionLostError, ConnectionPool, NoConnectionError, make_request
 from .errors import CallError, Failure
-from .http_response import HttpError
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,12 +47,12 @@
         """
         sent = [("content-type", "application/json"), *headers] if body is not None else headers
         try:
-            request = encode_request(method, target, host=self.address, headers=sent, body=body)
+            request = make_request(method, target, host=self.address, headers=sent, body=body)
             with trio.move_on_after(timeout_s):
-                response = await self.pool.async_request(request)
+                response = await self.pool.async_request(request, body)
                 return Ok(Reply(status=response.status, body=response.body))
         except NoConnectionError as err:
             return Err(CallError(failure=Failure.REFUSED, detail=str(err)))
-        except (ConnectionLostError, HttpError) as err:
+        except (ConnectionLostError, h11.ProtocolError) as err:
             return Err(CallError(failure=Failure.UNKNOWN, detail=str(err) or type(err).__name__))
         return Err(CallError(failure=Failure.UNKNOWN, detail="no answer in time"))
--- a/heatherkeel/platform/connections.py
+++ b/heatherkeel/platform/connections.py
@@ -1,16 +1,21 @@
-"""Persistent HTTP/1.1 connections to one address."""
+"""Persistent HTTP/1.1 connections to one address.
+
+They use h11 directly, which httpcore is built on: a call through httpcore takes twice the processor
+time, and an entry instance may have half a core.
+"""
 
 from __future__ import annotations
 
 import socket
 import struct
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Final
 
+import h11
 import trio
 
 from .const import CONNECT_TIMEOUT_S, KEEP_ALIVE_S
-from .http_response import HttpError, Response, ResponseParser
 
 MAX_PORT: Final = 65535
 RECEIVE_BYTES: Final = 64 * 1024
@@ -34,11 +39,20 @@
     """The connection was lost or closed while a response was expected."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Response:
+    """A complete response."""
+
+    status: int
+    body: bytes
+
+
 class Connection:
     """One connection, which carries one request at a time."""
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self.stream = stream
+        self.protocol = h11.Connection(h11.CLIENT)
         self.idle_since_s = 0.0
 
     def is_reusable(self) -> bool:
@@ -50,26 +64,52 @@
         """Reset the connection."""
         self.stream.socket.close()
 
-    async def async_exchange(self, request: bytes) -> Response:
+    def end_exchange(self) -> bool:
+        """Prepare for the next request; returns False if there can't be one."""
+        if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
+            return False
+        if self.protocol.trailing_data[0]:
+            return False
+        self.protocol.start_next_cycle()
+        return True
+
+    async def async_exchange(self, request: h11.Request, body: bytes | None) -> Response:
         """Send a request and return its response."""
         try:
-            await self._async_send(request)
-            parser = ResponseParser()
-            while True:
-                data = await self.stream.receive_some(RECEIVE_BYTES)
-                response = parser.feed(data) if data else parser.finish()
-                if response is not None:
-                    return response
+            await self._async_send(request, body)
+            return await self._async_receive()
         except (trio.BrokenResourceError, trio.ClosedResourceError) as err:
             raise ConnectionLostError from err
 
-    async def _async_send(self, request: bytes) -> None:
+    async def _async_send(self, request: h11.Request, body: bytes | None) -> None:
+        events: list[h11.Event] = [request]
+        if body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        data = b"".join(self.protocol.send(event) or b"" for event in events)
         try:
-            await self.stream.send_all(request)
+            await self.stream.send_all(data)
         except trio.BrokenResourceError:
             # The other end may have answered before it closed the connection.
             return
 
+    async def _async_receive(self) -> Response:
+        status = 0
+        parts = []
+        while True:
+            event = self.protocol.next_event()
+            match event:
+                case h11.NEED_DATA:
+                    self.protocol.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
+                case h11.Response():
+                    status = event.status_code
+                case h11.Data():
+                    parts.append(bytes(event.data))
+                case h11.EndOfMessage():
+                    return Response(status=status, body=b"".join(parts))
+                case h11.ConnectionClosed():
+                    raise ConnectionLostError("closed before a response")
+
 
 class ConnectionPool:
     """Reuses the connections to one address; calls beyond their maximum number wait in order."""
@@ -89,7 +129,7 @@
         self.open.clear()
         self.idle.clear()
 
-    async def async_request(self, request: bytes) -> Response:
+    async def async_request(self, request: h11.Request, body: bytes | None) -> Response:
         """Send a request on an idle or a new connection, and return its response.
 
         A connection is closed unless its response has arrived completely.
@@ -100,17 +140,20 @@
             await self.slots.acquire()
         try:
             connection = self._take_idle() or await self._async_connect()
-            return await self._async_exchange(connection, request)
+            return await self._async_exchange(connection, request, body)
         finally:
             self.slots.release()
 
-    async def _async_exchange(self, connection: Connection, request: bytes) -> Response:
-        response: Response | None = None
+    async def _async_exchange(
+        self, connection: Connection, request: h11.Request, body: bytes | None
+    ) -> Response:
+        is_kept = False
         try:
-            response = await connection.async_exchange(request)
+            response = await connection.async_exchange(request, body)
+            is_kept = connection in self.open and connection.end_exchange()
             return response
         finally:
-            if response is not None and response.keeps_open and connection in self.open:
+            if is_kept:
                 connection.idle_since_s = trio.current_time()
                 self.idle.append(connection)
             else:
@@ -150,18 +193,14 @@
         return connection
 
 
-def encode_request(
+def make_request(
     method: str, target: str, *, host: str, headers: Sequence[tuple[str, str]], body: bytes | None
-) -> bytes:
-    """Return the bytes of a request, or raise `HttpError` if a value can't be sent as it is."""
+) -> h11.Request:
+    """Return a request, or raise `h11.LocalProtocolError` if a value can't be sent as it is."""
     fields = [("host", host), *headers]
     if body is not None:
         fields.append(("content-length", str(len(body))))
-    lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in fields)]
-    if " " in target or any("\r" in line or "\n" in line or "\0" in line for line in lines):
-        raise HttpError(f"a value of the request contains a delimiter: {lines!r:.200}")
     try:
-        head = "\r\n".join((*lines, "\r\n")).encode("ascii")
+        return h11.Request(method=method, target=target, headers=fields)
     except UnicodeEncodeError as err:
-        raise HttpError(str(err)) from err
-    return head + body if body else head
+        raise h11.LocalProtocolError(str(err)) from err
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -4,14 +4,14 @@
 
 from collections.abc import Awaitable, Callable
 
+import h11
 import pytest
 import trio
 from result import Err, Ok
 
 from heatherkeel.platform.caller import HttpCaller
-from heatherkeel.platform.connections import encode_request
+from heatherkeel.platform.connections import make_request
 from heatherkeel.platform.errors import Failure
-from heatherkeel.platform.http_response import HttpError
 
 _ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n"
 AsyncServe = Callable[[trio.SocketStream], Awaitable[None]]
@@ -138,6 +138,50 @@
     run(async_cut, async_use)
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"SSH-2.0-x\r\n\r\n",
+        b"HTTP/1.1 2x0 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n-1\r\n",
+        b"HTTP/1.1 200 OK\r\na: " + b"x" * 200_000,
+    ],
+)
+def test_faulty_answer_is_unknown(answer: bytes) -> None:
+    """A faulty or hostile worker must not stop the process that calls it."""
+
+    async def async_answer(stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+        try:
+            await stream.send_all(answer)
+        except trio.BrokenResourceError:
+            return
+
+    async def async_use(caller: HttpCaller) -> None:
+        called = await caller.async_call("GET", "/", timeout_s=5.0)
+        assert isinstance(called, Err)
+        assert called.err_value.failure is Failure.UNKNOWN
+        assert not caller.pool.open
+
+    run(async_answer, async_use)
+
+
+def test_surplus_after_an_answer_is_not_taken_for_the_next_one() -> None:
+    async def async_answer_twice(stream: trio.SocketStream) -> None:
+        try:
+            while await stream.receive_some():
+                await stream.send_all(_ANSWER + b"ok" + _ANSWER + b"no")
+        except trio.BrokenResourceError:
+            return
+
+    async def async_use(caller: HttpCaller) -> None:
+        for _ in range(2):
+            assert (await caller.async_call("GET", "/", timeout_s=5.0)).unwrap().body == b"ok"
+
+    assert run(async_answer_twice, async_use, connections=1) == 2
+
+
 def test_closing_ends_calls_in_progress() -> None:
     async def async_ignore(stream: trio.SocketStream) -> None:
         await trio.sleep_forever()
@@ -177,5 +221,5 @@
 )
 def test_values_with_delimiters_are_not_sent(target: str, headers: list[tuple[str, str]]) -> None:
     """A worker's id must not add headers to a request."""
-    with pytest.raises(HttpError):
-        encode_request("GET", target, host="a", headers=headers, body=None)
+    with pytest.raises(h11.LocalProtocolError):
+        make_request("GET", target, host="a", headers=headers, body=None)
