Use learned durations for objectives, order, backlog and arriving load

Where ends show that a queue's declared durations are far off and learned ones clearly better, accepted jobs take the learned ones. A job's estimates are stored with its progress, so that a new owner keeps its objective. Owners tell each other what they have learned along the pools question, and the next owner of a partition starts with it.

--- a/heatherkeel/dispatch/building.py
+++ b/heatherkeel/dispatch/building.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
+from heatherkeel.durations.models import StepEstimate
 from heatherkeel.platform.callers import JobRequest, StepRequest
 from heatherkeel.platform.operator import Queue
 
@@ -11,34 +14,43 @@
 """Target latency of a job whose queue isn't known, in milliseconds."""
 
 
-def critical_paths_ms(steps: tuple[StepRequest, ...]) -> list[float]:
-    """Return the critical path from each step's start to the job's end, in milliseconds."""
+def critical_paths_ms(
+    steps: tuple[StepRequest, ...], estimates: Sequence[StepEstimate] | None = None
+) -> list[float]:
+    """Return the critical path from each step's start to the job's end, in milliseconds.
+
+    Without estimates, the declared durations are used.
+    """
     after = [0.0] * len(steps)
     paths = [0.0] * len(steps)
     for number in range(len(steps) - 1, -1, -1):
         step = steps[number]
-        paths[number] = step.estimated_ms + after[number]
+        longest_ms = estimates[number].longest_ms if estimates else step.estimated_ms
+        paths[number] = longest_ms + after[number]
         for earlier in step.depends_on:
             after[earlier] = max(after[earlier], paths[number])
     return paths
 
 
-def remaining_work(steps: tuple[StepRequest, ...]) -> list[float]:
+def remaining_work(
+    steps: tuple[StepRequest, ...], estimates: Sequence[StepEstimate] | None = None
+) -> list[float]:
     """Return the work of each step and all later ones, in core-milliseconds.
 
-    Best-effort tasks count as no work.
+    Best-effort tasks count as no work. Without estimates, the declared durations are used.
     """
     remaining = [0.0] * (len(steps) + 1)
     for number in range(len(steps) - 1, -1, -1):
         step = steps[number]
-        work = 0.0 if step.fills else step.count * step.cpu * step.estimated_ms / 1000
+        task_ms = estimates[number].task_ms if estimates else step.estimated_ms
+        work = 0.0 if step.fills else step.count * step.cpu * task_ms / 1000
         remaining[number] = remaining[number + 1] + work
     return remaining[:-1]
 
 
 def set_objective(job: Job, queue: Queue | None) -> None:
     """Set the time by which a job should be complete."""
-    critical_path_ms = max(critical_paths_ms(job.request.steps), default=0.0)
+    critical_path_ms = max(critical_paths_ms(job.request.steps, job.estimates), default=0.0)
     slack = queue.slack_factor if queue else 1.0
     target_ms = queue.target_latency_ms if queue else DEFAULT_TARGET_MS
     job.due_ms = job.accepted_ms + slack * critical_path_ms + target_ms
@@ -47,8 +59,8 @@
 def begin_occurrence(job: Job, occurrence: int, *, begins_ms: float) -> list[Step]:
     """Create the steps and tasks of one occurrence; steps without dependencies are open."""
     due_ms = begins_ms + job.due_ms - job.accepted_ms
-    paths = critical_paths_ms(job.request.steps)
-    remaining = remaining_work(job.request.steps)
+    paths = critical_paths_ms(job.request.steps, job.estimates)
+    remaining = remaining_work(job.request.steps, job.estimates)
     steps = []
     for number, request in enumerate(job.request.steps):
         step = Step(
--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -152,3 +152,7 @@
 """Interval at which a new owner asks the lender of limits for its first grants, in seconds."""
 NO_WORKSPACES_PAUSE_S: Final = 2.0
 """Pause between checks whether workspaces have been configured since, in seconds."""
+MAX_UNWATCHED_MS: Final = 100
+"""Maximum time without a waiting listing, in milliseconds, for an end to show a task's duration."""
+MIN_MEASURED_FRACTION: Final = 0.8
+"""Fraction of a step's tasks whose durations must be known to learn from the step."""
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -15,6 +15,7 @@
 from .stalled import quarantine_worker
 from .state import PartitionState
 from .suspicion import clear_suspicion, count_crash
+from .timing import measure_run, record_step_durations
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -38,6 +39,7 @@
     """Process one end that a worker has listed."""
     run = worker.runs.get((ended.task, ended.attempt))
     task = run.task if run is not None else find_task(state, ended.task)
+    took_ms = measure_run(worker, run, state.now_ms) if run is not None else None
     if run is not None:
         remove_run(state, run)
         worker.full_until_ms = 0
@@ -52,6 +54,8 @@
         return
     if ended.outcome == DONE and not task.step.request.lasts:
         worker.failed_jobs.clear()
+        if took_ms is not None and not task.is_done:
+            task.step.times.add(took_ms)
         finish_task(state, task, effects)
     elif ended.outcome == FAILED:
         fail_task(state, worker, task, ended, effects)
@@ -89,6 +93,7 @@
     if not step.is_done():
         return
     find_pool(state, step.job.service).open_steps.discard(step)
+    record_step_durations(state, step, effects)
     for follower in open_dependents(step):
         enqueue_step(state, follower)
         effects.touch(step.job.service)
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from heatherkeel.durations.models import ErrorFactors
 from heatherkeel.platform.callers import JobRequest
 from heatherkeel.platform.errors import CallError
 from heatherkeel.platform.operator import Queue, WorkerEntry
@@ -232,6 +233,13 @@
     """Count a job that was failed because one of its tasks crashes workers."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ObserveDuration(Effect):
+    """Record how far off the estimates of an ended step were."""
+
+    errors: ErrorFactors
+
+
 @dataclass(kw_only=True, slots=True)
 class Effects:
     """The effects of one event, in order."""
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -49,6 +49,7 @@
         accepted_ms=event.now_ms - max(0, min(event.wall_ms - event.accepted_wall_ms, 60_000)),
         accepted_wall_ms=event.accepted_wall_ms,
     )
+    job.estimates = state.durations.estimate(job.queue, job.request, state.now_ms)
     set_objective(job, state.queues.get(job.queue))
     if job.account is not None:
         job.is_excess = not job.account.takes_share(
@@ -70,6 +71,7 @@
             "lasts": any(step.lasts for step in job.request.steps),
             "fills": any(step.fills for step in job.request.steps),
             "objective_ms": round(job.due_ms - job.accepted_ms),
+            "is_learned": job.estimates is not None,
             "age_ms": event.now_ms - job.accepted_ms,
         },
     )
--- a/heatherkeel/dispatch/metrics.py
+++ b/heatherkeel/dispatch/metrics.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter
+from math import exp
+from typing import Final
 
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+from heatherkeel.durations.models import ErrorFactors
 from heatherkeel.workspaces.labels import WorkspaceLabels
 
 from .models import LossReason
 
+ERROR_BUCKETS: Final = (1.1, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0)
+
 
 class DispatchMetrics:
     """Counters of lost runs and given-up jobs; every reason is exported from the start."""
@@ -34,6 +40,15 @@
             registry=registry,
         )
         self.labels = WorkspaceLabels()
+        self.duration_errors = Histogram(
+            "heatherkeel_duration_error_factor",
+            "Factor by which the estimated duration of an ended step was off, either way.",
+            ["estimate"],
+            buckets=ERROR_BUCKETS,
+            registry=registry,
+        )
+        for estimate in ErrorFactors._fields:
+            self.duration_errors.labels(estimate)
 
     def count_limited(self, workspace: str) -> None:
         """Count a job that waits for its workspace's limit."""
@@ -42,3 +57,8 @@
     def count_loss(self, reason: LossReason) -> None:
         """Count a run that was lost."""
         self.losses.labels(reason.name.lower()).inc()
+
+    def observe_duration(self, errors: ErrorFactors) -> None:
+        """Record how far off the estimates of an ended step were."""
+        for estimate, error in errors._asdict().items():
+            self.duration_errors.labels(estimate).observe(exp(abs(error)))
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from heatherkeel.durations.models import StepEstimate, StepTimes
 from heatherkeel.platform.callers import JobRequest, StepRequest
 from heatherkeel.platform.operator import WorkerEntry
 from heatherkeel.workspaces.account import Account
@@ -71,6 +72,8 @@
     started_ms: int = 0
     is_doubtful: bool = False
     """Its worker is unresponsive."""
+    was_doubtful: bool = False
+    """Its worker was unresponsive at some time, so its end may be listed late."""
     is_at_work: bool = False
     """Its worker's last listing showed the task at 100 percent, which means serving for a
     long-running task."""
@@ -150,9 +153,11 @@
     latest_start_ms: float = 0.0
     """Latest start of its tasks with which the job can meet its objective."""
     work: float = 0.0
-    """Declared work of this step and the steps after it, in core-milliseconds."""
+    """Expected work of this step and the steps after it, in core-milliseconds."""
     is_open: bool = False
     """All steps that it depends on are done."""
+    times: StepTimes = field(default_factory=StepTimes)
+    """Durations of its tasks that have ended."""
     tickets: dict[str, Ticket] = field(default_factory=dict)
     disallowed_workers: set[str] = field(default_factory=set)
     """Workers that the advisor doesn't allow to run it."""
@@ -205,6 +210,8 @@
     occurrences: dict[int, list[Step]] = field(default_factory=dict)
     crashes: int = 0
     """Highest crash count among its tasks."""
+    estimates: list[StepEstimate] | None = None
+    """Expected durations of its steps when it was accepted; None if the declared ones are used."""
     due_ms: float = 0.0
     """When it has to be complete to meet its objective."""
     ended_ms: int | None = None
@@ -263,6 +270,8 @@
     suspects: dict[tuple[str, int], Run] = field(default_factory=dict)
     """Unproven runs of tasks that have lost a worker before."""
     is_listed: bool = True
+    unwatched_ms: int = 0
+    """Time before its last listing was requested in which no listing waited for ends."""
     is_unresponsive: bool = False
     """The last call to it wasn't answered."""
     unresponsive_since_ms: int = 0
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -44,6 +44,7 @@
     JobCanceled,
     JobSubmitted,
     LimitsChanged,
+    ObserveDuration,
     OpenSessions,
     PaceTask,
     QueuesChanged,
@@ -430,6 +431,8 @@
                 self.metrics.count_loss(effect.reason)
             case CountLimited():
                 self.metrics.count_limited(effect.workspace)
+            case ObserveDuration():
+                self.metrics.observe_duration(effect.errors)
             case CountGivenUp():
                 self.metrics.given_up.inc()
             case AcknowledgeEnds():
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from heatherkeel.durations.models import StepEstimate
 from heatherkeel.platform.callers import JobRequest
 
 from .building import begin_occurrence
@@ -60,6 +61,13 @@
     """Number of occurrences that have begun."""
     tasks: list[StoredTask] = []
     workspace: str = ""
+    estimates: list[StepEstimate] = []
+    """Expected durations of its steps, by which its objective was set; empty for declared ones."""
+
+    def usable_estimates(self, request: JobRequest) -> list[StepEstimate] | None:
+        """Return the estimates, if there is one for each step of the request."""
+        is_complete = bool(self.estimates) and len(self.estimates) == len(request.steps)
+        return self.estimates if is_complete else None
 
 
 def make_caller_key(prefix: str, job_id: str, workspace: str) -> str:
@@ -102,6 +110,7 @@
             begun=len(job.occurrences),
             tasks=_create_stored_tasks(job),
             workspace=job.workspace,
+            estimates=job.estimates or [],
         )
     )
 
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -143,6 +143,7 @@
         request=request.request,
         accepted_ms=state.now_ms - age_ms,
         accepted_wall_ms=progress.accepted_wall_ms,
+        estimates=progress.usable_estimates(request.request),
     )
     set_objective(job, state.queues.get(job.queue))
     jobs = state.finished if progress.state.is_final() else state.jobs
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -5,6 +5,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from heatherkeel.durations.book import DurationBook
 from heatherkeel.platform.operator import Queue
 from heatherkeel.workspaces.account import AccountBook
 
@@ -30,7 +31,7 @@
         steps = job.request.steps
         if any(step.lasts for step in steps):
             return
-        self.arrivals.append((now_ms, remaining_work(steps)[0]))
+        self.arrivals.append((now_ms, remaining_work(steps, job.estimates)[0]))
 
     def arriving_cpu(self, now_ms: int) -> int:
         """Return the processor capacity that jobs need at the current arrival rate."""
@@ -66,9 +67,12 @@
     """Whether starts can be stored and sent now."""
     accounts: AccountBook = field(init=False)
     """What each workspace has running here, and may have."""
+    durations: DurationBook = field(init=False)
+    """How long tasks really take."""
 
     def __post_init__(self) -> None:
         self.accounts = AccountBook(owner=self.token)
+        self.durations = DurationBook(owner=self.token)
 
     def has_incarnation_ended(self, worker_id: str, born: int) -> bool:
         """Return whether an incarnation has ended; a start time of 0 matches any."""
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -113,6 +113,7 @@
         run.is_doubtful = False
     if not worker.is_ready():
         _limit_lease(state, worker, event.listing.clock_ms)
+    worker.unwatched_ms = max(0, event.sent_ms - worker.clock_received_ms)
     worker.clock_ms = event.listing.clock_ms
     worker.clock_received_ms = event.now_ms
 
@@ -260,7 +261,7 @@
 def mark_runs_doubtful(state: PartitionState, worker: Worker, effects: Effects) -> None:
     """Allow tasks that permit copies to start elsewhere while their worker is unresponsive."""
     for run in worker.runs.values():
-        run.is_doubtful = True
+        run.is_doubtful = run.was_doubtful = True
         if run.task.is_waiting():
             enqueue_step(state, run.task.step)
             effects.touch(worker.entry.service)
--- a/heatherkeel/durations/book.py
+++ b/heatherkeel/durations/book.py
@@ -5,7 +5,6 @@
 import logging
 from dataclasses import dataclass, field
 from math import exp, log
-from typing import NamedTuple
 
 from heatherkeel.platform.callers import JobRequest, StepRequest
 
@@ -22,19 +21,12 @@
 from .contents import ContentTimes, make_content_key
 from .estimator import estimate_quantile_ms, estimate_step, find_typical_log
 from .messages import ContentRow, DurationsOffer, DurationsReport, QueueRow
-from .models import Ended, StepEstimate, StepKind, StepTimes
+from .models import Ended, ErrorFactors, StepEstimate, StepKind, StepTimes
 from .sums import QueueSums, add_up
 
 _LOGGER = logging.getLogger(__name__)
 
 
-class ErrorFactors(NamedTuple):
-    """By which factor the estimates of an ended step were off, as logarithms."""
-
-    declared: float
-    learned: float
-
-
 @dataclass(kw_only=True, slots=True)
 class QueueKnowledge:
     """What is known of one queue, here and by others."""
--- a/heatherkeel/durations/models.py
+++ b/heatherkeel/durations/models.py
@@ -25,6 +25,13 @@
     """Mean of the logarithms of these durations in milliseconds."""
 
 
+class ErrorFactors(NamedTuple):
+    """By which factor the estimates of an ended step were off, as logarithms."""
+
+    declared: float
+    learned: float
+
+
 class StepKind(NamedTuple):
     """What the durations of a step are learned by."""
 
--- a/heatherkeel/pooling/fleet_owner.py
+++ b/heatherkeel/pooling/fleet_owner.py
@@ -12,6 +12,7 @@
 from heatherkeel.directory.follower import async_read_newest_with_retry
 from heatherkeel.directory.layout_reader import find_layout
 from heatherkeel.dispatch.journal import Journal
+from heatherkeel.durations.relay import DurationRelay, group_queues
 from heatherkeel.helpers.clock import monotonic_ms, wall_ms
 from heatherkeel.ownership.const import LAYOUT_KEY, WORK_TOPIC
 from heatherkeel.ownership.holders import HolderCache
@@ -80,6 +81,7 @@
         self.partition = fleet_partition(settings.store.partitions)
         self.state = FleetOwnerState(token=token)
         self.lender = Lender(token=token)
+        self.durations = DurationRelay(token=token)
         self.journal = Journal(
             store=store, partition=self.partition, token=token, on_fenced=on_fenced
         )
@@ -221,12 +223,16 @@
         leaving = self.state.leaving_workers()
         partitions = self.state.layout.all_partitions()
         offers = self._make_offers(partitions)
+        queues = group_queues(self.directory.state.queues, self.state.layout)
         for partition in set(partitions) - self.asking:
             question = PoolsQuestion(
                 partition=partition,
                 leaving=leaving.get(partition, []),
                 due=due,
                 offer=offers.get(partition),
+                durations=self.durations.make_offer(
+                    partition, queues.get(partition, []), monotonic_ms()
+                ),
             )
             self._ask_in_background(question)
         with trio.move_on_after(MEASURE_WAIT_S):
@@ -275,6 +281,8 @@
             )
             if answer.accounts is not None:
                 self.lender.record(partition, answer.accounts)
+            if answer.durations is not None:
+                self.durations.record(partition, answer.durations, monotonic_ms())
         else:
             await self.holders.async_find(partition, failed_address=address)
 
--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -6,6 +6,7 @@
 
 from heatherkeel.dispatch.load import measure_pools
 from heatherkeel.dispatch.owner import PartitionOwner
+from heatherkeel.durations.messages import DurationsOffer, DurationsReport
 from heatherkeel.ownership.partitions import Layout
 from heatherkeel.platform.framing import KeyedRecord
 
@@ -54,7 +55,9 @@
         owner.set_leaving_workers(frozenset(question.leaving), due=frozenset(question.due))
         offer = question.offer
         accounts = owner.exchange_accounts(offer) if offer is not None else None
-        return PoolsAnswer(pools=measure_pools(owner.state), accounts=accounts)
+        durations = _exchange_durations(owner, question.durations)
+        pools = measure_pools(owner.state)
+        return PoolsAnswer(pools=pools, accounts=accounts, durations=durations)
     if not owner.is_current():
         return NotOwner()
     pending = sum(
@@ -65,6 +68,17 @@
     return QueueAnswer(pending=pending)
 
 
+def _exchange_durations(
+    owner: PartitionOwner, offer: DurationsOffer | None
+) -> DurationsReport | None:
+    """Take over what others know of durations, and return what this owner has learned since."""
+    if offer is None:
+        return None
+    state = owner.state
+    state.durations.apply_offer(offer, state.now_ms)
+    return state.durations.make_report(offer)
+
+
 async def async_store_job(
     owners: dict[int, PartitionOwner], question: StoreJobQuestion
 ) -> StoreJobAnswer | NotOwner:
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from heatherkeel.durations.messages import DurationsOffer, DurationsReport
 from heatherkeel.ownership.partitions import Layout
 from heatherkeel.platform.errors import Failure
 from heatherkeel.workspaces.messages import AccountsReport, GrantOffer
@@ -33,6 +34,8 @@
     """Workers whose machines are due for maintenance: long-running tasks avoid them."""
     offer: GrantOffer | None = None
     """Grants of workspaces' limits; None from a process that lends none."""
+    durations: DurationsOffer | None = None
+    """What other owners know of durations; None if that isn't due."""
 
 
 class LayoutQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="layout"):
@@ -155,6 +158,7 @@
 
     pools: list[PoolLoad]
     accounts: AccountsReport | None = None
+    durations: DurationsReport | None = None
 
 
 class LayoutAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="layout"):
--- a/tests/dispatch/partition.py
+++ b/tests/dispatch/partition.py
@@ -169,6 +169,26 @@
             run.answered_ms = None
         return self.list_known_runs(run.worker_id)
 
+    def end_run_listed(
+        self, run: Run, begun_ms: int | None, *, outcome: str = "done", saved: str = ""
+    ) -> list[Effect]:
+        """End a run that was answered at `begun_ms`, and let its worker list the end."""
+        ends = self.ends.setdefault(run.worker_id, [])
+        number = len(ends) + 1
+        ended = EndedTask(
+            number=number, task=run.task.name, attempt=run.attempt, outcome=outcome, saved=saved
+        )
+        ends.append(ended)
+        run.answered_ms = begun_ms
+        others = [
+            RunningTask(
+                task=other.task.name, attempt=other.attempt, saved="", percent=50.0, figure=0.0
+            )
+            for other in self.state.workers[run.worker_id].runs.values()
+            if other is not run
+        ]
+        return self.list_runs(run.worker_id, *others)
+
     def answer_start(
         self, run: Run, failure: Failure | None = None, *, detail: str = ""
     ) -> list[Effect]:
