--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -10,6 +10,7 @@
 
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.follower import TopicFollower, async_read_newest_with_retry
+from heatherkeel.durations.switch import is_switched_on
 from heatherkeel.helpers.clock import monotonic_ms, wall_ms
 from heatherkeel.ownership.const import JOBS_TOPIC, WORK_TOPIC
 from heatherkeel.ownership.partition_ownership import PartitionOwnership
@@ -107,6 +108,7 @@
         self.on_fenced = on_fenced
         self.async_ask_lender = async_ask_lender
         self.state = PartitionState(token=token, lease_ms=0, status_ms=0)
+        self.state.durations.is_enabled = is_switched_on()
         self.entry_age_ms = 0
         """How old a worker's entry may be for starts on it, in milliseconds."""
         self.apply_settings(settings)
--- a/heatherkeel/durations/book.py
+++ b/heatherkeel/durations/book.py
@@ -48,8 +48,10 @@
 class DurationBook:
     """Learns durations from ended steps, and estimates those of new ones."""
 
-    def __init__(self, *, owner: int) -> None:
+    def __init__(self, *, owner: int, is_enabled: bool = True) -> None:
         self.owner = owner
+        self.is_enabled = is_enabled
+        """Learned durations may be used; otherwise they are only logged and told to others."""
         self.queues: dict[str, QueueKnowledge] = {}
         self.contents = ContentTimes()
         self.revision = 0
@@ -59,12 +61,14 @@
 
     def estimate(self, queue: str, request: JobRequest, now_ms: int) -> list[StepEstimate] | None:
         """Return the expected durations of a job's steps; None if the declared ones are used."""
+        if all(step.lasts for step in request.steps):
+            return None
         known = self.queues.get(queue)
         if known is None:
             self._log_empty(queue)
             return None
         self._expire(known, now_ms)
-        if not known.is_used:
+        if not known.is_used or not self.is_enabled:
             return None
         return [
             estimate_step(
--- a/tests/durations/test_book.py
+++ b/tests/durations/test_book.py
@@ -22,6 +22,7 @@
 from heatherkeel.durations.messages import DurationsOffer
 from heatherkeel.durations.models import StepKind, StepTimes
 from heatherkeel.durations.relay import DurationRelay
+from heatherkeel.durations.switch import SWITCH_VARIABLE, is_switched_on
 from heatherkeel.platform.callers import JobRequest, StepRequest
 
 QUEUE = "checks"
@@ -245,3 +246,16 @@
     exchange(relay, second, 2, REPORT_INTERVAL_MS)
     assert second.estimate(QUEUE, make_request(8000), 2000) is not None
     assert second.estimate(QUEUE, make_request(8000), 2000 + MAX_AGE_MS) is None
+
+
+def test_switched_off_it_learns_and_uses_what_is_declared() -> None:
+    book = DurationBook(owner=1, is_enabled=False)
+    teach(book)
+    assert book.estimate(QUEUE, make_request(8000), 2000) is None
+    assert book.queues[QUEUE].is_used
+
+
+@pytest.mark.parametrize(("value", "expected"), [("", True), ("on", True), ("off", False)])
+def test_operators_switch(monkeypatch: pytest.MonkeyPatch, value: str, expected: bool) -> None:
+    monkeypatch.setenv(SWITCH_VARIABLE, value)
+    assert is_switched_on() is expected
--- a/tests/questions/test_messages.py
+++ b/tests/questions/test_messages.py
@@ -7,6 +7,12 @@
 from hypothesis import strategies as st
 from result import Err
 
+from heatherkeel.durations.messages import (
+    ContentRow,
+    DurationsOffer,
+    DurationsReport,
+    QueueRow,
+)
 from heatherkeel.ownership.partitions import Layout
 from heatherkeel.questions.messages import (
     Answer,
@@ -37,6 +43,11 @@
     needs=[Need(label="b", gpu=1)],
 )
 
+ROWS = [QueueRow(queue="quotes", sums=[1.5] * 9)]
+CONTENTS = [ContentRow(key=(1 << 63) - 1, tasks=4, mean_log=6.5)]
+OFFER = DurationsOffer(relay=5, owner=7, since=3, age_ms=40, queues=ROWS, contents=CONTENTS)
+REPORT = DurationsReport(owner=7, revision=3, queues=ROWS, contents=CONTENTS)
+
 
 @pytest.mark.parametrize(
     "question",
@@ -44,6 +55,7 @@
         JobQuestion(partition=1, job_id="aa"),
         QueueQuestion(partition=2, queue="quotes"),
         PoolsQuestion(partition=3, leaving=["w0"], due=["w1"]),
+        PoolsQuestion(partition=3, leaving=[], durations=OFFER),
         LayoutQuestion(partition=-1),
     ],
 )
@@ -57,6 +69,7 @@
         JobAnswer(state="active"),
         QueueAnswer(pending=7),
         PoolsAnswer(pools=[LOAD]),
+        PoolsAnswer(pools=[], durations=REPORT),
         LayoutAnswer(layout=Layout(shares={"desk": (0, 3)}, places={"m1": 4}, homes={"desk": 9})),
         NotOwner(),
     ],
