--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -152,3 +152,12 @@
 """Interval at which a new owner asks the lender of limits for its first grants, in seconds."""
 NO_WORKSPACES_PAUSE_S: Final = 2.0
 """Pause between checks whether workspaces have been configured since, in seconds."""
+MAX_CLAIMS: Final = 4
+"""Maximum number of priorities that a pool reports claims for; further ones join the last."""
+MOVE_LEAD_MS: Final = 1800
+"""Time from ordering a machine until it takes tasks, in milliseconds."""
+JUST_BEGUN_MS: Final = 300
+"""How long a run may have taken for stopping it to lose next to nothing, in milliseconds."""
+GIVE_WAY_MS: Final = 600
+"""Time after which late runs on a machine that another pool needs are stopped, in milliseconds.
+Callers of the other pool get the machine within 2,000, and a worker may take 900 to stop a run."""
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -116,6 +116,8 @@
     worker_ids: frozenset[str]
     due: frozenset[str] = frozenset()
     """Workers whose machines are to be emptied later."""
+    yielding: frozenset[str] = frozenset()
+    """The workers whose machines another pool needs more."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/dispatch/eviction.py
+++ b/heatherkeel/dispatch/eviction.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from .claims import find_run_urgency, has_just_begun, is_stoppable
+from .const import GIVE_WAY_MS
 from .events import Effects
 from .jobs import stop_run
 from .models import Run, RunState, Step, Task, Worker
+from .open_steps import Urgency
 from .state import PartitionState
 
 
@@ -31,12 +34,27 @@
     """
     request = run.task.step.request
     if not request.lasts:
-        if request.saves and not request.is_gang:
+        if worker.yielding_since_ms is not None and not worker.entry.is_draining():
+            _give_way(state, run, effects, since_ms=worker.yielding_since_ms)
+        elif request.saves and not request.is_gang:
             stop_run(state, run, effects)
     elif worker.entry.is_draining() or can_stop_long_running(state, run):
         stop_run(state, run, effects)
 
 
+def _give_way(state: PartitionState, run: Run, effects: Effects, *, since_ms: int) -> None:
+    """Stop a run on a machine that another pool needs more, if it loses little or is too late.
+
+    A late run is worth a little if it ends soon, so it has some time for that.
+    """
+    if not is_stoppable(run, state.now_ms):
+        return
+    is_late = find_run_urgency(run, state.now_ms) in (Urgency.LATE, Urgency.EXCESS)
+    has_time = is_late and state.now_ms - since_ms < GIVE_WAY_MS
+    if not has_time or has_just_begun(run, state.now_ms):
+        stop_run(state, run, effects)
+
+
 def can_stop_long_running(state: PartitionState, run: Run) -> bool:
     """Return whether stopping a long-running task keeps its step within `max_unavailable`.
 
--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -5,10 +5,13 @@
 from dataclasses import dataclass
 from math import ceil
 
+import msgspec
+
 from heatherkeel.platform.callers import StepRequest
 from heatherkeel.platform.operator import Capacity
 from heatherkeel.questions.messages import Need, PoolLoad
 
+from .claims import measure_claims, measure_kept
 from .const import CAPACITY_GRACE_MS, MAX_NEEDS
 from .models import Worker
 from .open_steps import Urgency, find_urgency
@@ -23,15 +26,23 @@
     labels: list[str]
 
 
-def measure_pools(state: PartitionState) -> list[PoolLoad]:
-    """Return the load of each pool.
+def measure_pools(state: PartitionState, *, with_claims: bool = False) -> list[PoolLoad]:
+    """Return the load of each pool, on request with what its jobs can still use in time.
 
     Jobs that are worth nothing any more request no machines: after an overload a pool would request
     three times what there is, and take machines that other pools need for jobs in time. Nor do jobs
     that wait for the limit of their workspace, since no machine helps them, or jobs beyond their
     workspace's weight, which may not take machines from others.
     """
-    return [_measure(pool, state.now_ms) for pool in state.pools.values()]
+    loads = [_measure(pool, state.now_ms) for pool in state.pools.values()]
+    if not with_claims:
+        return loads
+    return [
+        msgspec.structs.replace(
+            load, claims=measure_claims(state, pool), kept=measure_kept(pool, state.now_ms)
+        )
+        for load, pool in zip(loads, state.pools.values(), strict=True)
+    ]
 
 
 def _measure(pool: Pool, now_ms: int) -> PoolLoad:
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -268,6 +268,8 @@
     unresponsive_since_ms: int = 0
     is_leaving: bool = False
     """Its machine is about to be moved or maintained."""
+    yielding_since_ms: int | None = None
+    """Since when it is being emptied because another pool needs its machine more."""
     paced_ms: int = 0
     """When the pace of its best-effort tasks was last checked."""
     is_outdated: bool = False
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -192,11 +192,23 @@
         for effect in reduce_event(self.state, event):
             self._execute(effect)
 
-    def set_leaving_workers(self, worker_ids: frozenset[str], *, due: frozenset[str]) -> None:
-        """Set the workers to empty now, and those that are due later."""
+    def set_leaving_workers(
+        self,
+        worker_ids: frozenset[str],
+        *,
+        due: frozenset[str],
+        yielding: frozenset[str] = frozenset(),
+    ) -> None:
+        """Set the workers to empty now, those of them that give way, and those due later."""
         now_ms, wall_ms = self.times()
         self.handle_event(
-            WorkersLeaving(now_ms=now_ms, wall_ms=wall_ms, worker_ids=worker_ids, due=due)
+            WorkersLeaving(
+                now_ms=now_ms,
+                wall_ms=wall_ms,
+                worker_ids=worker_ids,
+                due=due,
+                yielding=yielding,
+            )
         )
 
     async def _async_restore(self) -> None:
--- a/heatherkeel/dispatch/ticks.py
+++ b/heatherkeel/dispatch/ticks.py
@@ -39,6 +39,7 @@
     for worker in state.workers.values():
         if worker.is_leaving:
             worker.is_leaving = False
+            worker.yielding_since_ms = None
             effects.touch(worker.entry.service)
 
 
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -276,4 +276,8 @@
         if is_leaving != worker.is_leaving:
             worker.is_leaving = is_leaving
             effects.touch(worker.entry.service)
+        if worker.id not in event.yielding:
+            worker.yielding_since_ms = None
+        elif worker.yielding_since_ms is None:
+            worker.yielding_since_ms = state.now_ms
     evict_tasks(state, effects)
--- a/heatherkeel/platform/const.py
+++ b/heatherkeel/platform/const.py
@@ -10,6 +10,8 @@
 KEY_HEADER: Final = "heatherkeel-key"
 KEYS_CONTRACT: Final = "tenants"
 """Named in the settings where callers need keys."""
+PRESSURE_CONTRACT: Final = "pressure"
+"""Named in the settings where pools compete for machines."""
 
 CONFIG_TOPIC: Final = "keyed.op"
 WORKERS_TOPIC: Final = "keyed.servers"
--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -85,3 +85,22 @@
 """Fraction of a zone's workers that must be unresponsive for the zone to count as cut off."""
 MIN_LOST_WORKERS: Final = 3
 """Minimum number of unresponsive workers in a zone that is cut off; two may both have crashed."""
+PRIORITY_FACTOR: Final = 0.5
+"""Weight of a queue's priority relative to the one above it when machines are divided."""
+DIVISION_HYSTERESIS: Final = 0.1
+"""Fraction by which a share must exceed its part before machines are taken from it, and at least
+one machine; a move costs both pools 1,500 ms of the machine."""
+SHORTAGE_SETTLE_MS: Final = 200
+"""How long a share must lack machines before any are taken from others, in milliseconds; a single
+large job looks like a shortage for a moment."""
+MIN_STAY_MS: Final = 3000
+"""How long a machine stays in a pool before it may be taken for another, in milliseconds: twice the
+time that a move takes."""
+MAX_TAKEN_FRACTION: Final = 0.2
+"""Fraction of all machines that may be taken from pools above their part within a period."""
+TAKEN_PERIOD_MS: Final = 1000
+"""That period, in milliseconds."""
+MIN_KNOWN_FRACTION: Final = 0.5
+"""Fraction of the shares whose claims must be known for machines to be divided."""
+DIVISION_LOG_MS: Final = 1000
+"""Minimum time between two log lines about the division, in milliseconds."""
--- a/heatherkeel/pooling/fleet_owner.py
+++ b/heatherkeel/pooling/fleet_owner.py
@@ -78,7 +78,7 @@
         self.links = links
         self.can_order = can_order
         self.partition = fleet_partition(settings.store.partitions)
-        self.state = FleetOwnerState(token=token)
+        self.state = FleetOwnerState(token=token, divides_machines=settings.divides_machines())
         self.lender = Lender(token=token)
         self.journal = Journal(
             store=store, partition=self.partition, token=token, on_fenced=on_fenced
@@ -220,6 +220,7 @@
         due = self.state.due_workers()
         leaving = self.state.leaving_workers()
         partitions = self.state.layout.all_partitions()
+        yielding = self.state.yielding_workers()
         offers = self._make_offers(partitions)
         for partition in set(partitions) - self.asking:
             question = PoolsQuestion(
@@ -227,6 +228,8 @@
                 leaving=leaving.get(partition, []),
                 due=due,
                 offer=offers.get(partition),
+                yielding=sorted(yielding.intersection(leaving.get(partition, []))),
+                divides=self.state.divides_machines,
             )
             self._ask_in_background(question)
         with trio.move_on_after(MEASURE_WAIT_S):
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import NamedTuple
@@ -43,6 +44,8 @@
     """When the order was last sent; None if it wasn't."""
     is_confirmed: bool = False
     """Whether the order was answered with success."""
+    is_taken: bool = False
+    """It is taken from a share above its part of the machines for one below its part."""
 
 
 class DepartedWorker(NamedTuple):
@@ -75,6 +78,22 @@
     """Recent numbers of surplus machines with their times."""
 
 
+@dataclass(kw_only=True, slots=True)
+class HandoverLog:
+    """What was logged about the division of machines, and what wasn't yet."""
+
+    is_divided: bool = False
+    is_unknown: bool = False
+    logged_ms: int = 0
+    taken: Counter[tuple[str, str]] = field(default_factory=Counter)
+    """Machines taken since the last line, by the pools that they leave and get to."""
+    dropped: int = 0
+    """Takings canceled since then."""
+    taken_total: Counter[str] = field(default_factory=Counter)
+    """All machines taken, by the pool that they left."""
+    dropped_total: int = 0
+
+
 @dataclass(kw_only=True, slots=True)
 class FleetOwnerState:
     """State of the fleet's owner."""
@@ -100,6 +119,15 @@
     """Time of machines in pools by cause since then, in milliseconds."""
     usage_ms: int = 0
     """When it was last measured."""
+    divides_machines: bool = False
+    """Whether machines are divided by claims while there are too few."""
+    short_since_ms: dict[PoolShare, int] = field(default_factory=dict)
+    """Since when each share has been below its part of the machines."""
+    taken_ms: list[int] = field(default_factory=list)
+    """When machines were last taken from shares above their part."""
+    moved_ms: dict[str, int] = field(default_factory=dict)
+    """When each machine was last ordered to a pool."""
+    handovers: HandoverLog = field(default_factory=HandoverLog)
 
     def standby_pool(self) -> str | None:
         """Return the standby pool, if there is one."""
@@ -152,6 +180,14 @@
                 leaving.setdefault(departure.partition, []).append(worker_id)
         return leaving
 
+    def yielding_workers(self) -> set[str]:
+        """Return the workers whose machines are taken for a share that lacks some."""
+        return {
+            intent.worker_id
+            for intent in self.intents.values()
+            if intent.is_taken and intent.worker_id
+        }
+
     def _partition_of(self, intent: Intent) -> int | None:
         """Return the partition of an intent's worker: the one that reported it, or the machine's.
 
--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -2,26 +2,40 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from dataclasses import replace
 from math import ceil
 
 from heatherkeel.platform.machines import Machine
 from heatherkeel.questions.messages import Need
 
+from .claims import Division
 from .const import (
     MIN_MACHINES,
     MIN_SIZE_FRACTION,
 )
+from .handover import count_allowed, list_takable, take_budget
 from .models import FleetOwnerState, Intent, PoolShare, Purpose
 from .standby import choose_for_standby
 from .supply import Supply, count_needed, find_fresh_view, find_lost_zones, list_staying
 
 
-def plan_moves(state: FleetOwnerState, supply: Supply) -> list[Intent]:
-    """Return the moves to shares with a shortfall, then those to the standby pool."""
+def plan_moves(
+    state: FleetOwnerState, supply: Supply, division: Division | None = None
+) -> list[Intent]:
+    """Return the moves to shares with a shortfall, then those to the standby pool.
+
+    While machines are divided, a share gets no more than its part, and lacks only that.
+    """
     shortfall = supply.shortfall
+    if division is not None:
+        shortfall = _limit_shortfall(shortfall, division)
     candidates = _list_candidates(state, supply)
     intents = _plan_needs(state, candidates)
-    for share in sorted(shortfall, key=lambda share: _rank(state, share, shortfall), reverse=True):
+    order = sorted(shortfall, key=lambda share: _rank(state, share, shortfall), reverse=True)
+    if division is not None:
+        order.sort(key=division.rank)
+    for share in order:
         for _ in range(shortfall[share]):
             candidate = next(
                 (candidate for candidate in candidates if _would_join(state, candidate, share)),
@@ -31,9 +45,47 @@
                 break
             candidates.remove(candidate)
             intents.append(_move(state, candidate, share.pool))
+    if division is not None:
+        intents += _plan_takings(state, supply, division, shortfall, intents)
+    taken = {intent.machine for intent in intents}
+    candidates = [machine for machine in candidates if machine.name not in taken]
     return intents + _plan_standby_moves(state, candidates)
 
 
+def _limit_shortfall(shortfall: dict[PoolShare, int], division: Division) -> dict[PoolShare, int]:
+    """Return the shortfall of each share up to its part, where its part is known."""
+    limited = {
+        share: min(count, division.lacking(share)) if share in division.parts else count
+        for share, count in shortfall.items()
+    }
+    return {share: count for share, count in limited.items() if count}
+
+
+def _plan_takings(
+    state: FleetOwnerState,
+    supply: Supply,
+    division: Division,
+    shortfall: dict[PoolShare, int],
+    planned: list[Intent],
+) -> list[Intent]:
+    """Return the moves of machines from shares above their part to those below it.
+
+    Shares with more important jobs get theirs first.
+    """
+    gained = Counter(state.share_of(intent.machine, intent.pool) for intent in planned)
+    allowed = count_allowed(state, division)
+    budget = take_budget(state)
+    takable = list_takable(state, division, supply.members, planned)
+    intents: list[Intent] = []
+    for share in sorted(allowed, key=division.rank):
+        count = min(allowed[share], shortfall.get(share, 0)) - gained[share]
+        fitting = [machine for machine in takable if _would_join(state, machine, share)]
+        for machine in fitting[: max(0, min(count, budget - len(intents)))]:
+            takable.remove(machine)
+            intents.append(replace(_move(state, machine, share.pool), is_taken=True))
+    return intents
+
+
 def _plan_standby_moves(state: FleetOwnerState, candidates: list[Machine]) -> list[Intent]:
     """Return the moves to the standby pool of machines that no share needs."""
     standby = state.standby_pool()
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -8,7 +8,10 @@
 
 from heatherkeel.platform.errors import Failure
 
+from .claims import Division, count_unknown, find_division
 from .const import DEPARTED_WORKER_MS, LOAD_MAX_AGE_MS, ORDER_RETRY_MS, ORDER_SETTLE_MS
+from .division_log import log_division, record_taking
+from .handover import drop_needless
 from .models import (
     DirectoryRead,
     FleetEffect,
@@ -29,7 +32,7 @@
 from .moves import plan_moves
 from .standby import cancel_unsent_standby_moves
 from .status_log import log_pools
-from .supply import measure_supply, record_peak
+from .supply import Supply, measure_supply, record_peak
 from .usage import record_usage
 from .waves import plan_maintenance
 
@@ -146,6 +149,8 @@
     if event.error is None:
         intent.is_confirmed = True
         intent.ordered_ms = state.now_ms
+        if intent.purpose is Purpose.MOVE:
+            state.moved_ms[intent.machine] = state.now_ms
         _LOGGER.info(
             "machine ordered away",
             extra={
@@ -195,19 +200,39 @@
         supply = measure_supply(state)
     record_usage(state)
     log_pools(state, supply)
+    division = _divide(state, supply)
     maintained = plan_maintenance(state, has_shortfall=bool(supply.shortfall))
-    for intent in maintained + plan_moves(state, supply):
+    for intent in maintained + plan_moves(state, supply, division):
         if intent.machine not in state.intents:
             state.intents[intent.machine] = intent
+            record_taking(state, intent)
             _log_intent(intent)
     effects: list[FleetEffect] = []
     for intent in state.intents.values():
         if not intent.is_confirmed and _is_empty(state, intent) and _is_order_due(state, intent):
             intent.ordered_ms = state.now_ms
             effects.append(OrderMachine(intent=intent))
+    if state.divides_machines:
+        log_division(state, division, unknown=count_unknown(state, supply))
     return effects + _complete_waves(state)
 
 
+def _divide(state: FleetOwnerState, supply: Supply) -> Division | None:
+    """Divide the machines if they don't suffice, and drop takings that are needless by now."""
+    if not state.divides_machines:
+        return None
+    division = find_division(state, supply)
+    if division is None:
+        state.short_since_ms = {}
+        return None
+    dropped = drop_needless(state, division)
+    if not dropped:
+        return division
+    state.handovers.dropped += len(dropped)
+    state.handovers.dropped_total += len(dropped)
+    return find_division(state, measure_supply(state))
+
+
 def _cancel_unsent(state: FleetOwnerState) -> None:
     """Cancel the intents whose orders weren't sent, so that their machines keep serving."""
     for name, intent in list(state.intents.items()):
@@ -225,6 +250,7 @@
             "purpose": intent.purpose.value,
             "pool": intent.pool,
             "wave": intent.wave,
+            "taken": intent.is_taken,
         },
     )
 
--- a/heatherkeel/pooling/supply.py
+++ b/heatherkeel/pooling/supply.py
@@ -41,11 +41,13 @@
 
 def demanded_cpu(state: FleetOwnerState, share: PoolShare) -> float:
     """Return the processor that a share's jobs need, or soon will at their arrival rate."""
-    wanted_cpu = state.views[share].load.wanted_cpu
-    return max(
-        wanted_cpu,
-        _projected_arriving_cpu(state, share) * TARGET_UTILIZATION / ARRIVAL_TARGET_UTILIZATION,
-    )
+    return max(state.views[share].load.wanted_cpu, arriving_demand(state, share))
+
+
+def arriving_demand(state: FleetOwnerState, share: PoolShare) -> float:
+    """Return the processor that a share's jobs will soon need at their arrival rate."""
+    projected = _projected_arriving_cpu(state, share)
+    return projected * TARGET_UTILIZATION / ARRIVAL_TARGET_UTILIZATION
 
 
 def _projected_arriving_cpu(state: FleetOwnerState, share: PoolShare) -> float:
@@ -179,7 +181,7 @@
     state: FleetOwnerState, members: dict[PoolShare, list[Machine]]
 ) -> dict[PoolShare, int]:
     """Return how many more machines each share needs, besides those on their way to it."""
-    incoming = _count_incoming(state)
+    incoming = count_incoming(state)
     shortfall = {}
     for share, machines in members.items():
         needed = count_needed(state, share, machines, recent=False)
@@ -191,7 +193,7 @@
     return shortfall
 
 
-def _count_incoming(state: FleetOwnerState) -> Counter[PoolShare | None]:
+def count_incoming(state: FleetOwnerState) -> Counter[PoolShare | None]:
     """Count the machines on their way to each share, as intended or as listed."""
     incoming = Counter(
         state.share_of(intent.machine, intent.pool)
--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -51,10 +51,14 @@
             return JobAnswer()
         return JobAnswer(state=job.state.value, workspace=job.workspace)
     if isinstance(question, PoolsQuestion):
-        owner.set_leaving_workers(frozenset(question.leaving), due=frozenset(question.due))
+        owner.set_leaving_workers(
+            frozenset(question.leaving),
+            due=frozenset(question.due),
+            yielding=frozenset(question.yielding),
+        )
         offer = question.offer
         accounts = owner.exchange_accounts(offer) if offer is not None else None
-        return PoolsAnswer(pools=measure_pools(owner.state), accounts=accounts)
+        return PoolsAnswer(pools=measure_pools(owner.state, with_claims=question.divides), accounts=accounts)
     if not owner.is_current():
         return NotOwner()
     pending = sum(
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -33,6 +33,10 @@
     """Workers whose machines are due for maintenance: long-running tasks avoid them."""
     offer: GrantOffer | None = None
     """Grants of workspaces' limits; None from a process that lends none."""
+    yielding: list[str] = []
+    """The leaving workers whose machines are taken for another pool that lacks some."""
+    divides: bool = False
+    """The answer is to contain claims, by which machines are divided between pools."""
 
 
 class LayoutQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="layout"):
@@ -123,6 +127,20 @@
     gpu: int = 0
 
 
+class Claim(msgspec.Struct, frozen=True, kw_only=True):
+    """What a pool's jobs of one priority can still use, in thousandths of a core."""
+
+    priority: int
+    in_time_cpu: int = 0
+    """Of running and waiting tasks whose jobs can still meet their objective."""
+    soon_cpu: int = 0
+    """The part of it that is in time even if it waits for a machine that is moved now."""
+    late_cpu: int = 0
+    """Of tasks whose jobs will be late, but are still worth something."""
+    lasting_cpu: int = 0
+    """Of long-running tasks; not contained in the others."""
+
+
 class PoolLoad(msgspec.Struct, frozen=True, kw_only=True):
     """What a pool's jobs demand and use; processor in thousandths of a core."""
 
@@ -148,6 +166,10 @@
     """Drained workers without running tasks."""
     lasting: dict[str, int]
     """Number of long-running tasks of each worker that has any."""
+    claims: list[Claim] | None = None
+    """Claims by priority, a few at most; None from a process that reports none."""
+    kept: dict[str, int] = {}
+    """The processor of tasks that have to end before a worker is empty, where there are any."""
 
 
 class PoolsAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="pools"):
