Divide machines between pools by what their callers can still get

A queue with a surge of large jobs held 148 machines while the queue whose turn came next had 8 to 12 of 250: all that a pool wants was protected, late work too. Where the settings name the contract, machines are divided by claims in time while they don't suffice, and taken from pools above their part for those below, in bounded numbers.

--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -61,6 +61,8 @@
     services: dict[str, Service] = field(default_factory=dict)
     needs_keys: bool = False
     """Callers need a key, except for public queues."""
+    divides_machines: bool = False
+    """Machines are divided between pools that compete for them."""
     keys: KeyTable = field(default_factory=KeyTable)
     """The keys of the configuration in force."""
     workspaces: dict[str, Workspace] = field(default_factory=dict)
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -31,6 +31,7 @@
 from heatherkeel.platform.settings import InstanceSettings
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.pooling.fleet_owner import FleetOwner
+from heatherkeel.pooling.metrics import PoolingMetrics
 from heatherkeel.questions.answering import answer_question, async_store_job
 from heatherkeel.questions.links import QuestionLinks
 from heatherkeel.questions.messages import (
@@ -70,6 +71,7 @@
         self.settings = settings
         self.metrics = GatewayMetrics()
         self.dispatch_metrics = DispatchMetrics(registry=self.metrics.registry)
+        self.pooling_metrics = PoolingMetrics(registry=self.metrics.registry)
         relay_metrics = RelayMetrics(registry=self.metrics.registry)
         route = PeerRoute(
             list_peers=self._list_relays,
@@ -83,6 +85,7 @@
             apply_ms=settings.bounds.config_apply_ms,
             needs_keys=settings.needs_keys(),
         )
+        self.directory.state.divides_machines = settings.divides_machines()
         config_metrics = ConfigMetrics(
             registry=self.metrics.registry, directory=self.directory.state
         )
@@ -318,6 +321,7 @@
             links=self.links,
             can_order=self.member.can_issue_orders,
             on_fenced=self.member.rejoin,
+            metrics=self.pooling_metrics,
         )
         self.nursery.start_soon(self.fleet_owner.async_run)
 
--- a/heatherkeel/instance/reloading.py
+++ b/heatherkeel/instance/reloading.py
@@ -44,8 +44,9 @@
 
 @applies("contracts")
 def apply_contracts(process: InstanceProcess, settings: InstanceSettings) -> None:
-    """Apply whether callers need keys."""
+    """Apply whether callers need keys, and whether pools compete for machines."""
     process.directory.state.needs_keys = settings.needs_keys()
+    process.directory.state.divides_machines = settings.divides_machines()
 
 
 @applies("seeds")
--- a/heatherkeel/pooling/division_log.py
+++ b/heatherkeel/pooling/division_log.py
@@ -17,7 +17,7 @@
         return
     state.taken_ms.append(state.now_ms)
     state.handovers.taken[(intent.from_pool, intent.pool)] += 1
-    state.handovers.taken_total[intent.from_pool] += 1
+    state.handovers.taken_total += 1
 
 
 def log_division(state: FleetOwnerState, division: Division | None, *, unknown: int) -> None:
--- a/heatherkeel/pooling/fleet_owner.py
+++ b/heatherkeel/pooling/fleet_owner.py
@@ -34,6 +34,7 @@
     PLAN_INTERVAL_MS,
     STATUS_PREFIX,
 )
+from .metrics import PoolingMetrics
 from .models import (
     DirectoryRead,
     FleetEffect,
@@ -70,7 +71,9 @@
         links: QuestionLinks,
         can_order: Callable[[], bool],
         on_fenced: Callable[[], None],
+        metrics: PoolingMetrics,
     ) -> None:
+        self.metrics = metrics
         self.settings = settings
         self.store = store
         self.directory = directory
@@ -78,7 +81,7 @@
         self.links = links
         self.can_order = can_order
         self.partition = fleet_partition(settings.store.partitions)
-        self.state = FleetOwnerState(token=token, divides_machines=settings.divides_machines())
+        self.state = FleetOwnerState(token=token)
         self.lender = Lender(token=token)
         self.journal = Journal(
             store=store, partition=self.partition, token=token, on_fenced=on_fenced
@@ -156,6 +159,7 @@
                 services=known.services,
                 waves=dict(known.waves),
                 layout=known.layout,
+                divides_machines=known.divides_machines,
             )
         )
 
@@ -180,6 +184,7 @@
             self._read_directory()
             await self._async_measure()
             self._handle(PlanDue(now_ms=monotonic_ms(), can_order=self.can_order()))
+            self.metrics.update(self.state.handovers)
             await trio.sleep(PLAN_INTERVAL_MS / 1000)
 
     def _extend_layout(self) -> None:
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -89,9 +89,10 @@
     """Machines taken since the last line, by the pools that they leave and get to."""
     dropped: int = 0
     """Takings canceled since then."""
-    taken_total: Counter[str] = field(default_factory=Counter)
-    """All machines taken, by the pool that they left."""
+    taken_total: int = 0
+    """Machines taken since the metrics were last updated."""
     dropped_total: int = 0
+    """Takings canceled since then."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -253,6 +254,7 @@
     services: dict[str, Service]
     waves: dict[int, Wave]
     layout: Layout
+    divides_machines: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -71,6 +71,7 @@
     """Apply services, layout and waves; new waves are reported as in progress."""
     state.services = event.services
     state.layout = event.layout
+    state.divides_machines = event.divides_machines
     effects: list[FleetEffect] = []
     for number, wave in event.waves.items():
         if number not in state.waves:
--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -58,7 +58,9 @@
         )
         offer = question.offer
         accounts = owner.exchange_accounts(offer) if offer is not None else None
-        return PoolsAnswer(pools=measure_pools(owner.state, with_claims=question.divides), accounts=accounts)
+        return PoolsAnswer(
+            pools=measure_pools(owner.state, with_claims=question.divides), accounts=accounts
+        )
     if not owner.is_current():
         return NotOwner()
     pending = sum(
--- a/tests/instance/test_reloading.py
+++ b/tests/instance/test_reloading.py
@@ -76,6 +76,18 @@
     run_with_watch(file, check)
 
 
+def test_division_of_machines_is_switched_by_the_contracts(file: Path) -> None:
+    """Guards against machines that are divided where the operator hasn't agreed to it."""
+
+    def check(watch: SettingsWatch) -> None:
+        assert not watch.process.directory.state.divides_machines
+        file.write_text(SETTINGS.replace("contracts = []", 'contracts = ["pressure"]'))
+        watch.check()
+        assert watch.process.directory.state.divides_machines
+
+    run_with_watch(file, check)
+
+
 def test_setting_that_needs_a_restart_is_logged_once(
     file: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
--- a/tests/pooling/fleet.py
+++ b/tests/pooling/fleet.py
@@ -22,7 +22,7 @@
     PoolsMeasured,
 )
 from heatherkeel.pooling.reducer import reduce_fleet
-from heatherkeel.questions.messages import Need, PoolLoad
+from heatherkeel.questions.messages import Claim, Need, PoolLoad
 
 CPU = 10_000
 MEMORY_MB = 100_000
@@ -31,7 +31,14 @@
 class Fleet:
     """Pools of machines with their demand, and the effects of all events."""
 
-    def __init__(self, *, waves: list[Wave] | None = None, shares: int = 1, **pools: int) -> None:
+    def __init__(
+        self,
+        *,
+        waves: list[Wave] | None = None,
+        shares: int = 1,
+        divides: bool = False,
+        **pools: int,
+    ) -> None:
         self.state = FleetOwnerState(token=3)
         self.now_ms = 10_000
         self.effects: list[FleetEffect] = []
@@ -45,6 +52,8 @@
         self.labels_of: dict[str, list[str]] = {}
         self.arriving: dict[str, tuple[int, int]] = {}
         """Number of recent jobs and the processor that they request, by pool."""
+        self.claims: dict[str, list[Claim]] = {}
+        """What each pool claims; pools without an entry report none."""
         self.empty: set[str] = set()
         self.unresponsive: set[str] = set()
         """Machines whose workers are unresponsive."""
@@ -56,6 +65,7 @@
                 services=services,
                 waves={wave.number: wave for wave in waves or []},
                 layout=self.make_layout(shares, list(pools)),
+                divides_machines=divides,
             )
         )
         self.list_machines()
@@ -107,6 +117,7 @@
                     arriving_cpu=self.arriving.get(pool, (0, 0))[1],
                     needs=self.needs.get(pool, []),
                     lacking=self.lacking.get(pool, 0),
+                    claims=self.claims.get(pool),
                     wanted_memory_mb=self.wanted_memory_mb.get(pool, 0),
                     used_cpu=min(cpu, CPU * len(members)),
                     workers={f"i-{name}": self.used.get(name, 0) for name in members},
--- a/tests/questions/test_messages.py
+++ b/tests/questions/test_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -10,6 +11,7 @@
 from heatherkeel.ownership.partitions import Layout
 from heatherkeel.questions.messages import (
     Answer,
+    Claim,
     JobAnswer,
     JobQuestion,
     LayoutAnswer,
@@ -37,6 +39,8 @@
     needs=[Need(label="b", gpu=1)],
 )
 
+CLAIM = Claim(priority=1, in_time_cpu=8, soon_cpu=5, late_cpu=2, lasting_cpu=1)
+
 
 @pytest.mark.parametrize(
     "question",
@@ -44,6 +48,7 @@
         JobQuestion(partition=1, job_id="aa"),
         QueueQuestion(partition=2, queue="quotes"),
         PoolsQuestion(partition=3, leaving=["w0"], due=["w1"]),
+        PoolsQuestion(partition=3, leaving=["w0"], yielding=["w0"], divides=True),
         LayoutQuestion(partition=-1),
     ],
 )
@@ -57,6 +62,7 @@
         JobAnswer(state="active"),
         QueueAnswer(pending=7),
         PoolsAnswer(pools=[LOAD]),
+        PoolsAnswer(pools=[msgspec.structs.replace(LOAD, claims=[CLAIM], kept={"w0": 3})]),
         LayoutAnswer(layout=Layout(shares={"desk": (0, 3)}, places={"m1": 4}, homes={"desk": 9})),
         NotOwner(),
     ],
