--- a/heatherkeel/pooling/handover.py
+++ b/heatherkeel/pooling/handover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from heatherkeel.platform.machines import Machine
+from heatherkeel.questions.messages import PoolLoad
 
 from .claims import Division
 from .const import (
@@ -52,18 +53,18 @@
         and machine.worker_id not in load.lasting
         and _has_stayed(state, machine)
     ]
-    free.sort(
-        key=lambda machine: (
-            load.kept.get(machine.worker_id or "", 0),
-            load.workers[machine.worker_id or ""],
-            machine.name,
-        )
-    )
+    free.sort(key=lambda machine: order_to_empty(load, machine))
     held = division.held[share] - (len(machines) - len(staying))
     keeps = max(MIN_MACHINES, division.parts[share] + division.tolerance(share))
     return free[: max(0, held - keeps)]
 
 
+def order_to_empty(load: PoolLoad, machine: Machine) -> tuple[int, int, str]:
+    """Return a sort key: machines with little that has to end come first, then little used ones."""
+    worker_id = machine.worker_id or ""
+    return (load.kept.get(worker_id, 0), load.workers[worker_id], machine.name)
+
+
 def _has_stayed(state: FleetOwnerState, machine: Machine) -> bool:
     moved_ms = state.moved_ms.get(machine.name)
     return moved_ms is None or state.now_ms - moved_ms >= MIN_STAY_MS
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -182,11 +182,15 @@
         return leaving
 
     def yielding_workers(self) -> set[str]:
-        """Return the workers whose machines are taken for a share that lacks some."""
+        """Return the workers whose machines are to serve another pool that lacks some."""
+        if not self.divides_machines:
+            return set()
         return {
             intent.worker_id
             for intent in self.intents.values()
-            if intent.is_taken and intent.worker_id
+            if intent.purpose is Purpose.MOVE
+            and intent.worker_id
+            and not self.is_standby(intent.pool)
         }
 
     def _partition_of(self, intent: Intent) -> int | None:
--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -14,7 +14,7 @@
     MIN_MACHINES,
     MIN_SIZE_FRACTION,
 )
-from .handover import count_allowed, list_takable, take_budget
+from .handover import count_allowed, list_takable, order_to_empty, take_budget
 from .models import FleetOwnerState, Intent, PoolShare, Purpose
 from .standby import choose_for_standby
 from .supply import Supply, count_needed, find_fresh_view, find_lost_zones, list_staying
@@ -197,7 +197,7 @@
 def _list_surplus(
     state: FleetOwnerState, share: PoolShare, machines: list[Machine], *, recent: bool
 ) -> list[Machine]:
-    """Return the machines beyond a share's demand, the least used first.
+    """Return the machines beyond a share's demand, those first that are empty soonest.
 
     `recent` keeps machines for the recent peaks of demand and for the share's minimum; it is unset
     while another share has a shortfall. Machines with long-running tasks stay, since a move would
@@ -215,7 +215,7 @@
     pinned = len(machines) - len(free)
     minimum = _min_machines(state, share) if recent else MIN_MACHINES
     spare = len(machines) - max(needed, pinned, minimum)
-    free.sort(key=lambda machine: (view.load.workers[machine.worker_id or ""], machine.name))
+    free.sort(key=lambda machine: order_to_empty(view.load, machine))
     return free[: max(0, spare)]
 
 
