--- a/heatherkeel/dispatch/claims.py
+++ b/heatherkeel/dispatch/claims.py
@@ -6,7 +6,7 @@
 
 from heatherkeel.questions.messages import Claim
 
-from .const import JUST_BEGUN_MS, MAX_CLAIMS, MOVE_LEAD_MS
+from .const import LITTLE_DONE_PERCENT, MAX_CLAIMS, MOVE_LEAD_MS
 from .models import Run, Step
 from .open_steps import Urgency, find_urgency, find_worthless_ms
 from .state import PartitionState, Pool
@@ -65,20 +65,20 @@
 def is_stoppable(run: Run, now_ms: int) -> bool:
     """Return whether a run may be stopped, soon or at once, so that another pool gets its machine.
 
-    A run that is in time is stopped only if that loses next to nothing: it has just begun, or has
-    stored its progress. A gang would have to start again as a whole.
+    A run that is in time is stopped only if its end would take longer than what it loses: less than
+    half of it is done, or it has stored its progress. A gang would have to start again as a whole.
     """
     request = run.task.step.request
     if request.lasts or request.is_gang:
         return False
     if find_run_urgency(run, now_ms) is not Urgency.IN_TIME:
         return True
-    return request.saves and (bool(run.saved) or has_just_begun(run, now_ms))
+    return loses_little(run) or (request.saves and bool(run.saved))
 
 
-def has_just_begun(run: Run, now_ms: int) -> bool:
-    """Return whether a run has begun so recently that stopping it loses next to nothing."""
-    return run.started_ms > 0 and now_ms - run.started_ms <= JUST_BEGUN_MS
+def loses_little(run: Run) -> bool:
+    """Return whether waiting for a run's end costs its machine more than stopping it."""
+    return run.percent < LITTLE_DONE_PERCENT
 
 
 def _priority(state: PartitionState, step: Step) -> int:
--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -156,8 +156,9 @@
 """Maximum number of priorities that a pool reports claims for; further ones join the last."""
 MOVE_LEAD_MS: Final = 1800
 """Time from ordering a machine until it takes tasks, in milliseconds."""
-JUST_BEGUN_MS: Final = 300
-"""How long a run may have taken for stopping it to lose next to nothing, in milliseconds."""
+LITTLE_DONE_PERCENT: Final = 50.0
+"""Progress below which a run on a machine that another pool needs is stopped, in percent: waiting
+for its end would idle the machine's other capacity for longer than the run has taken so far."""
 GIVE_WAY_MS: Final = 600
 """Time after which late runs on a machine that another pool needs are stopped, in milliseconds.
 Callers of the other pool get the machine within 2,000, and a worker may take 900 to stop a run."""
--- a/heatherkeel/dispatch/eviction.py
+++ b/heatherkeel/dispatch/eviction.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .claims import find_run_urgency, has_just_begun, is_stoppable
+from .claims import find_run_urgency, is_stoppable, loses_little
 from .const import GIVE_WAY_MS
 from .events import Effects
 from .jobs import stop_run
@@ -51,7 +51,7 @@
         return
     is_late = find_run_urgency(run, state.now_ms) in (Urgency.LATE, Urgency.EXCESS)
     has_time = is_late and state.now_ms - since_ms < GIVE_WAY_MS
-    if not has_time or has_just_begun(run, state.now_ms):
+    if not has_time or loses_little(run):
         stop_run(state, run, effects)
 
 
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -122,6 +122,8 @@
     """When it was last measured."""
     divides_machines: bool = False
     """Whether machines are divided by claims while there are too few."""
+    is_divided: bool = False
+    """Whether they are at present."""
     short_since_ms: dict[PoolShare, int] = field(default_factory=dict)
     """Since when each share has been below its part of the machines."""
     taken_ms: list[int] = field(default_factory=list)
@@ -182,8 +184,8 @@
         return leaving
 
     def yielding_workers(self) -> set[str]:
-        """Return the workers whose machines are to serve another pool that lacks some."""
-        if not self.divides_machines:
+        """Return the workers whose machines are to serve another pool while machines lack."""
+        if not self.is_divided:
             return set()
         return {
             intent.worker_id
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -220,9 +220,8 @@
 
 def _divide(state: FleetOwnerState, supply: Supply) -> Division | None:
     """Divide the machines if they don't suffice, and drop takings that are needless by now."""
-    if not state.divides_machines:
-        return None
-    division = find_division(state, supply)
+    division = find_division(state, supply) if state.divides_machines else None
+    state.is_divided = division is not None
     if division is None:
         state.short_since_ms = {}
         return None
--- a/tests/dispatch/test_claims.py
+++ b/tests/dispatch/test_claims.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from heatherkeel.dispatch.const import MAX_CLAIMS, MOVE_LEAD_MS
+from heatherkeel.dispatch.const import LITTLE_DONE_PERCENT, MAX_CLAIMS, MOVE_LEAD_MS
 from heatherkeel.dispatch.events import QueuesChanged
 from heatherkeel.dispatch.load import measure_pools
 from heatherkeel.platform.operator import Queue
@@ -87,6 +87,9 @@
     partition.submit(make_step(count=1, cpu=2000))
     (run,) = partition.start_planned_runs()
     (load,) = measure_pools(partition.state, with_claims=True)
+    assert not load.kept
+    partition.list_known_runs(run.worker_id, percent=LITTLE_DONE_PERCENT)
+    (load,) = measure_pools(partition.state, with_claims=True)
     assert load.kept == {run.worker_id: 2000}
 
 
--- a/tests/dispatch/test_giving_way.py
+++ b/tests/dispatch/test_giving_way.py
@@ -2,18 +2,26 @@
 
 from __future__ import annotations
 
-from heatherkeel.dispatch.const import GIVE_WAY_MS, JUST_BEGUN_MS, LEAVING_MS
+import pytest
+
+from heatherkeel.dispatch.const import GIVE_WAY_MS, LEAVING_MS, LITTLE_DONE_PERCENT
 from heatherkeel.dispatch.events import WorkersLeaving
 from heatherkeel.dispatch.models import Run, RunState
 
 from .partition import JOB, Partition, make_step
 
 
-def start_run(partition: Partition, *, age_ms: int = 0, **step: object) -> Run:
-    """Start a job of one task, and let it run for some time; its worker then gives way."""
+def start_run(
+    partition: Partition,
+    *,
+    age_ms: int = 0,
+    percent: float = LITTLE_DONE_PERCENT,
+    **step: object,
+) -> Run:
+    """Start a job of one task, and let it run for some time."""
     partition.submit(make_step(**step))  # type: ignore[arg-type]
     (run,) = partition.start_planned_runs()
-    partition.list_known_runs(run.worker_id)
+    partition.list_known_runs(run.worker_id, percent=percent)
     partition.now_ms += age_ms
     return run
 
@@ -57,10 +65,13 @@
     assert is_stopping(run)
 
 
-def test_late_run_that_has_just_begun_is_stopped_at_once() -> None:
+@pytest.mark.parametrize("is_late", [False, True])
+def test_run_of_which_little_is_done_is_stopped_at_once(is_late: bool) -> None:
+    """Guards against machines that idle for seconds until their last run has ended."""
     partition = Partition()
-    run = start_run(partition, estimated_ms=2000, age_ms=JUST_BEGUN_MS - 100)
-    make_late(partition)
+    run = start_run(partition, estimated_ms=2000, age_ms=400, percent=LITTLE_DONE_PERCENT - 1)
+    if is_late:
+        make_late(partition)
     give_way(partition, run)
     assert is_stopping(run)
 
