--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -34,7 +34,8 @@
     intents = _plan_needs(state, candidates)
     order = sorted(shortfall, key=lambda share: _rank(state, share, shortfall), reverse=True)
     if division is not None:
-        order.sort(key=division.rank)
+        lacking = {share: state.views[share].load.lacking > 0 for share in order}
+        order.sort(key=lambda share: (not lacking[share], division.rank(share)))
     for share in order:
         for _ in range(shortfall[share]):
             candidate = next(
