--- a/heatherkeel/platform/settings.py
+++ b/heatherkeel/platform/settings.py
@@ -90,6 +90,10 @@
         """Return whether workspaces share capacity that is short by their weights."""
         return PRESSURE_CONTRACT in self.contracts
 
+    def divides_machines(self) -> bool:
+        """Return whether machines are divided between pools that compete for them."""
+        return PRESSURE_CONTRACT in self.contracts
+
     def list_seed_links(self) -> list[str]:
         """Return the addresses at which the seeds answer questions; ports are the same everywhere.
 
--- a/heatherkeel/pooling/fleet_owner.py
+++ b/heatherkeel/pooling/fleet_owner.py
@@ -36,6 +36,7 @@
     PLAN_INTERVAL_MS,
     STATUS_PREFIX,
 )
+from .metrics import PoolingMetrics
 from .models import (
     DirectoryRead,
     FleetEffect,
@@ -72,7 +73,9 @@
         links: QuestionLinks,
         can_order: Callable[[], bool],
         on_fenced: Callable[[], None],
+        metrics: PoolingMetrics,
     ) -> None:
+        self.metrics = metrics
         self.settings = settings
         self.store = store
         self.directory = directory
@@ -160,6 +163,7 @@
                 services=known.services,
                 waves=dict(known.waves),
                 layout=known.layout,
+                divides_machines=known.divides_machines,
             )
         )
 
@@ -184,6 +188,7 @@
             self._read_directory()
             await self._async_measure()
             self._handle(PlanDue(now_ms=monotonic_ms(), can_order=self.can_order()))
+            self.metrics.update(self.state.handovers)
             await trio.sleep(PLAN_INTERVAL_MS / 1000)
 
     def _extend_layout(self) -> None:
@@ -224,6 +229,7 @@
         due = self.state.due_workers()
         leaving = self.state.leaving_workers()
         partitions = self.state.layout.all_partitions()
+        yielding = self.state.yielding_workers()
         offers = self._make_offers(partitions)
         queues = group_queues(self.directory.state.queues, self.state.layout)
         for partition in set(partitions) - self.asking:
@@ -235,6 +241,8 @@
                 durations=self.durations.make_offer(
                     partition, queues.get(partition, []), monotonic_ms()
                 ),
+                yielding=sorted(yielding.intersection(leaving.get(partition, []))),
+                divides=self.state.divides_machines,
             )
             self._ask_in_background(question)
         with trio.move_on_after(MEASURE_WAIT_S):
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import NamedTuple
@@ -43,6 +44,8 @@
     """When the order was last sent; None if it wasn't."""
     is_confirmed: bool = False
     """Whether the order was answered with success."""
+    is_taken: bool = False
+    """It is taken from a share above its part of the machines for one below its part."""
 
 
 class DepartedWorker(NamedTuple):
@@ -75,6 +78,23 @@
     """Recent numbers of surplus machines with their times."""
 
 
+@dataclass(kw_only=True, slots=True)
+class HandoverLog:
+    """What was logged about the division of machines, and what wasn't yet."""
+
+    is_divided: bool = False
+    is_unknown: bool = False
+    logged_ms: int = 0
+    taken: Counter[tuple[str, str]] = field(default_factory=Counter)
+    """Machines taken since the last line, by the pools that they leave and get to."""
+    dropped: int = 0
+    """Takings canceled since then."""
+    taken_total: int = 0
+    """Machines taken since the metrics were last updated."""
+    dropped_total: int = 0
+    """Takings canceled since then."""
+
+
 @dataclass(kw_only=True, slots=True)
 class FleetOwnerState:
     """State of the fleet's owner."""
@@ -100,6 +120,17 @@
     """Time of machines in pools by cause since then, in milliseconds."""
     usage_ms: int = 0
     """When it was last measured."""
+    divides_machines: bool = False
+    """Whether machines are divided by claims while there are too few."""
+    is_divided: bool = False
+    """Whether they are at present."""
+    short_since_ms: dict[PoolShare, int] = field(default_factory=dict)
+    """Since when each share has been below its part of the machines."""
+    taken_ms: list[int] = field(default_factory=list)
+    """When machines were last taken from shares above their part."""
+    moved_ms: dict[str, int] = field(default_factory=dict)
+    """When each machine was last ordered to a pool."""
+    handovers: HandoverLog = field(default_factory=HandoverLog)
 
     def standby_pool(self) -> str | None:
         """Return the standby pool, if there is one."""
@@ -152,6 +183,18 @@
                 leaving.setdefault(departure.partition, []).append(worker_id)
         return leaving
 
+    def yielding_workers(self) -> set[str]:
+        """Return the workers whose machines are to serve another pool while machines lack."""
+        if not self.is_divided:
+            return set()
+        return {
+            intent.worker_id
+            for intent in self.intents.values()
+            if intent.purpose is Purpose.MOVE
+            and intent.worker_id
+            and not self.is_standby(intent.pool)
+        }
+
     def _partition_of(self, intent: Intent) -> int | None:
         """Return the partition of an intent's worker: the one that reported it, or the machine's.
 
@@ -217,6 +260,7 @@
     services: dict[str, Service]
     waves: dict[int, Wave]
     layout: Layout
+    divides_machines: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/questions/test_messages.py
+++ b/tests/questions/test_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -16,6 +17,7 @@
 from heatherkeel.ownership.partitions import Layout
 from heatherkeel.questions.messages import (
     Answer,
+    Claim,
     JobAnswer,
     JobQuestion,
     LayoutAnswer,
@@ -47,6 +49,7 @@
 CONTENTS = [ContentRow(key=(1 << 63) - 1, tasks=4, mean_log=6.5)]
 OFFER = DurationsOffer(relay=5, owner=7, since=3, age_ms=40, queues=ROWS, contents=CONTENTS)
 REPORT = DurationsReport(owner=7, revision=3, queues=ROWS, contents=CONTENTS)
+CLAIM = Claim(priority=1, in_time_cpu=8, soon_cpu=5, late_cpu=2, lasting_cpu=1)
 
 
 @pytest.mark.parametrize(
@@ -56,6 +59,7 @@
         QueueQuestion(partition=2, queue="quotes"),
         PoolsQuestion(partition=3, leaving=["w0"], due=["w1"]),
         PoolsQuestion(partition=3, leaving=[], durations=OFFER),
+        PoolsQuestion(partition=3, leaving=["w0"], yielding=["w0"], divides=True),
         LayoutQuestion(partition=-1),
     ],
 )
@@ -70,6 +74,7 @@
         QueueAnswer(pending=7),
         PoolsAnswer(pools=[LOAD]),
         PoolsAnswer(pools=[], durations=REPORT),
+        PoolsAnswer(pools=[msgspec.structs.replace(LOAD, claims=[CLAIM], kept={"w0": 3})]),
         LayoutAnswer(layout=Layout(shares={"desk": (0, 3)}, places={"m1": 4}, homes={"desk": 9})),
         NotOwner(),
     ],
