Call the store and workers through an own HTTP/1.1 client

Each call through httpcore cost some 0.7 ms of processor, most of it in its pool, its locks and h11; owners list hundreds of workers several times a second, and every process renews, reads and follows. The calls' own part is now a pool of persistent connections (platform/connections.py) with a parser of responses (platform/http_response.py).

Against a local server, 2,000 calls, processor of both ends: 811 us a call before, 203 after (110 to 163 are those of the server and two trio streams alone).

--- a/heatherkeel/platform/caller.py
+++ b/heatherkeel/platform/caller.py
@@ -2,29 +2,15 @@
 
 from __future__ import annotations
 
-import socket
-import struct
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Final
 
-import httpcore
 import trio
 from result import Err, Ok, Result
 
-from .const import CONNECT_TIMEOUT_S, KEEP_ALIVE_S
+from .connections import ConnectionLostError, ConnectionPool, NoConnectionError, encode_request
 from .errors import CallError, Failure
-
-_TIMEOUTS = {"connect": CONNECT_TIMEOUT_S}
-
-_RESET_ON_CLOSE: Final = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-"""Resets a connection when it is closed, which drops its unsent bytes.
-
-After a plain close the kernel continues to send the unsent bytes, so an order that timed out in a
-network partition could reach its machine later than the orders of the next owner.
-"""
-_ACKNOWLEDGEMENT_TIMEOUT: Final = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2000)
-"""Closes a connection whose bytes have not been acknowledged for 2,000 ms."""
+from .http_response import HttpError
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -36,25 +22,15 @@
 
 
 class HttpCaller:
-    """A small pool of persistent connections to one address.
-
-    Each address has its own pool, because httpcore scans all connections of a pool on each call.
-    """
+    """A small pool of persistent connections to one address."""
 
     def __init__(self, *, address: str, connections: int) -> None:
         self.address = address
-        self.base_url = f"http://{address}"
-        self.pool = httpcore.AsyncConnectionPool(
-            max_connections=connections,
-            keepalive_expiry=KEEP_ALIVE_S,
-            retries=0,
-            http2=False,
-            socket_options=[_RESET_ON_CLOSE, _ACKNOWLEDGEMENT_TIMEOUT],
-        )
+        self.pool = ConnectionPool(address=address, connections=connections)
 
     async def close(self) -> None:
         """Close all connections."""
-        await self.pool.aclose()
+        self.pool.close()
 
     async def async_call(
         self,
@@ -71,18 +47,12 @@
         """
         sent = [("content-type", "application/json"), *headers] if body is not None else headers
         try:
-            with trio.fail_after(timeout_s):
-                response = await self.pool.request(
-                    method,
-                    self.base_url + target,
-                    headers=list(sent),
-                    content=body,
-                    extensions={"timeout": _TIMEOUTS},
-                )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as err:
-            return Err(CallError(failure=Failure.REFUSED, detail=type(err).__name__))
-        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as err:
-            return Err(CallError(failure=Failure.UNKNOWN, detail=type(err).__name__))
-        except trio.TooSlowError:
-            return Err(CallError(failure=Failure.UNKNOWN, detail="no answer in time"))
-        return Ok(Reply(status=response.status, body=response.content))
+            request = encode_request(method, target, host=self.address, headers=sent, body=body)
+            with trio.move_on_after(timeout_s):
+                response = await self.pool.async_request(request)
+                return Ok(Reply(status=response.status, body=response.body))
+        except NoConnectionError as err:
+            return Err(CallError(failure=Failure.REFUSED, detail=str(err)))
+        except (ConnectionLostError, HttpError) as err:
+            return Err(CallError(failure=Failure.UNKNOWN, detail=str(err) or type(err).__name__))
+        return Err(CallError(failure=Failure.UNKNOWN, detail="no answer in time"))
