Log and export the processor time that each process uses

Nothing showed which process spent processor time, and when: a start, a restore and repeated calls in an outage looked alike. An event `processor` when the ports are open and every 5 s, and a counter; 0.2 lines a second and process at most.

--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -51,6 +51,7 @@
 from heatherkeel.relay.route import PeerRoute
 from heatherkeel.workspaces.messages import AccountsReport, GrantOffer
 
+from .processor import ProcessorWatch
 from .reloading import SettingsWatch
 from .status import StatusApp
 
@@ -133,6 +134,7 @@
             member=self.member, holders=self.holders, async_reach=self._async_is_reachable
         )
         self.lookup = Lookup(store=self.store, holders=self.holders, links=self.links)
+        self.processor = ProcessorWatch(registry=self.metrics.registry)
         self.status = StatusApp(
             directory=self.directory.state,
             metrics=self.metrics,
@@ -179,6 +181,7 @@
                 "incarnation": self.member.incarnation,
             },
         )
+        nursery.start_soon(self.processor.async_run)
 
     async def close(self) -> None:
         """Hand over the partitions, wait for the load balancer, and finish requests in progress."""
