--- a/heatherkeel/platform/operator.py
+++ b/heatherkeel/platform/operator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from ipaddress import AddressValueError, IPv4Address
 from math import isfinite
 from typing import Final
@@ -15,6 +16,8 @@
 """Largest CPU capacity that an entry may report, in thousandths of a core."""
 MAX_MEMORY_MB: Final = 1 << 28
 """Largest memory capacity that an entry may report, in MiB."""
+MAX_KNOWN_ADDRESSES: Final = 4096
+"""Number of workers' addresses that are remembered as checked."""
 MAX_GPU: Final = 1 << 16
 READY, DRAINING = "ready", "draining"
 
@@ -185,7 +188,9 @@
     return None
 
 
+@lru_cache(maxsize=MAX_KNOWN_ADDRESSES)
 def _is_address(address: str) -> bool:
+    """Return whether an address can be dialled; workers repeat theirs with each heartbeat."""
     host, _, port = address.rpartition(":")
     try:
         IPv4Address(host)
