Ask workers that don't answer less and less often, unless they run something

After four failed listings the pause doubles to 1,200 ms, with jitter by worker; with runs it stays at 300 ms.

--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -30,6 +30,7 @@
     WorkerFailed,
 )
 from .models import RunState, Worker
+from .retries import choose_retry_pause_ms
 
 if TYPE_CHECKING:
     from .owner import PartitionOwner
@@ -45,6 +46,8 @@
         self.worker = worker
         self.client = WorkerClient(worker_id=worker.id, address=worker.entry.address)
         self.scope = trio.CancelScope()
+        self.failures = 0
+        """Consecutive listings that failed."""
         self.work_arrived = trio.Event()
         self.stored = trio.Event()
         self.send_order, self.orders = trio.open_memory_channel[Effect](_MAX_ORDERS)
@@ -76,22 +79,31 @@
         while True:
             if not self.owner.can_order():
                 await trio.sleep(FAILED_LIST_PAUSE_MS / 1000)
-                continue
-            if not await self._async_list_once():
-                await trio.sleep(FAILED_LIST_PAUSE_MS / 1000)
-            elif self.worker.last_acknowledged_end < self.worker.last_stored_end:
-                # Acknowledge stored ends at once: while waiting for newer ones, the listing would
-                # become too old.
-                continue
-            elif self.worker.last_processed_end > self.worker.last_stored_end:
-                # Unacknowledged ends are listed again at once, so wait until they are stored.
-                with trio.move_on_after(LIST_WAIT_MS / 1000):
-                    await self.stored.wait()
-                self.stored = trio.Event()
-            elif not self.worker.runs:
-                with trio.move_on_after(IDLE_LIST_MS / 1000):
-                    await self.work_arrived.wait()
-                self.work_arrived = trio.Event()
+            elif await self._async_list_once():
+                self.failures = 0
+                await self._async_wait_due()
+            else:
+                self.failures += 1
+                pause_ms = choose_retry_pause_ms(
+                    self.worker.id, failures=self.failures, has_runs=bool(self.worker.runs)
+                )
+                await trio.sleep(pause_ms / 1000)
+
+    async def _async_wait_due(self) -> None:
+        """Wait until the next listing is due."""
+        if self.worker.last_acknowledged_end < self.worker.last_stored_end:
+            # Acknowledge stored ends at once: while waiting for newer ones, the listing would
+            # become too old.
+            return
+        if self.worker.last_processed_end > self.worker.last_stored_end:
+            # Unacknowledged ends are listed again at once, so wait until they are stored.
+            with trio.move_on_after(LIST_WAIT_MS / 1000):
+                await self.stored.wait()
+            self.stored = trio.Event()
+        elif not self.worker.runs:
+            with trio.move_on_after(IDLE_LIST_MS / 1000):
+                await self.work_arrived.wait()
+            self.work_arrived = trio.Event()
 
     async def _async_list_once(self) -> bool:
         worker = self.worker
