--- a/heatherkeel/instance/reloading.py
+++ b/heatherkeel/instance/reloading.py
@@ -5,6 +5,7 @@
 import logging
 import signal
 from collections.abc import Callable
+from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
 import msgspec
@@ -68,6 +69,8 @@
         self.file = file
         self.process = process
         self.settings = process.settings
+        self.content: bytes | None = None
+        """The file's content at the last check; None if it couldn't be read."""
         self.fault = ""
         """The fault of the file that was logged last; empty while it is valid."""
         self.requested = trio.Event()
@@ -92,7 +95,14 @@
             self.check(is_requested=is_requested)
 
     def check(self, *, is_requested: bool = False) -> None:
-        """Read the file; a faulty one, which may be half written, changes nothing."""
+        """Read the file; a faulty one, which may be half written, changes nothing.
+
+        It is parsed only when its content has changed, since parsing takes some milliseconds.
+        """
+        content = _read_content(self.file)
+        if content is not None and content == self.content and not is_requested:
+            return
+        self.content = content
         loaded = load_instance_settings(self.file)
         if isinstance(loaded, Err):
             self._log_fault(loaded.err_value)
@@ -127,6 +137,14 @@
         )
 
 
+def _read_content(file: str) -> bytes | None:
+    try:
+        return Path(file).read_bytes()
+    except OSError:
+        # Loading the file reports the error.
+        return None
+
+
 def list_changes(before: msgspec.Struct, after: msgspec.Struct, prefix: str = "") -> list[str]:
     """Return the names of the settings that differ, with dots in those of nested ones."""
     changed: list[str] = []
--- a/tests/instance/test_reloading.py
+++ b/tests/instance/test_reloading.py
@@ -136,3 +136,28 @@
         watch.process.links.close()
 
     trio.run(partial(async_test))
+
+
+def test_unchanged_file_is_not_parsed_again(file: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a process that spends its processor on settings that stay the same."""
+    parsed: list[str] = []
+
+    def count_load(path: str) -> object:
+        parsed.append(path)
+        return load_instance_settings(path)
+
+    monkeypatch.setattr("heatherkeel.instance.reloading.load_instance_settings", count_load)
+
+    def check(watch: SettingsWatch) -> None:
+        for _ in range(10):
+            watch.check()
+        assert len(parsed) == 1
+        file.write_text(SETTINGS.replace("2000", "3000"))
+        for _ in range(10):
+            watch.check()
+        assert len(parsed) == 2
+        assert watch.process.directory.state.apply_ms == 3000
+        watch.check(is_requested=True)
+        assert len(parsed) == 3
+
+    run_with_watch(file, check)
