Share one read of a partition among lookups that coincide

While a partition has no owner, each caller's lookup read and decoded all of its records, and while the store refused, each failed by itself. Lookups that coincide in one process now share the read and its failure; later ones read again, and nothing is served from older records than before.

--- a/heatherkeel/gateway/lookup.py
+++ b/heatherkeel/gateway/lookup.py
@@ -40,6 +40,16 @@
     jobs: StoredJobs
 
 
+@dataclass(kw_only=True, slots=True)
+class PartitionReads:
+    """Reads of a partition's records, one at a time, and the one that failed last."""
+
+    lock: trio.Lock = field(default_factory=trio.Lock)
+    failed_ms: int = 0
+    """When it failed."""
+    failure: str = ""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FoundJob:
     """A job's state, and the workspace that it belongs to; empty if none."""
@@ -65,6 +75,7 @@
     links: QuestionLinks
     recent: dict[str, RecentJob] = field(default_factory=dict)
     cached_records: dict[int, CachedRecords] = field(default_factory=dict)
+    reads: dict[int, PartitionReads] = field(default_factory=dict)
 
     def remember(self, job_id: str, workspace: str = "") -> None:
         """Remember a job that this process has just accepted."""
@@ -173,18 +184,34 @@
         return FoundJob(state=JobState.PENDING, workspace=workspace)
 
     async def _async_read_stored(self, partition: int) -> StoredJobs | Err[str]:
-        cached = self.cached_records.get(partition)
-        now_ms = monotonic_ms()
-        if cached is not None and now_ms - cached.read_ms < CACHED_MAX_AGE_MS:
-            return cached.jobs
+        """Return a partition's records as of the call, or slightly older.
+
+        Calls that coincide share one read, also if it fails. When an owner has died, the callers of
+        all its jobs ask at once, and each would read and decode the whole partition.
+        """
+        asked_ms = monotonic_ms()
+        reads = self.reads.setdefault(partition, PartitionReads())
+        async with reads.lock:
+            cached = self.cached_records.get(partition)
+            if cached is not None and asked_ms - cached.read_ms < CACHED_MAX_AGE_MS:
+                return cached.jobs
+            if reads.failure and reads.failed_ms > asked_ms:
+                return Err(reads.failure)
+            began_ms = monotonic_ms()
+            read = await self._async_read_records(partition)
+            if isinstance(read, Err):
+                reads.failed_ms, reads.failure = monotonic_ms(), read.err_value
+            else:
+                self.cached_records[partition] = CachedRecords(read_ms=began_ms, jobs=read)
+            return read
+
+    async def _async_read_records(self, partition: int) -> StoredJobs | Err[str]:
         records = []
         # Requests must be read first: a job that ends in between then still has its progress.
         for topic in (JOBS_TOPIC, WORK_TOPIC):
             read = await self.store.async_read_all_newest(topic, partition)
             if isinstance(read, Err):
-                return Err(read.err_value.detail)
+                return Err(read.err_value.detail or "not read")
             records.append(read.ok_value.records)
         jobs, work = (read_records(part) for part in records)
-        merged = StoredJobs(requests=jobs.requests, progress=work.progress, canceled=jobs.canceled)
-        self.cached_records[partition] = CachedRecords(read_ms=now_ms, jobs=merged)
-        return merged
+        return StoredJobs(requests=jobs.requests, progress=work.progress, canceled=jobs.canceled)
