--- a/heatherkeel/instance/processor.py
+++ b/heatherkeel/instance/processor.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-import time
+import resource
 from typing import Final
 
 import trio
@@ -17,7 +17,8 @@
 
 def read_processor_ms() -> int:
     """Return the processor time that this process has used since its start, in milliseconds."""
-    return time.process_time_ns() // 1_000_000
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return round((used.ru_utime + used.ru_stime) * 1000)
 
 
 class ProcessorWatch:
