--- a/heatherkeel/ownership/holders.py
+++ b/heatherkeel/ownership/holders.py
@@ -30,6 +30,8 @@
         self.read_ms = -HOLDERS_MAX_AGE_MS
         """When the list was last read, successfully or not."""
         self.lock = trio.Lock()
+        self.connected = True
+        """The last read succeeded, or there was none."""
 
     async def async_find(self, partition: int, *, failed_address: str = "") -> str:
         """Return the address of a partition's owner; empty if none is known.
@@ -63,11 +65,9 @@
             listed = await self.store.async_list_holders(group=GROUP)
             self.read_ms = monotonic_ms()
             if isinstance(listed, Err):
-                _LOGGER.warning(
-                    "cannot read the list of partition owners; using the previous list",
-                    extra={"event": "holders_unread", "detail": listed.err_value.detail},
-                )
+                self._record_failure(listed.err_value.detail)
                 return
+            self._record_success()
             self.answered_ms = self.read_ms
             members = {
                 holder.partition: parse_member_name(holder.member)
@@ -76,3 +76,20 @@
             }
             self.addresses = {number: address for number, (address, _) in members.items()}
             self.capacities = dict(members.values())
+
+    def _record_failure(self, detail: str) -> None:
+        """Log that the list can't be read, once per outage."""
+        if self.connected:
+            self.connected = False
+            _LOGGER.warning(
+                "cannot read the list of partition owners; using the previous list",
+                extra={"event": "holders_unread", "detail": detail},
+            )
+
+    def _record_success(self) -> None:
+        if not self.connected:
+            self.connected = True
+            _LOGGER.info(
+                "the list of partition owners can be read again",
+                extra={"event": "holders_regained"},
+            )
