--- a/heatherkeel/gateway/app.py
+++ b/heatherkeel/gateway/app.py
@@ -16,6 +16,7 @@
 )
 
 from .exchange import Exchange, GatewayContext
+from .serving import async_serve
 
 _LOGGER = logging.getLogger(__name__)
 CLOSE_HEADER: Final = (b"connection", b"close")
@@ -48,7 +49,7 @@
             context=self.context, request=parse_request(scope, receive), send=async_send
         )
         try:
-            await exchange.async_serve()
+            await async_serve(exchange)
         except ClientGoneError:
             _LOGGER.info("caller left", extra={"event": "caller_gone", "path": scope["path"]})
         self.context.metrics.observe(method=scope["method"], seconds=time.monotonic() - started_s)
--- /dev/null
+++ b/heatherkeel/gateway/submission.py
@@ -0,0 +1,77 @@
+"""Accepts a job."""
+
+from __future__ import annotations
+
+import logging
+
+from result import Err
+
+from heatherkeel.dispatch.models import JobState
+from heatherkeel.dispatch.records import (
+    REQUEST_PREFIX,
+    StoredRequest,
+    encode_request,
+    make_caller_key,
+)
+from heatherkeel.helpers.clock import wall_ms
+from heatherkeel.platform.callers import decode_job
+from heatherkeel.platform.framing import KeyedRecord
+from heatherkeel.platform.operator import Queue
+
+from .exchange import Exchange
+from .reasons import Refusal
+from .storing import async_store
+
+_LOGGER = logging.getLogger(__name__)
+
+
+async def async_submit(exchange: Exchange, queue: Queue, job_id: str) -> None:
+    """Store a job, so that it runs."""
+    config = exchange.context.directory.config
+    limit = config.limits.body_bytes if config else 0
+    body = await exchange.request.async_body(limit_bytes=limit)
+    if isinstance(body, Err):
+        return await exchange.async_refuse(Refusal.TOO_LARGE, job_id=job_id)
+    decoded = decode_job(body.ok_value)
+    if isinstance(decoded, Err):
+        return await exchange.async_refuse(
+            Refusal.BAD_REQUEST, job_id=job_id, detail=decoded.err_value
+        )
+    stored = StoredRequest(
+        queue=queue.name,
+        service=queue.service,
+        accepted_wall_ms=wall_ms(),
+        version=exchange.context.directory.config_version(),
+        workspace=exchange.workspace_of_job(queue),
+        request=decoded.ok_value,
+    )
+    record = KeyedRecord(
+        key=make_caller_key(REQUEST_PREFIX, job_id, stored.workspace),
+        value=encode_request(stored),
+    )
+    partition = exchange.find_partition(queue, job_id)
+    # After a lost or late response of the store, another append would add to its load.
+    refusal = await async_store(
+        exchange,
+        partition,
+        record,
+        job_id,
+        is_stored=lambda: exchange.context.lookup.async_is_accepted(
+            partition, job_id, workspace=stored.workspace
+        ),
+    )
+    if refusal is not None:
+        return None
+    exchange.context.lookup.remember(job_id, stored.workspace)
+    _LOGGER.info(
+        "job accepted",
+        extra={
+            "event": "job_accepted",
+            "job": job_id,
+            "queue": queue.name,
+            "workspace": stored.workspace,
+            "partition": partition,
+            **exchange.describe_config(),
+        },
+    )
+    return await exchange.async_send_state(JobState.PENDING)
