Refuse jobs that surely can't be served before they are stored

Nobody was refused however long the backlog was: callers learned that a job is worth nothing only from its end. Where the settings' contracts name it, entry instances now ask a job's owner before they store the job. Any doubt admits, and is counted.

--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -7,7 +7,10 @@
 from functools import partial
 
 import trio
+from prometheus_client import CollectorRegistry
 
+from heatherkeel.admission.metrics import AdmissionMetrics
+from heatherkeel.admission.service import AdmissionService, OwnerView
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.follower import TopicFollower, async_read_newest_with_retry
 from heatherkeel.helpers.clock import monotonic_ms, wall_ms
@@ -96,6 +99,7 @@
         metrics: DispatchMetrics,
         on_fenced: Callable[[], None],
         async_ask_lender: AsyncAskLender = async_ask_nobody,
+        admission_metrics: AdmissionMetrics | None = None,
     ) -> None:
         self.partition = partition
         self.settings = settings
@@ -125,6 +129,17 @@
         self.follower: TopicFollower | None = None
         self.workspaces: dict[str, Workspace] = {}
         """The workspaces by which the limits were last updated."""
+        self.admission = AdmissionService(
+            state=self.state,
+            store=store,
+            partition=partition,
+            view=OwnerView(
+                is_current=self.is_current,
+                next_offset=lambda: self.follower.next_offset if self.follower else None,
+                count_partitions=self._count_partitions,
+            ),
+            metrics=admission_metrics or AdmissionMetrics(registry=CollectorRegistry()),
+        )
 
     def apply_settings(self, settings: InstanceSettings) -> None:
         """Apply the settings, which may have changed."""
@@ -146,6 +161,7 @@
                 nursery.start_soon(self._async_follow_jobs)
                 nursery.start_soon(self.request_dropper.async_run)
                 nursery.start_soon(self.submissions.async_run)
+                nursery.start_soon(self.admission.async_run)
                 nursery.start_soon(self._async_request_grants)
                 nursery.start_soon(self._async_tick)
                 nursery.start_soon(self.queries.async_watch_machines)
@@ -218,6 +234,7 @@
         restore_jobs(self.state, stored)
         self._submit_stored(stored)
         self.is_restored = True
+        self.admission.open()
         _LOGGER.info(
             "partition is owned by this instance",
             extra={
@@ -262,7 +279,14 @@
         versions = [request.version for request in stored.requests.values()]
         self.directory.record_named_version(max(versions, default=0))
 
+    def _count_partitions(self, queue: str) -> int:
+        known = self.state.queues.get(queue)
+        return len(self.directory.state.layout.partitions_of(known.service)) if known else 1
+
     def _submit(self, job_id: str, request: StoredRequest) -> None:
+        if self.admission.is_dropped(job_id, request):
+            self._execute(ForgetJob(job_id=job_id, workspace=request.workspace, only_request=True))
+            return
         now_ms, wall_ms = self.times()
         self.handle_event(
             JobSubmitted(
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -28,6 +28,8 @@
     """Version of the configuration by which it was accepted; 0 if unknown."""
     workspace: str = ""
     """The workspace of its caller; empty for a public queue, and in records of older versions."""
+    attempt: str = ""
+    """Names the submission, if its job had to be admitted."""
     request: JobRequest
 
 
--- /dev/null
+++ b/heatherkeel/gateway/admission.py
@@ -0,0 +1,123 @@
+"""Asks the owner of a job's partition whether the job may be stored."""
+
+from __future__ import annotations
+
+import logging
+import uuid
+
+import trio
+
+from heatherkeel.admission.const import ANSWER_WAIT_S
+from heatherkeel.admission.models import Doubt
+from heatherkeel.dispatch.building import critical_paths_ms, remaining_work
+from heatherkeel.dispatch.records import StoredRequest
+from heatherkeel.helpers.clock import wall_ms
+from heatherkeel.ownership.const import JOBS_TOPIC
+from heatherkeel.platform.callers import JobRequest
+from heatherkeel.questions.messages import AdmissionAnswer, AdmissionQuestion
+
+from .exchange import Exchange
+from .reasons import Refusal
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def make_attempt_name(exchange: Exchange) -> str:
+    """Return a name for a submission; empty where jobs aren't admitted by backlog."""
+    return uuid.uuid4().hex[:12] if exchange.context.admits_by_backlog() else ""
+
+
+async def async_refuse_hopeless(
+    exchange: Exchange, stored: StoredRequest, *, partition: int, job_id: str
+) -> bool:
+    """Refuse a job that surely can't be served; returns whether it was refused.
+
+    A job is accepted if its owner doesn't answer, since its backlog isn't known then.
+    """
+    if not _needs_admission(exchange, stored, partition=partition, job_id=job_id):
+        return False
+    steps = stored.request.steps
+    question = AdmissionQuestion(
+        partition=partition,
+        job_id=job_id,
+        queue=stored.queue,
+        workspace=stored.workspace,
+        attempt=stored.attempt,
+        sent_wall_ms=wall_ms(),
+        work=round(max(remaining_work(steps)), 1),
+        path_ms=max(critical_paths_ms(steps)),
+    )
+    answer: AdmissionAnswer | None = None
+    with trio.move_on_after(max(0.0, min(ANSWER_WAIT_S, exchange.remaining_s()))):
+        answer = await exchange.context.lookup.async_ask_admission(question)
+    if answer is None:
+        _log_unanswered(question)
+        return False
+    if not answer.refusal:
+        return False
+    _log_expected(question, answer)
+    await exchange.async_refuse(
+        Refusal(answer.refusal), job_id=job_id, detail=_describe(answer), retry_s=answer.retry_s
+    )
+    return True
+
+
+def _needs_admission(
+    exchange: Exchange, stored: StoredRequest, *, partition: int, job_id: str
+) -> bool:
+    """Return whether a job may be refused.
+
+    A repeated submission never is. If the store is unavailable, the caller is told so.
+    """
+    return (
+        bool(stored.attempt)
+        and can_be_refused(stored.request)
+        and not exchange.context.lookup.has_accepted(job_id)
+        and not exchange.context.store.find_health(JOBS_TOPIC, partition).is_unavailable()
+    )
+
+
+def can_be_refused(request: JobRequest) -> bool:
+    """Return whether a job has to be served soon; others can wait for any backlog."""
+    is_scheduled = request.repeat_count > 0 or request.start_at_ms > 0
+    return not is_scheduled and not any(step.lasts or step.fills for step in request.steps)
+
+
+def _describe(answer: AdmissionAnswer) -> str:
+    return (
+        f"would end in {answer.ends_ms / 1000:.1f} s at the earliest, "
+        f"and is worth nothing after {answer.worthless_ms / 1000:.1f} s"
+    )
+
+
+def _log_unanswered(question: AdmissionQuestion) -> None:
+    _LOGGER.warning(
+        "the backlog is not known; the job is accepted",
+        extra={
+            "event": "admission_unknown",
+            "job": question.job_id,
+            "partition": question.partition,
+            "doubt": Doubt.UNANSWERED.value,
+        },
+    )
+
+
+def _log_expected(question: AdmissionQuestion, answer: AdmissionAnswer) -> None:
+    _LOGGER.info(
+        "job surely can't be served",
+        extra={
+            "event": "admission_refused",
+            "job": question.job_id,
+            "queue": question.queue,
+            "workspace": question.workspace,
+            "partition": question.partition,
+            "reason": answer.refusal,
+            "begins_ms": answer.begins_ms,
+            "ends_ms": answer.ends_ms,
+            "worthless_ms": answer.worthless_ms,
+            "ahead": answer.ahead,
+            "cores": answer.cores,
+            "age_ms": answer.age_ms,
+            "retry_s": answer.retry_s,
+        },
+    )
--- a/heatherkeel/gateway/exchange.py
+++ b/heatherkeel/gateway/exchange.py
@@ -34,6 +34,9 @@
     Refusal.BAD_REQUEST: 400,
     Refusal.TOO_LARGE: 413,
     Refusal.WRONG_METHOD: 405,
+    Refusal.NO_ROOM: 503,
+    Refusal.BEYOND_WEIGHT: 429,
+    Refusal.AT_LIMIT: 429,
     Refusal.STORE_AWAY: 503,
     Refusal.STORE_REFUSED: 503,
     Refusal.STORE_SILENT: 504,
@@ -54,6 +57,8 @@
     """Waits until the configuration is recent, for at most so many seconds."""
     accepts_callers: Callable[[], bool]
     """Returns whether this process is ready for callers."""
+    admits_by_backlog: Callable[[], bool] = lambda: False
+    """Returns whether jobs that surely can't be served are refused."""
 
 
 class Exchange:
--- a/heatherkeel/gateway/lookup.py
+++ b/heatherkeel/gateway/lookup.py
@@ -8,6 +8,7 @@
 import trio
 from result import Err, Ok, Result
 
+from heatherkeel.admission.const import ANSWER_WAIT_S
 from heatherkeel.dispatch.models import JobState
 from heatherkeel.dispatch.recovery import StoredJobs, read_records
 from heatherkeel.helpers.clock import monotonic_ms
@@ -18,6 +19,8 @@
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.questions.links import QuestionLinks
 from heatherkeel.questions.messages import (
+    AdmissionAnswer,
+    AdmissionQuestion,
     Answer,
     JobAnswer,
     JobQuestion,
@@ -86,6 +89,10 @@
         # The owner reads a job from the store shortly after it was accepted.
         return found if isinstance(found, FoundJob) else self._find_recent(job_id) or found
 
+    def has_accepted(self, job_id: str) -> bool:
+        """Return whether this process has accepted a job a short time ago."""
+        return job_id in self.recent
+
     def _find_recent(self, job_id: str) -> FoundJob | None:
         recent = self.recent.get(job_id)
         if recent is None:
@@ -99,6 +106,17 @@
             isinstance(answer, JobAnswer) and bool(answer.state) and answer.workspace == workspace
         )
 
+    async def async_ask_admission(self, question: AdmissionQuestion) -> AdmissionAnswer | None:
+        """Ask the partition's owner whether a job may be stored; None if it doesn't answer.
+
+        The question is sent once: the owner may have got one that it hasn't answered.
+        """
+        address = await self.holders.async_find(question.partition)
+        if not address:
+            return None
+        answer = await self.links.async_ask(address, question, timeout_s=ANSWER_WAIT_S)
+        return answer if isinstance(answer, AdmissionAnswer) else None
+
     async def async_store(
         self, partition: int, record: KeyedRecord, *, timeout_s: float
     ) -> Result[None, CallError] | None:
--- a/heatherkeel/gateway/submission.py
+++ b/heatherkeel/gateway/submission.py
@@ -18,6 +18,7 @@
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import Queue
 
+from .admission import async_refuse_hopeless, make_attempt_name
 from .exchange import Exchange
 from .reasons import Refusal
 from .storing import async_store
@@ -44,12 +45,15 @@
         version=exchange.context.directory.config_version(),
         workspace=exchange.workspace_of_job(queue),
         request=decoded.ok_value,
+        attempt=make_attempt_name(exchange),
     )
+    partition = exchange.find_partition(queue, job_id)
+    if await async_refuse_hopeless(exchange, stored, partition=partition, job_id=job_id):
+        return None
     record = KeyedRecord(
         key=make_caller_key(REQUEST_PREFIX, job_id, stored.workspace),
         value=encode_request(stored),
     )
-    partition = exchange.find_partition(queue, job_id)
     # After a lost or late response of the store, another append would add to its load.
     refusal = await async_store(
         exchange,
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from heatherkeel.admission.metrics import AdmissionMetrics
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.layout_reader import LayoutReader
 from heatherkeel.directory.metrics import ConfigMetrics
@@ -31,9 +32,10 @@
 from heatherkeel.platform.settings import InstanceSettings
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.pooling.fleet_owner import FleetOwner
-from heatherkeel.questions.answering import answer_question, async_store_job
+from heatherkeel.questions.answering import answer_question, async_admit_job, async_store_job
 from heatherkeel.questions.links import QuestionLinks
 from heatherkeel.questions.messages import (
+    AdmissionQuestion,
     Answer,
     GrantsAnswer,
     GrantsQuestion,
@@ -70,6 +72,7 @@
         self.settings = settings
         self.metrics = GatewayMetrics()
         self.dispatch_metrics = DispatchMetrics(registry=self.metrics.registry)
+        self.admission_metrics = AdmissionMetrics(registry=self.metrics.registry)
         relay_metrics = RelayMetrics(registry=self.metrics.registry)
         route = PeerRoute(
             list_peers=self._list_relays,
@@ -148,6 +151,7 @@
                     config_metrics=config_metrics,
                     async_wait_recent=self.peer_sync.async_wait_recent,
                     accepts_callers=self.status.is_ready,
+                    admits_by_backlog=lambda: self.settings.admits_by_backlog(),
                 )
             ),
             bind=settings.listen.callers,
@@ -207,6 +211,8 @@
     async def _async_answer_slow(self, question: SlowQuestion) -> Answer:
         if isinstance(question, RelayQuestion):
             return await self.relay.async_answer(question)
+        if isinstance(question, AdmissionQuestion):
+            return await async_admit_job(self.owners, question)
         return await async_store_job(self.owners, question)
 
     def _list_relays(self) -> list[str]:
@@ -287,6 +293,7 @@
             metrics=self.dispatch_metrics,
             on_fenced=self.member.rejoin,
             async_ask_lender=self._async_ask_lender,
+            admission_metrics=self.admission_metrics,
         )
         self.owners[partition] = owner
         self.nursery.start_soon(owner.async_run)
--- a/heatherkeel/platform/const.py
+++ b/heatherkeel/platform/const.py
@@ -11,6 +11,9 @@
 KEYS_CONTRACT: Final = "tenants"
 """Named in the settings where callers need keys."""
 
+PRESSURE_CONTRACT: Final = "pressure"
+"""Named in the settings where jobs may be refused, and machines divided, by backlog."""
+
 CONFIG_TOPIC: Final = "keyed.op"
 WORKERS_TOPIC: Final = "keyed.servers"
 STATUS_TOPIC: Final = "keyed.status"
--- a/heatherkeel/platform/settings.py
+++ b/heatherkeel/platform/settings.py
@@ -12,7 +12,7 @@
 
 from heatherkeel.helpers.faults import collect_faults
 
-from .const import KEYS_CONTRACT
+from .const import KEYS_CONTRACT, PRESSURE_CONTRACT
 
 Port = Annotated[int, Meta(ge=0, le=65535)]
 
@@ -86,6 +86,10 @@
         """Return whether callers need keys, except for public queues."""
         return KEYS_CONTRACT in self.contracts
 
+    def admits_by_backlog(self) -> bool:
+        """Return whether jobs that surely can't be served are refused before they are stored."""
+        return PRESSURE_CONTRACT in self.contracts
+
     def list_seed_links(self) -> list[str]:
         """Return the addresses at which the seeds answer questions; ports are the same everywhere.
 
--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -10,6 +10,8 @@
 from heatherkeel.platform.framing import KeyedRecord
 
 from .messages import (
+    AdmissionAnswer,
+    AdmissionQuestion,
     Answer,
     GrantsQuestion,
     JobAnswer,
@@ -78,3 +80,13 @@
         error = stored.err_value
         return StoreJobAnswer(failure=error.failure, status=error.status, detail=error.detail)
     return StoreJobAnswer()
+
+
+async def async_admit_job(
+    owners: dict[int, PartitionOwner], question: AdmissionQuestion
+) -> AdmissionAnswer | NotOwner:
+    """Decide whether a job may be stored."""
+    owner = owners.get(question.partition)
+    if owner is None or not owner.is_restored:
+        return NotOwner()
+    return await owner.admission.async_answer(question)
--- a/heatherkeel/questions/links.py
+++ b/heatherkeel/questions/links.py
@@ -23,6 +23,7 @@
     UNUSED_AFTER_MS,
 )
 from .messages import (
+    AdmissionQuestion,
     Answer,
     Question,
     RelayQuestion,
@@ -148,7 +149,7 @@
             assert not isinstance(
                 question, RelayQuestion
             ), "a process never relays a call to itself"
-            if isinstance(question, StoreJobQuestion):
+            if isinstance(question, StoreJobQuestion | AdmissionQuestion):
                 return await self._async_answer_own(question, timeout_s)
             return self.answer(question)
         self._close_unused()
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -73,6 +73,22 @@
     value: bytes
 
 
+class AdmissionQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="admission"):
+    """Asks a partition's owner whether a job that isn't stored yet may be stored."""
+
+    partition: int
+    job_id: str
+    queue: str
+    workspace: str
+    attempt: str
+    """Names the submission: a job may be submitted several times."""
+    sent_wall_ms: int
+    work: float
+    """Declared work, in core-milliseconds."""
+    path_ms: float
+    """Declared critical path, in milliseconds."""
+
+
 class OperatorQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="operator"):
     """Asks for the operator's records that the asking process lacks; concerns no partition."""
 
@@ -96,8 +112,9 @@
     | StoreJobQuestion
     | GrantsQuestion
     | OperatorQuestion
+    | AdmissionQuestion
 )
-SlowQuestion = RelayQuestion | StoreJobQuestion
+SlowQuestion = RelayQuestion | StoreJobQuestion | AdmissionQuestion
 """Questions whose answers need a call to the store."""
 
 
@@ -190,6 +207,27 @@
     detail: str = ""
 
 
+class AdmissionAnswer(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="admission"
+):
+    """Whether a job may be stored; times in milliseconds from the answer on."""
+
+    refusal: str = ""
+    """Why it is refused; empty if it is admitted."""
+    retry_s: int = 0
+    """When a refused job may be submitted again, in seconds."""
+    doubt: str = ""
+    """Why it is admitted without regard to the backlog; empty if there is no doubt."""
+    begins_ms: int = 0
+    ends_ms: int = 0
+    worthless_ms: int = 0
+    ahead: int = 0
+    """Work that goes before it, in core-milliseconds."""
+    cores: int = 0
+    age_ms: int = 0
+    """Age of the measured backlog."""
+
+
 class OperatorRecord(msgspec.Struct, frozen=True, kw_only=True):
     """One of the operator's records; an empty value means that the key was deleted."""
 
@@ -221,6 +259,7 @@
     | StoreJobAnswer
     | GrantsAnswer
     | OperatorAnswer
+    | AdmissionAnswer
     | NotOwner
 )
 
--- a/heatherkeel/workspaces/account.py
+++ b/heatherkeel/workspaces/account.py
@@ -67,6 +67,13 @@
             self.buckets[service] = bucket
         return bucket.take(rate=rate, now_ms=now_ms)
 
+    def has_share(self, service: str, *, partitions: int, now_ms: int) -> bool:
+        """Return whether `takes_share` would allow a job now; counts none."""
+        bucket = self.buckets.get(service)
+        if self.weight is None or bucket is None:
+            return True
+        return bucket.has_token(rate=self.weight / max(1, partitions), now_ms=now_ms)
+
     def add(self, run: Hashable, amount: Amount) -> None:
         """Count a run from its planning on; one that is known isn't counted twice."""
         if run not in self.runs:
--- a/heatherkeel/workspaces/rates.py
+++ b/heatherkeel/workspaces/rates.py
@@ -24,6 +24,11 @@
         self.tokens -= 1.0
         return True
 
+    def has_token(self, *, rate: float, now_ms: int) -> bool:
+        """Return whether `take` would find a token now."""
+        elapsed_s = max(0, now_ms - self.filled_ms) / 1000
+        return min(full_bucket(rate), self.tokens + elapsed_s * rate) >= 1.0
+
 
 def full_bucket(rate: float) -> float:
     """Return how many jobs a bucket allows at once; at least one."""
--- /dev/null
+++ b/tests/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of admission by backlog."""
