--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -168,6 +168,11 @@
         """Return the step's name, the prefix of its tasks' names."""
         return f"{self.job.id}.{self.occurrence}.{self.number}"
 
+    def task_ms(self) -> float:
+        """Return the expected duration of one of its tasks, in milliseconds."""
+        estimates = self.job.estimates
+        return estimates[self.number].task_ms if estimates else self.request.estimated_ms
+
     def is_done(self) -> bool:
         """Return whether all of its tasks are done."""
         return self.done == len(self.tasks)
--- a/heatherkeel/platform/const.py
+++ b/heatherkeel/platform/const.py
@@ -13,6 +13,7 @@
 PRESSURE_CONTRACT: Final = "pressure"
 """Named in the settings where callers compete for too little capacity."""
 
+
 CONFIG_TOPIC: Final = "keyed.op"
 WORKERS_TOPIC: Final = "keyed.servers"
 STATUS_TOPIC: Final = "keyed.status"
--- a/heatherkeel/platform/settings.py
+++ b/heatherkeel/platform/settings.py
@@ -94,6 +94,10 @@
         """Return whether machines are divided between pools that compete for them."""
         return PRESSURE_CONTRACT in self.contracts
 
+    def admits_by_backlog(self) -> bool:
+        """Return whether jobs that surely can't be served are refused before they are stored."""
+        return PRESSURE_CONTRACT in self.contracts
+
     def list_seed_links(self) -> list[str]:
         """Return the addresses at which the seeds answer questions; ports are the same everywhere.
 
