Serve the instance's ports with a small HTTP/1.1 server on h11

hypercorn imports HTTP/2, HPACK and WebSocket, which these ports never use; each process imported them at each start.

To go back: `HttpServer` instead of `ApiServer` in instance/process.py.

--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -20,7 +20,7 @@
 from heatherkeel.gateway.exchange import GatewayContext
 from heatherkeel.gateway.lookup import Lookup
 from heatherkeel.gateway.metrics import GatewayMetrics
-from heatherkeel.helpers.server import HttpServer
+from heatherkeel.helpers.api_server import ApiServer
 from heatherkeel.helpers.signals import StopSignal
 from heatherkeel.ownership.holders import HolderCache
 from heatherkeel.ownership.isolation import IsolationWatch
@@ -140,7 +140,7 @@
             metrics=self.metrics,
             store_answered_ms=self._store_answered_ms,
         )
-        self.callers = HttpServer(
+        self.callers = ApiServer(
             app=JobApiApp(
                 context=GatewayContext(
                     store=self.store,
@@ -154,7 +154,7 @@
             ),
             bind=settings.listen.callers,
         )
-        self.probes = HttpServer(app=self.status, bind=settings.listen.readiness)
+        self.probes = ApiServer(app=self.status, bind=settings.listen.readiness)
         self.nursery: trio.Nursery | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
