--- a/heatherkeel/helpers/server.py
+++ b/heatherkeel/helpers/server.py
@@ -10,9 +10,11 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
-from .asgi import App
+from .asgi import App, Message, Receive, Send, async_respond_problem
 from .groups import find_system_error
-from .header_limit import MAX_HEADER_BYTES, limit_headers
+
+MAX_HEADER_BYTES: Final = 16 * 1024
+"""Maximum size of the request target and headers in bytes; a larger request gets 431."""
 
 KEEP_ALIVE_S: Final = 75.0
 """Idle timeout of a caller's connection in seconds.
@@ -89,3 +91,32 @@
             self.config.graceful_timeout = finish_timeout_s
         self.stopping.set()
         await self.stopped.wait()
+
+
+def limit_headers(app: App, on_refusal: Callable[[], None]) -> App:
+    """Reject requests with too large headers, and call `on_refusal` for each.
+
+    hypercorn checks its own limit only for incomplete headers, so it would accept or reject the
+    same request depending on timing.
+    """
+
+    async def async_limited(scope: Message, receive: Receive, send: Send) -> None:
+        size = _header_size(scope) if scope["type"] == "http" else 0
+        if size <= MAX_HEADER_BYTES:
+            return await app(scope, receive, send)
+        on_refusal()
+        return await async_respond_problem(
+            send,
+            status=431,
+            kind="headers_too_large",
+            title="The headers are too large",
+            detail=f"{size} bytes, at most {MAX_HEADER_BYTES} are taken",
+            headers={"connection": "close"},
+        )
+
+    return async_limited
+
+
+def _header_size(scope: Message) -> int:
+    fields = sum(len(name) + len(value) for name, value in scope["headers"])
+    return fields + len(scope["raw_path"]) + len(scope["query_string"])
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -21,7 +21,7 @@
 from heatherkeel.gateway.exchange import GatewayContext
 from heatherkeel.gateway.lookup import Lookup
 from heatherkeel.gateway.metrics import GatewayMetrics
-from heatherkeel.helpers.api_server import ApiServer
+from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
 from heatherkeel.ownership.holders import HolderCache
 from heatherkeel.ownership.isolation import IsolationWatch
@@ -146,7 +146,7 @@
             metrics=self.metrics,
             store_answered_ms=self._store_answered_ms,
         )
-        self.callers = ApiServer(
+        self.callers = HttpServer(
             app=JobApiApp(
                 context=GatewayContext(
                     store=self.store,
@@ -161,7 +161,7 @@
             ),
             bind=settings.listen.callers,
         )
-        self.probes = ApiServer(app=self.status, bind=settings.listen.readiness)
+        self.probes = HttpServer(app=self.status, bind=settings.listen.readiness)
         self.nursery: trio.Nursery | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
