Count an append as stored only if its records are where they must be

Beside a second writer with the same token, ends would be acknowledged whose records don't exist.

Change: an owner's first sequence number is random, an append counts as stored only if its records directly follow the owner's earlier ones, and a number out of order ends the ownership, so that the records are read again under a new token. The stand-in of the store gives repeats the answers to the last five appends, as the platform's page says. The log event records_displaced replaces sequence.

--- a/heatherkeel/dispatch/journal.py
+++ b/heatherkeel/dispatch/journal.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import logging
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Final
 
 import trio
 from result import Ok
 
 from heatherkeel.ownership.const import PRODUCER, WORK_TOPIC
-from heatherkeel.platform.errors import CallError, Failure
+from heatherkeel.platform.errors import Failure
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import Producer, StoreClient
+from heatherkeel.platform.store_answers import Appended
 
 from .const import MAX_APPEND_RECORDS
 
@@ -21,6 +24,9 @@
 RETRY_PAUSE_S = 0.25
 """Pause after an append that failed or wasn't answered, in seconds."""
 
+FIRST_SEQUENCES: Final = 1 << 31
+"""Number of sequence numbers of which an owner's first one is drawn."""
+
 
 @dataclass(kw_only=True, slots=True)
 class Batch:
@@ -39,6 +45,10 @@
     An append without an answer is retried with the same sequence number, which the log accepts
     only once. An earlier owner's late records are refused because of its lower epoch, so they
     can't overwrite those of its successor.
+
+    The log answers a sequence number that it knows as a repeat, whatever the records are. So the
+    first one is random, and an append counts as stored only if its records directly follow this
+    owner's earlier ones.
     """
 
     def __init__(
@@ -53,7 +63,9 @@
         self.partition = partition
         self.token = token
         self.on_fenced = on_fenced
-        self.sequence = 0
+        self.sequence = random.randrange(FIRST_SEQUENCES)
+        self.end = 0
+        """Offset behind the last record, which the next one gets."""
         self.batch = Batch()
         self.batch_ready = trio.Event()
         self.connected = True
@@ -91,13 +103,11 @@
         """Append exactly once, with retries; False if another instance owns the partition."""
         while True:
             producer = Producer(name=PRODUCER, epoch=self.token, sequence=self.sequence)
-            appended = await self.store.async_append(
-                WORK_TOPIC, self.partition, records, producer=producer
+            appended = await self.store.async_append_as(
+                producer, WORK_TOPIC, self.partition, records
             )
             if isinstance(appended, Ok):
-                self.sequence += 1
-                self._update_connected(True, "")
-                return True
+                return self._record_stored(appended.ok_value, is_opening=not records)
             error = appended.err_value
             if error.failure is Failure.FENCED:
                 _LOGGER.warning(
@@ -107,26 +117,38 @@
                 self.on_fenced()
                 return False
             if error.failure is Failure.OUT_OF_ORDER:
-                if self._resync_sequence(error):
-                    return True
-                continue
+                self._give_up(detail=f"sequence number {error.number} is expected")
+                return False
             self._update_connected(False, error.detail)
             await trio.sleep(RETRY_PAUSE_S)
 
-    def _resync_sequence(self, error: CallError) -> bool:
-        """Adopt the sequence number that the log expects; returns whether the append was stored."""
-        was_stored = error.number == self.sequence + 1
-        _LOGGER.warning(
-            "log expects another sequence number",
+    def _record_stored(self, appended: Appended, *, is_opening: bool) -> bool:
+        """Record the answer to an append; returns whether it is the answer to this append."""
+        if not is_opening and appended.offset != self.end:
+            self._give_up(detail=f"offset {appended.offset} instead of {self.end}")
+            return False
+        self.sequence += 1
+        self.end = appended.end
+        self._update_connected(True, "")
+        return True
+
+    def _give_up(self, *, detail: str) -> None:
+        """Give up the partition, since another writer uses this owner's epoch.
+
+        What was answered may not be stored, so nothing may rely on it. The next owner, which may
+        be this process under a new token, reads the records again.
+        """
+        _LOGGER.error(
+            "another writer appends under this owner's token",
             extra={
-                "event": "sequence",
+                "event": "records_displaced",
                 "partition": self.partition,
-                "ours": self.sequence,
-                "expected": error.number,
+                "token": self.token,
+                "sequence": self.sequence,
+                "detail": detail,
             },
         )
-        self.sequence = error.number
-        return was_stored
+        self.on_fenced()
 
     def _update_connected(self, connected: bool, detail: str) -> None:
         if connected == self.connected:
--- a/heatherkeel/platform/store.py
+++ b/heatherkeel/platform/store.py
@@ -16,6 +16,7 @@
 from .framing import FramingError, KeyedRecord, decode_read, encode_records
 from .route import DirectRoute, StoreCall, StoreRoute
 from .store_answers import (
+    Appended,
     GroupAssignment,
     Joined,
     NewestPage,
@@ -136,17 +137,30 @@
         partition: int,
         records: list[KeyedRecord],
         *,
-        producer: Producer | None = None,
         longest_s: float = WRITE_TIMEOUT_S,
     ) -> Result[None, CallError]:
-        """Append all records or none; an empty list only sets the producer's epoch."""
-        query: dict[str, Any] = {"topic": topic, "part": partition}
-        if producer is not None:
-            query |= {
-                "producer": producer.name,
-                "epoch": producer.epoch,
-                "sequence": producer.sequence,
-            }
+        """Append all records or none."""
+        query = {"topic": topic, "part": partition}
+        checked = await self._async_append(query, records, longest_s=longest_s)
+        return Err(checked.err_value) if isinstance(checked, Err) else Ok(None)
+
+    async def async_append_as(
+        self, producer: Producer, topic: str, partition: int, records: list[KeyedRecord]
+    ) -> Result[Appended, CallError]:
+        """Append all records or none as a producer; an empty list only sets its epoch."""
+        query = {
+            "topic": topic,
+            "part": partition,
+            "producer": producer.name,
+            "epoch": producer.epoch,
+            "sequence": producer.sequence,
+        }
+        checked = await self._async_append(query, records, longest_s=WRITE_TIMEOUT_S)
+        return decode(checked, Appended)
+
+    async def _async_append(
+        self, query: dict[str, Any], records: list[KeyedRecord], *, longest_s: float
+    ) -> Result[Reply, CallError]:
         target = f"/heatherkeel/log-append?{urlencode(query)}"
         began_s = trio.current_time()
         timeout_s = min(longest_s, self._write_timeout_s())
@@ -155,8 +169,8 @@
         )
         _update_timeout(self.write_timeout, called, trio.current_time() - began_s)
         checked = called.and_then(check)
-        self.find_health(topic, partition).record_write(checked)
-        return Err(checked.err_value) if isinstance(checked, Err) else Ok(None)
+        self.find_health(query["topic"], query["part"]).record_write(checked)
+        return checked
 
     def _write_timeout_s(self) -> float:
         """Return the timeout of an append, which also follows the response times of other calls.
--- a/heatherkeel/platform/store_answers.py
+++ b/heatherkeel/platform/store_answers.py
@@ -60,6 +60,16 @@
     sequence: int = 0
 
 
+class Appended(msgspec.Struct, frozen=True, kw_only=True):
+    """Where the records of an append lie: the offset of the first, and the one behind the last.
+
+    A repeated append gets the answer to the first, whatever its records are.
+    """
+
+    offset: int
+    end: int = msgspec.field(name="endKey")
+
+
 class _Item(msgspec.Struct, kw_only=True):
     key: str
     value: str = ""
--- a/heatherkeel/standins/keyed_log.py
+++ b/heatherkeel/standins/keyed_log.py
@@ -12,15 +12,34 @@
 from typing import Any, Final
 
 PAGE_ITEMS: Final = 500
+REPEATS: Final = 5
+"""Number of a producer's last appends whose answers are given again to a repeat."""
 LENGTH_BYTES: Final = 4
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """A status with a body: JSON, or raw bytes."""
+
+    status: int = 200
+    body: Any = field(default_factory=dict)
+
+
 @dataclass(kw_only=True, slots=True)
 class ProducerState:
     """The highest epoch and the last sequence number that a partition has taken."""
 
     epoch: int
     sequence: int | None = None
+    answers: dict[int, Answer] = field(default_factory=dict)
+    """The answers to the last appends, by sequence number."""
+
+    def record(self, sequence: int, answer: Answer) -> None:
+        """Keep the answer to an append."""
+        self.sequence = sequence
+        self.answers[sequence] = answer
+        for earlier in sorted(self.answers)[:-REPEATS]:
+            del self.answers[earlier]
 
 
 @dataclass(kw_only=True, slots=True)
@@ -48,14 +67,6 @@
     """Who may still believe to hold a partition: it moves only when that member knows."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Answer:
-    """A status with a body: JSON, or raw bytes."""
-
-    status: int = 200
-    body: Any = field(default_factory=dict)
-
-
 @dataclass(kw_only=True, slots=True)
 class KeyedLog:
     """All topics and groups."""
@@ -95,20 +106,24 @@
         log = self.find(query["topic"], int(query["part"]))
         if "at" in query and int(query["at"]) != log.end():
             return Answer(status=412, body={"endKey": log.end()})
-        refusal = self._check_producer(log, query, has_records=bool(body))
-        if refusal is not None:
-            return refusal
+        known = self._check_producer(log, query, has_records=bool(body))
+        if isinstance(known, Answer):
+            return known
         offset = log.end()
         place = 0
         while place < len(body):
             head = place + LENGTH_BYTES
             place = head + int.from_bytes(body[head - LENGTH_BYTES : head], "big")
             log.records.append(body[head:place])
-        return Answer(body={"offset": offset, "endKey": log.end()})
+        answer = Answer(body={"offset": offset, "endKey": log.end()})
+        if known is not None and body:
+            known.record(int(query["sequence"]), answer)
+        return answer
 
     def _check_producer(
         self, log: LogPartition, query: dict[str, str], *, has_records: bool
-    ) -> Answer | None:
+    ) -> Answer | ProducerState | None:
+        """Return the refusal of an append or the answer to its repeat, or else its producer."""
         if "producer" not in query:
             return None
         epoch, sequence = int(query["epoch"]), int(query["sequence"])
@@ -118,13 +133,12 @@
         if known is None or epoch > known.epoch:
             known = log.producers[query["producer"]] = ProducerState(epoch=epoch)
         if not has_records:
-            return None
-        if known.sequence is not None and sequence == known.sequence:
-            return Answer(body={"offset": log.end(), "endKey": log.end()})
+            return known
+        if sequence in known.answers:
+            return known.answers[sequence]
         if known.sequence is not None and sequence != known.sequence + 1:
             return Answer(status=409, body={"reason": "seq", "sequence": known.sequence + 1})
-        known.sequence = sequence
-        return None
+        return known
 
     def read(self, query: dict[str, str]) -> Answer | None:
         """Read from an offset on; None if there is nothing to read yet."""
--- /dev/null
+++ b/tests/dispatch/test_journal.py
@@ -0,0 +1,126 @@
+"""Records of a partition's owner beside another writer, and answers that are lost."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+from result import Err, Result
+
+from heatherkeel.dispatch.journal import Journal
+from heatherkeel.platform.caller import Reply
+from heatherkeel.platform.errors import CallError, Failure
+from heatherkeel.platform.framing import KeyedRecord, encode_records
+from heatherkeel.platform.store import Producer, StoreClient
+from heatherkeel.platform.store_answers import Appended, check, decode
+from heatherkeel.standins.keyed_log import KeyedLog
+
+TOKEN = 15
+PARTITION = 2
+
+
+class LogStore(StoreClient):
+    """A store in memory; some of its answers are lost."""
+
+    def __init__(self) -> None:
+        self.log = KeyedLog()
+        self.lose = 0
+
+    async def async_append_as(
+        self, producer: Producer, topic: str, partition: int, records: list[KeyedRecord]
+    ) -> Result[Appended, CallError]:
+        """Append to the log."""
+        await trio.lowlevel.checkpoint()
+        query = {
+            "topic": topic,
+            "part": str(partition),
+            "producer": producer.name,
+            "epoch": str(producer.epoch),
+            "sequence": str(producer.sequence),
+        }
+        answer = self.log.append(query, encode_records(records))
+        if self.lose and records:
+            self.lose -= 1
+            return Err(CallError(failure=Failure.UNKNOWN, detail="the answer is lost"))
+        reply = Reply(status=answer.status, body=msgspec.json.encode(answer.body))
+        return decode(check(reply), Appended)
+
+
+class Owner:
+    """An owner's journal, with what it was told."""
+
+    def __init__(self, store: LogStore, *, token: int = TOKEN) -> None:
+        self.fenced = 0
+        self.stored: list[str] = []
+        self.journal = Journal(
+            store=store, partition=PARTITION, token=token, on_fenced=self._on_fenced
+        )
+
+    def _on_fenced(self) -> None:
+        self.fenced += 1
+
+    def put(self, key: str) -> None:
+        """Store a record, and note its key once it is stored."""
+        self.journal.put(key, key.encode)
+        self.journal.when_stored(lambda: self.stored.append(key))
+
+
+def run_owners(store: LogStore, *tokens: int, keys: int) -> list[Owner]:
+    """Let owners open their journals in turn, and each store keys one by one before the next."""
+    owners = [Owner(store, token=token) for token in tokens]
+
+    async def async_test() -> None:
+        with trio.fail_after(5):
+            for owner in owners:
+                assert await owner.journal.async_open()
+            for number, owner in enumerate(owners):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(owner.journal.async_run)
+                    for key in range(keys):
+                        owner.put(f"p{number}.{key}")
+                        with trio.move_on_after(0.6):
+                            while len(owner.stored) <= key and not owner.fenced:
+                                await trio.sleep(0.01)
+                    nursery.cancel_scope.cancel()
+
+    trio.run(async_test)
+    return owners
+
+
+def newest(store: LogStore) -> set[str]:
+    """Return the stored keys."""
+    return set(store.log.newest("keyed.work", PARTITION))
+
+
+def test_append_whose_answer_is_lost_is_stored_once() -> None:
+    store = LogStore()
+    store.lose = 2
+    (owner,) = run_owners(store, TOKEN, keys=2)
+    assert owner.stored == ["p0.0", "p0.1"]
+    assert store.log.find("keyed.work", PARTITION).end() == 2
+    assert not owner.fenced
+
+
+def test_record_that_another_writer_displaced_does_not_count_as_stored() -> None:
+    """Guards against acknowledging ends whose records the log took for repeats of another's."""
+    for keys in (1, 2, 7):
+        store = LogStore()
+        first, second = run_owners(store, TOKEN, TOKEN, keys=keys)
+        assert len(first.stored) == keys
+        assert set(second.stored) <= newest(store)
+        assert not second.stored
+        assert second.fenced
+
+
+def test_owner_stores_nothing_after_its_successor_has_opened_the_journal() -> None:
+    first, second = run_owners(LogStore(), TOKEN, TOKEN + 1, keys=1)
+    assert (first.stored, first.fenced) == ([], 1)
+    assert (second.stored, second.fenced) == (["p1.0"], 0)
+
+
+def test_first_records_of_a_successor_are_not_taken_for_repeats() -> None:
+    """Guards against numbers that an earlier owner has used."""
+    store = LogStore()
+    run_owners(store, TOKEN, keys=2)
+    (second,) = run_owners(store, TOKEN + 1, keys=2)
+    assert second.stored == ["p0.0", "p0.1"]
+    assert store.log.find("keyed.work", PARTITION).end() == 4
