Give up a worker for the list of machines only if that list can know it

A worker that a new owner knows only from stored runs counted as unresponsive since ever, and the time was taken when the answer came, not when the list was requested (up to 1,500 ms before). A worker that had joined within that time was given up while it ran its tasks, and these started a second time.

Change: such a worker is unresponsive since the takeover, and the list counts as of its request. A task on a worker that is really gone and no longer listed starts up to 1.2 s later after a takeover.

Result: both new tests failed before; tests of dispatch pass.

--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -123,6 +123,8 @@
     """The list of machines reports these worker incarnations as up."""
 
     worker_ids: frozenset[str]
+    asked_ms: int | None = None
+    """When the list was requested, if earlier: it can't name workers that have started since."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/dispatch/incarnations.py
+++ b/heatherkeel/dispatch/incarnations.py
@@ -103,8 +103,9 @@
 
     Their machines have restarted or are down; a worker that is only unreachable is still named.
     """
+    asked_ms = event.now_ms if event.asked_ms is None else event.asked_ms
     for worker in list(state.workers.values()):
-        is_long = state.now_ms - worker.unresponsive_since_ms >= MIN_UNRESPONSIVE_MS
+        is_long = asked_ms - worker.unresponsive_since_ms >= MIN_UNRESPONSIVE_MS
         if worker.is_unresponsive and is_long and worker.id not in event.worker_ids:
             end_incarnation(state, worker, effects, reason=LossReason.OTHER_LIFE)
 
--- a/heatherkeel/dispatch/inquiries.py
+++ b/heatherkeel/dispatch/inquiries.py
@@ -45,6 +45,7 @@
             ]
             if not unresponsive or not self.machines.caller.address:
                 continue
+            asked_ms = monotonic_ms()
             listed = await self.machines.async_list()
             if isinstance(listed, Err):
                 _LOGGER.info(
@@ -55,7 +56,12 @@
             alive = [m.worker_id for m in listed.ok_value if m.is_up() and m.worker_id]
             now_ms, wall_ms = self.owner.times()
             self.owner.handle_event(
-                IncarnationsListed(now_ms=now_ms, wall_ms=wall_ms, worker_ids=frozenset(alive))
+                IncarnationsListed(
+                    now_ms=now_ms,
+                    wall_ms=wall_ms,
+                    worker_ids=frozenset(alive),
+                    asked_ms=asked_ms,
+                )
             )
 
     async def async_ask_advice(self, effect: AskAdvice) -> None:
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -163,7 +163,13 @@
     worker = state.workers.get(run.worker_id)
     if worker is None:
         entry = WorkerEntry(service=service, address="")
-        worker = Worker(id=run.worker_id, entry=entry, is_listed=False, is_unresponsive=True)
+        worker = Worker(
+            id=run.worker_id,
+            entry=entry,
+            is_listed=False,
+            is_unresponsive=True,
+            unresponsive_since_ms=state.now_ms,
+        )
         add_worker(state, worker)
     longest_ms = TTL_MS + LEASE_MS * SLOWEST_CLOCK
     worker.earlier_leases_until_ms = state.now_ms + round(longest_ms)
--- a/tests/dispatch/test_losses.py
+++ b/tests/dispatch/test_losses.py
@@ -207,6 +207,22 @@
     assert again.task is run.task
 
 
+def test_list_of_machines_that_was_requested_too_early_ends_no_worker() -> None:
+    """Guards against a second run beside a worker that started after a slow list was requested."""
+    partition = Partition()
+    start_job_on(partition, "w0")
+    partition.effects.clear()
+    partition.fail_listing("w0")
+    asked_ms = partition.now_ms + 100
+    partition.now_ms += MIN_UNRESPONSIVE_MS
+    partition.apply(
+        IncarnationsListed(
+            **partition.event_times(), worker_ids=frozenset({"w1"}), asked_ms=asked_ms
+        )
+    )
+    assert not started_runs(partition.effects)
+
+
 def test_unresponsive_worker_that_its_machine_still_lists_keeps_its_tasks() -> None:
     """Guards against a second run beside a worker that is only cut off."""
     partition = Partition()
--- a/tests/dispatch/test_recovery.py
+++ b/tests/dispatch/test_recovery.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
-from heatherkeel.dispatch.const import LEASE_MS
-from heatherkeel.dispatch.events import Effects, ForgetJob, SaveJob, StopTask
+from heatherkeel.dispatch.const import LEASE_MS, MIN_UNRESPONSIVE_MS
+from heatherkeel.dispatch.events import (
+    Effects,
+    ForgetJob,
+    IncarnationsListed,
+    SaveJob,
+    StopTask,
+)
 from heatherkeel.dispatch.jobs import stop_leftover_runs
 from heatherkeel.dispatch.models import JobState, RunState
 from heatherkeel.dispatch.records import (
@@ -88,6 +94,23 @@
     assert later.job().crashes == 1
 
 
+def test_new_worker_that_the_list_of_machines_lacks_keeps_its_tasks_under_the_next_owner() -> None:
+    """Guards against a second run beside a worker that joined right before the takeover."""
+    earlier = Partition()
+    earlier.tick(LEASE_MS)
+    earlier.submit(make_step())
+    (run,) = earlier.start_planned_runs()
+    del earlier.entries[run.worker_id]
+    later = take_over(earlier, with_listings=True)
+    (other,) = later.entries
+    listed = IncarnationsListed(**later.event_times(), worker_ids=frozenset({other}))
+    assert not started_runs(later.apply(listed))
+    later.now_ms += MIN_UNRESPONSIVE_MS
+    listed = IncarnationsListed(**later.event_times(), worker_ids=frozenset({other}))
+    (again,) = started_runs(later.apply(listed))
+    assert again.task.name == run.task.name
+
+
 def test_task_that_a_worker_lists_keeps_running_under_the_next_owner() -> None:
     earlier = Partition()
     earlier.submit(make_step())
