Show with real processes what workers report: draining, another kind, entries of another writer

The stand-ins' workers drain with remainingMs and leave, come back as another kind under the same id and address, and stand beside entries of another writer.

--- a/heatherkeel/standins/users_platform.py
+++ b/heatherkeel/standins/users_platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any, Final
@@ -49,6 +50,21 @@
     state: str = "up"
     worker: FleetWorker | None = None
     server: HttpServer | None = None
+    kind: str = "a"
+    """The kind that its next life reports, the first of its labels."""
+    leaves_s: float | None = None
+    """When its worker leaves, if it drains, in seconds of the monotonic clock."""
+
+    def labels(self) -> list[str]:
+        """Return its kind and its rack."""
+        return [self.kind, "r1"]
+
+    def report_draining(self) -> dict[str, Any]:
+        """Return what its worker reports about draining."""
+        if self.leaves_s is None:
+            return {"state": "ready"}
+        left_ms = max(0, round(1000 * (self.leaves_s - time.monotonic())))
+        return {"state": "draining", "remainingMs": left_ms}
 
 
 @dataclass(kw_only=True)
@@ -67,6 +83,8 @@
     """Every life of every worker, for tests."""
     history: list[TaskEvent] = field(default_factory=list)
     """What workers did, for tests."""
+    foreign_entries: dict[str, bytes] = field(default_factory=dict)
+    """Entries of another writer, which are written beside those of the workers."""
 
     def __post_init__(self) -> None:
         self.ids = itertools.count(1)
@@ -138,6 +156,13 @@
         assert self.nursery is not None
         self.nursery.start_soon(self._async_return, machine, away_s, earlier)
 
+    async def async_drain(self, machine: StandinMachine, *, for_s: float) -> None:
+        """Let a worker drain, and leave for good after a while."""
+        machine.leaves_s = time.monotonic() + for_s
+        await trio.sleep(for_s)
+        machine.state = "down"
+        await self.async_end_worker(machine)
+
     async def _async_boot(
         self, machine: StandinMachine, earlier: FleetWorker | None = None
     ) -> None:
@@ -186,17 +211,19 @@
                     "service": machine.worker.service,
                     "address": machine.worker.address,
                     "zone": "a",
-                    "state": "ready",
                     "capacity": {"cpu": machine.worker.cpu, "memMb": 16000, "gpu": 0},
-                    "labels": ["a", "r1"],
+                    "labels": machine.labels(),
                     "machine": machine.name,
                     "born": machine.worker.born,
                     "sequence": turn,
+                    **machine.report_draining(),
                 }
-        for worker_id in self.log.newest("keyed.servers", 0).keys() - present.keys():
+        entries = {worker_id: msgspec.json.encode(entry) for worker_id, entry in present.items()}
+        entries |= self.foreign_entries
+        for worker_id in self.log.newest("keyed.servers", 0).keys() - entries.keys():
             self.log.put("keyed.servers", worker_id, b"")
-        for worker_id, entry in present.items():
-            self.log.put("keyed.servers", worker_id, msgspec.json.encode(entry))
+        for worker_id, value in entries.items():
+            self.log.put("keyed.servers", worker_id, value)
 
     def _app(self, handle: Handle) -> App:
         async def async_app(scope: Message, receive: Receive, send: Send) -> None:
@@ -244,7 +271,7 @@
                 "pool": machine.pool,
                 "state": machine.state,
                 "zone": "a",
-                "labels": ["a", "r1"],
+                "labels": machine.labels(),
                 "capacity": {"cpu": 8000, "memMb": 16000, "gpu": 0},
                 "id": machine.worker.id if machine.worker else None,
             }
