--- a/tests/dispatch/surge.py
+++ b/tests/dispatch/surge.py
@@ -104,11 +104,14 @@
 
     def _submit(self) -> None:
         job_id = f"{len(self.jobs):016x}"
-        self.partition.submit(*draw_steps(self.random), job_id=job_id)
+        self.partition.submit(*self._draw_steps(), job_id=job_id)
         self.jobs.append(self.partition.job(job_id))
 
+    def _draw_steps(self) -> list[StepRequest]:
+        return draw_steps(self.random)
+
     def _execute_effects(self) -> None:
-        """Begin the started runs; their durations vary around the declared ones by a fifth."""
+        """Begin the started runs; durations within a step vary by a fifth."""
         effects, self.partition.effects = self.partition.effects, []
         for effect in effects:
             if not isinstance(effect, StartTask):
@@ -116,11 +119,14 @@
             run = effect.run
             run.state = RunState.RUNNING
             run.answered_ms = None
-            declared_ms = run.task.step.request.estimated_ms
-            took_ms = round(declared_ms * self.random.lognormvariate(0, 0.2))
+            took_ms = round(self._mean_ms(run) * self.random.lognormvariate(0, 0.2))
             ends_ms = self.partition.now_ms + took_ms
             heapq.heappush(self.events, (ends_ms, next(self.order), run))
 
+    def _mean_ms(self, run: Run) -> float:
+        """Return the mean duration of a run's step, in milliseconds."""
+        return run.task.step.request.estimated_ms
+
     def _end(self, run: Run) -> None:
         ended = self.ended.setdefault(run.worker_id, [])
         ended.append(
