--- a/heatherkeel/durations/relay.py
+++ b/heatherkeel/durations/relay.py
@@ -40,7 +40,8 @@
         for queue, sums in self.current.items():
             total = add_up([sums, self.inherited.get(queue, QueueSums())])
             total.limit_memory()
-            self.inherited[queue] = total
+            if queue in self.inherited or len(self.inherited) < MAX_QUEUES:
+                self.inherited[queue] = total
         self.current = {}
 
 
@@ -50,6 +51,8 @@
     def __init__(self, *, token: int) -> None:
         self.token = token
         self.partitions: dict[int, PartitionKnowledge] = {}
+        self.reporters: dict[str, set[int]] = {}
+        """The partitions that have reported each queue."""
         self.changes = 0
 
     def record(self, partition: int, report: DurationsReport, now_ms: int) -> None:
@@ -68,6 +71,7 @@
             sums = QueueSums.from_row(row.sums)
             if sums is not None and (row.queue in known.current or len(known.current) < MAX_QUEUES):
                 known.current[row.queue] = sums
+                self.reporters.setdefault(row.queue, set()).add(partition)
         if report.contents:
             known.contents = report.contents[:MAX_REPORTED_CONTENTS]
 
@@ -95,35 +99,32 @@
             contents=self._list_contents(partition, queues),
         )
 
+    def _find_reporters(self, queues: Collection[str]) -> list[int]:
+        """Return the partitions that have reported any of these queues."""
+        return sorted({number for queue in queues for number in self.reporters.get(queue, ())})
+
     def _find_age_ms(self, queues: Collection[str], now_ms: int) -> int:
         """Return the time since any of these queues was last reported."""
-        reported = [
-            known.reported_ms
-            for known in self.partitions.values()
-            if any(queue in known.current or queue in known.inherited for queue in queues)
-        ]
+        reported = [self.partitions[number].reported_ms for number in self._find_reporters(queues)]
         return now_ms - max(reported, default=now_ms)
 
     def _make_row(self, partition: int, queue: str) -> QueueRow | None:
         """Return what others, and earlier owners of the partition, know of a queue."""
-        parts = [
-            sums
-            for number, known in self.partitions.items()
-            for sums in (
-                known.inherited.get(queue),
-                known.current.get(queue) if number != partition else None,
-            )
-            if sums is not None
-        ]
-        return QueueRow(queue=queue, sums=add_up(parts).to_row()) if parts else None
+        parts = []
+        for number in self._find_reporters([queue]):
+            known = self.partitions[number]
+            parts.append(known.inherited.get(queue))
+            parts.append(known.current.get(queue) if number != partition else None)
+        total = add_up(part for part in parts if part is not None)
+        return QueueRow(queue=queue, sums=total.to_row()) if total.steps else None
 
     def _list_contents(self, partition: int, queues: Collection[str]) -> list[ContentRow]:
         """Return the contents that other partitions with some of the same queues have reported."""
         rows = {
             row.key: row
-            for number, known in self.partitions.items()
-            if number != partition and any(queue in known.current for queue in queues)
-            for row in known.contents
+            for number in self._find_reporters(queues)
+            if number != partition
+            for row in self.partitions[number].contents
         }
         return list(rows.values())[-MAX_REPORTED_CONTENTS:]
 
