Bound what a silent owner delays, and delete late records only after their jobs can't return

A lost owner would have delayed each submission to its partition by 0.3 s; after a question without an answer it isn't asked for a second.

--- a/heatherkeel/admission/const.py
+++ b/heatherkeel/admission/const.py
@@ -7,6 +7,9 @@
 ANSWER_WAIT_S: Final = 0.3
 """How long a submission waits for its partition's owner, in seconds; a job whose owner doesn't
 answer in time is accepted."""
+SILENCE_MS: Final = 1000
+"""How long an owner isn't asked again after a question without an answer, in milliseconds, so that
+a lost owner doesn't delay each submission."""
 MAX_QUESTION_AGE_MS: Final = 1000
 """Age from which a question is never answered by a refusal, in milliseconds: whoever asked has
 stored the job meanwhile, or the two wall clocks differ."""
--- a/heatherkeel/admission/memory.py
+++ b/heatherkeel/admission/memory.py
@@ -30,12 +30,15 @@
     admitted: dict[str, int] = field(default_factory=dict)
     """When each job was admitted."""
     refused: dict[str, RefusedJob] = field(default_factory=dict)
+    late: dict[str, str] = field(default_factory=dict)
+    """The workspace of each refused job of which a late record is stored."""
     next_return_ms: dict[str, float] = field(default_factory=dict)
     """By service, when the next refused job may return."""
 
     def admit(self, job_id: str, *, now_ms: int) -> None:
         """Remember that a job was admitted or stored."""
         self.refused.pop(job_id, None)
+        self.late.pop(job_id, None)
         self.admitted.pop(job_id, None)
         self.admitted[job_id] = now_ms
 
@@ -58,6 +61,13 @@
         while self.refused and next(iter(self.refused.values())).refused_ms < since_ms:
             del self.refused[next(iter(self.refused))]
 
+    def take_expired_late(self) -> dict[str, str]:
+        """Return and forget the late records whose jobs hardly return any more."""
+        expired = {job: name for job, name in self.late.items() if job not in self.refused}
+        for job_id in expired:
+            del self.late[job_id]
+        return expired
+
     def plan_return(self, service: str, *, room_ms: float, takes_ms: float) -> float:
         """Return when a job may return for which there is room at `room_ms`.
 
--- a/heatherkeel/admission/models.py
+++ b/heatherkeel/admission/models.py
@@ -35,8 +35,6 @@
     FULL = "full"
     """Too many IDs are remembered."""
     UNKNOWN_QUEUE = "unknown_queue"
-    UNANSWERED = "unanswered"
-    """The owner gave the entry instance no answer in time."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/admission/service.py
+++ b/heatherkeel/admission/service.py
@@ -75,10 +75,13 @@
         partition: int,
         view: OwnerView,
         metrics: AdmissionMetrics,
+        delete: Callable[[str, str], None],
     ) -> None:
         self.partition = partition
         self.view = view
         self.metrics = metrics
+        self.delete = delete
+        """Deletes the stored request of a job ID and workspace."""
         self.desk = AdmissionDesk(state=state)
         self.shared_read = SharedRead(store=store, partition=partition)
         self.refused = trio.Event()
@@ -88,12 +91,16 @@
         self.desk.opened_ms = monotonic_ms()
 
     def is_dropped(self, job_id: str, request: StoredRequest) -> bool:
-        """Return whether a stored job must not run since it was refused; remember it otherwise."""
+        """Return whether a stored job must not run since it was refused; remember it otherwise.
+
+        Its record is deleted later: the job may still return and be stored under the same key.
+        """
         memory = self.desk.memory
         is_late = memory.is_late(
             job_id, attempt=request.attempt, accepted_wall_ms=request.accepted_wall_ms
         )
         if is_late:
+            memory.late[job_id] = request.workspace
             self.metrics.late_records.inc()
             _LOGGER.warning(
                 "a refused job was stored later; it never runs",
@@ -155,18 +162,26 @@
         )
 
     async def async_run(self) -> None:
-        """Judge refusals until cancelled."""
+        """Judge refusals, and delete late records, until cancelled."""
         while True:
             await self.refused.wait()
             self.refused = trio.Event()
             last_ms = monotonic_ms()
-            while self.desk.judge.waiting:
+            while self.desk.memory.refused or self.desk.judge.waiting:
                 await trio.sleep(JUDGE_INTERVAL_S)
                 now_ms = monotonic_ms()
-                unused = self.desk.measure_unused(now_ms - last_ms)
+                self.follow_refusals(now_ms=now_ms, since_ms=last_ms)
                 last_ms = now_ms
-                for verdict in self.desk.judge.observe(unused, now_ms=now_ms):
-                    self._record_verdict(verdict)
+
+    def follow_refusals(self, *, now_ms: int, since_ms: int) -> None:
+        """Judge refusals by what happened since the last call, and delete expired late records."""
+        if self.desk.judge.waiting:
+            unused = self.desk.measure_unused(now_ms - since_ms)
+            for verdict in self.desk.judge.observe(unused, now_ms=now_ms):
+                self._record_verdict(verdict)
+        self.desk.memory.forget_old(now_ms)
+        for job_id, workspace in self.desk.memory.take_expired_late().items():
+            self.delete(job_id, workspace)
 
     def _record_verdict(self, verdict: Verdict) -> None:
         outcome = "right" if verdict.is_right else "wrong"
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -139,6 +139,7 @@
                 count_partitions=self._count_partitions,
             ),
             metrics=admission_metrics or AdmissionMetrics(registry=CollectorRegistry()),
+            delete=self.request_dropper.drop,
         )
 
     def apply_settings(self, settings: InstanceSettings) -> None:
@@ -285,7 +286,6 @@
 
     def _submit(self, job_id: str, request: StoredRequest) -> None:
         if self.admission.is_dropped(job_id, request):
-            self._execute(ForgetJob(job_id=job_id, workspace=request.workspace, only_request=True))
             return
         now_ms, wall_ms = self.times()
         self.handle_event(
--- a/heatherkeel/gateway/admission.py
+++ b/heatherkeel/gateway/admission.py
@@ -8,7 +8,6 @@
 import trio
 
 from heatherkeel.admission.const import ANSWER_WAIT_S
-from heatherkeel.admission.models import Doubt
 from heatherkeel.dispatch.building import critical_paths_ms, remaining_work
 from heatherkeel.dispatch.records import StoredRequest
 from heatherkeel.helpers.clock import wall_ms
@@ -51,7 +50,7 @@
     with trio.move_on_after(max(0.0, min(ANSWER_WAIT_S, exchange.remaining_s()))):
         answer = await exchange.context.lookup.async_ask_admission(question)
     if answer is None:
-        _log_unanswered(question)
+        _record_silence(exchange, question)
         return False
     if not answer.refusal:
         return False
@@ -67,12 +66,14 @@
 ) -> bool:
     """Return whether a job may be refused.
 
-    A repeated submission never is. If the store is unavailable, the caller is told so.
+    A repeated submission never is, nor one to an owner that has just failed to answer. If the store
+    is unavailable, the caller is told so.
     """
     return (
         bool(stored.attempt)
         and can_be_refused(stored.request)
         and not exchange.context.lookup.has_accepted(job_id)
+        and not exchange.context.lookup.is_silent(partition)
         and not exchange.context.store.find_health(JOBS_TOPIC, partition).is_unavailable()
     )
 
@@ -90,14 +91,15 @@
     )
 
 
-def _log_unanswered(question: AdmissionQuestion) -> None:
+def _record_silence(exchange: Exchange, question: AdmissionQuestion) -> None:
+    exchange.context.metrics.admissions_unanswered.inc()
+    exchange.context.lookup.record_silence(question.partition)
     _LOGGER.warning(
         "the backlog is not known; the job is accepted",
         extra={
             "event": "admission_unknown",
             "job": question.job_id,
             "partition": question.partition,
-            "doubt": Doubt.UNANSWERED.value,
         },
     )
 
--- a/heatherkeel/gateway/lookup.py
+++ b/heatherkeel/gateway/lookup.py
@@ -8,7 +8,7 @@
 import trio
 from result import Err, Ok, Result
 
-from heatherkeel.admission.const import ANSWER_WAIT_S
+from heatherkeel.admission.const import ANSWER_WAIT_S, SILENCE_MS
 from heatherkeel.dispatch.models import JobState
 from heatherkeel.dispatch.recovery import StoredJobs, read_records
 from heatherkeel.helpers.clock import monotonic_ms
@@ -68,6 +68,8 @@
     links: QuestionLinks
     recent: dict[str, RecentJob] = field(default_factory=dict)
     cached_records: dict[int, CachedRecords] = field(default_factory=dict)
+    silent_until_ms: dict[int, int] = field(default_factory=dict)
+    """By partition, until when its owner isn't asked about admission."""
 
     def remember(self, job_id: str, workspace: str = "") -> None:
         """Remember a job that this process has just accepted."""
@@ -93,6 +95,14 @@
         """Return whether this process has accepted a job a short time ago."""
         return job_id in self.recent
 
+    def record_silence(self, partition: int) -> None:
+        """Ask a partition's owner nothing about admission for some time."""
+        self.silent_until_ms[partition] = monotonic_ms() + SILENCE_MS
+
+    def is_silent(self, partition: int) -> bool:
+        """Return whether a partition's owner isn't asked about admission."""
+        return monotonic_ms() < self.silent_until_ms.get(partition, 0)
+
     def _find_recent(self, job_id: str) -> FoundJob | None:
         recent = self.recent.get(job_id)
         if recent is None:
--- a/heatherkeel/gateway/metrics.py
+++ b/heatherkeel/gateway/metrics.py
@@ -30,6 +30,11 @@
             registry=self.registry,
         )
         self.labels = WorkspaceLabels()
+        self.admissions_unanswered = Counter(
+            "heatherkeel_admissions_unanswered",
+            "Jobs that were accepted since their owner didn't say whether they can be served.",
+            registry=self.registry,
+        )
         self.durations = Histogram(
             "heatherkeel_job_request_duration_seconds",
             "Time from a request's head to the end of its answer, by method.",
--- a/tests/admission/test_service.py
+++ b/tests/admission/test_service.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry
 from result import Err, Ok, Result
 
+from heatherkeel.admission.const import REMEMBERED_MS
 from heatherkeel.admission.metrics import AdmissionMetrics
 from heatherkeel.admission.models import Doubt, PoolBacklog, RefusalReason
 from heatherkeel.admission.service import AdmissionService, OwnerView
@@ -32,6 +33,7 @@
         self.job_ids = job_ids
         self.is_silent = is_silent
         self.read_count = 0
+        self.deleted: list[str] = []
 
     async def async_read_at_once(
         self, topic: str, partition: int, *, start: int
@@ -58,6 +60,7 @@
             is_current=lambda: True, next_offset=lambda: 5, count_partitions=lambda queue: 1
         ),
         metrics=AdmissionMetrics(registry=CollectorRegistry()),
+        delete=lambda job_id, workspace: store.deleted.append(job_id),
     )
     service.desk.opened_ms = monotonic_ms() - 60_000
     service.desk.meter.measured["portal"] = PoolBacklog(
@@ -109,18 +112,45 @@
     assert all(answer.refusal for answer in answers) and store.read_count <= 2
 
 
-def test_late_record_of_a_refused_job_is_dropped_once_and_others_run() -> None:
-    service = make_service(ReadStore())
-    question = msgspec.structs.replace(QUESTION, sent_wall_ms=wall_ms())
-    assert trio.run(service.async_answer, question).refusal
-    early = StoredRequest(
+def make_early_record() -> StoredRequest:
+    """Return the record of a submission from before the refusal."""
+    return StoredRequest(
         queue="quotes",
         service="portal",
         accepted_wall_ms=wall_ms() - 1000,
         attempt="a0",
         request=JobRequest(),
     )
+
+
+def refuse(service: AdmissionService) -> None:
+    """Let a job be refused."""
+    question = msgspec.structs.replace(QUESTION, sent_wall_ms=wall_ms())
+    assert trio.run(service.async_answer, question).refusal
+
+
+def test_late_record_of_a_refused_job_never_runs_and_is_deleted() -> None:
+    store = ReadStore()
+    service = make_service(store)
+    refuse(service)
+    assert service.is_dropped(QUESTION.job_id, make_early_record())
+    now_ms = monotonic_ms()
+    service.follow_refusals(now_ms=now_ms, since_ms=now_ms)
+    assert store.deleted == []
+    service.follow_refusals(now_ms=now_ms + REMEMBERED_MS + 1000, since_ms=now_ms)
+    assert store.deleted == [QUESTION.job_id]
+
+
+def test_job_that_returns_runs_and_its_record_is_not_deleted() -> None:
+    """Guards against a late record's deletion that also deletes the accepted job's record."""
+    store = ReadStore()
+    service = make_service(store)
+    refuse(service)
+    early = make_early_record()
     assert service.is_dropped(QUESTION.job_id, early)
     returned = msgspec.structs.replace(early, accepted_wall_ms=wall_ms() + 2000, attempt="a2")
     assert not service.is_dropped(QUESTION.job_id, returned)
     assert not service.is_dropped(QUESTION.job_id, early)
+    now_ms = monotonic_ms()
+    service.follow_refusals(now_ms=now_ms + REMEMBERED_MS + 1000, since_ms=now_ms)
+    assert store.deleted == []
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -96,6 +96,17 @@
     assert len(store.values) == 1 and b'"attempt"' in store.values[0]
 
 
+def test_silent_owner_is_not_asked_about_each_job() -> None:
+    """Guards against a lost owner that delays every submission to its partition."""
+    links = AdmissionLinks(None)
+    app = make_admitting_app(KeepingStore(), links)
+    for _ in range(3):
+        app.context.lookup.recent.clear()
+        assert submit(app)["status"] == 200
+    assert len(links.asked) == 1
+    assert app.context.metrics.admissions_unanswered._value.get() == 1
+
+
 def test_accepted_job_is_not_refused_when_it_is_submitted_again() -> None:
     links = AdmissionLinks(AdmissionAnswer())
     app = make_admitting_app(KeepingStore(), links)
--- a/tests/instance/test_admission.py
+++ b/tests/instance/test_admission.py
@@ -11,40 +11,62 @@
 from .site import Site, open_site
 
 IN_FORCE = ("pressure",)
-ACCEPTED, REFUSED, RETURNED = "00000000000000aa", "00000000000000bb", "00000000000000cc"
+ACCEPTED = "00000000000000aa"
 
 
-async def async_start(site: Site) -> tuple[InstanceProcess, InstanceProcess]:
-    """Start two processes that admit by backlog; returns the owner and the other one."""
+async def async_start(site: Site) -> InstanceProcess:
+    """Start two processes that admit by backlog; returns one that doesn't own the jobs' partition.
+
+    Partitions may still move between them, so tests wait for what they expect.
+    """
     for _ in range(2):
         await site.async_add_process(contracts=IN_FORCE)
-    return await site.async_find_owner("portal")
+    _, other = await site.async_find_owner("portal")
+    return other
+
+
+def set_backlog(site: Site, *, running: float) -> None:
+    """Let each owner believe that its pool has this much to do, from now on."""
+    for process in site.processes:
+        for owner in process.owners.values():
+            owner.admission.desk.opened_ms = monotonic_ms() - 60_000
+            owner.admission.desk.meter.measured["portal"] = PoolBacklog(
+                measured_ms=monotonic_ms() + 60_000, cores=1.0, running=running, lasted_ms=10_000
+            )
+
+
+async def async_refuse_one(site: Site, process: InstanceProcess) -> str:
+    """Submit jobs until one is refused; returns its ID."""
+    refused: list[str] = []
+    count = 0
 
+    async def async_check() -> bool:
+        nonlocal count
+        count += 1
+        job_id = f"{count:016x}"
+        set_backlog(site, running=1_000_000.0)
+        if await site.async_submit(process, job_id, "work 50") == 503:
+            refused.append(job_id)
+        return bool(refused)
 
-def set_backlog(owner: InstanceProcess, *, running: float) -> None:
-    """Let the owner believe that its pool has this much to do, from now on."""
-    for partition in owner.owners.values():
-        desk = partition.admission.desk
-        desk.opened_ms = monotonic_ms() - 60_000
-        desk.meter.measured["portal"] = PoolBacklog(
-            measured_ms=monotonic_ms() + 60_000, cores=1.0, running=running, lasted_ms=10_000
-        )
+    await site.async_wait_for(async_check)
+    return refused[0]
 
 
-def test_hopeless_job_is_refused_by_another_process_and_never_runs() -> None:
+def test_hopeless_job_is_refused_and_never_runs() -> None:
     """Guards against refusals that aren't true: the job is neither stored nor started."""
 
     async def async_test() -> None:
         async with open_site(processes=0) as site:
-            owner, other = await async_start(site)
-            assert await site.async_submit(other, ACCEPTED, "work 50") == 200
-            await site.async_wait_state(other, ACCEPTED, "complete")
-            set_backlog(owner, running=1_000_000.0)
-            assert await site.async_submit(other, REFUSED, "work 50") == 503
-            assert await site.async_state(other, REFUSED) == "410"
-            assert site.starts(REFUSED) == []
-            # The owner's own process asks itself; an accepted job stays accepted everywhere.
-            assert await site.async_submit(owner, ACCEPTED, "work 50") == 200
+            process = await async_start(site)
+            assert await site.async_submit(process, ACCEPTED, "work 50") == 200
+            await site.async_wait_state(process, ACCEPTED, "complete")
+            refused = await async_refuse_one(site, process)
+            await site.async_wait_state(process, refused, "410")
+            assert site.starts(refused) == []
+            # An accepted job stays accepted, whichever process is asked.
+            for each in site.processes:
+                assert await site.async_submit(each, ACCEPTED, "work 50") == 200
 
     trio.run(async_test)
 
@@ -52,12 +74,11 @@
 def test_refused_job_is_served_when_it_returns() -> None:
     async def async_test() -> None:
         async with open_site(processes=0) as site:
-            owner, other = await async_start(site)
-            set_backlog(owner, running=1_000_000.0)
-            assert await site.async_submit(other, RETURNED, "work 50") == 503
-            set_backlog(owner, running=0.0)
-            assert await site.async_submit(other, RETURNED, "work 50") == 200
-            await site.async_wait_state(other, RETURNED, "complete")
+            process = await async_start(site)
+            refused = await async_refuse_one(site, process)
+            set_backlog(site, running=0.0)
+            assert await site.async_submit(process, refused, "work 50") == 200
+            await site.async_wait_state(process, refused, "complete")
 
     trio.run(async_test)
 
@@ -67,11 +88,12 @@
 
     async def async_test() -> None:
         async with open_site(processes=0) as site:
-            owner, other = await async_start(site)
-            set_backlog(owner, running=1_000_000.0)
-            for partition in owner.owners.values():
-                partition.is_restored = False
-            assert await site.async_submit(other, ACCEPTED, "work 50") == 200
+            process = await async_start(site)
+            set_backlog(site, running=1_000_000.0)
+            for each in site.processes:
+                for owner in each.owners.values():
+                    owner.is_restored = False
+            assert await site.async_submit(process, ACCEPTED, "work 50") == 200
 
     trio.run(async_test)
 
@@ -79,8 +101,8 @@
 def test_nothing_is_refused_where_it_is_off() -> None:
     async def async_test() -> None:
         async with open_site(processes=2) as site:
-            owner, other = await site.async_find_owner("portal")
-            set_backlog(owner, running=1_000_000.0)
-            assert await site.async_submit(other, ACCEPTED, "work 50") == 200
+            _, process = await site.async_find_owner("portal")
+            set_backlog(site, running=1_000_000.0)
+            assert await site.async_submit(process, ACCEPTED, "work 50") == 200
 
     trio.run(async_test)
