Start nothing for a partition once its tasks have ended

An owner that released its partition still heard of changes of the directory while its calls ended, and opened sessions in its closed nursery. Change: the nursery is forgotten and the directory unsubscribed before the first wait.

--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -170,10 +170,12 @@
                 nursery.start_soon(self._async_tick)
                 nursery.start_soon(self.queries.async_watch_machines)
                 self._update_from_directory()
-        with trio.CancelScope(shield=True):
-            await self.queries.close()
+        # Before the first wait: an event meanwhile would start a task in the closed nursery.
+        self.nursery = None
         if self._update_from_directory in self.directory.subscribers:
             self.directory.unsubscribe(self._update_from_directory)
+        with trio.CancelScope(shield=True):
+            await self.queries.close()
 
     def close(self) -> None:
         """Release the partition: no order is sent after this."""
@@ -463,8 +465,8 @@
             case OpenSessions():
                 self._open_sessions()
             case AskAdvice():
-                assert self.nursery is not None
-                self.nursery.start_soon(self.queries.async_ask_advice, effect)
+                if self.nursery is not None:
+                    self.nursery.start_soon(self.queries.async_ask_advice, effect)
             case CountLoss():
                 self.metrics.count_loss(effect.reason)
             case CountLimited():
--- a/tests/questions/test_answering.py
+++ b/tests/questions/test_answering.py
@@ -23,7 +23,9 @@
         self.is_restored = True
         self.state = PartitionState(token=7, lease_ms=6000, status_ms=1000, now_ms=5000)
 
-    def set_leaving_workers(self, worker_ids: frozenset[str], *, due: frozenset[str]) -> None:
+    def set_leaving_workers(
+        self, worker_ids: frozenset[str], *, due: frozenset[str], yielding: frozenset[str]
+    ) -> None:
         """Empty no workers."""
 
 
