Keep learned durations finite whatever is told, and log each switch

A row from another process with huge sums could have overflowed an exponential and ended the process. A switch within the log interval wasn't logged until the ratio changed.

--- a/heatherkeel/durations/book.py
+++ b/heatherkeel/durations/book.py
@@ -13,6 +13,7 @@
     LOG_FACTOR,
     LOG_INTERVAL_MS,
     MAX_AGE_MS,
+    MAX_LOG_MS,
     MAX_QUEUES,
     MAX_REPORTED,
     MAX_REPORTED_CONTENTS,
@@ -42,6 +43,7 @@
     """Learned durations take the place of the declared ones."""
     logged_ratio: float = 0.0
     """Logarithm of the real by the declared duration, as last logged."""
+    logged_is_used: bool = False
     logged_ms: int | None = None
 
 
@@ -162,6 +164,8 @@
 
     def _is_news(self, key: int, ended: Ended) -> bool:
         """Return whether others know a content better; what is known here isn't replaced."""
+        if not 0 <= ended.mean_log <= MAX_LOG_MS:
+            return False
         known = self.contents.find(key)
         return known is None or known.tasks < ended.tasks
 
@@ -179,15 +183,15 @@
 
     def _update(self, queue: str, known: QueueKnowledge, now_ms: int) -> None:
         known.total = add_up([known.own, known.told])
-        was_used = known.is_used
-        known.is_used = known.total.is_better(is_used=was_used)
+        known.is_used = known.total.is_better(is_used=known.is_used)
         ratio = known.total.ratio / known.total.steps if known.total.steps else 0.0
         has_changed = abs(ratio - known.logged_ratio) >= log(LOG_FACTOR)
         is_due = known.logged_ms is None or now_ms - known.logged_ms >= LOG_INTERVAL_MS
         if known.total.steps < MIN_STEPS or not is_due:
             return
-        if has_changed or was_used != known.is_used:
+        if has_changed or known.logged_is_used != known.is_used:
             known.logged_ratio = ratio
+            known.logged_is_used = known.is_used
             known.logged_ms = now_ms
             _log_queue(queue, known)
 
--- a/heatherkeel/durations/const.py
+++ b/heatherkeel/durations/const.py
@@ -29,6 +29,8 @@
 MAX_LOG_ERROR: Final = 2.3
 """Maximum logarithm of the factor by which one step counts as off, about a factor of ten, so that a
 few steps on slow workers don't change a queue's estimate."""
+MAX_LOG_MS: Final = 22.0
+"""Maximum logarithm of a duration in milliseconds, about six weeks."""
 MAX_CONTENTS: Final = 10_000
 """Maximum number of contents that an owner keeps, half of them seen once; about 4 MB."""
 MAX_CONTENT_TASKS: Final = 64.0
--- a/heatherkeel/durations/estimator.py
+++ b/heatherkeel/durations/estimator.py
@@ -37,9 +37,10 @@
     """Return the expected durations of a step's tasks."""
     typical, _ = find_typical_log(sums, declared_ms, known)
     spread = sums.task_spread()
+    mean_log = typical + spread / 2
+    longest_log = typical + sqrt(spread) * _expected_maximum(tasks)
     return StepEstimate(
-        task_ms=round(exp(typical + spread / 2)),
-        longest_ms=round(exp(typical + sqrt(spread) * _expected_maximum(tasks))),
+        task_ms=round(exp(mean_log)), longest_ms=round(exp(max(mean_log, longest_log)))
     )
 
 
--- a/heatherkeel/durations/sums.py
+++ b/heatherkeel/durations/sums.py
@@ -11,6 +11,7 @@
     DECLARED_ERROR,
     KEEP_FACTOR,
     MAX_LOG_ERROR,
+    MAX_LOG_MS,
     MEMORY_STEPS,
     MIN_SPREAD,
     MIN_STEPS,
@@ -55,7 +56,8 @@
         squares = max(0.0, self.declared_squares - self.declared * mean)
         products = self.products - self.ratio * mean
         slope = max(-1.0, min(0.0, products / (squares + SLOPE_PRIOR)))
-        return declared + self.ratio / (self.steps + BIAS_PRIOR) + slope * (declared - mean)
+        bias = self.ratio / (self.steps + BIAS_PRIOR)
+        return max(0.0, min(MAX_LOG_MS, declared + bias + slope * (declared - mean)))
 
     def declared_rms(self) -> float:
         """Return the root mean square error of the logarithms of declared durations."""
@@ -63,12 +65,14 @@
 
     def learned_rms(self) -> float:
         """Return the root mean square error of the logarithms of learned durations."""
-        return sqrt(self.learned_error / self.steps) if self.steps else 0.0
+        error = sqrt(self.learned_error / self.steps) if self.steps else 0.0
+        return min(MAX_LOG_ERROR, error)
 
     def task_spread(self) -> float:
         """Return the variance of the logarithms of durations of one step's tasks."""
         squares = self.spread + SPREAD_PRIOR * SPREAD_PRIOR_TASKS
-        return max(MIN_SPREAD, squares / (self.spread_tasks + SPREAD_PRIOR_TASKS))
+        spread = squares / (self.spread_tasks + SPREAD_PRIOR_TASKS)
+        return max(MIN_SPREAD, min(MAX_LOG_ERROR, spread))
 
     def is_better(self, *, is_used: bool) -> bool:
         """Return whether declared durations are far off and learned ones are clearly better."""
--- a/tests/durations/test_book.py
+++ b/tests/durations/test_book.py
@@ -259,3 +259,22 @@
 def test_operators_switch(monkeypatch: pytest.MonkeyPatch, value: str, expected: bool) -> None:
     monkeypatch.setenv(SWITCH_VARIABLE, value)
     assert is_switched_on() is expected
+
+
+def test_a_single_task_is_its_steps_longest() -> None:
+    book = DurationBook(owner=1)
+    teach(book)
+    estimates = book.estimate(QUEUE, make_request(count=1), 2000)
+    assert estimates is not None
+    assert estimates[0].longest_ms == estimates[0].task_ms
+
+
+def test_a_switch_that_is_not_due_for_the_log_is_logged_later(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    book = DurationBook(owner=1)
+    teach(book, off=0.2, steps=40)
+    teach(book, off=1.5, steps=300)
+    logged = [vars(record)["is_used"] for record in caplog.records]
+    assert logged and logged[-1] is book.queues[QUEUE].is_used is True
--- a/tests/durations/test_sums.py
+++ b/tests/durations/test_sums.py
@@ -6,8 +6,11 @@
 from random import Random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from heatherkeel.durations.const import MAX_LOG_ERROR, MEMORY_STEPS, MIN_STEPS
+from heatherkeel.durations.estimator import estimate_step
 from heatherkeel.durations.models import StepTimes
 from heatherkeel.durations.sums import QueueSums, add_up
 
@@ -95,3 +98,14 @@
 
 def test_known_spread_of_tasks() -> None:
     assert learn(off=0.2).task_spread() == pytest.approx(0.09, rel=0.25)
+
+
+@given(st.lists(st.floats(allow_nan=False, allow_infinity=False), min_size=9, max_size=9))
+def test_whatever_is_told_estimates_stay_finite(row: list[float]) -> None:
+    """Guards against a process that stops by sums that overflow."""
+    sums = QueueSums.from_row(row)
+    if sums is None:
+        return
+    for declared_ms in (0, 900, 1 << 40):
+        estimate = estimate_step(sums, declared_ms=declared_ms, tasks=20_000, known=None)
+        assert 0 <= estimate.task_ms <= estimate.longest_ms
