--- a/heatherkeel/admission/const.py
+++ b/heatherkeel/admission/const.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-ANSWER_WAIT_S: Final = 0.3
+ANSWER_WAIT_S: Final = 0.15
 """How long a submission waits for its partition's owner, in seconds; a job whose owner doesn't
 answer in time is accepted."""
 SILENCE_MS: Final = 1000
