--- a/heatherkeel/admission/measure.py
+++ b/heatherkeel/admission/measure.py
@@ -7,9 +7,10 @@
 from itertools import islice
 
 from heatherkeel.dispatch.const import ESTIMATE_SLACK
-from heatherkeel.dispatch.models import Step, Worker
+from heatherkeel.dispatch.models import Step
 from heatherkeel.dispatch.open_steps import Urgency, find_urgency, find_worthless_ms
 from heatherkeel.dispatch.state import PartitionState, Pool
+from heatherkeel.dispatch.worker import Worker
 
 from .const import (
     GROWTH_WINDOW_MS,
--- a/heatherkeel/dispatch/capacity.py
+++ b/heatherkeel/dispatch/capacity.py
@@ -6,9 +6,10 @@
 
 from .events import Effects, SaveJob
 from .jobs import stop_run
-from .models import Run, RunState, Worker
+from .models import Run, RunState
 from .pools import enqueue_step
 from .state import PartitionState
+from .worker import Worker
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -10,12 +10,13 @@
 from .const import QUARANTINE_FAILURES
 from .events import CountGivenUp, CountLoss, Effects, SaveJob
 from .jobs import end_job, save_ended_job, stop_run
-from .models import Job, JobState, LossReason, Run, Task, Worker
+from .models import Job, JobState, LossReason, Run, Task
 from .pools import enqueue_step, find_pool, remove_run
 from .stalled import quarantine_worker
 from .state import PartitionState
 from .suspicion import clear_suspicion, count_crash
 from .timing import measure_run, record_step_durations
+from .worker import Worker
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -12,7 +12,8 @@
 from heatherkeel.workspaces.amounts import Amount
 from heatherkeel.workspaces.messages import GrantOffer
 
-from .models import LossReason, Run, Step, Worker
+from .models import LossReason, Run, Step
+from .worker import Worker
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/dispatch/eviction.py
+++ b/heatherkeel/dispatch/eviction.py
@@ -6,9 +6,10 @@
 from .const import GIVE_WAY_MS
 from .events import Effects
 from .jobs import stop_run
-from .models import Run, RunState, Step, Task, Worker
+from .models import Run, RunState, Step, Task
 from .open_steps import Urgency
 from .state import PartitionState
+from .worker import Worker
 
 
 def evict_tasks(state: PartitionState, effects: Effects) -> None:
--- a/heatherkeel/dispatch/incarnations.py
+++ b/heatherkeel/dispatch/incarnations.py
@@ -8,11 +8,12 @@
 from .const import MIN_UNRESPONSIVE_MS, SLOWEST_CLOCK
 from .ends import lose_run
 from .events import Effects, IncarnationsListed, OpenSessions, StopTask
-from .models import LossReason, Run, RunState, Worker
+from .models import LossReason, Run, RunState
 from .pools import find_pool
 from .registry import handles
 from .state import PartitionState
 from .suspicion import find_sole_suspect
+from .worker import Worker
 from .worker_log import log_restart, log_worker_event
 
 
--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -13,9 +13,9 @@
 
 from .claims import measure_claims, measure_kept
 from .const import CAPACITY_GRACE_MS, MAX_NEEDS
-from .models import Worker
 from .open_steps import Urgency, find_urgency
 from .state import PartitionState, Pool
+from .worker import Worker
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/dispatch/pacing.py
+++ b/heatherkeel/dispatch/pacing.py
@@ -12,8 +12,9 @@
     PACE_UP_STEP,
 )
 from .events import Effects, PaceTask
-from .models import Run, RunState, Worker
+from .models import Run, RunState
 from .state import PartitionState
+from .worker import Worker
 
 _LOGGER = logging.getLogger(__name__)
 FULL_PACE = 100
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -10,11 +10,12 @@
 from .const import LONG_RUNNING_FRACTION_PER_WORKER, MAX_MISFITS
 from .events import Effects, SaveJob, StartTask
 from .limits import is_within_limit, report_waits_for_limit
-from .models import JobState, Run, RunState, Step, Task, Worker
+from .models import JobState, Run, RunState, Step, Task
 from .pools import find_pool
 from .state import PartitionState, Pool
 from .suspicion import group_candidates
 from .tickets import find_ticketed_workers, needs_advice
+from .worker import Worker
 
 
 def place_tasks(state: PartitionState, service: str, effects: Effects) -> None:
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -16,7 +16,7 @@
 from .building import set_objective
 from .const import LEASE_MS, SLOWEST_CLOCK
 from .incarnations import add_worker
-from .models import Job, Run, Worker
+from .models import Job, Run
 from .pools import enqueue_step
 from .records import (
     CANCEL_PREFIX,
@@ -30,6 +30,7 @@
     restore_progress,
 )
 from .state import PartitionState
+from .worker import Worker
 
 _LOGGER = logging.getLogger(__name__)
 RecordT = TypeVar("RecordT")
--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -29,8 +29,9 @@
     WorkerAnswered,
     WorkerFailed,
 )
-from .models import RunState, Worker
+from .models import RunState
 from .retries import choose_retry_pause_ms
+from .worker import Worker
 
 if TYPE_CHECKING:
     from .owner import PartitionOwner
--- a/heatherkeel/dispatch/stalled.py
+++ b/heatherkeel/dispatch/stalled.py
@@ -12,9 +12,10 @@
 )
 from .events import Effects
 from .jobs import stop_run
-from .models import Run, RunState, Worker
+from .models import Run, RunState
 from .pools import find_pool
 from .state import PartitionState
+from .worker import Worker
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -11,8 +11,9 @@
 
 from .building import remaining_work
 from .const import ARRIVAL_WINDOW_MS, LEASE_MS
-from .models import Job, Worker
+from .models import Job
 from .open_steps import OpenSteps
+from .worker import Worker
 
 
 @dataclass(kw_only=True, slots=True)
--- a/heatherkeel/dispatch/suspicion.py
+++ b/heatherkeel/dispatch/suspicion.py
@@ -16,7 +16,8 @@
     PROVEN_MS,
 )
 from .events import Effects, SaveJob
-from .models import Job, LossReason, Run, RunState, Step, Task, Worker
+from .models import Job, LossReason, Run, RunState, Step, Task
+from .worker import Worker
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/heatherkeel/dispatch/tickets.py
+++ b/heatherkeel/dispatch/tickets.py
@@ -6,9 +6,10 @@
 
 from .const import ADVICE_RETRY_MS, MAX_ADVICE_WORKERS, TICKET_MARGIN_MS
 from .events import AdviceReceived, AskAdvice, Effects
-from .models import Step, Ticket, Worker
+from .models import Step, Ticket
 from .registry import handles
 from .state import PartitionState
+from .worker import Worker
 
 
 def needs_advice(state: PartitionState, step: Step) -> bool:
--- a/heatherkeel/dispatch/timing.py
+++ b/heatherkeel/dispatch/timing.py
@@ -7,8 +7,9 @@
 
 from .const import MAX_UNWATCHED_MS, MIN_MEASURED_FRACTION
 from .events import Effects, ObserveDuration
-from .models import Run, RunState, Step, Worker
+from .models import Run, RunState, Step
 from .state import PartitionState
+from .worker import Worker
 
 
 def measure_run(worker: Worker, run: Run, now_ms: int) -> int | None:
--- a/heatherkeel/dispatch/worker_log.py
+++ b/heatherkeel/dispatch/worker_log.py
@@ -7,8 +7,8 @@
 from heatherkeel.platform.operator import WorkerEntry
 from heatherkeel.platform.workers import EndedTask, Listing
 
-from .models import Worker
 from .state import PartitionState
+from .worker import Worker
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -23,13 +23,14 @@
 from .eviction import evict_tasks
 from .incarnations import add_worker, drop_if_expired, end_incarnation, start_incarnation
 from .jobs import stop_run
-from .models import LossReason, Run, RunState, Worker
+from .models import LossReason, Run, RunState
 from .pacing import adjust_pace
 from .pools import enqueue_step
 from .registry import handles
 from .stalled import quarantine_if_stalled
 from .state import PartitionState
 from .suspicion import record_listed_run
+from .worker import Worker
 from .worker_log import log_ignored_end, log_ignored_entry, log_worker_answered, log_worker_event
 
 _LOGGER = logging.getLogger(__name__)
--- a/tests/dispatch/test_owner_end.py
+++ b/tests/dispatch/test_owner_end.py
@@ -12,8 +12,8 @@
 
 from heatherkeel.directory.directory import Directory
 from heatherkeel.dispatch.metrics import DispatchMetrics
-from heatherkeel.dispatch.models import Worker
 from heatherkeel.dispatch.owner import PartitionOwner
+from heatherkeel.dispatch.worker import Worker
 from heatherkeel.gateway.metrics import GatewayMetrics
 from heatherkeel.ownership.partition_ownership import PartitionOwnership
 from heatherkeel.platform.settings import InstanceSettings, ListenAddresses, StoreSettings
--- a/tests/instance/test_shrinking_capacity.py
+++ b/tests/instance/test_shrinking_capacity.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from heatherkeel.dispatch.models import Worker
+from heatherkeel.dispatch.worker import Worker
 
 from .site import STEP, Site, open_site
 
