--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -12,12 +12,11 @@
 from heatherkeel.admission.metrics import AdmissionMetrics
 from heatherkeel.admission.service import AdmissionService, OwnerView
 from heatherkeel.directory.directory import Directory
-from heatherkeel.directory.follower import TopicFollower, async_read_newest_with_retry
+from heatherkeel.directory.follower import async_read_newest_with_retry
 from heatherkeel.durations.switch import is_switched_on
 from heatherkeel.helpers.clock import monotonic_ms, wall_ms
-from heatherkeel.ownership.const import JOBS_TOPIC, WORK_TOPIC
+from heatherkeel.ownership.const import WORK_TOPIC
 from heatherkeel.ownership.partition_ownership import PartitionOwnership
-from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import WorkerEntry, Workspace
 from heatherkeel.platform.settings import InstanceSettings
 from heatherkeel.platform.store import StoreClient
@@ -26,7 +25,6 @@
 from . import subjects  # noqa: F401
 from .const import (
     ENTRY_MARGIN_MS,
-    FOLLOW_WAIT_MS,
     GRANTS_RETRY_S,
     LEASE_MS,
     MAX_READ_AGE_MS,
@@ -45,8 +43,6 @@
     Event,
     ForgetJob,
     GrantsOffered,
-    JobCanceled,
-    JobSubmitted,
     LimitsChanged,
     ObserveDuration,
     OpenSessions,
@@ -60,13 +56,13 @@
     WorkersListed,
 )
 from .inquiries import OwnerQueries
+from .job_feed import JobFeed
 from .jobs import stop_leftover_runs
 from .journal import Journal
 from .limits import measure_waiting
 from .metrics import DispatchMetrics
 from .records import (
     PROGRESS_PREFIX,
-    StoredRequest,
     encode_progress,
 )
 from .recovery import StoredJobs, read_records, restore_jobs
@@ -126,10 +122,6 @@
         self.queries = OwnerQueries(owner=self)
         self.request_dropper = RequestDropper(store=store, partition=partition)
         self.submissions = SubmissionBatches(store=store, partition=partition)
-        self.jobs_end_offset = 0
-        self.jobs_as_of_ms: int | None = None
-        """When the read of all jobs began, on the monotonic clock."""
-        self.follower: TopicFollower | None = None
         self.workspaces: dict[str, Workspace] = {}
         """The workspaces by which the limits were last updated."""
         self.admission = AdmissionService(
@@ -138,12 +130,19 @@
             partition=partition,
             view=OwnerView(
                 is_current=self.is_current,
-                next_offset=lambda: self.follower.next_offset if self.follower else None,
+                next_offset=lambda: self.feed.next_offset(),
                 count_partitions=self._count_partitions,
             ),
             metrics=admission_metrics or AdmissionMetrics(registry=CollectorRegistry()),
             delete=self.request_dropper.drop,
         )
+        self.feed = JobFeed(
+            store=store,
+            partition=partition,
+            directory=directory,
+            handle_event=self.handle_event,
+            is_dropped=self.admission.is_dropped,
+        )
 
     def apply_settings(self, settings: InstanceSettings) -> None:
         """Apply the settings, which may have changed."""
@@ -162,7 +161,7 @@
                 self.nursery = nursery
                 self.directory.subscribe(self._update_from_directory)
                 nursery.start_soon(self.journal.async_run)
-                nursery.start_soon(self._async_follow_jobs)
+                nursery.start_soon(self.feed.async_run)
                 nursery.start_soon(self.request_dropper.async_run)
                 nursery.start_soon(self.submissions.async_run)
                 nursery.start_soon(self.admission.async_run)
@@ -197,7 +196,7 @@
         An owner without access to the store doesn't learn of jobs that others accept meanwhile,
         and must not report to callers that these don't exist.
         """
-        as_of_ms = self.follower.as_of_ms if self.follower is not None else None
+        as_of_ms = self.feed.as_of_ms()
         return (
             self.is_restored
             and self.can_order()
@@ -241,14 +240,12 @@
         if not await self.journal.async_open():
             await trio.sleep_forever()
         work = await async_read_newest_with_retry(self.store, WORK_TOPIC, self.partition)
-        self.jobs_as_of_ms = monotonic_ms()
-        jobs = await async_read_newest_with_retry(self.store, JOBS_TOPIC, self.partition)
-        self.jobs_end_offset = jobs.end
+        jobs = await self.feed.async_read()
         now_ms, wall_ms = self.times()
         self.state.now_ms, self.state.wall_ms = now_ms, wall_ms
         self._update_from_directory()
-        stored = read_records(work.records + jobs.records)
-        self._record_versions(stored)
+        stored = read_records(work.records + jobs)
+        self.feed.record_versions(stored)
         restore_jobs(self.state, stored)
         self._submit_stored(stored)
         self.is_restored = True
@@ -266,10 +263,7 @@
         )
 
     def _submit_stored(self, stored: StoredJobs) -> None:
-        for job_id, request in stored.requests.items():
-            if job_id not in stored.progress:
-                self._submit(job_id, request)
-        self._submit_duplicates(stored)
+        self.feed.submit(stored)
         effects = Effects()
         stop_leftover_runs(self.state, effects)
         for job in self.state.finished.values():
@@ -277,48 +271,12 @@
                 effects.add(ForgetJob(job_id=job.id, workspace=job.workspace, only_request=True))
         for effect in effects.items:
             self._execute(effect)
-        self._cancel_stored(stored)
-
-    def _submit_duplicates(self, stored: StoredJobs) -> None:
-        """Submit requests with IDs of other workspaces' jobs, so that their records are deleted."""
-        for job_id, duplicates in stored.duplicates.items():
-            for request in duplicates:
-                self._submit(job_id, request)
-
-    def _cancel_stored(self, stored: StoredJobs) -> None:
-        now_ms, wall_ms = self.times()
-        for job_id, workspace in stored.canceled.items():
-            self.handle_event(
-                JobCanceled(now_ms=now_ms, wall_ms=wall_ms, job_id=job_id, workspace=workspace)
-            )
-
-    def _record_versions(self, stored: StoredJobs) -> None:
-        """Tell the directory by which versions of the configuration others have accepted jobs."""
-        versions = [request.version for request in stored.requests.values()]
-        self.directory.record_named_version(max(versions, default=0))
+        self.feed.cancel(stored)
 
     def _count_partitions(self, queue: str) -> int:
         known = self.state.queues.get(queue)
         return len(self.directory.state.layout.partitions_of(known.service)) if known else 1
 
-    def _submit(self, job_id: str, request: StoredRequest) -> None:
-        if self.admission.is_dropped(job_id, request):
-            return
-        now_ms, wall_ms = self.times()
-        self.handle_event(
-            JobSubmitted(
-                now_ms=now_ms,
-                wall_ms=wall_ms,
-                job_id=job_id,
-                queue=request.queue,
-                service=request.service,
-                request=request.request,
-                accepted_wall_ms=request.accepted_wall_ms,
-                workspace=request.workspace,
-                partitions=len(self.directory.state.layout.partitions_of(request.service)),
-            )
-        )
-
     def _update_from_directory(self) -> None:
         """Update the queues and this partition's workers from the directory."""
         known = self.directory.state
@@ -403,27 +361,6 @@
         for worker_id in self.pending_orders.keys() - self.state.workers.keys():
             del self.pending_orders[worker_id]
 
-    async def _async_follow_jobs(self) -> None:
-        self.follower = follower = TopicFollower(
-            store=self.store,
-            topic=JOBS_TOPIC,
-            partition=self.partition,
-            on_records=self._handle_job_records,
-            on_keys=lambda keys: None,
-            wait_ms=FOLLOW_WAIT_MS,
-        )
-        follower.next_offset = self.jobs_end_offset
-        follower.as_of_ms = self.jobs_as_of_ms
-        await follower.async_run()
-
-    def _handle_job_records(self, records: list[KeyedRecord]) -> None:
-        stored = read_records(records)
-        self._record_versions(stored)
-        for job_id, request in stored.requests.items():
-            self._submit(job_id, request)
-        self._submit_duplicates(stored)
-        self._cancel_stored(stored)
-
     async def _async_tick(self) -> None:
         while True:
             await trio.sleep(TICK_MS / 1000)
