--- a/tests/instance/chaos.py
+++ b/tests/instance/chaos.py
@@ -5,7 +5,7 @@
 import logging
 import sys
 from collections import Counter, defaultdict
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, Final
@@ -23,6 +23,9 @@
 SETTLE_S: Final = 40.0
 """Longest time until all jobs have ended after that, in seconds."""
 MAX_PAUSE_S: Final = 0.35
+SURGE_JOBS: Final = 12
+NEVER_RUNS: Final = (429, 503)
+"""Statuses that promise that a job was not accepted and never runs."""
 
 Action = Callable[[], Awaitable[None]]
 
@@ -35,6 +38,8 @@
     random: Random
     jobs: list[str] = field(default_factory=list)
     long_running: list[str] = field(default_factory=list)
+    refused: list[str] = field(default_factory=list)
+    """Jobs whose callers were told that they never run."""
     failed: list[str] = field(default_factory=list)
     unfinished: list[str] = field(default_factory=list)
     """Jobs not known to have ended in time; checked in order up to the first that hasn't."""
@@ -52,6 +57,8 @@
             (1, self.async_refuse_store),
             (1, self.async_replace_process),
         ]
+        if self.site.contracts:
+            actions.append((3, self.async_submit_surge))
         weights, choices = zip(*actions, strict=True)
         with trio.move_on_after(FAULT_DURATION_S):
             while True:
@@ -108,6 +115,8 @@
         status = await self.site.async_submit(self._pick_process(), job_id, spec, *steps)
         if status == 200:
             accepted.append(job_id)
+        elif status in NEVER_RUNS:
+            self.refused.append(job_id)
 
     async def async_submit(self) -> None:
         steps: list[dict[str, Any]] = [
@@ -117,6 +126,12 @@
         steps = steps[: self.random.randint(1, 2)]
         await self._async_submit_job(self.jobs, f"work {self.random.randint(20, 300)}", *steps)
 
+    async def async_submit_surge(self) -> None:
+        """Submit more than the machines can do in time, so that workspaces and pools compete."""
+        for _ in range(SURGE_JOBS):
+            step = STEP | {"count": self.random.randint(4, 8)}
+            await self._async_submit_job(self.jobs, f"work {self.random.randint(200, 400)}", step)
+
     async def async_submit_long_running(self) -> None:
         if len(self.long_running) < 2:
             await self._async_submit_job(self.long_running, "lasts", STEP | {"longRunning": True})
@@ -197,9 +212,18 @@
     return [f"{job_id} failed without a cause" for job_id in failed if job_id not in justified]
 
 
-async def async_run_chaos(seed: int) -> list[str]:
+def find_refused_starts(history: list[TaskEvent], refused: list[str]) -> list[str]:
+    """Return the starts of tasks of refused jobs."""
+    return [
+        f"{event.task} starts, though its job was refused: {event}"
+        for event in history
+        if event.what is Happening.STARTED and event.task.split(".")[0] in refused
+    ]
+
+
+async def async_run_chaos(seed: int, contracts: Sequence[str] = ()) -> list[str]:
     """Run a site under faults and return the violations."""
-    async with open_site(processes=PROCESSES, machines=MACHINES) as site:
+    async with open_site(processes=PROCESSES, machines=MACHINES, contracts=contracts) as site:
         site.platform.faults.keep_ids = True
         chaos = Chaos(site=site, random=Random(seed))
         await chaos.async_run()
@@ -207,17 +231,21 @@
         history = site.platform.history
         unfinished = [f"{job_id} doesn't end" for job_id in chaos.unfinished[:1]]
         return (
-            unfinished + find_violations(history) + find_unjustified_failures(history, chaos.failed)
+            unfinished
+            + find_violations(history)
+            + find_unjustified_failures(history, chaos.failed)
+            + find_refused_starts(history, chaos.refused)
         )
 
 
 def main() -> None:
-    """Run some seeds, one after the other: `python -m tests.instance.chaos FIRST COUNT`."""
-    first, count = map(int, sys.argv[1:])
+    """Run some seeds in a row: `python -m tests.instance.chaos FIRST COUNT [CONTRACT]`."""
+    first, count = map(int, sys.argv[1:3])
+    contracts = sys.argv[3:]
     logging.disable(logging.CRITICAL)
     for seed in range(first, first + count):
         try:
-            violations = trio.run(async_run_chaos, seed)
+            violations = trio.run(async_run_chaos, seed, contracts)
         except BaseExceptionGroup as err:
             violations = [repr(err)]
         sys.stdout.write(f"{seed} {violations or 'nothing'}\n")
--- a/tests/instance/site.py
+++ b/tests/instance/site.py
@@ -48,12 +48,22 @@
     def __init__(self, *, nursery: trio.Nursery) -> None:
         self.nursery = nursery
         self.platform = UsersPlatform(work_of=work_of)
+        self.contracts: Sequence[str] = ()
+        """Contracts in force for processes that name no others."""
         self.processes: list[InstanceProcess] = []
         self.scopes: list[trio.CancelScope] = []
         self.http = httpcore.AsyncConnectionPool(retries=0)
 
-    async def start(self, *, processes: int, machines: int = 2, spares: int = 0) -> None:
+    async def start(
+        self,
+        *,
+        processes: int,
+        machines: int = 2,
+        spares: int = 0,
+        contracts: Sequence[str] = (),
+    ) -> None:
         """Start the stand-ins and processes, and wait until all processes are ready."""
+        self.contracts = contracts
         await self.platform.start(self.nursery)
         for number in range(machines):
             await self.platform.async_add_machine(f"m{number}", "portal")
@@ -71,7 +81,7 @@
         core_share: float = 1.0,
         internal_port: int = 0,
         seeds: Sequence[str] = (),
-        contracts: Sequence[str] = (),
+        contracts: Sequence[str] | None = None,
     ) -> InstanceProcess:
         """Start a process and wait until it has a configuration, and by default is ready."""
         settings = InstanceSettings(
@@ -86,7 +96,7 @@
             store=StoreSettings(address=store_address or self.platform.store.address, partitions=3),
             machines=MachineSettings(address=self.platform.cloud.address),
             advisor=self.platform.cloud.address,
-            contracts=list(contracts),
+            contracts=list(self.contracts if contracts is None else contracts),
         )
         process = InstanceProcess(settings=settings)
         scope = trio.CancelScope()
@@ -198,11 +208,11 @@
 
 
 @asynccontextmanager
-async def open_site(**sizes: int) -> AsyncIterator[Site]:
-    """Run a site within a context."""
+async def open_site(**options: Any) -> AsyncIterator[Site]:
+    """Run a site within a context; the options are those of `Site.start`."""
     async with trio.open_nursery() as nursery:
         site = Site(nursery=nursery)
-        await site.start(**sizes)
+        await site.start(**options)
         try:
             yield site
         finally:
