--- a/heatherkeel/load/arrivals.py
+++ b/heatherkeel/load/arrivals.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Iterator
 from typing import Final
 
+from .const import TURN_PEAK_FRACTION, TURN_PERIOD_S, TURN_QUIET_FRACTION
+
 ArrivalProcess = Callable[[float, random.Random], Iterator[float]]
 ARRIVALS: Final[dict[str, ArrivalProcess]] = {}
 
@@ -36,3 +38,20 @@
     while True:
         yield count / rate
         count += 1
+
+
+@arrival_process("turns")
+def turns(rate: float, source: random.Random) -> Iterator[float]:
+    """Demand peaks: most of each period's requests come in a part of it, with the same mean rate.
+
+    A system that sizes its pools by the mean has too few machines in the peaks.
+    """
+    quiet_rate = TURN_QUIET_FRACTION * rate
+    peak_rate = (rate - (1 - TURN_PEAK_FRACTION) * quiet_rate) / TURN_PEAK_FRACTION
+    peak_s = TURN_PERIOD_S * TURN_PEAK_FRACTION
+    at_s = 0.0
+    while True:
+        # Candidates at the peak's rate, of which the quiet time keeps a part.
+        at_s += source.expovariate(peak_rate)
+        if at_s % TURN_PERIOD_S < peak_s or source.random() < quiet_rate / peak_rate:
+            yield at_s
--- a/heatherkeel/load/const.py
+++ b/heatherkeel/load/const.py
@@ -31,3 +31,9 @@
 
 EXIT_BROKEN_PROMISE: Final = 1
 EXIT_USAGE: Final = 2
+TURN_PERIOD_S: Final = 18.0
+"""Time from one demand peak to the next, in seconds."""
+TURN_PEAK_FRACTION: Final = 0.25
+"""Fraction of the period that a demand peak lasts."""
+TURN_QUIET_FRACTION: Final = 0.05
+"""Rate between demand peaks, as a fraction of the mean rate."""
--- a/tests/load/test_plan.py
+++ b/tests/load/test_plan.py
@@ -4,12 +4,15 @@
 
 import itertools
 from dataclasses import replace
+from random import Random
 from typing import Any, Final
 
 import pytest
 from result import Err, Ok
 
 from heatherkeel.cli.main import main
+from heatherkeel.load.arrivals import ARRIVALS
+from heatherkeel.load.const import TURN_PEAK_FRACTION, TURN_PERIOD_S
 from heatherkeel.load.models import Plan, Service
 from heatherkeel.load.plan import check_plan, find_address_fault, parse_service, plan_requests
 
@@ -35,6 +38,13 @@
     assert 0.85 < variance / mean**2 < 1.15  # exponential gaps: variance is the mean squared
 
 
+def test_turns_keep_the_rate_and_bring_most_requests_in_their_peaks() -> None:
+    times = list(itertools.takewhile(lambda at_s: at_s < 180, ARRIVALS["turns"](50, Random(7))))
+    assert 8_500 < len(times) < 9_500
+    in_peaks = sum(at_s % TURN_PERIOD_S < TURN_PERIOD_S * TURN_PEAK_FRACTION for at_s in times)
+    assert in_peaks > 0.9 * len(times)
+
+
 def test_constant_arrivals_are_evenly_spaced() -> None:
     requests = plan_requests(
         replace(PLAN, arrivals="constant", rate=4.0, duration_s=1.0), run_id="r"
