Give workers that are slow against learned durations work last, and move what would end sooner elsewhere

Change: each worker's ended tasks and progress are compared with its queues' learned durations; the middle of three steps decides.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -166,3 +166,24 @@
 GIVE_WAY_MS: Final = 600
 """Time after which late runs on a machine that another pool needs are stopped, in milliseconds.
 Callers of the other pool get the machine within 2,000, and a worker may take 900 to stop a run."""
+SLOW_FACTOR: Final = 2.5
+"""Factor by which a worker's tasks take longer than expected from which it counts as slow. Single
+steps take twice as long as expected by themselves now and then."""
+MIN_PROJECTED: Final = 0.5
+"""Fraction of its expected duration from which on a task's progress shows its worker's speed."""
+SLOW_JUDGE_INTERVAL_MS: Final = 300
+"""Minimum time between judgements of a worker's speed, in milliseconds."""
+MIN_SLOW_STEPS: Final = 3
+"""Number of steps whose tasks must be slow on a worker; the middle one decides."""
+MAX_SLOW_FRACTION: Final = 0.2
+"""Fraction of a pool's workers that may count as slow at once."""
+SLOW_MS: Final = 4000
+"""Time for which a slow worker gets work last, in milliseconds; then it is judged anew."""
+SLOW_JUDGED_MS: Final = 4000
+"""Age up to which ended tasks count for a worker's speed, in milliseconds."""
+MAX_SPEED_SAMPLES: Final = 32
+"""Maximum number of ended tasks that are kept for a worker's speed."""
+RESTART_GAIN: Final = 1.5
+"""Factor by which a late task has to take longer where it is than anew elsewhere to be stopped."""
+RESTART_MARGIN_MS: Final = 500
+"""Time to stop a task and to start it elsewhere, in milliseconds."""
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -12,6 +12,7 @@
 from .jobs import end_job, save_ended_job, stop_run
 from .models import Job, JobState, LossReason, Run, Task
 from .pools import enqueue_step, find_pool, remove_run
+from .slowness import record_speed
 from .stalled import quarantine_worker
 from .state import PartitionState
 from .suspicion import clear_suspicion, count_crash
@@ -55,7 +56,8 @@
         return
     if ended.outcome == DONE and not task.step.request.lasts:
         worker.failed_jobs.clear()
-        if took_ms is not None and not task.is_done:
+        if run is not None and took_ms is not None and not task.is_done:
+            record_speed(state, worker, run, took_ms)
             task.step.times.add(took_ms)
         finish_task(state, task, effects)
     elif ended.outcome == FAILED:
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -238,6 +238,11 @@
     """Count a job that was failed because one of its tasks crashes workers."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CountSlowWorker(Effect):
+    """Count a worker that was found to be slow."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ObserveDuration(Effect):
     """Record how far off the estimates of an ended step were."""
--- a/heatherkeel/dispatch/metrics.py
+++ b/heatherkeel/dispatch/metrics.py
@@ -32,6 +32,11 @@
             "Jobs that were shown as failed since a task of them crashes workers.",
             registry=registry,
         )
+        self.slow_workers = Counter(
+            "heatherkeel_slow_workers",
+            "Workers that were found to be slow, each time.",
+            registry=registry,
+        )
 
         self.limited = Counter(
             "heatherkeel_jobs_limited",
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -14,6 +14,7 @@
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.follower import async_read_newest_with_retry
 from heatherkeel.durations.switch import is_switched_on
+from heatherkeel.helpers import switch
 from heatherkeel.helpers.clock import monotonic_ms, wall_ms
 from heatherkeel.ownership.const import WORK_TOPIC
 from heatherkeel.ownership.partition_ownership import PartitionOwnership
@@ -22,7 +23,7 @@
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.workspaces.messages import AccountsReport, GrantOffer
 
-from . import subjects  # noqa: F401
+from . import slowness, subjects  # noqa: F401
 from .const import (
     ENTRY_MARGIN_MS,
     GRANTS_RETRY_S,
@@ -38,6 +39,7 @@
     CountGivenUp,
     CountLimited,
     CountLoss,
+    CountSlowWorker,
     Effect,
     Effects,
     Event,
@@ -109,6 +111,7 @@
         self.async_ask_lender = async_ask_lender
         self.state = PartitionState(token=token, lease_ms=0, status_ms=0)
         self.state.durations.is_enabled = is_switched_on()
+        self.state.finds_slow_workers = switch.is_switched_on(slowness.SWITCH_VARIABLE)
         self.entry_age_ms = 0
         """How old a worker's entry may be for starts on it, in milliseconds."""
         self.apply_settings(settings)
@@ -412,6 +415,8 @@
                 self.metrics.observe_duration(effect.errors)
             case CountGivenUp():
                 self.metrics.given_up.inc()
+            case CountSlowWorker():
+                self.metrics.slow_workers.inc()
             case AcknowledgeEnds():
                 self.journal.when_stored(lambda: self._acknowledge(effect))
 
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -12,6 +12,7 @@
 from .limits import is_within_limit, report_waits_for_limit
 from .models import JobState, Run, RunState, Step, Task
 from .pools import find_pool
+from .slowness import prefer_fast
 from .state import PartitionState, Pool
 from .suspicion import group_candidates
 from .tickets import find_ticketed_workers, needs_advice
@@ -57,7 +58,7 @@
     if not waiting:
         pool.open_steps.discard(step)
         return True
-    choices = group_candidates(step, workers)
+    choices = prefer_fast(group_candidates(step, workers), state.now_ms)
     if step.request.is_gang:
         return _place_gang(state, pool, step, waiting, choices, effects)
     placed = 0
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -64,6 +64,8 @@
     """Start time of the ended incarnation by worker, where its ignored entry was logged."""
     leaving_ms: int = 0
     """When the fleet's owner last named the workers that leave."""
+    finds_slow_workers: bool = True
+    """Whether workers that are slow get work last."""
     can_start: bool = True
     """Whether starts can be stored and sent now."""
     accounts: AccountBook = field(init=False)
--- a/heatherkeel/dispatch/timing.py
+++ b/heatherkeel/dispatch/timing.py
@@ -18,11 +18,16 @@
     A run begins before its start is answered, and ends before its end is listed; both take little
     time unless the worker or the owner was unresponsive.
     """
-    if not run.has_begun or run.answered_ms is None or run.state is not RunState.RUNNING:
+    if worker.unwatched_ms > MAX_UNWATCHED_MS:
         return None
-    if run.was_doubtful or worker.unwatched_ms > MAX_UNWATCHED_MS or len(run.task.runs) > 1:
+    return find_elapsed_ms(worker, run, now_ms)
+
+
+def find_elapsed_ms(worker: Worker, run: Run, now_ms: int) -> int | None:
+    """Return for how long a run has been at work; None if its time says nothing of its worker."""
+    if not run.has_begun or run.answered_ms is None or run.state is not RunState.RUNNING:
         return None
-    if not _is_comparable(worker, run):
+    if run.was_doubtful or len(run.task.runs) > 1 or not _is_comparable(worker, run):
         return None
     return now_ms - _find_begin_ms(run)
 
--- a/heatherkeel/dispatch/worker.py
+++ b/heatherkeel/dispatch/worker.py
@@ -2,16 +2,32 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from heatherkeel.platform.callers import StepRequest
 from heatherkeel.platform.operator import WorkerEntry
 from heatherkeel.workspaces.amounts import amount_of_task
 
-from .const import LEASE_EXPIRY_MARGIN_MS, MAX_LISTING_AGE_MS, SLOWEST_CLOCK
+from .const import (
+    LEASE_EXPIRY_MARGIN_MS,
+    MAX_LISTING_AGE_MS,
+    MAX_SPEED_SAMPLES,
+    SLOWEST_CLOCK,
+)
 from .models import Job, Run
 
 
+class SpeedSample(NamedTuple):
+    """How long an ended task took against what was expected of it."""
+
+    step: str
+    at_ms: int
+    slowdown: float
+    """Logarithm of the factor."""
+
+
 @dataclass(kw_only=True, slots=True, eq=False)
 class Worker:
     """One incarnation of a worker, with the capacity that its runs use."""
@@ -63,6 +79,12 @@
     failed_jobs: list[str] = field(default_factory=list)
     """Jobs with failed tasks there since the last success."""
     quarantined_until_ms: int = 0
+    speeds: deque[SpeedSample] = field(default_factory=lambda: deque(maxlen=MAX_SPEED_SAMPLES))
+    """The tasks that ended there last."""
+    judged_ms: int = 0
+    """When its speed was last judged."""
+    slow_until_ms: int = 0
+    """Until when it gets work last, since it is slow."""
     full_until_ms: int = 0
     """Until when it gets no more work, after it refused a start for lack of capacity."""
 
@@ -126,6 +148,10 @@
             and now_ms >= max(self.quarantined_until_ms, self.full_until_ms)
         )
 
+    def is_slow(self, now_ms: int) -> bool:
+        """Return whether it gets work only where no other worker has room."""
+        return now_ms < self.slow_until_ms
+
     def is_overfull(self) -> bool:
         """Return whether its runs use more than the capacity in its entry."""
         return not self._holds(self.used_cpu, self.used_memory_mb, self.used_gpu)
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -27,6 +27,7 @@
 from .pacing import adjust_pace
 from .pools import enqueue_step
 from .registry import handles
+from .slowness import judge_speed
 from .stalled import quarantine_if_stalled
 from .state import PartitionState
 from .suspicion import record_listed_run
@@ -85,6 +86,7 @@
     _compare_runs(state, worker, event.listing, event.sent_ms, event.now_ms, effects)
     adjust_pace(state, worker, effects)
     quarantine_if_stalled(state, worker, effects)
+    judge_speed(state, worker, effects)
 
 
 def _find_incarnation(
