--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -53,6 +53,7 @@
 
 from .reloading import SettingsWatch
 from .status import StatusApp
+from .support import report_unsupported
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -158,6 +159,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Open the ports and start following the store and owning partitions."""
         self.nursery = nursery
+        report_unsupported(self.settings)
         self.links.start(nursery)
         self.member.address = self.links.address
         await self.probes.start(nursery)
--- a/heatherkeel/platform/operator.py
+++ b/heatherkeel/platform/operator.py
@@ -124,6 +124,15 @@
     labels: list[str]
 
 
+class _UnusedFields(msgspec.Struct, kw_only=True):
+    """Further fields of an entry; they decide nothing, but show whether a worker wrote it."""
+
+    version: str = ""
+    slots: float = 0
+    cold_remaining_ms: float = msgspec.field(name="coldRemainingMs", default=0)
+    sequence: float = 0
+
+
 def decode_configuration(value: bytes) -> Result[Configuration, str]:
     """Decode and validate the operator's configuration; the error contains no key."""
     decoded = _decode(value, Configuration)
@@ -168,6 +177,9 @@
     decoded = _decode(value, _WrittenEntry)
     if isinstance(decoded, Err):
         return decoded
+    unused = _decode(value, _UnusedFields)
+    if isinstance(unused, Err):
+        return unused
     fault = _find_fault(decoded.ok_value)
     return Err(fault) if fault else decoded
 
--- a/heatherkeel/platform/settings.py
+++ b/heatherkeel/platform/settings.py
@@ -4,7 +4,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Final
 
 import msgspec
 from msgspec import Meta
@@ -14,6 +14,9 @@
 
 from .const import KEYS_CONTRACT
 
+PUSH: Final = "push"
+"""The way of giving orders in which they are sent to the workers."""
+
 Port = Annotated[int, Meta(ge=0, le=65535)]
 
 
@@ -79,6 +82,8 @@
     store: StoreSettings = msgspec.field(name="platform")
     machines: MachineSettings = msgspec.field(name="cloud", default_factory=MachineSettings)
     advisor: str = msgspec.field(name="placementAdvisor", default="")
+    control_mode: str = msgspec.field(name="controlMode", default=PUSH)
+    """How workers receive orders; only sending them to the workers is supported."""
     contracts: list[str] = []
     """Names of the parts of the platform's rules that are in force."""
 
--- a/tests/platform/test_borders.py
+++ b/tests/platform/test_borders.py
@@ -117,6 +117,13 @@
         {"labels": "a"},
         {"machine": 3},
         {"remainingMs": "soon"},
+        {"born": "yesterday"},
+        {"born": 1.5},
+        {"born": None},
+        {"version": 3},
+        {"slots": "eight"},
+        {"coldRemainingMs": []},
+        {"sequence": "four"},
     ],
     ids=str,
 )
