--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -57,6 +57,7 @@
 from .processor import ProcessorWatch
 from .reloading import SettingsWatch
 from .status import StatusApp
+from .support import report_unsupported
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -167,6 +168,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Open the ports and start following the store and owning partitions."""
         self.nursery = nursery
+        report_unsupported(self.settings)
         self.links.start(nursery)
         self.member.address = self.links.address
         await self.probes.start(nursery)
