--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -85,8 +85,6 @@
 """Fraction of a zone's workers that must be unresponsive for the zone to count as cut off."""
 MIN_LOST_WORKERS: Final = 3
 """Minimum number of unresponsive workers in a zone that is cut off; two may both have crashed."""
-PRIORITY_FACTOR: Final = 0.5
-"""Weight of a queue's priority relative to the one above it when machines are divided."""
 DIVISION_HYSTERESIS: Final = 0.1
 """Fraction by which a share must exceed its part before machines are taken from it, and at least
 one machine; a move costs both pools 1,500 ms of the machine."""
--- a/heatherkeel/pooling/division.py
+++ b/heatherkeel/pooling/division.py
@@ -4,7 +4,6 @@
 
 from dataclasses import dataclass
 
-from .const import PRIORITY_FACTOR
 from .models import PoolShare
 
 
@@ -30,9 +29,17 @@
     demands: tuple[Demand, ...] = ()
     """In order of priority."""
 
+    def in_time(self) -> float:
+        """Return the machines that it claims for demand in time."""
+        return sum(demand.in_time for demand in self.demands)
+
+    def late(self) -> float:
+        """Return the machines that it claims for late demand."""
+        return sum(demand.late for demand in self.demands)
+
     def total(self) -> float:
         """Return all that it claims, in machines."""
-        return sum(demand.in_time + demand.late for demand in self.demands)
+        return self.in_time() + self.late()
 
     def first_priority(self) -> int:
         """Return the most important priority with demand; a low one if there is none."""
@@ -42,7 +49,7 @@
 
 @dataclass(kw_only=True, slots=True)
 class _Item:
-    """One priority's demand of a share: it has `given` of at most `wanted` machines."""
+    """A share's demand in time, or late: it has `given` of at most `wanted` machines."""
 
     share: PoolShare
     weight: float
@@ -57,21 +64,17 @@
 def divide(total: int, claimants: dict[PoolShare, Claimant]) -> dict[PoolShare, int]:
     """Return each share's part of `total` machines, which adds up to no more than these.
 
-    Each share first gets its least part. The rest goes to demand in time, max-min fair by weight,
-    where a priority counts `PRIORITY_FACTOR` of the one above it; and what is left then goes to
-    late demand in the same way.
+    Each share first gets its least part. The rest goes to demand in time, max-min fair by weight;
+    and what is left then goes to late demand in the same way.
     """
     in_time: list[_Item] = []
     late: list[_Item] = []
     for share, claimant in claimants.items():
         secured = max(float(claimant.pinned), min(float(claimant.least), claimant.total()))
-        for is_late, items in ((False, in_time), (True, late)):
-            for demand in claimant.demands:
-                wanted = demand.late if is_late else demand.in_time
-                given = min(secured, wanted)
-                secured -= given
-                weight = claimant.weight * PRIORITY_FACTOR**demand.priority
-                items.append(_Item(share=share, weight=weight, given=given, wanted=wanted))
+        for items, wanted in ((in_time, claimant.in_time()), (late, claimant.late())):
+            given = min(secured, wanted)
+            secured -= given
+            items.append(_Item(share=share, weight=claimant.weight, given=given, wanted=wanted))
         # Pinned machines beyond its claim.
         late.append(_Item(share=share, weight=0.0, given=secured, wanted=secured))
     left = float(total) - sum(item.given for item in in_time + late)
