--- a/heatherkeel/dispatch/claims.py
+++ b/heatherkeel/dispatch/claims.py
@@ -6,7 +6,7 @@
 
 from heatherkeel.questions.messages import Claim
 
-from .const import LITTLE_DONE_PERCENT, MAX_CLAIMS, MOVE_LEAD_MS
+from .const import LITTLE_DONE_PERCENT, MAX_ATTEMPT_TO_STOP, MAX_CLAIMS, MOVE_LEAD_MS
 from .models import Run, Step
 from .open_steps import Urgency, find_urgency, find_worthless_ms
 from .state import PartitionState, Pool
@@ -67,11 +67,17 @@
 
     A run that is in time is stopped only if its end would take longer than what it loses: less than
     half of it is done, or it has stored its progress. A gang would have to start again as a whole.
+    No task gives way more often than `MAX_ATTEMPT_TO_STOP`.
     """
     request = run.task.step.request
     if request.lasts or request.is_gang:
         return False
-    if find_run_urgency(run, now_ms) is not Urgency.IN_TIME:
+    urgency = find_run_urgency(run, now_ms)
+    if urgency is Urgency.WORTHLESS:
+        return True
+    if run.attempt > MAX_ATTEMPT_TO_STOP:
+        return False
+    if urgency is not Urgency.IN_TIME:
         return True
     return loses_little(run) or (request.saves and bool(run.saved))
 
--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -162,3 +162,6 @@
 GIVE_WAY_MS: Final = 600
 """Time after which late runs on a machine that another pool needs are stopped, in milliseconds.
 Callers of the other pool get the machine within 2,000, and a worker may take 900 to stop a run."""
+MAX_ATTEMPT_TO_STOP: Final = 2
+"""Highest attempt of a task that is stopped to give way, unless it is worthless; otherwise large
+tasks might never end while pools compete."""
--- a/tests/dispatch/test_giving_way.py
+++ b/tests/dispatch/test_giving_way.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from heatherkeel.dispatch.const import GIVE_WAY_MS, LEAVING_MS, LITTLE_DONE_PERCENT
+from heatherkeel.dispatch.const import (
+    GIVE_WAY_MS,
+    LEAVING_MS,
+    LITTLE_DONE_PERCENT,
+    MAX_ATTEMPT_TO_STOP,
+)
 from heatherkeel.dispatch.events import WorkersLeaving
 from heatherkeel.dispatch.models import Run, RunState
 
@@ -76,6 +81,23 @@
     assert is_stopping(run)
 
 
+def test_task_gives_way_only_so_often() -> None:
+    """Guards against large tasks that never end while pools compete for machines."""
+    partition = Partition(workers=2)
+    run = start_run(partition, estimated_ms=20_000, age_ms=100, percent=0.0)
+    task = run.task
+    for attempt in range(1, MAX_ATTEMPT_TO_STOP + 1):
+        assert run.attempt == attempt
+        give_way(partition, run)
+        assert is_stopping(run)
+        partition.end_run(run, "stopped")
+        partition.start_planned_runs()
+        (run,) = task.runs
+        partition.list_known_runs(run.worker_id, percent=0.0)
+    give_way(partition, run, for_ms=2000)
+    assert not is_stopping(run)
+
+
 def test_worthless_run_is_stopped_at_once() -> None:
     partition = Partition()
     run = start_run(partition, estimated_ms=500, age_ms=6000)
