--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -187,3 +187,6 @@
 """Factor by which a late task has to take longer where it is than anew elsewhere to be stopped."""
 RESTART_MARGIN_MS: Final = 500
 """Time to stop a task and to start it elsewhere, in milliseconds."""
+MAX_ATTEMPT_TO_STOP: Final = 2
+"""Highest attempt of a task that is stopped to give way, unless it is worthless; otherwise large
+tasks might never end while pools compete."""
