--- a/heatherkeel/durations/const.py
+++ b/heatherkeel/durations/const.py
@@ -32,7 +32,7 @@
 MAX_LOG_MS: Final = 22.0
 """Maximum logarithm of a duration in milliseconds, about six weeks."""
 MAX_CONTENTS: Final = 10_000
-"""Maximum number of contents that an owner keeps, half of them seen once; about 4 MB."""
+"""Maximum number of contents that an owner keeps, half of them seen once; under 4 MB."""
 MAX_CONTENT_TASKS: Final = 64.0
 """Number of ended tasks of a content from which earlier ones lose weight."""
 MAX_QUEUES: Final = 1_000
