--- a/heatherkeel/dispatch/building.py
+++ b/heatherkeel/dispatch/building.py
@@ -58,9 +58,6 @@
 
 def begin_occurrence(job: Job, occurrence: int, *, begins_ms: float) -> list[Step]:
     """Create the steps and tasks of one occurrence; steps without dependencies are open."""
-    due_ms = begins_ms + job.due_ms - job.accepted_ms
-    paths = critical_paths_ms(job.request.steps, job.estimates)
-    remaining = remaining_work(job.request.steps, job.estimates)
     steps = []
     for number, request in enumerate(job.request.steps):
         step = Step(
@@ -68,8 +65,6 @@
             occurrence=occurrence,
             number=number,
             request=request,
-            latest_start_ms=due_ms - paths[number],
-            work=remaining[number],
             is_open=not request.depends_on,
         )
         prefix = step.name()
@@ -78,9 +73,20 @@
         ]
         steps.append(step)
     job.occurrences[occurrence] = steps
+    set_latest_starts(job, steps, begins_ms=begins_ms)
     return steps
 
 
+def set_latest_starts(job: Job, steps: list[Step], *, begins_ms: float) -> None:
+    """Set the latest start and the work of an occurrence's steps by the job's objective."""
+    due_ms = begins_ms + job.due_ms - job.accepted_ms
+    paths = critical_paths_ms(job.request.steps, job.estimates)
+    remaining = remaining_work(job.request.steps, job.estimates)
+    for step, path_ms, work in zip(steps, paths, remaining, strict=True):
+        step.latest_start_ms = due_ms - path_ms
+        step.work = work
+
+
 def open_dependents(step: Step) -> list[Step]:
     """Open steps whose dependencies are all done by now; returns those that opened."""
     steps = step.job.occurrences[step.occurrence]
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from heatherkeel.durations.messages import DurationsOffer
 from heatherkeel.durations.models import ErrorFactors
 from heatherkeel.platform.callers import JobRequest
 from heatherkeel.platform.errors import CallError
@@ -45,6 +46,13 @@
     offer: GrantOffer
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DurationsOffered(Event):
+    """The fleet's owner has told what other owners know of durations."""
+
+    offer: DurationsOffer
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkersListed(Event):
     """The stored entries of all workers of this partition's services."""
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -4,9 +4,15 @@
 
 import logging
 
-from .building import begin_occurrence, occurrence_start_wall_ms, set_objective
+from .building import (
+    begin_occurrence,
+    occurrence_start_wall_ms,
+    set_latest_starts,
+    set_objective,
+)
 from .const import MAX_OPEN_TASKS
 from .events import (
+    DurationsOffered,
     Effects,
     ForgetJob,
     JobCanceled,
@@ -77,6 +83,40 @@
     )
 
 
+@handles(DurationsOffered)
+def handle_durations_offered(
+    state: PartitionState, event: DurationsOffered, effects: Effects
+) -> None:
+    """Take over what others know of durations.
+
+    A new owner sets the objectives of its predecessor's jobs again, if nothing of them has started:
+    it had to accept them by what is declared.
+    """
+    queues = state.durations.apply_offer(event.offer, event.now_ms)
+    if not queues or not state.durations.may_revise(event.now_ms):
+        return
+    for job in list(state.jobs.values()):
+        if job.queue in queues and job.estimates is None and not job.has_started():
+            _revise_objective(state, job)
+            effects.touch(job.service)
+
+
+def _revise_objective(state: PartitionState, job: Job) -> None:
+    """Set a job's objective by learned durations; a repeated job keeps the one that it has."""
+    if job.request.repeat_count:
+        return
+    job.estimates = state.durations.estimate(job.queue, job.request, state.now_ms)
+    set_objective(job, state.queues.get(job.queue))
+    open_steps = find_pool(state, job.service).open_steps
+    for steps in job.occurrences.values():
+        # Waiting steps are sorted by these values, so they are taken out first.
+        for step in steps:
+            open_steps.discard(step)
+        set_latest_starts(job, steps, begins_ms=float(job.accepted_ms))
+        for step in steps:
+            enqueue_step(state, step)
+
+
 def _reject_duplicate(known: Job, event: JobSubmitted, effects: Effects) -> None:
     """Drop a submission whose ID another workspace's job has: tasks are named by that ID."""
     effects.add(ForgetJob(job_id=event.job_id, workspace=event.workspace, only_request=True))
--- a/heatherkeel/durations/book.py
+++ b/heatherkeel/durations/book.py
@@ -18,6 +18,7 @@
     MAX_REPORTED,
     MAX_REPORTED_CONTENTS,
     MIN_STEPS,
+    REVISE_MS,
 )
 from .contents import ContentTimes, make_content_key
 from .estimator import estimate_quantile_ms, estimate_step, find_typical_log
@@ -60,11 +61,15 @@
         self.relay = 0
         """Newest fencing token of a process that has passed on what others know."""
         self.is_empty_logged = False
+        self.began_ms: int | None = None
+        """When the first job was estimated."""
 
     def estimate(self, queue: str, request: JobRequest, now_ms: int) -> list[StepEstimate] | None:
         """Return the expected durations of a job's steps; None if the declared ones are used."""
         if all(step.lasts for step in request.steps):
             return None
+        if self.began_ms is None:
+            self.began_ms = now_ms
         known = self.queues.get(queue)
         if known is None:
             self._log_empty(queue)
@@ -143,10 +148,15 @@
             ],
         )
 
-    def apply_offer(self, offer: DurationsOffer, now_ms: int) -> None:
-        """Take over what others know; an offer of an earlier relay is ignored."""
+    def apply_offer(self, offer: DurationsOffer, now_ms: int) -> set[str]:
+        """Take over what others know; an offer of an earlier relay is ignored.
+
+        Returns the queues whose learned durations are used from now on.
+        """
         if offer.relay < self.relay or offer.age_ms >= MAX_AGE_MS:
-            return
+            return set()
+        unused = {queue for queue, known in self.queues.items() if not known.is_used}
+        unused |= {row.queue for row in offer.queues} - self.queues.keys()
         self.relay = offer.relay
         for row in offer.queues:
             sums = QueueSums.from_row(row.sums)
@@ -161,6 +171,15 @@
             self._update(row.queue, known, now_ms)
         rows = ((row.key, Ended(tasks=row.tasks, mean_log=row.mean_log)) for row in offer.contents)
         self.contents.replace((key, ended) for key, ended in rows if self._is_news(key, ended))
+        return {queue for queue in unused & self.queues.keys() if self.queues[queue].is_used}
+
+    def may_revise(self, now_ms: int) -> bool:
+        """Return whether jobs may be estimated again by what others know.
+
+        A new owner accepts the jobs of its predecessor of which nothing has started before it
+        hears what is known of their durations.
+        """
+        return self.began_ms is None or now_ms - self.began_ms <= REVISE_MS
 
     def _is_news(self, key: int, ended: Ended) -> bool:
         """Return whether others know a content better; what is known here isn't replaced."""
--- a/heatherkeel/durations/const.py
+++ b/heatherkeel/durations/const.py
@@ -50,6 +50,9 @@
 KEEP_MS: Final = 30_000
 """How long an offer that holds much more than the next one is kept, in milliseconds, since a new
 relay first has to hear from the other owners."""
+REVISE_MS: Final = 3_000
+"""How long after its first job a new owner may take other owners' durations for jobs that it has
+already accepted, in milliseconds: the first offers take up to about a second."""
 LOG_FACTOR: Final = 1.5
 """A queue's estimate is logged when it has changed by this factor."""
 LOG_INTERVAL_MS: Final = 5_000
--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -4,6 +4,7 @@
 
 from result import Err
 
+from heatherkeel.dispatch.events import DurationsOffered
 from heatherkeel.dispatch.load import measure_pools
 from heatherkeel.dispatch.owner import PartitionOwner
 from heatherkeel.durations.messages import DurationsOffer, DurationsReport
@@ -74,9 +75,9 @@
     """Take over what others know of durations, and return what this owner has learned since."""
     if offer is None:
         return None
-    state = owner.state
-    state.durations.apply_offer(offer, state.now_ms)
-    return state.durations.make_report(offer)
+    now_ms, wall_ms = owner.times()
+    owner.handle_event(DurationsOffered(now_ms=now_ms, wall_ms=wall_ms, offer=offer))
+    return owner.state.durations.make_report(offer)
 
 
 async def async_store_job(
--- a/tests/dispatch/test_durations.py
+++ b/tests/dispatch/test_durations.py
@@ -9,11 +9,12 @@
 import pytest
 
 from heatherkeel.dispatch.building import critical_paths_ms, remaining_work
-from heatherkeel.dispatch.events import ObserveDuration
+from heatherkeel.dispatch.events import DurationsOffered, ObserveDuration
 from heatherkeel.dispatch.models import Job, Run
 from heatherkeel.dispatch.records import decode_progress, decode_request, encode_progress
 from heatherkeel.dispatch.recovery import StoredJobs, restore_jobs
 from heatherkeel.dispatch.state import PartitionState
+from heatherkeel.durations.messages import DurationsOffer, QueueRow
 from heatherkeel.durations.models import StepEstimate, StepKind, StepTimes
 from heatherkeel.platform.callers import StepRequest
 
@@ -221,3 +222,48 @@
     assert critical_paths_ms(steps, estimates) == [190, 40]
     assert remaining_work(steps, estimates) == [140, 40]
     assert critical_paths_ms(steps) == [1000, 500]
+
+
+def make_offer(teacher: Partition) -> DurationsOffer:
+    sums = teacher.state.durations.queues["quotes"].own
+    return DurationsOffer(
+        relay=3, owner=0, since=0, queues=[QueueRow(queue="quotes", sums=sums.to_row())]
+    )
+
+
+def test_a_new_owner_revises_jobs_that_it_accepted_before_it_heard_from_others() -> None:
+    """Guards against objectives by declared durations for all jobs that wait at a hand-over."""
+    teacher, partition = Partition(), Partition(workers=1, cpu=8000)
+    teach(teacher)
+    partition.submit(make_step(count=1, cpu=8000, estimated_ms=900), job_id="0" * 15 + "1")
+    partition.start_planned_runs()
+    waiting = [make_step(count=2, cpu=8000), make_step(depends_on=(0,), estimated_ms=9000)]
+    partition.submit(*waiting, job_id=JOB)
+    started = partition.job("0" * 15 + "1")
+    due_ms = started.due_ms
+    partition.now_ms += 1000
+    offer = make_offer(teacher)
+    partition.apply(DurationsOffered(**partition.event_times(), offer=offer))
+    job = partition.job()
+    assert job.estimates is not None
+    path_ms = sum(estimate.longest_ms for estimate in job.estimates)
+    assert job.due_ms - job.accepted_ms == pytest.approx(1.6 * path_ms + 600)
+    assert job.occurrences[0][0].latest_start_ms == pytest.approx(job.due_ms - path_ms)
+    open_steps = partition.state.pools["portal"].open_steps
+    assert list(open_steps) == [job.occurrences[0][0]]
+    assert open_steps.work_in_time == pytest.approx(job.occurrences[0][0].work)
+    assert (started.due_ms, started.estimates) == (due_ms, None)
+
+
+def test_accepted_jobs_keep_their_objective_later() -> None:
+    """Guards against objectives that change whenever others have learned something."""
+    teacher, partition = Partition(), Partition(workers=1, cpu=8000)
+    teach(teacher)
+    for number in (1, 2):
+        partition.submit(make_step(cpu=8000, estimated_ms=9000), job_id=f"{number:016x}")
+    job = partition.job(f"{2:016x}")
+    due_ms = job.due_ms
+    partition.now_ms += 10_000
+    partition.apply(DurationsOffered(**partition.event_times(), offer=make_offer(teacher)))
+    assert partition.state.durations.queues["quotes"].is_used
+    assert (job.due_ms, job.estimates) == (due_ms, None)
--- a/tests/questions/test_answering.py
+++ b/tests/questions/test_answering.py
@@ -4,7 +4,9 @@
 
 from typing import cast
 
+from heatherkeel.dispatch.events import Event
 from heatherkeel.dispatch.owner import PartitionOwner
+from heatherkeel.dispatch.reducer import reduce_event
 from heatherkeel.dispatch.state import PartitionState
 from heatherkeel.durations.messages import DurationsOffer, QueueRow
 from heatherkeel.durations.models import StepTimes
@@ -26,6 +28,14 @@
     def set_leaving_workers(self, worker_ids: frozenset[str], *, due: frozenset[str]) -> None:
         """Empty no workers."""
 
+    def times(self) -> tuple[int, int]:
+        """Return the time of the question."""
+        return 5000, 5000
+
+    def handle_event(self, event: Event) -> None:
+        """Apply an event."""
+        reduce_event(self.state, event)
+
 
 def ask(owner: Owner, offer: DurationsOffer | None) -> PoolsAnswer:
     question = PoolsQuestion(partition=1, leaving=[], durations=offer)
