--- a/heatherkeel/durations/const.py
+++ b/heatherkeel/durations/const.py
@@ -32,7 +32,7 @@
 MAX_LOG_MS: Final = 22.0
 """Maximum logarithm of a duration in milliseconds, about six weeks."""
 MAX_CONTENTS: Final = 10_000
-"""Maximum number of contents that an owner keeps, half of them seen once; about 4 MB."""
+"""Maximum number of contents that an owner keeps, half of them seen once; under 4 MB."""
 MAX_CONTENT_TASKS: Final = 64.0
 """Number of ended tasks of a content from which earlier ones lose weight."""
 MAX_QUEUES: Final = 1_000
@@ -50,6 +50,9 @@
 KEEP_MS: Final = 30_000
 """How long an offer that holds much more than the next one is kept, in milliseconds, since a new
 relay first has to hear from the other owners."""
+REVISE_MS: Final = 3_000
+"""How long after its first job a new owner may take other owners' durations for jobs that it has
+already accepted, in milliseconds: the first offers take up to about a second."""
 LOG_FACTOR: Final = 1.5
 """A queue's estimate is logged when it has changed by this factor."""
 LOG_INTERVAL_MS: Final = 5_000
