--- a/heatherkeel/gateway/admission.py
+++ b/heatherkeel/gateway/admission.py
@@ -15,6 +15,7 @@
 from heatherkeel.platform.callers import JobRequest
 from heatherkeel.questions.messages import AdmissionAnswer, AdmissionQuestion
 
+from .const import MAX_AWAY_RETRY_S
 from .exchange import Exchange
 from .reasons import Refusal
 
@@ -33,6 +34,8 @@
 
     A job is accepted if its owner doesn't answer, since its backlog isn't known then.
     """
+    if stored.attempt and not exchange.context.reaches_store():
+        return await _async_refuse_without_store(exchange, job_id)
     if not _needs_admission(exchange, stored, partition=partition, job_id=job_id):
         return False
     steps = stored.request.steps
@@ -61,6 +64,22 @@
     return True
 
 
+async def _async_refuse_without_store(exchange: Exchange, job_id: str) -> bool:
+    """Refuse a job while the store answers nothing, unless this process has accepted it before.
+
+    An append would hold the caller until its deadline. Nothing was sent, so the job never runs.
+    """
+    if exchange.context.lookup.has_accepted(job_id):
+        return False
+    await exchange.async_refuse(Refusal.STORE_AWAY, job_id=job_id, retry_s=spread_retry_s(job_id))
+    return True
+
+
+def spread_retry_s(job_id: str) -> int:
+    """Return a Retry-After by the job's ID, in seconds, so that those refused return spread."""
+    return 1 + int(job_id, 16) % MAX_AWAY_RETRY_S
+
+
 def _needs_admission(
     exchange: Exchange, stored: StoredRequest, *, partition: int, job_id: str
 ) -> bool:
--- a/heatherkeel/gateway/const.py
+++ b/heatherkeel/gateway/const.py
@@ -26,6 +26,8 @@
 """Retry-After for short conditions such as the store's rate limit per second, in seconds."""
 RETRY_LATER_S: Final = 2
 """Retry-After when the store is unavailable, in seconds."""
+MAX_AWAY_RETRY_S: Final = 4
+"""Longest Retry-After while the store answers nothing, in seconds."""
 RECENT_JOBS_MS: Final = 10_000
 """How long an accepted job is remembered, in milliseconds; longer than its owner takes to read it
 from the store."""
--- a/heatherkeel/gateway/exchange.py
+++ b/heatherkeel/gateway/exchange.py
@@ -59,6 +59,8 @@
     """Returns whether this process is ready for callers."""
     admits_by_backlog: Callable[[], bool] = lambda: False
     """Returns whether jobs that surely can't be served are refused."""
+    reaches_store: Callable[[], bool] = lambda: True
+    """Returns whether the store has answered this process lately, also through other processes."""
 
 
 class Exchange:
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -152,6 +152,7 @@
                     async_wait_recent=self.peer_sync.async_wait_recent,
                     accepts_callers=self.status.is_ready,
                     admits_by_backlog=lambda: self.settings.admits_by_backlog(),
+                    reaches_store=self.status.reaches_store,
                 )
             ),
             bind=settings.listen.callers,
--- a/heatherkeel/instance/status.py
+++ b/heatherkeel/instance/status.py
@@ -66,10 +66,13 @@
         configuration may be outdated would deny queues that others serve. If no process is ready,
         the platform keeps using all of them.
         """
-        answer_age_ms = monotonic_ms() - self.store_answered_ms()
         return (
             self.directory.is_config_recent()
             and bool(self.directory.layout.shares)
             and not self.is_stopping
-            and answer_age_ms < STORE_ANSWER_MAX_AGE_MS
+            and self.reaches_store()
         )
+
+    def reaches_store(self) -> bool:
+        """Return whether the store has answered this process lately."""
+        return monotonic_ms() - self.store_answered_ms() < STORE_ANSWER_MAX_AGE_MS
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -11,6 +11,7 @@
 import trio
 from result import Ok, Result
 
+from heatherkeel.gateway.admission import spread_retry_s
 from heatherkeel.gateway.app import JobApiApp
 from heatherkeel.platform.errors import CallError
 from heatherkeel.platform.store import PartitionHealth
@@ -107,6 +108,28 @@
     assert app.context.metrics.admissions_unanswered._value.get() == 1
 
 
+def test_job_is_refused_at_once_while_the_store_answers_nothing() -> None:
+    """Guards against callers that are held until their deadline by a store that is known silent."""
+    store, links = KeepingStore(), AdmissionLinks(AdmissionAnswer())
+    app = make_admitting_app(store, links)
+    app.context = replace(app.context, reaches_store=lambda: False)
+    assert submit(app)["status"] == 503
+    assert store.values == [] and links.asked == []
+    app.context.lookup.remember("00000000000000aa")
+    assert submit(app)["status"] == 200
+
+
+def test_returns_after_an_outage_are_spread() -> None:
+    retries = {spread_retry_s(f"{number:016x}") for number in range(100)}
+    assert retries == {1, 2, 3, 4}
+
+
+def test_silent_store_changes_nothing_where_it_is_off() -> None:
+    app = make_admitting_app(KeepingStore(), AdmissionLinks(REFUSED), is_on=False)
+    app.context = replace(app.context, reaches_store=lambda: False)
+    assert submit(app)["status"] == 200
+
+
 def test_accepted_job_is_not_refused_when_it_is_submitted_again() -> None:
     links = AdmissionLinks(AdmissionAnswer())
     app = make_admitting_app(KeepingStore(), links)
