Ask a job's owner before a refusal without the store

A job that another process had accepted could have been told that it never runs while the store is silent. The owner says from memory whether it knows the job or has admitted it; if so, or without its answer, the job is appended as usual. tests/gateway and tests/admission pass.

--- a/heatherkeel/admission/service.py
+++ b/heatherkeel/admission/service.py
@@ -112,6 +112,9 @@
 
     async def async_answer(self, question: AdmissionQuestion) -> AdmissionAnswer:
         """Decide on a job."""
+        if question.only_known:
+            is_known = self.desk.is_known(question.job_id)
+            return AdmissionAnswer(doubt=Doubt.KNOWN.value if is_known else "")
         decision = self._decide(question)
         if decision.is_refusal():
             doubt = await self._async_find_stored(question)
--- a/heatherkeel/gateway/admission.py
+++ b/heatherkeel/gateway/admission.py
@@ -5,6 +5,7 @@
 import logging
 import uuid
 
+import msgspec
 import trio
 
 from heatherkeel.admission.const import ANSWER_WAIT_S
@@ -34,12 +35,27 @@
 
     A job is accepted if its owner doesn't answer, since its backlog isn't known then.
     """
-    if stored.attempt and not exchange.context.reaches_store():
-        return await _async_refuse_without_store(exchange, job_id)
     if not _needs_admission(exchange, stored, partition=partition, job_id=job_id):
         return False
+    question = _make_question(stored, partition=partition, job_id=job_id)
+    if not exchange.context.reaches_store():
+        return await _async_refuse_without_store(exchange, question)
+    if exchange.context.store.find_health(JOBS_TOPIC, partition).is_unavailable():
+        # The caller is told so at once.
+        return False
+    answer = await _async_ask(exchange, question)
+    if answer is None or not answer.refusal:
+        return False
+    _log_expected(question, answer)
+    await exchange.async_refuse(
+        Refusal(answer.refusal), job_id=job_id, detail=_describe(answer), retry_s=answer.retry_s
+    )
+    return True
+
+
+def _make_question(stored: StoredRequest, *, partition: int, job_id: str) -> AdmissionQuestion:
     steps = stored.request.steps
-    question = AdmissionQuestion(
+    return AdmissionQuestion(
         partition=partition,
         job_id=job_id,
         queue=stored.queue,
@@ -49,29 +65,33 @@
         work=round(max(remaining_work(steps)), 1),
         path_ms=max(critical_paths_ms(steps)),
     )
+
+
+async def _async_ask(exchange: Exchange, question: AdmissionQuestion) -> AdmissionAnswer | None:
+    """Ask the owner; None if it doesn't answer in time."""
     answer: AdmissionAnswer | None = None
     with trio.move_on_after(max(0.0, min(ANSWER_WAIT_S, exchange.remaining_s()))):
         answer = await exchange.context.lookup.async_ask_admission(question)
     if answer is None:
         _record_silence(exchange, question)
-        return False
-    if not answer.refusal:
-        return False
-    _log_expected(question, answer)
-    await exchange.async_refuse(
-        Refusal(answer.refusal), job_id=job_id, detail=_describe(answer), retry_s=answer.retry_s
-    )
-    return True
+    return answer
 
 
-async def _async_refuse_without_store(exchange: Exchange, job_id: str) -> bool:
-    """Refuse a job while the store answers nothing, unless this process has accepted it before.
+async def _async_refuse_without_store(exchange: Exchange, question: AdmissionQuestion) -> bool:
+    """Refuse a job while the store answers nothing, if its owner surely doesn't know it.
 
-    An append would hold the caller until its deadline. Nothing was sent, so the job never runs.
+    An append would hold the caller until its deadline. Nothing was sent, so the job never runs,
+    unless another process has stored it or is about to: each of them has asked the owner before.
     """
-    if exchange.context.lookup.has_accepted(job_id):
+    known = msgspec.structs.replace(question, only_known=True)
+    answer = await _async_ask(exchange, known)
+    if answer is None or answer.doubt:
         return False
-    await exchange.async_refuse(Refusal.STORE_AWAY, job_id=job_id, retry_s=spread_retry_s(job_id))
+    await exchange.async_refuse(
+        Refusal.STORE_AWAY,
+        job_id=question.job_id,
+        retry_s=spread_retry_s(question.job_id),
+    )
     return True
 
 
@@ -85,15 +105,14 @@
 ) -> bool:
     """Return whether a job may be refused.
 
-    A repeated submission never is, nor one to an owner that has just failed to answer. If the store
-    is unavailable, the caller is told so.
+    A repeated submission never is. An owner that has just failed to answer isn't asked.
     """
+    lookup = exchange.context.lookup
     return (
         bool(stored.attempt)
         and can_be_refused(stored.request)
-        and not exchange.context.lookup.has_accepted(job_id)
-        and not exchange.context.lookup.is_silent(partition)
-        and not exchange.context.store.find_health(JOBS_TOPIC, partition).is_unavailable()
+        and not lookup.has_accepted(job_id)
+        and not lookup.is_silent(partition)
     )
 
 
--- a/heatherkeel/gateway/lookup.py
+++ b/heatherkeel/gateway/lookup.py
@@ -119,13 +119,19 @@
     async def async_ask_admission(self, question: AdmissionQuestion) -> AdmissionAnswer | None:
         """Ask the partition's owner whether a job may be stored; None if it doesn't answer.
 
-        The question is sent once: the owner may have got one that it hasn't answered.
+        The question is sent once: the owner may have got one that it hasn't answered. A cached
+        address is used at any age, since the list can't be read while the store is away.
         """
-        address = await self.holders.async_find(question.partition)
+        partition = question.partition
+        cached = self.holders.addresses.get(partition, "")
+        address = cached or await self.holders.async_find(partition)
         if not address:
             return None
         answer = await self.links.async_ask(address, question, timeout_s=ANSWER_WAIT_S)
-        return answer if isinstance(answer, AdmissionAnswer) else None
+        if isinstance(answer, AdmissionAnswer):
+            return answer
+        await self.holders.async_find(partition, failed_address=address)
+        return None
 
     async def async_store(
         self, partition: int, record: KeyedRecord, *, timeout_s: float
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -87,6 +87,8 @@
     """Declared work, in core-milliseconds."""
     path_ms: float
     """Declared critical path, in milliseconds."""
+    only_known: bool = False
+    """Asks only whether the job is stored or may be, which the answer's doubt says."""
 
 
 class OperatorQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="operator"):
--- a/tests/admission/test_service.py
+++ b/tests/admission/test_service.py
@@ -154,3 +154,11 @@
     now_ms = monotonic_ms()
     service.follow_refusals(now_ms=now_ms + REMEMBERED_MS + 1000, since_ms=now_ms)
     assert store.deleted == []
+
+
+def test_question_whether_a_job_is_known_decides_nothing() -> None:
+    service = make_service(ReadStore())
+    question = msgspec.structs.replace(QUESTION, sent_wall_ms=wall_ms(), only_known=True)
+    assert trio.run(service.async_answer, question) == AdmissionAnswer()
+    service.desk.admit(QUESTION.job_id, now_ms=monotonic_ms())
+    assert trio.run(service.async_answer, question).doubt == Doubt.KNOWN.value
