--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -97,6 +97,8 @@
     """Declared critical path, in milliseconds."""
     steps: tuple[StepRequest, ...] = ()
     """The job's steps, by which the owner may know better."""
+    only_known: bool = False
+    """Asks only whether the job is stored or may be, which the answer's doubt says."""
 
 
 class OperatorQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="operator"):
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -11,6 +11,7 @@
 import trio
 from result import Ok, Result
 
+from heatherkeel.gateway.admission import spread_retry_s
 from heatherkeel.gateway.app import JobApiApp
 from heatherkeel.platform.errors import CallError
 from heatherkeel.platform.store import PartitionHealth
@@ -107,6 +108,41 @@
     assert app.context.metrics.admissions_unanswered._value.get() == 1
 
 
+def submit_without_store(answer: Answer | None) -> tuple[int, int]:
+    """Submit a job while the store is silent; returns the status and the number of appends."""
+    store, links = KeepingStore(), AdmissionLinks(answer)
+    app = make_admitting_app(store, links)
+    app.context = replace(app.context, reaches_store=lambda: False)
+    status = submit(app)["status"]
+    assert all(question.only_known for question in links.asked)
+    return status, len(store.values)
+
+
+def test_job_is_refused_at_once_while_the_store_answers_nothing() -> None:
+    """Guards against callers that are held until their deadline by a store that is known silent."""
+    assert submit_without_store(AdmissionAnswer()) == (503, 0)
+
+
+def test_job_that_may_be_stored_is_not_refused_without_the_store() -> None:
+    """Guards against "never runs" for a job that another process has stored or is about to."""
+    assert submit_without_store(AdmissionAnswer(doubt="known")) == (200, 1)
+
+
+def test_job_whose_owner_is_silent_is_not_refused_without_the_store() -> None:
+    assert submit_without_store(None) == (200, 1)
+
+
+def test_returns_after_an_outage_are_spread() -> None:
+    retries = {spread_retry_s(f"{number:016x}") for number in range(100)}
+    assert retries == {1, 2, 3, 4}
+
+
+def test_silent_store_changes_nothing_where_it_is_off() -> None:
+    app = make_admitting_app(KeepingStore(), AdmissionLinks(REFUSED), is_on=False)
+    app.context = replace(app.context, reaches_store=lambda: False)
+    assert submit(app)["status"] == 200
+
+
 def test_accepted_job_is_not_refused_when_it_is_submitted_again() -> None:
     links = AdmissionLinks(AdmissionAnswer())
     app = make_admitting_app(KeepingStore(), links)
