--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -105,13 +105,13 @@
     """Set a job's objective by learned durations; a repeated job keeps the one that it has."""
     if job.request.repeat_count:
         return
+    open_steps = find_pool(state, job.service).open_steps
+    # Waiting steps are sorted by these values, so they are taken out before any of them changes.
+    for step in job.steps():
+        open_steps.discard(step)
     job.estimates = state.durations.estimate(job.queue, job.request, state.now_ms)
     set_objective(job, state.queues.get(job.queue))
-    open_steps = find_pool(state, job.service).open_steps
     for steps in job.occurrences.values():
-        # Waiting steps are sorted by these values, so they are taken out first.
-        for step in steps:
-            open_steps.discard(step)
         set_latest_starts(job, steps, begins_ms=float(job.accepted_ms))
         for step in steps:
             enqueue_step(state, step)
--- a/tests/dispatch/test_durations.py
+++ b/tests/dispatch/test_durations.py
@@ -267,3 +267,17 @@
     partition.apply(DurationsOffered(**partition.event_times(), offer=make_offer(teacher)))
     assert partition.state.durations.queues["quotes"].is_used
     assert (job.due_ms, job.estimates) == (due_ms, None)
+
+
+@pytest.mark.parametrize("waits_ms", [0, 1000, 2500])
+def test_objectives_of_late_waiting_jobs_are_revised(waits_ms: int) -> None:
+    """Guards against a process that ends since a late job's place in the order isn't found."""
+    teacher, partition = Partition(), Partition(workers=1, cpu=8000)
+    teach(teacher)
+    for number in (1, 2):
+        partition.submit(make_step(cpu=8000, estimated_ms=50), job_id=f"{number:016x}")
+    partition.tick(waits_ms)
+    partition.apply(DurationsOffered(**partition.event_times(), offer=make_offer(teacher)))
+    assert partition.job(f"{2:016x}").estimates is not None
+    partition.cancel(f"{2:016x}")
+    assert not list(partition.state.pools["portal"].open_steps)
