Mend what a newcomer's reading of the new parts found

A cancelled read of stored jobs no longer vouches for the one before it; late records are deleted when no refusal is left; a new owner doesn't say of a job that it is unknown; refused jobs are remembered by the durations that decided; returns stay spread in a long overload; a reason of a later release accepts the job; a job that has just begun keeps its place before late ones; tasks of a slow worker are stopped only where another worker has room for them, twice at most; texts and a doubled function.

--- a/heatherkeel/admission/desk.py
+++ b/heatherkeel/admission/desk.py
@@ -31,6 +31,8 @@
     backlog: PoolBacklog | None = None
     service: str = ""
     work: float = 0.0
+    path_ms: float = 0.0
+    """Expected work and critical path, by which it was decided."""
 
     def is_refusal(self) -> bool:
         """Return whether the job is refused, provided that it isn't stored."""
@@ -75,7 +77,11 @@
             kept = self.memory.sum_returning(queue.service, now_ms=now_ms)
             expected = expect(backlog, applicant, kept=kept)
         decision = Decision(
-            expected=expected, backlog=backlog, service=queue.service, work=question.work
+            expected=expected,
+            backlog=backlog,
+            service=queue.service,
+            work=question.work,
+            path_ms=question.path_ms,
         )
         if not decision.is_refusal():
             self.admit(question.job_id, now_ms=now_ms)
@@ -102,7 +108,7 @@
     ) -> Doubt | None:
         if self.state.find_job(question.job_id) or question.job_id in self.memory.admitted:
             return Doubt.KNOWN
-        if self.opened_ms is None or now_ms - self.opened_ms < QUIET_MS:
+        if self.is_new(now_ms):
             return Doubt.NEW_OWNER
         if not is_current or not self.state.can_start:
             return Doubt.NOT_CURRENT
@@ -140,6 +146,10 @@
             self.judge.discard(job_id)
         self.memory.admit(job_id, now_ms=now_ms)
 
+    def is_new(self, now_ms: int) -> bool:
+        """Return whether the owner hasn't had its partition for long enough to refuse anything."""
+        return self.opened_ms is None or now_ms - self.opened_ms < QUIET_MS
+
     def is_known(self, job_id: str) -> bool:
         """Return whether a job is known or was admitted."""
         return self.state.find_job(job_id) is not None or job_id in self.memory.admitted
@@ -153,28 +163,32 @@
         earlier = self.memory.refused.get(question.job_id)
         room_ms = now_ms + expected.room_in_ms()
         if earlier is None:
-            takes_ms = question.work / max(1.0, backlog.cores)
-            room_ms = self.memory.plan_return(decision.service, room_ms=room_ms, takes_ms=takes_ms)
+            takes_ms = decision.work / max(1.0, backlog.cores)
+            room_ms = self.memory.plan_return(
+                decision.service,
+                room_ms=room_ms,
+                takes_ms=takes_ms,
+                latest_ms=now_ms + 1000 * MAX_RETRY_S,
+            )
         retry_s = max(1, min(MAX_RETRY_S, ceil((room_ms - now_ms) / 1000)))
         self.memory.refuse(
             question.job_id,
             RefusedJob(
-                first_ms=now_ms,
                 refused_ms=now_ms,
                 refused_wall_ms=wall_ms,
                 attempt=question.attempt,
                 returns_ms=now_ms + 1000 * retry_s,
                 service=decision.service,
-                work=question.work,
+                work=decision.work,
             ),
         )
         if earlier is None:
-            latest_begin_ms = now_ms + expected.worthless_ms - question.path_ms
+            latest_begin_ms = now_ms + expected.worthless_ms - decision.path_ms
             self.judge.add(
                 JudgedJob(
                     job_id=question.job_id,
                     service=decision.service,
-                    work_left=question.work,
+                    work_left=decision.work,
                     latest_begin_ms=latest_begin_ms,
                 )
             )
--- a/heatherkeel/admission/memory.py
+++ b/heatherkeel/admission/memory.py
@@ -11,7 +11,6 @@
 class RefusedJob:
     """A job that was refused and may return."""
 
-    first_ms: int
     refused_ms: int
     """When it was refused last."""
     refused_wall_ms: int
@@ -44,9 +43,7 @@
 
     def refuse(self, job_id: str, refused: RefusedJob) -> None:
         """Remember that a job was refused."""
-        earlier = self.refused.pop(job_id, None)
-        if earlier is not None:
-            refused.first_ms = earlier.first_ms
+        self.refused.pop(job_id, None)
         self.refused[job_id] = refused
 
     def is_full(self) -> bool:
@@ -68,13 +65,18 @@
             del self.late[job_id]
         return expired
 
-    def plan_return(self, service: str, *, room_ms: float, takes_ms: float) -> float:
+    def plan_return(
+        self, service: str, *, room_ms: float, takes_ms: float, latest_ms: float
+    ) -> float:
         """Return when a job may return for which there is room at `room_ms`.
 
         Each job that returns takes the pool's whole processor for `takes_ms`. The next one is told
-        to return that much later.
+        to return that much later, at most at `latest_ms`.
         """
         returns_ms = max(room_ms, self.next_return_ms.get(service, 0.0))
+        if returns_ms > latest_ms:
+            # Begin anew: all later ones would return together at the latest time.
+            returns_ms = min(room_ms, latest_ms)
         self.next_return_ms[service] = returns_ms + takes_ms
         return returns_ms
 
--- a/heatherkeel/admission/outcomes.py
+++ b/heatherkeel/admission/outcomes.py
@@ -29,7 +29,7 @@
 
 @dataclass(kw_only=True, slots=True)
 class RefusalJudge:
-    """Lets refused jobs use, in thought, the processor that their pools leave unused."""
+    """Simulates refused jobs on the processor that their pools leave unused."""
 
     waiting: list[JudgedJob] = field(default_factory=list)
 
--- a/heatherkeel/admission/service.py
+++ b/heatherkeel/admission/service.py
@@ -51,8 +51,10 @@
         asked_s = trio.current_time()
         async with self.lock:
             if self.began_s < asked_s:
-                self.began_s = trio.current_time()
+                began_s = trio.current_time()
                 self.job_ids = await self._async_read(start)
+                # Only now: a read that was cancelled must not vouch for the one before it.
+                self.began_s = began_s
             return self.job_ids
 
     async def _async_read(self, start: int) -> frozenset[str] | None:
@@ -113,6 +115,9 @@
     async def async_answer(self, question: AdmissionQuestion) -> AdmissionAnswer:
         """Decide on a job."""
         if question.only_known:
+            if self.desk.is_new(monotonic_ms()):
+                # It doesn't know yet what its predecessor has admitted.
+                return AdmissionAnswer(doubt=Doubt.NEW_OWNER.value)
             is_known = self.desk.is_known(question.job_id)
             return AdmissionAnswer(doubt=Doubt.KNOWN.value if is_known else "")
         decision = self._decide(question)
@@ -170,7 +175,8 @@
             await self.refused.wait()
             self.refused = trio.Event()
             last_ms = monotonic_ms()
-            while self.desk.memory.refused or self.desk.judge.waiting:
+            memory = self.desk.memory
+            while memory.refused or memory.late or self.desk.judge.waiting:
                 await trio.sleep(JUDGE_INTERVAL_S)
                 now_ms = monotonic_ms()
                 self.follow_refusals(now_ms=now_ms, since_ms=last_ms)
--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -175,7 +175,7 @@
 """Minimum time between judgements of a worker's speed, in milliseconds."""
 MIN_SLOW_STEPS: Final = 3
 """Number of steps whose tasks must be slow on a worker; the middle one decides."""
-MAX_SLOW_FRACTION: Final = 0.2
+MAX_SLOW_WORKERS_FRACTION: Final = 0.2
 """Fraction of a pool's workers that may count as slow at once."""
 SLOW_MS: Final = 4000
 """Time for which a slow worker gets work last, in milliseconds; then it is judged anew."""
@@ -188,5 +188,5 @@
 RESTART_MARGIN_MS: Final = 500
 """Time to stop a task and to start it elsewhere, in milliseconds."""
 MAX_ATTEMPT_TO_STOP: Final = 2
-"""Highest attempt of a task that is stopped to give way, unless it is worthless; otherwise large
-tasks might never end while pools compete."""
+"""Highest attempt of a task that is stopped to give way or because its worker is slow, unless it is
+worthless; otherwise large tasks might never end while pools compete."""
--- a/heatherkeel/dispatch/journal.py
+++ b/heatherkeel/dispatch/journal.py
@@ -100,7 +100,10 @@
                 callback()
 
     async def _async_append(self, records: list[KeyedRecord]) -> bool:
-        """Append exactly once, with retries; False if another instance owns the partition."""
+        """Append exactly once, with retries.
+
+        Returns False if another instance owns the partition, or another writer uses this token.
+        """
         while True:
             producer = Producer(name=PRODUCER, epoch=self.token, sequence=self.sequence)
             appended = await self.store.async_append_as(
--- a/heatherkeel/dispatch/open_steps.py
+++ b/heatherkeel/dispatch/open_steps.py
@@ -46,8 +46,9 @@
 class OpenSteps:
     """Keeps waiting steps sorted, so that an event's cost doesn't depend on how many wait.
 
-    A step's urgency only decreases with time. It is updated when the step is visited, which is
-    before any less urgent step gets capacity. Where it may rise, the steps are sorted again.
+    A step's urgency decreases with time, and rises when its job starts or its workspace is no
+    longer above its part. It is updated when the step is visited, which is before any less urgent
+    step gets capacity.
     """
 
     def __init__(self) -> None:
@@ -187,6 +188,10 @@
                 continue
             self.discard(step)
             self._insert(step, urgency_now)
+            if urgency_now < urgency:
+                # Its job has started since. Until the next pass, less urgent steps would get its
+                # capacity.
+                yield step
 
     def _insert(self, step: Step, urgency: Urgency) -> None:
         entry: Entry = (*self._sort_key(step, urgency), step.name(), step)
--- a/heatherkeel/dispatch/slowness.py
+++ b/heatherkeel/dispatch/slowness.py
@@ -13,7 +13,8 @@
 from typing import Final
 
 from .const import (
-    MAX_SLOW_FRACTION,
+    MAX_ATTEMPT_TO_STOP,
+    MAX_SLOW_WORKERS_FRACTION,
     MIN_PROJECTED,
     MIN_SLOW_STEPS,
     RESTART_GAIN,
@@ -99,7 +100,11 @@
 
 
 def prefer_fast(choices: list[list[Worker]], now_ms: int) -> list[list[Worker]]:
-    """Return groups of candidate workers in which slow workers come last."""
+    """Return the groups, each preceded by its workers that aren't slow.
+
+    A group's slow workers still come before the next group, since suspicion weighs more than speed.
+    Groups stay whole, because a gang may need all of one.
+    """
     if not any(worker.is_slow(now_ms) for workers in choices for worker in workers):
         return choices
     groups = []
@@ -137,29 +142,33 @@
     """
     workers = find_pool(state, worker.entry.service).workers.values()
     slow = sum(1 for other in workers if other.is_slow(state.now_ms))
-    return slow + 1 <= MAX_SLOW_FRACTION * len(workers)
+    return slow + 1 <= MAX_SLOW_WORKERS_FRACTION * len(workers)
 
 
 def _stop_late_runs(state: PartitionState, worker: Worker, effects: Effects) -> int:
     """Stop runs that would end much sooner elsewhere; return how many."""
     pool = find_pool(state, worker.entry.service)
-    free_cpu = sum(
-        max(0, other.free_cpu())
+    others = [
+        other
         for other in pool.workers.values()
-        if other is not worker and other.accepts_work(state.now_ms)
-    )
+        if other.accepts_work(state.now_ms) and not other.is_slow(state.now_ms)
+    ]
+    free_cpu = sum(max(0, other.free_cpu()) for other in others)
     stopped = 0
     for run in list(worker.runs.values()):
-        cpu = run.task.step.request.cpu
-        if cpu <= free_cpu and _ends_sooner_elsewhere(state, worker, run):
+        request = run.task.step.request
+        has_room = request.cpu <= free_cpu and any(other.fits(request) for other in others)
+        if has_room and _ends_sooner_elsewhere(state, worker, run):
             stop_run(state, run, effects)
-            free_cpu -= cpu
+            free_cpu -= request.cpu
             stopped += 1
     return stopped
 
 
 def _ends_sooner_elsewhere(state: PartitionState, worker: Worker, run: Run) -> bool:
     request = run.task.step.request
+    if run.attempt > MAX_ATTEMPT_TO_STOP:
+        return False
     projected_ms = _project_ms(state, worker, run)
     expected_ms = _expected_ms(state, run)
     if run.state is not RunState.RUNNING or request.is_gang or not projected_ms or not expected_ms:
--- a/heatherkeel/gateway/admission.py
+++ b/heatherkeel/gateway/admission.py
@@ -4,11 +4,13 @@
 
 import logging
 import uuid
+from typing import Final
 
 import msgspec
 import trio
 
 from heatherkeel.admission.const import ANSWER_WAIT_S
+from heatherkeel.admission.models import RefusalReason
 from heatherkeel.dispatch.building import critical_paths_ms, remaining_work
 from heatherkeel.dispatch.records import StoredRequest
 from heatherkeel.helpers.clock import wall_ms
@@ -21,6 +23,7 @@
 from .reasons import Refusal
 
 _LOGGER = logging.getLogger(__name__)
+_KNOWN_REASONS: Final = frozenset(reason.value for reason in RefusalReason)
 
 
 def make_attempt_name(exchange: Exchange) -> str:
@@ -44,7 +47,8 @@
         # The caller is told so at once.
         return False
     answer = await _async_ask(exchange, question)
-    if answer is None or not answer.refusal:
+    if answer is None or answer.refusal not in _KNOWN_REASONS:
+        # An owner of a later release may have reasons that aren't known here; its job is accepted.
         return False
     _log_expected(question, answer)
     await exchange.async_refuse(
@@ -82,7 +86,8 @@
     """Refuse a job while the store answers nothing, if its owner surely doesn't know it.
 
     An append would hold the caller until its deadline. Nothing was sent, so the job never runs,
-    unless another process has stored it or is about to: each of them has asked the owner before.
+    unless another process has stored it or is about to. Each of them asks the owner first; only one
+    that got no answer may have stored it all the same.
     """
     known = msgspec.structs.replace(question, only_known=True)
     answer = await _async_ask(exchange, known)
@@ -134,7 +139,7 @@
     exchange.context.metrics.admissions_unanswered.inc()
     exchange.context.lookup.record_silence(question.partition)
     _LOGGER.warning(
-        "the backlog is not known; the job is accepted",
+        "the owner did not answer about admission",
         extra={
             "event": "admission_unknown",
             "job": question.job_id,
--- a/heatherkeel/pooling/claims.py
+++ b/heatherkeel/pooling/claims.py
@@ -12,8 +12,6 @@
 from .const import (
     DIVISION_HYSTERESIS,
     MIN_KNOWN_FRACTION,
-    MIN_MACHINES,
-    MIN_SIZE_FRACTION,
     TARGET_UTILIZATION,
 )
 from .division import Claimant, Demand, divide
@@ -26,6 +24,7 @@
     find_fresh_view,
     find_lost_zones,
     list_staying,
+    min_machines,
 )
 
 
@@ -74,7 +73,9 @@
     held = {share: len(machines) + incoming[share] for share, machines in members.items()}
     total = sum(held.values()) + _count_usable_standby(state)
     needed = {
-        share: max(_least(state, share), count_needed(state, share, machines, recent=False) or 0)
+        share: max(
+            min_machines(state, share), count_needed(state, share, machines, recent=False) or 0
+        )
         for share, machines in members.items()
     }
     if sum(needed.values()) <= total:
@@ -115,10 +116,6 @@
     )
 
 
-def _least(state: FleetOwnerState, share: PoolShare) -> int:
-    return max(MIN_MACHINES, ceil(MIN_SIZE_FRACTION * state.initial_size(share)))
-
-
 def _find_claimant(state: FleetOwnerState, share: PoolShare, machines: list[Machine]) -> Claimant:
     load = state.views[share].load
     claims = load.claims or []
@@ -131,7 +128,7 @@
     pinned = sum(1 for machine in machines if machine.worker_id in load.lasting)
     return Claimant(
         weight=max(1.0, state.initial_size(share)),
-        least=_least(state, share),
+        least=min_machines(state, share),
         pinned=pinned + load.lacking,
         demands=demands,
     )
--- a/heatherkeel/pooling/division.py
+++ b/heatherkeel/pooling/division.py
@@ -62,7 +62,9 @@
 
 
 def divide(total: int, claimants: dict[PoolShare, Claimant]) -> dict[PoolShare, int]:
-    """Return each share's part of `total` machines, which adds up to no more than these.
+    """Return each share's part of `total` machines.
+
+    The parts add up to no more than that, unless pinned machines alone do.
 
     Each share first gets its least part. The rest goes to demand in time, max-min fair by weight;
     and what is left then goes to late demand in the same way.
--- a/heatherkeel/pooling/division_log.py
+++ b/heatherkeel/pooling/division_log.py
@@ -31,13 +31,13 @@
         return
     if is_unknown and not log.is_unknown:
         _LOGGER.warning(
-            "claims of pools are unknown, so their machines aren't divided",
+            "claims of some pools are unknown, so their machines aren't divided",
             extra={"event": "division_unknown", "unknown": unknown},
         )
     log.logged_ms = state.now_ms
     log.is_divided, log.is_unknown = division is not None, is_unknown
     _LOGGER.info(
-        "machines divided" if division is not None else "machines suffice",
+        _describe_state(division, is_unknown=is_unknown),
         extra={
             "event": "division",
             "shares": [_describe(division, share) for share in division.parts] if division else [],
@@ -50,6 +50,12 @@
     log.dropped = 0
 
 
+def _describe_state(division: Division | None, *, is_unknown: bool) -> str:
+    if division is not None:
+        return "machines divided"
+    return "division unknown" if is_unknown else "machines suffice"
+
+
 def _describe(division: Division, share: PoolShare) -> dict[str, object]:
     claimant = division.claimants[share]
     return {
--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -4,7 +4,6 @@
 
 from collections import Counter
 from dataclasses import replace
-from math import ceil
 
 from heatherkeel.platform.machines import Machine
 from heatherkeel.questions.messages import Need
@@ -12,12 +11,18 @@
 from .claims import Division
 from .const import (
     MIN_MACHINES,
-    MIN_SIZE_FRACTION,
 )
 from .handover import count_allowed, list_takable, order_to_empty, take_budget
 from .models import FleetOwnerState, Intent, PoolShare, Purpose
 from .standby import choose_for_standby
-from .supply import Supply, count_needed, find_fresh_view, find_lost_zones, list_staying
+from .supply import (
+    Supply,
+    count_needed,
+    find_fresh_view,
+    find_lost_zones,
+    list_staying,
+    min_machines,
+)
 
 
 def plan_moves(
@@ -214,21 +219,12 @@
         if machine.worker_id in view.load.workers and machine.worker_id not in view.load.lasting
     ]
     pinned = len(machines) - len(free)
-    minimum = _min_machines(state, share) if recent else MIN_MACHINES
+    minimum = min_machines(state, share) if recent else MIN_MACHINES
     spare = len(machines) - max(needed, pinned, minimum)
     free.sort(key=lambda machine: order_to_empty(view.load, machine))
     return free[: max(0, spare)]
 
 
-def _min_machines(state: FleetOwnerState, share: PoolShare) -> int:
-    """Return how many machines a share keeps between demand peaks.
-
-    They serve jobs until further machines arrive, and cover failures, maintenance and times
-    without a fleet owner.
-    """
-    return max(MIN_MACHINES, ceil(MIN_SIZE_FRACTION * state.initial_size(share)))
-
-
 def _move(state: FleetOwnerState, machine: Machine, pool: str) -> Intent:
     return Intent(
         machine=machine.name,
--- a/heatherkeel/pooling/supply.py
+++ b/heatherkeel/pooling/supply.py
@@ -16,7 +16,9 @@
     MAX_GROWTH_FACTOR,
     MIN_ARRIVALS,
     MIN_LOST_WORKERS,
+    MIN_MACHINES,
     MIN_RESPONSIVE_FRACTION,
+    MIN_SIZE_FRACTION,
     PEAK_RETENTION_MS,
     TARGET_UTILIZATION,
     TREND_WINDOW_MS,
@@ -226,3 +228,12 @@
         for zone, count in lost.items()
         if count >= MIN_LOST_WORKERS and count > LOST_ZONE_FRACTION * known[zone]
     }
+
+
+def min_machines(state: FleetOwnerState, share: PoolShare) -> int:
+    """Return how many machines a share keeps between demand peaks.
+
+    They serve jobs until further machines arrive, and cover failures, maintenance and times
+    without a fleet owner.
+    """
+    return max(MIN_MACHINES, ceil(MIN_SIZE_FRACTION * state.initial_size(share)))
--- a/tests/admission/test_desk.py
+++ b/tests/admission/test_desk.py
@@ -177,3 +177,15 @@
     refuse(desk, name(1))
     (verdict,) = desk.judge.observe({}, now_ms=NOW_MS + 60_000)
     assert verdict.is_right
+
+
+def test_returns_begin_anew_at_the_longest_retry_after() -> None:
+    """Guards against callers of a long overload who all return together."""
+    memory = AdmissionMemory()
+    planned = [
+        memory.plan_return("portal", room_ms=1000, takes_ms=100, latest_ms=20_000)
+        for _ in range(400)
+    ]
+    assert max(planned) <= 20_000
+    assert len(set(planned)) > 100
+    assert planned.count(20_000) < 10
--- a/tests/admission/test_service.py
+++ b/tests/admission/test_service.py
@@ -162,3 +162,39 @@
     assert trio.run(service.async_answer, question) == AdmissionAnswer()
     service.desk.admit(QUESTION.job_id, now_ms=monotonic_ms())
     assert trio.run(service.async_answer, question).doubt == Doubt.KNOWN.value
+
+
+def test_cancelled_read_does_not_vouch_for_the_one_before_it() -> None:
+    """Guards against "never runs" for a job that was stored after an earlier read."""
+
+    async def async_test() -> None:
+        store = ReadStore()
+        service = make_service(store)
+        assert await service.shared_read.async_read(5) == frozenset()
+        store.job_ids = (QUESTION.job_id,)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(service.shared_read.async_read, 5)
+            nursery.start_soon(async_ask_later, service)
+            await trio.sleep(READ_S / 2)
+            nursery.cancel_scope.cancel()
+        assert await service.shared_read.async_read(5) == frozenset({QUESTION.job_id})
+
+    async def async_ask_later(service: AdmissionService) -> None:
+        await trio.sleep(READ_S / 4)
+        with trio.CancelScope(shield=True):
+            assert await service.shared_read.async_read(5) == frozenset({QUESTION.job_id})
+
+    trio.run(async_test)
+
+
+def test_new_owner_does_not_say_that_a_job_is_unknown() -> None:
+    """Guards against "never runs" for a job that the predecessor has admitted."""
+
+    async def async_test() -> None:
+        service = make_service(ReadStore())
+        question = msgspec.structs.replace(QUESTION, only_known=True)
+        assert not (await service.async_answer(question)).doubt
+        service.open()
+        assert (await service.async_answer(question)).doubt == Doubt.NEW_OWNER.value
+
+    trio.run(async_test)
--- a/tests/dispatch/test_over_part.py
+++ b/tests/dispatch/test_over_part.py
@@ -5,6 +5,7 @@
 import pytest
 
 from heatherkeel.dispatch.events import GrantsOffered
+from heatherkeel.dispatch.models import JobState
 from heatherkeel.platform.callers import StepRequest
 from heatherkeel.workspaces.amounts import Amount
 from heatherkeel.workspaces.const import OVER_PART_MAX_AGE_MS
@@ -78,3 +79,13 @@
     partition.tell("desk")
     partition.tick(OVER_PART_MAX_AGE_MS)
     assert partition.order().index("dock") >= 10
+
+
+def test_job_that_has_begun_keeps_its_place_before_late_ones(partition: Contended) -> None:
+    """Guards against late jobs that get the room of a job which has just begun."""
+    partition.tell("desk")
+    open_steps = partition.state.pools["portal"].open_steps
+    waiting = (step for step in open_steps if not step.job.has_started())
+    step = next(step for step in waiting if step.job.workspace == "desk")
+    step.job.state = JobState.ACTIVE
+    assert step in list(open_steps.in_order(partition.now_ms))
--- a/tests/dispatch/test_slowness.py
+++ b/tests/dispatch/test_slowness.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from heatherkeel.dispatch.const import MAX_SLOW_FRACTION, SLOW_JUDGE_INTERVAL_MS, SLOW_MS
+from heatherkeel.dispatch.const import MAX_SLOW_WORKERS_FRACTION, SLOW_JUDGE_INTERVAL_MS, SLOW_MS
 from heatherkeel.dispatch.models import Run
 from heatherkeel.platform.workers import RunningTask
 
@@ -103,7 +103,7 @@
     for worker_id in pool.entries:
         pool.list_progress(worker_id, SLOW_PERCENT)
     slow = [worker_id for worker_id in pool.entries if pool.is_slow(worker_id)]
-    assert len(slow) <= MAX_SLOW_FRACTION * WORKERS
+    assert len(slow) <= MAX_SLOW_WORKERS_FRACTION * WORKERS
 
 
 def test_nothing_is_slow_while_durations_are_unknown() -> None:
