--- a/tests/relay/test_answering.py
+++ b/tests/relay/test_answering.py
@@ -51,16 +51,19 @@
 
 
 @pytest.mark.parametrize(
-    ("asked", "why"),
+    ("target", "age_ms", "why"),
     [
-        (ask("/heatherkeel/run-start"), Served.NOT_ALLOWED),
-        (ask("http://10.0.0.1/heatherkeel/log-join"), Served.NOT_ALLOWED),
-        (ask(age_ms=MAX_CALL_AGE_MS + 1000), Served.TOO_OLD),
-        (ask(age_ms=-60_000), Served.TOO_OLD),
+        ("/heatherkeel/run-start", 0, Served.NOT_ALLOWED),
+        ("http://10.0.0.1/heatherkeel/log-join", 0, Served.NOT_ALLOWED),
+        ("/heatherkeel/log-join", MAX_CALL_AGE_MS + 1000, Served.TOO_OLD),
+        ("/heatherkeel/log-join", -60_000, Served.TOO_OLD),
     ],
 )
-def test_late_call_or_call_to_other_target_is_refused(asked: RelayQuestion, why: Served) -> None:
+def test_late_call_or_call_to_other_target_is_refused(
+    target: str, age_ms: int, why: Served
+) -> None:
     """A delayed renewal must not bring back a member that has left; other targets are refused."""
+    asked = ask(target, age_ms=age_ms)
     store = FakeStore()
     answer = trio.run(make_relay(store).async_answer, asked)
     assert (answer.failure, answer.detail) == (Failure.REFUSED, why.value)
