--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -44,8 +44,8 @@
     assert not isinstance(
         question, SlowQuestion | GrantsQuestion | OperatorQuestion
     ), "answered by others"
-    owner = owners.get(question.partition)
-    if owner is None or not owner.is_restored:
+    owner = _find_restored(owners, question.partition)
+    if owner is None:
         return NotOwner()
     if isinstance(question, JobQuestion):
         job = owner.state.find_job(question.job_id)
@@ -75,6 +75,12 @@
     return QueueAnswer(pending=pending)
 
 
+def _find_restored(owners: dict[int, PartitionOwner], partition: int) -> PartitionOwner | None:
+    """Return a partition's owner, if it is in this process and has restored its jobs."""
+    owner = owners.get(partition)
+    return owner if owner is not None and owner.is_restored else None
+
+
 def _exchange_durations(
     owner: PartitionOwner, offer: DurationsOffer | None
 ) -> DurationsReport | None:
@@ -90,8 +96,8 @@
     owners: dict[int, PartitionOwner], question: StoreJobQuestion
 ) -> StoreJobAnswer | NotOwner:
     """Store a caller's record with those that others ask to store meanwhile."""
-    owner = owners.get(question.partition)
-    if owner is None or not owner.is_restored:
+    owner = _find_restored(owners, question.partition)
+    if owner is None:
         return NotOwner()
     record = KeyedRecord(key=question.key, value=question.value)
     stored = await owner.submissions.async_store(record)
@@ -105,7 +111,7 @@
     owners: dict[int, PartitionOwner], question: AdmissionQuestion
 ) -> AdmissionAnswer | NotOwner:
     """Decide whether a job may be stored."""
-    owner = owners.get(question.partition)
-    if owner is None or not owner.is_restored:
+    owner = _find_restored(owners, question.partition)
+    if owner is None:
         return NotOwner()
     return await owner.admission.async_answer(question)
