Log why a step waits for long, needs that aren't met, and orders without effect

Cause: a task that can run and doesn't may be unknown to its owner, missing from the steps that wait, taken as started, or waiting and never placed. No line told these apart. Change: each second an owner looks for steps that have waited for 2 s, and for starts and stops without effect for 4 s, and logs a bounded number with the reasons; a counter by reason. The fleet's owner logs a need that stands for 2 s with the machines that count as meeting it. No decision changes.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -190,3 +190,13 @@
 MAX_ATTEMPT_TO_STOP: Final = 2
 """Highest attempt of a task that is stopped to give way or because its worker is slow, unless it is
 worthless; otherwise large tasks might never end while pools compete."""
+EXPLAIN_INTERVAL_MS: Final = 1000
+"""Time between two searches for tasks that could run and don't, in milliseconds."""
+EXPLAIN_AFTER_MS: Final = 2000
+"""How long a step waits before it is logged why, in milliseconds."""
+EXPLAIN_AGAIN_MS: Final = 5000
+"""Time until the same step is logged again, in milliseconds."""
+UNSETTLED_MS: Final = 4000
+"""How long a start or a stop may be without effect before that is logged, in milliseconds."""
+MAX_EXPLAINED: Final = 3
+"""Steps of a pool, and runs of a partition, that one search logs."""
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -13,7 +13,7 @@
 from heatherkeel.workspaces.amounts import Amount
 from heatherkeel.workspaces.messages import GrantOffer
 
-from .models import LossReason, Run, Step
+from .models import LossReason, Run, Step, WaitReason
 from .worker import Worker
 
 
@@ -241,6 +241,13 @@
     workspace: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CountWaiting(Effect):
+    """Count a step that waits for long, by the main reason."""
+
+    reason: WaitReason
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CountGivenUp(Effect):
     """Count a job that was failed because one of its tasks crashes workers."""
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -234,6 +234,7 @@
         remove_run(state, run)
         return
     run.state = RunState.STOPPING
+    run.stopping_since_ms = state.now_ms
     run.answered_ms = None
     lasts = run.task.step.request.lasts
     if lasts:
--- a/heatherkeel/dispatch/metrics.py
+++ b/heatherkeel/dispatch/metrics.py
@@ -10,7 +10,7 @@
 from heatherkeel.durations.models import ErrorFactors
 from heatherkeel.workspaces.labels import WorkspaceLabels
 
-from .models import LossReason
+from .models import LossReason, WaitReason
 
 ERROR_BUCKETS: Final = (1.1, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0)
 
@@ -27,6 +27,14 @@
         )
         for reason in LossReason:
             self.losses.labels(reason.name.lower())
+        self.waiting = Counter(
+            "heatherkeel_steps_waiting_long",
+            "Steps that were logged since they wait for long, by the main reason.",
+            ["reason"],
+            registry=registry,
+        )
+        for wait_reason in WaitReason:
+            self.waiting.labels(wait_reason.name.lower())
         self.given_up = Counter(
             "heatherkeel_jobs_given_up",
             "Jobs that were shown as failed since a task of them crashes workers.",
@@ -63,6 +71,10 @@
         """Count a run that was lost."""
         self.losses.labels(reason.name.lower()).inc()
 
+    def count_waiting(self, reason: WaitReason) -> None:
+        """Count a step that waits for long."""
+        self.waiting.labels(reason.name.lower()).inc()
+
     def observe_duration(self, errors: ErrorFactors) -> None:
         """Record how far off the estimates of an ended step were."""
         for estimate, error in errors._asdict().items():
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -39,6 +39,31 @@
     WORKER_RESTARTED = "its worker has started again"
 
 
+class WaitReason(StrEnum):
+    """Why a worker with room gets no task of a waiting step; in the order of the checks."""
+
+    NOT_LISTED = "not listed"
+    """It has no entry in the store."""
+    OTHER_ENTRY = "entry of another life"
+    DRAINING = "draining"
+    LEAVING = "its machine is to leave"
+    NOT_READY = "no answer to this owner yet"
+    UNRESPONSIVE = "unresponsive"
+    OUTDATED = "entry outdated"
+    QUARANTINED = "quarantined"
+    FULL = "refused a start for lack of capacity"
+    OTHER_LABEL = "without the label"
+    MAX_PER_WORKER = "has the step's maximum per worker"
+    SUSPECT = "closed by another job's suspect"
+    NO_TICKET = "without a ticket"
+    NOT_EXAMINED = "step not examined"
+    """Nothing is against it, so the step's place is behind too many others."""
+    NO_ROOM = "no worker has room"
+    LIMIT = "limit of its workspace"
+    CANT_START = "starts can't be stored or sent"
+    FORGOTTEN = "not among the steps that wait"
+
+
 class RunState(StrEnum):
     """State of one run of a task."""
 
@@ -68,6 +93,8 @@
     start_timed_out_ms: int | None = None
     """When waiting for the answer to its start ended; None if it was answered or isn't sent."""
     started_ms: int = 0
+    stopping_since_ms: int = 0
+    """When its stop was decided; 0 if it wasn't."""
     is_doubtful: bool = False
     """Its worker is unresponsive."""
     was_doubtful: bool = False
@@ -156,6 +183,10 @@
     """All steps that it depends on are done."""
     times: StepTimes = field(default_factory=StepTimes)
     """Durations of its tasks that have ended."""
+    waiting_since_ms: int = 0
+    """Since when it has waited for capacity without a start."""
+    explained_ms: int = 0
+    """When it was last logged why it waits; 0 if it wasn't."""
     tickets: dict[str, Ticket] = field(default_factory=dict)
     disallowed_workers: set[str] = field(default_factory=set)
     """Workers that the advisor doesn't allow to run it."""
--- a/heatherkeel/dispatch/open_steps.py
+++ b/heatherkeel/dispatch/open_steps.py
@@ -70,6 +70,9 @@
     def __len__(self) -> int:
         return len(self.entries) + len(self.limited_entries)
 
+    def __contains__(self, step: Step) -> bool:
+        return step in self.entries or step in self.limited_entries
+
     def __iter__(self) -> Iterator[Step]:
         return chain(self.entries, self.limited_entries)
 
@@ -79,7 +82,8 @@
 
     def add(self, step: Step, now_ms: int) -> None:
         """Add a waiting step; one that already waits keeps its place."""
-        if step not in self.entries and step not in self.limited_entries:
+        if step not in self:
+            step.waiting_since_ms = now_ms
             self._insert(step, find_urgency(step, now_ms))
 
     def set_limited(self, step: Step) -> None:
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -40,6 +40,7 @@
     CountLimited,
     CountLoss,
     CountSlowWorker,
+    CountWaiting,
     Effect,
     Effects,
     Event,
@@ -409,6 +410,8 @@
                     self.nursery.start_soon(self.queries.async_ask_advice, effect)
             case CountLoss():
                 self.metrics.count_loss(effect.reason)
+            case CountWaiting():
+                self.metrics.count_waiting(effect.reason)
             case CountLimited():
                 self.metrics.count_limited(effect.workspace)
             case ObserveDuration():
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -220,6 +220,7 @@
         pool.open_steps.discard(step)
     if not placed:
         return
+    step.waiting_since_ms = state.now_ms
     job = step.job
     if job.state is JobState.PENDING:
         job.state = JobState.ACTIVE
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -16,7 +16,7 @@
 from .building import set_objective
 from .const import LEASE_MS, SLOWEST_CLOCK
 from .incarnations import add_worker
-from .models import Job, Run
+from .models import Job, Run, RunState
 from .pools import enqueue_step
 from .records import (
     CANCEL_PREFIX,
@@ -173,6 +173,8 @@
             unresponsive_since_ms=state.now_ms,
         )
         add_worker(state, worker)
+    if run.state is RunState.STOPPING:
+        run.stopping_since_ms = state.now_ms
     longest_ms = TTL_MS + LEASE_MS * SLOWEST_CLOCK
     worker.earlier_leases_until_ms = state.now_ms + round(longest_ms)
     worker.add(run)
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -62,6 +62,8 @@
     """Start times of ended incarnations by worker, as long as the worker's ID has an entry."""
     ignored_entries: dict[str, int] = field(default_factory=dict)
     """Start time of the ended incarnation by worker, where its ignored entry was logged."""
+    explained_ms: int = 0
+    """When tasks that could run and don't were last looked for."""
     leaving_ms: int = 0
     """When the fleet's owner last named the workers that leave."""
     finds_slow_workers: bool = True
--- a/heatherkeel/dispatch/tickets.py
+++ b/heatherkeel/dispatch/tickets.py
@@ -22,13 +22,14 @@
     state: PartitionState, step: Step, workers: list[Worker], effects: Effects
 ) -> list[Worker]:
     """Return the workers with a valid ticket; requests more if none of them has capacity."""
-    ticketed = [worker for worker in workers if _has_valid_ticket(state, step, worker)]
+    ticketed = [worker for worker in workers if has_valid_ticket(state, step, worker)]
     if not any(worker.fits(step.request) for worker in ticketed):
         _request_advice(state, step, workers, effects)
     return ticketed
 
 
-def _has_valid_ticket(state: PartitionState, step: Step, worker: Worker) -> bool:
+def has_valid_ticket(state: PartitionState, step: Step, worker: Worker) -> bool:
+    """Return whether a step may be started on a worker with the ticket that it has."""
     ticket = step.tickets.get(worker.id)
     return ticket is not None and state.now_ms < ticket.until_ms - TICKET_MARGIN_MS
 
@@ -45,7 +46,7 @@
     unknown = [
         worker
         for worker in workers
-        if worker.id not in step.disallowed_workers and not _has_valid_ticket(state, step, worker)
+        if worker.id not in step.disallowed_workers and not has_valid_ticket(state, step, worker)
     ]
     unknown.sort(key=lambda worker: (-worker.free_cpu(), worker.id))
     worker_ids = tuple(worker.id for worker in unknown[:MAX_ADVICE_WORKERS])
--- a/heatherkeel/dispatch/ticks.py
+++ b/heatherkeel/dispatch/ticks.py
@@ -11,6 +11,7 @@
 from .over_part import expire_over_part
 from .registry import handles
 from .state import PartitionState
+from .waiting import explain_waiting
 
 
 @handles(Tick)
@@ -32,6 +33,7 @@
     for pool in state.pools.values():
         if pool.open_steps:
             effects.touch(pool.service)
+    explain_waiting(state, effects)
 
 
 def _expire_leaving(state: PartitionState, effects: Effects) -> None:
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -228,6 +228,7 @@
         attempt=row.attempt,
         worker_id=worker.id,
         state=RunState.STOPPING,
+        stopping_since_ms=state.now_ms,
         saved=row.saved,
     )
     task.attempt = max(task.attempt, row.attempt)
--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -102,3 +102,6 @@
 """Fraction of the shares whose claims must be known for machines to be divided."""
 DIVISION_LOG_MS: Final = 1000
 """Minimum time between two log lines about the division, in milliseconds."""
+UNMET_LOG_MS: Final = 2000
+"""How long a share needs a machine before that is logged, and until it is logged again, in
+milliseconds; a move takes 1,500."""
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -11,7 +11,7 @@
 from heatherkeel.platform.errors import CallError
 from heatherkeel.platform.machines import Machine
 from heatherkeel.platform.operator import Service, Wave
-from heatherkeel.questions.messages import PoolLoad
+from heatherkeel.questions.messages import Need, PoolLoad
 
 
 class Purpose(StrEnum):
@@ -95,6 +95,14 @@
     """Takings canceled since then."""
 
 
+@dataclass(kw_only=True, slots=True)
+class UnmetNeed:
+    """A need that a share still reports."""
+
+    since_ms: int
+    logged_ms: int = 0
+
+
 @dataclass(kw_only=True, slots=True)
 class FleetOwnerState:
     """State of the fleet's owner."""
@@ -130,6 +138,8 @@
     """When machines were last taken from shares above their part."""
     moved_ms: dict[str, int] = field(default_factory=dict)
     """When each machine was last ordered to a pool."""
+    unmet: dict[tuple[PoolShare, Need], UnmetNeed] = field(default_factory=dict)
+    """The needs of shares for which no machine has come yet."""
     handovers: HandoverLog = field(default_factory=HandoverLog)
 
     def standby_pool(self) -> str | None:
--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -14,6 +14,7 @@
 )
 from .handover import count_allowed, list_takable, order_to_empty, take_budget
 from .models import FleetOwnerState, Intent, PoolShare, Purpose
+from .need_log import log_need, track_needs
 from .standby import choose_for_standby
 from .supply import (
     Supply,
@@ -114,10 +115,13 @@
     requirements could otherwise wait forever. Nothing moves if no candidate fits either.
     """
     intents: list[Intent] = []
+    track_needs(state)
     for share in state.shares():
         view = find_fresh_view(state, share)
         for need in view.load.needs if view is not None else []:
-            if _is_need_met(state, share, need, intents):
+            meeting = _list_meeting(state, share, need, intents)
+            log_need(state, share, need, meeting, candidates)
+            if meeting:
                 continue
             candidate = next(
                 (
@@ -133,10 +137,10 @@
     return intents
 
 
-def _is_need_met(
+def _list_meeting(
     state: FleetOwnerState, share: PoolShare, need: Need, planned: list[Intent]
-) -> bool:
-    """Return whether a machine that fits a need is in a share or on its way to it.
+) -> list[Machine]:
+    """Return the machines that fit a need and are in a share or on their way to it.
 
     A machine with a long-running task doesn't count: the share's owner has found it too full.
     """
@@ -146,8 +150,10 @@
         for intent in [*state.intents.values(), *planned]
         if intent.purpose is Purpose.MOVE and state.share_of(intent.machine, intent.pool) == share
     }
-    return any(
-        _can_hold(machine, need)
+    return [
+        machine
+        for machine in state.machines.values()
+        if _can_hold(machine, need)
         and machine.state != "down"
         and machine.worker_id not in long_running
         and (
@@ -157,8 +163,7 @@
                 and state.share_of(machine.name, machine.pool) == share
             )
         )
-        for machine in state.machines.values()
-    )
+    ]
 
 
 def _can_hold(machine: Machine, need: Need) -> bool:
