Say the main reason why a step waits without naming workers that go, at a bounded cost

Change: group once a step; full workers count as no_room; each run at most once in 5 s. Result: tests/dispatch/test_waiting.py.

--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -95,6 +95,8 @@
     started_ms: int = 0
     stopping_since_ms: int = 0
     """When its stop was decided; 0 if it wasn't."""
+    explained_ms: int = 0
+    """When it was last logged that its order has no effect; 0 if it wasn't."""
     is_doubtful: bool = False
     """Its worker is unresponsive."""
     was_doubtful: bool = False
@@ -184,7 +186,7 @@
     times: StepTimes = field(default_factory=StepTimes)
     """Durations of its tasks that have ended."""
     waiting_since_ms: int = 0
-    """Since when it has waited for capacity without a start."""
+    """Since when this owner has had it waiting without a start."""
     explained_ms: int = 0
     """When it was last logged why it waits; 0 if it wasn't."""
     tickets: dict[str, Ticket] = field(default_factory=dict)
--- a/heatherkeel/dispatch/waiting.py
+++ b/heatherkeel/dispatch/waiting.py
@@ -27,6 +27,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+_GOING = frozenset({WaitReason.NOT_LISTED, WaitReason.DRAINING, WaitReason.LEAVING})
+
 
 def explain_waiting(state: PartitionState, effects: Effects) -> None:
     """Log steps that have waited for long, and runs that have been unsettled for long."""
@@ -75,22 +77,30 @@
         for run in worker.runs.values()
         if run.state is not RunState.RUNNING
         and state.now_ms - max(run.started_ms, run.stopping_since_ms) >= UNSETTLED_MS
+        and (not run.explained_ms or state.now_ms - run.explained_ms >= EXPLAIN_AGAIN_MS)
     ]
 
 
 def _explain_step(state: PartitionState, pool: Pool, step: Step, effects: Effects) -> None:
     free = [worker for worker in pool.workers.values() if worker.fits(step.request)]
-    reasons = Counter(_find_reason(state, pool, step, worker) for worker in free)
+    reasons: Counter[WaitReason]
     if not state.can_start:
         reasons = Counter({WaitReason.CANT_START: 1})
     elif step in pool.open_steps.limited_entries:
         reasons = Counter({WaitReason.LIMIT: 1})
-    elif not free:
-        reasons = Counter({WaitReason.NO_ROOM: 1})
+    else:
+        groups = group_candidates(step, free)
+        open_to_step = {worker.id for workers in groups for worker in workers}
+        reasons = Counter(_find_reason(state, step, worker, open_to_step) for worker in free)
+        full = len(pool.workers) - len(free)
+        if full or not free:
+            reasons[WaitReason.NO_ROOM] = full
     _log_step(state, step, effects, reasons=reasons, free=len(free))
 
 
-def _find_reason(state: PartitionState, pool: Pool, step: Step, worker: Worker) -> WaitReason:
+def _find_reason(
+    state: PartitionState, step: Step, worker: Worker, open_to_step: set[str]
+) -> WaitReason:
     """Return why a worker with room for a task of a step gets none."""
     request = step.request
     is_full = step.runs_on(worker.id) >= (request.max_per_worker or len(step.tasks) + 1)
@@ -106,18 +116,23 @@
         (WaitReason.FULL, state.now_ms < worker.full_until_ms),
         (WaitReason.OTHER_LABEL, bool(request.label) and request.label not in worker.entry.labels),
         (WaitReason.MAX_PER_WORKER, is_full),
+        (WaitReason.SUSPECT, worker.id not in open_to_step),
     )
     for reason, applies in checks:
         if applies:
             return reason
-    candidates = group_candidates(step, list(pool.workers.values()))
-    if not any(worker in workers for workers in candidates):
-        return WaitReason.SUSPECT
     if needs_advice(state, step) and not has_valid_ticket(state, step, worker):
         return WaitReason.NO_TICKET
     return WaitReason.NOT_EXAMINED
 
 
+def _find_main_reason(reasons: Counter[WaitReason]) -> WaitReason:
+    """Return the reason of most workers with room; those that go away anyway don't count."""
+    staying = Counter({reason: count for reason, count in reasons.items() if reason not in _GOING})
+    staying.pop(WaitReason.NO_ROOM, None)
+    return max(staying, key=lambda reason: staying[reason], default=WaitReason.NO_ROOM)
+
+
 def _log_step(
     state: PartitionState,
     step: Step,
@@ -127,7 +142,7 @@
     free: int,
 ) -> None:
     step.explained_ms = state.now_ms
-    reason, _ = reasons.most_common(1)[0]
+    reason = _find_main_reason(reasons)
     effects.add(CountWaiting(reason=reason))
     pool = state.pools[step.job.service]
     request = step.request
@@ -156,6 +171,7 @@
 
 def _log_unsettled(state: PartitionState, run: Run) -> None:
     worker = state.workers[run.worker_id]
+    run.explained_ms = state.now_ms
     _LOGGER.warning(
         "run unsettled",
         extra={
--- a/tests/dispatch/test_waiting.py
+++ b/tests/dispatch/test_waiting.py
@@ -72,6 +72,23 @@
     partition.tick(UNSETTLED_MS)
     (line,) = _lines(caplog, "run_unsettled")
     assert (line["order"], line["answered"]) == ("planned", False)
+    partition.tick(EXPLAIN_AGAIN_MS - 1000)
+    assert len(_lines(caplog, "run_unsettled")) == 1
+
+
+def test_worker_that_leaves_is_not_the_reason_if_all_others_are_full(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+    partition = Partition(workers=2, cpu=2000)
+    partition.mark_leaving("w1")
+    partition.submit(make_step(count=2, cpu=2000))
+    for _ in range(3):
+        partition.mark_leaving("w1")
+        partition.tick(1000)
+    (line,) = _lines(caplog, "step_waits")
+    assert line["refused"] == {"leaving": 1, "no_room": 1}
+    assert _reasons(partition) == [WaitReason.NO_ROOM]
 
 
 def test_few_steps_are_logged_at_a_time(caplog: pytest.LogCaptureFixture) -> None:
