Don't renew the lease of a worker that doesn't answer

What callers saw (LOST): an accepted job's task ran on a worker that was cut off; its lease lapsed there, and it was never started again, with most of its service's room free. Cause: each listing names a new end of lease, and counts as a renewal when it is sent, since it may arrive. The calls to a worker that doesn't answer went on moving that end, so for its owner the lease was never over and the run never lost. Only the list of machines could end such a worker, and it goes on naming one that is cut off. Change: a listing of an unresponsive worker names no lease; its answer makes the next one renew it. Nothing that was sent is forgotten, so no task can run twice. Test: test_lease_of_an_unreachable_worker_is_not_extended_by_each_call failed before (lease at 56,073 instead of 56,005 after three refused calls).

--- a/heatherkeel/dispatch/retries.py
+++ b/heatherkeel/dispatch/retries.py
@@ -18,8 +18,9 @@
 def choose_retry_pause_ms(worker_id: str, *, failures: int, has_runs: bool) -> int:
     """Return the pause after a number of consecutive failed listings, in milliseconds.
 
-    With runs it stays short, since the lease of the runs has to be renewed. Otherwise most of
-    these workers' machines are off, and an owner would open connections to them in vain.
+    With runs it stays short, since their lease is renewed only once the worker has answered.
+    Otherwise most of these workers' machines are off, and an owner would open connections to them
+    in vain.
     """
     doublings = failures - PROMPT_RETRIES
     if has_runs or doublings <= 0:
--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -110,7 +110,10 @@
         worker = self.worker
         sent_ms = monotonic_ms()
         is_first = worker.clock_ms is None
-        lease_until_ms = None if is_first else self._lease_until()
+        # Each call may arrive, so each one that names a lease has to count as a renewal. Renewed
+        # without an answer, the lease would never expire, and no task there could start elsewhere.
+        renews = not is_first and not worker.is_unresponsive
+        lease_until_ms = self._lease_until() if renews else None
         acknowledged = worker.to_acknowledge(sent_ms)
         listed = await self.client.async_hold(
             token=self.owner.state.token,
--- /dev/null
+++ b/tests/dispatch/test_session.py
@@ -0,0 +1,40 @@
+"""Calls of an owner to one worker."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import msgspec
+import trio
+
+from heatherkeel.dispatch.const import LEASE_EXPIRY_MARGIN_MS, LEASE_MS, SLOWEST_CLOCK
+from heatherkeel.dispatch.incarnations import add_worker
+from heatherkeel.dispatch.session import WorkerSession
+from heatherkeel.dispatch.worker import Worker
+from heatherkeel.helpers.clock import monotonic_ms
+
+from .partition import make_entry
+from .test_owner_end import REFUSED, make_owner
+
+
+def test_lease_of_an_unreachable_worker_is_not_extended_by_each_call() -> None:
+    """Guards against tasks that never start elsewhere, since no lease of theirs ever ends."""
+    owner = make_owner()
+    entry = msgspec.structs.replace(make_entry(), address=REFUSED)
+    worker = Worker(id="w0", entry=entry, clock_ms=50_000, clock_received_ms=monotonic_ms())
+    add_worker(owner.state, worker)
+    session = WorkerSession(owner=owner, worker=worker)
+
+    async def async_test() -> None:
+        assert not await session._async_list_once()
+        assert worker.is_unresponsive
+        lease_until_ms = worker.lease_until_ms
+        for _ in range(3):
+            await trio.sleep(0.02)
+            assert not await session._async_list_once()
+        assert worker.lease_until_ms == lease_until_ms
+        await session.client.close()
+
+    trio.run(partial(async_test))
+    longest_ms = round((LEASE_MS + LEASE_EXPIRY_MARGIN_MS) * SLOWEST_CLOCK)
+    assert worker.is_lease_expired(worker.clock_received_ms + longest_ms + 1000)
