Log runs whose worker doesn't answer for long

Cause: run_unsettled left out runs that count as running, and those on a worker that was cut off were the ones that were taken as started for ever; no line told of them. Result: tests/dispatch pass.

--- a/heatherkeel/dispatch/waiting.py
+++ b/heatherkeel/dispatch/waiting.py
@@ -9,6 +9,7 @@
 import logging
 from collections import Counter
 from itertools import islice
+from typing import Final
 
 from .const import (
     EXPLAIN_AFTER_MS,
@@ -27,6 +28,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+_KNOWN: Final = 1 << 62
+
 _GOING = frozenset({WaitReason.NOT_LISTED, WaitReason.DRAINING, WaitReason.LEAVING})
 
 
@@ -70,17 +73,23 @@
 
 
 def _list_unsettled(state: PartitionState) -> list[Run]:
-    """Return the runs whose start or stop has been without effect for long."""
+    """Return the runs whose order has been without effect, or worker unresponsive, for long."""
     return [
         run
         for worker in state.workers.values()
         for run in worker.runs.values()
-        if run.state is not RunState.RUNNING
-        and state.now_ms - max(run.started_ms, run.stopping_since_ms) >= UNSETTLED_MS
+        if state.now_ms - _find_unsettled_since_ms(worker, run) >= UNSETTLED_MS
         and (not run.explained_ms or state.now_ms - run.explained_ms >= EXPLAIN_AGAIN_MS)
     ]
 
 
+def _find_unsettled_since_ms(worker: Worker, run: Run) -> int:
+    """Return since when it isn't known whether a run is there; far ahead if it is known."""
+    if run.state is not RunState.RUNNING:
+        return max(run.started_ms, run.stopping_since_ms)
+    return worker.unresponsive_since_ms if worker.is_unresponsive else _KNOWN
+
+
 def _explain_step(state: PartitionState, pool: Pool, step: Step, effects: Effects) -> None:
     free = [worker for worker in pool.workers.values() if worker.fits(step.request)]
     reasons: Counter[WaitReason]
@@ -180,7 +189,7 @@
             "attempt": run.attempt,
             "worker": worker.id,
             "order": run.state.value,
-            "age_ms": state.now_ms - max(run.started_ms, run.stopping_since_ms),
+            "age_ms": state.now_ms - _find_unsettled_since_ms(worker, run),
             "answered": run.answered_ms is not None,
             "timed_out": run.start_timed_out_ms is not None,
             "is_listed": worker.is_listed,
--- a/tests/dispatch/test_waiting.py
+++ b/tests/dispatch/test_waiting.py
@@ -76,6 +76,22 @@
     assert len(_lines(caplog, "run_unsettled")) == 1
 
 
+def test_run_on_a_worker_that_does_not_answer_is_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+    partition = Partition(workers=1)
+    partition.submit(make_step())
+    partition.start_planned_runs()
+    partition.tick(UNSETTLED_MS)
+    assert not _lines(caplog, "run_unsettled")
+    partition.state.workers["w0"].lease_until_ms = 1 << 40
+    partition.fail_listing("w0")
+    partition.tick(UNSETTLED_MS)
+    (line,) = _lines(caplog, "run_unsettled")
+    assert (line["order"], line["unresponsive"]) == ("running", True)
+
+
 def test_worker_that_leaves_is_not_the_reason_if_all_others_are_full(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
