Give a partition's worker sessions a module of their own, and end their circle with the owner

Change: WorkerSessions opens and closes sessions and passes orders on; sessions and queries know an OwnerPort. No behaviour changes; the test of an owner that ends looks at the same things under their new names.

--- a/heatherkeel/dispatch/inquiries.py
+++ b/heatherkeel/dispatch/inquiries.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
 
 import trio
 from result import Err, Ok
@@ -14,9 +13,7 @@
 
 from .const import MACHINE_LIST_INTERVAL_MS
 from .events import AdviceReceived, AskAdvice, IncarnationsListed
-
-if TYPE_CHECKING:
-    from .owner import PartitionOwner
+from .ports import OwnerPort
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -24,7 +21,7 @@
 class OwnerQueries:
     """Queries the list of machines and the advisor for one owner."""
 
-    def __init__(self, *, owner: PartitionOwner) -> None:
+    def __init__(self, *, owner: OwnerPort) -> None:
         self.owner = owner
         settings = owner.settings
         self.machines = MachineClient(address=settings.machines.address, holder=settings.instance)
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -70,9 +70,9 @@
 )
 from .recovery import StoredJobs, read_records, restore_jobs
 from .reducer import reduce_event
-from .session import WorkerSession
 from .state import PartitionState
 from .submissions import SubmissionBatches
+from .worker_sessions import WorkerSessions
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -117,9 +117,7 @@
         """How old a worker's entry may be for starts on it, in milliseconds."""
         self.apply_settings(settings)
         self.journal = Journal(store=store, partition=partition, token=token, on_fenced=on_fenced)
-        self.sessions: dict[str, WorkerSession] = {}
-        self.pending_orders: dict[str, list[Effect]] = {}
-        """Orders for workers without a session yet, such as stops decided in recovery."""
+        self.sessions = WorkerSessions(owner=self)
         self.scope = trio.CancelScope()
         self.nursery: trio.Nursery | None = None
         self.is_restored = False
@@ -163,6 +161,7 @@
             await self._async_restore()
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
+                self.sessions.start(nursery)
                 self.directory.subscribe(self._update_from_directory)
                 nursery.start_soon(self.journal.async_run)
                 nursery.start_soon(self.feed.async_run)
@@ -175,6 +174,7 @@
                 self._update_from_directory()
         # Before the first wait: an event meanwhile would start a task in the closed nursery.
         self.nursery = None
+        self.sessions.stop_opening()
         if self._update_from_directory in self.directory.subscribers:
             self.directory.unsubscribe(self._update_from_directory)
         with trio.CancelScope(shield=True):
@@ -183,8 +183,7 @@
     def close(self) -> None:
         """Release the partition: no order is sent after this."""
         self.scope.cancel()
-        for session in self.sessions.values():
-            session.close()
+        self.sessions.close()
 
     def can_order(self) -> bool:
         """Return whether no other instance can own the partition yet.
@@ -294,7 +293,7 @@
             if self.owns(worker_id, entry)
         }
         self.handle_event(WorkersListed(now_ms=now_ms, wall_ms=wall_ms, entries=entries))
-        self._open_sessions()
+        self.sessions.update()
 
     def _update_limits(self, now_ms: int, wall_ms: int) -> None:
         workspaces = self.directory.state.workspaces
@@ -347,24 +346,6 @@
             == self.partition
         )
 
-    def _open_sessions(self) -> None:
-        if self.nursery is None:
-            return
-        for worker in self.state.workers.values():
-            known = self.sessions.get(worker.id)
-            if known is not None and known.worker is not worker:
-                self.sessions.pop(worker.id).close()
-            if worker.id not in self.sessions and worker.entry.address:
-                session = WorkerSession(owner=self, worker=worker)
-                self.sessions[worker.id] = session
-                for effect in self.pending_orders.pop(worker.id, []):
-                    session.queue_order(effect)
-                self.nursery.start_soon(session.async_run)
-        for worker_id in self.sessions.keys() - self.state.workers.keys():
-            self.sessions.pop(worker_id).close()
-        for worker_id in self.pending_orders.keys() - self.state.workers.keys():
-            del self.pending_orders[worker_id]
-
     async def _async_tick(self) -> None:
         while True:
             await trio.sleep(TICK_MS / 1000)
@@ -379,7 +360,7 @@
                 outdated=outdated,
             )
             self.handle_event(tick)
-            self._open_sessions()
+            self.sessions.update()
 
     def _find_outdated(self, now_ms: int) -> frozenset[str]:
         """Return the workers whose entries are too old to rely on their capacity."""
@@ -400,11 +381,13 @@
             case ForgetJob():
                 self._delete_records(effect)
             case StartTask() | StopTask(once_stored=True):
-                self.journal.when_stored(lambda: self._send_order(effect.run.worker_id, effect))
+                self.journal.when_stored(
+                    lambda: self.sessions.send_order(effect.run.worker_id, effect)
+                )
             case StopTask() | PaceTask():
-                self._send_order(effect.run.worker_id, effect)
+                self.sessions.send_order(effect.run.worker_id, effect)
             case OpenSessions():
-                self._open_sessions()
+                self.sessions.update()
             case AskAdvice():
                 if self.nursery is not None:
                     self.nursery.start_soon(self.queries.async_ask_advice, effect)
@@ -421,21 +404,7 @@
             case CountSlowWorker():
                 self.metrics.slow_workers.inc()
             case AcknowledgeEnds():
-                self.journal.when_stored(lambda: self._acknowledge(effect))
-
-    def _send_order(self, worker_id: str, effect: Effect) -> None:
-        session = self.sessions.get(worker_id)
-        if session is not None:
-            session.queue_order(effect)
-        else:
-            self.pending_orders.setdefault(worker_id, []).append(effect)
-
-    def _acknowledge(self, effect: AcknowledgeEnds) -> None:
-        worker = effect.worker
-        session = self.sessions.get(worker.id)
-        if session is not None and session.worker is worker:
-            worker.last_stored_end = max(worker.last_stored_end, effect.number)
-            session.notify_stored()
+                self.journal.when_stored(lambda: self.sessions.acknowledge(effect))
 
     def _delete_records(self, effect: ForgetJob) -> None:
         """Delete unneeded records; a request only after the end of its job is stored."""
--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
 
 import trio
 from result import Err
@@ -30,19 +29,17 @@
     WorkerFailed,
 )
 from .models import RunState
+from .ports import OwnerPort
 from .retries import choose_retry_pause_ms
 from .worker import Worker
 
-if TYPE_CHECKING:
-    from .owner import PartitionOwner
-
 _MAX_ORDERS = math.inf
 
 
 class WorkerSession:
     """Calls one incarnation of a worker for the owner of its partition."""
 
-    def __init__(self, *, owner: PartitionOwner, worker: Worker) -> None:
+    def __init__(self, *, owner: OwnerPort, worker: Worker) -> None:
         self.owner = owner
         self.worker = worker
         self.client = WorkerClient(worker_id=worker.id, address=worker.entry.address)
--- a/tests/dispatch/test_owner_end.py
+++ b/tests/dispatch/test_owner_end.py
@@ -64,7 +64,7 @@
 
     monkeypatch.setattr(owner, "_async_restore", async_restore)
     monkeypatch.setattr(owner.queries, "close", async_close_slowly)
-    monkeypatch.setattr(owner, "handle_event", lambda event: owner._open_sessions())
+    monkeypatch.setattr(owner, "handle_event", lambda event: owner.sessions.update())
 
     async def async_test() -> None:
         async with trio.open_nursery() as nursery:
@@ -73,5 +73,5 @@
             owner.close()
 
     trio.run(partial(async_test))
-    assert not owner.sessions
+    assert not owner.sessions.by_worker
     assert not owner.directory.subscribers
