Machines whose workers never register add no capacity

What callers saw: an accepted job had nothing running to the end although its service had room (LOST). Cause: a share counted each machine that is listed as up, also if its owner knew no worker there: lost with its zone while the list goes on showing it, or dark for so long that its entry had expired. An unresponsive worker was counted as lost only until its entry expired, and as capacity from then on. A share of nothing but such machines had enough by sums and got no other one, ever; the part of a divided fleet that it holds was too large by them; standby machines of the lost zone were moved and never came. Why it works: a machine whose worker is unknown to its share's owner for 3,000 ms is no member, and counts as lost where lost zones are looked for. An entry is written and read within 2,500.

--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -105,3 +105,6 @@
 UNMET_LOG_MS: Final = 2000
 """How long a share needs a machine before that is logged, and until it is logged again, in
 milliseconds; a move takes 1,500."""
+REGISTRATION_MS: Final = 3000
+"""How long the owner of a share may not know a worker whose machine is listed as up until that
+machine adds no capacity, in milliseconds; an entry is written and read within 2,500."""
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -120,6 +120,8 @@
     intents: dict[str, Intent] = field(default_factory=dict)
     departed: dict[str, DepartedWorker] = field(default_factory=dict)
     """Workers whose machines were ordered away and have gone, by id."""
+    unregistered_since_ms: dict[str, int] = field(default_factory=dict)
+    """Since when each worker of a machine that is up has been unknown to the owner of its share."""
     blocked_until_ms: dict[str, int] = field(default_factory=dict)
     """Until when each machine that an earlier owner has just ordered away may not be ordered."""
     logged_ms: int = 0
--- /dev/null
+++ b/heatherkeel/pooling/registration.py
@@ -0,0 +1,32 @@
+"""Tracks machines that are listed as up, but whose workers the owners of their shares don't know."""
+
+from __future__ import annotations
+
+from heatherkeel.platform.machines import Machine
+
+from .const import REGISTRATION_MS
+from .models import FleetOwnerState
+
+
+def track_registrations(state: FleetOwnerState) -> None:
+    """Note since when each worker has been unknown to the owner of its share."""
+    state.unregistered_since_ms = {
+        machine.worker_id: state.unregistered_since_ms.get(machine.worker_id, state.now_ms)
+        for machine in state.machines.values()
+        if machine.worker_id is not None and _is_unknown(state, machine)
+    }
+
+
+def _is_unknown(state: FleetOwnerState, machine: Machine) -> bool:
+    view = state.view_of(machine)
+    return machine.is_up() and view is not None and machine.worker_id not in view.load.workers
+
+
+def is_missing(state: FleetOwnerState, machine: Machine) -> bool:
+    """Return whether a machine's worker has been unknown for so long that it may never come.
+
+    The list goes on showing a machine as up whose worker has crashed or is cut off. Such a machine
+    runs nothing, and its share has to get another one.
+    """
+    since_ms = state.unregistered_since_ms.get(machine.worker_id or "")
+    return since_ms is not None and state.now_ms - since_ms >= REGISTRATION_MS
--- a/heatherkeel/pooling/supply.py
+++ b/heatherkeel/pooling/supply.py
@@ -24,6 +24,7 @@
     TREND_WINDOW_MS,
 )
 from .models import FleetOwnerState, PoolShare, PoolShareView, Purpose
+from .registration import is_missing, track_registrations
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,6 +38,7 @@
 def measure_supply(state: FleetOwnerState) -> Supply:
     """Compute the machines and the shortfall of each share."""
     _record_arrival_rates(state)
+    track_registrations(state)
     members = _list_members(state)
     return Supply(members=members, shortfall=_find_shortfall(state, members))
 
@@ -113,7 +115,7 @@
     members: dict[PoolShare, list[Machine]] = {share: [] for share in state.shares()}
     for machine in list_staying(state):
         share = state.share_of(machine.name, machine.pool)
-        if share in members:
+        if share in members and not is_missing(state, machine):
             members[share].append(machine)
     return {share: _list_responsive(state, share, machines) for share, machines in members.items()}
 
@@ -220,9 +222,10 @@
     known: Counter[str] = Counter()
     lost: Counter[str] = Counter()
     for machine in state.machines.values():
-        if machine.worker_id in workers:
+        is_lost = machine.worker_id in unresponsive or is_missing(state, machine)
+        if machine.worker_id in workers or is_lost:
             known[machine.zone] += 1
-            lost[machine.zone] += machine.worker_id in unresponsive
+            lost[machine.zone] += is_lost
     return {
         zone
         for zone, count in lost.items()
--- a/tests/pooling/fleet.py
+++ b/tests/pooling/fleet.py
@@ -57,6 +57,8 @@
         self.empty: set[str] = set()
         self.unresponsive: set[str] = set()
         """Machines whose workers are unresponsive."""
+        self.unregistered: set[str] = set()
+        """Machines whose workers their share's owner doesn't know."""
         self.zone_of: dict[str, str] = {}
         services = {name: Service(name=name, is_standby=name == "spare") for name in pools}
         self.reduce(
@@ -107,7 +109,9 @@
             members = [
                 name
                 for name, at in self.pool_of.items()
-                if at == pool and self.state.share_of(name, at) == PoolShare(pool, partition)
+                if at == pool
+                and self.state.share_of(name, at) == PoolShare(pool, partition)
+                and name not in self.unregistered
             ]
             loads.append(
                 PoolLoad(
--- a/tests/pooling/test_lost_zone.py
+++ b/tests/pooling/test_lost_zone.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from heatherkeel.pooling.const import REGISTRATION_MS
+
 from .fleet import CPU, Fleet
 
 ZONES = ("a", "b", "c", "d")
@@ -59,3 +61,49 @@
     fleet.unresponsive = set()
     fleet.measure(desk=WANTED)
     assert not fleet.plan()
+
+
+def test_machines_whose_workers_never_register_add_no_capacity() -> None:
+    """Guards against a share that gets no machine since lost ones are still listed as up."""
+    fleet = make_fleet(desk=8, spare=8)
+    fleet.unregistered = {name for name, at in fleet.zone_of.items() if at == "b"}
+    fleet.measure(desk=WANTED)
+    assert not fleet.plan(), "they may have just started"
+    fleet.now_ms += REGISTRATION_MS
+    fleet.measure(desk=WANTED)
+    assert len(fleet.plan()) == 2
+
+
+def test_share_whose_machines_are_all_unregistered_gets_others() -> None:
+    """Guards against jobs that wait forever in a share that lost all of its machines."""
+    fleet = make_fleet(desk=8, spare=8)
+    fleet.unregistered = {f"desk{n}" for n in range(8)}
+    fleet.measure(desk=CPU)
+    fleet.plan()
+    fleet.now_ms += REGISTRATION_MS
+    fleet.measure(desk=CPU)
+    assert len(fleet.plan()) == 2
+
+
+def test_no_machines_are_moved_from_a_zone_whose_workers_never_register() -> None:
+    """Guards against one move after the other of standby machines that never come."""
+    fleet = make_fleet(desk=12, spare=8)
+    fleet.unregistered = {name for name, at in fleet.zone_of.items() if at == "a"}
+    fleet.measure(desk=9 * CPU)
+    fleet.plan()
+    fleet.now_ms += REGISTRATION_MS
+    fleet.measure(desk=9 * CPU)
+    moved = fleet.plan()
+    assert len(moved) == 2
+    assert {fleet.zone_of[intent.machine] for intent in moved} <= {"b", "c", "d"}
+
+
+def test_worker_that_registers_late_counts_from_then_on() -> None:
+    fleet = make_fleet(desk=8, spare=8)
+    fleet.unregistered = {"desk0", "desk1"}
+    fleet.measure(desk=WANTED)
+    fleet.plan()
+    fleet.unregistered = set()
+    fleet.now_ms += REGISTRATION_MS
+    fleet.measure(desk=WANTED)
+    assert not fleet.plan()
