Only machines on their way meet a share's need

What callers saw: an accepted job had nothing running to the end although its service had room (LOST). Cause: a share's owner tells a need when none of its workers can take the task, and the fleet's owner took it as met by any machine in the share without a long-running task, though its owner had just said that its worker can't: lost, and listed as up; quarantined; without the capacity in its entry. Why it works: what meets a need is on its way to the share, or is there and unknown to the owner for less than the time in which workers register. So a machine follows each need, one at a time. Tests: two in test_plans.py failed before. test_machine_in_the_share_without_a_listed_worker_meets_a_need had its worker in the load, against its name; the simulated fleet now leaves it out, and the assertion is the same.

--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -15,6 +15,7 @@
 from .handover import count_allowed, list_takable, order_to_empty, take_budget
 from .models import FleetOwnerState, Intent, PoolShare, Purpose
 from .need_log import log_need, track_needs
+from .registration import is_missing
 from .standby import choose_for_standby
 from .supply import (
     Supply,
@@ -140,11 +141,12 @@
 def _list_meeting(
     state: FleetOwnerState, share: PoolShare, need: Need, planned: list[Intent]
 ) -> list[Machine]:
-    """Return the machines that fit a need and are in a share or on their way to it.
+    """Return the machines that fit a need and will soon be a share's.
 
-    A machine with a long-running task doesn't count: the share's owner has found it too full.
+    A machine whose worker the share's owner knows doesn't count, since the owner has found that it
+    can't take the task: it is too full, or out of order. Nor does one that fails to come.
     """
-    long_running = state.views[share].load.lasting
+    known = state.views[share].load.workers
     incoming = {
         intent.machine
         for intent in [*state.intents.values(), *planned]
@@ -155,11 +157,12 @@
         for machine in state.machines.values()
         if _can_hold(machine, need)
         and machine.state != "down"
-        and machine.worker_id not in long_running
+        and not is_missing(state, machine)
         and (
             machine.name in incoming
             or (
                 machine.name not in state.intents
+                and machine.worker_id not in known
                 and state.share_of(machine.name, machine.pool) == share
             )
         )
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -6,7 +6,7 @@
 
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.operator import Wave
-from heatherkeel.pooling.const import PEAK_RETENTION_MS, STANDBY_DELAY_MS
+from heatherkeel.pooling.const import PEAK_RETENTION_MS, REGISTRATION_MS, STANDBY_DELAY_MS
 from heatherkeel.pooling.models import Purpose, SaveWave
 from heatherkeel.questions.messages import Need
 
@@ -262,12 +262,39 @@
 def test_machine_in_the_share_without_a_listed_worker_meets_a_need() -> None:
     fleet = Fleet(desk=4, spare=6)
     fleet.labels_of |= {"desk0": ["b", "r1"], "spare0": ["b", "r2"]}
+    fleet.unregistered = {"desk0"}
     fleet.list_machines()
     fleet.needs["desk"] = [Need(label="b")]
     fleet.measure(desk=CPU)
     assert not fleet.plan()
 
 
+def test_machine_whose_worker_never_registers_meets_no_need() -> None:
+    """Guards against a task that waits forever for a machine that was lost while listed as up."""
+    fleet = Fleet(desk=4, spare=6)
+    fleet.labels_of |= {"desk0": ["b", "r1"], "spare0": ["b", "r2"]}
+    fleet.unregistered = {"desk0"}
+    fleet.list_machines()
+    fleet.needs["desk"] = [Need(label="b")]
+    fleet.measure(desk=CPU)
+    fleet.plan()
+    fleet.now_ms += REGISTRATION_MS
+    fleet.measure(desk=CPU)
+    assert [intent.machine for intent in fleet.plan()] == ["spare0"]
+
+
+def test_worker_that_the_share_knows_meets_none_of_its_needs() -> None:
+    """Guards against a task that waits for a worker that is quarantined or closed by a suspect."""
+    fleet = Fleet(desk=4, spare=6)
+    fleet.labels_of |= {"desk0": ["b", "r1"], "spare0": ["b", "r2"]}
+    fleet.list_machines()
+    fleet.needs["desk"] = [Need(label="b")]
+    fleet.measure(desk=CPU)
+    assert [intent.machine for intent in fleet.plan()] == ["spare0"]
+    fleet.measure(desk=CPU)
+    assert not fleet.plan(), "one is on its way"
+
+
 def test_machine_with_a_long_running_task_meets_no_need() -> None:
     """Guards against a large task that waits while each machine of its share is partly taken."""
     fleet = Fleet(desk=2, spare=2)
