Cancel moves of machines whose workers fall silent before they are empty

What callers saw: an accepted job had nothing running to the end although its service had room (LOST). Cause: a move begins by emptying the machine. If its worker becomes unreachable meanwhile, nobody ever reports it empty, and its machine counted as on its way to the share for as long as the list shows it as up. Owners didn't even report such a worker as unheard, since its machine was to leave. Why it works: an unsent move of a worker that is unheard, or unknown to its owner for the time in which workers register, is canceled, and another machine is chosen in the same plan. Tests: three cases (test_plans.py, test_load.py) failed before.

--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -84,7 +84,7 @@
 
 def _is_unavailable(worker: Worker, now_ms: int) -> bool:
     """Return whether a listed worker is unresponsive or quarantined, so it offers no capacity."""
-    if not worker.is_listed or worker.is_leaving:
+    if not worker.is_listed:
         return False
     is_unresponsive = (
         worker.is_unresponsive and now_ms - worker.unresponsive_since_ms >= CAPACITY_GRACE_MS
--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -60,6 +60,34 @@
     return intents + _plan_standby_moves(state, candidates)
 
 
+def cancel_unreachable_moves(state: FleetOwnerState) -> bool:
+    """Cancel moves of machines that can't be emptied; return whether there were any.
+
+    Nobody hears whether anything still runs on a worker that is unreachable, so its machine would
+    count for as long as that lasts as one that is on its way.
+    """
+    unreachable = [
+        name
+        for name, intent in state.intents.items()
+        if intent.ordered_ms is None
+        and intent.purpose is Purpose.MOVE
+        and intent.worker_id is not None
+        and _is_unreachable(state, name)
+    ]
+    for name in unreachable:
+        del state.intents[name]
+    return bool(unreachable)
+
+
+def _is_unreachable(state: FleetOwnerState, name: str) -> bool:
+    machine = state.machines.get(name)
+    if machine is None:
+        return False
+    view = state.view_of(machine)
+    is_unheard = view is not None and machine.worker_id in view.load.unheard
+    return is_unheard or is_missing(state, machine)
+
+
 def _limit_shortfall(shortfall: dict[PoolShare, int], division: Division) -> dict[PoolShare, int]:
     """Return the shortfall of each share up to its part, where its part is known."""
     limited = {
@@ -224,7 +252,9 @@
     free = [
         machine
         for machine in machines
-        if machine.worker_id in view.load.workers and machine.worker_id not in view.load.lasting
+        if machine.worker_id in view.load.workers
+        and machine.worker_id not in view.load.lasting
+        and machine.worker_id not in view.load.unheard
     ]
     pinned = len(machines) - len(free)
     minimum = min_machines(state, share) if recent else MIN_MACHINES
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -29,7 +29,7 @@
     SaveWave,
     WaveProgress,
 )
-from .moves import plan_moves
+from .moves import cancel_unreachable_moves, plan_moves
 from .standby import cancel_unsent_standby_moves
 from .status_log import log_pools
 from .supply import Supply, measure_supply, record_peak
@@ -197,7 +197,10 @@
     if state.listed_ms is None:
         return []
     supply = measure_supply(state)
-    if supply.shortfall and cancel_unsent_standby_moves(state):
+    has_canceled = cancel_unreachable_moves(state)
+    if supply.shortfall:
+        has_canceled |= cancel_unsent_standby_moves(state)
+    if has_canceled:
         supply = measure_supply(state)
     record_usage(state)
     log_pools(state, supply)
--- a/tests/dispatch/test_load.py
+++ b/tests/dispatch/test_load.py
@@ -112,3 +112,12 @@
     assert measure_pools(partition.state)[0].unheard == ["w0"]
     partition.list_known_runs("w0")
     assert measure_pools(partition.state)[0].unheard == []
+
+
+def test_unresponsive_worker_of_a_leaving_machine_is_reported() -> None:
+    """Guards against a machine that counts as on its way to a share while nobody can empty it."""
+    partition = Partition(workers=2, cpu=8000)
+    partition.mark_leaving("w0")
+    partition.fail_listing("w0")
+    partition.tick(CAPACITY_GRACE_MS)
+    assert measure_pools(partition.state)[0].unheard == ["w0"]
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -306,6 +306,27 @@
     assert not fleet.plan()
 
 
+@pytest.mark.parametrize("is_registered", [True, False])
+def test_machine_that_is_unreachable_is_not_on_its_way(is_registered: bool) -> None:
+    """Guards against a share that waits forever for a machine that nobody can empty."""
+    fleet = Fleet(desk=4, portal=8, spare=0)
+    fleet.measure(desk=4 * CPU, portal=0)
+    fleet.plan()
+    (first, *_) = [name for name, to in fleet.state.intents.items() if to.pool == "desk"]
+    planned = len(fleet.state.intents)
+    if is_registered:
+        fleet.unresponsive = {first}
+    else:
+        fleet.unregistered = {first}
+    fleet.measure(desk=4 * CPU, portal=0)
+    fleet.plan()
+    fleet.now_ms += REGISTRATION_MS
+    fleet.measure(desk=4 * CPU, portal=0)
+    fleet.plan()
+    assert first not in fleet.state.intents
+    assert len(fleet.state.intents) == planned, "another one comes instead"
+
+
 def test_pools_are_logged_once_a_second(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level("INFO")
     fleet = Fleet(desk=3, spare=4)
