Count workers that only lack their entries as capacity of their share

Cause: entries may expire while the store is away, and are back within two seconds of its return. A share whose workers had none for 3 s would count as without machines at that moment, and get others. Change: owners report the workers that answer without an entry, and these count as known. Evidence: test_workers_that_only_lack_their_entries_count_as_capacity orders machines without the change.

--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -77,6 +77,7 @@
         arrivals=len(pool.arrivals),
         workers={worker.id: worker.used_cpu for worker in workers if worker.is_listed},
         unheard=[worker.id for worker in workers if _is_unavailable(worker, now_ms)],
+        unlisted=[worker.id for worker in workers if _answers_unlisted(worker)],
         empty=[worker.id for worker in workers if worker.is_leaving and worker.is_empty()],
         lasting={worker_id: count for worker_id, count in long_running.items() if count},
     )
@@ -92,6 +93,11 @@
     return is_unresponsive or worker.quarantined_until_ms > now_ms
 
 
+def _answers_unlisted(worker: Worker) -> bool:
+    """Return whether a worker only lacks its entry, as after an outage of the store."""
+    return not worker.is_listed and worker.is_ready() and not worker.is_unresponsive
+
+
 def _list_usable_capacities(pool: Pool) -> list[_UsableCapacity]:
     """Return each worker's capacity for tasks that end, the largest first.
 
--- a/heatherkeel/pooling/registration.py
+++ b/heatherkeel/pooling/registration.py
@@ -1,4 +1,4 @@
-"""Tracks machines that are listed as up, but whose workers the owners of their shares don't know."""
+"""Tracks machines that are up, but whose workers the owners of their shares don't know."""
 
 from __future__ import annotations
 
@@ -19,7 +19,11 @@
 
 def _is_unknown(state: FleetOwnerState, machine: Machine) -> bool:
     view = state.view_of(machine)
-    return machine.is_up() and view is not None and machine.worker_id not in view.load.workers
+    if view is None or not machine.is_up():
+        return False
+    return (
+        machine.worker_id not in view.load.workers and machine.worker_id not in view.load.unlisted
+    )
 
 
 def is_missing(state: FleetOwnerState, machine: Machine) -> bool:
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -187,6 +187,8 @@
     """The processor that running tasks use, by worker."""
     unheard: list[str] = []
     """Workers that are unresponsive or quarantined, and so no capacity for the pool's jobs."""
+    unlisted: list[str] = []
+    """Workers that answer, though they have no entry at present."""
     empty: list[str]
     """Drained workers without running tasks."""
     lasting: dict[str, int]
--- a/tests/dispatch/test_load.py
+++ b/tests/dispatch/test_load.py
@@ -114,6 +114,16 @@
     assert measure_pools(partition.state)[0].unheard == []
 
 
+def test_worker_without_an_entry_that_answers_is_reported() -> None:
+    partition = Partition(workers=2, cpu=8000)
+    del partition.entries["w0"]
+    partition.list_workers()
+    (load,) = measure_pools(partition.state)
+    assert (list(load.workers), load.unlisted) == (["w1"], ["w0"])
+    partition.fail_listing("w0")
+    assert measure_pools(partition.state)[0].unlisted == []
+
+
 def test_unresponsive_worker_of_a_leaving_machine_is_reported() -> None:
     """Guards against a machine that counts as on its way to a share while nobody can empty it."""
     partition = Partition(workers=2, cpu=8000)
--- a/tests/pooling/fleet.py
+++ b/tests/pooling/fleet.py
@@ -59,6 +59,8 @@
         """Machines whose workers are unresponsive."""
         self.unregistered: set[str] = set()
         """Machines whose workers their share's owner doesn't know."""
+        self.unlisted: set[str] = set()
+        """Unregistered machines whose workers answer."""
         self.zone_of: dict[str, str] = {}
         services = {name: Service(name=name, is_standby=name == "spare") for name in pools}
         self.reduce(
@@ -126,6 +128,7 @@
                     used_cpu=min(cpu, CPU * len(members)),
                     workers={f"i-{name}": self.used.get(name, 0) for name in members},
                     unheard=[f"i-{name}" for name in members if name in self.unresponsive],
+                    unlisted=[f"i-{name}" for name in sorted(self.unlisted)],
                     empty=[f"i-{name}" for name in members if name in self.empty],
                     lasting={
                         f"i-{name}": self.long_running[name]
--- a/tests/pooling/test_lost_zone.py
+++ b/tests/pooling/test_lost_zone.py
@@ -98,6 +98,17 @@
     assert {fleet.zone_of[intent.machine] for intent in moved} <= {"b", "c", "d"}
 
 
+def test_workers_that_only_lack_their_entries_count_as_capacity() -> None:
+    """Guards against replacing half of a fleet after an outage in which all entries expired."""
+    fleet = make_fleet(desk=8, spare=8)
+    fleet.unregistered = fleet.unlisted = {f"desk{n}" for n in range(8)}
+    fleet.measure(desk=WANTED)
+    fleet.plan()
+    fleet.now_ms += REGISTRATION_MS
+    fleet.measure(desk=WANTED)
+    assert not fleet.plan()
+
+
 def test_worker_that_registers_late_counts_from_then_on() -> None:
     fleet = make_fleet(desk=8, spare=8)
     fleet.unregistered = {"desk0", "desk1"}
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -312,7 +312,7 @@
     fleet = Fleet(desk=4, portal=8, spare=0)
     fleet.measure(desk=4 * CPU, portal=0)
     fleet.plan()
-    (first, *_) = [name for name, to in fleet.state.intents.items() if to.pool == "desk"]
+    first, *_ = [name for name, to in fleet.state.intents.items() if to.pool == "desk"]
     planned = len(fleet.state.intents)
     if is_registered:
         fleet.unresponsive = {first}
