--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -15,6 +15,7 @@
 from .handover import count_allowed, list_takable, order_to_empty, take_budget
 from .models import FleetOwnerState, Intent, PoolShare, Purpose
 from .need_log import log_need, track_needs
+from .registration import is_missing
 from .standby import choose_for_standby
 from .supply import (
     Supply,
@@ -59,6 +60,34 @@
     return intents + _plan_standby_moves(state, candidates)
 
 
+def cancel_unreachable_moves(state: FleetOwnerState) -> bool:
+    """Cancel moves of machines that can't be emptied; return whether there were any.
+
+    Nobody hears whether anything still runs on a worker that is unreachable, so its machine would
+    count for as long as that lasts as one that is on its way.
+    """
+    unreachable = [
+        name
+        for name, intent in state.intents.items()
+        if intent.ordered_ms is None
+        and intent.purpose is Purpose.MOVE
+        and intent.worker_id is not None
+        and _is_unreachable(state, name)
+    ]
+    for name in unreachable:
+        del state.intents[name]
+    return bool(unreachable)
+
+
+def _is_unreachable(state: FleetOwnerState, name: str) -> bool:
+    machine = state.machines.get(name)
+    if machine is None:
+        return False
+    view = state.view_of(machine)
+    is_unheard = view is not None and machine.worker_id in view.load.unheard
+    return is_unheard or is_missing(state, machine)
+
+
 def _limit_shortfall(shortfall: dict[PoolShare, int], division: Division) -> dict[PoolShare, int]:
     """Return the shortfall of each share up to its part, where its part is known."""
     limited = {
@@ -140,11 +169,12 @@
 def _list_meeting(
     state: FleetOwnerState, share: PoolShare, need: Need, planned: list[Intent]
 ) -> list[Machine]:
-    """Return the machines that fit a need and are in a share or on their way to it.
+    """Return the machines that fit a need and will soon be a share's.
 
-    A machine with a long-running task doesn't count: the share's owner has found it too full.
+    A machine whose worker the share's owner knows doesn't count, since the owner has found that it
+    can't take the task: it is too full, or out of order. Nor does one that fails to come.
     """
-    long_running = state.views[share].load.lasting
+    known = state.views[share].load.workers
     incoming = {
         intent.machine
         for intent in [*state.intents.values(), *planned]
@@ -155,11 +185,12 @@
         for machine in state.machines.values()
         if _can_hold(machine, need)
         and machine.state != "down"
-        and machine.worker_id not in long_running
+        and not is_missing(state, machine)
         and (
             machine.name in incoming
             or (
                 machine.name not in state.intents
+                and machine.worker_id not in known
                 and state.share_of(machine.name, machine.pool) == share
             )
         )
@@ -221,7 +252,9 @@
     free = [
         machine
         for machine in machines
-        if machine.worker_id in view.load.workers and machine.worker_id not in view.load.lasting
+        if machine.worker_id in view.load.workers
+        and machine.worker_id not in view.load.lasting
+        and machine.worker_id not in view.load.unheard
     ]
     pinned = len(machines) - len(free)
     minimum = min_machines(state, share) if recent else MIN_MACHINES
--- a/tests/pooling/fleet.py
+++ b/tests/pooling/fleet.py
@@ -57,6 +57,10 @@
         self.empty: set[str] = set()
         self.unresponsive: set[str] = set()
         """Machines whose workers are unresponsive."""
+        self.unregistered: set[str] = set()
+        """Machines whose workers their share's owner doesn't know."""
+        self.unlisted: set[str] = set()
+        """Unregistered machines whose workers answer."""
         self.zone_of: dict[str, str] = {}
         services = {name: Service(name=name, is_standby=name == "spare") for name in pools}
         self.reduce(
@@ -107,7 +111,9 @@
             members = [
                 name
                 for name, at in self.pool_of.items()
-                if at == pool and self.state.share_of(name, at) == PoolShare(pool, partition)
+                if at == pool
+                and self.state.share_of(name, at) == PoolShare(pool, partition)
+                and name not in self.unregistered
             ]
             loads.append(
                 PoolLoad(
@@ -122,6 +128,7 @@
                     used_cpu=min(cpu, CPU * len(members)),
                     workers={f"i-{name}": self.used.get(name, 0) for name in members},
                     unheard=[f"i-{name}" for name in members if name in self.unresponsive],
+                    unlisted=[f"i-{name}" for name in sorted(self.unlisted)],
                     empty=[f"i-{name}" for name in members if name in self.empty],
                     lasting={
                         f"i-{name}": self.long_running[name]
