--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -114,8 +114,10 @@
 """How long a worker must have been unresponsive before its capacity no longer counts, in
 milliseconds; a worker with one lost answer responds again with its next listing, 300 to 500 ms
 later."""
-MAX_NEEDS: Final = 4
+MAX_NEEDS: Final = 8
 """Maximum number of waiting steps' needs that a pool reports at once."""
+NEEDS_TURN_MS: Final = 300
+"""Time after which a pool with more needs than that reports others, in milliseconds."""
 LONG_RUNNING_FRACTION_PER_WORKER: Final = 0.5
 """Fraction of a step's long-running tasks that may be on one worker. Spread over more workers they
 would keep more machines from being moved."""
--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -12,7 +12,7 @@
 from heatherkeel.questions.messages import Need, PoolLoad
 
 from .claims import measure_claims, measure_kept
-from .const import CAPACITY_GRACE_MS, MAX_NEEDS
+from .const import CAPACITY_GRACE_MS, MAX_NEEDS, NEEDS_TURN_MS
 from .open_steps import Urgency, find_urgency
 from .state import PartitionState, Pool
 from .worker import Worker
@@ -50,12 +50,8 @@
     used_cpu = sum(worker.used_cpu for worker in workers)
     used_memory_mb = sum(worker.used_memory_mb for worker in workers)
     waiting_cpu = waiting_memory_mb = lacking = 0
-    needs: list[Need] = []
-    capacities = _list_usable_capacities(pool)
     for step in pool.open_steps.unlimited():
         count = len(step.waiting())
-        if count and len(needs) < MAX_NEEDS and not _can_any_worker_run(capacities, step.request):
-            needs.append(_create_need(step.request))
         if find_urgency(step, now_ms) >= Urgency.EXCESS:
             continue
         waiting_cpu += 0 if step.request.fills else step.request.cpu * count
@@ -71,7 +67,7 @@
         wanted_cpu=used_cpu + waiting_cpu,
         wanted_memory_mb=used_memory_mb + waiting_memory_mb,
         lacking=lacking,
-        needs=needs,
+        needs=_list_needs(pool, now_ms),
         used_cpu=used_cpu,
         arriving_cpu=pool.arriving_cpu(now_ms),
         arrivals=len(pool.arrivals),
@@ -98,16 +94,39 @@
     return not worker.is_listed and worker.is_ready() and not worker.is_unresponsive
 
 
-def _list_usable_capacities(pool: Pool) -> list[_UsableCapacity]:
+def _list_needs(pool: Pool, now_ms: int) -> list[Need]:
+    """Return what waiting tasks request that no worker has, the longest waiting ones first.
+
+    If there are too many needs, they take turns, since those of tasks that fit no machine at all
+    never end.
+    """
+    capacities = _list_usable_capacities(pool, now_ms)
+    waiting_since_ms: dict[Need, int] = {}
+    for step in pool.open_steps.unlimited():
+        if not _can_any_worker_run(capacities, step.request) and step.waiting():
+            need = _create_need(step.request)
+            since_ms = step.waiting_since_ms
+            waiting_since_ms[need] = min(since_ms, waiting_since_ms.get(need, since_ms))
+    needs = sorted(waiting_since_ms, key=lambda need: waiting_since_ms[need])
+    if len(needs) <= MAX_NEEDS:
+        return needs
+    turn = now_ms // NEEDS_TURN_MS * MAX_NEEDS % len(needs)
+    return (needs[turn:] + needs[:turn])[:MAX_NEEDS]
+
+
+def _list_usable_capacities(pool: Pool, now_ms: int) -> list[_UsableCapacity]:
     """Return each worker's capacity for tasks that end, the largest first.
 
     Capacity of long-running tasks isn't freed by waiting, so a task that needs some of it would
-    wait forever.
+    wait forever, as it would for a worker that offers no capacity.
     """
     capacities = [
         _measure_usable_capacity(worker)
         for worker in pool.workers.values()
-        if worker.is_listed and not worker.is_leaving and not worker.entry.is_draining()
+        if worker.is_listed
+        and not worker.is_leaving
+        and not worker.entry.is_draining()
+        and not _is_unavailable(worker, now_ms)
     ]
     capacities.sort(key=lambda usable: usable.capacity.cpu, reverse=True)
     return capacities
--- a/tests/dispatch/test_load.py
+++ b/tests/dispatch/test_load.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from heatherkeel.dispatch.const import CAPACITY_GRACE_MS
+from heatherkeel.dispatch.const import (
+    CAPACITY_GRACE_MS,
+    MAX_NEEDS,
+    NEEDS_TURN_MS,
+)
 from heatherkeel.dispatch.load import measure_pools
 from heatherkeel.dispatch.pools import enqueue_step
 from heatherkeel.platform.callers import StepRequest
 from heatherkeel.questions.messages import Need
 
-from .partition import OTHER_JOB, Partition
+from .partition import OTHER_JOB, Partition, make_step
 
 
 def test_load_counts_running_and_waiting_tasks() -> None:
@@ -131,3 +135,35 @@
     partition.fail_listing("w0")
     partition.tick(CAPACITY_GRACE_MS)
     assert measure_pools(partition.state)[0].unheard == ["w0"]
+
+
+def test_label_of_a_quarantined_worker_becomes_a_need() -> None:
+    """Guards against a task that waits for as long as its only worker is put in quarantine."""
+    partition = Partition(workers=1, cpu=8000)
+    partition.submit(make_step(count=9, cpu=8000, label="a"))
+    assert measure_pools(partition.state)[0].needs == []
+    partition.state.workers["w0"].quarantined_until_ms = partition.now_ms + 5000
+    assert measure_pools(partition.state)[0].needs == [Need(label="a", cpu=8000, memory_mb=100)]
+
+
+def test_equal_needs_hide_no_other() -> None:
+    """Guards against a need that isn't reported since several steps have the same one."""
+    partition = Partition(workers=1, cpu=8000)
+    steps = [make_step(cpu=9000) for _ in range(2 * MAX_NEEDS)]
+    partition.submit(*steps, make_step(cpu=100, label="b"))
+    needs = measure_pools(partition.state)[0].needs
+    assert {need.label for need in needs} == {"", "b"}
+
+
+def test_needs_beyond_the_limit_take_turns() -> None:
+    """Guards against needs that no machine can ever meet, which hide one that some machine can."""
+    partition = Partition(workers=1, cpu=8000)
+    partition.submit(*[make_step(cpu=9000 + number) for number in range(3 * MAX_NEEDS)])
+    partition.submit(make_step(cpu=100, label="b"), job_id=OTHER_JOB)
+    reported = set()
+    for _ in range(4):
+        needs = measure_pools(partition.state)[0].needs
+        assert len(needs) == MAX_NEEDS
+        reported |= {need.label for need in needs}
+        partition.tick(NEEDS_TURN_MS)
+    assert reported == {"", "b"}
