Give machines that nobody else needs to jobs that have nothing running

What callers saw: an accepted job had nothing running to the end although its service had room (LOST). Cause: jobs that are worth nothing any more request no machines, however long they wait. A share asks by sums: tasks of 9 of 16 cores fill each machine at 56% of its cores, so that the share even gave machines away while it worked off an overload, and its siblings and the standby pool idled. While machines are divided, a share got no more than its part even of standby machines that nobody else can use, and its long-running tasks waited beside them. The fleet's owner gives such shares standby machines that no share in need can use, and surplus machines only while no share is short; a share with starved jobs keeps its machines until another is short. A starved task with a label is a need. Bounds: at most 64 jobs of a pool are examined for room in each measurement.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -118,6 +118,11 @@
 """Maximum number of waiting steps' needs that a pool reports at once."""
 NEEDS_TURN_MS: Final = 300
 """Time after which a pool with more needs than that reports others, in milliseconds."""
+STARVED_MS: Final = 1500
+"""How long a job waits with nothing running until it requests a machine however late it is, in
+milliseconds; users expect a task that could run to do so within 3,000."""
+MAX_STARVED: Final = 64
+"""Maximum number of starved jobs of a pool for which machines are requested at once."""
 LONG_RUNNING_FRACTION_PER_WORKER: Final = 0.5
 """Fraction of a step's long-running tasks that may be on one worker. Spread over more workers they
 would keep more machines from being moved."""
--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -13,7 +13,9 @@
 
 from .claims import measure_claims, measure_kept
 from .const import CAPACITY_GRACE_MS, MAX_NEEDS, NEEDS_TURN_MS
+from .models import Step
 from .open_steps import Urgency, find_urgency
+from .starvation import count_starved_workers, find_starved
 from .state import PartitionState, Pool
 from .worker import Worker
 
@@ -50,6 +52,7 @@
     used_cpu = sum(worker.used_cpu for worker in workers)
     used_memory_mb = sum(worker.used_memory_mb for worker in workers)
     waiting_cpu = waiting_memory_mb = lacking = 0
+    starved = find_starved(pool, now_ms)
     for step in pool.open_steps.unlimited():
         count = len(step.waiting())
         if find_urgency(step, now_ms) >= Urgency.EXCESS:
@@ -67,7 +70,8 @@
         wanted_cpu=used_cpu + waiting_cpu,
         wanted_memory_mb=used_memory_mb + waiting_memory_mb,
         lacking=lacking,
-        needs=_list_needs(pool, now_ms),
+        needs=_list_needs(pool, starved, now_ms),
+        starved=count_starved_workers(starved, _find_largest_capacity(pool)),
         used_cpu=used_cpu,
         arriving_cpu=pool.arriving_cpu(now_ms),
         arrivals=len(pool.arrivals),
@@ -94,16 +98,19 @@
     return not worker.is_listed and worker.is_ready() and not worker.is_unresponsive
 
 
-def _list_needs(pool: Pool, now_ms: int) -> list[Need]:
+def _list_needs(pool: Pool, starved: list[Step], now_ms: int) -> list[Need]:
     """Return what waiting tasks request that no worker has, the longest waiting ones first.
 
-    If there are too many needs, they take turns, since those of tasks that fit no machine at all
-    never end.
+    Starved tasks with a label are needs even if a worker has that label: it may be of no use to
+    them for long. If there are too many needs, they take turns, since those of tasks that fit no
+    machine at all never end.
     """
     capacities = _list_usable_capacities(pool, now_ms)
     waiting_since_ms: dict[Need, int] = {}
+    starved_labels = {step for step in starved if step.request.label}
     for step in pool.open_steps.unlimited():
-        if not _can_any_worker_run(capacities, step.request) and step.waiting():
+        is_unmet = step in starved_labels or not _can_any_worker_run(capacities, step.request)
+        if is_unmet and step.waiting():
             need = _create_need(step.request)
             since_ms = step.waiting_since_ms
             waiting_since_ms[need] = min(since_ms, waiting_since_ms.get(need, since_ms))
@@ -114,6 +121,12 @@
     return (needs[turn:] + needs[:turn])[:MAX_NEEDS]
 
 
+def _find_largest_capacity(pool: Pool) -> Capacity | None:
+    """Return the capacity of the pool's largest worker; None if it has no worker."""
+    capacities = [worker.entry.capacity for worker in pool.workers.values()]
+    return max(capacities, key=lambda capacity: (capacity.cpu, capacity.memory_mb), default=None)
+
+
 def _list_usable_capacities(pool: Pool, now_ms: int) -> list[_UsableCapacity]:
     """Return each worker's capacity for tasks that end, the largest first.
 
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -147,7 +147,7 @@
     best: Worker | None = None
     best_rank: tuple[bool, bool, bool, int, str] | None = None
     for worker in workers:
-        if not worker.fits(request) or not _is_allowed(step, worker):
+        if not can_take(step, worker):
             continue
         rank = (
             worker.rack() == request.data_rack,
@@ -173,7 +173,7 @@
     best: Worker | None = None
     best_rank: tuple[bool, bool, bool, bool, int, str] | None = None
     for worker in workers:
-        if not worker.fits(step.request) or not _is_allowed(step, worker):
+        if not can_take(step, worker):
             continue
         tasks_here = step.runs_on(worker.id)
         has_long_running = any(run.task.step.request.lasts for run in worker.runs.values())
@@ -190,8 +190,11 @@
     return best
 
 
-def _is_allowed(step: Step, worker: Worker) -> bool:
+def can_take(step: Step, worker: Worker) -> bool:
+    """Return whether a worker has room and the label for one more task of a step."""
     request = step.request
+    if not worker.fits(request):
+        return False
     if request.label and request.label not in worker.entry.labels:
         return False
     return not request.max_per_worker or step.runs_on(worker.id) < request.max_per_worker
--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -13,6 +13,8 @@
     MIN_MACHINES,
 )
 from .handover import count_allowed, list_takable, order_to_empty, take_budget
+from .joining import create_move, would_join
+from .leftovers import plan_leftovers
 from .models import FleetOwnerState, Intent, PoolShare, Purpose
 from .need_log import log_need, track_needs
 from .registration import is_missing
@@ -46,17 +48,18 @@
     for share in order:
         for _ in range(shortfall[share]):
             candidate = next(
-                (candidate for candidate in candidates if _would_join(state, candidate, share)),
+                (candidate for candidate in candidates if would_join(state, candidate, share)),
                 None,
             )
             if candidate is None:
                 break
             candidates.remove(candidate)
-            intents.append(_move(state, candidate, share.pool))
+            intents.append(create_move(state, candidate, share.pool))
     if division is not None:
         intents += _plan_takings(state, supply, division, shortfall, intents)
     taken = {intent.machine for intent in intents}
     candidates = [machine for machine in candidates if machine.name not in taken]
+    intents += plan_leftovers(state, supply, candidates, intents)
     return intents + _plan_standby_moves(state, candidates)
 
 
@@ -115,10 +118,10 @@
     intents: list[Intent] = []
     for share in sorted(allowed, key=division.rank):
         count = min(allowed[share], shortfall.get(share, 0)) - gained[share]
-        fitting = [machine for machine in takable if _would_join(state, machine, share)]
+        fitting = [machine for machine in takable if would_join(state, machine, share)]
         for machine in fitting[: max(0, min(count, budget - len(intents)))]:
             takable.remove(machine)
-            intents.append(replace(_move(state, machine, share.pool), is_taken=True))
+            intents.append(replace(create_move(state, machine, share.pool), is_taken=True))
     return intents
 
 
@@ -127,7 +130,9 @@
     standby = state.standby_pool()
     if standby is None:
         return []
-    return [_move(state, machine, standby) for machine in choose_for_standby(state, candidates)]
+    return [
+        create_move(state, machine, standby) for machine in choose_for_standby(state, candidates)
+    ]
 
 
 def _rank(
@@ -156,13 +161,13 @@
                 (
                     candidate
                     for candidate in candidates
-                    if _can_hold(candidate, need) and _would_join(state, candidate, share)
+                    if _can_hold(candidate, need) and would_join(state, candidate, share)
                 ),
                 None,
             )
             if candidate is not None:
                 candidates.remove(candidate)
-                intents.append(_move(state, candidate, share.pool))
+                intents.append(create_move(state, candidate, share.pool))
     return intents
 
 
@@ -208,11 +213,6 @@
     )
 
 
-def _would_join(state: FleetOwnerState, machine: Machine, share: PoolShare) -> bool:
-    """Return whether a machine would join a share by a move to the share's pool."""
-    return machine.pool != share.pool and state.share_of(machine.name, share.pool) == share
-
-
 def _list_candidates(state: FleetOwnerState, supply: Supply) -> list[Machine]:
     """Return the machines that may be moved, in order of preference.
 
@@ -247,7 +247,7 @@
     """
     needed = count_needed(state, share, machines, recent=recent)
     view = state.views.get(share)
-    if needed is None or view is None:
+    if needed is None or view is None or (recent and view.load.starved):
         return []
     free = [
         machine
@@ -261,14 +261,3 @@
     spare = len(machines) - max(needed, pinned, minimum)
     free.sort(key=lambda machine: order_to_empty(view.load, machine))
     return free[: max(0, spare)]
-
-
-def _move(state: FleetOwnerState, machine: Machine, pool: str) -> Intent:
-    return Intent(
-        machine=machine.name,
-        worker_id=None if state.is_standby(machine.pool) else machine.worker_id,
-        purpose=Purpose.MOVE,
-        from_pool=machine.pool,
-        pool=pool,
-        began_ms=state.now_ms,
-    )
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -183,6 +183,9 @@
     """Number of additional workers that unplaced long-running tasks need."""
     needs: list[Need] = []
     """Unmet requirements of waiting steps; a few at most."""
+    starved: int = 0
+    """Number of additional workers for jobs that have waited for long with nothing running, however
+    late they are."""
     workers: dict[str, int]
     """The processor that running tasks use, by worker."""
     unheard: list[str] = []
--- a/tests/dispatch/test_load.py
+++ b/tests/dispatch/test_load.py
@@ -6,7 +6,9 @@
     CAPACITY_GRACE_MS,
     MAX_NEEDS,
     NEEDS_TURN_MS,
+    STARVED_MS,
 )
+from heatherkeel.dispatch.events import Tick
 from heatherkeel.dispatch.load import measure_pools
 from heatherkeel.dispatch.pools import enqueue_step
 from heatherkeel.platform.callers import StepRequest
@@ -167,3 +169,53 @@
         reported |= {need.label for need in needs}
         partition.tick(NEEDS_TURN_MS)
     assert reported == {"", "b"}
+
+
+def make_starved(*steps: StepRequest) -> Partition:
+    """Return a partition whose only worker is full, with one waiting job for each of these."""
+    partition = Partition(workers=1, cpu=8000)
+    partition.submit(make_step(count=9, cpu=8000))
+    partition.start_planned_runs()
+    for number, step in enumerate(steps):
+        partition.submit(step, job_id=f"{number:016x}")
+    return partition
+
+
+def test_job_that_is_too_late_requests_a_machine_if_nothing_of_it_runs() -> None:
+    """Guards against an accepted job that waits to the end while other shares' machines idle."""
+    partition = make_starved(make_step(count=9, cpu=5000))
+    assert measure_pools(partition.state)[0].starved == 0
+    partition.tick(60_000)
+    load = measure_pools(partition.state)[0]
+    assert (load.wanted_cpu, load.starved) == (8000, 1)
+
+
+def test_small_starved_jobs_share_a_machine() -> None:
+    """Guards against a machine for each of many small jobs that are worth nothing any more."""
+    partition = make_starved(*[make_step(count=9, cpu=2000) for _ in range(6)])
+    partition.tick(60_000)
+    assert measure_pools(partition.state)[0].starved == 2
+
+
+def test_starved_jobs_larger_than_any_machine_request_none() -> None:
+    partition = make_starved(make_step(cpu=9000), make_step(cpu=100, memory_mb=1 << 20))
+    partition.tick(60_000)
+    assert measure_pools(partition.state)[0].starved == 0
+
+
+def test_starved_task_with_a_label_is_a_need() -> None:
+    """Guards against a task that waits for a worker with its label that is full for long."""
+    partition = make_starved(make_step(cpu=2000, label="a"))
+    assert measure_pools(partition.state)[0].needs == []
+    partition.tick(STARVED_MS)
+    load = measure_pools(partition.state)[0]
+    assert (load.needs, load.starved) == ([Need(label="a", cpu=2000, memory_mb=100)], 0)
+
+
+def test_outdated_entries_of_all_workers_make_no_job_starved() -> None:
+    """Guards against moves of machines while the store is down, which would start nothing there."""
+    partition = make_starved(make_step(cpu=2000))
+    partition.now_ms += 60_000
+    outdated = frozenset(partition.entries)
+    partition.apply(Tick(**partition.event_times(), outdated=outdated))
+    assert measure_pools(partition.state)[0].starved == 0
--- a/tests/pooling/fleet.py
+++ b/tests/pooling/fleet.py
@@ -49,6 +49,8 @@
         self.wanted_memory_mb: dict[str, int] = {}
         self.lacking: dict[str, int] = {}
         self.needs: dict[str, list[Need]] = {}
+        self.starved: dict[str, int] = {}
+        """How many machines each pool's starved jobs lack."""
         self.labels_of: dict[str, list[str]] = {}
         self.arriving: dict[str, tuple[int, int]] = {}
         """Number of recent jobs and the processor that they request, by pool."""
@@ -123,6 +125,7 @@
                     arriving_cpu=self.arriving.get(pool, (0, 0))[1],
                     needs=self.needs.get(pool, []),
                     lacking=self.lacking.get(pool, 0),
+                    starved=self.starved.get(pool, 0),
                     claims=self.claims.get(pool),
                     wanted_memory_mb=self.wanted_memory_mb.get(pool, 0),
                     used_cpu=min(cpu, CPU * len(members)),
