Examine waiting steps behind many that don't fit

What callers saw: an accepted job had nothing running to the end although its service had room (LOST). Cause, by reading and by the tests: a placement pass ends at 41 steps that fit on no worker now. Those that fit on none ever, since no machine is large enough or none with the label is left, stay in front for good, and no step behind them is examined. Between demand peaks nothing else comes in that would change the order, so that large steps of an overload hide small ones for which there is room. Why it works: steps that no worker could run even if it were empty don't end the pass, and cost no search. Tried and dropped: turns for steps whatever their urgency; test_misdeclared_surge.py failed by it, since steps that aren't urgent took room. Tests: both in test_placement.py failed before.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -51,7 +51,10 @@
 """Maximum work of late steps that go first in their last chance, in milliseconds of the pool's
 whole processor; about a sixth of the time above."""
 MAX_MISFITS: Final = 40
-"""Steps in a row that don't fit before a placement pass ends, which bounds the work per event."""
+"""Steps that don't fit before a placement pass ends, which bounds the work per event. Those that no
+worker could ever run aren't counted."""
+THOROUGH_PASS_MS: Final = 100
+"""Time between two placement passes that don't end at this number, in milliseconds."""
 QUARANTINE_FAILURES: Final = 3
 """Failed ends in a row, of different jobs, after which a worker is quarantined. A task fails by its
 own fault in fewer than one of thirty runs, so three in a row by chance are rarer than 1 in 20,000.
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from functools import partial
 from math import ceil
 
 from heatherkeel.platform.callers import StepRequest
 
-from .const import LONG_RUNNING_FRACTION_PER_WORKER, MAX_MISFITS
+from .const import LONG_RUNNING_FRACTION_PER_WORKER, MAX_MISFITS, MAX_STEPS_EXAMINED
 from .events import Effects, SaveJob, StartTask
 from .limits import is_within_limit, report_waits_for_limit
 from .models import JobState, Run, RunState, Step, Task
@@ -31,7 +32,8 @@
         return
     sizes = [worker.entry.capacity.cpu / 1000 for worker in workers]
     pool.open_steps.set_capacity(cores=sum(sizes), largest_worker_cores=max(sizes))
-    skipped = 0
+    left = MAX_STEPS_EXAMINED if pool.is_thorough_pass_due(state.now_ms) else MAX_MISFITS
+    largest = _find_largest(workers)
     free_cpu = max(worker.free_cpu() for worker in workers)
     for step in pool.open_steps.in_order(state.now_ms):
         if not is_within_limit(state, step):
@@ -43,11 +45,40 @@
         if has_capacity and _place_step(state, pool, step, workers, effects):
             free_cpu = max(worker.free_cpu() for worker in workers)
             continue
-        skipped += 1
-        if skipped > MAX_MISFITS:
+        left -= largest.holds(step.request)
+        if left < 0:
             return
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Largest:
+    """The most of each resource that any worker has in all, and the labels of all of them."""
+
+    cpu: int
+    memory_mb: int
+    gpu: int
+    labels: set[str]
+
+    def holds(self, step: StepRequest) -> bool:
+        """Return whether a task of a step could run once others have ended."""
+        return (
+            (step.fills or step.cpu <= self.cpu)
+            and step.memory_mb <= self.memory_mb
+            and step.gpu <= self.gpu
+            and (not step.label or step.label in self.labels)
+        )
+
+
+def _find_largest(workers: list[Worker]) -> _Largest:
+    capacities = [worker.entry.capacity for worker in workers]
+    return _Largest(
+        cpu=max(capacity.cpu for capacity in capacities),
+        memory_mb=max(capacity.memory_mb for capacity in capacities),
+        gpu=max(capacity.gpu for capacity in capacities),
+        labels={label for worker in workers for label in worker.entry.labels},
+    )
+
+
 def _place_step(
     state: PartitionState, pool: Pool, step: Step, workers: list[Worker], effects: Effects
 ) -> bool:
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -10,7 +10,7 @@
 from heatherkeel.workspaces.account import AccountBook
 
 from .building import remaining_work
-from .const import ARRIVAL_WINDOW_MS, LEASE_MS
+from .const import ARRIVAL_WINDOW_MS, LEASE_MS, THOROUGH_PASS_MS
 from .models import Job
 from .open_steps import OpenSteps
 from .worker import Worker
@@ -26,6 +26,8 @@
     """Steps with tasks to start."""
     arrivals: deque[tuple[int, float]] = field(default_factory=deque)
     """Arrival time and requested core-milliseconds of each recent job."""
+    thorough_pass_ms: int = 0
+    """When waiting steps were last examined however many didn't fit."""
 
     def record_arrival(self, job: Job, now_ms: int) -> None:
         """Record the arrival of a job; jobs with long-running tasks don't count."""
@@ -34,6 +36,16 @@
             return
         self.arrivals.append((now_ms, remaining_work(steps, job.estimates)[0]))
 
+    def is_thorough_pass_due(self, now_ms: int) -> bool:
+        """Return whether to examine waiting steps however many don't fit; notes that it was done.
+
+        That takes long, so it is done between demand peaks only, and not at every event.
+        """
+        if now_ms - self.thorough_pass_ms < THOROUGH_PASS_MS or self.arriving_cpu(now_ms):
+            return False
+        self.thorough_pass_ms = now_ms
+        return True
+
     def arriving_cpu(self, now_ms: int) -> int:
         """Return the processor capacity that jobs need at the current arrival rate."""
         while self.arrivals and now_ms - self.arrivals[0][0] > ARRIVAL_WINDOW_MS:
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from heatherkeel.dispatch.const import ARRIVAL_WINDOW_MS, MAX_MISFITS, TICK_MS
 from heatherkeel.platform.callers import StepRequest
 
-from .partition import JOB, Partition, make_entry, make_step
+from .partition import JOB, OTHER_JOB, Partition, make_entry, make_step, started_runs
 
 ZONES = ("a", "b", "c", "d")
 JOBS = 12
@@ -64,3 +65,29 @@
     worker_ids = [run.worker_id for run in partition.job(JOB).runs()]
     assert len(worker_ids) == 6
     assert max(worker_ids.count(worker) for worker in worker_ids) <= most
+
+
+def test_step_behind_many_that_fit_no_worker_starts() -> None:
+    """Guards against a task that waits forever since each pass ends at the same steps before it."""
+    partition = Partition(workers=2, cpu=8000)
+    for number in range(MAX_MISFITS + 1):
+        step = make_step(cpu=100, memory_mb=1 << 20, estimated_ms=100)
+        partition.submit(step, job_id=f"{number:016x}")
+        step = make_step(cpu=100, label="none", estimated_ms=100)
+        partition.submit(step, job_id=f"f{number:015x}")
+    partition.submit(make_step(cpu=100, estimated_ms=5000), job_id=OTHER_JOB)
+    assert [run.task.step.job.id for run in started_runs(partition.effects)] == [OTHER_JOB]
+
+
+def test_step_behind_many_that_do_not_fit_now_starts_once_no_job_arrives() -> None:
+    """Guards against a task that waits beside room for it while a share works off an overload."""
+    partition = Partition(workers=2, cpu=8000)
+    partition.submit(make_step(count=2, cpu=100, memory_mb=9000, estimated_ms=100_000))
+    for number in range(MAX_MISFITS + 1):
+        step = make_step(cpu=100, memory_mb=15_000, estimated_ms=2000)
+        partition.submit(step, job_id=f"{number:016x}")
+    partition.start_planned_runs()
+    partition.submit(make_step(cpu=100, estimated_ms=5000), job_id=OTHER_JOB)
+    assert not started_runs(partition.effects)
+    partition.tick(ARRIVAL_WINDOW_MS + TICK_MS)
+    assert [run.task.step.job.id for run in started_runs(partition.effects)] == [OTHER_JOB]
