Go on calling a worker that no list of machines names while it has an entry

What callers would see (LOST): accepted tasks wait for good beside a worker with all its room free. Cause: an unresponsive worker that the list of machines didn't name was dropped, and its start time (or, where workers report none, its ID) was ignored for as long as it had an entry. A worker that came back in the same life never got work from this owner again, while the fleet's owner went on counting its machine as one of the share's machines. Change: its runs are lost as before, but the worker stays, unresponsive and without work, until its entry goes. Its own answer shows that it lives on; what it still runs is then unknown and is stopped. A worker whose address answers as another one is still dropped, since that proves its end. The new test test_worker_that_no_list_named_works_again_once_it_answers failed before.

--- a/heatherkeel/dispatch/incarnations.py
+++ b/heatherkeel/dispatch/incarnations.py
@@ -100,15 +100,21 @@
 def handle_incarnations_listed(
     state: PartitionState, event: IncarnationsListed, effects: Effects
 ) -> None:
-    """End unresponsive workers that the list of machines no longer names.
+    """Lose the runs of unresponsive workers that the list of machines no longer names.
 
-    Their machines have restarted or are down; a worker that is only unreachable is still named.
+    Their machines have restarted or are down; a worker that is only unreachable is still named. A
+    worker that has an entry goes on being called until that is removed: it is the worker's own
+    answer that shows whether its incarnation lives on.
     """
     asked_ms = event.now_ms if event.asked_ms is None else event.asked_ms
     for worker in list(state.workers.values()):
         is_long = asked_ms - worker.unresponsive_since_ms >= MIN_UNRESPONSIVE_MS
-        if worker.is_unresponsive and is_long and worker.id not in event.worker_ids:
-            end_incarnation(state, worker, effects, reason=LossReason.OTHER_LIFE)
+        if not worker.is_unresponsive or not is_long or worker.id in event.worker_ids:
+            continue
+        if worker.is_listed:
+            _lose_runs(state, worker, effects, reason=LossReason.OTHER_LIFE)
+        else:
+            drop_worker(state, worker, effects, reason=LossReason.OTHER_LIFE)
 
 
 def drop_if_expired(state: PartitionState, worker: Worker, effects: Effects) -> None:
--- a/tests/dispatch/test_losses.py
+++ b/tests/dispatch/test_losses.py
@@ -207,6 +207,37 @@
     assert again.task is run.task
 
 
+def test_worker_that_no_list_named_works_again_once_it_answers() -> None:
+    """Guards against a worker without work for good, and tasks that wait although it has room."""
+    partition = Partition(workers=1)
+    run = start_job_on(partition, "w0")
+    worker = partition.state.workers["w0"]
+    partition.fail_listing("w0")
+    partition.now_ms += MIN_UNRESPONSIVE_MS
+    for _ in range(2):
+        partition.apply(IncarnationsListed(**partition.event_times(), worker_ids=frozenset()))
+        partition.list_workers()
+    assert partition.state.workers["w0"] is worker
+    partition.effects.clear()
+    row = RunningTask(task=run.task.name, attempt=run.attempt, saved="", percent=50.0, figure=0.0)
+    partition.list_runs("w0", row)
+    assert [stop.key() for stop in stopped_runs(partition.effects)] == [run.key()]
+    partition.submit(make_step(), job_id=OTHER_JOB)
+    assert started_runs(partition.effects)
+
+
+def test_worker_without_an_entry_that_no_list_names_is_dropped() -> None:
+    """Guards against calls for good to a worker that is gone."""
+    partition = Partition(workers=1)
+    start_job_on(partition, "w0")
+    partition.fail_listing("w0")
+    del partition.entries["w0"]
+    partition.list_workers()
+    partition.now_ms += MIN_UNRESPONSIVE_MS
+    partition.apply(IncarnationsListed(**partition.event_times(), worker_ids=frozenset()))
+    assert not partition.state.workers
+
+
 def test_list_of_machines_that_was_requested_too_early_ends_no_worker() -> None:
     """Guards against a second run beside a worker that started after a slow list was requested."""
     partition = Partition()
