Give each worthless job with nothing running one task before others get more

What callers saw: an accepted job had nothing running to the end although its service had room (LOST). Cause: jobs that are worth nothing are worked off in the order of their remaining time, and all tasks of one go before the first of the next. What becomes free, and each machine that comes for a starved job, went to jobs that run already. Why it works: when a pass reaches these steps, each job without a run gets one task first, the longest waiting first. What is worth something still goes before.

--- a/heatherkeel/dispatch/open_steps.py
+++ b/heatherkeel/dispatch/open_steps.py
@@ -146,6 +146,18 @@
                 if step not in rescued:
                     yield step
 
+    def is_worthless(self, step: Step) -> bool:
+        """Return whether a step is sorted among those whose jobs are worth nothing."""
+        known = self.entries.get(step)
+        return known is not None and known[0] is Urgency.WORTHLESS
+
+    def list_worthless(self) -> list[Step]:
+        """Return the steps whose jobs are worth nothing, the longest waiting first."""
+        entries = islice(self.sorted[Urgency.WORTHLESS], MAX_STEPS_EXAMINED)
+        steps = [entry[-1] for entry in entries]
+        steps.sort(key=lambda step: (step.waiting_since_ms, step.name()))
+        return steps
+
     def _steps_in_time(self) -> SortedList:
         """Return the steps in time by their latest start, or by their work if there is a backlog.
 
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -35,7 +35,12 @@
     left = MAX_STEPS_EXAMINED if pool.is_thorough_pass_due(state.now_ms) else MAX_MISFITS
     largest = _find_largest(workers)
     free_cpu = max(worker.free_cpu() for worker in workers)
+    has_begun_worthless = False
     for step in pool.open_steps.in_order(state.now_ms):
+        if not has_begun_worthless and pool.open_steps.is_worthless(step):
+            has_begun_worthless = True
+            if _begin_worthless_jobs(state, pool, workers, effects):
+                free_cpu = max(worker.free_cpu() for worker in workers)
         if not is_within_limit(state, step):
             pool.open_steps.set_limited(step)
             report_waits_for_limit(state, step, effects)
@@ -50,6 +55,28 @@
             return
 
 
+def _begin_worthless_jobs(
+    state: PartitionState, pool: Pool, workers: list[Worker], effects: Effects
+) -> bool:
+    """Start one task of each worthless job that has nothing running; returns whether any started.
+
+    All these jobs are worth nothing, and users expect each of them to go on. By its order alone one
+    would wait until all tasks of the jobs before it have ended.
+    """
+    has_started = False
+    free_cpu = max(worker.free_cpu() for worker in workers)
+    for step in pool.open_steps.list_worthless():
+        has_capacity = step.request.fills or step.request.cpu <= free_cpu
+        if not has_capacity or step.request.is_gang or step.job.has_runs():
+            continue
+        if is_within_limit(state, step) and _place_step(
+            state, pool, step, workers, effects, most=1
+        ):
+            has_started = True
+            free_cpu = max(worker.free_cpu() for worker in workers)
+    return has_started
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Largest:
     """The most of each resource that any worker has in all, and the labels of all of them."""
@@ -80,9 +107,18 @@
 
 
 def _place_step(
-    state: PartitionState, pool: Pool, step: Step, workers: list[Worker], effects: Effects
+    state: PartitionState,
+    pool: Pool,
+    step: Step,
+    workers: list[Worker],
+    effects: Effects,
+    *,
+    most: int | None = None,
 ) -> bool:
-    """Start the tasks of a step that fit; returns whether any did or none is left to start."""
+    """Start the tasks of a step that fit, or `most` of them; a gang starts as a whole.
+
+    Returns whether any did or none is left to start.
+    """
     if needs_advice(state, step):
         workers = find_ticketed_workers(state, step, workers, effects)
     waiting = step.waiting()
@@ -94,7 +130,7 @@
         return _place_gang(state, pool, step, waiting, choices, effects)
     placed = 0
     holders = step.holders()
-    for task in waiting:
+    for task in waiting[:most]:
         if not is_within_limit(state, step):
             break
         worker = _choose_by_preference(step, choices, holders)
