Keep the machines that large tasks need, and ask for one for each

What callers saw: on the large site a job of 12 tasks of 55 of 64 cores ran one task at a time, with nothing running for 2.0 to 2.4 s between; a move slower by a second is LOST. The record has such a task that ran once and never again. Cause: all workers of its share but one had long-running tasks beside which it doesn't fit. Change: owners report the workers without long-running tasks that waiting tasks need which fit on no other, and these aren't surplus; as long as fewer of them are there than such tasks of a step can use, the need stands, so a machine comes one at a time. Jobs that are worth nothing get one. Tests: test_workers_that_large_tasks_need_are_reserved_and_there_is_one_for_each (no such report before), test_machine_that_a_large_task_needs_stays (failed without the change in moves.py).

--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -243,7 +243,7 @@
 
     `recent` keeps machines for the recent peaks of demand and for the share's minimum; it is unset
     while another share has a shortfall. Machines with long-running tasks stay, since a move would
-    end the tasks.
+    end the tasks, and so do those that a waiting task needs: another one would have to come.
     """
     needed = count_needed(state, share, machines, recent=recent)
     view = state.views.get(share)
@@ -255,6 +255,7 @@
         if machine.worker_id in view.load.workers
         and machine.worker_id not in view.load.lasting
         and machine.worker_id not in view.load.unheard
+        and machine.worker_id not in view.load.reserved
     ]
     pinned = len(machines) - len(free)
     minimum = min_machines(state, share) if recent else MIN_MACHINES
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -183,6 +183,8 @@
     """Number of additional workers that unplaced long-running tasks need."""
     needs: list[Need] = []
     """Unmet requirements of waiting steps; a few at most."""
+    reserved: list[str] = []
+    """Workers without long-running tasks that waiting tasks need which fit on no other."""
     starved: int = 0
     """Number of additional workers for jobs that have waited for long with nothing running, however
     late they are."""
--- a/tests/dispatch/test_load.py
+++ b/tests/dispatch/test_load.py
@@ -84,6 +84,31 @@
     assert measure_pools(partition.state)[0].needs == [Need(cpu=58_000)]
 
 
+def test_workers_that_large_tasks_need_are_reserved_and_there_is_one_for_each() -> None:
+    """Guards against taking away the one machine that a large task fits on, again and again."""
+    partition = Partition(workers=2, cpu=64_000)
+    partition.submit(StepRequest(count=1, cpu=9000, lasts=True), job_id=OTHER_JOB)
+    (lasting,) = partition.start_planned_runs()
+    partition.submit(StepRequest(count=3, cpu=58_000, estimated_ms=500))
+    (large,) = partition.start_planned_runs()
+    assert large.worker_id != lasting.worker_id
+    (load,) = measure_pools(partition.state)
+    assert load.reserved == [large.worker_id]
+    assert load.needs == [Need(cpu=58_000)], "two tasks wait, and one worker can hold them"
+    partition.tick(60_000)
+    (load,) = measure_pools(partition.state)
+    assert (load.reserved, load.needs) == ([large.worker_id], []), "worth nothing by now"
+
+
+def test_no_worker_is_reserved_for_tasks_that_fit_beside_long_running_ones() -> None:
+    partition = Partition(workers=2, cpu=64_000)
+    partition.submit(StepRequest(count=1, cpu=9000, lasts=True), job_id=OTHER_JOB)
+    partition.start_planned_runs()
+    partition.submit(StepRequest(count=9, cpu=50_000, estimated_ms=500))
+    (load,) = measure_pools(partition.state)
+    assert (load.reserved, load.needs) == ([], [])
+
+
 def test_task_that_fits_once_short_tasks_have_ended_is_no_need() -> None:
     partition = Partition(workers=2, cpu=64_000)
     partition.submit(StepRequest(count=2, cpu=9000, estimated_ms=500), job_id=OTHER_JOB)
--- a/tests/pooling/fleet.py
+++ b/tests/pooling/fleet.py
@@ -61,6 +61,8 @@
         """Machines whose workers are unresponsive."""
         self.unregistered: set[str] = set()
         """Machines whose workers their share's owner doesn't know."""
+        self.reserved: set[str] = set()
+        """Machines that waiting tasks need which fit on no other."""
         self.unlisted: set[str] = set()
         """Unregistered machines whose workers answer."""
         self.zone_of: dict[str, str] = {}
@@ -131,6 +133,7 @@
                     used_cpu=min(cpu, CPU * len(members)),
                     workers={f"i-{name}": self.used.get(name, 0) for name in members},
                     unheard=[f"i-{name}" for name in members if name in self.unresponsive],
+                    reserved=[f"i-{name}" for name in members if name in self.reserved],
                     unlisted=[f"i-{name}" for name in sorted(self.unlisted)],
                     empty=[f"i-{name}" for name in members if name in self.empty],
                     lasting={
--- a/tests/pooling/test_leftovers.py
+++ b/tests/pooling/test_leftovers.py
@@ -69,3 +69,14 @@
     moved = [intent.machine for intent in plan_leftovers(fleet.state, supply, left, [])]
     assert moved == ["spare0", "spare1", "spare2"], "those of other pools stay there"
     assert [machine.name for machine in left] == ["portal0", "portal1"]
+
+
+def test_machine_that_a_large_task_needs_stays() -> None:
+    """Guards against moving it to standby and back, since there is enough capacity by sums."""
+    fleet = Fleet(desk=20, spare=0)
+    fleet.long_running = {f"desk{number}": 1 for number in range(19)}
+    fleet.reserved = {"desk19"}
+    for _ in range((PEAK_RETENTION_MS + STANDBY_DELAY_MS) // 100 + 5):
+        fleet.measure(desk=CPU)
+        fleet.plan()
+    assert not fleet.state.intents
