--- a/tests/dispatch/test_job_feed.py
+++ b/tests/dispatch/test_job_feed.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from heatherkeel.directory.directory import Directory
+from heatherkeel.dispatch.events import Event
 from heatherkeel.dispatch.job_feed import JobFeed
 from heatherkeel.dispatch.models import JobState
 from heatherkeel.dispatch.records import (
@@ -159,12 +160,16 @@
 
     async def _async_own(self, scope: trio.CancelScope) -> None:
         partition = Partition(workers=0)
+
+        def handle_event(event: Event) -> None:
+            partition.apply(event)
+
         store = cast(StoreClient, self.log)
         feed = JobFeed(
             store=store,
             partition=0,
             directory=Directory(store=store),
-            handle_event=partition.apply,
+            handle_event=handle_event,
             is_dropped=lambda job_id, request: False,
         )
         with scope:
