Bound the size of an owner's appends, not only the number of their records

What callers would see (LOST): no task of a partition starts any more, and none waits: their starts are planned and never sent. Callers' records were split by size already. Evidence: test_large_records_that_have_gathered_are_stored_in_several_appends failed before (it ran into its timeout). Left open: a single record above the store's 256 kB (a job with some 3,700 started tasks) still can't be stored.

--- a/heatherkeel/dispatch/journal.py
+++ b/heatherkeel/dispatch/journal.py
@@ -17,7 +17,7 @@
 from heatherkeel.platform.store import Producer, StoreClient
 from heatherkeel.platform.store_answers import Appended
 
-from .const import MAX_APPEND_RECORDS
+from .batches import split_batches
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -39,6 +39,10 @@
     callbacks: list[Callable[[], None]] = field(default_factory=list)
 
 
+def _size_of(record: KeyedRecord) -> int:
+    return len(record.value)
+
+
 class Journal:
     """Group commit: while one append is in flight, the next batch is collected.
 
@@ -93,8 +97,8 @@
             records = [
                 KeyedRecord(key=key, value=encode()) for key, encode in batch.records.items()
             ]
-            for start in range(0, len(records), MAX_APPEND_RECORDS):
-                if not await self._async_append(records[start : start + MAX_APPEND_RECORDS]):
+            for part in split_batches(records, size_of=_size_of):
+                if not await self._async_append(part):
                     return
             for callback in batch.callbacks:
                 callback()
--- a/heatherkeel/dispatch/submissions.py
+++ b/heatherkeel/dispatch/submissions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 import trio
@@ -13,7 +12,7 @@
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
 
-from .const import MAX_APPEND_BYTES, MAX_APPEND_RECORDS
+from .batches import split_batches
 
 _NOT_STORED: Result[None, CallError] = Err(
     CallError(failure=Failure.UNKNOWN, detail="the append hasn't ended")
@@ -29,6 +28,10 @@
     result: Result[None, CallError] = _NOT_STORED
 
 
+def _size_of(submission: Submission) -> int:
+    return len(submission.record.value)
+
+
 class SubmissionBatches:
     """Appends the records that have arrived while the append before them was in flight.
 
@@ -59,7 +62,7 @@
                 await self.arrived.wait()
                 self.arrived = trio.Event()
                 waiting, self.waiting = self.waiting, []
-                for batch in split_batches(waiting):
+                for batch in split_batches(waiting, size_of=_size_of):
                     await self._async_append(batch)
         finally:
             for submission in [*waiting, *self.waiting]:
@@ -72,18 +75,3 @@
         for submission in batch:
             submission.result = result
             submission.ended.set()
-
-
-def split_batches(submissions: list[Submission]) -> Iterator[list[Submission]]:
-    """Yield the submissions in order, in batches that one append may hold."""
-    batch: list[Submission] = []
-    size = 0
-    for submission in submissions:
-        added = len(submission.record.value)
-        if batch and (len(batch) >= MAX_APPEND_RECORDS or size + added > MAX_APPEND_BYTES):
-            yield batch
-            batch, size = [], 0
-        batch.append(submission)
-        size += added
-    if batch:
-        yield batch
--- a/tests/dispatch/test_journal.py
+++ b/tests/dispatch/test_journal.py
@@ -6,6 +6,7 @@
 import trio
 from result import Err, Result
 
+from heatherkeel.dispatch.const import MAX_APPEND_BYTES
 from heatherkeel.dispatch.journal import Journal
 from heatherkeel.platform.caller import Reply
 from heatherkeel.platform.errors import CallError, Failure
@@ -86,6 +87,18 @@
     return owners
 
 
+class LimitedStore(LogStore):
+    """A store that refuses appends above twice the size that owners send."""
+
+    async def async_append_as(
+        self, producer: Producer, topic: str, partition: int, records: list[KeyedRecord]
+    ) -> Result[Appended, CallError]:
+        """Append to the log, unless it is too much at once."""
+        if len(encode_records(records)) > 2 * MAX_APPEND_BYTES:
+            return Err(CallError(failure=Failure.INVALID, status=400))
+        return await super().async_append_as(producer, topic, partition, records)
+
+
 def newest(store: LogStore) -> set[str]:
     """Return the stored keys."""
     return set(store.log.newest("keyed.work", PARTITION))
@@ -124,3 +137,23 @@
     (second,) = run_owners(store, TOKEN + 1, keys=2)
     assert second.stored == ["p0.0", "p0.1"]
     assert store.log.find("keyed.work", PARTITION).end() == 4
+
+
+def test_large_records_that_have_gathered_are_stored_in_several_appends() -> None:
+    """Guards against a partition that starts nothing any more after an outage of the store."""
+    owner = Owner(LimitedStore())
+
+    async def async_test() -> None:
+        with trio.fail_after(5):
+            assert await owner.journal.async_open()
+            for number in range(7):
+                owner.journal.put(f"p{number}", lambda: b"x" * (MAX_APPEND_BYTES // 2))
+            owner.put("last")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(owner.journal.async_run)
+                while not owner.stored:
+                    await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+
+    trio.run(async_test)
+    assert owner.stored == ["last"]
--- a/tests/dispatch/test_submissions.py
+++ b/tests/dispatch/test_submissions.py
@@ -7,8 +7,9 @@
 import trio
 from result import Err, Ok, Result
 
+from heatherkeel.dispatch.batches import split_batches
 from heatherkeel.dispatch.const import MAX_APPEND_BYTES
-from heatherkeel.dispatch.submissions import Submission, SubmissionBatches, split_batches
+from heatherkeel.dispatch.submissions import SubmissionBatches
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
@@ -98,5 +99,5 @@
 
 def test_batches_stay_below_the_stores_limit() -> None:
     record = KeyedRecord(key="j", value=b"x" * (MAX_APPEND_BYTES // 3))
-    batches = list(split_batches([Submission(record=record) for _ in range(7)]))
+    batches = list(split_batches([record] * 7, size_of=lambda record: len(record.value)))
     assert [len(batch) for batch in batches] == [3, 3, 1]
