--- a/heatherkeel/dispatch/waiting.py
+++ b/heatherkeel/dispatch/waiting.py
@@ -54,6 +54,7 @@
         for step in pool.open_steps
         if state.now_ms - step.waiting_since_ms >= EXPLAIN_AFTER_MS
         and (not step.explained_ms or state.now_ms - step.explained_ms >= EXPLAIN_AGAIN_MS)
+        and step.waiting()
     ]
     overdue.sort(key=lambda step: (step.waiting_since_ms, step.name()))
     return overdue
--- a/tests/dispatch/test_waiting.py
+++ b/tests/dispatch/test_waiting.py
@@ -7,6 +7,7 @@
 from heatherkeel.dispatch.const import EXPLAIN_AFTER_MS, EXPLAIN_AGAIN_MS, UNSETTLED_MS
 from heatherkeel.dispatch.events import CountWaiting
 from heatherkeel.dispatch.models import WaitReason
+from heatherkeel.dispatch.pools import enqueue_step
 
 from .partition import OTHER_JOB, Partition, make_step
 
@@ -107,6 +108,19 @@
     assert _reasons(partition) == [WaitReason.NO_ROOM]
 
 
+def test_step_whose_tasks_all_run_is_not_logged(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against lines about steps that are listed with nothing to start."""
+    caplog.set_level("INFO")
+    partition = Partition(workers=1)
+    partition.submit(make_step())
+    (step,) = partition.job().steps()
+    enqueue_step(partition.state, step)
+    partition.state.workers["w0"].quarantined_until_ms = 1 << 40
+    partition.tick(EXPLAIN_AFTER_MS)
+    assert step in partition.state.pools["portal"].open_steps
+    assert not _lines(caplog, "step_waits")
+
+
 def test_few_steps_are_logged_at_a_time(caplog: pytest.LogCaptureFixture) -> None:
     """Guards against a line for each of thousands of steps in an overload."""
     caplog.set_level("INFO")
