Take a machine of a short pool for a long-running task that lacks one

Cause: the share's own workers had the step's most, the standby pool was empty, and every large share was short itself, so none had a surplus: a share that lacks machines for long-running tasks comes first, but only among what is offered. Change: after all other plans such a share takes the machine that is empty soonest of the largest other share, not from one that lacks some itself or has only a few; no more than a fifth of all machines in a second, none that has just come. Tests: test_long_running_task_gets_a_machine_of_a_pool_that_is_short failed before.

--- a/heatherkeel/pooling/handover.py
+++ b/heatherkeel/pooling/handover.py
@@ -51,7 +51,7 @@
         for machine in staying
         if machine.worker_id in load.workers
         and machine.worker_id not in load.lasting
-        and _has_stayed(state, machine)
+        and has_stayed(state, machine)
     ]
     free.sort(key=lambda machine: order_to_empty(load, machine))
     held = division.held[share] - (len(machines) - len(staying))
@@ -65,7 +65,8 @@
     return (load.kept.get(worker_id, 0), load.workers[worker_id], machine.name)
 
 
-def _has_stayed(state: FleetOwnerState, machine: Machine) -> bool:
+def has_stayed(state: FleetOwnerState, machine: Machine) -> bool:
+    """Return whether a machine has been in its pool for long enough to be taken."""
     moved_ms = state.moved_ms.get(machine.name)
     return moved_ms is None or state.now_ms - moved_ms >= MIN_STAY_MS
 
--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -14,6 +14,7 @@
 )
 from .handover import count_allowed, list_takable, order_to_empty, take_budget
 from .joining import create_move, would_join
+from .lasting import plan_for_long_running
 from .leftovers import plan_leftovers
 from .models import FleetOwnerState, Intent, PoolShare, Purpose
 from .need_log import log_need, track_needs
@@ -57,6 +58,7 @@
             intents.append(create_move(state, candidate, share.pool))
     if division is not None:
         intents += _plan_takings(state, supply, division, shortfall, intents)
+    intents += plan_for_long_running(state, supply, intents)
     taken = {intent.machine for intent in intents}
     candidates = [machine for machine in candidates if machine.name not in taken]
     intents += plan_leftovers(state, supply, candidates, intents)
