--- a/tests/dispatch/test_startable_tasks.py
+++ b/tests/dispatch/test_startable_tasks.py
@@ -12,7 +12,14 @@
 from heatherkeel.dispatch.events import Tick
 from heatherkeel.workspaces.amounts import NOTHING
 
-from .unreliable_fleet import JOBS, LIMIT, FleetWorker, UnreliableFleet
+from .fleet_calls import FleetWorker
+from .fleet_checks import (
+    find_idle_tasks,
+    find_unlisted_steps,
+    find_unsettled_runs,
+    find_unused_workers,
+)
+from .unreliable_fleet import JOBS, LIMIT, UnreliableFleet
 
 MAX_JOBS: Final = 5
 RECOVERY_ROUNDS: Final = 130
@@ -186,12 +193,12 @@
     @invariant()
     def startable_tasks_wait_for_room(self) -> None:
         """Each step with tasks to start is among those that wait."""
-        assert not self.fleet.find_unlisted_steps()
+        assert not find_unlisted_steps(self.fleet)
 
     @invariant()
     def runs_will_settle(self) -> None:
         """Each run is on its worker, and runs, ends, or is about to be known not to run."""
-        assert not self.fleet.find_unsettled_runs()
+        assert not find_unsettled_runs(self.fleet)
 
     @rule(number=st.integers(0, 1))
     def lose_worker_from_lists(self, number: int) -> None:
@@ -209,8 +216,8 @@
             self.fleet.recover(rounds=RECOVERY_ROUNDS, ends_cuts=ends_cuts)
             self.startable_tasks_wait_for_room()
             self.runs_will_settle()
-            assert not self.fleet.find_idle_tasks()
-            assert not self.fleet.find_unused_workers()
+            assert not find_idle_tasks(self.fleet)
+            assert not find_unused_workers(self.fleet)
 
 
 class StartableTasksWithoutStartTimes(StartableTasks):
--- a/tests/dispatch/unreliable_fleet.py
+++ b/tests/dispatch/unreliable_fleet.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Final
 
 from heatherkeel.dispatch.const import MIN_UNRESPONSIVE_MS, TICK_MS
@@ -29,7 +28,7 @@
     WorkerAnswered,
 )
 from heatherkeel.dispatch.jobs import stop_leftover_runs
-from heatherkeel.dispatch.models import Job, Run, RunState, Step, Task
+from heatherkeel.dispatch.models import Job, RunState
 from heatherkeel.dispatch.records import (
     CANCEL_PREFIX,
     PROGRESS_PREFIX,
@@ -49,8 +48,9 @@
 from heatherkeel.workspaces.amounts import Amount
 from heatherkeel.workspaces.messages import Grant, GrantOffer
 
+from .fleet_calls import Call, FleetWorker, ListingCall
 from .partition import Partition, make_entry, make_step
-from .simulated_workers import CPU, SimulatedWorker
+from .simulated_workers import CPU
 
 LEASE_MS: Final = 6000
 WORKSPACE: Final = "desk"
@@ -69,45 +69,6 @@
 """Steps by kind of job; the last kind belongs to a workspace with a limit."""
 
 
-@dataclass
-class FleetWorker(SimulatedWorker):
-    """An incarnation of a worker that may be unreachable or missing in lists."""
-
-    service: str = "portal"
-    is_dark: bool = False
-    """It runs on, but nothing reaches it and it answers nothing."""
-    is_named: bool = True
-    """The list of machines names it."""
-    is_address_reused: bool = False
-    """After its end, another incarnation answers at its address."""
-    begun_ms: dict[str, int] = field(default_factory=dict)
-
-
-@dataclass(eq=False, kw_only=True)
-class Call:
-    """An order that was sent and isn't answered."""
-
-    worker: Worker
-    """The incarnation as the owner knew it when its session sent the order."""
-    target: FleetWorker
-    run: Run
-    is_start: bool
-    token: int
-    until_ms: int
-    delivered: bool = False
-    reason: str = ""
-
-
-@dataclass(eq=False, kw_only=True)
-class ListingCall:
-    """A listing that a worker has made and that its owner hasn't received."""
-
-    worker: Worker
-    sent_ms: int
-    listing: Listing
-    acknowledged: int
-
-
 class UnreliableFleet:
     """Two workers and an owner, with everything that is in flight between them."""
 
@@ -605,100 +566,3 @@
             and self.partition.now_ms - worker.unresponsive_since_ms >= MIN_UNRESPONSIVE_MS
             for worker in workers
         )
-
-    # What has to hold.
-
-    def open_steps(self) -> list[Step]:
-        """Return the open steps with tasks that aren't done, of jobs that haven't ended."""
-        return [
-            step
-            for job in self.partition.state.jobs.values()
-            for step in job.steps()
-            if step.is_open and not step.is_done()
-        ]
-
-    def find_unlisted_steps(self) -> list[str]:
-        """Return steps with tasks to start that aren't among those that wait."""
-        pools = self.partition.state.pools
-        return [
-            step.name()
-            for step in self.open_steps()
-            if step.waiting() and step not in pools[step.job.service].open_steps
-        ]
-
-    def find_unsettled_runs(self) -> list[str]:
-        """Return the runs that are on no worker, or that nothing on its way will settle."""
-        state = self.partition.state
-        found = []
-        for job in [*state.jobs.values(), *state.finished.values()]:
-            for run in job.runs():
-                worker = state.workers.get(run.worker_id)
-                if worker is None or worker.runs.get(run.key()) is not run:
-                    found.append(f"{run.key()} is on no worker")
-                elif not self._will_settle(run):
-                    found.append(f"{run.key()} is {run.state} for good")
-        return found
-
-    def _will_settle(self, run: Run) -> bool:
-        match run.state:
-            case RunState.PLANNED:
-                return self._has_order(run, StartTask)
-            case RunState.SENT:
-                is_asked = run.start_timed_out_ms is not None
-                return is_asked or any(call.run is run for call in self.calls)
-            case RunState.STOPPING:
-                is_called = any(call.run is run and not call.is_start for call in self.calls)
-                return run.answered_ms is not None or is_called or self._has_order(run, StopTask)
-            case _:
-                return run.answered_ms is not None
-
-    def _has_order(self, run: Run, kind: type[StartTask | StopTask]) -> bool:
-        queued = [effect for _, effect in self.queue]
-        held = [effect for effects in self.held.values() for effect in effects]
-        return any(
-            isinstance(effect, kind) and effect.run is run
-            for effect in [*self.journal, *queued, *held]
-        )
-
-    def find_idle_tasks(self) -> list[str]:
-        """Return tasks that run nowhere though a worker has room for their step."""
-        return [
-            task.name
-            for step in self.open_steps()
-            for task in step.tasks
-            if self._is_idle(task) and self._has_room(step)
-        ]
-
-    def _is_idle(self, task: Task) -> bool:
-        return not task.is_done and not any(task.name in w.runs for w in self.alive())
-
-    def _has_room(self, step: Step) -> bool:
-        request = step.request
-        count = len(step.tasks) if request.is_gang else 1
-        fitting = sum(
-            max(0, (worker.cpu - self._used_cpu(worker)) // request.cpu)
-            for worker in self.alive()
-            if worker.service == step.job.service and not worker.is_dark
-        )
-        return fitting >= count
-
-    def find_unused_workers(self) -> list[str]:
-        """Return workers that answer and get no work."""
-        state = self.partition.state
-        return [
-            worker.id
-            for worker in self.alive()
-            if not worker.is_dark
-            and (
-                worker.id not in state.workers
-                or not state.workers[worker.id].accepts_work(self.partition.now_ms)
-            )
-        ]
-
-    def _used_cpu(self, worker: FleetWorker) -> int:
-        used = 0
-        for name in worker.runs:
-            job_id, _, number, _ = name.rsplit(".", 3)
-            job = self.partition.state.find_job(job_id)
-            used += job.request.steps[int(number)].cpu if job is not None else CPU
-        return used
