Let the state machine of startable tasks reach orders in flight more often

Stops that aren't repeated or aren't sent by the next owner, starts in flight at a restart, and leases that unanswered listings renew needed several rules in a row. Change: the workers are ready from the start, and rules answer all orders alike, cut off a worker with tasks, and restart one with orders in flight.

--- a/tests/dispatch/test_startable_tasks.py
+++ b/tests/dispatch/test_startable_tasks.py
@@ -35,6 +35,7 @@
         super().__init__()
         self.fleet = UnreliableFleet(reports_born=self.reports_born)
         self.fleet.grant()
+        self.fleet.run_round(ends_runs=False)
 
     def _pick(self, number: int) -> FleetWorker:
         alive = self.fleet.alive()
@@ -105,6 +106,22 @@
         for _ in range(rounds):
             self.fleet.run_round(ends_runs=False)
 
+    @rule(how=st.sampled_from(["done", "unanswered", "lost", "late"]))
+    def answer_all(self, how: str) -> None:
+        """Store everything and send all orders, which are all answered or not."""
+        self.fleet.send_all()
+        for _ in range(len(self.fleet.calls)):
+            if self.fleet.calls:
+                self.fleet.answer(0, how)
+
+    @rule(kind=st.sampled_from(sorted(JOBS)), number=st.integers(0, 1))
+    def cut_worker_with_tasks(self, kind: str, number: int) -> None:
+        """Start a job, and cut off a worker."""
+        if self.fleet.jobs < MAX_JOBS:
+            self.fleet.submit(kind)
+        self.fleet.run_round(ends_runs=False)
+        self._pick(number).is_dark = True
+
     @rule(number=st.integers(0, 5), outcome=st.sampled_from(["done", "done", "failed"]))
     def end_run(self, number: int, outcome: str) -> None:
         """End a run."""
@@ -167,6 +184,22 @@
         other = "other" if worker.service == "portal" else "portal"
         self.fleet.restart_worker(worker, service=other if moves else worker.service)
 
+    @precondition(lambda self: self.reports_born)
+    @rule(kind=st.sampled_from(sorted(JOBS)), is_delivered=st.booleans())
+    def restart_worker_with_orders(self, kind: str, is_delivered: bool) -> None:
+        """Restart a worker while orders to it are in flight; its entry tells of that first."""
+        if self.fleet.jobs < MAX_JOBS:
+            self.fleet.submit(kind)
+        self.fleet.send_all()
+        if not self.fleet.calls:
+            return
+        call = self.fleet.calls[0]
+        if is_delivered:
+            self.fleet.deliver(call)
+        worker = self.fleet.workers[call.target.id]
+        self.fleet.restart_worker(worker, service=worker.service)
+        self.fleet.write_entry(self.fleet.workers[worker.id])
+
     @rule(number=st.integers(0, 5))
     def remove_entry(self, number: int) -> None:
         """Remove an entry."""
--- a/tests/dispatch/unreliable_fleet.py
+++ b/tests/dispatch/unreliable_fleet.py
@@ -178,6 +178,14 @@
             )
         )
 
+    def send_all(self) -> None:
+        """Store everything, and send all orders that are queued by then."""
+        while self.journal:
+            self.store_next()
+        for _ in range(len(self.queue)):
+            if self.queue:
+                self.send_next(0)
+
     def _extend_lease(self, worker: Worker) -> int:
         until_ms = worker.clock_at(self.partition.now_ms) + LEASE_MS
         worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
@@ -523,11 +531,7 @@
 
     def run_round(self, *, ends_runs: bool) -> None:
         """Carry out everything without a fault, and list each worker."""
-        while self.journal:
-            self.store_next()
-        for _ in range(len(self.queue)):
-            if self.queue:
-                self.send_next(0)
+        self.send_all()
         while self.calls:
             self.answer(0, "done")
         while self.listings:
