--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import h11
 import pytest
@@ -66,6 +67,34 @@
     assert answered == [200] * 10
 
 
+def test_caller_stays_usable_after_a_burst_of_calls_without_answers() -> None:
+    """Guards against connections that stay taken by waiting calls which all time out at once."""
+    is_silent = True
+
+    async def async_answer_unless_silent(stream: trio.SocketStream) -> None:
+        with suppress(trio.BrokenResourceError):
+            while await stream.receive_some():
+                if not is_silent:
+                    await stream.send_all(_ANSWER + b"{}")
+
+    async def async_use(caller: HttpCaller) -> None:
+        nonlocal is_silent
+
+        async def async_call() -> None:
+            assert isinstance(await caller.async_call("GET", "/", timeout_s=0.1), Err)
+
+        for _ in range(5):
+            async with trio.open_nursery() as nursery:
+                for _ in range(60):
+                    nursery.start_soon(async_call)
+                    await trio.lowlevel.checkpoint()
+        is_silent = False
+        for _ in range(3):
+            assert isinstance(await caller.async_call("GET", "/", timeout_s=1.0), Ok)
+
+    run(async_answer_unless_silent, async_use, connections=4)
+
+
 def test_connection_closed_while_idle_is_replaced() -> None:
     """A worker that closes idle connections must not make the next call fail."""
 
