Jobs larger than any machine hide no starved ones

What callers would see: an accepted job with nothing running to the end although its service has room. Cause, by the test: the 64 jobs that have waited longest are examined for starved ones, and jobs that no machine can hold wait longest. They counted for no machine, and kept all others from being examined. Why it works: steps that no known worker could run if it were empty are left out before; they are needs. Besides, steps are examined for runs only until 64 are found, and for room only if one has the cores. Test: failed before.

--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -7,13 +7,12 @@
 import msgspec
 
 from heatherkeel.platform.callers import StepRequest
-from heatherkeel.platform.operator import Capacity
 from heatherkeel.questions.messages import PoolLoad
 
 from .claims import measure_claims, measure_kept
 from .needs import count_fitting, find_needs, is_unavailable
 from .open_steps import Urgency, find_urgency
-from .starvation import count_starved_workers, find_starved
+from .starvation import count_starved_workers, find_largest_capacity, find_starved
 from .state import PartitionState, Pool
 from .worker import Worker
 
@@ -63,7 +62,7 @@
         lacking=lacking,
         needs=needs.unmet,
         reserved=needs.reserved,
-        starved=count_starved_workers(starved, _find_largest_capacity(pool)),
+        starved=count_starved_workers(starved, find_largest_capacity(pool)),
         used_cpu=used_cpu,
         arriving_cpu=pool.arriving_cpu(now_ms),
         arrivals=len(pool.arrivals),
@@ -80,12 +79,6 @@
     return not worker.is_listed and worker.is_ready() and not worker.is_unresponsive
 
 
-def _find_largest_capacity(pool: Pool) -> Capacity | None:
-    """Return the capacity of the pool's largest worker; None if it has no worker."""
-    capacities = [worker.entry.capacity for worker in pool.workers.values()]
-    return max(capacities, key=lambda capacity: (capacity.cpu, capacity.memory_mb), default=None)
-
-
 def _count_workers_needed(step: StepRequest, count: int, pool: Pool) -> int:
     """Return how many empty workers can run this many tasks of a step.
 
--- a/heatherkeel/dispatch/starvation.py
+++ b/heatherkeel/dispatch/starvation.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from heapq import nsmallest
+from itertools import islice
 from math import ceil
 
 from heatherkeel.platform.operator import Capacity
@@ -22,29 +22,51 @@
 def find_starved(pool: Pool, now_ms: int) -> list[Step]:
     """Return steps of starved jobs that no worker can take now, the longest waiting first.
 
-    A step that a worker could take is left out, since a machine more wouldn't help it.
+    A step that a worker could take is left out, since a machine more wouldn't help it. So is one
+    that no known worker could run if it were empty: it would hide others for good, and is a need.
     """
-    starved = [
-        step
-        for step in pool.open_steps.unlimited()
-        if now_ms - step.waiting_since_ms >= STARVED_MS and _has_nothing_running(step)
-    ]
-    if not starved:
-        return []
-    if all(worker.is_outdated for worker in pool.workers.values()) and pool.workers:
+    if pool.workers and all(worker.is_outdated for worker in pool.workers.values()):
         # The store can't be read, so nothing would start on a further machine either.
         return []
+    waiting = [
+        step for step in pool.open_steps.unlimited() if now_ms - step.waiting_since_ms >= STARVED_MS
+    ]
+    waiting.sort(key=lambda step: step.waiting_since_ms)
+    largest = find_largest_capacity(pool)
+    labels = {label for worker in pool.workers.values() for label in worker.entry.labels}
+    runnable = (step for step in waiting if _is_runnable(step, largest, labels))
+    starved = list(islice(filter(_has_nothing_running, runnable), MAX_STARVED))
     workers = [worker for worker in pool.workers.values() if worker.accepts_work(now_ms)]
-    longest = nsmallest(MAX_STARVED, starved, key=lambda step: (step.waiting_since_ms, step.name()))
-    return [step for step in longest if not _can_start(step, workers)]
+    free_cpu = max((worker.free_cpu() for worker in workers), default=0)
+    return [step for step in starved if not _can_start(step, workers, free_cpu)]
+
+
+def find_largest_capacity(pool: Pool) -> Capacity | None:
+    """Return the capacity of the pool's largest worker; None if it has no worker."""
+    capacities = [worker.entry.capacity for worker in pool.workers.values()]
+    return max(capacities, key=lambda capacity: (capacity.cpu, capacity.memory_mb), default=None)
+
+
+def _is_runnable(step: Step, largest: Capacity | None, labels: set[str]) -> bool:
+    request = step.request
+    if largest is None:
+        return True
+    return (
+        (request.fills or request.cpu <= largest.cpu)
+        and request.memory_mb <= largest.memory_mb
+        and request.gpu <= largest.gpu
+        and (not request.label or request.label in labels)
+    )
 
 
 def _has_nothing_running(step: Step) -> bool:
     return bool(step.waiting()) and (step.request.lasts or not step.job.has_runs())
 
 
-def _can_start(step: Step, workers: list[Worker]) -> bool:
-    return any(
+def _can_start(step: Step, workers: list[Worker], free_cpu: int) -> bool:
+    # In a full pool this check alone rules out most steps.
+    has_capacity = step.request.fills or step.request.cpu <= free_cpu
+    return has_capacity and any(
         can_take(step, worker) for group in group_candidates(step, workers) for worker in group
     )
 
@@ -52,8 +74,7 @@
 def count_starved_workers(steps: list[Step], largest: Capacity | None) -> int:
     """Return how many workers can run one task of each of these steps beside each other.
 
-    Long-running tasks are counted as lacking, and tasks with a label or larger than the pool's
-    largest worker are needs.
+    Long-running tasks are counted as lacking, and tasks with a label are needs.
     """
     if largest is None:
         return min(1, len(steps))
@@ -65,8 +86,8 @@
         part = max(
             request.cpu / largest.cpu if largest.cpu and not request.fills else 0.0,
             request.memory_mb / largest.memory_mb if largest.memory_mb else 0.0,
-            request.gpu / largest.gpu if largest.gpu else float(request.gpu > 0) * 2,
+            request.gpu / largest.gpu if largest.gpu else 0.0,
         )
         # Tasks of more than half of a machine don't share one.
-        parts += 0.0 if part > 1 else 1 / int(1 / part) if part else 0.0
+        parts += 1 / int(1 / part) if part else 0.0
     return ceil(parts)
--- a/tests/dispatch/test_load.py
+++ b/tests/dispatch/test_load.py
@@ -5,6 +5,7 @@
 from heatherkeel.dispatch.const import (
     CAPACITY_GRACE_MS,
     MAX_NEEDS,
+    MAX_STARVED,
     NEEDS_TURN_MS,
     STARVED_MS,
 )
@@ -228,6 +229,14 @@
     assert measure_pools(partition.state)[0].starved == 0
 
 
+def test_jobs_larger_than_any_machine_hide_no_starved_one() -> None:
+    """Guards against a job that requests no machine since others before it never can run."""
+    partition = make_starved(*[make_step(cpu=9000) for _ in range(MAX_STARVED)])
+    partition.submit(make_step(cpu=2000), job_id=f"{MAX_STARVED:016x}")
+    partition.tick(60_000)
+    assert measure_pools(partition.state)[0].starved == 1
+
+
 def test_starved_task_with_a_label_is_a_need() -> None:
     """Guards against a task that waits for a worker with its label that is full for long."""
     partition = make_starved(make_step(cpu=2000, label="a"))
