Don't send queued starts to a worker that doesn't answer

Cause: each start names a new end of lease, which counts as a renewal whether it arrives or not. Starts that were queued before their worker fell silent were still sent one after the other, two at a time with a timeout of 1 s each, and each moved the lease of all runs there six seconds ahead. Evidence: by reading and by the test, which failed before (lease moved, the task not waiting).

--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -8,7 +8,7 @@
 from result import Err
 
 from heatherkeel.helpers.clock import monotonic_ms
-from heatherkeel.platform.errors import Failure
+from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.workers import StartOrder, WorkerClient
 
 from .const import (
@@ -28,7 +28,7 @@
     WorkerAnswered,
     WorkerFailed,
 )
-from .models import RunState
+from .models import Run, RunState
 from .ports import OwnerPort
 from .retries import choose_retry_pause_ms
 from .worker import Worker
@@ -172,6 +172,10 @@
             await trio.sleep(FAILED_LIST_PAUSE_MS / 1000)
         if run not in run.task.runs or run.state is not RunState.PLANNED:
             return
+        if self.worker.is_unresponsive:
+            # Each start names a new end of lease too. One that wasn't sent is certainly not done.
+            self._handle_start(run, CallError(failure=Failure.REFUSED, detail="not sent"))
+            return
         run.state = RunState.SENT
         started = await self.client.async_start_task(
             StartOrder(
@@ -190,6 +194,9 @@
         if error is not None:
             # List at once to find out whether the worker still responds.
             self.work_arrived.set()
+        self._handle_start(run, error)
+
+    def _handle_start(self, run: Run, error: CallError | None) -> None:
         now_ms, wall_ms = self.owner.times()
         self.owner.handle_event(StartAnswered(now_ms=now_ms, wall_ms=wall_ms, run=run, error=error))
 
--- a/tests/dispatch/test_session.py
+++ b/tests/dispatch/test_session.py
@@ -5,15 +5,19 @@
 from functools import partial
 
 import msgspec
+import pytest
 import trio
 
+from heatherkeel.dispatch.building import make_placeholder_task
 from heatherkeel.dispatch.const import LEASE_EXPIRY_MARGIN_MS, LEASE_MS, SLOWEST_CLOCK
+from heatherkeel.dispatch.events import StartTask
 from heatherkeel.dispatch.incarnations import add_worker
+from heatherkeel.dispatch.models import Run
 from heatherkeel.dispatch.session import WorkerSession
 from heatherkeel.dispatch.worker import Worker
 from heatherkeel.helpers.clock import monotonic_ms
 
-from .partition import make_entry
+from .partition import JOB, make_entry
 from .test_owner_end import REFUSED, make_owner
 
 
@@ -38,3 +42,34 @@
     trio.run(partial(async_test))
     longest_ms = round((LEASE_MS + LEASE_EXPIRY_MARGIN_MS) * SLOWEST_CLOCK)
     assert worker.is_lease_expired(worker.clock_received_ms + longest_ms + 1000)
+
+
+def test_starts_queued_for_an_unreachable_worker_do_not_extend_its_lease(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against tasks that wait until each start queued for a lost worker has timed out."""
+    owner = make_owner()
+    monkeypatch.setattr(owner, "can_order", lambda: True)
+    entry = msgspec.structs.replace(make_entry(), address=REFUSED)
+    worker = Worker(
+        id="w0",
+        entry=entry,
+        clock_ms=50_000,
+        clock_received_ms=monotonic_ms(),
+        is_unresponsive=True,
+    )
+    add_worker(owner.state, worker)
+    task = make_placeholder_task(f"{JOB}.0.0.0", service="portal")
+    run = Run(task=task, attempt=1, worker_id="w0")
+    task.runs.append(run)
+    worker.add(run)
+    session = WorkerSession(owner=owner, worker=worker)
+
+    async def async_test() -> None:
+        with trio.fail_after(5):
+            await session._async_start(StartTask(run=run))
+        await session.client.close()
+
+    trio.run(partial(async_test))
+    assert worker.lease_until_ms == 0
+    assert not task.runs, "it was never sent, so its task can start elsewhere at once"
