Count a lost worker that reports no start time anew

Cause: since a worker that no list of machines names is kept while it has an entry, with its clock, lease and end numbers. One that reports no start time can't be told from its next incarnation, so that one's ends were ignored as processed before (their tasks ran again or never ended), and its lease was measured by the old clock and never expired.

--- a/heatherkeel/dispatch/incarnations.py
+++ b/heatherkeel/dispatch/incarnations.py
@@ -111,10 +111,22 @@
         is_long = asked_ms - worker.unresponsive_since_ms >= MIN_UNRESPONSIVE_MS
         if not worker.is_unresponsive or not is_long or worker.id in event.worker_ids:
             continue
-        if worker.is_listed:
-            _lose_runs(state, worker, effects, reason=LossReason.OTHER_LIFE)
-        else:
+        if not worker.is_listed:
             drop_worker(state, worker, effects, reason=LossReason.OTHER_LIFE)
+            continue
+        _lose_runs(state, worker, effects, reason=LossReason.OTHER_LIFE)
+        if not worker.born and worker.is_ready():
+            _forget_answers(state, worker, effects)
+
+
+def _forget_answers(state: PartitionState, worker: Worker, effects: Effects) -> None:
+    """Replace a worker that reports no start time, so that its next answer counts as the first.
+
+    That answer doesn't tell whether it is of another incarnation, with clock and ends anew.
+    """
+    successor = start_incarnation(state, worker, effects, entry=worker.entry, born=0)
+    successor.is_unresponsive = True
+    successor.unresponsive_since_ms = worker.unresponsive_since_ms
 
 
 def drop_if_expired(state: PartitionState, worker: Worker, effects: Effects) -> None:
--- a/tests/dispatch/test_restarts.py
+++ b/tests/dispatch/test_restarts.py
@@ -5,10 +5,10 @@
 import msgspec
 
 from heatherkeel.dispatch.const import LEASE_MS, MAX_LISTING_AGE_MS, MIN_UNRESPONSIVE_MS
-from heatherkeel.dispatch.events import IncarnationsListed, OpenSessions
+from heatherkeel.dispatch.events import IncarnationsListed, OpenSessions, WorkerAnswered
 from heatherkeel.dispatch.models import JobState, Run, RunState
 from heatherkeel.platform.errors import Failure
-from heatherkeel.platform.workers import RunningTask
+from heatherkeel.platform.workers import EndedTask, Listing, RunningTask
 
 from .partition import JOB, OTHER_JOB, Partition, make_step, started_runs, stopped_runs
 from .test_losses import start_job_on
@@ -255,3 +255,67 @@
     assert worker.to_acknowledge(partition.now_ms) == 1
     worker.last_acknowledged_end = 1
     assert worker.to_acknowledge(partition.now_ms) == 0
+
+
+def restart_without_a_start_time(partition: Partition, worker_id: str) -> None:
+    """Lose a worker that reports no start time, and let it answer in its next incarnation."""
+    lose_worker(partition, worker_id)
+    partition.list_workers()
+    partition.ends[worker_id] = []
+    for clock_ms in (10, 20):
+        answer_without_a_start_time(partition, worker_id, clock_ms)
+
+
+def answer_without_a_start_time(
+    partition: Partition, worker_id: str, clock_ms: int, *ended: EndedTask
+) -> None:
+    """Let a worker answer that reports no start time."""
+    partition.now_ms += 10
+    listing = Listing(clock_ms=clock_ms, born=0, running=[], ended=list(ended))
+    partition.apply(
+        WorkerAnswered(
+            **partition.event_times(),
+            worker_id=worker_id,
+            sent_ms=partition.now_ms - 5,
+            listing=listing,
+        )
+    )
+
+
+def make_partition_without_start_times() -> Partition:
+    """Return a partition whose only worker reports no start time."""
+    partition = Partition(workers=1)
+    worker = partition.state.workers["w0"]
+    worker.born = 0
+    worker.entry = msgspec.structs.replace(worker.entry, born=0)
+    partition.entries["w0"] = worker.entry
+    return partition
+
+
+def test_lost_worker_without_a_start_time_counts_its_ends_anew() -> None:
+    """Guards against an end that is ignored, so that its task runs again, or never ends."""
+    partition = make_partition_without_start_times()
+    run = start_job_on(partition, "w0")
+    ended = EndedTask(number=5, task=run.task.name, attempt=1, outcome="done", saved="")
+    answer_without_a_start_time(partition, "w0", 500_000, ended)
+    restart_without_a_start_time(partition, "w0")
+    partition.submit(make_step(), job_id=OTHER_JOB)
+    (run,) = partition.start_planned_runs()[-1:]
+    ended = EndedTask(number=1, task=run.task.name, attempt=1, outcome="done", saved="")
+    answer_without_a_start_time(partition, "w0", 40, ended)
+    assert partition.job(OTHER_JOB).state is JobState.COMPLETE
+
+
+def test_lease_of_a_lost_worker_without_a_start_time_expires_by_its_new_clock() -> None:
+    """Guards against tasks that wait for good on a lease measured by an old incarnation's clock."""
+    partition = make_partition_without_start_times()
+    start_job_on(partition, "w0")
+    partition.state.workers["w0"].lease_until_ms = 500_000 + LEASE_MS
+    partition.effects.clear()
+    restart_without_a_start_time(partition, "w0")
+    (again,) = partition.start_planned_runs()
+    worker = partition.state.workers["w0"]
+    worker.lease_until_ms = max(worker.lease_until_ms, worker.clock_at(partition.now_ms) + LEASE_MS)
+    partition.fail_listing("w0")
+    partition.tick(LEASE_MS * 2)
+    assert again.task.is_waiting()
