Pause between further machines for a need that machines don't end

Cause: since a machine whose worker the share's owner knows meets no need, so a need that the machines which come don't end (workers with less capacity than their machines are listed with, a starved label) got one after the other; each was surplus, went to standby and came again. Since needs take turns, those of a pool with more than eight were also forgotten each 300 ms, so that none of them was ever logged. The test failed before.

--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -105,6 +105,15 @@
 UNMET_LOG_MS: Final = 2000
 """How long a share needs a machine before that is logged, and until it is logged again, in
 milliseconds; a move takes 1,500."""
+NEED_RETENTION_MS: Final = 3000
+"""Time for which a need that isn't reported is remembered, since many needs take turns, in
+milliseconds."""
+PROMPT_NEED_MACHINES: Final = 4
+"""Machines that a need gets one after the other without a pause."""
+NEED_PAUSE_MS: Final = 2000
+"""First pause before a further machine, in milliseconds; each later one is twice as long."""
+MAX_NEED_PAUSE_MS: Final = 60_000
+"""Longest such pause, in milliseconds."""
 REGISTRATION_MS: Final = 3000
 """How long the owner of a share may not know a worker whose machine is listed as up until that
 machine adds no capacity, in milliseconds; an entry is written and read within 2,500."""
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -100,7 +100,13 @@
     """A need that a share still reports."""
 
     since_ms: int
+    reported_ms: int = 0
+    """When it was last reported."""
     logged_ms: int = 0
+    machines: int = 0
+    """Machines that have been chosen for it."""
+    paused_until_ms: int = 0
+    """Until when no further machine is chosen for it."""
 
 
 @dataclass(kw_only=True, slots=True)
--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -10,13 +10,16 @@
 
 from .claims import Division
 from .const import (
+    MAX_NEED_PAUSE_MS,
     MIN_MACHINES,
+    NEED_PAUSE_MS,
+    PROMPT_NEED_MACHINES,
 )
 from .handover import count_allowed, list_takable, order_to_empty, take_budget
 from .joining import create_move, would_join
 from .lasting import plan_for_long_running
 from .leftovers import plan_leftovers
-from .models import FleetOwnerState, Intent, PoolShare, Purpose
+from .models import FleetOwnerState, Intent, PoolShare, Purpose, UnmetNeed
 from .need_log import log_need, track_needs
 from .registration import is_missing
 from .standby import choose_for_standby
@@ -157,7 +160,8 @@
         for need in view.load.needs if view is not None else []:
             meeting = _list_meeting(state, share, need, intents)
             log_need(state, share, need, meeting, candidates)
-            if meeting:
+            unmet = state.unmet[share, need]
+            if meeting or state.now_ms < unmet.paused_until_ms:
                 continue
             candidate = next(
                 (
@@ -170,9 +174,23 @@
             if candidate is not None:
                 candidates.remove(candidate)
                 intents.append(create_move(state, candidate, share.pool))
+                _record_chosen(state, unmet)
     return intents
 
 
+def _record_chosen(state: FleetOwnerState, unmet: UnmetNeed) -> None:
+    """Pause after several machines for one need: those before may be of no use to its task.
+
+    A worker may have less capacity than its machine is listed with. Without pauses all standby
+    machines would move there and back for as long as the task waits.
+    """
+    unmet.machines += 1
+    doublings = unmet.machines - PROMPT_NEED_MACHINES
+    if doublings >= 0:
+        pause_ms = min(MAX_NEED_PAUSE_MS, NEED_PAUSE_MS << min(doublings, 10))
+        unmet.paused_until_ms = state.now_ms + pause_ms
+
+
 def _list_meeting(
     state: FleetOwnerState, share: PoolShare, need: Need, planned: list[Intent]
 ) -> list[Machine]:
--- a/heatherkeel/pooling/need_log.py
+++ b/heatherkeel/pooling/need_log.py
@@ -7,7 +7,7 @@
 from heatherkeel.platform.machines import Machine
 from heatherkeel.questions.messages import Need
 
-from .const import UNMET_LOG_MS
+from .const import NEED_RETENTION_MS, UNMET_LOG_MS
 from .models import FleetOwnerState, PoolShare, UnmetNeed
 from .supply import find_fresh_view
 
@@ -17,15 +17,20 @@
 
 
 def track_needs(state: FleetOwnerState) -> None:
-    """Note since when each need has been reported, and forget those that aren't any more."""
+    """Note since when each need has been reported, and forget those that aren't for long."""
     reported = {
         (share, need)
         for share in state.shares()
         if (view := find_fresh_view(state, share)) is not None
         for need in view.load.needs
     }
+    for key in reported:
+        unmet = state.unmet.setdefault(key, UnmetNeed(since_ms=state.now_ms))
+        unmet.reported_ms = state.now_ms
     state.unmet = {
-        key: state.unmet.get(key) or UnmetNeed(since_ms=state.now_ms) for key in reported
+        key: unmet
+        for key, unmet in state.unmet.items()
+        if state.now_ms - unmet.reported_ms <= NEED_RETENTION_MS
     }
 
 
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -295,6 +295,24 @@
     assert not fleet.plan(), "one is on its way"
 
 
+def test_need_that_machines_do_not_end_moves_few_of_them() -> None:
+    """Guards against moving all standby machines to and fro for a task that fits on none."""
+    fleet = Fleet(desk=4, portal=6, spare=20)
+    fleet.labels_of |= {f"spare{number}": ["b", "r1"] for number in range(20)}
+    fleet.empty = set(fleet.pool_of)
+    fleet.list_machines()
+    fleet.needs["desk"] = [Need(label="b")]
+    moved = 0
+    for _ in range(600):
+        fleet.measure(desk=CPU, portal=CPU)
+        for intent in fleet.plan():
+            fleet.answer(intent.machine)
+            fleet.pool_of[intent.machine] = intent.pool
+            moved += intent.pool == "desk"
+        fleet.list_machines()
+    assert 4 <= moved <= 10
+
+
 def test_machine_with_a_long_running_task_meets_no_need() -> None:
     """Guards against a large task that waits while each machine of its share is partly taken."""
     fleet = Fleet(desk=2, spare=2)
