Look for the holders of a need no further than they are used

Cause: find_needs collected all workers that hold a step, of which it uses the first few. Evidence: processor time of one measurement with 90 workers and 500 waiting steps (no long-running tasks): 7.7 to 10.9 ms on, 1.9 to 3.0 ms with this. No behavior changes.

--- a/heatherkeel/dispatch/needs.py
+++ b/heatherkeel/dispatch/needs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import islice
 from math import ceil
 
 from heatherkeel.platform.callers import StepRequest
@@ -65,7 +66,8 @@
         if not waiting:
             continue
         wanted = _count_wanted(step, waiting, unpinned, now_ms) if pinned else 1
-        holders = [usable.worker_id for usable in unpinned if usable.holds(step.request)][:wanted]
+        holding = (usable.worker_id for usable in unpinned if usable.holds(step.request))
+        holders = list(islice(holding, wanted))
         if pinned:
             reserved.update(dict.fromkeys(holders))
         if is_starved or len(holders) < wanted:
