Don't count a machine as on its way whose orders stay unanswered

Cause: each repeat of an unanswered order moves the time of its last sending, from which the settle time of 8 s counts; repeats are sent each second, so that it never ends. The share waits for just that machine: a belief that is prolonged by asking, and not by an answer. Evidence: a simulation by the production reducer: 60 orders for one machine in 60 s, five others idle. Now another one comes once a list of machines that was requested 3 s after the first sending doesn't show the move; the first stays reserved, since it may still be carried out. The test failed before. While the platform answers lists and no order at all, each machine is replaced so, and more come than needed once it answers.

--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -105,6 +105,9 @@
 UNMET_LOG_MS: Final = 2000
 """How long a share needs a machine before that is logged, and until it is logged again, in
 milliseconds; a move takes 1,500."""
+ORDER_OVERDUE_MS: Final = 3000
+"""Time after the first sending of an order from which a list of machines that doesn't show it
+carried out speaks against it, in milliseconds; a move takes 1,500."""
 NEED_RETENTION_MS: Final = 3000
 """Time for which a need that isn't reported is remembered, since many needs take turns, in
 milliseconds."""
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -42,6 +42,8 @@
     began_ms: int
     ordered_ms: int | None = None
     """When the order was last sent; None if it wasn't."""
+    first_ordered_ms: int | None = None
+    """When the order was first sent; None if it wasn't."""
     is_confirmed: bool = False
     """Whether the order was answered with success."""
     is_taken: bool = False
--- a/heatherkeel/pooling/moves.py
+++ b/heatherkeel/pooling/moves.py
@@ -16,7 +16,7 @@
     PROMPT_NEED_MACHINES,
 )
 from .handover import count_allowed, list_takable, order_to_empty, take_budget
-from .joining import create_move, would_join
+from .joining import create_move, is_on_its_way, would_join
 from .lasting import plan_for_long_running
 from .leftovers import plan_leftovers
 from .models import FleetOwnerState, Intent, PoolShare, Purpose, UnmetNeed
@@ -203,7 +203,7 @@
     incoming = {
         intent.machine
         for intent in [*state.intents.values(), *planned]
-        if intent.purpose is Purpose.MOVE and state.share_of(intent.machine, intent.pool) == share
+        if is_on_its_way(state, intent) and state.share_of(intent.machine, intent.pool) == share
     }
     return [
         machine
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -214,6 +214,8 @@
     effects: list[FleetEffect] = []
     for intent in state.intents.values():
         if not intent.is_confirmed and _is_empty(state, intent) and _is_order_due(state, intent):
+            if intent.ordered_ms is None:
+                intent.first_ordered_ms = state.now_ms
             intent.ordered_ms = state.now_ms
             effects.append(OrderMachine(intent=intent))
     if state.divides_machines:
--- a/heatherkeel/pooling/supply.py
+++ b/heatherkeel/pooling/supply.py
@@ -23,7 +23,8 @@
     TARGET_UTILIZATION,
     TREND_WINDOW_MS,
 )
-from .models import FleetOwnerState, PoolShare, PoolShareView, Purpose
+from .joining import is_on_its_way
+from .models import FleetOwnerState, PoolShare, PoolShareView
 from .registration import is_missing, track_registrations
 
 
@@ -202,7 +203,7 @@
     incoming = Counter(
         state.share_of(intent.machine, intent.pool)
         for intent in state.intents.values()
-        if intent.purpose is Purpose.MOVE
+        if is_on_its_way(state, intent)
     )
     incoming.update(
         state.share_of(machine.name, machine.pool)
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -138,6 +138,26 @@
     assert again.machine == moved.machine
 
 
+def test_machine_whose_orders_stay_unanswered_is_not_on_its_way() -> None:
+    """Guards against a share that waits for good for one machine, since each repeat counts."""
+    fleet = Fleet(desk=4, spare=6)
+    first = ""
+    moved: list[str] = []
+    for _ in range(100):
+        fleet.measure(desk=4 * CPU)
+        for intent in fleet.plan():
+            first = first or intent.machine
+            if intent.machine == first:
+                fleet.answer(first, CallError(failure=Failure.UNKNOWN))
+                continue
+            fleet.answer(intent.machine)
+            fleet.pool_of[intent.machine] = intent.pool
+            moved.append(intent.machine)
+        fleet.list_machines()
+    assert first in fleet.state.intents, "it may still come"
+    assert len(moved) == 1
+
+
 def test_owner_that_cannot_order_cancels_unsent_intents() -> None:
     fleet = Fleet(desk=2, portal=6)
     fleet.measure(desk=5 * CPU, portal=0)
