Don't count workers as unknown while their share has no owner

Cause: the registration of workers was judged by loads of any age, so machines that arrived while a share's owner was replaced were unknown after 3 s, and marked their zone as lost for all shares. Evidence: the test failed before (zone counted as lost).

--- a/heatherkeel/pooling/registration.py
+++ b/heatherkeel/pooling/registration.py
@@ -4,7 +4,7 @@
 
 from heatherkeel.platform.machines import Machine
 
-from .const import REGISTRATION_MS
+from .const import LOAD_MAX_AGE_MS, REGISTRATION_MS
 from .models import FleetOwnerState
 
 
@@ -21,6 +21,9 @@
     view = state.view_of(machine)
     if view is None or not machine.is_up():
         return False
+    if state.now_ms - view.received_ms > LOAD_MAX_AGE_MS:
+        # The share has no owner at present that could know the worker.
+        return False
     return (
         machine.worker_id not in view.load.workers and machine.worker_id not in view.load.unlisted
     )
--- a/tests/pooling/test_lost_zone.py
+++ b/tests/pooling/test_lost_zone.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from heatherkeel.pooling.const import REGISTRATION_MS
+from heatherkeel.pooling.supply import find_lost_zones
 
 from .fleet import CPU, Fleet
 
@@ -118,3 +119,17 @@
     fleet.now_ms += REGISTRATION_MS
     fleet.measure(desk=WANTED)
     assert not fleet.plan()
+
+
+def test_machines_that_arrive_while_their_share_has_no_owner_are_not_lost() -> None:
+    """Guards against a zone that counts as lost since nobody reports the workers that came."""
+    fleet = make_fleet(desk=4, portal=4, spare=4)
+    fleet.zone_of |= {f"spare{n}": "e" for n in range(4)}
+    fleet.measure(desk=CPU, portal=CPU)
+    fleet.plan()
+    fleet.pool_of |= {f"spare{n}": "desk" for n in range(4)}
+    fleet.list_machines()
+    for _ in range(2 * REGISTRATION_MS // 100):
+        fleet.measure(portal=CPU)
+        fleet.plan()
+    assert not find_lost_zones(fleet.state)
