--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -42,6 +42,8 @@
     began_ms: int
     ordered_ms: int | None = None
     """When the order was last sent; None if it wasn't."""
+    first_ordered_ms: int | None = None
+    """When the order was first sent; None if it wasn't."""
     is_confirmed: bool = False
     """Whether the order was answered with success."""
     is_taken: bool = False
@@ -100,7 +102,13 @@
     """A need that a share still reports."""
 
     since_ms: int
+    reported_ms: int = 0
+    """When it was last reported."""
     logged_ms: int = 0
+    machines: int = 0
+    """Machines that have been chosen for it."""
+    paused_until_ms: int = 0
+    """Until when no further machine is chosen for it."""
 
 
 @dataclass(kw_only=True, slots=True)
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -138,6 +138,26 @@
     assert again.machine == moved.machine
 
 
+def test_machine_whose_orders_stay_unanswered_is_not_on_its_way() -> None:
+    """Guards against a share that waits for good for one machine, since each repeat counts."""
+    fleet = Fleet(desk=4, spare=6)
+    first = ""
+    moved: list[str] = []
+    for _ in range(100):
+        fleet.measure(desk=4 * CPU)
+        for intent in fleet.plan():
+            first = first or intent.machine
+            if intent.machine == first:
+                fleet.answer(first, CallError(failure=Failure.UNKNOWN))
+                continue
+            fleet.answer(intent.machine)
+            fleet.pool_of[intent.machine] = intent.pool
+            moved.append(intent.machine)
+        fleet.list_machines()
+    assert first in fleet.state.intents, "it may still come"
+    assert len(moved) == 1
+
+
 def test_owner_that_cannot_order_cancels_unsent_intents() -> None:
     fleet = Fleet(desk=2, portal=6)
     fleet.measure(desk=5 * CPU, portal=0)
@@ -295,6 +315,24 @@
     assert not fleet.plan(), "one is on its way"
 
 
+def test_need_that_machines_do_not_end_moves_few_of_them() -> None:
+    """Guards against moving all standby machines to and fro for a task that fits on none."""
+    fleet = Fleet(desk=4, portal=6, spare=20)
+    fleet.labels_of |= {f"spare{number}": ["b", "r1"] for number in range(20)}
+    fleet.empty = set(fleet.pool_of)
+    fleet.list_machines()
+    fleet.needs["desk"] = [Need(label="b")]
+    moved = 0
+    for _ in range(600):
+        fleet.measure(desk=CPU, portal=CPU)
+        for intent in fleet.plan():
+            fleet.answer(intent.machine)
+            fleet.pool_of[intent.machine] = intent.pool
+            moved += intent.pool == "desk"
+        fleet.list_machines()
+    assert 4 <= moved <= 10
+
+
 def test_machine_with_a_long_running_task_meets_no_need() -> None:
     """Guards against a large task that waits while each machine of its share is partly taken."""
     fleet = Fleet(desk=2, spare=2)
