Test two conditions that no test held, and name what a newcomer would stumble over

The review reverted 21 conditions one by one; two turned no test red: unheard machines are no surplus, and starved jobs get no machines of a lost zone. No behaviour changes.

--- a/heatherkeel/dispatch/needs.py
+++ b/heatherkeel/dispatch/needs.py
@@ -65,6 +65,7 @@
         waiting = len(step.waiting())
         if not waiting:
             continue
+        # Without long-running tasks the sums show how many machines a share lacks.
         wanted = _count_wanted(step, waiting, unpinned, now_ms) if pinned else 1
         holding = (usable.worker_id for usable in unpinned if usable.holds(step.request))
         holders = list(islice(holding, wanted))
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -32,7 +32,7 @@
         return
     sizes = [worker.entry.capacity.cpu / 1000 for worker in workers]
     pool.open_steps.set_capacity(cores=sum(sizes), largest_worker_cores=max(sizes))
-    left = MAX_STEPS_EXAMINED if pool.is_thorough_pass_due(state.now_ms) else MAX_MISFITS
+    left = MAX_STEPS_EXAMINED if pool.begin_thorough_pass(state.now_ms) else MAX_MISFITS
     largest = _find_largest(workers)
     free_cpu = max(worker.free_cpu() for worker in workers)
     has_begun_worthless = False
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -36,8 +36,8 @@
             return
         self.arrivals.append((now_ms, remaining_work(steps, job.estimates)[0]))
 
-    def is_thorough_pass_due(self, now_ms: int) -> bool:
-        """Return whether to examine waiting steps however many don't fit; notes that it was done.
+    def begin_thorough_pass(self, now_ms: int) -> bool:
+        """Begin a pass that examines waiting steps however many don't fit, if one is due.
 
         That takes long, so it is done between demand peaks only, and not at every event.
         """
--- a/heatherkeel/dispatch/waiting.py
+++ b/heatherkeel/dispatch/waiting.py
@@ -21,6 +21,7 @@
 from .events import CountWaiting, Effects
 from .models import Run, RunState, Step, WaitReason
 from .open_steps import find_urgency
+from .pools import find_pool
 from .state import PartitionState, Pool
 from .suspicion import group_candidates
 from .tickets import has_valid_ticket, needs_advice
@@ -68,7 +69,7 @@
         for step in job.steps()
         if step.is_open
         and not step.is_done()
-        and step not in state.pools[job.service].open_steps
+        and step not in find_pool(state, job.service).open_steps
         and step.waiting()
     ]
 
--- a/tests/pooling/test_leftovers.py
+++ b/tests/pooling/test_leftovers.py
@@ -71,6 +71,19 @@
     assert [machine.name for machine in left] == ["portal0", "portal1"]
 
 
+def test_unheard_machines_are_no_surplus_also_where_most_are_unheard() -> None:
+    """Guards against moves that never begin, since nobody hears whether their workers are empty."""
+    fleet = Fleet(desk=20, spare=0)
+    fleet.unresponsive = {f"desk{number}" for number in range(12)}
+    chosen: set[str] = set()
+    for _ in range((PEAK_RETENTION_MS + STANDBY_DELAY_MS) // 100 + 5):
+        fleet.measure(desk=0)
+        fleet.plan()
+        chosen |= fleet.state.intents.keys()
+    assert chosen
+    assert not fleet.unresponsive & chosen
+
+
 def test_machine_that_a_large_task_needs_stays() -> None:
     """Guards against moving it to standby and back, since there is enough capacity by sums."""
     fleet = Fleet(desk=20, spare=0)
--- a/tests/pooling/test_lost_zone.py
+++ b/tests/pooling/test_lost_zone.py
@@ -133,3 +133,14 @@
         fleet.measure(portal=CPU)
         fleet.plan()
     assert not find_lost_zones(fleet.state)
+
+
+def test_starved_jobs_get_no_machines_of_a_lost_zone() -> None:
+    """Guards against standby machines that never come, for jobs that wait for them."""
+    fleet = make_fleet(desk=12, spare=8)
+    fleet.unresponsive = {name for name, at in fleet.zone_of.items() if at == "a"}
+    fleet.starved["desk"] = 8
+    fleet.measure(desk=0)
+    moved = fleet.plan()
+    assert moved
+    assert {fleet.zone_of[intent.machine] for intent in moved} <= {"b", "c", "d"}
