--- a/review/stand/site_.py
+++ b/review/stand/site_.py
@@ -227,7 +227,7 @@
     """Stand-ins, instances and a caller, and the record of what was sent, answered and run."""
 
     def __init__(
-        self, *, nursery: trio.Nursery, folder: Path, record: Path, partitions: int = 3
+        self, *, nursery: trio.Nursery, folder: Path, record: Path, partitions: int = 12
     ) -> None:
         self.nursery = nursery
         self.folder = folder
@@ -363,7 +363,7 @@
         return status, answer
 
 
-def run_case(folder: Path, async_case: Any, *, partitions: int = 3) -> int:
+def run_case(folder: Path, async_case: Any, *, partitions: int = 12) -> int:
     """Run a case; returns 1 if the rule was broken, 0 if it held and 2 if it couldn't run."""
     status = 2
 
