Refusals say in the log which partition was asked

Three causes were possible: the instances look for the job in another partition than the one that accepted it; the owner forgets its jobs with the change; an instance still applies the older version. `job_accepted` names the partition and the version, but the refusal named only the version, so the first two looked alike.

The line `refused` now has the partition that was asked, null where none was.

--- a/heatherkeel/gateway/exchange.py
+++ b/heatherkeel/gateway/exchange.py
@@ -75,6 +75,8 @@
         wait_ms = int(deadline) if is_valid else DEFAULT_DEADLINE_MS
         self.deadline_ms = monotonic_ms() + wait_ms - ANSWER_MARGIN_MS
         self.caller = PUBLIC_CALLER
+        self.partition: int | None = None
+        """The partition of the job that the request is about; None until it is looked up."""
 
     def remaining_s(self) -> float:
         """Return the time until the response has to be sent, in seconds; may be negative."""
@@ -92,6 +94,7 @@
         """Return the partition that holds a job."""
         partition = self.context.directory.layout.partition_of_job(queue.service, job_id)
         assert partition is not None, "a service in the layout is never removed"
+        self.partition = partition
         return partition
 
     def workspace_of_job(self, queue: Queue) -> str:
@@ -116,6 +119,7 @@
                 "method": self.request.method,
                 "path": self.request.path,
                 "workspace": self.caller.workspace,
+                "partition": self.partition,
                 "detail": detail,
                 **self.describe_config(),
             },
