--- a/heatherkeel/admission/desk.py
+++ b/heatherkeel/admission/desk.py
@@ -106,7 +106,7 @@
     def _find_doubt(
         self, question: AdmissionQuestion, *, now_ms: int, wall_ms: int, is_current: bool
     ) -> Doubt | None:
-        if self.state.find_job(question.job_id) or question.job_id in self.memory.admitted:
+        if self.state.is_known(question.job_id) or question.job_id in self.memory.admitted:
             return Doubt.KNOWN
         if self.is_new(now_ms):
             return Doubt.NEW_OWNER
@@ -152,7 +152,7 @@
 
     def is_known(self, job_id: str) -> bool:
         """Return whether a job is known or was admitted."""
-        return self.state.find_job(job_id) is not None or job_id in self.memory.admitted
+        return self.state.is_known(job_id) or job_id in self.memory.admitted
 
     def refuse(
         self, question: AdmissionQuestion, decision: Decision, *, now_ms: int, wall_ms: int
--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -12,6 +12,7 @@
 
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.ownership.partitions import Layout
+from heatherkeel.ownership.queue_homes import QueueHomes
 from heatherkeel.platform.const import CONFIG_KEY, CONFIG_TOPIC, WAVE_PREFIX, WORKERS_TOPIC
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import (
@@ -40,6 +41,8 @@
 WORKERS_PAUSE_MS: Final = 250
 """Pause between reads of the workers' entries, in milliseconds; batches frequent heartbeats."""
 
+MAX_REMOVED_QUEUES: Final = 1000
+"""Number of removed queues that are kept for jobs which earlier releases have accepted."""
 MAX_LOGGED_QUEUES: Final = 20
 """Maximum number of added or removed queues in a log line."""
 
@@ -57,7 +60,8 @@
     named_ms: int = 0
     """When that version was first named, on the monotonic clock."""
     queues: dict[str, Queue] = field(default_factory=dict)
-    """Every queue ever configured, since accepted jobs continue after its removal."""
+    """The configured queues, and the ones that were removed last: jobs that an earlier release has
+    accepted continue after that, and aren't stored with the terms of their queue."""
     services: dict[str, Service] = field(default_factory=dict)
     needs_keys: bool = False
     """Callers need a key, except for public queues."""
@@ -75,6 +79,17 @@
     """When each worker's entry was last received, on the monotonic clock."""
     layout: Layout = field(default_factory=Layout)
     """Assignment of services to partitions; empty until it is known."""
+    queue_homes: QueueHomes | None = field(default_factory=QueueHomes)
+    """Assignment of queues to services' partitions; None if the stored one can't be decoded."""
+
+    def find_home(self, queue: Queue) -> str | None:
+        """Return the service whose partitions accept a queue's jobs; None if it isn't known."""
+        return self.queue_homes.find_service(queue) if self.queue_homes is not None else None
+
+    def list_placed_queues(self) -> list[Queue]:
+        """Return the configured queues whose services have partitions."""
+        queues = self.config.queues if self.config is not None else []
+        return [queue for queue in queues if self.layout.partitions_of(queue.service)]
 
     def config_version(self) -> int:
         """Return the version of the configuration in force; 0 before the first."""
@@ -194,6 +209,24 @@
         )
         self._notify()
 
+    def apply_queue_homes(self, homes: QueueHomes | None) -> None:
+        """Use stored homes of queues, unless later ones are known; None if they are unreadable."""
+        known = self.state.queue_homes
+        if homes is None and known is None:
+            return
+        if homes is not None and known is not None and homes.revision <= known.revision:
+            return
+        self.state.queue_homes = homes
+        _LOGGER.info(
+            "homes of queues updated",
+            extra={
+                "event": "queue_homes",
+                "revision": homes.revision if homes is not None else None,
+                "queues": len(homes.homes) if homes is not None else None,
+            },
+        )
+        self._notify()
+
     def _notify(self) -> None:
         for callback in list(self.subscribers):
             callback()
@@ -265,7 +298,7 @@
             return
         before = known.queues if known is not None else []
         self.state.config = config
-        self.state.queues |= {queue.name: queue for queue in config.queues}
+        self.state.queues = _merge_queues(self.state.queues, config.queues)
         self.state.services = {service.name: service for service in config.services}
         self.state.keys = build_key_table(config.workspaces)
         workspaces = {workspace.name: workspace for workspace in config.workspaces}
@@ -355,6 +388,13 @@
             self._notify()
 
 
+def _merge_queues(known: dict[str, Queue], configured: list[Queue]) -> dict[str, Queue]:
+    """Return the configured queues, and before them the ones that were removed last."""
+    current = {queue.name: queue for queue in configured}
+    removed = [name for name in known if name not in current]
+    return {name: known[name] for name in removed[-MAX_REMOVED_QUEUES:]} | current
+
+
 def _list_paths(queues: list[Queue], *, without: list[Queue]) -> list[str]:
     """Return the hosts and paths of queues that aren't in the other list, for a log line."""
     known = {(queue.host, queue.path_prefix, queue.service) for queue in without}
--- a/heatherkeel/dispatch/building.py
+++ b/heatherkeel/dispatch/building.py
@@ -9,6 +9,7 @@
 from heatherkeel.platform.operator import Queue
 
 from .models import Job, JobState, Step, Task
+from .terms import JobTerms
 
 DEFAULT_TARGET_MS = 1000
 """Target latency of a job whose queue isn't known, in milliseconds."""
@@ -48,11 +49,11 @@
     return remaining[:-1]
 
 
-def set_objective(job: Job, queue: Queue | None) -> None:
-    """Set the time by which a job should be complete."""
+def set_objective(job: Job, terms: Queue | JobTerms | None) -> None:
+    """Set the time by which a job should be complete, by the terms of its queue."""
     critical_path_ms = max(critical_paths_ms(job.request.steps, job.estimates), default=0.0)
-    slack = queue.slack_factor if queue else 1.0
-    target_ms = queue.target_latency_ms if queue else DEFAULT_TARGET_MS
+    slack = terms.slack_factor if terms else 1.0
+    target_ms = terms.target_latency_ms if terms else DEFAULT_TARGET_MS
     job.due_ms = job.accepted_ms + slack * critical_path_ms + target_ms
 
 
--- a/heatherkeel/dispatch/claims.py
+++ b/heatherkeel/dispatch/claims.py
@@ -92,8 +92,8 @@
 
 
 def _priority(state: PartitionState, step: Step) -> int:
-    queue = state.queues.get(step.job.queue)
-    return queue.priority if queue is not None else 0
+    terms = state.find_terms(step.job)
+    return terms.priority if terms is not None else 0
 
 
 def _add_waiting(sums: _Sums, step: Step, now_ms: int) -> None:
--- a/heatherkeel/dispatch/dropping.py
+++ b/heatherkeel/dispatch/dropping.py
@@ -24,8 +24,11 @@
     def drop(self, job_id: str, workspace: str) -> None:
         """Queue the records that the caller of an ended job sent for deletion."""
         for prefix in (REQUEST_PREFIX, CANCEL_PREFIX):
-            key = make_caller_key(prefix, job_id, workspace)
-            self.dropped[key] = KeyedRecord(key=key, value=b"")
+            self.drop_record(make_caller_key(prefix, job_id, workspace))
+
+    def drop_record(self, key: str) -> None:
+        """Queue one record for deletion."""
+        self.dropped[key] = KeyedRecord(key=key, value=b"")
         self.drop_wanted.set()
 
     async def async_run(self) -> None:
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -130,8 +130,8 @@
         },
     )
     _record_worker_failure(state, worker, job)
-    queue = state.queues.get(job.queue)
-    if step.request.lasts or queue is None or task.failures() < queue.max_failures:
+    terms = state.find_terms(job)
+    if step.request.lasts or terms is None or task.failures() < terms.max_failures:
         return
     end_job(state, job, JobState.FAILED, effects)
 
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -14,6 +14,7 @@
 from heatherkeel.workspaces.messages import GrantOffer
 
 from .models import LossReason, Run, Step, WaitReason
+from .terms import JobTerms
 from .worker import Worker
 
 
@@ -73,6 +74,12 @@
     workspace: str = ""
     partitions: int = 1
     """Number of partitions of the service, over which jobs are spread."""
+    terms: JobTerms | None = None
+    """The settings of its queue when it was accepted."""
+    version: int = 0
+    """Version of the configuration by which it was accepted; 0 if unknown."""
+    partition: int | None = None
+    """The partition that runs it; None if that is this one."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -84,6 +91,21 @@
     """The caller's workspace."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RecordForwarded(Event):
+    """A caller's record has been stored in the partition that runs its job."""
+
+    job_id: str
+    key: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ForwardedJobForgotten(Event):
+    """The owner of the partition that runs a job doesn't know it any more."""
+
+    job_id: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerAnswered(Event):
     """A worker answered a listing, which was requested at `sent_ms`."""
@@ -183,6 +205,23 @@
     only_request: bool
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ForwardRecord(Effect):
+    """Store a caller's record in the partition that runs its job, once this is stored here."""
+
+    job_id: str
+    partition: int
+    key: str
+    value: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DropRecord(Effect):
+    """Delete one record of a caller."""
+
+    key: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartTask(Effect):
     """Order a worker to start a run, once its attempt is stored."""
--- a/heatherkeel/dispatch/inquiries.py
+++ b/heatherkeel/dispatch/inquiries.py
@@ -64,8 +64,8 @@
     async def async_ask_advice(self, effect: AskAdvice) -> None:
         """Ask the advisor, which handles one request of an instance at a time."""
         step, workers = effect.step, list(effect.worker_ids)
-        queue = self.owner.state.queues.get(step.job.queue)
-        advisor = queue.advisor if queue else None
+        terms = self.owner.state.find_terms(step.job)
+        advisor = terms.advisor if terms else None
         timeout_s = (advisor or Advisor()).timeout_s(len(workers))
         async with self.advice_lock:
             asked_ms = monotonic_ms()
--- a/heatherkeel/dispatch/job_feed.py
+++ b/heatherkeel/dispatch/job_feed.py
@@ -74,10 +74,12 @@
     def submit(self, stored: StoredJobs) -> None:
         """Submit the jobs without progress, and the requests with other workspaces' job IDs.
 
-        The latter are rejected, so that their records are deleted.
+        The latter are rejected, so that their records are deleted. What is left of a forwarded job
+        is forwarded again.
         """
         for job_id, request in stored.requests.items():
-            if job_id not in stored.progress:
+            progress = stored.progress.get(job_id)
+            if progress is None or progress.forwarded_to is not None:
                 self._submit(job_id, request)
         for job_id, duplicates in stored.duplicates.items():
             for request in duplicates:
@@ -112,5 +114,13 @@
                 accepted_wall_ms=request.accepted_wall_ms,
                 workspace=request.workspace,
                 partitions=len(self.directory.state.layout.partitions_of(request.service)),
+                terms=request.terms,
+                version=request.version,
+                partition=self._find_other_partition(request),
             )
         )
+
+    def _find_other_partition(self, request: StoredRequest) -> int | None:
+        """Return the partition that runs a job; None if that is this one."""
+        is_here = request.partition == self.follower.partition
+        return None if is_here else request.partition
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -21,6 +21,7 @@
     SaveJob,
     StopTask,
 )
+from .forwarding import forward_cancel, forward_submission
 from .models import Job, JobState, Run, RunState
 from .pools import enqueue_step, find_pool, remove_run
 from .registry import handles
@@ -38,6 +39,8 @@
 @handles(JobSubmitted)
 def add_submitted_job(state: PartitionState, event: JobSubmitted, effects: Effects) -> None:
     """Add a submitted job, unless it is known: callers retry submissions without an answer."""
+    if forward_submission(state, event, effects):
+        return
     known = state.find_job(event.job_id)
     if known is not None:
         if known.workspace != event.workspace:
@@ -52,11 +55,12 @@
         workspace=event.workspace,
         account=state.accounts.find(event.workspace),
         request=event.request,
+        terms=event.terms,
         accepted_ms=event.now_ms - max(0, min(event.wall_ms - event.accepted_wall_ms, 60_000)),
         accepted_wall_ms=event.accepted_wall_ms,
     )
     job.estimates = state.durations.estimate(job.queue, job.request, state.now_ms)
-    set_objective(job, state.queues.get(job.queue))
+    set_objective(job, state.find_terms(job))
     if job.account is not None:
         job.is_excess = not job.account.takes_share(
             job.service, partitions=event.partitions, now_ms=event.now_ms
@@ -110,7 +114,7 @@
     for step in job.steps():
         open_steps.discard(step)
     job.estimates = state.durations.estimate(job.queue, job.request, state.now_ms)
-    set_objective(job, state.queues.get(job.queue))
+    set_objective(job, state.find_terms(job))
     for steps in job.occurrences.values():
         set_latest_starts(job, steps, begins_ms=float(job.accepted_ms))
         for step in steps:
@@ -166,6 +170,8 @@
 @handles(JobCanceled)
 def cancel_job(state: PartitionState, event: JobCanceled, effects: Effects) -> None:
     """Cancel a job: start no more of its tasks, and stop those that run."""
+    if forward_cancel(state, event, effects):
+        return
     job = state.find_job(event.job_id)
     if job is None:
         return
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -10,6 +10,7 @@
 from heatherkeel.workspaces.account import Account
 
 from .const import MAX_DOUBTFUL_RUNS
+from .terms import JobTerms
 
 
 class JobState(StrEnum):
@@ -239,6 +240,8 @@
     is_excess: bool = False
     """Its workspace has submitted more than its weight allows, so other jobs come first."""
     request: JobRequest
+    terms: JobTerms | None = None
+    """The settings of its queue when it was accepted; None if an earlier release accepted it."""
     accepted_ms: int
     """On the owner's monotonic clock; may lie before the owner's start."""
     accepted_wall_ms: int
@@ -271,3 +274,25 @@
     def expected_occurrences(self) -> int:
         """Return the total number of times that its steps run."""
         return max(1, self.request.repeat_count)
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class ForwardedJob:
+    """A job that was accepted in this partition and that another one runs.
+
+    Its queue has a service whose workers belong to other partitions. This partition remains the
+    one that knows whether the job was accepted, and forwards what its callers store here.
+    """
+
+    id: str
+    queue: str
+    service: str
+    workspace: str
+    accepted_wall_ms: int
+    partition: int
+    """The partition that runs it."""
+    terms: JobTerms | None = None
+    settled_ms: int | None = None
+    """When its request was surely stored there; None if it may not be yet."""
+    checked_ms: int = 0
+    """When that partition's owner was last asked whether it still knows the job."""
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -41,10 +41,12 @@
     CountLoss,
     CountSlowWorker,
     CountWaiting,
+    DropRecord,
     Effect,
     Effects,
     Event,
     ForgetJob,
+    ForwardRecord,
     GrantsOffered,
     LimitsChanged,
     ObserveDuration,
@@ -58,6 +60,7 @@
     WorkersLeaving,
     WorkersListed,
 )
+from .forwarder import AsyncIsForgotten, RecordForwarder, async_is_never_forgotten
 from .inquiries import OwnerQueries
 from .job_feed import JobFeed
 from .jobs import stop_leftover_runs
@@ -66,6 +69,7 @@
 from .metrics import DispatchMetrics
 from .records import (
     PROGRESS_PREFIX,
+    encode_forwarded,
     encode_progress,
 )
 from .recovery import StoredJobs, read_records, restore_jobs
@@ -100,6 +104,7 @@
         metrics: DispatchMetrics,
         on_fenced: Callable[[], None],
         async_ask_lender: AsyncAskLender = async_ask_nobody,
+        async_is_forgotten: AsyncIsForgotten = async_is_never_forgotten,
         admission_metrics: AdmissionMetrics | None = None,
     ) -> None:
         self.partition = partition
@@ -124,6 +129,9 @@
         self.queries = OwnerQueries(owner=self)
         self.request_dropper = RequestDropper(store=store, partition=partition)
         self.submissions = SubmissionBatches(store=store, partition=partition)
+        self.forwarder = RecordForwarder(
+            owner=self, store=store, async_is_forgotten=async_is_forgotten
+        )
         self.workspaces: dict[str, Workspace] = {}
         """The workspaces by which the limits were last updated."""
         self.admission = AdmissionService(
@@ -162,6 +170,7 @@
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
                 self.sessions.start(nursery)
+                self.forwarder.start(nursery)
                 self.directory.subscribe(self._update_from_directory)
                 nursery.start_soon(self.journal.async_run)
                 nursery.start_soon(self.feed.async_run)
@@ -175,6 +184,7 @@
         # Before the first wait: an event meanwhile would start a task in the closed nursery.
         self.nursery = None
         self.sessions.stop_opening()
+        self.forwarder.close()
         if self._update_from_directory in self.directory.subscribers:
             self.directory.unsubscribe(self._update_from_directory)
         with trio.CancelScope(shield=True):
@@ -375,11 +385,13 @@
     def _execute(self, effect: Effect) -> None:
         match effect:
             case SaveJob():
-                job = self.state.find_job(effect.job_id)
-                if job is not None:
-                    self.journal.put(f"{PROGRESS_PREFIX}{job.id}", partial(encode_progress, job))
+                self._save_job(effect.job_id)
             case ForgetJob():
                 self._delete_records(effect)
+            case DropRecord():
+                self.request_dropper.drop_record(effect.key)
+            case ForwardRecord():
+                self.journal.when_stored(lambda: self.forwarder.forward(effect))
             case StartTask() | StopTask(once_stored=True):
                 self.journal.when_stored(
                     lambda: self.sessions.send_order(effect.run.worker_id, effect)
@@ -406,6 +418,14 @@
             case AcknowledgeEnds():
                 self.journal.when_stored(lambda: self.sessions.acknowledge(effect))
 
+    def _save_job(self, job_id: str) -> None:
+        key = f"{PROGRESS_PREFIX}{job_id}"
+        job, forwarded = self.state.find_job(job_id), self.state.forwarded.get(job_id)
+        if job is not None:
+            self.journal.put(key, partial(encode_progress, job))
+        elif forwarded is not None:
+            self.journal.put(key, partial(encode_forwarded, forwarded))
+
     def _delete_records(self, effect: ForgetJob) -> None:
         """Delete unneeded records; a request only after the end of its job is stored."""
         if not effect.only_request:
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -11,12 +11,15 @@
 from heatherkeel.platform.callers import JobRequest
 
 from .building import begin_occurrence
-from .models import Job, JobState, Run, RunState
+from .models import ForwardedJob, Job, JobState, Run, RunState
+from .terms import JobTerms
 
 REQUEST_PREFIX: Final = "j"
 CANCEL_PREFIX: Final = "c"
 PROGRESS_PREFIX: Final = "p"
 WORKSPACE_SEPARATOR: Final = "@"
+CANCEL_VALUE: Final = b"1"
+"""Value of a cancellation's record, which only has to be there."""
 
 
 class StoredRequest(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -31,6 +34,10 @@
     """The workspace of its caller; empty for a public queue, and in records of older versions."""
     attempt: str = ""
     """Names the submission, if its job had to be admitted."""
+    partition: int | None = None
+    """The partition that runs it; None if that is the one in which it is stored."""
+    terms: JobTerms | None = None
+    """The settings of its queue; None in records of earlier releases."""
     request: JobRequest
 
 
@@ -65,6 +72,10 @@
     workspace: str = ""
     estimates: list[StepEstimate] = []
     """Expected durations of its steps, by which its objective was set; empty for declared ones."""
+    terms: JobTerms | None = None
+    """The settings of its queue when it was accepted; None in records of earlier releases."""
+    forwarded_to: int | None = None
+    """The partition that runs it and has its progress; None if that is this one."""
 
     def usable_estimates(self, request: JobRequest) -> list[StepEstimate] | None:
         """Return the estimates, if there is one for each step of the request."""
@@ -113,6 +124,22 @@
             tasks=_create_stored_tasks(job),
             workspace=job.workspace,
             estimates=job.estimates or [],
+            terms=job.terms,
+        )
+    )
+
+
+def encode_forwarded(job: ForwardedJob) -> bytes:
+    """Encode the record of a job that another partition runs, in the place of its progress."""
+    return msgspec.json.encode(
+        StoredProgress(
+            state=JobState.PENDING,
+            queue=job.queue,
+            service=job.service,
+            accepted_wall_ms=job.accepted_wall_ms,
+            workspace=job.workspace,
+            terms=job.terms,
+            forwarded_to=job.partition,
         )
     )
 
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -16,7 +16,7 @@
 from .building import set_objective
 from .const import LEASE_MS, SLOWEST_CLOCK
 from .incarnations import add_worker
-from .models import Job, Run, RunState
+from .models import ForwardedJob, Job, Run, RunState
 from .pools import enqueue_step
 from .records import (
     CANCEL_PREFIX,
@@ -106,7 +106,9 @@
     in_order = sorted(stored.progress.items(), key=lambda item: item[1].accepted_wall_ms)
     for job_id, progress in in_order:
         request = stored.requests.get(job_id)
-        if progress.state.is_final() and (request is None or not progress.tasks):
+        if progress.forwarded_to is not None:
+            _restore_forwarded(state, job_id, progress, is_settled=request is None)
+        elif progress.state.is_final() and (request is None or not progress.tasks):
             state.finished[job_id] = _restore_ended(state, job_id, progress)
         elif request is None:
             _LOGGER.error(
@@ -117,6 +119,23 @@
             _restore_job(state, job_id, progress, request)
 
 
+def _restore_forwarded(
+    state: PartitionState, job_id: str, progress: StoredProgress, *, is_settled: bool
+) -> None:
+    """Restore a job that another partition runs; a request that is left is forwarded again."""
+    assert progress.forwarded_to is not None, "it is forwarded"
+    state.forwarded[job_id] = ForwardedJob(
+        id=job_id,
+        queue=progress.queue,
+        service=progress.service,
+        workspace=progress.workspace,
+        accepted_wall_ms=progress.accepted_wall_ms,
+        partition=progress.forwarded_to,
+        terms=progress.terms,
+        settled_ms=state.now_ms if is_settled else None,
+    )
+
+
 def _restore_ended(state: PartitionState, job_id: str, progress: StoredProgress) -> Job:
     return Job(
         id=job_id,
@@ -135,18 +154,21 @@
     state: PartitionState, job_id: str, progress: StoredProgress, request: StoredRequest
 ) -> None:
     age_ms = max(0, state.wall_ms - progress.accepted_wall_ms)
+    # Queue and service of its progress: a repeated submission may have replaced the request by one
+    # of a later configuration.
     job = Job(
         id=job_id,
-        queue=request.queue,
-        service=request.service,
+        queue=progress.queue,
+        service=progress.service,
         workspace=request.workspace,
         account=state.accounts.find(request.workspace),
         request=request.request,
+        terms=progress.terms or request.terms,
         accepted_ms=state.now_ms - age_ms,
         accepted_wall_ms=progress.accepted_wall_ms,
         estimates=progress.usable_estimates(request.request),
     )
-    set_objective(job, state.queues.get(job.queue))
+    set_objective(job, state.find_terms(job))
     jobs = state.finished if progress.state.is_final() else state.jobs
     jobs[job_id] = job
     job.ended_ms = state.now_ms if progress.state.is_final() else None
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -11,8 +11,9 @@
 
 from .building import remaining_work
 from .const import ARRIVAL_WINDOW_MS, LEASE_MS, THOROUGH_PASS_MS
-from .models import Job
+from .models import ForwardedJob, Job
 from .open_steps import OpenSteps
+from .terms import JobTerms
 from .worker import Worker
 
 
@@ -67,6 +68,8 @@
     jobs: dict[str, Job] = field(default_factory=dict)
     finished: dict[str, Job] = field(default_factory=dict)
     """Ended jobs in the order in which they ended, until their records are deleted."""
+    forwarded: dict[str, ForwardedJob] = field(default_factory=dict)
+    """Jobs that were accepted here and that another partition runs, by ID."""
     workers: dict[str, Worker] = field(default_factory=dict)
     queues: dict[str, Queue] = field(default_factory=dict)
     pools: dict[str, Pool] = field(default_factory=dict)
@@ -99,3 +102,17 @@
     def find_job(self, job_id: str) -> Job | None:
         """Return a job, including one that has ended."""
         return self.jobs.get(job_id) or self.finished.get(job_id)
+
+    def is_known(self, job_id: str) -> bool:
+        """Return whether a job was accepted here, also if another partition runs it."""
+        return job_id in self.forwarded or self.find_job(job_id) is not None
+
+    def find_terms(self, job: Job) -> Queue | JobTerms | None:
+        """Return the newest settings of a job's queue, or else those by which it was accepted.
+
+        A queue that has another service now says nothing about tasks on this one's workers.
+        """
+        queue = self.queues.get(job.queue)
+        if queue is not None and (job.terms is None or queue.service == job.service):
+            return queue
+        return job.terms
--- a/heatherkeel/dispatch/subjects.py
+++ b/heatherkeel/dispatch/subjects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heatherkeel.dispatch.forwarding
 import heatherkeel.dispatch.jobs
 import heatherkeel.dispatch.limits
 import heatherkeel.dispatch.orders
--- a/heatherkeel/dispatch/tickets.py
+++ b/heatherkeel/dispatch/tickets.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from heatherkeel.platform.operator import Queue
-
 from .const import ADVICE_RETRY_MS, MAX_ADVICE_WORKERS, TICKET_MARGIN_MS
 from .events import AdviceReceived, AskAdvice, Effects
 from .models import Step, Ticket
@@ -14,8 +12,8 @@
 
 def needs_advice(state: PartitionState, step: Step) -> bool:
     """Return whether a step needs tickets, since its queue has an advisor."""
-    queue: Queue | None = state.queues.get(step.job.queue)
-    return queue is not None and queue.advisor is not None
+    terms = state.find_terms(step.job)
+    return terms is not None and terms.advisor is not None
 
 
 def find_ticketed_workers(
--- a/heatherkeel/gateway/cancellation.py
+++ b/heatherkeel/gateway/cancellation.py
@@ -5,7 +5,7 @@
 import logging
 
 from heatherkeel.dispatch.models import JobState
-from heatherkeel.dispatch.records import CANCEL_PREFIX, make_caller_key
+from heatherkeel.dispatch.records import CANCEL_PREFIX, CANCEL_VALUE, make_caller_key
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import Queue
 
@@ -24,7 +24,7 @@
         return await exchange.async_refuse(Refusal.NO_SUCH_JOB, job_id=job_id)
     if not isinstance(found, JobState) or not found.is_final():
         key = make_caller_key(CANCEL_PREFIX, job_id, exchange.workspace_of_job(queue))
-        record = KeyedRecord(key=key, value=b"1")
+        record = KeyedRecord(key=key, value=CANCEL_VALUE)
         if (
             await async_store(exchange, exchange.find_partition(queue, job_id), record, job_id)
             is not None
--- a/heatherkeel/gateway/const.py
+++ b/heatherkeel/gateway/const.py
@@ -22,6 +22,10 @@
 CONFIG_WAIT_S: Final = 0.3
 """How long a request waits for a recent configuration, in seconds; long enough for one question to
 another process."""
+HOME_WAIT_S: Final = 0.8
+"""How long a request waits for the home of a new queue, in seconds; long enough for the fleet's
+owner to store it and for this process to read it."""
+HOME_CHECK_S: Final = 0.05
 RETRY_SOON_S: Final = 1
 """Retry-After for short conditions such as the store's rate limit per second, in seconds."""
 RETRY_LATER_S: Final = 2
--- a/heatherkeel/gateway/exchange.py
+++ b/heatherkeel/gateway/exchange.py
@@ -29,6 +29,7 @@
     Refusal.CONFIG_OUTDATED: 503,
     Refusal.UNKNOWN_KEY: 401,
     Refusal.NO_LAYOUT: 503,
+    Refusal.NO_HOME: 503,
     Refusal.NO_SUCH_QUEUE: 404,
     Refusal.NO_SUCH_JOB: 410,
     Refusal.BAD_REQUEST: 400,
@@ -91,12 +92,22 @@
         }
 
     def find_partition(self, queue: Queue, job_id: str) -> int:
-        """Return the partition that holds a job."""
-        partition = self.context.directory.layout.partition_of_job(queue.service, job_id)
+        """Return the partition that accepts a job, whatever service its queue has by now."""
+        directory = self.context.directory
+        home = directory.find_home(queue)
+        assert home is not None, "requests for queues without a known home are refused"
+        partition = directory.layout.partition_of_job(home, job_id)
         assert partition is not None, "a service in the layout is never removed"
         self.partition = partition
         return partition
 
+    def find_other_partition(self, queue: Queue, job_id: str, *, accepting: int) -> int | None:
+        """Return the partition that runs a job; None if that is the one that accepts it."""
+        layout = self.context.directory.layout
+        if accepting in layout.partitions_of(queue.service):
+            return None
+        return layout.partition_of_job(queue.service, job_id)
+
     def workspace_of_job(self, queue: Queue) -> str:
         """Return the workspace of a job that the caller submits; none for a public queue."""
         return "" if queue.is_public else self.caller.workspace
--- a/heatherkeel/gateway/lookup.py
+++ b/heatherkeel/gateway/lookup.py
@@ -59,6 +59,10 @@
 
     state: JobState
     workspace: str = ""
+    forwarded_to: int | None = None
+    """The partition that runs it and knows its state; None if that is the one asked."""
+    is_settled: bool = False
+    """That partition has surely read the job, so that it is gone if it isn't there."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -91,17 +95,32 @@
 
     async def async_find_job(self, partition: int, job_id: str) -> FoundJob | Err[str] | None:
         """Return a job, None if there is no such job, or `Err` if it is not available."""
-        answer = await self._async_ask(partition, JobQuestion(partition=partition, job_id=job_id))
-        found: FoundJob | Err[str] | None
-        if not isinstance(answer, JobAnswer):
-            found = await self._async_find_stored(partition, job_id)
-        elif answer.state:
-            found = FoundJob(state=JobState(answer.state), workspace=answer.workspace)
-        else:
-            found = None
+        found = await self._async_find_in(partition, job_id)
+        if isinstance(found, FoundJob) and found.forwarded_to is not None:
+            found = await self._async_follow(found, found.forwarded_to, job_id)
         # The owner reads a job from the store shortly after it was accepted.
         return found if isinstance(found, FoundJob) else self._find_recent(job_id) or found
 
+    async def _async_find_in(self, partition: int, job_id: str) -> FoundJob | Err[str] | None:
+        answer = await self._async_ask(partition, JobQuestion(partition=partition, job_id=job_id))
+        if not isinstance(answer, JobAnswer):
+            return await self._async_find_stored(partition, job_id)
+        if not answer.state:
+            return None
+        return FoundJob(
+            state=JobState(answer.state),
+            workspace=answer.workspace,
+            forwarded_to=answer.forwarded_to,
+            is_settled=answer.is_settled,
+        )
+
+    async def _async_follow(
+        self, known: FoundJob, partition: int, job_id: str
+    ) -> FoundJob | Err[str] | None:
+        """Find a job in the partition that runs it, which may not have read it yet."""
+        found = await self._async_find_in(partition, job_id)
+        return known if found is None and not known.is_settled else found
+
     def has_accepted(self, job_id: str) -> bool:
         """Return whether this process has accepted a job a short time ago."""
         return job_id in self.recent
@@ -164,30 +183,28 @@
 
     async def async_count_pending(self, partitions: Sequence[int], queue: str) -> int | None:
         """Return a queue's pending jobs over all partitions; None if any count is not available."""
-        counts: list[int | None] = []
+        answers: dict[int, QueueAnswer | None] = {}
+        known: list[QueueAnswer] = []
 
         async def async_count(partition: int) -> None:
-            counts.append(await self._async_count_in(partition, queue))
-
-        async with trio.open_nursery() as nursery:
-            for partition in partitions:
-                nursery.start_soon(async_count, partition)
-        known = [count for count in counts if count is not None]
-        return sum(known) if len(known) == len(counts) else None
-
-    async def _async_count_in(self, partition: int, queue: str) -> int | None:
+            answers[partition] = await self._async_count_in(partition, queue)
+
+        # What the first ones have forwarded is counted by those that have got it.
+        asked = set(partitions)
+        while asked:
+            async with trio.open_nursery() as nursery:
+                for partition in asked:
+                    nursery.start_soon(async_count, partition)
+            known = [answer for answer in answers.values() if answer is not None]
+            asked = {further for answer in known for further in answer.forwarded_to} - set(answers)
+        return sum(answer.pending for answer in known) if len(known) == len(answers) else None
+
+    async def _async_count_in(self, partition: int, queue: str) -> QueueAnswer | None:
         answer = await self._async_ask(partition, QueueQuestion(partition=partition, queue=queue))
         if isinstance(answer, QueueAnswer):
-            return answer.pending
+            return answer
         stored = await self._async_read_stored(partition)
-        if isinstance(stored, Err):
-            return None
-        return sum(
-            1
-            for job_id, request in stored.requests.items()
-            if request.queue == queue
-            and (job_id not in stored.progress or stored.progress[job_id].state == "pending")
-        )
+        return None if isinstance(stored, Err) else count_stored(stored, queue)
 
     async def _async_ask(self, partition: int, question: Question) -> Answer | None:
         """Query the owner; look it up again if it fails or no longer owns the partition."""
@@ -208,7 +225,11 @@
             return stored
         progress = stored.progress.get(job_id)
         if progress is not None:
-            return FoundJob(state=progress.state, workspace=progress.workspace)
+            return FoundJob(
+                state=progress.state,
+                workspace=progress.workspace,
+                forwarded_to=progress.forwarded_to,
+            )
         request = stored.requests.get(job_id)
         workspace = request.workspace if request is not None else stored.canceled.get(job_id, "")
         if workspace == stored.canceled.get(job_id):
@@ -249,3 +270,20 @@
             records.append(read.ok_value.records)
         jobs, work = (read_records(part) for part in records)
         return StoredJobs(requests=jobs.requests, progress=work.progress, canceled=jobs.canceled)
+
+
+def count_stored(stored: StoredJobs, queue: str) -> QueueAnswer:
+    """Count a queue's pending jobs by a partition's records, as its owner does."""
+    pending = 0
+    for job_id, request in stored.requests.items():
+        progress = stored.progress.get(job_id)
+        if progress is None:
+            pending += request.queue == queue
+        elif progress.forwarded_to is None:
+            pending += progress.queue == queue and progress.state is JobState.PENDING
+    forwarded_to = {
+        progress.forwarded_to
+        for progress in stored.progress.values()
+        if progress.queue == queue and progress.forwarded_to is not None
+    }
+    return QueueAnswer(pending=pending, forwarded_to=sorted(forwarded_to))
--- a/heatherkeel/gateway/query.py
+++ b/heatherkeel/gateway/query.py
@@ -67,7 +67,10 @@
     """Send the number of a queue's pending jobs."""
     pending: int | None = None
     with trio.move_on_after(max(0.0, exchange.remaining_s())):
-        partitions = exchange.context.directory.layout.partitions_of(queue.service)
+        directory = exchange.context.directory
+        # A queue whose home isn't known yet has no jobs.
+        home = directory.find_home(queue) or queue.service
+        partitions = directory.layout.partitions_of(home)
         pending = await exchange.context.lookup.async_count_pending(partitions, queue.name)
     if pending is None:
         return await exchange.async_refuse(Refusal.OWNER_SILENT)
--- a/heatherkeel/gateway/reasons.py
+++ b/heatherkeel/gateway/reasons.py
@@ -15,6 +15,8 @@
     """The key is missing, or no workspace has it."""
     NO_LAYOUT = "no_layout"
     """The partitions of the queue's service are not known yet."""
+    NO_HOME = "no_home"
+    """The partitions that accept the queue's jobs are not known yet: the queue is new."""
     NO_SUCH_QUEUE = "no_such_queue"
     NO_SUCH_JOB = "no_such_job"
     BAD_REQUEST = "bad_request"
--- a/heatherkeel/gateway/serving.py
+++ b/heatherkeel/gateway/serving.py
@@ -6,12 +6,14 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+import trio
+
 from heatherkeel.platform.const import KEY_HEADER
 from heatherkeel.platform.operator import Queue
 from heatherkeel.workspaces.access import PUBLIC_CALLER, Caller, KeyState
 
 from .cancellation import async_cancel
-from .const import CONFIG_WAIT_S, RETRY_SOON_S
+from .const import CONFIG_WAIT_S, HOME_CHECK_S, HOME_WAIT_S, RETRY_SOON_S
 from .exchange import Exchange
 from .query import async_query, async_send_queue_length
 from .reasons import Refusal
@@ -60,9 +62,22 @@
         return await async_send_queue_length(exchange, queue)
     if not _JOB_ID.match(job_id):
         return await exchange.async_refuse(Refusal.NO_SUCH_QUEUE)
+    if not await _async_knows_home(exchange, queue):
+        return await exchange.async_refuse(Refusal.NO_HOME, retry_s=RETRY_SOON_S)
     return await action(exchange, queue, job_id)
 
 
+async def _async_knows_home(exchange: Exchange, queue: Queue) -> bool:
+    """Return whether the queue's home is known; it is stored within a moment for a new queue.
+
+    Without it, another process could accept the same job in another partition.
+    """
+    with trio.move_on_after(max(0.0, min(HOME_WAIT_S, exchange.remaining_s()))):
+        while exchange.context.directory.find_home(queue) is None:
+            await trio.sleep(HOME_CHECK_S)
+    return exchange.context.directory.find_home(queue) is not None
+
+
 def _find_caller(exchange: Exchange) -> Caller:
     """Return who sent the request; nobody in particular where callers need no keys."""
     directory = exchange.context.directory
--- a/heatherkeel/gateway/submission.py
+++ b/heatherkeel/gateway/submission.py
@@ -13,6 +13,7 @@
     encode_request,
     make_caller_key,
 )
+from heatherkeel.dispatch.terms import make_terms
 from heatherkeel.helpers.clock import wall_ms
 from heatherkeel.platform.callers import decode_job
 from heatherkeel.platform.framing import KeyedRecord
@@ -38,6 +39,8 @@
         return await exchange.async_refuse(
             Refusal.BAD_REQUEST, job_id=job_id, detail=decoded.err_value
         )
+    partition = exchange.find_partition(queue, job_id)
+    other = exchange.find_other_partition(queue, job_id, accepting=partition)
     stored = StoredRequest(
         queue=queue.name,
         service=queue.service,
@@ -45,9 +48,11 @@
         version=exchange.context.directory.config_version(),
         workspace=exchange.workspace_of_job(queue),
         request=decoded.ok_value,
-        attempt=make_attempt_name(exchange),
+        # Its partition's owner knows the backlog of its own workers only.
+        attempt=make_attempt_name(exchange) if other is None else "",
+        partition=other,
+        terms=make_terms(queue),
     )
-    partition = exchange.find_partition(queue, job_id)
     if await async_refuse_hopeless(exchange, stored, partition=partition, job_id=job_id):
         return None
     record = KeyedRecord(
@@ -75,6 +80,8 @@
             "queue": queue.name,
             "workspace": stored.workspace,
             "partition": partition,
+            "service": queue.service,
+            "forwarded_to": other,
             **exchange.describe_config(),
         },
     )
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -27,7 +27,7 @@
 from heatherkeel.ownership.isolation import IsolationWatch
 from heatherkeel.ownership.member import GroupMember
 from heatherkeel.ownership.partition_ownership import OwnershipChange
-from heatherkeel.ownership.partitions import Layout, fleet_partition
+from heatherkeel.ownership.partitions import fleet_partition
 from heatherkeel.ownership.reserve import ReserveWatch
 from heatherkeel.platform.settings import InstanceSettings
 from heatherkeel.platform.store import StoreClient
@@ -215,7 +215,7 @@
         if isinstance(question, GrantsQuestion):
             lender = self.fleet_owner
             return NotOwner() if lender is None else lender.answer_grants(question)
-        return answer_question(self.owners, self.directory.state.layout, question)
+        return answer_question(self.owners, self.directory.state, question)
 
     async def _async_answer_slow(self, question: SlowQuestion) -> Answer:
         if isinstance(question, RelayQuestion):
@@ -231,13 +231,13 @@
         """
         return self.holders.list_others(self.links.address) or self.peers.list_addresses()
 
-    async def _async_ask_layout(self) -> Layout | None:
-        """Ask the other processes one by one for the layout of the services."""
+    async def _async_ask_layout(self) -> LayoutAnswer | None:
+        """Ask the other processes one by one for the layout and the homes of queues."""
         await self.holders.async_refresh()
         for address in self.peers.list_addresses():
             answer = await self.links.async_ask(address, LayoutQuestion(partition=-1))
             if isinstance(answer, LayoutAnswer) and answer.layout.shares:
-                return answer.layout
+                return answer
         return None
 
     async def _async_ask_store(
@@ -302,11 +302,16 @@
             metrics=self.dispatch_metrics,
             on_fenced=self.member.rejoin,
             async_ask_lender=self._async_ask_lender,
+            async_is_forgotten=self._async_is_forgotten,
             admission_metrics=self.admission_metrics,
         )
         self.owners[partition] = owner
         self.nursery.start_soon(owner.async_run)
 
+    async def _async_is_forgotten(self, partition: int, job_id: str) -> bool:
+        """Return whether a partition surely doesn't know a job any more."""
+        return await self.lookup.async_find_job(partition, job_id) is None
+
     async def _async_ask_lender(
         self, borrower: int, report: AccountsReport | None
     ) -> GrantOffer | None:
--- a/heatherkeel/ownership/const.py
+++ b/heatherkeel/ownership/const.py
@@ -12,8 +12,14 @@
 PRODUCER: Final = "owner"
 LAYOUT_KEY: Final = "layout"
 """Key of the layout record in the fleet's partition of the work topic."""
+QUEUE_HOMES_KEY: Final = "queues"
+"""Key of the record of the queues' homes, beside the layout."""
 LAYOUT_RETRY_S: Final = 0.3
-"""Interval between reads of the layout while it lacks a configured service, in seconds."""
+"""Interval between reads of the layout while it lacks a configured service, or the homes lack a
+queue, in seconds."""
+HOMES_RETRY_S: Final = 2.0
+"""Interval between reads while no homes are stored at all, in seconds. The fleet's owner may be of
+an earlier release, which stores none."""
 
 TTL_MS: Final = 1800
 """Time without a renewal after which the platform drops a member, in milliseconds.
--- a/heatherkeel/platform/operator.py
+++ b/heatherkeel/platform/operator.py
@@ -40,6 +40,10 @@
     is_public: bool = msgspec.field(name="public", default=False)
     """Its callers need no key, and its jobs belong to no workspace."""
 
+    def address(self) -> str:
+        """Return the host and path by which callers know the queue, whatever its name is."""
+        return f"{self.host}{self.path_prefix}"
+
 
 class Capacity(msgspec.Struct, frozen=True, kw_only=True):
     """Resources of a machine or a task; CPU in thousandths of a core, memory in MiB."""
--- a/heatherkeel/pooling/fleet_owner.py
+++ b/heatherkeel/pooling/fleet_owner.py
@@ -10,11 +10,11 @@
 
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.follower import async_read_newest_with_retry
-from heatherkeel.directory.layout_reader import find_layout
+from heatherkeel.directory.layout_reader import find_layout, find_queue_homes
 from heatherkeel.dispatch.journal import Journal
 from heatherkeel.durations.relay import DurationRelay, group_queues
 from heatherkeel.helpers.clock import monotonic_ms, wall_ms
-from heatherkeel.ownership.const import LAYOUT_KEY, WORK_TOPIC
+from heatherkeel.ownership.const import LAYOUT_KEY, QUEUE_HOMES_KEY, WORK_TOPIC
 from heatherkeel.ownership.holders import HolderCache
 from heatherkeel.ownership.partitions import Layout, extend_layout, fleet_partition
 from heatherkeel.platform.const import STATUS_TOPIC
@@ -50,6 +50,7 @@
     WaveProgress,
 )
 from .ordering import MachineOrders
+from .queue_homes import QueueHomeKeeper
 from .reducer import reduce_fleet
 from .wave_records import encode_wave, restore_wave
 
@@ -92,6 +93,7 @@
         )
         self.layout: Layout | None = None
         """The layout as it is, or will be, stored; None if it wasn't or can't be read."""
+        self.queue_homes = QueueHomeKeeper(homes=None)
         self.began_ms = monotonic_ms()
         self.client = MachineClient(address=settings.machines.address, holder=settings.instance)
         self.orders = MachineOrders(
@@ -132,6 +134,9 @@
             await trio.sleep_forever()
         own = (await async_read_newest_with_retry(self.store, WORK_TOPIC, self.partition)).records
         self.layout = find_layout(own)
+        homes = find_queue_homes(own)
+        self.queue_homes = QueueHomeKeeper(homes=homes)
+        self.directory.apply_queue_homes(homes)
         if self.layout is not None:
             self.directory.apply_layout(self.layout)
         lease_ms = self.settings.bounds.machine_lease_ms
@@ -185,6 +190,7 @@
     async def _async_plan(self) -> None:
         while True:
             self._extend_layout()
+            self._extend_queue_homes()
             self._read_directory()
             await self._async_measure()
             self._handle(PlanDue(now_ms=monotonic_ms(), can_order=self.can_order()))
@@ -209,6 +215,20 @@
         self.journal.put(LAYOUT_KEY, layout.encode)
         self.journal.when_stored(lambda: self.directory.apply_layout(layout))
 
+    def _extend_queue_homes(self) -> None:
+        """Assign new queues to their services' partitions; published once it is stored.
+
+        A layout and the first homes are stored together: a process that reads the one has both.
+        """
+        config = self.directory.state.config
+        if config is None or self.layout is None or not self.layout.shares:
+            return
+        homes = self.queue_homes.update(config.queues, self.layout, now_ms=monotonic_ms())
+        if homes is None:
+            return
+        self.journal.put(QUEUE_HOMES_KEY, homes.encode)
+        self.journal.when_stored(lambda: self.directory.apply_queue_homes(homes))
+
     def _list_pools(self) -> dict[str, list[str]]:
         """Return the machines of each pool in the order of racks; none if they are unknown.
 
@@ -243,6 +263,7 @@
                 ),
                 yielding=sorted(yielding.intersection(leaving.get(partition, []))),
                 divides=self.state.divides_machines,
+                removed=self.queue_homes.list_asked(partition, now_ms=monotonic_ms()),
             )
             self._ask_in_background(question)
         with trio.move_on_after(MEASURE_WAIT_S):
@@ -301,6 +322,7 @@
             self._handle(
                 PoolsMeasured(now_ms=monotonic_ms(), partition=partition, loads=answer.pools)
             )
+            self.queue_homes.record(partition, asked=question.removed, held=answer.held)
             if answer.accounts is not None:
                 self.lender.record(partition, answer.accounts)
                 self.recent_use.record_answer(partition, now_ms=monotonic_ms())
--- /dev/null
+++ b/heatherkeel/pooling/queue_homes.py
@@ -0,0 +1,94 @@
+"""Extends the homes of queues, and drops those of queues that are gone."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from heatherkeel.ownership.partitions import Layout
+from heatherkeel.ownership.queue_homes import QueueHomes, extend_queue_homes
+from heatherkeel.platform.operator import Queue
+
+KEEP_REMOVED_MS: Final = 600_000
+"""Time for which the home of a removed queue is kept at least, in milliseconds. A process that
+misses changes may accept jobs for it meanwhile."""
+ASK_INTERVAL_MS: Final = 30_000
+"""Interval between rounds of questions whether removed queues have jobs, in milliseconds."""
+
+
+@dataclass(kw_only=True, slots=True)
+class RemovedQueue:
+    """A queue that isn't configured any more."""
+
+    since_ms: int
+    held: dict[int, bool] = field(default_factory=dict)
+    """By partition, whether it had jobs of the queue in this round."""
+
+    def is_unused(self, partitions: Collection[int]) -> bool:
+        """Return whether all of these partitions had no jobs of it."""
+        return all(self.held.get(partition) is False for partition in partitions)
+
+
+@dataclass(kw_only=True, slots=True)
+class QueueHomeKeeper:
+    """Decides about the homes in the fleet's owner; without I/O."""
+
+    homes: QueueHomes | None
+    """The homes as they are, or will be, stored; None if the stored ones can't be decoded."""
+    removed: dict[str, RemovedQueue] = field(default_factory=dict)
+    """Removed queues by their address."""
+    asked_ms: int = 0
+    """When the current round of questions began."""
+
+    def update(self, queues: list[Queue], layout: Layout, *, now_ms: int) -> QueueHomes | None:
+        """Return the homes to store, if they have changed.
+
+        A removed queue's home is dropped once every partition was found to have no jobs of it, so
+        that it may come back with another service.
+        """
+        if self.homes is None:
+            return None
+        self._update_removed(queues, now_ms=now_ms)
+        partitions = layout.all_partitions()
+        unused = {address for address, queue in self.removed.items() if queue.is_unused(partitions)}
+        homes = extend_queue_homes(self.homes, queues, layout, unused=unused)
+        if homes is self.homes:
+            return None
+        self.homes = homes
+        return homes
+
+    def _update_removed(self, queues: Iterable[Queue], *, now_ms: int) -> None:
+        assert self.homes is not None, "checked by the caller"
+        gone = self.homes.homes.keys() - {queue.address() for queue in queues}
+        self.removed = {
+            address: self.removed.get(address) or RemovedQueue(since_ms=now_ms) for address in gone
+        }
+        if now_ms - self.asked_ms >= ASK_INTERVAL_MS:
+            self.asked_ms = now_ms
+            for queue in self.removed.values():
+                queue.held.clear()
+
+    def list_asked(self, partition: int, *, now_ms: int) -> list[str]:
+        """Return the names of removed queues to ask a partition's owner about."""
+        return sorted(
+            name
+            for address, queue in self.removed.items()
+            if now_ms - queue.since_ms >= KEEP_REMOVED_MS and partition not in queue.held
+            for name in self._names_of(address)
+        )
+
+    def record(
+        self, partition: int, *, asked: Collection[str], held: Collection[str] | None
+    ) -> None:
+        """Record which of the queues asked about have jobs in a partition; None if unknown."""
+        if held is None:
+            return
+        for address, queue in self.removed.items():
+            names = self._names_of(address)
+            if set(names) <= set(asked):
+                queue.held[partition] = not set(names).isdisjoint(held)
+
+    def _names_of(self, address: str) -> tuple[str, ...]:
+        home = self.homes.homes.get(address) if self.homes is not None else None
+        return home.names if home is not None else ()
--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from result import Err
 
+from heatherkeel.directory.directory import DirectoryState
 from heatherkeel.dispatch.events import DurationsOffered
+from heatherkeel.dispatch.forwarder import is_settled
 from heatherkeel.dispatch.load import measure_pools
+from heatherkeel.dispatch.models import JobState
 from heatherkeel.dispatch.owner import PartitionOwner
+from heatherkeel.dispatch.state import PartitionState
 from heatherkeel.durations.messages import DurationsOffer, DurationsReport
-from heatherkeel.ownership.partitions import Layout
 from heatherkeel.platform.framing import KeyedRecord
 
 from .messages import (
@@ -33,14 +38,14 @@
 
 
 def answer_question(
-    owners: dict[int, PartitionOwner], layout: Layout, question: Question
+    owners: dict[int, PartitionOwner], directory: DirectoryState, question: Question
 ) -> Answer:
     """Answer a question.
 
     An owner whose copy of its partition may be outdated must not report a job as unknown.
     """
     if isinstance(question, LayoutQuestion):
-        return LayoutAnswer(layout=layout)
+        return LayoutAnswer(layout=directory.layout, queue_homes=directory.queue_homes)
     assert not isinstance(
         question, SlowQuestion | GrantsQuestion | OperatorQuestion
     ), "answered by others"
@@ -48,12 +53,7 @@
     if owner is None:
         return NotOwner()
     if isinstance(question, JobQuestion):
-        job = owner.state.find_job(question.job_id)
-        if job is None and not owner.is_current():
-            return NotOwner()
-        if job is None:
-            return JobAnswer()
-        return JobAnswer(state=job.state.value, workspace=job.workspace)
+        return _answer_job(owner, question.job_id)
     if isinstance(question, PoolsQuestion):
         owner.set_leaving_workers(
             frozenset(question.leaving),
@@ -64,7 +64,8 @@
         accounts = owner.exchange_accounts(offer) if offer is not None else None
         durations = _exchange_durations(owner, question.durations)
         pools = measure_pools(owner.state, with_claims=question.divides)
-        return PoolsAnswer(pools=pools, accounts=accounts, durations=durations)
+        held = find_held_queues(owner.state, question.removed)
+        return PoolsAnswer(pools=pools, accounts=accounts, durations=durations, held=held)
     if not owner.is_current():
         return NotOwner()
     pending = sum(
@@ -72,7 +73,34 @@
         for job in owner.state.jobs.values()
         if job.queue == question.queue and not job.has_started()
     )
-    return QueueAnswer(pending=pending)
+    forwarded_to = {
+        job.partition for job in owner.state.forwarded.values() if job.queue == question.queue
+    }
+    return QueueAnswer(pending=pending, forwarded_to=sorted(forwarded_to))
+
+
+def _answer_job(owner: PartitionOwner, job_id: str) -> JobAnswer | NotOwner:
+    forwarded = owner.state.forwarded.get(job_id)
+    if forwarded is not None:
+        return JobAnswer(
+            state=JobState.PENDING.value,
+            workspace=forwarded.workspace,
+            forwarded_to=forwarded.partition,
+            is_settled=is_settled(forwarded, owner.times()[0]),
+        )
+    job = owner.state.find_job(job_id)
+    if job is None:
+        return JobAnswer() if owner.is_current() else NotOwner()
+    return JobAnswer(state=job.state.value, workspace=job.workspace)
+
+
+def find_held_queues(state: PartitionState, removed: Collection[str]) -> list[str]:
+    """Return those of the removed queues that have jobs in a partition."""
+    if not removed:
+        return []
+    held = {job.queue for job in [*state.jobs.values(), *state.finished.values()]}
+    held.update(job.queue for job in state.forwarded.values())
+    return sorted(held.intersection(removed))
 
 
 def _find_restored(owners: dict[int, PartitionOwner], partition: int) -> PartitionOwner | None:
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -7,6 +7,7 @@
 
 from heatherkeel.durations.messages import DurationsOffer, DurationsReport
 from heatherkeel.ownership.partitions import Layout
+from heatherkeel.ownership.queue_homes import QueueHomes
 from heatherkeel.platform.callers import StepRequest
 from heatherkeel.platform.errors import Failure
 from heatherkeel.workspaces.messages import AccountsReport, GrantOffer
@@ -41,6 +42,8 @@
     """The leaving workers whose machines are taken for another pool that lacks some."""
     divides: bool = False
     """The answer is to contain claims, by which machines are divided between pools."""
+    removed: list[str] = []
+    """Removed queues: the answer is to name those with jobs in the partition."""
 
 
 class LayoutQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="layout"):
@@ -135,12 +138,18 @@
 
     state: str = ""
     workspace: str = ""
+    forwarded_to: int | None = None
+    """The partition that runs the job instead; its owner knows the state."""
+    is_settled: bool = False
+    """That partition's owner surely knows the job, unless it has forgotten it."""
 
 
 class QueueAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="queue"):
     """The number of a queue's accepted jobs without a started task."""
 
     pending: int
+    forwarded_to: list[int] = []
+    """Further partitions that have jobs of the queue."""
 
 
 class Need(msgspec.Struct, frozen=True, kw_only=True):
@@ -210,12 +219,15 @@
     pools: list[PoolLoad]
     accounts: AccountsReport | None = None
     durations: DurationsReport | None = None
+    held: list[str] | None = None
+    """The removed queues that have jobs here; None from a process that doesn't report them."""
 
 
 class LayoutAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="layout"):
     """The layout as known to the process that was asked; empty if it isn't known."""
 
     layout: Layout
+    queue_homes: QueueHomes | None = QueueHomes()
 
 
 class NotOwner(msgspec.Struct, frozen=True, kw_only=True, tag="not_owner"):
--- a/tests/directory/test_layout_reader.py
+++ b/tests/directory/test_layout_reader.py
@@ -8,16 +8,19 @@
 
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.layout_reader import LayoutReader, find_layout
-from heatherkeel.ownership.const import LAYOUT_KEY
+from heatherkeel.ownership.const import LAYOUT_KEY, QUEUE_HOMES_KEY
 from heatherkeel.ownership.partitions import Layout
+from heatherkeel.ownership.queue_homes import QueueHomes
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import Service
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.platform.store_answers import NewestRecords
+from heatherkeel.questions.messages import LayoutAnswer
 
 LAYOUT = Layout(shares={"desk": (0, 1)})
 LARGER = Layout(shares={"desk": (0, 1), "portal": (2,)})
+HOMES = KeyedRecord(key=QUEUE_HOMES_KEY, value=QueueHomes(revision=1).encode(), offset=0)
 
 
 def record(value: bytes, *, offset: int = 0) -> KeyedRecord:
@@ -50,8 +53,8 @@
     directory.state.services = {name: Service(name=name) for name in services}
     directory.state.layout = known
 
-    async def async_ask_peers() -> Layout | None:
-        return peers_layout
+    async def async_ask_peers() -> LayoutAnswer | None:
+        return LayoutAnswer(layout=peers_layout) if peers_layout is not None else None
 
     reader = LayoutReader(
         store=store, partitions=4, directory=directory, async_ask_peers=async_ask_peers
@@ -98,11 +101,11 @@
 
 def test_layout_is_read_only_while_a_new_service_is_missing() -> None:
     """Guards against giving up before a new service is laid out, and against reading on after."""
-    store = FakeStore([record(LAYOUT.encode())])
+    store = FakeStore([record(LAYOUT.encode()), HOMES])
     directory = Directory(store=store)
     directory.state.services = {"desk": Service(name="desk")}
 
-    async def async_ask_peers() -> Layout | None:
+    async def async_ask_peers() -> LayoutAnswer | None:
         return None
 
     reader = LayoutReader(
@@ -117,7 +120,7 @@
             directory.state.services["portal"] = Service(name="portal")
             directory.operator.on_records([])
             await trio.sleep(1)
-            store.stored = [record(LARGER.encode(), offset=1)]
+            store.stored = [record(LARGER.encode(), offset=1), HOMES]
             await trio.sleep(1)
             assert directory.state.layout == LARGER
             asked = store.asked
--- a/tests/dispatch/partition.py
+++ b/tests/dispatch/partition.py
@@ -215,11 +215,17 @@
 
 
 def make_entry(
-    *, cpu: int = 8000, state: str = "ready", rack: str = "r1", zone: str = "a", born: int = 1
+    *,
+    cpu: int = 8000,
+    state: str = "ready",
+    rack: str = "r1",
+    zone: str = "a",
+    born: int = 1,
+    service: str = "portal",
 ) -> WorkerEntry:
     """Return a worker's entry."""
     return WorkerEntry(
-        service="portal",
+        service=service,
         address="10.0.0.1:80",
         zone=zone,
         state=state,
--- a/tests/questions/test_answering.py
+++ b/tests/questions/test_answering.py
@@ -4,6 +4,7 @@
 
 from typing import cast
 
+from heatherkeel.directory.directory import DirectoryState
 from heatherkeel.dispatch.events import Event
 from heatherkeel.dispatch.owner import PartitionOwner
 from heatherkeel.dispatch.reducer import reduce_event
@@ -11,12 +12,9 @@
 from heatherkeel.durations.messages import DurationsOffer, QueueRow
 from heatherkeel.durations.models import StepTimes
 from heatherkeel.durations.sums import QueueSums
-from heatherkeel.ownership.partitions import Layout
 from heatherkeel.questions.answering import answer_question
 from heatherkeel.questions.messages import PoolsAnswer, PoolsQuestion
 
-LAYOUT = Layout(shares={}, places={}, homes={})
-
 
 class Owner:
     """The part of an owner that answers about pools."""
@@ -41,7 +39,7 @@
 
 def ask(owner: Owner, offer: DurationsOffer | None) -> PoolsAnswer:
     question = PoolsQuestion(partition=1, leaving=[], durations=offer)
-    answer = answer_question({1: cast(PartitionOwner, owner)}, LAYOUT, question)
+    answer = answer_question({1: cast(PartitionOwner, owner)}, DirectoryState(), question)
     assert isinstance(answer, PoolsAnswer)
     return answer
 
