Lost runs tell how long they had been there, and which other workers went

Three causes were possible: its tasks do crash workers; they are started on the same bad machine each time; or the workers crash by themselves and the task is charged. `run_lost` told only how old the run was, which includes the 1.2 to 2.4 s until the loss is certain, so the first and the last looked alike.

`run_lost` now has `ran_ms` (from the confirmed start to the earliest time at which the worker can have gone: when its connection broke, or its last answer if calls only timed out), `other_losses` (workers of the pool that were lost in the last 30 s without a suspect of this job) and `at_work` (tasks of the job that are at work). Nothing is decided by them yet.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -72,6 +72,11 @@
 MAX_CRASHES: Final = 4
 """The same limit if the last worker had listed the run, or never reported that it began: it may
 have been lost for another reason."""
+MAX_LOSSES: Final = 64
+"""Number of lost workers that a pool remembers."""
+LOSS_MEMORY_MS: Final = 30_000
+"""How long a lost worker is remembered as a sign that workers crash by themselves, in
+milliseconds; longer than a task takes to lose several in a row."""
 MAX_DOUBTFUL_RUNS: Final = 3
 """Unresponsive or lost workers under a task before no further copy of it starts."""
 ISOLATION_CRASHES: Final = 2
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -10,12 +10,12 @@
 from .const import QUARANTINE_FAILURES
 from .events import CountGivenUp, CountLoss, Effects, SaveJob
 from .jobs import end_job, save_ended_job, stop_run
-from .models import Job, JobState, LossReason, Run, Task
+from .models import Job, JobState, LossReason, Run, Task, WorkerLoss
 from .pools import enqueue_step, find_pool, remove_run
 from .slowness import record_speed
 from .stalled import quarantine_worker
 from .state import PartitionState
-from .suspicion import clear_suspicion, count_crash
+from .suspicion import clear_suspicion, count_crash, count_other_losses, measure_run_ms
 from .timing import measure_run, record_step_durations
 from .worker import Worker
 
@@ -156,13 +156,13 @@
     effects: Effects,
     *,
     reason: LossReason,
-    is_sole: bool = False,
+    loss: WorkerLoss | None = None,
 ) -> None:
     """Remove a run that is certainly lost, so that its task can start again.
 
-    `is_sole` means that no other job may have crashed the worker.
+    `loss` is what is known of its worker, if that was lost with it.
     """
-    _log_loss(state, run, reason)
+    _log_loss(state, run, reason, loss)
     effects.add(CountLoss(reason=reason))
     remove_run(state, run)
     task = run.task
@@ -173,6 +173,7 @@
     if job.state.is_final():
         save_ended_job(job, effects)
         return
+    is_sole = loss is not None and loss.is_sole_suspect(job)
     if count_crash(run, reason, is_sole=is_sole):
         effects.add(CountGivenUp())
         end_job(state, job, JobState.FAILED, effects)
@@ -182,10 +183,10 @@
         enqueue_step(state, task.step)
 
 
-def _log_loss(state: PartitionState, run: Run, reason: LossReason) -> None:
+def _log_loss(state: PartitionState, run: Run, reason: LossReason, loss: WorkerLoss | None) -> None:
     """Log a lost run, with what shows whether it may have crashed its worker.
 
-    A worker that never listed the run may have crashed right at its start.
+    A worker that went right after its start may have crashed because of it.
     """
     worker = state.workers.get(run.worker_id)
     listed_for_ms = None
@@ -202,6 +203,9 @@
             "order": run.state.value,
             "age_ms": state.now_ms - run.started_ms if run.started_ms else None,
             "listed_for_ms": listed_for_ms,
+            "ran_ms": measure_run_ms(run, loss),
+            "other_losses": count_other_losses(state, run.task.step.job),
+            "at_work": sum(1 for other in run.task.step.job.runs() if other.is_at_work),
             "beside": len(worker.runs) - 1 if worker else None,
         },
     )
--- a/heatherkeel/dispatch/incarnations.py
+++ b/heatherkeel/dispatch/incarnations.py
@@ -12,7 +12,7 @@
 from .pools import find_pool
 from .registry import handles
 from .state import PartitionState
-from .suspicion import find_sole_suspect
+from .suspicion import describe_loss, record_loss
 from .worker import Worker
 from .worker_log import log_restart, log_worker_event
 
@@ -38,12 +38,13 @@
         born=born,
         earlier_born=worker.earlier_born | ({worker.born} - {0, born}),
         earlier_leases_until_ms=state.now_ms + round(state.longest_lease_ms * SLOWEST_CLOCK),
-        sole_suspect=find_sole_suspect(worker),
+        earlier_loss=describe_loss(worker, state.now_ms),
         is_leaving=worker.is_leaving,
         is_due=worker.is_due,
         is_outdated=worker.is_outdated,
     )
     log_restart(worker, successor)
+    record_loss(state, worker, LossReason.WORKER_RESTARTED)
     for run in list(worker.runs.values()):
         if worker.runs.get(run.key()) is run:
             _end_with_incarnation(state, run, successor, effects)
@@ -66,8 +67,8 @@
     if run.state is RunState.PLANNED:
         cancel_planned_start(state, run, effects)
     elif run.listed_since_ms:
-        is_sole = run.task.step.job is successor.sole_suspect
-        lose_run(state, run, effects, reason=LossReason.WORKER_RESTARTED, is_sole=is_sole)
+        reason = LossReason.WORKER_RESTARTED
+        lose_run(state, run, effects, reason=reason, loss=successor.earlier_loss)
 
 
 def _transfer_run(state: PartitionState, run: Run, successor: Worker, effects: Effects) -> None:
@@ -152,7 +153,7 @@
     state: PartitionState, worker: Worker, effects: Effects, *, reason: LossReason
 ) -> None:
     """Lose all runs of a worker."""
-    sole_suspect = find_sole_suspect(worker)
+    loss = describe_loss(worker, state.now_ms)
+    record_loss(state, worker, reason)
     for run in list(worker.runs.values()):
-        is_sole = run.task.step.job is sole_suspect
-        lose_run(state, run, effects, reason=reason, is_sole=is_sole)
+        lose_run(state, run, effects, reason=reason, loss=loss)
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -77,6 +77,22 @@
     """Its capacity is freed only when the worker lists its end."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerLoss:
+    """What is known of the loss of a worker, which may have crashed."""
+
+    at_ms: int
+    """When its runs were given up."""
+    gone_ms: int | None
+    """The earliest time at which it can have gone; None if it isn't known."""
+    suspects: frozenset[str]
+    """The jobs of the unproven runs that were sent there."""
+
+    def is_sole_suspect(self, job: Job) -> bool:
+        """Return whether no other job may have crashed the worker."""
+        return self.suspects == {job.id}
+
+
 @dataclass(kw_only=True, slots=True, eq=False)
 class Run:
     """One run of a task on one incarnation of a worker."""
@@ -107,8 +123,8 @@
     long-running task."""
     saved: str = ""
     percent: float = 0.0
-    has_begun: bool = False
-    """Its worker confirmed the start."""
+    begun_ms: int | None = None
+    """When its worker confirmed the start; None if it didn't, or another owner heard that."""
     listed_since_ms: int = 0
     """When its worker first listed it; 0 if it never did."""
     is_proven: bool = False
--- a/heatherkeel/dispatch/orders.py
+++ b/heatherkeel/dispatch/orders.py
@@ -41,7 +41,7 @@
     if run not in run.task.runs:
         return
     if event.error is None:
-        run.has_begun = True
+        run.begun_ms = event.now_ms
         run.answered_ms = event.now_ms
         if run.state is RunState.PLANNED or run.state is RunState.SENT:
             run.state = RunState.RUNNING
@@ -64,7 +64,7 @@
         return
     if worker is not None and event.error.failure in _UNREACHABLE:
         # Otherwise the emptiest worker of a pool would be tried again and again.
-        mark_unresponsive(state, worker, effects, detail=event.error.detail)
+        mark_unresponsive(state, worker, effects, error=event.error)
     if worker is not None and _is_refusal_persistent(event.error):
         # Its capacity has shrunk and its entry doesn't say so yet, or it can't read the order.
         # Without a pause it would be sent the same start every few milliseconds.
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -10,8 +10,8 @@
 from heatherkeel.workspaces.account import AccountBook
 
 from .building import remaining_work
-from .const import ARRIVAL_WINDOW_MS, LEASE_MS, THOROUGH_PASS_MS
-from .models import ForwardedJob, Job
+from .const import ARRIVAL_WINDOW_MS, LEASE_MS, MAX_LOSSES, THOROUGH_PASS_MS
+from .models import ForwardedJob, Job, WorkerLoss
 from .open_steps import OpenSteps
 from .terms import JobTerms
 from .worker import Worker
@@ -27,6 +27,8 @@
     """Steps with tasks to start."""
     arrivals: deque[tuple[int, float]] = field(default_factory=deque)
     """Arrival time and requested core-milliseconds of each recent job."""
+    losses: deque[WorkerLoss] = field(default_factory=lambda: deque(maxlen=MAX_LOSSES))
+    """The workers that were lost last, and may have crashed."""
     thorough_pass_ms: int = 0
     """When waiting steps were last examined however many didn't fit."""
 
--- a/heatherkeel/dispatch/suspicion.py
+++ b/heatherkeel/dispatch/suspicion.py
@@ -10,13 +10,16 @@
 
 from .const import (
     ISOLATION_CRASHES,
+    LOSS_MEMORY_MS,
     MAX_CRASHES,
     MAX_SOLE_CRASHES,
     MAX_SUDDEN_CRASHES,
     PROVEN_MS,
 )
 from .events import Effects, SaveJob
-from .models import Job, LossReason, Run, RunState, Step, Task
+from .models import Job, LossReason, Run, RunState, Step, Task, WorkerLoss
+from .pools import find_pool
+from .state import PartitionState
 from .worker import Worker
 
 _LOGGER = logging.getLogger(__name__)
@@ -35,17 +38,37 @@
 sign of a crash if the list of machines can't be read."""
 
 
-def find_sole_suspect(worker: Worker) -> Job | None:
-    """Return the only job that may have crashed a worker, if there is just one.
-
-    Every unproven run that was sent there is a suspect.
-    """
-    jobs = {
-        run.task.step.job
+def describe_loss(worker: Worker, now_ms: int) -> WorkerLoss:
+    """Return what is known of a worker that is lost now; every unproven run is suspected."""
+    suspects = {
+        run.task.step.job.id
         for run in worker.runs.values()
         if run.state is not RunState.PLANNED and not run.is_proven
     }
-    return jobs.pop() if len(jobs) == 1 else None
+    gone_ms = worker.gone_ms if worker.is_unresponsive else worker.clock_received_ms
+    return WorkerLoss(at_ms=now_ms, gone_ms=gone_ms, suspects=frozenset(suspects))
+
+
+def record_loss(state: PartitionState, worker: Worker, reason: LossReason) -> None:
+    """Remember the loss of a worker with tasks, unless its machine was about to leave anyway."""
+    is_expected = worker.is_leaving or worker.entry.is_draining()
+    if reason in _POSSIBLE_CRASHES and not is_expected and worker.runs:
+        losses = find_pool(state, worker.entry.service).losses
+        losses.append(describe_loss(worker, state.now_ms))
+
+
+def count_other_losses(state: PartitionState, job: Job) -> int:
+    """Return how many workers of a job's pool were lately lost without a suspect of the job."""
+    since_ms = state.now_ms - LOSS_MEMORY_MS
+    losses = find_pool(state, job.service).losses
+    return sum(1 for loss in losses if loss.at_ms >= since_ms and job.id not in loss.suspects)
+
+
+def measure_run_ms(run: Run, loss: WorkerLoss | None) -> int | None:
+    """Return for how long a lost run had been there at least when its worker went, if known."""
+    if loss is None or loss.gone_ms is None or run.begun_ms is None:
+        return None
+    return max(0, loss.gone_ms - run.begun_ms)
 
 
 def count_crash(run: Run, reason: LossReason, *, is_sole: bool) -> bool:
@@ -77,7 +100,7 @@
 
 
 def _crash_limit(run: Run, *, is_sole: bool) -> int:
-    if run.listed_since_ms or not run.has_begun:
+    if run.listed_since_ms or run.begun_ms is None:
         return MAX_CRASHES
     return MAX_SOLE_CRASHES if is_sole else MAX_SUDDEN_CRASHES
 
--- a/heatherkeel/dispatch/timing.py
+++ b/heatherkeel/dispatch/timing.py
@@ -25,7 +25,7 @@
 
 def find_elapsed_ms(worker: Worker, run: Run, now_ms: int) -> int | None:
     """Return for how long a run has been at work; None if its time says nothing of its worker."""
-    if not run.has_begun or run.answered_ms is None or run.state is not RunState.RUNNING:
+    if run.begun_ms is None or run.answered_ms is None or run.state is not RunState.RUNNING:
         return None
     if run.was_doubtful or len(run.task.runs) > 1 or not _is_comparable(worker, run):
         return None
--- a/heatherkeel/dispatch/worker.py
+++ b/heatherkeel/dispatch/worker.py
@@ -16,7 +16,7 @@
     MAX_SPEED_SAMPLES,
     SLOWEST_CLOCK,
 )
-from .models import Job, Run
+from .models import Run, WorkerLoss
 
 
 class SpeedSample(NamedTuple):
@@ -38,8 +38,8 @@
     """Start time of this incarnation, in milliseconds since 1970; 0 while unknown."""
     earlier_born: frozenset[int] = frozenset()
     """Start times of earlier incarnations under this ID, whose entries may still be read."""
-    sole_suspect: Job | None = None
-    """The only job that may have crashed the previous incarnation, if there is just one."""
+    earlier_loss: WorkerLoss | None = None
+    """The loss of the previous incarnation under this ID, if this is a later one."""
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     used_cpu: int = 0
     used_memory_mb: int = 0
@@ -66,6 +66,8 @@
     is_unresponsive: bool = False
     """The last call to it wasn't answered."""
     unresponsive_since_ms: int = 0
+    gone_ms: int | None = None
+    """The earliest time at which it can have gone, if it is unresponsive and that is known."""
     is_leaving: bool = False
     """Its machine is about to be moved or maintained."""
     yielding_since_ms: int | None = None
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from heatherkeel.platform.errors import Failure
+from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.operator import WorkerEntry
 from heatherkeel.platform.workers import Listing, RunningTask
 
@@ -184,8 +184,8 @@
     """Lose a run that isn't listed; one sent to an earlier incarnation was lost with it."""
     ended_before = worker.was_sent_to_earlier_incarnation(run)
     reason = LossReason.WORKER_RESTARTED if ended_before else LossReason.RUN_NOT_LISTED
-    is_sole = ended_before and run.task.step.job is worker.sole_suspect
-    lose_run(state, run, effects, reason=reason, is_sole=is_sole)
+    loss = worker.earlier_loss if ended_before else None
+    lose_run(state, run, effects, reason=reason, loss=loss)
 
 
 def _update_run(run: Run, row: RunningTask, now_ms: int) -> None:
@@ -246,19 +246,21 @@
     if event.error.failure is Failure.OTHER_INSTANCE:
         end_incarnation(state, worker, effects, reason=LossReason.ADDRESS_TAKEN)
         return
-    mark_unresponsive(state, worker, effects, detail=event.error.detail)
+    mark_unresponsive(state, worker, effects, error=event.error)
     drop_if_expired(state, worker, effects)
 
 
 def mark_unresponsive(
-    state: PartitionState, worker: Worker, effects: Effects, *, detail: str
+    state: PartitionState, worker: Worker, effects: Effects, *, error: CallError
 ) -> None:
     """Give a worker no more work until it responds again."""
     if worker.is_unresponsive:
         return
     worker.is_unresponsive = True
     worker.unresponsive_since_ms = state.now_ms
-    log_worker_event(worker.id, "worker_silent", detail)
+    # It may have gone at any time since its last answer if the call has only timed out.
+    worker.gone_ms = worker.clock_received_ms if error.is_timeout else state.now_ms
+    log_worker_event(worker.id, "worker_silent", error.detail)
     mark_runs_doubtful(state, worker, effects)
 
 
--- a/heatherkeel/platform/caller.py
+++ b/heatherkeel/platform/caller.py
@@ -55,4 +55,4 @@
             return Err(CallError(failure=Failure.REFUSED, detail=str(err)))
         except (ConnectionLostError, h11.ProtocolError) as err:
             return Err(CallError(failure=Failure.UNKNOWN, detail=str(err) or type(err).__name__))
-        return Err(CallError(failure=Failure.UNKNOWN, detail="no answer in time"))
+        return Err(CallError(failure=Failure.UNKNOWN, detail="no answer in time", is_timeout=True))
--- a/heatherkeel/platform/errors.py
+++ b/heatherkeel/platform/errors.py
@@ -40,3 +40,5 @@
     status: int = 0
     number: int = 0
     clock_ms: int | None = None
+    is_timeout: bool = False
+    """The call was given up; a connection that breaks shows at once that the other end is gone."""
--- a/tests/dispatch/test_misdeclared_surge.py
+++ b/tests/dispatch/test_misdeclared_surge.py
@@ -43,7 +43,7 @@
 
     def _end(self, run: Run) -> None:
         worker = self.partition.state.workers[run.worker_id]
-        run.has_begun = True
+        run.begun_ms = self.partition.now_ms
         run.answered_ms = self.begun_ms[run]
         run.was_doubtful = self.outage and self.random.random() < 0.1
         if run.was_doubtful:
