A task is blamed for a lost worker by when it went, and its job's sound tasks go on

Cause: each loss of a run that hadn't been at work for two seconds counted as a crash by its task, however long the run had been there and whether or not workers crashed without it, and two to four such losses ended the whole job.

Change: a loss speaks against a task if its worker went within 200 ms of the confirmed start, or if that time isn't known. A later one does only if no worker of the pool went without a likely cause in the last 30 s, or from the fifth in a row on. Where workers go so, sudden losses need four in a row. A long-running task is given up after five, and if others of its job serve in a step that bounds its losses, it alone is withheld, by later owners too.

Why it works: chance hits the first 200 ms rarely, and what crashes workers at its start always does. A wrong guess about a long-running task costs that task, not those that serve beside it; a right one still ends after five workers, the most that are allowed.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -64,14 +64,23 @@
 MAX_QUARANTINED_FRACTION: Final = 0.34
 """Fraction of a pool's workers that may be quarantined at once; beyond it the jobs are the likelier
 cause, and a pool without workers serves nobody."""
+SUDDEN_LOSS_MS: Final = 200
+"""How soon after a task's start its worker has to go for the task to be the likely cause, in
+milliseconds. Workers that crash by themselves do so at any time."""
 MAX_SOLE_CRASHES: Final = 2
-"""Consecutive lost workers after which a task's job is given up, if the last one was lost right
+"""Consecutive lost workers after which a task's job is given up, if the last one was lost suddenly
 after the task began there and no other job was suspected."""
 MAX_SUDDEN_CRASHES: Final = 3
 """The same limit if other jobs were suspected as well."""
 MAX_CRASHES: Final = 4
-"""The same limit if the last worker had listed the run, or never reported that it began: it may
-have been lost for another reason."""
+"""The same limit if the last worker was lost later, or it isn't known when, or others are lost
+without a likely cause: it may have been lost for another reason."""
+MAX_LASTING_CRASHES: Final = 5
+"""The same limit for a long-running task, which runs until its job is cancelled: its caller loses
+more by a wrong guess than a few workers cost. No task is started more often in a row."""
+MAX_EXCUSED_LOSSES: Final = 4
+"""Consecutive lost workers that aren't counted against a task where others crash without it. More
+in a row are unlikely, and a task that crashes its workers late must not be started without end."""
 MAX_LOSSES: Final = 64
 """Number of lost workers that a pool remembers."""
 LOSS_MEMORY_MS: Final = 30_000
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -8,14 +8,23 @@
 
 from .building import open_dependents
 from .const import QUARANTINE_FAILURES
-from .events import CountGivenUp, CountLoss, Effects, SaveJob
+from .events import CountGivenUp, CountLoss, CountWithheld, Effects, SaveJob
 from .jobs import end_job, save_ended_job, stop_run
 from .models import Job, JobState, LossReason, Run, Task, WorkerLoss
 from .pools import enqueue_step, find_pool, remove_run
 from .slowness import record_speed
 from .stalled import quarantine_worker
 from .state import PartitionState
-from .suspicion import clear_suspicion, count_crash, count_other_losses, measure_run_ms
+from .suspicion import (
+    clear_suspicion,
+    count_crash,
+    count_other_losses,
+    is_excused,
+    may_be_crash,
+    measure_run_ms,
+    serves_beside,
+    withhold_task,
+)
 from .timing import measure_run, record_step_durations
 from .worker import Worker
 
@@ -173,16 +182,42 @@
     if job.state.is_final():
         save_ended_job(job, effects)
         return
-    is_sole = loss is not None and loss.is_sole_suspect(job)
-    if count_crash(run, reason, is_sole=is_sole):
-        effects.add(CountGivenUp())
-        end_job(state, job, JobState.FAILED, effects)
-        return
+    if may_be_crash(run, reason):
+        if is_excused(state, run, loss):
+            task.excused_losses += 1
+        elif count_crash(state, run, loss):
+            _give_up_task(state, run, effects)
+            return
     effects.add(SaveJob(job_id=job.id))
     if not task.step.is_done():
         enqueue_step(state, task.step)
 
 
+def _give_up_task(state: PartitionState, run: Run, effects: Effects) -> None:
+    """Start a task that crashes workers no more, and end its job unless that harms others."""
+    task = run.task
+    job = task.step.job
+    is_withheld = serves_beside(task)
+    _LOGGER.error(
+        "task crashes workers",
+        extra={
+            "event": "task_withheld" if is_withheld else "job_given_up",
+            "job": job.id,
+            "task": task.name,
+            "attempt": run.attempt,
+            "worker": run.worker_id,
+            "crashes": task.crashes,
+        },
+    )
+    if is_withheld:
+        withhold_task(task)
+        effects.add(CountWithheld())
+        effects.add(SaveJob(job_id=job.id))
+        return
+    effects.add(CountGivenUp())
+    end_job(state, job, JobState.FAILED, effects)
+
+
 def _log_loss(state: PartitionState, run: Run, reason: LossReason, loss: WorkerLoss | None) -> None:
     """Log a lost run, with what shows whether it may have crashed its worker.
 
@@ -203,8 +238,9 @@
             "order": run.state.value,
             "age_ms": state.now_ms - run.started_ms if run.started_ms else None,
             "listed_for_ms": listed_for_ms,
-            "ran_ms": measure_run_ms(run, loss),
+            "ran_ms": measure_run_ms(run, loss.gone_ms if loss is not None else None),
             "other_losses": count_other_losses(state, run.task.step.job),
+            "is_suspect": may_be_crash(run, reason) and not is_excused(state, run, loss),
             "at_work": sum(1 for other in run.task.step.job.runs() if other.is_at_work),
             "beside": len(worker.runs) - 1 if worker else None,
         },
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -292,6 +292,11 @@
     """Count a job that was failed because one of its tasks crashes workers."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CountWithheld(Effect):
+    """Count a task that isn't started any more because it crashes workers."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CountSlowWorker(Effect):
     """Count a worker that was found to be slow."""
--- a/heatherkeel/dispatch/metrics.py
+++ b/heatherkeel/dispatch/metrics.py
@@ -40,6 +40,11 @@
             "Jobs that were shown as failed since a task of them crashes workers.",
             registry=registry,
         )
+        self.withheld = Counter(
+            "heatherkeel_tasks_withheld",
+            "Tasks that aren't started any more since they crash workers; their jobs go on.",
+            registry=registry,
+        )
         self.slow_workers = Counter(
             "heatherkeel_slow_workers",
             "Workers that were found to be slow, each time.",
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -41,6 +41,7 @@
     CountLoss,
     CountSlowWorker,
     CountWaiting,
+    CountWithheld,
     DropRecord,
     Effect,
     Effects,
@@ -413,6 +414,8 @@
                 self.metrics.observe_duration(effect.errors)
             case CountGivenUp():
                 self.metrics.given_up.inc()
+            case CountWithheld():
+                self.metrics.withheld.inc()
             case CountSlowWorker():
                 self.metrics.slow_workers.inc()
             case AcknowledgeEnds():
--- a/heatherkeel/dispatch/suspicion.py
+++ b/heatherkeel/dispatch/suspicion.py
@@ -1,7 +1,8 @@
 """Detection and isolation of tasks that crash their workers.
 
-Every task that was lost with a worker is suspected until it has run for a while or is done.
-Suspects are kept apart, so that they don't crash one worker after the other.
+A task that was lost with a worker is suspected until it has run for a while or is done, unless
+workers of its pool crash without it as well. Suspects are kept apart, so that they don't crash one
+worker after the other.
 """
 
 from __future__ import annotations
@@ -12,9 +13,12 @@
     ISOLATION_CRASHES,
     LOSS_MEMORY_MS,
     MAX_CRASHES,
+    MAX_EXCUSED_LOSSES,
+    MAX_LASTING_CRASHES,
     MAX_SOLE_CRASHES,
     MAX_SUDDEN_CRASHES,
     PROVEN_MS,
+    SUDDEN_LOSS_MS,
 )
 from .events import Effects, SaveJob
 from .models import Job, LossReason, Run, RunState, Step, Task, WorkerLoss
@@ -40,13 +44,18 @@
 
 def describe_loss(worker: Worker, now_ms: int) -> WorkerLoss:
     """Return what is known of a worker that is lost now; every unproven run is suspected."""
-    suspects = {
-        run.task.step.job.id
+    gone_ms = worker.gone_ms if worker.is_unresponsive else worker.clock_received_ms
+    suspected = [
+        run
         for run in worker.runs.values()
         if run.state is not RunState.PLANNED and not run.is_proven
-    }
-    gone_ms = worker.gone_ms if worker.is_unresponsive else worker.clock_received_ms
-    return WorkerLoss(at_ms=now_ms, gone_ms=gone_ms, suspects=frozenset(suspects))
+    ]
+    return WorkerLoss(
+        at_ms=now_ms,
+        gone_ms=gone_ms,
+        suspects=frozenset(run.task.step.job.id for run in suspected),
+        is_sudden=any(not _ran_for_a_while(run, gone_ms) for run in suspected),
+    )
 
 
 def record_loss(state: PartitionState, worker: Worker, reason: LossReason) -> None:
@@ -58,55 +67,95 @@
 
 
 def count_other_losses(state: PartitionState, job: Job) -> int:
-    """Return how many workers of a job's pool were lately lost without a suspect of the job."""
+    """Return how many workers of a job's pool went lately without any task as the likely cause.
+
+    Those with a suspect of the job don't count.
+    """
     since_ms = state.now_ms - LOSS_MEMORY_MS
     losses = find_pool(state, job.service).losses
-    return sum(1 for loss in losses if loss.at_ms >= since_ms and job.id not in loss.suspects)
+    return sum(
+        1
+        for loss in losses
+        if loss.at_ms >= since_ms and not loss.is_sudden and job.id not in loss.suspects
+    )
 
 
-def measure_run_ms(run: Run, loss: WorkerLoss | None) -> int | None:
+def measure_run_ms(run: Run, gone_ms: int | None) -> int | None:
     """Return for how long a lost run had been there at least when its worker went, if known."""
-    if loss is None or loss.gone_ms is None or run.begun_ms is None:
+    if gone_ms is None or run.begun_ms is None:
         return None
-    return max(0, loss.gone_ms - run.begun_ms)
+    return max(0, gone_ms - run.begun_ms)
 
 
-def count_crash(run: Run, reason: LossReason, *, is_sole: bool) -> bool:
-    """Count a lost run as a possible crash; returns whether its job has to be given up.
+def may_be_crash(run: Run, reason: LossReason) -> bool:
+    """Return whether the task of a lost run may have crashed its worker."""
+    return reason in _POSSIBLE_CRASHES and run.state is not RunState.PLANNED and not run.is_proven
 
-    `is_sole` means that no other job may have crashed the worker. The count is stored before the
-    next start is sent, so the next owner continues from it.
+
+def is_excused(state: PartitionState, run: Run, loss: WorkerLoss | None) -> bool:
+    """Return whether the loss of a worker doesn't speak against a task that may have crashed it.
+
+    A worker that goes some time after the start may have gone by itself. That speaks against the
+    task only if no worker of the pool goes without it, or if it happens again and again.
     """
-    if reason not in _POSSIBLE_CRASHES or run.state is RunState.PLANNED or run.is_proven:
+    if not _ran_for_a_while(run, loss.gone_ms if loss is not None else None):
         return False
+    is_rare = run.task.excused_losses < MAX_EXCUSED_LOSSES
+    return is_rare and count_other_losses(state, run.task.step.job) > 0
+
+
+def count_crash(state: PartitionState, run: Run, loss: WorkerLoss | None) -> bool:
+    """Count a lost run as a crash; returns whether its task must not start again.
+
+    The count is stored before the next start is sent, so the next owner continues from it.
+    """
     task = run.task
     job = task.step.job
     task.crashes += 1
     job.crashes = max(job.crashes, task.crashes)
-    if task.crashes < _crash_limit(run, is_sole=is_sole):
-        return False
-    _LOGGER.error(
-        "job given up: its task crashes workers",
-        extra={
-            "event": "job_given_up",
-            "job": job.id,
-            "task": task.name,
-            "attempt": run.attempt,
-            "worker": run.worker_id,
-            "crashes": task.crashes,
-        },
-    )
-    return True
+    return task.crashes >= _crash_limit(state, run, loss)
 
 
-def _crash_limit(run: Run, *, is_sole: bool) -> int:
-    if run.listed_since_ms or run.begun_ms is None:
+def _crash_limit(state: PartitionState, run: Run, loss: WorkerLoss | None) -> int:
+    job = run.task.step.job
+    if run.task.step.request.lasts:
+        return MAX_LASTING_CRASHES
+    if run.begun_ms is None or loss is None or _ran_for_a_while(run, loss.gone_ms):
         return MAX_CRASHES
-    return MAX_SOLE_CRASHES if is_sole else MAX_SUDDEN_CRASHES
+    if count_other_losses(state, job):
+        return MAX_CRASHES
+    return MAX_SOLE_CRASHES if loss.is_sole_suspect(job) else MAX_SUDDEN_CRASHES
+
+
+def _ran_for_a_while(run: Run, gone_ms: int | None) -> bool:
+    ran_ms = measure_run_ms(run, gone_ms)
+    return ran_ms is not None and ran_ms >= SUDDEN_LOSS_MS
+
+
+def serves_beside(task: Task) -> bool:
+    """Return whether other tasks of the job serve users, in a step that bounds its losses.
+
+    Ending the job would stop them all at once.
+    """
+    return any(
+        run.is_at_work and not run.is_doubtful
+        for step in task.step.job.steps()
+        if step.request.lasts and step.request.max_unavailable is not None
+        for other in step.tasks
+        if other is not task
+        for run in other.runs
+    )
+
+
+def withhold_task(task: Task) -> None:
+    """Start a task no more; the others of its job go on."""
+    task.crashes = max(task.crashes, MAX_LASTING_CRASHES)
+    task.step.job.crashes = max(task.step.job.crashes, task.crashes)
 
 
 def clear_suspicion(task: Task) -> None:
     """Clear a task of suspicion."""
+    task.excused_losses = 0
     if not task.crashes:
         return
     task.crashes = 0
@@ -125,9 +174,11 @@
     if worker.suspects.pop(run.key(), None) is not None:
         effects.touch(job.service)
     run.is_proven = run.percent > 0
-    if run.is_proven and run.task.crashes:
-        clear_suspicion(run.task)
+    if not run.is_proven:
+        return
+    if run.task.crashes:
         effects.add(SaveJob(job_id=job.id))
+    clear_suspicion(run.task)
 
 
 def group_candidates(step: Step, workers: list[Worker]) -> list[list[Worker]]:
