A process reads a queue's home again once a version lacked the queue

A process that had the old home went on using it, since it reads homes only while one is missing, so two owners would have accepted one ID.

Change: a version without a queue makes a process forget that queue's home, and all homes if it may have missed versions for as long as homes are kept. It then reads them again. A request keeps the home that it has found, so that a version that comes while its body is read can't take it away. Records that are forwarded are counted (heatherkeel_records_forwarded).

Measured: the two new tests of directory/test_directory.py fail without it.

--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -11,6 +11,7 @@
 from result import Err
 
 from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.ownership.const import KEEP_REMOVED_MS
 from heatherkeel.ownership.partitions import Layout
 from heatherkeel.ownership.queue_homes import QueueHomes
 from heatherkeel.platform.const import CONFIG_KEY, CONFIG_TOPIC, WAVE_PREFIX, WORKERS_TOPIC
@@ -212,9 +213,9 @@
     def apply_queue_homes(self, homes: QueueHomes | None) -> None:
         """Use stored homes of queues, unless later ones are known; None if they are unreadable."""
         known = self.state.queue_homes
-        if homes is None and known is None:
+        if homes == known:
             return
-        if homes is not None and known is not None and homes.revision <= known.revision:
+        if homes is not None and known is not None and homes.revision < known.revision:
             return
         self.state.queue_homes = homes
         _LOGGER.info(
@@ -227,6 +228,19 @@
         )
         self._notify()
 
+    def _forget_homes(self, before: list[Queue], queues: list[Queue]) -> None:
+        """Keep only the homes of queues that stay configured; the others are read again if needed.
+
+        The home of a queue that was removed for long may have been dropped and set anew. All are
+        forgotten if versions may have been missed for so long.
+        """
+        homes, age_ms = self.state.queue_homes, self.state.config_age_ms()
+        if homes is None or not homes.revision:
+            return
+        is_current = age_ms is not None and age_ms < KEEP_REMOVED_MS
+        staying = {queue.address() for queue in before} & {queue.address() for queue in queues}
+        self.state.queue_homes = homes.keep(staying if is_current else ())
+
     def _notify(self) -> None:
         for callback in list(self.subscribers):
             callback()
@@ -297,6 +311,7 @@
         if known is not None and config.version <= known.version:
             return
         before = known.queues if known is not None else []
+        self._forget_homes(before, config.queues)
         self.state.config = config
         self.state.queues = _merge_queues(self.state.queues, config.queues)
         self.state.services = {service.name: service for service in config.services}
--- a/heatherkeel/dispatch/metrics.py
+++ b/heatherkeel/dispatch/metrics.py
@@ -40,6 +40,11 @@
             "Jobs that were shown as failed since a task of them crashes workers.",
             registry=registry,
         )
+        self.forwarded = Counter(
+            "heatherkeel_records_forwarded",
+            "Records of callers that were forwarded to the partition that runs their job.",
+            registry=registry,
+        )
         self.withheld = Counter(
             "heatherkeel_tasks_withheld",
             "Tasks that aren't started any more since they crash workers; their jobs go on.",
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -392,6 +392,7 @@
             case DropRecord():
                 self.request_dropper.drop_record(effect.key)
             case ForwardRecord():
+                self.metrics.forwarded.inc()
                 self.journal.when_stored(lambda: self.forwarder.forward(effect))
             case StartTask() | StopTask(once_stored=True):
                 self.journal.when_stored(
--- a/heatherkeel/gateway/cancellation.py
+++ b/heatherkeel/gateway/cancellation.py
@@ -25,10 +25,7 @@
     if not isinstance(found, JobState) or not found.is_final():
         key = make_caller_key(CANCEL_PREFIX, job_id, exchange.workspace_of_job(queue))
         record = KeyedRecord(key=key, value=CANCEL_VALUE)
-        if (
-            await async_store(exchange, exchange.find_partition(queue, job_id), record, job_id)
-            is not None
-        ):
+        if await async_store(exchange, exchange.find_partition(job_id), record, job_id) is not None:
             return None
     _LOGGER.info(
         "cancel accepted",
--- a/heatherkeel/gateway/exchange.py
+++ b/heatherkeel/gateway/exchange.py
@@ -76,6 +76,8 @@
         wait_ms = int(deadline) if is_valid else DEFAULT_DEADLINE_MS
         self.deadline_ms = monotonic_ms() + wait_ms - ANSWER_MARGIN_MS
         self.caller = PUBLIC_CALLER
+        self.home = ""
+        """The service whose partitions accept the queue's jobs; empty until it is looked up."""
         self.partition: int | None = None
         """The partition of the job that the request is about; None until it is looked up."""
 
@@ -91,12 +93,10 @@
             "config_age_ms": directory.config_age_ms(),
         }
 
-    def find_partition(self, queue: Queue, job_id: str) -> int:
+    def find_partition(self, job_id: str) -> int:
         """Return the partition that accepts a job, whatever service its queue has by now."""
-        directory = self.context.directory
-        home = directory.find_home(queue)
-        assert home is not None, "requests for queues without a known home are refused"
-        partition = directory.layout.partition_of_job(home, job_id)
+        assert self.home, "requests for queues without a known home are refused"
+        partition = self.context.directory.layout.partition_of_job(self.home, job_id)
         assert partition is not None, "a service in the layout is never removed"
         self.partition = partition
         return partition
--- a/heatherkeel/gateway/query.py
+++ b/heatherkeel/gateway/query.py
@@ -36,7 +36,7 @@
         remaining_s = min(remaining_s, NOT_READY_LOOKUP_TIMEOUT_S)
     with trio.move_on_after(remaining_s):
         found = await exchange.context.lookup.async_find_job(
-            exchange.find_partition(queue, job_id), job_id
+            exchange.find_partition(job_id), job_id
         )
     if isinstance(found, Err):
         return Refusal.OWNER_SILENT
--- a/heatherkeel/gateway/serving.py
+++ b/heatherkeel/gateway/serving.py
@@ -62,20 +62,24 @@
         return await async_send_queue_length(exchange, queue)
     if not _JOB_ID.match(job_id):
         return await exchange.async_refuse(Refusal.NO_SUCH_QUEUE)
-    if not await _async_knows_home(exchange, queue):
+    exchange.home = await _async_find_home(exchange, queue) or ""
+    if not exchange.home:
         return await exchange.async_refuse(Refusal.NO_HOME, retry_s=RETRY_SOON_S)
     return await action(exchange, queue, job_id)
 
 
-async def _async_knows_home(exchange: Exchange, queue: Queue) -> bool:
-    """Return whether the queue's home is known; it is stored within a moment for a new queue.
+async def _async_find_home(exchange: Exchange, queue: Queue) -> str | None:
+    """Return the queue's home; for a new queue it is known within a moment.
 
     Without it, another process could accept the same job in another partition.
     """
+    directory = exchange.context.directory
+    home = directory.find_home(queue)
     with trio.move_on_after(max(0.0, min(HOME_WAIT_S, exchange.remaining_s()))):
-        while exchange.context.directory.find_home(queue) is None:
+        while home is None:
             await trio.sleep(HOME_CHECK_S)
-    return exchange.context.directory.find_home(queue) is not None
+            home = directory.find_home(queue)
+    return home
 
 
 def _find_caller(exchange: Exchange) -> Caller:
--- a/heatherkeel/gateway/submission.py
+++ b/heatherkeel/gateway/submission.py
@@ -39,7 +39,7 @@
         return await exchange.async_refuse(
             Refusal.BAD_REQUEST, job_id=job_id, detail=decoded.err_value
         )
-    partition = exchange.find_partition(queue, job_id)
+    partition = exchange.find_partition(job_id)
     other = exchange.find_other_partition(queue, job_id, accepting=partition)
     stored = StoredRequest(
         queue=queue.name,
--- a/heatherkeel/ownership/const.py
+++ b/heatherkeel/ownership/const.py
@@ -14,6 +14,9 @@
 """Key of the layout record in the fleet's partition of the work topic."""
 QUEUE_HOMES_KEY: Final = "queues"
 """Key of the record of the queues' homes, beside the layout."""
+KEEP_REMOVED_MS: Final = 600_000
+"""Time for which the home of a removed queue is kept at least, in milliseconds. A process that
+misses changes may accept jobs for it meanwhile."""
 LAYOUT_RETRY_S: Final = 0.3
 """Interval between reads of the layout while it lacks a configured service, or the homes lack a
 queue, in seconds."""
--- a/heatherkeel/ownership/queue_homes.py
+++ b/heatherkeel/ownership/queue_homes.py
@@ -42,6 +42,11 @@
         """Return whether the homes of these queues are known."""
         return all(queue.address() in self.homes for queue in queues)
 
+    def keep(self, addresses: Collection[str]) -> QueueHomes:
+        """Return the homes of some queues alone; those of others have to be read again."""
+        kept = {address: home for address, home in self.homes.items() if address in addresses}
+        return QueueHomes(revision=self.revision, homes=kept)
+
     def encode(self) -> bytes:
         """Return the homes in the encoding in which they are stored."""
         return msgspec.json.encode(self)
--- a/heatherkeel/pooling/queue_homes.py
+++ b/heatherkeel/pooling/queue_homes.py
@@ -6,13 +6,11 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from heatherkeel.ownership.const import KEEP_REMOVED_MS
 from heatherkeel.ownership.partitions import Layout
 from heatherkeel.ownership.queue_homes import QueueHomes, extend_queue_homes
 from heatherkeel.platform.operator import Queue
 
-KEEP_REMOVED_MS: Final = 600_000
-"""Time for which the home of a removed queue is kept at least, in milliseconds. A process that
-misses changes may accept jobs for it meanwhile."""
 ASK_INTERVAL_MS: Final = 30_000
 """Interval between rounds of questions whether removed queues have jobs, in milliseconds."""
 
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -10,6 +10,10 @@
 from result import Ok
 
 from heatherkeel.directory.directory import Directory
+from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.ownership.const import KEEP_REMOVED_MS
+from heatherkeel.ownership.partitions import Layout
+from heatherkeel.ownership.queue_homes import QueueHomes, extend_queue_homes
 from heatherkeel.platform.caller import Reply
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
@@ -24,7 +28,7 @@
 
 def configuration(version: int, *names: str) -> KeyedRecord:
     """Return the record of a configuration with these queues."""
-    queues = [QUEUE | {"name": name} for name in names]
+    queues = [QUEUE | {"name": name, "pathPrefix": f"/{name}/"} for name in names]
     value = msgspec.json.encode({"version": version, "routes": queues, "services": []})
     return KeyedRecord(key="config", value=value)
 
@@ -166,3 +170,31 @@
         directory.state.operator_records.confirm(end=1, as_of_ms=directory.state.named_ms + 1)
         assert not directory.state.is_config_superseded()
     assert refused == 1
+
+
+def test_home_of_a_queue_that_returns_is_read_again() -> None:
+    """Guards against a home that was dropped and set anew meanwhile, so that two owners accept."""
+    directory = make_directory()
+    directory.operator.on_records([configuration(1, "quotes", "books")])
+    quotes, books = directory.state.queues["quotes"], directory.state.queues["books"]
+    homes = extend_queue_homes(QueueHomes(), [quotes, books], Layout(shares={quotes.service: (0,)}))
+    directory.apply_queue_homes(homes)
+    directory.state.operator_records.confirm(end=1, as_of_ms=monotonic_ms())
+    directory.operator.on_records([configuration(2, "books")])
+    directory.operator.on_records([configuration(3, "quotes", "books")])
+    assert directory.state.find_home(quotes) is None
+    assert directory.state.find_home(books) == books.service
+    directory.apply_queue_homes(homes)
+    assert directory.state.find_home(quotes) == quotes.service
+
+
+def test_homes_are_read_again_after_versions_may_have_been_missed_for_long() -> None:
+    """Guards against a home that was dropped and set anew while this process was cut off."""
+    directory = make_directory()
+    directory.operator.on_records([configuration(1, "quotes")])
+    quotes = directory.state.queues["quotes"]
+    layout = Layout(shares={quotes.service: (0,)})
+    directory.apply_queue_homes(extend_queue_homes(QueueHomes(), [quotes], layout))
+    directory.state.operator_records.as_of_ms = monotonic_ms() - KEEP_REMOVED_MS
+    directory.operator.on_records([configuration(2, "quotes")])
+    assert directory.state.find_home(quotes) is None
--- a/tests/pooling/test_queue_homes.py
+++ b/tests/pooling/test_queue_homes.py
@@ -4,10 +4,11 @@
 
 import pytest
 
+from heatherkeel.ownership.const import KEEP_REMOVED_MS
 from heatherkeel.ownership.partitions import Layout
 from heatherkeel.ownership.queue_homes import QueueHomes
 from heatherkeel.platform.operator import Queue
-from heatherkeel.pooling.queue_homes import ASK_INTERVAL_MS, KEEP_REMOVED_MS, QueueHomeKeeper
+from heatherkeel.pooling.queue_homes import ASK_INTERVAL_MS, QueueHomeKeeper
 
 LAYOUT = Layout(shares={"portal": (0,), "desk": (1,)})
 QUEUE = Queue(name="quotes", host="a.example", path_prefix="/q/", service="portal")
