--- a/heatherkeel/dispatch/forwarder.py
+++ b/heatherkeel/dispatch/forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Final
 
@@ -17,6 +18,8 @@
 from .models import ForwardedJob
 from .ports import OwnerPort
 
+_LOGGER = logging.getLogger(__name__)
+
 RETRY_PAUSE_S: Final = 0.25
 """Pause after an append that failed or wasn't answered, in seconds."""
 CHECK_INTERVAL_S: Final = 2.0
@@ -93,8 +96,20 @@
 
     async def _async_append(self, partition: int, batch: list[ForwardRecord]) -> None:
         records = [KeyedRecord(key=effect.key, value=effect.value) for effect in batch]
-        while isinstance(await self.store.async_append(JOBS_TOPIC, partition, records), Err):
+        appended = await self.store.async_append(JOBS_TOPIC, partition, records)
+        if isinstance(appended, Err):
+            _LOGGER.warning(
+                "forwarded records can't be stored yet",
+                extra={
+                    "event": "forward_waits",
+                    "partition": partition,
+                    "records": len(records),
+                    "detail": appended.err_value.detail,
+                },
+            )
+        while isinstance(appended, Err):
             await trio.sleep(RETRY_PAUSE_S)
+            appended = await self.store.async_append(JOBS_TOPIC, partition, records)
         now_ms, wall_ms = self.owner.times()
         for effect in batch:
             self.owner.handle_event(
--- a/tests/dispatch/test_terms.py
+++ b/tests/dispatch/test_terms.py
@@ -86,3 +86,28 @@
     assert later.state.find_terms(job) is not None
     assert later.state.find_terms(job).priority == 3  # type: ignore[union-attr]
     assert job.due_ms - job.accepted_ms == 2.0 * 500 + 700
+
+
+def test_records_of_an_earlier_release_are_still_read() -> None:
+    """Guards against jobs that are lost while instances are replaced one by one."""
+    earlier = Partition(workers=1)
+    earlier.submit(make_step())
+    job = earlier.job()
+    job.accepted_wall_ms = 1000
+    request = (
+        b'{"queue":"quotes","service":"portal","accepted_wall_ms":1000,'
+        b'"request":{"spec":"s","steps":[{"count":1,"cpu":2000,"memMb":100,"estimatedMs":500}]}}'
+    )
+    progress = (
+        b'{"state":"active","queue":"quotes","service":"portal","accepted_wall_ms":1000,"begun":1,'
+        b'"tasks":[[0,0,0,1,[],false,"",[[1,"w0",false]],0,[1]]]}'
+    )
+    assert encode_progress(job) == progress
+    records = [
+        KeyedRecord(key=f"{REQUEST_PREFIX}{JOB}", value=request, offset=1),
+        KeyedRecord(key=f"{PROGRESS_PREFIX}{JOB}", value=progress, offset=2),
+    ]
+    later = Partition(workers=1)
+    restore_jobs(later.state, read_records(records))
+    assert later.job().state is JobState.ACTIVE
+    assert later.state.find_terms(later.job()) is later.state.queues["quotes"]
