One function says whether a task fits on an empty worker

They are one function over a step, a capacity and labels now (dispatch/fitting.py). Behaviour is the same.

--- a/heatherkeel/dispatch/needs.py
+++ b/heatherkeel/dispatch/needs.py
@@ -11,6 +11,7 @@
 from heatherkeel.questions.messages import Need
 
 from .const import CAPACITY_GRACE_MS, MAX_NEEDS, NEEDS_TURN_MS
+from .fitting import fits_empty
 from .models import Step
 from .open_steps import Urgency, find_urgency
 from .state import Pool
@@ -37,12 +38,7 @@
 
     def holds(self, step: StepRequest) -> bool:
         """Return whether the worker could run a task of a step once its other tasks have ended."""
-        return (
-            (not step.label or step.label in self.labels)
-            and (step.fills or step.cpu <= self.capacity.cpu)
-            and step.memory_mb <= self.capacity.memory_mb
-            and step.gpu <= self.capacity.gpu
-        )
+        return fits_empty(step, self.capacity, self.labels)
 
 
 def find_needs(pool: Pool, starved: list[Step], now_ms: int) -> Needs:
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -7,9 +7,11 @@
 from math import ceil
 
 from heatherkeel.platform.callers import StepRequest
+from heatherkeel.platform.operator import Capacity
 
 from .const import LONG_RUNNING_FRACTION_PER_WORKER, MAX_MISFITS, MAX_STEPS_EXAMINED
 from .events import Effects, SaveJob, StartTask
+from .fitting import fits_empty
 from .limits import is_within_limit, report_waits_for_limit
 from .models import JobState, Run, RunState, Step, Task
 from .pools import find_pool
@@ -81,27 +83,22 @@
 class _Largest:
     """The most of each resource that any worker has in all, and the labels of all of them."""
 
-    cpu: int
-    memory_mb: int
-    gpu: int
+    capacity: Capacity
     labels: set[str]
 
     def holds(self, step: StepRequest) -> bool:
         """Return whether a task of a step could run once others have ended."""
-        return (
-            (step.fills or step.cpu <= self.cpu)
-            and step.memory_mb <= self.memory_mb
-            and step.gpu <= self.gpu
-            and (not step.label or step.label in self.labels)
-        )
+        return fits_empty(step, self.capacity, self.labels)
 
 
 def _find_largest(workers: list[Worker]) -> _Largest:
     capacities = [worker.entry.capacity for worker in workers]
     return _Largest(
-        cpu=max(capacity.cpu for capacity in capacities),
-        memory_mb=max(capacity.memory_mb for capacity in capacities),
-        gpu=max(capacity.gpu for capacity in capacities),
+        capacity=Capacity(
+            cpu=max(capacity.cpu for capacity in capacities),
+            memory_mb=max(capacity.memory_mb for capacity in capacities),
+            gpu=max(capacity.gpu for capacity in capacities),
+        ),
         labels={label for worker in workers for label in worker.entry.labels},
     )
 
--- a/heatherkeel/dispatch/starvation.py
+++ b/heatherkeel/dispatch/starvation.py
@@ -12,6 +12,7 @@
 from heatherkeel.platform.operator import Capacity
 
 from .const import MAX_STARVED, STARVED_MS
+from .fitting import fits_empty
 from .models import Step
 from .placement import can_take
 from .state import Pool
@@ -34,7 +35,9 @@
     waiting.sort(key=lambda step: step.waiting_since_ms)
     largest = find_largest_capacity(pool)
     labels = {label for worker in pool.workers.values() for label in worker.entry.labels}
-    runnable = (step for step in waiting if _is_runnable(step, largest, labels))
+    runnable = (
+        step for step in waiting if largest is None or fits_empty(step.request, largest, labels)
+    )
     starved = list(islice(filter(_has_nothing_running, runnable), MAX_STARVED))
     workers = [worker for worker in pool.workers.values() if worker.accepts_work(now_ms)]
     free_cpu = max((worker.free_cpu() for worker in workers), default=0)
@@ -47,18 +50,6 @@
     return max(capacities, key=lambda capacity: (capacity.cpu, capacity.memory_mb), default=None)
 
 
-def _is_runnable(step: Step, largest: Capacity | None, labels: set[str]) -> bool:
-    request = step.request
-    if largest is None:
-        return True
-    return (
-        (request.fills or request.cpu <= largest.cpu)
-        and request.memory_mb <= largest.memory_mb
-        and request.gpu <= largest.gpu
-        and (not request.label or request.label in labels)
-    )
-
-
 def _has_nothing_running(step: Step) -> bool:
     return bool(step.waiting()) and (step.request.lasts or not step.job.has_runs())
 
