--- a/heatherkeel/directory/layout_reader.py
+++ b/heatherkeel/directory/layout_reader.py
@@ -14,6 +14,7 @@
     LAYOUT_KEY,
     LAYOUT_RETRY_S,
     QUEUE_HOMES_KEY,
+    QUICK_READS,
     WORK_TOPIC,
 )
 from heatherkeel.ownership.partitions import Layout, decode_layout, fleet_partition
@@ -54,9 +55,13 @@
         self.read_s = trio.current_time()
         while True:
             self.changed = trio.Event()
+            reads = 0
             while self._lacks_service() or self._lacks_home():
                 await self._async_read()
-                await trio.sleep(LAYOUT_RETRY_S)
+                reads += 1
+                # The fleet's owner stores a new queue's home at once, or can't for some time.
+                is_soon = self._lacks_service() or reads <= QUICK_READS
+                await trio.sleep(LAYOUT_RETRY_S if is_soon else HOMES_RETRY_S)
             if not self._has_homes() and trio.current_time() - self.read_s >= HOMES_RETRY_S:
                 await self._async_read()
             until_s = math.inf if self._has_homes() else self.read_s + HOMES_RETRY_S
--- a/heatherkeel/ownership/const.py
+++ b/heatherkeel/ownership/const.py
@@ -20,9 +20,11 @@
 LAYOUT_RETRY_S: Final = 0.3
 """Interval between reads of the layout while it lacks a configured service, or the homes lack a
 queue, in seconds."""
+QUICK_READS: Final = 10
+"""Number of reads for a new queue's home at that interval."""
 HOMES_RETRY_S: Final = 2.0
-"""Interval between reads while no homes are stored at all, in seconds. The fleet's owner may be of
-an earlier release, which stores none."""
+"""Interval between further reads, and between reads while no homes are stored at all, in seconds.
+The fleet's owner may be of an earlier release, which stores none."""
 
 TTL_MS: Final = 1800
 """Time without a renewal after which the platform drops a member, in milliseconds.
--- a/heatherkeel/ownership/queue_homes.py
+++ b/heatherkeel/ownership/queue_homes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping
+from typing import Final
 
 import msgspec
 from result import Err, Ok, Result
@@ -11,6 +12,11 @@
 
 from .partitions import Layout
 
+MAX_BYTES: Final = 120_000
+"""Size of all homes, in bytes; less than half of what a record of the store may have."""
+STRUCTURE_BYTES: Final = 32
+"""Size of a home's punctuation and field names in the record, in bytes."""
+
 
 class QueueHome(msgspec.Struct, frozen=True, kw_only=True):
     """The service whose partitions accept a queue's jobs, and all names of the queue since."""
@@ -63,16 +69,31 @@
 def extend_queue_homes(
     known: QueueHomes, queues: Iterable[Queue], layout: Layout, *, unused: Collection[str] = ()
 ) -> QueueHomes:
-    """Return the homes with those of new queues, and without the unused ones."""
+    """Return the homes with those of new queues, and without the unused ones.
+
+    They are one record, which the store refuses for good if it is too large. So queues beyond
+    `MAX_BYTES` get no home, and their jobs are refused.
+    """
     homes = {address: home for address, home in known.homes.items() if address not in unused}
+    size = sum(_measure(address, home) for address, home in homes.items())
     for queue in queues:
-        home = homes.get(queue.address())
+        address = queue.address()
+        home = homes.get(address)
         if home is None and layout.partitions_of(queue.service):
             home = QueueHome(service=queue.service, names=())
-        if home is not None and queue.name not in home.names:
-            home = QueueHome(service=home.service, names=(*home.names, queue.name))
-        if home is not None:
-            homes[queue.address()] = home
+        if home is None or queue.name in home.names:
+            continue
+        home = QueueHome(service=home.service, names=(*home.names, queue.name))
+        added = _measure(address, home)
+        if size + added <= MAX_BYTES:
+            homes[address] = home
+            size += added
     if homes == known.homes and known.revision:
         return known
     return QueueHomes(revision=known.revision + 1, homes=homes)
+
+
+def _measure(address: str, home: QueueHome) -> int:
+    """Return at least how many bytes a home takes in the record; JSON escapes may double it."""
+    names = sum(len(name.encode()) + 3 for name in home.names)
+    return len(address.encode()) + len(home.service.encode()) + names + STRUCTURE_BYTES
--- a/tests/directory/test_layout_reader.py
+++ b/tests/directory/test_layout_reader.py
@@ -8,12 +8,18 @@
 
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.layout_reader import LayoutReader, find_layout
-from heatherkeel.ownership.const import LAYOUT_KEY, QUEUE_HOMES_KEY
+from heatherkeel.ownership.const import (
+    HOMES_RETRY_S,
+    LAYOUT_KEY,
+    LAYOUT_RETRY_S,
+    QUEUE_HOMES_KEY,
+    QUICK_READS,
+)
 from heatherkeel.ownership.partitions import Layout
 from heatherkeel.ownership.queue_homes import QueueHomes
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.framing import KeyedRecord
-from heatherkeel.platform.operator import Service
+from heatherkeel.platform.operator import Configuration, Queue, Service
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.platform.store_answers import NewestRecords
 from heatherkeel.questions.messages import LayoutAnswer
@@ -129,3 +135,28 @@
             nursery.cancel_scope.cancel()
 
     trio.run(async_run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_home_that_is_not_stored_is_read_less_often_after_a_while() -> None:
+    """Guards against a load of reads by all processes while the fleet has no owner."""
+    homes = QueueHomes(revision=1)
+    record_of_homes = KeyedRecord(key=QUEUE_HOMES_KEY, value=homes.encode(), offset=0)
+    store = FakeStore([record(LAYOUT.encode()), record_of_homes])
+    directory = Directory(store=store)
+    directory.state.layout, directory.state.queue_homes = LAYOUT, homes
+    queue = Queue(name="quotes", host="a.example", path_prefix="/q/", service="desk")
+    directory.state.config = Configuration(version=1, queues=[queue])
+
+    async def async_ask_peers() -> LayoutAnswer | None:
+        return None
+
+    reader = LayoutReader(
+        store=store, partitions=4, directory=directory, async_ask_peers=async_ask_peers
+    )
+
+    async def async_run() -> None:
+        with trio.move_on_after(QUICK_READS * LAYOUT_RETRY_S + 5 * HOMES_RETRY_S):
+            await reader.async_run()
+
+    trio.run(async_run, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert QUICK_READS <= store.asked <= QUICK_READS + 6
--- a/tests/ownership/test_queue_homes.py
+++ b/tests/ownership/test_queue_homes.py
@@ -4,6 +4,7 @@
 
 from heatherkeel.ownership.partitions import Layout
 from heatherkeel.ownership.queue_homes import (
+    MAX_BYTES,
     QueueHome,
     QueueHomes,
     decode_queue_homes,
@@ -60,6 +61,15 @@
     assert again.find_service(make_queue("desk")) == "desk"
 
 
+def test_queues_beyond_the_size_of_a_record_get_no_home() -> None:
+    """Guards against a record that the store refuses for good, with all that follows it."""
+    queues = [make_queue("portal", name=f"n{i}", path=f"/{i:060}/") for i in range(2000)]
+    homes = extend_queue_homes(QueueHomes(), queues, LAYOUT)
+    assert 0 < len(homes.homes) < len(queues)
+    assert len(homes.encode()) < 2 * MAX_BYTES
+    assert homes.find_service(queues[0]) == "portal" and homes.find_service(queues[-1]) is None
+
+
 def test_homes_are_stored_and_malformed_ones_are_told() -> None:
     homes = extend_queue_homes(QueueHomes(), [make_queue("portal")], LAYOUT)
     assert decode_queue_homes(homes.encode()).unwrap() == homes
