--- a/heatherkeel/dispatch/forwarding.py
+++ b/heatherkeel/dispatch/forwarding.py
@@ -20,7 +20,7 @@
     RecordForwarded,
     SaveJob,
 )
-from .models import ForwardedJob
+from .models import ForwardedJob, Job
 from .records import (
     CANCEL_PREFIX,
     CANCEL_VALUE,
@@ -47,7 +47,7 @@
             return False
         job = _add_forwarded(state, event, effects)
     if job.workspace != event.workspace:
-        _log_taken_id(job, event)
+        log_taken_id(job, event)
         effects.add(DropRecord(key=make_caller_key(REQUEST_PREFIX, event.job_id, event.workspace)))
         return True
     _forward(job, _make_request_key(job), _encode_forwarded_request(job, event), effects)
@@ -134,13 +134,14 @@
     effects.add(ForwardRecord(job_id=job.id, partition=job.partition, key=key, value=value))
 
 
-def _log_taken_id(job: ForwardedJob, event: JobSubmitted) -> None:
+def log_taken_id(known: Job | ForwardedJob, event: JobSubmitted) -> None:
+    """Log a submission whose ID another workspace's job has: tasks are named by that ID."""
     _LOGGER.warning(
         "job ID is in use by another workspace; its job never runs",
         extra={
             "event": "job_id_taken",
             "job": event.job_id,
             "workspace": event.workspace,
-            "job_workspace": job.workspace,
+            "job_workspace": known.workspace,
         },
     )
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -21,7 +21,7 @@
     SaveJob,
     StopTask,
 )
-from .forwarding import forward_cancel, forward_submission
+from .forwarding import forward_cancel, forward_submission, log_taken_id
 from .models import Job, JobState, Run, RunState
 from .pools import enqueue_step, find_pool, remove_run
 from .registry import handles
@@ -122,17 +122,9 @@
 
 
 def _reject_duplicate(known: Job, event: JobSubmitted, effects: Effects) -> None:
-    """Drop a submission whose ID another workspace's job has: tasks are named by that ID."""
+    """Drop a submission whose ID another workspace's job has."""
     effects.add(ForgetJob(job_id=event.job_id, workspace=event.workspace, only_request=True))
-    _LOGGER.warning(
-        "job ID is in use by another workspace; its job never runs",
-        extra={
-            "event": "job_id_taken",
-            "job": event.job_id,
-            "workspace": event.workspace,
-            "job_workspace": known.workspace,
-        },
-    )
+    log_taken_id(known, event)
 
 
 def _forget_request(job: Job, effects: Effects) -> None:
--- a/tests/dispatch/test_crashing_workers.py
+++ b/tests/dispatch/test_crashing_workers.py
@@ -33,6 +33,17 @@
         partition.tick(50)
 
 
+def run_service_that_crashes_workers() -> CrashingFleet:
+    """Run a long-running job of three tasks for long, of which the first crashes its workers."""
+    partition = Partition(workers=4)
+    partition.submit(make_step(count=3, cpu=6000, **SERVICE))
+    fleet = CrashingFleet(partition, crashing=f"{JOB}.0.0.0")
+    for _ in range(12):
+        fleet.run_round()
+        work(partition, 1000)
+    return fleet
+
+
 def crash_the_newest(fleet: CrashingFleet, *, after_ms: int) -> list[Run]:
     """Crash the worker that got the latest starts, some time after them; returns these."""
     runs = fleet.partition.start_planned_runs()
@@ -60,12 +71,8 @@
 
 def test_task_that_crashes_workers_is_withheld_while_others_of_its_step_serve() -> None:
     """Guards against stopping the sound tasks of a step with a bound on unavailable ones."""
-    partition = Partition(workers=4)
-    partition.submit(make_step(count=3, cpu=6000, **SERVICE))
-    fleet = CrashingFleet(partition, crashing=f"{JOB}.0.0.0")
-    for _ in range(12):
-        fleet.run_round()
-        work(partition, 1000)
+    fleet = run_service_that_crashes_workers()
+    partition = fleet.partition
     assert fleet.crashes == MAX_LASTING_CRASHES
     assert partition.job().state is JobState.ACTIVE
     assert not stopped_runs(partition.effects)
@@ -75,12 +82,7 @@
 
 def test_withheld_task_is_not_started_by_the_next_owner() -> None:
     """Guards against starts of a task that crashes workers after each change of owners."""
-    partition = Partition(workers=4)
-    partition.submit(make_step(count=3, cpu=6000, **SERVICE))
-    fleet = CrashingFleet(partition, crashing=f"{JOB}.0.0.0")
-    for _ in range(12):
-        fleet.run_round()
-        work(partition, 1000)
+    partition = run_service_that_crashes_workers().partition
     later = take_over(partition, workers=4, with_listings=True)
     work(later, 2000)
     assert not later.job().steps()[0].tasks[0].runs
