Sight: bytes and time of answers with the operator's records, and transfers given up

What was missing: whether an answer of the store was cut at its size, how long its bytes took, whether it was given up while it was arriving, and what other processes answered. Nothing is decided by it.

- operator_records: offset, records, missing, bytes, took_ms, the age before it.
- transfer_given_up: received_bytes, took_ms, silent_ms.

--- a/heatherkeel/admission/service.py
+++ b/heatherkeel/admission/service.py
@@ -61,7 +61,7 @@
         read = await self.store.async_read_at_once(JOBS_TOPIC, self.partition, start=start)
         if isinstance(read, Err) or len(read.ok_value.records) > MAX_RECORDS_READ:
             return None
-        if start + len(read.ok_value.records) < read.ok_value.end:
+        if not read.ok_value.is_whole():
             return None
         return frozenset(parse_caller_key(record.key)[0] for record in read.ok_value.records)
 
--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -28,6 +28,7 @@
     decode_worker,
 )
 from heatherkeel.platform.store import StoreClient
+from heatherkeel.platform.store_answers import ReadRecords
 from heatherkeel.workspaces.access import KeyTable, build_key_table
 from heatherkeel.workspaces.amounts import Amount, amount_of_capacity
 
@@ -147,6 +148,8 @@
         self.follows_workers = False
         self.superseded = trio.Event()
         """Set when another process has named a version that is unknown here."""
+        self.on_answer: Callable[[ReadRecords], None] = lambda answer: None
+        """Called with each answer of the store that holds records of the operator."""
         self.unreadable: dict[str, str] = {}
         """Errors of workers' entries that can't be decoded, by key."""
         self.operator = TopicFollower(
@@ -156,6 +159,7 @@
             on_records=self._apply_operator_records,
             on_keys=self._retain_operator_keys,
             on_read=self._record_operator_read,
+            on_answer=self._log_operator_answer,
             wait_ms=round(apply_ms * READ_WAIT_FRACTION),
         )
         self.workers = TopicFollower(
@@ -270,6 +274,7 @@
             return
         records = read.ok_value.records
         if records:
+            self._log_operator_answer(read.ok_value, sent_ms)
             self._apply_added(known.add(records), source="store")
         known.confirm(end=start + len(records), as_of_ms=sent_ms)
 
@@ -280,6 +285,22 @@
             self._apply_added(added, source="peer")
         self.state.operator_records.confirm(end=end, as_of_ms=as_of_ms)
 
+    def _log_operator_answer(self, answer: ReadRecords, sent_ms: int) -> None:
+        self.on_answer(answer)
+        _LOGGER.info(
+            "the store answered with records of the operator",
+            extra={
+                "event": "operator_records",
+                "source": "store",
+                "offset": answer.start,
+                "records": len(answer.records),
+                "missing": answer.end - answer.next_offset(),
+                "bytes": answer.size,
+                "took_ms": monotonic_ms() - sent_ms,
+                "config_age_ms": self.state.config_age_ms(),
+            },
+        )
+
     def _record_operator_read(self, as_of_ms: int) -> None:
         end = self.operator.next_offset
         assert end is not None, "set before each answer is reported"
--- a/heatherkeel/directory/follower.py
+++ b/heatherkeel/directory/follower.py
@@ -12,7 +12,7 @@
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
-from heatherkeel.platform.store_answers import NewestRecords
+from heatherkeel.platform.store_answers import NewestRecords, ReadRecords
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -28,7 +28,8 @@
 
     `on_records` is called with records. `on_keys` is called with all existing keys after the newest
     records have been read again; deletions in forgotten history are only visible this way.
-    `on_read` is called after each answer with `as_of_ms`.
+    `on_read` is called after each answer with `as_of_ms`, `on_answer` with each answer that has
+    records and when it was requested.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         wait_ms: int,
         pause_ms: int = 0,
         on_read: Callable[[int], None] = lambda as_of_ms: None,
+        on_answer: Callable[[ReadRecords, int], None] = lambda answer, sent_ms: None,
     ) -> None:
         self.store = store
         self.topic = topic
@@ -49,6 +51,7 @@
         self.on_records = on_records
         self.on_keys = on_keys
         self.on_read = on_read
+        self.on_answer = on_answer
         self.wait_ms = wait_ms
         self.pause_s = pause_ms / 1000
         self.next_offset: int | None = None
@@ -89,6 +92,7 @@
             case Ok(answer):
                 self.next_offset = start + len(answer.records)
                 if answer.records:
+                    self.on_answer(answer, sent_ms)
                     self.on_records(answer.records)
                 # The store answers without records only after the full wait.
                 waited_ms = 0 if answer.records else wait_ms
--- a/heatherkeel/directory/peer_sync.py
+++ b/heatherkeel/directory/peer_sync.py
@@ -28,6 +28,7 @@
     ROUND_PAUSE_S,
 )
 from .directory import Directory
+from .metrics import PeerAnswer
 from .peers import PeerList
 
 _LOGGER = logging.getLogger(__name__)
@@ -52,12 +53,15 @@
         find_own: Callable[[], str],
         reaches_store: Callable[[], bool],
         async_ask: AsyncAsk,
+        on_question: Callable[[PeerAnswer], None] = lambda answer: None,
     ) -> None:
         self.directory = directory
         self.peers = peers
         self.find_own = find_own
         self.reaches_store = reaches_store
         self.async_ask = async_ask
+        self.on_question = on_question
+        """Called with how each question was answered."""
         self.fruitless_rounds = 0
         """Consecutive rounds after which the records were still too old."""
         self.round_ended = trio.Event()
@@ -160,9 +164,14 @@
         answer = await self.async_ask(address, question, ANSWER_TIMEOUT_S)
         if not isinstance(answer, OperatorAnswer):
             self.peers.record_silence(address)
+            self.on_question(PeerAnswer.SILENT)
             return
         self.peers.record_answer(address, reaches_store=answer.reaches_store)
         self.peers.record_named(answer.peers)
+        has_records = bool(answer.records)
+        self.on_question(PeerAnswer.RECORDS if has_records else PeerAnswer.NOTHING_NEW)
+        if has_records:
+            self._log_records(address, question, answer, asked_ms)
         if answer.age_ms is None:
             return
         self.directory.apply_peer_records(
@@ -177,6 +186,25 @@
         if not self._needs_newer():
             scope.cancel()
 
+    def _log_records(
+        self, address: str, question: OperatorQuestion, answer: OperatorAnswer, asked_ms: int
+    ) -> None:
+        _LOGGER.info(
+            "another process answered with records of the operator",
+            extra={
+                "event": "operator_records",
+                "source": "peer",
+                "address": address,
+                "offset": question.end,
+                "records": len(answer.records),
+                "end": answer.end,
+                "bytes": sum(len(record.value) for record in answer.records),
+                "took_ms": monotonic_ms() - asked_ms,
+                "age_ms": answer.age_ms,
+                "config_age_ms": self.directory.state.config_age_ms(),
+            },
+        )
+
     def _record_behind(self, addresses: Sequence[str]) -> None:
         if self.is_behind:
             return
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -94,6 +94,8 @@
         config_metrics = ConfigMetrics(
             registry=self.metrics.registry, directory=self.directory.state
         )
+        self.directory.on_answer = config_metrics.observe_answer
+        self.store.on_given_up = config_metrics.observe_given_up
         self.holders = HolderCache(store=self.store)
         self.owners: dict[int, PartitionOwner] = {}
         self.unused_partitions: dict[int, int] = {}
@@ -116,6 +118,7 @@
             find_own=lambda: self.links.address,
             reaches_store=route.is_served,
             async_ask=self._async_ask_operator,
+            on_question=config_metrics.count_question,
         )
         partitions = settings.store.partitions
         self.layouts = LayoutReader(
--- a/heatherkeel/platform/caller.py
+++ b/heatherkeel/platform/caller.py
@@ -11,6 +11,7 @@
 
 from .connections import ConnectionLostError, ConnectionPool, NoConnectionError, make_request
 from .errors import CallError, Failure
+from .transfer import Transfer, begin_transfer
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -40,6 +41,7 @@
         body: bytes | None = None,
         headers: Sequence[tuple[str, str]] = (),
         timeout_s: float,
+        transfer: Transfer | None = None,
     ) -> Result[Reply, CallError]:
         """Make one call; errors are REFUSED (never sent) or UNKNOWN (sent, not answered).
 
@@ -49,7 +51,9 @@
         try:
             request = make_request(method, target, host=self.address, headers=sent, body=body)
             with trio.move_on_after(timeout_s):
-                response = await self.pool.async_request(request, body)
+                response = await self.pool.async_request(
+                    request, body, transfer or begin_transfer()
+                )
                 return Ok(Reply(status=response.status, body=response.body))
         except NoConnectionError as err:
             return Err(CallError(failure=Failure.REFUSED, detail=str(err)))
--- a/heatherkeel/platform/connections.py
+++ b/heatherkeel/platform/connections.py
@@ -16,6 +16,7 @@
 import trio
 
 from .const import CONNECT_TIMEOUT_S, KEEP_ALIVE_S
+from .transfer import Transfer
 
 MAX_PORT: Final = 65535
 RECEIVE_BYTES: Final = 64 * 1024
@@ -73,11 +74,13 @@
         self.protocol.start_next_cycle()
         return True
 
-    async def async_exchange(self, request: h11.Request, body: bytes | None) -> Response:
-        """Send a request and return its response."""
+    async def async_exchange(
+        self, request: h11.Request, body: bytes | None, transfer: Transfer
+    ) -> Response:
+        """Send a request and return its response, whose bytes `transfer` records."""
         try:
             await self._async_send(request, body)
-            return await self._async_receive()
+            return await self._async_receive(transfer)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as err:
             raise ConnectionLostError from err
 
@@ -93,14 +96,16 @@
             # The other end may have answered before it closed the connection.
             return
 
-    async def _async_receive(self) -> Response:
+    async def _async_receive(self, transfer: Transfer) -> Response:
         status = 0
         parts = []
         while True:
             event = self.protocol.next_event()
             match event:
                 case h11.NEED_DATA:
-                    self.protocol.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
+                    data = await self.stream.receive_some(RECEIVE_BYTES)
+                    transfer.record(len(data))
+                    self.protocol.receive_data(data)
                 case h11.Response():
                     status = event.status_code
                 case h11.Data():
@@ -129,7 +134,9 @@
         self.open.clear()
         self.idle.clear()
 
-    async def async_request(self, request: h11.Request, body: bytes | None) -> Response:
+    async def async_request(
+        self, request: h11.Request, body: bytes | None, transfer: Transfer
+    ) -> Response:
         """Send a request on an idle or a new connection, and return its response.
 
         A connection is closed unless its response has arrived completely.
@@ -140,16 +147,20 @@
             await self.slots.acquire()
         try:
             connection = self._take_idle() or await self._async_connect()
-            return await self._async_exchange(connection, request, body)
+            return await self._async_exchange(connection, request, body, transfer)
         finally:
             self.slots.release()
 
     async def _async_exchange(
-        self, connection: Connection, request: h11.Request, body: bytes | None
+        self,
+        connection: Connection,
+        request: h11.Request,
+        body: bytes | None,
+        transfer: Transfer,
     ) -> Response:
         is_kept = False
         try:
-            response = await connection.async_exchange(request, body)
+            response = await connection.async_exchange(request, body, transfer)
             is_kept = connection in self.open and connection.end_exchange()
             return response
         finally:
--- a/heatherkeel/platform/route.py
+++ b/heatherkeel/platform/route.py
@@ -9,6 +9,7 @@
 
 from .caller import HttpCaller, Reply
 from .errors import CallError
+from .transfer import Transfer
 
 _TARGETS = "/heatherkeel/log-"
 
@@ -23,6 +24,8 @@
     timeout_s: float
     wait_s: float = 0.0
     """How long a read waits for a record, in seconds; such a read can be cancelled and repeated."""
+    transfer: Transfer | None = None
+    """Records what arrives of the answer to a direct call."""
 
     @property
     def waits(self) -> bool:
@@ -47,5 +50,9 @@
     async def async_call(self, caller: HttpCaller, call: StoreCall) -> Result[Reply, CallError]:
         """Make one call."""
         return await caller.async_call(
-            call.method, call.target, body=call.body, timeout_s=call.timeout_s
+            call.method,
+            call.target,
+            body=call.body,
+            timeout_s=call.timeout_s,
+            transfer=call.transfer,
         )
--- a/heatherkeel/platform/store.py
+++ b/heatherkeel/platform/store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Final
 from urllib.parse import urlencode
@@ -28,6 +30,9 @@
     decode_holders,
     decode_item,
 )
+from .transfer import Transfer, begin_transfer
+
+_LOGGER = logging.getLogger(__name__)
 
 WRITE_TIMEOUT_S: Final = 3.5
 """Longest timeout of an append, in seconds. A partition refuses appends that would wait for 2 s,
@@ -108,6 +113,8 @@
         """Reads in progress that wait for records, with the time at which they are overdue, in
         seconds of trio's clock."""
         self.health: dict[tuple[str, int], PartitionHealth] = {}
+        self.on_given_up: Callable[[Transfer], None] = lambda transfer: None
+        """Called with each transfer of a read that was given up after bytes had arrived."""
 
     async def close(self) -> None:
         """Close all connections."""
@@ -199,11 +206,15 @@
         """Read from an offset directly, without waiting and with a short timeout."""
         query = urlencode({"topic": topic, "part": partition, "from": start})
         call = StoreCall(
-            method="GET", target=f"/heatherkeel/log-read?{query}", timeout_s=self._overdue_s()
+            method="GET",
+            target=f"/heatherkeel/log-read?{query}",
+            timeout_s=self._overdue_s(),
+            transfer=begin_transfer(),
         )
         called = await DirectRoute().async_call(self.reads, call)
         if isinstance(called, Ok):
             self._cancel_overdue()
+        self._record_read(call, called)
         return _decode_read(called, start=start)
 
     async def async_read_newest(
@@ -286,14 +297,41 @@
     async def _async_get(
         self, target: str, *, timeout_s: float = READ_TIMEOUT_S, wait_s: float = 0.0
     ) -> Result[Reply, CallError]:
-        call = StoreCall(method="GET", target=target, timeout_s=timeout_s, wait_s=wait_s)
+        call = StoreCall(
+            method="GET",
+            target=target,
+            timeout_s=timeout_s,
+            wait_s=wait_s,
+            transfer=begin_transfer(),
+        )
         if call.waits:
-            return await self._async_wait(call)
-        began_s = trio.current_time()
-        called = await self._async_call(self.reads, call)
-        _update_timeout(self.read_timeout, called, trio.current_time() - began_s)
+            called = await self._async_wait(call)
+        else:
+            began_s = trio.current_time()
+            called = await self._async_call(self.reads, call)
+            _update_timeout(self.read_timeout, called, trio.current_time() - began_s)
+        self._record_read(call, called)
         return called
 
+    def _record_read(self, call: StoreCall, called: Result[Reply, CallError]) -> None:
+        """Record a read that has ended without its whole answer, although bytes had arrived."""
+        transfer = call.transfer
+        if transfer is None or transfer.heard_s is None or isinstance(called, Ok):
+            return
+        now_s = trio.current_time()
+        self.on_given_up(transfer)
+        _LOGGER.warning(
+            "an answer of the store that was arriving was given up",
+            extra={
+                "event": "transfer_given_up",
+                "target": call.target,
+                "received_bytes": transfer.received_bytes,
+                "took_ms": round(1000 * (now_s - transfer.began_s)),
+                "silent_ms": round(1000 * (now_s - transfer.heard_s)),
+                "detail": called.err_value.detail,
+            },
+        )
+
     async def _async_wait(self, call: StoreCall) -> Result[Reply, CallError]:
         """Make a read that waits for records; give it up if it is overdue and others are answered.
 
@@ -361,7 +399,7 @@
         end, _, records = decode_read(checked.ok_value.body, start=start)
     except FramingError as err:
         return Err(CallError(failure=Failure.INVALID, detail=str(err)))
-    return Ok(ReadRecords(end=end, records=records))
+    return Ok(ReadRecords(start=start, end=end, records=records, size=len(checked.ok_value.body)))
 
 
 def _update_timeout(
--- a/heatherkeel/platform/store_answers.py
+++ b/heatherkeel/platform/store_answers.py
@@ -21,10 +21,24 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadRecords:
-    """Records from an offset on, and the end of the log."""
+    """Records from an offset on, and the end of the log.
 
+    The store cuts its answers at a size, so that there may be more records before the end.
+    """
+
+    start: int
     end: int
     records: list[KeyedRecord]
+    size: int = 0
+    """Size of the answer, in bytes."""
+
+    def next_offset(self) -> int:
+        """Return the offset behind the last record."""
+        return self.start + len(self.records)
+
+    def is_whole(self) -> bool:
+        """Return whether the log held no further records when the store answered."""
+        return self.next_offset() >= self.end
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/admission/test_service.py
+++ b/tests/admission/test_service.py
@@ -47,7 +47,7 @@
             KeyedRecord(key=make_caller_key("j", job_id, "desk"), value=b"1")
             for job_id in self.job_ids
         ]
-        return Ok(ReadRecords(end=start + len(records), records=records))
+        return Ok(ReadRecords(start=start, end=start + len(records), records=records))
 
 
 def make_service(store: ReadStore) -> AdmissionService:
--- a/tests/directory/test_follower.py
+++ b/tests/directory/test_follower.py
@@ -34,7 +34,7 @@
             await trio.sleep_forever()
         self.answered = True
         await trio.sleep(self.delay_s)
-        return Ok(ReadRecords(end=len(self.records), records=self.records))
+        return Ok(ReadRecords(start=start, end=len(self.records), records=self.records))
 
 
 async def async_read_once(records: list[KeyedRecord], *, delay_s: float) -> int:
--- a/tests/dispatch/test_job_feed.py
+++ b/tests/dispatch/test_job_feed.py
@@ -79,7 +79,7 @@
                 await trio.sleep(POLL_S)
         if start < self.first:
             return Err(CallError(failure=Failure.FORGOTTEN, number=self.first))
-        return Ok(ReadRecords(end=len(self.records), records=self.records[start:]))
+        return Ok(ReadRecords(start=start, end=len(self.records), records=self.records[start:]))
 
     async def async_read_newest(
         self, topic: str, partition: int, *, after_key: str = ""
