Stand-in platform: a link with a bandwidth, and answers cut at maxKb

Reads returned all records at once whatever their size, over a link without limits, so no test could show what large records do to a small machine. An answer ends when its caller closes the connection.

--- a/heatherkeel/standins/keyed_log.py
+++ b/heatherkeel/standins/keyed_log.py
@@ -15,6 +15,8 @@
 REPEATS: Final = 5
 """Number of a producer's last appends whose answers are given again to a repeat."""
 LENGTH_BYTES: Final = 4
+MAX_READ_KB: Final = 1024
+"""Size at which an answer to a read is cut, unless the call names another one."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -146,12 +148,11 @@
         start = int(query["from"])
         if start < log.first:
             return Answer(status=410, body={"first": log.first})
-        records = log.records[start:]
-        if not records and int(query.get("waitMs", "0")):
+        if start >= log.end() and int(query.get("waitMs", "0")):
             return None
         head = log.end().to_bytes(8, "big") + log.first.to_bytes(8, "big")
-        framed = [len(record).to_bytes(LENGTH_BYTES, "big") + record for record in records]
-        return Answer(body=head + b"".join(framed))
+        room = 1024 * int(query.get("maxKb", MAX_READ_KB))
+        return Answer(body=head + _frame(log.records[start:], room=room))
 
     def read_newest(self, query: dict[str, str]) -> Answer:
         """Return a page of the newest records."""
@@ -227,3 +228,14 @@
         group = self.groups.setdefault(query["group"], Group())
         rows = [[*place, holder, 0] for place, holder in sorted(group.holders.items())]
         return Answer(body={"parts": rows})
+
+
+def _frame(records: list[bytes], *, room: int) -> bytes:
+    """Return the first record and those after it that have room, each behind its length."""
+    framed: list[bytes] = []
+    for record in records:
+        room -= LENGTH_BYTES + len(record)
+        if framed and room < 0:
+            break
+        framed.append(len(record).to_bytes(LENGTH_BYTES, "big") + record)
+    return b"".join(framed)
--- a/heatherkeel/standins/users_platform.py
+++ b/heatherkeel/standins/users_platform.py
@@ -18,7 +18,6 @@
     Receive,
     Request,
     Send,
-    async_respond,
     async_run_lifespan,
     parse_request,
 )
@@ -28,6 +27,7 @@
 from .fleet_worker import FIRST_CLOCK_MS, FleetWorker, WorkOf
 from .history import TaskEvent
 from .keyed_log import Answer, KeyedLog
+from .link import PIECE_BYTES, Link
 from .store_api import LOOK_S, StoreApi
 from .worker_api import WorkerApi, make_ticket
 
@@ -92,8 +92,11 @@
         self.store_api = StoreApi(log=self.log, faults=self.faults)
         self.worker_api = WorkerApi(faults=self.faults)
         self.store = HttpServer(app=self._app(self.store_api.async_handle), bind="127.0.0.1:0")
+        self.side_link = Link()
+        """Carries the answers of the store's second address."""
         self.side_store = HttpServer(
-            app=self._app(self.store_api.async_handle_side), bind="127.0.0.1:0"
+            app=self._app(self.store_api.async_handle_side, link=self.side_link),
+            bind="127.0.0.1:0",
         )
         """The same store at a second address, for processes that it turns away alone."""
         self.cloud = HttpServer(app=self._app(self._async_cloud), bind="127.0.0.1:0")
@@ -225,7 +228,7 @@
         for worker_id, value in entries.items():
             self.log.put("keyed.servers", worker_id, value)
 
-    def _app(self, handle: Handle) -> App:
+    def _app(self, handle: Handle, *, link: Link | None = None) -> App:
         async def async_app(scope: Message, receive: Receive, send: Send) -> None:
             if scope["type"] == "lifespan":
                 return await async_run_lifespan(receive, send)
@@ -233,9 +236,7 @@
             body = await request.async_body(limit_bytes=_BODY_BYTES)
             data = b"" if isinstance(body, Err) else body.ok_value
             answer = await handle(request, data)
-            raw = answer.body
-            content = raw if isinstance(raw, bytes) else msgspec.json.encode(raw)
-            return await async_respond(send, status=answer.status, body=content)
+            return await _async_respond(answer, receive, send, link or Link())
 
         return async_app
 
@@ -296,3 +297,25 @@
     ) -> None:
         await trio.sleep(after_s)
         await self._async_boot(machine, earlier)
+
+
+async def _async_respond(answer: Answer, receive: Receive, send: Send, link: Link) -> None:
+    """Send an answer over a link, until the caller closes its connection."""
+    content = answer.body if isinstance(answer.body, bytes) else msgspec.json.encode(answer.body)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_async_cancel_at_disconnect, receive, nursery.cancel_scope)
+        length = str(len(content)).encode()
+        headers = [(b"content-type", b"application/json"), (b"content-length", length)]
+        await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+        for place in range(0, len(content), PIECE_BYTES):
+            piece = content[place : place + PIECE_BYTES]
+            await link.async_pass(len(piece))
+            await send({"type": "http.response.body", "body": piece, "more_body": True})
+        await send({"type": "http.response.body", "body": b""})
+        nursery.cancel_scope.cancel()
+
+
+async def _async_cancel_at_disconnect(receive: Receive, scope: trio.CancelScope) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
