What a process knows of a topic is as old as the oldest record that it may lack

What callers saw: 404 for a queue of version 14 by a process that had just put version 11 in force and took it for 2.2 s old; the store had held version 14 for 2.7 s when the read was sent.

Cause: the store cuts its answers at a size, and the end of the log that an answer carries was looked at by no reader. The time of a cut answer passed for the time at which all records were known, and other processes took it over.

Fix: Coverage joins what answers prove, for every reader of a topic (reads that wait, reads at once, newest records, other processes, owners' jobs). The time at which the log had an end counts only once all records before it are known. The state machine cuts answers at any size; with the old rule it fails.

--- a/heatherkeel/directory/coverage.py
+++ b/heatherkeel/directory/coverage.py
@@ -52,6 +52,10 @@
             self.as_of_ms = max(known_ms, sighting.seen_ms)
         self.sightings = kept[len(reached) :][:MAX_SIGHTINGS]
 
+    def confirm(self, *, end: int, as_of_ms: int) -> None:
+        """Record that all records before `end` are known, and that there were no more at a time."""
+        self.apply(Reading(known_end=end, log_end=end, seen_ms=as_of_ms))
+
     def is_cut(self) -> bool:
         """Return whether the log is known to have further records."""
         return bool(self.sightings)
--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -33,6 +33,7 @@
 from heatherkeel.workspaces.amounts import Amount, amount_of_capacity
 
 from .const import DEFAULT_APPLY_MS, MAX_AGE_FRACTION, MISLED_MS, READ_WAIT_FRACTION
+from .coverage import Reading
 from .follower import TopicFollower
 from .records import OperatorRecords
 
@@ -272,18 +273,18 @@
         read = await self.store.async_read_at_once(CONFIG_TOPIC, 0, start=start)
         if isinstance(read, Err):
             return
-        records = read.ok_value.records
-        if records:
-            self._log_operator_answer(read.ok_value, sent_ms)
-            self._apply_added(known.add(records), source="store")
-        known.confirm(end=start + len(records), as_of_ms=sent_ms)
-
-    def apply_peer_records(self, records: list[KeyedRecord], *, end: int, as_of_ms: int) -> None:
-        """Apply records that another process knew; it had all before `end` at `as_of_ms`."""
+        answer = read.ok_value
+        if answer.records:
+            self._log_operator_answer(answer, sent_ms)
+            self._apply_added(known.add(answer.records), source="store")
+        known.apply(Reading(known_end=answer.next_offset(), log_end=answer.end, seen_ms=sent_ms))
+
+    def apply_peer_records(self, records: list[KeyedRecord], reading: Reading) -> None:
+        """Apply records that another process knew."""
         added = self.state.operator_records.add(records)
         if added:
             self._apply_added(added, source="peer")
-        self.state.operator_records.confirm(end=end, as_of_ms=as_of_ms)
+        self.state.operator_records.apply(reading)
 
     def _log_operator_answer(self, answer: ReadRecords, sent_ms: int) -> None:
         self.on_answer(answer)
@@ -301,10 +302,8 @@
             },
         )
 
-    def _record_operator_read(self, as_of_ms: int) -> None:
-        end = self.operator.next_offset
-        assert end is not None, "set before each answer is reported"
-        self.state.operator_records.confirm(end=end, as_of_ms=as_of_ms)
+    def _record_operator_read(self, reading: Reading) -> None:
+        self.state.operator_records.apply(reading)
 
     def _apply_operator_records(self, records: list[KeyedRecord]) -> None:
         self._apply_added(self.state.operator_records.add(records), source="store")
--- a/heatherkeel/directory/follower.py
+++ b/heatherkeel/directory/follower.py
@@ -14,6 +14,8 @@
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.platform.store_answers import NewestRecords, ReadRecords
 
+from .coverage import Coverage, Reading
+
 _LOGGER = logging.getLogger(__name__)
 
 RETRY_PAUSE_S = 0.3
@@ -28,7 +30,7 @@
 
     `on_records` is called with records. `on_keys` is called with all existing keys after the newest
     records have been read again; deletions in forgotten history are only visible this way.
-    `on_read` is called after each answer with `as_of_ms`, `on_answer` with each answer that has
+    `on_read` is called after each answer with what it proves, `on_answer` with each answer that has
     records and when it was requested.
     """
 
@@ -42,7 +44,7 @@
         on_keys: Callable[[set[str]], None],
         wait_ms: int,
         pause_ms: int = 0,
-        on_read: Callable[[int], None] = lambda as_of_ms: None,
+        on_read: Callable[[Reading], None] = lambda reading: None,
         on_answer: Callable[[ReadRecords, int], None] = lambda answer, sent_ms: None,
     ) -> None:
         self.store = store
@@ -59,8 +61,7 @@
         self.connected = True
         self.read_ms = monotonic_ms()
         """When the store last answered a read."""
-        self.as_of_ms: int | None = None
-        """Monotonic time up to which all records are known; None before the first read."""
+        self.coverage = Coverage()
 
     async def async_run(self) -> None:
         """Follow until cancelled."""
@@ -81,7 +82,8 @@
         self.on_keys({record.key for record in records if record.value})
         self.on_records(records)
         self.next_offset = page.end
-        self._record_success(as_of_ms=sent_ms)
+        reading = Reading(known_end=page.end, log_end=page.end, seen_ms=sent_ms)
+        self._record_success(reading)
         return None
 
     async def _async_read_next(self, start: int) -> None:
@@ -90,13 +92,18 @@
         read = await self.store.async_read(self.topic, self.partition, start=start, wait_ms=wait_ms)
         match read:
             case Ok(answer):
-                self.next_offset = start + len(answer.records)
+                self.next_offset = answer.next_offset()
                 if answer.records:
                     self.on_answer(answer, sent_ms)
                     self.on_records(answer.records)
                 # The store answers without records only after the full wait.
                 waited_ms = 0 if answer.records else wait_ms
-                self._record_success(as_of_ms=min(sent_ms + waited_ms, monotonic_ms()))
+                reading = Reading(
+                    known_end=self.next_offset,
+                    log_end=answer.end,
+                    seen_ms=min(sent_ms + waited_ms, monotonic_ms()),
+                )
+                self._record_success(reading)
                 if self.pause_s:
                     await trio.sleep(self.pause_s)
             case Err(error) if error.failure is Failure.FORGOTTEN:
@@ -114,15 +121,22 @@
         After an answer with records it isn't known whether there are more, so that a full wait
         would let the age grow to twice the wait.
         """
-        if self.as_of_ms is None:
+        as_of_ms = self.coverage.as_of_ms
+        if as_of_ms is None:
             return self.wait_ms
-        return max(SHORTEST_WAIT_MS, self.wait_ms - (now_ms - self.as_of_ms))
+        return max(SHORTEST_WAIT_MS, self.wait_ms - (now_ms - as_of_ms))
+
+    def begin_after(self, reading: Reading) -> None:
+        """Follow the records behind those that were read elsewhere."""
+        self.next_offset = reading.known_end
+        self.coverage = Coverage()
+        self.coverage.apply(reading)
 
-    def _record_success(self, *, as_of_ms: int) -> None:
+    def _record_success(self, reading: Reading) -> None:
         """Record an answer, which may have been delayed and so is older than its arrival."""
         self.read_ms = monotonic_ms()
-        self.as_of_ms = as_of_ms
-        self.on_read(as_of_ms)
+        self.coverage.apply(reading)
+        self.on_read(reading)
         self.caught_up.set()
         if not self.connected:
             self.connected = True
--- a/heatherkeel/directory/peer_sync.py
+++ b/heatherkeel/directory/peer_sync.py
@@ -27,6 +27,7 @@
     PEERS_PER_ROUND,
     ROUND_PAUSE_S,
 )
+from .coverage import Reading
 from .directory import Directory
 from .metrics import PeerAnswer
 from .peers import PeerList
@@ -179,9 +180,8 @@
                 KeyedRecord(key=record.key, value=record.value, offset=record.offset)
                 for record in answer.records
             ],
-            end=answer.end,
             # The answer's age grew while it was on its way, by less than the question took.
-            as_of_ms=asked_ms - answer.age_ms,
+            Reading(known_end=answer.end, log_end=answer.end, seen_ms=asked_ms - answer.age_ms),
         )
         if not self._needs_newer():
             scope.cancel()
--- a/heatherkeel/dispatch/job_feed.py
+++ b/heatherkeel/dispatch/job_feed.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from heatherkeel.directory.coverage import Reading
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.follower import TopicFollower, async_read_newest_with_retry
 from heatherkeel.helpers.clock import monotonic_ms, wall_ms
@@ -45,12 +46,11 @@
 
     async def async_read(self) -> list[KeyedRecord]:
         """Return the newest records; `async_run` continues after them."""
-        as_of_ms = monotonic_ms()
+        sent_ms = monotonic_ms()
         read = await async_read_newest_with_retry(
             self.follower.store, JOBS_TOPIC, self.follower.partition
         )
-        self.follower.as_of_ms = as_of_ms
-        self.follower.next_offset = read.end
+        self.follower.begin_after(Reading(known_end=read.end, log_end=read.end, seen_ms=sent_ms))
         return read.records
 
     async def async_run(self) -> None:
@@ -60,7 +60,7 @@
 
     def as_of_ms(self) -> int | None:
         """Return as of when all records are known, on the monotonic clock; None before it runs."""
-        return self.follower.as_of_ms if self.is_following else None
+        return self.follower.coverage.as_of_ms if self.is_following else None
 
     def next_offset(self) -> int | None:
         """Return the offset up to which records are known; None before it runs."""
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -9,6 +9,7 @@
 import trio
 from result import Ok
 
+from heatherkeel.directory.coverage import Reading
 from heatherkeel.directory.directory import Directory
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.ownership.const import KEEP_REMOVED_MS
@@ -161,7 +162,7 @@
 def test_process_that_names_absurd_versions_keeps_no_other_from_serving() -> None:
     """Guards against refusing every request for as long as a faulty process names versions."""
     directory = make_directory()
-    directory.apply_peer_records([configuration(7)], end=1, as_of_ms=0)
+    directory.apply_peer_records([configuration(7)], Reading(known_end=1, log_end=1, seen_ms=0))
     refused = 0
     for number in range(50):
         directory.record_named_version(10**9 + number)
--- a/tests/directory/test_follower.py
+++ b/tests/directory/test_follower.py
@@ -9,7 +9,6 @@
 from result import Ok, Result
 
 from heatherkeel.directory.follower import TopicFollower
-from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.platform.errors import CallError
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
@@ -53,8 +52,9 @@
         nursery.start_soon(follower.async_run)
         await follower.caught_up.wait()
         nursery.cancel_scope.cancel()
-    assert follower.as_of_ms is not None
-    return monotonic_ms() - follower.as_of_ms
+    age_ms = follower.coverage.age_ms()
+    assert age_ms is not None
+    return age_ms
 
 
 @trio.testing.trio_test
--- a/tests/directory/test_records_machine.py
+++ b/tests/directory/test_records_machine.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, invariant, rule
 
+from heatherkeel.directory.coverage import Reading
 from heatherkeel.directory.records import OperatorRecords
 from heatherkeel.platform.framing import KeyedRecord
 
@@ -19,8 +20,7 @@
 
     receiver: OperatorRecords
     records: list[KeyedRecord]
-    end: int
-    as_of_ms: int
+    reading: Reading
 
 
 class RecordsMachine(RuleBasedStateMachine):
@@ -53,18 +53,38 @@
         target=answers,
         receiver=st.integers(min_value=0, max_value=PROCESSES - 1),
         waited_ms=st.integers(min_value=0, max_value=900),
+        most=st.integers(min_value=1, max_value=4),
     )
-    def read_store(self, receiver: int, waited_ms: int) -> Delivery:
+    def read_store(self, receiver: int, waited_ms: int, most: int) -> Delivery:
+        """Read from the known end on; the store cuts its answer at a size."""
         sent_ms, start = self.now_ms, self.known[receiver].end
-        records = [record for _, record in self.written[start:]]
+        records = [record for _, record in self.written[start : start + most]]
         if not records:
             self.now_ms += waited_ms
-        as_of_ms = sent_ms if records else sent_ms + waited_ms
+        seen_ms = sent_ms if records else sent_ms + waited_ms
         return Delivery(
             receiver=self.known[receiver],
             records=records,
-            end=start + len(records),
-            as_of_ms=as_of_ms,
+            reading=Reading(
+                known_end=start + len(records), log_end=len(self.written), seen_ms=seen_ms
+            ),
+        )
+
+    @rule(
+        target=answers,
+        receiver=st.integers(min_value=0, max_value=PROCESSES - 1),
+        written_between=st.integers(min_value=0, max_value=2),
+    )
+    def read_newest(self, receiver: int, written_between: int) -> Delivery:
+        """Read the newest record of each key; its pages are no snapshot."""
+        sent_ms, end = self.now_ms, len(self.written)
+        for _ in range(written_between):
+            self.write("config")
+        newest = {record.key: record for _, record in self.written}
+        return Delivery(
+            receiver=self.known[receiver],
+            records=sorted(newest.values(), key=lambda record: record.offset),
+            reading=Reading(known_end=end, log_end=end, seen_ms=sent_ms),
         )
 
     @rule(
@@ -82,8 +102,11 @@
         return Delivery(
             receiver=self.known[receiver],
             records=other.list_from(start),
-            end=other.end,
-            as_of_ms=asked_ms - (self.now_ms - other.as_of_ms),
+            reading=Reading(
+                known_end=other.end,
+                log_end=other.end,
+                seen_ms=asked_ms - (self.now_ms - other.as_of_ms),
+            ),
         )
 
     @rule(answer=answers)
@@ -91,7 +114,7 @@
         if answer is None:
             return
         answer.receiver.add(answer.records)
-        answer.receiver.confirm(end=answer.end, as_of_ms=answer.as_of_ms)
+        answer.receiver.apply(answer.reading)
 
     @rule(process=st.integers(min_value=0, max_value=PROCESSES - 1))
     def restart(self, process: int) -> None:
