An answer that keeps arriving is read to its end; silence still ends it as early as before

What callers saw: 503 (config_outdated) for ten seconds by processes that took in 500 kB/s and used 1 to 4% of a core.

Cause: the time of bytes counted as the time of a call. A read that waits was dropped 0.3 s after its wait as soon as any other call was answered, a read at once 0.3 s after it was sent, also while their bodies were arriving, and began again from the first byte. The time of the bytes also made the store look slow.

Fix: Transfer records what arrives of a response. A call's deadline moves on while bytes come, by 0.5 s after the last ones and by 20 s at most; a waiting read is overdue only if nothing is arriving; response times end with the first byte.

--- a/heatherkeel/platform/caller.py
+++ b/heatherkeel/platform/caller.py
@@ -45,18 +45,24 @@
     ) -> Result[Reply, CallError]:
         """Make one call; errors are REFUSED (never sent) or UNKNOWN (sent, not answered).
 
-        A call that times out closes its connection, and the next call opens a new one.
+        A call that times out closes its connection, and the next call opens a new one. A response
+        whose bytes keep arriving is awaited beyond `timeout_s`: on a small link, a large one takes
+        longer, and would never arrive however often it is requested.
         """
+        transfer = transfer or begin_transfer()
         sent = [("content-type", "application/json"), *headers] if body is not None else headers
         try:
             request = make_request(method, target, host=self.address, headers=sent, body=body)
-            with trio.move_on_after(timeout_s):
-                response = await self.pool.async_request(
-                    request, body, transfer or begin_transfer()
-                )
+            with trio.move_on_after(timeout_s) as scope:
+                transfer.on_bytes = lambda: _extend(scope, transfer)
+                response = await self.pool.async_request(request, body, transfer)
                 return Ok(Reply(status=response.status, body=response.body))
         except NoConnectionError as err:
             return Err(CallError(failure=Failure.REFUSED, detail=str(err)))
         except (ConnectionLostError, h11.ProtocolError) as err:
             return Err(CallError(failure=Failure.UNKNOWN, detail=str(err) or type(err).__name__))
         return Err(CallError(failure=Failure.UNKNOWN, detail="no answer in time", is_timeout=True))
+
+
+def _extend(scope: trio.CancelScope, transfer: Transfer) -> None:
+    scope.deadline = max(scope.deadline, transfer.deadline_s())
--- a/heatherkeel/platform/store.py
+++ b/heatherkeel/platform/store.py
@@ -93,6 +93,19 @@
         )
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WaitingRead:
+    """A read in progress that waits for records."""
+
+    overdue_s: float
+    """When its answer should have begun to arrive, in seconds of trio's clock."""
+    transfer: Transfer
+
+    def is_overdue(self) -> bool:
+        """Return whether it is late, and nothing of its answer is arriving."""
+        return trio.current_time() >= self.overdue_s and not self.transfer.is_arriving()
+
+
 class StoreClient:
     """Client of the store, with separate connections for writes, reads and group calls."""
 
@@ -109,9 +122,8 @@
         self.join_timeout = AdaptiveTimeout(shortest_s=SHORTEST_TIMEOUT_S, longest_s=JOIN_TIMEOUT_S)
         self.read_timeout = AdaptiveTimeout(shortest_s=SHORTEST_TIMEOUT_S, longest_s=READ_TIMEOUT_S)
         """Learned from reads, and used only to estimate how slow the store is."""
-        self.waiting_reads: dict[trio.CancelScope, float] = {}
-        """Reads in progress that wait for records, with the time at which they are overdue, in
-        seconds of trio's clock."""
+        self.waiting_reads: dict[trio.CancelScope, WaitingRead] = {}
+        """Reads in progress that wait for records."""
         self.health: dict[tuple[str, int], PartitionHealth] = {}
         self.on_given_up: Callable[[Transfer], None] = lambda transfer: None
         """Called with each transfer of a read that was given up after bytes had arrived."""
@@ -297,19 +309,21 @@
     async def _async_get(
         self, target: str, *, timeout_s: float = READ_TIMEOUT_S, wait_s: float = 0.0
     ) -> Result[Reply, CallError]:
+        transfer = begin_transfer()
         call = StoreCall(
             method="GET",
             target=target,
             timeout_s=timeout_s,
             wait_s=wait_s,
-            transfer=begin_transfer(),
+            transfer=transfer,
         )
         if call.waits:
-            called = await self._async_wait(call)
+            called = await self._async_wait(call, transfer)
         else:
-            began_s = trio.current_time()
             called = await self._async_call(self.reads, call)
-            _update_timeout(self.read_timeout, called, trio.current_time() - began_s)
+            # Without the time of its bytes, which says nothing of the store.
+            took_s = transfer.response_time_s(trio.current_time())
+            _update_timeout(self.read_timeout, called, took_s)
         self._record_read(call, called)
         return called
 
@@ -332,7 +346,7 @@
             },
         )
 
-    async def _async_wait(self, call: StoreCall) -> Result[Reply, CallError]:
+    async def _async_wait(self, call: StoreCall, transfer: Transfer) -> Result[Reply, CallError]:
         """Make a read that waits for records; give it up if it is overdue and others are answered.
 
         Its answer may have been lost, in an outage that is over or on a connection that has gone
@@ -342,8 +356,9 @@
         async with trio.open_nursery() as nursery:
             scope = nursery.cancel_scope
             overdue_s = trio.current_time() + call.wait_s + self._overdue_s()
-            self.waiting_reads[scope] = overdue_s
-            nursery.start_soon(self._async_probe, call, overdue_s)
+            waiting = WaitingRead(overdue_s=overdue_s, transfer=transfer)
+            self.waiting_reads[scope] = waiting
+            nursery.start_soon(self._async_probe, call, waiting)
             try:
                 called = await self._async_call(self.reads, call)
             finally:
@@ -351,13 +366,15 @@
             scope.cancel()
         return called
 
-    async def _async_probe(self, call: StoreCall, overdue_s: float) -> None:
+    async def _async_probe(self, call: StoreCall, waiting: WaitingRead) -> None:
         """Read the same without waiting, on a new connection, once a read is overdue.
 
         An answer ends the overdue read. A process that owns nothing makes hardly any other calls
         that would.
         """
-        await trio.sleep_until(overdue_s)
+        await trio.sleep_until(waiting.overdue_s)
+        while not waiting.is_overdue():
+            await trio.sleep_until(waiting.transfer.deadline_s())
         caller = HttpCaller(address=self.reads.address, connections=1)
         target = f"{call.target.rpartition('&waitMs=')[0]}&maxKb=1"
         probe = StoreCall(method=call.method, target=target, timeout_s=self._overdue_s())
@@ -379,9 +396,8 @@
         return called
 
     def _cancel_overdue(self) -> None:
-        now_s = trio.current_time()
-        for scope, overdue_s in self.waiting_reads.items():
-            if now_s >= overdue_s:
+        for scope, waiting in self.waiting_reads.items():
+            if waiting.is_overdue():
                 scope.cancel()
 
     async def _async_post(
--- a/heatherkeel/platform/transfer.py
+++ b/heatherkeel/platform/transfer.py
@@ -4,9 +4,15 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final
 
 import trio
 
+SILENCE_TIMEOUT_S: Final = 0.5
+"""Longest pause between the bytes of a response that is arriving, in seconds."""
+MAX_TRANSFER_S: Final = 20.0
+"""Longest time of a response's bytes, in seconds; ends a call whose other end sends hardly any."""
+
 
 @dataclass(kw_only=True, slots=True)
 class Transfer:
@@ -31,6 +37,16 @@
         self.received_bytes += count
         self.on_bytes()
 
+    def is_arriving(self) -> bool:
+        """Return whether bytes have arrived a short time ago."""
+        return self.heard_s is not None and trio.current_time() < self.heard_s + SILENCE_TIMEOUT_S
+
+    def deadline_s(self) -> float:
+        """Return the time until which more bytes are awaited, once the first have arrived."""
+        if self.first_s is None or self.heard_s is None:
+            return self.began_s
+        return min(self.heard_s + SILENCE_TIMEOUT_S, self.first_s + MAX_TRANSFER_S)
+
     def response_time_s(self, now_s: float) -> float:
         """Return the time to the first byte, or until now; the rest is the time of its bytes."""
         return (now_s if self.first_s is None else self.first_s) - self.began_s
--- a/heatherkeel/relay/route.py
+++ b/heatherkeel/relay/route.py
@@ -74,7 +74,8 @@
         """Consecutive direct calls that failed but succeeded through a peer."""
         self.answered_s = -math.inf
         """Time of the last answered direct call, in seconds of trio's clock."""
-        self.waiting_reads: set[trio.CancelScope] = set()
+        self.waiting_reads: dict[trio.CancelScope, StoreCall] = {}
+        """Direct reads in progress that wait for records."""
 
     def is_served(self) -> bool:
         """Return whether the store has answered a direct call recently."""
@@ -122,11 +123,11 @@
         )
         with trio.CancelScope() as scope:
             if call.waits:
-                self.waiting_reads.add(scope)
+                self.waiting_reads[scope] = call
             try:
                 answer = await self.direct.async_call(caller, _limit_timeout(call, longest_s))
             finally:
-                self.waiting_reads.discard(scope)
+                self.waiting_reads.pop(scope, None)
         if _is_answered(answer):
             self.answered_s = trio.current_time()
         if not _is_answered(answer) or call.waits:
@@ -150,8 +151,9 @@
             "the store rejects this process; calls go through peers",
             extra={"event": "store_direct_lost", "detail": _describe(direct)},
         )
-        for scope in self.waiting_reads:
-            scope.cancel()
+        for scope, call in self.waiting_reads.items():
+            if call.transfer is None or not call.transfer.is_arriving():
+                scope.cancel()
 
     async def _async_forward(self, call: StoreCall) -> Result[Reply, CallError]:
         """Make a call through a peer; REFUSED if it was not made."""
--- a/tests/platform/test_caller.py
+++ b/tests/platform/test_caller.py
@@ -67,3 +67,27 @@
         assert accepted == 1
 
     trio.run(async_test)
+
+
+def test_response_that_keeps_arriving_is_read_to_its_end() -> None:
+    """Guards against giving up large answers on a small link at the timeout of the call."""
+
+    async def async_answer(stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+        await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\n")
+        for _ in range(8):
+            await trio.sleep(0.05)
+            await stream.send_all(b"x")
+
+    async def async_test() -> None:
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, async_answer, listeners)
+            port = listeners[0].socket.getsockname()[1]
+            caller = HttpCaller(address=f"127.0.0.1:{port}", connections=1)
+            called = await caller.async_call("GET", "/", timeout_s=0.2)
+            assert called.unwrap().body == b"x" * 8
+            await caller.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(async_test)
--- a/tests/relay/test_route.py
+++ b/tests/relay/test_route.py
@@ -12,6 +12,7 @@
 from heatherkeel.platform.caller import HttpCaller, Reply
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.route import StoreCall
+from heatherkeel.platform.transfer import Transfer
 from heatherkeel.questions.messages import Answer, RelayAnswer, RelayQuestion
 from heatherkeel.relay.const import (
     FAILURES_BEFORE_FORWARDING,
@@ -52,7 +53,13 @@
         return self.peer
 
     async def async_call(
-        self, method: str, target: str, *, body: bytes | None, timeout_s: float
+        self,
+        method: str,
+        target: str,
+        *,
+        body: bytes | None,
+        timeout_s: float,
+        transfer: Transfer | None = None,
     ) -> Result[Reply, CallError]:
         """Replace the direct HTTP call."""
         self.attempts.append("direct")
