A large version travels once: one transfer at a time, the newest alone, parts from others

What callers saw: 503 for tens of seconds by processes on small links; 18 of 37 processes ever had the last version, and none had it from another process.

Cause: each round started a read of the store beside the one that waits, and three questions that were each answered with everything; every version in between was fetched; an answer of 590 kB never passed in the 0.25 s that a process's answer may take, and above 1 MB not at all.

Fix: - The operator's topic is read with maxKb 64, so a large record comes alone. If two or more are missing behind it, only the newest ones are read. - A large answer that is arriving ends the other read of the same, and no new one begins.

--- a/heatherkeel/directory/const.py
+++ b/heatherkeel/directory/const.py
@@ -40,3 +40,16 @@
 MISLED_MS: Final = 2000
 """How long no named version is believed after one that no read has found, in milliseconds; the
 configuration's age still bounds how long a change stays unknown."""
+
+READ_MAX_KB: Final = 64
+"""Size at which answers with the operator's records are cut, in kB: a large record comes alone, so
+that versions which were replaced meanwhile aren't read."""
+LONG_TRANSFER_S: Final = 0.15
+"""Time from which an answer of the store arrives slowly, in seconds; other processes, which send
+records compressed, are then asked beside it."""
+PART_BYTES: Final = 128 * 1024
+"""Size of the parts in which processes hand over large records, in bytes before compression."""
+PART_TIMEOUT_S: Final = 0.5
+"""Timeout of one part, in seconds."""
+COMPRESSION_LEVEL: Final = 1
+"""zlib's level; higher ones take twice the processor for a tenth less."""
--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -29,10 +29,18 @@
 )
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.platform.store_answers import ReadRecords
+from heatherkeel.platform.transfer import Transfer, begin_transfer
 from heatherkeel.workspaces.access import KeyTable, build_key_table
 from heatherkeel.workspaces.amounts import Amount, amount_of_capacity
 
-from .const import DEFAULT_APPLY_MS, MAX_AGE_FRACTION, MISLED_MS, READ_WAIT_FRACTION
+from .const import (
+    DEFAULT_APPLY_MS,
+    LONG_TRANSFER_S,
+    MAX_AGE_FRACTION,
+    MISLED_MS,
+    READ_MAX_KB,
+    READ_WAIT_FRACTION,
+)
 from .coverage import Reading
 from .follower import TopicFollower
 from .records import OperatorRecords
@@ -148,7 +156,12 @@
         self.nursery: trio.Nursery | None = None
         self.follows_workers = False
         self.superseded = trio.Event()
-        """Set when another process has named a version that is unknown here."""
+        """Set when newer records are to be requested at once: another process has named a version
+        that is unknown here, or they arrive slowly from the store."""
+        self.transfer: Transfer | None = None
+        """The answer with operator's records that is arriving, or has arrived last."""
+        self.checking = trio.CancelScope()
+        """Ends the read beside the one that waits."""
         self.on_answer: Callable[[ReadRecords], None] = lambda answer: None
         """Called with each answer of the store that holds records of the operator."""
         self.unreadable: dict[str, str] = {}
@@ -159,8 +172,10 @@
             partition=0,
             on_records=self._apply_operator_records,
             on_keys=self._retain_operator_keys,
-            on_read=self._record_operator_read,
             on_answer=self._log_operator_answer,
+            on_bytes=self._watch_operator_read,
+            coverage=self.state.operator_records,
+            max_kb=READ_MAX_KB,
             wait_ms=round(apply_ms * READ_WAIT_FRACTION),
         )
         self.workers = TopicFollower(
@@ -265,26 +280,71 @@
             self.superseded.set()
 
     async def async_check_operator(self) -> None:
-        """Read the operator's topic at once, beside the read that waits and may have been lost."""
+        """Read the operator's topic at once, beside the read that waits and may have been lost.
+
+        Only one of them may bring a large record: two would share the link, and take twice as long.
+        """
         known = self.state.operator_records
-        if known.as_of_ms is None:
+        if known.as_of_ms is None or self.is_large_arriving():
             return
         sent_ms, start = monotonic_ms(), known.end
-        read = await self.store.async_read_at_once(CONFIG_TOPIC, 0, start=start)
-        if isinstance(read, Err):
+        transfer = begin_transfer()
+        transfer.listeners.append(lambda: self._watch_check(transfer))
+        try:
+            with trio.CancelScope() as self.checking:
+                read = await self.store.async_read_at_once(
+                    CONFIG_TOPIC, 0, start=start, max_kb=READ_MAX_KB, transfer=transfer
+                )
+        finally:
+            self.operator.resume()
+        if self.checking.cancelled_caught or isinstance(read, Err):
             return
         answer = read.ok_value
         if answer.records:
             self._log_operator_answer(answer, sent_ms)
             self._apply_added(known.add(answer.records), source="store")
         known.apply(Reading(known_end=answer.next_offset(), log_end=answer.end, seen_ms=sent_ms))
+        if answer.records:
+            self.operator.skip_to(known.end)
+
+    def is_large_arriving(self) -> bool:
+        """Return whether a large answer with operator's records is arriving from the store."""
+        return self.transfer is not None and _is_large(self.transfer)
+
+    def is_arriving_slowly(self) -> bool:
+        """Return whether such an answer has been arriving for long."""
+        transfer = self.transfer
+        return (
+            transfer is not None
+            and transfer.is_arriving()
+            and transfer.arrival_s() >= LONG_TRANSFER_S
+        )
+
+    def _watch_operator_read(self, transfer: Transfer) -> None:
+        self._watch(transfer)
+        if _is_large(transfer):
+            self.checking.cancel()
+
+    def _watch_check(self, transfer: Transfer) -> None:
+        self._watch(transfer)
+        if _is_large(transfer):
+            self.operator.suspend()
+
+    def _watch(self, transfer: Transfer) -> None:
+        self.transfer = transfer
+        if self.is_arriving_slowly():
+            self.superseded.set()
 
     def apply_peer_records(self, records: list[KeyedRecord], reading: Reading) -> None:
         """Apply records that another process knew."""
-        added = self.state.operator_records.add(records)
+        known = self.state.operator_records
+        added = known.add(records)
         if added:
             self._apply_added(added, source="peer")
-        self.state.operator_records.apply(reading)
+        known.apply(reading)
+        if added:
+            self.operator.skip_to(known.end)
+            self.checking.cancel()
 
     def _log_operator_answer(self, answer: ReadRecords, sent_ms: int) -> None:
         self.on_answer(answer)
@@ -302,9 +362,6 @@
             },
         )
 
-    def _record_operator_read(self, reading: Reading) -> None:
-        self.state.operator_records.apply(reading)
-
     def _apply_operator_records(self, records: list[KeyedRecord]) -> None:
         self._apply_added(self.state.operator_records.add(records), source="store")
 
@@ -423,6 +480,11 @@
             self._notify()
 
 
+def _is_large(transfer: Transfer) -> bool:
+    """Return whether a transfer in progress has brought more than a small record."""
+    return transfer.is_arriving() and transfer.received_bytes > READ_MAX_KB * 1024
+
+
 def _merge_queues(known: dict[str, Queue], configured: list[Queue]) -> dict[str, Queue]:
     """Return the configured queues, and before them the ones that were removed last."""
     current = {queue.name: queue for queue in configured}
--- a/heatherkeel/directory/follower.py
+++ b/heatherkeel/directory/follower.py
@@ -13,6 +13,7 @@
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.platform.store_answers import NewestRecords, ReadRecords
+from heatherkeel.platform.transfer import Transfer, begin_transfer
 
 from .coverage import Coverage, Reading
 
@@ -23,6 +24,8 @@
 
 SHORTEST_WAIT_MS = 50
 """Shortest wait of a read, in milliseconds."""
+NEWEST_FROM_RECORDS = 2
+"""Number of further records behind a cut answer from which the newest ones alone are read."""
 
 
 class TopicFollower:
@@ -30,8 +33,11 @@
 
     `on_records` is called with records. `on_keys` is called with all existing keys after the newest
     records have been read again; deletions in forgotten history are only visible this way.
-    `on_read` is called after each answer with what it proves, `on_answer` with each answer that has
-    records and when it was requested.
+    `on_answer` is called with each answer that has records and when it was requested, `on_bytes`
+    while an answer is arriving.
+
+    With `max_kb`, answers are cut at this size, and only the newest record of each key is read
+    where several are missing: a small link can't carry each version of a large record.
     """
 
     def __init__(
@@ -44,7 +50,9 @@
         on_keys: Callable[[set[str]], None],
         wait_ms: int,
         pause_ms: int = 0,
-        on_read: Callable[[Reading], None] = lambda reading: None,
+        max_kb: int | None = None,
+        coverage: Coverage | None = None,
+        on_bytes: Callable[[Transfer], None] = lambda transfer: None,
         on_answer: Callable[[ReadRecords, int], None] = lambda answer, sent_ms: None,
     ) -> None:
         self.store = store
@@ -52,28 +60,53 @@
         self.partition = partition
         self.on_records = on_records
         self.on_keys = on_keys
-        self.on_read = on_read
         self.on_answer = on_answer
         self.wait_ms = wait_ms
         self.pause_s = pause_ms / 1000
+        self.max_kb = max_kb
+        self.on_bytes = on_bytes
         self.next_offset: int | None = None
         self.caught_up = trio.Event()
         self.connected = True
         self.read_ms = monotonic_ms()
         """When the store last answered a read."""
-        self.coverage = Coverage()
+        self.coverage = coverage if coverage is not None else Coverage()
+        """What is known; shared with others who learn records of the topic."""
+        self.reading = trio.CancelScope()
+        """Ends the read in progress."""
+        self.resumed = trio.Event()
+        self.resumed.set()
 
     async def async_run(self) -> None:
         """Follow until cancelled."""
         while True:
-            if self.next_offset is None:
-                await self._async_read_newest()
-            else:
-                await self._async_read_next(self.next_offset)
+            await self.resumed.wait()
+            with trio.CancelScope() as self.reading:
+                if self.next_offset is None:
+                    await self._async_read_newest()
+                else:
+                    await self._async_read_next(self.next_offset)
+
+    def skip_to(self, offset: int) -> None:
+        """Continue at an offset: the records before it are known from elsewhere."""
+        if self.next_offset is None or offset > self.next_offset:
+            self.next_offset = offset
+            self.reading.cancel()
+
+    def suspend(self) -> None:
+        """End the read in progress; no other one begins before `resume`."""
+        self.resumed = trio.Event()
+        self.reading.cancel()
+
+    def resume(self) -> None:
+        """Continue after `suspend`."""
+        self.resumed.set()
 
     async def _async_read_newest(self) -> None:
         sent_ms = monotonic_ms()
-        read = await self.store.async_read_all_newest(self.topic, self.partition)
+        read = await self.store.async_read_all_newest(
+            self.topic, self.partition, transfer=self._begin_transfer()
+        )
         if isinstance(read, Err):
             return await self._async_handle_failure(read.err_value)
         page = read.ok_value
@@ -89,7 +122,14 @@
     async def _async_read_next(self, start: int) -> None:
         sent_ms = monotonic_ms()
         wait_ms = self._next_wait_ms(sent_ms)
-        read = await self.store.async_read(self.topic, self.partition, start=start, wait_ms=wait_ms)
+        read = await self.store.async_read(
+            self.topic,
+            self.partition,
+            start=start,
+            wait_ms=wait_ms,
+            max_kb=self.max_kb,
+            transfer=self._begin_transfer(),
+        )
         match read:
             case Ok(answer):
                 self.next_offset = answer.next_offset()
@@ -104,6 +144,7 @@
                     seen_ms=min(sent_ms + waited_ms, monotonic_ms()),
                 )
                 self._record_success(reading)
+                await self._async_handle_cut(answer)
                 if self.pause_s:
                     await trio.sleep(self.pause_s)
             case Err(error) if error.failure is Failure.FORGOTTEN:
@@ -115,6 +156,26 @@
             case Err(error):
                 await self._async_handle_failure(error)
 
+    async def _async_handle_cut(self, answer: ReadRecords) -> None:
+        """Decide how to go on after an answer that lacks records."""
+        if answer.is_whole():
+            return
+        if not answer.records:
+            # The next record is larger than the asked size, and this store then sends none.
+            _LOGGER.warning(
+                "an answer has no room for the next record; reading without a size",
+                extra={"event": "answer_without_room", "topic": self.topic, "offset": answer.start},
+            )
+            self.max_kb = None
+            await trio.sleep(RETRY_PAUSE_S)
+        elif self.max_kb is not None and answer.count_missing() >= NEWEST_FROM_RECORDS:
+            self.next_offset = None
+
+    def _begin_transfer(self) -> Transfer:
+        transfer = begin_transfer()
+        transfer.listeners.append(lambda: self.on_bytes(transfer))
+        return transfer
+
     def _next_wait_ms(self, now_ms: int) -> int:
         """Return the wait of the next read, shortened by the age of what is known.
 
@@ -136,7 +197,6 @@
         """Record an answer, which may have been delayed and so is older than its arrival."""
         self.read_ms = monotonic_ms()
         self.coverage.apply(reading)
-        self.on_read(reading)
         self.caught_up.set()
         if not self.connected:
             self.connected = True
--- a/heatherkeel/directory/peer_sync.py
+++ b/heatherkeel/directory/peer_sync.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 
 import trio
 
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.questions.messages import (
-    Answer,
     OperatorAnswer,
+    OperatorPartAnswer,
+    OperatorPartQuestion,
     OperatorQuestion,
     OperatorRecord,
 )
@@ -24,19 +25,18 @@
     MAX_DOUBLINGS,
     MAX_NAMED_PEERS,
     MAX_ROUND_PAUSE_S,
+    PART_BYTES,
     PEERS_PER_ROUND,
     ROUND_PAUSE_S,
 )
 from .coverage import Reading
 from .directory import Directory
 from .metrics import PeerAnswer
+from .parts import AsyncAsk, PartFetcher, PartServer
 from .peers import PeerList
 
 _LOGGER = logging.getLogger(__name__)
 
-AsyncAsk = Callable[[str, OperatorQuestion, float], Awaitable[Answer | None]]
-"""Asks the process at an address, with a timeout in seconds."""
-
 
 class PeerSync:
     """Asks other processes for newer records while its own reads of the store are too old.
@@ -63,6 +63,11 @@
         self.async_ask = async_ask
         self.on_question = on_question
         """Called with how each question was answered."""
+        self.parts = PartServer()
+        self.fetcher = PartFetcher(async_ask=async_ask)
+        self.check_ended = trio.Event()
+        """Set while no read of the store is in progress beside the one that waits."""
+        self.check_ended.set()
         self.fruitless_rounds = 0
         """Consecutive rounds after which the records were still too old."""
         self.round_ended = trio.Event()
@@ -70,10 +75,14 @@
 
     async def async_run(self) -> None:
         """Keep the operator's records recent until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await self._async_run(nursery)
+
+    async def _async_run(self, nursery: trio.Nursery) -> None:
         greeting_s = trio.current_time()
         while True:
-            if self._needs_newer():
-                await self._async_refresh()
+            if self._should_ask():
+                await self._async_refresh(nursery)
                 # Capped before the power, which overflows after minutes without the store.
                 doublings = min(self.fruitless_rounds, MAX_DOUBLINGS)
                 pause_s = min(MAX_ROUND_PAUSE_S, ROUND_PAUSE_S * 2.0**doublings)
@@ -107,7 +116,7 @@
         self.directory.record_named_version(question.version)
         known = self.directory.state.operator_records
         records = [
-            OperatorRecord(key=record.key, value=record.value, offset=record.offset)
+            _make_record(record, in_parts=question.takes_parts)
             for record in known.list_from(question.end)
         ]
         return OperatorAnswer(
@@ -118,33 +127,55 @@
             peers=self.peers.list_alive(MAX_NAMED_PEERS),
         )
 
+    def answer_part(self, question: OperatorPartQuestion) -> OperatorPartAnswer:
+        """Answer another process with a part of a large record."""
+        newest = self.directory.state.operator_records.newest
+        return self.parts.answer(question, newest.get(question.key))
+
     def _is_recent(self) -> bool:
         return self.directory.state.is_config_recent()
 
+    def _should_ask(self) -> bool:
+        """Return whether to ask others: for newer records, or for those that arrive slowly."""
+        return self._needs_newer() or self.directory.is_arriving_slowly()
+
     def _needs_newer(self) -> bool:
-        return not self.directory.state.is_config_recent(fraction=ASK_PEERS_FRACTION)
+        state = self.directory.state
+        return not state.is_config_recent(fraction=ASK_PEERS_FRACTION)
 
     def _due_s(self) -> float:
         """Return the seconds until the records will be too old, unless they are read again."""
         state = self.directory.state
         return (state.apply_ms * ASK_PEERS_FRACTION - (state.config_age_ms() or 0)) / 1000
 
-    async def _async_refresh(self) -> None:
+    async def _async_refresh(self, nursery: trio.Nursery) -> None:
         """Read the store and ask several processes at once, until the records are recent."""
         addresses = self.peers.list_addresses()[:PEERS_PER_ROUND]
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._async_read_store, nursery.cancel_scope)
+        if self._needs_newer() and self.check_ended.is_set():
+            self.check_ended = trio.Event()
+            nursery.start_soon(self._async_check_store)
+        async with trio.open_nursery() as round_nursery:
+            round_nursery.start_soon(self._async_await_check, round_nursery.cancel_scope)
             await self._async_ask_all(addresses)
             if not self._needs_newer():
-                nursery.cancel_scope.cancel()
+                round_nursery.cancel_scope.cancel()
         self.fruitless_rounds = self.fruitless_rounds + 1 if self._needs_newer() else 0
         self.round_ended.set()
         self.round_ended = trio.Event()
         if self.fruitless_rounds == FRUITLESS_ROUNDS and not self._is_recent():
             self._record_behind(addresses)
 
-    async def _async_read_store(self, scope: trio.CancelScope) -> None:
-        await self.directory.async_check_operator()
+    async def _async_check_store(self) -> None:
+        """Read the store; a large answer may outlast several rounds of questions."""
+        try:
+            await self.directory.async_check_operator()
+        finally:
+            self.check_ended.set()
+
+    async def _async_await_check(self, scope: trio.CancelScope) -> None:
+        """Wait for the read of the store, unless it takes long; end the round if it suffices."""
+        with trio.move_on_after(ANSWER_TIMEOUT_S):
+            await self.check_ended.wait()
         if not self._needs_newer():
             scope.cancel()
 
@@ -160,6 +191,7 @@
             reaches_store=self.reaches_store(),
             version=state.config_version(),
             end=state.operator_records.end,
+            takes_parts=True,
         )
         asked_ms = monotonic_ms()
         answer = await self.async_ask(address, question, ANSWER_TIMEOUT_S)
@@ -175,11 +207,11 @@
             self._log_records(address, question, answer, asked_ms)
         if answer.age_ms is None:
             return
+        records = await self.fetcher.async_fill(address, answer.records, self._is_known)
+        if records is None:
+            return
         self.directory.apply_peer_records(
-            [
-                KeyedRecord(key=record.key, value=record.value, offset=record.offset)
-                for record in answer.records
-            ],
+            records,
             # The answer's age grew while it was on its way, by less than the question took.
             Reading(known_end=answer.end, log_end=answer.end, seen_ms=asked_ms - answer.age_ms),
         )
@@ -199,12 +231,17 @@
                 "records": len(answer.records),
                 "end": answer.end,
                 "bytes": sum(len(record.value) for record in answer.records),
+                "left_out_bytes": sum(record.size for record in answer.records),
                 "took_ms": monotonic_ms() - asked_ms,
                 "age_ms": answer.age_ms,
                 "config_age_ms": self.directory.state.config_age_ms(),
             },
         )
 
+    def _is_known(self, record: OperatorRecord) -> bool:
+        known = self.directory.state.operator_records.newest.get(record.key)
+        return known is not None and known.offset >= record.offset
+
     def _record_behind(self, addresses: Sequence[str]) -> None:
         if self.is_behind:
             return
@@ -234,3 +271,14 @@
                 "config_age_ms": state.config_age_ms(),
             },
         )
+
+
+def _make_record(record: KeyedRecord, *, in_parts: bool) -> OperatorRecord:
+    """Return a record for an answer; a large value is left out if it can be asked for in parts."""
+    is_left_out = in_parts and len(record.value) > PART_BYTES
+    return OperatorRecord(
+        key=record.key,
+        value=b"" if is_left_out else record.value,
+        offset=record.offset,
+        size=len(record.value) if is_left_out else 0,
+    )
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -43,6 +43,7 @@
     LayoutAnswer,
     LayoutQuestion,
     NotOwner,
+    OperatorPartQuestion,
     OperatorQuestion,
     Question,
     QueueQuestion,
@@ -215,6 +216,8 @@
     def _answer(self, question: Question) -> Answer:
         if isinstance(question, OperatorQuestion):
             return self.peer_sync.answer(question)
+        if isinstance(question, OperatorPartQuestion):
+            return self.peer_sync.answer_part(question)
         if isinstance(question, GrantsQuestion):
             lender = self.fleet_owner
             return NotOwner() if lender is None else lender.answer_grants(question)
@@ -252,7 +255,7 @@
         return answer
 
     async def _async_ask_operator(
-        self, address: str, asked: OperatorQuestion, timeout_s: float
+        self, address: str, asked: OperatorQuestion | OperatorPartQuestion, timeout_s: float
     ) -> Answer | None:
         return await self.links.async_ask(address, asked, timeout_s=timeout_s)
 
--- a/heatherkeel/platform/caller.py
+++ b/heatherkeel/platform/caller.py
@@ -50,17 +50,20 @@
         longer, and would never arrive however often it is requested.
         """
         transfer = transfer or begin_transfer()
+        transfer.is_complete = False
         sent = [("content-type", "application/json"), *headers] if body is not None else headers
         try:
             request = make_request(method, target, host=self.address, headers=sent, body=body)
             with trio.move_on_after(timeout_s) as scope:
-                transfer.on_bytes = lambda: _extend(scope, transfer)
+                transfer.listeners.append(lambda: _extend(scope, transfer))
                 response = await self.pool.async_request(request, body, transfer)
                 return Ok(Reply(status=response.status, body=response.body))
         except NoConnectionError as err:
             return Err(CallError(failure=Failure.REFUSED, detail=str(err)))
         except (ConnectionLostError, h11.ProtocolError) as err:
             return Err(CallError(failure=Failure.UNKNOWN, detail=str(err) or type(err).__name__))
+        finally:
+            transfer.is_complete = True
         return Err(CallError(failure=Failure.UNKNOWN, detail="no answer in time", is_timeout=True))
 
 
--- a/heatherkeel/platform/store.py
+++ b/heatherkeel/platform/store.py
@@ -201,27 +201,49 @@
         return max(self.write_timeout.timeout_s(), min(WRITE_TIMEOUT_S, others_s))
 
     async def async_read(
-        self, topic: str, partition: int, *, start: int, wait_ms: int
+        self,
+        topic: str,
+        partition: int,
+        *,
+        start: int,
+        wait_ms: int,
+        max_kb: int | None = None,
+        transfer: Transfer | None = None,
     ) -> Result[ReadRecords, CallError]:
-        """Read from an offset, waiting up to `wait_ms` for the first record."""
-        query = urlencode({"topic": topic, "part": partition, "from": start, "waitMs": wait_ms})
+        """Read from an offset, waiting up to `wait_ms` for the first record.
+
+        The answer is cut at `max_kb`, but holds one record at least. `transfer` records what
+        arrives of it.
+        """
+        query = _make_read_query(topic, partition, start=start, max_kb=max_kb)
         called = await self._async_get(
-            f"/heatherkeel/log-read?{query}",
+            f"/heatherkeel/log-read?{urlencode(query | {'waitMs': wait_ms})}",
             timeout_s=READ_TIMEOUT_S + wait_ms / 1000,
             wait_s=wait_ms / 1000,
+            probe=f"/heatherkeel/log-read?{urlencode(query | {'maxKb': 1})}",
+            transfer=transfer,
         )
         return _decode_read(called, start=start)
 
     async def async_read_at_once(
-        self, topic: str, partition: int, *, start: int
+        self,
+        topic: str,
+        partition: int,
+        *,
+        start: int,
+        max_kb: int | None = None,
+        transfer: Transfer | None = None,
     ) -> Result[ReadRecords, CallError]:
-        """Read from an offset directly, without waiting and with a short timeout."""
-        query = urlencode({"topic": topic, "part": partition, "from": start})
+        """Read from an offset directly, without waiting and with a short timeout.
+
+        `max_kb` and `transfer` are those of `async_read`.
+        """
+        query = _make_read_query(topic, partition, start=start, max_kb=max_kb)
         call = StoreCall(
             method="GET",
-            target=f"/heatherkeel/log-read?{query}",
+            target=f"/heatherkeel/log-read?{urlencode(query)}",
             timeout_s=self._overdue_s(),
-            transfer=begin_transfer(),
+            transfer=transfer or begin_transfer(),
         )
         called = await DirectRoute().async_call(self.reads, call)
         if isinstance(called, Ok):
@@ -230,13 +252,20 @@
         return _decode_read(called, start=start)
 
     async def async_read_newest(
-        self, topic: str, partition: int, *, after_key: str = ""
+        self,
+        topic: str,
+        partition: int,
+        *,
+        after_key: str = "",
+        transfer: Transfer | None = None,
     ) -> Result[NewestRecords, CallError]:
         """Read one page of the newest record of each key."""
         query: dict[str, Any] = {"topic": topic, "part": partition}
         if after_key:
             query["dependsOn"] = after_key
-        called = await self._async_get(f"/heatherkeel/log-newest?{urlencode(query)}")
+        called = await self._async_get(
+            f"/heatherkeel/log-newest?{urlencode(query)}", transfer=transfer
+        )
         decoded = decode(called.and_then(check), NewestPage)
         if isinstance(decoded, Err):
             return decoded
@@ -245,13 +274,15 @@
         return Ok(NewestRecords(end=page.end, records=records, has_more=page.has_more))
 
     async def async_read_all_newest(
-        self, topic: str, partition: int
+        self, topic: str, partition: int, *, transfer: Transfer | None = None
     ) -> Result[NewestRecords, CallError]:
         """Read all pages; `end` is that of the first, so reading on from there misses no record."""
         records: list[KeyedRecord] = []
         end, after_key = -1, ""
         while True:
-            read = await self.async_read_newest(topic, partition, after_key=after_key)
+            read = await self.async_read_newest(
+                topic, partition, after_key=after_key, transfer=transfer
+            )
             if isinstance(read, Err):
                 return read
             page = read.ok_value
@@ -307,9 +338,15 @@
         return decode_holders(checked.ok_value.body)
 
     async def _async_get(
-        self, target: str, *, timeout_s: float = READ_TIMEOUT_S, wait_s: float = 0.0
+        self,
+        target: str,
+        *,
+        timeout_s: float = READ_TIMEOUT_S,
+        wait_s: float = 0.0,
+        probe: str = "",
+        transfer: Transfer | None = None,
     ) -> Result[Reply, CallError]:
-        transfer = begin_transfer()
+        transfer = transfer or begin_transfer()
         call = StoreCall(
             method="GET",
             target=target,
@@ -318,7 +355,7 @@
             transfer=transfer,
         )
         if call.waits:
-            called = await self._async_wait(call, transfer)
+            called = await self._async_wait(call, transfer, probe)
         else:
             called = await self._async_call(self.reads, call)
             # Without the time of its bytes, which says nothing of the store.
@@ -346,7 +383,9 @@
             },
         )
 
-    async def _async_wait(self, call: StoreCall, transfer: Transfer) -> Result[Reply, CallError]:
+    async def _async_wait(
+        self, call: StoreCall, transfer: Transfer, probe: str
+    ) -> Result[Reply, CallError]:
         """Make a read that waits for records; give it up if it is overdue and others are answered.
 
         Its answer may have been lost, in an outage that is over or on a connection that has gone
@@ -358,7 +397,7 @@
             overdue_s = trio.current_time() + call.wait_s + self._overdue_s()
             waiting = WaitingRead(overdue_s=overdue_s, transfer=transfer)
             self.waiting_reads[scope] = waiting
-            nursery.start_soon(self._async_probe, call, waiting)
+            nursery.start_soon(self._async_probe, probe, waiting, scope)
             try:
                 called = await self._async_call(self.reads, call)
             finally:
@@ -366,18 +405,23 @@
             scope.cancel()
         return called
 
-    async def _async_probe(self, call: StoreCall, waiting: WaitingRead) -> None:
+    async def _async_probe(
+        self, target: str, waiting: WaitingRead, scope: trio.CancelScope
+    ) -> None:
         """Read the same without waiting, on a new connection, once a read is overdue.
 
-        An answer ends the overdue read. A process that owns nothing makes hardly any other calls
-        that would.
+        The first byte of an answer ends the overdue read and this one, since a large record is not
+        to be read twice. A process that owns nothing makes hardly any other calls that would.
         """
         await trio.sleep_until(waiting.overdue_s)
         while not waiting.is_overdue():
             await trio.sleep_until(waiting.transfer.deadline_s())
         caller = HttpCaller(address=self.reads.address, connections=1)
-        target = f"{call.target.rpartition('&waitMs=')[0]}&maxKb=1"
-        probe = StoreCall(method=call.method, target=target, timeout_s=self._overdue_s())
+        transfer = begin_transfer()
+        transfer.listeners.append(scope.cancel)
+        probe = StoreCall(
+            method="GET", target=target, timeout_s=self._overdue_s(), transfer=transfer
+        )
         try:
             await self._async_call(caller, probe)
         finally:
@@ -407,6 +451,13 @@
         return await self._async_call(caller, call)
 
 
+def _make_read_query(
+    topic: str, partition: int, *, start: int, max_kb: int | None
+) -> dict[str, Any]:
+    query: dict[str, Any] = {"topic": topic, "part": partition, "from": start}
+    return query if max_kb is None else query | {"maxKb": max_kb}
+
+
 def _decode_read(called: Result[Reply, CallError], *, start: int) -> Result[ReadRecords, CallError]:
     checked = called.and_then(check)
     if isinstance(checked, Err):
--- a/heatherkeel/platform/store_answers.py
+++ b/heatherkeel/platform/store_answers.py
@@ -36,9 +36,13 @@
         """Return the offset behind the last record."""
         return self.start + len(self.records)
 
+    def count_missing(self) -> int:
+        """Return how many further records the log held when the store answered."""
+        return max(0, self.end - self.next_offset())
+
     def is_whole(self) -> bool:
-        """Return whether the log held no further records when the store answered."""
-        return self.next_offset() >= self.end
+        """Return whether it held none."""
+        return not self.count_missing()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/platform/transfer.py
+++ b/heatherkeel/platform/transfer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 import trio
@@ -24,7 +24,9 @@
     """When the first byte arrived; None before that."""
     heard_s: float | None = None
     """When bytes last arrived; None before the first."""
-    on_bytes: Callable[[], None] = lambda: None
+    is_complete: bool = False
+    """The whole response has arrived, or no more of it will."""
+    listeners: list[Callable[[], None]] = field(default_factory=list)
     """Called after bytes have arrived."""
 
     def record(self, count: int) -> None:
@@ -35,11 +37,18 @@
         self.first_s = now_s if self.first_s is None else self.first_s
         self.heard_s = now_s
         self.received_bytes += count
-        self.on_bytes()
+        for listener in self.listeners:
+            listener()
 
     def is_arriving(self) -> bool:
-        """Return whether bytes have arrived a short time ago."""
-        return self.heard_s is not None and trio.current_time() < self.heard_s + SILENCE_TIMEOUT_S
+        """Return whether bytes have arrived a short time ago, and more are awaited."""
+        if self.is_complete or self.heard_s is None:
+            return False
+        return trio.current_time() < self.heard_s + SILENCE_TIMEOUT_S
+
+    def arrival_s(self) -> float:
+        """Return for how long bytes have been arriving, in seconds."""
+        return 0.0 if self.first_s is None else trio.current_time() - self.first_s
 
     def deadline_s(self) -> float:
         """Return the time until which more bytes are awaited, once the first have arrived."""
--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -26,6 +26,7 @@
     LayoutAnswer,
     LayoutQuestion,
     NotOwner,
+    OperatorPartQuestion,
     OperatorQuestion,
     PoolsAnswer,
     PoolsQuestion,
@@ -47,7 +48,7 @@
     if isinstance(question, LayoutQuestion):
         return LayoutAnswer(layout=directory.layout, queue_homes=directory.queue_homes)
     assert not isinstance(
-        question, SlowQuestion | GrantsQuestion | OperatorQuestion
+        question, SlowQuestion | GrantsQuestion | OperatorQuestion | OperatorPartQuestion
     ), "answered by others"
     owner = _find_restored(owners, question.partition)
     if owner is None:
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -116,6 +116,19 @@
     """Version of the configuration that the asking process knows; 0 if none."""
     end: int
     """Offset from which on the asking process knows no records."""
+    takes_parts: bool = False
+    """The asking process requests large values part by part; earlier releases can't."""
+
+
+class OperatorPartQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="operator_part"):
+    """Asks for a part of a large value; concerns no partition."""
+
+    partition: int = -1
+    key: str
+    offset: int
+    """Offset of the record."""
+    start: int
+    """Where in the value the part begins, in bytes."""
 
 
 Question = (
@@ -127,6 +140,7 @@
     | StoreJobQuestion
     | GrantsQuestion
     | OperatorQuestion
+    | OperatorPartQuestion
     | AdmissionQuestion
 )
 SlowQuestion = RelayQuestion | StoreJobQuestion | AdmissionQuestion
@@ -284,6 +298,8 @@
     key: str
     value: bytes
     offset: int
+    size: int = 0
+    """Size of a large value that is left out, in bytes; 0 if it isn't left out."""
 
 
 class OperatorAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="operator"):
@@ -300,6 +316,12 @@
     """Addresses of a few other processes."""
 
 
+class OperatorPartAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="operator_part"):
+    """A part of a value, compressed with zlib; empty if another record has replaced it."""
+
+    data: bytes = b""
+
+
 Answer = (
     JobAnswer
     | QueueAnswer
@@ -309,6 +331,7 @@
     | StoreJobAnswer
     | GrantsAnswer
     | OperatorAnswer
+    | OperatorPartAnswer
     | AdmissionAnswer
     | NotOwner
 )
--- a/tests/admission/test_service.py
+++ b/tests/admission/test_service.py
@@ -18,6 +18,7 @@
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.platform.store_answers import ReadRecords
+from heatherkeel.platform.transfer import Transfer
 from heatherkeel.questions.messages import AdmissionAnswer
 from tests.dispatch.partition import Partition
 
@@ -36,7 +37,13 @@
         self.deleted: list[str] = []
 
     async def async_read_at_once(
-        self, topic: str, partition: int, *, start: int
+        self,
+        topic: str,
+        partition: int,
+        *,
+        start: int,
+        max_kb: int | None = None,
+        transfer: Transfer | None = None,
     ) -> Result[ReadRecords, CallError]:
         """Return the jobs."""
         self.read_count += 1
--- a/tests/directory/test_cut_answers.py
+++ b/tests/directory/test_cut_answers.py
@@ -12,7 +12,8 @@
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.platform.errors import CallError
 from heatherkeel.platform.store import StoreClient
-from heatherkeel.platform.store_answers import ReadRecords
+from heatherkeel.platform.store_answers import NewestRecords, ReadRecords
+from heatherkeel.platform.transfer import Transfer
 
 from .test_directory import configuration
 
@@ -33,7 +34,14 @@
         return ReadRecords(start=start, end=self.versions, records=records[:1])
 
     async def async_read(
-        self, topic: str, partition: int, *, start: int, wait_ms: int
+        self,
+        topic: str,
+        partition: int,
+        *,
+        start: int,
+        wait_ms: int,
+        max_kb: int | None = None,
+        transfer: Transfer | None = None,
     ) -> Result[ReadRecords, CallError]:
         """Answer at once, and never when there is nothing more."""
         if start >= self.versions:
@@ -41,8 +49,21 @@
             await trio.sleep_forever()
         return Ok(self.read(start))
 
+    async def async_read_all_newest(
+        self, topic: str, partition: int, *, transfer: Transfer | None = None
+    ) -> Result[NewestRecords, CallError]:
+        """Answer with the newest version alone."""
+        newest = self.read(self.versions - 1)
+        return Ok(NewestRecords(end=self.versions, records=newest.records, has_more=False))
+
     async def async_read_at_once(
-        self, topic: str, partition: int, *, start: int
+        self,
+        topic: str,
+        partition: int,
+        *,
+        start: int,
+        max_kb: int | None = None,
+        transfer: Transfer | None = None,
     ) -> Result[ReadRecords, CallError]:
         """Answer at once."""
         return Ok(self.read(start))
--- a/tests/directory/test_follower.py
+++ b/tests/directory/test_follower.py
@@ -13,6 +13,7 @@
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.platform.store_answers import ReadRecords
+from heatherkeel.platform.transfer import Transfer
 
 WAIT_MS = 60
 
@@ -26,7 +27,14 @@
         self.answered = False
 
     async def async_read(
-        self, topic: str, partition: int, *, start: int, wait_ms: int
+        self,
+        topic: str,
+        partition: int,
+        *,
+        start: int,
+        wait_ms: int,
+        max_kb: int | None = None,
+        transfer: Transfer | None = None,
     ) -> Result[ReadRecords, CallError]:
         """Answer after the delay."""
         if self.answered:
--- a/tests/directory/test_layout_reader.py
+++ b/tests/directory/test_layout_reader.py
@@ -22,6 +22,7 @@
 from heatherkeel.platform.operator import Configuration, Queue, Service
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.platform.store_answers import NewestRecords
+from heatherkeel.platform.transfer import Transfer
 from heatherkeel.questions.messages import LayoutAnswer
 
 LAYOUT = Layout(shares={"desk": (0, 1)})
@@ -42,7 +43,7 @@
         self.asked = 0
 
     async def async_read_all_newest(
-        self, topic: str, partition: int
+        self, topic: str, partition: int, *, transfer: Transfer | None = None
     ) -> Result[NewestRecords, CallError]:
         """Return the stored records."""
         self.asked += 1
--- a/tests/directory/test_peer_sync.py
+++ b/tests/directory/test_peer_sync.py
@@ -9,7 +9,12 @@
 import trio
 from result import Err, Result
 
-from heatherkeel.directory.const import DEFAULT_APPLY_MS, GREETING_INTERVAL_S
+from heatherkeel.directory.const import (
+    ANSWER_TIMEOUT_S,
+    DEFAULT_APPLY_MS,
+    GREETING_INTERVAL_S,
+    PART_BYTES,
+)
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.peer_sync import PeerSync
 from heatherkeel.directory.peers import PeerList
@@ -18,7 +23,13 @@
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.platform.store_answers import ReadRecords
-from heatherkeel.questions.messages import Answer, OperatorAnswer, OperatorQuestion
+from heatherkeel.platform.transfer import Transfer
+from heatherkeel.questions.messages import (
+    Answer,
+    OperatorAnswer,
+    OperatorPartQuestion,
+    OperatorQuestion,
+)
 
 from .test_directory import configuration
 
@@ -29,7 +40,13 @@
     """A store that answers nothing."""
 
     async def async_read_at_once(
-        self, topic: str, partition: int, *, start: int
+        self,
+        topic: str,
+        partition: int,
+        *,
+        start: int,
+        max_kb: int | None = None,
+        transfer: Transfer | None = None,
     ) -> Result[ReadRecords, CallError]:
         """Run out of time."""
         await trio.sleep(READ_TIMEOUT_S)
@@ -59,12 +76,16 @@
         network[address] = self
 
     async def async_ask(
-        self, address: str, question: OperatorQuestion, timeout_s: float
+        self, address: str, question: OperatorQuestion | OperatorPartQuestion, timeout_s: float
     ) -> Answer | None:
         """Ask another process, which may answer late."""
         self.asked += 1
         other = self.network[address]
-        answer = other.sync.answer(question)
+        answer: Answer
+        if isinstance(question, OperatorPartQuestion):
+            answer = other.sync.answer_part(question)
+        else:
+            answer = other.sync.answer(question)
         with trio.move_on_after(timeout_s):
             await trio.sleep(other.delay_s)
             return answer
@@ -205,6 +226,35 @@
     assert answer.records == []
 
 
+def make_large(process: Process, version: int) -> None:
+    """Let a process know a version that takes several parts."""
+    names = [f"queue-{version}-{number}" for number in range(2000)]
+    process.directory.operator.on_records([replace(configuration(version, *names), offset=version)])
+    process.directory.state.operator_records.confirm(end=version + 1, as_of_ms=monotonic_ms())
+
+
+def test_large_configuration_passes_though_all_of_it_takes_longer_than_an_answer_may() -> None:
+    """Guards against processes that never learn a large version from those that have it."""
+    network: dict[str, Process] = {}
+    first, second = Process("a", network), Process("b", network, "a")
+    make_large(first, 2)
+    assert len(first.directory.state.operator_records.newest["config"].value) > PART_BYTES
+    first.delay_s = 0.8 * ANSWER_TIMEOUT_S
+    second.read(1, age_ms=DEFAULT_APPLY_MS)
+    trio.run(partial(async_run_for, 2.0, second))
+    assert second.version() == 2
+
+
+def test_process_of_an_earlier_release_gets_whole_values() -> None:
+    """Guards against an empty configuration at processes that can't ask for parts."""
+    process = Process("a", {})
+    make_large(process, 2)
+    question = OperatorQuestion(sender="b", reaches_store=True, version=1, end=2)
+    (record,) = process.sync.answer(question).records
+    assert record.value == process.directory.state.operator_records.newest["config"].value
+    assert not record.size
+
+
 def test_process_survives_any_number_of_fruitless_rounds() -> None:
     """Guards against a process that ends after minutes without the store and other processes."""
     alone = Process("a", {})
--- a/tests/dispatch/test_job_feed.py
+++ b/tests/dispatch/test_job_feed.py
@@ -30,6 +30,7 @@
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.platform.store_answers import NewestRecords, ReadRecords
+from heatherkeel.platform.transfer import Transfer
 
 from .partition import Partition, make_step
 
@@ -68,7 +69,14 @@
         return [by_key[key] for key in sorted(by_key) if by_key[key].value]
 
     async def async_read(
-        self, topic: str, partition: int, *, start: int, wait_ms: int
+        self,
+        topic: str,
+        partition: int,
+        *,
+        start: int,
+        wait_ms: int,
+        max_kb: int | None = None,
+        transfer: Transfer | None = None,
     ) -> Result[ReadRecords, CallError]:
         """Read from an offset, waiting for the first record."""
         await trio.sleep(POLL_S)
@@ -82,7 +90,12 @@
         return Ok(ReadRecords(start=start, end=len(self.records), records=self.records[start:]))
 
     async def async_read_newest(
-        self, topic: str, partition: int, *, after_key: str = ""
+        self,
+        topic: str,
+        partition: int,
+        *,
+        after_key: str = "",
+        transfer: Transfer | None = None,
     ) -> Result[NewestRecords, CallError]:
         """Read a page of the newest records; records may be appended between two pages."""
         await trio.sleep(PAGE_S)
@@ -94,7 +107,7 @@
         )
 
     async def async_read_all_newest(
-        self, topic: str, partition: int
+        self, topic: str, partition: int, *, transfer: Transfer | None = None
     ) -> Result[NewestRecords, CallError]:
         """Read all pages, as the client of the store does."""
         return await StoreClient.async_read_all_newest(cast(StoreClient, self), topic, partition)
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -9,6 +9,7 @@
 import trio.testing
 
 from heatherkeel.gateway.app import CLOSE_HEADER
+from heatherkeel.platform.transfer import Transfer
 from heatherkeel.questions.messages import Answer, JobAnswer, Question
 
 from .calling import async_call, make_app
@@ -41,7 +42,9 @@
 class UnresponsiveStore(FakeStore):
     """An unresponsive store."""
 
-    async def async_read_all_newest(self, topic: str, partition: int) -> Any:
+    async def async_read_all_newest(
+        self, topic: str, partition: int, *, transfer: Transfer | None = None
+    ) -> Any:
         """Wait for longer than any deadline."""
         await trio.sleep(60)
 
--- a/tests/gateway/test_lookup.py
+++ b/tests/gateway/test_lookup.py
@@ -10,6 +10,7 @@
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.platform.store_answers import NewestRecords
+from heatherkeel.platform.transfer import Transfer
 from heatherkeel.questions.links import QuestionLinks
 from heatherkeel.questions.messages import Answer, NotOwner, Question, QueueAnswer
 
@@ -25,7 +26,7 @@
         return False
 
     async def async_read_all_newest(
-        self, topic: str, partition: int
+        self, topic: str, partition: int, *, transfer: Transfer | None = None
     ) -> Result[NewestRecords, CallError]:
         """Read an empty partition."""
         if partition in self.down:
--- a/tests/gateway/test_shared_reads.py
+++ b/tests/gateway/test_shared_reads.py
@@ -11,6 +11,7 @@
 from heatherkeel.gateway.lookup import FoundJob, Lookup
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.store_answers import NewestRecords
+from heatherkeel.platform.transfer import Transfer
 
 from .test_lookup import FakeHolderCache, FakeLinks, FakeStore
 
@@ -25,7 +26,7 @@
         self.read_count = 0
 
     async def async_read_all_newest(
-        self, topic: str, partition: int
+        self, topic: str, partition: int, *, transfer: Transfer | None = None
     ) -> Result[NewestRecords, CallError]:
         """Read an empty partition."""
         self.read_count += 1
