A version that another process only knows refuses no caller

What callers saw: 503 for all queues while a large version was on its way.

Cause: each question between processes named the asking one's version, and a named version that isn't known yet means that callers get 503. That is meant for jobs that were accepted under it: a process must not deny what it acts on. A question at a greeting proves no such thing, and the transfer takes a second.

Fix: a version in a question only lets the process request it at once; how old its knowledge is still bounds what it may deny. The test failed before.

--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -70,6 +70,10 @@
     """Highest version of the configuration that another process has named."""
     named_ms: int = 0
     """When that version was first named, on the monotonic clock."""
+    hinted_version: int = 0
+    """Highest version that another process has said to know, without a job that depends on it."""
+    hinted_ms: int = 0
+    """When it first did, on the monotonic clock."""
     queues: dict[str, Queue] = field(default_factory=dict)
     """The configured queues, and the ones that were removed last: jobs that an earlier release has
     accepted continue after that, and aren't stored with the terms of their queue."""
@@ -120,6 +124,16 @@
             as_of_ms is None or as_of_ms <= self.named_ms
         )
 
+    def is_hint_open(self) -> bool:
+        """Return whether another process knows a newer configuration that isn't known here yet.
+
+        Callers needn't wait for it: they are served by the own one until it is too old.
+        """
+        as_of_ms = self.operator_records.as_of_ms
+        return self.hinted_version > self.config_version() and (
+            as_of_ms is None or as_of_ms <= self.hinted_ms
+        )
+
     def was_misled(self, now_ms: int) -> bool:
         """Return whether a version was named a short time ago that a later read hasn't found."""
         is_unfound = self.named_version > self.config_version()
@@ -279,6 +293,13 @@
             self.state.named_ms = monotonic_ms()
             self.superseded.set()
 
+    def record_hinted_version(self, version: int) -> None:
+        """Record a version that another process says to know, and request it at once."""
+        if version > max(self.state.hinted_version, self.state.config_version()):
+            self.state.hinted_version = version
+            self.state.hinted_ms = monotonic_ms()
+            self.superseded.set()
+
     async def async_check_operator(self) -> None:
         """Read the operator's topic at once, beside the read that waits and may have been lost.
 
--- a/heatherkeel/directory/peer_sync.py
+++ b/heatherkeel/directory/peer_sync.py
@@ -113,7 +113,7 @@
     def answer(self, question: OperatorQuestion) -> OperatorAnswer:
         """Answer another process with all records that it lacks."""
         self.peers.record_answer(question.sender, reaches_store=question.reaches_store)
-        self.directory.record_named_version(question.version)
+        self.directory.record_hinted_version(question.version)
         known = self.directory.state.operator_records
         records = [
             _make_record(record, in_parts=question.takes_parts)
@@ -141,7 +141,7 @@
 
     def _needs_newer(self) -> bool:
         state = self.directory.state
-        return not state.is_config_recent(fraction=ASK_PEERS_FRACTION)
+        return state.is_hint_open() or not state.is_config_recent(fraction=ASK_PEERS_FRACTION)
 
     def _due_s(self) -> float:
         """Return the seconds until the records will be too old, unless they are read again."""
--- a/tests/directory/test_peer_sync.py
+++ b/tests/directory/test_peer_sync.py
@@ -271,3 +271,13 @@
     process.read(1)
     trio.run(partial(async_run_for, 0.2, process))
     assert process.sync.fruitless_rounds == 0
+
+
+def test_version_that_another_process_knows_refuses_no_caller() -> None:
+    """Guards against 503 for all callers for as long as a large version is on its way."""
+    process = Process("a", {})
+    process.read(1)
+    process.sync.answer(OperatorQuestion(sender="b", reaches_store=True, version=2, end=3))
+    assert process.directory.superseded.is_set()
+    assert process.directory.state.is_config_recent()
+    assert process.sync._should_ask()
