Homes of queues have as many records as they need, and only changes are read

What callers saw: 503 (no_home) for good for each queue beyond some 1,600.

Cause: one record held all homes, with a limit that nobody had set, and a reader that lacked one home read everything anew.

Fix: homes are divided into pages of 16 kB under keys of their own; the first one is that of earlier releases, and stays as it is if it is larger. A reader keeps what it has read, and reads what was stored since, or all of it if that is more than 256 kB or forgotten.

A read beside the one that waits no longer asks for a large record between its arrival and its being in force.

--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -173,7 +173,7 @@
         """Set when newer records are to be requested at once: another process has named a version
         that is unknown here, or they arrive slowly from the store."""
         self.transfer: Transfer | None = None
-        """The answer with operator's records that is arriving, or has arrived last."""
+        """The answer with operator's records that is arriving, until they are in force."""
         self.checking = trio.CancelScope()
         """Ends the read beside the one that waits."""
         self.on_answer: Callable[[ReadRecords], None] = lambda answer: None
@@ -188,6 +188,7 @@
             on_keys=self._retain_operator_keys,
             on_answer=self._log_operator_answer,
             on_bytes=self._watch_operator_read,
+            on_end=self._forget_transfer,
             coverage=self.state.operator_records,
             max_kb=READ_MAX_KB,
             wait_ms=round(apply_ms * READ_WAIT_FRACTION),
@@ -317,6 +318,8 @@
                     CONFIG_TOPIC, 0, start=start, max_kb=READ_MAX_KB, transfer=transfer
                 )
         finally:
+            if self.transfer is transfer:
+                self.transfer = None
             self.operator.resume()
         if self.checking.cancelled_caught or isinstance(read, Err):
             return
@@ -329,8 +332,13 @@
             self.operator.skip_to(known.end)
 
     def is_large_arriving(self) -> bool:
-        """Return whether a large answer with operator's records is arriving from the store."""
-        return self.transfer is not None and _is_large(self.transfer)
+        """Return whether a large answer with operator's records comes from the store."""
+        transfer = self.transfer
+        return (
+            transfer is not None
+            and _is_large(transfer)
+            and (transfer.is_arriving() or transfer.is_complete)
+        )
 
     def is_arriving_slowly(self) -> bool:
         """Return whether such an answer has been arriving for long."""
@@ -351,6 +359,9 @@
         if _is_large(transfer):
             self.operator.suspend()
 
+    def _forget_transfer(self) -> None:
+        self.transfer = None
+
     def _watch(self, transfer: Transfer) -> None:
         self.transfer = transfer
         if self.is_arriving_slowly():
@@ -502,8 +513,8 @@
 
 
 def _is_large(transfer: Transfer) -> bool:
-    """Return whether a transfer in progress has brought more than a small record."""
-    return transfer.is_arriving() and transfer.received_bytes > READ_MAX_KB * 1024
+    """Return whether a transfer has brought more than a small record."""
+    return transfer.received_bytes > READ_MAX_KB * 1024
 
 
 def _merge_queues(known: dict[str, Queue], configured: list[Queue]) -> dict[str, Queue]:
--- a/heatherkeel/directory/follower.py
+++ b/heatherkeel/directory/follower.py
@@ -34,7 +34,7 @@
     `on_records` is called with records. `on_keys` is called with all existing keys after the newest
     records have been read again; deletions in forgotten history are only visible this way.
     `on_answer` is called with each answer that has records and when it was requested, `on_bytes`
-    while an answer is arriving.
+    while an answer is arriving, `on_end` once it was applied or given up.
 
     With `max_kb`, answers are cut at this size, and only the newest record of each key is read
     where several are missing: a small link can't carry each version of a large record.
@@ -53,6 +53,7 @@
         max_kb: int | None = None,
         coverage: Coverage | None = None,
         on_bytes: Callable[[Transfer], None] = lambda transfer: None,
+        on_end: Callable[[], None] = lambda: None,
         on_answer: Callable[[ReadRecords, int], None] = lambda answer, sent_ms: None,
     ) -> None:
         self.store = store
@@ -65,6 +66,7 @@
         self.pause_s = pause_ms / 1000
         self.max_kb = max_kb
         self.on_bytes = on_bytes
+        self.on_end = on_end
         self.next_offset: int | None = None
         self.caught_up = trio.Event()
         self.connected = True
@@ -86,6 +88,7 @@
                     await self._async_read_newest()
                 else:
                     await self._async_read_next(self.next_offset)
+            self.on_end()
 
     def skip_to(self, offset: int) -> None:
         """Continue at an offset: the records before it are known from elsewhere."""
--- a/heatherkeel/directory/layout_reader.py
+++ b/heatherkeel/directory/layout_reader.py
@@ -5,28 +5,26 @@
 import logging
 import math
 from collections.abc import Awaitable, Callable
+from typing import Final
 
 import trio
-from result import Err, Ok
-
-from heatherkeel.ownership.const import (
-    HOMES_RETRY_S,
-    LAYOUT_KEY,
-    LAYOUT_RETRY_S,
-    QUEUE_HOMES_KEY,
-    QUICK_READS,
-    WORK_TOPIC,
-)
-from heatherkeel.ownership.partitions import Layout, decode_layout, fleet_partition
-from heatherkeel.ownership.queue_homes import QueueHomes, decode_queue_homes
+from result import Err, Ok, Result
+
+from heatherkeel.ownership.const import HOMES_RETRY_S, LAYOUT_RETRY_S, QUICK_READS, WORK_TOPIC
+from heatherkeel.ownership.partitions import fleet_partition
+from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.questions.messages import LayoutAnswer
 
 from .directory import Directory
+from .stored_layout import find_layout, find_queue_homes, keep_layout_records
 
 _LOGGER = logging.getLogger(__name__)
 
+MAX_CHANGES_KB: Final = 256
+"""Size of further records of the fleet's partition, in kB, above which the newest are read anew."""
+
 
 class LayoutReader:
     """Reads layout and homes while they lack a configured service or queue, and only then."""
@@ -44,6 +42,10 @@
         self.directory = directory
         self.async_ask_peers = async_ask_peers
         self.changed = trio.Event()
+        self.records: dict[str, KeyedRecord] = {}
+        """The newest records of the layout and the homes, as far as they were read."""
+        self.next_offset: int | None = None
+        """Offset up to which they were read; None if all have to be read."""
         self.read_s = 0.0
         """When it was last read, or this reader began, on trio's clock."""
         self.is_failing = False
@@ -91,7 +93,7 @@
 
     async def _async_read(self) -> None:
         self.read_s = trio.current_time()
-        read = await self.store.async_read_all_newest(WORK_TOPIC, self.partition)
+        read = await self._async_read_changes()
         if isinstance(read, Err):
             # If only this partition of the store is unavailable, a starting process would refuse
             # jobs of all other partitions.
@@ -107,52 +109,32 @@
                 self.directory.apply_layout(answer.layout)
             return
         self.is_failing = False
+        records = list(self.records.values())
         # The homes first: with a layout alone, a moved queue's jobs would go to its new service.
-        self.directory.apply_queue_homes(find_queue_homes(read.ok_value.records))
-        stored = find_layout(read.ok_value.records)
+        self.directory.apply_queue_homes(find_queue_homes(records))
+        stored = find_layout(records)
         if stored is not None:
             self.directory.apply_layout(stored)
 
-
-def find_layout(records: list[KeyedRecord]) -> Layout | None:
-    """Return the layout that is stored in the fleet's partition, empty if there is none.
-
-    Returns None if the stored layout can't be decoded, as after a downgrade. It must not be
-    replaced then, since existing jobs are routed by it.
-    """
-    value = _find_value(records, LAYOUT_KEY)
-    if not value:
-        return Layout()
-    match decode_layout(value):
-        case Ok(layout):
-            return layout
-        case Err(detail):
-            _LOGGER.error(
-                "cannot decode the layout", extra={"event": "layout_bad", "detail": detail}
+    async def _async_read_changes(self) -> Result[None, CallError]:
+        """Read what was stored since the last read, or everything if that is more or forgotten."""
+        start = self.next_offset
+        if start is not None:
+            read = await self.store.async_read(
+                WORK_TOPIC, self.partition, start=start, wait_ms=0, max_kb=MAX_CHANGES_KB
             )
-            return None
-
-
-def find_queue_homes(records: list[KeyedRecord]) -> QueueHomes | None:
-    """Return the stored homes of queues, empty if there are none; None if they are unreadable.
-
-    Like an unreadable layout, unreadable homes must not be replaced.
-    """
-    value = _find_value(records, QUEUE_HOMES_KEY)
-    if not value:
-        return QueueHomes()
-    match decode_queue_homes(value):
-        case Ok(homes):
-            return homes
-        case Err(detail):
-            _LOGGER.error(
-                "cannot decode the homes of queues",
-                extra={"event": "queue_homes_bad", "detail": detail},
-            )
-            return None
-
-
-def _find_value(records: list[KeyedRecord], key: str) -> bytes:
-    """Return the newest value of a key; pages are no snapshot, so that it may occur twice."""
-    stored = [record for record in records if record.key == key and record.value]
-    return max(stored, key=lambda record: record.offset).value if stored else b""
+            if isinstance(read, Err) and read.err_value.failure is not Failure.FORGOTTEN:
+                return read
+            if isinstance(read, Ok) and read.ok_value.is_whole():
+                self._keep(read.ok_value.records, end=read.ok_value.end)
+                return Ok(None)
+        newest = await self.store.async_read_all_newest(WORK_TOPIC, self.partition)
+        if isinstance(newest, Err):
+            return newest
+        self.records = {}
+        self._keep(newest.ok_value.records, end=newest.ok_value.end)
+        return Ok(None)
+
+    def _keep(self, records: list[KeyedRecord], *, end: int) -> None:
+        self.records = keep_layout_records(self.records, records)
+        self.next_offset = end
--- a/heatherkeel/ownership/const.py
+++ b/heatherkeel/ownership/const.py
@@ -13,7 +13,9 @@
 LAYOUT_KEY: Final = "layout"
 """Key of the layout record in the fleet's partition of the work topic."""
 QUEUE_HOMES_KEY: Final = "queues"
-"""Key of the record of the queues' homes, beside the layout."""
+"""Key of the first page of the queues' homes, beside the layout."""
+QUEUE_HOMES_PREFIX: Final = "queues/"
+"""Prefix of the keys of further pages, before their numbers."""
 KEEP_REMOVED_MS: Final = 600_000
 """Time for which the home of a removed queue is kept at least, in milliseconds. A process that
 misses changes may accept jobs for it meanwhile."""
--- a/heatherkeel/ownership/queue_homes.py
+++ b/heatherkeel/ownership/queue_homes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field
 from typing import Final
 
 import msgspec
@@ -12,8 +13,9 @@
 
 from .partitions import Layout
 
-MAX_BYTES: Final = 120_000
-"""Size of all homes, in bytes; less than half of what a record of the store may have."""
+PAGE_BYTES: Final = 16_000
+"""Size from which a page of homes takes no further queue, in bytes. A new queue costs each process
+one page, and a record of the store may have 262,144 bytes."""
 STRUCTURE_BYTES: Final = 32
 """Size of a home's punctuation and field names in the record, in bytes."""
 
@@ -66,31 +68,80 @@
         return Err(str(err))
 
 
-def extend_queue_homes(
-    known: QueueHomes, queues: Iterable[Queue], layout: Layout, *, unused: Collection[str] = ()
-) -> QueueHomes:
-    """Return the homes with those of new queues, and without the unused ones.
+@dataclass(kw_only=True, slots=True)
+class HomePages:
+    """All homes, divided into the records in which they are stored.
 
-    They are one record, which the store refuses for good if it is too large. So queues beyond
-    `MAX_BYTES` get no home, and their jobs are refused.
+    One record for all would limit the number of queues, and each new queue would be read by every
+    process together with all others.
     """
-    homes = {address: home for address, home in known.homes.items() if address not in unused}
-    size = sum(_measure(address, home) for address, home in homes.items())
-    for queue in queues:
-        address = queue.address()
-        home = homes.get(address)
-        if home is None and layout.partitions_of(queue.service):
-            home = QueueHome(service=queue.service, names=())
-        if home is None or queue.name in home.names:
-            continue
-        home = QueueHome(service=home.service, names=(*home.names, queue.name))
-        added = _measure(address, home)
-        if size + added <= MAX_BYTES:
-            homes[address] = home
-            size += added
-    if homes == known.homes and known.revision:
-        return known
-    return QueueHomes(revision=known.revision + 1, homes=homes)
+
+    pages: dict[int, QueueHomes] = field(default_factory=dict)
+    """By their numbers; releases without pages have all homes on the first, which may be larger."""
+
+    def merge(self) -> QueueHomes:
+        """Return the homes of all pages.
+
+        The first page comes first: if an earlier release has given a queue on a later page another
+        home there, that of the later page counts.
+        """
+        homes: dict[str, QueueHome] = {}
+        for _, page in sorted(self.pages.items()):
+            homes |= page.homes
+        revision = max((page.revision for page in self.pages.values()), default=0)
+        return QueueHomes(revision=revision, homes=homes)
+
+    def extend(
+        self, queues: Iterable[Queue], layout: Layout, *, unused: Collection[str] = ()
+    ) -> list[int]:
+        """Add the homes of new queues, and drop unused ones; return the pages that have changed."""
+        places = {address: number for number, page in self.pages.items() for address in page.homes}
+        changed: dict[int, dict[str, QueueHome]] = {}
+
+        def edit(number: int) -> dict[str, QueueHome]:
+            page = self.pages.get(number)
+            return changed.setdefault(number, dict(page.homes) if page is not None else {})
+
+        for address in unused:
+            if address in places:
+                del edit(places.pop(address))[address]
+        room = _PageRoom(pages=self.pages)
+        for queue in queues:
+            address = queue.address()
+            number = places.get(address)
+            if number is not None:
+                home = changed.get(number, self.pages[number].homes)[address]
+                if queue.name not in home.names:
+                    names = (*home.names, queue.name)
+                    edit(number)[address] = QueueHome(service=home.service, names=names)
+            elif layout.partitions_of(queue.service):
+                home = QueueHome(service=queue.service, names=(queue.name,))
+                places[address] = number = room.find(_measure(address, home))
+                edit(number)[address] = home
+        if not changed and not self.pages:
+            changed[0] = {}
+        revision = max((page.revision for page in self.pages.values()), default=0) + 1
+        for number, homes in changed.items():
+            self.pages[number] = QueueHomes(revision=revision, homes=homes)
+        return sorted(changed)
+
+
+class _PageRoom:
+    """Finds pages with room for new homes."""
+
+    def __init__(self, *, pages: Mapping[int, QueueHomes]) -> None:
+        self.sizes = {
+            number: sum(_measure(address, home) for address, home in page.homes.items())
+            for number, page in pages.items()
+        }
+        self.number = 0
+
+    def find(self, size: int) -> int:
+        """Return the first page with room for a home of this size, and use the room."""
+        while self.sizes.get(self.number, 0) and self.sizes[self.number] + size > PAGE_BYTES:
+            self.number += 1
+        self.sizes[self.number] = self.sizes.get(self.number, 0) + size
+        return self.number
 
 
 def _measure(address: str, home: QueueHome) -> int:
--- a/heatherkeel/pooling/fleet_owner.py
+++ b/heatherkeel/pooling/fleet_owner.py
@@ -10,11 +10,11 @@
 
 from heatherkeel.directory.directory import Directory
 from heatherkeel.directory.follower import async_read_newest_with_retry
-from heatherkeel.directory.layout_reader import find_layout, find_queue_homes
+from heatherkeel.directory.stored_layout import find_home_pages, find_layout, make_homes_key
 from heatherkeel.dispatch.journal import Journal
 from heatherkeel.durations.relay import DurationRelay, group_queues
 from heatherkeel.helpers.clock import monotonic_ms, wall_ms
-from heatherkeel.ownership.const import LAYOUT_KEY, QUEUE_HOMES_KEY, WORK_TOPIC
+from heatherkeel.ownership.const import LAYOUT_KEY, WORK_TOPIC
 from heatherkeel.ownership.holders import HolderCache
 from heatherkeel.ownership.partitions import Layout, extend_layout, fleet_partition
 from heatherkeel.platform.const import STATUS_TOPIC
@@ -93,7 +93,7 @@
         )
         self.layout: Layout | None = None
         """The layout as it is, or will be, stored; None if it wasn't or can't be read."""
-        self.queue_homes = QueueHomeKeeper(homes=None)
+        self.queue_homes = QueueHomeKeeper(pages=None)
         self.began_ms = monotonic_ms()
         self.client = MachineClient(address=settings.machines.address, holder=settings.instance)
         self.orders = MachineOrders(
@@ -134,9 +134,9 @@
             await trio.sleep_forever()
         own = (await async_read_newest_with_retry(self.store, WORK_TOPIC, self.partition)).records
         self.layout = find_layout(own)
-        homes = find_queue_homes(own)
-        self.queue_homes = QueueHomeKeeper(homes=homes)
-        self.directory.apply_queue_homes(homes)
+        pages = find_home_pages(own)
+        self.queue_homes = QueueHomeKeeper(pages=pages)
+        self.directory.apply_queue_homes(pages.merge() if pages is not None else None)
         if self.layout is not None:
             self.directory.apply_layout(self.layout)
         lease_ms = self.settings.bounds.machine_lease_ms
@@ -223,10 +223,12 @@
         config = self.directory.state.config
         if config is None or self.layout is None or not self.layout.shares:
             return
-        homes = self.queue_homes.update(config.queues, self.layout, now_ms=monotonic_ms())
-        if homes is None:
+        pages = self.queue_homes.update(config.queues, self.layout, now_ms=monotonic_ms())
+        if not pages:
             return
-        self.journal.put(QUEUE_HOMES_KEY, homes.encode)
+        for number, page in pages.items():
+            self.journal.put(make_homes_key(number), page.encode)
+        homes = self.queue_homes.homes
         self.journal.when_stored(lambda: self.directory.apply_queue_homes(homes))
 
     def _list_pools(self) -> dict[str, list[str]]:
--- a/heatherkeel/pooling/queue_homes.py
+++ b/heatherkeel/pooling/queue_homes.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
 from heatherkeel.ownership.const import KEEP_REMOVED_MS
 from heatherkeel.ownership.partitions import Layout
-from heatherkeel.ownership.queue_homes import QueueHomes, extend_queue_homes
+from heatherkeel.ownership.queue_homes import HomePages, QueueHomes
 from heatherkeel.platform.operator import Queue
 
-_LOGGER = logging.getLogger(__name__)
-
 ASK_INTERVAL_MS: Final = 30_000
 """Interval between rounds of questions whether removed queues have jobs, in milliseconds."""
 
@@ -35,8 +32,10 @@
 class QueueHomeKeeper:
     """Decides about the homes in the fleet's owner; without I/O."""
 
-    homes: QueueHomes | None
+    pages: HomePages | None
     """The homes as they are, or will be, stored; None if the stored ones can't be decoded."""
+    homes: QueueHomes = field(default_factory=QueueHomes)
+    """The homes of all pages."""
     removed: dict[str, RemovedQueue] = field(default_factory=dict)
     """Removed queues by their address."""
     asked_ms: int = 0
@@ -44,24 +43,26 @@
     seen: tuple[list[Queue], Layout] | None = None
     """What the homes were last extended by."""
 
-    def update(self, queues: list[Queue], layout: Layout, *, now_ms: int) -> QueueHomes | None:
-        """Return the homes to store, if they have changed.
+    def __post_init__(self) -> None:
+        if self.pages is not None:
+            self.homes = self.pages.merge()
+
+    def update(self, queues: list[Queue], layout: Layout, *, now_ms: int) -> dict[int, QueueHomes]:
+        """Return the pages to store, by their numbers; none if nothing has changed.
 
         A removed queue's home is dropped once every partition was found to have no jobs of it, so
         that it may come back with another service.
         """
-        if self.homes is None or self._is_up_to_date(queues, layout):
-            return None
+        if self.pages is None or self._is_up_to_date(queues, layout):
+            return {}
         self.seen = (queues, layout)
         self._update_removed(queues, now_ms=now_ms)
         partitions = layout.all_partitions()
         unused = {address for address, queue in self.removed.items() if queue.is_unused(partitions)}
-        homes = extend_queue_homes(self.homes, queues, layout, unused=unused)
-        _log_homeless(homes, queues, layout)
-        if homes is self.homes:
-            return None
-        self.homes = homes
-        return homes
+        changed = self.pages.extend(queues, layout, unused=unused)
+        if changed:
+            self.homes = self.pages.merge()
+        return {number: self.pages.pages[number] for number in changed}
 
     def _is_up_to_date(self, queues: list[Queue], layout: Layout) -> bool:
         """Return whether nothing has changed since the last call; it is called at each plan."""
@@ -70,7 +71,6 @@
         return queues is self.seen[0] and layout is self.seen[1]
 
     def _update_removed(self, queues: Iterable[Queue], *, now_ms: int) -> None:
-        assert self.homes is not None, "checked by the caller"
         gone = self.homes.homes.keys() - {queue.address() for queue in queues}
         self.removed = {
             address: self.removed.get(address) or RemovedQueue(since_ms=now_ms) for address in gone
@@ -101,16 +101,5 @@
                 queue.held[partition] = not set(names).isdisjoint(held)
 
     def _names_of(self, address: str) -> tuple[str, ...]:
-        home = self.homes.homes.get(address) if self.homes is not None else None
+        home = self.homes.homes.get(address)
         return home.names if home is not None else ()
-
-
-def _log_homeless(homes: QueueHomes, queues: Iterable[Queue], layout: Layout) -> None:
-    """Log how many queues get no home, since the record has no room for it."""
-    placed = [queue for queue in queues if layout.partitions_of(queue.service)]
-    homeless = [queue.address() for queue in placed if not homes.has_all([queue])]
-    if homeless:
-        _LOGGER.error(
-            "too many queues: jobs of some are refused",
-            extra={"event": "queue_homes_full", "queues": len(homeless), "first": homeless[0]},
-        )
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -14,7 +14,7 @@
 from heatherkeel.helpers.clock import monotonic_ms
 from heatherkeel.ownership.const import KEEP_REMOVED_MS
 from heatherkeel.ownership.partitions import Layout
-from heatherkeel.ownership.queue_homes import QueueHomes, extend_queue_homes
+from heatherkeel.ownership.queue_homes import HomePages
 from heatherkeel.platform.caller import Reply
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
@@ -178,7 +178,9 @@
     directory = make_directory()
     directory.operator.on_records([configuration(1, "quotes", "books")])
     quotes, books = directory.state.queues["quotes"], directory.state.queues["books"]
-    homes = extend_queue_homes(QueueHomes(), [quotes, books], Layout(shares={quotes.service: (0,)}))
+    pages = HomePages()
+    pages.extend([quotes, books], Layout(shares={quotes.service: (0,)}))
+    homes = pages.merge()
     directory.apply_queue_homes(homes)
     directory.state.operator_records.confirm(end=1, as_of_ms=monotonic_ms())
     directory.operator.on_records([configuration(2, "books")])
@@ -195,7 +197,9 @@
     directory.operator.on_records([configuration(1, "quotes")])
     quotes = directory.state.queues["quotes"]
     layout = Layout(shares={quotes.service: (0,)})
-    directory.apply_queue_homes(extend_queue_homes(QueueHomes(), [quotes], layout))
+    pages = HomePages()
+    pages.extend([quotes], layout)
+    directory.apply_queue_homes(pages.merge())
     directory.state.operator_records.as_of_ms = monotonic_ms() - KEEP_REMOVED_MS
     directory.operator.on_records([configuration(2, "quotes")])
     assert directory.state.find_home(quotes) is None
--- a/tests/directory/test_layout_reader.py
+++ b/tests/directory/test_layout_reader.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import trio
 import trio.testing
 from result import Err, Ok, Result
 
 from heatherkeel.directory.directory import Directory
-from heatherkeel.directory.layout_reader import LayoutReader, find_layout
+from heatherkeel.directory.layout_reader import LayoutReader
+from heatherkeel.directory.stored_layout import find_layout, find_queue_homes, make_homes_key
 from heatherkeel.ownership.const import (
     HOMES_RETRY_S,
     LAYOUT_KEY,
@@ -16,12 +19,12 @@
     QUICK_READS,
 )
 from heatherkeel.ownership.partitions import Layout
-from heatherkeel.ownership.queue_homes import QueueHomes
+from heatherkeel.ownership.queue_homes import HomePages, QueueHomes
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import Configuration, Queue, Service
 from heatherkeel.platform.store import StoreClient
-from heatherkeel.platform.store_answers import NewestRecords
+from heatherkeel.platform.store_answers import NewestRecords, ReadRecords
 from heatherkeel.platform.transfer import Transfer
 from heatherkeel.questions.messages import LayoutAnswer
 
@@ -41,6 +44,26 @@
     def __init__(self, stored: list[KeyedRecord] | None) -> None:
         self.stored = stored
         self.asked = 0
+        self.sent = 0
+        """Number of records in all answers."""
+
+    async def async_read(
+        self,
+        topic: str,
+        partition: int,
+        *,
+        start: int,
+        wait_ms: int,
+        max_kb: int | None = None,
+        transfer: Transfer | None = None,
+    ) -> Result[ReadRecords, CallError]:
+        """Return the records behind those that the last answer had."""
+        self.asked += 1
+        if self.stored is None:
+            return Err(CallError(failure=Failure.REFUSED, status=503))
+        records = [record for record in self.stored if record.offset >= start]
+        self.sent += len(records)
+        return Ok(ReadRecords(start=start, end=start + len(records), records=records))
 
     async def async_read_all_newest(
         self, topic: str, partition: int, *, transfer: Transfer | None = None
@@ -49,7 +72,9 @@
         self.asked += 1
         if self.stored is None:
             return Err(CallError(failure=Failure.REFUSED, status=503))
-        return Ok(NewestRecords(end=1, records=self.stored, has_more=False))
+        self.sent += len(self.stored)
+        end = max((record.offset + 1 for record in self.stored), default=0)
+        return Ok(NewestRecords(end=end, records=self.stored, has_more=False))
 
 
 def run_reader(
@@ -161,3 +186,56 @@
 
     trio.run(async_run, clock=trio.testing.MockClock(autojump_threshold=0))
     assert QUICK_READS <= store.asked <= QUICK_READS + 6
+
+
+def test_homes_of_all_pages_are_found() -> None:
+    queues = [
+        Queue(name=f"n{number}", host="a.example", path_prefix=f"/{number}/", service="desk")
+        for number in range(1000)
+    ]
+    pages = HomePages()
+    pages.extend(queues, LAYOUT)
+    records = [
+        KeyedRecord(key=make_homes_key(number), value=page.encode(), offset=number)
+        for number, page in pages.pages.items()
+    ]
+    assert len(records) > 1
+    assert find_queue_homes(records) == pages.merge()
+
+
+def test_unreadable_page_hides_all_homes() -> None:
+    """Guards against a queue that gets another home, since the page with its own can't be read."""
+    pages = [HOMES, KeyedRecord(key=make_homes_key(1), value=b"{", offset=1)]
+    assert find_queue_homes(pages) is None
+
+
+def test_further_reads_bring_only_what_has_changed() -> None:
+    """Guards against all homes, over and over again, on a small link."""
+    store = FakeStore([record(LAYOUT.encode(), offset=0), replace(HOMES, offset=1)])
+    directory = Directory(store=store)
+    queue = Queue(name="quotes", host="a.example", path_prefix="/q/", service="desk")
+    directory.state.layout, directory.state.queue_homes = LAYOUT, QueueHomes(revision=1)
+    directory.state.config = Configuration(version=1, queues=[queue])
+
+    async def async_ask_peers() -> LayoutAnswer | None:
+        return None
+
+    reader = LayoutReader(
+        store=store, partitions=4, directory=directory, async_ask_peers=async_ask_peers
+    )
+
+    async def async_run() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(reader.async_run)
+            await trio.sleep(2.0)
+            assert store.asked > 3 and store.sent == 2
+            pages = HomePages(pages={0: QueueHomes(revision=1)})
+            pages.extend([queue], LAYOUT)
+            value = pages.pages[0].encode()
+            assert store.stored is not None
+            store.stored.append(KeyedRecord(key=QUEUE_HOMES_KEY, value=value, offset=2))
+            await trio.sleep(1.0)
+            assert directory.state.find_home(queue) == "desk" and store.sent == 3
+            nursery.cancel_scope.cancel()
+
+    trio.run(async_run, clock=trio.testing.MockClock(autojump_threshold=0))
