--- a/heatherkeel/directory/const.py
+++ b/heatherkeel/directory/const.py
@@ -44,7 +44,7 @@
 READ_MAX_KB: Final = 64
 """Size at which answers with the operator's records are cut, in kB: a large record comes alone, so
 that versions which were replaced meanwhile aren't read."""
-LONG_TRANSFER_S: Final = 0.15
+LONG_TRANSFER_S: Final = 0.06
 """Time from which an answer of the store arrives slowly, in seconds; other processes, which send
 records compressed, are then asked beside it."""
 PART_BYTES: Final = 128 * 1024
--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -340,6 +340,19 @@
             and (transfer.is_arriving() or transfer.is_complete)
         )
 
+    def is_early_in(self, size: int) -> bool:
+        """Return whether less than half of a record of this size has arrived from the store."""
+        return self.transfer is None or 2 * self.transfer.received_bytes < size
+
+    def suspend_reads(self) -> None:
+        """End the reads of the operator's records; none begins before `resume_reads`."""
+        self.checking.cancel()
+        self.operator.suspend()
+
+    def resume_reads(self) -> None:
+        """Continue after `suspend_reads`."""
+        self.operator.resume()
+
     def is_arriving_slowly(self) -> bool:
         """Return whether such an answer has been arriving for long."""
         transfer = self.transfer
--- a/heatherkeel/directory/peer_sync.py
+++ b/heatherkeel/directory/peer_sync.py
@@ -55,6 +55,7 @@
         reaches_store: Callable[[], bool],
         async_ask: AsyncAsk,
         on_question: Callable[[PeerAnswer], None] = lambda answer: None,
+        link_mbps: float = 0.0,
     ) -> None:
         self.directory = directory
         self.peers = peers
@@ -63,6 +64,8 @@
         self.async_ask = async_ask
         self.on_question = on_question
         """Called with how each question was answered."""
+        self.link_mbps = link_mbps
+        """Bandwidth of the own link, in Mbit/s; 0 if it isn't known."""
         self.parts = PartServer()
         self.fetcher = PartFetcher(async_ask=async_ask)
         self.check_ended = trio.Event()
@@ -125,6 +128,8 @@
             age_ms=known.age_ms(),
             reaches_store=self.reaches_store(),
             peers=self.peers.list_alive(MAX_NAMED_PEERS),
+            zone=self.peers.zone,
+            link_mbps=self.link_mbps,
         )
 
     def answer_part(self, question: OperatorPartQuestion) -> OperatorPartAnswer:
@@ -200,6 +205,7 @@
             self.on_question(PeerAnswer.SILENT)
             return
         self.peers.record_answer(address, reaches_store=answer.reaches_store)
+        self.peers.record_place(address, zone=answer.zone, link_mbps=answer.link_mbps)
         self.peers.record_named(answer.peers)
         has_records = bool(answer.records)
         self.on_question(PeerAnswer.RECORDS if has_records else PeerAnswer.NOTHING_NEW)
@@ -207,7 +213,7 @@
             self._log_records(address, question, answer, asked_ms)
         if answer.age_ms is None:
             return
-        records = await self.fetcher.async_fill(address, answer.records, self._is_known)
+        records = await self._async_fill(address, answer.records)
         if records is None:
             return
         self.directory.apply_peer_records(
@@ -238,6 +244,20 @@
             },
         )
 
+    async def _async_fill(
+        self, address: str, records: Sequence[OperatorRecord]
+    ) -> list[KeyedRecord] | None:
+        """Fetch the large values; the store doesn't send the same ones over the link meanwhile."""
+        size = max((record.size for record in records), default=0)
+        is_early = size and self.directory.is_early_in(size)
+        if is_early:
+            self.directory.suspend_reads()
+        try:
+            return await self.fetcher.async_fill(address, records, self._is_known)
+        finally:
+            if is_early:
+                self.directory.resume_reads()
+
     def _is_known(self, record: OperatorRecord) -> bool:
         known = self.directory.state.operator_records.newest.get(record.key)
         return known is not None and known.offset >= record.offset
--- a/heatherkeel/directory/peers.py
+++ b/heatherkeel/directory/peers.py
@@ -25,6 +25,9 @@
     reaches_store: bool = False
     is_unresponsive: bool = False
     """It didn't answer the last question."""
+    zone: str = ""
+    link_mbps: float = 0.0
+    """Bandwidth of its link, in Mbit/s; 0 if it isn't known."""
 
     def is_alive(self) -> bool:
         """Return whether it was heard recently."""
@@ -43,12 +46,18 @@
     """
 
     def __init__(
-        self, *, holders: HolderCache, find_own: Callable[[], str], seeds: Sequence[str] = ()
+        self,
+        *,
+        holders: HolderCache,
+        find_own: Callable[[], str],
+        seeds: Sequence[str] = (),
+        zone: str = "",
     ) -> None:
         self.holders = holders
         self.seeds = seeds
         """Addresses that the settings name."""
         self.find_own = find_own
+        self.zone = zone
         self.known: dict[str, KnownPeer] = {}
         self.random = random.Random()
 
@@ -68,13 +77,22 @@
         peer.reaches_store = reaches_store
         peer.is_unresponsive = False
 
+    def record_place(self, address: str, *, zone: str, link_mbps: float) -> None:
+        """Record a known process's zone and link."""
+        self.known[address].zone = zone
+        self.known[address].link_mbps = link_mbps
+
     def record_silence(self, address: str) -> None:
         """Record that a process hasn't answered."""
         if address in self.known:
             self.known[address].is_unresponsive = True
 
     def list_addresses(self) -> list[str]:
-        """Return the known addresses in random order, those that reach the store first."""
+        """Return the known addresses, those that reach the store first.
+
+        Among equal ones, those with large links come first, which have large records early and can
+        hand them over; then those of the own zone. The rest is random, which spreads the load.
+        """
         since_ms = monotonic_ms() - PEER_KEPT_MS
         self.known = {
             address: peer for address, peer in self.known.items() if peer.heard_ms >= since_ms
@@ -104,8 +122,14 @@
         addresses = self.list_addresses()
         return self.random.sample(addresses, min(count, len(addresses)))
 
-    def _rank(self, address: str) -> int:
+    def _rank(self, address: str) -> tuple[int, float, bool]:
         """Return the rank of an address among those to ask; low ranks are asked first."""
+        peer = self.known.get(address)
+        if peer is None:
+            return self._rank_contact(address), 0.0, True
+        return self._rank_contact(address), -peer.link_mbps, peer.zone != self.zone
+
+    def _rank_contact(self, address: str) -> int:
         peer = self.known.get(address)
         if peer is None:
             return 1
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -112,6 +112,7 @@
             holders=self.holders,
             find_own=lambda: self.links.address,
             seeds=settings.list_seed_links(),
+            zone=settings.zone,
         )
         self.peer_sync = PeerSync(
             directory=self.directory,
@@ -120,6 +121,7 @@
             reaches_store=route.is_served,
             async_ask=self._async_ask_operator,
             on_question=config_metrics.count_question,
+            link_mbps=settings.limits.link_mbps,
         )
         partitions = settings.store.partitions
         self.layouts = LayoutReader(
--- a/heatherkeel/platform/settings.py
+++ b/heatherkeel/platform/settings.py
@@ -59,6 +59,8 @@
     core_share: Annotated[float, Meta(gt=0)] = msgspec.field(name="cpuShare", default=1.0)
     core_speed: Annotated[float, Meta(gt=0)] = msgspec.field(name="cores", default=1.0)
     """Speed of its core, as a multiple of a standard one."""
+    link_mbps: Annotated[float, Meta(ge=0)] = msgspec.field(name="linkMbps", default=0.0)
+    """Bandwidth of its machine's link, in Mbit/s; 0 if it isn't known."""
 
     def cpu_capacity(self) -> int:
         """Return its CPU capacity, in thousandths of a core."""
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -314,6 +314,10 @@
     """The calls to the store of the process that was asked are answered."""
     peers: list[str] = []
     """Addresses of a few other processes."""
+    zone: str = ""
+    """Availability zone of the process that was asked."""
+    link_mbps: float = 0.0
+    """Bandwidth of its link, in Mbit/s; 0 if it isn't known."""
 
 
 class OperatorPartAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="operator_part"):
--- a/tests/directory/test_peers.py
+++ b/tests/directory/test_peers.py
@@ -47,3 +47,18 @@
     peers = make_peers()
     peers.record_named(f"host:{number}" for number in range(MAX_KNOWN_PEERS + 10))
     assert len(peers.list_addresses()) == MAX_KNOWN_PEERS
+
+
+def test_processes_with_larger_links_come_first_and_then_those_of_the_own_zone() -> None:
+    """Guards against asking three processes on small links, which wait for the same record."""
+    peers = make_peers()
+    peers.zone = "a"
+    for address, zone, link_mbps in (
+        ("small:1", "a", 5.0),
+        ("large:1", "b", 100.0),
+        ("large:2", "a", 100.0),
+        ("small:2", "b", 5.0),
+    ):
+        peers.record_answer(address, reaches_store=True)
+        peers.record_place(address, zone=zone, link_mbps=link_mbps)
+    assert peers.list_addresses() == ["large:2", "large:1", "small:1", "small:2"]
--- a/tests/instance/test_large_configuration.py
+++ b/tests/instance/test_large_configuration.py
@@ -65,11 +65,14 @@
             await site.async_wait(lambda: all(len(p.peers.known) >= 4 for p in small))
             # Each copy for all four takes three times as long as a version may.
             site.platform.side_link.bytes_per_s = LINK_BYTES_S / 2
+            site.platform.side_link.sent_bytes = written_bytes = 0
             for version in (2, 3):
                 queues = list_queues(version, QUEUES)
+                written_bytes += len(msgspec.json.encode(queues))
                 site.platform.configure(version, queues, ["portal", "spare"])
                 with trio.move_on_after(APPLY_S):
                     await trio.sleep_forever()
                 assert [p.directory.state.config_version() for p in small] == [version] * 4
+            assert site.platform.side_link.sent_bytes <= len(small) * written_bytes
 
     trio.run(async_test)
