A request finds its queue by host and path, and a measurement of large configurations

A request compared its path with every queue of the configuration.

script/measure configuration: bytes, parts, homes, decoding, compression.

--- a/heatherkeel/gateway/exchange.py
+++ b/heatherkeel/gateway/exchange.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from heatherkeel.directory.directory import DirectoryState
@@ -22,6 +22,7 @@
 from .lookup import Lookup
 from .metrics import GatewayMetrics
 from .reasons import Refusal
+from .routing import QueueTable
 
 _LOGGER = logging.getLogger(__name__)
 _STATUS_BY_REASON: Final = {
@@ -62,6 +63,8 @@
     """Returns whether jobs that surely can't be served are refused."""
     reaches_store: Callable[[], bool] = lambda: True
     """Returns whether the store has answered this process lately, also through other processes."""
+    queues: QueueTable = field(default_factory=QueueTable)
+    """Finds the queues of requests."""
 
 
 class Exchange:
--- a/heatherkeel/gateway/serving.py
+++ b/heatherkeel/gateway/serving.py
@@ -17,7 +17,6 @@
 from .exchange import Exchange
 from .query import async_query, async_send_queue_length
 from .reasons import Refusal
-from .routing import find_queue
 from .submission import async_submit
 
 _JOB_ID: Final = re.compile(r"[0-9a-f]{16}\Z")
@@ -42,7 +41,8 @@
         return await exchange.async_refuse(Refusal.CONFIG_OUTDATED, retry_s=RETRY_SOON_S)
     exchange.caller = _find_caller(exchange)
     path = exchange.request.path
-    queue = find_queue(config, host=exchange.request.headers.get("host", ""), path=path)
+    host = exchange.request.headers.get("host", "")
+    queue = exchange.context.queues.find(config, host=host, path=path)
     if not _is_key_sufficient(exchange, queue):
         return await _async_deny_key(exchange)
     if queue is None:
--- a/heatherkeel/measure/__main__.py
+++ b/heatherkeel/measure/__main__.py
@@ -11,6 +11,7 @@
 
 from . import (  # noqa: F401
     claims,
+    configuration,
     decisions,
     dispatching,
     edits,
