KNOWN-RED.txt names command and seed, and cases beside the suite

Users ask for test, command and seed, what was seen, and issue; the list took three fields, and only tests of the suite. Anything else malformed ends the run with one line, and a listed test still has to fail and to exist (tests).

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,8 +1,9 @@
 """Lets the suite pass over the tests that KNOWN-RED.txt lists, and over nothing else.
 
-Each line of the file is `test-id | cause | issue`, three lines at most. A listed test is
-expected to fail: if it passes, or doesn't exist, the run fails, so that no line outlives its
-fault.
+Each line of the file is `case | command and seed | what was seen | issue`, three lines at most. A
+listed test is expected to fail: if it passes, or doesn't exist, the run fails, so that no line
+outlives its fault. A case that the suite doesn't run, a script or a day, is named by its file; the
+file has to exist, and the case is printed with the others.
 """
 
 from __future__ import annotations
@@ -20,12 +21,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class KnownRed:
-    """A test that fails for a real fault, the cause, and the issue that will mend it."""
+    """A case that fails for a real fault, how to run it, and the issue that will mend it."""
 
-    test_id: str
-    cause: str
+    case: str
+    command: str
+    seen: str
     issue: str
 
+    def is_test(self) -> bool:
+        """Return whether the case is a test of the suite."""
+        return "::" in self.case
+
 
 def read_known_red(file: Path) -> list[KnownRed]:
     """Read the list; raises `pytest.UsageError` if it is longer or looser than it may be."""
@@ -33,14 +39,19 @@
     lines = [line for line in text.splitlines() if line.strip()]
     if len(lines) > MAX_LINES:
         raise pytest.UsageError(f"{FILE_NAME}: {len(lines)} lines, at most {MAX_LINES}")
-    return [_parse(line) for line in lines]
+    known = [_parse(line) for line in lines]
+    for entry in known:
+        if not entry.is_test() and not (file.parent / entry.case).exists():
+            raise pytest.UsageError(f"{FILE_NAME}: no such file: {entry.case}")
+    return known
 
 
 def _parse(line: str) -> KnownRed:
     parts = [part.strip() for part in line.split("|")]
-    if len(parts) != 3 or not all(parts):
-        raise pytest.UsageError(f"{FILE_NAME}: not `test-id | cause | issue`: {line}")
-    return KnownRed(test_id=parts[0], cause=parts[1], issue=parts[2])
+    if len(parts) != 4 or not all(parts):
+        expected = "case | command and seed | what was seen | issue"
+        raise pytest.UsageError(f"{FILE_NAME}: not `{expected}`: {line}")
+    return KnownRed(case=parts[0], command=parts[1], seen=parts[2], issue=parts[3])
 
 
 def pytest_configure(config: pytest.Config) -> None:
@@ -54,15 +65,19 @@
         Path(arg.split("::")[0]).exists() for arg in config.invocation_params.args
     )
     for known in config.stash[_KEY]:
-        item = by_id.get(known.test_id)
+        if not known.is_test():
+            continue
+        item = by_id.get(known.case)
         if item is not None:
-            item.add_marker(pytest.mark.xfail(strict=True, reason=known.cause))
+            item.add_marker(pytest.mark.xfail(strict=True, reason=known.seen))
         elif whole_suite:
-            raise pytest.UsageError(f"{FILE_NAME}: no such test: {known.test_id}")
+            raise pytest.UsageError(f"{FILE_NAME}: no such test: {known.case}")
 
 
 def pytest_terminal_summary(
     terminalreporter: pytest.TerminalReporter, config: pytest.Config
 ) -> None:
     for known in config.stash[_KEY]:
-        terminalreporter.write_line(f"KNOWN RED {known.test_id}: {known.cause} ({known.issue})")
+        terminalreporter.write_line(
+            f"KNOWN RED {known.case} ({known.command}): {known.seen} ({known.issue})"
+        )
