--- a/heatherkeel/directory/peer_sync.py
+++ b/heatherkeel/directory/peer_sync.py
@@ -162,7 +162,7 @@
         async with trio.open_nursery() as round_nursery:
             round_nursery.start_soon(self._async_await_check, round_nursery.cancel_scope)
             await self._async_ask_all(addresses)
-            if not self._needs_newer():
+            if not self._should_ask():
                 round_nursery.cancel_scope.cancel()
         self.fruitless_rounds = self.fruitless_rounds + 1 if self._needs_newer() else 0
         self.round_ended.set()
@@ -181,7 +181,7 @@
         """Wait for the read of the store, unless it takes long; end the round if it suffices."""
         with trio.move_on_after(ANSWER_TIMEOUT_S):
             await self.check_ended.wait()
-        if not self._needs_newer():
+        if not self._should_ask():
             scope.cancel()
 
     async def _async_ask_all(self, addresses: Sequence[str]) -> None:
@@ -221,7 +221,7 @@
             # The answer's age grew while it was on its way, by less than the question took.
             Reading(known_end=answer.end, log_end=answer.end, seen_ms=asked_ms - answer.age_ms),
         )
-        if not self._needs_newer():
+        if not self._should_ask():
             scope.cancel()
 
     def _log_records(
--- a/tests/directory/test_peer_sync.py
+++ b/tests/directory/test_peer_sync.py
@@ -23,7 +23,7 @@
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.platform.store_answers import ReadRecords
-from heatherkeel.platform.transfer import Transfer
+from heatherkeel.platform.transfer import Transfer, begin_transfer
 from heatherkeel.questions.messages import (
     Answer,
     OperatorAnswer,
@@ -245,6 +245,34 @@
     assert second.version() == 2
 
 
+def test_others_are_asked_while_a_large_answer_of_the_store_arrives() -> None:
+    """Guards against waiting for the store's bytes on a small link though others have them."""
+    network: dict[str, Process] = {}
+    first, second = Process("a", network), Process("b", network, "a")
+    first.read(1)
+    second.read(1)
+    first.delay_s = 0.02
+
+    async def async_receive() -> None:
+        await trio.sleep(0.1)
+        # Behind the greeting, so that the next one is a second away.
+        make_large(first, 2)
+        transfer = begin_transfer()
+        transfer.listeners.append(lambda: second.directory._watch_operator_read(transfer))
+        while True:
+            transfer.record(100)
+            await trio.sleep(0.01)
+
+    async def async_test() -> None:
+        with trio.move_on_after(0.5):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(second.sync.async_run)
+                nursery.start_soon(async_receive)
+
+    trio.run(async_test)
+    assert second.version() == 2
+
+
 def test_process_of_an_earlier_release_gets_whole_values() -> None:
     """Guards against an empty configuration at processes that can't ask for parts."""
     process = Process("a", {})
