A round of questions goes on while another process sends a large record

Once the store's answer was ended for the parts of another process, nothing arrived slowly any more, so the next answer without news ended the round and the transfer with it, and the store began from the first byte.

A record that others are sending keeps the round. The test failed before.

--- a/heatherkeel/directory/parts.py
+++ b/heatherkeel/directory/parts.py
@@ -85,6 +85,10 @@
         self.partial: dict[str, PartialValue] = {}
         """The newest value of each key that is fetched, or was last."""
 
+    def is_fetching(self) -> bool:
+        """Return whether a value is being fetched."""
+        return self.lock.locked()
+
     async def async_fill(
         self,
         address: str,
--- a/heatherkeel/directory/peer_sync.py
+++ b/heatherkeel/directory/peer_sync.py
@@ -141,8 +141,13 @@
         return self.directory.state.is_config_recent()
 
     def _should_ask(self) -> bool:
-        """Return whether to ask others: for newer records, or for those that arrive slowly."""
-        return self._needs_newer() or self.directory.is_arriving_slowly()
+        """Return whether others are asked: for newer records, or for those that arrive slowly.
+
+        A record that they are sending counts as well: the store doesn't send it meanwhile.
+        """
+        return (
+            self._needs_newer() or self.directory.is_arriving_slowly() or self.fetcher.is_fetching()
+        )
 
     def _needs_newer(self) -> bool:
         state = self.directory.state
--- a/tests/directory/test_peer_sync.py
+++ b/tests/directory/test_peer_sync.py
@@ -273,6 +273,35 @@
     assert second.version() == 2
 
 
+def test_answer_without_news_does_not_end_a_transfer_from_another_process() -> None:
+    """Guards against dropping the parts of a large version, and its bytes from the store, anew."""
+    network: dict[str, Process] = {}
+    first, other = Process("a", network), Process("c", network)
+    second = Process("b", network, "a", "c")
+    for process in (first, other, second):
+        process.read(1)
+    first.delay_s, other.delay_s = 0.02, 0.06
+
+    async def async_receive() -> None:
+        await trio.sleep(0.2)
+        make_large(first, 2)
+        transfer = begin_transfer()
+        transfer.listeners.append(lambda: second.directory._watch_operator_read(transfer))
+        while not second.directory.operator.reading.cancel_called:
+            transfer.record(100)
+            await trio.sleep(0.01)
+        second.directory._forget_transfer()
+
+    async def async_test() -> None:
+        with trio.move_on_after(0.5):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(second.sync.async_run)
+                nursery.start_soon(async_receive)
+
+    trio.run(async_test)
+    assert second.version() == 2
+
+
 def test_process_of_an_earlier_release_gets_whole_values() -> None:
     """Guards against an empty configuration at processes that can't ask for parts."""
     process = Process("a", {})
