A suspended read of the operator's topic continues once every suspension has ended

Suspending twice replaced the event on which the reader waited, so no resume reached it; and the end of a read beside it resumed what a transfer from another process had suspended.

Suspensions are counted. The test failed before.

--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -176,6 +176,8 @@
         """The answer with operator's records that is arriving, until they are in force."""
         self.checking = trio.CancelScope()
         """Ends the read beside the one that waits."""
+        self.check_suspends = False
+        """That read has suspended the one that waits."""
         self.on_answer: Callable[[ReadRecords], None] = lambda answer: None
         """Called with each answer of the store that holds records of the operator."""
         self.unreadable: dict[str, str] = {}
@@ -320,7 +322,9 @@
         finally:
             if self.transfer is transfer:
                 self.transfer = None
-            self.operator.resume()
+            if self.check_suspends:
+                self.check_suspends = False
+                self.operator.resume()
         if self.checking.cancelled_caught or isinstance(read, Err):
             return
         answer = read.ok_value
@@ -369,7 +373,8 @@
 
     def _watch_check(self, transfer: Transfer) -> None:
         self._watch(transfer)
-        if _is_large(transfer):
+        if _is_large(transfer) and not self.check_suspends:
+            self.check_suspends = True
             self.operator.suspend()
 
     def _forget_transfer(self) -> None:
--- a/heatherkeel/directory/follower.py
+++ b/heatherkeel/directory/follower.py
@@ -76,13 +76,16 @@
         """What is known; shared with others who learn records of the topic."""
         self.reading = trio.CancelScope()
         """Ends the read in progress."""
+        self.suspensions = 0
+        """Number of callers of `suspend` that haven't called `resume`."""
         self.resumed = trio.Event()
-        self.resumed.set()
+        """Set when the last of them does."""
 
     async def async_run(self) -> None:
         """Follow until cancelled."""
         while True:
-            await self.resumed.wait()
+            while self.suspensions:
+                await self.resumed.wait()
             with trio.CancelScope() as self.reading:
                 if self.next_offset is None:
                     await self._async_read_newest()
@@ -97,13 +100,16 @@
             self.reading.cancel()
 
     def suspend(self) -> None:
-        """End the read in progress; no other one begins before `resume`."""
-        self.resumed = trio.Event()
+        """End the read in progress; no other one begins before each caller calls `resume`."""
+        self.suspensions += 1
         self.reading.cancel()
 
     def resume(self) -> None:
-        """Continue after `suspend`."""
-        self.resumed.set()
+        """Continue after `suspend`, unless another caller has suspended it as well."""
+        self.suspensions -= 1
+        if not self.suspensions:
+            self.resumed.set()
+            self.resumed = trio.Event()
 
     async def _async_read_newest(self) -> None:
         sent_ms = monotonic_ms()
--- a/tests/directory/test_follower.py
+++ b/tests/directory/test_follower.py
@@ -44,10 +44,9 @@
         return Ok(ReadRecords(start=start, end=len(self.records), records=self.records))
 
 
-async def async_read_once(records: list[KeyedRecord], *, delay_s: float) -> int:
-    """Return the age of the records after one delayed answer, in milliseconds."""
-    store = DelayingStore(records, delay_s=delay_s)
-    follower = TopicFollower(
+def make_follower(store: DelayingStore) -> TopicFollower:
+    """Return a follower that passes its records to nobody."""
+    return TopicFollower(
         store=cast(StoreClient, store),
         topic="keyed.op",
         partition=0,
@@ -55,6 +54,11 @@
         on_keys=lambda keys: None,
         wait_ms=WAIT_MS,
     )
+
+
+async def async_read_once(records: list[KeyedRecord], *, delay_s: float) -> int:
+    """Return the age of the records after one delayed answer, in milliseconds."""
+    follower = make_follower(DelayingStore(records, delay_s=delay_s))
     follower.next_offset = 0
     async with trio.open_nursery() as nursery:
         nursery.start_soon(follower.async_run)
@@ -76,3 +80,23 @@
 async def test_answer_without_records_proves_their_age_only_up_to_the_wait() -> None:
     """The store looked when the wait was over; the rest of the time may have been a delay."""
     assert 200 - WAIT_MS - 1 <= await async_read_once([], delay_s=0.2) < 190
+
+
+@trio.testing.trio_test
+async def test_follower_continues_once_every_suspension_has_ended() -> None:
+    """Guards against a process that never reads again, or beside a transfer from another one."""
+    record = KeyedRecord(key="config", value=b"{}")
+    follower = make_follower(DelayingStore([record], delay_s=0.0))
+    follower.next_offset = 0
+    follower.suspend()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.async_run)
+        await trio.testing.wait_all_tasks_blocked()
+        follower.suspend()
+        follower.resume()
+        await trio.testing.wait_all_tasks_blocked()
+        assert not follower.caught_up.is_set()
+        follower.resume()
+        with trio.fail_after(1.0):
+            await follower.caught_up.wait()
+        nursery.cancel_scope.cancel()
