--- a/heatherkeel/directory/coverage.py
+++ b/heatherkeel/directory/coverage.py
@@ -56,10 +56,6 @@
         """Record that all records before `end` are known, and that there were no more at a time."""
         self.apply(Reading(known_end=end, log_end=end, seen_ms=as_of_ms))
 
-    def is_cut(self) -> bool:
-        """Return whether the log is known to have further records."""
-        return bool(self.sightings)
-
     def age_ms(self) -> int | None:
         """Return the time since all records were known, in milliseconds."""
         return None if self.as_of_ms is None else monotonic_ms() - self.as_of_ms
--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -14,7 +14,7 @@
 from heatherkeel.ownership.const import KEEP_REMOVED_MS
 from heatherkeel.ownership.partitions import Layout
 from heatherkeel.ownership.queue_homes import QueueHomes
-from heatherkeel.platform.const import CONFIG_KEY, CONFIG_TOPIC, WAVE_PREFIX, WORKERS_TOPIC
+from heatherkeel.platform.const import CONFIG_KEY, WAVE_PREFIX, WORKERS_TOPIC
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import (
     Configuration,
@@ -28,21 +28,18 @@
     decode_worker,
 )
 from heatherkeel.platform.store import StoreClient
-from heatherkeel.platform.store_answers import ReadRecords
-from heatherkeel.platform.transfer import Transfer, begin_transfer
 from heatherkeel.workspaces.access import KeyTable, build_key_table
 from heatherkeel.workspaces.amounts import Amount, amount_of_capacity
 
 from .const import (
     DEFAULT_APPLY_MS,
-    LONG_TRANSFER_S,
     MAX_AGE_FRACTION,
     MISLED_MS,
-    READ_MAX_KB,
     READ_WAIT_FRACTION,
 )
 from .coverage import Reading
 from .follower import TopicFollower
+from .operator_reads import OperatorReads
 from .records import OperatorRecords
 
 _LOGGER = logging.getLogger(__name__)
@@ -172,29 +169,16 @@
         self.superseded = trio.Event()
         """Set when newer records are to be requested at once: another process has named a version
         that is unknown here, or they arrive slowly from the store."""
-        self.transfer: Transfer | None = None
-        """The answer with operator's records that is arriving, until they are in force."""
-        self.checking = trio.CancelScope()
-        """Ends the read beside the one that waits."""
-        self.check_suspends = False
-        """That read has suspended the one that waits."""
-        self.on_answer: Callable[[ReadRecords], None] = lambda answer: None
-        """Called with each answer of the store that holds records of the operator."""
         self.unreadable: dict[str, str] = {}
         """Errors of workers' entries that can't be decoded, by key."""
-        self.operator = TopicFollower(
+        self.reads = OperatorReads(
             store=store,
-            topic=CONFIG_TOPIC,
-            partition=0,
-            on_records=self._apply_operator_records,
-            on_keys=self._retain_operator_keys,
-            on_answer=self._log_operator_answer,
-            on_bytes=self._watch_operator_read,
-            on_end=self._forget_transfer,
-            coverage=self.state.operator_records,
-            max_kb=READ_MAX_KB,
+            known=self.state.operator_records,
             wait_ms=round(apply_ms * READ_WAIT_FRACTION),
+            on_records=self._apply_operator_records,
+            on_slow=lambda: self.superseded.set(),
         )
+        self.operator = self.reads.follower
         self.workers = TopicFollower(
             store=store,
             topic=WORKERS_TOPIC,
@@ -303,88 +287,6 @@
             self.state.hinted_ms = monotonic_ms()
             self.superseded.set()
 
-    async def async_check_operator(self) -> None:
-        """Read the operator's topic at once, beside the read that waits and may have been lost.
-
-        Only one of them may bring a large record: two would share the link, and take twice as long.
-        """
-        known = self.state.operator_records
-        if known.as_of_ms is None or self.is_large_arriving():
-            return
-        sent_ms, start = monotonic_ms(), known.end
-        transfer = begin_transfer()
-        transfer.listeners.append(lambda: self._watch_check(transfer))
-        try:
-            with trio.CancelScope() as self.checking:
-                read = await self.store.async_read_at_once(
-                    CONFIG_TOPIC, 0, start=start, max_kb=READ_MAX_KB, transfer=transfer
-                )
-        finally:
-            if self.transfer is transfer:
-                self.transfer = None
-            if self.check_suspends:
-                self.check_suspends = False
-                self.operator.resume()
-        if self.checking.cancelled_caught or isinstance(read, Err):
-            return
-        answer = read.ok_value
-        if answer.records:
-            self._log_operator_answer(answer, sent_ms)
-            self._apply_added(known.add(answer.records), source="store")
-        known.apply(Reading(known_end=answer.next_offset(), log_end=answer.end, seen_ms=sent_ms))
-        if answer.records:
-            self.operator.skip_to(known.end)
-
-    def is_large_arriving(self) -> bool:
-        """Return whether a large answer with operator's records comes from the store."""
-        transfer = self.transfer
-        return (
-            transfer is not None
-            and _is_large(transfer)
-            and (transfer.is_arriving() or transfer.is_complete)
-        )
-
-    def is_early_in(self, size: int) -> bool:
-        """Return whether less than half of a record of this size has arrived from the store."""
-        return self.transfer is None or 2 * self.transfer.received_bytes < size
-
-    def suspend_reads(self) -> None:
-        """End the reads of the operator's records; none begins before `resume_reads`."""
-        self.checking.cancel()
-        self.operator.suspend()
-
-    def resume_reads(self) -> None:
-        """Continue after `suspend_reads`."""
-        self.operator.resume()
-
-    def is_arriving_slowly(self) -> bool:
-        """Return whether such an answer has been arriving for long."""
-        transfer = self.transfer
-        return (
-            transfer is not None
-            and transfer.is_arriving()
-            and transfer.arrival_s() >= LONG_TRANSFER_S
-        )
-
-    def _watch_operator_read(self, transfer: Transfer) -> None:
-        self._watch(transfer)
-        if _is_large(transfer):
-            self.checking.cancel()
-
-    def _watch_check(self, transfer: Transfer) -> None:
-        self._watch(transfer)
-        if _is_large(transfer) and not self.check_suspends:
-            self.check_suspends = True
-            self.operator.suspend()
-
-    def _forget_transfer(self) -> None:
-        self.transfer = None
-
-    def _watch(self, transfer: Transfer) -> None:
-        self.transfer = transfer
-        if self.is_arriving_slowly():
-            self.superseded.set()
-
     def apply_peer_records(self, records: list[KeyedRecord], reading: Reading) -> None:
         """Apply records that another process knew."""
         known = self.state.operator_records
@@ -393,24 +295,7 @@
             self._apply_added(added, source="peer")
         known.apply(reading)
         if added:
-            self.operator.skip_to(known.end)
-            self.checking.cancel()
-
-    def _log_operator_answer(self, answer: ReadRecords, sent_ms: int) -> None:
-        self.on_answer(answer)
-        _LOGGER.info(
-            "the store answered with records of the operator",
-            extra={
-                "event": "operator_records",
-                "source": "store",
-                "offset": answer.start,
-                "records": len(answer.records),
-                "missing": answer.end - answer.next_offset(),
-                "bytes": answer.size,
-                "took_ms": monotonic_ms() - sent_ms,
-                "config_age_ms": self.state.config_age_ms(),
-            },
-        )
+            self.reads.skip_known()
 
     def _apply_operator_records(self, records: list[KeyedRecord]) -> None:
         self._apply_added(self.state.operator_records.add(records), source="store")
@@ -477,9 +362,6 @@
         wave = decoded.ok_value
         self.state.waves[wave.number] = wave
 
-    def _retain_operator_keys(self, keys: set[str]) -> None:
-        """Drop nothing, since the operator never deletes waves or the configuration."""
-
     def _apply_worker_records(self, records: list[KeyedRecord]) -> None:
         """Apply workers' entries; notify subscribers only if one has changed.
 
@@ -530,11 +412,6 @@
             self._notify()
 
 
-def _is_large(transfer: Transfer) -> bool:
-    """Return whether a transfer has brought more than a small record."""
-    return transfer.received_bytes > READ_MAX_KB * 1024
-
-
 def _merge_queues(known: dict[str, Queue], configured: list[Queue]) -> dict[str, Queue]:
     """Return the configured queues, and before them the ones that were removed last."""
     current = {queue.name: queue for queue in configured}
--- a/heatherkeel/directory/peer_sync.py
+++ b/heatherkeel/directory/peer_sync.py
@@ -146,7 +146,9 @@
         A record that they are sending counts as well: the store doesn't send it meanwhile.
         """
         return (
-            self._needs_newer() or self.directory.is_arriving_slowly() or self.fetcher.is_fetching()
+            self._needs_newer()
+            or self.directory.reads.is_arriving_slowly()
+            or self.fetcher.is_fetching()
         )
 
     def _needs_newer(self) -> bool:
@@ -178,7 +180,7 @@
     async def _async_check_store(self) -> None:
         """Read the store; a large answer may outlast several rounds of questions."""
         try:
-            await self.directory.async_check_operator()
+            await self.directory.reads.async_check()
         finally:
             self.check_ended.set()
 
@@ -254,14 +256,14 @@
     ) -> list[KeyedRecord] | None:
         """Fetch the large values; the store doesn't send the same ones over the link meanwhile."""
         size = max((record.size for record in records), default=0)
-        is_early = size and self.directory.is_early_in(size)
+        is_early = size and self.directory.reads.is_early_in(size)
         if is_early:
-            self.directory.suspend_reads()
+            self.directory.reads.suspend()
         try:
             return await self.fetcher.async_fill(address, records, self._is_known)
         finally:
             if is_early:
-                self.directory.resume_reads()
+                self.directory.reads.resume()
 
     def _is_known(self, record: OperatorRecord) -> bool:
         known = self.directory.state.operator_records.newest.get(record.key)
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -95,7 +95,7 @@
         config_metrics = ConfigMetrics(
             registry=self.metrics.registry, directory=self.directory.state
         )
-        self.directory.on_answer = config_metrics.observe_answer
+        self.directory.reads.on_answer = config_metrics.observe_answer
         self.store.on_given_up = config_metrics.observe_given_up
         self.holders = HolderCache(store=self.store)
         self.owners: dict[int, PartitionOwner] = {}
--- a/tests/directory/test_cut_answers.py
+++ b/tests/directory/test_cut_answers.py
@@ -84,7 +84,7 @@
 
     async def async_test() -> None:
         directory = make_outdated_directory(CuttingStore(versions=5))
-        await directory.async_check_operator()
+        await directory.reads.async_check()
         assert directory.state.config_version() == 2
         assert not directory.state.is_config_recent()
 
--- a/tests/directory/test_peer_sync.py
+++ b/tests/directory/test_peer_sync.py
@@ -258,7 +258,7 @@
         # Behind the greeting, so that the next one is a second away.
         make_large(first, 2)
         transfer = begin_transfer()
-        transfer.listeners.append(lambda: second.directory._watch_operator_read(transfer))
+        transfer.listeners.append(lambda: second.directory.reads.watch_follower(transfer))
         while True:
             transfer.record(100)
             await trio.sleep(0.01)
@@ -286,11 +286,11 @@
         await trio.sleep(0.2)
         make_large(first, 2)
         transfer = begin_transfer()
-        transfer.listeners.append(lambda: second.directory._watch_operator_read(transfer))
+        transfer.listeners.append(lambda: second.directory.reads.watch_follower(transfer))
         while not second.directory.operator.reading.cancel_called:
             transfer.record(100)
             await trio.sleep(0.01)
-        second.directory._forget_transfer()
+        second.directory.reads.forget_transfer()
 
     async def async_test() -> None:
         with trio.move_on_after(0.5):
