A configuration that repeats an address ends no fleet's owner

Two queues with one host and path, both new, raised KeyError while pages of homes were extended: the second looked for its home on a page that wasn't stored yet. Found by reading; the test failed before.

--- a/heatherkeel/ownership/queue_homes.py
+++ b/heatherkeel/ownership/queue_homes.py
@@ -99,8 +99,14 @@
         changed: dict[int, dict[str, QueueHome]] = {}
 
         def edit(number: int) -> dict[str, QueueHome]:
-            page = self.pages.get(number)
-            return changed.setdefault(number, dict(page.homes) if page is not None else {})
+            if number not in changed:
+                page = self.pages.get(number)
+                changed[number] = dict(page.homes) if page is not None else {}
+            return changed[number]
+
+        def find(number: int, address: str) -> QueueHome:
+            homes = changed[number] if number in changed else self.pages[number].homes
+            return homes[address]
 
         for address in unused:
             if address in places:
@@ -110,7 +116,7 @@
             address = queue.address()
             number = places.get(address)
             if number is not None:
-                home = changed.get(number, self.pages[number].homes)[address]
+                home = find(number, address)
                 if queue.name not in home.names:
                     names = (*home.names, queue.name)
                     edit(number)[address] = QueueHome(service=home.service, names=names)
--- a/tests/ownership/test_queue_homes.py
+++ b/tests/ownership/test_queue_homes.py
@@ -61,6 +61,13 @@
     assert not homes.homes and homes.revision == 1
 
 
+def test_two_queues_with_one_address_have_one_home() -> None:
+    """Guards against a fleet's owner that ends over a configuration with a repeated address."""
+    pages = make_homes(make_queue("portal"), make_queue("desk", name="offers"))
+    (home,) = pages.merge().homes.values()
+    assert home == QueueHome(service="portal", names=("quotes", "offers"))
+
+
 def test_unused_home_is_dropped_and_set_anew() -> None:
     pages = make_homes(make_queue("portal"))
     assert pages.extend([], LAYOUT, unused={make_queue("portal").address()}) == [0]
