A round of questions lasts until the store has answered, as before

A read of the store that takes longer than a quarter of a second made the round fruitless, and after two of them requests are refused at once with 503. Only a large answer that is arriving may outlast the round. Found by reading; the test failed before.

--- a/heatherkeel/directory/peer_sync.py
+++ b/heatherkeel/directory/peer_sync.py
@@ -185,9 +185,10 @@
             self.check_ended.set()
 
     async def _async_await_check(self, scope: trio.CancelScope) -> None:
-        """Wait for the read of the store, unless it takes long; end the round if it suffices."""
-        with trio.move_on_after(ANSWER_TIMEOUT_S):
-            await self.check_ended.wait()
+        """Wait for the read of the store unless a large answer arrives, then end the round."""
+        while not (self.check_ended.is_set() or self.directory.reads.is_large_arriving()):
+            with trio.move_on_after(ANSWER_TIMEOUT_S):
+                await self.check_ended.wait()
         if not self._should_ask():
             scope.cancel()
 
--- a/tests/directory/test_peer_sync.py
+++ b/tests/directory/test_peer_sync.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 import trio
-from result import Err, Result
+from result import Err, Ok, Result
 
 from heatherkeel.directory.const import (
     ANSWER_TIMEOUT_S,
@@ -34,6 +34,7 @@
 from .test_directory import configuration
 
 READ_TIMEOUT_S: Final = 0.05
+SLOW_ANSWER_S: Final = 1.0
 
 
 class SilentStore(StoreClient):
@@ -53,6 +54,23 @@
         return Err(CallError(failure=Failure.UNKNOWN, detail="no answer in time"))
 
 
+class SlowStore(StoreClient):
+    """A store that answers late."""
+
+    async def async_read_at_once(
+        self,
+        topic: str,
+        partition: int,
+        *,
+        start: int,
+        max_kb: int | None = None,
+        transfer: Transfer | None = None,
+    ) -> Result[ReadRecords, CallError]:
+        """Answer that there is nothing new."""
+        await trio.sleep(SLOW_ANSWER_S)
+        return Ok(ReadRecords(start=start, end=start, records=[]))
+
+
 class Process:
     """A process that the store doesn't answer, and the processes that it reaches."""
 
@@ -175,6 +193,17 @@
     assert frozen.directory.state.is_config_recent()
 
 
+def test_round_lasts_until_a_slow_store_has_answered() -> None:
+    """Guards against refusing requests, since others that know no more answer before the store."""
+    network: dict[str, Process] = {}
+    other, process = Process("a", network), Process("b", network, "a")
+    for each in (other, process):
+        each.read(1, age_ms=DEFAULT_APPLY_MS)
+    process.directory.reads.store = SlowStore(address="127.0.0.1:1")
+    trio.run(partial(async_run_for, 0.9 * SLOW_ANSWER_S, process))
+    assert process.sync.fruitless_rounds == 0
+
+
 def test_request_does_not_wait_for_processes_that_cannot_help() -> None:
     """Guards against delaying each request while nobody reaches the store."""
     network: dict[str, Process] = {}
