One check tells whether a version that others know is missing here

is_config_superseded and is_hint_open compared version and time in the same way, for a named and for a hinted version. Behaviour is the same.

--- a/heatherkeel/directory/directory.py
+++ b/heatherkeel/directory/directory.py
@@ -116,20 +116,20 @@
 
         A version that no later read has found isn't believed: it may not be decodable here.
         """
-        as_of_ms = self.operator_records.as_of_ms
-        return self.named_version > self.config_version() and (
-            as_of_ms is None or as_of_ms <= self.named_ms
-        )
+        return self._is_missing(self.named_version, since_ms=self.named_ms)
 
     def is_hint_open(self) -> bool:
         """Return whether another process knows a newer configuration that isn't known here yet.
 
         Callers needn't wait for it: they are served by the own one until it is too old.
         """
+        return self._is_missing(self.hinted_version, since_ms=self.hinted_ms)
+
+    def _is_missing(self, version: int, *, since_ms: int) -> bool:
+        """Return whether a version told by others is unknown, and no later read has refuted it."""
         as_of_ms = self.operator_records.as_of_ms
-        return self.hinted_version > self.config_version() and (
-            as_of_ms is None or as_of_ms <= self.hinted_ms
-        )
+        is_refuted = as_of_ms is not None and as_of_ms > since_ms
+        return version > self.config_version() and not is_refuted
 
     def was_misled(self, now_ms: int) -> bool:
         """Return whether a version was named a short time ago that a later read hasn't found."""
