A lost run's log line tells what is known of its worker

run_lost couldn't tell a worker that crashed from one that had only fallen silent: it lacked whether the worker had confirmed the start, when it was last heard, whether the list of machines went on naming it, and how many others of the pool were silent at that moment. Nothing is decided by these fields yet.

--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -19,6 +19,7 @@
     clear_suspicion,
     count_crash,
     count_other_losses,
+    count_silent_workers,
     is_excused,
     may_be_crash,
     measure_run_ms,
@@ -239,9 +240,18 @@
             "age_ms": state.now_ms - run.started_ms if run.started_ms else None,
             "listed_for_ms": listed_for_ms,
             "ran_ms": measure_run_ms(run, loss.gone_ms if loss is not None else None),
+            "is_confirmed": run.begun_ms is not None or bool(run.listed_since_ms),
+            "heard_ms": _since_start(run, worker.clock_received_ms if worker else None),
+            "named_ms": _since_start(run, worker.named_ms if worker else None),
+            "silent_workers": count_silent_workers(state, run.task.step.job, but=run.worker_id),
             "other_losses": count_other_losses(state, run.task.step.job),
             "is_suspect": may_be_crash(run, reason) and not is_excused(state, run, loss),
             "at_work": sum(1 for other in run.task.step.job.runs() if other.is_at_work),
             "beside": len(worker.runs) - 1 if worker else None,
         },
     )
+
+
+def _since_start(run: Run, at_ms: int | None) -> int | None:
+    """Return the time from a run's start to a later moment, negative for an earlier one."""
+    return at_ms - run.started_ms if at_ms and run.started_ms else None
--- a/heatherkeel/dispatch/incarnations.py
+++ b/heatherkeel/dispatch/incarnations.py
@@ -110,7 +110,10 @@
     asked_ms = event.now_ms if event.asked_ms is None else event.asked_ms
     for worker in list(state.workers.values()):
         is_long = asked_ms - worker.unresponsive_since_ms >= MIN_UNRESPONSIVE_MS
-        if not worker.is_unresponsive or not is_long or worker.id in event.worker_ids:
+        if not worker.is_unresponsive or not is_long:
+            continue
+        if worker.id in event.worker_ids:
+            worker.named_ms = asked_ms
             continue
         if not worker.is_listed:
             drop_worker(state, worker, effects, reason=LossReason.OTHER_LIFE)
--- a/heatherkeel/dispatch/suspicion.py
+++ b/heatherkeel/dispatch/suspicion.py
@@ -80,6 +80,12 @@
     )
 
 
+def count_silent_workers(state: PartitionState, job: Job, *, but: str) -> int:
+    """Return how many other workers of a job's pool are unresponsive now."""
+    workers = find_pool(state, job.service).workers.values()
+    return sum(1 for worker in workers if worker.is_unresponsive and worker.id != but)
+
+
 def measure_run_ms(run: Run, gone_ms: int | None) -> int | None:
     """Return for how long a lost run had been there at least when its worker went, if known."""
     if gone_ms is None or run.begun_ms is None:
--- a/heatherkeel/dispatch/worker.py
+++ b/heatherkeel/dispatch/worker.py
@@ -68,6 +68,8 @@
     unresponsive_since_ms: int = 0
     gone_ms: int | None = None
     """The earliest time at which it can have gone, if it is unresponsive and that is known."""
+    named_ms: int | None = None
+    """When the last list of machines that named it was requested, if it is unresponsive."""
     is_leaving: bool = False
     """Its machine is about to be moved or maintained."""
     yielding_since_ms: int | None = None
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -112,6 +112,7 @@
         effects.touch(worker.entry.service)
         log_worker_answered(worker, event.listing)
     worker.is_unresponsive = False
+    worker.named_ms = None
     for run in worker.runs.values():
         run.is_doubtful = False
     if not worker.is_ready():
