Tests that fail: jobs shown as failed whose workers fell silent or lost power together

Seen by callers: a job is answered as failed, and no task of it has failed. Reproduced on this code: in whole processes in one loop, two workers are cut off 100 ms after each start while their machines stay listed, and the job is shown as failed after 15 s (AssertionError: 'failed' == 'complete'). In a pure partition: two expired leases, and two losses of the whole pool at once, each end the job. The stand-in of a worker can be cut off: its calls and answers are lost.

--- a/heatherkeel/standins/fleet_worker.py
+++ b/heatherkeel/standins/fleet_worker.py
@@ -73,6 +73,8 @@
     """Starts that brought it over its room, for tests."""
     has_crashed: bool = False
     """A task that it was to start has crashed it."""
+    is_cut_off: bool = False
+    """Its calls and answers are lost, while it and its machine go on."""
     is_over: bool = False
     """Its life has ended: nothing is carried out any more."""
     history: list[TaskEvent] = field(default_factory=list)
--- a/heatherkeel/standins/worker_api.py
+++ b/heatherkeel/standins/worker_api.py
@@ -33,9 +33,15 @@
     needs_tickets: bool = False
 
     async def async_handle(self, worker: FleetWorker, request: Request, body: bytes) -> Answer:
-        """Answer one call to a worker; a life that is over answers nothing."""
-        if worker.is_over:
+        """Answer one call to a worker; a life that is over or cut off answers nothing."""
+        if worker.is_over or worker.is_cut_off:
             await trio.sleep_forever()
+        answer = await self._async_answer(worker, request, body)
+        if worker.is_cut_off:
+            await trio.sleep_forever()
+        return answer
+
+    async def _async_answer(self, worker: FleetWorker, request: Request, body: bytes) -> Answer:
         if request.headers.get("heatherkeel-target-instance") != worker.id:
             return Answer(status=421)
         decoded = msgspec.json.decode(body) if body else {}
