A job is given up only if workers are known to have ended under its task

Callers saw a job answered as failed though no task of it had failed. Each loss of a worker under an unproven run counted as a crash by that task, whatever showed the loss: an expired lease whose machine was still listed with the same worker, an entry that had gone, a worker that drained, a machine that we had moved ourselves, a start that never reached a worker that was already dead, or a whole rack that lost power. Two to four such losses ended the job for good.

Now each loss has a cause, as far as it is known (dispatch/evidence.py). Only a crash speaks against the task: the incarnation has ended (another life in the list of machines, another start time, another worker at its address), unplanned, while the run was there, and neither most of the rack or pool went at that moment nor, for a later loss, do workers go without the task. A job is given up with at least two of them. Losses of which too little is known count together with them for the budget of starts: from the second on the task starts only on a worker that was just heard, alone with its suspicion, and from the fifth on after a pause that grows to 30 s. The counts are stored; those of the calm case add no byte.

Why this is enough: silence alone never reaches the verdict, and a task that does crash its workers is found by what is known, since its machine's next life is listed or answers; also if it crashes them before the start is answered.

tests/dispatch/partition.py extends the lease with each start, as a session does. Without that, a worker's lease counted as expired at its first failed call, so that tests of crashed workers were tests of expired leases.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -81,6 +81,24 @@
 MAX_EXCUSED_LOSSES: Final = 4
 """Consecutive lost workers that aren't counted against a task where others crash without it. More
 in a row are unlikely, and a task that crashes its workers late must not be started without end."""
+MIN_KNOWN_CRASHES: Final = 2
+"""Workers that must be known to have ended under a task before its job is given up. One crash
+doesn't show that the task was its cause, and losses of which less is known show nothing."""
+FIRST_PAUSE_MS: Final = 1000
+"""Pause before a task starts again that may have crashed as many workers as a task may cost, in
+milliseconds; it doubles with each further loss."""
+MAX_PAUSE_MS: Final = 30_000
+"""Longest such pause, in milliseconds."""
+FRESH_MS: Final = 600
+"""Maximum age of a worker's last answer for the start of a suspected task, in milliseconds; a
+worker with tasks answers every 500."""
+MAX_LISTED_FOR_START: Final = 3
+"""Maximum number of idle workers that are listed at once for the start of a suspected task."""
+LOST_TOGETHER_MS: Final = 200
+"""Time within which workers that went together are seen not to answer, in milliseconds."""
+MIN_LOST_TOGETHER: Final = 2
+"""Minimum number of other workers that must have gone at the same time as a worker, for a cause
+that they share to be likelier than a task."""
 MAX_LOSSES: Final = 64
 """Number of lost workers that a pool remembers."""
 LOSS_MEMORY_MS: Final = 30_000
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -9,20 +9,17 @@
 from .building import open_dependents
 from .const import QUARANTINE_FAILURES
 from .events import CountGivenUp, CountLoss, CountWithheld, Effects, SaveJob
+from .evidence import count_other_losses, count_silent_workers, judge_loss, measure_run_ms
 from .jobs import end_job, save_ended_job, stop_run
-from .models import Job, JobState, LossReason, Run, Task, WorkerLoss
+from .models import Job, JobState, LossCause, LossReason, Run, Task, WorkerLoss
 from .pools import enqueue_step, find_pool, remove_run
 from .slowness import record_speed
 from .stalled import quarantine_worker
 from .state import PartitionState
 from .suspicion import (
     clear_suspicion,
-    count_crash,
-    count_other_losses,
-    count_silent_workers,
-    is_excused,
-    may_be_crash,
-    measure_run_ms,
+    count_loss,
+    pause_if_unclear,
     serves_beside,
     withhold_task,
 )
@@ -172,8 +169,9 @@
 
     `loss` is what is known of its worker, if that was lost with it.
     """
-    _log_loss(state, run, reason, loss)
-    effects.add(CountLoss(reason=reason))
+    cause = judge_loss(state, run, reason, loss)
+    _log_loss(state, run, reason, cause, loss)
+    effects.add(CountLoss(reason=reason, cause=cause))
     remove_run(state, run)
     task = run.task
     if run.saved:
@@ -183,12 +181,11 @@
     if job.state.is_final():
         save_ended_job(job, effects)
         return
-    if may_be_crash(run, reason):
-        if is_excused(state, run, loss):
-            task.excused_losses += 1
-        elif count_crash(state, run, loss):
-            _give_up_task(state, run, effects)
-            return
+    if count_loss(state, run, cause, loss):
+        _give_up_task(state, run, effects)
+        return
+    if cause is LossCause.UNCLEAR or cause is LossCause.CRASH:
+        pause_if_unclear(state, task)
     effects.add(SaveJob(job_id=job.id))
     if not task.step.is_done():
         enqueue_step(state, task.step)
@@ -208,6 +205,7 @@
             "attempt": run.attempt,
             "worker": run.worker_id,
             "crashes": task.crashes,
+            "unclear": task.unclear_losses,
         },
     )
     if is_withheld:
@@ -219,7 +217,13 @@
     end_job(state, job, JobState.FAILED, effects)
 
 
-def _log_loss(state: PartitionState, run: Run, reason: LossReason, loss: WorkerLoss | None) -> None:
+def _log_loss(
+    state: PartitionState,
+    run: Run,
+    reason: LossReason,
+    cause: LossCause,
+    loss: WorkerLoss | None,
+) -> None:
     """Log a lost run, with what shows whether it may have crashed its worker.
 
     A worker that went right after its start may have crashed because of it.
@@ -245,7 +249,7 @@
             "named_ms": _since_start(run, worker.named_ms if worker else None),
             "silent_workers": count_silent_workers(state, run.task.step.job, but=run.worker_id),
             "other_losses": count_other_losses(state, run.task.step.job),
-            "is_suspect": may_be_crash(run, reason) and not is_excused(state, run, loss),
+            "cause": cause.value,
             "at_work": sum(1 for other in run.task.step.job.runs() if other.is_at_work),
             "beside": len(worker.runs) - 1 if worker else None,
         },
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from heatherkeel.durations.messages import DurationsOffer
@@ -13,7 +14,7 @@
 from heatherkeel.workspaces.amounts import Amount
 from heatherkeel.workspaces.messages import GrantOffer
 
-from .models import LossReason, Run, Step, WaitReason
+from .models import LossCause, LossReason, Run, Step, WaitReason
 from .terms import JobTerms
 from .worker import Worker
 
@@ -157,6 +158,8 @@
     """The list of machines reports these worker incarnations as up."""
 
     worker_ids: frozenset[str]
+    pools: Mapping[str, str] = field(default_factory=dict)
+    """The pool of each machine; empty for one that is being moved or maintained."""
     asked_ms: int | None = None
     """When the list was requested, if earlier: it can't name workers that have started since."""
 
@@ -266,11 +269,19 @@
     number: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListWorker(Effect):
+    """List a worker's runs now, if it is idle and no listing waits there."""
+
+    worker_id: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CountLoss(Effect):
     """Count a lost run whose task has to start again."""
 
     reason: LossReason
+    cause: LossCause
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/heatherkeel/dispatch/incarnations.py
+++ b/heatherkeel/dispatch/incarnations.py
@@ -8,17 +8,18 @@
 from .const import MIN_UNRESPONSIVE_MS, SLOWEST_CLOCK
 from .ends import lose_run
 from .events import Effects, IncarnationsListed, OpenSessions, StopTask
-from .models import LossReason, Run, RunState
+from .evidence import describe_loss, record_loss
+from .models import LossReason, Run, RunState, WorkerLoss
 from .pools import find_pool
 from .registry import handles
 from .state import PartitionState
-from .suspicion import describe_loss, record_loss
 from .worker import Worker
 from .worker_log import log_restart, log_worker_event
 
 
 def add_worker(state: PartitionState, worker: Worker) -> None:
     """Add a worker incarnation to the partition and its pool."""
+    worker.known_since_ms = state.now_ms
     state.workers[worker.id] = worker
     find_pool(state, worker.entry.service).workers[worker.id] = worker
 
@@ -38,13 +39,14 @@
         born=born,
         earlier_born=worker.earlier_born | ({worker.born} - {0, born}),
         earlier_leases_until_ms=state.now_ms + round(state.longest_lease_ms * SLOWEST_CLOCK),
-        earlier_loss=describe_loss(worker, state.now_ms),
+        earlier_loss=describe_loss(worker, LossReason.WORKER_RESTARTED, state.now_ms),
         is_leaving=worker.is_leaving,
         is_due=worker.is_due,
         is_outdated=worker.is_outdated,
     )
     log_restart(worker, successor)
-    record_loss(state, worker, LossReason.WORKER_RESTARTED)
+    assert successor.earlier_loss is not None, "just described"
+    record_loss(state, worker, successor.earlier_loss)
     for run in list(worker.runs.values()):
         if worker.runs.get(run.key()) is run:
             _end_with_incarnation(state, run, successor, effects)
@@ -108,21 +110,56 @@
     answer that shows whether its incarnation lives on.
     """
     asked_ms = event.now_ms if event.asked_ms is None else event.asked_ms
-    for worker in list(state.workers.values()):
+    _record_missing_idle_workers(state, event, asked_ms)
+    lost: list[tuple[Worker, LossReason, WorkerLoss]] = []
+    for worker in state.workers.values():
         is_long = asked_ms - worker.unresponsive_since_ms >= MIN_UNRESPONSIVE_MS
         if not worker.is_unresponsive or not is_long:
             continue
         if worker.id in event.worker_ids:
             worker.named_ms = asked_ms
             continue
+        reason = _find_reason(worker, event)
+        lost.append((worker, reason, _record(state, worker, reason)))
+    # All losses are recorded before the first is judged: what went together has another cause than
+    # a task that ran on one of them.
+    for worker, reason, loss in lost:
+        _lose_runs(state, worker, effects, reason=reason, loss=loss)
         if not worker.is_listed:
-            drop_worker(state, worker, effects, reason=LossReason.OTHER_LIFE)
-            continue
-        _lose_runs(state, worker, effects, reason=LossReason.OTHER_LIFE)
-        if not worker.born and worker.is_ready():
+            _remove_worker(state, worker, reason)
+        elif not worker.born and worker.is_ready():
             _forget_answers(state, worker, effects)
 
 
+def _find_reason(worker: Worker, event: IncarnationsListed) -> LossReason:
+    """Return why a worker isn't in the list of machines."""
+    pool = event.pools.get(worker.entry.machine, worker.entry.service)
+    is_taken = pool != worker.entry.service
+    return LossReason.MACHINE_TAKEN if is_taken else LossReason.OTHER_LIFE
+
+
+def _record_missing_idle_workers(
+    state: PartitionState, event: IncarnationsListed, asked_ms: int
+) -> None:
+    """Record the idle workers that are gone by the list of machines, before a call shows it.
+
+    The list may lack a worker that has just started, and it is older than a later answer.
+    """
+    for worker in state.workers.values():
+        is_older = worker.known_since_ms + MIN_UNRESPONSIVE_MS <= asked_ms
+        was_heard_before = worker.is_ready() and worker.clock_received_ms < asked_ms
+        if worker.runs or worker.id in event.worker_ids or not (is_older and was_heard_before):
+            continue
+        _record(state, worker, _find_reason(worker, event))
+
+
+def _record(state: PartitionState, worker: Worker, reason: LossReason) -> WorkerLoss:
+    """Describe the loss of a worker, and remember it."""
+    loss = describe_loss(worker, reason, state.now_ms)
+    record_loss(state, worker, loss)
+    return loss
+
+
 def _forget_answers(state: PartitionState, worker: Worker, effects: Effects) -> None:
     """Replace a worker that reports no start time, so that its next answer counts as the first.
 
@@ -137,7 +174,8 @@
     """Lose the runs of an unreachable worker whose lease has expired; drop it if unlisted."""
     if not worker.is_lease_expired(state.now_ms):
         return
-    _lose_runs(state, worker, effects, reason=LossReason.LEASE_LAPSED)
+    loss = _record(state, worker, LossReason.LEASE_LAPSED)
+    _lose_runs(state, worker, effects, reason=LossReason.LEASE_LAPSED, loss=loss)
     if not worker.is_listed:
         drop_worker(state, worker, effects, reason=LossReason.UNLISTED)
 
@@ -146,17 +184,24 @@
     state: PartitionState, worker: Worker, effects: Effects, *, reason: LossReason
 ) -> None:
     """Remove a worker on which certainly nothing runs."""
-    _lose_runs(state, worker, effects, reason=reason)
+    _lose_runs(state, worker, effects, reason=reason, loss=_record(state, worker, reason))
+    _remove_worker(state, worker, reason)
+
+
+def _remove_worker(state: PartitionState, worker: Worker, reason: LossReason) -> None:
     del state.workers[worker.id]
     del find_pool(state, worker.entry.service).workers[worker.id]
     log_worker_event(worker.id, "worker_dropped", reason.value)
 
 
 def _lose_runs(
-    state: PartitionState, worker: Worker, effects: Effects, *, reason: LossReason
+    state: PartitionState,
+    worker: Worker,
+    effects: Effects,
+    *,
+    reason: LossReason,
+    loss: WorkerLoss,
 ) -> None:
     """Lose all runs of a worker."""
-    loss = describe_loss(worker, state.now_ms)
-    record_loss(state, worker, reason)
     for run in list(worker.runs.values()):
         lose_run(state, run, effects, reason=reason, loss=loss)
--- a/heatherkeel/dispatch/inquiries.py
+++ b/heatherkeel/dispatch/inquiries.py
@@ -50,13 +50,15 @@
                     extra={"event": "machines_unread", "detail": listed.err_value.detail},
                 )
                 continue
-            alive = [m.worker_id for m in listed.ok_value if m.is_up() and m.worker_id]
+            machines = listed.ok_value
+            alive = [m.worker_id for m in machines if m.is_up() and m.worker_id]
             now_ms, wall_ms = self.owner.times()
             self.owner.handle_event(
                 IncarnationsListed(
                     now_ms=now_ms,
                     wall_ms=wall_ms,
                     worker_ids=frozenset(alive),
+                    pools={m.name: "" if m.is_taken() else m.pool for m in machines},
                     asked_ms=asked_ms,
                 )
             )
--- a/heatherkeel/dispatch/metrics.py
+++ b/heatherkeel/dispatch/metrics.py
@@ -10,7 +10,7 @@
 from heatherkeel.durations.models import ErrorFactors
 from heatherkeel.workspaces.labels import WorkspaceLabels
 
-from .models import LossReason, WaitReason
+from .models import LossCause, LossReason, WaitReason
 
 ERROR_BUCKETS: Final = (1.1, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0)
 
@@ -27,6 +27,14 @@
         )
         for reason in LossReason:
             self.losses.labels(reason.name.lower())
+        self.loss_causes = Counter(
+            "heatherkeel_losses_by_cause",
+            "Runs that were lost, by what is known of the cause.",
+            ["cause"],
+            registry=registry,
+        )
+        for cause in LossCause:
+            self.loss_causes.labels(cause.name.lower())
         self.waiting = Counter(
             "heatherkeel_steps_waiting_long",
             "Steps that were logged since they wait for long, by the main reason.",
@@ -77,9 +85,10 @@
         """Count a job that waits for its workspace's limit."""
         self.limited.labels(self.labels.find(workspace)).inc()
 
-    def count_loss(self, reason: LossReason) -> None:
+    def count_loss(self, reason: LossReason, cause: LossCause) -> None:
         """Count a run that was lost."""
         self.losses.labels(reason.name.lower()).inc()
+        self.loss_causes.labels(cause.name.lower()).inc()
 
     def count_waiting(self, reason: WaitReason) -> None:
         """Count a step that waits for long."""
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -38,6 +38,37 @@
     START_NOT_DONE = "its start was not carried out"
     WORKER_GONE = "worker gone"
     WORKER_RESTARTED = "its worker has started again"
+    MACHINE_TAKEN = "its machine was moved or is being maintained"
+
+
+class WorkerEnd(StrEnum):
+    """What is known of the end of a worker's incarnation under which runs were lost."""
+
+    ENDED = "ended"
+    """The incarnation has certainly ended, and nothing of that was planned."""
+    PLANNED = "planned"
+    """It was draining, or its machine was to be moved or maintained."""
+    UNREACHABLE = "unreachable"
+    """Its machine was still listed with it, so it only couldn't be called."""
+    UNKNOWN = "unknown"
+    """It didn't answer until its lease expired, and the list of machines couldn't be read."""
+
+
+class LossCause(StrEnum):
+    """Why a run was lost, as far as it is known; only a crash speaks against its task."""
+
+    CRASH = "crash"
+    """Its worker's incarnation ended while the run was there."""
+    UNCLEAR = "unclear"
+    """Neither a crash under the run nor another cause is known."""
+    EXCUSED = "crash among others"
+    """The worker went some time after the start, and workers of its pool go without the task."""
+    COMMON = "lost with its neighbours"
+    """Most workers of its rack or its pool were lost at the same time, without the task's job."""
+    PLANNED = "planned"
+    UNREACHABLE = "unreachable"
+    NOT_THERE = "not there"
+    """The run wasn't on a worker that was lost, or had run for long enough."""
 
 
 class WaitReason(StrEnum):
@@ -56,6 +87,7 @@
     OTHER_LABEL = "without the label"
     MAX_PER_WORKER = "has the step's maximum per worker"
     SUSPECT = "closed by another job's suspect"
+    NOT_HEARD = "not heard just before, as a suspect requires"
     NO_TICKET = "without a ticket"
     NOT_EXAMINED = "step not examined"
     """Nothing is against it, so the step's place is behind too many others."""
@@ -81,10 +113,15 @@
 class WorkerLoss:
     """What is known of the loss of a worker, which may have crashed."""
 
+    worker_id: str
+    rack: str
+    end: WorkerEnd
     at_ms: int
     """When its runs were given up."""
     gone_ms: int | None
     """The earliest time at which it can have gone; None if it isn't known."""
+    silent_ms: int
+    """When it was first seen not to answer."""
     suspects: frozenset[str]
     """The jobs of the unproven runs that were sent there."""
     is_sudden: bool
@@ -127,6 +164,10 @@
     percent: float = 0.0
     begun_ms: int | None = None
     """When its worker confirmed the start; None if it didn't, or another owner heard that."""
+    heard_ms: int = 0
+    """When its worker was last heard before its start was planned; 0 if it wasn't."""
+    is_broken_off: bool = False
+    """The connection broke right after its start was sent, to a worker just heard."""
     listed_since_ms: int = 0
     """When its worker first listed it; 0 if it never did."""
     is_proven: bool = False
@@ -155,10 +196,14 @@
     """Attempts that failed; a set, because a worker lists an end again to the next owner and it
     must not count twice."""
     crashes: int = 0
-    """Consecutive workers lost while they ran an unproven run of the task, if that speaks against
-    it."""
+    """Consecutive workers known to have ended under an unproven run of the task, if that speaks
+    against it."""
+    unclear_losses: int = 0
+    """Consecutive losses that may have been such crashes."""
     excused_losses: int = 0
-    """Consecutive ones that don't, since workers of the pool crash without it as well."""
+    """Consecutive crashes that don't, since workers of the pool crash without it as well."""
+    is_paused: bool = False
+    """It starts again only after a pause, since it isn't known whether it crashes its workers."""
     saved: str = ""
     is_done: bool = False
     runs: list[Run] = field(default_factory=list)
@@ -167,6 +212,10 @@
         """Return the number of failed attempts."""
         return len(self.failed_attempts)
 
+    def possible_crashes(self) -> int:
+        """Return the number of consecutive losses that were or may have been crashes."""
+        return self.crashes + self.unclear_losses
+
     def is_waiting(self) -> bool:
         """Return whether the task may be started, because no run of it can be left anywhere.
 
@@ -174,13 +223,13 @@
         worker may have crashed because of the task, so it counts as a crash; otherwise copies could
         crash one worker after the other.
         """
-        if self.crashes >= MAX_LASTING_CRASHES:
+        if self.is_paused or self.crashes >= MAX_LASTING_CRASHES:
             return False
         if self.is_done or not self.runs:
             return not self.is_done
         if not self.step.request.may_copy or not all(run.is_doubtful for run in self.runs):
             return False
-        return self.crashes + len(self.runs) < MAX_DOUBTFUL_RUNS
+        return self.possible_crashes() + len(self.runs) < MAX_DOUBTFUL_RUNS
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -270,8 +319,8 @@
     accepted_wall_ms: int
     state: JobState = JobState.PENDING
     occurrences: dict[int, list[Step]] = field(default_factory=dict)
-    crashes: int = 0
-    """Highest crash count among its tasks."""
+    possible_crashes: int = 0
+    """Highest number of possible crashes among its tasks."""
     estimates: list[StepEstimate] | None = None
     """Expected durations of its steps when it was accepted; None if the declared ones are used."""
     due_ms: float = 0.0
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -50,6 +50,7 @@
     ForwardRecord,
     GrantsOffered,
     LimitsChanged,
+    ListWorker,
     ObserveDuration,
     OpenSessions,
     PaceTask,
@@ -402,11 +403,13 @@
                 self.sessions.send_order(effect.run.worker_id, effect)
             case OpenSessions():
                 self.sessions.update()
+            case ListWorker():
+                self.sessions.list_now(effect.worker_id)
             case AskAdvice():
                 if self.nursery is not None:
                     self.nursery.start_soon(self.queries.async_ask_advice, effect)
             case CountLoss():
-                self.metrics.count_loss(effect.reason)
+                self.metrics.count_loss(effect.reason, effect.cause)
             case CountWaiting():
                 self.metrics.count_waiting(effect.reason)
             case CountLimited():
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -54,11 +54,21 @@
     runs: list[tuple[int, str, bool]]
     """Attempt and worker of each run that may still exist, and whether it is being stopped."""
     crashes: int = 0
-    """Number of workers that were lost in a row while running it."""
+    """Number of workers that are known to have ended in a row while running it."""
     lives: list[int] = []
     """Start time of each run's worker incarnation, in the order of the runs; 0 if unknown."""
 
 
+class StoredLosses(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A task's losses in a row that aren't counted as crashes."""
+
+    occurrence: int
+    step: int
+    index: int
+    unclear: int
+    excused: int
+
+
 class StoredProgress(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """A job's progress; for an ended job, only tasks that may still run."""
 
@@ -69,6 +79,8 @@
     begun: int = 0
     """Number of occurrences that have begun."""
     tasks: list[StoredTask] = []
+    losses: list[StoredLosses] = []
+    """Of the tasks that have any; missing in records of earlier releases."""
     workspace: str = ""
     estimates: list[StepEstimate] = []
     """Expected durations of its steps, by which its objective was set; empty for declared ones."""
@@ -122,6 +134,7 @@
             accepted_wall_ms=job.accepted_wall_ms,
             begun=len(job.occurrences),
             tasks=_create_stored_tasks(job),
+            losses=_create_stored_losses(job),
             workspace=job.workspace,
             estimates=job.estimates or [],
             terms=job.terms,
@@ -175,6 +188,30 @@
     ]
 
 
+def _create_stored_losses(job: Job) -> list[StoredLosses]:
+    return [
+        StoredLosses(
+            occurrence=step.occurrence,
+            step=step.number,
+            index=task.index,
+            unclear=task.unclear_losses,
+            excused=task.excused_losses,
+        )
+        for step in job.steps()
+        for task in step.tasks
+        if task.unclear_losses or task.excused_losses
+    ]
+
+
+def _restore_losses(job: Job, stored: StoredProgress) -> None:
+    for losses in stored.losses:
+        task = job.occurrences[losses.occurrence][losses.step].tasks[losses.index]
+        task.unclear_losses = losses.unclear
+        task.excused_losses = losses.excused
+    possible = (task.possible_crashes() for step in job.steps() for task in step.tasks)
+    job.possible_crashes = max(possible, default=0)
+
+
 def restore_progress(job: Job, stored: StoredProgress, *, begins_ms: float) -> list[Run]:
     """Restore a job's progress from its record; returns the runs that may still exist."""
     job.state = stored.state
@@ -190,7 +227,6 @@
         task.saved = record.saved
         task.is_done = record.is_done
         task.crashes = record.crashes
-        job.crashes = max(job.crashes, task.crashes)
         step.done += record.is_done
         for number, (attempt, worker_id, is_stopping) in enumerate(record.runs):
             # An unanswered order of an earlier owner counts as answered here: once the worker
@@ -205,6 +241,7 @@
             )
             task.runs.append(run)
             runs.append(run)
+    _restore_losses(job, stored)
     _update_open_steps(job)
     return runs
 
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -30,6 +30,7 @@
     restore_progress,
 )
 from .state import PartitionState
+from .suspicion import pause_if_unclear
 from .worker import Worker
 
 _LOGGER = logging.getLogger(__name__)
@@ -175,6 +176,8 @@
     for run in restore_progress(job, progress, begins_ms=float(job.accepted_ms)):
         _add_to_worker(state, run, job.service)
     for step in job.steps():
+        for task in step.tasks:
+            pause_if_unclear(state, task)
         if not step.is_done():
             enqueue_step(state, step)
 
--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -55,6 +55,10 @@
         self.send_order.send_nowait(effect)
         self.work_arrived.set()
 
+    def list_now(self) -> None:
+        """End the pause until the next listing of an idle worker."""
+        self.work_arrived.set()
+
     def notify_stored(self) -> None:
         """Wake the listing loop after ends were stored, so that it can acknowledge them."""
         self.stored.set()
--- a/heatherkeel/dispatch/suspicion.py
+++ b/heatherkeel/dispatch/suspicion.py
@@ -1,8 +1,8 @@
-"""Detection and isolation of tasks that crash their workers.
+"""Suspicion of tasks that may crash their workers, and what follows from it.
 
-A task that was lost with a worker is suspected until it has run for a while or is done, unless
-workers of its pool crash without it as well. Suspects are kept apart, so that they don't crash one
-worker after the other.
+A task that was lost with a worker is suspected until it has run for a while or is done. Suspects
+are kept apart, so that they don't crash one worker after the other. A job is given up only if
+workers are known to have ended under one of its tasks; while that isn't known, starts are paused.
 """
 
 from __future__ import annotations
@@ -10,132 +10,93 @@
 import logging
 
 from .const import (
+    FIRST_PAUSE_MS,
     ISOLATION_CRASHES,
-    LOSS_MEMORY_MS,
     MAX_CRASHES,
-    MAX_EXCUSED_LOSSES,
     MAX_LASTING_CRASHES,
+    MAX_LISTED_FOR_START,
+    MAX_PAUSE_MS,
     MAX_SOLE_CRASHES,
     MAX_SUDDEN_CRASHES,
+    MIN_KNOWN_CRASHES,
     PROVEN_MS,
-    SUDDEN_LOSS_MS,
 )
-from .events import Effects, SaveJob
-from .models import Job, LossReason, Run, RunState, Step, Task, WorkerLoss
-from .pools import find_pool
+from .events import Effects, ListWorker, SaveJob
+from .evidence import count_other_losses, is_heard, ran_for_a_while
+from .models import Job, LossCause, Run, Step, Task, WorkerLoss
+from .pools import enqueue_step
 from .state import PartitionState
 from .worker import Worker
 
 _LOGGER = logging.getLogger(__name__)
 
-_POSSIBLE_CRASHES = frozenset(
-    {
-        LossReason.OTHER_LIFE,
-        LossReason.ADDRESS_TAKEN,
-        LossReason.LEASE_LAPSED,
-        LossReason.UNLISTED,
-        LossReason.WORKER_GONE,
-        LossReason.WORKER_RESTARTED,
-    }
-)
-"""Losses that may be a crash. A lease also expires on an unreachable worker, but it is the only
-sign of a crash if the list of machines can't be read."""
-
-
-def describe_loss(worker: Worker, now_ms: int) -> WorkerLoss:
-    """Return what is known of a worker that is lost now; every unproven run is suspected."""
-    gone_ms = worker.gone_ms if worker.is_unresponsive else worker.clock_received_ms
-    suspected = [
-        run
-        for run in worker.runs.values()
-        if run.state is not RunState.PLANNED and not run.is_proven
-    ]
-    return WorkerLoss(
-        at_ms=now_ms,
-        gone_ms=gone_ms,
-        suspects=frozenset(run.task.step.job.id for run in suspected),
-        is_sudden=any(not _ran_for_a_while(run, gone_ms) for run in suspected),
-    )
-
-
-def record_loss(state: PartitionState, worker: Worker, reason: LossReason) -> None:
-    """Remember the loss of a worker with tasks, unless its machine was about to leave anyway."""
-    is_expected = worker.is_leaving or worker.entry.is_draining()
-    if reason in _POSSIBLE_CRASHES and not is_expected and worker.runs:
-        losses = find_pool(state, worker.entry.service).losses
-        losses.append(describe_loss(worker, state.now_ms))
-
-
-def count_other_losses(state: PartitionState, job: Job) -> int:
-    """Return how many workers of a job's pool went lately without any task as the likely cause.
-
-    Those with a suspect of the job don't count.
-    """
-    since_ms = state.now_ms - LOSS_MEMORY_MS
-    losses = find_pool(state, job.service).losses
-    return sum(
-        1
-        for loss in losses
-        if loss.at_ms >= since_ms and not loss.is_sudden and job.id not in loss.suspects
-    )
 
+def count_loss(state: PartitionState, run: Run, cause: LossCause, loss: WorkerLoss | None) -> bool:
+    """Count a lost run by its cause; returns whether its task is known to crash workers.
 
-def count_silent_workers(state: PartitionState, job: Job, *, but: str) -> int:
-    """Return how many other workers of a job's pool are unresponsive now."""
-    workers = find_pool(state, job.service).workers.values()
-    return sum(1 for worker in workers if worker.is_unresponsive and worker.id != but)
-
-
-def measure_run_ms(run: Run, gone_ms: int | None) -> int | None:
-    """Return for how long a lost run had been there at least when its worker went, if known."""
-    if gone_ms is None or run.begun_ms is None:
-        return None
-    return max(0, gone_ms - run.begun_ms)
-
-
-def may_be_crash(run: Run, reason: LossReason) -> bool:
-    """Return whether the task of a lost run may have crashed its worker."""
-    return reason in _POSSIBLE_CRASHES and run.state is not RunState.PLANNED and not run.is_proven
-
-
-def is_excused(state: PartitionState, run: Run, loss: WorkerLoss | None) -> bool:
-    """Return whether the loss of a worker doesn't speak against a task that may have crashed it.
-
-    A worker that goes some time after the start may have gone by itself. That speaks against the
-    task only if no worker of the pool goes without it, or if it happens again and again.
-    """
-    if not _ran_for_a_while(run, loss.gone_ms if loss is not None else None):
-        return False
-    is_rare = run.task.excused_losses < MAX_EXCUSED_LOSSES
-    return is_rare and count_other_losses(state, run.task.step.job) > 0
-
-
-def count_crash(state: PartitionState, run: Run, loss: WorkerLoss | None) -> bool:
-    """Count a lost run as a crash; returns whether its task must not start again.
-
-    The count is stored before the next start is sent, so the next owner continues from it.
+    The counts are stored before the next start is sent, so the next owner continues from them.
     """
     task = run.task
+    match cause:
+        case LossCause.CRASH:
+            task.crashes += 1
+        case LossCause.UNCLEAR:
+            task.unclear_losses += 1
+        case LossCause.EXCUSED:
+            task.excused_losses += 1
+            return False
+        case _:
+            return False
     job = task.step.job
-    task.crashes += 1
-    job.crashes = max(job.crashes, task.crashes)
-    return task.crashes >= _crash_limit(state, run, loss)
+    job.possible_crashes = max(job.possible_crashes, task.possible_crashes())
+    is_known = task.crashes >= MIN_KNOWN_CRASHES
+    return is_known and task.possible_crashes() >= _crash_limit(state, run, loss)
 
 
 def _crash_limit(state: PartitionState, run: Run, loss: WorkerLoss | None) -> int:
     job = run.task.step.job
     if run.task.step.request.lasts:
         return MAX_LASTING_CRASHES
-    if run.begun_ms is None or loss is None or _ran_for_a_while(run, loss.gone_ms):
+    if run.begun_ms is None or loss is None or ran_for_a_while(run, loss.gone_ms):
         return MAX_CRASHES
     if count_other_losses(state, job):
         return MAX_CRASHES
     return MAX_SOLE_CRASHES if loss.is_sole_suspect(job) else MAX_SUDDEN_CRASHES
 
 
-def _ran_for_a_while(run: Run, gone_ms: int | None) -> bool:
-    ran_ms = measure_run_ms(run, gone_ms)
-    return ran_ms is not None and ran_ms >= SUDDEN_LOSS_MS
+def pause_if_unclear(state: PartitionState, task: Task) -> None:
+    """Pause a task's starts if as many were lost as a task may cost that crashes its workers.
+
+    It isn't known that it does, so it starts again, after a pause that grows with each loss.
+    """
+    excess = task.possible_crashes() - MAX_LASTING_CRASHES
+    if excess < 0 or task.crashes >= MAX_LASTING_CRASHES:
+        return
+    task.is_paused = True
+    pause_ms = min(MAX_PAUSE_MS, FIRST_PAUSE_MS << min(excess, 8))
+    state.paused.append((state.now_ms + pause_ms, task))
+    _LOGGER.warning(
+        "starts paused",
+        extra={
+            "event": "task_paused",
+            "task": task.name,
+            "crashes": task.crashes,
+            "unclear": task.unclear_losses,
+            "for_ms": pause_ms,
+        },
+    )
+
+
+def end_pauses(state: PartitionState, effects: Effects) -> None:
+    """Let tasks start again whose pause has ended."""
+    due = [task for until_ms, task in state.paused if until_ms <= state.now_ms]
+    if not due:
+        return
+    state.paused = [entry for entry in state.paused if entry[0] > state.now_ms]
+    for task in due:
+        task.is_paused = False
+        enqueue_step(state, task.step)
+        effects.touch(task.step.job.service)
 
 
 def serves_beside(task: Task) -> bool:
@@ -156,17 +117,20 @@
 def withhold_task(task: Task) -> None:
     """Start a task no more; the others of its job go on."""
     task.crashes = max(task.crashes, MAX_LASTING_CRASHES)
-    task.step.job.crashes = max(task.step.job.crashes, task.crashes)
+    job = task.step.job
+    job.possible_crashes = max(job.possible_crashes, task.possible_crashes())
 
 
 def clear_suspicion(task: Task) -> None:
     """Clear a task of suspicion."""
     task.excused_losses = 0
-    if not task.crashes:
+    if not task.possible_crashes():
         return
-    task.crashes = 0
+    task.crashes = task.unclear_losses = 0
     job = task.step.job
-    job.crashes = max(other.crashes for step in job.steps() for other in step.tasks)
+    job.possible_crashes = max(
+        other.possible_crashes() for step in job.steps() for other in step.tasks
+    )
 
 
 def record_listed_run(worker: Worker, run: Run, now_ms: int, effects: Effects) -> None:
@@ -182,11 +146,34 @@
     run.is_proven = run.percent > 0
     if not run.is_proven:
         return
-    if run.task.crashes:
+    if run.task.possible_crashes() or run.task.excused_losses:
         effects.add(SaveJob(job_id=job.id))
     clear_suspicion(run.task)
 
 
+def choose_heard(
+    state: PartitionState, step: Step, workers: list[Worker], effects: Effects
+) -> list[Worker]:
+    """Return the workers on which a step may start: for a suspect, those that were just heard.
+
+    Otherwise a worker that had gone before the start couldn't be told from one that the task has
+    crashed. If few were heard, some idle ones are listed.
+    """
+    if step.job.possible_crashes < ISOLATION_CRASHES:
+        return workers
+    heard = [worker for worker in workers if may_take_suspect(state, step, worker)]
+    idle = [worker for worker in workers if not worker.runs and worker not in heard]
+    idle.sort(key=Worker.free_cpu, reverse=True)
+    for worker in idle[: max(0, MAX_LISTED_FOR_START - len(heard))]:
+        effects.add(ListWorker(worker_id=worker.id))
+    return heard
+
+
+def may_take_suspect(state: PartitionState, step: Step, worker: Worker) -> bool:
+    """Return whether a worker was just heard, if the step's job is suspected of several crashes."""
+    return step.job.possible_crashes < ISOLATION_CRASHES or is_heard(worker, state.now_ms)
+
+
 def group_candidates(step: Step, workers: list[Worker]) -> list[list[Worker]]:
     """Return groups of candidate workers for a step, the preferred group first.
 
@@ -196,15 +183,15 @@
     keep them from being moved. A suspect prefers workers without long-running tasks of other jobs.
     """
     job = step.job
-    if not job.crashes and not any(worker.suspects for worker in workers):
+    if not job.possible_crashes and not any(worker.suspects for worker in workers):
         return [workers]
     crashes = {worker.id: _max_crashes(worker, job) for worker in workers}
     allowed = [worker for worker in workers if crashes[worker.id] < ISOLATION_CRASHES]
-    if step.request.lasts and job.crashes < ISOLATION_CRASHES:
+    if step.request.lasts and job.possible_crashes < ISOLATION_CRASHES:
         return [allowed]
     unsuspected = [worker for worker in allowed if not crashes[worker.id]]
     choices = [unsuspected, allowed]
-    if job.crashes:
+    if job.possible_crashes:
         choices.insert(0, [w for w in unsuspected if not _has_long_running_of_others(w, job)])
     return choices
 
@@ -212,7 +199,11 @@
 def _max_crashes(worker: Worker, job: Job) -> int:
     """Return the highest crash count of another job's suspects on a worker."""
     return max(
-        (run.task.crashes for run in worker.suspects.values() if run.task.step.job is not job),
+        (
+            run.task.possible_crashes()
+            for run in worker.suspects.values()
+            if run.task.step.job is not job
+        ),
         default=0,
     )
 
--- a/heatherkeel/dispatch/ticks.py
+++ b/heatherkeel/dispatch/ticks.py
@@ -11,6 +11,7 @@
 from .over_part import expire_over_part
 from .registry import handles
 from .state import PartitionState
+from .suspicion import end_pauses
 from .waiting import explain_waiting
 
 
@@ -22,6 +23,7 @@
     update_outdated_workers(state, event.outdated, effects)
     _expire_leaving(state, effects)
     expire_over_part(state, effects)
+    end_pauses(state, effects)
     for job in state.jobs.values():
         if job.request.repeat_count:
             begin_due_occurrences(state, job, effects)
--- a/heatherkeel/dispatch/waiting.py
+++ b/heatherkeel/dispatch/waiting.py
@@ -23,7 +23,7 @@
 from .open_steps import find_urgency
 from .pools import find_pool
 from .state import PartitionState, Pool
-from .suspicion import group_candidates
+from .suspicion import group_candidates, may_take_suspect
 from .tickets import has_valid_ticket, needs_advice
 from .worker import Worker
 
@@ -128,6 +128,7 @@
         (WaitReason.OTHER_LABEL, bool(request.label) and request.label not in worker.entry.labels),
         (WaitReason.MAX_PER_WORKER, is_full),
         (WaitReason.SUSPECT, worker.id not in open_to_step),
+        (WaitReason.NOT_HEARD, not may_take_suspect(state, step, worker)),
     )
     for reason, applies in checks:
         if applies:
@@ -171,7 +172,7 @@
             "running": sum(len(task.runs) for task in step.tasks),
             "needs": [request.cpu, request.memory_mb, request.gpu],
             "max_per_worker": request.max_per_worker,
-            "crashes": step.job.crashes,
+            "crashes": step.job.possible_crashes,
             "steps": len(pool.open_steps),
             "workers": len(pool.workers),
             "with_room": free,
--- a/heatherkeel/dispatch/worker.py
+++ b/heatherkeel/dispatch/worker.py
@@ -70,6 +70,10 @@
     """The earliest time at which it can have gone, if it is unresponsive and that is known."""
     named_ms: int | None = None
     """When the last list of machines that named it was requested, if it is unresponsive."""
+    known_since_ms: int = 0
+    """When this owner first knew of this incarnation."""
+    is_loss_recorded: bool = False
+    """Its loss is among those of its pool, and it hasn't answered since."""
     is_leaving: bool = False
     """Its machine is about to be moved or maintained."""
     yielding_since_ms: int | None = None
@@ -181,7 +185,7 @@
         step = run.task.step.request
         self.runs[run.key()] = run
         run.born = run.born or self.born
-        if run.task.crashes:
+        if run.task.possible_crashes():
             self.suspects[run.key()] = run
         account = run.task.step.job.account
         if account is not None:
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -113,6 +113,7 @@
         log_worker_answered(worker, event.listing)
     worker.is_unresponsive = False
     worker.named_ms = None
+    worker.is_loss_recorded = False
     for run in worker.runs.values():
         run.is_doubtful = False
     if not worker.is_ready():
--- a/heatherkeel/platform/machines.py
+++ b/heatherkeel/platform/machines.py
@@ -31,6 +31,10 @@
         """Return whether it is neither moving, in maintenance nor down."""
         return self.state == "up"
 
+    def is_taken(self) -> bool:
+        """Return whether it is being moved or maintained, as an instance has ordered."""
+        return self.state in ("moving", "upkeep")
+
     def rack(self) -> str:
         """Return its rack, which is the second label."""
         return self.labels[1] if len(self.labels) > 1 else ""
--- a/tests/dispatch/partition.py
+++ b/tests/dispatch/partition.py
@@ -204,9 +204,16 @@
         self.effects = [effect for effect in self.effects if not isinstance(effect, StartTask)]
         for run in runs:
             if run in run.task.runs:
+                self.extend_lease(run.worker_id)
                 self.answer_start(run)
         return runs
 
+    def extend_lease(self, worker_id: str) -> None:
+        """Record a lease as sent with an order or a listing, as a session does."""
+        worker = self.state.workers[worker_id]
+        until_ms = worker.clock_at(self.now_ms) + self.state.lease_ms
+        worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+
     def job(self, job_id: str = JOB) -> Job:
         """Return a job."""
         job = self.state.find_job(job_id)
--- a/tests/dispatch/test_recovery.py
+++ b/tests/dispatch/test_recovery.py
@@ -91,7 +91,7 @@
     later = take_over(earlier)
     later.born_ms = earlier.born_ms
     later.list_runs(run.worker_id)
-    assert later.job().crashes == 1
+    assert later.job().possible_crashes == 1
 
 
 def test_new_worker_that_the_list_of_machines_lacks_keeps_its_tasks_under_the_next_owner() -> None:
--- a/tests/dispatch/test_silent_workers.py
+++ b/tests/dispatch/test_silent_workers.py
@@ -4,16 +4,27 @@
 
 import pytest
 
-from heatherkeel.dispatch.const import LEASE_MS, MACHINE_LIST_INTERVAL_MS
-from heatherkeel.dispatch.events import IncarnationsListed
-from heatherkeel.dispatch.models import JobState, Run
-
-from .partition import Partition, make_entry, make_step
+from heatherkeel.dispatch.const import (
+    LEASE_MS,
+    MACHINE_LIST_INTERVAL_MS,
+    MAX_LASTING_CRASHES,
+    MAX_PAUSE_MS,
+    MIN_KNOWN_CRASHES,
+)
+from heatherkeel.dispatch.events import IncarnationsListed, ListWorker, StartAnswered
+from heatherkeel.dispatch.models import JobState, Run, RunState
+from heatherkeel.platform.errors import CallError, Failure
+
+from .partition import Partition, make_entry, make_step, started_runs
+from .test_crashing_tasks import CrashingFleet
+from .test_recovery import take_over
 
 ROUNDS = 8
 """Losses in a row; more than any task may cause."""
 MAX_WAIT_MS = 3000
 """A job with nothing running has to start within this time while there is capacity."""
+MAX_STARTS = 5
+"""Starts that a task may cost which crashes its workers: three, and two more."""
 
 
 class SilentFleet:
@@ -22,6 +33,7 @@
     def __init__(self, *, lasts: bool = False, workers: int = 4) -> None:
         self.partition = Partition(workers=workers)
         self.partition.submit(make_step(cpu=2000, lasts=lasts))
+        self.crashing = CrashingFleet(self.partition, crashing="")
         self.gone: set[str] = set()
         """Workers that have crashed."""
 
@@ -39,29 +51,46 @@
                 listed_ms = partition.now_ms
                 self.list_machines()
 
-    def list_machines(self) -> None:
+    def list_machines(self, *, pools: dict[str, str] | None = None) -> None:
         """Read the list of machines, which names the workers that are up."""
         up = frozenset(self.partition.entries)
-        self.partition.apply(IncarnationsListed(**self.partition.event_times(), worker_ids=up))
+        times = self.partition.event_times()
+        self.partition.apply(IncarnationsListed(**times, worker_ids=up, pools=pools or {}))
 
-    def wait_start(self, *, silent: frozenset[str] = frozenset()) -> Run:
-        """Return the next run once its start is answered."""
+    def wait_planned(self, *, longest_ms: int = MAX_WAIT_MS, silent_idle: bool = False) -> Run:
+        """Return the next run once its start is planned; idle workers answer if they are listed.
+
+        With `silent_idle` only a listing that is asked for is answered, as between two listings of
+        an idle worker.
+        """
+        partition = self.partition
         waited_ms = 0
-        while not (runs := self.partition.start_planned_runs()):
-            assert waited_ms < MAX_WAIT_MS, "the task waits though workers have room"
-            assert self.partition.job().state is not JobState.FAILED
-            self.pass_time(100, silent=set(silent))
+        while not (runs := started_runs(partition.effects)):
+            assert waited_ms < longest_ms, "the task waits though workers have room"
+            assert partition.job().state is not JobState.FAILED
+            asked = {e.worker_id for e in partition.effects if isinstance(e, ListWorker)}
+            partition.effects.clear()
+            silent = set(partition.state.workers) - asked if silent_idle else set()
+            self.pass_time(100, silent=silent)
             waited_ms += 100
+        partition.effects.clear()
         (run,) = runs
-        worker = self.partition.state.workers[run.worker_id]
-        worker.lease_until_ms = worker.clock_at(self.partition.now_ms) + LEASE_MS
+        partition.extend_lease(run.worker_id)
+        return run
+
+    def wait_start(self, *, longest_ms: int = MAX_WAIT_MS) -> Run:
+        """Return the next run once its start is answered."""
+        run = self.wait_planned(longest_ms=longest_ms)
+        self.partition.answer_start(run)
         return run
 
     def cut_off(self, run: Run, *, is_list_read: bool = True) -> None:
         """Cut a worker off until its lease has expired, then let it answer again."""
         self.partition.fail_listing(run.worker_id)
-        self.pass_time(2 * LEASE_MS, silent={run.worker_id}, is_list_read=is_list_read)
-        assert run not in run.task.runs
+        until_ms = self.partition.now_ms + 2 * LEASE_MS
+        while run in run.task.runs:
+            assert self.partition.now_ms < until_ms, "its lease has expired"
+            self.pass_time(700, silent={run.worker_id}, is_list_read=is_list_read)
         self.partition.list_runs(run.worker_id)
 
     def lose_power(self, *, is_noticed: bool) -> None:
@@ -81,7 +110,7 @@
         self.list_machines()
 
 
-@pytest.mark.parametrize("lasts", [False])
+@pytest.mark.parametrize("lasts", [False, True])
 def test_job_whose_workers_were_cut_off_is_kept(lasts: bool) -> None:
     fleet = SilentFleet(lasts=lasts)
     for _ in range(ROUNDS):
@@ -91,7 +120,7 @@
     assert fleet.partition.job().state is JobState.ACTIVE
 
 
-@pytest.mark.parametrize("is_noticed", [True])
+@pytest.mark.parametrize("is_noticed", [False, True])
 def test_job_whose_pool_lost_power_is_kept(is_noticed: bool) -> None:
     fleet = SilentFleet()
     for _ in range(ROUNDS):
@@ -99,3 +128,118 @@
         fleet.pass_time(100, silent={run.worker_id})
         fleet.lose_power(is_noticed=is_noticed)
     assert fleet.partition.job().state is JobState.ACTIVE
+
+
+def test_job_whose_starts_found_dead_workers_is_kept() -> None:
+    """Guards against blaming a task for workers that had gone before its start was sent."""
+    fleet = SilentFleet()
+    partition = fleet.partition
+    for _ in range(ROUNDS):
+        run = fleet.wait_planned()
+        run.state = RunState.SENT
+        partition.tick(1000)
+        error = CallError(failure=Failure.UNKNOWN, is_timeout=True)
+        partition.apply(StartAnswered(**partition.event_times(), run=run, error=error))
+        fleet.crashing.crash(run.worker_id)
+    assert partition.job().state is JobState.ACTIVE
+    assert run.task.crashes == 0
+
+
+def test_job_whose_machines_were_moved_is_kept() -> None:
+    """Guards against blaming a task for workers that an instance's own order has ended."""
+    fleet = SilentFleet()
+    partition = fleet.partition
+    for number in range(ROUNDS):
+        run = fleet.wait_start()
+        partition.fail_listing(run.worker_id)
+        fleet.pass_time(1300, silent={run.worker_id}, is_list_read=False)
+        entry = partition.entries.pop(run.worker_id)
+        partition.entries[f"new{number}"] = make_entry()
+        partition.list_workers()
+        partition.list_known_runs(f"new{number}")
+        fleet.list_machines(pools={entry.machine: "spare"})
+    assert partition.job().state is JobState.ACTIVE
+    assert run.task.possible_crashes() == 0
+
+
+def test_job_whose_workers_drained_is_kept() -> None:
+    """Guards against blaming a task for workers that leave as they said before."""
+    fleet = SilentFleet(workers=6)
+    for _ in range(3):
+        run = fleet.wait_start()
+        fleet.partition.entries[run.worker_id] = make_entry(state="draining")
+        fleet.partition.list_workers()
+        fleet.partition.fail_listing(run.worker_id)
+        del fleet.partition.entries[run.worker_id]
+        fleet.pass_time(2000, silent={run.worker_id})
+    assert fleet.partition.job().state is JobState.ACTIVE
+    assert run.task.possible_crashes() == 0
+
+
+def test_job_is_kept_while_the_list_of_machines_cannot_be_read() -> None:
+    """Guards against taking an expired lease for a crash, and against starts without a pause."""
+    fleet = SilentFleet()
+    for number in range(ROUNDS):
+        run = fleet.wait_start(longest_ms=MAX_PAUSE_MS + 1000)
+        fleet.pass_time(100, silent={run.worker_id})
+        fleet.cut_off(run, is_list_read=False)
+        assert run.task.is_paused == (number + 1 >= MAX_LASTING_CRASHES)
+    assert fleet.partition.job().state is JobState.ACTIVE
+
+
+def test_pause_grows_with_each_unclear_loss() -> None:
+    """Guards against a task of which nothing is known that takes one worker after the other."""
+    fleet = SilentFleet()
+    partition = fleet.partition
+    pauses = []
+    for _ in range(ROUNDS):
+        run = fleet.wait_start(longest_ms=MAX_PAUSE_MS + 1000)
+        fleet.cut_off(run, is_list_read=False)
+        pauses += [until_ms - partition.now_ms for until_ms, _ in partition.state.paused]
+    assert len(pauses) > 1
+    assert pauses == sorted(set(pauses))
+
+
+def test_unclear_losses_are_known_to_the_next_owner() -> None:
+    """Guards against a count that begins anew with each owner."""
+    fleet = SilentFleet()
+    for _ in range(MAX_LASTING_CRASHES):
+        run = fleet.wait_start()
+        fleet.cut_off(run, is_list_read=False)
+    later = take_over(fleet.partition, workers=4, with_listings=True)
+    (task,) = later.job().steps()[0].tasks
+    assert task.unclear_losses == MAX_LASTING_CRASHES
+    assert task.is_paused
+
+
+@pytest.mark.parametrize("workers", [4, 12])
+def test_task_that_crashes_workers_before_its_start_is_answered_is_given_up(workers: int) -> None:
+    """Guards against starts without end of a task that nobody has seen running."""
+    fleet = SilentFleet(workers=workers)
+    partition = fleet.partition
+    starts = 0
+    while partition.job().state is not JobState.FAILED:
+        run = fleet.wait_planned(silent_idle=True)
+        starts += 1
+        run.state = RunState.SENT
+        partition.tick(10)
+        error = CallError(failure=Failure.UNKNOWN, detail="the connection broke")
+        partition.apply(StartAnswered(**partition.event_times(), run=run, error=error))
+        fleet.crashing.crash(run.worker_id)
+        assert starts <= MAX_STARTS
+    assert starts >= MIN_KNOWN_CRASHES
+
+
+def test_task_that_crashes_workers_after_unclear_losses_ends_within_its_budget() -> None:
+    """Guards against starts beyond the budget where a part of the losses stays unclear."""
+    fleet = SilentFleet()
+    partition = fleet.partition
+    for _ in range(2):
+        fleet.cut_off(fleet.wait_start(), is_list_read=False)
+    starts = 2
+    while partition.job().state is not JobState.FAILED:
+        run = fleet.wait_start()
+        starts += 1
+        partition.tick(10)
+        fleet.crashing.crash(run.worker_id)
+        assert starts <= MAX_STARTS
