A copy that fails after its task is done no longer fails the job

What callers saw: a job whose step may have copies could be answered as failed though one copy of the task had ended as done and the rest of the job could run.

Cause: fail_task compared the failed attempts with maxAttempts without a look at whether the task was done. Copies run beside each other; the last failure may be listed after the success, since the end of a worker that was silent is listed late.

Evidence: test_a_failed_copy_of_a_task_that_is_done_doesnt_fail_its_job failed before (state failed, by reading and by the run), and passes now; tests/dispatch passed as a whole after the change.

Why it works: a task that is done never starts again, so its failures allow nothing further that maxAttempts would have to forbid.

--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -140,6 +140,9 @@
     terms = state.find_terms(job)
     if step.request.lasts or terms is None or task.failures() < terms.max_failures:
         return
+    if task.is_done:
+        # Another copy has ended as done, so the job can still be completed.
+        return
     end_job(state, job, JobState.FAILED, effects)
 
 
--- a/tests/dispatch/test_failure_counting.py
+++ b/tests/dispatch/test_failure_counting.py
@@ -12,7 +12,7 @@
 from heatherkeel.platform.operator import Queue
 from heatherkeel.platform.workers import EndedTask
 
-from .partition import JOB, OTHER_JOB, Partition, make_step
+from .partition import JOB, OTHER_JOB, Partition, make_step, started_runs
 from .test_recovery import take_over
 
 
@@ -151,6 +151,23 @@
     assert partition.job().state is JobState.ACTIVE
 
 
+def test_a_failed_copy_of_a_task_that_is_done_doesnt_fail_its_job() -> None:
+    """Guards against failing a job that can be completed, since a copy failed after the first."""
+    partition = Partition(workers=2, max_failures=2)
+    partition.submit(make_step(may_copy=True), make_step(depends_on=(0,)))
+    fail_next_run(partition)
+    (first,) = partition.start_planned_runs()
+    partition.fail_listing(first.worker_id)
+    partition.tick(100)
+    (copy,) = partition.start_planned_runs()
+    partition.end_run(copy)
+    assert only_task(partition).is_done
+    list_end(partition, first.worker_id, attempt=first.attempt, outcome="failed")
+    assert partition.job().state is JobState.ACTIVE
+    (follower,) = started_runs(partition.effects)
+    assert follower.task.step.number == 1
+
+
 def test_a_later_queue_of_the_same_name_for_another_service_changes_no_attempts() -> None:
     """Guards against failing a job by the settings of a queue that isn't its own."""
     partition = Partition(workers=1, max_failures=3)
