A job isn't failed by a later configuration that allows fewer attempts

What callers would see: a job accepted while its queue's maxAttempts was 4, of which a task has failed twice, is answered as failed once a version with 2 is applied, at the next failure; none of its tasks has failed as often as its queue allowed when it was accepted.

Cause: fail_task went by find_terms, which prefers the queue's newest settings.

Evidence: test_a_job_accepted_with_more_attempts_keeps_them failed before (state failed at the third failure), and passes now. The other direction, a later version that allows more, held before and has a test now.

Why it works: the larger of the two numbers counts, so neither what the caller was told nor what the operator wrote last is undercut by a state that can't be taken back. The price: a job goes on with the number by which it was accepted although the operator has lowered it since.

--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -137,8 +137,8 @@
         },
     )
     _record_worker_failure(state, worker, job)
-    terms = state.find_terms(job)
-    if step.request.lasts or terms is None or task.failures() < terms.max_failures:
+    allowed = state.find_max_failures(job)
+    if step.request.lasts or allowed is None or task.failures() < allowed:
         return
     if task.is_done:
         # Another copy has ended as done, so the job can still be completed.
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -120,3 +120,13 @@
         if queue is not None and (job.terms is None or queue.service == job.service):
             return queue
         return job.terms
+
+    def find_max_failures(self, job: Job) -> int | None:
+        """Return how many failures of one task fail a job; None if its queue isn't known.
+
+        The larger number counts, of when the job was accepted and of its queue now: callers were
+        told the one, operators the other, and a job that was shown as failed can't be taken back.
+        """
+        newest = self.find_terms(job)
+        known = [terms.max_failures for terms in (newest, job.terms) if terms is not None]
+        return max(known, default=None)
--- a/tests/dispatch/test_failure_counting.py
+++ b/tests/dispatch/test_failure_counting.py
@@ -168,6 +168,33 @@
     assert follower.task.step.number == 1
 
 
+def test_a_job_accepted_with_more_attempts_keeps_them() -> None:
+    """Guards against failing a job by a later configuration that allows fewer attempts."""
+    partition = Partition(workers=1, max_failures=4)
+    partition.submit(make_step())
+    partition.job().terms = make_terms(partition.state.queues["quotes"])
+    fail_next_run(partition)
+    fail_next_run(partition)
+    change_queue(partition, max_failures=2)
+    fail_next_run(partition)
+    assert partition.job().state is JobState.ACTIVE
+    fail_next_run(partition)
+    assert partition.job().state is JobState.FAILED
+
+
+def test_a_job_gets_the_attempts_that_a_later_configuration_adds() -> None:
+    """Guards against failing a job before it has failed as often as its queue allows."""
+    partition = Partition(workers=1, max_failures=2)
+    partition.submit(make_step())
+    partition.job().terms = make_terms(partition.state.queues["quotes"])
+    fail_next_run(partition)
+    change_queue(partition, max_failures=3)
+    fail_next_run(partition)
+    assert partition.job().state is JobState.ACTIVE
+    fail_next_run(partition)
+    assert partition.job().state is JobState.FAILED
+
+
 def test_a_later_queue_of_the_same_name_for_another_service_changes_no_attempts() -> None:
     """Guards against failing a job by the settings of a queue that isn't its own."""
     partition = Partition(workers=1, max_failures=3)
