A job's failure is shown once it is stored

What callers saw: `failed` from one instance, for a job that another goes on with and completes. An owner answers from its memory. One that can't reach the store any more still answers for its partition, to its own callers and to those who have its address; whatever it concludes there, such as the loss of workers that only it can't reach, is never stored, and the next owner knows nothing of it.

Cause: end_job sets the state at once, and the answer to a question about a job is that state. Starts and acknowledgements wait until what they rest on is stored; this answer didn't.

Evidence: test_a_failure_that_the_next_owner_may_not_know_isnt_shown failed before (the owner, whose store refuses all connections, answered failed), and passes now.

Why it works: only the partition's owner writes there, and the store refuses an earlier owner's records; so a failure that is stored is what every later owner reads. Until then the job is shown as active. Nothing of it runs meanwhile, as before. `complete` is shown at once as before: it rests on ends that workers list again to the next owner.

Measured: tests/questions and tests/gateway, tests/instance/test_crashing_tasks.py and test_end_to_end.py, and five files of tests/dispatch passed.

--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -14,7 +14,7 @@
 from heatherkeel.workspaces.amounts import Amount
 from heatherkeel.workspaces.messages import GrantOffer
 
-from .models import LossCause, LossReason, Run, Step, WaitReason
+from .models import Job, LossCause, LossReason, Run, Step, WaitReason
 from .terms import JobTerms
 from .worker import Worker
 
@@ -199,6 +199,13 @@
     job_id: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShowFailure(Effect):
+    """Show callers that a job has failed, once this is stored."""
+
+    job: Job
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ForgetJob(Effect):
     """Delete a job's progress record, or, with `only_request`, its request and cancellation."""
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -19,6 +19,7 @@
     JobSubmitted,
     QueuesChanged,
     SaveJob,
+    ShowFailure,
     StopTask,
 )
 from .forwarding import forward_cancel, forward_submission, log_taken_id
@@ -189,6 +190,9 @@
             for run in list(task.runs):
                 stop_run(state, run, effects)
     save_ended_job(job, effects)
+    if final_state is JobState.FAILED:
+        job.is_failure_stored = False
+        effects.add(ShowFailure(job=job))
     effects.touch(job.service)
     _LOGGER.info(
         "job ended",
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -326,6 +326,20 @@
     due_ms: float = 0.0
     """When it has to be complete to meet its objective."""
     ended_ms: int | None = None
+    is_failure_stored: bool = True
+    """False from its failure until that is stored: the next owner may know nothing of it."""
+
+    def state_for_callers(self) -> JobState:
+        """Return the state to show, which no later owner must take back.
+
+        An owner that can't reach the store may have lost its partition, and may have lost its
+        workers only from its own view. The next owner goes on with such a job.
+        """
+        return self.state if self.is_failure_stored else JobState.ACTIVE
+
+    def show_failure(self) -> None:
+        """Show callers its failure, since that is stored."""
+        self.is_failure_stored = True
 
     def steps(self) -> list[Step]:
         """Return the steps of all occurrences that have begun."""
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -56,6 +56,7 @@
     PaceTask,
     QueuesChanged,
     SaveJob,
+    ShowFailure,
     StartTask,
     StopTask,
     Tick,
@@ -388,6 +389,8 @@
         match effect:
             case SaveJob():
                 self._save_job(effect.job_id)
+            case ShowFailure():
+                self.journal.when_stored(effect.job.show_failure)
             case ForgetJob():
                 self._delete_records(effect)
             case DropRecord():
--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -92,7 +92,7 @@
     job = owner.state.find_job(job_id)
     if job is None:
         return JobAnswer() if owner.is_current() else NotOwner()
-    return JobAnswer(state=job.state.value, workspace=job.workspace)
+    return JobAnswer(state=job.state_for_callers().value, workspace=job.workspace)
 
 
 def find_held_queues(state: PartitionState, removed: Collection[str]) -> list[str]:
