Jobs of the fold: an expired lease counts as no failed attempt

What callers would see: an idempotent job of heatherkeel entry is shown as failed, "attempt 3 of 3: lease lapsed on w2", after its workers were only cut off, though its tasks may have run to their end.

Cause: the expiry of a lease went through retry_after_failure, which counts against max_attempts.

Change: an expired lease is counted for itself. What is known later counts when it is known: the platform says that the abandoned task has failed, or that it is gone with its worker. A job that crashes its workers so still ends at its limit, and one that fails on workers that report late does as well.

--- a/heatherkeel/jobs/models.py
+++ b/heatherkeel/jobs/models.py
@@ -96,7 +96,9 @@
     attempt: int = 0
     """Number of the latest attempt, from 1; numbers are never reused."""
     failures: int = 0
-    """Attempts that ran or may have run, and didn't succeed."""
+    """Attempts that ran or may have run, and are known to have ended without success."""
+    losses: int = 0
+    """Attempts that were abandoned when their lease expired, whatever became of them."""
     start_failures: int = 0
     """Attempts that are known not to have started."""
     runs: int = 0
--- a/heatherkeel/jobs/tasks.py
+++ b/heatherkeel/jobs/tasks.py
@@ -27,11 +27,13 @@
 from .reservations import abandon_task, record_usage, release, release_orphan
 from .transitions import (
     accepted,
+    count_late_failure,
     finish_job,
     may_run_again,
     not_found,
     requeue,
     retry_after_failure,
+    retry_after_silence,
     retry_after_start_failure,
     set_status,
     stale_version,
@@ -88,7 +90,12 @@
 
 def _end_orphan(state: FleetState, meta: RecordMeta, body: TaskEnded) -> Accepted:
     """Release an abandoned task; its success counts if no newer attempt has been placed."""
+    instance = state.jobs.orphans[body.task].instance
     release_orphan(state, body.task)
+    if body.ran and body.exit in (TaskExit.FAILED, TaskExit.OUT_OF_MEMORY):
+        failed = count_late_failure(state, body.job, meta, f"{body.exit} on {instance}")
+        if failed is not None:
+            return accepted(failed.version, failed)
     job = state.jobs.live.get(body.job)
     if (
         job is None
@@ -204,8 +211,7 @@
     """Handle a task whose lease has expired or that the platform can't run any more."""
     gone = body.evidence is LossEvidence.TASK_GONE
     if body.task in state.jobs.orphans and gone:
-        release_orphan(state, body.task)
-        return Ok(accepted(0))
+        return Ok(_lose_orphan(state, meta, body))
     job = state.jobs.live.get(body.job)
     if job is None:
         return Err(not_found(body.job))
@@ -225,6 +231,14 @@
     return Ok(accepted(changed.version, changed))
 
 
+def _lose_orphan(state: FleetState, meta: RecordMeta, body: TaskLost) -> Accepted:
+    """Release an abandoned task that is gone with its worker, which its job may have crashed."""
+    instance = state.jobs.orphans[body.task].instance
+    release_orphan(state, body.task)
+    changed = count_late_failure(state, body.job, meta, f"gone with {instance}")
+    return accepted(0) if changed is None else accepted(changed.version, changed)
+
+
 def _retry_or_mark_unknown(
     state: FleetState, meta: RecordMeta, job_id: str, job: Job, reason: str
 ) -> JobChanged:
@@ -244,6 +258,6 @@
     if job.spec.idempotent:
         reason = f"lease lapsed on {job.instance}"
         abandon_task(state, job_id, job)
-        return retry_after_failure(state, job_id, job, meta, reason)
+        return retry_after_silence(state, job_id, job, meta, reason)
     full_reason = f"lease lapsed on {job.instance}: it may have run, or be running"
     return set_status(job_id, job, meta, JobStatus.UNKNOWN, full_reason)
--- a/heatherkeel/jobs/transitions.py
+++ b/heatherkeel/jobs/transitions.py
@@ -113,7 +113,39 @@
     if job.failures >= job.spec.max_attempts:
         full_reason = f"attempt {job.failures} of {job.spec.max_attempts}: {reason}"
         return finish_job(state, job_id, job, meta, JobStatus.FAILED, full_reason)
-    return requeue(state, job_id, job, meta, wait_ms=backoff_ms(job.failures), reason=reason)
+    wait_ms = backoff_ms(job.failures + job.losses)
+    return requeue(state, job_id, job, meta, wait_ms=wait_ms, reason=reason)
+
+
+def retry_after_silence(
+    state: FleetState, job_id: str, job: Job, meta: RecordMeta, reason: str
+) -> JobChanged:
+    """Retry a job after an abandoned attempt, about which nothing is known; that is no failure.
+
+    Each retry waits longer: the job may be what silences its workers.
+    """
+    job.losses += 1
+    if job.cancelling:
+        return finish_job(state, job_id, job, meta, JobStatus.CANCELLED, reason)
+    wait_ms = backoff_ms(job.failures + job.losses)
+    return requeue(state, job_id, job, meta, wait_ms=wait_ms, reason=reason)
+
+
+def count_late_failure(
+    state: FleetState, job_id: str, meta: RecordMeta, reason: str
+) -> JobChanged | None:
+    """Count an abandoned attempt that is now known to have ended without success.
+
+    A job that is queued fails at its limit; a later attempt that has been placed may succeed.
+    """
+    job = state.jobs.live.get(job_id)
+    if job is None or not job.spec.idempotent:
+        return None
+    job.failures += 1
+    if job.status is not JobStatus.QUEUED or job.failures < job.spec.max_attempts:
+        return None
+    full_reason = f"attempt {job.failures} of {job.spec.max_attempts}: {reason}"
+    return finish_job(state, job_id, job, meta, JobStatus.FAILED, full_reason)
 
 
 def retry_after_start_failure(
