Long tasks aren't stopped as stalled between two whole percents

What callers would see: two tasks of minutes that share a worker are stopped again and again, each time after a second or two, and their worker gets no work for five seconds; the jobs may never end.

Cause: a task counted as stalled after 1,200 ms without a change of its progress, whatever its duration. Progress comes in whole percent, so a task of more than two minutes changes it more rarely than that: no change was taken for no progress.

Evidence: test_worker_whose_long_tasks_progress_slowly_is_kept (two tasks of 300 s, one percent in three seconds) failed before: both were stopped at the second listing. The companion test, that such a worker is still found if it does stand still, passed before and passes now.

Why it works: the bound is five steps of the percentage of the expected duration, declared or learned, and never below the earlier one.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -164,6 +164,9 @@
 STALLED_MS: Final = 1200
 """Time without progress after which a task is stalled, in milliseconds. Progress is reported in
 whole percent, so a task of 5 s that makes progress shows it every 50 ms."""
+STALLED_FRACTION: Final = 0.05
+"""Fraction of its expected duration for which a long task must show no progress to be stalled: five
+steps of the percentage."""
 MIN_STALLED_TASKS: Final = 2
 """Minimum number of stalled tasks for a worker to count as stalled; all of its tasks must be."""
 PACE_INTERVAL_MS: Final = 450
--- a/heatherkeel/dispatch/stalled.py
+++ b/heatherkeel/dispatch/stalled.py
@@ -8,6 +8,7 @@
     MAX_QUARANTINED_FRACTION,
     MIN_STALLED_TASKS,
     QUARANTINE_MS,
+    STALLED_FRACTION,
     STALLED_MS,
 )
 from .events import Effects
@@ -27,7 +28,7 @@
     no task fails. A single stalled task may be its own fault, so several are needed.
     """
     runs = [run for run in worker.runs.values() if _can_stall(run)]
-    stalled = [run for run in runs if state.now_ms - run.progressed_ms >= STALLED_MS]
+    stalled = [run for run in runs if _is_stalled(run, state.now_ms)]
     if len(stalled) < max(MIN_STALLED_TASKS, len(runs)):
         return
     if not quarantine_worker(state, worker, why=f"{len(stalled)} tasks stand still"):
@@ -60,6 +61,12 @@
     return True
 
 
+def _is_stalled(run: Run, now_ms: int) -> bool:
+    """Return whether a run should have shown progress by now, which is reported in percent."""
+    expected_ms = max(STALLED_MS, STALLED_FRACTION * run.task.step.task_ms())
+    return now_ms - run.progressed_ms >= expected_ms
+
+
 def _can_stall(run: Run) -> bool:
     request = run.task.step.request
     is_plain = not request.lasts and not request.is_gang and not request.fills
