A machine that one list lacks doesn't complete its wave

What operators would see: a wave is reported as complete, for good, though a machine of it that stays was never maintained; or one machine more is down for a wave than it allows.

Cause: a list of machines without a machine counted as that machine's departure at once. A wave is complete once all its remaining machines were begun, and that is stored; and the intent of a machine that isn't listed was dropped, so it no longer counted as down.

Evidence: test_wave_isnt_complete_since_one_list_lacks_its_last_machine and test_machine_in_maintenance_that_one_list_lacks_still_counts_as_down failed before.

Why it works: a machine that was listed before counts as gone only once the lists of three seconds lack it. A machine that was never listed still holds up no wave.

tests/pooling passed.

--- a/heatherkeel/pooling/const.py
+++ b/heatherkeel/pooling/const.py
@@ -12,6 +12,9 @@
 neither the others from their grants nor machines from being moved."""
 LIST_INTERVAL_MS: Final = 600
 """Time between two reads of the list of machines, in milliseconds; each read is priced."""
+MACHINE_GONE_MS: Final = 3000
+"""Time for which the lists of machines must lack one that was listed before until it counts as
+gone, in milliseconds: five lists."""
 LOAD_MAX_AGE_MS: Final = 1500
 """Maximum age of a pool's load that plans may use, in milliseconds."""
 ORDER_RETRY_MS: Final = 1000
--- a/heatherkeel/pooling/models.py
+++ b/heatherkeel/pooling/models.py
@@ -119,6 +119,10 @@
     now_ms: int = 0
     machines: dict[str, Machine] = field(default_factory=dict)
     listed_ms: int | None = None
+    """When the last list was requested."""
+    unlisted_since_ms: dict[str, int] = field(default_factory=dict)
+    """The machines that the last lists lack and that may not have left, by when the first of these
+    lists was requested."""
     services: dict[str, Service] = field(default_factory=dict)
     layout: Layout = field(default_factory=Layout)
     views: dict[PoolShare, PoolShareView] = field(default_factory=dict)
--- a/heatherkeel/pooling/reducer.py
+++ b/heatherkeel/pooling/reducer.py
@@ -12,6 +12,7 @@
 from .const import DEPARTED_WORKER_MS, LOAD_MAX_AGE_MS, ORDER_RETRY_MS, ORDER_SETTLE_MS
 from .division_log import log_division, record_taking
 from .handover import drop_needless
+from .machine_lists import has_left, record_list
 from .models import (
     DirectoryRead,
     FleetEffect,
@@ -106,8 +107,7 @@
 @handles(MachinesListed)
 def apply_machine_list(state: FleetOwnerState, event: MachinesListed) -> list[FleetEffect]:
     """Apply the list of machines, and remove the intents that it shows to be finished."""
-    state.machines = {machine.name: machine for machine in event.machines}
-    state.listed_ms = event.sent_ms
+    record_list(state, event)
     for name, intent in list(state.intents.items()):
         if _is_finished(state, intent, event.sent_ms):
             del state.intents[name]
@@ -128,7 +128,7 @@
     """
     machine = state.machines.get(intent.machine)
     if machine is None:
-        return True
+        return has_left(state, intent.machine)
     if intent.ordered_ms is None:
         return not machine.is_up()
     if sent_ms <= intent.ordered_ms:
@@ -287,7 +287,7 @@
         left = [
             name
             for name in progress.wave.machines
-            if name not in progress.begun and name in state.machines
+            if name not in progress.begun and not has_left(state, name)
         ]
         if not progress.is_complete and not left:
             progress.is_complete = True
--- a/tests/pooling/test_plans.py
+++ b/tests/pooling/test_plans.py
@@ -109,6 +109,40 @@
     assert isinstance(last, SaveWave) and last.progress.is_complete
 
 
+def test_wave_isnt_complete_since_one_list_lacks_its_last_machine() -> None:
+    """Guards against a wave that is complete for good, with a machine that wasn't maintained."""
+    fleet = Fleet(waves=[Wave(number=1, machines=["spare0"], max_down=1, duration_s=60)], spare=2)
+    left_out = fleet.pool_of.pop("spare0")
+    fleet.list_machines()
+    fleet.plan()
+    assert not fleet.state.waves[1].is_complete
+    fleet.pool_of["spare0"] = left_out
+    fleet.list_machines()
+    (intent,) = fleet.plan()
+    assert intent.machine == "spare0" and intent.purpose is Purpose.MAINTAIN
+
+
+def test_wave_ends_without_a_machine_that_all_lists_lack() -> None:
+    """Guards against a wave that is late for good because of a machine that is gone."""
+    fleet = Fleet(waves=[Wave(number=1, machines=["spare0"], max_down=1, duration_s=60)], spare=2)
+    del fleet.pool_of["spare0"]
+    for _ in range(6):
+        fleet.list_machines()
+        fleet.plan(after_ms=600)
+    assert fleet.state.waves[1].is_complete
+
+
+def test_machine_in_maintenance_that_one_list_lacks_still_counts_as_down() -> None:
+    """Guards against more machines down for a wave than it allows."""
+    wave = Wave(number=1, machines=["spare0", "spare1"], max_down=1, duration_s=60)
+    fleet = Fleet(waves=[wave], spare=2)
+    (intent,) = fleet.plan()
+    fleet.answer(intent.machine)
+    del fleet.pool_of[intent.machine]
+    fleet.list_machines()
+    assert not fleet.plan()
+
+
 def test_maintenance_of_a_busy_pool_is_deferred_while_there_is_time() -> None:
     wave = Wave(number=1, machines=["desk0", "portal0"], max_down=2, duration_s=60)
     fleet = Fleet(waves=[wave], desk=4, portal=4)
