A job that ran before isn't failed as larger than any worker

What callers would see: a queued job of heatherkeel entry that waits for its next attempt is shown as failed, "larger than any worker of pool night", in the moment in which its pool's only large worker is terminated and its replacement isn't admitted yet.

Cause: the sizes of the workers that the pool has at that moment were taken for those that it can have. An empty pool was already no reason, since workers are replaced; a pool without its large ones was.

Evidence: test_a_job_whose_large_worker_is_being_replaced_isnt_failed failed before, and passes now; all of tests/jobs passed.

Why it works: a job that was placed has fitted a worker by its declared size, so the verdict is known to be wrong for it. A job that was never placed still fails at once, as the page for callers says; whether that should wait as well is open.

--- a/heatherkeel/jobs/feasibility.py
+++ b/heatherkeel/jobs/feasibility.py
@@ -27,7 +27,7 @@
     """Return why a queued job can never run, or an empty string if it may run later.
 
     Only the declared size counts, as learned sizes are estimates. An empty pool is no reason,
-    since workers are replaced.
+    since workers are replaced; nor is the size of a job that a worker had room for before.
     """
     if 0 < job.spec.not_after_ms < state.now_ms:
         return "not started by its latest start"
@@ -40,6 +40,6 @@
     if not fits(job.spec.size, quota):
         return f"larger than the quota of team {job_team(job_id)}"
     sizes = shapes.get(job.spec.pool)
-    if sizes and not any(fits(job.spec.size, size) for size in sizes):
+    if job.attempt == 0 and sizes and not any(fits(job.spec.size, size) for size in sizes):
         return f"larger than any worker of pool {job.spec.pool}"
     return ""
--- a/tests/jobs/test_silent_workers.py
+++ b/tests/jobs/test_silent_workers.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+from heatherkeel.core.models import RejectReason
 from heatherkeel.jobs.const import RETRY_MAX_MS
 from heatherkeel.jobs.models import JobStatus
-from heatherkeel.jobs.records import LossEvidence, TaskEnded, TaskExit, TaskLost, TaskStarted
+from heatherkeel.jobs.records import (
+    JobUnplaceable,
+    LossEvidence,
+    TaskEnded,
+    TaskExit,
+    TaskLost,
+    TaskStarted,
+)
+from heatherkeel.pools.models import InstanceGone
 
 from .conftest import JOB, Fleet, spec_of
 
@@ -88,3 +97,15 @@
     assert fleet.status() is JobStatus.RUNNING
     fleet.end(current)
     assert fleet.status() is JobStatus.SUCCEEDED
+
+
+def test_a_job_whose_large_worker_is_being_replaced_isnt_failed(fleet: Fleet) -> None:
+    # Guards against failing a job as too large while the worker that it ran on is away.
+    fleet.admit("w3", memory_mib=9_000)
+    fleet.submit(JOB, spec_of(memory_mib=8_000, idempotent=True))
+    fall_silent(fleet, "w3")
+    fleet.accept(InstanceGone(instance="w3", boot_id="boot"))
+    assert fleet.refuse(JobUnplaceable(jobs=(JOB,))) is RejectReason.CONFLICT
+    fleet.admit("w4", memory_mib=9_000)
+    fleet.end(fleet.run("w4"))
+    assert fleet.status() is JobStatus.SUCCEEDED
