A worker isn't repaired while the platform hears of its tasks

What callers would see: the task of a job of heatherkeel entry ends because its worker was restarted as failed, though the worker ran it soundly; a job that isn't idempotent becomes unknown.

Cause: two entry instances that can't reach a worker are enough to hold it as failed, if its own availability zone has no entry instance with a valid lease, as with a cut between zones. A failed worker is repaired at once, and its stop, other than a planned one, didn't look at tasks.

Why it works: a task's lease is evidence of its own that the worker lives. While one is valid, the worker stays failed, which two observers take back once they reach it; when the leases have expired the jobs have gone on elsewhere or wait for their owners, and the repair begins. A worker that fails requests while its tasks run is repaired later than before.

--- a/heatherkeel/jobs/draining.py
+++ b/heatherkeel/jobs/draining.py
@@ -61,6 +61,25 @@
     return 0 if load is None else load.tasks
 
 
+def tasks_heard(state: FleetState, instance_id: str) -> int:
+    """Return the number of tasks on a worker whose leases haven't expired.
+
+    A worker that others can't reach may still run them; its repair would end them.
+    """
+    if not tasks_left(state, instance_id):
+        return 0
+    return sum(
+        job.instance == instance_id and job.status in ACTIVE_STATUSES
+        for job in state.jobs.live.values()
+    )
+
+
+def tasks_holding_stop(state: FleetState, instance_id: str, *, has_failed: bool) -> int:
+    """Return the number of tasks that a stop waits for; nobody may hear of a failed worker's."""
+    count = tasks_heard if has_failed else tasks_left
+    return count(state, instance_id)
+
+
 def _wait_reason(state: FleetState, job_id: str, job: Job) -> str:
     if job.status is JobStatus.UNKNOWN:
         return "not known whether its task still runs"
--- a/heatherkeel/waves/coordinator.py
+++ b/heatherkeel/waves/coordinator.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from heatherkeel.core.state import FleetState
-from heatherkeel.jobs.draining import tasks_left
+from heatherkeel.jobs.draining import tasks_holding_stop
 from heatherkeel.pools.models import Instance, InstanceStatus
 
 from .budget import check_budgets
@@ -45,7 +45,7 @@
         )
     if instance.status is not InstanceStatus.QUIESCED:
         return None
-    if not drain.was_failed and tasks_left(fleet, instance_id):
+    if tasks_holding_stop(fleet, instance_id, has_failed=drain.was_failed):
         return None
     step = MoveJoin if drain.purpose is Purpose.MOVE else StopIssued
     return step(instance=instance_id, expected_version=instance.version, coordinator=coordinator)
--- a/heatherkeel/waves/reducer.py
+++ b/heatherkeel/waves/reducer.py
@@ -8,7 +8,7 @@
 from heatherkeel.core.models import Accepted, RecordMeta, Rejected, RejectReason
 from heatherkeel.core.registry import handles
 from heatherkeel.core.state import FleetState
-from heatherkeel.jobs.draining import tasks_left
+from heatherkeel.jobs.draining import tasks_heard, tasks_holding_stop
 from heatherkeel.pools.health import set_status
 from heatherkeel.pools.models import Instance, InstanceStatus
 from heatherkeel.pools.reducer import accept_change
@@ -174,13 +174,20 @@
 
     Stopping the instance would lose their work, or run a task twice that must run only once.
     """
-    tasks = 0 if drain.was_failed else tasks_left(state, instance_id)
+    tasks = tasks_holding_stop(state, instance_id, has_failed=drain.was_failed)
     if tasks == 0:
         return None
     detail = f"{instance_id}: {tasks} tasks of jobs may still run"
     return Rejected(reason=RejectReason.IN_USE, detail=detail)
 
 
+def _check_heard(state: FleetState, instance_id: str) -> Rejected | None:
+    """Refuse a repair while the platform hears of tasks there, whatever observers have seen."""
+    if not tasks_heard(state, instance_id):
+        return None
+    return Rejected(reason=RejectReason.IN_USE, detail=f"{instance_id}: tasks of jobs run there")
+
+
 def _find_instance(
     state: FleetState, body: _DrainStep, *statuses: InstanceStatus
 ) -> Instance | Rejected:
@@ -208,7 +215,7 @@
 def _check_drain(state: FleetState, instance: Instance, body: DrainStart) -> Rejected | None:
     """Refuse a drain that breaks a rule; a repair takes no serving instance out of service."""
     if body.purpose is Purpose.REPAIR and instance.status is InstanceStatus.FAILED:
-        return None
+        return _check_heard(state, body.instance)
     if instance.status is not InstanceStatus.SERVING:
         return _wrong_state(body.instance, f"is {instance.status.value}")
     if body.purpose is Purpose.MOVE:
--- a/heatherkeel/waves/repairs.py
+++ b/heatherkeel/waves/repairs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from heatherkeel.core.state import FleetState
+from heatherkeel.jobs.draining import tasks_heard
 from heatherkeel.pools.models import InstanceStatus
 
 from .const import MAX_FAILED_REPAIRS
@@ -14,7 +15,8 @@
     """Return a repair for each failed instance of a pool with a maintenance entry.
 
     Instances with too many failed repairs and pools with a halted wave are left out: restarting
-    them again would hide the cause from operators.
+    them again would hide the cause from operators. So are instances with tasks of which the
+    platform hears: observers that are cut off from an instance see it fail as well.
     """
     maintained = maintenance_of_pools(fleet)
     halted = {
@@ -34,4 +36,5 @@
         if instance.status is InstanceStatus.FAILED
         and instance.pool in repairable
         and instance.failed_repairs < MAX_FAILED_REPAIRS
+        and not tasks_heard(fleet, instance_id)
     ]
