A job ID that is used again for fewer tasks stops no owner

What operators would see: each process that takes a partition over ends with an IndexError, one after the other, and no job of the partition goes on.

Cause: a submission is stored without a look at whether its ID is in use, so it replaces the request of a job that has begun. The next owner looks up each stored task in the steps of that request, and a request with fewer steps or tasks doesn't have them all.

Evidence: test_job_id_that_is_used_again_with_fewer_tasks_stops_no_owner failed before (IndexError), and passes now. Found while looking at records of a job that belong to another job with the same ID.

Why it works: stored tasks that the request doesn't have are logged and left out; what runs of them on a worker is stopped like any run of a task that nobody knows.

test_recovery.py, test_forwarding.py and test_terms.py passed. Left open: if all tasks that remain are done, such a job stays active until it is cancelled.

--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Final
 
 import msgspec
@@ -11,9 +12,11 @@
 from heatherkeel.platform.callers import JobRequest
 
 from .building import begin_occurrence
-from .models import ForwardedJob, Job, JobState, Run, RunState
+from .models import ForwardedJob, Job, JobState, Run, RunState, Task
 from .terms import JobTerms
 
+_LOGGER = logging.getLogger(__name__)
+
 REQUEST_PREFIX: Final = "j"
 CANCEL_PREFIX: Final = "c"
 PROGRESS_PREFIX: Final = "p"
@@ -220,8 +223,11 @@
             begin_occurrence(job, occurrence, begins_ms=begins_ms)
     runs = []
     for record in stored.tasks:
-        step = job.occurrences[record.occurrence][record.step]
-        task = step.tasks[record.index]
+        task = _find_stored_task(job, record)
+        if task is None:
+            _log_unknown_task(job, record)
+            continue
+        step = task.step
         task.attempt = record.attempt
         task.failed_attempts = set(record.failed_attempts)
         task.saved = record.saved
@@ -246,6 +252,28 @@
     return runs
 
 
+def _find_stored_task(job: Job, record: StoredTask) -> Task | None:
+    """Return the task of a record; None if the job's request has none.
+
+    A caller that uses a job's ID again for a job with fewer tasks replaces the stored request.
+    """
+    steps = job.occurrences.get(record.occurrence, [])
+    if record.step >= len(steps) or record.index >= len(steps[record.step].tasks):
+        return None
+    return steps[record.step].tasks[record.index]
+
+
+def _log_unknown_task(job: Job, record: StoredTask) -> None:
+    _LOGGER.error(
+        "stored task isn't in its job's request; it is left out",
+        extra={
+            "event": "task_unknown",
+            "job": job.id,
+            "task": f"{record.occurrence}.{record.step}.{record.index}",
+        },
+    )
+
+
 def _update_open_steps(job: Job) -> None:
     for steps in job.occurrences.values():
         for step in steps:
--- a/tests/dispatch/test_recovery.py
+++ b/tests/dispatch/test_recovery.py
@@ -218,3 +218,15 @@
     later.ends = earlier.ends
     later.list_runs(run.worker_id)
     assert later.job().state is JobState.ACTIVE
+
+
+def test_job_id_that_is_used_again_with_fewer_tasks_stops_no_owner() -> None:
+    """Guards against a request that ends each process that takes its partition over."""
+    earlier = Partition()
+    earlier.submit(make_step(count=2), make_step(depends_on=(0,)))
+    for run in earlier.start_planned_runs():
+        earlier.end_run(run)
+    earlier.start_planned_runs()
+    earlier.job().request = JobRequest(spec="s", steps=(make_step(),))
+    later = take_over(earlier)
+    assert [task.is_done for task in later.job().occurrences[0][0].tasks] == [True]
