A suspect's start is sent only to a worker that answers right before it

Now the session lists the worker right before a suspect's start; without an answer the start isn't sent, which is certain. Placement needs no freshly heard workers for it, for which a suspected gang of six waited for good. - Losses that were unclear are taken back once the worker answers in the same incarnation; before, their pauses grew to 30 s with healthy workers idle. - Only a crash ends a job, never an unclear loss that comes after two crashes. - A worker that the list of machines named went after that, not at its first failed call. An entry that moves to another service, or a worker that was to leave up to 10 s before, or one with an outdated entry, hasn't certainly crashed. - A stop answered by another incarnation ends the incarnation, as a start does. - Counts of an earlier release, which counted silence, are read as unclear. - A worker that was never heard, or leaves, isn't taken for lost with others; a loss isn't recorded twice where no start times are reported; a pause ends with the suspicion.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -89,11 +89,11 @@
 milliseconds; it doubles with each further loss."""
 MAX_PAUSE_MS: Final = 30_000
 """Longest such pause, in milliseconds."""
-FRESH_MS: Final = 600
-"""Maximum age of a worker's last answer for the start of a suspected task, in milliseconds; a
-worker with tasks answers every 500."""
-MAX_LISTED_FOR_START: Final = 3
-"""Maximum number of idle workers that are listed at once for the start of a suspected task."""
+MAX_LIST_AGE_MS: Final = 800
+"""Maximum age of the list of machines when it is answered, in milliseconds."""
+LEFT_LATELY_MS: Final = 10_000
+"""How long after a worker was to leave its loss may have been planned, in milliseconds; a move or a
+maintenance that was ordered may be carried out seconds later."""
 LOST_TOGETHER_MS: Final = 200
 """Time within which workers that went together are seen not to answer, in milliseconds."""
 MIN_LOST_TOGETHER: Final = 2
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -276,13 +276,6 @@
     number: int
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ListWorker(Effect):
-    """List a worker's runs now, if it is idle and no listing waits there."""
-
-    worker_id: str
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CountLoss(Effect):
     """Count a lost run whose task has to start again."""
--- a/heatherkeel/dispatch/evidence.py
+++ b/heatherkeel/dispatch/evidence.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 from .const import (
-    FRESH_MS,
+    LEFT_LATELY_MS,
     LOSS_MEMORY_MS,
     LOST_TOGETHER_MS,
     MAX_EXCUSED_LOSSES,
+    MAX_LIST_AGE_MS,
     MIN_LOST_TOGETHER,
     SUDDEN_LOSS_MS,
 )
@@ -33,7 +34,7 @@
 
 def describe_loss(worker: Worker, reason: LossReason, now_ms: int) -> WorkerLoss:
     """Return what is known of a worker that is lost now; every unproven run is suspected."""
-    gone_ms = worker.gone_ms if worker.is_unresponsive else worker.clock_received_ms
+    gone_ms = _find_gone_ms(worker, reason)
     suspected = [
         run
         for run in worker.runs.values()
@@ -42,20 +43,37 @@
     return WorkerLoss(
         worker_id=worker.id,
         rack=worker.rack(),
-        end=_find_end(worker, reason),
+        end=_find_end(worker, reason, now_ms),
         at_ms=now_ms,
         gone_ms=gone_ms,
         silent_ms=worker.unresponsive_since_ms if worker.is_unresponsive else now_ms,
+        heard_ms=worker.clock_received_ms,
         suspects=frozenset(run.task.step.job.id for run in suspected),
         is_sudden=any(not ran_for_a_while(run, gone_ms) for run in suspected),
     )
 
 
-def _find_end(worker: Worker, reason: LossReason) -> WorkerEnd:
-    """Return how a worker's incarnation ended, if it did."""
+def _find_gone_ms(worker: Worker, reason: LossReason) -> int | None:
+    """Return the earliest time at which a worker can have gone, if it is known."""
+    gone_ms = worker.gone_ms if worker.is_unresponsive else worker.clock_received_ms
+    if gone_ms is None or not worker.is_ready():
+        return None
+    if reason is LossReason.OTHER_LIFE and worker.named_ms is not None:
+        return max(gone_ms, worker.named_ms - MAX_LIST_AGE_MS)
+    return gone_ms
+
+
+def _find_end(worker: Worker, reason: LossReason, now_ms: int) -> WorkerEnd:
+    """Return how a worker's incarnation ended, if it did.
+
+    It may have been planned if the entry is too old to tell, or a move was intended shortly before.
+    """
     if worker.is_leaving or worker.entry.is_draining():
         return WorkerEnd.PLANNED
     end = _ENDS.get(reason, WorkerEnd.UNKNOWN)
+    was_to_leave = worker.left_ms is not None and now_ms - worker.left_ms <= LEFT_LATELY_MS
+    if end is WorkerEnd.ENDED and (worker.is_outdated or was_to_leave):
+        return WorkerEnd.UNKNOWN
     if end is WorkerEnd.UNKNOWN and worker.named_ms is not None:
         return WorkerEnd.UNREACHABLE
     return end
@@ -90,20 +108,18 @@
         return LossCause.COMMON
     if _is_excused(state, run, loss):
         return LossCause.EXCUSED
-    return LossCause.CRASH if _was_there(run) else LossCause.UNCLEAR
+    return LossCause.CRASH if _was_there(run, loss) else LossCause.UNCLEAR
 
 
-def _was_there(run: Run) -> bool:
+def _was_there(run: Run, loss: WorkerLoss) -> bool:
     """Return whether a run is known to have been on its worker.
 
-    An unanswered start may have found the worker dead, unless that was heard right before.
+    An unanswered start may have found the worker dead. That is ruled out if the worker answered
+    right before it; if it answered later too, the start didn't crash it.
     """
-    return run.begun_ms is not None or bool(run.listed_since_ms) or run.is_broken_off
-
-
-def is_heard(worker: Worker, now_ms: int) -> bool:
-    """Return whether a worker was heard so lately that a start probably finds it alive."""
-    return worker.is_ready() and now_ms - worker.clock_received_ms <= FRESH_MS
+    if run.begun_ms is not None or run.listed_since_ms:
+        return True
+    return run.is_checked and loss.heard_ms <= run.sent_ms
 
 
 def _is_excused(state: PartitionState, run: Run, loss: WorkerLoss) -> bool:
@@ -147,7 +163,11 @@
     silent = [
         describe_loss(worker, LossReason.WORKER_GONE, state.now_ms)
         for worker in pool.workers.values()
-        if worker.is_unresponsive and worker.named_ms is None and not worker.is_loss_recorded
+        if worker.is_unresponsive
+        and worker.named_ms is None
+        and not worker.is_loss_recorded
+        and not worker.is_leaving
+        and not worker.entry.is_draining()
     ]
     lost_racks |= {
         other.worker_id: other.rack
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -50,7 +50,6 @@
     ForwardRecord,
     GrantsOffered,
     LimitsChanged,
-    ListWorker,
     ObserveDuration,
     OpenSessions,
     PaceTask,
@@ -406,8 +405,6 @@
                 self.sessions.send_order(effect.run.worker_id, effect)
             case OpenSessions():
                 self.sessions.update()
-            case ListWorker():
-                self.sessions.list_now(effect.worker_id)
             case AskAdvice():
                 if self.nursery is not None:
                     self.nursery.start_soon(self.queries.async_ask_advice, effect)
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -17,7 +17,7 @@
 from .pools import find_pool
 from .slowness import prefer_fast
 from .state import PartitionState, Pool
-from .suspicion import choose_heard, group_candidates
+from .suspicion import group_candidates
 from .tickets import find_ticketed_workers, needs_advice
 from .worker import Worker
 
@@ -122,7 +122,6 @@
     if not waiting:
         pool.open_steps.discard(step)
         return True
-    workers = choose_heard(state, step, workers, effects)
     choices = prefer_fast(group_candidates(step, workers), state.now_ms)
     if step.request.is_gang:
         return _place_gang(state, pool, step, waiting, choices, effects)
@@ -297,5 +296,4 @@
         for run in task.runs:
             if run.state is RunState.PLANNED and run.started_ms == 0:
                 run.started_ms = state.now_ms
-                run.heard_ms = state.workers[run.worker_id].clock_received_ms
                 effects.add(StartTask(run=run))
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -12,6 +12,7 @@
 from heatherkeel.platform.callers import JobRequest
 
 from .building import begin_occurrence
+from .const import MAX_LASTING_CRASHES
 from .models import ForwardedJob, Job, JobState, Run, RunState, Task
 from .terms import JobTerms
 
@@ -63,11 +64,12 @@
 
 
 class StoredLosses(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """A task's losses in a row that aren't counted as crashes."""
+    """A task's losses in a row that aren't counted as crashes; also stored if these are none."""
 
     occurrence: int
     step: int
     index: int
+    crashes: int
     unclear: int
     excused: int
 
@@ -197,18 +199,24 @@
             occurrence=step.occurrence,
             step=step.number,
             index=task.index,
+            crashes=task.crashes,
             unclear=task.unclear_losses,
             excused=task.excused_losses,
         )
         for step in job.steps()
         for task in step.tasks
-        if task.unclear_losses or task.excused_losses
+        if task.possible_crashes() or task.excused_losses
     ]
 
 
 def _restore_losses(job: Job, stored: StoredProgress) -> None:
+    for task in (task for step in job.steps() for task in step.tasks):
+        if 0 < task.crashes < MAX_LASTING_CRASHES:
+            # Earlier releases stored no such row, and counted each silent worker as crashed.
+            task.crashes, task.unclear_losses = 0, task.crashes
     for losses in stored.losses:
         task = job.occurrences[losses.occurrence][losses.step].tasks[losses.index]
+        task.crashes = losses.crashes
         task.unclear_losses = losses.unclear
         task.excused_losses = losses.excused
     possible = (task.possible_crashes() for step in job.steps() for task in step.tasks)
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -177,7 +177,8 @@
         _add_to_worker(state, run, job.service)
     for step in job.steps():
         for task in step.tasks:
-            pause_if_unclear(state, task)
+            if not task.runs:
+                pause_if_unclear(state, task)
         if not step.is_done():
             enqueue_step(state, step)
 
--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 
 import trio
 from result import Err
@@ -31,6 +32,7 @@
 from .models import Run, RunState
 from .ports import OwnerPort
 from .retries import choose_retry_pause_ms
+from .suspicion import needs_check
 from .worker import Worker
 
 _MAX_ORDERS = math.inf
@@ -55,10 +57,6 @@
         self.send_order.send_nowait(effect)
         self.work_arrived.set()
 
-    def list_now(self) -> None:
-        """End the pause until the next listing of an idle worker."""
-        self.work_arrived.set()
-
     def notify_stored(self) -> None:
         """Wake the listing loop after ends were stored, so that it can acknowledge them."""
         self.stored.set()
@@ -180,7 +178,10 @@
             # Each start names a new end of lease too. One that wasn't sent is certainly not done.
             self._handle_start(run, CallError(failure=Failure.REFUSED, detail="not sent"))
             return
+        if needs_check(run) and not await self._async_check(run):
+            return
         run.state = RunState.SENT
+        run.sent_ms = monotonic_ms()
         started = await self.client.async_start_task(
             StartOrder(
                 task=run.task.name,
@@ -200,6 +201,23 @@
             self.work_arrived.set()
         self._handle_start(run, error)
 
+    async def _async_check(self, run: Run) -> bool:
+        """List the worker's runs right before a start, which isn't sent without an answer."""
+        checked = await self.client.async_hold(
+            token=self.owner.state.token, acknowledged=0, lease_until_ms=None, wait_ms=0
+        )
+        if run not in run.task.runs or run.state is not RunState.PLANNED:
+            return False
+        if isinstance(checked, Err):
+            if checked.err_value.failure is Failure.FENCED:
+                self.owner.on_fenced()
+            self.work_arrived.set()
+            not_sent = replace(checked.err_value, failure=Failure.REFUSED)
+            self._handle_start(run, not_sent)
+            return False
+        run.is_checked = True
+        return True
+
     def _handle_start(self, run: Run, error: CallError | None) -> None:
         now_ms, wall_ms = self.owner.times()
         self.owner.handle_event(StartAnswered(now_ms=now_ms, wall_ms=wall_ms, run=run, error=error))
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -11,7 +11,7 @@
 
 from .building import remaining_work
 from .const import ARRIVAL_WINDOW_MS, LEASE_MS, MAX_LOSSES, THOROUGH_PASS_MS
-from .models import ForwardedJob, Job, Task, WorkerLoss
+from .models import ForwardedJob, Job, Task, UnclearLoss, WorkerLoss
 from .open_steps import OpenSteps
 from .terms import JobTerms
 from .worker import Worker
@@ -79,8 +79,10 @@
     """Start times of ended incarnations by worker, as long as the worker's ID has an entry."""
     ignored_entries: dict[str, int] = field(default_factory=dict)
     """Start time of the ended incarnation by worker, where its ignored entry was logged."""
-    paused: list[tuple[int, Task]] = field(default_factory=list)
+    paused: dict[Task, int] = field(default_factory=dict)
     """The tasks whose starts are paused, with the end of each pause."""
+    unclear_losses: dict[str, list[UnclearLoss]] = field(default_factory=dict)
+    """Losses by worker that its next answer may take back."""
     explained_ms: int = 0
     """When tasks that could run and don't were last looked for."""
     leaving_ms: int = 0
--- a/heatherkeel/dispatch/suspicion.py
+++ b/heatherkeel/dispatch/suspicion.py
@@ -14,16 +14,15 @@
     ISOLATION_CRASHES,
     MAX_CRASHES,
     MAX_LASTING_CRASHES,
-    MAX_LISTED_FOR_START,
     MAX_PAUSE_MS,
     MAX_SOLE_CRASHES,
     MAX_SUDDEN_CRASHES,
     MIN_KNOWN_CRASHES,
     PROVEN_MS,
 )
-from .events import Effects, ListWorker, SaveJob
-from .evidence import count_other_losses, is_heard, ran_for_a_while
-from .models import Job, LossCause, Run, Step, Task, WorkerLoss
+from .events import Effects, SaveJob
+from .evidence import count_other_losses, ran_for_a_while
+from .models import Job, LossCause, Run, Step, Task, UnclearLoss, WorkerLoss
 from .pools import enqueue_step
 from .state import PartitionState
 from .worker import Worker
@@ -42,6 +41,7 @@
             task.crashes += 1
         case LossCause.UNCLEAR:
             task.unclear_losses += 1
+            _remember_unclear_loss(state, run)
         case LossCause.EXCUSED:
             task.excused_losses += 1
             return False
@@ -49,10 +49,21 @@
             return False
     job = task.step.job
     job.possible_crashes = max(job.possible_crashes, task.possible_crashes())
-    is_known = task.crashes >= MIN_KNOWN_CRASHES
+    is_known = cause is LossCause.CRASH and task.crashes >= MIN_KNOWN_CRASHES
     return is_known and task.possible_crashes() >= _crash_limit(state, run, loss)
 
 
+def _remember_unclear_loss(state: PartitionState, run: Run) -> None:
+    unclear = UnclearLoss(task=run.task, born=run.born)
+    state.unclear_losses.setdefault(run.worker_id, []).append(unclear)
+
+
+def _update_possible_crashes(job: Job) -> None:
+    job.possible_crashes = max(
+        task.possible_crashes() for step in job.steps() for task in step.tasks
+    )
+
+
 def _crash_limit(state: PartitionState, run: Run, loss: WorkerLoss | None) -> int:
     job = run.task.step.job
     if run.task.step.request.lasts:
@@ -74,7 +85,7 @@
         return
     task.is_paused = True
     pause_ms = min(MAX_PAUSE_MS, FIRST_PAUSE_MS << min(excess, 8))
-    state.paused.append((state.now_ms + pause_ms, task))
+    state.paused[task] = state.now_ms + pause_ms
     _LOGGER.warning(
         "starts paused",
         extra={
@@ -89,14 +100,29 @@
 
 def end_pauses(state: PartitionState, effects: Effects) -> None:
     """Let tasks start again whose pause has ended."""
-    due = [task for until_ms, task in state.paused if until_ms <= state.now_ms]
-    if not due:
+    for task, until_ms in list(state.paused.items()):
+        if until_ms <= state.now_ms:
+            _end_pause(state, task, effects)
+
+
+def _end_pause(state: PartitionState, task: Task, effects: Effects) -> None:
+    if state.paused.pop(task, None) is None:
         return
-    state.paused = [entry for entry in state.paused if entry[0] > state.now_ms]
-    for task in due:
-        task.is_paused = False
-        enqueue_step(state, task.step)
-        effects.touch(task.step.job.service)
+    task.is_paused = False
+    enqueue_step(state, task.step)
+    effects.touch(task.step.job.service)
+
+
+def take_back_unclear_losses(state: PartitionState, worker: Worker, effects: Effects) -> None:
+    """Take back the losses that were unclear until a worker answered in the same incarnation."""
+    for unclear in state.unclear_losses.pop(worker.id, []):
+        task = unclear.task
+        if unclear.born != worker.born or not task.unclear_losses:
+            continue
+        task.unclear_losses -= 1
+        _update_possible_crashes(task.step.job)
+        _end_pause(state, task, effects)
+        effects.add(SaveJob(job_id=task.step.job.id))
 
 
 def serves_beside(task: Task) -> bool:
@@ -124,13 +150,11 @@
 def clear_suspicion(task: Task) -> None:
     """Clear a task of suspicion."""
     task.excused_losses = 0
+    task.is_paused = False
     if not task.possible_crashes():
         return
     task.crashes = task.unclear_losses = 0
-    job = task.step.job
-    job.possible_crashes = max(
-        other.possible_crashes() for step in job.steps() for other in step.tasks
-    )
+    _update_possible_crashes(task.step.job)
 
 
 def record_listed_run(worker: Worker, run: Run, now_ms: int, effects: Effects) -> None:
@@ -151,27 +175,13 @@
     clear_suspicion(run.task)
 
 
-def choose_heard(
-    state: PartitionState, step: Step, workers: list[Worker], effects: Effects
-) -> list[Worker]:
-    """Return the workers on which a step may start: for a suspect, those that were just heard.
+def needs_check(run: Run) -> bool:
+    """Return whether a run's worker must answer right before its start is sent.
 
-    Otherwise a worker that had gone before the start couldn't be told from one that the task has
-    crashed. If few were heard, some idle ones are listed.
+    Otherwise a worker that had gone before the start couldn't be told from one that a suspected
+    task has crashed.
     """
-    if step.job.possible_crashes < ISOLATION_CRASHES:
-        return workers
-    heard = [worker for worker in workers if may_take_suspect(state, step, worker)]
-    idle = [worker for worker in workers if not worker.runs and worker not in heard]
-    idle.sort(key=Worker.free_cpu, reverse=True)
-    for worker in idle[: max(0, MAX_LISTED_FOR_START - len(heard))]:
-        effects.add(ListWorker(worker_id=worker.id))
-    return heard
-
-
-def may_take_suspect(state: PartitionState, step: Step, worker: Worker) -> bool:
-    """Return whether a worker was just heard, if the step's job is suspected of several crashes."""
-    return step.job.possible_crashes < ISOLATION_CRASHES or is_heard(worker, state.now_ms)
+    return run.task.step.job.possible_crashes > 0
 
 
 def group_candidates(step: Step, workers: list[Worker]) -> list[list[Worker]]:
--- a/heatherkeel/dispatch/waiting.py
+++ b/heatherkeel/dispatch/waiting.py
@@ -23,7 +23,7 @@
 from .open_steps import find_urgency
 from .pools import find_pool
 from .state import PartitionState, Pool
-from .suspicion import group_candidates, may_take_suspect
+from .suspicion import group_candidates
 from .tickets import has_valid_ticket, needs_advice
 from .worker import Worker
 
@@ -128,7 +128,6 @@
         (WaitReason.OTHER_LABEL, bool(request.label) and request.label not in worker.entry.labels),
         (WaitReason.MAX_PER_WORKER, is_full),
         (WaitReason.SUSPECT, worker.id not in open_to_step),
-        (WaitReason.NOT_HEARD, not may_take_suspect(state, step, worker)),
     )
     for reason, applies in checks:
         if applies:
--- a/heatherkeel/dispatch/worker.py
+++ b/heatherkeel/dispatch/worker.py
@@ -74,6 +74,8 @@
     """When this owner first knew of this incarnation."""
     is_loss_recorded: bool = False
     """Its loss is among those of its pool, and it hasn't answered since."""
+    left_ms: int | None = None
+    """When its machine was last said to be about to be moved or maintained."""
     is_leaving: bool = False
     """Its machine is about to be moved or maintained."""
     yielding_since_ms: int | None = None
--- a/heatherkeel/dispatch/worker_sessions.py
+++ b/heatherkeel/dispatch/worker_sessions.py
@@ -60,12 +60,6 @@
         else:
             self.pending_orders.setdefault(worker_id, []).append(effect)
 
-    def list_now(self, worker_id: str) -> None:
-        """List a worker's runs now, unless a listing is waiting there."""
-        session = self.by_worker.get(worker_id)
-        if session is not None:
-            session.list_now()
-
     def acknowledge(self, effect: AcknowledgeEnds) -> None:
         """Let an incarnation's session acknowledge the ends that are stored by now."""
         worker = effect.worker
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -30,7 +30,7 @@
 from .slowness import judge_speed
 from .stalled import quarantine_if_stalled
 from .state import PartitionState
-from .suspicion import record_listed_run
+from .suspicion import record_listed_run, take_back_unclear_losses
 from .worker import Worker
 from .worker_log import log_ignored_end, log_ignored_entry, log_worker_answered, log_worker_event
 
@@ -69,7 +69,11 @@
     if worker.is_earlier_incarnation(entry.born):
         return
     if worker.is_other_incarnation(entry.born) or entry.service != worker.entry.service:
-        worker = start_incarnation(state, worker, effects, entry=entry, born=entry.born)
+        is_moved = entry.service != worker.entry.service
+        reason = LossReason.MACHINE_TAKEN if is_moved else LossReason.WORKER_RESTARTED
+        worker = start_incarnation(
+            state, worker, effects, entry=entry, born=entry.born, reason=reason
+        )
     worker.entry = entry
     worker.born = worker.born or entry.born
     cancel_excess_starts(state, worker, effects)
@@ -111,6 +115,7 @@
     if not worker.is_ready() or worker.is_unresponsive:
         effects.touch(worker.entry.service)
         log_worker_answered(worker, event.listing)
+        take_back_unclear_losses(state, worker, effects)
     worker.is_unresponsive = False
     worker.named_ms = None
     worker.is_loss_recorded = False
@@ -282,6 +287,7 @@
     for worker in state.workers.values():
         worker.is_due = worker.id in event.due
         is_leaving = worker.id in event.worker_ids
+        worker.left_ms = state.now_ms if is_leaving else worker.left_ms
         if is_leaving != worker.is_leaving:
             worker.is_leaving = is_leaving
             effects.touch(worker.entry.service)
--- a/tests/dispatch/partition.py
+++ b/tests/dispatch/partition.py
@@ -22,9 +22,10 @@
     WorkersLeaving,
     WorkersListed,
 )
-from heatherkeel.dispatch.models import Job, Run
+from heatherkeel.dispatch.models import Job, Run, RunState
 from heatherkeel.dispatch.reducer import reduce_event
 from heatherkeel.dispatch.state import PartitionState
+from heatherkeel.dispatch.suspicion import needs_check
 from heatherkeel.platform.callers import JobRequest, StepRequest
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.operator import Capacity, Queue, WorkerEntry
@@ -208,6 +209,13 @@
                 self.answer_start(run)
         return runs
 
+    def send(self, run: Run) -> None:
+        """Send a start as a session does, to a worker that answers the check before it."""
+        run.is_checked = needs_check(run)
+        run.state = RunState.SENT
+        run.sent_ms = self.now_ms
+        self.extend_lease(run.worker_id)
+
     def extend_lease(self, worker_id: str) -> None:
         """Record a lease as sent with an order or a listing, as a session does."""
         worker = self.state.workers[worker_id]
