--- a/heatherkeel/cli/standin.py
+++ b/heatherkeel/cli/standin.py
@@ -1,8 +1,10 @@
-"""`heatherkeel standin`: run a stand-in of the platform or of a target."""
+"""`heatherkeel standin`: run a stand-in of a platform, of a target or of a worker."""
 
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
+from typing import Final
 
 from absl import flags
 
@@ -11,8 +13,11 @@
 from .const import EXIT_OK
 from .registry import command
 
-PLATFORM = "platform"
-TARGET = "target"
+PLATFORM: Final = "platform"
+TARGET: Final = "target"
+USERS_PLATFORM: Final = "users-platform"
+
+Run = Callable[[flags.FlagValues], None]
 
 
 def _define(values: flags.FlagValues) -> None:
@@ -27,28 +32,89 @@
     flags.DEFINE_integer(
         "slots", 8, "Slots of the target.", lower_bound=1, upper_bound=100_000, flag_values=values
     )
+    _define_users_platform(values)
+
+
+def _define_users_platform(values: flags.FlagValues) -> None:
+    flags.DEFINE_string(
+        "standby", "spare", "users-platform: the pool whose machines are off.", flag_values=values
+    )
+    flags.DEFINE_integer(
+        "entry-ttl-ms",
+        600,
+        "users-platform: a worker's entry expires after so long without a heartbeat.",
+        lower_bound=1,
+        flag_values=values,
+    )
+    flags.DEFINE_integer(
+        "away-ms",
+        200,
+        "users-platform: how long a machine is away when it moves or is maintained.",
+        lower_bound=0,
+        flag_values=values,
+    )
 
 
 @command(
     "standin",
-    help="Run a stand-in of the platform or of a target, for trials and tests.",
-    usage="platform|target [flags]",
+    help="Run a stand-in of a platform, of a target or of a worker, for trials and tests.",
+    usage="platform|target|users-platform [flags]",
     define=_define,
-    arguments=((PLATFORM, TARGET),),
+    arguments=((PLATFORM, TARGET, USERS_PLATFORM),),
 )
 def run_standin(values: flags.FlagValues, args: list[str]) -> int:
     """Run one stand-in until it is told to stop."""
+    from heatherkeel.helpers.logs import set_up_logs
+
+    set_up_logs(instance=values.instance, zone="")
+    (kind,) = args
+    _RUNS[kind](values)
+    return EXIT_OK
+
+
+def _run_platform(values: flags.FlagValues) -> None:
     import trio
 
-    from heatherkeel.helpers.logs import set_up_logs
     from heatherkeel.standins.platform import PlatformStandin
-    from heatherkeel.standins.process import async_run_platform, async_run_target
+    from heatherkeel.standins.process import async_run_platform
+
+    trio.run(lambda: async_run_platform(PlatformStandin(), bind=values.bind))
+
+
+def _run_target(values: flags.FlagValues) -> None:
+    import trio
+
+    from heatherkeel.standins.process import async_run_target
     from heatherkeel.standins.target import TargetStandin
 
-    set_up_logs(instance=values.instance, zone="")
-    if args == [PLATFORM]:
-        trio.run(lambda: async_run_platform(PlatformStandin(), bind=values.bind))
-        return EXIT_OK
     target = TargetStandin(instance=values.instance, slots=values.slots)
     trio.run(lambda: async_run_target(target, bind=values.bind))
-    return EXIT_OK
+
+
+def _run_users_platform(values: flags.FlagValues) -> None:
+    import trio
+
+    from heatherkeel.standins.users_platform_process import (
+        UsersPlatformProcess,
+        async_run_users_platform,
+    )
+
+    platform = UsersPlatformProcess(
+        bind=values.bind,
+        standby=values.standby,
+        entry_ttl_s=_seconds(values, "entry-ttl-ms"),
+        away_s=_seconds(values, "away-ms"),
+    )
+    trio.run(async_run_users_platform, platform)
+
+
+def _seconds(values: flags.FlagValues, name: str) -> float:
+    """Return a flag that is given in milliseconds."""
+    return int(values[name].value or 0) / 1000
+
+
+_RUNS: Final[dict[str, Run]] = {
+    PLATFORM: _run_platform,
+    TARGET: _run_target,
+    USERS_PLATFORM: _run_users_platform,
+}
