Stand-ins: a worker as a process of its own

A worker of the stand-ins ran in the loop of its test, so that none could be killed, stopped or cut off as real ones are. The command heatherkeel standin worker runs lives of one as the control address says, writes what it does to a history file line by line, and crashes or stops for real when a task's spec says so (crashes, crashes-after, crashes-dark). A run that was over while the process was stopped ends at the time when it was over, by whichever of lease, stop and work came first: else it would seem to run beside its next run.

--- a/heatherkeel/cli/standin.py
+++ b/heatherkeel/cli/standin.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 import re
+import sys
 from collections.abc import Callable
+from pathlib import Path
 from typing import Final
 
 from absl import flags
 
 from heatherkeel.settings.const import BIND_PATTERN
 
-from .const import EXIT_OK
+from .const import EXIT_OK, EXIT_USAGE
 from .registry import command
 
 PLATFORM: Final = "platform"
 TARGET: Final = "target"
 USERS_PLATFORM: Final = "users-platform"
+WORKER: Final = "worker"
+
+_REQUIRED: Final = {WORKER: ("control", "machine", "pool", "history")}
 
 Run = Callable[[flags.FlagValues], None]
 
@@ -33,6 +38,7 @@
         "slots", 8, "Slots of the target.", lower_bound=1, upper_bound=100_000, flag_values=values
     )
     _define_users_platform(values)
+    _define_worker(values)
 
 
 def _define_users_platform(values: flags.FlagValues) -> None:
@@ -55,19 +61,46 @@
     )
 
 
+def _define_worker(values: flags.FlagValues) -> None:
+    texts = {
+        "control": "the control address of its users-platform.",
+        "machine": "the name of its machine.",
+        "pool": "the machine's pool, if the platform doesn't know the machine.",
+        "history": "the file to which it appends what it does.",
+        "announce": "the address that it reports instead of its own.",
+        "keep-id": "the id of each of its lives.",
+    }
+    for name, text in texts.items():
+        flags.DEFINE_string(name, "", f"worker: {text}", flag_values=values)
+    flags.DEFINE_string(
+        "id-prefix", "i-", "worker: what the ids of its lives begin with.", flag_values=values
+    )
+    flags.DEFINE_float(
+        "drain-s",
+        1.0,
+        "worker: how long it drains before it leaves.",
+        lower_bound=0.0,
+        flag_values=values,
+    )
+
+
 @command(
     "standin",
     help="Run a stand-in of a platform, of a target or of a worker, for trials and tests.",
-    usage="platform|target|users-platform [flags]",
+    usage="platform|target|users-platform|worker [flags]",
     define=_define,
-    arguments=((PLATFORM, TARGET, USERS_PLATFORM),),
+    arguments=((PLATFORM, TARGET, USERS_PLATFORM, WORKER),),
 )
 def run_standin(values: flags.FlagValues, args: list[str]) -> int:
     """Run one stand-in until it is told to stop."""
+    (kind,) = args
+    missing = [name for name in _REQUIRED.get(kind, ()) if not values[name].value]
+    if missing:
+        print(f"heatherkeel standin: {kind} needs --{missing[0]}", file=sys.stderr)
+        return EXIT_USAGE
     from heatherkeel.helpers.logs import set_up_logs
 
     set_up_logs(instance=values.instance, zone="")
-    (kind,) = args
     _RUNS[kind](values)
     return EXIT_OK
 
@@ -108,6 +141,26 @@
     trio.run(async_run_users_platform, platform)
 
 
+def _run_worker(values: flags.FlagValues) -> None:
+    import trio
+
+    from heatherkeel.standins.history import HistoryFile
+    from heatherkeel.standins.worker_process import WorkerOptions, WorkerProcess
+
+    options = WorkerOptions(
+        control=values.control,
+        machine=values.machine,
+        pool=values.pool,
+        bind=values.bind,
+        announce=values.announce,
+        id_prefix=values["id-prefix"].value or "",
+        keep_id=values["keep-id"].value or "",
+        drain_s=float(values["drain-s"].value or 0),
+    )
+    worker = WorkerProcess(options=options, history=HistoryFile(Path(values.history)))
+    trio.run(worker.async_run)
+
+
 def _seconds(values: flags.FlagValues, name: str) -> float:
     """Return a flag that is given in milliseconds."""
     return int(values[name].value or 0) / 1000
@@ -117,4 +170,5 @@
     PLATFORM: _run_platform,
     TARGET: _run_target,
     USERS_PLATFORM: _run_users_platform,
+    WORKER: _run_worker,
 }
--- a/heatherkeel/standins/fleet_worker.py
+++ b/heatherkeel/standins/fleet_worker.py
@@ -9,22 +9,23 @@
 
 import trio
 
-from .history import Happening, TaskEvent
+from .history import EventSink, Happening, TaskEvent
 from .keyed_log import Answer
+from .specs import Crash, CrashKind, fails, find_crash
 
 STOP_S: Final = 0.05
 """How long a stop takes, in seconds."""
 SHRINK_KNOWN_S: Final = 1.0
 """How long after a worker's room has shrunk nobody may overlook it any more, in seconds."""
-CRASHES: Final = "crashes"
-"""In a job whose spec begins with this word, the task with the index that the next word names
-crashes each worker that starts it."""
 FIRST_CLOCK_MS: Final = 500_000
 """Where the clock of a worker's first life begins, in milliseconds; that of a later life under the
 same id begins at 0."""
 TASK_CPU: Final = 1000
 """What each task takes of its worker's room, in thousandths of a core."""
 
+CRASHED: Final = "crashed"
+"""How a task ends that takes its worker with it: nobody hears of this end."""
+
 WorkOf = Callable[[str], float | None]
 """Tells for a job's spec how many milliseconds a task takes; None for one that lasts."""
 
@@ -39,6 +40,18 @@
     cpu_started_s: float
     ends_s: float | None
     stopping_s: float | None = None
+    crash: Crash | None = None
+
+    def list_dues(self) -> list[tuple[float, str]]:
+        """Return when it would end in which way, in seconds of the monotonic clock."""
+        dues = []
+        if self.stopping_s is not None:
+            dues.append((self.stopping_s, "stopped"))
+        if self.ends_s is not None:
+            dues.append((self.ends_s, "failed" if fails(self.spec) else "done"))
+        if self.crash is not None and self.crash.kind is CrashKind.LATER:
+            dues.append((self.cpu_started_s + self.crash.after_s, CRASHED))
+        return dues
 
 
 @dataclass(kw_only=True, slots=True)
@@ -73,10 +86,14 @@
     """Starts that brought it over its room, for tests."""
     has_crashed: bool = False
     """A task that it was to start has crashed it."""
+    is_dark: bool = False
+    """A task has brought it to a stop in which it keeps its connections."""
+    slow_factor: float = 1.0
+    """How many times as long as stated its tasks take."""
     is_over: bool = False
     """Its life has ended: nothing is carried out any more."""
-    history: list[TaskEvent] = field(default_factory=list)
-    """What all workers did, for tests."""
+    history: EventSink = field(default_factory=list[TaskEvent])
+    """What workers did, for those who check it."""
     changed: trio.Event = field(default_factory=trio.Event)
 
     def resize(self, cpu: int) -> None:
@@ -107,22 +124,35 @@
         if attempt <= self.refused.get(task, 0) or running is not None:
             return self._refuse("old")
         self.lease_until_ms = max(self.lease_until_ms, body["deadlineMs"])
-        work_ms = self.work_of(body["spec"])
-        now_s = time.monotonic()
-        self.runs[task] = StandinRun(
-            task=task,
-            attempt=attempt,
-            spec=body["spec"],
-            cpu_started_s=now_s,
-            ends_s=None if work_ms is None else now_s + work_ms / 1000,
-        )
+        run = self.runs[task] = self._make_run(task, attempt, body["spec"])
         self.started.append((task, attempt))
         self._tell(Happening.STARTED, task, attempt)
         if len(self.runs) * TASK_CPU > self.counted_cpu():
             self.overfilled.append(task)
-        self.has_crashed = self.has_crashed or _crashes(task, body["spec"])
+        self._crash_at_start(run)
         return Answer(body={"clockMs": self.clock_ms()})
 
+    def _make_run(self, task: str, attempt: int, spec: str) -> StandinRun:
+        work_ms = self.work_of(spec)
+        now_s = time.monotonic()
+        return StandinRun(
+            task=task,
+            attempt=attempt,
+            spec=spec,
+            cpu_started_s=now_s,
+            ends_s=None if work_ms is None else now_s + self.slow_factor * work_ms / 1000,
+            crash=find_crash(task, spec),
+        )
+
+    def _crash_at_start(self, run: StandinRun) -> None:
+        """Crash or stop answering, if the task that starts makes it do so."""
+        match run.crash:
+            case Crash(kind=CrashKind.AT_START):
+                self.has_crashed = True
+            case Crash(kind=CrashKind.DARK):
+                self._tell(Happening.DARK, run.task, run.attempt)
+                self.is_dark = True
+
     def stop_task(self, body: dict[str, Any]) -> Answer:
         """Stop a task; one that isn't there is refused from now on."""
         refusal = self._check_token(body)
@@ -159,21 +189,37 @@
         )
 
     def look(self) -> None:
-        """End what is due: done, stopped, or without a lease."""
-        now_s = time.monotonic()
+        """End what is due: done, stopped, or without a lease; or crash.
+
+        The earliest end counts, also if the worker could not look at that time.
+        """
+        lease_end_s = self.began_s + (self.lease_until_ms - self.first_clock_ms) / 1000
         for run in list(self.runs.values()):
-            if run.stopping_s is not None and now_s >= run.stopping_s:
-                self._end(run, "stopped")
-            elif self.clock_ms() > self.lease_until_ms:
-                self._end(run, "lapsed")
-            elif run.ends_s is not None and now_s >= run.ends_s:
-                self._end(run, "failed" if run.spec.startswith("fails") else "done")
+            due_s, outcome = min([(lease_end_s, "lapsed"), *run.list_dues()])
+            if time.monotonic() < due_s:
+                continue
+            if outcome == CRASHED:
+                self.has_crashed = True
+            else:
+                self._end(run, outcome, at_s=due_s)
+
+    def slow_down(self, factor: float) -> None:
+        """Let tasks take so many times as long as stated, also what is left of running ones."""
+        now_s = time.monotonic()
+        for run in self.runs.values():
+            if run.ends_s is not None:
+                run.ends_s = now_s + (run.ends_s - now_s) * factor / self.slow_factor
+        self.slow_factor = factor
 
     def end_life(self) -> None:
         """End this life, and all that runs in it, without a word."""
         self.is_over = True
         self.runs.clear()
-        self._tell(Happening.LIFE_ENDED, "", 0)
+        self._tell(Happening.LIFE_ENDED)
+
+    def tell_beginning(self) -> None:
+        """Take down that this life has begun."""
+        self._tell(Happening.LIFE_BEGAN)
 
     def _forget_acknowledged(self) -> None:
         """Forget the ends that were acknowledged, also such as come under numbers up to there."""
@@ -182,9 +228,17 @@
                 self._tell(Happening.ACKNOWLEDGED, task, attempt, outcome)
         self.ended = [row for row in self.ended if row[0] > self.acknowledged]
 
-    def _tell(self, what: Happening, task: str, attempt: int, outcome: str = "") -> None:
+    def _tell(
+        self,
+        what: Happening,
+        task: str = "",
+        attempt: int = 0,
+        outcome: str = "",
+        *,
+        at_s: float | None = None,
+    ) -> None:
         event = TaskEvent(
-            at_s=time.monotonic(),
+            at_s=time.monotonic() if at_s is None else at_s,
             what=what,
             life=(self.id, self.born),
             task=task,
@@ -193,12 +247,12 @@
         )
         self.history.append(event)
 
-    def _end(self, run: StandinRun, outcome: str) -> None:
+    def _end(self, run: StandinRun, outcome: str, *, at_s: float) -> None:
         del self.runs[run.task]
         self.refused[run.task] = max(self.refused.get(run.task, 0), run.attempt)
         self.numbers += 1
         self.ended.append([self.numbers, run.task, run.attempt, outcome, ""])
-        self._tell(Happening.ENDED, run.task, run.attempt, outcome)
+        self._tell(Happening.ENDED, run.task, run.attempt, outcome, at_s=at_s)
         self._forget_acknowledged()
         self.changed.set()
 
@@ -211,8 +265,3 @@
 
     def _refuse(self, reason: str) -> Answer:
         return Answer(status=409, body={"clockMs": self.clock_ms(), "reason": reason})
-
-
-def _crashes(task: str, spec: str) -> bool:
-    words = spec.split()
-    return words[:2] == [CRASHES, task.rsplit(".", 1)[-1]]
--- a/heatherkeel/standins/process.py
+++ b/heatherkeel/standins/process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import socket
 
 import trio
 
@@ -11,6 +10,7 @@
 from heatherkeel.helpers.signals import async_wait_for_stop
 
 from .platform import PlatformStandin
+from .ports import hold_port
 from .target import TargetStandin
 
 _LOGGER = logging.getLogger(__name__)
@@ -29,7 +29,7 @@
 
 async def async_run_target(target: TargetStandin, *, bind: str) -> None:
     """Serve a target stand-in, through its reboots, until the process is told to stop."""
-    with _hold_port(bind) as holder:
+    with hold_port(bind) as holder:
         host, port = holder.getsockname()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_async_run_boots, target, f"{host}:{port}")
@@ -37,15 +37,6 @@
             nursery.cancel_scope.cancel()
 
 
-def _hold_port(bind: str) -> socket.socket:
-    """Bind the port without listening, so that nobody else gets it during a reboot."""
-    host, port = bind.rsplit(":", 1)
-    holder = socket.socket()
-    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    holder.bind((host, int(port)))
-    return holder
-
-
 async def _async_run_boots(target: TargetStandin, address: str) -> None:
     while True:
         async with trio.open_nursery() as boot:
--- a/tests/processes/standin_calls.py
+++ b/tests/processes/standin_calls.py
@@ -5,6 +5,7 @@
 import json
 from base64 import b64decode
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any, Final
 
 from .harness import Fleet, Process, call, call_json, wait_for
@@ -70,3 +71,63 @@
     listening = wait_for(process.find_listening, "the platform listens")
     names = ("store", "side_store", "cloud", "control")
     return Platform(process=process, **{name: listening[name] for name in names})
+
+
+@dataclass(kw_only=True)
+class Worker:
+    """The process of a worker, and the file of what it did."""
+
+    process: Process
+    address: str
+    history: Path
+
+    def lines(self, what: str = "") -> list[Any]:
+        """Return what it did, of one kind or all."""
+        lines = map(json.loads, self.history.read_text(encoding="utf-8").splitlines())
+        return [line for line in lines if what in ("", line["what"])]
+
+    def life(self) -> Any:
+        """Return the life that began last."""
+        return self.lines("life began")[-1]
+
+    def order(self, path: str, **body: Any) -> Any:
+        """Make one call to its present life and return the answer."""
+        answer = call(
+            "POST",
+            self.address,
+            f"/heatherkeel/{path}",
+            body=json.dumps(body).encode(),
+            headers={"heatherkeel-target-instance": self.life()["worker"]},
+        )
+        assert answer.status == 200, (answer.status, answer.content)
+        return json.loads(answer.content)
+
+    def start_task(self, task: str, spec: str, *, lease_ms: int = 60_000) -> Any:
+        """Start a task under a lease."""
+        clock_ms = self.order("hold")["clockMs"]
+        return self.order(
+            "run-start", task=task, attempt=1, spec=spec, deadlineMs=clock_ms + lease_ms
+        )
+
+    def outcomes(self) -> dict[str, str]:
+        """Return how each task ended."""
+        return {line["task"]: line["outcome"] for line in self.lines("ended")}
+
+
+def start_worker(
+    fleet: Fleet, platform: Platform, machine: str, *flags: str, pool: str = POOL
+) -> Worker:
+    """Start a worker and wait until its port is its own."""
+    history = fleet.folder / f"{machine}.jsonl"
+    process = fleet.spawn(
+        machine,
+        "standin",
+        "worker",
+        f"--control={platform.control}",
+        f"--machine={machine}",
+        f"--pool={pool}",
+        f"--history={history}",
+        *flags,
+    )
+    listening = wait_for(process.find_listening, f"{machine} listens")
+    return Worker(process=process, address=listening["http"], history=history)
