--- a/heatherkeel/cli/standin.py
+++ b/heatherkeel/cli/standin.py
@@ -45,6 +45,13 @@
     flags.DEFINE_string(
         "standby", "spare", "users-platform: the pool whose machines are off.", flag_values=values
     )
+    flags.DEFINE_integer(
+        "partitions",
+        3,
+        "users-platform: how many partitions a group of members divides.",
+        lower_bound=1,
+        flag_values=values,
+    )
     flags.DEFINE_integer(
         "entry-ttl-ms",
         600,
@@ -135,6 +142,7 @@
     platform = UsersPlatformProcess(
         bind=values.bind,
         standby=values.standby,
+        partitions=values.partitions,
         entry_ttl_s=_seconds(values, "entry-ttl-ms"),
         away_s=_seconds(values, "away-ms"),
     )
--- a/heatherkeel/standins/users_platform_process.py
+++ b/heatherkeel/standins/users_platform_process.py
@@ -24,8 +24,10 @@
 class UsersPlatformProcess:
     """The platform's parts, whose workers are processes of their own."""
 
-    def __init__(self, *, bind: str, standby: str, entry_ttl_s: float, away_s: float) -> None:
-        log, faults = KeyedLog(), Faults()
+    def __init__(
+        self, *, bind: str, standby: str, partitions: int, entry_ttl_s: float, away_s: float
+    ) -> None:
+        log, faults = KeyedLog(partitions=partitions), Faults()
         store_api = StoreApi(log=log, faults=faults)
         self.machines = RemoteMachines(
             log=log, faults=faults, standby=standby, entry_ttl_s=entry_ttl_s, away_s=away_s
--- a/tests/processes/standin_calls.py
+++ b/tests/processes/standin_calls.py
@@ -12,9 +12,10 @@
 
 POOL: Final = "portal"
 STANDBY: Final = "spare"
+HOST: Final = "a.example"
 QUEUE: Final = {
     "name": "quotes",
-    "host": "a.example",
+    "host": HOST,
     "pathPrefix": "/q/",
     "service": POOL,
     "maxAttempts": 2,
