Stand-ins: faults of the store and of workers are switched over HTTP

The soak needs a store that is silent, refuses, answers late, loses appends, breaks answers off, forgets its history or returns little at a time, at both addresses or at the second alone. POST /faults sets those that it names; a fault that has no effect in that process is refused with 400 instead of being taken and ignored. A worker takes its own at /control/faults. GET /status counts appends and reads.

--- a/heatherkeel/standins/control_api.py
+++ b/heatherkeel/standins/control_api.py
@@ -20,9 +20,13 @@
     NamedService,
     Wave,
 )
+from .entries import ENTRIES_TOPIC
+from .fault_changes import PLATFORM_FAULTS, decode_changes
+from .faults import Faults
 from .keyed_log import Answer, KeyedLog
-from .operator_records import demand_wave, read_wave_state, write_configuration
+from .operator_records import OPERATOR_TOPIC, demand_wave, read_wave_state, write_configuration
 from .remote_machines import RemoteMachines
+from .store_api import StoreApi
 
 BodyT = TypeVar("BodyT", bound=msgspec.Struct)
 Route = Callable[["ControlApi", Any], Answer]
@@ -54,12 +58,16 @@
     """Answers calls to the control address."""
 
     log: KeyedLog
+    faults: Faults
+    store: StoreApi
     machines: RemoteMachines
 
     async def async_handle(self, request: Request, body: bytes) -> Answer:
         """Answer one call; what isn't understood is refused with its fault."""
         if request.method == "GET":
             return self._show(request.path)
+        if request.path == "/faults":
+            return self._set_faults(body)
         route = POST_ROUTES.get(request.path)
         if route is None:
             return Answer(status=404, body={"error": f"no such call: {request.path}"})
@@ -74,9 +82,22 @@
                 return Answer(body={"state": read_wave_state(self.log, int(number))})
             case ["status"]:
                 rows = [machine.make_row() for machine in self.machines.by_name.values()]
-                return Answer(body={"machines": rows})
+                counts = {"appends": self.store.appends, "reads": self.store.reads}
+                return Answer(body={"machines": rows, **counts})
         return Answer(status=404, body={"error": f"no such call: {path}"})
 
+    def _set_faults(self, body: bytes) -> Answer:
+        """Set the faults that are named; the others stay as they are."""
+        match decode_changes(body, self.faults, allowed=PLATFORM_FAULTS):
+            case Err(fault):
+                return _refuse(fault)
+            case Ok(changes):
+                changes.apply(self.faults)
+                if changes.forget_history:
+                    for topic in (ENTRIES_TOPIC, OPERATOR_TOPIC):
+                        self.log.forget(topic, 0)
+        return Answer()
+
     @takes("/machine", MachineChange)
     def _change_machine(self, change: MachineChange) -> Answer:
         self.machines.change(change)
--- a/heatherkeel/standins/keyed_log.py
+++ b/heatherkeel/standins/keyed_log.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
+import msgspec
+
 PAGE_ITEMS: Final = 500
 REPEATS: Final = 5
 """Number of a producer's last appends whose answers are given again to a repeat."""
@@ -25,6 +27,12 @@
 
     status: int = 200
     body: Any = field(default_factory=dict)
+    cut_at: int | None = None
+    """The connection is closed after so many bytes of the body, if they aren't all of it."""
+
+    def content(self) -> bytes:
+        """Return the body as it is sent."""
+        return self.body if isinstance(self.body, bytes) else msgspec.json.encode(self.body)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -142,8 +150,11 @@
             return Answer(status=409, body={"reason": "seq", "sequence": known.sequence + 1})
         return known
 
-    def read(self, query: dict[str, str]) -> Answer | None:
-        """Read from an offset on; None if there is nothing to read yet."""
+    def read(self, query: dict[str, str], *, page_bytes: int = 0) -> Answer | None:
+        """Read from an offset on; None if there is nothing to read yet.
+
+        An answer holds at most `page_bytes`, and one record at least, if that isn't 0.
+        """
         log = self.find(query["topic"], int(query["part"]))
         start = int(query["from"])
         if start < log.first:
@@ -152,10 +163,11 @@
             return None
         head = log.end().to_bytes(8, "big") + log.first.to_bytes(8, "big")
         room = 1024 * int(query.get("maxKb", MAX_READ_KB))
+        room = min(room, page_bytes or room)
         return Answer(body=head + _frame(log.records[start:], room=room))
 
-    def read_newest(self, query: dict[str, str]) -> Answer:
-        """Return a page of the newest records."""
+    def read_newest(self, query: dict[str, str], *, page_bytes: int = 0) -> Answer:
+        """Return a page of the newest records, of at most `page_bytes` as in `read`."""
         topic, partition = query["topic"], int(query["part"])
         newest = self.newest(topic, partition)
         keys = sorted(key for key in newest if key > query.get("dependsOn", ""))
@@ -163,9 +175,11 @@
             {"key": key, "value": b64encode(newest[key][1]).decode(), "offset": newest[key][0]}
             for key in keys[:PAGE_ITEMS]
         ]
+        if page_bytes:
+            items = _cut_page(items, room=page_bytes)
         end = self.find(topic, partition).end()
         return Answer(
-            body={"items": items, "hasMore": len(keys) > PAGE_ITEMS, "endKey": end},
+            body={"items": items, "hasMore": len(keys) > len(items), "endKey": end},
         )
 
     def join(self, body: dict[str, Any]) -> Answer:
@@ -230,6 +244,18 @@
         return Answer(body={"parts": rows})
 
 
+def _cut_page(items: list[dict[str, Any]], *, room: int) -> list[dict[str, Any]]:
+    """Return the first item and those after it whose values have room."""
+    kept = items[:1]
+    room -= sum(len(item["value"]) for item in kept)
+    for item in items[1:]:
+        room -= len(item["value"])
+        if room < 0:
+            break
+        kept.append(item)
+    return kept
+
+
 def _frame(records: list[bytes], *, room: int) -> bytes:
     """Return the first record and those after it that have room, each behind its length."""
     framed: list[bytes] = []
--- a/heatherkeel/standins/serving.py
+++ b/heatherkeel/standins/serving.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-import msgspec
 import trio
 from result import Err
 
@@ -44,17 +43,20 @@
 
 async def _async_respond(answer: Answer, receive: Receive, send: Send, link: Link) -> None:
     """Send an answer over a link, until the caller closes its connection."""
-    content = answer.body if isinstance(answer.body, bytes) else msgspec.json.encode(answer.body)
+    content = answer.content()
+    sent = content if answer.cut_at is None else content[: answer.cut_at]
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_async_cancel_at_disconnect, receive, nursery.cancel_scope)
         length = str(len(content)).encode()
         headers = [(b"content-type", b"application/json"), (b"content-length", length)]
         await send({"type": "http.response.start", "status": answer.status, "headers": headers})
-        for place in range(0, len(content), PIECE_BYTES):
-            piece = content[place : place + PIECE_BYTES]
+        for place in range(0, len(sent), PIECE_BYTES):
+            piece = sent[place : place + PIECE_BYTES]
             await link.async_pass(len(piece))
             await send({"type": "http.response.body", "body": piece, "more_body": True})
-        await send({"type": "http.response.body", "body": b""})
+        # The server closes the connection of an answer that isn't whole.
+        if len(sent) == len(content):
+            await send({"type": "http.response.body", "body": b""})
         nursery.cancel_scope.cancel()
 
 
--- a/heatherkeel/standins/users_platform_process.py
+++ b/heatherkeel/standins/users_platform_process.py
@@ -35,7 +35,7 @@
         machines_api = MachinesApi(
             machines=self.machines.by_name, async_take_away=self.machines.async_take_away
         )
-        control_api = ControlApi(log=log, machines=self.machines)
+        control_api = ControlApi(log=log, faults=faults, store=store_api, machines=self.machines)
         self.servers = {
             "store": _serve(store_api.async_handle, bind),
             "side_store": _serve(store_api.async_handle_side, _ANY_PORT),
--- a/heatherkeel/standins/worker_process.py
+++ b/heatherkeel/standins/worker_process.py
@@ -21,6 +21,7 @@
 from .control_client import ControlClient
 from .control_models import Beat, BeatAnswer, BeginAnswer, BeginQuestion, LifeOver
 from .entries import HEARTBEAT_S
+from .fault_changes import WORKER_FAULTS, decode_changes
 from .faults import Faults
 from .fleet_worker import FIRST_CLOCK_MS, FleetWorker
 from .history import HistoryFile
@@ -173,6 +174,8 @@
         """Answer one call, after what was due before it."""
         if request.path == "/control/slow":
             return _slow_down(worker, body)
+        if request.path == "/control/faults":
+            return self._set_faults(body)
         self._look(worker)
         try:
             answer = await self.worker_api.async_handle(worker, request, body)
@@ -181,6 +184,16 @@
         _crash_if_due(worker)
         return answer
 
+    def _set_faults(self, body: bytes) -> Answer:
+        """Set the faults that are named; they hold for later lives too."""
+        faults = self.worker_api.faults
+        match decode_changes(body, faults, allowed=WORKER_FAULTS):
+            case Err(fault):
+                return Answer(status=400, body={"error": fault})
+            case Ok(changes):
+                changes.apply(faults)
+        return Answer()
+
     async def _async_look(self, worker: FleetWorker) -> None:
         while True:
             self._look(worker)
--- a/tests/processes/standin_calls.py
+++ b/tests/processes/standin_calls.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import Any, Final
 
+from heatherkeel.measure.const import CALL_TIMEOUT_S
+
 from .harness import Fleet, Process, call, call_json, wait_for
 
 POOL: Final = "portal"
@@ -91,7 +93,7 @@
         """Return the life that began last."""
         return self.lines("life began")[-1]
 
-    def order(self, path: str, **body: Any) -> Any:
+    def order(self, path: str, *, timeout_s: float = CALL_TIMEOUT_S, **body: Any) -> Any:
         """Make one call to its present life and return the answer."""
         answer = call(
             "POST",
@@ -99,15 +101,28 @@
             f"/heatherkeel/{path}",
             body=json.dumps(body).encode(),
             headers={"heatherkeel-target-instance": self.life()["worker"]},
+            timeout_s=timeout_s,
         )
         assert answer.status == 200, (answer.status, answer.content)
         return json.loads(answer.content)
 
-    def start_task(self, task: str, spec: str, *, lease_ms: int = 60_000) -> Any:
+    def start_task(
+        self,
+        task: str,
+        spec: str,
+        *,
+        lease_ms: int = 60_000,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Any:
         """Start a task under a lease."""
         clock_ms = self.order("hold")["clockMs"]
         return self.order(
-            "run-start", task=task, attempt=1, spec=spec, deadlineMs=clock_ms + lease_ms
+            "run-start",
+            task=task,
+            attempt=1,
+            spec=spec,
+            deadlineMs=clock_ms + lease_ms,
+            timeout_s=timeout_s,
         )
 
     def outcomes(self) -> dict[str, str]:
--- a/tests/processes/test_worker_standin.py
+++ b/tests/processes/test_worker_standin.py
@@ -18,6 +18,8 @@
 JOB = "00000000000000a1"
 TASK = f"{JOB}.0.0.0"
 OTHER_TASK = f"{JOB}.0.0.1"
+SILENCE_S = 1.0
+"""How long a call waits for an answer that never comes, in seconds."""
 
 
 def move(platform: Platform, machine: str, pool: str) -> int:
@@ -127,7 +129,9 @@
     platform = start_platform(fleet)
     worker = start_worker(fleet, platform, "m0")
     with ThreadPoolExecutor() as callers:
-        answer = callers.submit(worker.start_task, TASK, "crashes-dark 0 lasts")
+        answer = callers.submit(
+            worker.start_task, TASK, "crashes-dark 0 lasts", timeout_s=SILENCE_S
+        )
         wait_for(lambda: is_stopped(worker), "the process has stopped")
         assert isinstance(answer.exception(), httpcore.ReadTimeout)
     assert [line["what"] for line in worker.lines()] == ["life began", "started", "dark"]
@@ -179,6 +183,19 @@
     assert 0.55 < ended["at"] - started["at"] < 0.65
 
 
+def test_a_worker_that_does_not_answer_a_start_carries_it_out_late(fleet: Fleet) -> None:
+    platform = start_platform(fleet)
+    worker = start_worker(fleet, platform, "m0")
+    refused = call("POST", worker.address, "/control/faults", body=b'{"store_silent":true}')
+    assert refused.status == 400 and b"store_silent" in refused.content
+    faults = {"lose_starts": 1, "late_start_s": 0.2}
+    call_json("POST", worker.address, "/control/faults", faults)
+    with pytest.raises(httpcore.ReadTimeout):
+        worker.start_task(TASK, "lasts", timeout_s=SILENCE_S)
+    (line,) = worker.lines("started")
+    assert line["task"] == TASK
+
+
 def test_a_spec_without_a_duration_is_refused(fleet: Fleet) -> None:
     platform = start_platform(fleet)
     worker = start_worker(fleet, platform, "m0")
