Stand-ins: bad input and an unheard platform are told in one line

A worker without a control address, with a busy port or a history that can't be written says so in one line and ends (2 or 1), and one that is cut off from its platform logs that once instead of five times a second.

--- a/heatherkeel/cli/standin.py
+++ b/heatherkeel/cli/standin.py
@@ -10,7 +10,7 @@
 
 from absl import flags
 
-from heatherkeel.settings.const import BIND_PATTERN
+from heatherkeel.settings.const import ADDRESS_PATTERN, BIND_PATTERN
 
 from .const import EXIT_OK, EXIT_USAGE
 from .registry import command
@@ -79,6 +79,13 @@
     }
     for name, text in texts.items():
         flags.DEFINE_string(name, "", f"worker: {text}", flag_values=values)
+    for name in ("control", "announce"):
+        flags.register_validator(  # type: ignore[no-untyped-call]
+            name,
+            lambda address: not address or re.match(ADDRESS_PATTERN, address) is not None,
+            message="expected an IP number and a port, such as 127.0.0.1:8080",
+            flag_values=values,
+        )
     flags.DEFINE_string(
         "id-prefix", "i-", "worker: what the ids of its lives begin with.", flag_values=values
     )
--- a/heatherkeel/standins/control_client.py
+++ b/heatherkeel/standins/control_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Final, TypeVar
 
 import httpcore
@@ -10,6 +11,7 @@
 
 from .control_models import Beat, BeatAnswer, BeginAnswer, BeginQuestion, LifeOver
 
+_LOGGER = logging.getLogger(__name__)
 CALL_TIMEOUT_S: Final = 0.5
 """Longest wait for an answer, in seconds; then another call is made."""
 
@@ -21,6 +23,7 @@
 
     def __init__(self, *, address: str) -> None:
         self.address = address
+        self.is_unheard = False
         self.http = httpcore.AsyncConnectionPool(retries=0)
 
     async def close(self) -> None:
@@ -41,6 +44,19 @@
 
     async def _async_call(
         self, path: str, body: msgspec.Struct, kind: type[AnswerT]
+    ) -> Result[AnswerT, str]:
+        """Make one call, and log when calls begin to fail and when they succeed again."""
+        answer = await self._async_try(path, body, kind)
+        match answer:
+            case Err(fault) if not self.is_unheard:
+                _LOGGER.warning("%s", fault, extra={"event": "control_unheard", "path": path})
+            case Ok(_) if self.is_unheard:
+                _LOGGER.info("heard again", extra={"event": "control_heard", "path": path})
+        self.is_unheard = isinstance(answer, Err)
+        return answer
+
+    async def _async_try(
+        self, path: str, body: msgspec.Struct, kind: type[AnswerT]
     ) -> Result[AnswerT, str]:
         timeout = dict.fromkeys(("connect", "read", "write", "pool"), CALL_TIMEOUT_S)
         try:
--- a/heatherkeel/standins/worker_process.py
+++ b/heatherkeel/standins/worker_process.py
@@ -101,8 +101,6 @@
                 case Ok(_):
                     is_boot = False
                     self._tell_listening()
-                case Err(fault):
-                    _LOGGER.warning("%s", fault, extra={"event": "control_unheard"})
             await trio.sleep(ASK_S)
 
     async def _async_live(self, pool: str) -> None:
@@ -147,8 +145,6 @@
             match await self.control.async_beat(self._make_beat(worker)):
                 case Ok(BeatAnswer(life="end") as answer):
                     return answer
-                case Err(fault):
-                    _LOGGER.warning("%s", fault, extra={"event": "control_unheard"})
             await trio.sleep(HEARTBEAT_S)
 
     def _make_beat(self, worker: FleetWorker) -> Beat:
--- a/tests/processes/test_worker_standin.py
+++ b/tests/processes/test_worker_standin.py
@@ -18,6 +18,8 @@
 JOB = "00000000000000a1"
 TASK = f"{JOB}.0.0.0"
 OTHER_TASK = f"{JOB}.0.0.1"
+START_S = 15.0
+"""Longest wait for a process that ends by itself, in seconds."""
 SILENCE_S = 1.0
 """How long a call waits for an answer that never comes, in seconds."""
 
@@ -196,6 +198,32 @@
     assert line["task"] == TASK
 
 
+def test_a_worker_that_can_not_be_started_says_why_in_one_line(fleet: Fleet) -> None:
+    platform = start_platform(fleet)
+    worker = start_worker(fleet, platform, "m0")
+    for name, changed, fault in (
+        ("busy", f"--bind={worker.address}", "address already in use"),
+        ("unwritable", f"--history={fleet.folder / 'none' / 'h'}", "No such file"),
+    ):
+        flags = (f"--control={platform.control}", "--machine=m1", f"--pool={POOL}")
+        history = f"--history={fleet.folder / name}.jsonl"
+        process = fleet.spawn(name, "standin", "worker", *flags, history, changed)
+        assert process.popen.wait(timeout=START_S) == 1
+        (line,) = process.events()
+        assert line["event"] == "system_error" and fault.lower() in line["message"].lower()
+
+
+def test_a_worker_waits_for_its_platform_and_logs_once_that_it_is_unheard(fleet: Fleet) -> None:
+    """Guards against logs that fill up while a worker is cut off."""
+    platform = start_platform(fleet)
+    worker = start_worker(fleet, platform, "m0")
+    platform.process.freeze()
+    wait_for(lambda: worker.process.has_logged("control_unheard"), "the platform is unheard")
+    platform.process.thaw()
+    wait_for(lambda: worker.process.has_logged("control_heard"), "the platform is heard again")
+    assert [line["event"] for line in worker.process.events()].count("control_unheard") == 1
+
+
 def test_a_spec_without_a_duration_is_refused(fleet: Fleet) -> None:
     platform = start_platform(fleet)
     worker = start_worker(fleet, platform, "m0")
