--- a/heatherkeel/standins/fleet_worker.py
+++ b/heatherkeel/standins/fleet_worker.py
@@ -211,11 +211,11 @@
                 run.ends_s = now_s + (run.ends_s - now_s) * factor / self.slow_factor
         self.slow_factor = factor
 
-    def end_life(self) -> None:
+    def end_life(self, outcome: str = "") -> None:
         """End this life, and all that runs in it, without a word."""
         self.is_over = True
         self.runs.clear()
-        self._tell(Happening.LIFE_ENDED)
+        self._tell(Happening.LIFE_ENDED, outcome=outcome)
 
     def tell_beginning(self) -> None:
         """Take down that this life has begun."""
--- a/heatherkeel/standins/history.py
+++ b/heatherkeel/standins/history.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from pathlib import Path
-from typing import Protocol
+from typing import Final, Protocol
 
 import msgspec
 
@@ -39,6 +39,10 @@
     outcome: str = ""
 
 
+LEFT: Final = "left"
+"""Outcome of a life that its platform ended or whose worker left, and that did not crash."""
+
+
 class EventSink(Protocol):
     """Keeps what workers did, such as a list."""
 
--- a/heatherkeel/standins/machines_api.py
+++ b/heatherkeel/standins/machines_api.py
@@ -83,17 +83,31 @@
                 rows = [machine.make_row() for machine in self.machines.values()]
                 return Answer(body={"machines": rows, "nextPageToken": None})
             case "machine-move":
-                return await self.async_take_away(decoded["machine"], decoded["pool"])
+                return await self._async_move(decoded["machine"], decoded["pool"])
             case "machine-upkeep":
-                return await self._async_maintain(self.machines[decoded["machine"]])
+                return await self._async_maintain(decoded["machine"])
         return Answer(status=404)
 
-    async def _async_maintain(self, machine: ListedMachine) -> Answer:
+    async def _async_move(self, name: str, pool: str) -> Answer:
+        """Move a machine, unless it is in the pool already."""
+        machine = self.machines.get(name)
+        if machine is None:
+            return Answer(status=400)
+        if machine.pool == pool and machine.state == UP:
+            return Answer()
+        return await self.async_take_away(name, pool)
+
+    async def _async_maintain(self, name: str) -> Answer:
         """Maintain a machine once."""
-        if machine.name in self.maintained:
+        machine = self.machines.get(name)
+        if machine is None:
+            return Answer(status=400)
+        if name in self.maintained:
             return Answer()
-        self.maintained.append(machine.name)
-        return await self.async_take_away(machine.name, machine.pool)
+        answer = await self.async_take_away(name, machine.pool)
+        if answer.status == 200:
+            self.maintained.append(name)
+        return answer
 
     def _advise(self, question: dict[str, Any]) -> Answer:
         rows = [
--- a/heatherkeel/standins/worker_process.py
+++ b/heatherkeel/standins/worker_process.py
@@ -24,7 +24,7 @@
 from .fault_changes import WORKER_FAULTS, decode_changes
 from .faults import Faults
 from .fleet_worker import FIRST_CLOCK_MS, FleetWorker
-from .history import HistoryFile
+from .history import LEFT, HistoryFile
 from .keyed_log import Answer
 from .ports import hold_port
 from .serving import make_app
@@ -118,7 +118,7 @@
             answer = await self._async_send_heartbeats(worker)
             self.worker = None
             if not worker.is_over:
-                worker.end_life()
+                worker.end_life(LEFT)
             # No grace: what is in progress goes without an answer, as with a machine that stops.
             life.cancel_scope.cancel()
         await self.control.async_end(self._make_end(worker, is_leaving=False))
@@ -208,7 +208,7 @@
             await self.control.async_beat(self._make_beat(worker))
             await trio.sleep(self.options.drain_s)
         if self.worker is not None:
-            self.worker.end_life()
+            self.worker.end_life(LEFT)
             await self.control.async_end(self._make_end(self.worker, is_leaving=True))
         scope.cancel()
 
