Stand-ins: a wave maintains machines whose workers are processes

Maintenance ordered by a real instance had been seen only in the platform's one loop. The test demands a wave and checks that just its machines end a life and begin another, without a crash.

--- a/tests/processes/test_whole_site.py
+++ b/tests/processes/test_whole_site.py
@@ -7,8 +7,17 @@
 
 import httpcore
 
-from .harness import Fleet, Process, call, wait_for
-from .standin_calls import HOST, POOL, QUEUE, STANDBY, Platform, start_platform, start_worker
+from .harness import Fleet, Process, call, call_json, wait_for
+from .standin_calls import (
+    HOST,
+    POOL,
+    QUEUE,
+    STANDBY,
+    Platform,
+    Worker,
+    start_platform,
+    start_worker,
+)
 
 JOB = "00000000000000a1"
 DEADLY_JOB = "00000000000000b2"
@@ -100,3 +109,26 @@
 
     wait_for(has_failed, "the deadly job fails", timeout_s=START_S)
     assert 2 <= restarts < 10
+
+
+def test_a_wave_maintains_machines_whose_workers_are_processes(fleet: Fleet) -> None:
+    platform = start_platform(fleet, "--partitions=3")
+    platform.tell("/configure", version=1, routes=[QUEUE], services=[POOL, STANDBY])
+    machines = [f"m{number}" for number in range(3)]
+    workers = [start_worker(fleet, platform, machine) for machine in machines]
+    _, callers = start_instance(fleet, platform)
+    submit(callers, JOB, "work 50")
+    platform.tell("/wave", wave=1, machines=machines[:2], durationS=20, maxCount=1)
+    wait_for(
+        lambda: call_json("GET", platform.control, "/wave/1")["state"] == "complete",
+        "the wave completes",
+        timeout_s=START_S,
+    )
+    ends = [[line["outcome"] for line in worker.lines("life ended")] for worker in workers]
+    assert ends == [["left"], ["left"], []]
+    wait_for(lambda: count_lives(workers) == [2, 2, 1], "both machines are back")
+    wait_for(lambda: has_state(callers, JOB, "complete"), "the job completes", timeout_s=START_S)
+
+
+def count_lives(workers: list[Worker]) -> list[int]:
+    return [len(worker.lines("life began")) for worker in workers]
