--- a/heatherkeel/standins/fleet_worker.py
+++ b/heatherkeel/standins/fleet_worker.py
@@ -86,15 +86,15 @@
     """Starts that brought it over its room, for tests."""
     has_crashed: bool = False
     """A task that it was to start has crashed it."""
-    is_dark: bool = False
-    """A task has brought it to a stop in which it keeps its connections."""
-    slow_factor: float = 1.0
-    """How many times as long as stated its tasks take."""
     is_over: bool = False
     """Its life has ended: nothing is carried out any more."""
     history: EventSink = field(default_factory=list[TaskEvent])
     """What workers did, for those who check it."""
     changed: trio.Event = field(default_factory=trio.Event)
+    is_dark: bool = False
+    """A task has brought it to a stop in which it keeps its connections."""
+    slow_factor: float = 1.0
+    """How many times as long as stated its tasks take."""
 
     def resize(self, cpu: int) -> None:
         """Say from now on that it has another room."""
