Stand-in workers tell how far tasks are, and when their lease ran out

Each running task was listed at 100 percent from its start on. The share of its work that is done is listed now; a task that lasts stays at 100.

The end of a lease is written to the history too, also if nothing runs then: whether an end was acknowledged before or after it decides whether a later start breaks a rule.

--- a/heatherkeel/standins/fleet_worker.py
+++ b/heatherkeel/standins/fleet_worker.py
@@ -42,6 +42,13 @@
     stopping_s: float | None = None
     crash: Crash | None = None
 
+    def percent(self) -> int:
+        """Return how much of its work is done; a task that lasts is at work from its start on."""
+        if self.ends_s is None:
+            return 100
+        done_s = time.monotonic() - self.cpu_started_s
+        return min(100, int(100 * done_s / max(0.001, self.ends_s - self.cpu_started_s)))
+
     def list_dues(self) -> list[tuple[float, str]]:
         """Return when it would end in which way, in seconds of the monotonic clock."""
         dues = []
@@ -69,6 +76,8 @@
     first_clock_ms: int = FIRST_CLOCK_MS
     token: int = 0
     lease_until_ms: int = 0
+    lapsed_ms: int = 0
+    """The end of a lease that is known to have run out."""
     runs: dict[str, StandinRun] = field(default_factory=dict)
     refused: dict[str, int] = field(default_factory=dict)
     """The highest attempt of a task that was stopped or has ended here."""
@@ -178,7 +187,7 @@
             self.changed = trio.Event()
             with trio.move_on_after(max(0.0, until_s - time.monotonic())):
                 await self.changed.wait()
-        running = [[run.task, run.attempt, "", 100, 0] for run in self.runs.values()]
+        running = [[run.task, run.attempt, "", run.percent(), 0] for run in self.runs.values()]
         return Answer(
             body={
                 "clockMs": self.clock_ms(),
@@ -194,6 +203,7 @@
         The earliest end counts, also if the worker could not look at that time.
         """
         lease_end_s = self.began_s + (self.lease_until_ms - self.first_clock_ms) / 1000
+        self._note_lapse(lease_end_s)
         for run in list(self.runs.values()):
             due_s, outcome = min([(lease_end_s, "lapsed"), *run.list_dues()])
             if time.monotonic() < due_s:
@@ -203,6 +213,12 @@
             else:
                 self._end(run, outcome, at_s=due_s)
 
+    def _note_lapse(self, lease_end_s: float) -> None:
+        """Take down once that the lease has run out."""
+        if self.lapsed_ms != self.lease_until_ms and time.monotonic() >= lease_end_s:
+            self.lapsed_ms = self.lease_until_ms
+            self._tell(Happening.LEASE_LAPSED, at_s=lease_end_s)
+
     def slow_down(self, factor: float) -> None:
         """Let tasks take so many times as long as stated, also what is left of running ones."""
         now_s = time.monotonic()
--- a/heatherkeel/standins/history.py
+++ b/heatherkeel/standins/history.py
@@ -21,6 +21,8 @@
     """Its end was taken note of."""
     DARK = "dark"
     """It has brought its worker to a stop, in which connections stay open."""
+    LEASE_LAPSED = "lease lapsed"
+    """Its lease ran out, whether anything ran or not."""
     LIFE_BEGAN = "life began"
     LIFE_ENDED = "life ended"
 
