A fault soak of real processes: heatherkeel soak

Users ran real processes behind a proxy and saw a job shown as failed without a cause; nothing here cut links between real processes. The soak starts the stand-in platform, workers and instances as processes of their own, puts a loopback proxy before each worker and each instance's callers and store, draws jobs and faults from a seed, and judges promises by what callers and workers saw. The checks of tests/instance/chaos.py moved to heatherkeel/soak/checks.py, and both use them. find_unjustified_failures is stricter than before: a crash counts only before the job was shown as failed, and not for a run whose lease had expired or whose end was acknowledged.

Peers are not behind proxies: an instance announces the address it binds.

tests/soak, tests/cli, tests/instance: passed.

--- a/heatherkeel/cli/main.py
+++ b/heatherkeel/cli/main.py
@@ -26,6 +26,7 @@
     "job",
     "load",
     "replay",
+    "soak",
     "standin",
     "version",
 )
--- a/tests/instance/chaos.py
+++ b/tests/instance/chaos.py
@@ -4,7 +4,7 @@
 
 import logging
 import sys
-from collections import Counter, defaultdict
+import time
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
@@ -12,7 +12,11 @@
 
 import trio
 
-from heatherkeel.standins.history import Happening, TaskEvent
+from heatherkeel.soak.checks import (
+    find_refused_starts,
+    find_unjustified_failures,
+    find_violations,
+)
 
 from .site import STEP, Site, open_site
 
@@ -40,7 +44,8 @@
     long_running: list[str] = field(default_factory=list)
     refused: list[str] = field(default_factory=list)
     """Jobs whose callers were told that they never run."""
-    failed: list[str] = field(default_factory=list)
+    failed: dict[str, float] = field(default_factory=dict)
+    """When each failed job was shown so, in seconds of the monotonic clock."""
     unfinished: list[str] = field(default_factory=list)
     """Jobs not known to have ended in time; checked in order up to the first that hasn't."""
 
@@ -82,7 +87,7 @@
         """Return whether a job has ended, or is long-running with all of its tasks started."""
         state = await self._async_state(job_id)
         if state == "failed":
-            self.failed.append(job_id)
+            self.failed[job_id] = time.monotonic()
             return True
         if job_id in self.long_running:
             return self._count_running(job_id) == STEP["count"]
@@ -172,55 +177,6 @@
         await self.site.async_add_process(is_ready=False)
 
 
-def find_violations(history: list[TaskEvent]) -> list[str]:
-    """Return duplicate runs and starts after acknowledged ends; long-running tasks may restart."""
-    violations = []
-    running: dict[str, set[tuple[str, int]]] = defaultdict(set)
-    acknowledged = set()
-    for event in history:
-        incarnations = running[event.task]
-        match event.what:
-            case Happening.STARTED:
-                if incarnations:
-                    violations.append(f"{event.task} runs twice: {event}")
-                if event.task in acknowledged:
-                    violations.append(
-                        f"{event.task} starts after its end was acknowledged: {event}"
-                    )
-                incarnations.add(event.life)
-            case Happening.ENDED:
-                incarnations.discard(event.life)
-            case Happening.ACKNOWLEDGED if event.outcome == "done":
-                acknowledged.add(event.task)
-            case Happening.LIFE_ENDED:
-                for others in running.values():
-                    others.discard(event.life)
-    return violations
-
-
-def find_unjustified_failures(history: list[TaskEvent], failed: list[str]) -> list[str]:
-    """Return failed jobs without a task that was started in two incarnations that crashed."""
-    ended = {event.life for event in history if event.what is Happening.LIFE_ENDED}
-    crashes = Counter(
-        task
-        for task, incarnation in {
-            (event.task, event.life) for event in history if event.what is Happening.STARTED
-        }
-        if incarnation in ended
-    )
-    justified = {task.split(".")[0] for task, count in crashes.items() if count >= 2}
-    return [f"{job_id} failed without a cause" for job_id in failed if job_id not in justified]
-
-
-def find_refused_starts(history: list[TaskEvent], refused: list[str]) -> list[str]:
-    """Return the starts of tasks of refused jobs."""
-    return [
-        f"{event.task} starts, though its job was refused: {event}"
-        for event in history
-        if event.what is Happening.STARTED and event.task.split(".")[0] in refused
-    ]
-
-
 async def async_run_chaos(seed: int, contracts: Sequence[str] = ()) -> list[str]:
     """Run a site under faults and return the violations."""
     async with open_site(processes=PROCESSES, machines=MACHINES, contracts=contracts) as site:
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak."""
