Soak: more kinds of faults, explained failures and a report

The budget of starts after crashes counts for the task that crashes its workers: in a trial the tasks beside such a one were counted too, which no rule says. Room is judged only once no worker crashes any more, for the same reason.

Not there: clocks that step, a store that forgets history, proxies between peers, a plot, moves and maintenance of machines, and drains.

--- a/heatherkeel/soak/command.py
+++ b/heatherkeel/soak/command.py
@@ -48,7 +48,7 @@
         """Return what is wrong with the options, if anything is."""
         unknown = [name for name in self.only if name not in FAULTS]
         if unknown:
-            return f"unknown fault {unknown[0]!r}; one of: {', '.join(FAULTS)}"
+            return f"unknown fault {unknown[0]!r}; one of: {', '.join(sorted(FAULTS))}"
         most = min(MAX_PROCESSES, count_affordable())
         if self.processes > most:
             return f"{self.processes} processes are more than the limits bear: {most}"
--- a/heatherkeel/soak/faults.py
+++ b/heatherkeel/soak/faults.py
@@ -1,4 +1,4 @@
-"""Faults from outside, one registered function a kind."""
+"""Carries out the planned faults; the kinds register themselves."""
 
 from __future__ import annotations
 
@@ -14,15 +14,13 @@
 from .plan import FaultKind, PlannedFault
 from .proxy import BOTH_WAYS, Link, Way
 from .record import Disturbance
-from .site import PLATFORM, SoakInstance, SoakSite, SoakWorker
+from .site import SoakInstance, SoakSite, SoakWorker
 from .supervisor import Child
 
-START_WAIT_S: Final = 15.0
-"""How long a fault waits for a task to start."""
-AFTER_START_S: Final = (0.0, 0.25)
 AWAY_S: Final = (0.1, 3.0)
+"""How long a process that was ended is away, in seconds."""
 DELAY_S: Final = (0.02, 0.6)
-BYTES_PER_S: Final = (100_000, 400_000)
+BYTES_PER_S: Final = (100_000.0, 400_000.0)
 
 PartT = TypeVar("PartT")
 
@@ -61,7 +59,7 @@
     def pick_instance(self, fault: PlannedFault) -> SoakInstance | None:
         """Return the chosen instance if it runs."""
         instance = pick(list(self.site.instances.values()), fault.choice)
-        return instance if instance.is_running() else None
+        return instance if instance.is_running() and not instance.is_away else None
 
     async def _async_carry_out(self, fault: PlannedFault) -> None:
         was_done = await FAULTS[fault.kind].async_act(self, fault)
@@ -104,140 +102,41 @@
     return bounds[0] + share * (bounds[1] - bounds[0])
 
 
-def _pick_ways(variant: float) -> frozenset[Way]:
-    return pick(
-        [BOTH_WAYS, BOTH_WAYS, frozenset({Way.TO_TARGET}), frozenset({Way.TO_SOURCE})], variant
-    )
+def pick_ways(variant: float) -> frozenset[Way]:
+    """Return the directions to cut that a number from 0 to 1 stands for: half the time both."""
+    to_target, to_source = frozenset({Way.TO_TARGET}), frozenset({Way.TO_SOURCE})
+    return pick([BOTH_WAYS, BOTH_WAYS, to_target, to_source], variant)
 
 
-async def _async_cut(links: list[Link], ways: frozenset[Way], lasts_s: float) -> None:
+async def async_cut(links: list[Link], ways: frozenset[Way], lasts_s: float) -> None:
+    """Cut links for a while."""
     for link in links:
         link.cut(ways)
+    await _async_heal_later(links, lasts_s)
+
+
+async def async_harm(links: list[Link], fault: PlannedFault) -> None:
+    """Delay links, limit their bandwidth, or reset their connections, for a while."""
+    share = 3 * fault.variant % 1
+    for link in links:
+        match int(3 * fault.variant):
+            case 0:
+                link.slow_down(delay_s=between(DELAY_S, share))
+            case 1:
+                link.slow_down(bytes_per_s=between(BYTES_PER_S, share))
+            case _:
+                link.reset(stays=share < 0.5)
+    await _async_heal_later(links, fault.lasts_s)
+
+
+async def _async_heal_later(links: list[Link], lasts_s: float) -> None:
     await trio.sleep(lasts_s)
     for link in links:
         link.heal()
 
 
-@fault("cut-worker", weight=4, lasts_s=(0.5, 14.0))
-async def async_cut_worker(run: FaultRun, fault: PlannedFault) -> bool:
-    """Cut a worker off while its machine stays listed; its own reports may still arrive."""
-    worker = run.pick_worker(fault)
-    if worker is None:
-        return False
-    await _async_cut_worker(run, fault, worker)
-    return True
-
-
-@fault("cut-worker-at-start", weight=8, lasts_s=(4.0, 14.0))
-async def async_cut_worker_at_start(run: FaultRun, fault: PlannedFault) -> bool:
-    """Cut a worker off right after it has started a task."""
-    return await _async_cut_at_start(run, fault, is_again=False)
-
-
-@fault("cut-worker-at-restart", weight=4, lasts_s=(7.0, 14.0))
-async def async_cut_worker_at_restart(run: FaultRun, fault: PlannedFault) -> bool:
-    """Cut a worker off right after it has started a task that was started before."""
-    return await _async_cut_at_start(run, fault, is_again=True)
-
-
-async def _async_cut_at_start(run: FaultRun, fault: PlannedFault, *, is_again: bool) -> bool:
-    with trio.move_on_after(START_WAIT_S) as scope:
-        # One after the other, so that a series cuts off several workers.
-        async with run.start_lock:
-            machine = await run.site.histories.async_wait_start(is_again=is_again)
-    if scope.cancelled_caught:
-        return False
-    await trio.sleep(between(AFTER_START_S, fault.choice))
-    await _async_cut_worker(run, fault, run.site.workers[machine])
-    return True
-
-
-async def _async_cut_worker(run: FaultRun, fault: PlannedFault, worker: SoakWorker) -> None:
-    links = worker.links() if fault.variant < 0.5 else [worker.calls]
-    ways = _pick_ways(2 * fault.variant % 1)
-    what = f"{', '.join(link.name for link in links)}: {', '.join(sorted(ways))}"
-    with run.disturb(fault, worker.machine, what):
-        await _async_cut(links, ways, fault.lasts_s)
-
-
-@fault("freeze-worker", weight=1, lasts_s=(0.3, 9.0))
-async def async_freeze_worker(run: FaultRun, fault: PlannedFault) -> bool:
-    """Freeze a worker's process, and thaw it."""
-    worker = run.pick_worker(fault)
-    if worker is None or worker.child is None:
-        return False
-    with run.disturb(fault, worker.machine), run.site.histories.freezing(worker.machine):
-        await _async_freeze(worker.child, fault.lasts_s)
-    return True
-
-
-@fault("kill-worker", weight=1, lasts_s=AWAY_S)
-async def async_kill_worker(run: FaultRun, fault: PlannedFault) -> bool:
-    """Kill a worker, and start it again after a while."""
-    worker = run.pick_worker(fault)
-    if worker is None:
-        return False
-    worker.is_away = True
-    with run.disturb(fault, worker.machine):
-        await run.site.async_kill_worker(worker)
-        await trio.sleep(fault.lasts_s)
-        await run.site.async_start_worker(worker)
-    worker.is_away = False
-    return True
-
-
-@fault("freeze-instance", weight=1, lasts_s=(0.3, 6.0))
-async def async_freeze_instance(run: FaultRun, fault: PlannedFault) -> bool:
-    """Freeze an instance, and thaw it."""
-    instance = run.pick_instance(fault)
-    if instance is None or instance.child is None:
-        return False
-    with run.disturb(fault, instance.name):
-        await _async_freeze(instance.child, fault.lasts_s)
-    return True
-
-
-async def _async_freeze(child: Child, lasts_s: float) -> None:
+async def async_freeze(child: Child, lasts_s: float) -> None:
+    """Freeze a process, and thaw it after a while."""
     child.freeze()
     await trio.sleep(lasts_s)
     child.thaw()
-
-
-@fault("kill-instance", weight=1, lasts_s=AWAY_S)
-async def async_kill_instance(run: FaultRun, fault: PlannedFault) -> bool:
-    """Kill an instance, and start it again after a while; its peers find it at another port."""
-    instance = run.pick_instance(fault)
-    if instance is None or instance.child is None:
-        return False
-    with run.disturb(fault, instance.name):
-        instance.child.kill()
-        await trio.sleep(fault.lasts_s)
-        await run.site.async_start_instance(instance)
-    return True
-
-
-@fault("cut-store", weight=1, lasts_s=(0.3, 6.0))
-async def async_cut_store(run: FaultRun, fault: PlannedFault) -> bool:
-    """Cut one instance off from the store."""
-    instance = run.pick_instance(fault)
-    if instance is None:
-        return False
-    with run.disturb(fault, instance.name):
-        await _async_cut([instance.store], _pick_ways(fault.variant), fault.lasts_s)
-    return True
-
-
-@fault("store-silent", weight=0.5, lasts_s=(0.2, 3.0))
-async def async_silence_store(run: FaultRun, fault: PlannedFault) -> bool:
-    """Let the store answer nobody."""
-    links = [instance.store for instance in run.site.instances.values()]
-    with run.disturb(fault, PLATFORM):
-        await _async_cut(links, BOTH_WAYS, fault.lasts_s)
-    return True
-
-
-@fault("configure", weight=1, lasts_s=(0.0, 0.0))
-async def async_configure(run: FaultRun, fault: PlannedFault) -> bool:
-    """Change the configuration: a queue comes, and another one goes."""
-    await run.site.async_configure()
-    return True
--- a/heatherkeel/soak/promises.py
+++ b/heatherkeel/soak/promises.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from heatherkeel.standins.history import Happening, TaskEvent
+from heatherkeel.standins.specs import find_crash
 
 from .bounds import (
     CANCEL_S,
@@ -92,8 +93,8 @@
 
 @promise("attempts are bounded")
 def check_attempts(record: RunRecord) -> Checked:
-    """Check that no task starts after its last failure, or again and again after its crashes."""
-    lasting = {job.plan.job_id for job in record.jobs if job.plan.lasts()}
+    """Check that no task starts after its last failure, or often after it crashed workers."""
+    plans = {job.plan.job_id: job.plan for job in record.jobs}
     failures: Counter[str] = Counter()
     crashes: Counter[str] = Counter()
     further: Counter[str] = Counter()
@@ -106,8 +107,9 @@
             present[event.life].discard(event.task)
         elif event.what is Happening.ACKNOWLEDGED:
             failures[event.task] += event.outcome == FAILED
-        elif event.what is Happening.STARTED and job_of(event.task) not in lasting:
-            present[event.life].add(event.task)
+        elif event.what is Happening.STARTED and not plans[job_of(event.task)].lasts():
+            if find_crash(event.task, plans[job_of(event.task)].spec) is not None:
+                present[event.life].add(event.task)
             checked.applied += failures[event.task] > 0 or crashes[event.task] > 0
             further[event.task] += crashes[event.task] >= MAX_CRASHES
             if failures[event.task] >= record.max_failures:
@@ -207,7 +209,9 @@
 def check_running(record: RunRecord) -> Checked:
     """Check that a job that has not ended, once all faults are over, has something running."""
     checked = Checked()
-    from_s = record.healed_s + FINISH_S
+    # Tasks that crash workers go on doing so, and take what runs beside them along.
+    crashed_s = max((event.at_s for event in record.history if is_crash(event)), default=0.0)
+    from_s = max(record.healed_s, crashed_s) + FINISH_S
     for job in record.jobs:
         final = job.final()
         until_s = final.at_s if final is not None else record.until_s
--- a/heatherkeel/soak/run.py
+++ b/heatherkeel/soak/run.py
@@ -12,6 +12,9 @@
 
 import trio
 
+from heatherkeel.measure.processes import Usage
+
+from . import instance_faults, worker_faults  # noqa: F401 (they register their kinds)
 from .callers import Callers, Fate
 from .faults import FAULTS, FaultRun
 from .plan import FaultKind, Plan
@@ -46,6 +49,7 @@
     checked: dict[str, Checked]
     faults: FaultRun
     stalls: list[Stall]
+    usage: dict[str, Usage]
     took_s: float
 
     def broken(self) -> list[str]:
@@ -84,6 +88,7 @@
                     nursery, instances=self.sizes.instances, workers=self.sizes.workers
                 )
                 record, faults = await self._async_play_on(site, nursery)
+                usage = supervisor.measure()
                 nursery.cancel_scope.cancel()
         finally:
             supervisor.close()
@@ -93,6 +98,7 @@
             checked=check_promises(record),
             faults=faults,
             stalls=read_stalls(stall_file),
+            usage=usage,
             took_s=time.monotonic() - began_s,
         )
 
@@ -160,4 +166,4 @@
 
 def find_kinds(only: list[str]) -> dict[str, FaultKind]:
     """Return the kinds of faults to draw from."""
-    return {name: FAULTS[name].kind for name in only or FAULTS}
+    return {name: FAULTS[name].kind for name in sorted(only or FAULTS)}
--- a/heatherkeel/soak/site.py
+++ b/heatherkeel/soak/site.py
@@ -22,7 +22,7 @@
 )
 from heatherkeel.standins.settings_file import SettingsFile
 
-from .bounds import ENTRY_TTL_S
+from .bounds import ENTRY_TTL_S, HEARTBEAT_S, LONGEST_LEASE_S, MACHINE_LEASE_S
 from .histories import Histories, WorkerHistory
 from .proxy import Link
 from .record import Change
@@ -75,11 +75,30 @@
 
     name: str
     zone: str
-    settings: Path
+    file: Path
+    """Its settings."""
     callers: Link
     store: Link
     cloud: Link
     child: Child | None = None
+    links_port: int = 0
+    """At which its peers reach it."""
+    is_away: bool = False
+    """The soak has ended it and will start it again."""
+
+    def write_settings(self, *, port: int = 0, status_s: int = 120) -> None:
+        """Write its settings file; with no port the system chooses one."""
+        SettingsFile(
+            name=self.name,
+            zone=self.zone,
+            store=self.store.address,
+            cloud=self.cloud.address,
+            internal_port=port,
+            longest_lease_ms=round(1000 * LONGEST_LEASE_S),
+            machine_lease_ms=round(1000 * MACHINE_LEASE_S),
+            heartbeat_ms=round(1000 * HEARTBEAT_S),
+            status_s=status_s,
+        ).write(self.file)
 
     def links(self) -> list[Link]:
         """Return its links."""
@@ -152,14 +171,7 @@
 
     async def async_control(self, method: str, path: str, body: Any = None) -> dict[str, Any]:
         """Call the platform's control port; raises `SoakError` if it doesn't answer."""
-        timeout = dict.fromkeys(("connect", "read", "write", "pool"), CONTROL_TIMEOUT_S)
-        async with httpcore.AsyncConnectionPool() as pool:
-            response = await pool.request(
-                method,
-                f"http://{self.control}{path}",
-                content=msgspec.json.encode(body) if body is not None else None,
-                extensions={"timeout": timeout},
-            )
+        response = await _async_call(method, self.control, path, body)
         if response.status != 200:
             raise SoakError(f"{method} {path}: {response.status} {response.content!r}")
         answer: dict[str, Any] = msgspec.json.decode(response.content or b"{}")
@@ -201,13 +213,25 @@
         self.histories.workers[worker.machine].end_life(at_s)
         await self.async_list_machine(worker, "down")
 
-    async def async_start_instance(self, instance: SoakInstance) -> None:
+    async def async_start_instance(
+        self, instance: SoakInstance, *, keeps_address: bool = False
+    ) -> None:
         """Start an instance's process; callers reach it by the address of its link."""
-        env = {SETTINGS_VARIABLE: str(instance.settings)}
+        instance.write_settings(port=instance.links_port if keeps_address else 0)
+        env = {SETTINGS_VARIABLE: str(instance.file)}
         command = [*self.program, "instance"]
         instance.child = self.supervisor.spawn(instance.name, command, root=self.root, env=env)
         started = await instance.child.async_find_event("start")
         instance.callers.target = started["callers"]
+        instance.links_port = int(started["links"].rpartition(":")[2])
+
+    async def async_tell_worker(self, worker: SoakWorker, path: str, body: Any) -> bool:
+        """Tell a worker's process something, beside its links; returns whether it heard."""
+        try:
+            response = await _async_call("POST", worker.calls.target, path, body)
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+            return False
+        return response.status == 200
 
     def heal_all(self) -> None:
         """End all faults of links."""
@@ -239,14 +263,11 @@
         instance = SoakInstance(
             name=name,
             zone=zone,
-            settings=self.folder / f"{name}.toml",
+            file=self.folder / f"{name}.toml",
             callers=await self._async_open_link(f"callers of {name}"),
             store=await self._async_open_link(f"store of {name}", self.store),
             cloud=await self._async_open_link(f"cloud of {name}", self.cloud),
         )
-        SettingsFile(
-            name=name, zone=zone, store=instance.store.address, cloud=instance.cloud.address
-        ).write(instance.settings)
         await self.async_start_instance(instance)
         self.instances[name] = instance
 
@@ -279,3 +300,15 @@
         await trio.sleep(RESTART_S)
         await self.async_start_worker(worker)
         worker.is_away = False
+
+
+async def _async_call(method: str, address: str, path: str, body: Any) -> httpcore.Response:
+    """Make one call of the soak's own, on a connection of its own."""
+    timeout = dict.fromkeys(("connect", "read", "write", "pool"), CONTROL_TIMEOUT_S)
+    async with httpcore.AsyncConnectionPool() as pool:
+        return await pool.request(
+            method,
+            f"http://{address}{path}",
+            content=msgspec.json.encode(body) if body is not None else None,
+            extensions={"timeout": timeout},
+        )
--- a/heatherkeel/soak/supervisor.py
+++ b/heatherkeel/soak/supervisor.py
@@ -14,6 +14,8 @@
 import msgspec
 import trio
 
+from heatherkeel.measure.processes import Usage, read_usage
+
 START_TIMEOUT_S: Final = 30.0
 POLL_S: Final = 0.02
 OWN_PROGRAM: Final = (sys.executable, "-m", "heatherkeel")
@@ -71,6 +73,11 @@
         self.popen.kill()
         self.popen.wait()
 
+    async def async_wait(self) -> None:
+        """Wait until it has ended."""
+        while self.is_alive():
+            await trio.sleep(POLL_S)
+
     async def async_find_event(self, event: str) -> dict[str, Any]:
         """Wait until it has logged an event, and return the line's fields."""
         with trio.move_on_after(START_TIMEOUT_S):
@@ -128,6 +135,10 @@
         self.children.append(child)
         return child
 
+    def measure(self) -> dict[str, Usage]:
+        """Return what the processes have used that are there now, by name."""
+        return {child.name: read_usage(child.pid) for child in self.children if child.is_alive()}
+
     def close(self) -> None:
         """End all processes that are left; frozen ones too."""
         for child in self.children:
--- a/heatherkeel/standins/settings_file.py
+++ b/heatherkeel/standins/settings_file.py
@@ -20,6 +20,7 @@
     longest_lease_ms: int = 6000
     machine_lease_ms: int = 300
     heartbeat_ms: int = 1500
+    status_s: int = 120
 
     def write(self, file: Path) -> None:
         """Write the file in one step, so that nobody reads half of it."""
@@ -37,6 +38,7 @@
             "[bounds]",
             f"holdMaxMs = {self.longest_lease_ms}",
             f"leaseMs = {self.machine_lease_ms}",
+            f"status_s = {self.status_s}",
             "[platform]",
             f"address = {json.dumps(self.store)}",
             f"parts = {self.partitions}",
