A job whose starts reach no worker isn't failed

What callers would see: a job of heatherkeel entry is shown as failed, "not started in 20 tries: proved not to have started", after its pool's workers could not be reached for about an hour; no worker has refused it.

Cause: the limit of 20 is meant for workers that refuse everything. A start that the platform proves never to have reached its worker counted against it as well.

Evidence: test_a_job_whose_starts_reach_no_worker_isnt_failed failed before. The companion test, that a job which every worker refuses ends at the limit, passed before and passes now. All of tests/jobs passed.

Why it works: starts that weren't delivered are counted for themselves.

--- a/heatherkeel/jobs/const.py
+++ b/heatherkeel/jobs/const.py
@@ -32,7 +32,7 @@
 """Maximum delay before a retry."""
 
 MAX_START_FAILURES: Final = 20
-"""Number of attempts that failed to start after which a job fails."""
+"""Number of attempts that workers refused after which a job fails."""
 
 START_WINDOW_MS: Final = 30_000
 """Time after a placement from which the platform refuses to start the task."""
--- a/heatherkeel/jobs/models.py
+++ b/heatherkeel/jobs/models.py
@@ -100,7 +100,9 @@
     losses: int = 0
     """Attempts that were abandoned when their lease expired, whatever became of them."""
     start_failures: int = 0
-    """Attempts that are known not to have started."""
+    """Attempts that their workers have refused."""
+    unreached: int = 0
+    """Attempts that never reached their workers."""
     runs: int = 0
     """Attempts that ran or may have run, except those resumed from a checkpoint."""
     runs_allowed: int = 1
--- a/heatherkeel/jobs/tasks.py
+++ b/heatherkeel/jobs/tasks.py
@@ -123,7 +123,7 @@
     reason = f"{body.exit} on {instance} {body.detail}".rstrip()
     # A task that was reported as running did run, even if a later report denies it.
     if not body.ran and job.started_ms == 0:
-        changed = retry_after_start_failure(state, body.job, job, meta, reason)
+        changed = retry_after_start_failure(state, body.job, job, meta, reason, was_reached=True)
         return accepted(changed.version, changed)
     changed = _finish_or_retry(state, meta, body, job, reason)
     return accepted(changed.version, changed)
@@ -158,7 +158,8 @@
     if body.task != latest_task_id(body.job, job) or not is_pending or job.started_ms > 0:
         return Err(wrong_state(body.job, job))
     release(state, body.job, job)
-    changed = retry_after_start_failure(state, body.job, job, meta, "proved not to have started")
+    reason = "proved not to have started"
+    changed = retry_after_start_failure(state, body.job, job, meta, reason, was_reached=False)
     return Ok(accepted(changed.version, changed))
 
 
--- a/heatherkeel/jobs/transitions.py
+++ b/heatherkeel/jobs/transitions.py
@@ -149,10 +149,20 @@
 
 
 def retry_after_start_failure(
-    state: FleetState, job_id: str, job: Job, meta: RecordMeta, reason: str
+    state: FleetState,
+    job_id: str,
+    job: Job,
+    meta: RecordMeta,
+    reason: str,
+    *,
+    was_reached: bool,
 ) -> JobChanged:
-    """Retry a job after an attempt that is known not to have run, unless its limit is reached."""
-    job.start_failures += 1
+    """Retry a job after an attempt that is known not to have run, unless its limit is reached.
+
+    An attempt that didn't reach its worker says nothing about the job and has no limit.
+    """
+    job.start_failures += was_reached
+    job.unreached += not was_reached
     if not job.resumed:
         job.runs -= 1
     if job.cancelling:
@@ -160,7 +170,7 @@
     if job.start_failures >= MAX_START_FAILURES:
         full_reason = f"not started in {job.start_failures} tries: {reason}"
         return finish_job(state, job_id, job, meta, JobStatus.FAILED, full_reason)
-    wait_ms = backoff_ms(job.start_failures)
+    wait_ms = backoff_ms(job.start_failures + job.unreached)
     return requeue(state, job_id, job, meta, wait_ms=wait_ms, reason=reason)
 
 
--- a/tests/jobs/test_silent_workers.py
+++ b/tests/jobs/test_silent_workers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from heatherkeel.core.models import RejectReason
-from heatherkeel.jobs.const import RETRY_MAX_MS
+from heatherkeel.jobs.const import MAX_START_FAILURES, QUARANTINE_MS, RETRY_MAX_MS
 from heatherkeel.jobs.models import JobStatus
 from heatherkeel.jobs.records import (
     JobUnplaceable,
@@ -11,6 +11,7 @@
     TaskEnded,
     TaskExit,
     TaskLost,
+    TaskProvedNotStarted,
     TaskStarted,
 )
 from heatherkeel.pools.models import InstanceGone
@@ -99,6 +100,28 @@
     assert fleet.status() is JobStatus.SUCCEEDED
 
 
+def test_a_job_whose_starts_reach_no_worker_isnt_failed(fleet: Fleet) -> None:
+    # Guards against failing a job because its workers can't be reached for an hour.
+    submit_repeatable_job(fleet)
+    for number in range(2 * MAX_START_FAILURES):
+        fleet.place(f"w{number % 3}")
+        fleet.accept(TaskProvedNotStarted(task=fleet.task()))
+    assert fleet.status() is JobStatus.QUEUED
+    assert fleet.job().not_before_ms - fleet.now_ms == RETRY_MAX_MS
+    fleet.end(fleet.run("w0"))
+    assert fleet.status() is JobStatus.SUCCEEDED
+
+
+def test_a_job_that_all_workers_refuse_fails_at_the_limit(fleet: Fleet) -> None:
+    # Guards against a job that is offered to workers without end.
+    submit_repeatable_job(fleet)
+    for number in range(MAX_START_FAILURES):
+        fleet.now_ms += QUARANTINE_MS
+        fleet.place(f"w{number % 3}")
+        fleet.end(fleet.task(), TaskExit.REFUSED, ran=False)
+    assert fleet.status() is JobStatus.FAILED
+
+
 def test_a_job_whose_large_worker_is_being_replaced_isnt_failed(fleet: Fleet) -> None:
     # Guards against failing a job as too large while the worker that it ran on is away.
     fleet.admit("w3", memory_mib=9_000)
