--- a/tests/dispatch/test_session.py
+++ b/tests/dispatch/test_session.py
@@ -73,3 +73,30 @@
     trio.run(partial(async_test))
     assert worker.lease_until_ms == 0
     assert not task.runs, "it was never sent, so its task can start elsewhere at once"
+
+
+def test_start_of_a_suspect_is_not_sent_to_a_worker_that_does_not_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against blaming a task for a worker that had gone before its start."""
+    owner = make_owner()
+    monkeypatch.setattr(owner, "can_order", lambda: True)
+    entry = msgspec.structs.replace(make_entry(), address=REFUSED)
+    worker = Worker(id="w0", entry=entry, clock_ms=50_000, clock_received_ms=monotonic_ms())
+    add_worker(owner.state, worker)
+    task = make_placeholder_task(f"{JOB}.0.0.0", service="portal")
+    task.step.job.possible_crashes = task.unclear_losses = 1
+    run = Run(task=task, attempt=1, worker_id="w0")
+    task.runs.append(run)
+    worker.add(run)
+    session = WorkerSession(owner=owner, worker=worker)
+
+    async def async_test() -> None:
+        with trio.fail_after(5):
+            await session._async_start(StartTask(run=run))
+        await session.client.close()
+
+    trio.run(partial(async_test))
+    assert worker.lease_until_ms == 0
+    assert not task.runs and not run.is_checked
+    assert task.possible_crashes() == 1
