The workers whose next answer may take a loss back are bounded

Most workers that are lost return under another id, so that their losses would have stayed in the owner's memory for good. The oldest of 256 workers are forgotten.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -99,6 +99,8 @@
 MIN_LOST_TOGETHER: Final = 2
 """Minimum number of other workers that must have gone at the same time as a worker, for a cause
 that they share to be likelier than a task."""
+MAX_UNCLEAR_WORKERS: Final = 256
+"""Number of workers whose next answer may take a loss back; the oldest are forgotten first."""
 MAX_LOSSES: Final = 64
 """Number of lost workers that a pool remembers."""
 LOSS_MEMORY_MS: Final = 30_000
--- a/heatherkeel/dispatch/suspicion.py
+++ b/heatherkeel/dispatch/suspicion.py
@@ -17,6 +17,7 @@
     MAX_PAUSE_MS,
     MAX_SOLE_CRASHES,
     MAX_SUDDEN_CRASHES,
+    MAX_UNCLEAR_WORKERS,
     MIN_KNOWN_CRASHES,
     PROVEN_MS,
 )
@@ -54,6 +55,9 @@
 
 
 def _remember_unclear_loss(state: PartitionState, run: Run) -> None:
+    """Remember a loss that its worker's next answer may take back; most workers never return."""
+    if len(state.unclear_losses) >= MAX_UNCLEAR_WORKERS:
+        del state.unclear_losses[next(iter(state.unclear_losses))]
     unclear = UnclearLoss(task=run.task, born=run.born)
     state.unclear_losses.setdefault(run.worker_id, []).append(unclear)
 
