A suspect's start is sent only under a membership that still holds after the check

The check before a suspect's start may take as long as a call may, and the partition may pass to another owner meanwhile: the start would have gone out beside one of the next owner. Now the membership is looked at again after the check, and the check is repeated if it had expired. An answer of another incarnation under the same ID counts as none. Found by reading; the test's second check didn't exist before.

--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from dataclasses import replace
 
 import trio
 from result import Err
@@ -168,18 +167,13 @@
 
     async def _async_start(self, effect: StartTask) -> None:
         run = effect.run
-        while not self.owner.can_order():
-            # The membership has expired, so another instance may own this partition. Either it is
-            # renewed, or this session is closed.
-            await trio.sleep(FAILED_LIST_PAUSE_MS / 1000)
-        if run not in run.task.runs or run.state is not RunState.PLANNED:
+        is_answering = await self._async_prepare_start(run)
+        if not _is_planned(run):
             return
-        if self.worker.is_unresponsive:
+        if self.worker.is_unresponsive or not is_answering:
             # Each start names a new end of lease too. One that wasn't sent is certainly not done.
             self._handle_start(run, CallError(failure=Failure.REFUSED, detail="not sent"))
             return
-        if needs_check(run) and not await self._async_check(run):
-            return
         run.state = RunState.SENT
         run.sent_ms = monotonic_ms()
         started = await self.client.async_start_task(
@@ -201,22 +195,31 @@
             self.work_arrived.set()
         self._handle_start(run, error)
 
-    async def _async_check(self, run: Run) -> bool:
-        """List the worker's runs right before a start, which isn't sent without an answer."""
-        checked = await self.client.async_hold(
+    async def _async_prepare_start(self, run: Run) -> bool:
+        """Wait until orders may be sent; returns whether a suspect's worker answers right then."""
+        while True:
+            while not self.owner.can_order():
+                # The membership has expired, so another instance may own this partition. Either it
+                # is renewed, or this session is closed.
+                await trio.sleep(FAILED_LIST_PAUSE_MS / 1000)
+            if not needs_check(run) or not _is_planned(run) or self.worker.is_unresponsive:
+                return True
+            run.is_checked = await self._async_check()
+            if self.owner.can_order():
+                return run.is_checked
+
+    async def _async_check(self) -> bool:
+        """List the worker's runs; returns whether this incarnation answered."""
+        listed = await self.client.async_hold(
             token=self.owner.state.token, acknowledged=0, lease_until_ms=None, wait_ms=0
         )
-        if run not in run.task.runs or run.state is not RunState.PLANNED:
-            return False
-        if isinstance(checked, Err):
-            if checked.err_value.failure is Failure.FENCED:
+        if isinstance(listed, Err):
+            if listed.err_value.failure is Failure.FENCED:
                 self.owner.on_fenced()
+            # List at once to find out whether the worker still responds.
             self.work_arrived.set()
-            not_sent = replace(checked.err_value, failure=Failure.REFUSED)
-            self._handle_start(run, not_sent)
             return False
-        run.is_checked = True
-        return True
+        return not self.worker.is_other_incarnation(listed.ok_value.born)
 
     def _handle_start(self, run: Run, error: CallError | None) -> None:
         now_ms, wall_ms = self.owner.times()
@@ -246,3 +249,8 @@
         if isinstance(paced, Err):
             # The next check of the tail latencies sets the pace again.
             run.pace = -1
+
+
+def _is_planned(run: Run) -> bool:
+    """Return whether a run's start is still to be sent."""
+    return run in run.task.runs and run.state is RunState.PLANNED
--- a/tests/dispatch/test_session.py
+++ b/tests/dispatch/test_session.py
@@ -100,3 +100,38 @@
     assert worker.lease_until_ms == 0
     assert not task.runs and not run.is_checked
     assert task.possible_crashes() == 1
+
+
+def test_start_of_a_suspect_waits_for_the_membership_that_expired_during_its_check(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a start by an earlier owner, beside one of the next."""
+    owner = make_owner()
+    worker = Worker(id="w0", entry=make_entry(), clock_ms=50_000, clock_received_ms=monotonic_ms())
+    add_worker(owner.state, worker)
+    task = make_placeholder_task(f"{JOB}.0.0.0", service="portal")
+    task.step.job.possible_crashes = task.unclear_losses = 1
+    run = Run(task=task, attempt=1, worker_id="w0")
+    task.runs.append(run)
+    session = WorkerSession(owner=owner, worker=worker)
+    is_member = [True]
+    checks: list[int] = []
+
+    async def async_check() -> bool:
+        checks.append(len(checks))
+        is_member[0] = len(checks) > 1
+        return True
+
+    monkeypatch.setattr(owner, "can_order", lambda: is_member[0])
+    monkeypatch.setattr(session, "_async_check", async_check)
+
+    async def async_test() -> None:
+        with trio.move_on_after(0.05):
+            await session._async_prepare_start(run)
+        assert checks == [0], "it waits while another instance may own the partition"
+        is_member[0] = True
+        assert await session._async_prepare_start(run)
+        assert checks == [0, 1], "the worker is asked anew"
+        await session.client.close()
+
+    trio.run(partial(async_test))
