The check of drains looks at the lease before the record that renews it

The trace shows an allowed case: entry-b's lease had ended at 1,010,000 ms; its own renewal was folded at 1,016,000, at which the fold first ends the wait by the expired lease, as the check's own words allow, and then renews. The check looked at the lease after the record (1,026,000). It looks at the one before it now; a record that shortens a lease ends no wait any more by that, which is stricter.

--- a/heatherkeel/waves/checks.py
+++ b/heatherkeel/waves/checks.py
@@ -11,6 +11,7 @@
 from heatherkeel.core.models import Effect, Violation
 from heatherkeel.core.registry import checks, checks_step
 from heatherkeel.core.state import FleetState
+from heatherkeel.membership.models import EntryInstance
 from heatherkeel.pools.models import Instance, InstanceStatus
 from heatherkeel.waves.const import MINUTE_MS, MINUTES_PER_DAY
 
@@ -88,7 +89,7 @@
         if current is None or current.id != drain.id:
             continue
         for incarnation in drain.waiting.keys() - current.waiting.keys():
-            if not _is_wait_end_allowed(effects, after, instance_id, incarnation):
+            if not _is_wait_end_allowed(before, effects, after, instance_id, incarnation):
                 detail = f"{incarnation} has not acknowledged"
                 yield _violation(after, "stopped_after_acknowledgement", instance_id, detail)
     for instance_id, instance in after.pools.instances.items():
@@ -195,15 +196,29 @@
 
 
 def _is_wait_end_allowed(
-    effects: list[Effect], after: FleetState, instance_id: str, incarnation: str
+    before: FleetState,
+    effects: list[Effect],
+    after: FleetState,
+    instance_id: str,
+    incarnation: str,
 ) -> bool:
+    """Return whether a wait for an acknowledgement ended by a valid cause.
+
+    The lease is the one before the record, which may renew a lease that has expired.
+    """
     for effect in effects:
         if isinstance(effect, DrainAcknowledged) and (effect.instance, effect.incarnation) == (
             instance_id,
             incarnation,
         ):
             return True
-    members = [*after.membership.entries.values(), *after.membership.superseded.values()]
-    alive = [member for member in members if member.incarnation == incarnation]
-    remote = [member for member in alive if member.zone != after.pools.instances[instance_id].zone]
-    return not alive or any(member.lease_until_ms <= after.now_ms for member in remote)
+    if not _find_members(after, incarnation):
+        return True
+    zone = after.pools.instances[instance_id].zone
+    remote = [member for member in _find_members(before, incarnation) if member.zone != zone]
+    return any(member.lease_until_ms <= after.now_ms for member in remote)
+
+
+def _find_members(state: FleetState, incarnation: str) -> list[EntryInstance]:
+    members = [*state.membership.entries.values(), *state.membership.superseded.values()]
+    return [member for member in members if member.incarnation == incarnation]
--- a/tests/waves/test_renewal_after_a_pause.py
+++ b/tests/waves/test_renewal_after_a_pause.py
@@ -8,7 +8,7 @@
 
 
 def test_renewal_after_an_expired_lease_breaks_no_promise_of_a_drain() -> None:
-    """Guards against a wait for an acknowledgement that ends without a valid cause."""
+    """Guards against calling a wait invalid that an expired lease has ended."""
     machine = DrainMachine()
     machine.begin(min_serving=0, reserve=Reserve.NONE)
     machine.plan_drains(is_stale=False, name="fixed_share", replica=0)
