Tasks that crash their workers late don't excuse each other

A worker that went under a task that hasn't been cleared since has a likely cause now; one under a task that has ended or worked since, or with no unproven task, still tells that workers go by themselves. In the new test two such tasks were started six times each before, five at most now; the pools in which a third of the workers crash by themselves give up no job, as before.

--- a/heatherkeel/dispatch/evidence.py
+++ b/heatherkeel/dispatch/evidence.py
@@ -51,6 +51,7 @@
         heard_ms=worker.clock_received_ms,
         suspects=frozenset(run.task.step.job.id for run in suspected),
         is_sudden=any(not ran_for_a_while(run, gone_ms) for run in suspected),
+        tasks=tuple(run.task for run in suspected),
     )
 
 
@@ -148,8 +149,16 @@
 
 
 def _is_without(loss: WorkerLoss, job: Job) -> bool:
-    """Return whether a worker went neither with the job nor right after the start of another."""
-    return not loss.is_sudden and job.id not in loss.suspects
+    """Return whether a worker went neither with the job nor with another likely cause."""
+    return not _has_likely_cause(loss) and job.id not in loss.suspects
+
+
+def _has_likely_cause(loss: WorkerLoss) -> bool:
+    """Return whether a worker went right after a start, or under a task not cleared of it since.
+
+    Otherwise tasks that crash their workers late would excuse each other.
+    """
+    return loss.is_sudden or any(task.losses_in_a_row() for task in loss.tasks)
 
 
 def _is_lost_with_neighbours(state: PartitionState, job: Job, loss: WorkerLoss) -> bool:
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -128,6 +128,8 @@
     """The jobs of the unproven runs that were sent there."""
     is_sudden: bool
     """One of these runs may have begun right before the worker went."""
+    tasks: tuple[Task, ...]
+    """The tasks of these runs."""
 
     def is_sole_suspect(self, job: Job) -> bool:
         """Return whether no other job may have crashed the worker."""
@@ -218,6 +220,10 @@
         """Return the number of consecutive losses that were or may have been crashes."""
         return self.crashes + self.unclear_losses
 
+    def losses_in_a_row(self) -> int:
+        """Return the number of consecutive workers that were lost under it and may have crashed."""
+        return self.possible_crashes() + self.excused_losses
+
     def is_waiting(self) -> bool:
         """Return whether the task may be started, because no run of it can be left anywhere.
 
--- a/tests/dispatch/test_loss_causes.py
+++ b/tests/dispatch/test_loss_causes.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from heatherkeel.dispatch.const import LEASE_MS, MAX_CRASHES, MAX_PAUSE_MS
 from heatherkeel.dispatch.events import StopAnswered, WorkerFailed
 from heatherkeel.dispatch.models import JobState
 from heatherkeel.dispatch.records import encode_progress
 from heatherkeel.platform.errors import CallError, Failure
 
-from .partition import Partition, make_entry, make_step
+from .partition import OTHER_JOB, Partition, make_entry, make_step
 from .test_recovery import take_over
 from .test_silent_workers import MAX_STARTS, SilentFleet
 
@@ -158,3 +160,23 @@
         replace_worker(partition, run.worker_id, f"new{starts}")
         fleet.list_machines(pools={machine: "portal"})
         assert starts <= MAX_STARTS
+
+
+def test_tasks_that_crash_workers_late_do_not_excuse_each_other() -> None:
+    """Guards against starts without end where several tasks crash their workers some time on."""
+    fleet = SilentFleet(workers=8)
+    partition = fleet.partition
+    partition.submit(make_step(cpu=7000), job_id=OTHER_JOB)
+    starts: Counter[str] = Counter()
+    while partition.state.jobs:
+        runs = partition.start_planned_runs()
+        starts.update(run.task.name for run in runs)
+        assert max(starts.values()) <= MAX_STARTS
+        fleet.pass_time(400, silent=set())
+        lost = {run.worker_id for run in runs}
+        for worker_id in lost:
+            partition.fail_listing(worker_id)
+        fleet.pass_time(1300, silent=lost, is_list_read=False)
+        for worker_id in lost:
+            replace_worker(partition, worker_id, f"{worker_id}x")
+        fleet.list_machines()
