--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -215,10 +215,11 @@
             # Earlier releases stored no such row, and counted each silent worker as crashed.
             task.crashes, task.unclear_losses = 0, task.crashes
     for losses in stored.losses:
-        task = job.occurrences[losses.occurrence][losses.step].tasks[losses.index]
-        task.crashes = losses.crashes
-        task.unclear_losses = losses.unclear
-        task.excused_losses = losses.excused
+        known = _find_stored_task(job, losses)
+        if known is not None:
+            known.crashes = losses.crashes
+            known.unclear_losses = losses.unclear
+            known.excused_losses = losses.excused
     possible = (task.possible_crashes() for step in job.steps() for task in step.tasks)
     job.possible_crashes = max(possible, default=0)
 
@@ -260,7 +261,7 @@
     return runs
 
 
-def _find_stored_task(job: Job, record: StoredTask) -> Task | None:
+def _find_stored_task(job: Job, record: StoredTask | StoredLosses) -> Task | None:
     """Return the task of a record; None if the job's request has none.
 
     A caller that uses a job's ID again for a job with fewer tasks replaces the stored request.
--- a/tests/dispatch/test_recovery.py
+++ b/tests/dispatch/test_recovery.py
@@ -238,6 +238,8 @@
     for run in earlier.start_planned_runs():
         earlier.end_run(run)
     earlier.start_planned_runs()
+    for task in earlier.job().occurrences[0][0].tasks:
+        task.unclear_losses = 1
     earlier.job().request = JobRequest(spec="s", steps=(make_step(),))
     later = take_over(earlier)
     assert [task.is_done for task in later.job().occurrences[0][0].tasks] == [True]
