One name for a life that left as planned, and one count of losses in a row

LEFT stood in standins/history.py and again in soak/checks.py; losses_in_a_row was written out in the records and in record_listed_run. Behaviour is the same.

--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -205,7 +205,7 @@
         )
         for step in job.steps()
         for task in step.tasks
-        if task.possible_crashes() or task.excused_losses
+        if task.losses_in_a_row()
     ]
 
 
--- a/heatherkeel/dispatch/suspicion.py
+++ b/heatherkeel/dispatch/suspicion.py
@@ -174,7 +174,7 @@
     run.is_proven = run.percent > 0
     if not run.is_proven:
         return
-    if run.task.possible_crashes() or run.task.excused_losses:
+    if run.task.losses_in_a_row():
         effects.add(SaveJob(job_id=job.id))
     clear_suspicion(run.task)
 
--- a/heatherkeel/soak/checks.py
+++ b/heatherkeel/soak/checks.py
@@ -6,13 +6,11 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
-from heatherkeel.standins.history import Happening, TaskEvent
+from heatherkeel.standins.history import LEFT, Happening, TaskEvent
 
 DONE: Final = "done"
 FAILED: Final = "failed"
 LAPSED: Final = "lapsed"
-LEFT: Final = "left"
-"""Outcome of a life that ended because its machine was moved or drained."""
 MIN_CRASHES: Final = 2
 """Crashes of workers under one task that let its job be given up."""
 
--- a/heatherkeel/soak/histories.py
+++ b/heatherkeel/soak/histories.py
@@ -12,9 +12,9 @@
 import msgspec
 import trio
 
-from heatherkeel.standins.history import Happening, HistoryLine, TaskEvent
+from heatherkeel.standins.history import LEFT, Happening, HistoryLine, TaskEvent
 
-from .checks import LEFT, Life
+from .checks import Life
 
 LOOK_S: Final = 0.02
 SETTLED_S: Final = 1.0
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 from heatherkeel.soak.checks import (
-    LEFT,
     find_refused_starts,
     find_unjustified_failures,
     find_violations,
 )
-from heatherkeel.standins.history import Happening, TaskEvent
+from heatherkeel.standins.history import LEFT, Happening, TaskEvent
 
 TASK = "0123.0.0.0"
 SHOWN_S = 100.0
