--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,25 +5,46 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
 from deployment_2 import ZONES, Deployment, Link, Record, call, route, run_case  # noqa: E402
 
-JOB = "00000000000000a1"
-TASKS = 1500
-WORK_MS = 12_000
-CUT_S = 4.0
-BODY = {
-    "spec": f"sheet {WORK_MS}",
-    "steps": [{"count": TASKS, "cpu": 5, "memMb": 10, "estimatedMs": WORK_MS}],
+LASTING = {
+    "spec": "ledger lasts",
+    "steps": [
+        {
+            "count": 3,
+            "cpu": 100,
+            "memMb": 10,
+            "estimatedMs": 1000,
+            "longRunning": True,
+            "antiAffinity": 1,
+        }
+    ],
 }
+"""Keeps each of the three workers in its pool."""
+RACK = f"r-{ZONES[2]}"
+"""Where the data of the jobs is; one worker is there."""
+JOBS = 14
+TASKS = 100
+"""Tasks of each job."""
+SPREAD_S = 16.0
+"""From the first job on, until the tasks of all of them end."""
+CUT_S = 4.0
+
 
+def make_body(work_ms: int) -> dict[str, Any]:
+    """Return a job whose tasks take so long."""
+    step = {"count": TASKS, "cpu": 5, "memMb": 10, "estimatedMs": work_ms, "dataRack": RACK}
+    return {"spec": f"sheet {work_ms}", "steps": [step]}
 
-def count_started(d: Deployment) -> list[float]:
-    """Return when the tasks started."""
-    return [line["at"] for line in d.happenings() if line["what"] == "started"]
+
+def count_started(d: Deployment) -> int:
+    """Return how many tasks have started."""
+    return sum(line["what"] == "started" for line in d.happenings())
 
 
 def count_on(d: Deployment, machine: str) -> int:
@@ -46,29 +67,39 @@
     d.wait_served("/sheets/")
     time.sleep(4)
     edges = list(d.edges.values())
-    status, answer = call(edges[0], "POST", f"/sheets/{JOB}", BODY)
-    record.add(f"POST /sheets/{JOB} with {TASKS} tasks of {WORK_MS} ms: {status} {answer}")
-    until_s = time.time() + 12
-    started: list[float] = []
-    while len(started) < TASKS and time.time() < until_s:
-        time.sleep(0.1)
-        started = count_started(d)
-    record.add(f"{len(started)} tasks have started")
-    if trouble and started:
+    status, _ = call(edges[1], "POST", "/sheets/00000000000000ff", LASTING)
+    record.add(f"POST of a job of three lasting tasks, one on each worker: {status}")
+    time.sleep(1)
+    ends_s = time.time() + SPREAD_S
+    jobs: list[str] = []
+    while len(jobs) < JOBS and time.time() < ends_s - 3:
+        job = f"{len(jobs) + 1:016x}"
+        body = make_body(round(1000 * (ends_s - time.time())))
+        status, _ = call(edges[0], "POST", f"/sheets/{job}", body)
+        record.add(f"POST /sheets/{job}, {TASKS} tasks, {body['spec']}: {status}")
+        if status != 200:
+            continue
+        jobs.append(job)
+        while count_started(d) < TASKS * len(jobs) + 3 and time.time() < ends_s - 3:
+            time.sleep(0.05)
+    record.add(f"{count_started(d)} tasks have started")
+    time.sleep(max(0.0, ends_s - 0.3 - time.time()))
+    if trouble:
         machine = max(links, key=lambda name: count_on(d, name))
-        time.sleep(max(0.0, started[0] + WORK_MS / 1000 + 0.1 - time.time()))
         links[machine].is_cut = True
         record.add(f"the worker on {machine} is cut off from the daemons, and runs on")
         time.sleep(CUT_S)
         links[machine].is_cut = False
         record.add(f"{machine} can be reached again")
     until_s = time.time() + 25
-    state = ""
-    while state not in ("complete", "failed") and time.time() < until_s:
+    left = list(jobs)
+    while left and time.time() < until_s:
+        _, answer = call(edges[0], "GET", f"/sheets/{left[0]}")
+        if isinstance(answer, dict) and answer.get("state") in ("complete", "failed"):
+            left.pop(0)
+            continue
         time.sleep(0.25)
-        status, answer = call(edges[0], "GET", f"/sheets/{JOB}")
-        state = answer.get("state", "") if isinstance(answer, dict) else ""
-    record.add(f"GET: {status} {state}")
+    record.add(f"jobs that haven't ended: {len(left)}")
     time.sleep(3)
     return judge(d, record)
 
