--- a/review/4/case.py
+++ b/review/4/case.py
@@ -114,6 +114,8 @@
     due = sum(start_ms / 1000 + 4 * k < time.time() - 4 for k in range(12))
     started = {line["task"].split(".")[0] for line in d.happenings() if line["what"] == "started"}
     runs = [x for x in d.happenings() if x["what"] == "started"]
+    begun = sum(x["task"].startswith(REPEATED) for x in runs)
+    record.add(f"tasks of the repeated job that have started: {begun}")
     times = sorted(x["at"] for x in runs if x["task"].startswith(SCHEDULED))
     for at_s in times:
         record.add("an occurrence of the scheduled job started", at_s=at_s)
