--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -107,6 +107,13 @@
     job_id: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EndStored(Event):
+    """A job's end has been stored, so each later owner knows it."""
+
+    job: Job
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerAnswered(Event):
     """A worker answered a listing, which was requested at `sent_ms`."""
@@ -200,8 +207,8 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class ShowFailure(Effect):
-    """Show callers that a job has failed, once this is stored."""
+class ReportEndStored(Effect):
+    """Report when all that was put into the journal so far is stored, a job's end included."""
 
     job: Job
 
@@ -313,6 +320,13 @@
     """Count a worker that was found to be slow."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ObserveEndStored(Effect):
+    """Record how long it took until a job's end was stored, in milliseconds."""
+
+    after_ms: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ObserveDuration(Effect):
     """Record how far off the estimates of an ended step were."""
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -14,12 +14,14 @@
 from .events import (
     DurationsOffered,
     Effects,
+    EndStored,
     ForgetJob,
     JobCanceled,
     JobSubmitted,
+    ObserveEndStored,
     QueuesChanged,
+    ReportEndStored,
     SaveJob,
-    ShowFailure,
     StopTask,
 )
 from .forwarding import forward_cancel, forward_submission, log_taken_id
@@ -190,9 +192,11 @@
             for run in list(task.runs):
                 stop_run(state, run, effects)
     save_ended_job(job, effects)
-    if final_state is JobState.FAILED:
-        job.is_failure_stored = False
-        effects.add(ShowFailure(job=job))
+    if final_state is JobState.CANCELED:
+        # Its cancellation is stored, which each later owner reads.
+        job.shown_ms = state.now_ms
+    else:
+        effects.add(ReportEndStored(job=job))
     effects.touch(job.service)
     _LOGGER.info(
         "job ended",
@@ -207,6 +211,24 @@
     )
 
 
+@handles(EndStored)
+def show_end(state: PartitionState, event: EndStored, effects: Effects) -> None:
+    """Show callers how a job has ended, since no later owner can take that back."""
+    job = event.job
+    job.shown_ms = state.now_ms
+    after_ms = state.now_ms - (job.ended_ms or state.now_ms)
+    effects.add(ObserveEndStored(after_ms=after_ms))
+    _LOGGER.info(
+        "job's end is stored",
+        extra={
+            "event": "end_stored",
+            "job": job.id,
+            "state": job.state.value,
+            "after_ms": after_ms,
+        },
+    )
+
+
 def save_ended_job(job: Job, effects: Effects) -> None:
     """Store an ended job, and delete its request once none of its runs may remain.
 
--- a/heatherkeel/dispatch/metrics.py
+++ b/heatherkeel/dispatch/metrics.py
@@ -12,6 +12,7 @@
 
 from .models import LossCause, LossReason, WaitReason
 
+STORED_BUCKETS_S: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 ERROR_BUCKETS: Final = (1.1, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0)
 
 
@@ -53,6 +54,12 @@
             "Records of callers that were forwarded to the partition that runs their job.",
             registry=registry,
         )
+        self.end_stored = Histogram(
+            "heatherkeel_end_stored_seconds",
+            "Time from a job's last end until that was stored and callers were told.",
+            buckets=STORED_BUCKETS_S,
+            registry=registry,
+        )
         self.withheld = Counter(
             "heatherkeel_tasks_withheld",
             "Tasks that aren't started any more since they crash workers; their jobs go on.",
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -342,20 +342,17 @@
     due_ms: float = 0.0
     """When it has to be complete to meet its objective."""
     ended_ms: int | None = None
-    is_failure_stored: bool = True
-    """False from its failure until that is stored: the next owner may know nothing of it."""
+    shown_ms: int | None = None
+    """Since when callers are shown its end; None until each later owner is sure to know it."""
 
     def state_for_callers(self) -> JobState:
         """Return the state to show, which no later owner must take back.
 
-        An owner that can't reach the store may have lost its partition, and may have lost its
-        workers only from its own view. The next owner goes on with such a job.
+        An owner that can't reach the store may have lost its partition. The next owner knows only
+        what is stored, and starts the job's tasks again if their ends aren't.
         """
-        return self.state if self.is_failure_stored else JobState.ACTIVE
-
-    def show_failure(self) -> None:
-        """Show callers its failure, since that is stored."""
-        self.is_failure_stored = True
+        is_unsure = self.state.is_final() and self.shown_ms is None
+        return JobState.ACTIVE if is_unsure else self.state
 
     def steps(self) -> list[Step]:
         """Return the steps of all occurrences that have begun."""
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -45,17 +45,19 @@
     DropRecord,
     Effect,
     Effects,
+    EndStored,
     Event,
     ForgetJob,
     ForwardRecord,
     GrantsOffered,
     LimitsChanged,
     ObserveDuration,
+    ObserveEndStored,
     OpenSessions,
     PaceTask,
     QueuesChanged,
+    ReportEndStored,
     SaveJob,
-    ShowFailure,
     StartTask,
     StopTask,
     Tick,
@@ -69,6 +71,7 @@
 from .journal import Journal
 from .limits import measure_waiting
 from .metrics import DispatchMetrics
+from .models import Job
 from .records import (
     PROGRESS_PREFIX,
     encode_forwarded,
@@ -388,8 +391,8 @@
         match effect:
             case SaveJob():
                 self._save_job(effect.job_id)
-            case ShowFailure():
-                self.journal.when_stored(effect.job.show_failure)
+            case ReportEndStored():
+                self.journal.when_stored(partial(self._report_end_stored, effect.job))
             case ForgetJob():
                 self._delete_records(effect)
             case DropRecord():
@@ -414,6 +417,8 @@
                 self.metrics.count_waiting(effect.reason)
             case CountLimited():
                 self.metrics.count_limited(effect.workspace)
+            case ObserveEndStored():
+                self.metrics.end_stored.observe(effect.after_ms / 1000)
             case ObserveDuration():
                 self.metrics.observe_duration(effect.errors)
             case CountGivenUp():
@@ -425,6 +430,10 @@
             case AcknowledgeEnds():
                 self.journal.when_stored(lambda: self.sessions.acknowledge(effect))
 
+    def _report_end_stored(self, job: Job) -> None:
+        now_ms, wall_ms = self.times()
+        self.handle_event(EndStored(now_ms=now_ms, wall_ms=wall_ms, job=job))
+
     def _save_job(self, job_id: str) -> None:
         key = f"{PROGRESS_PREFIX}{job_id}"
         job, forwarded = self.state.find_job(job_id), self.state.forwarded.get(job_id)
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -148,6 +148,7 @@
         accepted_wall_ms=progress.accepted_wall_ms,
         state=progress.state,
         ended_ms=state.now_ms,
+        shown_ms=state.now_ms,
     )
 
 
@@ -172,7 +173,7 @@
     set_objective(job, state.find_terms(job))
     jobs = state.finished if progress.state.is_final() else state.jobs
     jobs[job_id] = job
-    job.ended_ms = state.now_ms if progress.state.is_final() else None
+    job.ended_ms = job.shown_ms = state.now_ms if progress.state.is_final() else None
     for run in restore_progress(job, progress, begins_ms=float(job.accepted_ms)):
         _add_to_worker(state, run, job.service)
     for step in job.steps():
--- a/heatherkeel/dispatch/ticks.py
+++ b/heatherkeel/dispatch/ticks.py
@@ -50,8 +50,9 @@
 
 
 def _forget_ended(state: PartitionState, effects: Effects) -> None:
+    """Forget the jobs whose end callers have been shown for long enough."""
     for job in list(state.finished.values()):
-        if state.now_ms - (job.ended_ms or 0) < state.status_ms:
+        if job.shown_ms is None or state.now_ms - job.shown_ms < state.status_ms:
             return
         del state.finished[job.id]
         effects.add(ForgetJob(job_id=job.id, workspace=job.workspace, only_request=False))
--- a/tests/dispatch/test_state_machine.py
+++ b/tests/dispatch/test_state_machine.py
@@ -14,8 +14,10 @@
     AcknowledgeEnds,
     Effect,
     Effects,
+    EndStored,
     ForgetJob,
     IncarnationsListed,
+    ReportEndStored,
     SaveJob,
     StartAnswered,
     StartTask,
@@ -24,7 +26,7 @@
     WorkerAnswered,
 )
 from heatherkeel.dispatch.jobs import stop_leftover_runs
-from heatherkeel.dispatch.models import Run, RunState
+from heatherkeel.dispatch.models import JobState, Run, RunState
 from heatherkeel.dispatch.records import (
     PROGRESS_PREFIX,
     REQUEST_PREFIX,
@@ -59,6 +61,10 @@
         self.partition = Partition(workers=0)
         self.requests: dict[str, bytes] = {}
         self.progress: dict[str, bytes] = {}
+        self.canceled: set[str] = set()
+        """Stored cancellations."""
+        self.shown: dict[str, JobState] = {}
+        """The last state in which callers were shown each job."""
         self.pending_effects: list[Effect] = []
         self.delayed_orders: list[SentOrder] = []
         self.acknowledged_tasks: set[str] = set()
@@ -104,6 +110,7 @@
         """Cancel a job."""
         job_id = f"{min(number, self.jobs):016x}"
         if self.partition.state.find_job(job_id):
+            self.canceled.add(job_id)
             self._queue_effects(self.partition.cancel(job_id))
 
     @rule()
@@ -138,6 +145,10 @@
                     self.progress[job.id] = encode_progress(job)
             case ForgetJob(only_request=True):
                 self.requests.pop(effect.job_id, None)
+                self.canceled.discard(effect.job_id)
+            case ReportEndStored():
+                stored = EndStored(**self.partition.event_times(), job=effect.job)
+                self._queue_effects(self.partition.apply(stored))
             case AcknowledgeEnds():
                 effect.worker.last_stored_end = max(effect.worker.last_stored_end, effect.number)
             case StartTask():
@@ -386,9 +397,23 @@
         effects = Effects()
         stop_leftover_runs(later.state, effects)
         self._queue_effects(effects.items)
+        for job_id in sorted(self.canceled):
+            self._queue_effects(later.cancel(job_id))
 
     # Invariants.
 
+    @invariant()
+    def no_end_that_was_shown_is_taken_back(self) -> None:
+        """A job that callers were shown as ended stays so under every later owner."""
+        for job_id in list(self.requests.keys() | self.progress.keys()):
+            job = self.partition.state.find_job(job_id)
+            if job is None:
+                continue
+            state = job.state_for_callers()
+            before = self.shown.get(job_id, state)
+            assert not before.is_final() or state is before, f"{job_id} was shown as {before}"
+            self.shown[job_id] = state
+
     @invariant()
     def no_task_runs_twice(self) -> None:
         """No task runs on two live workers."""
