The stand-in's store refuses records above recordBytes

The platform's store refuses a record above the limit of its settings and all others of its append; the stand-in took records of any size, so no test could show one that outgrows it.

--- a/heatherkeel/standins/keyed_log.py
+++ b/heatherkeel/standins/keyed_log.py
@@ -17,6 +17,8 @@
 REPEATS: Final = 5
 """Number of a producer's last appends whose answers are given again to a repeat."""
 LENGTH_BYTES: Final = 4
+RECORD_BYTES: Final = 262_144
+"""Size of the largest record, as in the example of the settings."""
 MAX_READ_KB: Final = 1024
 """Size at which an answer to a read is cut, unless the call names another one."""
 
@@ -82,6 +84,8 @@
     """All topics and groups."""
 
     partitions: int = 12
+    record_bytes: int = RECORD_BYTES
+    """Largest record that an append may hold."""
     logs: dict[tuple[str, int], LogPartition] = field(default_factory=dict)
     groups: dict[str, Group] = field(default_factory=dict)
 
@@ -116,15 +120,14 @@
         log = self.find(query["topic"], int(query["part"]))
         if "at" in query and int(query["at"]) != log.end():
             return Answer(status=412, body={"endKey": log.end()})
+        records = _split_records(body)
+        if any(len(record) > self.record_bytes for record in records):
+            return Answer(status=413)
         known = self._check_producer(log, query, has_records=bool(body))
         if isinstance(known, Answer):
             return known
         offset = log.end()
-        place = 0
-        while place < len(body):
-            head = place + LENGTH_BYTES
-            place = head + int.from_bytes(body[head - LENGTH_BYTES : head], "big")
-            log.records.append(body[head:place])
+        log.records += records
         answer = Answer(body={"offset": offset, "endKey": log.end()})
         if known is not None and body:
             known.record(int(query["sequence"]), answer)
@@ -244,6 +247,17 @@
         return Answer(body={"parts": rows})
 
 
+def _split_records(body: bytes) -> list[bytes]:
+    """Return the records of an append, each of which stands behind its length."""
+    records = []
+    place = 0
+    while place < len(body):
+        head = place + LENGTH_BYTES
+        place = head + int.from_bytes(body[head - LENGTH_BYTES : head], "big")
+        records.append(body[head:place])
+    return records
+
+
 def _cut_page(items: list[dict[str, Any]], *, room: int) -> list[dict[str, Any]]:
     """Return the first item and those after it whose values have room."""
     kept = items[:1]
