--- a/heatherkeel/dispatch/building.py
+++ b/heatherkeel/dispatch/building.py
@@ -78,6 +78,21 @@
     return steps
 
 
+def fold_if_over(job: Job, number: int) -> list[Step]:
+    """Keep only the number of an occurrence that is done and of which no run is left.
+
+    Returns its steps if it was folded.
+    """
+    steps = job.occurrences.get(number, [])
+    if not job.request.repeat_count or not steps:
+        return []
+    if any(step.has_runs() or not step.is_done() for step in steps):
+        return []
+    del job.occurrences[number]
+    job.folded.add(number)
+    return steps
+
+
 def set_latest_starts(job: Job, steps: list[Step], *, begins_ms: float) -> None:
     """Set the latest start and the work of an occurrence's steps by the job's objective."""
     due_ms = begins_ms + job.due_ms - job.accepted_ms
--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -123,6 +123,9 @@
 MAX_OPEN_TASKS: Final = 20_000
 """Tasks of a repeated job's occurrences that may be in progress at once, which bounds the memory of
 the owner's process."""
+MAX_STARTABLE_TASKS: Final = 200
+"""Tasks of a repeated job that may wait for capacity at once, as many as one placement pass
+examines. Further occurrences begin with the next tick, so this bounds only the work per event."""
 MAX_APPEND_RECORDS: Final = 400
 """Maximum number of records in one append, well below the store's limit in bytes."""
 MAX_APPEND_BYTES: Final = 1 << 20
--- a/heatherkeel/dispatch/ends.py
+++ b/heatherkeel/dispatch/ends.py
@@ -6,12 +6,12 @@
 
 from heatherkeel.platform.workers import EndedTask
 
-from .building import open_dependents
+from .building import fold_if_over, open_dependents
 from .const import QUARANTINE_FAILURES
 from .events import CountGivenUp, CountLoss, CountWithheld, Effects, SaveJob
 from .evidence import count_other_losses, count_silent_workers, judge_loss, measure_run_ms
 from .jobs import end_job, save_ended_job, stop_run
-from .models import Job, JobState, LossCause, LossReason, Run, Task, WorkerLoss
+from .models import Job, JobState, LossCause, LossReason, Run, Step, Task, WorkerLoss
 from .pools import enqueue_step, find_pool, remove_run
 from .slowness import record_speed
 from .stalled import quarantine_worker
@@ -59,7 +59,7 @@
         task.saved = ended.saved
     job = task.step.job
     if job.state.is_final():
-        save_ended_job(job, effects)
+        _save_if_known(state, job, effects)
         return
     if ended.outcome == DONE and not task.step.request.lasts:
         worker.failed_jobs.clear()
@@ -82,10 +82,27 @@
             },
         )
     effects.add(SaveJob(job_id=job.id))
-    if not job.state.is_final():
+    if not job.state.is_final() and not _fold(state, task.step):
         enqueue_step(state, task.step)
 
 
+def _fold(state: PartitionState, step: Step) -> bool:
+    """Fold a step's occurrence, if it is over; returns whether it is."""
+    steps = fold_if_over(step.job, step.occurrence)
+    for known in steps:
+        find_pool(state, step.job.service).open_steps.discard(known)
+    return bool(steps)
+
+
+def _save_if_known(state: PartitionState, job: Job, effects: Effects) -> None:
+    """Store an ended job, unless it only stands for one that isn't known.
+
+    The records under such an ID may be those of a job that goes on.
+    """
+    if state.find_job(job.id) is job:
+        save_ended_job(job, effects)
+
+
 def finish_task(state: PartitionState, task: Task, effects: Effects) -> None:
     """Mark a task as done; for a gang, one done task marks all of them."""
     step = task.step
@@ -111,9 +128,7 @@
 
 
 def _end_if_complete(state: PartitionState, job: Job, effects: Effects) -> None:
-    if len(job.occurrences) < job.expected_occurrences():
-        return
-    if all(step.is_done() for step in job.steps()):
+    if job.find_next_occurrence() is None and all(step.is_done() for step in job.steps()):
         end_job(state, job, JobState.COMPLETE, effects)
 
 
@@ -182,7 +197,7 @@
     job = task.step.job
     effects.touch(job.service)
     if job.state.is_final():
-        save_ended_job(job, effects)
+        _save_if_known(state, job, effects)
         return
     if count_loss(state, run, cause, loss):
         _give_up_task(state, run, effects)
@@ -190,7 +205,7 @@
     if cause is LossCause.UNCLEAR or cause is LossCause.CRASH:
         pause_if_unclear(state, task)
     effects.add(SaveJob(job_id=job.id))
-    if not task.step.is_done():
+    if not _fold(state, task.step) and not task.step.is_done():
         enqueue_step(state, task.step)
 
 
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -4,13 +4,7 @@
 
 import logging
 
-from .building import (
-    begin_occurrence,
-    occurrence_start_wall_ms,
-    set_latest_starts,
-    set_objective,
-)
-from .const import MAX_OPEN_TASKS
+from .building import set_latest_starts, set_objective
 from .events import (
     DurationsOffered,
     Effects,
@@ -26,6 +20,7 @@
 )
 from .forwarding import forward_cancel, forward_submission, log_taken_id
 from .models import Job, JobState, Run, RunState
+from .occurrences import begin_due_occurrences
 from .pools import enqueue_step, find_pool, remove_run
 from .registry import handles
 from .state import PartitionState
@@ -134,34 +129,6 @@
     effects.add(ForgetJob(job_id=job.id, workspace=job.workspace, only_request=True))
 
 
-def begin_due_occurrences(state: PartitionState, job: Job, effects: Effects) -> None:
-    """Begin each occurrence that is due; a job without a schedule begins at once.
-
-    Once the limit of open tasks is reached, further occurrences wait until earlier ones are done.
-    """
-    open_tasks: int | None = None
-    while len(job.occurrences) < job.expected_occurrences():
-        number = len(job.occurrences)
-        begins_ms = float(job.accepted_ms)
-        if job.request.repeat_count:
-            late_ms = state.wall_ms - occurrence_start_wall_ms(job, number)
-            if late_ms < 0:
-                return
-            begins_ms = float(state.now_ms - late_ms)
-        if open_tasks is None:
-            open_tasks = _count_open_tasks(job)
-        if open_tasks >= MAX_OPEN_TASKS:
-            return
-        for step in begin_occurrence(job, number, begins_ms=begins_ms):
-            open_tasks += len(step.tasks)
-            enqueue_step(state, step)
-        effects.touch(job.service)
-
-
-def _count_open_tasks(job: Job) -> int:
-    return sum(len(step.tasks) for step in job.steps() if not step.is_done())
-
-
 @handles(JobCanceled)
 def cancel_job(state: PartitionState, event: JobCanceled, effects: Effects) -> None:
     """Cancel a job: start no more of its tasks, and stop those that run."""
@@ -188,9 +155,8 @@
     pool = find_pool(state, job.service)
     for step in job.steps():
         pool.open_steps.discard(step)
-        for task in step.tasks:
-            for run in list(task.runs):
-                stop_run(state, run, effects)
+    for run in job.runs():
+        stop_run(state, run, effects)
     save_ended_job(job, effects)
     if final_state is JobState.CANCELED:
         # Its cancellation is stored, which each later owner reads.
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from heatherkeel.durations.models import StepEstimate, StepTimes
+from heatherkeel.helpers.ranges import IntRanges
 from heatherkeel.platform.callers import JobRequest, StepRequest
 from heatherkeel.workspaces.account import Account
 
@@ -212,6 +213,17 @@
     is_done: bool = False
     runs: list[Run] = field(default_factory=list)
 
+    def add_run(self, run: Run) -> None:
+        """Add a run."""
+        self.runs.append(run)
+        self.step.job.known_runs[run] = None
+
+    def remove_run(self, run: Run) -> None:
+        """Remove a run, if it is known."""
+        if run in self.runs:
+            self.runs.remove(run)
+        self.step.job.known_runs.pop(run, None)
+
     def failures(self) -> int:
         """Return the number of failed attempts."""
         return len(self.failed_attempts)
@@ -297,6 +309,10 @@
         """Return whether all of its tasks are done."""
         return self.done == len(self.tasks)
 
+    def has_runs(self) -> bool:
+        """Return whether a run of it may still be on a worker."""
+        return any(task.runs for task in self.tasks)
+
     def waiting(self) -> list[Task]:
         """Return the tasks that may be started now; for a gang, all or none."""
         waiting = [task for task in self.tasks if task.is_waiting()]
@@ -335,6 +351,13 @@
     accepted_wall_ms: int
     state: JobState = JobState.PENDING
     occurrences: dict[int, list[Step]] = field(default_factory=dict)
+    """The steps of each occurrence that has begun, but for those that are folded."""
+    folded: IntRanges = field(default_factory=IntRanges)
+    """The occurrences that are done and of which no run is left; nothing else is kept of them."""
+    first_unbegun: int = 0
+    """No occurrence below this one is still to begin."""
+    known_runs: dict[Run, None] = field(default_factory=dict)
+    """All its runs, in the order in which they were added."""
     possible_crashes: int = 0
     """Highest number of possible crashes among its tasks."""
     estimates: list[StepEstimate] | None = None
@@ -355,16 +378,16 @@
         return JobState.ACTIVE if is_unsure else self.state
 
     def steps(self) -> list[Step]:
-        """Return the steps of all occurrences that have begun."""
+        """Return the steps of all occurrences that have begun and aren't folded."""
         return [step for steps in self.occurrences.values() for step in steps]
 
     def runs(self) -> list[Run]:
         """Return all its runs that may still be on a worker."""
-        return [run for step in self.steps() for task in step.tasks for run in task.runs]
+        return list(self.known_runs)
 
     def has_runs(self) -> bool:
         """Return whether a run of it may still be on a worker."""
-        return any(task.runs for step in self.steps() for task in step.tasks)
+        return bool(self.known_runs)
 
     def has_started(self) -> bool:
         """Return whether a task has been started."""
@@ -374,6 +397,14 @@
         """Return the total number of times that its steps run."""
         return max(1, self.request.repeat_count)
 
+    def find_next_occurrence(self) -> int | None:
+        """Return the lowest occurrence that hasn't begun; None if all have."""
+        number = self.folded.find_missing(self.first_unbegun)
+        while number in self.occurrences:
+            number = self.folded.find_missing(number + 1)
+        self.first_unbegun = number
+        return number if number < self.expected_occurrences() else None
+
 
 @dataclass(kw_only=True, slots=True, eq=False)
 class ForwardedJob:
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -179,7 +179,7 @@
             _start_planned(state, pool, step, True, len(planned), effects)
             return True
         for run in planned:
-            run.task.runs.remove(run)
+            run.task.remove_run(run)
             run.task.attempt = attempt - 1
             state.workers[run.worker_id].remove(run)
     return False
@@ -274,7 +274,7 @@
         ticket=ticket.text if ticket else "",
     )
     task.attempt = attempt
-    task.runs.append(run)
+    task.add_run(run)
     worker.add(run)
     return run
 
--- a/heatherkeel/dispatch/pools.py
+++ b/heatherkeel/dispatch/pools.py
@@ -22,8 +22,7 @@
 
 def remove_run(state: PartitionState, run: Run) -> None:
     """Remove a run from its task and its worker; it must be certain that it no longer runs."""
-    if run in run.task.runs:
-        run.task.runs.remove(run)
+    run.task.remove_run(run)
     worker = state.workers.get(run.worker_id)
     if worker is not None and worker.runs.get(run.key()) is run:
         worker.remove(run)
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
 from result import Err, Ok, Result
 
 from heatherkeel.durations.models import StepEstimate
+from heatherkeel.helpers.ranges import IntRanges
 from heatherkeel.platform.callers import JobRequest
 
-from .building import begin_occurrence
+from .building import begin_occurrence, fold_if_over
 from .const import MAX_LASTING_CRASHES
 from .models import ForwardedJob, Job, JobState, Run, RunState, Task
 from .terms import JobTerms
@@ -82,7 +84,10 @@
     service: str
     accepted_wall_ms: int
     begun: int = 0
-    """Number of occurrences that have begun."""
+    """Number of occurrences that have begun; not read, but by earlier releases."""
+    folded: list[tuple[int, int]] = []
+    """The occurrences that are done, as ranges of numbers; earlier releases store each task's row
+    instead."""
     tasks: list[StoredTask] = []
     losses: list[StoredLosses] = []
     """Of the tasks that have any; missing in records of earlier releases."""
@@ -137,7 +142,8 @@
             queue=job.queue,
             service=job.service,
             accepted_wall_ms=job.accepted_wall_ms,
-            begun=len(job.occurrences),
+            begun=len(job.occurrences) + job.folded.count(),
+            folded=job.folded.list_ranges(),
             tasks=_create_stored_tasks(job),
             losses=_create_stored_losses(job),
             workspace=job.workspace,
@@ -224,12 +230,22 @@
     job.possible_crashes = max(possible, default=0)
 
 
-def restore_progress(job: Job, stored: StoredProgress, *, begins_ms: float) -> list[Run]:
-    """Restore a job's progress from its record; returns the runs that may still exist."""
+def restore_progress(
+    job: Job, stored: StoredProgress, *, find_begin_ms: Callable[[int], float]
+) -> list[Run]:
+    """Restore a job's progress from its record; returns the runs that may still exist.
+
+    Of a repeated job, only occurrences of which a task has started are restored. The others, also
+    those that earlier releases had begun, begin again when there is room for their tasks.
+    """
     job.state = stored.state
-    for occurrence in range(stored.begun):
-        if occurrence not in job.occurrences:
-            begin_occurrence(job, occurrence, begins_ms=begins_ms)
+    job.folded = IntRanges(stored.folded)
+    numbers = dict.fromkeys(record.occurrence for record in stored.tasks)
+    if not job.request.repeat_count:
+        numbers[0] = None
+    for number in numbers:
+        if 0 <= number < job.expected_occurrences() and number not in job.folded:
+            begin_occurrence(job, number, begins_ms=find_begin_ms(number))
     runs = []
     for record in stored.tasks:
         task = _find_stored_task(job, record)
@@ -254,10 +270,12 @@
                 state=RunState.STOPPING if is_stopping else RunState.RUNNING,
                 answered_ms=None if is_stopping else 0,
             )
-            task.runs.append(run)
+            task.add_run(run)
             runs.append(run)
     _restore_losses(job, stored)
     _update_open_steps(job)
+    for number in list(job.occurrences):
+        fold_if_over(job, number)
     return runs
 
 
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -4,6 +4,7 @@
 
 import logging
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TypeVar
 
 from result import Err, Ok, Result
@@ -17,6 +18,7 @@
 from .const import LEASE_MS, SLOWEST_CLOCK
 from .incarnations import add_worker
 from .models import ForwardedJob, Job, Run, RunState
+from .occurrences import find_begin_ms
 from .pools import enqueue_step
 from .records import (
     CANCEL_PREFIX,
@@ -174,7 +176,8 @@
     jobs = state.finished if progress.state.is_final() else state.jobs
     jobs[job_id] = job
     job.ended_ms = job.shown_ms = state.now_ms if progress.state.is_final() else None
-    for run in restore_progress(job, progress, begins_ms=float(job.accepted_ms)):
+    find_job_begin_ms = partial(find_begin_ms, state, job)
+    for run in restore_progress(job, progress, find_begin_ms=find_job_begin_ms):
         _add_to_worker(state, run, job.service)
     for step in job.steps():
         for task in step.tasks:
--- a/heatherkeel/dispatch/suspicion.py
+++ b/heatherkeel/dispatch/suspicion.py
@@ -63,9 +63,8 @@
 
 
 def _update_possible_crashes(job: Job) -> None:
-    job.possible_crashes = max(
-        task.possible_crashes() for step in job.steps() for task in step.tasks
-    )
+    possible = (task.possible_crashes() for step in job.steps() for task in step.tasks)
+    job.possible_crashes = max(possible, default=0)
 
 
 def _crash_limit(state: PartitionState, run: Run, loss: WorkerLoss | None) -> int:
@@ -134,13 +133,13 @@
 
     Ending the job would stop them all at once.
     """
+    others = (run for run in task.step.job.known_runs if run.task is not task)
     return any(
-        run.is_at_work and not run.is_doubtful
-        for step in task.step.job.steps()
-        if step.request.lasts and step.request.max_unavailable is not None
-        for other in step.tasks
-        if other is not task
-        for run in other.runs
+        run.is_at_work
+        and not run.is_doubtful
+        and run.task.step.request.lasts
+        and run.task.step.request.max_unavailable is not None
+        for run in others
     )
 
 
--- a/heatherkeel/dispatch/ticks.py
+++ b/heatherkeel/dispatch/ticks.py
@@ -7,7 +7,7 @@
 from .events import Effects, ForgetJob, Tick
 from .eviction import evict_tasks
 from .incarnations import drop_if_expired
-from .jobs import begin_due_occurrences
+from .occurrences import begin_due_occurrences
 from .over_part import expire_over_part
 from .registry import handles
 from .state import PartitionState
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -239,7 +239,7 @@
         saved=row.saved,
     )
     task.attempt = max(task.attempt, row.attempt)
-    task.runs.append(run)
+    task.add_run(run)
     worker.add(run)
     effects.add(StopTask(run=run))
 
--- a/heatherkeel/measure/__main__.py
+++ b/heatherkeel/measure/__main__.py
@@ -20,6 +20,7 @@
     measures,
     overload,
     placement,
+    repeated_jobs,
     resident,
     slopes,
     snapshots,
--- a/tests/dispatch/partition.py
+++ b/tests/dispatch/partition.py
@@ -76,15 +76,15 @@
         """Apply the current worker entries."""
         return self.apply(WorkersListed(**self.event_times(), entries=dict(self.entries)))
 
-    def submit(self, *steps: StepRequest, job_id: str = JOB) -> list[Effect]:
-        """Submit a job."""
+    def submit(self, *steps: StepRequest, job_id: str = JOB, **schedule: int) -> list[Effect]:
+        """Submit a job; a schedule holds the fields of a repeated one."""
         return self.apply(
             JobSubmitted(
                 **self.event_times(),
                 job_id=job_id,
                 queue="quotes",
                 service="portal",
-                request=JobRequest(spec="s", steps=steps),
+                request=JobRequest(spec="s", steps=steps, **schedule),
                 accepted_wall_ms=self.now_ms,
             )
         )
--- a/tests/dispatch/test_large_jobs.py
+++ b/tests/dispatch/test_large_jobs.py
@@ -4,9 +4,7 @@
 
 from heatherkeel.dispatch.const import MAX_OPEN_TASKS
 from heatherkeel.dispatch.ends import find_task
-from heatherkeel.dispatch.events import JobSubmitted
 from heatherkeel.dispatch.models import Task
-from heatherkeel.platform.callers import JobRequest
 
 from .partition import JOB, Partition, make_step
 
@@ -19,19 +17,7 @@
 
 def submit_repeated(partition: Partition, *, count: int, times: int) -> None:
     """Submit a job whose occurrences are all due."""
-    request = JobRequest(
-        spec="s", steps=(make_step(count=count, cpu=100),), repeat_count=times, start_at_ms=1
-    )
-    partition.apply(
-        JobSubmitted(
-            **partition.event_times(),
-            job_id=JOB,
-            queue="quotes",
-            service="portal",
-            request=request,
-            accepted_wall_ms=partition.now_ms,
-        )
-    )
+    partition.submit(make_step(count=count, cpu=100), repeat_count=times, start_at_ms=1)
 
 
 def test_occurrences_that_are_due_at_once_begin_a_bounded_number_at_a_time() -> None:
--- a/tests/dispatch/test_limits.py
+++ b/tests/dispatch/test_limits.py
@@ -103,7 +103,7 @@
     run = starts[0].run
     run.task.is_done = True
     partition.state.workers[run.worker_id].remove(run)
-    run.task.runs.remove(run)
+    run.task.remove_run(run)
     partition.tick(100)
     assert account.used == Amount(2000, 20)
     assert partition.count_runs("desk") == 2
--- a/tests/dispatch/test_state_machine.py
+++ b/tests/dispatch/test_state_machine.py
@@ -89,15 +89,20 @@
     def _queue_effects(self, effects: list[Effect]) -> None:
         self.pending_effects += effects
 
-    @rule()
-    def submit(self) -> None:
+    @rule(is_repeated=st.booleans())
+    def submit(self, is_repeated: bool) -> None:
         """Submit a job."""
         if self.jobs >= 5:
             return
         self.jobs += 1
         job_id = f"{self.jobs:016x}"
-        step = make_step(count=2, cpu=TASK_CPU)
-        self._queue_effects(self.partition.submit(step, job_id=job_id))
+        if is_repeated:
+            step = make_step(count=1, cpu=TASK_CPU)
+            effects = self.partition.submit(step, job_id=job_id, repeat_count=3, interval_ms=500)
+        else:
+            step = make_step(count=2, cpu=TASK_CPU)
+            effects = self.partition.submit(step, job_id=job_id)
+        self._queue_effects(effects)
         job = self.partition.job(job_id)
         stored = StoredRequest(
             queue="quotes", service="portal", accepted_wall_ms=1000, request=job.request
@@ -393,10 +398,17 @@
         restore_jobs(later.state, stored)
         for job_id, request in stored.requests.items():
             if job_id not in stored.progress:
-                self._queue_effects(later.submit(*request.request.steps, job_id=job_id))
-        effects = Effects()
-        stop_leftover_runs(later.state, effects)
-        self._queue_effects(effects.items)
+                asked = request.request
+                effects = later.submit(
+                    *asked.steps,
+                    job_id=job_id,
+                    repeat_count=asked.repeat_count,
+                    interval_ms=asked.interval_ms,
+                )
+                self._queue_effects(effects)
+        leftovers = Effects()
+        stop_leftover_runs(later.state, leftovers)
+        self._queue_effects(leftovers.items)
         for job_id in sorted(self.canceled):
             self._queue_effects(later.cancel(job_id))
 
