--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -315,6 +315,11 @@
     """Count a task that isn't started any more because it crashes workers."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CountCutListing(Effect):
+    """Count a worker's listing that may lack ends."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CountSlowWorker(Effect):
     """Count a worker that was found to be slow."""
--- a/heatherkeel/dispatch/evidence.py
+++ b/heatherkeel/dispatch/evidence.py
@@ -39,7 +39,7 @@
     suspected = [
         run
         for run in worker.runs.values()
-        if run.state is not RunState.PLANNED and not run.is_proven
+        if run.state is not RunState.PLANNED and not run.is_proven and not run.may_have_ended
     ]
     return WorkerLoss(
         worker_id=worker.id,
@@ -100,7 +100,8 @@
     state: PartitionState, run: Run, reason: LossReason, loss: WorkerLoss | None
 ) -> LossCause:
     """Return why a run was lost with its worker, as far as it is known."""
-    if reason not in _ENDS or run.state is RunState.PLANNED or run.is_proven:
+    was_there = run.state is not RunState.PLANNED and not run.may_have_ended
+    if reason not in _ENDS or not was_there or run.is_proven:
         return LossCause.NOT_THERE
     if loss is None or loss.end is WorkerEnd.UNKNOWN:
         return LossCause.UNCLEAR
--- a/heatherkeel/dispatch/metrics.py
+++ b/heatherkeel/dispatch/metrics.py
@@ -65,6 +65,11 @@
             "Tasks that aren't started any more since they crash workers; their jobs go on.",
             registry=registry,
         )
+        self.cut_listings = Counter(
+            "heatherkeel_listings_cut",
+            "Listings of workers that held as many ends as they can, so that others may lack.",
+            registry=registry,
+        )
         self.slow_workers = Counter(
             "heatherkeel_slow_workers",
             "Workers that were found to be slow, each time.",
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -162,6 +162,8 @@
     """Its worker is unresponsive."""
     was_doubtful: bool = False
     """Its worker was unresponsive at some time, so its end may be listed late."""
+    may_have_ended: bool = False
+    """Its worker's last listing lacks it, but may lack its end as well. It isn't running."""
     is_at_work: bool = False
     """Its worker's last listing showed the task at 100 percent, which means serving for a
     long-running task."""
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -36,6 +36,7 @@
 from .events import (
     AcknowledgeEnds,
     AskAdvice,
+    CountCutListing,
     CountGivenUp,
     CountLimited,
     CountLoss,
@@ -425,6 +426,8 @@
                 self.metrics.given_up.inc()
             case CountWithheld():
                 self.metrics.withheld.inc()
+            case CountCutListing():
+                self.metrics.cut_listings.inc()
             case CountSlowWorker():
                 self.metrics.slow_workers.inc()
             case AcknowledgeEnds():
--- a/heatherkeel/dispatch/pacing.py
+++ b/heatherkeel/dispatch/pacing.py
@@ -69,7 +69,7 @@
     """Return the running tasks that serve under a latency target, and the best-effort tasks."""
     serving, best_effort = [], []
     for run in worker.runs.values():
-        if run.state is not RunState.RUNNING:
+        if run.state is not RunState.RUNNING or run.may_have_ended:
             continue
         request = run.task.step.request
         if request.fills:
--- a/heatherkeel/dispatch/slowness.py
+++ b/heatherkeel/dispatch/slowness.py
@@ -128,6 +128,8 @@
     A run counts from half of its expected duration on: earlier, its progress says little. It counts
     whether it is late or not, or each worker would be judged by its longest tasks.
     """
+    if run.may_have_ended:
+        return None
     elapsed_ms = find_elapsed_ms(worker, run, state.now_ms)
     expected_ms = _expected_ms(state, run) if elapsed_ms is not None else None
     if elapsed_ms is None or expected_ms is None or elapsed_ms < MIN_PROJECTED * expected_ms:
--- a/heatherkeel/dispatch/stalled.py
+++ b/heatherkeel/dispatch/stalled.py
@@ -70,4 +70,5 @@
 def _can_stall(run: Run) -> bool:
     request = run.task.step.request
     is_plain = not request.lasts and not request.is_gang and not request.fills
-    return run.state is RunState.RUNNING and is_plain and run.progressed_ms > 0
+    is_listed = run.progressed_ms > 0 and not run.may_have_ended
+    return run.state is RunState.RUNNING and is_plain and is_listed
--- a/heatherkeel/dispatch/worker_log.py
+++ b/heatherkeel/dispatch/worker_log.py
@@ -67,6 +67,22 @@
     )
 
 
+def log_cut_listing(worker: Worker, listing: Listing) -> None:
+    """Log a listing with as many ends as it can hold, and the runs that may be among the others."""
+    _LOGGER.info(
+        "listing may lack ends",
+        extra={
+            "event": "listing_cut",
+            "worker": worker.id,
+            "first_end": listing.ended[0].number,
+            "last_end": listing.ended[-1].number,
+            "running": len(listing.running),
+            "may_have_ended": sum(1 for run in worker.runs.values() if run.may_have_ended),
+            "acknowledged": worker.last_stored_end,
+        },
+    )
+
+
 def log_ignored_end(worker: Worker, ended: EndedTask) -> None:
     """Log that the end of a known run is ignored, because its number was processed before."""
     _LOGGER.warning(
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -13,6 +13,7 @@
 from .ends import find_task, lose_run, process_end
 from .events import (
     AcknowledgeEnds,
+    CountCutListing,
     Effects,
     StopTask,
     WorkerAnswered,
@@ -32,7 +33,13 @@
 from .state import PartitionState
 from .suspicion import record_listed_run, take_back_unclear_losses
 from .worker import Worker
-from .worker_log import log_ignored_end, log_ignored_entry, log_worker_answered, log_worker_event
+from .worker_log import (
+    log_cut_listing,
+    log_ignored_end,
+    log_ignored_entry,
+    log_worker_answered,
+    log_worker_event,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -176,15 +183,21 @@
             record_listed_run(worker, run, now_ms, effects)
     for run in list(worker.runs.values()):
         # The last order was answered before this listing was requested, so a run that isn't listed
-        # has ended unnoticed or was never started.
+        # has ended unnoticed or was never started, unless its end is among those left out.
         is_proved = run.answered_ms is not None and run.answered_ms < sent_ms
         if run.key() in listed:
             continue
-        if is_proved:
+        if is_proved and listing.may_lack_ends():
+            run.may_have_ended = True
+            run.is_at_work = False
+        elif is_proved:
             _lose_unlisted_run(state, worker, run, effects)
         elif run.start_timed_out_ms is not None and run.start_timed_out_ms < sent_ms:
             run.start_timed_out_ms = None
             stop_run(state, run, effects)
+    if listing.may_lack_ends():
+        log_cut_listing(worker, listing)
+        effects.add(CountCutListing())
 
 
 def _lose_unlisted_run(state: PartitionState, worker: Worker, run: Run, effects: Effects) -> None:
@@ -196,6 +209,7 @@
 
 
 def _update_run(run: Run, row: RunningTask, now_ms: int) -> None:
+    run.may_have_ended = False
     if run.start_timed_out_ms is not None:
         run.start_timed_out_ms = None
         run.answered_ms = now_ms
--- a/heatherkeel/platform/workers.py
+++ b/heatherkeel/platform/workers.py
@@ -19,6 +19,8 @@
 """Longest timeout of a listing beyond its own `wait_ms`, in seconds."""
 SHORTEST_LIST_TIMEOUT_S: Final = 0.35
 """Shortest such timeout, in seconds; a lost answer hides the worker's ended tasks until then."""
+MAX_LISTED_ENDS: Final = 500
+"""Number of ends that a listing holds at most, as documented by the platform."""
 CONNECTIONS: Final = 4
 """Connections to one worker: one waits for ended tasks, the others carry orders."""
 _INSTANCE_HEADER: Final = "heatherkeel-target-instance"
@@ -58,6 +60,13 @@
     born: int = 0
     """Start time of this incarnation, in milliseconds since 1970; 0 if not reported."""
 
+    def may_lack_ends(self) -> bool:
+        """Return whether there may be further ends, which follow once these are acknowledged.
+
+        The running tasks are always listed as a whole.
+        """
+        return len(self.ended) >= MAX_LISTED_ENDS
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartOrder:
--- a/tests/dispatch/simulated_workers.py
+++ b/tests/dispatch/simulated_workers.py
@@ -11,7 +11,7 @@
 """Start time of the first incarnation under each id."""
 
 
-@dataclass
+@dataclass(eq=False)
 class SimulatedWorker:
     """A worker that follows the documented worker protocol."""
 
--- a/tests/dispatch/test_state_machine.py
+++ b/tests/dispatch/test_state_machine.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from unittest.mock import patch
+
 import hypothesis.strategies as st
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -35,6 +37,7 @@
     encode_request,
 )
 from heatherkeel.dispatch.recovery import read_records, restore_jobs
+from heatherkeel.platform import workers as listings
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.workers import Listing, RunningTask
@@ -68,6 +71,10 @@
         self.pending_effects: list[Effect] = []
         self.delayed_orders: list[SentOrder] = []
         self.acknowledged_tasks: set[str] = set()
+        self.started_after_done: set[str] = set()
+        """Tasks that have started though a live worker still has to list that they are done."""
+        self.lapsed_ends: set[tuple[SimulatedWorker, int]] = set()
+        """Ends whose worker's lease has run out since, which don't count as taken note of."""
         self.jobs = 0
         self.crashes = 0
         for _ in range(2):
@@ -227,12 +234,25 @@
                 order.task not in self.acknowledged_tasks
             ), f"{order.task} starts after its end was acknowledged"
             self.no_task_runs_twice()
+            if self._is_done_on_a_worker(order.task):
+                self.started_after_done.add(order.task)
             assert len(worker.runs) * TASK_CPU <= max(worker.known_cpu, order.cpu), worker
             if order.task == CRASHING:
                 self.crashes += 1
                 self._kill(worker)
         return reason
 
+    def _is_done_on_a_worker(self, task: str) -> bool:
+        """Return whether a live worker has a done end of a task to list, under a valid lease."""
+        return any(
+            ended.task == task
+            and ended.outcome == "done"
+            and (worker, ended.number) not in self.lapsed_ends
+            for worker in self.workers.values()
+            if worker.is_alive
+            for ended in worker.ended
+        )
+
     @precondition(lambda self: self.delayed_orders)
     @rule()
     def deliver_delayed_order(self) -> None:
@@ -249,6 +269,14 @@
             worker, task = running[number % len(running)]
             worker.end(task, "failed" if fails and number == 3 else "done")
 
+    @precondition(lambda self: any(worker.runs for worker in self.workers.values()))
+    @rule()
+    def end_all_tasks(self) -> None:
+        """End all tasks at once, so that a worker has several ends to list."""
+        for worker in self.workers.values():
+            for task in list(worker.runs):
+                worker.end(task, "done")
+
     @rule(number=st.integers(0, 5), is_unreachable=st.booleans())
     def list_worker_runs(self, number: int, is_unreachable: bool) -> None:
         """List a worker's runs, or fail to reach it."""
@@ -279,7 +307,7 @@
             clock_ms=worker.clock(self.partition.now_ms),
             born=worker.born,
             running=rows,
-            ended=list(worker.ended),
+            ended=worker.ended[: listings.MAX_LISTED_ENDS],
         )
         answered = WorkerAnswered(
             **self.partition.event_times(),
@@ -296,6 +324,10 @@
         for ended in worker.ended:
             if ended.number <= worker.acknowledged and ended.outcome == "done":
                 self.acknowledged_tasks.add(ended.task)
+                assert (
+                    ended.task not in self.started_after_done
+                    or (worker, ended.number) in self.lapsed_ends
+                ), f"{ended.task} has started after an end that is taken note of"
         worker.ended = [ended for ended in worker.ended if ended.number > worker.acknowledged]
 
     @rule(ms=st.sampled_from([50, 400, 1300, 7000]))
@@ -303,7 +335,10 @@
         """Advance the clock."""
         self._queue_effects(self.partition.tick(ms))
         for worker in self.workers.values():
-            worker.expire_lease(worker.clock(self.partition.now_ms))
+            now_ms = worker.clock(self.partition.now_ms)
+            worker.expire_lease(now_ms)
+            if now_ms > worker.lease_until_ms:
+                self.lapsed_ends.update((worker, ended.number) for ended in worker.ended)
 
     @precondition(lambda self: any(worker.runs for worker in self.workers.values()))
     @rule(number=st.integers(0, 1))
@@ -451,7 +486,24 @@
                 assert all(step.is_done() for step in job.steps())
 
 
+class CutListingsMachine(DispatchMachine):
+    """The same with workers that list one end at a time."""
+
+    def __init__(self) -> None:
+        self.limit = patch.object(listings, "MAX_LISTED_ENDS", 1)
+        self.limit.start()
+        super().__init__()
+
+    def teardown(self) -> None:
+        """Restore the limit."""
+        self.limit.stop()
+
+
 TestDispatch = DispatchMachine.TestCase
+TestDispatchWithCutListings = CutListingsMachine.TestCase
+TestDispatchWithCutListings.settings = settings(
+    max_examples=200, stateful_step_count=50, deadline=None, derandomize=True
+)
 TestDispatch.settings = settings(
     max_examples=400, stateful_step_count=50, deadline=None, derandomize=True
 )
