--- a/tests/dispatch/test_cut_listings.py
+++ b/tests/dispatch/test_cut_listings.py
@@ -6,18 +6,10 @@
 from heatherkeel.dispatch.ends import DONE
 from heatherkeel.dispatch.events import IncarnationsListed
 from heatherkeel.dispatch.models import JobState, Run
-from heatherkeel.dispatch.records import (
-    PROGRESS_PREFIX,
-    REQUEST_PREFIX,
-    StoredRequest,
-    encode_progress,
-    encode_request,
-)
-from heatherkeel.dispatch.recovery import read_records, restore_jobs
-from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.workers import MAX_LISTED_ENDS, EndedTask, RunningTask
 
-from .partition import JOB, Partition, make_step, started_runs, stopped_runs
+from .partition import Partition, make_step, started_runs, stopped_runs
+from .test_recovery import take_over
 
 WORKER = "w0"
 TASKS = 1300
@@ -49,28 +41,6 @@
     partition.list_runs(WORKER, *running)
 
 
-def take_over(earlier: Partition) -> Partition:
-    """Return the next owner's partition, which knows what is stored now."""
-    job = earlier.job()
-    request = StoredRequest(
-        queue="quotes",
-        service="portal",
-        accepted_wall_ms=job.accepted_wall_ms,
-        request=job.request,
-    )
-    values = {REQUEST_PREFIX: encode_request(request), PROGRESS_PREFIX: encode_progress(job)}
-    later = Partition(workers=0, token=earlier.state.token + 1)
-    later.now_ms = later.state.now_ms = later.state.wall_ms = earlier.now_ms
-    later.entries = earlier.entries
-    later.list_workers()
-    records = [
-        KeyedRecord(key=f"{prefix}{JOB}", value=value, offset=offset)
-        for offset, (prefix, value) in enumerate(values.items())
-    ]
-    restore_jobs(later.state, read_records(records))
-    return later
-
-
 def test_runs_behind_the_first_ends_of_a_listing_are_not_lost() -> None:
     """Guards against second runs of tasks whose ends one listing has no room for."""
     partition = start_tasks()
@@ -87,7 +57,7 @@
     """Guards against the same by the first listing of an owner that takes the worker over."""
     earlier = start_tasks()
     ends = make_ends(earlier.job().runs())
-    later = take_over(earlier)
+    later = take_over(earlier, workers=1)
     later.effects.clear()
     for acknowledged in range(0, TASKS, MAX_LISTED_ENDS):
         list_ends(later, ends[acknowledged:])
--- a/tests/dispatch/test_recovery.py
+++ b/tests/dispatch/test_recovery.py
@@ -50,7 +50,7 @@
         ),
     ]
     later = Partition(workers=0)
-    later.now_ms = later.state.now_ms = earlier.now_ms
+    later.now_ms = later.state.now_ms = later.state.wall_ms = earlier.now_ms
     later.entries = dict(list(earlier.entries.items())[:workers])
     later.list_workers()
     restore_jobs(later.state, read_records(records))
--- a/tests/dispatch/test_repeated_jobs.py
+++ b/tests/dispatch/test_repeated_jobs.py
@@ -12,21 +12,16 @@
 from heatherkeel.dispatch.load import measure_pools
 from heatherkeel.dispatch.models import JobState, Run
 from heatherkeel.dispatch.records import (
-    PROGRESS_PREFIX,
-    REQUEST_PREFIX,
     StoredProgress,
-    StoredRequest,
     StoredTask,
     decode_progress,
     encode_progress,
-    encode_request,
 )
-from heatherkeel.dispatch.recovery import read_records, restore_jobs
 from heatherkeel.platform.callers import StepRequest
-from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.workers import RunningTask
 
 from .partition import JOB, OTHER_JOB, Partition, make_step
+from .test_recovery import take_over
 from .work import count_lines
 
 LATE_MS = 10_000_000_000
@@ -57,26 +52,10 @@
     return partition
 
 
-def take_over(earlier: Partition, progress: bytes) -> Partition:
-    """Return the next owner's partition, restored from a record of the job's progress."""
-    job = earlier.job()
-    request = StoredRequest(
-        queue="quotes",
-        service="portal",
-        accepted_wall_ms=job.accepted_wall_ms,
-        request=job.request,
-    )
-    values = {REQUEST_PREFIX: encode_request(request), PROGRESS_PREFIX: progress}
-    records = [
-        KeyedRecord(key=f"{prefix}{JOB}", value=value, offset=offset)
-        for offset, (prefix, value) in enumerate(values.items())
-    ]
-    later = Partition(workers=0, token=earlier.state.token + 1)
-    later.now_ms = later.state.now_ms = later.state.wall_ms = earlier.now_ms
-    later.entries = earlier.entries
+def continue_later(earlier: Partition, progress: bytes) -> Partition:
+    """Return the next owner's partition, which goes on from a record of the job's progress."""
+    later = take_over(earlier, progress=progress)
     later.ends = earlier.ends
-    restore_jobs(later.state, read_records(records))
-    later.list_workers()
     for worker_id in later.entries:
         later.list_known_runs(worker_id)
     later.tick(100)
@@ -108,7 +87,7 @@
         "tick": count_lines(lambda: partition.tick(100)),
         "load report": count_lines(lambda: measure_pools(partition.state)),
         "record": count_lines(lambda: encode_progress(partition.job())),
-        "recovery": count_lines(lambda: take_over(partition, progress)),
+        "recovery": count_lines(lambda: continue_later(partition, progress)),
         "cancel": count_lines(partition.cancel),
     }
 
@@ -154,7 +133,7 @@
         run_rounds(partition, 2, started=started)
         if partition.job().state.is_final():
             break
-        partition = take_over(partition, encode_progress(partition.job()))
+        partition = continue_later(partition, encode_progress(partition.job()))
     assert partition.job().state is JobState.COMPLETE
     tasks = times * sum(step.count for step in partition.job().request.steps)
     assert len({name for name, _ in started}) == len(started) == tasks
@@ -184,7 +163,7 @@
         begun=20_000,
         tasks=rows,
     )
-    job = take_over(partition, _encode(earlier)).job()
+    job = continue_later(partition, _encode(earlier)).job()
     assert job.folded.list_ranges() == [(0, 3), (10, 12)]
     assert 7 in job.occurrences
     assert len(job.occurrences) <= MAX_STARTABLE_TASKS + len(job.runs()) + 1
@@ -212,7 +191,7 @@
     progress = StoredProgress(
         state=JobState.ACTIVE, queue="quotes", service="portal", accepted_wall_ms=0, tasks=[row]
     )
-    assert sorted(take_over(partition, _encode(progress)).job().occurrences) == [0, 1, 2]
+    assert sorted(continue_later(partition, _encode(progress)).job().occurrences) == [0, 1, 2]
 
 
 def test_other_jobs_of_the_pool_go_on_beside_it() -> None:
--- a/tests/questions/test_unstored_ends.py
+++ b/tests/questions/test_unstored_ends.py
@@ -48,15 +48,9 @@
     )
 
 
-def end_job_without_store(outcome: str) -> tuple[PartitionOwner, list[Callable[[], None]]]:
-    """Return an owner whose job has ended, and what waits until its records are stored."""
-    owner = make_owner()
-    owner.is_restored = True
+def submit(owner: PartitionOwner) -> None:
+    """Submit a job of one task."""
     now_ms, wall_ms = owner.times()
-    times = {"now_ms": now_ms, "wall_ms": wall_ms}
-    owner.handle_event(QueuesChanged(**times, queues={"quotes": QUEUE}))
-    owner.handle_event(WorkersListed(**times, entries={"w0": make_entry()}))
-    list_worker(owner)
     owner.handle_event(
         JobSubmitted(
             now_ms=now_ms,
@@ -68,6 +62,18 @@
             accepted_wall_ms=wall_ms,
         )
     )
+
+
+def end_job_without_store(outcome: str) -> tuple[PartitionOwner, list[Callable[[], None]]]:
+    """Return an owner whose job has ended, and what waits until its records are stored."""
+    owner = make_owner()
+    owner.is_restored = True
+    now_ms, wall_ms = owner.times()
+    times = {"now_ms": now_ms, "wall_ms": wall_ms}
+    owner.handle_event(QueuesChanged(**times, queues={"quotes": QUEUE}))
+    owner.handle_event(WorkersListed(**times, entries={"w0": make_entry()}))
+    list_worker(owner)
+    submit(owner)
     (run,) = owner.state.jobs[JOB].runs()
     run.state = RunState.RUNNING
     list_worker(
@@ -109,17 +115,7 @@
     owner = make_owner()
     owner.is_restored = True
     now_ms, wall_ms = owner.times()
-    owner.handle_event(
-        JobSubmitted(
-            now_ms=now_ms,
-            wall_ms=wall_ms,
-            job_id=JOB,
-            queue="quotes",
-            service="portal",
-            request=JobRequest(spec="s", steps=(make_step(),)),
-            accepted_wall_ms=wall_ms,
-        )
-    )
+    submit(owner)
     owner.handle_event(JobCanceled(now_ms=now_ms, wall_ms=wall_ms, job_id=JOB))
     assert ask_state(owner) == "canceled"
 
