An exception of one connection ends that connection only

Callers saw every process of a deployment end, one after the other: one connection with a request to upgrade to WebSocket and frame bytes right behind it was enough (exit 1). hypercorn turns the bytes into an exception of its own state machine (h11.LocalProtocolError), which leaves the connection's task and ends the nursery of the server, and so the process.

The servers now accept by themselves and run hypercorn's connection inside a boundary that logs one bounded line, counts, and closes this connection. Sends end after a time: they are shielded there. A refused client's bytes are discarded for a while, so that its answer isn't lost in a reset.

--- a/heatherkeel/admin/bodies.py
+++ b/heatherkeel/admin/bodies.py
@@ -6,14 +6,13 @@
 from typing import Any, Final
 
 import msgspec
-import trio
 from result import Err, Ok, Result
 
 from heatherkeel.catalogue.models import CatalogueEntry
-from heatherkeel.helpers.asgi import JSON_TYPE, BodyTooLarge, Request
+from heatherkeel.helpers.asgi import JSON_TYPE, BodyTooLarge, BodyTooSlow, NoMemory, Request
 from heatherkeel.helpers.faults import collect_faults, format_path
 
-from .const import BODY_TIMEOUT_S, MAX_BODY_BYTES
+from .const import BODY_TIMEOUT_S, MAX_BODY_BYTES, RETRY_AFTER_S
 from .models import FieldFault, Problem
 from .reasons import ApiRefusal
 
@@ -24,16 +23,22 @@
 
 
 async def async_read_body(
-    request: Request, *, limit_bytes: int
-) -> Result[bytes, BodyTooLarge] | None:
-    """Read the whole body, or return None on a timeout.
+    request: Request, *, limit_bytes: int, what: str = "body"
+) -> Result[bytes, Problem]:
+    """Read the whole body; `what` names it in problems.
 
     The timeout keeps a stalled caller from holding its connection open. Raises
     `ClientGoneError` if the caller disconnects.
     """
-    with trio.move_on_after(BODY_TIMEOUT_S):
-        return await request.async_body(limit_bytes=limit_bytes)
-    return None
+    read = await request.async_body(limit_bytes=limit_bytes, timeout_s=BODY_TIMEOUT_S)
+    match read:
+        case Err(BodyTooLarge(limit_bytes=limit)):
+            return Err(_body_too_large(what, limit))
+        case Err(BodyTooSlow()):
+            return Err(_body_timeout(what))
+        case Err(NoMemory()):
+            return Err(_no_memory(what))
+    return Ok(read.unwrap())
 
 
 async def async_read_entry(
@@ -42,11 +47,9 @@
     """Read the body as an entry; raises `ClientGoneError` if the caller disconnects."""
     if not _is_json(request.headers.get("content-type", JSON_TYPE)):
         return Err(_wrong_content_type())
-    read = await async_read_body(request, limit_bytes=MAX_BODY_BYTES)
-    if read is None:
-        return Err(_body_timeout())
+    read = await async_read_body(request, limit_bytes=MAX_BODY_BYTES, what=ENTRY)
     if isinstance(read, Err):
-        return Err(_body_too_large(read.err_value.limit_bytes))
+        return read
     return decode_entry(read.ok_value, teams=teams)
 
 
@@ -104,22 +107,32 @@
     )
 
 
-def _body_timeout() -> Problem:
+def _body_timeout(what: str) -> Problem:
     return Problem(
         status=408,
         kind=ApiRefusal.BODY_TOO_SLOW,
-        title="The entry did not come in time",
-        detail=f"entry: waited {BODY_TIMEOUT_S:g} s; nothing was accepted",
+        title=f"The {what} did not come in time",
+        detail=f"{what}: waited {BODY_TIMEOUT_S:g} s; nothing was accepted",
         headers={"connection": "close"},
     )
 
 
-def _body_too_large(limit_bytes: int) -> Problem:
+def _no_memory(what: str) -> Problem:
+    return Problem(
+        status=503,
+        kind=ApiRefusal.OVERLOADED,
+        title=f"There is no memory for the {what} at the moment",
+        detail=f"{what}: nothing was accepted",
+        headers={"connection": "close", "retry-after": str(RETRY_AFTER_S)},
+    )
+
+
+def _body_too_large(what: str, limit_bytes: int) -> Problem:
     return Problem(
         status=413,
         kind=ApiRefusal.BODY_TOO_LARGE,
-        title="The entry is too large",
-        detail=f"entry: at most {limit_bytes} bytes are read",
+        title=f"The {what} is too large",
+        detail=f"{what}: at most {limit_bytes} bytes are read",
         extra={"limit_bytes": limit_bytes},
     )
 
--- a/heatherkeel/admin/jobs.py
+++ b/heatherkeel/admin/jobs.py
@@ -148,10 +148,8 @@
 
 async def _async_read(call: Call, model: type[ModelT]) -> Result[ModelT, Problem]:
     read = await async_read_body(call.request, limit_bytes=MAX_JOBS_BODY_BYTES)
-    if read is None:
-        return Err(_problem(408, ApiRefusal.BODY_TOO_SLOW, "The body did not come in time"))
     if isinstance(read, Err):
-        return Err(_problem(413, ApiRefusal.BODY_TOO_LARGE, "The body is too large"))
+        return read
     try:
         document: Any = msgspec.json.decode(read.ok_value)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -9,7 +9,7 @@
 from heatherkeel import subjects  # noqa: F401
 from heatherkeel.admin.app import AdminApp
 from heatherkeel.helpers.clock import monotonic_ms
-from heatherkeel.helpers.server import HttpServer
+from heatherkeel.http_server.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
 from heatherkeel.jobs.duty import JobsDuty
 from heatherkeel.membership.const import HEARTBEAT_INTERVAL_MS
--- a/heatherkeel/entry/reading.py
+++ b/heatherkeel/entry/reading.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from heatherkeel.helpers.asgi import Request
+from heatherkeel.helpers.asgi import BodyFault, BodyTooLarge, BodyTooSlow, NoMemory, Request
 from heatherkeel.requests.const import MAX_KEY_CHARS
 from heatherkeel.requests.local import RoutingState
 from heatherkeel.requests.reasons import RefusalReason
@@ -52,11 +52,23 @@
     limit_bytes = routing.services[service].limits.max_body_bytes
     body = await request.async_body(limit_bytes=limit_bytes)
     if isinstance(body, Err):
-        detail = f"at most {limit_bytes} bytes are taken"
-        return Err(InvalidInput(reason=RefusalReason.BODY_TOO_LARGE, detail=detail))
+        return Err(_describe_fault(body.err_value))
     return Ok(ReadRequest(options=options.ok_value, body=body.ok_value))
 
 
+def _describe_fault(fault: BodyFault) -> InvalidInput:
+    match fault:
+        case BodyTooLarge(limit_bytes=limit):
+            detail = f"at most {limit} bytes are taken"
+            return InvalidInput(reason=RefusalReason.BODY_TOO_LARGE, detail=detail)
+        case BodyTooSlow(timeout_s=timeout_s):
+            detail = f"waited {timeout_s:g} s for the body"
+            return InvalidInput(reason=RefusalReason.BODY_TOO_SLOW, detail=detail)
+        case NoMemory():
+            detail = "other requests hold the memory for requests"
+            return InvalidInput(reason=RefusalReason.NO_MEMORY, detail=detail)
+
+
 def read_options(headers: dict[str, str]) -> Result[CallerOptions, str]:
     """Parse the caller's options, or return a description of the invalid header."""
     key = headers.get(KEY_HEADER, "")
--- a/heatherkeel/entry/responses.py
+++ b/heatherkeel/entry/responses.py
@@ -24,6 +24,7 @@
 STATUS_OF_REFUSAL: Final = {
     RefusalReason.BAD_HEADER: 400,
     RefusalReason.BODY_TOO_LARGE: 413,
+    RefusalReason.BODY_TOO_SLOW: 408,
     RefusalReason.NO_SERVICE: 404,
     RefusalReason.KEY_CONFLICT: 422,
     RefusalReason.KEY_IN_PROGRESS: 409,
--- a/heatherkeel/entry/stopping.py
+++ b/heatherkeel/entry/stopping.py
@@ -8,7 +8,7 @@
 
 from heatherkeel.catalogue.models import ServiceEntry
 from heatherkeel.core.state import FleetState
-from heatherkeel.helpers.server import HttpServer
+from heatherkeel.http_server.server import HttpServer
 from heatherkeel.monitoring.readiness import Readiness
 
 from .const import FINISH_MARGIN_S
--- a/heatherkeel/gateway/app.py
+++ b/heatherkeel/gateway/app.py
@@ -4,13 +4,16 @@
 
 import logging
 import time
-from typing import Final
 
+from heatherkeel.helpers.asgi import (
+    CLOSE_HEADER as CLOSE_HEADER,
+)
 from heatherkeel.helpers.asgi import (
     ClientGoneError,
     Message,
     Receive,
     Send,
+    add_close_header,
     async_run_lifespan,
     parse_request,
 )
@@ -19,7 +22,6 @@
 from .serving import async_serve
 
 _LOGGER = logging.getLogger(__name__)
-CLOSE_HEADER: Final = (b"connection", b"close")
 
 
 class JobApiApp:
@@ -42,7 +44,7 @@
 
         async def async_send(message: Message) -> None:
             if message["type"] == "http.response.start" and not self.context.accepts_callers():
-                message["headers"] = [*message["headers"], CLOSE_HEADER]
+                message["headers"] = add_close_header(message["headers"])
             await send(message)
 
         exchange = Exchange(
--- a/heatherkeel/gateway/exchange.py
+++ b/heatherkeel/gateway/exchange.py
@@ -35,6 +35,8 @@
     Refusal.NO_SUCH_JOB: 410,
     Refusal.BAD_REQUEST: 400,
     Refusal.TOO_LARGE: 413,
+    Refusal.BODY_TOO_SLOW: 408,
+    Refusal.NO_MEMORY: 503,
     Refusal.WRONG_METHOD: 405,
     Refusal.NO_ROOM: 503,
     Refusal.BEYOND_WEIGHT: 429,
--- a/heatherkeel/helpers/asgi.py
+++ b/heatherkeel/helpers/asgi.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import Any, Final, Protocol
 from urllib.parse import parse_qs
 
 import msgspec
+import trio
 from result import Err, Ok, Result
 
 Message = dict[str, Any]
@@ -17,6 +18,13 @@
 
 PROBLEM_TYPE: Final = "application/problem+json"
 JSON_TYPE: Final = "application/json"
+CLOSE_HEADER: Final = (b"connection", b"close")
+ACCOUNT_KEY: Final = "heatherkeel_account"
+"""Key of a request's account in the state of its ASGI scope."""
+MAX_LENGTH_DIGITS: Final = 18
+"""Maximum number of digits of a body's length; Python refuses to convert some thousands."""
+BODY_TIMEOUT_S: Final = 10.0
+"""Timeout for a request's body, in seconds, where its caller doesn't wait for longer."""
 _ENCODER = msgspec.json.Encoder(order="sorted")
 
 
@@ -31,6 +39,43 @@
     limit_bytes: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BodyTooSlow:
+    """The request's body hasn't arrived completely within `timeout_s` seconds."""
+
+    timeout_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NoMemory:
+    """There is no memory left for the request; other requests hold it."""
+
+
+BodyFault = BodyTooLarge | BodyTooSlow | NoMemory
+
+
+class Account(Protocol):
+    """Accounts for the memory that a request holds."""
+
+    def take(self, size: int) -> bool:
+        """Hold some more bytes; False if there is no room for them."""
+
+    def fits(self, size: int) -> bool:
+        """Return whether a request may ever hold so many bytes."""
+
+
+class UnlimitedAccount:
+    """Accounts for requests of servers that don't limit their memory."""
+
+    def take(self, size: int) -> bool:
+        """Hold some more bytes."""
+        return True
+
+    def fits(self, size: int) -> bool:
+        """Return whether a request may ever hold so many bytes."""
+        return True
+
+
 @dataclass(kw_only=True, slots=True)
 class Request:
     """One HTTP request; header names are in lower case."""
@@ -41,22 +86,41 @@
     headers: dict[str, str]
     raw_target: bytes
     receive: Receive = field(repr=False)
-
-    async def async_body(self, *, limit_bytes: int) -> Result[bytes, BodyTooLarge]:
-        """Read the whole body; raises `ClientGoneError` if the caller disconnects first."""
-        parts: list[bytes] = []
-        size = 0
+    account: Account = field(default_factory=UnlimitedAccount, repr=False)
+
+    async def async_body(
+        self, *, limit_bytes: int, timeout_s: float = BODY_TIMEOUT_S
+    ) -> Result[bytes, BodyFault]:
+        """Read the whole body; raises `ClientGoneError` if the caller disconnects first.
+
+        A body whose declared length is over the limit isn't read.
+        """
+        if self._declared_bytes() > limit_bytes:
+            return Err(BodyTooLarge(limit_bytes=limit_bytes))
+        with trio.move_on_after(timeout_s):
+            return await self._async_read(limit_bytes)
+        return Err(BodyTooSlow(timeout_s=timeout_s))
+
+    async def _async_read(self, limit_bytes: int) -> Result[bytes, BodyFault]:
+        # Joined at once: a list would take many times the bytes of very small pieces.
+        body = bytearray()
         while True:
             message = await self.receive()
             if message["type"] == "http.disconnect":
                 raise ClientGoneError
             part = message.get("body", b"")
-            size += len(part)
-            if size > limit_bytes:
+            if len(body) + len(part) > limit_bytes:
                 return Err(BodyTooLarge(limit_bytes=limit_bytes))
-            parts.append(part)
+            # Twice: its copy as bytes is counted from the start.
+            if not self.account.take(2 * len(part)):
+                return Err(NoMemory())
+            body += part
             if not message.get("more_body", False):
-                return Ok(b"".join(parts))
+                return Ok(bytes(body))
+
+    def _declared_bytes(self) -> int:
+        declared = self.headers.get("content-length", "")
+        return int(declared) if declared.isdecimal() and len(declared) <= MAX_LENGTH_DIGITS else 0
 
 
 def parse_request(scope: Message, receive: Receive) -> Request:
@@ -70,6 +134,7 @@
         headers=_join_headers(scope["headers"]),
         raw_target=scope["raw_path"] + suffix,
         receive=receive,
+        account=scope.get("state", {}).get(ACCOUNT_KEY) or UnlimitedAccount(),
     )
 
 
@@ -83,6 +148,11 @@
     return headers
 
 
+def add_close_header(headers: list[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
+    """Return a response's headers with the one that closes its connection."""
+    return headers if CLOSE_HEADER in headers else [*headers, CLOSE_HEADER]
+
+
 async def async_respond(
     send: Send,
     *,
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -21,7 +21,7 @@
 from heatherkeel.gateway.exchange import GatewayContext
 from heatherkeel.gateway.lookup import Lookup
 from heatherkeel.gateway.metrics import GatewayMetrics
-from heatherkeel.helpers.server import HttpServer
+from heatherkeel.http_server.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
 from heatherkeel.ownership.holders import HolderCache
 from heatherkeel.ownership.isolation import IsolationWatch
--- a/heatherkeel/measure/bare_hop.py
+++ b/heatherkeel/measure/bare_hop.py
@@ -15,8 +15,8 @@
 
 from heatherkeel.helpers.asgi import Message, Receive, Send, async_run_lifespan
 from heatherkeel.helpers.logs import set_up_logs
-from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import async_wait_for_stop
+from heatherkeel.http_server.server import HttpServer
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/heatherkeel/requests/arrival.py
+++ b/heatherkeel/requests/arrival.py
@@ -6,7 +6,7 @@
 from heatherkeel.core.node import NodeState, listens
 
 from .claims import answer_repeated_key
-from .const import MAX_KEYED_DEADLINE_MS
+from .const import MAX_KEYED_DEADLINE_MS, NO_MEMORY_RETRY_AFTER_MS
 from .effects import Queued, Refuse
 from .events import CallerGone, InputRefused, RequestArrived
 from .local import ActiveRequest, RequestPhase
@@ -46,6 +46,7 @@
         outcome=Outcome.NOT_RUN,
         reason=event.reason,
         detail=event.detail,
+        retry_after_ms=NO_MEMORY_RETRY_AFTER_MS if event.reason is RefusalReason.NO_MEMORY else 0,
     )
     return [refusal]
 
--- a/heatherkeel/requests/const.py
+++ b/heatherkeel/requests/const.py
@@ -89,4 +89,5 @@
 """Maximum total characters of kept answer bodies; beyond it only digests are kept."""
 
 KEY_IN_PROGRESS_RETRY_AFTER_MS: Final = 1_000
+NO_MEMORY_RETRY_AFTER_MS: Final = 1_000
 """Retry-after time of a repeated request while the first one is in progress."""
--- a/heatherkeel/requests/reasons.py
+++ b/heatherkeel/requests/reasons.py
@@ -38,6 +38,9 @@
     TOO_MANY_CLAIMS = "too_many_claims"
     BAD_HEADER = "bad_header"
     BODY_TOO_LARGE = "body_too_large"
+    BODY_TOO_SLOW = "body_too_slow"
+    NO_MEMORY = "no_memory"
+    """Other requests hold the memory for requests."""
     HEADERS_TOO_LARGE = "headers_too_large"
 
 
--- a/heatherkeel/standins/users_platform.py
+++ b/heatherkeel/standins/users_platform.py
@@ -10,7 +10,7 @@
 import trio
 
 from heatherkeel.helpers.asgi import Request
-from heatherkeel.helpers.server import HttpServer
+from heatherkeel.http_server.server import HttpServer
 
 from .entries import ENTRIES_TOPIC, HEARTBEAT_S, drop_entry, make_entry
 from .faults import Faults
--- a/heatherkeel/standins/users_platform_process.py
+++ b/heatherkeel/standins/users_platform_process.py
@@ -6,8 +6,8 @@
 
 import trio
 
-from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import async_wait_for_stop
+from heatherkeel.http_server.server import HttpServer
 
 from .control_api import ControlApi
 from .faults import Faults
--- a/heatherkeel/standins/worker_process.py
+++ b/heatherkeel/standins/worker_process.py
@@ -15,8 +15,8 @@
 from result import Err, Ok
 
 from heatherkeel.helpers.asgi import Request
-from heatherkeel.helpers.server import HttpServer
 from heatherkeel.helpers.signals import async_wait_for_stop
+from heatherkeel.http_server.server import HttpServer
 
 from .control_client import ControlClient
 from .control_models import Beat, BeatAnswer, BeginAnswer, BeginQuestion, LifeOver
--- a/tests/fleetlog/test_list.py
+++ b/tests/fleetlog/test_list.py
@@ -7,7 +7,7 @@
 from heatherkeel.fleetlog.client import PlatformClient
 from heatherkeel.fleetlog.models import InstanceList, ListedInstance, ListedState
 from heatherkeel.helpers.asgi import Message, Receive, Send
-from heatherkeel.helpers.server import HttpServer
+from heatherkeel.http_server.server import HttpServer
 from heatherkeel.standins.platform import PlatformStandin
 
 
--- a/tests/helpers/test_server.py
+++ b/tests/http_server/test_server.py
@@ -8,7 +8,7 @@
 import trio
 
 from heatherkeel.helpers.asgi import Message, Receive, Send, async_respond, async_run_lifespan
-from heatherkeel.helpers.server import HttpServer
+from heatherkeel.http_server.server import HttpServer
 
 LIBRARY_KEEP_ALIVE_S: Final = 5.0
 """Default idle timeout of hypercorn in seconds."""
--- a/tests/load/test_run.py
+++ b/tests/load/test_run.py
@@ -9,7 +9,7 @@
 import trio
 
 from heatherkeel.helpers.asgi import App, Message, Receive, Send, async_respond_problem
-from heatherkeel.helpers.server import HttpServer
+from heatherkeel.http_server.server import HttpServer
 from heatherkeel.load.models import Plan, Promise, Report, Service
 from heatherkeel.load.report import format_table
 from heatherkeel.load.run import LoadRun
--- a/tests/measure/test_hop.py
+++ b/tests/measure/test_hop.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from heatherkeel.helpers.server import HttpServer
+from heatherkeel.http_server.server import HttpServer
 from heatherkeel.load.models import Plan, Service
 from heatherkeel.load.run import LoadRun
 from heatherkeel.measure.asker import Round, async_ask
