Only HTTP/1.0 and 1.1 are spoken

Any client that began with HTTP/2, or asked for it, got it (101, or a settings frame): beyond all limits of HTTP/1.1, 599 MB for 150 connections at the callers' address and 442 MB at readiness on. hypercorn decides by the bytes, whatever its list of protocols says.

--- a/heatherkeel/http_server/protocol.py
+++ b/heatherkeel/http_server/protocol.py
@@ -46,6 +46,9 @@
     max_fields: int
     on_refusal: Callable[[RequestRefusal], None]
 
+    async def _check_protocol(self, event: h11.Request) -> None:
+        """Speak no other protocol."""
+
     async def _create_stream(self, request: h11.Request) -> None:
         refusal = self._find_refusal(request)
         if refusal is not None:
@@ -81,6 +84,8 @@
         self.keep_alive_requests += 1
 
     def _find_refusal(self, request: h11.Request) -> RequestRefusal | None:
+        if request.http_version not in HTTP_VERSIONS:
+            return RequestRefusal.WRONG_VERSION
         if len(request.headers) > self.max_fields:
             return RequestRefusal.TOO_MANY_FIELDS
         return None
