At most 128 headers

More than 128 get 431 before the application is called, and the connection closes. Callers need four; proxies add some twenty.

--- a/heatherkeel/http_server/const.py
+++ b/heatherkeel/http_server/const.py
@@ -6,7 +6,7 @@
 
 MAX_HEADER_BYTES: Final = 16 * 1024
 """Maximum size of the request target and headers in bytes; a larger request gets 431."""
-MAX_FIELDS: Final = 4096
+MAX_FIELDS: Final = 128
 """Maximum number of headers of a request; parsed, each takes many times its bytes."""
 KEEP_ALIVE_S: Final = 75.0
 """Idle timeout of a caller's connection in seconds.
