Connections are bounded by the memory and descriptors of the process

900 silent or slow connections took all 700 descriptors on: nothing was left for the store and the workers, and a job handed in beside them was neither taken nor run. limits.memoryMb and limits.maxFds weren't read, hypercorn limits no connections and has no timeout for a request that is under way.

Both are read now and divided once (http_server/sizing.py): each server has its own part, with a clear error for settings that can't hold together.

--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -21,8 +21,9 @@
 from heatherkeel.gateway.exchange import GatewayContext
 from heatherkeel.gateway.lookup import Lookup
 from heatherkeel.gateway.metrics import GatewayMetrics
-from heatherkeel.http_server.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
+from heatherkeel.http_server.metrics import ServerMetrics
+from heatherkeel.http_server.server import HttpServer
 from heatherkeel.ownership.holders import HolderCache
 from heatherkeel.ownership.isolation import IsolationWatch
 from heatherkeel.ownership.member import GroupMember
@@ -65,6 +66,9 @@
 BALANCER_DELAY_S: Final = 2.5
 """How long callers are still served after the stop signal, in seconds. The platform's load balancer
 stops sending new connections after two failed readiness probes, one second apart."""
+CALLERS: Final = "callers"
+READINESS: Final = "readiness"
+"""Names of the HTTP servers in logs and metrics."""
 FINISH_TIMEOUT_S: Final = 1.5
 """Time that requests in progress then have to finish, in seconds."""
 
@@ -74,7 +78,9 @@
 
     def __init__(self, *, settings: InstanceSettings) -> None:
         self.settings = settings
+        limits = settings.divide_limits().unwrap()
         self.metrics = GatewayMetrics()
+        server_metrics = ServerMetrics(registry=self.metrics.registry)
         self.dispatch_metrics = DispatchMetrics(registry=self.metrics.registry)
         self.pooling_metrics = PoolingMetrics(registry=self.metrics.registry)
         self.admission_metrics = AdmissionMetrics(registry=self.metrics.registry)
@@ -168,8 +174,17 @@
                 )
             ),
             bind=settings.listen.callers,
+            name=CALLERS,
+            limits=limits.callers,
+            metrics=server_metrics,
+        )
+        self.probes = HttpServer(
+            app=self.status,
+            bind=settings.listen.readiness,
+            name=READINESS,
+            limits=limits.readiness,
+            metrics=server_metrics,
         )
-        self.probes = HttpServer(app=self.status, bind=settings.listen.readiness)
         self.nursery: trio.Nursery | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -193,6 +208,7 @@
                 "event": "start",
                 "pid": os.getpid(),
                 "callers": self.callers.address,
+                "readiness": self.probes.address,
                 "links": self.links.address,
                 "incarnation": self.member.incarnation,
             },
--- a/heatherkeel/platform/settings.py
+++ b/heatherkeel/platform/settings.py
@@ -11,6 +11,8 @@
 from result import Err, Ok, Result
 
 from heatherkeel.helpers.faults import collect_faults
+from heatherkeel.http_server.settings import ServingSettings
+from heatherkeel.http_server.sizing import MB, ProcessLimits, ProcessSize, divide
 
 from .const import KEYS_CONTRACT, PRESSURE_CONTRACT
 
@@ -62,6 +64,11 @@
     link_mbps: Annotated[float, Meta(ge=0)] = msgspec.field(name="linkMbps", default=0.0)
     """Bandwidth of its machine's link, in Mbit/s; 0 if it isn't known."""
 
+    memory_mb: Annotated[int, Meta(gt=0)] = msgspec.field(name="memoryMb", default=300)
+    """Memory of this process, in MB; the platform ends a process that takes more."""
+    max_descriptors: Annotated[int, Meta(gt=0)] = msgspec.field(name="maxFds", default=4100)
+    """Most open descriptors of this process."""
+
     def cpu_capacity(self) -> int:
         """Return its CPU capacity, in thousandths of a core."""
         return round(1000 * self.core_share * self.core_speed)
@@ -80,6 +87,8 @@
     """Addresses of a few processes, which may be outdated; empty if the platform names none."""
     listen: ListenAddresses = msgspec.field(name="listenAddrs")
     limits: Limits = msgspec.field(default_factory=Limits)
+    serving: ServingSettings = msgspec.field(default_factory=ServingSettings)
+    """Limits for clients."""
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     store: StoreSettings = msgspec.field(name="platform")
     machines: MachineSettings = msgspec.field(name="cloud", default_factory=MachineSettings)
@@ -105,6 +114,13 @@
         """Return whether jobs that surely can't be served are refused before they are stored."""
         return PRESSURE_CONTRACT in self.contracts
 
+    def divide_limits(self) -> Result[ProcessLimits, str]:
+        """Return what clients may take of this process; the error says why it can't be divided."""
+        size = ProcessSize(
+            memory_bytes=self.limits.memory_mb * MB, descriptors=self.limits.max_descriptors
+        )
+        return divide(size, self.serving)
+
     def list_seed_links(self) -> list[str]:
         """Return the addresses at which the seeds answer questions; ports are the same everywhere.
 
@@ -120,9 +136,11 @@
     if isinstance(read, Err):
         return read
     try:
-        return Ok(msgspec.convert(read.ok_value, InstanceSettings))
+        settings = msgspec.convert(read.ok_value, InstanceSettings)
     except msgspec.ValidationError as err:
         return Err(f"{file}: {err}")
+    divided = settings.divide_limits()
+    return Err(f"{file}: {divided.err_value}") if isinstance(divided, Err) else Ok(settings)
 
 
 def find_instance_faults(file: str) -> list[str]:
@@ -130,7 +148,11 @@
     read = _read(file)
     if isinstance(read, Err):
         return [read.err_value]
-    return [f"{file}: {fault}" for fault in collect_faults(read.ok_value, InstanceSettings)]
+    faults = [str(fault) for fault in collect_faults(read.ok_value, InstanceSettings)]
+    if not faults:
+        divided = msgspec.convert(read.ok_value, InstanceSettings).divide_limits()
+        faults = [divided.err_value] if isinstance(divided, Err) else []
+    return [f"{file}: {fault}" for fault in faults]
 
 
 def _read(file: str) -> Result[dict[str, Any], str]:
