--- a/heatherkeel/http_server/sizing.py
+++ b/heatherkeel/http_server/sizing.py
@@ -71,7 +71,7 @@
     peers = settings.peer_connections or sockets // PEER_DESCRIPTORS_DIVISOR
     request_bytes = settings.request_memory_mib * MIB or caller_bytes // 2
     limits = ProcessLimits(
-        callers=_make_limits(settings, connections=callers, body_bytes=1 << 30),
+        callers=_make_limits(settings, connections=callers, body_bytes=request_bytes),
         readiness=ServerLimits(
             connections=readiness,
             body_bytes=READINESS_BODY_BYTES,
