A job's values are counted before they are decoded

A body of 262,144 bytes may hold 87,000 empty steps; decoded they take some 80 times their bytes, and a request holds them until its job is stored. The estimate by commas and braces takes microseconds and is charged to the request's account first: 413 if it never fits, else 503 while others hold the memory.

--- a/heatherkeel/gateway/submission.py
+++ b/heatherkeel/gateway/submission.py
@@ -23,7 +23,7 @@
     NoMemory,
 )
 from heatherkeel.helpers.clock import wall_ms
-from heatherkeel.platform.callers import JobRequest, decode_job
+from heatherkeel.platform.callers import JobRequest, decode_job, estimate_decoded_bytes
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import Queue
 
@@ -110,6 +110,12 @@
     body = await exchange.request.async_body(limit_bytes=limit, timeout_s=timeout_s)
     if isinstance(body, Err):
         return Err(_describe_fault(body.err_value))
+    decoded_bytes = estimate_decoded_bytes(body.ok_value)
+    if not exchange.request.account.fits(decoded_bytes):
+        detail = f"its values take {decoded_bytes} bytes once they are decoded"
+        return Err(RefusedBody(reason=Refusal.TOO_LARGE, detail=detail))
+    if not exchange.request.account.take(decoded_bytes):
+        return Err(RefusedBody(reason=Refusal.NO_MEMORY, retry_s=RETRY_SOON_S))
     decoded = decode_job(body.ok_value)
     if isinstance(decoded, Err):
         return Err(RefusedBody(reason=Refusal.BAD_REQUEST, detail=decoded.err_value))
--- a/heatherkeel/platform/callers.py
+++ b/heatherkeel/platform/callers.py
@@ -15,6 +15,12 @@
 memory of its partition's owner, and of each process that takes the partition over."""
 
 
+VALUE_BYTES: Final = 48
+"""Memory of a decoded number and its place in a list, in bytes."""
+OBJECT_BYTES: Final = 256
+"""Memory of a decoded step without its lists, in bytes."""
+
+
 class StepRequest(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """One step of a job; CPU in thousandths of a core, memory in MiB, times in ms."""
 
@@ -52,6 +58,14 @@
     interval_ms: int = msgspec.field(name="intervalMs", default=0)
 
 
+def estimate_decoded_bytes(body: bytes) -> int:
+    """Return the memory that a job takes at most once it is decoded.
+
+    Commas and braces in strings count as well: the estimate is made before the body is parsed.
+    """
+    return len(body) + VALUE_BYTES * body.count(b",") + OBJECT_BYTES * body.count(b"{")
+
+
 def decode_job(body: bytes) -> Result[JobRequest, str]:
     """Decode and validate a job; the error describes the first fault."""
     try:
