Large jobs are accepted only while their owner has memory for them

Nothing but the store's rate bounded what accepted jobs take.

Before a job of 64 KiB and more (as estimated; some 120 tasks) is stored, its partition's owner is asked, by the question that admission already has. It refuses what doesn't fit beside the other large jobs of the partition and those that it has promised room to (503, Retry-After 5), once a read shows that the job isn't stored; a single large job always fits. An owner that doesn't know (new, cut off, silent) makes the answer 504: "never runs" could be false for a submission that was repeated. The tasks of a large job are dropped when its end is stored. Smaller jobs cost no question.

--- a/heatherkeel/admission/const.py
+++ b/heatherkeel/admission/const.py
@@ -47,6 +47,13 @@
 """Time between two measurements from which it isn't known what was in between."""
 OVERLOAD_MS: Final = 500
 """Waiting work, in milliseconds of the pool's whole processor, from which it is overloaded."""
+UNLIMITED_BYTES: Final = 1 << 60
+"""Memory for large jobs where it isn't limited."""
+PROMISED_MS: Final = 10_000
+"""How long the memory of an admitted large job is kept free before its owner has read it, in
+milliseconds; longer than callers wait for an append."""
+MEMORY_RETRY_S: Final = 5
+"""Retry-After of a large job for which there is no memory, in seconds."""
 MAX_RECORDS_READ: Final = 500
 """Number of jobs stored since the owner's last read from which it refuses nothing."""
 PATH_BUCKET_MS: Final = 100
--- a/heatherkeel/admission/desk.py
+++ b/heatherkeel/admission/desk.py
@@ -65,7 +65,7 @@
         """Decide on a job; an admission is remembered, a refusal only by `refuse`."""
         self.memory.forget_old(now_ms)
         question = self._apply_learned(question, now_ms=now_ms)
-        doubt = self._find_doubt(question, now_ms=now_ms, wall_ms=wall_ms, is_current=is_current)
+        doubt = self.find_doubt(question, now_ms=now_ms, wall_ms=wall_ms, is_current=is_current)
         if doubt is not None:
             self.admit(question.job_id, now_ms=now_ms)
             return Decision(doubt=doubt)
@@ -103,9 +103,10 @@
             path_ms=max(critical_paths_ms(steps, estimates)),
         )
 
-    def _find_doubt(
+    def find_doubt(
         self, question: AdmissionQuestion, *, now_ms: int, wall_ms: int, is_current: bool
     ) -> Doubt | None:
+        """Return why a job can't be decided on; None if it can."""
         if self.state.is_known(question.job_id) or question.job_id in self.memory.admitted:
             return Doubt.KNOWN
         if self.is_new(now_ms):
--- a/heatherkeel/admission/models.py
+++ b/heatherkeel/admission/models.py
@@ -19,6 +19,8 @@
     weight."""
     AT_LIMIT = "at_limit"
     """What its workspace already has waiting for its limit takes as long."""
+    NO_JOB_MEMORY = "no_job_memory"
+    """The large jobs of its partition leave no memory for it."""
 
 
 class Doubt(StrEnum):
--- a/heatherkeel/admission/service.py
+++ b/heatherkeel/admission/service.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final
 
 import trio
 from result import Err
@@ -16,13 +17,17 @@
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.questions.messages import AdmissionAnswer, AdmissionQuestion
 
-from .const import JUDGE_INTERVAL_S, MAX_RECORDS_READ
+from .const import JUDGE_INTERVAL_S, MAX_RECORDS_READ, MEMORY_RETRY_S, UNLIMITED_BYTES
 from .desk import AdmissionDesk, Decision
+from .large_jobs import LargeJobs
+from .memory import RefusedJob
 from .metrics import AdmissionMetrics
-from .models import Doubt
+from .models import Doubt, RefusalReason
 from .outcomes import Verdict
 
 _LOGGER = logging.getLogger(__name__)
+UNSURE_OF_MEMORY: Final = frozenset({Doubt.NEW_OWNER, Doubt.NOT_CURRENT, Doubt.OLD_QUESTION})
+"""Doubts with which the owner doesn't know what it has to keep."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -78,6 +83,7 @@
         view: OwnerView,
         metrics: AdmissionMetrics,
         delete: Callable[[str, str], None],
+        job_bytes: int = UNLIMITED_BYTES,
     ) -> None:
         self.partition = partition
         self.view = view
@@ -85,6 +91,7 @@
         self.delete = delete
         """Deletes the stored request of a job ID and workspace."""
         self.desk = AdmissionDesk(state=state)
+        self.large_jobs = LargeJobs(state=state, limit_bytes=job_bytes)
         self.shared_read = SharedRead(store=store, partition=partition)
         self.refused = trio.Event()
 
@@ -120,6 +127,10 @@
                 return AdmissionAnswer(doubt=Doubt.NEW_OWNER.value)
             is_known = self.desk.is_known(question.job_id)
             return AdmissionAnswer(doubt=Doubt.KNOWN.value if is_known else "")
+        if question.kept_bytes:
+            answer = await self._async_check_memory(question)
+            if answer is not None:
+                return answer
         decision = self._decide(question)
         if decision.is_refusal():
             doubt = await self._async_find_stored(question)
@@ -134,6 +145,62 @@
             self.metrics.doubts.labels(decision.doubt.value).inc()
         return AdmissionAnswer(doubt=decision.doubt.value if decision.doubt else "")
 
+    async def _async_check_memory(self, question: AdmissionQuestion) -> AdmissionAnswer | None:
+        """Refuse a large job for which there is no memory; None if it may be decided further.
+
+        With a doubt, whoever asks may neither store the job nor say that it never runs.
+        """
+        doubt = self.desk.find_doubt(
+            question, now_ms=monotonic_ms(), wall_ms=wall_ms(), is_current=self.view.is_current()
+        )
+        if doubt in UNSURE_OF_MEMORY:
+            return AdmissionAnswer(doubt=doubt.value)
+        if doubt is Doubt.KNOWN:
+            return AdmissionAnswer(doubt=doubt.value)
+        if not self._has_memory(question):
+            stored = await self._async_find_stored(question)
+            if stored is not None:
+                return AdmissionAnswer(doubt=stored.value)
+            if not self._has_memory(question):
+                return self._refuse_for_memory(question)
+        now_ms = monotonic_ms()
+        self.large_jobs.promise(question.job_id, question.kept_bytes, now_ms=now_ms)
+        if not question.only_memory:
+            return None
+        self.desk.admit(question.job_id, now_ms=now_ms)
+        return AdmissionAnswer()
+
+    def _has_memory(self, question: AdmissionQuestion) -> bool:
+        return self.large_jobs.has_room(question.job_id, question.kept_bytes, now_ms=monotonic_ms())
+
+    def _refuse_for_memory(self, question: AdmissionQuestion) -> AdmissionAnswer:
+        now_ms = monotonic_ms()
+        self.desk.memory.refuse(
+            question.job_id,
+            RefusedJob(
+                refused_ms=now_ms,
+                refused_wall_ms=wall_ms(),
+                attempt=question.attempt,
+                returns_ms=now_ms + 1000 * MEMORY_RETRY_S,
+                service="",
+                work=0.0,
+            ),
+        )
+        self.metrics.refusals.labels(RefusalReason.NO_JOB_MEMORY.value).inc()
+        self.refused.set()
+        _LOGGER.info(
+            "no memory for a large job",
+            extra={
+                "event": "large_job_refused",
+                "job": question.job_id,
+                "partition": self.partition,
+                "kept_bytes": question.kept_bytes,
+                "used_bytes": self.large_jobs.used_bytes(now_ms),
+                "limit_bytes": self.large_jobs.limit_bytes,
+            },
+        )
+        return AdmissionAnswer(refusal=RefusalReason.NO_JOB_MEMORY.value, retry_s=MEMORY_RETRY_S)
+
     def _decide(self, question: AdmissionQuestion) -> Decision:
         return self.desk.decide(
             question,
--- a/heatherkeel/dispatch/building.py
+++ b/heatherkeel/dispatch/building.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import Final
 
 from heatherkeel.durations.models import StepEstimate
 from heatherkeel.platform.callers import JobRequest, StepRequest
 from heatherkeel.platform.operator import Queue
 
+from .const import MAX_STARTABLE_TASKS
 from .models import Job, JobState, Step, Task
 from .terms import JobTerms
 
@@ -15,6 +17,22 @@
 """Target latency of a job whose queue isn't known, in milliseconds."""
 
 
+LARGE_JOB_BYTES: Final = 64 * 1024
+"""Memory from which a job counts as large, in bytes; more than a hundred tasks."""
+TASK_BYTES: Final = 512
+STEP_BYTES: Final = 1024
+DEPENDENCY_BYTES: Final = 40
+"""Memory of the parts of a job, in bytes."""
+
+
+def estimate_kept_bytes(request: JobRequest) -> int:
+    """Return the memory that a job takes at its owner until it has ended, in bytes."""
+    tasks = sum(step.count for step in request.steps)
+    occurrences = min(max(1, request.repeat_count), 1 + MAX_STARTABLE_TASKS // max(1, tasks))
+    steps = sum(STEP_BYTES + DEPENDENCY_BYTES * len(step.depends_on) for step in request.steps)
+    return len(request.spec) + occurrences * (steps + TASK_BYTES * tasks)
+
+
 def critical_paths_ms(
     steps: tuple[StepRequest, ...], estimates: Sequence[StepEstimate] | None = None
 ) -> list[float]:
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -4,7 +4,14 @@
 
 import logging
 
-from .building import set_latest_starts, set_objective
+from heatherkeel.platform.callers import JobRequest
+
+from .building import (
+    LARGE_JOB_BYTES,
+    estimate_kept_bytes,
+    set_latest_starts,
+    set_objective,
+)
 from .events import (
     DurationsOffered,
     Effects,
@@ -53,6 +60,7 @@
         workspace=event.workspace,
         account=state.accounts.find(event.workspace),
         request=event.request,
+        kept_bytes=estimate_kept_bytes(event.request),
         terms=event.terms,
         accepted_ms=event.now_ms - max(0, min(event.wall_ms - event.accepted_wall_ms, 60_000)),
         accepted_wall_ms=event.accepted_wall_ms,
@@ -184,6 +192,7 @@
     job.shown_ms = state.now_ms
     after_ms = state.now_ms - (job.ended_ms or state.now_ms)
     effects.add(ObserveEndStored(after_ms=after_ms))
+    _drop_tasks(job)
     _LOGGER.info(
         "job's end is stored",
         extra={
@@ -195,6 +204,19 @@
     )
 
 
+def _drop_tasks(job: Job) -> None:
+    """Drop the tasks of a large job that has ended, which is still shown for minutes.
+
+    Where a run may be left, its task is needed for the worker's capacity.
+    """
+    if job.kept_bytes < LARGE_JOB_BYTES or job.has_runs():
+        return
+    job.occurrences = {}
+    job.request = JobRequest()
+    job.estimates = None
+    job.kept_bytes = 0
+
+
 def save_ended_job(job: Job, effects: Effects) -> None:
     """Store an ended job, and delete its request once none of its runs may remain.
 
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -342,6 +342,8 @@
     """The workspace that it belongs to; empty if none."""
     account: Account | None = None
     """The workspace's account in this partition; None if it belongs to none."""
+    kept_bytes: int = 0
+    """Memory that it takes until it has ended, as estimated; 0 once its tasks are dropped."""
     is_limit_reported: bool = False
     is_excess: bool = False
     """Its workspace has submitted more than its weight allows, so other jobs come first."""
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -151,6 +151,7 @@
             ),
             metrics=admission_metrics or AdmissionMetrics(registry=CollectorRegistry()),
             delete=self.request_dropper.drop,
+            job_bytes=settings.divide_limits().unwrap().job_bytes // settings.store.partitions,
         )
         self.feed = JobFeed(
             store=store,
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -14,7 +14,7 @@
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import WorkerEntry
 
-from .building import set_objective
+from .building import estimate_kept_bytes, set_objective
 from .const import LEASE_MS, SLOWEST_CLOCK
 from .incarnations import add_worker
 from .models import ForwardedJob, Job, Run, RunState
@@ -167,6 +167,7 @@
         workspace=request.workspace,
         account=state.accounts.find(request.workspace),
         request=request.request,
+        kept_bytes=estimate_kept_bytes(request.request),
         terms=progress.terms or request.terms,
         accepted_ms=state.now_ms - age_ms,
         accepted_wall_ms=progress.accepted_wall_ms,
--- a/heatherkeel/gateway/admission.py
+++ b/heatherkeel/gateway/admission.py
@@ -10,8 +10,13 @@
 import trio
 
 from heatherkeel.admission.const import ANSWER_WAIT_S
-from heatherkeel.admission.models import RefusalReason
-from heatherkeel.dispatch.building import critical_paths_ms, remaining_work
+from heatherkeel.admission.models import Doubt, RefusalReason
+from heatherkeel.dispatch.building import (
+    LARGE_JOB_BYTES,
+    critical_paths_ms,
+    estimate_kept_bytes,
+    remaining_work,
+)
 from heatherkeel.dispatch.records import StoredRequest
 from heatherkeel.helpers.clock import wall_ms
 from heatherkeel.ownership.const import JOBS_TOPIC
@@ -23,12 +28,26 @@
 from .reasons import Refusal
 
 _LOGGER = logging.getLogger(__name__)
+_MEMORY_UNKNOWN: Final = frozenset(
+    {
+        Doubt.NEW_OWNER.value,
+        Doubt.NOT_CURRENT.value,
+        Doubt.OLD_QUESTION.value,
+        Doubt.STORE_SILENT.value,
+    }
+)
 _KNOWN_REASONS: Final = frozenset(reason.value for reason in RefusalReason)
 
 
-def make_attempt_name(exchange: Exchange) -> str:
-    """Return a name for a submission; empty where jobs aren't admitted by backlog."""
-    return uuid.uuid4().hex[:12] if exchange.context.admits_by_backlog() else ""
+def make_attempt_name(exchange: Exchange, request: JobRequest) -> str:
+    """Return a name for a submission; empty where its partition's owner needn't admit it."""
+    is_asked = exchange.context.admits_by_backlog() or is_large(request)
+    return uuid.uuid4().hex[:12] if is_asked else ""
+
+
+def is_large(request: JobRequest) -> bool:
+    """Return whether a job takes so much memory that its partition's owner is asked first."""
+    return estimate_kept_bytes(request) >= LARGE_JOB_BYTES
 
 
 async def async_refuse_hopeless(
@@ -40,13 +59,17 @@
     """
     if not _needs_admission(exchange, stored, partition=partition, job_id=job_id):
         return False
-    question = _make_question(stored, partition=partition, job_id=job_id)
+    question = _make_question(exchange, stored, partition=partition, job_id=job_id)
     if not exchange.context.reaches_store():
         return await _async_refuse_without_store(exchange, question)
     if exchange.context.store.find_health(JOBS_TOPIC, partition).is_unavailable():
         # The caller is told so at once.
         return False
     answer = await _async_ask(exchange, question)
+    if question.kept_bytes and _is_memory_unknown(answer):
+        # Whether an earlier submission was stored isn't known, so this doesn't say "never runs".
+        await exchange.async_refuse(Refusal.OWNER_SILENT, job_id=job_id)
+        return True
     if answer is None or answer.refusal not in _KNOWN_REASONS:
         # An owner of a later release may have reasons that aren't known here; its job is accepted.
         return False
@@ -57,8 +80,16 @@
     return True
 
 
-def _make_question(stored: StoredRequest, *, partition: int, job_id: str) -> AdmissionQuestion:
+def _is_memory_unknown(answer: AdmissionAnswer | None) -> bool:
+    return answer is None or answer.doubt in _MEMORY_UNKNOWN
+
+
+def _make_question(
+    exchange: Exchange, stored: StoredRequest, *, partition: int, job_id: str
+) -> AdmissionQuestion:
     steps = stored.request.steps
+    kept_bytes = estimate_kept_bytes(stored.request)
+    by_backlog = exchange.context.admits_by_backlog() and can_be_refused(stored.request)
     return AdmissionQuestion(
         partition=partition,
         job_id=job_id,
@@ -68,7 +99,9 @@
         sent_wall_ms=wall_ms(),
         work=round(max(remaining_work(steps)), 1),
         path_ms=max(critical_paths_ms(steps)),
-        steps=steps,
+        steps=steps if by_backlog else (),
+        kept_bytes=kept_bytes if kept_bytes >= LARGE_JOB_BYTES else 0,
+        only_memory=not by_backlog,
     )
 
 
@@ -116,9 +149,9 @@
     lookup = exchange.context.lookup
     return (
         bool(stored.attempt)
-        and can_be_refused(stored.request)
+        and (can_be_refused(stored.request) or is_large(stored.request))
         and not lookup.has_accepted(job_id)
-        and not lookup.is_silent(partition)
+        and (not lookup.is_silent(partition) or is_large(stored.request))
     )
 
 
--- a/heatherkeel/gateway/exchange.py
+++ b/heatherkeel/gateway/exchange.py
@@ -41,6 +41,7 @@
     Refusal.NO_ROOM: 503,
     Refusal.BEYOND_WEIGHT: 429,
     Refusal.AT_LIMIT: 429,
+    Refusal.NO_JOB_MEMORY: 503,
     Refusal.STORE_AWAY: 503,
     Refusal.STORE_REFUSED: 503,
     Refusal.STORE_SILENT: 504,
--- a/heatherkeel/gateway/reasons.py
+++ b/heatherkeel/gateway/reasons.py
@@ -32,6 +32,8 @@
     """Likewise, since its workspace sends more than its weight allows."""
     AT_LIMIT = "at_limit"
     """Likewise, since its workspace already has much waiting for its limit."""
+    NO_JOB_MEMORY = "no_job_memory"
+    """Other large jobs of its partition leave no memory for it; it isn't stored and never runs."""
     STORE_AWAY = "store_away"
     """The store is unavailable and nothing was sent to it: the job never runs."""
     STORE_REFUSED = "store_refused"
--- a/heatherkeel/gateway/submission.py
+++ b/heatherkeel/gateway/submission.py
@@ -54,7 +54,7 @@
         workspace=exchange.workspace_of_job(queue),
         request=read.ok_value,
         # Its partition's owner knows the backlog of its own workers only.
-        attempt=make_attempt_name(exchange) if other is None else "",
+        attempt=make_attempt_name(exchange, read.ok_value) if other is None else "",
         partition=other,
         terms=make_terms(queue),
     )
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -100,6 +100,10 @@
     """Declared critical path, in milliseconds."""
     steps: tuple[StepRequest, ...] = ()
     """The job's steps, by which the owner may know better."""
+    kept_bytes: int = 0
+    """Memory that its owner would need for a large job; 0 for any other one."""
+    only_memory: bool = False
+    """Asks about its memory only: jobs aren't admitted by backlog here."""
     only_known: bool = False
     """Asks only whether the job is stored or may be, which the answer's doubt says."""
 
