Connections and messages at the port between instances are bounded

900 idle connections to the peers' port took every descriptor on (700 of 700 with those that came back): a job that was taken didn't run. 20 connections that sent messages of 1 MB took 201 MB, most of it in the kernel's buffers. ZeroMQ accepts in its own thread and has no limit for connections.

Its event of an accepted connection names the descriptor. Above the limit the connections that have sent nothing, else those silent for longest, are shut down; instances send a heartbeat each second. A duplicate and its inode make sure that the descriptor is still that connection. ZeroMQ goes on accepting meanwhile, so that for some milliseconds more are open: no hard bound. The kernel's buffers and the queue of each connection are small now, handshakes have 5 s, and questions that wait for the store are dropped above 8 MB.

--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -24,6 +24,7 @@
 from heatherkeel.helpers.signals import StopSignal
 from heatherkeel.http_server.metrics import ServerMetrics
 from heatherkeel.http_server.server import HttpServer
+from heatherkeel.membership.metrics import PeerMetrics
 from heatherkeel.ownership.holders import HolderCache
 from heatherkeel.ownership.isolation import IsolationWatch
 from heatherkeel.ownership.member import GroupMember
@@ -113,6 +114,8 @@
             answer=self._answer,
             async_answer_slow=self._async_answer_slow,
             on_question=lambda: self.isolation.record_contact(),
+            max_connections=limits.peer_connections,
+            metrics=PeerMetrics(registry=self.metrics.registry),
         )
         self.peers = PeerList(
             holders=self.holders,
--- a/heatherkeel/membership/const.py
+++ b/heatherkeel/membership/const.py
@@ -31,6 +31,18 @@
 MAX_QUEUED_MESSAGES: Final = 64
 """Most messages that wait at one end of a link; further ones are dropped and sent again later."""
 
+MAX_QUEUED_QUESTIONS: Final = 16
+"""Most messages of one connection that wait to be handled; further ones stay with their sender."""
+
+ROUTER_BUFFER_BYTES: Final = 32 * 1024
+"""Size requested for each of the kernel's buffers of a peer's connection, in bytes."""
+
+MAX_CONNECTIONS: Final = 1_000
+"""Most connections that peers may open to a process whose descriptors aren't limited."""
+
+HANDSHAKE_TIMEOUT_MS: Final = 5_000
+"""Timeout for the first bytes of a connection of a peer."""
+
 MAX_MESSAGE_BYTES: Final = 1024 * 1024
 MAX_MESSAGES_PER_DRAIN: Final = 256
 """Messages that are handled before other tasks of the process may run."""
--- a/heatherkeel/membership/links.py
+++ b/heatherkeel/membership/links.py
@@ -11,16 +11,19 @@
 
 import trio
 import zmq
+from prometheus_client import CollectorRegistry
 
 from heatherkeel.core.models import LogRecord
 from heatherkeel.core.node import Event, NodeState
 from heatherkeel.core.state import FleetState
 from heatherkeel.helpers.clock import monotonic_ms
 
+from .connection_guard import ConnectionGuard
 from .const import (
     CLEANUP_TICKS,
     CROSS_ZONE_TICKS,
     FETCH_TIMEOUT_S,
+    MAX_CONNECTIONS,
     MAX_LOADS,
     RELAY_AFTER_MS,
 )
@@ -43,6 +46,7 @@
     decode_message,
     encode_message,
 )
+from .metrics import PeerMetrics
 from .peer_link import PeerLink
 from .peer_selection import remove_lost_peers, select_peers
 from .recent import RecentRecords
@@ -67,6 +71,8 @@
         recent: RecentRecords,
         bind: str,
         seeds: list[str],
+        max_connections: int = MAX_CONNECTIONS,
+        metrics: PeerMetrics | None = None,
     ) -> None:
         self.node = node
         self.handle_event = handle_event
@@ -82,10 +88,19 @@
         self.nursery: trio.Nursery | None = None
         self.context: zmq.Context[zmq.Socket[bytes]] = zmq.Context(io_threads=1)
         self.router = EdgeSocket(context=self.context, kind=zmq.ROUTER, handle=self._handle_request)
+        metrics = metrics or PeerMetrics(registry=CollectorRegistry())
+        self.guard = ConnectionGuard(
+            socket=self.router.socket,
+            context=self.context,
+            limit=max_connections,
+            on_count=metrics.connections.set,
+            on_closed=metrics.closed.inc,
+        )
 
     def start(self, nursery: trio.Nursery) -> str:
         """Open the port and return its address as `host:port`."""
         self.nursery = nursery
+        self.guard.start(nursery)
         self.router.socket.bind(f"tcp://{self.address}")
         endpoint = self.router.socket.getsockopt_string(zmq.LAST_ENDPOINT)
         self.address = endpoint.removeprefix("tcp://")
@@ -96,6 +111,7 @@
         """Close all links; messages in transit are lost."""
         for link in self.links.values():
             link.close()
+        self.guard.close()
         self.router.close()
         self.context.destroy(linger=0)
 
--- a/heatherkeel/membership/sockets.py
+++ b/heatherkeel/membership/sockets.py
@@ -9,7 +9,14 @@
 import trio
 import zmq
 
-from .const import MAX_MESSAGE_BYTES, MAX_MESSAGES_PER_DRAIN, MAX_QUEUED_MESSAGES
+from .const import (
+    HANDSHAKE_TIMEOUT_MS,
+    MAX_MESSAGE_BYTES,
+    MAX_MESSAGES_PER_DRAIN,
+    MAX_QUEUED_MESSAGES,
+    MAX_QUEUED_QUESTIONS,
+    ROUTER_BUFFER_BYTES,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -51,10 +58,16 @@
             (zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES),
             (zmq.HEARTBEAT_IVL, ZMQ_HEARTBEAT_INTERVAL_MS),
             (zmq.HEARTBEAT_TIMEOUT, ZMQ_HEARTBEAT_TIMEOUT_MS),
+            (zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS),
             (zmq.RECONNECT_IVL, RECONNECT_MS),
             (zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_MS),
         ):
             self.socket.setsockopt(option, value)
+        if kind == zmq.ROUTER:
+            # Anybody may send to it, and the kernel's own limits are megabytes for a connection.
+            self.socket.setsockopt(zmq.RCVBUF, ROUTER_BUFFER_BYTES)
+            self.socket.setsockopt(zmq.SNDBUF, ROUTER_BUFFER_BYTES)
+            self.socket.setsockopt(zmq.RCVHWM, MAX_QUEUED_QUESTIONS)
 
     def start(self, nursery: trio.Nursery) -> None:
         """Start receiving."""
--- a/heatherkeel/questions/const.py
+++ b/heatherkeel/questions/const.py
@@ -13,6 +13,9 @@
 it tries again after a network partition."""
 MAX_RECONNECT_MS: Final = 400
 """Longest pause between attempts to connect, in milliseconds."""
+MAX_SLOW_BYTES: Final = 8_000_000
+"""Maximum size of the questions that wait for calls to the store at once, in bytes; more than a
+thousand ordinary jobs."""
 UNUSED_AFTER_MS: Final = 20_000
 """Idle time after which a connection is closed, in milliseconds.
 
--- a/heatherkeel/questions/links.py
+++ b/heatherkeel/questions/links.py
@@ -8,9 +8,13 @@
 
 import trio
 import zmq
+from prometheus_client import CollectorRegistry
 from result import Err
 
 from heatherkeel.helpers.clock import monotonic_ms
+from heatherkeel.membership.connection_guard import ConnectionGuard
+from heatherkeel.membership.const import MAX_CONNECTIONS
+from heatherkeel.membership.metrics import PeerMetrics
 from heatherkeel.membership.sockets import EdgeSocket, Frames
 
 from .const import (
@@ -18,6 +22,7 @@
     CONNECT_POLL_S,
     CONNECT_TIMEOUT_MS,
     MAX_RECONNECT_MS,
+    MAX_SLOW_BYTES,
     REPLACED_AFTER_MS,
     UNANSWERED_BEFORE_REPLACING,
     UNUSED_AFTER_MS,
@@ -116,6 +121,8 @@
         answer: Callable[[Question], Answer],
         async_answer_slow: Callable[[SlowQuestion], Awaitable[Answer]],
         on_question: Callable[[], None] = lambda: None,
+        max_connections: int = MAX_CONNECTIONS,
+        metrics: PeerMetrics | None = None,
     ) -> None:
         self.address = bind
         self.answer = answer
@@ -123,12 +130,23 @@
         self.on_question = on_question
         self.context: zmq.Context[zmq.Socket[bytes]] = zmq.Context(io_threads=1)
         self.router = EdgeSocket(context=self.context, kind=zmq.ROUTER, handle=self._handle_frames)
+        self.metrics = metrics or PeerMetrics(registry=CollectorRegistry())
+        self.slow_bytes = 0
+        """Size of the questions that wait for a call to the store."""
+        self.guard = ConnectionGuard(
+            socket=self.router.socket,
+            context=self.context,
+            limit=max_connections,
+            on_count=self.metrics.connections.set,
+            on_closed=self.metrics.closed.inc,
+        )
         self.links: dict[str, QuestionLink] = {}
         self.nursery: trio.Nursery | None = None
 
     def start(self, nursery: trio.Nursery) -> None:
         """Open the port; raises `zmq.ZMQError` if it is in use."""
         self.nursery = nursery
+        self.guard.start(nursery)
         self.router.socket.bind(f"tcp://{self.address}")
         endpoint = self.router.socket.getsockopt_string(zmq.LAST_ENDPOINT)
         self.address = endpoint.removeprefix("tcp://")
@@ -138,6 +156,7 @@
         """Close all links; pending questions get no answer."""
         for link in self.links.values():
             link.socket.close()
+        self.guard.close()
         self.router.close()
         self.context.destroy(linger=0)
 
@@ -198,8 +217,7 @@
         self.on_question()
         question = decoded.ok_value
         if isinstance(question, SlowQuestion):
-            assert self.nursery is not None
-            self.nursery.start_soon(self._async_reply_slowly, frames, question)
+            self._start_slow_answer(frames, question)
             return
         self._reply(frames, self.answer(question))
 
@@ -208,9 +226,25 @@
             return await self.async_answer_slow(question)
         return None
 
-    async def _async_reply_slowly(self, frames: Frames, question: SlowQuestion) -> None:
-        """Answer a question that needs a call to the store, without blocking other questions."""
-        self._reply(frames, await self.async_answer_slow(question))
+    def _start_slow_answer(self, frames: Frames, question: SlowQuestion) -> None:
+        """Answer a question that needs a call to the store, without blocking other questions.
+
+        Questions that wait for a slow store would fill the memory. Who asked one that is dropped
+        goes on without an answer, as after a lost one.
+        """
+        assert self.nursery is not None
+        size = len(frames[2])
+        if self.slow_bytes + size > MAX_SLOW_BYTES:
+            self.metrics.dropped.inc()
+            return
+        self.slow_bytes += size
+        self.nursery.start_soon(self._async_reply_slowly, frames, question, size)
+
+    async def _async_reply_slowly(self, frames: Frames, question: SlowQuestion, size: int) -> None:
+        try:
+            self._reply(frames, await self.async_answer_slow(question))
+        finally:
+            self.slow_bytes -= size
 
     def _reply(self, frames: Frames, answer: Answer) -> None:
         self.router.send([frames[0], frames[1], encode_message(answer)])
