The older entry process has the same limits

Its addresses for callers and operators ended with one upgrade, spoke HTTP/2 and held heads of thousands of headers. It takes the same servers with limits.memory_mib and limits.max_descriptors, a [serving] table, refusals with the outcome not_run, and the guard of the peers' port.

--- a/heatherkeel/entry/process.py
+++ b/heatherkeel/entry/process.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import replace
 
 import trio
 
 from heatherkeel import subjects  # noqa: F401
 from heatherkeel.admin.app import AdminApp
 from heatherkeel.helpers.clock import monotonic_ms
-from heatherkeel.http_server.server import HttpServer
 from heatherkeel.helpers.signals import StopSignal
+from heatherkeel.http_server.metrics import ServerMetrics
+from heatherkeel.http_server.server import HttpServer
+from heatherkeel.http_server.sizing import LARGEST_REQUEST_BYTES
 from heatherkeel.jobs.duty import JobsDuty
 from heatherkeel.membership.const import HEARTBEAT_INTERVAL_MS
 from heatherkeel.membership.links import PeerLinks
+from heatherkeel.membership.metrics import PeerMetrics
 from heatherkeel.monitoring.app import MonitoringApp, TimedApp
 from heatherkeel.monitoring.counting import count_effects
 from heatherkeel.monitoring.gauges import NodeGauges
@@ -21,9 +25,15 @@
 from heatherkeel.monitoring.readiness import Readiness
 from heatherkeel.requests.const import QUEUE_TICK_MS
 from heatherkeel.requests.events import QueueTick
+from heatherkeel.requests.reasons import Outcome
 from heatherkeel.settings.models import EntrySettings
 
-from .const import CALLER_WATCH_INTERVAL_MS, CONNECTION_CLOSE_INTERVAL_MS, WRITE_TIMEOUT_S
+from .const import (
+    CALLER_WATCH_INTERVAL_MS,
+    CONNECTION_CLOSE_INTERVAL_MS,
+    OUTCOME_HEADER,
+    WRITE_TIMEOUT_S,
+)
 from .duties import Duties
 from .front import ProxyApp
 from .node import Node
@@ -38,9 +48,11 @@
 
     def __init__(self, *, settings: EntrySettings) -> None:
         self.settings = settings
+        limits = settings.divide_limits().unwrap()
         self.node = Node(settings=settings)
         self.readiness = Readiness(node=self.node)
         self.metrics = Metrics()
+        server_metrics = ServerMetrics(registry=self.metrics.registry)
         self.links = PeerLinks(
             node=self.node.state,
             handle_event=self.node.handle_event,
@@ -49,6 +61,8 @@
             recent=self.node.recent,
             bind=settings.peers.bind,
             seeds=settings.peers.seeds,
+            max_connections=limits.peer_connections,
+            metrics=PeerMetrics(registry=self.metrics.registry),
         )
         self.proxy = ProxyApp(node=self.node)
         self.duties = Duties(node=self.node)
@@ -57,6 +71,9 @@
             app=timed_app,
             bind=settings.http.bind,
             on_headers_too_large=self.metrics.count_headers_too_large,
+            limits=limits.callers,
+            metrics=server_metrics,
+            refusal_headers={OUTCOME_HEADER: Outcome.NOT_RUN.value},
         )
         admin_app = MonitoringApp(
             inner=AdminApp(node=self.node, on_refusal=self.metrics.count_admin_refusal),
@@ -68,6 +85,9 @@
             bind=settings.admin.bind,
             certfile=settings.admin.certfile,
             keyfile=settings.admin.keyfile,
+            name="admin",
+            limits=replace(limits.readiness, body_bytes=LARGEST_REQUEST_BYTES),
+            metrics=server_metrics,
         )
         self.gauges = NodeGauges(
             node=self.node, readiness=self.readiness, in_progress=lambda: timed_app.in_progress
--- a/heatherkeel/settings/models.py
+++ b/heatherkeel/settings/models.py
@@ -6,9 +6,12 @@
 
 import msgspec
 from msgspec import Meta
+from result import Result
 
 from heatherkeel.catalogue.const import MAX_NAME_CHARS, NAME_PATTERN
 from heatherkeel.helpers.faults import SECRET
+from heatherkeel.http_server.settings import ServingSettings
+from heatherkeel.http_server.sizing import MIB, ProcessLimits, ProcessSize, divide
 
 from .const import ADDRESS_PATTERN, BIND_PATTERN
 
@@ -117,6 +120,17 @@
     readiness_wait_ms: Annotated[int, Meta(ge=0, le=600_000)] = 2_000
 
 
+class LimitSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What this process may use; a part of it is left to its clients."""
+
+    memory_mib: Annotated[int, Meta(ge=1, le=1_000_000)] = 300
+    max_descriptors: Annotated[int, Meta(ge=1, le=1_000_000)] = 4100
+
+    def size(self) -> ProcessSize:
+        """Return what this process may use."""
+        return ProcessSize(memory_bytes=self.memory_mib * MIB, descriptors=self.max_descriptors)
+
+
 class TeamSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """The token that authenticates the edits of a team's operators."""
 
@@ -134,4 +148,10 @@
     routing: RoutingSettings = RoutingSettings()
     snapshots: SnapshotSettings = SnapshotSettings()
     stop: StopSettings = StopSettings()
+    limits: LimitSettings = LimitSettings()
+    serving: ServingSettings = ServingSettings()
     teams: dict[ShortName, TeamSettings] = {}
+
+    def divide_limits(self) -> Result[ProcessLimits, str]:
+        """Return what clients may take of this process; the error says why it can't be divided."""
+        return divide(self.limits.size(), self.serving)
--- a/heatherkeel/settings/rules.py
+++ b/heatherkeel/settings/rules.py
@@ -19,9 +19,11 @@
     pick_member,
     split_hint,
 )
+from heatherkeel.http_server.settings import ServingSettings
+from heatherkeel.http_server.sizing import divide
 
 from .const import MIN_RENEWALS_PER_LEASE
-from .models import TeamSettings
+from .models import LimitSettings, TeamSettings
 
 Check = Callable[..., Iterator[Fault]]
 CheckT = TypeVar("CheckT", bound=Check)
@@ -126,6 +128,14 @@
         )
 
 
+@rule("limits", "serving")
+def check_limits_hold_together(limits: LimitSettings, serving: ServingSettings) -> Iterator[Fault]:
+    """Find limits for clients that are more than this process may use, or too little to work."""
+    divided = divide(limits.size(), serving)
+    if isinstance(divided, Err):
+        yield Fault(path=("serving",), reason=divided.err_value)
+
+
 @rule("teams")
 def check_tokens_differ(teams: dict[str, TeamSettings]) -> Iterator[Fault]:
     """Find a token shared by two teams: edits by the second would be attributed to the first."""
