--- a/tests/crowds/requests.py
+++ b/tests/crowds/requests.py
@@ -12,6 +12,8 @@
 """Largest body that the configuration allows by default, in bytes."""
 MAX_FIELDS_BYTES: Final = 15_600
 """Size of many fields in bytes, within the limit of a head."""
+MESSAGE_PARTS: Final = 600
+PART_BYTES: Final = 100_000
 MAX_TASKS: Final = 20_000
 """Most tasks of a job."""
 NEVER: Final = {"count": 1, "cpu": 1, "requirements": "none-has-it"}
@@ -123,6 +125,18 @@
         yield request * 100
 
 
+def message_without_end() -> Iterator[bytes]:
+    """Speak ZeroMQ's protocol (ZMTP 3.0) and send one message of very many parts."""
+    mechanism = b"NULL".ljust(20, b"\0")
+    greeting = b"\xff" + bytes(8) + b"\x7f" + b"\x03\x00" + mechanism + bytes(32)
+    kind = b"\x0bSocket-Type" + (6).to_bytes(4, "big") + b"DEALER"
+    ready = b"\x05READY" + kind
+    yield greeting + b"\x04" + bytes([len(ready)]) + ready
+    more_and_long = b"\x03"
+    for _ in range(MESSAGE_PARTS):
+        yield more_and_long + PART_BYTES.to_bytes(8, "big") + b"x" * PART_BYTES
+
+
 def wide_job() -> bytes:
     """Return a job of legal size that holds very many values once it is decoded."""
     steps: list[dict[str, Any]] = [dict(NEVER)]
--- a/tests/crowds/test_other_doors.py
+++ b/tests/crowds/test_other_doors.py
@@ -20,6 +20,7 @@
     h2c_upgrade,
     http2_preface,
     many_fields,
+    message_without_end,
     nothing,
     sent_ahead,
     slow_head,
@@ -122,6 +123,12 @@
     watch.check()
 
 
+def test_messages_without_end_at_the_port_between_instances(fleet: Fleet) -> None:
+    """Guards against messages that are kept part by part and never end."""
+    site = start_site(fleet)
+    stand(site, site.doors.peers, message_without_end, count=4)
+
+
 def send_or_drop(socket: zmq.Socket[bytes]) -> None:
     """Send one message, unless its queue is full."""
     if socket.poll(10, zmq.POLLOUT):
