--- a/tests/crowds/test_other_doors.py
+++ b/tests/crowds/test_other_doors.py
@@ -36,14 +36,21 @@
 METRICS = "/metrics"
 
 
-def stand(site: Site, address: str, script: Script, count: int, **manners: float) -> None:
+def stand(
+    site: Site,
+    address: str,
+    script: Script,
+    count: int,
+    settle_s: float = SETTLE_S,
+    **manners: float,
+) -> None:
     """Run one ordinary job and a readiness probe beside a crowd, and check the process."""
     crowd = Crowd(address=address, count=count, script=script)
     for name, value in manners.items():
         setattr(crowd, name, value)
     with Watch(process=site.process) as watch:
         with crowd:
-            wait_until(crowd.has_sent_all, at_most_s=SETTLE_S)
+            wait_until(crowd.has_sent_all, at_most_s=settle_s)
             site.run_job()
             wait_for(site.answers_probe, "the probe is answered", timeout_s=ANSWER_S)
         site.run_job()
@@ -126,7 +133,8 @@
 def test_messages_without_end_at_the_port_between_instances(fleet: Fleet) -> None:
     """Guards against messages that are kept part by part and never end."""
     site = start_site(fleet)
-    stand(site, site.doors.peers, message_without_end, count=4)
+    script = message_without_end
+    stand(site, site.doors.peers, script, count=4, settle_s=ANSWER_S, returns=True)
 
 
 def send_or_drop(socket: zmq.Socket[bytes]) -> None:
