A question after the links are closed gets no answer

A stop of an instance could end with an exception (ZMQError, not supported): close() ends ZeroMQ's context, then waits for the store's connections, and tasks that still ask meanwhile open a socket in the closed context. A closed context is answered with nothing now, like a process that is silent.

--- a/heatherkeel/questions/links.py
+++ b/heatherkeel/questions/links.py
@@ -164,6 +164,9 @@
         self, address: str, question: Question, *, timeout_s: float = ANSWER_TIMEOUT_S
     ) -> Answer | None:
         """Ask the process at an address; returns None if no answer arrives in time."""
+        if self.context.closed:
+            # Other tasks still ask while the process stops, and no socket can be opened any more.
+            return None
         if address == self.address:
             assert not isinstance(
                 question, RelayQuestion
--- a/tests/questions/test_links.py
+++ b/tests/questions/test_links.py
@@ -88,3 +88,18 @@
             nursery.cancel_scope.cancel()
 
     trio.run(async_test)
+
+
+def test_question_after_the_links_are_closed_gets_no_answer() -> None:
+    """Guards against a stop that ends with an exception, as tasks still ask while it goes on."""
+
+    async def async_test() -> Answer | None:
+        links = make_links()
+        async with trio.open_nursery() as nursery:
+            links.start(nursery)
+            links.close()
+            answer = await links.async_ask("127.0.0.1:9", QUESTION)
+            nursery.cancel_scope.cancel()
+        return answer
+
+    assert trio.run(async_test) is None
