One longest timeout for bodies, and one return for what an owner can't decide

The server's backstop and the gateway had the same 30 s in two constants; had one moved, the server would have cut bodies off that the gateway still waits for. The owner's two returns for a doubt were the same. read_timeout_ms is described as what it is: the head's. No behaviour changes.

--- a/heatherkeel/admission/service.py
+++ b/heatherkeel/admission/service.py
@@ -153,9 +153,7 @@
         doubt = self.desk.find_doubt(
             question, now_ms=monotonic_ms(), wall_ms=wall_ms(), is_current=self.view.is_current()
         )
-        if doubt in UNSURE_OF_MEMORY:
-            return AdmissionAnswer(doubt=doubt.value)
-        if doubt is Doubt.KNOWN:
+        if doubt is Doubt.KNOWN or doubt in UNSURE_OF_MEMORY:
             return AdmissionAnswer(doubt=doubt.value)
         if not self._has_memory(question):
             stored = await self._async_find_stored(question)
--- a/heatherkeel/gateway/const.py
+++ b/heatherkeel/gateway/const.py
@@ -37,5 +37,3 @@
 from the store."""
 CACHED_MAX_AGE_MS: Final = 800
 """Longest age of cached partition records when the owner is unresponsive, in milliseconds."""
-MAX_BODY_TIMEOUT_S: Final = 30.0
-"""Longest timeout for a body, in seconds, however long its caller waits."""
--- a/heatherkeel/gateway/submission.py
+++ b/heatherkeel/gateway/submission.py
@@ -23,12 +23,13 @@
     NoMemory,
 )
 from heatherkeel.helpers.clock import wall_ms
+from heatherkeel.http_server.const import MAX_READ_TIMEOUT_S
 from heatherkeel.platform.callers import JobRequest, decode_job, estimate_decoded_bytes
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import Queue
 
 from .admission import async_refuse_hopeless, make_attempt_name
-from .const import MAX_BODY_TIMEOUT_S, RETRY_SOON_S
+from .const import RETRY_SOON_S
 from .exchange import Exchange
 from .reasons import Refusal
 from .storing import async_store
@@ -106,7 +107,7 @@
     """Read and decode the body, as far as there is memory for it."""
     config = exchange.context.directory.config
     limit = config.limits.body_bytes if config else 0
-    timeout_s = min(max(BODY_TIMEOUT_S, exchange.remaining_s()), MAX_BODY_TIMEOUT_S)
+    timeout_s = min(max(BODY_TIMEOUT_S, exchange.remaining_s()), MAX_READ_TIMEOUT_S)
     body = await exchange.request.async_body(limit_bytes=limit, timeout_s=timeout_s)
     if isinstance(body, Err):
         return Err(_describe_fault(body.err_value))
--- a/heatherkeel/http_server/settings.py
+++ b/heatherkeel/http_server/settings.py
@@ -32,4 +32,4 @@
     grace_ms: Milliseconds = round(1000 * GRACE_S)
     """How long a connection may stand still while there is no room for others."""
     read_timeout_ms: Milliseconds = round(1000 * READ_TIMEOUT_S)
-    """Timeout for a request's head, and for its body unless its caller waits for longer."""
+    """Timeout for a request's head."""
