--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -28,6 +28,10 @@
     ]
 )
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+CONTRACTS = (
+    *("base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep"),
+    "sharing",
+)
 
 
 class CannotRun(Exception):
@@ -193,13 +197,21 @@
         if status != 200:
             raise CannotRun(f"control {path}: {status} {answer}")
 
-    def configure(self, version: int, routes: list[dict[str, Any]], services: list[str]) -> None:
+    def configure(
+        self,
+        version: int,
+        routes: list[dict[str, Any]],
+        services: list[str],
+        *,
+        tenants: list[dict[str, Any]] | None = None,
+    ) -> None:
         self.note(f"operator: configuration {version}")
         self.control(
             "/configure",
             version=version,
             routes=routes,
             services=[*services, {"name": "spare", "standby": True}],
+            workspaces=tenants or [],
         )
 
     def start_worker(
@@ -211,6 +223,7 @@
         announce: str = "",
         bind: str = "",
         kind: str = "a",
+        drain_s: float = 1.0,
     ) -> Child:
         row = {"machine": machine, "pool": pool, "zone": zone, "rack": f"r1-{zone}", "kind": kind}
         self.control("/machine", state="up", **row)
@@ -219,6 +232,7 @@
             f"--machine={machine}",
             f"--pool={pool}",
             f"--history={self.folder / machine}.history",
+            f"--drain-s={drain_s}",
         ]
         if announce:
             args.append(f"--announce={announce}")
@@ -243,6 +257,7 @@
         cloud: str = "",
         advisor: str = "",
         wait: bool = True,
+        contracts: tuple[str, ...] = CONTRACTS,
         more: str = "",
     ) -> Child:
         ip = f"127.0.1.{number + 10}"
@@ -265,8 +280,7 @@
             'discovery = "platform"',
             'entry = "virtual_ip"',
             "heartbeatMs = 1500",
-            'contracts = ["base","drain","config","cost","recover","sched","platform","advice",'
-            '"upkeep","sharing"]',
+            f"contracts = {json.dumps(contracts)}",
             'controlMode = "push"',
             f'placementAdvisor = "{advisor or self.platform["cloud"]}"',
             "[zones]",
@@ -310,9 +324,18 @@
         return child
 
     def client(
-        self, instance: str, method: str, path: str, body: Any = None, *, timeout: float = 3.0
+        self,
+        instance: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        *,
+        timeout: float = 3.0,
+        key: str = "",
     ) -> tuple[int, Any]:
         headers = {"Host": HOST, "Heatherkeel-Deadline-Ms": str(round(1000 * timeout))}
+        if key:
+            headers["Heatherkeel-Key"] = key
         return call(
             method, self.instances[instance], path, body, headers=headers, timeout=timeout + 0.5
         )
