A job that nothing in its partition can run is handed over to another one

Cause: machines and jobs of a service are divided between its partitions by numbers and hashes, without regard to labels and sizes, and an owner starts tasks on its own machines only. The owner's step_waits lines showed other_label for all workers with room (6 of 6), which ruled out quarantine, suspects and steps that aren't examined.

The owner looks for jobs without runs of which no present worker of its partition could run a waiting step. It stores that the job runs in the sibling that can run most of what is left, with its progress, and then appends it there. No run exists meanwhile, so no worker ever has two owners; each hand-over has a number, and a partition takes a job back only under a higher one, so late and repeated appends start nothing. Cancels and states follow the job; a cancel is kept at each partition until the job is forgotten. step_waits has the reason no_holder, and a gauge counts such jobs.

--- a/heatherkeel/dispatch/const.py
+++ b/heatherkeel/dispatch/const.py
@@ -163,6 +163,16 @@
 milliseconds; users expect a task that could run to do so within 3,000."""
 MAX_STARVED: Final = 64
 """Maximum number of starved jobs of a pool for which machines are requested at once."""
+STRANDED_INTERVAL_MS: Final = 250
+"""Time between two searches for jobs that nothing in their partition can run, in milliseconds."""
+STRANDED_MS: Final = 500
+"""How long such a job waits until it is handed over to another partition, in milliseconds. The
+entry of a worker that starts again is missing for longer, but a hand-over costs little."""
+STRANDED_AGAIN_MS: Final = 1500
+"""The same for a job that was handed over before, so that it doesn't go back and forth while both
+partitions are about to lose their workers for it."""
+MAX_RELOCATED: Final = 64
+"""Maximum number of jobs that one search hands over."""
 LONG_RUNNING_FRACTION_PER_WORKER: Final = 0.5
 """Fraction of a step's long-running tasks that may be on one worker. Spread over more workers they
 would keep more machines from being moved."""
--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -15,6 +15,7 @@
 from heatherkeel.workspaces.messages import GrantOffer
 
 from .models import Job, LossCause, LossReason, Run, Step, WaitReason
+from .records import StoredProgress, StoredRequest
 from .terms import JobTerms
 from .worker import Worker
 
@@ -92,6 +93,22 @@
     """The caller's workspace."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SharesFound(Event):
+    """Other partitions of their service have workers for these jobs; by job ID."""
+
+    partitions: Mapping[str, int]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobArrived(Event):
+    """Another partition of its service has handed a job over, with its progress."""
+
+    job_id: str
+    stored: StoredRequest
+    progress: StoredProgress
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RecordForwarded(Event):
     """A caller's record has been stored in the partition that runs its job."""
@@ -232,6 +249,18 @@
     value: bytes
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FindShares(Effect):
+    """Look for other partitions of their service that have workers for these jobs."""
+
+    job_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CountRelocated(Effect):
+    """Count a job that was handed over to another partition of its service."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DropRecord(Effect):
     """Delete one record of a caller."""
--- a/heatherkeel/dispatch/forwarding.py
+++ b/heatherkeel/dispatch/forwarding.py
@@ -2,13 +2,16 @@
 
 A queue's jobs are always accepted in the partitions of its first service, so that one owner knows
 whether an ID was accepted. If a later version of the configuration gives the queue another service,
-that owner forwards the records of callers to the partition that has the service's workers.
+that owner forwards the records of callers to the partition that has the service's workers. The same
+is done for jobs that were relocated.
 """
 
 from __future__ import annotations
 
 import logging
 
+from heatherkeel.platform.callers import JobRequest
+
 from .events import (
     DropRecord,
     Effects,
@@ -28,6 +31,7 @@
     StoredRequest,
     encode_request,
     make_caller_key,
+    make_relocated_key,
 )
 from .registry import handles
 from .state import PartitionState
@@ -50,10 +54,21 @@
         log_taken_id(job, event)
         effects.add(DropRecord(key=make_caller_key(REQUEST_PREFIX, event.job_id, event.workspace)))
         return True
-    _forward(job, _make_request_key(job), _encode_forwarded_request(job, event), effects)
+    if job.moves:
+        _handle_repeated(job, event, effects)
+    else:
+        _forward(job, _make_request_key(job), _encode_forwarded_request(job, event), effects)
     return True
 
 
+def _handle_repeated(job: ForwardedJob, event: JobSubmitted, effects: Effects) -> None:
+    """Drop a request of a relocated job, but hand the job over again if that may not be stored."""
+    if job.settled_ms is None and job.progress is not None:
+        forward_relocated(job, event.request, effects)
+    else:
+        effects.add(DropRecord(key=_make_request_key(job)))
+
+
 def forward_cancel(state: PartitionState, event: JobCanceled, effects: Effects) -> bool:
     """Forward a cancellation, if another partition runs the job; returns whether one does."""
     job = state.forwarded.get(event.job_id)
@@ -63,6 +78,7 @@
     if job.workspace and job.workspace != event.workspace:
         effects.add(DropRecord(key=key))
     else:
+        job.is_canceled = True
         _forward(job, key, CANCEL_VALUE, effects)
     return True
 
@@ -71,6 +87,11 @@
 def handle_forwarded(state: PartitionState, event: RecordForwarded, effects: Effects) -> None:
     """Delete a record that is stored in the other partition."""
     job = state.forwarded.get(event.job_id)
+    if job is not None and job.moves:
+        if event.key == make_relocated_key(job.id, job.workspace, moves=job.moves):
+            settle_relocated(state, job, effects)
+        # A cancellation is kept: the job may be on its way back here.
+        return
     if job is not None and event.key == _make_request_key(job) and job.settled_ms is None:
         job.settled_ms = state.now_ms
     effects.add(DropRecord(key=event.key))
@@ -82,6 +103,7 @@
     job = state.forwarded.pop(event.job_id, None)
     if job is not None:
         effects.add(ForgetJob(job_id=job.id, workspace=job.workspace, only_request=False))
+        forget_relocated(job, effects)
 
 
 def _add_forwarded(state: PartitionState, event: JobSubmitted, effects: Effects) -> ForwardedJob:
@@ -134,6 +156,40 @@
     effects.add(ForwardRecord(job_id=job.id, partition=job.partition, key=key, value=value))
 
 
+def forward_relocated(job: ForwardedJob, request: JobRequest, effects: Effects) -> None:
+    """Store a relocated job in the partition that runs it now."""
+    assert job.progress is not None, "it is relocated"
+    stored = StoredRequest(
+        queue=job.queue,
+        service=job.service,
+        accepted_wall_ms=job.accepted_wall_ms,
+        workspace=job.workspace,
+        partition=job.partition,
+        terms=job.terms,
+        request=request,
+        progress=job.progress,
+    )
+    key = make_relocated_key(job.id, job.workspace, moves=job.moves)
+    effects.add(
+        ForwardRecord(job_id=job.id, partition=job.partition, key=key, value=encode_request(stored))
+    )
+
+
+def settle_relocated(state: PartitionState, job: ForwardedJob, effects: Effects) -> None:
+    """Delete what is left of a job's request here, as the other partition has it."""
+    job.settled_ms = state.now_ms
+    effects.add(DropRecord(key=make_caller_key(REQUEST_PREFIX, job.id, job.workspace)))
+    if job.moves > 1:
+        key = make_relocated_key(job.id, job.workspace, moves=job.moves - 1)
+        effects.add(DropRecord(key=key))
+
+
+def forget_relocated(job: ForwardedJob, effects: Effects) -> None:
+    """Delete the cancellation of a relocated job, which was kept in case that it came back."""
+    if job.moves:
+        effects.add(ForgetJob(job_id=job.id, workspace=job.workspace, only_request=True))
+
+
 def log_taken_id(known: Job | ForwardedJob, event: JobSubmitted) -> None:
     """Log a submission whose ID another workspace's job has: tasks are named by that ID."""
     _LOGGER.warning(
--- a/heatherkeel/dispatch/job_feed.py
+++ b/heatherkeel/dispatch/job_feed.py
@@ -13,7 +13,7 @@
 from heatherkeel.platform.store import StoreClient
 
 from .const import FOLLOW_WAIT_MS
-from .events import Event, JobCanceled, JobSubmitted
+from .events import Event, JobArrived, JobCanceled, JobSubmitted
 from .records import StoredRequest
 from .recovery import StoredJobs, read_records
 
@@ -79,12 +79,27 @@
         """
         for job_id, request in stored.requests.items():
             progress = stored.progress.get(job_id)
-            if progress is None or progress.forwarded_to is not None:
+            is_arrival = request.progress is not None
+            if not is_arrival and (progress is None or progress.forwarded_to is not None):
                 self._submit(job_id, request)
         for job_id, duplicates in stored.duplicates.items():
             for request in duplicates:
                 self._submit(job_id, request)
 
+    def pass_arrivals(self, stored: StoredJobs) -> None:
+        """Pass on the jobs that other partitions have handed over."""
+        for job_id, arrival in stored.arrivals.items():
+            assert arrival.progress is not None, "it was handed over"
+            self.handle_event(
+                JobArrived(
+                    now_ms=monotonic_ms(),
+                    wall_ms=wall_ms(),
+                    job_id=job_id,
+                    stored=arrival,
+                    progress=arrival.progress,
+                )
+            )
+
     def cancel(self, stored: StoredJobs) -> None:
         """Cancel the jobs whose callers have asked for that."""
         for job_id, workspace in stored.canceled.items():
@@ -98,6 +113,7 @@
         stored = read_records(records)
         self.record_versions(stored)
         self.submit(stored)
+        self.pass_arrivals(stored)
         self.cancel(stored)
 
     def _submit(self, job_id: str, request: StoredRequest) -> None:
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -13,6 +13,7 @@
     set_objective,
 )
 from .events import (
+    DropRecord,
     DurationsOffered,
     Effects,
     EndStored,
@@ -29,6 +30,7 @@
 from .models import Job, JobState, Run, RunState
 from .occurrences import begin_due_occurrences
 from .pools import enqueue_step, find_pool, remove_run
+from .records import make_relocated_key
 from .registry import handles
 from .state import PartitionState
 
@@ -51,7 +53,7 @@
         if known.workspace != event.workspace:
             _reject_duplicate(known, event, effects)
         elif known.state.is_final():
-            _forget_request(known, effects)
+            forget_request(known, effects)
         return
     job = Job(
         id=event.job_id,
@@ -133,8 +135,12 @@
     log_taken_id(known, event)
 
 
-def _forget_request(job: Job, effects: Effects) -> None:
+def forget_request(job: Job, effects: Effects) -> None:
+    """Delete what its callers have stored for an ended job, and by what it came here."""
     effects.add(ForgetJob(job_id=job.id, workspace=job.workspace, only_request=True))
+    if job.moves:
+        key = make_relocated_key(job.id, job.workspace, moves=job.moves)
+        effects.add(DropRecord(key=key))
 
 
 @handles(JobCanceled)
@@ -149,7 +155,7 @@
         effects.add(ForgetJob(job_id=job.id, workspace=event.workspace, only_request=True))
         return
     if job.state.is_final():
-        _forget_request(job, effects)
+        forget_request(job, effects)
         return
     end_job(state, job, JobState.CANCELED, effects)
 
@@ -224,7 +230,7 @@
     """
     effects.add(SaveJob(job_id=job.id))
     if not job.has_runs():
-        _forget_request(job, effects)
+        forget_request(job, effects)
 
 
 def stop_leftover_runs(state: PartitionState, effects: Effects) -> None:
--- a/heatherkeel/dispatch/load.py
+++ b/heatherkeel/dispatch/load.py
@@ -10,7 +10,8 @@
 from heatherkeel.questions.messages import PoolLoad
 
 from .claims import measure_claims, measure_kept
-from .needs import count_fitting, find_needs, is_unavailable
+from .fitting import count_fitting
+from .needs import find_needs, is_unavailable
 from .open_steps import Urgency, find_urgency
 from .starvation import count_starved_workers, find_largest_capacity, find_starved
 from .state import PartitionState, Pool
--- a/heatherkeel/dispatch/metrics.py
+++ b/heatherkeel/dispatch/metrics.py
@@ -5,7 +5,7 @@
 from math import exp
 from typing import Final
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from heatherkeel.durations.models import ErrorFactors
 from heatherkeel.workspaces.labels import WorkspaceLabels
@@ -54,6 +54,19 @@
             "Records of callers that were forwarded to the partition that runs their job.",
             registry=registry,
         )
+        self.relocated = Counter(
+            "heatherkeel_jobs_relocated",
+            "Jobs that were handed over to another partition, as nothing in theirs could run them.",
+            registry=registry,
+        )
+        self.stranded = Gauge(
+            "heatherkeel_jobs_stranded",
+            "Jobs that wait and that nothing in their partition can ever run, by partition.",
+            ["partition"],
+            registry=registry,
+        )
+        self.stranded_counts: dict[int, int] = {}
+        """The exported numbers of such jobs."""
         self.end_stored = Histogram(
             "heatherkeel_end_stored_seconds",
             "Time from a job's last end until that was stored and callers were told.",
@@ -102,6 +115,12 @@
         self.losses.labels(reason.name.lower()).inc()
         self.loss_causes.labels(cause.name.lower()).inc()
 
+    def set_stranded(self, partition: int, count: int) -> None:
+        """Set how many jobs of a partition nothing there can run; none once it is released."""
+        if count != self.stranded_counts.get(partition, 0):
+            self.stranded_counts[partition] = count
+            self.stranded.labels(str(partition)).set(count)
+
     def count_waiting(self, reason: WaitReason) -> None:
         """Count a step that waits for long."""
         self.waiting.labels(reason.name.lower()).inc()
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
 from heatherkeel.durations.models import StepEstimate, StepTimes
 from heatherkeel.helpers.ranges import IntRanges
@@ -13,6 +14,9 @@
 from .const import MAX_DOUBTFUL_RUNS, MAX_LASTING_CRASHES
 from .terms import JobTerms
 
+if TYPE_CHECKING:
+    from .records import StoredProgress
+
 
 class JobState(StrEnum):
     """State of a job as reported to callers."""
@@ -95,6 +99,7 @@
     NO_ROOM = "no worker has room"
     LIMIT = "limit of its workspace"
     CANT_START = "starts can't be stored or sent"
+    NO_HOLDER = "nothing in its partition can ever run it"
     FORGOTTEN = "not among the steps that wait"
 
 
@@ -350,6 +355,8 @@
     request: JobRequest
     terms: JobTerms | None = None
     """The settings of its queue when it was accepted; None if an earlier release accepted it."""
+    moves: int = 0
+    """How often it was relocated between the partitions of its service."""
     accepted_ms: int
     """On the owner's monotonic clock; may lie before the owner's start."""
     accepted_wall_ms: int
@@ -412,10 +419,10 @@
 
 @dataclass(kw_only=True, slots=True, eq=False)
 class ForwardedJob:
-    """A job that was accepted in this partition and that another one runs.
+    """A job that another partition runs, and that was accepted or has been in this one.
 
-    Its queue has a service whose workers belong to other partitions. This partition remains the
-    one that knows whether the job was accepted, and forwards what its callers store here.
+    Its queue has a service whose workers belong to other partitions, or it was relocated. This
+    partition goes on knowing where it went, and forwards what its callers store here.
     """
 
     id: str
@@ -430,3 +437,14 @@
     """When its request was surely stored there; None if it may not be yet."""
     checked_ms: int = 0
     """When that partition's owner was last asked whether it still knows the job."""
+    moves: int = 0
+    """The number of its relocation, the highest that this partition knows of; 0 if there was none.
+    Only a later one brings it back here."""
+    progress: StoredProgress | None = None
+    """What was known of its tasks when it was relocated; None if it wasn't."""
+    is_canceled: bool = False
+    """A caller has cancelled it since it was relocated."""
+
+    def state_for_callers(self) -> JobState:
+        """Return the state to show until the other partition has read the job."""
+        return self.progress.state if self.progress is not None else JobState.PENDING
--- a/heatherkeel/dispatch/needs.py
+++ b/heatherkeel/dispatch/needs.py
@@ -11,7 +11,7 @@
 from heatherkeel.questions.messages import Need
 
 from .const import CAPACITY_GRACE_MS, MAX_NEEDS, NEEDS_TURN_MS
-from .fitting import fits_empty
+from .fitting import count_fitting, fits_empty
 from .models import Step
 from .open_steps import Urgency, find_urgency
 from .state import Pool
@@ -142,13 +142,3 @@
 def _create_need(step: StepRequest) -> Need:
     cpu = 0 if step.fills else step.cpu
     return Need(label=step.label, cpu=cpu, memory_mb=step.memory_mb, gpu=step.gpu)
-
-
-def count_fitting(step: StepRequest, capacity: Capacity) -> int:
-    """Return how many tasks of a step an empty worker holds; all, if they request nothing."""
-    demands = (
-        (step.cpu, capacity.cpu),
-        (step.memory_mb, capacity.memory_mb),
-        (step.gpu, capacity.gpu),
-    )
-    return min((available // demand for demand, available in demands if demand), default=step.count)
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from functools import partial
 
 import trio
@@ -40,6 +40,7 @@
     CountGivenUp,
     CountLimited,
     CountLoss,
+    CountRelocated,
     CountSlowWorker,
     CountWaiting,
     CountWithheld,
@@ -48,6 +49,7 @@
     Effects,
     EndStored,
     Event,
+    FindShares,
     ForgetJob,
     ForwardRecord,
     GrantsOffered,
@@ -59,6 +61,7 @@
     QueuesChanged,
     ReportEndStored,
     SaveJob,
+    SharesFound,
     StartTask,
     StopTask,
     Tick,
@@ -68,7 +71,7 @@
 from .forwarder import AsyncIsForgotten, RecordForwarder, async_is_never_forgotten
 from .inquiries import OwnerQueries
 from .job_feed import JobFeed
-from .jobs import stop_leftover_runs
+from .jobs import forget_request, stop_leftover_runs
 from .journal import Journal
 from .limits import measure_waiting
 from .metrics import DispatchMetrics
@@ -80,6 +83,7 @@
 )
 from .recovery import StoredJobs, read_records, restore_jobs
 from .reducer import reduce_event
+from .shares import find_shares
 from .state import PartitionState
 from .submissions import SubmissionBatches
 from .worker_sessions import WorkerSessions
@@ -190,6 +194,7 @@
                 self._update_from_directory()
         # Before the first wait: an event meanwhile would start a task in the closed nursery.
         self.nursery = None
+        self.metrics.set_stranded(self.partition, 0)
         self.sessions.stop_opening()
         self.forwarder.close()
         if self._update_from_directory in self.directory.subscribers:
@@ -265,6 +270,7 @@
         self.state.now_ms, self.state.wall_ms = now_ms, wall_ms
         self._update_from_directory()
         stored = read_records(work.records + jobs)
+        stored.apply_arrivals()
         self.feed.record_versions(stored)
         restore_jobs(self.state, stored)
         self._submit_stored(stored)
@@ -288,9 +294,10 @@
         stop_leftover_runs(self.state, effects)
         for job in self.state.finished.values():
             if job.id in stored.requests and not job.has_runs():
-                effects.add(ForgetJob(job_id=job.id, workspace=job.workspace, only_request=True))
+                forget_request(job, effects)
         for effect in effects.items:
             self._execute(effect)
+        self.feed.pass_arrivals(stored)
         self.feed.cancel(stored)
 
     def _count_partitions(self, queue: str) -> int:
@@ -377,6 +384,7 @@
                 outdated=outdated,
             )
             self.handle_event(tick)
+            self.metrics.set_stranded(self.partition, self.state.stranded)
             self.sessions.update()
 
     def _find_outdated(self, now_ms: int) -> frozenset[str]:
@@ -410,6 +418,10 @@
                 self.sessions.send_order(effect.run.worker_id, effect)
             case OpenSessions():
                 self.sessions.update()
+            case FindShares():
+                self._find_shares(effect.job_ids)
+            case CountRelocated():
+                self.metrics.relocated.inc()
             case AskAdvice():
                 if self.nursery is not None:
                     self.nursery.start_soon(self.queries.async_ask_advice, effect)
@@ -434,6 +446,14 @@
             case AcknowledgeEnds():
                 self.journal.when_stored(lambda: self.sessions.acknowledge(effect))
 
+    def _find_shares(self, job_ids: Iterable[str]) -> None:
+        """Look for partitions with workers for jobs that nothing in this one can run."""
+        jobs = [job for job_id in job_ids if (job := self.state.jobs.get(job_id)) is not None]
+        found = find_shares(jobs, self.directory.state, excluded=self.partition)
+        if found:
+            now_ms, wall_ms = self.times()
+            self.handle_event(SharesFound(now_ms=now_ms, wall_ms=wall_ms, partitions=found))
+
     def _report_end_stored(self, job: Job) -> None:
         now_ms, wall_ms = self.times()
         self.handle_event(EndStored(now_ms=now_ms, wall_ms=wall_ms, job=job))
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -23,7 +23,11 @@
 REQUEST_PREFIX: Final = "j"
 CANCEL_PREFIX: Final = "c"
 PROGRESS_PREFIX: Final = "p"
+RELOCATED_PREFIX: Final = "h"
+"""Of a job that another partition has handed over. Earlier releases don't read such records: they
+would start its tasks again that are done."""
 WORKSPACE_SEPARATOR: Final = "@"
+MOVES_SEPARATOR: Final = "."
 CANCEL_VALUE: Final = b"1"
 """Value of a cancellation's record, which only has to be there."""
 
@@ -45,6 +49,8 @@
     terms: JobTerms | None = None
     """The settings of its queue; None in records of earlier releases."""
     request: JobRequest
+    progress: StoredProgress | None = None
+    """What is known of its tasks; None unless it was relocated."""
 
 
 class StoredTask(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -98,6 +104,8 @@
     """The settings of its queue when it was accepted; None in records of earlier releases."""
     forwarded_to: int | None = None
     """The partition that runs it and has its progress; None if that is this one."""
+    moves: int = 0
+    """How often it was relocated between the partitions of its service."""
 
     def usable_estimates(self, request: JobRequest) -> list[StepEstimate] | None:
         """Return the estimates, if there is one for each step of the request."""
@@ -115,6 +123,19 @@
     return f"{name}{WORKSPACE_SEPARATOR}{workspace}" if workspace else name
 
 
+def make_relocated_key(job_id: str, workspace: str, *, moves: int) -> str:
+    """Return the key of a relocated job's record.
+
+    With the number of the relocation, a deletion that comes late concerns no later one.
+    """
+    return make_caller_key(RELOCATED_PREFIX, f"{job_id}{MOVES_SEPARATOR}{moves}", workspace)
+
+
+def parse_relocated_id(key: str) -> str:
+    """Return the job ID of such a key."""
+    return parse_caller_key(key)[0].partition(MOVES_SEPARATOR)[0]
+
+
 def parse_caller_key(key: str) -> tuple[str, str]:
     """Return the job ID and the workspace of such a key, or of a progress record's key."""
     job_id, _, workspace = key[1:].partition(WORKSPACE_SEPARATOR)
@@ -134,27 +155,39 @@
         return Err(str(err))
 
 
+def make_progress(job: Job) -> StoredProgress:
+    """Return the record of a job's progress."""
+    return StoredProgress(
+        state=job.state,
+        queue=job.queue,
+        service=job.service,
+        accepted_wall_ms=job.accepted_wall_ms,
+        begun=len(job.occurrences) + job.folded.count(),
+        folded=job.folded.list_ranges(),
+        tasks=_create_stored_tasks(job),
+        losses=_create_stored_losses(job),
+        workspace=job.workspace,
+        estimates=job.estimates or [],
+        terms=job.terms,
+        moves=job.moves,
+    )
+
+
 def encode_progress(job: Job) -> bytes:
     """Encode the record of a job's progress."""
-    return msgspec.json.encode(
-        StoredProgress(
-            state=job.state,
-            queue=job.queue,
-            service=job.service,
-            accepted_wall_ms=job.accepted_wall_ms,
-            begun=len(job.occurrences) + job.folded.count(),
-            folded=job.folded.list_ranges(),
-            tasks=_create_stored_tasks(job),
-            losses=_create_stored_losses(job),
-            workspace=job.workspace,
-            estimates=job.estimates or [],
-            terms=job.terms,
-        )
-    )
+    return msgspec.json.encode(make_progress(job))
 
 
 def encode_forwarded(job: ForwardedJob) -> bytes:
-    """Encode the record of a job that another partition runs, in the place of its progress."""
+    """Encode the record of a job that another partition runs, in the place of its progress.
+
+    The progress of a relocated job stays in it: the next owner hands it over again if the other
+    partition may not have it.
+    """
+    if job.progress is not None:
+        return msgspec.json.encode(
+            msgspec.structs.replace(job.progress, forwarded_to=job.partition, moves=job.moves)
+        )
     return msgspec.json.encode(
         StoredProgress(
             state=JobState.PENDING,
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -23,12 +23,14 @@
 from .records import (
     CANCEL_PREFIX,
     PROGRESS_PREFIX,
+    RELOCATED_PREFIX,
     REQUEST_PREFIX,
     StoredProgress,
     StoredRequest,
     decode_progress,
     decode_request,
     parse_caller_key,
+    parse_relocated_id,
     restore_progress,
 )
 from .state import PartitionState
@@ -49,6 +51,19 @@
     """The workspace of the caller who canceled each job."""
     duplicates: dict[str, list[StoredRequest]] = field(default_factory=dict)
     """Later requests with the job ID of another workspace's job."""
+    arrivals: dict[str, StoredRequest] = field(default_factory=dict)
+    """The jobs that other partitions have handed over, by their last hand-over to this one."""
+
+    def apply_arrivals(self) -> None:
+        """Take what was handed over later as the progress of a job, and its request if needed."""
+        for job_id, arrival in self.arrivals.items():
+            assert arrival.progress is not None, "it was handed over"
+            known = self.progress.get(job_id)
+            if known is None or known.moves < arrival.progress.moves:
+                self.progress[job_id] = arrival.progress
+                self.requests[job_id] = arrival
+            else:
+                self.requests.setdefault(job_id, arrival)
 
     def settle_duplicates(self) -> None:
         """Choose the requests that belong to the stored progress, where there are several."""
@@ -71,6 +86,8 @@
         job_id, workspace = parse_caller_key(record.key)
         if kind == REQUEST_PREFIX:
             _add_request(stored, job_id, record.value)
+        elif kind == RELOCATED_PREFIX:
+            _add_arrival(stored, parse_relocated_id(record.key), record.value)
         elif kind == PROGRESS_PREFIX:
             _add_decoded(decode_progress(record.value), stored.progress, job_id)
         elif kind == CANCEL_PREFIX:
@@ -93,6 +110,18 @@
         stored.requests[job_id] = request
 
 
+def _add_arrival(stored: StoredJobs, job_id: str, value: bytes) -> None:
+    """Add a job that was handed over, unless a later hand-over of it is known."""
+    decoded: dict[str, StoredRequest] = {}
+    _add_decoded(decode_request(value), decoded, job_id)
+    arrival = decoded.get(job_id)
+    if arrival is None or arrival.progress is None:
+        return
+    known = stored.arrivals.get(job_id)
+    if known is None or known.progress is None or known.progress.moves < arrival.progress.moves:
+        stored.arrivals[job_id] = arrival
+
+
 def _add_decoded(decoded: Result[RecordT, str], records: dict[str, RecordT], job_id: str) -> None:
     match decoded:
         case Ok(record):
@@ -119,7 +148,7 @@
                 extra={"event": "request_missing", "job": job_id},
             )
         else:
-            _restore_job(state, job_id, progress, request)
+            restore_job(state, job_id, progress, request)
 
 
 def _restore_forwarded(
@@ -136,6 +165,8 @@
         partition=progress.forwarded_to,
         terms=progress.terms,
         settled_ms=state.now_ms if is_settled else None,
+        moves=progress.moves,
+        progress=progress if progress.moves else None,
     )
 
 
@@ -149,14 +180,16 @@
         accepted_ms=state.now_ms,
         accepted_wall_ms=progress.accepted_wall_ms,
         state=progress.state,
+        moves=progress.moves,
         ended_ms=state.now_ms,
         shown_ms=state.now_ms,
     )
 
 
-def _restore_job(
+def restore_job(
     state: PartitionState, job_id: str, progress: StoredProgress, request: StoredRequest
-) -> None:
+) -> Job:
+    """Restore a job and its tasks; those that wait are queued."""
     age_ms = max(0, state.wall_ms - progress.accepted_wall_ms)
     # Queue and service of its progress: a repeated submission may have replaced the request by one
     # of a later configuration.
@@ -172,6 +205,7 @@
         accepted_ms=state.now_ms - age_ms,
         accepted_wall_ms=progress.accepted_wall_ms,
         estimates=progress.usable_estimates(request.request),
+        moves=progress.moves,
     )
     set_objective(job, state.find_terms(job))
     jobs = state.finished if progress.state.is_final() else state.jobs
@@ -186,6 +220,7 @@
                 pause_if_unclear(state, task)
         if not step.is_done():
             enqueue_step(state, step)
+    return job
 
 
 def _add_to_worker(state: PartitionState, run: Run, service: str) -> None:
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -85,6 +85,10 @@
     """Losses by worker that its next answer may take back."""
     explained_ms: int = 0
     """When tasks that could run and don't were last looked for."""
+    stranded_ms: int = 0
+    """When jobs that nothing in this partition can run were last looked for."""
+    stranded: int = 0
+    """How many such jobs there were then."""
     leaving_ms: int = 0
     """When the fleet's owner last named the workers that leave."""
     finds_slow_workers: bool = True
--- a/heatherkeel/dispatch/ticks.py
+++ b/heatherkeel/dispatch/ticks.py
@@ -10,6 +10,7 @@
 from .occurrences import begin_due_occurrences
 from .over_part import expire_over_part
 from .registry import handles
+from .relocation import look_for_stranded
 from .state import PartitionState
 from .suspicion import end_pauses
 from .waiting import explain_waiting
@@ -35,6 +36,7 @@
     for pool in state.pools.values():
         if pool.open_steps:
             effects.touch(pool.service)
+    look_for_stranded(state, effects)
     explain_waiting(state, effects)
 
 
--- a/heatherkeel/dispatch/waiting.py
+++ b/heatherkeel/dispatch/waiting.py
@@ -23,6 +23,7 @@
 from .open_steps import find_urgency
 from .pools import find_pool
 from .state import PartitionState, Pool
+from .stranded import can_hold_here
 from .suspicion import group_candidates
 from .tickets import has_valid_ticket, needs_advice
 from .worker import Worker
@@ -99,6 +100,8 @@
         reasons = Counter({WaitReason.CANT_START: 1})
     elif step in pool.open_steps.limited_entries:
         reasons = Counter({WaitReason.LIMIT: 1})
+    elif not can_hold_here(state, pool, step.request, {}):
+        reasons = Counter({WaitReason.NO_HOLDER: 1})
     else:
         groups = group_candidates(step, free)
         open_to_step = {worker.id for workers in groups for worker in workers}
--- a/heatherkeel/gateway/lookup.py
+++ b/heatherkeel/gateway/lookup.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 from result import Err, Ok, Result
@@ -96,7 +96,12 @@
     async def async_find_job(self, partition: int, job_id: str) -> FoundJob | Err[str] | None:
         """Return a job, None if there is no such job, or `Err` if it is not available."""
         found = await self._async_find_in(partition, job_id)
-        if isinstance(found, FoundJob) and found.forwarded_to is not None:
+        asked = {partition}
+        while isinstance(found, FoundJob) and found.forwarded_to is not None:
+            if found.forwarded_to in asked:
+                # It is on its way back to a partition that hasn't read it yet.
+                break
+            asked.add(found.forwarded_to)
             found = await self._async_follow(found, found.forwarded_to, job_id)
         # The owner reads a job from the store shortly after it was accepted.
         return found if isinstance(found, FoundJob) else self._find_recent(job_id) or found
@@ -119,7 +124,9 @@
     ) -> FoundJob | Err[str] | None:
         """Find a job in the partition that runs it, which may not have read it yet."""
         found = await self._async_find_in(partition, job_id)
-        return known if found is None and not known.is_settled else found
+        if found is None and not known.is_settled:
+            return replace(known, forwarded_to=None)
+        return found
 
     def has_accepted(self, job_id: str) -> bool:
         """Return whether this process has accepted a job a short time ago."""
@@ -267,9 +274,10 @@
             read = await self.store.async_read_all_newest(topic, partition)
             if isinstance(read, Err):
                 return Err(read.err_value.detail or "not read")
-            records.append(read.ok_value.records)
-        jobs, work = (read_records(part) for part in records)
-        return StoredJobs(requests=jobs.requests, progress=work.progress, canceled=jobs.canceled)
+            records += read.ok_value.records
+        stored = read_records(records)
+        stored.apply_arrivals()
+        return stored
 
 
 def count_stored(stored: StoredJobs, queue: str) -> QueueAnswer:
--- a/heatherkeel/questions/answering.py
+++ b/heatherkeel/questions/answering.py
@@ -74,6 +74,14 @@
         for job in owner.state.jobs.values()
         if job.queue == question.queue and not job.has_started()
     )
+    # What isn't stored elsewhere yet is counted nowhere else.
+    pending += sum(
+        1
+        for job in owner.state.forwarded.values()
+        if job.queue == question.queue
+        and job.settled_ms is None
+        and job.state_for_callers() is JobState.PENDING
+    )
     forwarded_to = {
         job.partition for job in owner.state.forwarded.values() if job.queue == question.queue
     }
@@ -84,7 +92,7 @@
     forwarded = owner.state.forwarded.get(job_id)
     if forwarded is not None:
         return JobAnswer(
-            state=JobState.PENDING.value,
+            state=forwarded.state_for_callers().value,
             workspace=forwarded.workspace,
             forwarded_to=forwarded.partition,
             is_settled=is_settled(forwarded, owner.times()[0]),
--- a/tests/instance/chaos.py
+++ b/tests/instance/chaos.py
@@ -5,7 +5,7 @@
 import logging
 import sys
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, Final
@@ -16,7 +16,9 @@
     find_refused_starts,
     find_unjustified_failures,
     find_violations,
+    job_of,
 )
+from heatherkeel.standins.history import Happening, TaskEvent
 
 from .site import STEP, Site, open_site
 
@@ -27,6 +29,9 @@
 SETTLE_S: Final = 40.0
 """Longest time until all jobs have ended after that, in seconds."""
 MAX_PAUSE_S: Final = 0.35
+CANCEL_S: Final = 5.0
+"""Time from which on no task of a cancelled job starts, in seconds: three are promised, and the
+store refuses calls for up to 0.6 meanwhile."""
 SURGE_JOBS: Final = 12
 NEVER_RUNS: Final = (429, 503)
 """Statuses that promise that a job was not accepted and never runs."""
@@ -46,6 +51,10 @@
     """Jobs whose callers were told that they never run."""
     failed: dict[str, float] = field(default_factory=dict)
     """When each failed job was shown so, in seconds of the monotonic clock."""
+    labels: bool = False
+    """Steps require labels that one machine each has, and these machines change."""
+    canceled: dict[str, float] = field(default_factory=dict)
+    """When the cancel of each job was acknowledged, in seconds of the monotonic clock."""
     unfinished: list[str] = field(default_factory=list)
     """Jobs not known to have ended in time; checked in order up to the first that hasn't."""
 
@@ -64,6 +73,9 @@
         ]
         if self.site.contracts:
             actions.append((3, self.async_submit_surge))
+        if self.labels:
+            actions += [(6, self.async_submit_labelled), (3, self.async_swap_kinds)]
+            actions += [(2, self.async_cancel), (1, self.async_slow_store)]
         weights, choices = zip(*actions, strict=True)
         with trio.move_on_after(FAULT_DURATION_S):
             while True:
@@ -72,6 +84,7 @@
                     await action()
                 await trio.sleep(self.random.uniform(0.0, MAX_PAUSE_S))
         self.site.platform.faults.keep_ids = False
+        self.site.platform.faults.append_s = 0.0
         await self._async_wait_finished()
 
     async def _async_wait_finished(self) -> None:
@@ -89,6 +102,9 @@
         if state == "failed":
             self.failed[job_id] = time.monotonic()
             return True
+        if job_id in self.canceled:
+            # Its last end may have been known before the cancel, and stored after it.
+            return state in ("canceled", "complete")
         if job_id in self.long_running:
             return self._count_running(job_id) == STEP["count"]
         return state == "complete"
@@ -131,6 +147,39 @@
         steps = steps[: self.random.randint(1, 2)]
         await self._async_submit_job(self.jobs, f"work {self.random.randint(20, 300)}", *steps)
 
+    async def async_submit_labelled(self) -> None:
+        """Submit a job whose steps need the machines of kinds b and c, one after the other."""
+        steps: list[dict[str, Any]] = [
+            STEP | {"requirements": "b", "count": self.random.randint(1, 3)},
+            STEP | {"dependsOn": [0], "requirements": "c"},
+        ]
+        steps = steps[: self.random.randint(1, 2)]
+        await self._async_submit_job(self.jobs, f"work {self.random.randint(20, 300)}", *steps)
+
+    async def async_swap_kinds(self) -> None:
+        """Let two machines change their kinds, and their workers begin new lives."""
+        first, second = self.random.sample(list(self.site.platform.machines.values()), 2)
+        if first.state != "up" or second.state != "up":
+            return
+        first.kind, second.kind = second.kind, first.kind
+        self.site.platform.faults.keep_ids = False
+        for machine in (first, second):
+            await self.site.platform.async_crash(machine, away_s=0.5)
+        self.site.platform.faults.keep_ids = True
+
+    async def async_cancel(self) -> None:
+        """Cancel a job that may be about to be handed over."""
+        if not self.jobs:
+            return
+        job_id = self.jobs[-1]
+        status, _ = await self.site.async_call(self._pick_process(), "DELETE", f"/q/{job_id}")
+        if status == 200:
+            self.canceled.setdefault(job_id, time.monotonic())
+
+    async def async_slow_store(self) -> None:
+        """Let appends take longer from now on, or as long as usual again."""
+        self.site.platform.faults.append_s = self.random.choice([0.0, 0.05, 0.3])
+
     async def async_submit_surge(self) -> None:
         """Submit more than the machines can do in time, so that workspaces and pools compete."""
         for _ in range(SURGE_JOBS):
@@ -177,11 +226,16 @@
         await self.site.async_add_process(is_ready=False)
 
 
-async def async_run_chaos(seed: int, contracts: Sequence[str] = ()) -> list[str]:
+async def async_run_chaos(
+    seed: int, contracts: Sequence[str] = (), *, labels: bool = False
+) -> list[str]:
     """Run a site under faults and return the violations."""
     async with open_site(processes=PROCESSES, machines=MACHINES, contracts=contracts) as site:
         site.platform.faults.keep_ids = True
-        chaos = Chaos(site=site, random=Random(seed))
+        chaos = Chaos(site=site, random=Random(seed), labels=labels)
+        if labels:
+            site.platform.machines["m0"].kind = "b"
+            site.platform.machines["m3"].kind = "c"
         await chaos.async_run()
         assert chaos.jobs
         history = site.platform.history
@@ -191,9 +245,23 @@
             + find_violations(history)
             + find_unjustified_failures(history, chaos.failed)
             + find_refused_starts(history, chaos.refused)
+            + _find_starts_after_cancel(history, chaos.canceled)
         )
 
 
+def _find_starts_after_cancel(
+    history: Sequence[TaskEvent], canceled: Mapping[str, float]
+) -> list[str]:
+    """Return the starts of tasks long after their job's cancel was acknowledged."""
+    return [
+        f"{event.task} started {event.at_s - canceled[job_id]:.1f} s after its job's cancel"
+        for event in history
+        if event.what is Happening.STARTED
+        and (job_id := job_of(event.task)) in canceled
+        and event.at_s > canceled[job_id] + CANCEL_S
+    ]
+
+
 def main() -> None:
     """Run some seeds in a row: `python -m tests.instance.chaos FIRST COUNT [CONTRACT]`."""
     first, count = map(int, sys.argv[1:3])
--- a/tests/pooling/whole_fleet.py
+++ b/tests/pooling/whole_fleet.py
@@ -18,9 +18,14 @@
     AcknowledgeEnds,
     Effect,
     Event,
+    FindShares,
+    ForwardRecord,
     IncarnationsListed,
+    JobArrived,
     JobSubmitted,
     QueuesChanged,
+    RecordForwarded,
+    SharesFound,
     StartAnswered,
     StartTask,
     StopAnswered,
@@ -33,7 +38,9 @@
 )
 from heatherkeel.dispatch.load import measure_pools
 from heatherkeel.dispatch.models import Job, Run, RunState
+from heatherkeel.dispatch.records import decode_request
 from heatherkeel.dispatch.reducer import reduce_event
+from heatherkeel.dispatch.shares import choose_share
 from heatherkeel.dispatch.state import PartitionState
 from heatherkeel.ownership.partitions import Layout, extend_layout
 from heatherkeel.platform.callers import JobRequest, StepRequest
@@ -63,6 +70,7 @@
 HOLD_MS = 500
 LIST_MS = 600
 ORDER_MS = 5
+STORE_MS = 8
 TIMEOUT_MS = 300
 LEASE_MS = 6000
 ENTRY_TTL_MS = 4500
@@ -92,6 +100,7 @@
     pool: str
     zone: str
     rack: str
+    kind: str = "a"
     lives: int = 0
     state: str = "up"
     back_ms: int | None = None
@@ -99,13 +108,24 @@
     """Since when its worker can't be reached and writes no entry."""
     worker: SimulatedWorker | None = None
 
+    def labels(self) -> list[str]:
+        """Return its kind and its rack."""
+        return [self.kind, self.rack]
+
 
 class WholeFleet:
     """Services of several partitions each, and one standby pool."""
 
     def __init__(
-        self, *, pools: dict[str, int], partitions: int, seed: int, divides: bool = True
+        self,
+        *,
+        pools: dict[str, int],
+        partitions: int,
+        seed: int,
+        divides: bool = True,
+        kinds: dict[str, str] | None = None,
     ) -> None:
+        """`kinds` names the machines that aren't of kind a."""
         self.random = Random(seed)
         self.now_ms = 10_000
         self.services = [pool for pool in pools if pool != SPARE]
@@ -115,7 +135,7 @@
         self.jobs: list[Job] = []
         self.outdated: frozenset[str] = frozenset()
         """Workers whose entries are too old for their owners."""
-        self.machines = self._create_machines(pools)
+        self.machines = self._create_machines(pools, kinds or {})
         self.layout = self._lay_out(pools, partitions)
         self.owners = {
             number: PartitionState(token=1, lease_ms=LEASE_MS, status_ms=1 << 40)
@@ -126,14 +146,17 @@
         self._list_machines()
         self._list_workers()
 
-    def _create_machines(self, pools: dict[str, int]) -> dict[str, SimulatedMachine]:
+    def _create_machines(
+        self, pools: dict[str, int], kinds: dict[str, str]
+    ) -> dict[str, SimulatedMachine]:
         machines = {}
         for pool, count in pools.items():
             for number in range(count):
                 zone = ZONES[number * len(ZONES) // count]
                 name = f"{pool}{number}"
                 rack = f"{pool}-r{number // MACHINES_PER_RACK}"
-                machine = SimulatedMachine(name=name, pool=pool, zone=zone, rack=rack)
+                kind = kinds.get(name, "a")
+                machine = SimulatedMachine(name=name, pool=pool, zone=zone, rack=rack, kind=kind)
                 self._start_worker(machine)
                 machines[name] = machine
         return machines
@@ -258,6 +281,39 @@
                 self.after(ORDER_MS, lambda: self._stop(state, run))
             case AcknowledgeEnds(worker=worker, number=number):
                 worker.last_stored_end = worker.last_acknowledged_end = number
+            case FindShares(job_ids=job_ids):
+                self._find_shares(state, job_ids)
+            case ForwardRecord():
+                self.after(STORE_MS, lambda: self._forward(state, effect))
+
+    def _find_shares(self, state: PartitionState, job_ids: tuple[str, ...]) -> None:
+        """Hand jobs over by the workers' entries, as their owner's process does."""
+        entries = {
+            number: list(listed.values())
+            for number, listed in self._list_entries().items()
+            if self.owners[number] is not state
+        }
+        found = {}
+        for job_id in job_ids:
+            job = state.jobs[job_id]
+            shares = self.layout.partitions_of(job.service)
+            others = {number: entries[number] for number in shares if number in entries}
+            partition = choose_share(job, others)
+            if partition is not None:
+                found[job_id] = partition
+        self._give(state, SharesFound(**self.at(), partitions=found))
+
+    def _forward(self, state: PartitionState, effect: ForwardRecord) -> None:
+        """Let another partition read a job that was handed over to it."""
+        stored = decode_request(effect.value).unwrap()
+        assert stored.progress is not None
+        other, job_id = self.owners[effect.partition], effect.job_id
+        arrived = JobArrived(**self.at(), job_id=job_id, stored=stored, progress=stored.progress)
+        self._give(other, arrived)
+        self._give(state, RecordForwarded(**self.at(), job_id=job_id, key=effect.key))
+        job = other.find_job(job_id)
+        assert job is not None
+        self.jobs = [job if known.id == job_id else known for known in self.jobs]
 
     def _machine_of(self, worker_id: str) -> SimulatedMachine:
         return self.machines[worker_id.rpartition("-")[0]]
@@ -393,6 +449,11 @@
                     self._give(state, failed)
 
     def _list_workers(self) -> None:
+        for number, listed in self._list_entries().items():
+            self._give(self.owners[number], WorkersListed(**self.at(), entries=listed))
+
+    def _list_entries(self) -> dict[int, dict[str, WorkerEntry]]:
+        """Return the entries of the workers of each partition."""
         entries: dict[int, dict[str, WorkerEntry]] = {number: {} for number in self.owners}
         for machine in self.machines.values():
             worker = machine.worker
@@ -408,11 +469,10 @@
                 address="",
                 zone=machine.zone,
                 capacity=Capacity(cpu=CPU, memory_mb=MEMORY_MB),
-                labels=["a", machine.rack],
+                labels=machine.labels(),
                 machine=machine.name,
             )
-        for number, state in self.owners.items():
-            self._give(state, WorkersListed(**self.at(), entries=entries[number]))
+        return entries
 
     def _list_machines(self) -> None:
         self.listed_ms = self.now_ms
@@ -422,7 +482,7 @@
                 pool=machine.pool,
                 state=machine.state,
                 zone=machine.zone,
-                labels=["a", machine.rack],
+                labels=machine.labels(),
                 capacity=Capacity(cpu=CPU, memory_mb=MEMORY_MB),
                 worker_id=(None if machine.pool == SPARE else f"{machine.name}-{machine.lives}"),
             )
@@ -518,6 +578,10 @@
             memory_mb = sum(step.memory_mb for step in requests)
             used += cpu
             total += CPU
+            if request.label and request.label not in machine.labels():
+                continue
             fits = cpu + request.cpu <= CPU and memory_mb + request.memory_mb <= MEMORY_MB
             fitting += fits and not (request.max_per_worker and worker.id in holders)
+            # Only a few machines have a label: one with room for two tasks is enough.
+            fitting += bool(request.label) and fits and cpu + 2 * request.cpu <= CPU
         return fitting >= 2 and used < total / 2
