--- a/heatherkeel/dispatch/building.py
+++ b/heatherkeel/dispatch/building.py
@@ -8,6 +8,7 @@
 from heatherkeel.durations.models import StepEstimate
 from heatherkeel.platform.callers import JobRequest, StepRequest
 from heatherkeel.platform.operator import Queue
+from heatherkeel.platform.ranges import LARGEST_WORK
 
 from .const import MAX_STARTABLE_TASKS
 from .models import Job, JobState, Step, Task
@@ -63,7 +64,7 @@
         step = steps[number]
         task_ms = estimates[number].task_ms if estimates else step.estimated_ms
         work = 0.0 if step.fills else step.count * step.cpu * task_ms / 1000
-        remaining[number] = remaining[number + 1] + work
+        remaining[number] = min(LARGEST_WORK, remaining[number + 1] + work)
     return remaining[:-1]
 
 
--- a/heatherkeel/dispatch/journal.py
+++ b/heatherkeel/dispatch/journal.py
@@ -18,6 +18,8 @@
 from heatherkeel.platform.store_answers import Appended
 
 from .batches import split_batches
+from .items import ItemFailedError, blame_job
+from .records import parse_caller_key
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -39,6 +41,12 @@
     callbacks: list[Callable[[], None]] = field(default_factory=list)
 
 
+def _encode(key: str, encode: Callable[[], bytes]) -> KeyedRecord:
+    """Encode a record; an exception counts against the job whose key it has."""
+    with blame_job(parse_caller_key(key)[0]):
+        return KeyedRecord(key=key, value=encode())
+
+
 def _size_of(record: KeyedRecord) -> int:
     return len(record.value)
 
@@ -62,11 +70,13 @@
         partition: int,
         token: int,
         on_fenced: Callable[[], None],
+        on_item_failed: Callable[[ItemFailedError], None] | None = None,
     ) -> None:
         self.store = store
         self.partition = partition
         self.token = token
         self.on_fenced = on_fenced
+        self.on_item_failed = on_item_failed
         self.sequence = random.randrange(FIRST_SEQUENCES)
         self.end = 0
         """Offset behind the last record, which the next one gets."""
@@ -88,15 +98,23 @@
         self.batch.callbacks.append(callback)
         self.batch_ready.set()
 
+    def clear(self) -> None:
+        """Drop what isn't being stored yet, with its callbacks."""
+        self.batch = Batch()
+
     async def async_run(self) -> None:
         """Write batches until cancelled or fenced."""
         while True:
             await self.batch_ready.wait()
             self.batch_ready = trio.Event()
             batch, self.batch = self.batch, Batch()
-            records = [
-                KeyedRecord(key=key, value=encode()) for key, encode in batch.records.items()
-            ]
+            try:
+                records = [_encode(key, encode) for key, encode in batch.records.items()]
+            except ItemFailedError as err:
+                if self.on_item_failed is None:
+                    raise
+                self.on_item_failed(err)
+                continue
             for part in split_batches(records, size_of=_size_of):
                 if not await self._async_append(part):
                     return
--- a/heatherkeel/dispatch/metrics.py
+++ b/heatherkeel/dispatch/metrics.py
@@ -10,6 +10,7 @@
 from heatherkeel.durations.models import ErrorFactors
 from heatherkeel.workspaces.labels import WorkspaceLabels
 
+from .items import ItemKind
 from .models import LossCause, LossReason, WaitReason
 
 STORED_BUCKETS_S: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
@@ -65,6 +66,14 @@
             ["partition"],
             registry=registry,
         )
+        self.set_aside = Counter(
+            "heatherkeel_items_set_aside",
+            "Jobs and workers that couldn't be handled and were set aside, by kind.",
+            ["kind"],
+            registry=registry,
+        )
+        for kind in ItemKind:
+            self.set_aside.labels(kind.value)
         self.stranded_counts: dict[int, int] = {}
         """The exported numbers of such jobs."""
         self.end_stored = Histogram(
@@ -115,6 +124,10 @@
         self.losses.labels(reason.name.lower()).inc()
         self.loss_causes.labels(cause.name.lower()).inc()
 
+    def count_set_aside(self, kind: ItemKind) -> None:
+        """Count a job or a worker that was set aside."""
+        self.set_aside.labels(kind.value).inc()
+
     def set_stranded(self, partition: int, count: int) -> None:
         """Set how many jobs of a partition nothing there can run; none once it is released."""
         if count != self.stranded_counts.get(partition, 0):
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -68,8 +68,10 @@
     WorkersLeaving,
     WorkersListed,
 )
+from .failed_jobs import describe_error, find_origin
 from .forwarder import AsyncIsForgotten, RecordForwarder, async_is_never_forgotten
 from .inquiries import OwnerQueries
+from .items import Item, ItemFailedError
 from .job_feed import JobFeed
 from .jobs import forget_request, stop_leftover_runs
 from .journal import Journal
@@ -78,6 +80,7 @@
 from .models import Job
 from .records import (
     PROGRESS_PREFIX,
+    encode_failed,
     encode_forwarded,
     encode_progress,
 )
@@ -99,6 +102,15 @@
     return None
 
 
+def ignore_item(item: Item) -> None:
+    """Do nothing where nobody keeps account of items that were set aside."""
+
+
+def is_never_set_aside(worker_id: str) -> bool:
+    """Return that a worker isn't left out, where nobody keeps account of them."""
+    return False
+
+
 class PartitionOwner:
     """Passes events to the reducer, and carries out its effects."""
 
@@ -116,6 +128,8 @@
         async_ask_lender: AsyncAskLender = async_ask_nobody,
         async_is_forgotten: AsyncIsForgotten = async_is_never_forgotten,
         admission_metrics: AdmissionMetrics | None = None,
+        on_set_aside: Callable[[Item], None] = ignore_item,
+        is_set_aside: Callable[[str], bool] = is_never_set_aside,
     ) -> None:
         self.partition = partition
         self.settings = settings
@@ -125,13 +139,24 @@
         self.metrics = metrics
         self.on_fenced = on_fenced
         self.async_ask_lender = async_ask_lender
+        self.on_set_aside = on_set_aside
+        self.is_set_aside = is_set_aside
+        """Returns whether a worker is left out, since it couldn't be handled a short time ago."""
+        self.is_failed = False
+        """The state may be half-changed, and the partition is about to be given up."""
         self.state = PartitionState(token=token, lease_ms=0, status_ms=0)
         self.state.durations.is_enabled = is_switched_on()
         self.state.finds_slow_workers = switch.is_switched_on(slowness.SWITCH_VARIABLE)
         self.entry_age_ms = 0
         """How old a worker's entry may be for starts on it, in milliseconds."""
         self.apply_settings(settings)
-        self.journal = Journal(store=store, partition=partition, token=token, on_fenced=on_fenced)
+        self.journal = Journal(
+            store=store,
+            partition=partition,
+            token=token,
+            on_fenced=on_fenced,
+            on_item_failed=self.set_aside,
+        )
         self.sessions = WorkerSessions(owner=self)
         self.scope = trio.CancelScope()
         self.nursery: trio.Nursery | None = None
@@ -178,6 +203,8 @@
         """Own the partition until `close`."""
         with self.scope:
             await self._async_restore()
+            if self.is_failed:
+                await self.journal.async_run()
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
                 self.sessions.start(nursery)
@@ -234,9 +261,48 @@
         return monotonic_ms(), wall_ms()
 
     def handle_event(self, event: Event) -> None:
-        """Pass an event to the reducer, and carry out the effects."""
-        for effect in reduce_event(self.state, event):
-            self._execute(effect)
+        """Pass an event to the reducer, and carry out the effects.
+
+        After an error nothing of it is carried out, since the state may be half-changed.
+        """
+        if self.is_failed:
+            return
+        try:
+            for effect in reduce_event(self.state, event):
+                self._execute(effect)
+        except ItemFailedError as err:
+            self.set_aside(err, cause=event)
+
+    def set_aside(self, error: ItemFailedError, *, cause: Event | StoredJobs | None = None) -> None:
+        """Set a job or a worker aside that can't be handled, and give the partition up.
+
+        The state may be half-changed, so nothing more is done by it. The next owner, which may be
+        this process under a new token, restores it from what is stored: the job as failed, or
+        without the worker for some time.
+        """
+        if self.is_failed:
+            return
+        self.is_failed, self.is_restored = True, False
+        item = error.item
+        self.metrics.count_set_aside(item.kind)
+        _LOGGER.error(
+            "%s can't be handled and is set aside",
+            item.kind.value,
+            extra={
+                "event": "item_set_aside",
+                "kind": item.kind.value,
+                "id": item.id,
+                "partition": self.partition,
+                "detail": describe_error(error),
+            },
+        )
+        self.sessions.close()
+        self.journal.clear()
+        origin = find_origin(self.state, item, cause)
+        if origin is not None:
+            self.journal.put(f"{PROGRESS_PREFIX}{item.id}", partial(encode_failed, origin))
+        self.journal.when_stored(partial(self.on_set_aside, item))
+        self.journal.when_stored(self.on_fenced)
 
     def set_leaving_workers(
         self,
@@ -272,8 +338,14 @@
         stored = read_records(work.records + jobs)
         stored.apply_arrivals()
         self.feed.record_versions(stored)
-        restore_jobs(self.state, stored)
-        self._submit_stored(stored)
+        try:
+            restore_jobs(self.state, stored)
+        except ItemFailedError as err:
+            self.set_aside(err, cause=stored)
+        if not self.is_failed:
+            self._submit_stored(stored)
+        if self.is_failed:
+            return
         self.is_restored = True
         self.admission.open()
         _LOGGER.info(
@@ -362,7 +434,7 @@
     def owns(self, worker_id: str, entry: WorkerEntry) -> bool:
         """Return whether a worker belongs to this partition."""
         service = self.directory.state.services.get(entry.service)
-        if service is not None and service.is_standby:
+        if (service is not None and service.is_standby) or self.is_set_aside(worker_id):
             return False
         machine = entry.machine or worker_id
         return (
--- a/heatherkeel/dispatch/placement.py
+++ b/heatherkeel/dispatch/placement.py
@@ -12,6 +12,7 @@
 from .const import LONG_RUNNING_FRACTION_PER_WORKER, MAX_MISFITS, MAX_STEPS_EXAMINED
 from .events import Effects, SaveJob, StartTask
 from .fitting import fits_empty
+from .items import blame_job
 from .limits import is_within_limit, report_waits_for_limit
 from .models import JobState, Run, RunState, Step, Task
 from .pools import find_pool
@@ -49,7 +50,7 @@
             continue
         # In a full pool this check alone skips most waiting steps.
         has_capacity = step.request.fills or step.request.cpu <= free_cpu
-        if has_capacity and _place_step(state, pool, step, workers, effects):
+        if has_capacity and _place_blamed(state, pool, step, workers, effects):
             free_cpu = max(worker.free_cpu() for worker in workers)
             continue
         left -= largest.holds(step.request)
@@ -71,7 +72,7 @@
         has_capacity = step.request.fills or step.request.cpu <= free_cpu
         if not has_capacity or step.request.is_gang or step.job.has_runs():
             continue
-        if is_within_limit(state, step) and _place_step(
+        if is_within_limit(state, step) and _place_blamed(
             state, pool, step, workers, effects, most=1
         ):
             has_started = True
@@ -103,6 +104,20 @@
     )
 
 
+def _place_blamed(
+    state: PartitionState,
+    pool: Pool,
+    step: Step,
+    workers: list[Worker],
+    effects: Effects,
+    *,
+    most: int | None = None,
+) -> bool:
+    """Place a step; an exception counts against its job."""
+    with blame_job(step.job.id):
+        return _place_step(state, pool, step, workers, effects, most=most)
+
+
 def _place_step(
     state: PartitionState,
     pool: Pool,
--- a/heatherkeel/dispatch/ports.py
+++ b/heatherkeel/dispatch/ports.py
@@ -8,6 +8,7 @@
 from heatherkeel.platform.settings import InstanceSettings
 
 from .events import Event
+from .items import ItemFailedError
 from .state import PartitionState
 
 
@@ -26,3 +27,6 @@
 
     def handle_event(self, event: Event) -> None:
         """Pass an event to the reducer, and carry out the effects."""
+
+    def set_aside(self, error: ItemFailedError) -> None:
+        """Set a job or a worker aside that can't be handled."""
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -4,12 +4,14 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final
 
 import msgspec
 from result import Err, Ok, Result
 
 from heatherkeel.durations.models import StepEstimate
+from heatherkeel.helpers.clamping import decode_clamped
 from heatherkeel.helpers.ranges import IntRanges
 from heatherkeel.platform.callers import JobRequest
 
@@ -148,11 +150,24 @@
 
 
 def decode_request(value: bytes) -> Result[StoredRequest, str]:
-    """Decode the record of a submission."""
+    """Decode the record of a submission.
+
+    Earlier releases accepted numbers of any size. Such a job is restored with the largest numbers
+    in their place: without it, an accepted job would be lost, and callers told that there is none.
+    """
     try:
         return Ok(msgspec.json.decode(value, type=StoredRequest))
     except (ValueError, RecursionError) as err:
-        return Err(str(err))
+        detail = str(err)
+    try:
+        request: StoredRequest = decode_clamped(value, StoredRequest)
+    except (ValueError, RecursionError):
+        return Err(detail)
+    _LOGGER.warning(
+        "a stored job has a number out of range; the nearest one in range is used",
+        extra={"event": "record_clamped", "queue": request.queue, "detail": detail},
+    )
+    return Ok(request)
 
 
 def make_progress(job: Job) -> StoredProgress:
@@ -178,6 +193,29 @@
     return msgspec.json.encode(make_progress(job))
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobOrigin:
+    """Where a job comes from, which its owner knows whatever else is wrong with it."""
+
+    queue: str
+    service: str
+    workspace: str
+    accepted_wall_ms: int
+
+
+def encode_failed(origin: JobOrigin) -> bytes:
+    """Encode the end of a job that can't be handled, without anything that it has chosen."""
+    return msgspec.json.encode(
+        StoredProgress(
+            state=JobState.FAILED,
+            queue=origin.queue,
+            service=origin.service,
+            accepted_wall_ms=origin.accepted_wall_ms,
+            workspace=origin.workspace,
+        )
+    )
+
+
 def encode_forwarded(job: ForwardedJob) -> bytes:
     """Encode the record of a job that another partition runs, in the place of its progress.
 
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -17,6 +17,7 @@
 from .building import estimate_kept_bytes, set_objective
 from .const import LEASE_MS, SLOWEST_CLOCK
 from .incarnations import add_worker
+from .items import blame_job
 from .models import ForwardedJob, Job, Run, RunState
 from .occurrences import find_begin_ms
 from .pools import enqueue_step
@@ -137,18 +138,24 @@
     """Restore every job with stored progress, in the order of acceptance."""
     in_order = sorted(stored.progress.items(), key=lambda item: item[1].accepted_wall_ms)
     for job_id, progress in in_order:
-        request = stored.requests.get(job_id)
-        if progress.forwarded_to is not None:
-            _restore_forwarded(state, job_id, progress, is_settled=request is None)
-        elif progress.state.is_final() and (request is None or not progress.tasks):
-            state.finished[job_id] = _restore_ended(state, job_id, progress)
-        elif request is None:
-            _LOGGER.error(
-                "stored job has progress but no request; it can't be restored",
-                extra={"event": "request_missing", "job": job_id},
-            )
-        else:
-            restore_job(state, job_id, progress, request)
+        with blame_job(job_id):
+            _restore(state, job_id, progress, stored.requests.get(job_id))
+
+
+def _restore(
+    state: PartitionState, job_id: str, progress: StoredProgress, request: StoredRequest | None
+) -> None:
+    if progress.forwarded_to is not None:
+        _restore_forwarded(state, job_id, progress, is_settled=request is None)
+    elif progress.state.is_final() and (request is None or not progress.tasks):
+        state.finished[job_id] = _restore_ended(state, job_id, progress)
+    elif request is None:
+        _LOGGER.error(
+            "stored job has progress but no request; it can't be restored",
+            extra={"event": "request_missing", "job": job_id},
+        )
+    else:
+        restore_job(state, job_id, progress, request)
 
 
 def _restore_forwarded(
--- a/heatherkeel/dispatch/reducer.py
+++ b/heatherkeel/dispatch/reducer.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from .events import Effect, Effects, Event
+from .items import Blame, find_item
 from .placement import place_tasks
 from .registry import HANDLERS
 from .state import PartitionState
@@ -16,11 +17,15 @@
 
     Placement runs only for the services that the event touched, so the cost of an event depends
     on what it changes and not on the number of jobs and workers.
+
+    Raises `ItemFailedError` if one job or worker can't be handled; the state may be half-changed
+    then, and must not be used any more.
     """
     state.now_ms = max(state.now_ms, event.now_ms)
     state.wall_ms = event.wall_ms
     effects = Effects()
-    HANDLERS[type(event)](state, event, effects)
+    with Blame(find_item(event)):
+        HANDLERS[type(event)](state, event, effects)
     for service in effects.touched:
         place_tasks(state, service, effects)
     return effects.items
--- a/heatherkeel/dispatch/session.py
+++ b/heatherkeel/dispatch/session.py
@@ -28,6 +28,7 @@
     WorkerAnswered,
     WorkerFailed,
 )
+from .items import ItemFailedError, blame_worker
 from .models import Run, RunState
 from .ports import OwnerPort
 from .retries import choose_retry_pause_ms
@@ -62,11 +63,14 @@
 
     async def async_run(self) -> None:
         """Send listings and orders until the owner closes the session."""
-        with self.scope:
-            async with trio.open_nursery() as nursery:
-                for _ in range(ORDER_SENDERS):
-                    nursery.start_soon(self._async_send_orders)
-                await self._async_list()
+        try:
+            with blame_worker(self.worker.id), self.scope:
+                async with trio.open_nursery() as nursery:
+                    for _ in range(ORDER_SENDERS):
+                        nursery.start_soon(self._async_send_orders)
+                    await self._async_list()
+        except ItemFailedError as err:
+            self.owner.set_aside(err)
         with trio.CancelScope(shield=True):
             await self.client.close()
 
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -7,6 +7,7 @@
 
 from heatherkeel.durations.book import DurationBook
 from heatherkeel.platform.operator import Queue
+from heatherkeel.platform.ranges import LARGEST_WORK
 from heatherkeel.workspaces.account import AccountBook
 
 from .building import remaining_work
@@ -53,7 +54,8 @@
         """Return the processor capacity that jobs need at the current arrival rate."""
         while self.arrivals and now_ms - self.arrivals[0][0] > ARRIVAL_WINDOW_MS:
             self.arrivals.popleft()
-        return round(sum(work for _, work in self.arrivals) * 1000 / ARRIVAL_WINDOW_MS)
+        work = min(LARGEST_WORK, sum(work for _, work in self.arrivals))
+        return round(work * 1000 / ARRIVAL_WINDOW_MS)
 
 
 @dataclass(kw_only=True, slots=True)
--- a/heatherkeel/dispatch/terms.py
+++ b/heatherkeel/dispatch/terms.py
@@ -6,6 +6,7 @@
 
 from heatherkeel.platform.advice import Advisor
 from heatherkeel.platform.operator import Queue
+from heatherkeel.platform.ranges import Count, Duration, Slack
 
 
 class JobTerms(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -14,10 +15,10 @@
     A process that starts after the queue was removed finds them nowhere else.
     """
 
-    max_failures: int
-    priority: int
-    slack_factor: float
-    target_latency_ms: int
+    max_failures: Count
+    priority: Count
+    slack_factor: Slack
+    target_latency_ms: Duration
     advisor: Advisor | None = None
 
 
--- a/heatherkeel/dispatch/ticks.py
+++ b/heatherkeel/dispatch/ticks.py
@@ -7,6 +7,7 @@
 from .events import Effects, ForgetJob, Tick
 from .eviction import evict_tasks
 from .incarnations import drop_if_expired
+from .items import blame_job, blame_worker
 from .occurrences import begin_due_occurrences
 from .over_part import expire_over_part
 from .registry import handles
@@ -27,10 +28,12 @@
     end_pauses(state, effects)
     for job in state.jobs.values():
         if job.request.repeat_count:
-            begin_due_occurrences(state, job, effects)
+            with blame_job(job.id):
+                begin_due_occurrences(state, job, effects)
     for worker in list(state.workers.values()):
         if worker.is_unresponsive or (not worker.is_listed and not worker.runs):
-            drop_if_expired(state, worker, effects)
+            with blame_worker(worker.id):
+                drop_if_expired(state, worker, effects)
     evict_tasks(state, effects)
     _forget_ended(state, effects)
     for pool in state.pools.values():
--- a/heatherkeel/dispatch/worker_sessions.py
+++ b/heatherkeel/dispatch/worker_sessions.py
@@ -5,6 +5,7 @@
 import trio
 
 from .events import AcknowledgeEnds, Effect
+from .items import ItemFailedError, blame_worker
 from .ports import OwnerPort
 from .session import WorkerSession
 
@@ -42,7 +43,12 @@
             if known is not None and known.worker is not worker:
                 self.by_worker.pop(worker.id).close()
             if worker.id not in self.by_worker and worker.entry.address:
-                session = WorkerSession(owner=self.owner, worker=worker)
+                try:
+                    with blame_worker(worker.id):
+                        session = WorkerSession(owner=self.owner, worker=worker)
+                except ItemFailedError as err:
+                    self.owner.set_aside(err)
+                    return
                 self.by_worker[worker.id] = session
                 for effect in self.pending_orders.pop(worker.id, []):
                     session.queue_order(effect)
--- a/heatherkeel/dispatch/workers.py
+++ b/heatherkeel/dispatch/workers.py
@@ -23,6 +23,7 @@
 )
 from .eviction import evict_tasks
 from .incarnations import add_worker, drop_if_expired, end_incarnation, start_incarnation
+from .items import blame_worker
 from .jobs import stop_run
 from .models import LossReason, Run, RunState
 from .pacing import adjust_pace
@@ -51,16 +52,8 @@
         for worker_id in known.keys() - event.entries.keys():
             del known[worker_id]
     for worker_id, entry in event.entries.items():
-        if state.has_incarnation_ended(worker_id, entry.born):
-            log_ignored_entry(state, worker_id, entry)
-            continue
-        worker = state.workers.get(worker_id)
-        if worker is None:
-            add_worker(state, Worker(id=worker_id, entry=entry, born=entry.born))
-            log_worker_event(worker_id, "worker_listed", entry.service)
-        else:
-            _update_from_entry(state, worker, entry, effects)
-        effects.touch(entry.service)
+        with blame_worker(worker_id):
+            _apply_entry(state, worker_id, entry, effects)
     for worker in state.workers.values():
         if worker.id not in event.entries and worker.is_listed:
             worker.is_listed = False
@@ -68,6 +61,21 @@
     evict_tasks(state, effects)
 
 
+def _apply_entry(
+    state: PartitionState, worker_id: str, entry: WorkerEntry, effects: Effects
+) -> None:
+    if state.has_incarnation_ended(worker_id, entry.born):
+        log_ignored_entry(state, worker_id, entry)
+        return
+    worker = state.workers.get(worker_id)
+    if worker is None:
+        add_worker(state, Worker(id=worker_id, entry=entry, born=entry.born))
+        log_worker_event(worker_id, "worker_listed", entry.service)
+    else:
+        _update_from_entry(state, worker, entry, effects)
+    effects.touch(entry.service)
+
+
 def _update_from_entry(
     state: PartitionState, worker: Worker, entry: WorkerEntry, effects: Effects
 ) -> None:
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -59,6 +59,7 @@
 
 from .processor import ProcessorWatch
 from .reloading import SettingsWatch
+from .set_aside import SetAsideItems
 from .status import StatusApp
 from .support import report_unsupported
 
@@ -106,6 +107,7 @@
         self.store.on_given_up = config_metrics.observe_given_up
         self.holders = HolderCache(store=self.store)
         self.owners: dict[int, PartitionOwner] = {}
+        self.set_aside = SetAsideItems()
         self.unused_partitions: dict[int, int] = {}
         """Tokens of gained partitions that no service uses yet, by partition."""
         self.fleet_owner: FleetOwner | None = None
@@ -331,6 +333,8 @@
             async_ask_lender=self._async_ask_lender,
             async_is_forgotten=self._async_is_forgotten,
             admission_metrics=self.admission_metrics,
+            on_set_aside=self.set_aside.add,
+            is_set_aside=self.set_aside.is_left_out,
         )
         self.owners[partition] = owner
         self.nursery.start_soon(owner.async_run)
--- a/heatherkeel/membership/metrics.py
+++ b/heatherkeel/membership/metrics.py
@@ -19,6 +19,11 @@
             "Connections of other instances that were closed since there were too many.",
             registry=registry,
         )
+        self.failed = Counter(
+            "heatherkeel_peer_questions_failed",
+            "Questions of other instances that raised an error and weren't answered.",
+            registry=registry,
+        )
         self.dropped = Counter(
             "heatherkeel_peer_questions_dropped",
             "Questions of other instances that were dropped since too many waited for the store.",
--- a/heatherkeel/platform/advice.py
+++ b/heatherkeel/platform/advice.py
@@ -7,6 +7,7 @@
 
 from .caller import HttpCaller
 from .errors import CallError, Failure
+from .ranges import Duration, FloatDuration
 
 MARGIN_S = 1.0
 """Added to the time that the advisor says it needs, in seconds."""
@@ -15,9 +16,9 @@
 class Advisor(msgspec.Struct, frozen=True, kw_only=True):
     """How long the advisor of a queue takes, and how long its tickets are valid, in ms."""
 
-    decision_ms: int = msgspec.field(name="decisionMs", default=0)
-    per_worker_ms: float = msgspec.field(name="perWorkerMs", default=0.0)
-    validity_ms: int = msgspec.field(name="validityMs", default=0)
+    decision_ms: Duration = msgspec.field(name="decisionMs", default=0)
+    per_worker_ms: FloatDuration = msgspec.field(name="perWorkerMs", default=0.0)
+    validity_ms: Duration = msgspec.field(name="validityMs", default=0)
 
     def timeout_s(self, workers: int) -> float:
         """Return the timeout of a call that asks about this number of workers, in seconds."""
@@ -28,7 +29,7 @@
     """The tickets of the workers that may run a step."""
 
     allowed: list[tuple[str, str]] = []
-    validity_ms: int = msgspec.field(name="validityMs", default=0)
+    validity_ms: Duration = msgspec.field(name="validityMs", default=0)
 
     def tickets(self) -> dict[str, str]:
         """Return each worker's ticket."""
--- a/heatherkeel/platform/callers.py
+++ b/heatherkeel/platform/callers.py
@@ -7,6 +7,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from .ranges import Amount, Count, Duration, Instant
+
 MAX_SPEC_BYTES: Final = 4000
 MAX_STEPS: Final = 1_000
 """Maximum number of steps of a job; the end of a step is checked against all others."""
@@ -24,12 +26,12 @@
 class StepRequest(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """One step of a job; CPU in thousandths of a core, memory in MiB, times in ms."""
 
-    count: int = 0
-    cpu: int = 0
-    memory_mb: int = msgspec.field(name="memMb", default=0)
-    gpu: int = 0
-    estimated_ms: int = msgspec.field(name="estimatedMs", default=0)
-    depends_on: tuple[int, ...] = msgspec.field(name="dependsOn", default=())
+    count: Count = 0
+    cpu: Amount = 0
+    memory_mb: Amount = msgspec.field(name="memMb", default=0)
+    gpu: Amount = 0
+    estimated_ms: Duration = msgspec.field(name="estimatedMs", default=0)
+    depends_on: tuple[Count, ...] = msgspec.field(name="dependsOn", default=())
     saves: bool = msgspec.field(name="checkpointing", default=False)
     """Its tasks save checkpoints."""
     is_gang: bool = msgspec.field(name="gang", default=False)
@@ -37,15 +39,15 @@
     label: str = msgspec.field(name="requirements", default="")
     """A label that the worker must have; empty if any worker is suitable."""
     data_rack: str = msgspec.field(name="dataRack", default="")
-    max_per_worker: int = msgspec.field(name="antiAffinity", default=0)
+    max_per_worker: Count = msgspec.field(name="antiAffinity", default=0)
     """Maximum number of tasks of the step on one worker; 0 for no limit."""
     may_copy: bool = msgspec.field(name="speculative", default=False)
     lasts: bool = msgspec.field(name="longRunning", default=False)
     image: str = ""
-    tail_target_ms: int = msgspec.field(name="targetMs", default=0)
+    tail_target_ms: Duration = msgspec.field(name="targetMs", default=0)
     fills: bool = False
     """Its tasks are best-effort: their CPU isn't counted, and they get what others leave."""
-    max_unavailable: int | None = msgspec.field(name="maxUnavailable", default=None)
+    max_unavailable: Count | None = msgspec.field(name="maxUnavailable", default=None)
 
 
 class JobRequest(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -53,9 +55,9 @@
 
     spec: str = ""
     steps: tuple[StepRequest, ...] = ()
-    repeat_count: int = msgspec.field(name="repeatCount", default=0)
-    start_at_ms: int = msgspec.field(name="startAtMs", default=0)
-    interval_ms: int = msgspec.field(name="intervalMs", default=0)
+    repeat_count: Count = msgspec.field(name="repeatCount", default=0)
+    start_at_ms: Instant = msgspec.field(name="startAtMs", default=0)
+    interval_ms: Duration = msgspec.field(name="intervalMs", default=0)
 
 
 def estimate_decoded_bytes(body: bytes) -> int:
--- a/heatherkeel/platform/operator.py
+++ b/heatherkeel/platform/operator.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from .advice import Advisor
+from .ranges import Count, Duration, Factor, FloatDuration, Instant, Int64, Slack
 
 MAX_CPU: Final = 4_096_000
 """Largest CPU capacity that an entry may report, in thousandths of a core."""
@@ -29,12 +30,12 @@
     host: str
     path_prefix: str = msgspec.field(name="pathPrefix")
     service: str
-    target_latency_ms: int = msgspec.field(name="targetLatencyMs", default=1000)
+    target_latency_ms: Duration = msgspec.field(name="targetLatencyMs", default=1000)
     """Added to the critical path times `slack_factor` in a job's latency objective."""
-    priority: int = 0
-    max_failures: int = msgspec.field(name="maxAttempts", default=1)
+    priority: Count = 0
+    max_failures: Count = msgspec.field(name="maxAttempts", default=1)
     """How often a task may end as failed; other outcomes don't count."""
-    slack_factor: float = msgspec.field(name="slackFactor", default=1.0)
+    slack_factor: Slack = msgspec.field(name="slackFactor", default=1.0)
     advisor: Advisor | None = msgspec.field(name="placementAdvisor", default=None)
     """Set if the advisor decides which workers may run a step."""
     is_public: bool = msgspec.field(name="public", default=False)
@@ -48,9 +49,9 @@
 class Capacity(msgspec.Struct, frozen=True, kw_only=True):
     """Resources of a machine or a task; CPU in thousandths of a core, memory in MiB."""
 
-    cpu: int = 0
-    memory_mb: int = msgspec.field(name="memMb", default=0)
-    gpu: int = 0
+    cpu: Count = 0
+    memory_mb: Count = msgspec.field(name="memMb", default=0)
+    gpu: Count = 0
 
 
 class Workspace(msgspec.Struct, frozen=True, kw_only=True):
@@ -58,7 +59,7 @@
 
     name: str
     keys: tuple[str, ...] = msgspec.field(name="apiKeys", default=())
-    weight: float = 1.0
+    weight: Factor = 1.0
     """Its share when capacity is short, relative to others; also in jobs a second."""
     limit: Capacity = msgspec.field(name="maxCount", default_factory=Capacity)
     """What it may have running over all workers; an amount of 0 isn't limited."""
@@ -75,13 +76,13 @@
 class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Limits of callers' requests."""
 
-    body_bytes: int = msgspec.field(name="maxBodyBytes", default=262144)
+    body_bytes: Count = msgspec.field(name="maxBodyBytes", default=262144)
 
 
 class Configuration(msgspec.Struct, frozen=True, kw_only=True):
     """The operator's newest configuration, in full."""
 
-    version: int
+    version: Int64
     queues: list[Queue] = msgspec.field(name="routes", default_factory=list)
     services: list[Service] = msgspec.field(default_factory=list)
     workspaces: list[Workspace] = msgspec.field(name="tenants", default_factory=list)
@@ -91,10 +92,10 @@
 class Wave(msgspec.Struct, frozen=True, kw_only=True):
     """Machines due for maintenance within a period, and how many may be down at once."""
 
-    number: int = msgspec.field(name="wave")
+    number: Int64 = msgspec.field(name="wave")
     machines: list[str]
-    duration_s: float = msgspec.field(name="durationS", default=60.0)
-    max_down: int = msgspec.field(name="maxCount", default=1)
+    duration_s: FloatDuration = msgspec.field(name="durationS", default=60.0)
+    max_down: Count = msgspec.field(name="maxCount", default=1)
 
 
 class WorkerEntry(msgspec.Struct, frozen=True, kw_only=True):
@@ -108,8 +109,8 @@
     labels: list[str] = msgspec.field(default_factory=list)
     """Its kind and its rack."""
     machine: str = ""
-    remaining_ms: int | None = msgspec.field(name="remainingMs", default=None)
-    born: int = 0
+    remaining_ms: Duration | None = msgspec.field(name="remainingMs", default=None)
+    born: Instant = 0
     """Start time of this incarnation, in milliseconds since 1970; 0 if not reported."""
 
     def is_draining(self) -> bool:
@@ -118,8 +119,8 @@
 
 
 class _WrittenCapacity(Capacity, frozen=True, kw_only=True):
-    cpu: int
-    memory_mb: int = msgspec.field(name="memMb")
+    cpu: Count
+    memory_mb: Count = msgspec.field(name="memMb")
 
 
 class _WrittenEntry(WorkerEntry, frozen=True, kw_only=True):
--- a/heatherkeel/platform/settings.py
+++ b/heatherkeel/platform/settings.py
@@ -15,11 +15,14 @@
 from heatherkeel.http_server.sizing import MB, ProcessLimits, ProcessSize, divide
 
 from .const import KEYS_CONTRACT, PRESSURE_CONTRACT
+from .ranges import LARGEST_COUNT, LARGEST_FACTOR, LONGEST_MS, Duration, FloatDuration
 
 PUSH: Final = "push"
 """The way of giving orders in which they are sent to the workers."""
 
 Port = Annotated[int, Meta(ge=0, le=65535)]
+PositiveDuration = Annotated[int, Meta(gt=0, le=LONGEST_MS)]
+"""In milliseconds."""
 
 
 class ListenAddresses(msgspec.Struct, frozen=True, kw_only=True):
@@ -32,21 +35,23 @@
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
     """Time limits that the platform guarantees or requires."""
 
-    stable_window_ms: int = msgspec.field(name="stableWindowMs", default=3000)
+    stable_window_ms: Duration = msgspec.field(name="stableWindowMs", default=3000)
     """How long, plus one heartbeat, a worker's old capacity stays valid after a reduction."""
-    config_apply_ms: Annotated[int, Meta(gt=0)] = msgspec.field(name="configApplyMs", default=2000)
+    config_apply_ms: PositiveDuration = msgspec.field(name="configApplyMs", default=2000)
     """Time in which a change of the configuration must be in force."""
-    longest_lease_ms: int = msgspec.field(name="holdMaxMs", default=6000)
-    machine_lease_ms: int = msgspec.field(name="leaseMs", default=3000)
+    longest_lease_ms: Duration = msgspec.field(name="holdMaxMs", default=6000)
+    machine_lease_ms: Duration = msgspec.field(name="leaseMs", default=3000)
     """Lease of a machine; two holders may not order the same machine within this time."""
-    status_s: float = msgspec.field(name="status_s", default=120.0)
+    status_s: FloatDuration = msgspec.field(name="status_s", default=120.0)
 
 
 class StoreSettings(msgspec.Struct, frozen=True, kw_only=True):
     """The platform's store."""
 
     address: str
-    partitions: Annotated[int, Meta(ge=1)] = msgspec.field(name="parts", default=1)
+    partitions: Annotated[int, Meta(ge=1, le=LARGEST_COUNT)] = msgspec.field(
+        name="parts", default=1
+    )
 
 
 class MachineSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -58,15 +63,25 @@
 class Limits(msgspec.Struct, frozen=True, kw_only=True):
     """Resource limits of this process."""
 
-    core_share: Annotated[float, Meta(gt=0)] = msgspec.field(name="cpuShare", default=1.0)
-    core_speed: Annotated[float, Meta(gt=0)] = msgspec.field(name="cores", default=1.0)
+    core_share: Annotated[float, Meta(gt=0, le=LARGEST_FACTOR)] = msgspec.field(
+        name="cpuShare", default=1.0
+    )
+    core_speed: Annotated[float, Meta(gt=0, le=LARGEST_FACTOR)] = msgspec.field(
+        name="cores", default=1.0
+    )
     """Speed of its core, as a multiple of a standard one."""
-    link_mbps: Annotated[float, Meta(ge=0)] = msgspec.field(name="linkMbps", default=0.0)
+    link_mbps: Annotated[float, Meta(ge=0, le=LARGEST_FACTOR)] = msgspec.field(
+        name="linkMbps", default=0.0
+    )
     """Bandwidth of its machine's link, in Mbit/s; 0 if it isn't known."""
 
-    memory_mb: Annotated[int, Meta(gt=0)] = msgspec.field(name="memoryMb", default=300)
+    memory_mb: Annotated[int, Meta(gt=0, le=LARGEST_COUNT)] = msgspec.field(
+        name="memoryMb", default=300
+    )
     """Memory of this process, in MB; the platform ends a process that takes more."""
-    max_descriptors: Annotated[int, Meta(gt=0)] = msgspec.field(name="maxFds", default=4100)
+    max_descriptors: Annotated[int, Meta(gt=0, le=LARGEST_COUNT)] = msgspec.field(
+        name="maxFds", default=4100
+    )
     """Most open descriptors of this process."""
 
     def cpu_capacity(self) -> int:
@@ -81,7 +96,7 @@
     ip: str
     zone: str
     internal_ports: tuple[Port, Port] = msgspec.field(name="internalPortRange")
-    heartbeat_ms: Annotated[int, Meta(gt=0)] = msgspec.field(name="heartbeatMs", default=1500)
+    heartbeat_ms: PositiveDuration = msgspec.field(name="heartbeatMs", default=1500)
     """Approximate interval at which workers write their entries."""
     seeds: list[str] = []
     """Addresses of a few processes, which may be outdated; empty if the platform names none."""
--- a/heatherkeel/platform/store_answers.py
+++ b/heatherkeel/platform/store_answers.py
@@ -12,6 +12,7 @@
 from .caller import Reply
 from .errors import CallError, Failure
 from .framing import UNREADABLE_KEY, KeyedRecord
+from .ranges import Int64
 
 ModelT = TypeVar("ModelT")
 
@@ -73,9 +74,9 @@
 
 class _Answer(msgspec.Struct, kw_only=True):
     reason: str = ""
-    end: int = msgspec.field(name="endKey", default=0)
-    first: int = 0
-    sequence: int = 0
+    end: Int64 = msgspec.field(name="endKey", default=0)
+    first: Int64 = 0
+    sequence: Int64 = 0
 
 
 class Appended(msgspec.Struct, frozen=True, kw_only=True):
@@ -84,14 +85,14 @@
     A repeated append gets the answer to the first, whatever its records are.
     """
 
-    offset: int
-    end: int = msgspec.field(name="endKey")
+    offset: Int64
+    end: Int64 = msgspec.field(name="endKey")
 
 
 class _Item(msgspec.Struct, kw_only=True):
     key: str
     value: str = ""
-    offset: int = 0
+    offset: Int64 = 0
 
 
 class NewestPage(msgspec.Struct, kw_only=True):
@@ -99,14 +100,14 @@
 
     items: list[msgspec.Raw] = []
     has_more: bool = msgspec.field(name="hasMore", default=False)
-    end: int = msgspec.field(name="endKey", default=0)
+    end: Int64 = msgspec.field(name="endKey", default=0)
 
 
 class Joined(msgspec.Struct, kw_only=True):
     """Partitions of a group member: rows of topic, partition and committed offset."""
 
-    generation: int = 0
-    parts: list[tuple[str, int, int]] = []
+    generation: Int64 = 0
+    parts: list[tuple[str, Int64, Int64]] = []
 
 
 def decode_holders(body: bytes) -> Result[list[PartitionHolder], CallError]:
@@ -121,7 +122,7 @@
                 for row in document
             ]
         )
-    except (ValueError, LookupError, TypeError, StopIteration) as err:
+    except (ValueError, LookupError, TypeError, StopIteration, RecursionError) as err:
         return Err(CallError(failure=Failure.INVALID, detail=f"list of holders: {err!r}"))
 
 
@@ -148,7 +149,7 @@
     if reply.status in (_CONFLICT, _GONE, _PRECONDITION):
         try:
             answer = msgspec.json.decode(reply.body, type=_Answer)
-        except ValueError:
+        except (ValueError, RecursionError):
             detail += ", body not readable"
     if reply.status in _REFUSED:
         failure = Failure.REFUSED
--- a/heatherkeel/platform/workers.py
+++ b/heatherkeel/platform/workers.py
@@ -12,6 +12,7 @@
 from .adaptive_timeout import AdaptiveTimeout
 from .caller import HttpCaller, Reply
 from .errors import CallError, Failure
+from .ranges import Count, Figure, Instant, Int64
 
 START_TIMEOUT_S: Final = 1.0
 """Timeout of an order, in seconds; after it the task can be started elsewhere."""
@@ -81,12 +82,28 @@
     ticket: str = ""
 
 
+class _RunningRow(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    task: str
+    attempt: Count
+    saved: str
+    percent: Figure
+    figure: Figure = 0.0
+
+
+class _EndedRow(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    number: Int64
+    task: str
+    attempt: Count
+    outcome: str
+    saved: str
+
+
 class _Answer(msgspec.Struct, kw_only=True):
-    clock_ms: int = msgspec.field(name="clockMs", default=0)
+    clock_ms: Instant = msgspec.field(name="clockMs", default=0)
     reason: str = ""
-    born: int = 0
-    running: list[list[Any]] = []
-    finished: list[list[Any]] = []
+    born: Instant = 0
+    running: list[_RunningRow] = []
+    finished: list[_EndedRow] = []
 
 
 class WorkerClient:
@@ -148,18 +165,7 @@
         self._update_timeout(answered, trio.current_time() - began_s - wait_s)
         if isinstance(answered, Err):
             return answered
-        answer = answered.ok_value
-        try:
-            return Ok(
-                Listing(
-                    clock_ms=answer.clock_ms,
-                    born=answer.born,
-                    running=[_read_running(row) for row in answer.running],
-                    ended=[_read_ended(row) for row in answer.finished],
-                )
-            )
-        except (ValueError, TypeError, LookupError) as err:
-            return Err(CallError(failure=Failure.INVALID, detail=f"listing: {err!r}"))
+        return Ok(make_listing(answered.ok_value))
 
     def _update_timeout(self, answered: Result[_Answer, CallError], beyond_s: float) -> None:
         """Update the timeout by the time beyond the wait, which an ended task may cut short."""
@@ -186,16 +192,33 @@
         return called.and_then(_check)
 
 
-def _read_running(row: list[Any]) -> RunningTask:
-    figure = float(row[4]) if len(row) > 4 else 0.0
+def make_listing(answer: _Answer) -> Listing:
+    """Return a worker's decoded answer as a listing."""
+    return Listing(
+        clock_ms=answer.clock_ms,
+        born=answer.born,
+        running=[_read_running(row) for row in answer.running],
+        ended=[_read_ended(row) for row in answer.finished],
+    )
+
+
+def _read_running(row: _RunningRow) -> RunningTask:
     return RunningTask(
-        task=row[0], attempt=int(row[1]), saved=row[2], percent=float(row[3]), figure=figure
+        task=row.task,
+        attempt=row.attempt,
+        saved=row.saved,
+        percent=row.percent,
+        figure=row.figure,
     )
 
 
-def _read_ended(row: list[Any]) -> EndedTask:
+def _read_ended(row: _EndedRow) -> EndedTask:
     return EndedTask(
-        number=int(row[0]), task=row[1], attempt=int(row[2]), outcome=row[3], saved=row[4]
+        number=row.number,
+        task=row.task,
+        attempt=row.attempt,
+        outcome=row.outcome,
+        saved=row.saved,
     )
 
 
--- a/heatherkeel/questions/links.py
+++ b/heatherkeel/questions/links.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Final
 
 import trio
 import zmq
@@ -41,6 +42,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+MAX_DETAIL_CHARS: Final = 500
+"""Length of an error's text that is logged, in characters."""
+
 
 @dataclass(kw_only=True, slots=True)
 class PendingQuestion:
@@ -222,7 +226,27 @@
         if isinstance(question, SlowQuestion):
             self._start_slow_answer(frames, question)
             return
-        self._reply(frames, self.answer(question))
+        try:
+            answer = self.answer(question)
+        except AssertionError:
+            raise
+        except Exception as err:
+            # One question of another process must not end this one.
+            self._log_unanswered(question, err)
+            return
+        self._reply(frames, answer)
+
+    def _log_unanswered(self, question: Question, err: Exception) -> None:
+        """Log a question that can't be answered; who asked goes on as after a lost answer."""
+        self.metrics.failed.inc()
+        _LOGGER.error(
+            "a question can't be answered",
+            extra={
+                "event": "question_failed",
+                "question": type(question).__name__,
+                "detail": repr(err)[:MAX_DETAIL_CHARS],
+            },
+        )
 
     async def _async_answer_own(self, question: SlowQuestion, timeout_s: float) -> Answer | None:
         with trio.move_on_after(timeout_s):
--- a/heatherkeel/questions/messages.py
+++ b/heatherkeel/questions/messages.py
@@ -10,27 +10,28 @@
 from heatherkeel.ownership.queue_homes import QueueHomes
 from heatherkeel.platform.callers import StepRequest
 from heatherkeel.platform.errors import Failure
+from heatherkeel.platform.ranges import Figure, Int64
 from heatherkeel.workspaces.messages import AccountsReport, GrantOffer
 
 
 class JobQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="job"):
     """Asks for the state of a job."""
 
-    partition: int
+    partition: Int64
     job_id: str
 
 
 class QueueQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="queue"):
     """Asks how many accepted jobs of a queue have no started task."""
 
-    partition: int
+    partition: Int64
     queue: str
 
 
 class PoolsQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="pools"):
     """Asks for the load of the pools, and lists all workers that are to be drained."""
 
-    partition: int
+    partition: Int64
     leaving: list[str]
     due: list[str] = []
     """Workers whose machines are due for maintenance: long-running tasks avoid them."""
@@ -49,7 +50,7 @@
 class LayoutQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="layout"):
     """Asks for the layout; also answered by processes that own no partition."""
 
-    partition: int
+    partition: Int64
 
 
 class RelayQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="store"):
@@ -58,19 +59,19 @@
     It concerns no partition of the process that is asked.
     """
 
-    partition: int = -1
+    partition: Int64 = -1
     method: str
     target: str
     body: bytes | None = None
-    timeout_s: float
-    sent_wall_ms: int
+    timeout_s: Figure
+    sent_wall_ms: Int64
 
 
 class GrantsQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="grants"):
     """Asks the lender of limits, who owns the fleet's partition, for grants."""
 
-    partition: int
-    borrower: int
+    partition: Int64
+    borrower: Int64
     """The partition whose owner asks."""
     report: AccountsReport | None = None
     """Its accounts; None until it knows the lender's token."""
@@ -79,7 +80,7 @@
 class StoreJobQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="store_job"):
     """Asks a partition's owner to store a caller's record together with those of others."""
 
-    partition: int
+    partition: Int64
     key: str
     value: bytes
 
@@ -87,20 +88,20 @@
 class AdmissionQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="admission"):
     """Asks a partition's owner whether a job that isn't stored yet may be stored."""
 
-    partition: int
+    partition: Int64
     job_id: str
     queue: str
     workspace: str
     attempt: str
     """Names the submission: a job may be submitted several times."""
-    sent_wall_ms: int
-    work: float
+    sent_wall_ms: Int64
+    work: Figure
     """Declared work, in core-milliseconds."""
-    path_ms: float
+    path_ms: Figure
     """Declared critical path, in milliseconds."""
     steps: tuple[StepRequest, ...] = ()
     """The job's steps, by which the owner may know better."""
-    kept_bytes: int = 0
+    kept_bytes: Int64 = 0
     """Memory that its owner would need for a large job; 0 for any other one."""
     only_memory: bool = False
     """Asks about its memory only: jobs aren't admitted by backlog here."""
@@ -111,14 +112,14 @@
 class OperatorQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="operator"):
     """Asks for the operator's records that the asking process lacks; concerns no partition."""
 
-    partition: int = -1
+    partition: Int64 = -1
     sender: str
     """Address of the asking process."""
     reaches_store: bool
     """The asking process's own calls to the store are answered."""
-    version: int
+    version: Int64
     """Version of the configuration that the asking process knows; 0 if none."""
-    end: int
+    end: Int64
     """Offset from which on the asking process knows no records."""
     takes_parts: bool = False
     """The asking process requests large values part by part; earlier releases can't."""
@@ -127,11 +128,11 @@
 class OperatorPartQuestion(msgspec.Struct, frozen=True, kw_only=True, tag="operator_part"):
     """Asks for a part of a large value; concerns no partition."""
 
-    partition: int = -1
+    partition: Int64 = -1
     key: str
-    offset: int
+    offset: Int64
     """Offset of the record."""
-    start: int
+    start: Int64
     """Where in the value the part begins, in bytes."""
 
 
@@ -156,7 +157,7 @@
 
     state: str = ""
     workspace: str = ""
-    forwarded_to: int | None = None
+    forwarded_to: Int64 | None = None
     """The partition that runs the job instead; its owner knows the state."""
     is_settled: bool = False
     """That partition's owner surely knows the job, unless it has forgotten it."""
@@ -165,8 +166,8 @@
 class QueueAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="queue"):
     """The number of a queue's accepted jobs without a started task."""
 
-    pending: int
-    forwarded_to: list[int] = []
+    pending: Int64
+    forwarded_to: list[Int64] = []
     """Further partitions that have jobs of the queue."""
 
 
@@ -174,22 +175,22 @@
     """Requirements of a task that no worker of its share meets, even without other tasks."""
 
     label: str = ""
-    cpu: int = 0
-    memory_mb: int = 0
-    gpu: int = 0
+    cpu: Int64 = 0
+    memory_mb: Int64 = 0
+    gpu: Int64 = 0
 
 
 class Claim(msgspec.Struct, frozen=True, kw_only=True):
     """What a pool's jobs of one priority can still use, in thousandths of a core."""
 
-    priority: int
-    in_time_cpu: int = 0
+    priority: Int64
+    in_time_cpu: Int64 = 0
     """Of running and waiting tasks whose jobs can still meet their objective."""
-    soon_cpu: int = 0
+    soon_cpu: Int64 = 0
     """The part of it that is in time even if it waits for a machine that is moved now."""
-    late_cpu: int = 0
+    late_cpu: Int64 = 0
     """Of tasks whose jobs will be late, but are still worth something."""
-    lasting_cpu: int = 0
+    lasting_cpu: Int64 = 0
     """Of long-running tasks; not contained in the others."""
 
 
@@ -197,25 +198,25 @@
     """What a pool's jobs demand and use; processor in thousandths of a core."""
 
     service: str
-    wanted_cpu: int
+    wanted_cpu: Int64
     """Demand of tasks that could start now and of running tasks."""
-    used_cpu: int
-    wanted_memory_mb: int = 0
+    used_cpu: Int64
+    wanted_memory_mb: Int64 = 0
     """Likewise; long-running tasks may need more machines for memory than for processor."""
-    arriving_cpu: int = 0
+    arriving_cpu: Int64 = 0
     """Demand of jobs at the current arrival rate."""
-    arrivals: int = 0
+    arrivals: Int64 = 0
     """Number of jobs from which the arrival rate was calculated."""
-    lacking: int = 0
+    lacking: Int64 = 0
     """Number of additional workers that unplaced long-running tasks need."""
     needs: list[Need] = []
     """Unmet requirements of waiting steps; a few at most."""
     reserved: list[str] = []
     """Workers without long-running tasks that waiting tasks need which fit on no other."""
-    starved: int = 0
+    starved: Int64 = 0
     """Number of additional workers for jobs that have waited for long with nothing running, however
     late they are."""
-    workers: dict[str, int]
+    workers: dict[str, Int64]
     """The processor that running tasks use, by worker."""
     unheard: list[str] = []
     """Workers that are unresponsive or quarantined, and so no capacity for the pool's jobs."""
@@ -223,11 +224,11 @@
     """Workers that answer, though they have no entry at present."""
     empty: list[str]
     """Drained workers without running tasks."""
-    lasting: dict[str, int]
+    lasting: dict[str, Int64]
     """Number of long-running tasks of each worker that has any."""
     claims: list[Claim] | None = None
     """Claims by priority, a few at most; None from a process that reports none."""
-    kept: dict[str, int] = {}
+    kept: dict[str, Int64] = {}
     """The processor of tasks that have to end before a worker is empty, where there are any."""
 
 
@@ -255,7 +256,7 @@
 class RelayAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="store"):
     """The store's answer; `failure` is set if there is none."""
 
-    status: int = 0
+    status: Int64 = 0
     body: bytes = b""
     failure: Failure | None = None
     detail: str = ""
@@ -271,7 +272,7 @@
     """Whether the record was stored; `failure` says why not."""
 
     failure: Failure | None = None
-    status: int = 0
+    status: Int64 = 0
     detail: str = ""
 
 
@@ -282,17 +283,17 @@
 
     refusal: str = ""
     """Why it is refused; empty if it is admitted."""
-    retry_s: int = 0
+    retry_s: Int64 = 0
     """When a refused job may be submitted again, in seconds."""
     doubt: str = ""
     """Why it is admitted without regard to the backlog; empty if there is no doubt."""
-    begins_ms: int = 0
-    ends_ms: int = 0
-    worthless_ms: int = 0
-    ahead: int = 0
+    begins_ms: Int64 = 0
+    ends_ms: Int64 = 0
+    worthless_ms: Int64 = 0
+    ahead: Int64 = 0
     """Work that goes before it, in core-milliseconds."""
-    cores: int = 0
-    age_ms: int = 0
+    cores: Int64 = 0
+    age_ms: Int64 = 0
     """Age of the measured backlog."""
 
 
@@ -301,8 +302,8 @@
 
     key: str
     value: bytes
-    offset: int
-    size: int = 0
+    offset: Int64
+    size: Int64 = 0
     """Size of a large value that is left out, in bytes; 0 if it isn't left out."""
 
 
@@ -310,9 +311,9 @@
     """The operator's records from an offset on, as far as the process that was asked knows them."""
 
     records: list[OperatorRecord]
-    end: int
+    end: Int64
     """Offset up to which the newest record of each key is known, also by its absence here."""
-    age_ms: int | None
+    age_ms: Int64 | None
     """Time since these records were known to be all; None if they weren't read yet."""
     reaches_store: bool
     """The calls to the store of the process that was asked are answered."""
@@ -320,7 +321,7 @@
     """Addresses of a few other processes."""
     zone: str = ""
     """Availability zone of the process that was asked."""
-    link_mbps: float = 0.0
+    link_mbps: Figure = 0.0
     """Bandwidth of its link, in Mbit/s; 0 if it isn't known."""
 
 
--- a/heatherkeel/workspaces/amounts.py
+++ b/heatherkeel/workspaces/amounts.py
@@ -6,14 +6,15 @@
 
 from heatherkeel.platform.callers import StepRequest
 from heatherkeel.platform.operator import Capacity
+from heatherkeel.platform.ranges import Int64
 
 
 class Amount(NamedTuple):
     """CPU in thousandths of a core, memory in MiB, and accelerators."""
 
-    cpu: int = 0
-    memory_mb: int = 0
-    gpu: int = 0
+    cpu: Int64 = 0
+    memory_mb: Int64 = 0
+    gpu: Int64 = 0
 
     def plus(self, other: Amount) -> Amount:
         """Return the sum."""
--- a/heatherkeel/workspaces/messages.py
+++ b/heatherkeel/workspaces/messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from heatherkeel.platform.ranges import Int64
+
 from .amounts import Amount
 
 
@@ -19,13 +21,13 @@
 class GrantOffer(msgspec.Struct, frozen=True, kw_only=True):
     """Grants of the lender to one owner of a partition."""
 
-    lender: int
+    lender: Int64
     """Fencing token of the lender; grants of an earlier lender are ignored."""
-    sequence: int
+    sequence: Int64
     """Rises with each offer of a lender; an earlier offer that arrives late is ignored."""
-    owner: int
+    owner: Int64
     """Fencing token of the owner to which the grants apply; 0 if it isn't known yet."""
-    since: int
+    since: Int64
     """Revision of that owner's accounts that the lender knows."""
     grants: list[Grant] = []
     over_part: list[str] = []
@@ -44,7 +46,7 @@
     """What the waiting tasks need in total."""
     largest: Amount
     """The most that one waiting task needs of each resource."""
-    oldest_ms: int
+    oldest_ms: Int64
     """When the oldest waiting job was accepted, on the owner's wall clock; 0 if none waits."""
 
     def held(self) -> Amount:
@@ -55,9 +57,9 @@
 class AccountsReport(msgspec.Struct, frozen=True, kw_only=True):
     """The accounts of one owner that have changed since a revision."""
 
-    owner: int
-    lender: int
-    sequence: int
+    owner: Int64
+    lender: Int64
+    sequence: Int64
     """The newest offer that the owner has applied, and its lender's token."""
-    revision: int
+    revision: Int64
     accounts: list[AccountReport] = []
