A worker's entry with an odd port is rejected, whatever its first digits are

What operators reported: one odd entry among those of the workers ended the machines that read the list, again and again.

It could happen here: decode_worker looked at the first six digits of a port, so one of 5,000 digits that begins 000001 passed, and int() raised ValueError in the pool of connections as the owner opened a session.

--- a/heatherkeel/platform/connections.py
+++ b/heatherkeel/platform/connections.py
@@ -19,6 +19,7 @@
 from .transfer import Transfer
 
 MAX_PORT: Final = 65535
+MAX_PORT_DIGITS: Final = 5
 RECEIVE_BYTES: Final = 64 * 1024
 """Maximum number of bytes taken from a connection at once."""
 
@@ -122,7 +123,9 @@
     def __init__(self, *, address: str, connections: int) -> None:
         host, _, port = address.rpartition(":")
         self.host = host.strip("[]")
-        self.port = min(int(port), MAX_PORT) if port.isdecimal() else 0
+        # Addresses come from records of others; one that can't be dialled fails at the first call.
+        is_number = port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+        self.port = min(int(port), MAX_PORT) if is_number else 0
         self.slots = trio.Semaphore(connections)
         self.idle: list[Connection] = []
         self.open: set[Connection] = set()
--- a/heatherkeel/platform/operator.py
+++ b/heatherkeel/platform/operator.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from .advice import Advisor
+from .connections import MAX_PORT, MAX_PORT_DIGITS
 from .ranges import Count, Duration, Factor, FloatDuration, Instant, Int64, Slack
 
 MAX_CPU: Final = 4_096_000
@@ -213,7 +214,11 @@
         IPv4Address(host)
     except AddressValueError:
         return False
-    return port.isdecimal() and port.isascii() and 0 < int(port[:6]) < 1 << 16
+    # The length comes first: int() raises above thousands of digits, and the first few of them say
+    # nothing where the port begins with zeros.
+    if len(port) > MAX_PORT_DIGITS or not (port.isdecimal() and port.isascii()):
+        return False
+    return 0 < int(port) <= MAX_PORT
 
 
 def encode_wave_status(*, is_complete: bool) -> bytes:
