A job of many tasks has several progress records, and a change stores what changed

Cause: a job's progress was one record with a row for each started task, so its size followed the number of tasks. The store refused it with 413 (the limit of one record, 262,144 bytes; the append as a whole was below its own limit), and the same append was sent for ever. A busy owner was ruled out: it answered at once.

A job of more than 64 tasks has a record for each 64 of them now, fewer where recordBytes is smaller, which the product reads from its settings like requestBytes. What has changed is stored together, all or none, unless it is larger than an append. The next owner reads the records back, and stores again only what changes; they are deleted with their job. Records of earlier releases are read, and an owner of an earlier release that has written since then outdates the new ones. Checkpoints above 1,024 characters count as none.

--- a/heatherkeel/dispatch/dropping.py
+++ b/heatherkeel/dispatch/dropping.py
@@ -9,6 +9,7 @@
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
 
+from .batches import measure_record, split_batches
 from .records import CANCEL_PREFIX, REQUEST_PREFIX, make_caller_key
 
 
@@ -38,7 +39,11 @@
             await trio.sleep(1.0)
             self.drop_wanted = trio.Event()
             records, self.dropped = list(self.dropped.values()), {}
-            appended = await self.store.async_append(JOBS_TOPIC, self.partition, records)
-            if isinstance(appended, Err):
-                self.dropped = {record.key: record for record in records} | self.dropped
-                self.drop_wanted.set()
+            for batch in split_batches(records, size_of=measure_record):
+                await self._async_drop(batch)
+
+    async def _async_drop(self, records: list[KeyedRecord]) -> None:
+        appended = await self.store.async_append(JOBS_TOPIC, self.partition, records)
+        if isinstance(appended, Err):
+            self.dropped = {record.key: record for record in records} | self.dropped
+            self.drop_wanted.set()
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -30,6 +30,7 @@
 from .models import Job, JobState, Run, RunState
 from .occurrences import begin_due_occurrences
 from .pools import enqueue_step, find_pool, remove_run
+from .progress_records import choose_rows
 from .records import make_relocated_key
 from .registry import handles
 from .state import PartitionState
@@ -63,6 +64,7 @@
         account=state.accounts.find(event.workspace),
         request=event.request,
         kept_bytes=estimate_kept_bytes(event.request),
+        rows_per_record=choose_rows(event.request, record_bytes=state.record_bytes),
         terms=event.terms,
         accepted_ms=event.now_ms - max(0, min(event.wall_ms - event.accepted_wall_ms, 60_000)),
         accepted_wall_ms=event.accepted_wall_ms,
--- a/heatherkeel/dispatch/journal.py
+++ b/heatherkeel/dispatch/journal.py
@@ -4,7 +4,7 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -17,7 +17,8 @@
 from heatherkeel.platform.store import Producer, StoreClient
 from heatherkeel.platform.store_answers import Appended
 
-from .batches import split_batches
+from .batches import measure_record, split_batches
+from .const import MAX_APPEND_BYTES
 from .items import ItemFailedError, blame_job
 from .records import parse_caller_key
 
@@ -32,23 +33,31 @@
 
 @dataclass(kw_only=True, slots=True)
 class Batch:
-    """Records to be stored together, by key, and the callbacks to call after that.
+    """Records to be stored together, by their groups' keys, and the callbacks to call after that.
 
-    A value is encoded only when its batch is sent, since a job may change several times before.
+    They are encoded only when their batch is sent, since a job may change several times before.
     """
 
-    records: dict[str, Callable[[], bytes]] = field(default_factory=dict)
+    groups: dict[str, Callable[[], list[KeyedRecord]]] = field(default_factory=dict)
     callbacks: list[Callable[[], None]] = field(default_factory=list)
 
 
-def _encode(key: str, encode: Callable[[], bytes]) -> KeyedRecord:
-    """Encode a record; an exception counts against the job whose key it has."""
-    with blame_job(parse_caller_key(key)[0]):
-        return KeyedRecord(key=key, value=encode())
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Group:
+    """The records of one job, or one other record."""
+
+    key: str
+    records: list[KeyedRecord]
+
+    def size(self) -> int:
+        """Return their size in an append, in bytes."""
+        return sum(measure_record(record) for record in self.records)
 
 
-def _size_of(record: KeyedRecord) -> int:
-    return len(record.value)
+def _make_group(key: str, make: Callable[[], list[KeyedRecord]]) -> Group:
+    """Encode records; an exception counts against the job whose key they have."""
+    with blame_job(parse_caller_key(key)[0]):
+        return Group(key=key, records=make())
 
 
 class Journal:
@@ -71,7 +80,10 @@
         token: int,
         on_fenced: Callable[[], None],
         on_item_failed: Callable[[ItemFailedError], None] | None = None,
+        request_bytes: int = MAX_APPEND_BYTES,
     ) -> None:
+        self.request_bytes = request_bytes
+        """Most bytes of all records of one append."""
         self.store = store
         self.partition = partition
         self.token = token
@@ -90,7 +102,14 @@
 
     def put(self, key: str, encode: Callable[[], bytes]) -> None:
         """Store a record with the next append."""
-        self.batch.records[key] = encode
+        self.put_group(key, lambda: [KeyedRecord(key=key, value=encode())])
+
+    def put_group(self, key: str, make: Callable[[], list[KeyedRecord]]) -> None:
+        """Store the records of one job with the next append, all of them or none.
+
+        Only a group that is larger than an append is stored in several, in its order.
+        """
+        self.batch.groups[key] = make
         self.batch_ready.set()
 
     def when_stored(self, callback: Callable[[], None]) -> None:
@@ -109,18 +128,34 @@
             self.batch_ready = trio.Event()
             batch, self.batch = self.batch, Batch()
             try:
-                records = [_encode(key, encode) for key, encode in batch.records.items()]
+                groups = [_make_group(key, make) for key, make in batch.groups.items()]
             except ItemFailedError as err:
                 if self.on_item_failed is None:
                     raise
                 self.on_item_failed(err)
                 continue
-            for part in split_batches(records, size_of=_size_of):
-                if not await self._async_append(part):
+            for part in self._split(groups):
+                if not await self._async_append_groups(part):
                     return
             for callback in batch.callbacks:
                 callback()
 
+    def _split(self, groups: list[Group]) -> Iterator[list[Group]]:
+        return split_batches(
+            groups,
+            size_of=Group.size,
+            count_of=lambda group: len(group.records),
+            max_bytes=self.request_bytes,
+        )
+
+    async def _async_append_groups(self, groups: list[Group]) -> bool:
+        """Append groups exactly once; returns False if the partition is lost."""
+        records = [record for group in groups for record in group.records]
+        for part in split_batches(records, size_of=measure_record, max_bytes=self.request_bytes):
+            if not await self._async_append(part):
+                return False
+        return True
+
     async def _async_append(self, records: list[KeyedRecord]) -> bool:
         """Append exactly once, with retries.
 
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -18,6 +18,7 @@
 from heatherkeel.helpers.clock import monotonic_ms, wall_ms
 from heatherkeel.ownership.const import WORK_TOPIC
 from heatherkeel.ownership.partition_ownership import PartitionOwnership
+from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import WorkerEntry, Workspace
 from heatherkeel.platform.settings import InstanceSettings
 from heatherkeel.platform.store import StoreClient
@@ -78,11 +79,11 @@
 from .limits import measure_waiting
 from .metrics import DispatchMetrics
 from .models import Job
+from .progress_records import ProgressRecords
 from .records import (
     PROGRESS_PREFIX,
     encode_failed,
     encode_forwarded,
-    encode_progress,
 )
 from .recovery import StoredJobs, read_records, restore_jobs
 from .reducer import reduce_event
@@ -156,7 +157,9 @@
             token=token,
             on_fenced=on_fenced,
             on_item_failed=self.set_aside,
+            request_bytes=settings.store.request_bytes,
         )
+        self.progress_records = ProgressRecords()
         self.sessions = WorkerSessions(owner=self)
         self.scope = trio.CancelScope()
         self.nursery: trio.Nursery | None = None
@@ -197,6 +200,7 @@
         self.state.lease_ms = min(LEASE_MS, bounds.longest_lease_ms)
         self.state.longest_lease_ms = bounds.longest_lease_ms
         self.state.status_ms = round(bounds.status_s * 1000)
+        self.state.record_bytes = settings.store.record_bytes
         self.entry_age_ms = bounds.stable_window_ms + settings.heartbeat_ms - ENTRY_MARGIN_MS
 
     async def async_run(self) -> None:
@@ -337,6 +341,12 @@
         self._update_from_directory()
         stored = read_records(work.records + jobs)
         stored.apply_arrivals()
+        for job_id, rows in stored.rows.items():
+            for key, value in rows.items():
+                self.progress_records.restore(job_id, key, value)
+            if job_id not in stored.progress:
+                deletions = partial(self.progress_records.list_deletions, job_id)
+                self.journal.put_group(f"{PROGRESS_PREFIX}{job_id}", deletions)
         self.feed.record_versions(stored)
         try:
             restore_jobs(self.state, stored)
@@ -534,13 +544,21 @@
         key = f"{PROGRESS_PREFIX}{job_id}"
         job, forwarded = self.state.find_job(job_id), self.state.forwarded.get(job_id)
         if job is not None:
-            self.journal.put(key, partial(encode_progress, job))
+            self.journal.put_group(key, partial(self.progress_records.list_changed, job))
         elif forwarded is not None:
             self.journal.put(key, partial(encode_forwarded, forwarded))
 
     def _delete_records(self, effect: ForgetJob) -> None:
         """Delete unneeded records; a request only after the end of its job is stored."""
         if not effect.only_request:
-            self.journal.put(f"{PROGRESS_PREFIX}{effect.job_id}", bytes)
+            key = f"{PROGRESS_PREFIX}{effect.job_id}"
+            self.journal.put_group(key, partial(self._list_deletions, effect.job_id, key))
             return
         self.journal.when_stored(lambda: self.request_dropper.drop(effect.job_id, effect.workspace))
+
+    def _list_deletions(self, job_id: str, key: str) -> list[KeyedRecord]:
+        """Return the deletions of a job's progress; what is left without it means nothing."""
+        return [
+            KeyedRecord(key=key, value=b""),
+            *self.progress_records.list_deletions(job_id),
+        ]
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -25,11 +25,15 @@
 REQUEST_PREFIX: Final = "j"
 CANCEL_PREFIX: Final = "c"
 PROGRESS_PREFIX: Final = "p"
+ROWS_PREFIX: Final = "t"
+"""Of some tasks of a job that has too many for one record."""
 RELOCATED_PREFIX: Final = "h"
 """Of a job that another partition has handed over. Earlier releases don't read such records: they
 would start its tasks again that are done."""
 WORKSPACE_SEPARATOR: Final = "@"
 MOVES_SEPARATOR: Final = "."
+RECORD_MARGIN_BYTES: Final = 256
+"""Room in a record for what is added when its job is forwarded or handed over, in bytes."""
 CANCEL_VALUE: Final = b"1"
 """Value of a cancellation's record, which only has to be there."""
 
@@ -106,6 +110,8 @@
     """The settings of its queue when it was accepted; None in records of earlier releases."""
     forwarded_to: int | None = None
     """The partition that runs it and has its progress; None if that is this one."""
+    rows: int = 0
+    """How many tasks each record of its tasks holds; 0 if all are in this one."""
     moves: int = 0
     """How often it was relocated between the partitions of its service."""
 
@@ -115,6 +121,13 @@
         return self.estimates if is_complete else None
 
 
+class StoredRows(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Some tasks of a job that have been started."""
+
+    tasks: list[StoredTask] = []
+    losses: list[StoredLosses] = []
+
+
 def make_caller_key(prefix: str, job_id: str, workspace: str) -> str:
     """Return the key of a submission's or a cancellation's record.
 
@@ -179,8 +192,9 @@
         accepted_wall_ms=job.accepted_wall_ms,
         begun=len(job.occurrences) + job.folded.count(),
         folded=job.folded.list_ranges(),
-        tasks=_create_stored_tasks(job),
-        losses=_create_stored_losses(job),
+        tasks=[] if job.rows_per_record else list_stored_tasks(job),
+        losses=[] if job.rows_per_record else list_stored_losses(job),
+        rows=job.rows_per_record,
         workspace=job.workspace,
         estimates=job.estimates or [],
         terms=job.terms,
@@ -189,8 +203,13 @@
 
 
 def encode_progress(job: Job) -> bytes:
-    """Encode the record of a job's progress."""
-    return msgspec.json.encode(make_progress(job))
+    """Encode a job's progress in one record, as earlier releases did whatever its size."""
+    progress = make_progress(job)
+    return msgspec.json.encode(
+        msgspec.structs.replace(
+            progress, tasks=list_stored_tasks(job), losses=list_stored_losses(job), rows=0
+        )
+    )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -205,14 +224,17 @@
 
 def encode_failed(origin: JobOrigin) -> bytes:
     """Encode the end of a job that can't be handled, without anything that it has chosen."""
-    return msgspec.json.encode(
-        StoredProgress(
-            state=JobState.FAILED,
-            queue=origin.queue,
-            service=origin.service,
-            accepted_wall_ms=origin.accepted_wall_ms,
-            workspace=origin.workspace,
-        )
+    return msgspec.json.encode(make_end(origin))
+
+
+def make_end(origin: JobOrigin) -> StoredProgress:
+    """Return the record of a failed job, without anything that it has chosen."""
+    return StoredProgress(
+        state=JobState.FAILED,
+        queue=origin.queue,
+        service=origin.service,
+        accepted_wall_ms=origin.accepted_wall_ms,
+        workspace=origin.workspace,
     )
 
 
@@ -247,12 +269,23 @@
         return Err(str(err))
 
 
-def _create_stored_tasks(job: Job) -> list[StoredTask]:
-    has_ended = job.state.is_final()
+def list_stored_tasks(job: Job) -> list[StoredTask]:
+    """Return the rows of all tasks of a job that have been started."""
+    tasks = (task for step in job.steps() for task in step.tasks)
+    return create_stored_tasks(tasks, has_ended=job.state.is_final())
+
+
+def list_stored_losses(job: Job) -> list[StoredLosses]:
+    """Return the losses of all tasks of a job."""
+    return create_stored_losses(task for step in job.steps() for task in step.tasks)
+
+
+def create_stored_tasks(tasks: Iterable[Task], *, has_ended: bool) -> list[StoredTask]:
+    """Return the rows of tasks that have been started; of an ended job, that may still run."""
     return [
         StoredTask(
-            occurrence=step.occurrence,
-            step=step.number,
+            occurrence=task.step.occurrence,
+            step=task.step.number,
             index=task.index,
             attempt=task.attempt,
             failed_attempts=sorted(task.failed_attempts),
@@ -264,28 +297,35 @@
             crashes=task.crashes,
             lives=[run.born for run in task.runs],
         )
-        for step in job.steps()
-        for task in step.tasks
+        for task in tasks
         if (task.runs if has_ended else task.attempt)
     ]
 
 
-def _create_stored_losses(job: Job) -> list[StoredLosses]:
+def create_stored_losses(tasks: Iterable[Task]) -> list[StoredLosses]:
+    """Return the losses of tasks that have any."""
     return [
         StoredLosses(
-            occurrence=step.occurrence,
-            step=step.number,
+            occurrence=task.step.occurrence,
+            step=task.step.number,
             index=task.index,
             crashes=task.crashes,
             unclear=task.unclear_losses,
             excused=task.excused_losses,
         )
-        for step in job.steps()
-        for task in step.tasks
+        for task in tasks
         if task.losses_in_a_row()
     ]
 
 
+def decode_rows(value: bytes) -> Result[StoredRows, str]:
+    """Decode the record of some tasks."""
+    try:
+        return Ok(msgspec.json.decode(value, type=StoredRows))
+    except (ValueError, RecursionError) as err:
+        return Err(str(err))
+
+
 def _restore_losses(job: Job, stored: StoredProgress) -> None:
     for task in (task for step in job.steps() for task in step.tasks):
         if 0 < task.crashes < MAX_LASTING_CRASHES:
--- a/heatherkeel/dispatch/recovery.py
+++ b/heatherkeel/dispatch/recovery.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import TypeVar
 
+import msgspec
 from result import Err, Ok, Result
 
 from heatherkeel.ownership.const import TTL_MS
@@ -21,15 +22,18 @@
 from .models import ForwardedJob, Job, Run, RunState
 from .occurrences import find_begin_ms
 from .pools import enqueue_step
+from .progress_records import choose_rows, parse_rows_key
 from .records import (
     CANCEL_PREFIX,
     PROGRESS_PREFIX,
     RELOCATED_PREFIX,
     REQUEST_PREFIX,
+    ROWS_PREFIX,
     StoredProgress,
     StoredRequest,
     decode_progress,
     decode_request,
+    decode_rows,
     parse_caller_key,
     parse_relocated_id,
     restore_progress,
@@ -52,6 +56,8 @@
     """The workspace of the caller who canceled each job."""
     duplicates: dict[str, list[StoredRequest]] = field(default_factory=dict)
     """Later requests with the job ID of another workspace's job."""
+    rows: dict[str, dict[str, bytes]] = field(default_factory=dict)
+    """The records of their tasks, by job ID and key."""
     arrivals: dict[str, StoredRequest] = field(default_factory=dict)
     """The jobs that other partitions have handed over, by their last hand-over to this one."""
 
@@ -66,6 +72,26 @@
             else:
                 self.requests.setdefault(job_id, arrival)
 
+    def apply_rows(self) -> None:
+        """Add the tasks that are stored in records of their own to the jobs' progress.
+
+        An owner of an earlier release stores all tasks in the job's record, and leaves the other
+        records as they were, so that these are outdated.
+        """
+        for job_id, records in self.rows.items():
+            progress = self.progress.get(job_id)
+            if progress is None or not progress.rows:
+                continue
+            tasks, losses = list(progress.tasks), list(progress.losses)
+            for key, value in records.items():
+                match decode_rows(value):
+                    case Ok(rows):
+                        tasks += rows.tasks
+                        losses += rows.losses
+                    case Err(detail):
+                        _log_unreadable(key, detail)
+            self.progress[job_id] = msgspec.structs.replace(progress, tasks=tasks, losses=losses)
+
     def settle_duplicates(self) -> None:
         """Choose the requests that belong to the stored progress, where there are several."""
         for job_id, requests in self.duplicates.items():
@@ -93,6 +119,9 @@
             _add_decoded(decode_progress(record.value), stored.progress, job_id)
         elif kind == CANCEL_PREFIX:
             stored.canceled[job_id] = workspace
+        elif kind == ROWS_PREFIX:
+            stored.rows.setdefault(parse_rows_key(record.key), {})[record.key] = record.value
+    stored.apply_rows()
     stored.settle_duplicates()
     return stored
 
@@ -128,10 +157,14 @@
         case Ok(record):
             records[job_id] = record
         case Err(detail):
-            _LOGGER.error(
-                "stored record can't be decoded",
-                extra={"event": "record_unreadable", "job": job_id, "detail": detail},
-            )
+            _log_unreadable(job_id, detail)
+
+
+def _log_unreadable(name: str, detail: str) -> None:
+    _LOGGER.error(
+        "stored record can't be decoded",
+        extra={"event": "record_unreadable", "job": name, "detail": detail},
+    )
 
 
 def restore_jobs(state: PartitionState, stored: StoredJobs) -> None:
@@ -213,6 +246,8 @@
         accepted_wall_ms=progress.accepted_wall_ms,
         estimates=progress.usable_estimates(request.request),
         moves=progress.moves,
+        rows_per_record=progress.rows
+        or choose_rows(request.request, record_bytes=state.record_bytes),
     )
     set_objective(job, state.find_terms(job))
     jobs = state.finished if progress.state.is_final() else state.jobs
--- a/heatherkeel/dispatch/relocation.py
+++ b/heatherkeel/dispatch/relocation.py
@@ -13,6 +13,8 @@
 import logging
 from itertools import islice
 
+import msgspec
+
 from .const import (
     MAX_RELOCATED,
     STRANDED_AGAIN_MS,
@@ -32,7 +34,8 @@
 from .jobs import end_job
 from .models import ForwardedJob, Job, JobState
 from .pools import find_pool
-from .records import make_progress, make_relocated_key
+from .progress_records import count_rows
+from .records import RECORD_MARGIN_BYTES, make_progress, make_relocated_key
 from .recovery import restore_job
 from .registry import handles
 from .state import PartitionState
@@ -65,10 +68,18 @@
     """Hand jobs over to the partitions that have workers for them."""
     for job_id, partition in event.partitions.items():
         job = state.jobs.get(job_id)
-        if job is not None and not job.has_runs():
+        if job is not None and not job.has_runs() and _is_portable(state, job):
             _hand_over(state, job, partition, effects)
 
 
+def _is_portable(state: PartitionState, job: Job) -> bool:
+    """Return whether all of a job fits in the one record by which it is handed over."""
+    if job.rows_per_record and count_rows(job):
+        return False
+    size = len(msgspec.json.encode(job.request)) + len(msgspec.json.encode(make_progress(job)))
+    return size + RECORD_MARGIN_BYTES <= state.record_bytes
+
+
 def _hand_over(state: PartitionState, job: Job, partition: int, effects: Effects) -> None:
     job.moves += 1
     forwarded = ForwardedJob(
--- a/heatherkeel/dispatch/state.py
+++ b/heatherkeel/dispatch/state.py
@@ -8,6 +8,7 @@
 from heatherkeel.durations.book import DurationBook
 from heatherkeel.platform.operator import Queue
 from heatherkeel.platform.ranges import LARGEST_WORK
+from heatherkeel.platform.settings import DEFAULT_RECORD_BYTES
 from heatherkeel.workspaces.account import AccountBook
 
 from .building import remaining_work
@@ -87,6 +88,8 @@
     """Losses by worker that its next answer may take back."""
     explained_ms: int = 0
     """When tasks that could run and don't were last looked for."""
+    record_bytes: int = DEFAULT_RECORD_BYTES
+    """Largest record that the store takes, in bytes."""
     stranded_ms: int = 0
     """When jobs that nothing in this partition can run were last looked for."""
     stranded: int = 0
--- a/heatherkeel/platform/settings.py
+++ b/heatherkeel/platform/settings.py
@@ -20,6 +20,11 @@
 PUSH: Final = "push"
 """The way of giving orders in which they are sent to the workers."""
 
+DEFAULT_RECORD_BYTES: Final = 262_144
+DEFAULT_REQUEST_BYTES: Final = 2_097_152
+"""What the store takes where the settings don't say it."""
+MIN_RECORD_BYTES: Final = 1024
+"""A job's smallest record has some hundreds of bytes."""
 Port = Annotated[int, Meta(ge=0, le=65535)]
 PositiveDuration = Annotated[int, Meta(gt=0, le=LONGEST_MS)]
 """In milliseconds."""
@@ -52,6 +57,14 @@
     partitions: Annotated[int, Meta(ge=1, le=LARGEST_COUNT)] = msgspec.field(
         name="parts", default=1
     )
+    record_bytes: Annotated[int, Meta(ge=MIN_RECORD_BYTES, le=LARGEST_COUNT)] = msgspec.field(
+        name="recordBytes", default=DEFAULT_RECORD_BYTES
+    )
+    """Largest record that it takes, with its key."""
+    request_bytes: Annotated[int, Meta(ge=MIN_RECORD_BYTES, le=LARGEST_COUNT)] = msgspec.field(
+        name="requestBytes", default=DEFAULT_REQUEST_BYTES
+    )
+    """Most bytes of all records of one append."""
 
 
 class MachineSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/heatherkeel/platform/workers.py
+++ b/heatherkeel/platform/workers.py
@@ -24,6 +24,9 @@
 """Number of ends that a listing holds at most, as documented by the platform."""
 CONNECTIONS: Final = 4
 """Connections to one worker: one waits for ended tasks, the others carry orders."""
+MAX_SAVED_CHARS: Final = 1024
+"""Longest checkpoint that is kept, in characters; a task with a longer one starts again from its
+beginning, since its job's records would outgrow the store's."""
 _INSTANCE_HEADER: Final = "heatherkeel-target-instance"
 _MISDIRECTED, _CONFLICT = 421, 409
 _UNHEALTHY: Final = frozenset({429, 503})
@@ -206,7 +209,7 @@
     return RunningTask(
         task=row.task,
         attempt=row.attempt,
-        saved=row.saved,
+        saved=row.saved if len(row.saved) <= MAX_SAVED_CHARS else "",
         percent=row.percent,
         figure=row.figure,
     )
@@ -218,7 +221,7 @@
         task=row.task,
         attempt=row.attempt,
         outcome=row.outcome,
-        saved=row.saved,
+        saved=row.saved if len(row.saved) <= MAX_SAVED_CHARS else "",
     )
 
 
--- a/heatherkeel/standins/keyed_log.py
+++ b/heatherkeel/standins/keyed_log.py
@@ -18,6 +18,7 @@
 """Number of a producer's last appends whose answers are given again to a repeat."""
 LENGTH_BYTES: Final = 4
 RECORD_BYTES: Final = 262_144
+REQUEST_BYTES: Final = 2_097_152
 """Size of the largest record, as in the example of the settings."""
 MAX_READ_KB: Final = 1024
 """Size at which an answer to a read is cut, unless the call names another one."""
@@ -86,6 +87,8 @@
     partitions: int = 12
     record_bytes: int = RECORD_BYTES
     """Largest record that an append may hold."""
+    request_bytes: int = REQUEST_BYTES
+    """Most bytes of all records of an append."""
     logs: dict[tuple[str, int], LogPartition] = field(default_factory=dict)
     groups: dict[str, Group] = field(default_factory=dict)
 
@@ -121,7 +124,8 @@
         if "at" in query and int(query["at"]) != log.end():
             return Answer(status=412, body={"endKey": log.end()})
         records = _split_records(body)
-        if any(len(record) > self.record_bytes for record in records):
+        is_too_large = any(len(record) > self.record_bytes for record in records)
+        if is_too_large or len(body) > self.request_bytes:
             return Answer(status=413)
         known = self._check_producer(log, query, has_records=bool(body))
         if isinstance(known, Answer):
--- a/tests/dispatch/test_journal.py
+++ b/tests/dispatch/test_journal.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import msgspec
 import trio
 from result import Err, Result
@@ -157,3 +159,38 @@
 
     trio.run(async_test)
     assert owner.stored == ["last"]
+
+
+def run_journal(store: LogStore, *groups: list[KeyedRecord], request_bytes: int = 4096) -> Owner:
+    """Let an owner store groups of records together, until all callbacks were called."""
+    owner = Owner(store)
+    owner.journal.request_bytes = request_bytes
+
+    async def async_test() -> None:
+        with trio.move_on_after(5):
+            assert await owner.journal.async_open()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(owner.journal.async_run)
+                for group in groups:
+                    owner.journal.put_group(group[0].key, partial(list, group))
+                owner.journal.when_stored(nursery.cancel_scope.cancel)
+                await trio.sleep_forever()
+
+    trio.run(async_test)
+    return owner
+
+
+def make_group(name: str, *sizes: int) -> list[KeyedRecord]:
+    """Return records of these sizes."""
+    return [
+        KeyedRecord(key=f"p{name}.{number}", value=b"x" * size) for number, size in enumerate(sizes)
+    ]
+
+
+def test_group_is_stored_whole_unless_it_is_larger_than_an_append() -> None:
+    """Guards against a job of which half of a change is stored, and against refused appends."""
+    store = LogStore()
+    store.log.request_bytes = 1000
+    groups = [make_group("1", 300, 300), make_group("2", 300, 300), make_group("3", *[300] * 9)]
+    run_journal(store, *groups, request_bytes=1000)
+    assert len(store.log.newest("keyed.work", PARTITION)) == 13
--- a/tests/dispatch/test_repeated_jobs.py
+++ b/tests/dispatch/test_repeated_jobs.py
@@ -11,6 +11,7 @@
 from heatherkeel.dispatch.events import ForgetJob
 from heatherkeel.dispatch.load import measure_pools
 from heatherkeel.dispatch.models import JobState, Run
+from heatherkeel.dispatch.progress_records import ProgressRecords
 from heatherkeel.dispatch.records import (
     StoredProgress,
     StoredTask,
@@ -21,6 +22,7 @@
 from heatherkeel.platform.workers import RunningTask
 
 from .partition import JOB, OTHER_JOB, Partition, make_step
+from .stored_progress import store_changed
 from .test_recovery import take_over
 from .work import count_lines
 
@@ -82,11 +84,14 @@
     run_rounds(partition, 3)
     runs = [run for run in partition.start_planned_runs() if run in run.task.runs]
     progress = encode_progress(partition.job())
+    records = ProgressRecords()
+    records.list_changed(partition.job())
     return {
         "end": count_lines(lambda: partition.end_run(runs[0])),
         "tick": count_lines(lambda: partition.tick(100)),
         "load report": count_lines(lambda: measure_pools(partition.state)),
-        "record": count_lines(lambda: encode_progress(partition.job())),
+        "record": count_lines(lambda: ProgressRecords().list_changed(partition.job())),
+        "next record": count_lines(lambda: records.list_changed(partition.job())),
         "recovery": count_lines(lambda: continue_later(partition, progress)),
         "cancel": count_lines(partition.cancel),
     }
@@ -114,10 +119,11 @@
 def test_record_does_not_grow_with_what_is_done(shape: str) -> None:
     """Guards against a record that outgrows the store, so that nothing is stored any more."""
     partition = make_partition(JOB, shape=shape, times=MANY)
-    sizes = []
+    sizes, work, records = [], dict[str, bytes](), ProgressRecords()
     for _ in range(60):
         run_rounds(partition, 1)
-        sizes.append(len(encode_progress(partition.job())))
+        store_changed(records, partition.job(), work)
+        sizes.append(sum(len(value) for value in work.values()))
     assert partition.job().folded.count() > 60
     # The numbers of occurrences become longer.
     assert max(sizes[20:]) <= FLAT * max(sizes[:20])
--- a/tests/dispatch/test_state_machine.py
+++ b/tests/dispatch/test_state_machine.py
@@ -29,11 +29,11 @@
 )
 from heatherkeel.dispatch.jobs import stop_leftover_runs
 from heatherkeel.dispatch.models import JobState, Run, RunState
+from heatherkeel.dispatch.progress_records import ProgressRecords
 from heatherkeel.dispatch.records import (
     PROGRESS_PREFIX,
     REQUEST_PREFIX,
     StoredRequest,
-    encode_progress,
     encode_request,
 )
 from heatherkeel.dispatch.recovery import read_records, restore_jobs
@@ -44,6 +44,7 @@
 
 from .partition import Partition, make_entry, make_step
 from .simulated_workers import CPU, FIRST_BORN, SentOrder, SimulatedWorker
+from .stored_progress import SMALL_RECORD_BYTES, restore_progress_records, store_changed
 
 LEASE_MS = 6000
 TASK_CPU = 2000
@@ -62,8 +63,11 @@
         self.all_workers: list[SimulatedWorker] = []
         self.incarnations = 0
         self.partition = Partition(workers=0)
+        self.partition.state.record_bytes = SMALL_RECORD_BYTES
         self.requests: dict[str, bytes] = {}
-        self.progress: dict[str, bytes] = {}
+        self.work: dict[str, bytes] = {}
+        """Stored progress by key; two tasks fill a record."""
+        self.progress_records = ProgressRecords()
         self.canceled: set[str] = set()
         """Stored cancellations."""
         self.shown: dict[str, JobState] = {}
@@ -154,7 +158,7 @@
             case SaveJob():
                 job = self.partition.state.find_job(effect.job_id)
                 if job is not None:
-                    self.progress[job.id] = encode_progress(job)
+                    store_changed(self.progress_records, job, self.work)
             case ForgetJob(only_request=True):
                 self.requests.pop(effect.job_id, None)
                 self.canceled.discard(effect.job_id)
@@ -422,14 +426,14 @@
         self.partition = later
         self.pending_effects = []
         self._apply_entries()
+        requests = {f"{REQUEST_PREFIX}{job_id}": value for job_id, value in self.requests.items()}
         records = [
-            KeyedRecord(key=f"{prefix}{job_id}", value=value, offset=offset)
-            for offset, (prefix, job_id, value) in enumerate(
-                [(REQUEST_PREFIX, *item) for item in self.requests.items()]
-                + [(PROGRESS_PREFIX, *item) for item in self.progress.items()]
-            )
+            KeyedRecord(key=key, value=value, offset=offset)
+            for offset, (key, value) in enumerate((requests | self.work).items())
         ]
         stored = read_records(records)
+        self.progress_records = restore_progress_records(stored)
+        later.state.record_bytes = SMALL_RECORD_BYTES
         restore_jobs(later.state, stored)
         for job_id, request in stored.requests.items():
             if job_id not in stored.progress:
@@ -452,7 +456,8 @@
     @invariant()
     def no_end_that_was_shown_is_taken_back(self) -> None:
         """A job that callers were shown as ended stays so under every later owner."""
-        for job_id in list(self.requests.keys() | self.progress.keys()):
+        stored = {key.removeprefix(PROGRESS_PREFIX) for key in self.work}
+        for job_id in list(self.requests.keys() | stored):
             job = self.partition.state.find_job(job_id)
             if job is None:
                 continue
--- a/tests/dispatch/unreliable_fleet.py
+++ b/tests/dispatch/unreliable_fleet.py
@@ -29,12 +29,12 @@
 )
 from heatherkeel.dispatch.jobs import stop_leftover_runs
 from heatherkeel.dispatch.models import Job, RunState
+from heatherkeel.dispatch.progress_records import ProgressRecords
 from heatherkeel.dispatch.records import (
     CANCEL_PREFIX,
     PROGRESS_PREFIX,
     REQUEST_PREFIX,
     StoredRequest,
-    encode_progress,
     encode_request,
     make_caller_key,
 )
@@ -51,6 +51,7 @@
 from .fleet_calls import Call, FleetWorker, ListingCall
 from .partition import Partition, make_entry, make_step
 from .simulated_workers import CPU
+from .stored_progress import SMALL_RECORD_BYTES, restore_progress_records, store_changed
 
 LEASE_MS: Final = 6000
 WORKSPACE: Final = "desk"
@@ -80,6 +81,8 @@
         self.jobs = 0
         self.records: dict[str, bytes] = {}
         """Stored records by key."""
+        self.progress_records = ProgressRecords()
+        self.partition.state.record_bytes = SMALL_RECORD_BYTES
         self.journal: list[Effect] = []
         self.queue: list[tuple[Worker, Effect]] = []
         self.held: dict[str, list[Effect]] = {}
@@ -111,13 +114,15 @@
             case SaveJob():
                 job = self.partition.state.find_job(effect.job_id)
                 if job is not None:
-                    self.records[f"{PROGRESS_PREFIX}{job.id}"] = encode_progress(job)
+                    store_changed(self.progress_records, job, self.records)
             case ForgetJob(only_request=True):
                 for prefix in (REQUEST_PREFIX, CANCEL_PREFIX):
                     key = make_caller_key(prefix, effect.job_id, effect.workspace)
                     self.records.pop(key, None)
             case ForgetJob():
                 self.records.pop(f"{PROGRESS_PREFIX}{effect.job_id}", None)
+                for record in self.progress_records.list_deletions(effect.job_id):
+                    self.records.pop(record.key, None)
             case AcknowledgeEnds():
                 if self.is_current(effect.worker):
                     stored = max(effect.worker.last_stored_end, effect.number)
@@ -504,6 +509,8 @@
                 for offset, (key, value) in enumerate(self.records.items())
             ]
         )
+        self.progress_records = restore_progress_records(stored)
+        later.state.record_bytes = SMALL_RECORD_BYTES
         restore_jobs(later.state, stored)
         for job_id, request in stored.requests.items():
             if job_id not in stored.progress:
--- a/tests/instance/site.py
+++ b/tests/instance/site.py
@@ -50,6 +50,8 @@
         self.platform = UsersPlatform(work_of=work_of)
         self.contracts: Sequence[str] = ()
         """Contracts in force for processes that name no others."""
+        self.store_limits = StoreSettings(address="", partitions=3)
+        """What processes are told of the store, but for its address."""
         self.processes: list[InstanceProcess] = []
         self.scopes: list[trio.CancelScope] = []
         self.http = httpcore.AsyncConnectionPool(retries=0)
@@ -93,7 +95,9 @@
             listen=ListenAddresses(callers="127.0.0.1:0", readiness="127.0.0.1:0"),
             limits=Limits(core_share=core_share),
             bounds=Bounds(longest_lease_ms=6000, machine_lease_ms=300),
-            store=StoreSettings(address=store_address or self.platform.store.address, partitions=3),
+            store=msgspec.structs.replace(
+                self.store_limits, address=store_address or self.platform.store.address
+            ),
             machines=MachineSettings(address=self.platform.cloud.address),
             advisor=self.platform.cloud.address,
             contracts=list(self.contracts if contracts is None else contracts),
--- a/tests/instance/test_set_aside.py
+++ b/tests/instance/test_set_aside.py
@@ -12,9 +12,8 @@
 
 from heatherkeel.dispatch import (
     jobs,
-    owner,
     placement,
-    records,
+    progress_records,
     recovery,
     session,
     ticks,
@@ -24,6 +23,7 @@
 from heatherkeel.dispatch.building import set_objective
 from heatherkeel.dispatch.items import Item, ItemKind
 from heatherkeel.dispatch.models import Job
+from heatherkeel.dispatch.progress_records import ProgressRecords
 from heatherkeel.dispatch.records import (
     REQUEST_PREFIX,
     StoredRequest,
@@ -105,9 +105,9 @@
         (jobs, "set_objective"),
         (jobs, "begin_due_occurrences"),
         (placement, "_choose_by_preference"),
-        (records, "_create_stored_tasks"),
+        (progress_records, "make_progress"),
         (ticks, "begin_due_occurrences"),
-        (owner, "encode_progress"),
+        (ProgressRecords, "list_changed"),
     ],
     ids=lambda value: value if isinstance(value, str) else value.__name__.rpartition(".")[-1],
 )
