Records that the store will never take are left out, and only their job fails

If the store still takes an append without records, the refused ones are at fault: each job's are sent by themselves, and the job whose own are refused fails with an end that holds nothing of its own. Order, sequence numbers and callbacks of the others stay as they were. If the store refuses everything, all wait as in an outage. A job whose records can't fit gets 413 at the door, and batches of submissions that are refused are sent one by one. The record of a failed job keeps the number of its last hand-over, so that the record that brought it doesn't revive it.

instance/test_large_records.py, with the division into several records switched off, has a job whose record is refused: it fails, and jobs before and after it are complete. dispatch/test_journal.py: one record among three is left out; a store that refuses every append costs no job.

--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -124,6 +124,13 @@
     job_id: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobUnstorable(Event):
+    """The store will never take a job's progress."""
+
+    job_id: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EndStored(Event):
     """A job's end has been stored, so each later owner knows it."""
--- a/heatherkeel/dispatch/failed_jobs.py
+++ b/heatherkeel/dispatch/failed_jobs.py
@@ -37,7 +37,7 @@
     elif known is None and isinstance(cause, JobSubmitted):
         known = cause
     elif known is None and isinstance(cause, JobArrived):
-        known = cause.stored
+        known = cause.progress
     if known is None:
         return None
     return JobOrigin(
@@ -45,4 +45,5 @@
         service=known.service,
         workspace=known.workspace,
         accepted_wall_ms=known.accepted_wall_ms,
+        moves=known.moves if isinstance(known, Job | StoredProgress) else 0,
     )
--- a/heatherkeel/dispatch/items.py
+++ b/heatherkeel/dispatch/items.py
@@ -19,6 +19,7 @@
     JobArrived,
     JobCanceled,
     JobSubmitted,
+    JobUnstorable,
     StartAnswered,
     StopAnswered,
     WorkerAnswered,
@@ -85,7 +86,12 @@
 def find_item(event: Event) -> Item | None:
     """Return the item that an event concerns; None if that is more than one."""
     match event:
-        case JobSubmitted(job_id=job_id) | JobArrived(job_id=job_id) | JobCanceled(job_id=job_id):
+        case (
+            JobSubmitted(job_id=job_id)
+            | JobArrived(job_id=job_id)
+            | JobCanceled(job_id=job_id)
+            | JobUnstorable(job_id=job_id)
+        ):
             return Item(kind=ItemKind.JOB, id=job_id)
         case EndStored(job=job):
             return Item(kind=ItemKind.JOB, id=job.id)
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -20,6 +20,7 @@
     ForgetJob,
     JobCanceled,
     JobSubmitted,
+    JobUnstorable,
     ObserveEndStored,
     QueuesChanged,
     ReportEndStored,
@@ -193,6 +194,20 @@
     )
 
 
+@handles(JobUnstorable)
+def end_unstorable_job(state: PartitionState, event: JobUnstorable, effects: Effects) -> None:
+    """Fail a job whose progress can't be stored: nothing of it could start or end any more.
+
+    Its end is stored with nothing that it has chosen. If that isn't taken either, the job stays as
+    it is, and no later owner is misled.
+    """
+    job = state.jobs.get(event.job_id)
+    if job is None:
+        return
+    job.is_unstorable = True
+    end_job(state, job, JobState.FAILED, effects)
+
+
 @handles(EndStored)
 def show_end(state: PartitionState, event: EndStored, effects: Effects) -> None:
     """Show callers how a job has ended, since no later owner can take that back."""
--- a/heatherkeel/dispatch/journal.py
+++ b/heatherkeel/dispatch/journal.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from enum import Enum, auto
 from typing import Final
 
 import trio
@@ -54,12 +55,26 @@
         return sum(measure_record(record) for record in self.records)
 
 
+def ignore_refused(key: str) -> None:
+    """Do nothing about a group that the store doesn't take; it is logged."""
+
+
 def _make_group(key: str, make: Callable[[], list[KeyedRecord]]) -> Group:
     """Encode records; an exception counts against the job whose key they have."""
     with blame_job(parse_caller_key(key)[0]):
         return Group(key=key, records=make())
 
 
+class Outcome(Enum):
+    """What became of an append."""
+
+    STORED = auto()
+    REFUSED = auto()
+    """The store will never take these records."""
+    LOST = auto()
+    """The partition has another owner."""
+
+
 class Journal:
     """Group commit: while one append is in flight, the next batch is collected.
 
@@ -80,8 +95,11 @@
         token: int,
         on_fenced: Callable[[], None],
         on_item_failed: Callable[[ItemFailedError], None] | None = None,
+        on_refused: Callable[[str], None] = ignore_refused,
         request_bytes: int = MAX_APPEND_BYTES,
     ) -> None:
+        self.on_refused = on_refused
+        """Called with the key of each group that the store will never take."""
         self.request_bytes = request_bytes
         """Most bytes of all records of one append."""
         self.store = store
@@ -98,7 +116,7 @@
 
     async def async_open(self) -> bool:
         """Fence all earlier owners; False if there is a later one."""
-        return await self._async_append([])
+        return await self._async_append([]) is Outcome.STORED
 
     def put(self, key: str, encode: Callable[[], bytes]) -> None:
         """Store a record with the next append."""
@@ -149,17 +167,46 @@
         )
 
     async def _async_append_groups(self, groups: list[Group]) -> bool:
-        """Append groups exactly once; returns False if the partition is lost."""
+        """Append groups exactly once; returns False if the partition is lost.
+
+        A group that the store will never take is left out, so that what is behind it is stored.
+        """
         records = [record for group in groups for record in group.records]
         for part in split_batches(records, size_of=measure_record, max_bytes=self.request_bytes):
-            if not await self._async_append(part):
+            match await self._async_append(part):
+                case Outcome.LOST:
+                    return False
+                case Outcome.REFUSED if len(groups) > 1:
+                    return await self._async_append_apart(groups)
+                case Outcome.REFUSED:
+                    self._leave_out(groups[0])
+                    return True
+        return True
+
+    async def _async_append_apart(self, groups: list[Group]) -> bool:
+        """Append each of several groups by itself, as one of them isn't taken."""
+        for group in groups:
+            if not await self._async_append_groups([group]):
                 return False
         return True
 
-    async def _async_append(self, records: list[KeyedRecord]) -> bool:
+    def _leave_out(self, group: Group) -> None:
+        _LOGGER.error(
+            "the store takes these records never; they are left out",
+            extra={
+                "event": "records_refused",
+                "partition": self.partition,
+                "key": group.key,
+                "records": len(group.records),
+                "bytes": group.size(),
+            },
+        )
+        self.on_refused(group.key)
+
+    async def _async_append(self, records: list[KeyedRecord]) -> Outcome:
         """Append exactly once, with retries.
 
-        Returns False if another instance owns the partition, or another writer uses this token.
+        It is LOST if another instance owns the partition, or another writer uses this token.
         """
         while True:
             producer = Producer(name=PRODUCER, epoch=self.token, sequence=self.sequence)
@@ -167,7 +214,8 @@
                 producer, WORK_TOPIC, self.partition, records
             )
             if isinstance(appended, Ok):
-                return self._record_stored(appended.ok_value, is_opening=not records)
+                is_stored = self._record_stored(appended.ok_value, is_opening=not records)
+                return Outcome.STORED if is_stored else Outcome.LOST
             error = appended.err_value
             if error.failure is Failure.FENCED:
                 _LOGGER.warning(
@@ -175,13 +223,24 @@
                     extra={"event": "fenced", "partition": self.partition, "token": self.token},
                 )
                 self.on_fenced()
-                return False
+                return Outcome.LOST
             if error.failure is Failure.OUT_OF_ORDER:
                 self._give_up(detail=f"sequence number {error.number} is expected")
-                return False
+                return Outcome.LOST
+            if error.failure is Failure.INVALID and records and await self._async_is_taking():
+                return Outcome.REFUSED
             self._update_connected(False, error.detail)
             await trio.sleep(RETRY_PAUSE_S)
 
+    async def _async_is_taking(self) -> bool:
+        """Return whether the store takes an append without records, so that these are at fault.
+
+        A store that answers each append with an error would otherwise fail all jobs.
+        """
+        producer = Producer(name=PRODUCER, epoch=self.token, sequence=self.sequence)
+        appended = await self.store.async_append_as(producer, WORK_TOPIC, self.partition, [])
+        return isinstance(appended, Ok)
+
     def _record_stored(self, appended: Appended, *, is_opening: bool) -> bool:
         """Record the answer to an append; returns whether it is the answer to this append."""
         if not is_opening and appended.offset != self.end:
--- a/heatherkeel/dispatch/models.py
+++ b/heatherkeel/dispatch/models.py
@@ -355,6 +355,8 @@
     request: JobRequest
     terms: JobTerms | None = None
     """The settings of its queue when it was accepted; None if an earlier release accepted it."""
+    is_unstorable: bool = False
+    """The store doesn't take its progress, so only its end is stored."""
     rows_per_record: int = 0
     """How many of its tasks one record holds; 0 if all of its progress is in one."""
     moves: int = 0
--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -54,6 +54,7 @@
     ForgetJob,
     ForwardRecord,
     GrantsOffered,
+    JobUnstorable,
     LimitsChanged,
     ObserveDuration,
     ObserveEndStored,
@@ -84,6 +85,7 @@
     PROGRESS_PREFIX,
     encode_failed,
     encode_forwarded,
+    parse_caller_key,
 )
 from .recovery import StoredJobs, read_records, restore_jobs
 from .reducer import reduce_event
@@ -157,6 +159,7 @@
             token=token,
             on_fenced=on_fenced,
             on_item_failed=self.set_aside,
+            on_refused=self._end_unstorable,
             request_bytes=settings.store.request_bytes,
         )
         self.progress_records = ProgressRecords()
@@ -556,6 +559,12 @@
             return
         self.journal.when_stored(lambda: self.request_dropper.drop(effect.job_id, effect.workspace))
 
+    def _end_unstorable(self, key: str) -> None:
+        """End a job whose progress the store will never take."""
+        now_ms, wall_ms = self.times()
+        job_id, _ = parse_caller_key(key)
+        self.handle_event(JobUnstorable(now_ms=now_ms, wall_ms=wall_ms, job_id=job_id))
+
     def _list_deletions(self, job_id: str, key: str) -> list[KeyedRecord]:
         """Return the deletions of a job's progress; what is left without it means nothing."""
         return [
--- a/heatherkeel/dispatch/progress_records.py
+++ b/heatherkeel/dispatch/progress_records.py
@@ -25,6 +25,7 @@
     StoredRows,
     create_stored_losses,
     create_stored_tasks,
+    make_end,
     make_progress,
 )
 
@@ -80,6 +81,8 @@
         Those of tasks come first: an end that is stored before them would be believed alone, and
         they are deleted with it.
         """
+        if job.is_unstorable:
+            return [*self.list_deletions(job.id), _encode_progress(job.id, make_end(job))]
         progress = make_progress(job)
         if not job.rows_per_record:
             return [*self.list_deletions(job.id), _encode_progress(job.id, progress)]
--- a/heatherkeel/dispatch/records.py
+++ b/heatherkeel/dispatch/records.py
@@ -14,6 +14,7 @@
 from heatherkeel.helpers.clamping import decode_clamped
 from heatherkeel.helpers.ranges import IntRanges
 from heatherkeel.platform.callers import JobRequest
+from heatherkeel.platform.framing import KeyedRecord
 
 from .building import begin_occurrence, fold_if_over
 from .const import MAX_LASTING_CRASHES
@@ -34,6 +35,8 @@
 MOVES_SEPARATOR: Final = "."
 RECORD_MARGIN_BYTES: Final = 256
 """Room in a record for what is added when its job is forwarded or handed over, in bytes."""
+STEP_PROGRESS_BYTES: Final = 64
+"""Size of a step's estimate in the record of a job's progress, in bytes."""
 CANCEL_VALUE: Final = b"1"
 """Value of a cancellation's record, which only has to be there."""
 
@@ -157,6 +160,19 @@
     return job_id, workspace
 
 
+def find_size_fault(stored: StoredRequest, record: KeyedRecord, *, record_bytes: int) -> str | None:
+    """Return why a job can't be stored; None if its records fit.
+
+    The store refuses a record that is too large however often it is sent. The margin is for what
+    is added when the job is forwarded.
+    """
+    steps_bytes = STEP_PROGRESS_BYTES * len(stored.request.steps)
+    size = max(len(record.key) + len(record.value), steps_bytes) + RECORD_MARGIN_BYTES
+    if size <= record_bytes:
+        return None
+    return f"its record takes {size} bytes, and the store takes {record_bytes}"
+
+
 def encode_request(stored: StoredRequest) -> bytes:
     """Encode the record of a submission."""
     return msgspec.json.encode(stored)
@@ -220,6 +236,7 @@
     service: str
     workspace: str
     accepted_wall_ms: int
+    moves: int
 
 
 def encode_failed(origin: JobOrigin) -> bytes:
@@ -227,7 +244,7 @@
     return msgspec.json.encode(make_end(origin))
 
 
-def make_end(origin: JobOrigin) -> StoredProgress:
+def make_end(origin: JobOrigin | Job) -> StoredProgress:
     """Return the record of a failed job, without anything that it has chosen."""
     return StoredProgress(
         state=JobState.FAILED,
@@ -235,6 +252,8 @@
         service=origin.service,
         accepted_wall_ms=origin.accepted_wall_ms,
         workspace=origin.workspace,
+        # Without it the record by which the job was handed over would count as newer.
+        moves=origin.moves,
     )
 
 
--- a/heatherkeel/dispatch/submissions.py
+++ b/heatherkeel/dispatch/submissions.py
@@ -72,6 +72,11 @@
         result = await self.store.async_append(
             JOBS_TOPIC, self.partition, [submission.record for submission in batch]
         )
+        if len(batch) > 1 and isinstance(result, Err) and result.err_value.is_final():
+            # One of them will never be taken, and must not refuse the others.
+            for submission in batch:
+                await self._async_append([submission])
+            return
         for submission in batch:
             submission.result = result
             submission.ended.set()
--- a/heatherkeel/gateway/exchange.py
+++ b/heatherkeel/gateway/exchange.py
@@ -15,6 +15,7 @@
 from heatherkeel.platform.callers import encode_job_state
 from heatherkeel.platform.const import DEADLINE_HEADER
 from heatherkeel.platform.operator import Queue
+from heatherkeel.platform.settings import DEFAULT_RECORD_BYTES
 from heatherkeel.platform.store import StoreClient
 from heatherkeel.workspaces.access import PUBLIC_CALLER
 
@@ -66,6 +67,8 @@
     """Returns whether jobs that surely can't be served are refused."""
     reaches_store: Callable[[], bool] = lambda: True
     """Returns whether the store has answered this process lately, also through other processes."""
+    record_bytes: int = DEFAULT_RECORD_BYTES
+    """Largest record that the store takes, in bytes."""
     queues: QueueTable = field(default_factory=QueueTable)
     """Finds the queues of requests."""
 
--- a/heatherkeel/gateway/storing.py
+++ b/heatherkeel/gateway/storing.py
@@ -51,6 +51,9 @@
         if not isinstance(appended, Err):
             return None
         error = appended.err_value
+        if error.is_final() and not outcome_unknown:
+            await exchange.async_refuse(Refusal.TOO_LARGE, job_id=job_id, detail=error.detail)
+            return Refusal.TOO_LARGE
         outcome_unknown |= error.failure is not Failure.REFUSED
         if not outcome_unknown:
             retry_s = RETRY_SOON_S if error.status == _TOO_MANY_REQUESTS else RETRY_LATER_S
--- a/heatherkeel/gateway/submission.py
+++ b/heatherkeel/gateway/submission.py
@@ -12,6 +12,7 @@
     REQUEST_PREFIX,
     StoredRequest,
     encode_request,
+    find_size_fault,
     make_caller_key,
 )
 from heatherkeel.dispatch.terms import make_terms
@@ -65,6 +66,9 @@
         key=make_caller_key(REQUEST_PREFIX, job_id, stored.workspace),
         value=encode_request(stored),
     )
+    fault = find_size_fault(stored, record, record_bytes=exchange.context.record_bytes)
+    if fault is not None:
+        return await exchange.async_refuse(Refusal.TOO_LARGE, job_id=job_id, detail=fault)
     # After a lost or late response of the store, another append would add to its load.
     refusal = await async_store(
         exchange,
--- a/heatherkeel/instance/process.py
+++ b/heatherkeel/instance/process.py
@@ -176,6 +176,7 @@
                     accepts_callers=self.status.is_ready,
                     admits_by_backlog=lambda: self.settings.admits_by_backlog(),
                     reaches_store=self.status.reaches_store,
+                    record_bytes=settings.store.record_bytes,
                 )
             ),
             bind=settings.listen.callers,
--- a/heatherkeel/platform/errors.py
+++ b/heatherkeel/platform/errors.py
@@ -42,3 +42,7 @@
     clock_ms: int | None = None
     is_timeout: bool = False
     """The call was given up; a connection that breaks shows at once that the other end is gone."""
+
+    def is_final(self) -> bool:
+        """Return whether the same call will never be carried out."""
+        return self.failure is Failure.INVALID
--- a/tests/dispatch/test_journal.py
+++ b/tests/dispatch/test_journal.py
@@ -164,6 +164,8 @@
 def run_journal(store: LogStore, *groups: list[KeyedRecord], request_bytes: int = 4096) -> Owner:
     """Let an owner store groups of records together, until all callbacks were called."""
     owner = Owner(store)
+    refused: list[str] = []
+    owner.journal.on_refused = refused.append
     owner.journal.request_bytes = request_bytes
 
     async def async_test() -> None:
@@ -177,6 +179,7 @@
                 await trio.sleep_forever()
 
     trio.run(async_test)
+    owner.stored = refused
     return owner
 
 
@@ -187,10 +190,42 @@
     ]
 
 
+def test_record_that_is_never_taken_is_left_out_and_the_others_are_stored() -> None:
+    """Guards against an append that is repeated for ever, with all that is behind it."""
+    store = LogStore()
+    store.log.record_bytes = 500
+    first, bad, last = make_group("1", 20), make_group("2", 600), make_group("3", 20)
+    owner = run_journal(store, first, bad, last)
+    assert owner.stored == ["p2.0"]
+    assert list(store.log.newest("keyed.work", PARTITION)) == ["p1.0", "p3.0"]
+    assert len(store.log.find("keyed.work", PARTITION).records) == 2
+
+
 def test_group_is_stored_whole_unless_it_is_larger_than_an_append() -> None:
     """Guards against a job of which half of a change is stored, and against refused appends."""
     store = LogStore()
     store.log.request_bytes = 1000
     groups = [make_group("1", 300, 300), make_group("2", 300, 300), make_group("3", *[300] * 9)]
-    run_journal(store, *groups, request_bytes=1000)
+    owner = run_journal(store, *groups, request_bytes=1000)
+    assert owner.stored == []
     assert len(store.log.newest("keyed.work", PARTITION)) == 13
+
+
+def test_store_that_refuses_every_append_costs_no_job() -> None:
+    """Guards against all jobs failed by a store that answers each append with an error."""
+
+    class RefusingStore(LogStore):
+        is_open = False
+
+        async def async_append_as(
+            self, producer: Producer, topic: str, partition: int, records: list[KeyedRecord]
+        ) -> Result[Appended, CallError]:
+            if self.is_open:
+                await trio.lowlevel.checkpoint()
+                return Err(CallError(failure=Failure.INVALID, status=404))
+            self.is_open = True
+            return await super().async_append_as(producer, topic, partition, records)
+
+    owner = run_journal(RefusingStore(), make_group("1", 20))
+    assert owner.stored == []
+    assert not owner.journal.connected
--- a/tests/dispatch/test_relocation.py
+++ b/tests/dispatch/test_relocation.py
@@ -28,6 +28,8 @@
     SharesFound,
     StartTask,
 )
+from heatherkeel.dispatch.failed_jobs import find_origin
+from heatherkeel.dispatch.items import Item, ItemKind
 from heatherkeel.dispatch.job_feed import JobFeed
 from heatherkeel.dispatch.models import Job, JobState, Run, WaitReason
 from heatherkeel.dispatch.records import (
@@ -35,8 +37,10 @@
     CANCEL_VALUE,
     PROGRESS_PREFIX,
     REQUEST_PREFIX,
+    JobOrigin,
     StoredRequest,
     decode_request,
+    encode_failed,
     encode_forwarded,
     encode_progress,
     encode_request,
@@ -46,6 +50,7 @@
 from heatherkeel.dispatch.shares import choose_share
 from heatherkeel.dispatch.state import PartitionState
 from heatherkeel.platform.callers import JobRequest, StepRequest
+from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import WorkerEntry
 from heatherkeel.platform.store import StoreClient
 
@@ -527,3 +532,30 @@
     partition.submit(B_STEP)
     effects = partition.tick(EXPLAIN_AFTER_MS)
     assert CountWaiting(reason=WaitReason.NO_HOLDER) in effects
+
+
+def test_failed_job_is_not_revived_by_the_record_that_brought_it() -> None:
+    """Guards against a job that was shown as failed and runs again under the next owner."""
+    home, other = Partition(workers=1), Partition(workers=1)
+    home.submit(B_STEP)
+    record = hand_over(home)
+    end = encode_failed(make_origin(arrive(other, record)))
+    stored = read_records(
+        [
+            KeyedRecord(key=record.key, value=record.value, offset=1),
+            KeyedRecord(key=f"{PROGRESS_PREFIX}{JOB}", value=end, offset=0),
+        ]
+    )
+    stored.apply_arrivals()
+    state = PartitionState(token=8, lease_ms=6000, status_ms=1000)
+    restore_jobs(state, stored)
+    assert (list(state.jobs), state.finished[JOB].state) == ([], JobState.FAILED)
+
+
+def make_origin(job: Job) -> JobOrigin:
+    """Return what is kept of a job that can't be handled."""
+    state = PartitionState(token=8, lease_ms=6000, status_ms=1000)
+    state.jobs[job.id] = job
+    origin = find_origin(state, Item(kind=ItemKind.JOB, id=job.id), None)
+    assert origin is not None
+    return origin
--- a/tests/instance/test_large_records.py
+++ b/tests/instance/test_large_records.py
@@ -6,15 +6,17 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
+import pytest
 import trio
 
+from heatherkeel.dispatch import jobs
 from heatherkeel.instance.process import InstanceProcess
 from heatherkeel.platform.settings import StoreSettings
 from heatherkeel.standins.history import Happening
 
 from .site import Site, open_site
 
-BEFORE, LARGE = "00000000000000b1", "00000000000000a1"
+BEFORE, LARGE, AFTER = "00000000000000b1", "00000000000000a1", "00000000000000b2"
 TASKS = 400
 STEP = {"count": TASKS, "cpu": 1, "memMb": 1, "estimatedMs": 20}
 RECORD_BYTES, REQUEST_BYTES = 4096, 16_384
@@ -81,3 +83,37 @@
             assert len(ends) == len(set(ends)) == TASKS + 100
 
     trio.run(async_test)
+
+
+def test_job_that_cannot_be_stored_fails_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against one job whose refused record stops all others of its partition."""
+    monkeypatch.setattr(jobs, "choose_rows", lambda request, record_bytes: 0)
+
+    async def async_test() -> None:
+        async with open_small_store() as site:
+            (process,) = site.processes
+            assert await site.async_submit(process, BEFORE, "work 1000") == 200
+            await async_submit_large(site, process, "work 20", STEP)
+            await site.async_wait_state(process, LARGE, "failed")
+            assert await site.async_submit(process, AFTER, "work 20") == 200
+            for job_id in (BEFORE, AFTER):
+                await site.async_wait_state(process, job_id, "complete")
+            assert site.starts(LARGE) == []
+
+    trio.run(async_test)
+
+
+def test_job_whose_request_is_larger_than_a_record_is_refused_at_once() -> None:
+    """Guards against a caller that waits for its deadline, and sends again what is never taken."""
+
+    async def async_test() -> None:
+        async with open_small_store() as site:
+            (process,) = site.processes
+            body = {"spec": "x" * 3990, "steps": [STEP | {"count": 1}]}
+            began_s = trio.current_time()
+            status, answer = await site.async_call(process, "POST", f"/q/{LARGE}", body)
+            assert (status, answer["type"].rpartition(":")[2]) == (413, "too_large")
+            assert trio.current_time() - began_s < 1.0
+            assert await site.async_state(process, LARGE) == "410"
+
+    trio.run(async_test)
