A forwarded record and a machine that can't be taken hold up no others

The same causes on related paths. A forwarded record that the store will never take was sent for ever, before all others for its partition: it is left out now and its job fails, if the store takes an append without records. One machine of the list that couldn't be read hid its whole page from the fleet's owner: machines are decoded one by one.

The three new tests fail without the change: the first one never ended, the others' functions didn't exist. tests of the forwarder, forwarding, pooling, platform and stand-ins passed.

--- a/heatherkeel/dispatch/events.py
+++ b/heatherkeel/dispatch/events.py
@@ -117,6 +117,13 @@
     key: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ForwardRefused(Event):
+    """The store will never take a job's record in the partition that was to run it."""
+
+    job_id: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ForwardedJobForgotten(Event):
     """The owner of the partition that runs a job doesn't know it any more."""
--- a/heatherkeel/dispatch/forwarder.py
+++ b/heatherkeel/dispatch/forwarder.py
@@ -7,14 +7,15 @@
 from typing import Final
 
 import trio
-from result import Err
+from result import Err, Ok, Result
 
 from heatherkeel.ownership.const import JOBS_TOPIC
+from heatherkeel.platform.errors import CallError
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.store import StoreClient
 
 from .batches import split_batches
-from .events import ForwardedJobForgotten, ForwardRecord, RecordForwarded
+from .events import ForwardedJobForgotten, ForwardRecord, ForwardRefused, RecordForwarded
 from .models import ForwardedJob
 from .ports import OwnerPort
 
@@ -97,6 +98,9 @@
     async def _async_append(self, partition: int, batch: list[ForwardRecord]) -> None:
         records = [KeyedRecord(key=effect.key, value=effect.value) for effect in batch]
         appended = await self.store.async_append(JOBS_TOPIC, partition, records)
+        if await self._async_is_refused(partition, appended):
+            await self._async_append_apart(partition, batch)
+            return
         if isinstance(appended, Err):
             _LOGGER.warning(
                 "forwarded records can't be stored yet",
@@ -110,6 +114,9 @@
         while isinstance(appended, Err):
             await trio.sleep(RETRY_PAUSE_S)
             appended = await self.store.async_append(JOBS_TOPIC, partition, records)
+            if await self._async_is_refused(partition, appended):
+                await self._async_append_apart(partition, batch)
+                return
         now_ms, wall_ms = self.owner.times()
         for effect in batch:
             self.owner.handle_event(
@@ -118,6 +125,32 @@
                 )
             )
 
+    async def _async_is_refused(self, partition: int, appended: Result[None, CallError]) -> bool:
+        """Return whether the store will never take these records, though it takes others."""
+        if not isinstance(appended, Err) or not appended.err_value.is_final():
+            return False
+        return isinstance(await self.store.async_append(JOBS_TOPIC, partition, []), Ok)
+
+    async def _async_append_apart(self, partition: int, batch: list[ForwardRecord]) -> None:
+        """Append each record by itself, as one of them isn't taken; its job fails."""
+        if len(batch) > 1:
+            for effect in batch:
+                await self._async_append(partition, [effect])
+            return
+        (effect,) = batch
+        _LOGGER.error(
+            "the store takes this record never; its job fails",
+            extra={
+                "event": "forward_refused",
+                "partition": partition,
+                "job": effect.job_id,
+                "bytes": len(effect.value),
+            },
+        )
+        now_ms, wall_ms = self.owner.times()
+        refused = ForwardRefused(now_ms=now_ms, wall_ms=wall_ms, job_id=effect.job_id)
+        self.owner.handle_event(refused)
+
     async def _async_check(self) -> None:
         """Forget the jobs that the partitions which ran them have forgotten."""
         while True:
--- a/heatherkeel/dispatch/jobs.py
+++ b/heatherkeel/dispatch/jobs.py
@@ -18,6 +18,7 @@
     Effects,
     EndStored,
     ForgetJob,
+    ForwardRefused,
     JobCanceled,
     JobSubmitted,
     JobUnstorable,
@@ -208,6 +209,27 @@
     end_job(state, job, JobState.FAILED, effects)
 
 
+@handles(ForwardRefused)
+def end_refused_job(state: PartitionState, event: ForwardRefused, effects: Effects) -> None:
+    """Fail a job that can't be stored where it was to run; nothing of it has started there."""
+    forwarded = state.forwarded.pop(event.job_id, None)
+    if forwarded is None:
+        return
+    job = Job(
+        id=forwarded.id,
+        queue=forwarded.queue,
+        service=forwarded.service,
+        workspace=forwarded.workspace,
+        request=JobRequest(),
+        accepted_ms=state.now_ms,
+        accepted_wall_ms=forwarded.accepted_wall_ms,
+        moves=forwarded.moves,
+        is_unstorable=True,
+    )
+    state.jobs[job.id] = job
+    end_job(state, job, JobState.FAILED, effects)
+
+
 @handles(EndStored)
 def show_end(state: PartitionState, event: EndStored, effects: Effects) -> None:
     """Show callers how a job has ended, since no later owner can take that back."""
--- a/heatherkeel/platform/machines.py
+++ b/heatherkeel/platform/machines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Any, Final
 from urllib.parse import urlencode
 
@@ -12,6 +13,8 @@
 from .errors import CallError, Failure
 from .operator import Capacity
 
+_LOGGER = logging.getLogger(__name__)
+
 CALL_TIMEOUT_S: Final = 1.5
 """Timeout of a call, in seconds."""
 
@@ -41,7 +44,8 @@
 
 
 class _Page(msgspec.Struct, kw_only=True):
-    machines: list[Machine] = []
+    machines: list[msgspec.Raw] = []
+    """Decoded one by one: one that can't be read must not hide the others."""
     next_page: str | None = msgspec.field(name="nextPageToken", default=None)
 
 
@@ -49,6 +53,20 @@
     reason: str = ""
 
 
+def decode_machines(rows: list[msgspec.Raw]) -> list[Machine]:
+    """Decode machines; one that can't be read is left out and logged."""
+    machines = []
+    for row in rows:
+        try:
+            machines.append(msgspec.json.decode(row, type=Machine))
+        except (ValueError, RecursionError) as err:
+            _LOGGER.error(
+                "cannot decode a machine; it is left out",
+                extra={"event": "machine_unreadable", "detail": str(err)},
+            )
+    return machines
+
+
 class MachineClient:
     """Client of the machine service; sends orders as a lease holder."""
 
@@ -76,7 +94,7 @@
                 page = msgspec.json.decode(checked.ok_value.body, type=_Page)
             except (ValueError, RecursionError) as err:
                 return Err(CallError(failure=Failure.INVALID, detail=str(err)))
-            machines += page.machines
+            machines += decode_machines(page.machines)
             page_token = page.next_page or None
         return Ok(machines)
 
--- a/tests/dispatch/test_forwarder.py
+++ b/tests/dispatch/test_forwarder.py
@@ -13,10 +13,12 @@
     Event,
     ForwardedJobForgotten,
     ForwardRecord,
+    ForwardRefused,
     RecordForwarded,
+    SaveJob,
 )
 from heatherkeel.dispatch.forwarder import SETTLED_AFTER_MS, RecordForwarder
-from heatherkeel.dispatch.models import ForwardedJob
+from heatherkeel.dispatch.models import ForwardedJob, JobState
 from heatherkeel.dispatch.ports import OwnerPort
 from heatherkeel.platform.errors import CallError, Failure
 from heatherkeel.platform.framing import KeyedRecord
@@ -26,10 +28,11 @@
 
 
 class FakeStore(StoreClient):
-    """A store that refuses some appends at first."""
+    """A store that refuses some appends at first, and records of some keys for ever."""
 
-    def __init__(self, *, failing: int = 0) -> None:
+    def __init__(self, *, failing: int = 0, refused: frozenset[str] = frozenset()) -> None:
         self.failing = failing
+        self.refused = refused
         self.appended: list[tuple[int, str]] = []
 
     async def async_append(
@@ -40,6 +43,8 @@
         if self.failing:
             self.failing -= 1
             return Err(CallError(failure=Failure.UNKNOWN))
+        if self.refused.intersection(record.key for record in records):
+            return Err(CallError(failure=Failure.INVALID, status=413))
         self.appended += [(partition, record.key) for record in records]
         return Ok(None)
 
@@ -143,3 +148,27 @@
     owner.state.forwarded = {JOB: make_forwarded(JOB, settled_ms=0)}
     run_forwarder(owner, FakeStore(), lambda forwarder: None, seconds=40.0)
     assert JOB in owner.state.forwarded
+
+
+def test_record_that_is_never_taken_fails_its_job_and_holds_up_no_other() -> None:
+    """Guards against a forwarded job whose refused record is sent for ever before all others."""
+    owner, store = FakeOwner(), FakeStore(refused=frozenset({"j2"}))
+
+    def prepare(forwarder: RecordForwarder) -> None:
+        for key in ("j1", "j2", "j3"):
+            forwarder.forward(make_record(key))
+
+    run_forwarder(owner, store, prepare)
+    assert store.appended == [(1, "j1"), (1, "j3")]
+    kinds = [type(event) for event in owner.events]
+    assert (kinds.count(RecordForwarded), kinds.count(ForwardRefused)) == (2, 1)
+
+
+def test_job_that_cannot_be_forwarded_is_shown_as_failed() -> None:
+    """Guards against a job that stays pending for ever where its record was refused."""
+    partition = Partition(workers=0)
+    partition.state.forwarded[JOB] = make_forwarded(JOB, settled_ms=None)
+    effects = partition.apply(ForwardRefused(**partition.event_times(), job_id=JOB))
+    assert partition.job().state is JobState.FAILED
+    assert JOB not in partition.state.forwarded
+    assert SaveJob(job_id=JOB) in effects
--- a/tests/platform/test_borders.py
+++ b/tests/platform/test_borders.py
@@ -18,6 +18,7 @@
     decode_read,
     encode_records,
 )
+from heatherkeel.platform.machines import decode_machines
 from heatherkeel.platform.operator import (
     decode_configuration,
     decode_wave,
@@ -224,3 +225,11 @@
     file = tmp_path / "settings.toml"
     file.write_text(SETTINGS)
     assert main(["check", "--platform", f"--settings={file}"]) == 0
+
+
+def test_machine_that_cannot_be_read_does_not_hide_the_others() -> None:
+    """Guards against a fleet whose machines are all unknown by one odd row of their list."""
+    good = {"machine": "m1", "pool": "desk", "state": "up"}
+    odd = [{"machine": 7}, good | {"capacity": {"cpu": 10**400}}, good | {"labels": "a"}]
+    rows = [msgspec.Raw(msgspec.json.encode(row)) for row in [odd[0], good, *odd[1:]]]
+    assert [machine.name for machine in decode_machines(rows)] == ["m1"]
