An owner's records of jobs are stored by a part of its own

Tests of dispatch, docs and whole processes (set_aside, large_records, relocated_jobs, end_to_end) passed.

--- a/heatherkeel/dispatch/owner.py
+++ b/heatherkeel/dispatch/owner.py
@@ -18,7 +18,6 @@
 from heatherkeel.helpers.clock import monotonic_ms, wall_ms
 from heatherkeel.ownership.const import WORK_TOPIC
 from heatherkeel.ownership.partition_ownership import PartitionOwnership
-from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import WorkerEntry, Workspace
 from heatherkeel.platform.settings import InstanceSettings
 from heatherkeel.platform.store import StoreClient
@@ -75,16 +74,15 @@
 from .inquiries import OwnerQueries
 from .items import Item, ItemFailedError
 from .job_feed import JobFeed
+from .job_records import JobRecords
 from .jobs import forget_request, stop_leftover_runs
 from .journal import Journal
 from .limits import measure_waiting
 from .metrics import DispatchMetrics
 from .models import Job
-from .progress_records import ProgressRecords
 from .records import (
     PROGRESS_PREFIX,
     encode_failed,
-    encode_forwarded,
     parse_caller_key,
 )
 from .recovery import StoredJobs, read_records, restore_jobs
@@ -162,13 +160,15 @@
             on_refused=self._end_unstorable,
             request_bytes=settings.store.request_bytes,
         )
-        self.progress_records = ProgressRecords()
         self.sessions = WorkerSessions(owner=self)
         self.scope = trio.CancelScope()
         self.nursery: trio.Nursery | None = None
         self.is_restored = False
         self.queries = OwnerQueries(owner=self)
         self.request_dropper = RequestDropper(store=store, partition=partition)
+        self.job_records = JobRecords(
+            state=self.state, journal=self.journal, request_dropper=self.request_dropper
+        )
         self.submissions = SubmissionBatches(store=store, partition=partition)
         self.forwarder = RecordForwarder(
             owner=self, store=store, async_is_forgotten=async_is_forgotten
@@ -344,12 +344,7 @@
         self._update_from_directory()
         stored = read_records(work.records + jobs)
         stored.apply_arrivals()
-        for job_id, rows in stored.rows.items():
-            for key, value in rows.items():
-                self.progress_records.restore(job_id, key, value)
-            if job_id not in stored.progress:
-                deletions = partial(self.progress_records.list_deletions, job_id)
-                self.journal.put_group(f"{PROGRESS_PREFIX}{job_id}", deletions)
+        self.job_records.restore(stored)
         self.feed.record_versions(stored)
         try:
             restore_jobs(self.state, stored)
@@ -485,11 +480,11 @@
     def _execute(self, effect: Effect) -> None:
         match effect:
             case SaveJob():
-                self._save_job(effect.job_id)
+                self.job_records.save(effect.job_id)
             case ReportEndStored():
                 self.journal.when_stored(partial(self._report_end_stored, effect.job))
             case ForgetJob():
-                self._delete_records(effect)
+                self.job_records.delete(effect)
             case DropRecord():
                 self.request_dropper.drop_record(effect.key)
             case ForwardRecord():
@@ -543,31 +538,8 @@
         now_ms, wall_ms = self.times()
         self.handle_event(EndStored(now_ms=now_ms, wall_ms=wall_ms, job=job))
 
-    def _save_job(self, job_id: str) -> None:
-        key = f"{PROGRESS_PREFIX}{job_id}"
-        job, forwarded = self.state.find_job(job_id), self.state.forwarded.get(job_id)
-        if job is not None:
-            self.journal.put_group(key, partial(self.progress_records.list_changed, job))
-        elif forwarded is not None:
-            self.journal.put(key, partial(encode_forwarded, forwarded))
-
-    def _delete_records(self, effect: ForgetJob) -> None:
-        """Delete unneeded records; a request only after the end of its job is stored."""
-        if not effect.only_request:
-            key = f"{PROGRESS_PREFIX}{effect.job_id}"
-            self.journal.put_group(key, partial(self._list_deletions, effect.job_id, key))
-            return
-        self.journal.when_stored(lambda: self.request_dropper.drop(effect.job_id, effect.workspace))
-
     def _end_unstorable(self, key: str) -> None:
         """End a job whose progress the store will never take."""
         now_ms, wall_ms = self.times()
         job_id, _ = parse_caller_key(key)
         self.handle_event(JobUnstorable(now_ms=now_ms, wall_ms=wall_ms, job_id=job_id))
-
-    def _list_deletions(self, job_id: str, key: str) -> list[KeyedRecord]:
-        """Return the deletions of a job's progress; what is left without it means nothing."""
-        return [
-            KeyedRecord(key=key, value=b""),
-            *self.progress_records.list_deletions(job_id),
-        ]
