--- a/tests/dispatch/test_forwarding.py
+++ b/tests/dispatch/test_forwarding.py
@@ -3,18 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
-from functools import partial
-from typing import cast
 
 import hypothesis.strategies as st
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from heatherkeel.directory.directory import Directory
 from heatherkeel.dispatch.events import (
     DropRecord,
-    Effect,
     ForgetJob,
     ForwardedJobForgotten,
     ForwardRecord,
@@ -22,95 +17,30 @@
     SaveJob,
     StartTask,
 )
-from heatherkeel.dispatch.job_feed import JobFeed
 from heatherkeel.dispatch.models import JobState
 from heatherkeel.dispatch.records import (
     CANCEL_PREFIX,
     CANCEL_VALUE,
-    PROGRESS_PREFIX,
     REQUEST_PREFIX,
     StoredRequest,
     decode_request,
-    encode_forwarded,
-    encode_progress,
     encode_request,
     make_caller_key,
 )
-from heatherkeel.dispatch.recovery import read_records, restore_jobs
-from heatherkeel.dispatch.state import PartitionState
 from heatherkeel.platform.callers import JobRequest
-from heatherkeel.platform.framing import KeyedRecord
-from heatherkeel.platform.store import StoreClient
 
-from .partition import Partition, make_entry, make_step
+from .partition import make_entry, make_step
+from .recorded_owner import Log, Owner
 
 SERVICES = ("portal", "desk", "archive")
 """Each has the partition of its index; the queue's home is the first."""
 JOBS = [f"{number:016x}" for number in range(1, 4)]
 
 
-@dataclass(kw_only=True)
-class Log:
-    """A keyed topic's partition."""
-
-    records: list[KeyedRecord] = field(default_factory=list)
-
-    def append(self, key: str, value: bytes) -> None:
-        """Append a record."""
-        self.records.append(KeyedRecord(key=key, value=value, offset=len(self.records)))
-
-    def newest(self) -> list[KeyedRecord]:
-        """Return the newest record of each key."""
-        return list({record.key: record for record in self.records}.values())
-
-
-class Owner:
-    """One owner of a partition; its effects wait until the test carries them out."""
-
-    def __init__(self, *, number: int, jobs: Log, work: Log) -> None:
-        self.number = number
-        self.jobs = jobs
-        self.work = work
-        self.pending: deque[Effect] = deque()
-        self.partition = Partition(workers=0)
-        self.partition.entries = {f"w{number}": make_entry(service=SERVICES[number])}
-        self.partition.list_workers()
-        self.partition.list_known_runs(f"w{number}")
-        store = cast(StoreClient, None)
-        self.feed = JobFeed(
-            store=store,
-            partition=number,
-            directory=Directory(store=store),
-            handle_event=self._handle,
-            is_dropped=lambda job_id, request: False,
-        )
-        self.read = len(jobs.records)
-        stored = read_records(jobs.newest() + work.newest())
-        restore_jobs(self.partition.state, stored)
-        self.feed.submit(stored)
-        self.feed.cancel(stored)
-
-    @property
-    def state(self) -> PartitionState:
-        """Return the state of its partition."""
-        return self.partition.state
-
-    def _handle(self, event: object) -> None:
-        self.pending += self.partition.apply(event)  # type: ignore[arg-type]
-
-    def read_jobs(self) -> None:
-        """Read what callers have stored since the last time."""
-        records, self.read = self.jobs.records[self.read :], len(self.jobs.records)
-        self.feed.follower.on_records(records)
-
-    def save(self, job_id: str) -> None:
-        """Store what is known of a job."""
-        job, forwarded = self.state.find_job(job_id), self.state.forwarded.get(job_id)
-        encode = partial(encode_progress, job) if job else None
-        if forwarded is not None:
-            encode = partial(encode_forwarded, forwarded)
-        if encode is not None:
-            self.work.append(f"{PROGRESS_PREFIX}{job_id}", encode())
+def make_owner(number: int, *, jobs: Log, work: Log) -> Owner:
+    """Return an owner of the service of this number, with one worker."""
+    entries = {f"w{number}": make_entry(service=SERVICES[number])}
+    return Owner(number=number, jobs=jobs, work=work, entries=entries)
 
 
 class ForwardingMachine(RuleBasedStateMachine):
@@ -129,7 +59,7 @@
         """The partitions in which tasks of a job were started."""
 
     def _make_owner(self, number: int) -> Owner:
-        return Owner(number=number, jobs=self.logs[number], work=self.works[number])
+        return make_owner(number, jobs=self.logs[number], work=self.works[number])
 
     @rule(job_id=st.sampled_from(JOBS), service=st.integers(0, len(SERVICES) - 1))
     def submit(self, job_id: str, service: int) -> None:
@@ -223,13 +153,13 @@
     jobs, work = Log(), Log()
     machine = ForwardingMachine()
     machine.submit(JOBS[0], 1)
-    first = Owner(number=0, jobs=machine.logs[0], work=work)
+    first = make_owner(0, jobs=machine.logs[0], work=work)
     if has_saved:
         first.save(JOBS[0])
     # A repeated submission at an instance that has an earlier version.
     machine.submit(JOBS[0], 0)
     jobs.records = machine.logs[0].records
-    return Owner(number=0, jobs=jobs, work=work)
+    return make_owner(0, jobs=jobs, work=work)
 
 
 def test_next_owner_forwards_again_what_may_not_have_arrived() -> None:
--- a/tests/dispatch/test_relocation.py
+++ b/tests/dispatch/test_relocation.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from functools import partial
-from typing import cast
 
 import hypothesis.strategies as st
 import msgspec
@@ -12,12 +10,10 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from heatherkeel.directory.directory import Directory
 from heatherkeel.dispatch.const import EXPLAIN_AFTER_MS, STRANDED_AGAIN_MS, STRANDED_MS
 from heatherkeel.dispatch.events import (
     CountWaiting,
     DropRecord,
-    Effect,
     FindShares,
     ForgetJob,
     ForwardedJobForgotten,
@@ -30,7 +26,6 @@
 )
 from heatherkeel.dispatch.failed_jobs import find_origin
 from heatherkeel.dispatch.items import Item, ItemKind
-from heatherkeel.dispatch.job_feed import JobFeed
 from heatherkeel.dispatch.models import Job, JobState, Run, WaitReason
 from heatherkeel.dispatch.records import (
     CANCEL_PREFIX,
@@ -41,8 +36,6 @@
     StoredRequest,
     decode_request,
     encode_failed,
-    encode_forwarded,
-    encode_progress,
     encode_request,
     make_caller_key,
 )
@@ -52,10 +45,9 @@
 from heatherkeel.platform.callers import JobRequest, StepRequest
 from heatherkeel.platform.framing import KeyedRecord
 from heatherkeel.platform.operator import WorkerEntry
-from heatherkeel.platform.store import StoreClient
 
 from .partition import JOB, Partition, make_entry, make_step, started_runs
-from .test_forwarding import Log
+from .recorded_owner import Log, Owner
 
 SHARES = 3
 JOBS = [f"{number:016x}" for number in range(1, 4)]
@@ -75,68 +67,6 @@
     return msgspec.structs.replace(entry, labels=[*entry.labels, *labels])
 
 
-class Owner:
-    """One owner of a partition; its effects wait until the test carries them out."""
-
-    def __init__(self, *, number: int, jobs: Log, work: Log, entries: dict[str, WorkerEntry]):
-        self.number = number
-        self.jobs = jobs
-        self.work = work
-        self.pending: deque[Effect] = deque()
-        self.partition = Partition(workers=0)
-        self.partition.entries = entries
-        self.list_workers()
-        store = cast(StoreClient, None)
-        self.feed = JobFeed(
-            store=store,
-            partition=number,
-            directory=Directory(store=store),
-            handle_event=self.handle,
-            is_dropped=lambda job_id, request: False,
-        )
-        self.read = len(jobs.records)
-        stored = read_records(jobs.newest() + work.newest())
-        stored.apply_arrivals()
-        restore_jobs(self.partition.state, stored)
-        self.feed.submit(stored)
-        self.feed.pass_arrivals(stored)
-        self.feed.cancel(stored)
-
-    @property
-    def state(self) -> PartitionState:
-        """Return the state of its partition."""
-        return self.partition.state
-
-    def list_workers(self) -> None:
-        """Read the workers' entries, and let those answer that are there."""
-        self.handle_all(self.partition.list_workers())
-        for worker_id in self.partition.entries:
-            if worker_id in self.state.workers and not self.state.workers[worker_id].is_ready():
-                self.handle_all(self.partition.list_known_runs(worker_id))
-
-    def handle(self, event: object) -> None:
-        """Apply an event."""
-        self.handle_all(self.partition.apply(event))  # type: ignore[arg-type]
-
-    def handle_all(self, effects: list[Effect]) -> None:
-        """Keep effects until they are carried out."""
-        self.pending += effects
-
-    def read_jobs(self) -> None:
-        """Read what callers and other partitions have stored since the last time."""
-        records, self.read = self.jobs.records[self.read :], len(self.jobs.records)
-        self.feed.follower.on_records(records)
-
-    def save(self, job_id: str) -> None:
-        """Store what is known of a job."""
-        job, forwarded = self.state.find_job(job_id), self.state.forwarded.get(job_id)
-        encode = partial(encode_progress, job) if job else None
-        if forwarded is not None:
-            encode = partial(encode_forwarded, forwarded)
-        if encode is not None:
-            self.work.append(f"{PROGRESS_PREFIX}{job_id}", encode())
-
-
 class RelocationMachine(RuleBasedStateMachine):
     """Callers, three partitions of one service, their successors, and workers that come and go."""
 
